--- /dev/null
+++ b/src/cactusstile/__init__.py
@@ -0,0 +1,3 @@
+"""Serving system for prompts that return after long gaps."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/consensus/__init__.py
@@ -0,0 +1,3 @@
+"""Replicated log: a pure consensus core, its storage and driver."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/controllers/__init__.py
@@ -0,0 +1,3 @@
+"""Controllers that drive targets towards the configuration."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Queues, budgets and buckets that bound the load."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/observability/__init__.py
@@ -0,0 +1,3 @@
+"""Metrics, logs and state dumps."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/store/__init__.py
@@ -0,0 +1,3 @@
+"""Kept blocks: storage, eviction and transfer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Framed messages between the processes of the system."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/verdict.py
@@ -0,0 +1,76 @@
+"""Verdicts on whether a refused request may have run."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """Says whether the work of a request may have been started."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    HAS_RUN = "has_run"
+
+
+class Reason(enum.Enum):
+    """Names the cause of a refusal; stable, part of the callers' interface."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_MODEL = "unknown_model"
+    TOO_LARGE = "too_large"
+    OVERLOADED = "overloaded"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    TARGET_LEAVING = "target_leaving"
+    TARGET_LOST = "target_lost"
+    NO_TARGET = "no_target"
+    VERSION_CHANGED = "version_changed"
+    DUPLICATE = "duplicate"
+    STALE_CONFIGURATION = "stale_configuration"
+    SHUTTING_DOWN = "shutting_down"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Refusal:
+    """Final answer to a request that the system does not complete.
+
+    Attributes:
+      verdict: Whether the request may have run.
+      reason: Cause of the refusal.
+      message: What happened and what the caller can do.
+      retry_after_s: Seconds after which a retry is sensible; 0 means that a
+        retry does not help.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    message: str
+    retry_after_s: float = 0.0
+
+
+class RefusedError(Exception):
+    """Raised when a request is refused; carries the refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Wraps `refusal`."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def refuse(
+    reason: Reason,
+    message: str,
+    *,
+    verdict: Verdict = Verdict.NOT_RUN,
+    retry_after_s: float = 0.0,
+) -> RefusedError:
+    """Returns an error that refuses a request.
+
+    >>> refuse(Reason.OVERLOADED, "queue full", retry_after_s=2.0).refusal.reason
+    <Reason.OVERLOADED: 'overloaded'>
+    """
+    return RefusedError(Refusal(verdict, reason, message, retry_after_s))
