--- a/src/cactusstile/verdict.py
+++ b/src/cactusstile/verdict.py
@@ -70,7 +70,7 @@
 ) -> RefusedError:
     """Returns an error that refuses a request.
 
-    >>> refuse(Reason.OVERLOADED, "queue full", retry_after_s=2.0).refusal.reason
-    <Reason.OVERLOADED: 'overloaded'>
+    >>> refuse(Reason.NO_TARGET, "none is live").refusal.verdict
+    <Verdict.NOT_RUN: 'not_run'>
     """
     return RefusedError(Refusal(verdict, reason, message, retry_after_s))
