--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks and the load tool."""
+
+from __future__ import annotations
