Add the framed transport

Need: every process pair exchanges typed messages, with requests identified, streams with credit, heartbeats that notice silent peers, and authentication before any message is read. Change: codec maps attrs classes to Cap'n Proto structs; frames carry type and call id; a handshake proves the shared secret by HMAC over both hellos. Conclusion: wrong secrets, garbage, silent cuts, slow readers are tested.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	$(BIN)/pip install -qq --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $(STAMP)
 
 clean:
--- /dev/null
+++ b/src/cactusstile/transport/codec.py
@@ -0,0 +1,192 @@
+"""Conversion between attrs messages and Cap'n Proto bytes.
+
+A message is a frozen attrs class that mirrors a struct of a schema file: the
+same fields, in snake case here and in camel case there. Supported field types
+are bool, int, float, str, bytes, nested messages, and tuples of these.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import types
+import typing
+
+import attrs
+import capnp
+
+from cactusstile.transport import exceptions
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Encoder = collections.abc.Callable[[typing.Any, str, typing.Any], None]
+    Decoder = collections.abc.Callable[[typing.Any], typing.Any]
+
+capnp.remove_import_hook()
+
+_WORD_BYTES = 8
+_TRAVERSAL_SLACK_WORDS = 1024
+_MAX_NESTING = 16
+_SCALARS = (bool, int, float, str, bytes)
+
+_T = typing.TypeVar("_T")
+
+
+@attrs.frozen
+class _Field:
+    name: str
+    wire_name: str
+    encode: Encoder
+    decode: Decoder
+
+
+@attrs.frozen
+class _Codec:
+    number: int
+    cls: type
+    struct: typing.Any
+    fields: tuple[_Field, ...]
+
+
+_by_class: dict[type, _Codec] = {}
+_by_number: dict[int, _Codec] = {}
+_schemas: dict[pathlib.Path, typing.Any] = {}
+
+
+def load_schema(module_file: str, name: str) -> typing.Any:
+    """Returns the schema `name` that lies beside the module `module_file`."""
+    path = pathlib.Path(module_file).with_name(name)
+    if path not in _schemas:
+        _schemas[path] = capnp.load(str(path))
+    return _schemas[path]
+
+
+def register(
+    number: int, schema: typing.Any, struct: str
+) -> collections.abc.Callable[[type[_T]], type[_T]]:
+    """Returns a decorator that ties an attrs class to a struct of a schema.
+
+    Args:
+      number: Type number on the wire, unique over the whole system; 0 for a
+        struct that only occurs inside others.
+      schema: Loaded schema, see `load_schema`.
+      struct: Name of the struct in the schema.
+
+    Raises:
+      ValueError: If the number is taken.
+    """
+
+    def decorate(cls: type[_T]) -> type[_T]:
+        if number and number in _by_number:
+            taken = _by_number[number].cls.__qualname__
+            raise ValueError(f"message number {number} is taken by {taken}")
+        codec = _Codec(number, cls, getattr(schema, struct), _build_fields(cls))
+        _by_class[cls] = codec
+        if number:
+            _by_number[number] = codec
+        return cls
+
+    return decorate
+
+
+def number_of(cls: type) -> int:
+    """Returns the type number of a registered message class."""
+    return _by_class[cls].number
+
+
+def encode(message: object) -> bytes:
+    """Returns the bytes of a registered message."""
+    codec = _by_class[type(message)]
+    builder = codec.struct.new_message()
+    _fill(codec, builder, message)
+    return typing.cast("bytes", builder.to_bytes())
+
+
+def decode(number: int, data: bytes) -> object:
+    """Returns the message of type `number` in `data`.
+
+    Raises:
+      ProtocolError: If the type is unknown or the bytes are malformed.
+    """
+    codec = _by_number.get(number)
+    if codec is None:
+        raise exceptions.ProtocolError(f"unknown message type {number}")
+    limit = len(data) // _WORD_BYTES + _TRAVERSAL_SLACK_WORDS
+    try:
+        with codec.struct.from_bytes(
+            data, traversal_limit_in_words=limit, nesting_limit=_MAX_NESTING
+        ) as reader:
+            return _read(codec, reader)
+    except (capnp.KjException, ValueError, OverflowError, MemoryError) as error:
+        name = codec.cls.__name__
+        raise exceptions.ProtocolError(f"malformed {name}") from error
+
+
+def _fill(codec: _Codec, builder: typing.Any, message: object) -> None:
+    for field in codec.fields:
+        field.encode(builder, field.wire_name, getattr(message, field.name))
+
+
+def _read(codec: _Codec, reader: typing.Any) -> object:
+    values = {
+        field.name: field.decode(getattr(reader, field.wire_name))
+        for field in codec.fields
+    }
+    return codec.cls(**values)
+
+
+def _build_fields(cls: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(cls)
+    fields = []
+    for attribute in attrs.fields(cls):
+        head, *rest = attribute.name.split("_")
+        wire_name = head + "".join(part.capitalize() for part in rest)
+        encoder, decoder = _converters(hints[attribute.name])
+        fields.append(_Field(attribute.name, wire_name, encoder, decoder))
+    return tuple(fields)
+
+
+def _converters(hint: typing.Any) -> tuple[Encoder, Decoder]:
+    if hint in _SCALARS:
+        return setattr, _identity if hint is not bytes else bytes
+    if typing.get_origin(hint) is tuple:
+        return _tuple_converters(typing.get_args(hint)[0])
+    if isinstance(hint, types.UnionType) or hint not in _by_class:
+        raise TypeError(f"unsupported field type {hint!r}")
+    codec = _by_class[hint]
+
+    def encode_nested(builder: typing.Any, name: str, value: object) -> None:
+        _fill(codec, builder.init(name), value)
+
+    return encode_nested, lambda reader: _read(codec, reader)
+
+
+def _tuple_converters(item: typing.Any) -> tuple[Encoder, Decoder]:
+    if item in _SCALARS:
+        convert = bytes if item is bytes else _identity
+
+        def encode_scalars(
+            builder: typing.Any, name: str, values: tuple[object, ...]
+        ) -> None:
+            if values:
+                setattr(builder, name, list(values))
+
+        return encode_scalars, lambda reader: tuple(map(convert, reader))
+    codec = _by_class[item]
+
+    def encode_messages(
+        builder: typing.Any, name: str, values: tuple[object, ...]
+    ) -> None:
+        if not values:
+            return
+        items = builder.init(name, len(values))
+        for position, value in enumerate(values):
+            _fill(codec, items[position], value)
+
+    return encode_messages, lambda reader: tuple(
+        _read(codec, entry) for entry in reader
+    )
+
+
+def _identity(value: typing.Any) -> typing.Any:
+    return value
--- /dev/null
+++ b/src/cactusstile/transport/connection.py
@@ -0,0 +1,289 @@
+"""A connection: concurrent calls in both directions over one TCP stream."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.transport import codec
+from cactusstile.transport import exceptions
+from cactusstile.transport import frame
+from cactusstile.transport import incoming
+from cactusstile.transport import messages
+from cactusstile.transport import outbox
+from cactusstile.transport import stream
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 3.0
+_CREDIT_BYTES = 8
+
+
+@attrs.frozen
+class Timing:
+    """Heartbeat of a connection, in seconds.
+
+    Attributes:
+      heartbeat_interval_s: Time between pings.
+      silence_limit_s: Time without any frame after which the peer is lost.
+    """
+
+    heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
+    silence_limit_s: float = SILENCE_LIMIT_S
+
+
+class ClientStream:
+    """Caller's side of one open call: iterate for items, then `result`."""
+
+    def __init__(self, inbox: stream.Inbox) -> None:
+        """Reads from `inbox`."""
+        self.inbox = inbox
+
+    def __aiter__(self) -> ClientStream:
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> object:
+        """Returns the next item.
+
+        Raises:
+          TransportError: If the call failed.
+        """
+        item = await self.inbox.receive()
+        if item is None:
+            raise StopAsyncIteration
+        return item
+
+    async def result(self) -> object:
+        """Returns the final message, dropping items not yet read."""
+        return await self.inbox.result()
+
+
+class Connection:
+    """One authenticated connection.
+
+    Attributes:
+      peer: Hello of the other side.
+      closed: Set once the connection is unusable.
+    """
+
+    def __init__(
+        self,
+        byte_stream: anyio.abc.ByteStream,
+        peer: messages.Hello,
+        decoder: frame.Decoder,
+        handlers: incoming.Handlers,
+        timing: Timing | None = None,
+    ) -> None:
+        """Takes over a stream after the handshake; see `run`."""
+        self.peer = peer
+        self.closed = anyio.Event()
+        self.timing = timing or Timing()
+        self._stream = byte_stream
+        self._decoder = decoder
+        self._outbox = outbox.Outbox()
+        self._inboxes: dict[int, stream.Inbox] = {}
+        self._incoming = incoming.IncomingCalls(peer, handlers, self._outbox)
+        self._next_call_id = 1
+        self._last_heard_s = anyio.current_time()
+        self._loss = "connection closed"
+
+    async def run(self, early: collections.abc.Iterable[frame.Frame]) -> None:
+        """Serves the connection until it fails or is closed.
+
+        Args:
+          early: Frames that arrived together with the handshake.
+        """
+        try:
+            async with anyio.create_task_group() as group:
+                self._incoming.group = group
+                group.start_soon(self._write, group.cancel_scope)
+                group.start_soon(self._heartbeat, group.cancel_scope)
+                group.start_soon(self._wait_closed, group.cancel_scope)
+                await self._read(early)
+                group.cancel_scope.cancel()
+        finally:
+            self._fail_all()
+            with anyio.CancelScope(shield=True, deadline=0):
+                await self._stream.aclose()
+
+    def close(self) -> None:
+        """Closes the connection; open calls fail."""
+        self.closed.set()
+
+    def notify(self, message: object) -> bool:
+        """Sends a one-way message, unless too many bytes wait already.
+
+        Returns:
+          Whether the message was queued.
+        """
+        too_full = self._outbox.pending_bytes >= outbox.MAX_PENDING_BYTES
+        if self.closed.is_set() or too_full:
+            return False
+        number = codec.number_of(type(message))
+        payload = codec.encode(message)
+        self._outbox.put(frame.encode(frame.Kind.NOTICE, number, 0, payload))
+        return True
+
+    async def call(self, message: object, *, timeout_s: float) -> object:
+        """Returns the final answer to `message`.
+
+        Raises:
+          CallTimeoutError: If no answer arrived within `timeout_s` seconds.
+          ConnectionLostError: If the connection failed before the answer.
+          RemoteError: If the peer answered with an error.
+        """
+        async with self.open_stream(message) as opened:
+            with anyio.move_on_after(timeout_s):
+                return await opened.result()
+            sent = self._outbox.was_taken(opened.inbox.position)
+            raise exceptions.CallTimeoutError(
+                f"no answer from {self.peer.name} in {timeout_s:.3f} s",
+                sent=sent,
+            )
+
+    @contextlib.asynccontextmanager
+    async def open_stream(
+        self, message: object
+    ) -> collections.abc.AsyncIterator[ClientStream]:
+        """Opens a call with many items; leaving the context cancels it.
+
+        Raises:
+          ConnectionLostError: If the connection is closed already.
+        """
+        if self.closed.is_set():
+            raise exceptions.ConnectionLostError(self._loss, sent=False)
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        inbox = stream.Inbox(lambda size: self._grant(call_id, size))
+        number = codec.number_of(type(message))
+        data = frame.encode(
+            frame.Kind.CALL, number, call_id, codec.encode(message)
+        )
+        inbox.position = self._outbox.put(data)
+        self._inboxes[call_id] = inbox
+        try:
+            yield ClientStream(inbox)
+        finally:
+            self._inboxes.pop(call_id, None)
+            if not inbox.ended and not self.closed.is_set():
+                self._put(frame.Kind.CANCEL, call_id)
+
+    def sent_any_of(self, opened: ClientStream) -> bool:
+        """Returns whether any byte of a call may have left this process."""
+        return self._outbox.was_taken(opened.inbox.position)
+
+    def _put(
+        self, kind: frame.Kind, call_id: int = 0, payload: bytes = b""
+    ) -> None:
+        self._outbox.put(frame.encode(kind, 0, call_id, payload))
+
+    def _grant(self, call_id: int, size: int) -> None:
+        if not self.closed.is_set():
+            payload = size.to_bytes(_CREDIT_BYTES, "little")
+            self._put(frame.Kind.CREDIT, call_id, payload)
+
+    async def _write(self, scope: anyio.CancelScope) -> None:
+        try:
+            await self._outbox.write_to(self._stream)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self._lose("peer closed the connection", scope)
+
+    async def _heartbeat(self, scope: anyio.CancelScope) -> None:
+        while True:
+            await anyio.sleep(self.timing.heartbeat_interval_s)
+            silence_s = anyio.current_time() - self._last_heard_s
+            if silence_s > self.timing.silence_limit_s:
+                self._lose(f"peer silent for {silence_s:.1f} s", scope)
+            self._put(frame.Kind.PING)
+
+    async def _wait_closed(self, scope: anyio.CancelScope) -> None:
+        await self.closed.wait()
+        scope.cancel()
+
+    async def _read(self, early: collections.abc.Iterable[frame.Frame]) -> None:
+        try:
+            for received in early:
+                await self._dispatch(received)
+            while True:
+                data = await self._stream.receive()
+                self._last_heard_s = anyio.current_time()
+                for received in self._decoder.feed(data):
+                    await self._dispatch(received)
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            self._lose("peer closed the connection")
+        except exceptions.ProtocolError as error:
+            logger.warning(
+                "closing the connection of %s %s: %s",
+                self.peer.role,
+                self.peer.name,
+                error,
+            )
+            self._lose(str(error))
+
+    async def _dispatch(self, received: frame.Frame) -> None:
+        if received.kind is frame.Kind.PING:
+            self._put(frame.Kind.PONG)
+        elif received.kind is frame.Kind.CALL:
+            await self._outbox.wait_for_room()
+            self._incoming.start(received)
+        elif received.kind is frame.Kind.CANCEL:
+            self._incoming.cancel(received.call_id)
+        elif received.kind is frame.Kind.CREDIT:
+            size = int.from_bytes(received.payload[:_CREDIT_BYTES], "little")
+            self._incoming.grant(received.call_id, size)
+        elif received.kind is frame.Kind.NOTICE:
+            self._incoming.notice(received)
+        elif received.kind in (
+            frame.Kind.ITEM,
+            frame.Kind.END,
+            frame.Kind.ERROR,
+        ):
+            self._answer(received)
+        elif received.kind is not frame.Kind.PONG:
+            raise exceptions.ProtocolError(f"unexpected {received.kind.name}")
+
+    def _answer(self, received: frame.Frame) -> None:
+        inbox = self._inboxes.get(received.call_id)
+        if inbox is None:
+            return
+        message = codec.decode(received.number, received.payload)
+        if received.kind is frame.Kind.ITEM:
+            inbox.put(message, len(received.payload))
+            return
+        if received.kind is frame.Kind.END:
+            inbox.finish(message)
+            return
+        if not isinstance(message, messages.CallError):
+            raise exceptions.ProtocolError("error frame without an error")
+        inbox.fail(
+            exceptions.RemoteError(
+                message.code, message.message, message.detail
+            )
+        )
+
+    def _lose(self, why: str, scope: anyio.CancelScope | None = None) -> None:
+        self._loss = why
+        self.closed.set()
+        if scope is not None:
+            scope.cancel()
+
+    def _fail_all(self) -> None:
+        self.closed.set()
+        for inbox in self._inboxes.values():
+            sent = self._outbox.was_taken(inbox.position)
+            inbox.fail(exceptions.ConnectionLostError(self._loss, sent=sent))
+        self._inboxes.clear()
--- /dev/null
+++ b/src/cactusstile/transport/outbox.py
@@ -0,0 +1,70 @@
+"""Outgoing bytes of a connection, coalesced into few writes."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+MAX_PENDING_BYTES = 8 * 1024 * 1024
+_MAX_WRITE_BYTES = 256 * 1024
+
+
+class Outbox:
+    """Frames that wait for the socket.
+
+    Attributes:
+      taken: Count of frames handed to the socket, whole or in part.
+      queued: Count of frames ever queued.
+      pending_bytes: Bytes that wait.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.taken = 0
+        self.queued = 0
+        self.pending_bytes = 0
+        self._frames: list[bytes] = []
+        self._filled = anyio.Event()
+        self._drained = anyio.Event()
+
+    def put(self, data: bytes) -> int:
+        """Queues a frame and returns its position, counted from 1."""
+        self._frames.append(data)
+        self.pending_bytes += len(data)
+        self.queued += 1
+        self._filled.set()
+        return self.queued
+
+    def was_taken(self, position: int) -> bool:
+        """Returns whether any byte of the frame may have left."""
+        return position <= self.taken
+
+    async def wait_for_room(self) -> None:
+        """Returns once less than `MAX_PENDING_BYTES` wait."""
+        while self.pending_bytes >= MAX_PENDING_BYTES:
+            await self._drained.wait()
+
+    async def write_to(self, stream: anyio.abc.ByteStream) -> None:
+        """Writes frames until cancelled or until the stream fails."""
+        while True:
+            if not self._frames:
+                self._filled = anyio.Event()
+                await self._filled.wait()
+            batch = self._take_batch()
+            await stream.send(b"".join(batch))
+            self._drained.set()
+            self._drained = anyio.Event()
+
+    def _take_batch(self) -> list[bytes]:
+        size = 0
+        count = 0
+        for data in self._frames:
+            size += len(data)
+            count += 1
+            if size >= _MAX_WRITE_BYTES:
+                break
+        batch = self._frames[:count]
+        del self._frames[:count]
+        self.taken += count
+        self.pending_bytes -= size
+        return batch
--- /dev/null
+++ b/src/cactusstile/transport/pool.py
@@ -0,0 +1,148 @@
+"""Connections to peers, dialled on demand and shared by all calls."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.transport import connection
+from cactusstile.transport import exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.transport import address
+
+logger = logging.getLogger(__name__)
+
+DIAL_TIMEOUT_S = 1.0
+REDIAL_INTERVAL_S = 0.2
+_UNREACHABLE = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+@attrs.define
+class _Peer:
+    """Dial state of one address.
+
+    Attributes:
+      lock: Held while the peer is dialled.
+      connection: Connection in use.
+      failed_s: Time of the last failed dial on the loop's clock.
+      failure: Text of the last failure.
+    """
+
+    lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    connection: connection.Connection | None = None
+    failed_s: float = float("-inf")
+    failure: str = ""
+
+
+class Pool:
+    """Connections of one process by address."""
+
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        identity: handshake.Identity,
+        secrets: handshake.Secrets,
+        handlers: incoming.Handlers,
+        timing: connection.Timing | None,
+    ) -> None:
+        """Runs connections in `group`; see `open_pool`."""
+        self.identity = identity
+        self._group = group
+        self._secrets = secrets
+        self._handlers = handlers
+        self._timing = timing
+        self._peers: dict[address.Address, _Peer] = {}
+
+    async def connect(self, target: address.Address) -> connection.Connection:
+        """Returns a live connection to `target`, dialling when there is none.
+
+        Raises:
+          ConnectionLostError: If the peer cannot be reached (`sent` is
+            False). A peer that failed a moment ago is not dialled again.
+          AuthenticationError: If the peer does not prove the secret.
+        """
+        peer = self._peers.setdefault(target, _Peer())
+        async with peer.lock:
+            existing = peer.connection
+            if existing is not None and not existing.closed.is_set():
+                return existing
+            since_failure_s = anyio.current_time() - peer.failed_s
+            if since_failure_s < REDIAL_INTERVAL_S:
+                raise exceptions.ConnectionLostError(peer.failure, sent=False)
+            try:
+                peer.connection = await self._dial(target)
+            except _UNREACHABLE as error:
+                peer.failed_s = anyio.current_time()
+                peer.failure = f"{target} cannot be reached: {error!r}"
+                raise exceptions.ConnectionLostError(
+                    peer.failure, sent=False
+                ) from error
+            return peer.connection
+
+    def existing(self, target: address.Address) -> connection.Connection | None:
+        """Returns the live connection to `target`, if there is one."""
+        peer = self._peers.get(target)
+        if peer is None or peer.connection is None:
+            return None
+        return None if peer.connection.closed.is_set() else peer.connection
+
+    async def call(
+        self, target: address.Address, message: object, *, timeout_s: float
+    ) -> object:
+        """Dials if needed and calls; see `connection.Connection.call`."""
+        started_s = anyio.current_time()
+        opened = await self.connect(target)
+        left_s = timeout_s - (anyio.current_time() - started_s)
+        return await opened.call(message, timeout_s=left_s)
+
+    async def _dial(self, target: address.Address) -> connection.Connection:
+        with anyio.fail_after(DIAL_TIMEOUT_S):
+            byte_stream = await anyio.connect_tcp(target.host, target.port)
+            try:
+                peer, early, decoder = await handshake.connect(
+                    byte_stream, self.identity, self._secrets
+                )
+            except BaseException:
+                await anyio.aclose_forcefully(byte_stream)
+                raise
+        opened = connection.Connection(
+            byte_stream, peer, decoder, self._handlers, self._timing
+        )
+        self._group.start_soon(opened.run, early)
+        return opened
+
+
+@contextlib.asynccontextmanager
+async def open_pool(
+    identity: handshake.Identity,
+    secrets: handshake.Secrets,
+    handlers: incoming.Handlers | None = None,
+    timing: connection.Timing | None = None,
+) -> collections.abc.AsyncIterator[Pool]:
+    """Opens a pool whose connections close when the context is left.
+
+    Args:
+      identity: Identity that this process presents.
+      secrets: Secrets of the deployment.
+      handlers: Serve calls that peers make over dialled connections.
+      timing: Heartbeat of the connections.
+    """
+    async with anyio.create_task_group() as group:
+        served = handlers or incoming.Handlers()
+        yield Pool(group, identity, secrets, served, timing)
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/src/cactusstile/transport/server.py
@@ -0,0 +1,103 @@
+"""Listening side of the transport."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.transport import address
+from cactusstile.transport import connection
+from cactusstile.transport import exceptions
+from cactusstile.transport import handshake
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.transport import incoming
+
+logger = logging.getLogger(__name__)
+
+HANDSHAKE_TIMEOUT_S = 3.0
+
+
+@attrs.define
+class Server:
+    """A running listener.
+
+    Attributes:
+      bound: Address it listens on, with the port that was chosen.
+      connections: Connections that passed the handshake.
+    """
+
+    bound: address.Address
+    connections: set[connection.Connection] = attrs.field(factory=set)
+
+
+@attrs.frozen
+class _Acceptor:
+    """What every accepted connection needs."""
+
+    server: Server
+    identity: handshake.Identity
+    secrets: handshake.Secrets
+    handlers: incoming.Handlers
+    timing: connection.Timing | None
+
+    async def handle(self, byte_stream: anyio.abc.ByteStream) -> None:
+        try:
+            async with byte_stream:
+                await self._serve(byte_stream)
+        except (exceptions.TransportError, TimeoutError) as error:
+            logger.warning("refused a connection: %s", error)
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            logger.debug("peer left during the handshake")
+
+    async def _serve(self, byte_stream: anyio.abc.ByteStream) -> None:
+        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+            peer, early, decoder = await handshake.accept(
+                byte_stream, self.identity, self.secrets
+            )
+        opened = connection.Connection(
+            byte_stream, peer, decoder, self.handlers, self.timing
+        )
+        self.server.connections.add(opened)
+        try:
+            await opened.run(early)
+        finally:
+            self.server.connections.discard(opened)
+
+
+@contextlib.asynccontextmanager
+async def open_server(
+    listen: address.Address,
+    identity: handshake.Identity,
+    secrets: handshake.Secrets,
+    handlers: incoming.Handlers,
+    timing: connection.Timing | None = None,
+) -> collections.abc.AsyncIterator[Server]:
+    """Listens until the context is left, which closes all connections.
+
+    Raises:
+      OSError: If the address cannot be bound.
+    """
+    listener = await anyio.create_tcp_listener(
+        local_host=listen.host, local_port=listen.port
+    )
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    server = Server(address.Address(listen.host, port))
+    acceptor = _Acceptor(server, identity, secrets, handlers, timing)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, acceptor.handle)
+        try:
+            yield server
+        finally:
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/transport/test_codec.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cactusstile.transport import codec
+from cactusstile.transport import exceptions
+from cactusstile.transport import frame
+from cactusstile.transport import messages
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(0, 65_535), max_size=5),
+    strategies.text(max_size=20).filter(lambda text: "\x00" not in text),
+    strategies.integers(0, 2**64 - 1),
+    strategies.binary(max_size=50),
+)
+def test_decode_inverts_encode(
+    versions: list[int], name: str, incarnation: int, nonce: bytes
+) -> None:
+    hello = messages.Hello(tuple(versions), "entry", name, incarnation, nonce)
+    assert codec.decode(1, codec.encode(hello)) == hello
+
+
+@hypothesis.given(strategies.integers(0, 5), strategies.binary(max_size=200))
+def test_decode_of_hostile_bytes_raises_protocol_error(
+    number: int, data: bytes
+) -> None:
+    try:
+        codec.decode(number, data)
+    except exceptions.ProtocolError:
+        return
+
+
+@hypothesis.given(strategies.binary(max_size=300))
+def test_frame_decoder_bounds_what_it_buffers(data: bytes) -> None:
+    decoder = frame.Decoder(max_payload_bytes=64)
+    try:
+        frames = decoder.feed(data)
+    except exceptions.ProtocolError:
+        return
+    assert all(len(received.payload) <= 64 for received in frames)
+
+
+def test_frame_decoder_joins_split_frames() -> None:
+    data = frame.encode(frame.Kind.CALL, 3, 7, b"payload")
+    decoder = frame.Decoder()
+    assert decoder.feed(data[:10]) == []
+    expected = [frame.Frame(frame.Kind.CALL, 3, 7, b"payload")]
+    assert decoder.feed(data[10:]) == expected
+
+
+def test_frame_encode_refuses_oversized_payload() -> None:
+    with pytest.raises(exceptions.ProtocolError):
+        frame.encode(frame.Kind.CALL, 1, 1, bytes(frame.MAX_PAYLOAD_BYTES + 1))
--- /dev/null
+++ b/tests/transport/test_connection.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from cactusstile.transport import address
+from cactusstile.transport import connection
+from cactusstile.transport import exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import messages
+from cactusstile.transport import pool
+from cactusstile.transport import server
+from cactusstile.transport import stream
+
+pytestmark = pytest.mark.anyio
+
+SECRETS = handshake.Secrets(b"fleet-secret", b"operator-secret")
+LOCAL = address.Address("127.0.0.1", 0)
+FAST = connection.Timing(heartbeat_interval_s=0.05, silence_limit_s=0.2)
+
+
+async def _echo(responder: incoming.Responder, message: object) -> object:
+    assert isinstance(message, messages.CallError)
+    if message.code == "fail":
+        raise exceptions.RemoteError("refused", "as asked", "detail")
+    if message.code == "hang":
+        await anyio.sleep_forever()
+    if message.code == "flood":
+        item = messages.CallError("item", "x" * 100_000)
+        for _ in range(40):
+            await responder.send(item)
+    return message
+
+
+HANDLERS = incoming.Handlers(calls={messages.CallError: _echo})
+
+
+@contextlib.asynccontextmanager
+async def _open_pair(
+    secrets: handshake.Secrets = SECRETS, role: str = "entry"
+) -> collections.abc.AsyncIterator[connection.Connection]:
+    identity = handshake.Identity("agent", "a")
+    caller = handshake.Identity(role, "e")
+    async with (
+        server.open_server(LOCAL, identity, SECRETS, HANDLERS, FAST) as opened,
+        pool.open_pool(caller, secrets, timing=FAST) as peers,
+    ):
+        yield await peers.connect(opened.bound)
+
+
+async def test_call_returns_answer() -> None:
+    async with _open_pair() as opened:
+        sent = messages.CallError("ok", "text")
+        assert await opened.call(sent, timeout_s=1) == sent
+
+
+async def test_call_carries_remote_error() -> None:
+    async with _open_pair() as opened:
+        with pytest.raises(exceptions.RemoteError) as caught:
+            await opened.call(messages.CallError("fail", ""), timeout_s=1)
+        assert (caught.value.code, caught.value.detail) == ("refused", "detail")
+
+
+async def test_call_reports_unserved_message() -> None:
+    async with _open_pair() as opened:
+        with pytest.raises(exceptions.RemoteError, match="unsupported"):
+            await opened.call(messages.Empty(), timeout_s=1)
+
+
+async def test_call_timeout_says_that_bytes_left() -> None:
+    async with _open_pair() as opened:
+        with pytest.raises(exceptions.CallTimeoutError) as caught:
+            await opened.call(messages.CallError("hang", ""), timeout_s=0.1)
+        assert caught.value.sent
+
+
+async def test_stream_waits_for_slow_reader() -> None:
+    async with (
+        _open_pair() as opened,
+        opened.open_stream(messages.CallError("flood", "")) as items,
+    ):
+        await anyio.sleep(0.1)
+        buffered = items.inbox._buffered_bytes
+        assert buffered <= stream.WINDOW_BYTES + 200_000
+        assert len([item async for item in items]) == 40
+
+
+async def test_connect_refuses_wrong_secret() -> None:
+    wrong = handshake.Secrets(b"other")
+    with pytest.raises(ExceptionGroup) as caught:
+        async with _open_pair(wrong):
+            pass
+    assert caught.group_contains(
+        (exceptions.ConnectionLostError, exceptions.AuthenticationError)
+    )
+
+
+async def test_connect_refuses_fleet_secret_of_operator() -> None:
+    wrong = handshake.Secrets(b"", b"fleet-secret")
+    with pytest.raises(ExceptionGroup):
+        async with _open_pair(wrong, role="operator"):
+            pass
+
+
+async def test_server_survives_garbage() -> None:
+    identity = handshake.Identity("agent", "a")
+    async with server.open_server(LOCAL, identity, SECRETS, HANDLERS) as opened:
+        bound = opened.bound
+        for garbage in (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 100, b""):
+            async with await anyio.connect_tcp(bound.host, bound.port) as raw:
+                await raw.send(garbage)
+                await raw.send_eof()
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    await raw.receive()
+        caller = handshake.Identity("entry", "e")
+        async with pool.open_pool(caller, SECRETS) as peers:
+            message = messages.CallError("ok", "")
+            answer = await peers.call(bound, message, timeout_s=1)
+            assert answer == message
+
+
+async def test_connection_notices_silent_peer() -> None:
+    """A relay that stops forwarding stands for a silent partition."""
+    identity = handshake.Identity("agent", "a")
+    caller = handshake.Identity("entry", "e")
+    async with contextlib.AsyncExitStack() as stack:
+        opened = await stack.enter_async_context(
+            server.open_server(LOCAL, identity, SECRETS, HANDLERS)
+        )
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        relay_port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        cut = anyio.Event()
+
+        async def forward(
+            source: anyio.abc.ByteStream, sink: anyio.abc.ByteStream
+        ) -> None:
+            async for data in source:
+                if not cut.is_set():
+                    await sink.send(data)
+
+        async def relay(near: anyio.abc.SocketStream) -> None:
+            bound = opened.bound
+            far = await anyio.connect_tcp(bound.host, bound.port)
+            async with near, far, anyio.create_task_group() as group:
+                group.start_soon(forward, near, far)
+                group.start_soon(forward, far, near)
+
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, relay)
+        peers = await stack.enter_async_context(
+            pool.open_pool(caller, SECRETS, timing=FAST)
+        )
+        target = address.Address("127.0.0.1", relay_port)
+        link = await peers.connect(target)
+        cut.set()
+        with anyio.fail_after(1):
+            with pytest.raises(exceptions.ConnectionLostError, match="silent"):
+                await link.call(messages.CallError("ok", ""), timeout_s=5)
+        group.cancel_scope.cancel()
+
+
+async def test_connect_to_dead_port_says_nothing_was_sent() -> None:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        dead = address.Address("127.0.0.1", probe.getsockname()[1])
+    caller = handshake.Identity("entry", "e")
+    async with pool.open_pool(caller, SECRETS) as peers:
+        with pytest.raises(exceptions.ConnectionLostError) as caught:
+            await peers.connect(dead)
+        assert not caught.value.sent
