--- /dev/null
+++ b/src/cactusstile/state/holder.py
@@ -0,0 +1,55 @@
+"""A node's own copy of the fleet, which only moves forward."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+
+from cactusstile.state import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+logger = logging.getLogger(__name__)
+
+
+class FleetHolder:
+    """Holds the newest fleet that this node knows.
+
+    Attributes:
+      fleet: The fleet in force here.
+      confirmed: Set once a quorum has confirmed a revision to this process;
+        before that the node serves nothing.
+    """
+
+    def __init__(self, fleet: model.Fleet | None = None) -> None:
+        """Starts with `fleet`, unconfirmed."""
+        self.fleet = fleet or model.Fleet()
+        self.confirmed = anyio.Event()
+        self._observers: list[
+            collections.abc.Callable[[model.Fleet, model.Fleet], None]
+        ] = []
+
+    def observe(
+        self,
+        observer: collections.abc.Callable[[model.Fleet, model.Fleet], None],
+    ) -> None:
+        """Calls `observer(old, new)` at each later change."""
+        self._observers.append(observer)
+
+    def advance(self, fleet: model.Fleet) -> bool:
+        """Puts `fleet` in force unless it is older than what is held.
+
+        Returns:
+          Whether the fleet changed.
+        """
+        old = self.fleet
+        if fleet.revision <= old.revision:
+            return False
+        self.fleet = fleet
+        logger.info("configuration revision %d is in force", fleet.revision)
+        for observer in self._observers:
+            observer(old, fleet)
+        return True
