--- a/src/cactusstile/settings/ini.py
+++ b/src/cactusstile/settings/ini.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import configparser
+import re
 import typing
 
 import attrs
@@ -11,7 +12,9 @@
     import collections.abc
 
 MAX_FILE_CHARACTERS = 8 * 1024 * 1024
+MAX_NAME_LENGTH = 128
 REQUIRED: typing.Final = object()
+_WHOLE_NUMBER = re.compile(r"-?[0-9]{1,18}(_[0-9]{3}){0,5}")
 
 
 @attrs.frozen
@@ -127,8 +130,7 @@
     """
 
     def parse(text: str) -> int:
-        digits = text.replace("_", "")
-        number = int(digits) if digits.lstrip("-").isdecimal() else None
+        number = int(text) if _WHOLE_NUMBER.fullmatch(text) else None
         if number is None or not minimum <= number <= maximum:
             raise ValueError(
                 f"{text!r} is not a whole number from {minimum} to {maximum}"
@@ -190,6 +192,3 @@
     ('a', 'b')
     """
     return tuple(name(part.strip()) for part in text.split(",") if part.strip())
-
-
-MAX_NAME_LENGTH = 128
