--- a/src/cactusstile/consensus/__init__.py
+++ b/src/cactusstile/consensus/__init__.py
@@ -1,3 +1,3 @@
-"""Replicated log: a pure consensus core, its storage and driver."""
+"""Replicated log: pure consensus core, durable storage, replica driver."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/consensus/membership.py
@@ -0,0 +1,175 @@
+"""Members of a replica group and the changes that may be made to them.
+
+A member is a name with an incarnation. The incarnation is a random number
+drawn when a data folder is created, so a replica that lost its disk is a new
+member and cannot vote with the forgotten state of the old one.
+"""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+
+from cactusstile.consensus import exceptions
+
+MAX_MEMBERS = 15
+
+
+@attrs.frozen
+class Member:
+    """One replica of the group.
+
+    Attributes:
+      name: Name of the replica; survives the loss of its disk.
+      incarnation: Random number of its data folder.
+      address: Address that messages to it are sent to.
+      voter: Whether it counts in quorums; a learner does not.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    voter: bool = True
+
+    @property
+    def id(self) -> str:
+        """Name and incarnation; never used twice."""
+        return member_id(self.name, self.incarnation)
+
+
+def member_id(name: str, incarnation: int) -> str:
+    """Returns the identity of one incarnation of a replica.
+
+    >>> member_id("control-1", 255)
+    'control-1.00000000000000ff'
+    """
+    return f"{name}.{incarnation:016x}"
+
+
+@attrs.frozen
+class Configuration:
+    """The members of the group as of one log entry."""
+
+    members: tuple[Member, ...] = ()
+
+    def find(self, identity: str) -> Member | None:
+        """Returns the member with this identity, if any."""
+        for member in self.members:
+            if member.id == identity:
+                return member
+        return None
+
+    def voters(self) -> list[str]:
+        """Returns the identities of all voters."""
+        return [member.id for member in self.members if member.voter]
+
+    def quorum(self) -> int:
+        """Returns the number of voters that makes a majority."""
+        return len(self.voters()) // 2 + 1
+
+
+@attrs.frozen
+class AddLearner:
+    """Adds a replica that receives the log but does not vote."""
+
+    name: str
+    incarnation: int
+    address: str
+
+
+@attrs.frozen
+class Promote:
+    """Makes a learner that holds all committed entries a voter."""
+
+    member_id: str
+
+
+@attrs.frozen
+class Remove:
+    """Removes a replica; never the leader itself."""
+
+    member_id: str
+
+
+@attrs.frozen
+class Replace:
+    """Removes a lost incarnation and adds its successor as a learner."""
+
+    lost_member_id: str
+    name: str
+    incarnation: int
+    address: str
+
+
+Change = AddLearner | Promote | Remove | Replace
+
+
+def apply_change(configuration: Configuration, change: Change) -> Configuration:
+    """Returns `configuration` with one change made.
+
+    Every change adds or removes at most one voter, so that all majorities of
+    the old and the new configuration overlap.
+
+    Raises:
+      MembershipError: The change does not fit the present members.
+    """
+    members = list(configuration.members)
+    if isinstance(change, Remove):
+        members.remove(_get(configuration, change.member_id))
+    elif isinstance(change, Promote):
+        member = _get(configuration, change.member_id)
+        if member.voter:
+            raise exceptions.MembershipError(f"{member.id} is a voter already")
+        position = members.index(member)
+        members[position] = attrs.evolve(member, voter=True)
+    else:
+        if isinstance(change, Replace):
+            members.remove(_get(configuration, change.lost_member_id))
+        members.append(_new_learner(members, change))
+    changed = Configuration(tuple(members))
+    if not changed.voters():
+        raise exceptions.MembershipError("the last voter cannot be removed")
+    return changed
+
+
+def _get(configuration: Configuration, identity: str) -> Member:
+    """Returns the member with this identity or refuses the change."""
+    member = configuration.find(identity)
+    if member is None:
+        known = ", ".join(one.id for one in configuration.members)
+        raise exceptions.MembershipError(
+            f"{identity} is not a member; members are {known}"
+        )
+    return member
+
+
+def _new_learner(members: list[Member], change: AddLearner | Replace) -> Member:
+    """Returns the learner that a change adds."""
+    if len(members) >= MAX_MEMBERS:
+        raise exceptions.MembershipError(
+            f"a group has at most {MAX_MEMBERS} members; remove one first"
+        )
+    for member in members:
+        if member.name == change.name:
+            raise exceptions.MembershipError(
+                f"{member.id} has this name; replace or remove it first"
+            )
+    return Member(change.name, change.incarnation, change.address, voter=False)
+
+
+def encode(configuration: Configuration) -> bytes:
+    """Returns a configuration as the data of a log entry."""
+    members = [attrs.astuple(member) for member in configuration.members]
+    return json.dumps(members).encode()
+
+
+def decode(data: bytes) -> Configuration:
+    """Returns the configuration that `encode` wrote.
+
+    >>> one = Configuration((Member("a", 1, "127.0.0.1:1"),))
+    >>> decode(encode(one)) == one
+    True
+    """
+    members = [Member(*fields) for fields in json.loads(data)]
+    return Configuration(tuple(members))
