Let idle connections cost nothing

Cause: every connection pinged once a second. benchmarks.transport_cost showed 626 to 713 us of processor time a second for an idle connection (both ends in one process), so about 37 idle connections would take the 1.2% of a core that a node may spend on control. Ruled out: a longer interval alone; silent peers must be noticed in 3 s. Change: pings run only while calls are open or a notice was sent lately; the dialling side closes a connection after 60 s without use. Conclusion: both new tests failed before the change; silent peers are still noticed while a call is open.

--- a/src/cactusstile/transport/connection.py
+++ b/src/cactusstile/transport/connection.py
@@ -25,6 +25,7 @@
 
 HEARTBEAT_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.0
+IDLE_LIMIT_S = 60.0
 _CREDIT_BYTES = 8
 
 
@@ -33,12 +34,17 @@
     """Heartbeat of a connection, in seconds.
 
     Attributes:
-      heartbeat_interval_s: Time between pings.
-      silence_limit_s: Time without any frame after which the peer is lost.
+      heartbeat_interval_s: Time between pings while calls are open or a
+        notice was sent lately; an idle connection costs nothing.
+      silence_limit_s: Time without any frame after which the peer of a
+        connection in use is lost.
+      idle_limit_s: Time without use after which the dialling side closes
+        the connection.
     """
 
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
     silence_limit_s: float = SILENCE_LIMIT_S
+    idle_limit_s: float = IDLE_LIMIT_S
 
 
 class ClientStream:
@@ -83,8 +89,19 @@
         decoder: frame.Decoder,
         handlers: incoming.Handlers,
         timing: Timing | None = None,
+        *,
+        dialled: bool = False,
     ) -> None:
-        """Takes over a stream after the handshake; see `run`."""
+        """Takes over a stream after the handshake; see `run`.
+
+        Args:
+          byte_stream: The TCP stream.
+          peer: Hello of the other side.
+          decoder: Decoder that the handshake has used.
+          handlers: Serve the peer's calls.
+          timing: Heartbeat.
+          dialled: Whether this side opened the connection.
+        """
         self.peer = peer
         self.closed = anyio.Event()
         self.timing = timing or Timing()
@@ -95,6 +112,9 @@
         self._incoming = incoming.IncomingCalls(peer, handlers, self._outbox)
         self._next_call_id = 1
         self._last_heard_s = anyio.current_time()
+        self._last_notice_s = float("-inf")
+        self._in_use = anyio.Event()
+        self._dialled = dialled
         self._loss = "connection closed"
 
     async def run(self, early: collections.abc.Iterable[frame.Frame]) -> None:
@@ -131,6 +151,8 @@
             return False
         number = codec.number_of(type(message))
         payload = codec.encode(message)
+        self._mark_used()
+        self._last_notice_s = anyio.current_time()
         self._outbox.put(frame.encode(frame.Kind.NOTICE, number, 0, payload))
         return True
 
@@ -170,6 +192,7 @@
             frame.Kind.CALL, number, call_id, codec.encode(message)
         )
         inbox.position = self._outbox.put(data)
+        self._mark_used()
         self._inboxes[call_id] = inbox
         try:
             yield ClientStream(inbox)
@@ -198,14 +221,37 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             self._lose("peer closed the connection", scope)
 
+    def _is_used(self) -> bool:
+        since_notice_s = anyio.current_time() - self._last_notice_s
+        return (
+            bool(self._inboxes)
+            or self._incoming.any_open()
+            or since_notice_s < self.timing.silence_limit_s
+        )
+
+    def _mark_used(self) -> None:
+        if not self._in_use.is_set():
+            self._last_heard_s = anyio.current_time()
+            self._in_use.set()
+
     async def _heartbeat(self, scope: anyio.CancelScope) -> None:
         while True:
+            if not self._is_used():
+                await self._wait_until_used(scope)
             await anyio.sleep(self.timing.heartbeat_interval_s)
             silence_s = anyio.current_time() - self._last_heard_s
             if silence_s > self.timing.silence_limit_s:
                 self._lose(f"peer silent for {silence_s:.1f} s", scope)
             self._put(frame.Kind.PING)
 
+    async def _wait_until_used(self, scope: anyio.CancelScope) -> None:
+        self._in_use = anyio.Event()
+        limit_s = self.timing.idle_limit_s if self._dialled else float("inf")
+        with anyio.move_on_after(limit_s):
+            await self._in_use.wait()
+            return
+        self._lose("idle connection closed", scope)
+
     async def _wait_closed(self, scope: anyio.CancelScope) -> None:
         await self.closed.wait()
         scope.cancel()
@@ -239,6 +285,7 @@
             self._put(frame.Kind.PONG)
         elif received.kind is frame.Kind.CALL:
             await self._outbox.wait_for_room()
+            self._mark_used()
             self._incoming.start(received)
         elif received.kind is frame.Kind.CANCEL:
             self._incoming.cancel(received.call_id)
--- a/src/cactusstile/transport/incoming.py
+++ b/src/cactusstile/transport/incoming.py
@@ -102,6 +102,10 @@
         self._outbox = out
         self._open: dict[int, Responder] = {}
 
+    def any_open(self) -> bool:
+        """Returns whether any handler runs."""
+        return bool(self._open)
+
     def start(self, received: frame.Frame) -> None:
         """Starts the handler of a call.
 
--- a/src/cactusstile/transport/pool.py
+++ b/src/cactusstile/transport/pool.py
@@ -121,7 +121,12 @@
                 await anyio.aclose_forcefully(byte_stream)
                 raise
         opened = connection.Connection(
-            byte_stream, peer, decoder, self._handlers, self._timing
+            byte_stream,
+            peer,
+            decoder,
+            self._handlers,
+            self._timing,
+            dialled=True,
         )
         self._group.start_soon(opened.run, early)
         return opened
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -175,3 +175,29 @@
         with pytest.raises(exceptions.ConnectionLostError) as caught:
             await peers.connect(dead)
         assert not caught.value.sent
+
+
+async def test_idle_connection_sends_nothing() -> None:
+    async with _open_pair() as opened:
+        await opened.call(messages.CallError("ok", ""), timeout_s=1)
+        await anyio.sleep(FAST.silence_limit_s)
+        queued = opened._outbox.queued
+        await anyio.sleep(4 * FAST.heartbeat_interval_s)
+        assert opened._outbox.queued == queued
+        assert not opened.closed.is_set()
+
+
+async def test_idle_connection_closes_and_is_dialled_anew() -> None:
+    timing = connection.Timing(0.05, 0.2, idle_limit_s=0.2)
+    identity = handshake.Identity("agent", "a")
+    caller = handshake.Identity("entry", "e")
+    message = messages.CallError("ok", "")
+    async with (
+        server.open_server(LOCAL, identity, SECRETS, HANDLERS) as opened,
+        pool.open_pool(caller, SECRETS, timing=timing) as peers,
+    ):
+        assert await peers.call(opened.bound, message, timeout_s=1)
+        with anyio.fail_after(2):
+            while opened.connections:
+                await anyio.sleep(0.02)
+        assert await peers.call(opened.bound, message, timeout_s=1) == message
