Add the command line's entry point

Need: commands report what a user can act on without tracebacks. Change: one module a command under console/, each with a function run; exit codes are listed in console/exceptions.py; known errors are found inside exception groups. Conclusion: faults of the program still show their traceback.

--- /dev/null
+++ b/src/cactusstile/console/application.py
@@ -0,0 +1,102 @@
+"""Entry point of the command line."""
+
+from __future__ import annotations
+
+import errno
+import importlib
+import sys
+import typing
+
+import fire
+
+from cactusstile.console import exceptions
+from cactusstile.settings import ini
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+COMMANDS = {
+    "local": "run all roles and stand-ins in one process",
+    "entry": "run an entry process",
+    "agent": "run the agent beside one target",
+    "control": "run a control process",
+    "check": "check a fleet file or settings file without applying it",
+    "apply": "put a fleet file in force",
+    "diff": "show what a fleet file would change",
+    "history": "list the configurations that were applied",
+    "status": "show the fleet at a glance",
+    "member": "list, add, replace or remove control members",
+    "drain": "let a target finish its work and take no more",
+    "dump": "print the state of one process",
+}
+
+
+def main(arguments: collections.abc.Sequence[str] | None = None) -> None:
+    """Runs one command and exits with its code.
+
+    Args:
+      arguments: Command and its arguments; those of the process by default.
+    """
+    sys.exit(run(list(sys.argv[1:] if arguments is None else arguments)))
+
+
+def run(arguments: list[str]) -> exceptions.ExitCode:
+    """Runs one command; returns its exit code."""
+    if not arguments or arguments[0] in ("help", "--help", "-h"):
+        print(usage())
+        return exceptions.ExitCode.OK
+    name = arguments[0]
+    if name not in COMMANDS:
+        print(f"cactusstile: no command {name!r}\n{usage()}", file=sys.stderr)
+        return exceptions.ExitCode.USAGE
+    module = importlib.import_module(f"cactusstile.console.{name}")
+    try:
+        fire.Fire(module.run, command=arguments[1:], name=f"cactusstile {name}")
+    except fire.core.FireExit as exit_:
+        code = exceptions.ExitCode.USAGE if exit_.code else 0
+        return exceptions.ExitCode(code)
+    except Exception as error:
+        return report(error)
+    except KeyboardInterrupt:
+        return exceptions.ExitCode.FAILED
+    return exceptions.ExitCode.OK
+
+
+def usage() -> str:
+    """Returns the list of commands."""
+    width = max(len(name) for name in COMMANDS)
+    lines = [f"  {name:<{width}}  {text}" for name, text in COMMANDS.items()]
+    return "\n".join(["usage: cactusstile COMMAND [--help]", *lines])
+
+
+def report(error: Exception) -> exceptions.ExitCode:
+    """Prints an error that a user can act on; returns its exit code.
+
+    Raises:
+      Exception: The error itself, when it is a fault of the program.
+    """
+    known = _find_known(error)
+    if known is None:
+        raise error
+    text, code = known
+    print(f"cactusstile: {text}", file=sys.stderr)
+    return code
+
+
+def _find_known(
+    error: BaseException,
+) -> tuple[str, exceptions.ExitCode] | None:
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            found = _find_known(inner)
+            if found is not None:
+                return found
+        return None
+    if isinstance(error, exceptions.CommandError):
+        return str(error), error.exit_code
+    if isinstance(error, ini.InvalidFileError):
+        return str(error), exceptions.ExitCode.INVALID_FILE
+    if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
+        text = f"{error}; choose another address or stop its owner"
+        return text, exceptions.ExitCode.ADDRESS_IN_USE
+    return None
