--- /dev/null
+++ b/tests/state/test_delta.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import zlib
+
+import attrs
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import model
+from cactusstile.transport import address
+
+NAMES = st.sampled_from(["a", "b", "c", "d"])
+
+
+def _by_name(parts: list[model.Workspace]) -> dict[str, model.Workspace]:
+    return {part.name: part for part in parts}
+
+
+FLEETS = st.builds(
+    model.Fleet,
+    name=NAMES,
+    workspaces=st.lists(
+        st.builds(
+            model.Workspace,
+            NAMES,
+            st.lists(st.text(max_size=4), max_size=2).map(tuple),
+            st.floats(0.1, 9),
+        )
+    ).map(_by_name),
+    targets=st.dictionaries(NAMES, st.integers(1, 9)).map(
+        lambda ports: {
+            name: model.Target(
+                name,
+                model.TargetKind.STORE,
+                address.Address("127.0.0.1", port),
+                "ikeja",
+            )
+            for name, port in ports.items()
+        }
+    ),
+    links=st.dictionaries(st.tuples(NAMES, NAMES), st.floats(1, 9)).map(
+        lambda links: {ends: model.Link(ends, x) for ends, x in links.items()}
+    ),
+)
+
+
+@hypothesis.given(old=FLEETS, new=FLEETS)
+def test_delta_leads_to_new_content_and_digest(
+    old: model.Fleet, new: model.Fleet
+) -> None:
+    change = delta.unpack(delta.pack(delta.between(old, new)))
+    before = encoding.content_digest(old)
+    fleet, digest = delta.apply_delta(old, before, change, 5)
+    assert attrs.evolve(fleet, revision=0) == new
+    assert digest == encoding.content_digest(new)
+    assert bool(change) == (old != new)
+
+
+def test_delta_size_follows_change() -> None:
+    def make(count: int) -> model.Fleet:
+        workspaces = {
+            f"w{i}": model.Workspace(f"w{i}", ()) for i in range(count)
+        }
+        return model.Fleet(workspaces=workspaces)
+
+    def change_one(fleet: model.Fleet) -> int:
+        workspaces = dict(fleet.workspaces)
+        workspaces["w1"] = model.Workspace("w1", (), share=2.0)
+        changed = attrs.evolve(fleet, workspaces=workspaces)
+        return len(delta.pack(delta.between(fleet, changed)))
+
+    assert change_one(make(1000)) == change_one(make(10))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"junk", zlib.compress(b"[]"), zlib.compress(b"[1, 2]")],
+)
+def test_unpack_refuses_malformed_bytes(body: bytes) -> None:
+    with pytest.raises(ValueError, match="change"):
+        delta.unpack(body)
+
+
+def test_unpack_bounds_what_is_inflated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(delta, "MAX_UNPACKED_BYTES", 1000)
+    body = delta.pack(delta.Delta({"fleet": b"x" * 2000}))
+    with pytest.raises(ValueError, match="too much"):
+        delta.unpack(body)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("workspace/a", b"[]"),
+        ("workspace/a", b'{"name": 1}'),
+        ("workspace/a", b'{"nme": "a"}'),
+        ("target/a", b"{}"),
+        ("wat/a", b"{}"),
+    ],
+)
+def test_apply_refuses_malformed_entry(key: str, value: bytes) -> None:
+    change = delta.Delta({key: value})
+    with pytest.raises(ValueError):  # noqa: PT011
+        delta.apply_delta(model.Fleet(), 0, change, 1)
