Add routing by rendezvous hashing and probes, and fair queues

Need: the agent and the entry build on pure decisions: the homes of a prompt, the choice among probed targets, the fair queue of a target, and link budgets.

Ruled out: start-time fair queueing between workspaces.

Change: the workspace with the least recent work per share (half-life 10 s) goes next. Candidates are the homes of a key that is stable over a conversation's growth, bounded by the load that the entry itself has under way. `Probe` and `Run` carry that key, so that agents find the stores without an index.

Run: .venv/bin/pytest tests/routing tests/limits

--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -32,6 +32,7 @@
       time_left_ms: Time until the caller's deadline; 0 means none.
       revision: Configuration revision of the entry.
       reserve: Whether to hold a place in the queue for a moment.
+      prefix_key: Key that places the prompt, see `routing.prefix`.
     """
 
     workspace: str
@@ -44,6 +45,7 @@
     time_left_ms: int = 0
     revision: int = 0
     reserve: bool = False
+    prefix_key: bytes = b""
 
 
 @codec.register(101, _SCHEMA, "ProbeReply")
@@ -99,6 +101,8 @@
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
       reservation: Number of a reservation; 0 without one.
+      prefix_key: Key that places the prompt, see `routing.prefix`; empty
+        when nothing of it is to be kept.
     """
 
     request_key: str
@@ -115,6 +119,7 @@
     repeatable: bool = True
     revision: int = 0
     reservation: int = 0
+    prefix_key: bytes = b""
 
 
 @codec.register(103, _SCHEMA, "Attach")
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -11,6 +11,7 @@
   timeLeftMs @7 :UInt32;
   revision @8 :UInt64;
   reserve @9 :Bool;
+  prefixKey @10 :Data;
 }
 
 struct ProbeReply {
@@ -42,6 +43,7 @@
   repeatable @11 :Bool;
   revision @12 :UInt64;
   reservation @13 :UInt64;
+  prefixKey @14 :Data;
 }
 
 struct Attach {
--- /dev/null
+++ b/src/cactusstile/routing/candidates.py
@@ -0,0 +1,86 @@
+"""Candidate targets of a prompt: its homes, bounded by load."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from cactusstile.routing import rendezvous
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+MAX_CANDIDATES = 3
+LOAD_FACTOR = 1.5
+
+
+def select(
+    key: bytes,
+    members: collections.abc.Sequence[rendezvous.Member],
+    loads: collections.abc.Mapping[str, float],
+    *,
+    count: int = MAX_CANDIDATES,
+    load_factor: float = LOAD_FACTOR,
+    near: str = "",
+) -> list[rendezvous.Member]:
+    """Returns the targets to probe, the first home first.
+
+    Walks the homes of `key` and passes over members whose load has reached
+    `load_factor` times the mean. They fill up the list only when too few
+    others are left, least loaded first. When no chosen member lies in the
+    data centre `near`, the last place goes to the best home there, since it
+    can import the prompt's kept blocks without using a limited link.
+
+    Args:
+      key: Key of the prompt, see `prefix.prefix_key`.
+      members: Live targets that serve the deployment.
+      loads: Work that this process has under way, by target name; targets
+        that are not named have none. Any unit that adds up.
+      count: Length of the list, at least 1.
+      load_factor: Bound on a member's load in multiples of the mean.
+      near: Data centre of the store that keeps the prompt's blocks.
+
+    Returns:
+      At most `count` different members; empty only without live members.
+    """
+    homes = rendezvous.rank(key, members)
+    bound = load_bound(homes, loads, load_factor)
+    free = [home for home in homes if loads.get(home.name, 0) < bound]
+    chosen = free[:count]
+    if len(chosen) < count:
+        taken = {member.name for member in chosen}
+        rest = [home for home in homes if home.name not in taken]
+        rest.sort(key=lambda home: loads.get(home.name, 0) / home.weight)
+        return chosen + rest[: count - len(chosen)]
+    return _swap_in_neighbour(chosen, free[count:], near)
+
+
+def load_bound(
+    members: collections.abc.Sequence[rendezvous.Member],
+    loads: collections.abc.Mapping[str, float],
+    load_factor: float,
+) -> float:
+    """Returns the load at which a member gets no further keys.
+
+    >>> members = [rendezvous.Member("a"), rendezvous.Member("b")]
+    >>> load_bound(members, {"a": 3}, 1.5)
+    3
+    """
+    if not members:
+        return 0
+    total = sum(loads.get(member.name, 0) for member in members)
+    return math.ceil(load_factor * (total + 1) / len(members))
+
+
+def _swap_in_neighbour(
+    chosen: list[rendezvous.Member],
+    spare: list[rendezvous.Member],
+    near: str,
+) -> list[rendezvous.Member]:
+    has_neighbour = any(member.data_centre == near for member in chosen)
+    if not near or has_neighbour or len(chosen) == 1:
+        return chosen
+    for member in spare:
+        if member.data_centre == near:
+            return [*chosen[:-1], member]
+    return chosen
--- /dev/null
+++ b/tests/limits/test_token_bucket.py
@@ -0,0 +1,40 @@
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cactusstile.limits import token_bucket
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.floats(0, 2), strategies.integers(1, 500)),
+        max_size=40,
+    )
+)
+def test_bucket_never_grants_beyond_bandwidth(
+    steps: list[tuple[float, int]],
+) -> None:
+    now_s = 0.0
+    bucket = token_bucket.TokenBucket(100, lambda: now_s, burst_bytes=50)
+    for pause_s, size in steps:
+        now_s += pause_s
+        if bucket.try_take(size, max_delay_s=1.0):
+            through_s = now_s + bucket.delay_s(0)
+            assert bucket.sent_bytes <= 50 + 100 * through_s + 1e-6
+
+
+def test_background_transfer_yields_to_callers() -> None:
+    now_s = 0.0
+    bucket = token_bucket.TokenBucket(100, lambda: now_s, burst_bytes=100)
+    assert bucket.try_take(80, max_delay_s=1.0)
+    assert not bucket.try_take_background(1)
+    assert bucket.try_take(50, max_delay_s=1.0)
+    now_s = 1.0
+    assert bucket.try_take_background(10)
+
+
+def test_bucket_refuses_link_without_bandwidth() -> None:
+    with pytest.raises(ValueError, match="bandwidth"):
+        token_bucket.TokenBucket(0, lambda: 0.0)
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import typing
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cactusstile import verdict
+from cactusstile.agent import messages
+from cactusstile.routing import choice
+from cactusstile.routing import rendezvous
+
+REQUEST = choice.Request(prompt_tokens=1600)
+EVEN = choice.Weights()
+
+
+def _probed(name: str, **changes: typing.Any) -> choice.Probed:
+    reply = messages.ProbeReply(
+        revision=1,
+        version="v1",
+        resident_blocks=0,
+        kept_blocks=0,
+        queued_tokens=0,
+        running=0,
+        slots=8,
+        wait_ms=0,
+        prefill_ms=400,
+    )
+    reply = attrs.evolve(reply, **changes)
+    return choice.Probed(rendezvous.Member(name), reply)
+
+
+def _import_in(ms: float) -> choice.ImportTime:
+    def import_time(member: rendezvous.Member, blocks: int) -> float:
+        return ms
+
+    return import_time
+
+
+replies = strategies.builds(
+    _probed,
+    strategies.sampled_from("abc"),
+    wait_ms=strategies.integers(0, 2000),
+    prefill_ms=strategies.integers(0, 2000),
+    resident_blocks=strategies.integers(0, 100),
+    kept_blocks=strategies.integers(0, 100),
+    version=strategies.sampled_from(["v1", "v2"]),
+    leaving=strategies.booleans(),
+)
+
+
+@hypothesis.given(
+    strategies.lists(replies, max_size=3),
+    strategies.sampled_from(["", "v1", "v2"]),
+    strategies.integers(0, 1000),
+)
+def test_choose_offers_only_fit_targets_or_refuses(
+    probed: list[choice.Probed], version: str, time_left_ms: int
+) -> None:
+    request = choice.Request(1600, version, time_left_ms)
+    chosen = choice.choose(probed, request, EVEN, _import_in(50))
+    by_name = {id(entry.member): entry.reply for entry in probed}
+    for option in chosen.options:
+        reply = by_name[id(option.member)]
+        assert reply is not None
+        assert not reply.leaving
+        assert version in ("", reply.version)
+        assert not time_left_ms or reply.wait_ms < time_left_ms
+    costs = [option.cost for option in chosen.options]
+    assert costs == sorted(costs)
+    assert bool(chosen.options) == (chosen.refusal is None)
+    if chosen.refusal:
+        assert chosen.refusal.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_choose_prefers_resident_prefix_until_its_queue_is_longer() -> None:
+    warm = _probed("warm", resident_blocks=90, prefill_ms=40, wait_ms=200)
+    cold = _probed("cold")
+    chosen = choice.choose([warm, cold], REQUEST, EVEN)
+    assert chosen.options[0].member.name == "warm"
+    busy = _probed("warm", resident_blocks=90, prefill_ms=40, wait_ms=2000)
+    chosen = choice.choose([busy, cold], REQUEST, EVEN)
+    assert chosen.options[0].member.name == "cold"
+
+
+def test_choose_imports_only_when_it_pays() -> None:
+    knows = _probed("a", kept_blocks=90)
+    fast = choice.choose([knows], REQUEST, EVEN, _import_in(50)).options[0]
+    assert (fast.import_blocks, round(fast.recompute_ms)) == (90, 40)
+    slow = choice.choose([knows], REQUEST, EVEN, _import_in(5000)).options[0]
+    assert slow.import_blocks == 0
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [(choice.Weights(10, 1, 1), 0), (choice.Weights(1, 10, 1), 90)],
+)
+def test_choose_follows_weights_of_the_deployment(
+    weights: choice.Weights, expected: int
+) -> None:
+    """An import of 500 ms saves 360 ms of work but delays the first token."""
+    knows = _probed("a", kept_blocks=90)
+    chosen = choice.choose([knows], REQUEST, weights, _import_in(500))
+    assert chosen.options[0].import_blocks == expected
+
+
+def test_choose_passes_over_missing_and_stale_replies() -> None:
+    missing = choice.Probed(rendezvous.Member("missing"), None)
+    stale = attrs.evolve(_probed("stale", prefill_ms=0), age_ms=10_000)
+    chosen = choice.choose([missing, stale, _probed("ok")], REQUEST, EVEN)
+    assert [option.member.name for option in chosen.options] == ["ok"]
+    refusal = choice.choose([missing, stale], REQUEST, EVEN).refusal
+    assert refusal is not None
+    assert refusal.reason is verdict.Reason.NO_TARGET
+    assert refusal.retry_after_s > 0
+
+
+def test_choose_keeps_first_home_among_equals() -> None:
+    chosen = choice.choose([_probed("b"), _probed("a")], REQUEST, EVEN)
+    assert chosen.options[0].member.name == "b"
