--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -21,6 +21,7 @@
     "agent": "run the agent beside one target",
     "control": "run a control process",
     "check": "check a fleet file or settings file without applying it",
+    "key": "make a key for a workspace and its hash",
     "apply": "put a fleet file in force",
     "diff": "show what a fleet file would change",
     "history": "list the configurations that were applied",
--- /dev/null
+++ b/src/cactusstile/console/check.py
@@ -0,0 +1,67 @@
+"""`cactusstile check`: checks a fleet file or settings file."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+from cactusstile.console import exceptions
+from cactusstile.settings import ini
+from cactusstile.settings import process
+from cactusstile.settings import roles
+from cactusstile.state import fleet_file
+
+
+def run(file: str, *, json_output: bool = False) -> None:
+    """Checks FILE as a whole and lists all faults.
+
+    Args:
+      file: Fleet file, or settings file of a process.
+      json_output: Print the faults as JSON.
+    """
+    path = pathlib.Path(str(file))
+    try:
+        summary = _check(path)
+    except ini.InvalidFileError as error:
+        if not json_output:
+            raise
+        problems = [
+            {
+                "file": problem.file,
+                "section": problem.section,
+                "option": problem.option,
+                "text": problem.text,
+            }
+            for problem in error.problems
+        ]
+        print(json.dumps({"valid": False, "problems": problems}))
+        raise exceptions.CommandError(
+            f"{file} has {len(problems)} faults",
+            exceptions.ExitCode.INVALID_FILE,
+        ) from error
+    if json_output:
+        print(json.dumps({"valid": True, "problems": []}))
+        return
+    print(summary)
+
+
+def _check(path: pathlib.Path) -> str:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ini.InvalidFileError(
+            [ini.Problem(str(path), "", "", f"cannot be read: {error}")]
+        ) from error
+    parser = ini.parse_text(text, str(path))
+    if not parser.has_section("process"):
+        fleet = fleet_file.parse(text, str(path))
+        return (
+            f"{path}: fleet {fleet.name}, revision {fleet.revision}: "
+            f"{len(fleet.workspaces)} workspaces, "
+            f"{len(fleet.deployments)} deployments, "
+            f"{len(fleet.services)} services, {len(fleet.targets)} targets"
+        )
+    found = [role for role in roles.OPTIONS if parser.has_section(role)]
+    role = found[0] if found else ""
+    settings, _ = process.load(path, role, roles.OPTIONS.get(role, ()))
+    return f"{path}: settings of {role or 'a process'} {settings.name}"
