--- /dev/null
+++ b/src/cactusstile/consensus/core.py
@@ -0,0 +1,368 @@
+"""Consensus core: a Raft variant without any input or output.
+
+Each function takes the state, one event and the monotonic time, changes the
+state and returns the effects that the driver has to carry out in order:
+writes are made durable in order, a `Send` with `after_sync` leaves only after
+all writes before it are synced, and the driver reports syncs by `synced`.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from cactusstile.consensus import effects
+from cactusstile.consensus import elections
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import following
+from cactusstile.consensus import leadership
+from cactusstile.consensus import log
+from cactusstile.consensus import membership
+from cactusstile.consensus import messages
+from cactusstile.consensus import replication
+from cactusstile.consensus import state as states
+
+
+@attrs.frozen
+class Recovered:
+    """Durable state of a replica at its start.
+
+    Attributes:
+      group: Identity of the group; empty if it belongs to none.
+      term: Last term.
+      vote: Vote in that term; empty if none.
+      snapshot_index: Last index that the snapshot covers.
+      snapshot_term: Term of that entry.
+      configuration: Members as of that index.
+      entries: Log entries after the snapshot.
+    """
+
+    group: str = ""
+    term: int = 0
+    vote: str = ""
+    snapshot_index: int = 0
+    snapshot_term: int = 0
+    configuration: membership.Configuration = attrs.field(
+        factory=membership.Configuration
+    )
+    entries: tuple[messages.Entry, ...] = ()
+
+
+def start(
+    member_id: str,
+    recovered: Recovered,
+    now: float,
+    *,
+    settings: states.CoreSettings,
+    seed: int,
+) -> states.State:
+    """Returns the state of a replica that starts as a follower."""
+    entries = list(recovered.entries)
+    configurations = [(recovered.snapshot_index, recovered.configuration)]
+    for entry in entries:
+        if entry.kind != messages.EntryKind.CONFIGURATION:
+            continue
+        configurations.append((entry.index, membership.decode(entry.data)))
+    held = log.Log(recovered.snapshot_index, recovered.snapshot_term, entries)
+    state = states.State(
+        member_id=member_id,
+        settings=settings,
+        random=random.Random(seed),
+        group=recovered.group,
+        term=recovered.term,
+        vote=recovered.vote,
+        log=held,
+        configurations=configurations,
+        snapshot_index=recovered.snapshot_index,
+        commit_index=recovered.snapshot_index,
+        synced_index=held.last_index,
+        now=now,
+        leader_contact_at=now,
+        election_at=now,
+    )
+    state.reset_election_timer()
+    return state
+
+
+def next_tick_at(state: states.State) -> float:
+    """Returns the time at which `tick` has something to do."""
+    if state.leading is None:
+        return state.election_at
+    return state.leading.next_heartbeat_at
+
+
+def tick(state: states.State, now: float) -> list[effects.Effect]:
+    """Handles the passing of time."""
+    _advance(state, now)
+    if state.leading is None:
+        if now >= state.election_at:
+            elections.start_pre_vote(state)
+        return _take_effects(state)
+    if now >= state.leading.next_heartbeat_at:
+        leadership.broadcast_heartbeat(state)
+        replication.retry_stalled(state)
+    return _take_effects(state)
+
+
+def _advance(state: states.State, now: float) -> None:
+    """Sets the time; a leader that lost its quorum meanwhile steps down."""
+    state.now = max(state.now, now)
+    leading = state.leading
+    if leading is None:
+        return
+    if leadership.has_lost_quorum(state):
+        elections.become_follower(state, state.term, "")
+        return
+    if leading.transfer_target and now >= leading.transfer_deadline:
+        leading.transfer_target = ""
+
+
+def _take_effects(state: states.State) -> list[effects.Effect]:
+    """Returns the effects of the present event."""
+    taken = state.effects
+    state.effects = []
+    return taken
+
+
+def propose(
+    state: states.State, commands: list[bytes], now: float
+) -> tuple[int, list[effects.Effect]]:
+    """Appends commands; returns the index of the first, and the effects.
+
+    Index 0 means that this replica does not serve; nothing was proposed.
+    """
+    _advance(state, now)
+    if not leadership.serves(state):
+        return 0, _take_effects(state)
+    kind = messages.EntryKind.COMMAND
+    payloads = [(int(kind), command) for command in commands]
+    first = replication.append_own(state, payloads)
+    return first, _take_effects(state)
+
+
+def change_membership(
+    state: states.State, change: membership.Change, now: float
+) -> tuple[int, list[effects.Effect]]:
+    """Appends a membership change; returns its index and the effects.
+
+    Index 0 means that this replica does not serve; nothing was proposed.
+
+    Raises:
+      MembershipError: The change is refused.
+    """
+    _advance(state, now)
+    if not leadership.serves(state):
+        return 0, _take_effects(state)
+    _check_change(state, change)
+    configuration = membership.apply_change(state.configuration, change)
+    data = membership.encode(configuration)
+    kind = int(messages.EntryKind.CONFIGURATION)
+    index = replication.append_own(state, [(kind, data)])
+    return index, _take_effects(state)
+
+
+def _check_change(state: states.State, change: membership.Change) -> None:
+    """Refuses a change that would be unsafe now."""
+    leading = state.leading
+    assert leading is not None  # noqa: S101
+    if state.configuration_index > state.commit_index:
+        raise exceptions.MembershipError(
+            "another membership change is not committed yet; retry later"
+        )
+    if state.commit_index < leading.first_index:
+        raise exceptions.MembershipError(
+            "the leader has not committed an entry of its term; retry later"
+        )
+    leaving = ""
+    if isinstance(change, membership.Remove):
+        leaving = change.member_id
+    if isinstance(change, membership.Replace):
+        leaving = change.lost_member_id
+    if leaving == state.member_id:
+        raise exceptions.MembershipError(
+            "the leader cannot remove itself; transfer its leadership first"
+        )
+    if not isinstance(change, membership.Promote):
+        return
+    progress = leading.progress.get(change.member_id)
+    if progress is None or not leadership.is_active(state, change.member_id):
+        raise exceptions.MembershipError(
+            f"{change.member_id} does not answer; check that it runs"
+        )
+    if progress.match_index < state.commit_index:
+        raise exceptions.MembershipError(
+            f"{change.member_id} has synced {progress.match_index} of"
+            f" {state.commit_index} committed entries; retry later"
+        )
+
+
+def read(state: states.State, read_id: int, now: float) -> list[effects.Effect]:
+    """Starts a read; `ReadConfirmed` follows unless leadership is lost.
+
+    Raises:
+      NotLeaderError: This replica does not serve.
+      OverloadedError: Too many reads wait.
+    """
+    _advance(state, now)
+    leadership.add_read(state, read_id)
+    return _take_effects(state)
+
+
+def transfer(state: states.State, now: float) -> list[effects.Effect]:
+    """Starts to hand leadership to the most advanced voter.
+
+    Raises:
+      NotLeaderError: This replica does not serve.
+      MembershipError: No other voter answers.
+    """
+    _advance(state, now)
+    leadership.start_transfer(state)
+    return _take_effects(state)
+
+
+def synced(
+    state: states.State,
+    *,
+    index: int,
+    index_term: int,
+    metadata: effects.SaveMetadata | None,
+    now: float,
+) -> list[effects.Effect]:
+    """Notes that the log up to an entry, and metadata, are durable.
+
+    Args:
+      state: State of the replica.
+      index: Index of the last entry that is synced.
+      index_term: Term of that entry, as it was written.
+      metadata: Last metadata that is synced, if any was written.
+      now: Monotonic seconds.
+    """
+    _advance(state, now)
+    if metadata is not None and metadata == effects.SaveMetadata(
+        state.group, state.term, state.vote
+    ):
+        state.metadata_dirty = False
+    # An entry that was replaced after its write has another term.
+    if index > state.synced_index and state.log.term_at(index) == index_term:
+        state.synced_index = index
+        replication.advance_commit(state)
+    return _take_effects(state)
+
+
+def compacted(state: states.State, index: int, keep_bytes: int) -> None:
+    """Drops entries covered by a durable snapshot.
+
+    Args:
+      state: State of the replica.
+      index: Last index that the snapshot covers.
+      keep_bytes: Bytes of covered entries that stay for slow followers.
+    """
+    state.snapshot_index = index
+    cut = index
+    kept = 0
+    while cut > state.log.base_index:
+        entry = state.log.entries[cut - state.log.base_index - 1]
+        kept += len(entry.data) + log.ENTRY_OVERHEAD_BYTES
+        if kept > keep_bytes:
+            break
+        cut -= 1
+    state.log.compact(cut)
+    while len(state.configurations) > 1 and state.configurations[1][0] <= cut:
+        state.configurations.pop(0)
+
+
+def receive(
+    state: states.State,
+    address: str,
+    message: messages.GroupMessage,
+    now: float,
+) -> list[effects.Effect]:
+    """Handles a message that came from `address`."""
+    _advance(state, now)
+    if message.target != state.member_id:
+        return _take_effects(state)
+    if not state.group:
+        # The vote that lets a first message in must not outlive the disk.
+        state.group = message.group
+        state.save_metadata()
+    if message.group != state.group:
+        return _take_effects(state)
+    if len(state.addresses) < states.MAX_KNOWN_ADDRESSES:
+        state.addresses[message.source] = address
+    if isinstance(message, messages.VoteRequest):
+        elections.handle_vote_request(state, message)
+    elif isinstance(message, messages.VoteReply):
+        _receive_vote_reply(state, message)
+    elif isinstance(
+        message,
+        messages.AppendReply | messages.HeartbeatReply | messages.SnapshotReply,
+    ):
+        _receive_reply(state, message)
+    else:
+        _receive_from_leader(state, message)
+    return _take_effects(state)
+
+
+def _receive_vote_reply(
+    state: states.State, message: messages.VoteReply
+) -> None:
+    """Counts a vote; a refusal may carry a later term."""
+    if not message.granted and message.term > state.term:
+        elections.become_follower(state, message.term, "")
+        return
+    elections.handle_vote_reply(state, message)
+
+
+def _receive_reply(
+    state: states.State,
+    message: messages.AppendReply
+    | messages.HeartbeatReply
+    | messages.SnapshotReply,
+) -> None:
+    """Handles what a leader's messages are answered with."""
+    if message.term > state.term:
+        if state.configuration.find(message.source) is not None:
+            elections.become_follower(state, message.term, "")
+        return
+    if message.term < state.term:
+        return
+    if isinstance(message, messages.AppendReply):
+        replication.handle_append_reply(state, message)
+    elif isinstance(message, messages.HeartbeatReply):
+        leadership.handle_heartbeat_reply(state, message)
+    else:
+        replication.handle_snapshot_reply(state, message)
+
+
+def _receive_from_leader(
+    state: states.State,
+    message: messages.AppendRequest
+    | messages.Heartbeat
+    | messages.SnapshotChunk
+    | messages.CampaignNow,
+) -> None:
+    """Handles what only a leader sends; tells an old one the term."""
+    if message.term < state.term:
+        reply = messages.HeartbeatReply(
+            group=state.group,
+            source=state.member_id,
+            target=message.source,
+            term=state.term,
+            round=-1,
+            sent_at=0.0,
+        )
+        state.send(reply, after_sync=state.metadata_dirty)
+        return
+    if message.term > state.term:
+        elections.become_follower(state, message.term, message.source)
+    if state.leading is not None:
+        return
+    if isinstance(message, messages.AppendRequest):
+        following.handle_append(state, message)
+    elif isinstance(message, messages.Heartbeat):
+        following.handle_heartbeat(state, message)
+    elif isinstance(message, messages.SnapshotChunk):
+        following.handle_chunk(state, message)
+    else:
+        elections.handle_campaign_now(state, message)
--- a/src/cactusstile/consensus/messages.py
+++ b/src/cactusstile/consensus/messages.py
@@ -10,6 +10,10 @@
 
 import attrs
 
+from cactusstile.transport import codec
+
+_schema = codec.load_schema(__file__, "consensus.capnp")
+
 
 class EntryKind(enum.IntEnum):
     """What a log entry holds."""
@@ -19,6 +23,7 @@
     CONFIGURATION = 2
 
 
+@codec.register(0, _schema, "Entry")
 @attrs.frozen
 class Entry:
     """One entry of the replicated log.
@@ -36,6 +41,7 @@
     data: bytes
 
 
+@codec.register(300, _schema, "VoteRequest")
 @attrs.frozen
 class VoteRequest:
     """Asks for a vote, or in a pre-vote whether a vote would be given.
@@ -61,6 +67,7 @@
     transfer: bool
 
 
+@codec.register(301, _schema, "VoteReply")
 @attrs.frozen
 class VoteReply:
     """Answers a `VoteRequest`."""
@@ -73,6 +80,7 @@
     pre_vote: bool
 
 
+@codec.register(302, _schema, "AppendRequest")
 @attrs.frozen
 class AppendRequest:
     """Carries consecutive entries after `previous_index`."""
@@ -84,9 +92,10 @@
     previous_index: int
     previous_term: int
     commit_index: int
-    entries: list[Entry]
+    entries: tuple[Entry, ...]
 
 
+@codec.register(303, _schema, "AppendReply")
 @attrs.frozen
 class AppendReply:
     """Answers an `AppendRequest` once the entries are synced.
@@ -109,6 +118,7 @@
     match_index: int
 
 
+@codec.register(304, _schema, "Heartbeat")
 @attrs.frozen
 class Heartbeat:
     """Renews the leader's claim; its reply extends lease and reads.
@@ -132,6 +142,7 @@
     sent_at: float
 
 
+@codec.register(305, _schema, "HeartbeatReply")
 @attrs.frozen
 class HeartbeatReply:
     """Echoes a `Heartbeat`."""
@@ -144,6 +155,7 @@
     sent_at: float
 
 
+@codec.register(306, _schema, "SnapshotChunk")
 @attrs.frozen
 class SnapshotChunk:
     """Carries a part of the leader's snapshot.
@@ -173,6 +185,7 @@
     data: bytes
 
 
+@codec.register(307, _schema, "SnapshotReply")
 @attrs.frozen
 class SnapshotReply:
     """Asks for the part of a snapshot that starts at `next_offset`."""
@@ -185,6 +198,7 @@
     next_offset: int
 
 
+@codec.register(308, _schema, "CampaignNow")
 @attrs.frozen
 class CampaignNow:
     """Tells a follower with a full log to take over leadership at once."""
@@ -195,6 +209,7 @@
     term: int
 
 
+@codec.register(309, _schema, "Hello")
 @attrs.frozen
 class Hello:
     """Makes a replica known to the others.
