Add storage and the replica's driver

Need: control needs a running replica. The driver groups writes while one fsync runs, and sends votes and acknowledgements behind it. A group is founded by incarnations, so a lost disk can never vote again. Ruled out: a founding by an operator's flag alone, which a second run after a loss of the disk would turn into amnesia; physical truncation of conflicting entries, which needs offsets and two more syncs. Not proved yet: faults of disks and networks; those tests follow.

--- /dev/null
+++ b/src/cactusstile/consensus/driver.py
@@ -0,0 +1,372 @@
+"""Carries out the effects of the consensus core."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import typing
+
+import anyio
+
+from cactusstile.consensus import core
+from cactusstile.consensus import effects
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import founding
+from cactusstile.consensus import leadership
+from cactusstile.consensus import membership
+from cactusstile.consensus import messages
+from cactusstile.consensus import state as states
+from cactusstile.consensus import waiters
+from cactusstile.consensus import writer as writers
+
+if typing.TYPE_CHECKING:
+    from cactusstile.consensus import replica as replicas
+    from cactusstile.consensus.storage import store as stores
+
+    Opened = tuple[stores.Store, core.Recovered, bytes]
+
+logger = logging.getLogger(__name__)
+
+TICK_INTERVAL_S = 0.02
+CHUNK_BYTES = 256 << 10
+MAX_BATCH_PROPOSALS = 512
+MAX_BATCH_BYTES = 1 << 20
+SEED_BITS = 64
+
+
+class Driver:
+    """Joins one core with its store, state machine and transport.
+
+    Attributes:
+      state: State of the core.
+      waiters: Callers that wait.
+      applied_index: Last index that the state machine has applied.
+    """
+
+    def __init__(
+        self,
+        settings: replicas.ReplicaSettings,
+        machine: replicas.StateMachine,
+        send: replicas.Send,
+        clock: replicas.Clock,
+        store: stores.Store,
+    ) -> None:
+        """Prepares a driver; `start` must follow."""
+        self.settings = settings
+        self.machine = machine
+        self.send = send
+        self.clock = clock
+        self.store = store
+        self.writer = writers.Writer(
+            store, settings.sync_in_thread, settings.group_commit
+        )
+        self.waiters = waiters.Waiters()
+        self.acquaintances = founding.Acquaintances()
+        self.stopped = False
+        self.applied_index = 0
+        self.applied_bytes = 0
+        self.state: states.State
+
+    def start(self, recovered: core.Recovered, data: bytes) -> None:
+        """Starts the core and the state machine from durable state."""
+        metadata = self.store.metadata
+        self.state = core.start(
+            membership.member_id(metadata.name, metadata.incarnation),
+            recovered,
+            self.clock(),
+            settings=self.settings.core,
+            seed=secrets.randbits(SEED_BITS),
+        )
+        self.applied_index = recovered.snapshot_index
+        self.machine.restore(data)
+
+    def serves(self) -> bool:
+        """Tells whether proposals and reads are accepted at this moment."""
+        if self.stopped:
+            return False
+        self._dispatch(core.tick(self.state, self.clock()))
+        return leadership.serves(self.state)
+
+    def enqueue(self, waiter: waiters.Waiter) -> None:
+        """Queues a proposal for the next batch."""
+        self.waiters.queued.append(waiter)
+        self.writer.work.set()
+
+    def start_read(self) -> waiters.Waiter:
+        """Starts a read."""
+        read_id, waiter = self.waiters.add_read()
+        try:
+            found = core.read(self.state, read_id, self.clock())
+        except exceptions.ConsensusError:
+            del self.waiters.reads[read_id]
+            raise
+        self._dispatch(found)
+        return waiter
+
+    def start_change(self, change: membership.Change) -> waiters.Waiter:
+        """Proposes a membership change."""
+        index, found = core.change_membership(self.state, change, self.clock())
+        waiter = waiters.Waiter()
+        if index:
+            self.waiters.proposed[index] = waiter
+        else:
+            leader = leadership.leader_hint(self.state)
+            waiter.fail(exceptions.NotLeaderError(leader))
+        self._dispatch(found)
+        return waiter
+
+    def start_transfer(self) -> None:
+        """Starts to hand leadership over."""
+        self._dispatch(core.transfer(self.state, self.clock()))
+
+    def joining(self) -> list[messages.Hello]:
+        """Returns the replicas that made themselves known, not members."""
+        return self.acquaintances.current(
+            self.state.configuration, self.clock()
+        )
+
+    def receive(self, sender: str, message: messages.Message) -> None:
+        """Handles a message."""
+        if self.stopped:
+            return
+        if isinstance(message, messages.Hello):
+            self._receive_hello(message)
+            return
+        self._dispatch(core.receive(self.state, sender, message, self.clock()))
+
+    def stop(self) -> None:
+        """Ends all waits; nothing is acknowledged or sent afterwards."""
+        if self.stopped:
+            return
+        self.stopped = True
+        self.waiters.lose_leadership("")
+
+    async def run_ticks(self) -> None:
+        """Tells the core the time."""
+        while not self.stopped:
+            self._dispatch(core.tick(self.state, self.clock()))
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    async def run_hellos(self) -> None:
+        """Makes this replica known until it belongs to a group."""
+        founders = self.settings.founders
+        while not self.state.group:
+            for founder in founders:
+                if founder.name != self.settings.name:
+                    self.send(founder.address, self._hello())
+            await anyio.sleep(founding.HELLO_INTERVAL_S)
+
+    async def run_writes(self) -> None:
+        """Makes writes durable, then sends what waited for that.
+
+        Raises:
+          StorageError: A write failed; the replica has stopped.
+        """
+        try:
+            while True:
+                await self._write_all()
+                await self.writer.wait()
+        except exceptions.StorageError:
+            logger.exception("replica stopped")
+            raise
+        finally:
+            self.stop()
+
+    async def _write_all(self) -> None:
+        """Writes until nothing is left to write."""
+        while True:
+            await self._found_group()
+            self._propose_queued()
+            batch = await self.writer.write_next()
+            if batch is None:
+                return
+            for send in batch.sends:
+                self.send(send.address, send.message)
+            self._report_synced(batch)
+            await self._save_snapshot()
+
+    def _propose_queued(self) -> None:
+        """Moves queued proposals into the log as one batch."""
+        queued = self.waiters.queued
+        if not queued:
+            return
+        batch: list[waiters.Waiter] = []
+        size = 0
+        limit = MAX_BATCH_PROPOSALS if self.writer.group else 1
+        while queued and len(batch) < limit and size < MAX_BATCH_BYTES:
+            batch.append(queued.popleft())
+            size += len(batch[-1].command)
+        commands = [waiter.command for waiter in batch]
+        first, found = core.propose(self.state, commands, self.clock())
+        leader = leadership.leader_hint(self.state)
+        for offset, waiter in enumerate(batch):
+            if first:
+                self.waiters.proposed[first + offset] = waiter
+                continue
+            waiter.fail(exceptions.NotLeaderError(leader))
+        self._dispatch(found)
+
+    def _report_synced(self, batch: writers.Batch) -> None:
+        """Tells the core what became durable."""
+        if not batch.writes:
+            return
+        index, term = batch.last_entry() or (0, 0)
+        found = core.synced(
+            self.state,
+            index=index,
+            index_term=term,
+            metadata=batch.last_metadata(),
+            now=self.clock(),
+        )
+        self._dispatch(found)
+
+    async def _save_snapshot(self) -> None:
+        """Takes a snapshot if the log has grown enough since the last."""
+        limit = self.settings.snapshot_after_bytes
+        if self.applied_bytes < limit:
+            return
+        self.applied_bytes = 0
+        index = self.applied_index
+        term = self.state.log.term_at(index)
+        if term is None or index <= self.store.snapshot.index:
+            return
+        configuration = self.state.configuration_at(index)
+        data = self.machine.snapshot()
+        snapshot = effects.InstallSnapshot(
+            index, term, membership.encode(configuration), data
+        )
+        await self.writer.run(self.store.save_snapshot, snapshot)
+        if index > self.state.snapshot_index:
+            core.compacted(self.state, index, keep_bytes=limit)
+        # The core's base may already be that of a snapshot still to be saved.
+        safe_index = min(self.state.log.base_index, self.store.snapshot.index)
+        await self.writer.run(self.store.compact, safe_index)
+
+    async def _found_group(self) -> None:
+        """Founds the group once all founders have made themselves known."""
+        founders = [founder.name for founder in self.settings.founders]
+        if self.state.group or not founders:
+            return
+        if founders[0] != self.settings.name:
+            return
+        if self.acquaintances.group_exists:
+            return
+        own = self._hello()
+        writes = founding.found_group(own, founders, self.joining())
+        if not writes:
+            return
+        await self.writer.run(self.store.write, writes)
+        recovered = core.Recovered(
+            group=self.store.metadata.group,
+            term=self.store.metadata.term,
+            snapshot_index=self.store.snapshot.index,
+            snapshot_term=self.store.snapshot.term,
+            configuration=membership.decode(self.store.snapshot.configuration),
+        )
+        self.start(recovered, b"")
+        logger.info("founded group %s", self.state.group)
+
+    def _hello(self) -> messages.Hello:
+        """Returns the message that makes this replica known."""
+        return messages.Hello(
+            group=self.state.group,
+            name=self.settings.name,
+            incarnation=self.store.metadata.incarnation,
+            address=self.settings.address,
+        )
+
+    def _receive_hello(self, hello: messages.Hello) -> None:
+        """Notes a replica; tells it, and the leader, if a group exists."""
+        self.acquaintances.add(hello, self.clock())
+        if not self.state.group:
+            self.writer.work.set()
+            return
+        if hello.group:
+            return
+        self.send(hello.address, self._hello())
+        leader = leadership.leader_hint(self.state)
+        if leader and leader != hello.address:
+            self.send(leader, hello)
+
+    def _dispatch(self, found: list[effects.Effect]) -> None:
+        """Carries out effects in order."""
+        if self.stopped:
+            return
+        for effect in found:
+            if isinstance(effect, effects.Send):
+                self._send(effect)
+            elif isinstance(effect, effects.Apply):
+                self._apply(effect)
+            elif isinstance(effect, effects.ReadConfirmed):
+                self.waiters.confirm_read(
+                    effect.read_id, effect.index, self.applied_index
+                )
+            elif isinstance(effect, effects.LeadershipLost):
+                leader = leadership.leader_hint(self.state)
+                self.waiters.lose_leadership(leader)
+            elif isinstance(effect, effects.SendChunk):
+                self._send_chunk(effect)
+            else:
+                self._write(effect)
+
+    def _send(self, send: effects.Send) -> None:
+        """Sends a message, behind the writes if it must."""
+        if send.after_sync and self.writer.add_send(send):
+            return
+        self.send(send.address, send.message)
+
+    def _write(self, write: effects.Write) -> None:
+        """Queues a write; a snapshot is restored at once."""
+        self.writer.add_write(write)
+        if not isinstance(write, effects.InstallSnapshot):
+            return
+        self.machine.restore(write.data)
+        self.applied_index = write.index
+        self.applied_bytes = 0
+
+    def _apply(self, effect: effects.Apply) -> None:
+        """Applies committed entries and answers their callers."""
+        for entry in effect.entries:
+            result = b""
+            if entry.kind == messages.EntryKind.COMMAND:
+                result = self.machine.apply(entry.index, entry.data)
+            self.applied_index = entry.index
+            self.applied_bytes += len(entry.data)
+            self.waiters.finish_proposal(entry, result)
+        self.waiters.finish_reads(self.applied_index)
+
+    def _send_chunk(self, effect: effects.SendChunk) -> None:
+        """Sends a part of the latest snapshot."""
+        snapshot = self.store.snapshot
+        try:
+            data = self.store.read_chunk(effect.offset, CHUNK_BYTES)
+        except OSError:
+            # Replaced just now; the core asks again when the member stalls.
+            return
+        chunk = messages.SnapshotChunk(
+            group=self.state.group,
+            source=self.state.member_id,
+            target=effect.member_id,
+            term=effect.term,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            configuration=snapshot.configuration,
+            offset=effect.offset,
+            total=snapshot.size,
+            data=data,
+        )
+        self.send(effect.address, chunk)
+
+
+def make_driver(
+    settings: replicas.ReplicaSettings,
+    machine: replicas.StateMachine,
+    send: replicas.Send,
+    clock: replicas.Clock,
+    opened: Opened,
+) -> Driver:
+    """Returns a driver that starts from what was opened."""
+    store, recovered, data = opened
+    driver = Driver(settings, machine, send, clock, store)
+    driver.start(recovered, data)
+    return driver
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -7,14 +7,26 @@
 import time
 import typing
 
+import anyio
 import attrs
 
+from cactusstile.consensus import driver as drivers
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import leadership
 from cactusstile.consensus import membership
 from cactusstile.consensus import messages
+from cactusstile.consensus import repair
+from cactusstile.consensus import state as states
+from cactusstile.consensus import waiters
+from cactusstile.consensus.storage import files as file_access
+from cactusstile.consensus.storage import store as stores
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+POLL_INTERVAL_S = 0.02
+RETRY_AFTER_S = 0.2
+
 Send = typing.Callable[[str, messages.Message], None]
 Clock = typing.Callable[[], float]
 
@@ -63,6 +75,7 @@
       snapshot_after_bytes: Log bytes after which a snapshot is taken.
       sync_in_thread: Whether fsync runs in a worker thread.
       group_commit: Whether one fsync serves many proposals.
+      core: Times and bounds of the consensus core.
     """
 
     name: str
@@ -74,6 +87,7 @@
     snapshot_after_bytes: int = 16 << 20
     sync_in_thread: bool = True
     group_commit: bool = True
+    core: states.CoreSettings = attrs.field(factory=states.CoreSettings)
 
 
 @attrs.frozen
@@ -126,15 +140,25 @@
 class Replica:
     """One replica of a group; made by `open_replica`."""
 
+    def __init__(
+        self, settings: ReplicaSettings, driver: drivers.Driver
+    ) -> None:
+        """Takes over a driver that is about to run."""
+        self.settings = settings
+        self.driver = driver
+
     @property
     def leader(self) -> str:
         """Address of the leader; empty while none is known."""
-        raise NotImplementedError
+        state = self.driver.state
+        if state.leader == state.member_id:
+            return self.settings.address
+        return state.address_of(state.leader)
 
     @property
     def is_leader(self) -> bool:
-        """Whether this replica leads and its lease holds."""
-        raise NotImplementedError
+        """Whether this replica leads and serves at this moment."""
+        return self.driver.serves()
 
     async def propose(self, command: bytes) -> bytes:
         """Commits `command` and returns the result of applying it.
@@ -145,7 +169,21 @@
           TooLargeError: Not proposed; the command exceeds its bound.
           UncertainError: May be committed later.
         """
-        raise NotImplementedError
+        if len(command) > self.settings.max_command_bytes:
+            raise exceptions.TooLargeError(
+                f"a command of {len(command)} bytes exceeds the bound of"
+                f" {self.settings.max_command_bytes}; split it"
+            )
+        self._check_serving()
+        waiting = self.driver.waiters
+        if waiting.count() >= self.settings.max_queued_proposals:
+            raise exceptions.OverloadedError(
+                "too many proposals wait; retry later", RETRY_AFTER_S
+            )
+        waiter = waiters.Waiter(command)
+        self.driver.enqueue(waiter)
+        await waiter.wait()
+        return waiter.result
 
     async def read_barrier(self) -> int:
         """Waits until the state holds all that was committed before the call.
@@ -157,7 +195,10 @@
           NotLeaderError: This replica does not lead, or lost its lease.
           OverloadedError: Too many reads wait.
         """
-        raise NotImplementedError
+        self._check_serving()
+        waiter = self.driver.start_read()
+        await waiter.wait()
+        return waiter.index
 
     async def change_membership(self, change: membership.Change) -> int:
         """Commits one membership change and returns its log index.
@@ -168,7 +209,10 @@
           NotLeaderError: Not proposed.
           UncertainError: May be committed later.
         """
-        raise NotImplementedError
+        self._check_serving()
+        waiter = self.driver.start_change(change)
+        await waiter.wait()
+        return waiter.index
 
     async def repair_member(self, name: str) -> int:
         """Replaces the lost incarnation of `name` by the one that joins.
@@ -183,23 +227,73 @@
             again on the new leader to go on.
           UncertainError: As for `NotLeaderError`.
         """
-        raise NotImplementedError
+        while True:
+            self._check_serving()
+            driver = self.driver
+            step = repair.next_step(driver.state, name, driver.joining())
+            if isinstance(step, repair.Done):
+                return step.index
+            if isinstance(step, repair.Wait):
+                await anyio.sleep(POLL_INTERVAL_S)
+                continue
+            await self.change_membership(step)
 
     async def transfer_leadership(self) -> bool:
         """Hands leadership to the most advanced voter.
 
         Returns:
           Whether another replica took over in time.
+
+        Raises:
+          NotLeaderError: This replica does not lead.
+          MembershipError: No other voter answers.
         """
-        raise NotImplementedError
+        self._check_serving()
+        self.driver.start_transfer()
+        state = self.driver.state
+        polls = 2 * self.settings.core.election_timeout_s / POLL_INTERVAL_S
+        for _ in range(round(polls)):
+            if state.leader not in ("", state.member_id):
+                return True
+            await anyio.sleep(POLL_INTERVAL_S)
+        return False
 
     def receive(self, sender: str, message: messages.Message) -> None:
         """Handles a message that arrived from the address `sender`."""
-        raise NotImplementedError
+        self.driver.receive(sender, message)
 
     def status(self) -> ReplicaStatus:
         """Returns the present state."""
-        raise NotImplementedError
+        state = self.driver.state
+        members = []
+        for member in state.configuration.members:
+            progress = None
+            if state.leading is not None:
+                progress = state.leading.progress.get(member.id)
+            synced_index = progress.match_index if progress else 0
+            if member.id == state.member_id:
+                synced_index = state.synced_index
+            active = leadership.is_active(state, member.id)
+            members.append(MemberStatus(member, synced_index, active))
+        return ReplicaStatus(
+            member_id=state.member_id,
+            group=state.group,
+            role=state.role.value if state.group else "joining",
+            term=state.term,
+            leader_address=self.leader,
+            commit_index=state.commit_index,
+            applied_index=self.driver.applied_index,
+            last_index=state.log.last_index,
+            snapshot_index=state.snapshot_index,
+            members=tuple(members),
+            joining=tuple(self.driver.joining()),
+        )
+
+    def _check_serving(self) -> None:
+        """Refuses work unless this replica leads."""
+        if not self.driver.serves():
+            leader = leadership.leader_hint(self.driver.state)
+            raise exceptions.NotLeaderError(leader)
 
 
 def boot_clock() -> float:
@@ -214,6 +308,7 @@
     send: Send,
     *,
     clock: Clock = boot_clock,
+    files: file_access.Files | None = None,
 ) -> collections.abc.AsyncIterator[Replica]:
     """Runs a replica until the context ends.
 
@@ -222,12 +317,25 @@
       machine: State that the committed commands are applied to.
       send: Sends a message to an address; must not block and may drop.
       clock: Returns monotonic seconds.
+      files: Access to the data folder; that of the operating system if None.
 
     Raises:
       CorruptStorageError: The data folder is damaged.
       FolderLockedError: Another process uses the data folder.
       StorageError: Durable state could not be written; also raised through
-        the context while the replica runs.
+        the context, in a group, while the replica runs.
     """
-    raise NotImplementedError(settings, machine, send, clock)
-    yield Replica()
+    with contextlib.ExitStack() as stack:
+        file_access.lock_folder(settings.data_folder, stack)
+        if files is None:
+            files = file_access.LocalFiles(settings.data_folder)
+        opened = stores.open_store(files, settings.name)
+        stack.callback(opened[0].close)
+        driver = drivers.make_driver(settings, machine, send, clock, opened)
+        stack.callback(driver.stop)
+        async with anyio.create_task_group() as group:
+            group.start_soon(driver.run_ticks)
+            group.start_soon(driver.run_writes)
+            group.start_soon(driver.run_hellos)
+            yield Replica(settings, driver)
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/src/cactusstile/consensus/storage/files.py
@@ -0,0 +1,159 @@
+"""File access of the storage, behind a small interface for fault injection."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import pathlib
+import typing
+
+from cactusstile.consensus import exceptions
+
+if typing.TYPE_CHECKING:
+    import contextlib
+
+TEMPORARY_SUFFIX = ".tmp"
+LOCK_NAME = "lock"
+
+
+class File(typing.Protocol):
+    """A file that is open for appending."""
+
+    def write(self, data: bytes) -> None:
+        """Appends all of `data`; not durable until `sync`."""
+
+    def sync(self) -> None:
+        """Makes all that was written durable."""
+
+    def close(self) -> None:
+        """Closes the file without a sync."""
+
+
+class Files(typing.Protocol):
+    """One folder of files; every method may raise `OSError`."""
+
+    def names(self) -> list[str]:
+        """Returns the names of all files."""
+
+    def read(self, name: str) -> bytes:
+        """Returns the content of a file."""
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Returns a part of a file."""
+
+    def open_append(self, name: str) -> File:
+        """Opens a file for appending; creates it if needed."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file and makes that durable."""
+
+    def rename(self, source: str, target: str) -> None:
+        """Renames a file, replacing the target."""
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+
+    def sync_folder(self) -> None:
+        """Makes creations, renames and removals durable."""
+
+
+class _LocalFile:
+    """A file of the operating system."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            written = os.write(self._descriptor, view)
+            view = view[written:]
+
+    def sync(self) -> None:
+        os.fsync(self._descriptor)
+
+    def close(self) -> None:
+        os.close(self._descriptor)
+
+
+class LocalFiles:
+    """Files in a folder of the operating system; see `Files`."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Creates the folder if needed."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self.folder = folder
+
+    def names(self) -> list[str]:
+        """Returns the names of all files, sorted."""
+        return sorted(os.listdir(self.folder))
+
+    def read(self, name: str) -> bytes:
+        """Returns the content of a file."""
+        return (self.folder / name).read_bytes()
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Returns a part of a file."""
+        with (self.folder / name).open("rb") as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def open_append(self, name: str) -> File:
+        """Opens a file for appending; creates it if needed."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+        return _LocalFile(os.open(self.folder / name, flags, 0o600))
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file and makes that durable."""
+        with (self.folder / name).open("r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def rename(self, source: str, target: str) -> None:
+        """Renames a file, replacing the target."""
+        (self.folder / source).replace(self.folder / target)
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        (self.folder / name).unlink()
+
+    def sync_folder(self) -> None:
+        """Makes creations, renames and removals durable."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def replace(files: Files, name: str, parts: list[bytes]) -> None:
+    """Writes a file so that a crash leaves the old or the new content."""
+    temporary = name + TEMPORARY_SUFFIX
+    if temporary in files.names():
+        files.remove(temporary)
+    file = files.open_append(temporary)
+    try:
+        for part in parts:
+            file.write(part)
+        file.sync()
+    finally:
+        file.close()
+    files.rename(temporary, name)
+    files.sync_folder()
+
+
+def lock_folder(folder: pathlib.Path, stack: contextlib.ExitStack) -> None:
+    """Holds a folder against other processes until `stack` closes.
+
+    Raises:
+      FolderLockedError: Another process holds it.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    file = stack.enter_context((folder / LOCK_NAME).open("ab"))
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        raise exceptions.FolderLockedError(
+            f"{folder} is used by another process; stop it or set another"
+            " data folder"
+        ) from error
--- /dev/null
+++ b/src/cactusstile/consensus/storage/store.py
@@ -0,0 +1,217 @@
+"""All durable state of one replica under one data folder."""
+
+from __future__ import annotations
+
+import secrets
+import typing
+
+import attrs
+
+from cactusstile.consensus import core
+from cactusstile.consensus import effects
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import membership
+from cactusstile.consensus import messages
+from cactusstile.consensus.storage import metadata as metadata_file
+from cactusstile.consensus.storage import segments
+from cactusstile.consensus.storage import snapshots
+
+if typing.TYPE_CHECKING:
+    from cactusstile.consensus.storage import files as file_access
+
+INCARNATION_BITS = 64
+
+
+@attrs.define
+class Store:
+    """Durable state; refuses all work after the first failed write.
+
+    Attributes:
+      files: The data folder.
+      metadata: Term, vote and identity as last written.
+      log: The log segments.
+      snapshot: Latest snapshot.
+      last: Last log entry written since the start, if any.
+      failure: What made a write fail; empty while all is well.
+    """
+
+    files: file_access.Files
+    metadata: metadata_file.Metadata
+    log: segments.SegmentLog
+    snapshot: snapshots.Snapshot
+    last: messages.Entry | None = None
+    failure: str = ""
+
+    def write(self, writes: list[effects.Write]) -> None:
+        """Makes `writes` durable in order, the log with one sync.
+
+        Raises:
+          StorageError: Nothing may be acknowledged from now on.
+        """
+        if self.failure:
+            raise exceptions.StorageError(self.failure)
+        try:
+            self._write(writes)
+        except OSError as error:
+            self._fail(error)
+
+    def save_snapshot(self, snapshot: effects.InstallSnapshot) -> None:
+        """Makes a snapshot of the applied state durable.
+
+        Raises:
+          StorageError: Nothing may be acknowledged from now on.
+        """
+        if self.failure:
+            raise exceptions.StorageError(self.failure)
+        try:
+            self._save_snapshot(snapshot)
+        except OSError as error:
+            self._fail(error)
+
+    def compact(self, index: int) -> None:
+        """Removes segments that hold nothing after `index`."""
+        if self.failure:
+            raise exceptions.StorageError(self.failure)
+        try:
+            self.log.compact(index)
+        except OSError as error:
+            self._fail(error)
+
+    def read_chunk(self, offset: int, size: int) -> bytes:
+        """Returns a part of the latest snapshot."""
+        snapshot = self.snapshot
+        if not snapshot.name:
+            return b""
+        size = min(size, snapshot.size - offset)
+        start = snapshot.offset + offset
+        return self.files.read_at(snapshot.name, start, max(size, 0))
+
+    def close(self) -> None:
+        """Closes the open segment."""
+        self.log.close()
+
+    def _write(self, writes: list[effects.Write]) -> None:
+        for write in writes:
+            if isinstance(write, effects.AppendEntries):
+                self.log.append(write.entries)
+                self.last = write.entries[-1]
+                continue
+            if isinstance(write, effects.SaveMetadata):
+                self._save_metadata(write)
+                continue
+            self._save_snapshot(write)
+            self.log.reset(write.index, write.term)
+            self.last = None
+        self.log.sync()
+        self.log.roll(self.last)
+
+    def _save_metadata(self, write: effects.SaveMetadata) -> None:
+        self.metadata = attrs.evolve(
+            self.metadata,
+            group=write.group,
+            term=write.term,
+            vote=write.vote,
+        )
+        metadata_file.save(self.files, self.metadata)
+
+    def _save_snapshot(self, write: effects.InstallSnapshot) -> None:
+        if write.index <= self.snapshot.index:
+            return
+        self.snapshot = snapshots.save(
+            self.files, write.index, write.term, write.configuration, write.data
+        )
+        snapshots.remove_older(self.files, self.snapshot)
+
+    def _fail(self, error: OSError) -> typing.NoReturn:
+        self.failure = (
+            f"durable state could not be written ({error}); the replica has"
+            " stopped: free or replace the disk, then start it again"
+        )
+        raise exceptions.StorageError(self.failure) from error
+
+
+def open_store(
+    files: file_access.Files, name: str
+) -> tuple[Store, core.Recovered, bytes]:
+    """Opens a data folder, or makes an empty one a new incarnation.
+
+    Returns:
+      The store, what the core starts from, and the snapshot's data.
+
+    Raises:
+      CorruptStorageError: Synced state is damaged; says what to do.
+      StorageError: The folder belongs to another replica, or fails.
+    """
+    try:
+        return _open_store(files, name)
+    except OSError as error:
+        raise exceptions.StorageError(
+            f"the data folder could not be opened ({error}); check its disk"
+            " and permissions"
+        ) from error
+
+
+def _open_store(
+    files: file_access.Files, name: str
+) -> tuple[Store, core.Recovered, bytes]:
+    metadata = metadata_file.load(files)
+    if metadata is None:
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        metadata = metadata_file.Metadata(name, incarnation)
+        metadata_file.save(files, metadata)
+    if metadata.name != name:
+        raise exceptions.StorageError(
+            f"the data folder belongs to {metadata.name}, not to {name};"
+            " correct the name or the data folder in the settings"
+        )
+    if metadata.group and not segments.exist(files):
+        raise exceptions.CorruptStorageError(
+            f"the log is missing beside the metadata; {segments.REMEDY}"
+        )
+    snapshot, data = snapshots.load(files)
+    log, entries = segments.recover(files)
+    entries = _join(log, snapshot, entries)
+    last_term = entries[-1].term if entries else snapshot.term
+    if last_term > metadata.term:
+        raise exceptions.CorruptStorageError(
+            f"metadata is older than the log; {segments.REMEDY}"
+        )
+    store = Store(files, metadata, log, snapshot)
+    store.last = entries[-1] if entries else None
+    recovered = core.Recovered(
+        group=metadata.group,
+        term=metadata.term,
+        vote=metadata.vote,
+        snapshot_index=snapshot.index,
+        snapshot_term=snapshot.term,
+        configuration=membership.decode(snapshot.configuration),
+        entries=tuple(entries),
+    )
+    return store, recovered, data
+
+
+def _join(
+    log: segments.SegmentLog,
+    snapshot: snapshots.Snapshot,
+    entries: list[messages.Entry],
+) -> list[messages.Entry]:
+    """Returns the entries after the snapshot.
+
+    A log that does not hold the snapshot's last entry dates from before the
+    snapshot was installed and is dropped.
+    """
+    if log.base_index > snapshot.index:
+        raise exceptions.CorruptStorageError(
+            f"the snapshot of entry {log.base_index} is missing;"
+            f" {segments.REMEDY}"
+        )
+    position = snapshot.index - log.base_index
+    term = None
+    if position == 0:
+        term = log.base_term
+    elif position <= len(entries):
+        term = entries[position - 1].term
+    if term == snapshot.term:
+        return entries[position:]
+    log.reset(snapshot.index, snapshot.term)
+    return []
--- /dev/null
+++ b/src/cactusstile/consensus/writer.py
@@ -0,0 +1,119 @@
+"""Queue of durable writes and of what may only leave after them."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import anyio.to_thread
+import attrs
+
+from cactusstile.consensus import effects
+
+if typing.TYPE_CHECKING:
+    from cactusstile.consensus.storage import store as stores
+
+_T = typing.TypeVar("_T")
+
+
+@attrs.define
+class Batch:
+    """Writes that share one sync.
+
+    Attributes:
+      writes: Writes in order.
+      sends: Messages that leave after the sync.
+    """
+
+    writes: list[effects.Write] = attrs.field(factory=list)
+    sends: list[effects.Send] = attrs.field(factory=list)
+
+    def last_entry(self) -> tuple[int, int] | None:
+        """Returns index and term of the log's last entry after the writes."""
+        for write in reversed(self.writes):
+            if isinstance(write, effects.AppendEntries):
+                return write.entries[-1].index, write.entries[-1].term
+            if isinstance(write, effects.InstallSnapshot):
+                return write.index, write.term
+        return None
+
+    def last_metadata(self) -> effects.SaveMetadata | None:
+        """Returns the last metadata among the writes."""
+        for write in reversed(self.writes):
+            if isinstance(write, effects.SaveMetadata):
+                return write
+        return None
+
+
+@attrs.define
+class Writer:
+    """Collects writes while a sync runs, so that one sync serves many.
+
+    Attributes:
+      store: Durable state.
+      in_thread: Whether syncs run in a worker thread.
+      group: Whether a batch may hold more than one write of entries.
+      pending: Batches that are not being written yet, oldest first.
+      busy: Whether a batch is being written.
+      work: Set when there may be something to do.
+      limiter: Bound of one worker thread.
+    """
+
+    store: stores.Store
+    in_thread: bool
+    group: bool
+    pending: list[Batch] = attrs.field(factory=list)
+    busy: bool = False
+    work: anyio.Event = attrs.field(factory=anyio.Event)
+    limiter: anyio.CapacityLimiter = attrs.field(
+        factory=lambda: anyio.CapacityLimiter(1)
+    )
+
+    def add_write(self, write: effects.Write) -> None:
+        """Queues a write."""
+        if not self.pending or not self.group:
+            self.pending.append(Batch())
+        self.pending[-1].writes.append(write)
+        self.work.set()
+
+    def add_send(self, send: effects.Send) -> bool:
+        """Queues a message behind the writes; False if none is under way."""
+        if not self.pending and not self.busy:
+            return False
+        if not self.pending:
+            self.pending.append(Batch())
+        self.pending[-1].sends.append(send)
+        self.work.set()
+        return True
+
+    async def wait(self) -> None:
+        """Waits until there may be something to do."""
+        await self.work.wait()
+        self.work = anyio.Event()
+
+    async def write_next(self) -> Batch | None:
+        """Makes the oldest batch durable and returns it."""
+        if not self.pending:
+            return None
+        batch = self.pending.pop(0)
+        if not batch.writes:
+            return batch
+        await self.run(self.store.write, batch.writes)
+        return batch
+
+    async def run(
+        self, function: typing.Callable[[_T], None], argument: _T
+    ) -> None:
+        """Runs a blocking function of the store.
+
+        After a failure the writer stays busy, so that nothing that waits for
+        a sync ever leaves.
+        """
+        self.busy = True
+        if self.in_thread:
+            await anyio.to_thread.run_sync(
+                function, argument, limiter=self.limiter
+            )
+        else:
+            function(argument)
+        self.busy = False
