Add the replicated state of control, its daemon and the delivery tree

Need: configuration by the operators' number, claims, fencing numbers, and a process that serves them; entries and agents follow the fleet over a tree.

Weighed for changes: a full file in each command (the log and the network then grow with the fleet) against a delta with the base's number and the digest of the result; the delta is taken, the state checks both. Weighed for the age of claims: the leader's wall clock (a jump forgets claims, and a forgotten claim runs twice) against elapsed time reported within one term; the latter is taken, time without a leader does not count. Weighed for a full claims group: dropping the oldest (breaks at most once) against refusing with the time to come back; refused. Weighed for a cut-off control VM: each subscriber asking the quorum (all-to-all) against a beacon that the leader issues only after a quorum confirmed its lead and that is passed down with heartbeats; the beacon.

Found while trying three real processes: the leader's first entry carried an enum that the wire codec refuses, so no entry was ever replicated over TCP; one-line change in consensus/replication.py (int(kind)).

--- a/src/cactusstile/consensus/replication.py
+++ b/src/cactusstile/consensus/replication.py
@@ -16,7 +16,9 @@
     first = state.log.last_index + 1
     entries = []
     for offset, (kind, data) in enumerate(payloads):
-        entries.append(messages.Entry(first + offset, state.term, kind, data))
+        entries.append(
+            messages.Entry(first + offset, state.term, int(kind), data)
+        )
     append_entries(state, entries)
     broadcast_appends(state)
     return first
--- a/src/cactusstile/control/claim_messages.py
+++ b/src/cactusstile/control/claim_messages.py
@@ -52,6 +52,7 @@
       claim_id: Identity of the first claim.
       outcome: Word given by the process that ran it; empty before.
       answer: Stored answer; empty before the end or when it was dropped.
+      answer_kept: Whether the answer is the whole one that was stored.
     """
 
     granted: bool
@@ -60,6 +61,7 @@
     claim_id: bytes = b""
     outcome: str = ""
     answer: bytes = b""
+    answer_kept: bool = False
 
 
 @codec.register(222, messages.SCHEMA, "FinishClaim")
--- /dev/null
+++ b/src/cactusstile/control/claims.py
@@ -0,0 +1,334 @@
+"""State machine of the claims group: requests that run at most once.
+
+A claim is held packed in a few dozen bytes. Its age is counted in time that
+passed under a leader, as `ClaimTick` commands report it, never by wall clocks:
+a clock that jumps forgets no claim, and time without a leader does not count.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import hashlib
+import struct
+import typing
+
+import attrs
+
+from cactusstile.control import claim_messages
+from cactusstile.control import commands
+from cactusstile.control import exceptions
+from cactusstile.transport import exceptions as transport_exceptions
+
+MAX_CLAIMS = 100_000
+RETENTION_MS = 24 * 60 * 60 * 1000
+MAX_ANSWER_BYTES = 256 * 1024
+MAX_ANSWERS_BYTES = 16 * 1024 * 1024
+MAX_KEY_LENGTH = 512
+MAX_OUTCOME_LENGTH = 64
+CLAIM_ID_BYTES = 16
+_KEY_BYTES = 16
+_DIGEST_BYTES = 16
+_RECORD = struct.Struct("<BQQ16s16s")
+_COUNTS = struct.Struct("<QII")
+_LENGTH = struct.Struct("<I")
+
+
+class _Code(enum.IntEnum):
+    """Byte that stands for a state in a record."""
+
+    RUNNING = 1
+    FINISHED = 2
+    CLOSED = 3
+
+
+_STATES = {
+    _Code.RUNNING: claim_messages.ClaimState.RUNNING,
+    _Code.FINISHED: claim_messages.ClaimState.FINISHED,
+    _Code.CLOSED: claim_messages.ClaimState.CLOSED,
+}
+
+
+@attrs.frozen
+class _Record:
+    code: _Code
+    claimed_at_ms: int
+    incarnation: int
+    claim_id: bytes
+    digest: bytes
+    outcome: str = ""
+
+    def pack(self) -> bytes:
+        head = _RECORD.pack(
+            self.code,
+            self.claimed_at_ms,
+            self.incarnation,
+            self.claim_id,
+            self.digest,
+        )
+        return head + self.outcome.encode()
+
+
+def _unpack(data: bytes) -> _Record:
+    code, claimed_at_ms, incarnation, claim_id, digest = _RECORD.unpack_from(
+        data
+    )
+    outcome = data[_RECORD.size :].decode()
+    return _Record(
+        _Code(code), claimed_at_ms, incarnation, claim_id, digest, outcome
+    )
+
+
+class Claims:
+    """Claims by the hash of workspace and request key.
+
+    Attributes:
+      now_ms: Time that passed under leaders since the group was founded.
+      max_claims: Bound on claims; a full group refuses new ones.
+    """
+
+    def __init__(self, max_claims: int = MAX_CLAIMS) -> None:
+        """Starts empty."""
+        self.max_claims = max_claims
+        self._reset()
+
+    def _reset(self) -> None:
+        self.now_ms = 0
+        self._records: dict[bytes, bytes] = {}
+        self._answers: collections.OrderedDict[bytes, bytes] = (
+            collections.OrderedDict()
+        )
+        self._answers_bytes = 0
+
+    def __len__(self) -> int:
+        """Returns the number of claims held."""
+        return len(self._records)
+
+    def apply(self, _index: int, command: bytes) -> bytes:
+        """Applies a committed command and returns the packed result."""
+        try:
+            message = commands.unpack(command)
+            check(message)
+        except (transport_exceptions.ProtocolError, ValueError) as error:
+            return commands.pack(commands.refuse("bad_request", str(error)))
+        return commands.pack(self._apply(message))
+
+    def _apply(self, message: object) -> object:
+        match message:
+            case claim_messages.Claim():
+                return self._claim(message)
+            case claim_messages.FinishClaim():
+                return self._finish(message)
+            case claim_messages.CloseClaim():
+                return self._close(message)
+            case claim_messages.ReleaseClaim():
+                return self._release(message)
+            case claim_messages.ClaimTick():
+                return self._tick(message)
+        text = f"{type(message).__name__} is no command"
+        return commands.refuse("bad_request", text)
+
+    def read(
+        self, message: claim_messages.ReadClaim
+    ) -> claim_messages.ClaimReply:
+        """Returns the state of a key."""
+        key = _hash_key(message.workspace, message.request_key)
+        digest = _shorten(message.content_digest)
+        return self._describe(key, digest)
+
+    def _claim(self, message: claim_messages.Claim) -> object:
+        key = _hash_key(message.workspace, message.request_key)
+        digest = _shorten(message.content_digest)
+        if key in self._records:
+            record = _unpack(self._records[key])
+            granted = (
+                record.code is _Code.RUNNING
+                and record.claim_id == message.claim_id
+            )
+            return self._describe(key, digest, granted=granted)
+        if len(self._records) >= self.max_claims:
+            return self._refuse_full()
+        record = _Record(
+            _Code.RUNNING,
+            self.now_ms,
+            message.incarnation,
+            message.claim_id,
+            digest,
+        )
+        self._records[key] = record.pack()
+        return self._describe(key, digest, granted=True)
+
+    def _close(self, message: claim_messages.CloseClaim) -> object:
+        key = _hash_key(message.workspace, message.request_key)
+        digest = _shorten(message.content_digest)
+        if key not in self._records:
+            if len(self._records) >= self.max_claims:
+                return self._refuse_full()
+            nobody = bytes(CLAIM_ID_BYTES)
+            record = _Record(_Code.CLOSED, self.now_ms, 0, nobody, digest)
+            self._records[key] = record.pack()
+        return self._describe(key, digest)
+
+    def _finish(self, message: claim_messages.FinishClaim) -> object:
+        key = _hash_key(message.workspace, message.request_key)
+        record = self._find_running(key, message.claim_id)
+        if record is not None:
+            finished = attrs.evolve(
+                record, code=_Code.FINISHED, outcome=message.outcome
+            )
+            self._records[key] = finished.pack()
+            self._keep_answer(key, message.answer)
+        return self._describe(key)
+
+    def _release(self, message: claim_messages.ReleaseClaim) -> object:
+        key = _hash_key(message.workspace, message.request_key)
+        if self._find_running(key, message.claim_id) is not None:
+            del self._records[key]
+        return self._describe(key)
+
+    def _tick(self, message: claim_messages.ClaimTick) -> object:
+        self.now_ms += message.elapsed_ms
+        expired = []
+        for key, data in self._records.items():
+            _, claimed_at_ms, *_ = _RECORD.unpack_from(data)
+            if claimed_at_ms + RETENTION_MS > self.now_ms:
+                break
+            expired.append(key)
+        for key in expired:
+            del self._records[key]
+            answer = self._answers.pop(key, b"")
+            self._answers_bytes -= len(answer)
+        return message
+
+    def _find_running(self, key: bytes, claim_id: bytes) -> _Record | None:
+        data = self._records.get(key)
+        if data is None:
+            return None
+        record = _unpack(data)
+        if record.code is not _Code.RUNNING or record.claim_id != claim_id:
+            return None
+        return record
+
+    def _keep_answer(self, key: bytes, answer: bytes) -> None:
+        if len(answer) > MAX_ANSWER_BYTES:
+            return
+        self._answers[key] = answer
+        self._answers_bytes += len(answer)
+        while self._answers_bytes > MAX_ANSWERS_BYTES:
+            _, dropped = self._answers.popitem(last=False)
+            self._answers_bytes -= len(dropped)
+
+    def _refuse_full(self) -> object:
+        _, oldest_ms, *_ = _RECORD.unpack_from(
+            next(iter(self._records.values()))
+        )
+        wait_s = (oldest_ms + RETENTION_MS - self.now_ms) / 1000
+        text = f"control holds {self.max_claims} claims; come back later"
+        return commands.refuse("overloaded", text, f"{wait_s:.3f}")
+
+    def _describe(
+        self, key: bytes, digest: bytes | None = None, *, granted: bool = False
+    ) -> claim_messages.ClaimReply:
+        data = self._records.get(key)
+        states = claim_messages.ClaimState
+        if data is None:
+            return claim_messages.ClaimReply(False, states.ABSENT.value)
+        record = _unpack(data)
+        if digest is not None and record.digest != digest:
+            return claim_messages.ClaimReply(False, states.MISMATCH.value)
+        return claim_messages.ClaimReply(
+            granted,
+            _STATES[record.code].value,
+            record.incarnation,
+            record.claim_id,
+            record.outcome,
+            self._answers.get(key, b""),
+            key in self._answers,
+        )
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        counts = (self.now_ms, len(self._records), len(self._answers))
+        parts = [_COUNTS.pack(*counts)]
+        for table in (self._records, self._answers):
+            for key, value in table.items():
+                parts += (key, _LENGTH.pack(len(value)), value)
+        return b"".join(parts)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot; empty data resets it.
+
+        Raises:
+          SnapshotError: If the snapshot is damaged.
+        """
+        self._reset()
+        if not data:
+            return
+        reader = _Reader(data)
+        self.now_ms, records, answers = _COUNTS.unpack(
+            reader.take(_COUNTS.size)
+        )
+        for _ in range(records):
+            key, value = reader.take_pair()
+            self._records[key] = value
+        for _ in range(answers):
+            key, value = reader.take_pair()
+            self._answers[key] = value
+            self._answers_bytes += len(value)
+        reader.expect_end()
+
+
+class _Reader:
+    """Cuts a snapshot into its parts."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.position = 0
+
+    def take(self, size: int) -> bytes:
+        end = self.position + size
+        if end > len(self.data):
+            raise exceptions.SnapshotError("claims are cut short")
+        part = self.data[self.position : end]
+        self.position = end
+        return part
+
+    def take_pair(self) -> tuple[bytes, bytes]:
+        key = self.take(_KEY_BYTES)
+        (length,) = _LENGTH.unpack(self.take(_LENGTH.size))
+        return key, self.take(length)
+
+    def expect_end(self) -> None:
+        if self.position != len(self.data):
+            raise exceptions.SnapshotError("claims have bytes after their end")
+
+
+def check(message: object) -> None:
+    """Checks the sizes of a command.
+
+    Raises:
+      ValueError: Saying what is out of bounds.
+    """
+    if isinstance(message, claim_messages.ClaimTick):
+        return
+    workspace = typing.cast("str", getattr(message, "workspace", ""))
+    request_key = typing.cast("str", getattr(message, "request_key", ""))
+    if not 0 < len(request_key) <= MAX_KEY_LENGTH:
+        raise ValueError(f"a request key has 1 to {MAX_KEY_LENGTH} characters")
+    if not 0 < len(workspace) <= MAX_KEY_LENGTH:
+        raise ValueError("a claim names a workspace")
+    claim_id = getattr(message, "claim_id", None)
+    if claim_id is not None and len(claim_id) != CLAIM_ID_BYTES:
+        raise ValueError(f"a claim's identity has {CLAIM_ID_BYTES} bytes")
+    if len(getattr(message, "outcome", "")) > MAX_OUTCOME_LENGTH:
+        raise ValueError(f"an outcome has {MAX_OUTCOME_LENGTH} characters")
+
+
+def _hash_key(workspace: str, request_key: str) -> bytes:
+    owner = workspace.encode()
+    text = _LENGTH.pack(len(owner)) + owner + request_key.encode()
+    return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
+
+
+def _shorten(digest: bytes) -> bytes:
+    return hashlib.blake2b(digest, digest_size=_DIGEST_BYTES).digest()
--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -66,6 +66,8 @@
       claim_id: Identity of the first claim; pass it to `finish_claim`.
       outcome: Word given by the process that ran it; empty before the end.
       answer: Stored answer; empty before the end, or if it was dropped.
+      answer_kept: Whether `answer` is the whole one that was stored; False
+        before the end, and for answers that were too large or too old.
     """
 
     granted: bool
@@ -74,6 +76,7 @@
     claim_id: bytes
     outcome: str
     answer: bytes
+    answer_kept: bool = False
 
 
 class ControlClient:
@@ -247,6 +250,7 @@
             reply.claim_id,
             reply.outcome,
             reply.answer,
+            reply.answer_kept,
         )
 
     async def call(
--- /dev/null
+++ b/src/cactusstile/control/configuration.py
@@ -0,0 +1,221 @@
+"""State machine of the configuration group: the fleet and fencing numbers."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import json
+import typing
+
+from cactusstile.control import commands
+from cactusstile.control import exceptions
+from cactusstile.control import messages
+from cactusstile.control import revisions
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import model
+from cactusstile.transport import exceptions as transport_exceptions
+
+Observer = collections.abc.Callable[[messages.ChangeRecord | None], None]
+
+MAX_RECORDS = 1024
+MAX_RECORD_BYTES = 4 * 1024 * 1024
+MAX_FENCES = 65_536
+MAX_TARGET_NAME_LENGTH = 128
+
+
+def _ignore(_record: messages.ChangeRecord | None) -> None:
+    return
+
+
+class Configuration:
+    """Configurations by the operators' number, and fencing numbers by target.
+
+    Attributes:
+      fleet: The fleet in force.
+      digest: Its content digest.
+      records: Last accepted changes, bounded in count and bytes.
+      fences: Fencing numbers by target; kept when a target is removed.
+      observer: Called with each accepted change, and with None after the
+        state was replaced by a snapshot.
+    """
+
+    def __init__(self) -> None:
+        """Starts without any configuration."""
+        self.observer: Observer = _ignore
+        self._reset()
+
+    def _reset(self) -> None:
+        self.fleet = model.Fleet()
+        self.digest = encoding.content_digest(self.fleet)
+        self.records: collections.deque[messages.ChangeRecord] = (
+            collections.deque()
+        )
+        self.fences: dict[str, int] = {}
+        self._record_bytes = 0
+        self._revisions = revisions.Revisions()
+
+    def apply(self, _index: int, command: bytes) -> bytes:
+        """Applies a committed command and returns the packed result."""
+        try:
+            message = commands.unpack(command)
+        except transport_exceptions.ProtocolError as error:
+            return commands.pack(commands.refuse("bad_request", str(error)))
+        if isinstance(message, messages.ApplyChange):
+            return commands.pack(self._apply_change(message))
+        if isinstance(message, messages.TakeFence):
+            return commands.pack(self._take_fence(message.target))
+        text = f"{type(message).__name__} is no command"
+        return commands.pack(commands.refuse("bad_request", text))
+
+    def _apply_change(self, change: messages.ApplyChange) -> object:
+        settled = self._answer_known(change) or self._refuse_number(change)
+        if settled is not None:
+            return settled
+        try:
+            fleet, digest = delta.apply_delta(
+                self.fleet,
+                self.digest,
+                delta.unpack(change.body),
+                change.revision,
+            )
+        except ValueError as error:
+            return commands.refuse("bad_request", str(error))
+        if encoding.digest_bytes(digest) != change.digest:
+            text = "the change does not lead to the content that it claims"
+            return commands.refuse("bad_request", text)
+        self._accept(change, fleet, digest)
+        return self._reply(messages.ApplyOutcome.ACCEPTED, change.revision)
+
+    def _refuse_number(self, change: messages.ApplyChange) -> object | None:
+        """Refuses a number that cannot follow the one in force."""
+        outcome = messages.ApplyOutcome
+        if self._revisions.is_forgotten(change.revision):
+            return self._reply(outcome.FORGOTTEN, change.revision)
+        if change.revision <= self.fleet.revision:
+            return self._reply(outcome.LOWER, self.fleet.revision)
+        if change.base_revision != self.fleet.revision:
+            return self._reply(outcome.MOVED, self.fleet.revision)
+        return None
+
+    def _answer_known(self, change: messages.ApplyChange) -> object | None:
+        """Answers a number that is in use, the same way each time."""
+        digest = self._revisions.find(change.revision)
+        if digest is None:
+            return None
+        same = change.digest[: revisions.SHORT_DIGEST_BYTES] == digest
+        outcome = messages.ApplyOutcome
+        if same:
+            return self._reply(outcome.ACCEPTED, change.revision)
+        for record in reversed(self.records):
+            if record.revision == change.revision:
+                return messages.ApplyReply(
+                    outcome.TAKEN.value,
+                    record.revision,
+                    digest,
+                    record.operator,
+                    record.at_ms,
+                )
+        return self._reply(outcome.TAKEN, change.revision)
+
+    def _reply(
+        self, outcome: messages.ApplyOutcome, revision: int
+    ) -> messages.ApplyReply:
+        digest = self._revisions.find(revision) or b""
+        return messages.ApplyReply(outcome.value, revision, digest)
+
+    def _accept(
+        self, change: messages.ApplyChange, fleet: model.Fleet, digest: int
+    ) -> None:
+        record = messages.ChangeRecord(
+            change.revision,
+            self.fleet.revision,
+            change.digest,
+            change.operator,
+            change.at_ms,
+            change.body,
+        )
+        self.fleet = fleet
+        self.digest = digest
+        self._revisions.add(change.revision, change.digest)
+        self._remember(record)
+        self.observer(record)
+
+    def _remember(self, record: messages.ChangeRecord) -> None:
+        self.records.append(record)
+        self._record_bytes += len(record.body)
+        while (
+            len(self.records) > MAX_RECORDS
+            or self._record_bytes > MAX_RECORD_BYTES
+        ):
+            dropped = self.records.popleft()
+            self._record_bytes -= len(dropped.body)
+
+    def _take_fence(self, target: str) -> object:
+        if not target or len(target) > MAX_TARGET_NAME_LENGTH:
+            return commands.refuse("bad_request", "no name of a target")
+        if target not in self.fences and len(self.fences) >= MAX_FENCES:
+            text = f"fencing numbers of {MAX_FENCES} targets are in use"
+            return commands.refuse("too_many_targets", text)
+        self.fences[target] = self.fences.get(target, 0) + 1
+        return messages.FenceNumber(self.fences[target])
+
+    def whole(self) -> messages.FeedDelta:
+        """Returns the fleet in force as one message."""
+        change = delta.between(model.Fleet(), self.fleet)
+        return messages.FeedDelta(
+            0,
+            self.fleet.revision,
+            encoding.digest_bytes(self.digest),
+            delta.pack(change),
+            whole=True,
+        )
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        numbers, digests = self._revisions.dump()
+        whole = self.whole()
+        image = messages.ConfigurationImage(
+            whole.revision,
+            whole.body,
+            whole.digest,
+            tuple(self.records),
+            numbers,
+            digests,
+            json.dumps(self.fences).encode(),
+        )
+        return commands.pack(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot; empty data resets it.
+
+        Raises:
+          SnapshotError: If the snapshot is damaged.
+        """
+        self._reset()
+        if data:
+            image = commands.unpack_image(data, messages.ConfigurationImage)
+            self._load(typing.cast("messages.ConfigurationImage", image))
+        self.observer(None)
+
+    def _load(self, image: messages.ConfigurationImage) -> None:
+        try:
+            change = delta.unpack(image.body)
+            self.fleet, self.digest = delta.apply_delta(
+                self.fleet, self.digest, change, image.revision
+            )
+            self.fences = json.loads(image.fences)
+        except ValueError as error:
+            raise exceptions.SnapshotError(str(error)) from error
+        if encoding.digest_bytes(self.digest) != image.digest:
+            raise exceptions.SnapshotError("the fleet does not fit its digest")
+        self._revisions.load(image.revisions, image.digests)
+        for record in image.records:
+            self._remember(record)
+
+
+def feed_delta(record: messages.ChangeRecord) -> messages.FeedDelta:
+    """Returns the message that delivers an accepted change."""
+    return messages.FeedDelta(
+        record.base_revision, record.revision, record.digest, record.body
+    )
--- a/src/cactusstile/control/control.capnp
+++ b/src/cactusstile/control/control.capnp
@@ -35,6 +35,7 @@
   claimId @3 :Data;
   outcome @4 :Text;
   answer @5 :Data;
+  answerKept @6 :Bool;
 }
 
 struct FinishClaim {
@@ -156,6 +157,7 @@
 
 struct Beacon {
   number @0 :UInt64;
+  revision @1 :UInt64;
 }
 
 struct GroupEnvelope {
--- a/src/cactusstile/control/feed_messages.py
+++ b/src/cactusstile/control/feed_messages.py
@@ -91,6 +91,8 @@
 
     Attributes:
       number: Grows with each beacon, over all leaders.
+      revision: Revision in force when the quorum confirmed.
     """
 
     number: int
+    revision: int
--- /dev/null
+++ b/src/cactusstile/control/handlers.py
@@ -0,0 +1,197 @@
+"""Handlers of the calls that a control process serves."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import attrs
+
+from cactusstile.consensus import messages as consensus_messages
+from cactusstile.control import claim_messages
+from cactusstile.control import claims
+from cactusstile.control import feed_messages
+from cactusstile.control import member_handlers
+from cactusstile.control import member_messages
+from cactusstile.control import messages
+from cactusstile.control import state as states
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.transport import codec
+from cactusstile.transport import exceptions as transport_exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.transport import messages as transport_messages
+
+CONTROL_ROLE = "control"
+MAX_HISTORY = 1024
+
+
+def build(state: states.ControlState) -> incoming.Handlers:
+    """Returns the handlers of a control process."""
+    calls: dict[type, incoming.CallHandler] = {}
+    calls.update(_reads(state))
+    calls.update(_claims(state))
+    calls.update(_fences(state))
+    calls.update(_operators_calls(state))
+    calls[feed_messages.Subscribe] = state.relay.serve
+    return incoming.Handlers(calls, _notices(state))
+
+
+def for_operators(handler: incoming.CallHandler) -> incoming.CallHandler:
+    """Returns `handler`, open to operators only."""
+
+    async def guarded(
+        responder: incoming.Responder, message: typing.Any
+    ) -> object:
+        if responder.peer.role != handshake.OPERATOR_ROLE:
+            raise transport_exceptions.RemoteError(
+                "forbidden", "only operators may ask for this"
+            )
+        return await handler(responder, message)
+
+    return guarded
+
+
+def _reads(state: states.ControlState) -> dict[type, incoming.CallHandler]:
+    async def read_revision(
+        _: incoming.Responder, __: messages.ReadRevision
+    ) -> object:
+        await states.confirm_lead(state.configuration_replica)
+        digest = encoding.digest_bytes(state.configuration.digest)
+        revision = state.configuration.fleet.revision
+        return messages.FleetRevision(revision, digest)
+
+    async def read_fleet(
+        _: incoming.Responder, __: messages.ReadFleet
+    ) -> object:
+        await states.confirm_lead(state.configuration_replica)
+        return state.relay.whole()
+
+    return {
+        messages.ReadRevision: read_revision,
+        messages.ReadFleet: read_fleet,
+    }
+
+
+def _claims(state: states.ControlState) -> dict[type, incoming.CallHandler]:
+    async def change(_: incoming.Responder, message: object) -> object:
+        try:
+            claims.check(message)
+        except ValueError as error:
+            raise transport_exceptions.RemoteError(
+                "bad_request", str(error)
+            ) from error
+        return await states.propose(state.claims_replica, message)
+
+    async def read(
+        _: incoming.Responder, message: claim_messages.ReadClaim
+    ) -> object:
+        await states.confirm_lead(state.claims_replica)
+        return state.claims.read(message)
+
+    return {
+        claim_messages.Claim: change,
+        claim_messages.FinishClaim: change,
+        claim_messages.CloseClaim: change,
+        claim_messages.ReleaseClaim: change,
+        claim_messages.ReadClaim: read,
+    }
+
+
+def _fences(state: states.ControlState) -> dict[type, incoming.CallHandler]:
+    async def take(
+        _: incoming.Responder, message: messages.TakeFence
+    ) -> object:
+        return await states.propose(state.configuration_replica, message)
+
+    async def read(
+        _: incoming.Responder, message: messages.ReadFence
+    ) -> object:
+        await states.confirm_lead(state.configuration_replica)
+        number = state.configuration.fences.get(message.target, 0)
+        return messages.FenceNumber(number)
+
+    return {messages.TakeFence: take, messages.ReadFence: read}
+
+
+def _operators_calls(
+    state: states.ControlState,
+) -> dict[type, incoming.CallHandler]:
+    async def apply(
+        responder: incoming.Responder, message: messages.ApplyChange
+    ) -> object:
+        try:
+            delta.unpack(message.body)
+        except ValueError as error:
+            raise transport_exceptions.RemoteError(
+                "bad_request", str(error)
+            ) from error
+        stamped = attrs.evolve(
+            message,
+            operator=responder.peer.name,
+            at_ms=time.time_ns() // 1_000_000,
+        )
+        return await states.propose(state.configuration_replica, stamped)
+
+    calls: dict[type, incoming.CallHandler] = {messages.ApplyChange: apply}
+    calls.update(_operators_reads(state))
+    calls.update(member_handlers.build(state))
+    return {cls: for_operators(handler) for cls, handler in calls.items()}
+
+
+def _operators_reads(
+    state: states.ControlState,
+) -> dict[type, incoming.CallHandler]:
+    async def read_history(
+        _: incoming.Responder, message: messages.ReadHistory
+    ) -> object:
+        await states.confirm_lead(state.configuration_replica)
+        count = min(message.count, MAX_HISTORY)
+        records = tuple(state.configuration.records)
+        return messages.History(records[len(records) - count :])
+
+    async def read_in_force(
+        _: incoming.Responder, message: feed_messages.ReadInForce
+    ) -> object:
+        return state.relay.in_force(message.revision)
+
+    async def read_dump(_: incoming.Responder, __: messages.ReadDump) -> object:
+        return messages.Dump(member_handlers.dump(state))
+
+    return {
+        messages.ReadHistory: read_history,
+        messages.ReadDump: read_dump,
+        feed_messages.ReadInForce: read_in_force,
+    }
+
+
+def _notices(
+    state: states.ControlState,
+) -> collections.abc.Mapping[type, incoming.NoticeHandler]:
+    def take_envelope(
+        peer: transport_messages.Hello,
+        envelope: member_messages.GroupEnvelope,
+    ) -> None:
+        replica = state.replicas.get(envelope.group)
+        if peer.role != CONTROL_ROLE or replica is None:
+            return
+        message = codec.decode(envelope.number, envelope.payload)
+        if isinstance(message, consensus_messages.Message):
+            replica.receive(envelope.sender, message)
+
+    def take_beacon(
+        peer: transport_messages.Hello, beacon: feed_messages.Beacon
+    ) -> None:
+        if peer.role == CONTROL_ROLE:
+            state.relay.take_beacon(beacon.number, beacon.revision)
+
+    return {
+        member_messages.GroupEnvelope: take_envelope,
+        feed_messages.Beacon: take_beacon,
+        feed_messages.FeedReport: state.relay.take_report,
+    }
--- /dev/null
+++ b/src/cactusstile/control/settings.py
@@ -0,0 +1,90 @@
+"""Settings of a control process."""
+
+from __future__ import annotations
+
+import pathlib
+
+import attrs
+
+from cactusstile.consensus import replica
+from cactusstile.settings import ini
+from cactusstile.settings import process
+from cactusstile.transport import address
+
+CONFIGURATION_GROUP = "configuration"
+CLAIMS_GROUP = "claims"
+GROUPS = (CONFIGURATION_GROUP, CLAIMS_GROUP)
+
+
+@attrs.frozen
+class ControlSettings:
+    """Settings of one control process.
+
+    Attributes:
+      process: Settings common to all roles.
+      data_folder: Folder of the durable state.
+      founders: Replicas that found the groups, the same on all control VMs.
+      group_commit: Whether one sync serves many commands.
+      sync_in_thread: Whether syncs run in a worker thread.
+    """
+
+    process: process.ProcessSettings
+    data_folder: pathlib.Path
+    founders: tuple[replica.Founder, ...]
+    group_commit: bool = True
+    sync_in_thread: bool = True
+
+    def for_group(self, group: str) -> replica.ReplicaSettings:
+        """Returns the settings of this process's replica of a group."""
+        return replica.ReplicaSettings(
+            name=self.process.name,
+            address=str(self.process.listen),
+            data_folder=self.data_folder / group,
+            founders=self.founders,
+            max_command_bytes=MAX_COMMAND_BYTES,
+            group_commit=self.group_commit,
+            sync_in_thread=self.sync_in_thread,
+        )
+
+
+MAX_COMMAND_BYTES = 3 * 1024 * 1024 + 4096
+
+
+def _parse_founders(text: str) -> tuple[replica.Founder, ...]:
+    founders = []
+    for part in filter(None, (piece.strip() for piece in text.split(","))):
+        name, mark, place = part.partition("=")
+        if not mark:
+            raise ValueError(f"{part!r} is not like control-1=10.0.0.1:7000")
+        parsed = address.parse(place.strip())
+        founders.append(replica.Founder(ini.name(name.strip()), str(parsed)))
+    if not founders:
+        raise ValueError("write founders like control-1=10.0.0.1:7000")
+    return tuple(founders)
+
+
+def _parse_folder(text: str) -> pathlib.Path:
+    if not text:
+        raise ValueError("write the path of a folder")
+    return pathlib.Path(text)
+
+
+OPTIONS = (
+    ini.Option("data_folder", _parse_folder, "folder of the durable state"),
+    ini.Option(
+        "founders",
+        _parse_founders,
+        "replicas that found the groups, as NAME=ADDRESS with commas; the "
+        "same on all control VMs, never changed later",
+    ),
+)
+
+
+def load(path: pathlib.Path) -> ControlSettings:
+    """Reads the settings file of a control process.
+
+    Raises:
+      InvalidFileError: With all faults of the file.
+    """
+    common, values = process.load(path, "control", OPTIONS)
+    return ControlSettings(common, **values)
