--- /dev/null
+++ b/src/cactusstile/agent/daemon.py
@@ -0,0 +1,201 @@
+"""The agent role: a listener beside one target."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import signal
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.agent import admission
+from cactusstile.agent import claims
+from cactusstile.agent import engine_agent
+from cactusstile.agent import messages
+from cactusstile.agent import node
+from cactusstile.agent import service_agent
+from cactusstile.controllers import fencing
+from cactusstile.controllers import leaving
+from cactusstile.targets import http
+from cactusstile.transport import exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.settings import agent as agent_settings
+    from cactusstile.state import holder
+    from cactusstile.transport import address
+    from cactusstile.transport import pool
+
+logger = logging.getLogger(__name__)
+
+FIRST_TOKENS_PER_S = 5_000.0
+CALLS_PER_S = 100.0
+LINGER_S = 0.3
+DRAIN_ROLES = ("operator", "control")
+
+
+class Control(claims.ClaimControl, fencing.FenceControl, typing.Protocol):
+    """Part of `control.client.ControlClient` that agents need."""
+
+
+@attrs.frozen
+class Links:
+    """What an agent has of the rest of the system.
+
+    Attributes:
+      control: Client of the control VMs.
+      peers: Connections to other agents.
+      fleet_holder: Configuration in force here, kept up by its owner.
+    """
+
+    control: Control
+    peers: pool.Pool
+    fleet_holder: holder.FleetHolder
+
+
+@attrs.frozen
+class Agent:
+    """A running agent.
+
+    Attributes:
+      node: Its state.
+      bound: Address that it listens on.
+      ready: Returns whether it takes new work now.
+      dump: Returns its state for operators, without prompts and secrets.
+    """
+
+    node: node.Node
+    bound: address.Address
+    ready: collections.abc.Callable[[], bool]
+    dump: collections.abc.Callable[[], dict[str, object]]
+
+    async def drain(self, limit_s: float) -> bool:
+        """Takes no new work and returns once accepted work is done.
+
+        Returns:
+          Whether all of it ended within `limit_s` seconds.
+        """
+        self.node.stopping = True
+        with anyio.move_on_after(limit_s):
+            while self.node.busy:
+                await self.node.idle.wait()
+            # The last answers leave before the connections close.
+            await anyio.sleep(LINGER_S)
+            return True
+        return False
+
+
+@contextlib.asynccontextmanager
+async def open_agent(
+    settings: agent_settings.AgentSettings, links: Links
+) -> collections.abc.AsyncIterator[Agent]:
+    """Runs an agent until the context is left.
+
+    Raises:
+      OSError: If its address cannot be bound.
+    """
+    common = settings.process
+    identity = handshake.Identity("agent", common.name)
+    is_engine = settings.kind == "engine"
+    owner = node.Node(
+        settings.target,
+        identity.incarnation,
+        links.fleet_holder,
+        admission.Admission(
+            1 if is_engine else settings.service_slots,
+            tokens_per_s=FIRST_TOKENS_PER_S if is_engine else CALLS_PER_S,
+        ),
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        target = await stack.enter_async_context(http.open_target(settings.url))
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        claimer = claims.Claimer(links.control, identity.incarnation, group)
+        group.start_soon(owner.admission.expire)
+        if settings.platform_url:
+            group.start_soon(_watch_platform, owner, settings)
+        if is_engine:
+            beside = engine_agent.start(
+                settings, links, owner, target, claimer, group
+            )
+        else:
+            beside = service_agent.start(owner, target, claimer, group)
+        handlers = incoming.Handlers(
+            calls={**beside.calls, messages.Drain: _serve_drain(owner)}
+        )
+        listener = await stack.enter_async_context(
+            server.open_server(
+                common.listen, identity, common.secrets, handlers
+            )
+        )
+        yield Agent(
+            owner, listener.bound, beside.ready, lambda: dump_node(owner)
+        )
+
+
+async def run_until_signal(
+    running: Agent, settings: agent_settings.AgentSettings
+) -> None:
+    """Drains the agent at SIGTERM or SIGINT; a second signal ends it."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logger.info("signal %d: taking no more work", number)
+            break
+        async with anyio.create_task_group() as group:
+
+            async def cut_short() -> None:
+                async for number in signals:
+                    logger.warning("signal %d: stopping at once", number)
+                    break
+                group.cancel_scope.cancel()
+
+            group.start_soon(cut_short)
+            if not await running.drain(settings.drain_limit_s):
+                logger.warning("work was left at the end of the drain")
+            group.cancel_scope.cancel()
+
+
+def dump_node(owner: node.Node) -> dict[str, object]:
+    """Returns an agent's state for operators."""
+    queue = owner.admission.queue
+    return {
+        "target": owner.target,
+        "revision": owner.fleet.revision,
+        "confirmed": owner.fleet_holder.confirmed.is_set(),
+        "drained": owner.drained,
+        "platform_leaving": owner.platform_leaving,
+        "stopping": owner.stopping,
+        "busy": owner.busy,
+        "running": owner.admission.running,
+        "slots": owner.admission.slots,
+        "queued": queue.count,
+        "queued_tokens": queue.tokens,
+        "tokens_per_s": round(queue.tokens_per_s, 1),
+    }
+
+
+async def _watch_platform(
+    owner: node.Node, settings: agent_settings.AgentSettings
+) -> None:
+    async with http.open_target(settings.platform_url) as target:
+        await leaving.watch_platform(owner, target, settings.vm)
+
+
+def _serve_drain(owner: node.Node) -> incoming.CallHandler:
+    async def drain(
+        responder: incoming.Responder, request: messages.Drain
+    ) -> messages.DrainReply:
+        if responder.peer.role not in DRAIN_ROLES:
+            raise exceptions.RemoteError(
+                "forbidden", "only operators may drain a target"
+            )
+        return owner.drain(request)
+
+    return drain
--- /dev/null
+++ b/src/cactusstile/agent/engine_agent.py
@@ -0,0 +1,106 @@
+"""Parts of an agent that stands beside a model engine."""
+
+from __future__ import annotations
+
+import typing
+
+from cactusstile.agent import engine_runs
+from cactusstile.agent import gate
+from cactusstile.agent import messages
+from cactusstile.agent import node
+from cactusstile.agent import probes
+from cactusstile.agent import prompt_run
+from cactusstile.controllers import desired
+from cactusstile.controllers import fencing
+from cactusstile.controllers import orders
+from cactusstile.controllers import rollout
+from cactusstile.targets import engine
+from cactusstile.targets import exceptions
+from cactusstile.targets import http
+from cactusstile.targets import openai_dialect
+from cactusstile.targets import weight_store
+from cactusstile.transport import exceptions as transport_exceptions
+
+if typing.TYPE_CHECKING:
+    import anyio.abc
+
+    from cactusstile.agent import claims
+    from cactusstile.agent import daemon
+    from cactusstile.settings import agent as agent_settings
+    from cactusstile.transport import incoming
+
+PEER_TIMEOUT_S = 1.0
+
+
+def start(  # noqa: PLR0917
+    settings: agent_settings.AgentSettings,
+    links: daemon.Links,
+    owner: node.Node,
+    target: http.HttpTarget,
+    claimer: claims.Claimer,
+    group: anyio.abc.TaskGroup,
+) -> node.Beside:
+    """Starts the engine's controller; returns what serves calls."""
+    client = engine.EngineClient(target, openai_dialect.DIALECT)
+    version_gate = gate.VersionGate()
+    parts = prompt_run.Parts(owner, client, version_gate, claimer)
+    running = engine_runs.EngineRuns(parts, group)
+    controller = orders.EngineController(
+        owner,
+        client,
+        version_gate,
+        fencing.Fence(links.control, settings.target),
+        wait_turn=_turn_waiter(settings, links, owner),
+        timing=orders.Timing(expected_load_s=settings.expected_load_s),
+    )
+    group.start_soon(controller.run)
+    calls: dict[type, incoming.CallHandler] = {
+        messages.Probe: probes.Probes(parts).probe,
+        messages.Run: running.run,
+        messages.Attach: running.attach,
+    }
+    return node.Beside(calls, lambda: owner.takes_work and version_gate.is_open)
+
+
+def _turn_waiter(
+    settings: agent_settings.AgentSettings,
+    links: daemon.Links,
+    owner: node.Node,
+) -> orders.WaitTurn:
+    """Returns what waits until this target may load weights."""
+
+    async def read_version(name: str) -> str | None:
+        peer = owner.fleet.targets[name]
+        question = messages.Probe("", peer.serves, "", (), 0, 0)
+        try:
+            reply = await links.peers.call(
+                peer.agent, question, timeout_s=PEER_TIMEOUT_S
+            )
+        except (transport_exceptions.TransportError, TimeoutError):
+            return None
+        return reply.version if isinstance(reply, messages.ProbeReply) else None
+
+    async def has_room() -> bool:
+        if not settings.weight_store_url:
+            return True
+        async with http.open_target(settings.weight_store_url) as store:
+            try:
+                limits = await weight_store.read_limits(store)
+            except exceptions.TargetError:
+                return False
+        return limits.active < limits.max_transfers
+
+    async def wait(wanted: desired.Desired) -> None:
+        names = [
+            peer.name for peer in owner.fleet.targets_of(wanted.deployment)
+        ]
+        chain = rollout.predecessors(
+            names, owner.target, wanted.max_concurrent_loads
+        )
+
+        async def is_next() -> bool:
+            return await rollout.is_turn(chain, wanted.version, read_version)
+
+        await rollout.wait_turn(is_next, has_room)
+
+    return wait
--- /dev/null
+++ b/src/cactusstile/agent/engine_runs.py
@@ -0,0 +1,213 @@
+"""Runs of prompts at the engine beside this agent."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import typing
+
+import anyio
+import anyio.abc
+
+from cactusstile import verdict
+from cactusstile.agent import admission
+from cactusstile.agent import messages
+from cactusstile.agent import metrics
+from cactusstile.agent import node
+from cactusstile.agent import prompt_run
+from cactusstile.agent import runs
+from cactusstile.targets import exceptions
+
+if typing.TYPE_CHECKING:
+    from cactusstile.transport import incoming
+
+logger = logging.getLogger(__name__)
+
+ATTACH_GRACE_S = 1.0
+MAX_PROMPT_TOKENS = 262_144
+MAX_OUTPUT_TOKENS = 32_768
+
+
+class EngineRuns:
+    """Starts runs and lets callers follow them.
+
+    Attributes:
+      table: Known runs.
+    """
+
+    def __init__(
+        self,
+        parts: prompt_run.Parts,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Runs prompts in `group`."""
+        self.table = runs.RunTable()
+        self._parts = parts
+        self._group = group
+        self._numbers = itertools.count(1)
+
+    async def run(
+        self, responder: incoming.Responder, request: messages.Run
+    ) -> runs.Final:
+        """Runs a prompt, or joins the run that has its key already."""
+        try:
+            record = self._find(request) or self._start(request)
+        except verdict.RefusedError as error:
+            return self._parts.node.refused(error.refusal)
+        return await self._follow(record, len(request.generated), responder)
+
+    async def attach(
+        self, responder: incoming.Responder, request: messages.Attach
+    ) -> runs.Final:
+        """Joins a known run at an index of its output."""
+        record = self.table.get(request.workspace, request.request_key)
+        if record is None:
+            refusal = verdict.Refusal(
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.Reason.TARGET_LOST,
+                "the agent does not know this run",
+            )
+            return self._parts.node.refused(refusal)
+        return await self._follow(record, request.next_index, responder)
+
+    def _find(self, request: messages.Run) -> runs.RunRecord | None:
+        record = self.table.get(request.workspace, request.request_key)
+        if record is None:
+            return None
+        if record.digest != runs.content_digest(request):
+            raise verdict.refuse(
+                verdict.Reason.BAD_REQUEST,
+                "the key is in use for another request; choose a new one",
+            )
+        if len(record.request.generated) > len(request.generated):
+            raise verdict.refuse(
+                verdict.Reason.DUPLICATE,
+                "a continuation of the request is under way",
+                verdict=verdict.Verdict.MAY_HAVE_RUN,
+                retry_after_s=node.RETRY_ELSEWHERE_S,
+            )
+        return record
+
+    def _start(self, request: messages.Run) -> runs.RunRecord:
+        self._parts.node.check_takes_work()
+        _check_bounds(request)
+        record = runs.RunRecord(
+            request,
+            runs.content_digest(request),
+            node.deadline_s(request.time_left_ms),
+            count=len(request.generated),
+        )
+        work = self._plan(record)
+        self.table.add(record)
+        self._parts.node.begin()
+        self._group.start_soon(self._execute, record, work)
+        return record
+
+    def _plan(self, record: runs.RunRecord) -> admission.Work:
+        """Returns what the run asks of the engine, after the fleet's checks."""
+        request = record.request
+        owner = self._parts.node
+        owner.check_serves(request.deployment)
+        deployment = owner.fleet.deployments[request.deployment]
+        workspace = owner.check_workspace(
+            request.workspace, deployment.workspaces, request.revision
+        )
+        return admission.Work(
+            request.workspace,
+            len(request.tokens) + len(request.generated),
+            workspace.share,
+            request.priority,
+            record.deadline_s,
+            request.reservation,
+        )
+
+    async def _execute(
+        self, record: runs.RunRecord, work: admission.Work
+    ) -> None:
+        owner = self._parts.node
+        number = next(self._numbers)
+        running = prompt_run.PromptRun(self._parts, record, number)
+        final: runs.Final | None = None
+        try:
+            with record.scope:
+                async with owner.admission.enter(work):
+                    final = await running.execute()
+        except verdict.RefusedError as error:
+            final = owner.refused(error.refusal)
+        except exceptions.TargetError as error:
+            final = owner.refused(_lost(error))
+        finally:
+            self._settle(record, final, running.sent)
+            with anyio.CancelScope(shield=True):
+                await running.settle_claim()
+            owner.end()
+
+    def _settle(
+        self, record: runs.RunRecord, final: runs.Final | None, sent: bool
+    ) -> None:
+        owner = self._parts.node
+        if final is None:
+            may_have_run = verdict.Verdict.MAY_HAVE_RUN
+            refusal = verdict.Refusal(
+                may_have_run if sent else verdict.Verdict.NOT_RUN,
+                verdict.Reason.SHUTTING_DOWN,
+                "the run was cancelled",
+            )
+            final = owner.refused(refusal)
+        if not sent:
+            record.claimed = False
+        record.finish(final)
+        self.table.settle(record)
+        outcome = "completed"
+        if isinstance(final, messages.Refused):
+            outcome = final.verdict
+        metrics.RUNS.labels(owner.target, "prompt", outcome).inc()
+
+    async def _follow(
+        self,
+        record: runs.RunRecord,
+        next_index: int,
+        responder: incoming.Responder,
+    ) -> runs.Final:
+        record.followers += 1
+        try:
+            return await record.follow(next_index, responder.send)
+        finally:
+            record.followers -= 1
+            if record.final is None and not record.followers:
+                self._group.start_soon(self._cancel_abandoned, record)
+
+    async def _cancel_abandoned(self, record: runs.RunRecord) -> None:
+        """Cancels a run that no caller joins again within a moment."""
+        await anyio.sleep(ATTACH_GRACE_S)
+        if not record.followers and not record.claimed:
+            record.scope.cancel()
+
+
+def _check_bounds(request: messages.Run) -> None:
+    too_long = len(request.tokens) > MAX_PROMPT_TOKENS
+    if too_long or request.max_tokens > MAX_OUTPUT_TOKENS:
+        raise verdict.refuse(
+            verdict.Reason.TOO_LARGE,
+            f"a prompt has at most {MAX_PROMPT_TOKENS} tokens, an output at "
+            f"most {MAX_OUTPUT_TOKENS}",
+        )
+    if not request.tokens or request.max_tokens <= len(request.generated):
+        raise verdict.refuse(
+            verdict.Reason.BAD_REQUEST, "there is nothing to run"
+        )
+    if request.generated and not request.repeatable:
+        raise verdict.refuse(
+            verdict.Reason.BAD_REQUEST,
+            "a run that may not be repeated cannot be continued",
+        )
+
+
+def _lost(error: exceptions.TargetError) -> verdict.Refusal:
+    logger.info("engine failed a run: %s", error)
+    return verdict.Refusal(
+        error.verdict,
+        verdict.Reason.TARGET_LOST,
+        "the engine failed; try another target",
+        node.RETRY_ELSEWHERE_S,
+    )
--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -249,6 +249,41 @@
     revision: int = 0
 
 
+@codec.register(109, _SCHEMA, "StoredRun")
+@attrs.frozen
+class StoredRun:
+    """Answer of a claimed run as control keeps it."""
+
+    output: RunTokens
+    end: RunEnd
+
+
+@codec.register(110, _SCHEMA, "Drain")
+@attrs.frozen
+class Drain:
+    """Tells an agent that its target leaves; ends with `DrainReply`.
+
+    Attributes:
+      leaving: Whether the target leaves; False takes a drain back.
+    """
+
+    leaving: bool = True
+
+
+@codec.register(111, _SCHEMA, "DrainReply")
+@attrs.frozen
+class DrainReply:
+    """State of a target that leaves.
+
+    Attributes:
+      leaving: Whether the target takes no new work.
+      running: Requests that are still queued or under way.
+    """
+
+    leaving: bool
+    running: int
+
+
 def to_refused(refusal: verdict.Refusal, revision: int = 0) -> Refused:
     """Returns the message that carries `refusal`."""
     return Refused(
--- /dev/null
+++ b/src/cactusstile/agent/probes.py
@@ -0,0 +1,73 @@
+"""Answers to entries that look for a target."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.targets import exceptions
+
+if typing.TYPE_CHECKING:
+    from cactusstile.agent import prompt_run
+    from cactusstile.transport import incoming
+
+MAX_PROBED_BLOCKS = 4096
+
+
+class Probes:
+    """Answers probes of one agent."""
+
+    def __init__(self, parts: prompt_run.Parts) -> None:
+        """Answers from `parts`."""
+        self._parts = parts
+
+    async def probe(
+        self, _: incoming.Responder, request: messages.Probe
+    ) -> messages.ProbeReply:
+        """Returns what the engine could do for a run, exactly as it is."""
+        owner = self._parts.node
+        status = self._parts.gate.status
+        if not owner.takes_work or status is None:
+            version = status.version if status is not None else ""
+            return messages.ProbeReply(
+                owner.fleet.revision, version, 0, 0, 0, 0, 0, 0, 0, leaving=True
+            )
+        resident = await self._resident_blocks(request)
+        queue = owner.admission.queue
+        cached_tokens = resident * tokens.BLOCK_TOKENS
+        missing_tokens = max(0, request.prompt_tokens - cached_tokens)
+        wait_s = self._wait_s(request.workspace)
+        queued_tokens = queue.tokens + owner.admission.reserved_tokens()
+        reservation = 0
+        if request.reserve:
+            reservation = owner.admission.reserve(missing_tokens)
+        return messages.ProbeReply(
+            owner.fleet.revision,
+            status.version,
+            resident,
+            0,
+            queued_tokens,
+            owner.admission.running,
+            owner.admission.slots,
+            round(wait_s * 1000),
+            round(missing_tokens / queue.tokens_per_s * 1000),
+            reservation=reservation,
+        )
+
+    def _wait_s(self, workspace: str) -> float:
+        owner = self._parts.node
+        declared = owner.fleet.workspaces.get(workspace)
+        share = declared.share if declared is not None else 1.0
+        opens_s = self._parts.gate.opens_s
+        closed_s = max(0.0, opens_s - anyio.current_time()) if opens_s else 0.0
+        return closed_s + owner.admission.wait_s(workspace, share)
+
+    async def _resident_blocks(self, request: messages.Probe) -> int:
+        keys = request.block_keys[:MAX_PROBED_BLOCKS]
+        try:
+            return len(await self._parts.client.lookup(keys))
+        except exceptions.TargetError:
+            return 0
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -100,3 +100,17 @@
   retryAfterMs @3 :UInt32;
   revision @4 :UInt64;
 }
+
+struct StoredRun {
+  output @0 :RunTokens;
+  end @1 :RunEnd;
+}
+
+struct Drain {
+  leaving @0 :Bool;
+}
+
+struct DrainReply {
+  leaving @0 :Bool;
+  running @1 :UInt32;
+}
--- /dev/null
+++ b/src/cactusstile/agent/service_agent.py
@@ -0,0 +1,50 @@
+"""Parts of an agent that stands beside a plain service."""
+
+from __future__ import annotations
+
+import typing
+
+from cactusstile.agent import messages
+from cactusstile.agent import node
+from cactusstile.agent import service_calls
+
+if typing.TYPE_CHECKING:
+    import anyio.abc
+
+    from cactusstile.agent import claims
+    from cactusstile.targets import http
+    from cactusstile.transport import incoming
+
+
+def start(
+    owner: node.Node,
+    target: http.HttpTarget,
+    claimer: claims.Claimer,
+    group: anyio.abc.TaskGroup,
+) -> node.Beside:
+    """Returns what serves calls to a plain service."""
+    calls = service_calls.ServiceCalls(owner, target, claimer, group)
+
+    async def probe(
+        _: incoming.Responder, request: messages.Probe
+    ) -> messages.ProbeReply:
+        declared = owner.fleet.workspaces.get(request.workspace)
+        share = declared.share if declared is not None else 1.0
+        return messages.ProbeReply(
+            owner.fleet.revision,
+            "",
+            0,
+            0,
+            0,
+            owner.admission.running,
+            owner.admission.slots,
+            round(owner.admission.wait_s(request.workspace, share) * 1000),
+            0,
+            leaving=not owner.takes_work,
+        )
+
+    handlers: dict[type, incoming.CallHandler] = {
+        messages.ServiceCall: calls.call,
+        messages.Probe: probe,
+    }
+    return node.Beside(handlers, lambda: owner.takes_work)
--- /dev/null
+++ b/src/cactusstile/controllers/desired.py
@@ -0,0 +1,77 @@
+"""What an engine is to run, and the next order towards it."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from cactusstile.targets import engine
+
+if typing.TYPE_CHECKING:
+    from cactusstile.state import model
+
+
+@attrs.frozen
+class Desired:
+    """State that the fleet asks of an engine.
+
+    Attributes:
+      deployment: Name of the deployment.
+      model: Model to load.
+      version: Weight version.
+      adapters: Adapters as "name@version".
+      role: Role; empty leaves the engine's own.
+      max_concurrent_loads: Bound on the deployment's loads at once.
+    """
+
+    deployment: str
+    model: str
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    max_concurrent_loads: int = 1
+
+
+def find_desired(fleet: model.Fleet, target: str) -> Desired | None:
+    """Returns what `target` is to run, or None if the fleet says nothing."""
+    declared = fleet.targets.get(target)
+    deployment = fleet.deployments.get(declared.serves) if declared else None
+    if deployment is None:
+        return None
+    return Desired(
+        deployment.name,
+        deployment.model,
+        deployment.version,
+        deployment.adapters,
+        max_concurrent_loads=deployment.max_concurrent_loads,
+    )
+
+
+def next_order(
+    desired: Desired, status: engine.Status, fence: int
+) -> engine.Order | None:
+    """Returns the next order towards the desired state; None at the goal.
+
+    >>> status = engine.Status("m", "v1", (), "mixed", 8, 1024)
+    >>> next_order(Desired("chat", "m", "v2"), status, 7)
+    Order(fence=7, kind='version', value='v2')
+    >>> next_order(Desired("chat", "m", "v1"), status, 7) is None
+    True
+    """
+    if status.model != desired.model:
+        value = f"{desired.model}@{desired.version}"
+        return engine.Order(fence, "model", value)
+    if status.version != desired.version:
+        return engine.Order(fence, "version", desired.version)
+    for adapter in desired.adapters:
+        if adapter not in status.adapters:
+            return engine.Order(fence, "adapter", adapter)
+    if desired.role and status.role != desired.role:
+        return engine.Order(fence, "role", desired.role)
+    return None
+
+
+def loads_weights(order: engine.Order) -> bool:
+    """Returns whether an order fetches from the weight store."""
+    return order.kind in ("model", "version")
--- /dev/null
+++ b/src/cactusstile/controllers/orders.py
@@ -0,0 +1,234 @@
+"""Drives one engine towards the state that the fleet declares."""
+
+from __future__ import annotations
+
+import logging
+import random
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.agent import metrics
+from cactusstile.control import exceptions as control_exceptions
+from cactusstile.controllers import desired
+from cactusstile.controllers import exceptions
+from cactusstile.targets import engine
+from cactusstile.targets import exceptions as target_exceptions
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.agent import gate
+    from cactusstile.agent import node
+    from cactusstile.controllers import fencing
+
+    WaitTurn = collections.abc.Callable[
+        [desired.Desired], collections.abc.Awaitable[None]
+    ]
+
+logger = logging.getLogger(__name__)
+
+POLL_INTERVAL_S = 1.0
+RETRY_INTERVAL_S = 0.5
+MAX_RETRY_INTERVAL_S = 8.0
+FREEZE_LIMIT_S = 2.0
+CONFLICT = 409
+
+
+@attrs.frozen
+class Timing:
+    """Bounds of orders, in seconds.
+
+    Attributes:
+      order_timeout_s: Bound on the answer to an order.
+      settle_s: How long an order whose answer was lost is awaited.
+      expected_load_s: Expected time of a load, for estimates.
+      poll_interval_s: Time between readings of the engine's state.
+    """
+
+    order_timeout_s: float = 300.0
+    settle_s: float = 10.0
+    expected_load_s: float = 5.0
+    poll_interval_s: float = POLL_INTERVAL_S
+
+
+class EngineController:
+    """Controller of one engine; gives one order at a time."""
+
+    def __init__(
+        self,
+        owner: node.Node,
+        client: engine.EngineClient,
+        version_gate: gate.VersionGate,
+        fence: fencing.Fence,
+        *,
+        wait_turn: WaitTurn,
+        timing: Timing | None = None,
+    ) -> None:
+        """Orders `client` with `fence`.
+
+        Args:
+          owner: State of the agent.
+          client: Client of the engine.
+          version_gate: Gate that keeps runs out during an order.
+          fence: Fencing token of this process.
+          wait_turn: Returns once this target may load weights.
+          timing: Bounds.
+        """
+        self._node = owner
+        self._client = client
+        self._gate = version_gate
+        self._fence = fence
+        self._wait_turn = wait_turn
+        self._timing = timing or Timing()
+        self._changed = anyio.Event()
+        self._turn = anyio.CancelScope()
+        self._failures = 0
+        owner.fleet_holder.observe(lambda _old, _new: self._wake())
+
+    async def run(self) -> None:
+        """Runs until cancelled or until a newer agent owns the target."""
+        await self._node.fleet_holder.confirmed.wait()
+        while True:
+            pause_s = self._timing.poll_interval_s
+            try:
+                await self._fence.take()
+                if await self._step():
+                    pause_s = 0.0
+                self._failures = 0
+            except exceptions.SupersededError as error:
+                self._node.stopping = True
+                logger.warning("%s; this one takes no more work", error)
+                return
+            except (
+                control_exceptions.ControlError,
+                target_exceptions.TargetError,
+            ) as error:
+                pause_s = self._back_off(error)
+            await self._pause(pause_s)
+
+    def _wake(self) -> None:
+        """Reads the fleet anew, also while this target waits for its turn."""
+        self._changed.set()
+        self._turn.cancel()
+
+    async def _step(self) -> bool:
+        """Reads the engine and gives at most one order.
+
+        Returns:
+          Whether there may be more to do at once.
+        """
+        status = await self._read()
+        wanted = desired.find_desired(self._node.fleet, self._node.target)
+        if wanted is None:
+            return False
+        order = desired.next_order(wanted, status, self._fence.number)
+        if order is None:
+            return False
+        if desired.loads_weights(order):
+            self._turn = anyio.CancelScope()
+            with self._turn:
+                await self._wait_turn(wanted)
+            if self._turn.cancelled_caught:
+                return True
+        await self._order(order)
+        return True
+
+    async def _read(self) -> engine.Status:
+        """Reads the engine's state into the gate."""
+        try:
+            status = await self._client.status()
+        except target_exceptions.TargetError:
+            self._gate.set_status(None)
+            raise
+        self._gate.set_status(status)
+        self._node.admission.resize(status.slots)
+        return status
+
+    async def _order(self, order: engine.Order) -> None:
+        expected_s = self._timing.expected_load_s
+        async with self._gate.closed(expected_s):
+            await self._fence.confirm()
+            outcome = "done"
+            try:
+                await self._client.order(
+                    order, timeout_s=self._timing.order_timeout_s
+                )
+            except target_exceptions.TargetStatusError as error:
+                outcome = "refused"
+                logger.warning("engine refused an order: %s", error)
+                if error.status == CONFLICT:
+                    await self._fence.confirm()
+                raise
+            except target_exceptions.TargetError as error:
+                outcome = "lost"
+                logger.warning("answer to an order was lost: %s", error)
+                await self._settle(order)
+            finally:
+                metrics.ORDERS.labels(
+                    self._node.target, order.kind, outcome
+                ).inc()
+                await self._read()
+        logger.info("engine obeyed: %s %s", order.kind, order.value)
+
+    async def _settle(self, order: engine.Order) -> None:
+        """Waits until an order whose answer was lost shows its effect.
+
+        Raises:
+          TargetError: If it shows none in time; it will be given again.
+        """
+        give_up_s = anyio.current_time() + self._timing.settle_s
+        while True:
+            await anyio.sleep(RETRY_INTERVAL_S)
+            try:
+                status = await self._client.status()
+            except target_exceptions.TargetError:
+                status = None
+            if status is not None and shows(order, status):
+                return
+            if status is not None and status.loading:
+                continue
+            if anyio.current_time() > give_up_s:
+                raise target_exceptions.TargetError(
+                    "the order had no effect", sent=True
+                )
+
+    def _back_off(self, error: Exception) -> float:
+        self._failures += 1
+        if self._failures == 1:
+            logger.warning("cannot drive the engine now: %s", error)
+        limit_s = RETRY_INTERVAL_S * 2.0 ** min(self._failures, 8)
+        return random.uniform(0.5, 1.0) * min(limit_s, MAX_RETRY_INTERVAL_S)
+
+    async def _pause(self, seconds: float) -> None:
+        """Sleeps, less when the fleet changes; notices a freeze."""
+        started_s = anyio.current_time()
+        with anyio.move_on_after(seconds):
+            await self._changed.wait()
+        self._changed = anyio.Event()
+        slept_s = anyio.current_time() - started_s
+        if slept_s > seconds + FREEZE_LIMIT_S:
+            self._gate.set_status(None)
+            await self._confirm_after_freeze()
+
+    async def _confirm_after_freeze(self) -> None:
+        logger.warning("this process was frozen; confirming its fence")
+        try:
+            await self._fence.confirm()
+        except exceptions.SupersededError as error:
+            self._node.stopping = True
+            logger.warning("%s; this one takes no more work", error)
+        except control_exceptions.ControlError as error:
+            logger.warning("the fence could not be confirmed: %s", error)
+
+
+def shows(order: engine.Order, status: engine.Status) -> bool:
+    """Returns whether a status shows an order's effect."""
+    if order.kind == "model":
+        return f"{status.model}@{status.version}" == order.value
+    if order.kind == "version":
+        return status.version == order.value
+    if order.kind == "adapter":
+        return order.value in status.adapters
+    return status.role == order.value
--- /dev/null
+++ b/src/cactusstile/fakes/engine_app.py
@@ -0,0 +1,232 @@
+"""HTTP interface of the fake engine."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import anyio
+from starlette import applications
+from starlette import responses
+from starlette import routing
+
+from cactusstile import tokens
+from cactusstile.fakes import engine
+from cactusstile.fakes import oracle
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from starlette import requests
+
+SSE = "text/event-stream"
+LOAD_SAMPLE_INTERVAL_S = 0.1
+MAX_LOAD_SAMPLES = 200
+
+
+def build_app(served: engine.Engine) -> applications.Starlette:
+    """Returns the ASGI application of an engine."""
+    handlers = _Handlers(served)
+    route = routing.Route
+    return applications.Starlette(
+        routes=[
+            route("/v1/completions", handlers.complete, methods=["POST"]),
+            route("/v1/completions/{id}/stream", handlers.resume),
+            route(
+                "/v1/completions/{id}/cancel",
+                handlers.cancel,
+                methods=["POST"],
+            ),
+            route("/status", handlers.status),
+            route("/load", handlers.load),
+            route("/orders", handlers.order, methods=["POST"]),
+            route("/kv/lookup", handlers.lookup, methods=["POST"]),
+            route("/kv/read", handlers.read, methods=["POST"]),
+            route("/kv/write", handlers.write, methods=["POST"]),
+            route("/kv/events", handlers.events),
+        ]
+    )
+
+
+def _refuse(status: int, text: str) -> responses.JSONResponse:
+    return responses.JSONResponse({"error": text}, status)
+
+
+class _Handlers:
+    def __init__(self, served: engine.Engine) -> None:
+        self.engine = served
+
+    async def complete(self, request: requests.Request) -> responses.Response:
+        body = await request.json()
+        if body["model"] != self.engine.model:
+            return _refuse(404, f"model {body['model']} is not loaded")
+        adapter = body.get("adapter", "")
+        if adapter and adapter not in self.engine.adapters:
+            return _refuse(404, f"adapter {adapter} is not loaded")
+        submission = engine.Submission(
+            body["request_id"],
+            body["user"],
+            body["deployment"],
+            adapter,
+            tokens.Scope(*body["cache_scope"]),
+            tuple(body["prompt"]),
+            body["max_tokens"],
+            body.get("priority", 0),
+        )
+        stream = self.engine.submit(submission)
+        return self._stream(stream, 0)
+
+    async def resume(self, request: requests.Request) -> responses.Response:
+        stream = self.engine.streams.get(request.path_params["id"])
+        if stream is None:
+            return _refuse(404, "no such stream")
+        return self._stream(stream, int(request.query_params["from"]))
+
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        stream = self.engine.streams.get(request.path_params["id"])
+        if stream is None:
+            return _refuse(404, "no such stream")
+        stream.scope.cancel()
+        return responses.JSONResponse({"cancelled": stream.state != "done"})
+
+    async def status(self, _: requests.Request) -> responses.Response:
+        served = self.engine
+        return responses.JSONResponse(
+            {
+                "model": served.model,
+                "version": served.version,
+                "adapters": sorted(served.adapters),
+                "role": served.role,
+                "fence": served.fence,
+                "slots": served.settings.slots,
+                "block_bytes": served.settings.block_bytes,
+                "loading": served.loading,
+            }
+        )
+
+    async def load(self, _: requests.Request) -> responses.Response:
+        """Reports the load as it was a moment ago."""
+        served = self.engine
+        now_s = anyio.current_time()
+        served.load_samples.append((now_s, served.running, served.waiting))
+        del served.load_samples[:-MAX_LOAD_SAMPLES]
+        limit_s = now_s - served.settings.load_lag_s
+        running, waiting = 0, 0
+        for sample_s, sample_running, sample_waiting in served.load_samples:
+            if sample_s > limit_s:
+                break
+            running, waiting = sample_running, sample_waiting
+        return responses.JSONResponse({"running": running, "waiting": waiting})
+
+    async def order(self, request: requests.Request) -> responses.Response:
+        body = await request.json()
+        try:
+            await self.engine.obey(body["fence"], body["kind"], body["value"])
+        except engine.OldFenceError as error:
+            return _refuse(409, str(error))
+        except engine.LoadFailedError as error:
+            return _refuse(503, str(error))
+        return responses.JSONResponse({"version": self.engine.version})
+
+    async def lookup(self, request: requests.Request) -> responses.Response:
+        body = await request.json()
+        cache = self.engine.cache
+        found = cache.find(bytes.fromhex(key) for key in body["keys"])
+        blocks = [[index, cache.slots[index].generation] for index in found]
+        return responses.JSONResponse({"blocks": blocks})
+
+    async def read(self, request: requests.Request) -> responses.Response:
+        body = await request.json()
+        return responses.StreamingResponse(
+            self._read(body["slots"]), media_type="application/octet-stream"
+        )
+
+    async def _read(
+        self, indexes: list[int]
+    ) -> collections.abc.AsyncIterator[bytes]:
+        for index in indexes:
+            await self.engine.sleep(self.engine.settings.block_read_s)
+            yield self.engine.cache.read(index)
+
+    async def write(self, request: requests.Request) -> responses.Response:
+        """Stores blocks; the engine trusts keys and content."""
+        cache = self.engine.cache
+        keys = request.headers["x-keys"].split(",")
+        body = await request.body()
+        size = cache.block_bytes
+        written = 0
+        for position, key in enumerate(keys):
+            content = body[position * size : (position + 1) * size]
+            index = cache.allocate(bytes.fromhex(key))
+            if index is None:
+                continue
+            cache.seal(index, b"", content.ljust(size, b"\0"))
+            written += 1
+        self.engine.imported_blocks += written
+        return responses.JSONResponse({"written": written})
+
+    async def events(self, request: requests.Request) -> responses.Response:
+        """Returns events after a number, late and with gaps."""
+        after = int(request.query_params["after"])
+        settings = self.engine.settings
+        visible_s = anyio.current_time() - settings.event_lag_s
+        found = []
+        for event in self.engine.cache.events:
+            if event.sequence <= after or event.time_s > visible_s:
+                continue
+            if settings.event_gap and event.sequence % settings.event_gap == 0:
+                continue
+            found.append([event.sequence, event.kind, event.key.hex()])
+        return responses.JSONResponse({"events": found})
+
+    def _stream(
+        self, stream: engine.Stream, first: int
+    ) -> responses.StreamingResponse:
+        return responses.StreamingResponse(
+            _events(stream, first), media_type=SSE
+        )
+
+
+async def _events(
+    stream: engine.Stream, first: int
+) -> collections.abc.AsyncIterator[str]:
+    while stream.state == "waiting":
+        await stream.wait()
+    yield _event(
+        {
+            "id": stream.submission.request_id,
+            "system_fingerprint": stream.version,
+            "usage": {"cached_tokens": stream.cached_tokens},
+            "choices": [],
+        }
+    )
+    sent = first
+    while True:
+        batch = stream.output[sent:]
+        if batch:
+            yield _event(_chunk(sent, batch))
+            sent += len(batch)
+            continue
+        if stream.state in ("done", "cancelled"):
+            break
+        await stream.wait()
+    reason = "length" if stream.state == "done" else "cancelled"
+    final = _chunk(sent, [])
+    final["choices"][0]["finish_reason"] = reason
+    yield _event(final)
+    yield "data: [DONE]\n\n"
+
+
+def _event(body: dict[str, typing.Any]) -> str:
+    return f"data: {json.dumps(body, separators=(',', ':'))}\n\n"
+
+
+def _chunk(index: int, batch: list[int]) -> dict[str, typing.Any]:
+    choice = {
+        "index": 0,
+        "first_token_index": index,
+        "token_ids": batch,
+        "text": oracle.detokenize(batch),
+        "finish_reason": None,
+    }
+    return {"choices": [choice]}
--- /dev/null
+++ b/src/cactusstile/fakes/service.py
@@ -0,0 +1,80 @@
+"""Fake plain service with a ledger of all that it ran."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import attrs
+from starlette import applications
+from starlette import responses
+from starlette import routing
+
+if typing.TYPE_CHECKING:
+    from starlette import requests
+
+
+@attrs.frozen
+class LedgerEntry:
+    """One call that the service ran.
+
+    Attributes:
+      workspace: Value of the X-Workspace header.
+      request_key: Value of the Idempotency-Key header.
+      method: HTTP method.
+      path: Path of the call.
+      body: Body of the call.
+    """
+
+    workspace: str
+    request_key: str
+    method: str
+    path: str
+    body: bytes
+
+
+@attrs.define
+class Service:
+    """State of a fake service.
+
+    Attributes:
+      ledger: All calls in the order in which they took effect.
+      call_s: Time between a call's effect and its answer.
+      drop_answers: How many of the next answers are lost after the effect.
+    """
+
+    ledger: list[LedgerEntry] = attrs.field(factory=list)
+    call_s: float = 0.0
+    drop_answers: int = 0
+
+    def count(self, workspace: str, request_key: str) -> int:
+        """Returns how often a request took effect."""
+        return sum(
+            entry.request_key == request_key and entry.workspace == workspace
+            for entry in self.ledger
+        )
+
+
+def build_app(service: Service) -> applications.Starlette:
+    """Returns the ASGI application of a service."""
+
+    async def serve(request: requests.Request) -> responses.Response:
+        body = await request.body()
+        entry = LedgerEntry(
+            request.headers.get("x-workspace", ""),
+            request.headers.get("idempotency-key", ""),
+            request.method,
+            request.url.path,
+            body,
+        )
+        service.ledger.append(entry)
+        await anyio.sleep(service.call_s)
+        if service.drop_answers:
+            service.drop_answers -= 1
+            raise ConnectionResetError("answer lost as asked")
+        answer = {"number": len(service.ledger), "path": entry.path}
+        return responses.JSONResponse(answer)
+
+    methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+    route = routing.Route("/{path:path}", serve, methods=methods)
+    return applications.Starlette(routes=[route])
--- /dev/null
+++ b/src/cactusstile/fakes/serving.py
@@ -0,0 +1,62 @@
+"""Serves an ASGI application on the running loop."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import typing
+
+import anyio
+import uvicorn
+
+from cactusstile.transport import address
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+START_POLL_S = 0.005
+KEEP_ALIVE_S = 60
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Iterator[None]:
+        yield
+
+
+@contextlib.asynccontextmanager
+async def open_app(
+    app: typing.Any, listen: address.Address | None = None
+) -> collections.abc.AsyncIterator[address.Address]:
+    """Serves `app` until the context is left; yields its address.
+
+    Raises:
+      OSError: If the address cannot be bound.
+    """
+    wanted = listen or address.Address("127.0.0.1", 0)
+    family = socket.AF_INET6 if ":" in wanted.host else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((wanted.host, wanted.port))
+        config = uvicorn.Config(
+            app,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            http="h11",
+            ws="none",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=1,
+        )
+        served = _Server(config)
+        async with anyio.create_task_group() as group:
+            group.start_soon(served.serve, [listener])
+            while not served.started:  # noqa: ASYNC110
+                await anyio.sleep(START_POLL_S)
+            port = listener.getsockname()[1]
+            try:
+                yield address.Address(wanted.host, port)
+            finally:
+                group.cancel_scope.cancel()
--- /dev/null
+++ b/src/cactusstile/settings/agent.py
@@ -0,0 +1,111 @@
+"""Settings of an agent: the `[agent]` section of its file."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+import attrs
+
+from cactusstile.settings import ini
+from cactusstile.settings import process
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+SECTION = "agent"
+DEFAULT_DRAIN_LIMIT_S = 300.0
+
+
+@attrs.frozen
+class AgentSettings:
+    """Settings of an agent.
+
+    Attributes:
+      process: Settings common to all roles.
+      kind: "engine", "service" or "store".
+      target: Name of the target in the fleet.
+      url: Base address of the target; empty for a store.
+      platform_url: Base address of the platform's list; empty without one.
+      vm: Name of the VM in the platform's list.
+      weight_store_url: Base address of the weight store; empty without one.
+      drain_limit_s: Bound on finishing work at shutdown.
+      service_slots: Calls at once to a plain service.
+      expected_load_s: Expected time of a load of weights.
+    """
+
+    process: process.ProcessSettings
+    kind: str
+    target: str
+    url: str = ""
+    platform_url: str = ""
+    vm: str = ""
+    weight_store_url: str = ""
+    drain_limit_s: float = DEFAULT_DRAIN_LIMIT_S
+    service_slots: int = 64
+    expected_load_s: float = 5.0
+
+
+def _parse_url(text: str) -> str:
+    """Returns a base address.
+
+    >>> _parse_url("http://127.0.0.1:8000/")
+    'http://127.0.0.1:8000'
+    """
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme != "http" or not parts.netloc:
+        raise ValueError(
+            f"{text!r} is not an address like http://127.0.0.1:8000"
+        )
+    return text.rstrip("/")
+
+
+OPTIONS = (
+    ini.Option(
+        "kind",
+        ini.choice("engine", "service", "store"),
+        "what stands beside the agent: engine, service or store",
+    ),
+    ini.Option("target", ini.name, "name of the target in the fleet file"),
+    ini.Option("url", _parse_url, "base address of the target", ""),
+    ini.Option(
+        "platform_url", _parse_url, "base address of the platform's list", ""
+    ),
+    ini.Option("vm", ini.name, "name of the VM in the platform's list", ""),
+    ini.Option(
+        "weight_store_url", _parse_url, "base address of the weight store", ""
+    ),
+    ini.Option(
+        "drain_limit_s",
+        ini.number(0, 86_400),
+        "bound on finishing work at shutdown, in seconds",
+        DEFAULT_DRAIN_LIMIT_S,
+    ),
+    ini.Option(
+        "service_slots",
+        ini.integer(1, 10_000),
+        "calls at once to a plain service",
+        64,
+    ),
+    ini.Option(
+        "expected_load_s",
+        ini.number(0, 86_400),
+        "expected time of a load of weights, in seconds",
+        5.0,
+    ),
+)
+
+
+def load(path: pathlib.Path) -> AgentSettings:
+    """Returns the settings in the file `path`.
+
+    Raises:
+      InvalidFileError: With all faults of the file.
+    """
+    common, values = process.load(path, SECTION, OPTIONS)
+    if values["kind"] != "store" and not values["url"]:
+        text = "missing; write: url = http://IP-number:port of the target"
+        raise ini.InvalidFileError(
+            [ini.Problem(str(path), SECTION, "url", text)]
+        )
+    return AgentSettings(common, **values)
--- /dev/null
+++ b/src/cactusstile/targets/engine.py
@@ -0,0 +1,266 @@
+"""Client of a model engine; what differs by site lies in its dialect."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import attrs
+
+from cactusstile import tokens
+from cactusstile.targets import exceptions
+from cactusstile.targets import http
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+CALL_TIMEOUT_S = 2.0
+BLOCKS_TIMEOUT_S = 10.0
+SILENCE_LIMIT_S = 120.0
+NOT_FOUND = 404
+
+
+@attrs.frozen
+class Prompt:
+    """A prompt for an engine.
+
+    Attributes:
+      request_id: Identity of the stream at the engine.
+      model: Model to run.
+      deployment: Deployment that the model serves.
+      scope: Owner of the cached blocks that the run may use.
+      tokens: Prompt.
+      max_tokens: Bound on the output.
+      priority: Larger first.
+    """
+
+    request_id: str
+    model: str
+    deployment: str
+    scope: tokens.Scope
+    tokens: tuple[int, ...]
+    max_tokens: int
+    priority: int = 0
+
+
+@attrs.frozen
+class Started:
+    """The engine began a run.
+
+    Attributes:
+      version: Weight version that the run uses.
+      cached_tokens: Prompt tokens found in the engine's cache.
+    """
+
+    version: str
+    cached_tokens: int
+
+
+@attrs.frozen
+class Output:
+    """Output tokens, from index `first_index` of this stream."""
+
+    first_index: int
+    tokens: tuple[int, ...]
+    text: str
+
+
+@attrs.frozen
+class Finished:
+    """End of a run.
+
+    Attributes:
+      count: Output tokens of this stream.
+      reason: "stop", "length" or "cancelled".
+    """
+
+    count: int
+    reason: str
+
+
+Event: typing.TypeAlias = Started | Output | Finished
+
+
+@attrs.frozen
+class Status:
+    """What an engine says of itself.
+
+    Attributes:
+      model: Loaded model.
+      version: Weight version in force.
+      adapters: Loaded adapters.
+      role: Role of the engine.
+      slots: Runs at once.
+      block_bytes: Size of a KV block.
+      loading: Loads of weights under way.
+    """
+
+    model: str
+    version: str
+    adapters: tuple[str, ...]
+    role: str
+    slots: int
+    block_bytes: int
+    loading: int = 0
+
+
+@attrs.frozen
+class BlockRef:
+    """Place of a sealed block in an engine's memory.
+
+    Attributes:
+      slot: Identity of the memory.
+      generation: Raised each time that the memory is freed.
+    """
+
+    slot: int
+    generation: int
+
+
+@attrs.frozen
+class Order:
+    """An order to an engine.
+
+    Attributes:
+      fence: Fencing number of who gives it.
+      kind: "model", "version", "adapter" or "role".
+      value: Name of what is to be in force; with "model" it is
+        "model@version".
+    """
+
+    fence: int
+    kind: str
+    value: str
+
+
+@attrs.frozen
+class Dialect:
+    """How one kind of engine is spoken to, as plain functions."""
+
+    complete: collections.abc.Callable[[Prompt], http.Request]
+    resume: collections.abc.Callable[[str, int], http.Request]
+    cancel: collections.abc.Callable[[str], http.Request]
+    status: collections.abc.Callable[[], http.Request]
+    order: collections.abc.Callable[[Order], http.Request]
+    lookup: collections.abc.Callable[
+        [collections.abc.Sequence[bytes]], http.Request
+    ]
+    read: collections.abc.Callable[
+        [collections.abc.Sequence[BlockRef]], http.Request
+    ]
+    write: collections.abc.Callable[
+        [
+            collections.abc.Sequence[bytes],
+            collections.abc.Sequence[bytes],
+        ],
+        http.Request,
+    ]
+    parse_event: collections.abc.Callable[[bytes], list[Event]]
+    parse_status: collections.abc.Callable[[bytes], Status]
+    parse_lookup: collections.abc.Callable[[bytes], list[BlockRef]]
+
+
+class EngineClient:
+    """Calls one engine."""
+
+    def __init__(self, target: http.HttpTarget, dialect: Dialect) -> None:
+        """Calls `target` in `dialect`."""
+        self._target = target
+        self._dialect = dialect
+
+    @contextlib.asynccontextmanager
+    async def open_run(
+        self, prompt: Prompt
+    ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[Event]]:
+        """Starts a run and yields its events.
+
+        Raises:
+          TargetError: If the engine cannot be reached or breaks off.
+        """
+        async with self._open(self._dialect.complete(prompt)) as events:
+            yield events
+
+    @contextlib.asynccontextmanager
+    async def open_resumed(
+        self, request_id: str, next_index: int
+    ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[Event]]:
+        """Joins a run again at an index of its output."""
+        request = self._dialect.resume(request_id, next_index)
+        async with self._open(request) as events:
+            yield events
+
+    async def cancel(self, request_id: str) -> None:
+        """Stops a run; unknown ones count as stopped."""
+        request = self._dialect.cancel(request_id)
+        try:
+            await self._target.call_ok(request, timeout_s=CALL_TIMEOUT_S)
+        except exceptions.TargetStatusError as error:
+            if error.status != NOT_FOUND:
+                raise
+
+    async def status(self) -> Status:
+        """Returns the engine's state."""
+        response = await self._target.call_ok(
+            self._dialect.status(), timeout_s=CALL_TIMEOUT_S
+        )
+        return _parse(self._dialect.parse_status, response.body)
+
+    async def order(self, order: Order, *, timeout_s: float) -> None:
+        """Gives an order and waits until it is carried out."""
+        request = self._dialect.order(order)
+        await self._target.call_ok(request, timeout_s=timeout_s)
+
+    async def lookup(
+        self, keys: collections.abc.Sequence[bytes]
+    ) -> list[BlockRef]:
+        """Returns the places of the leading blocks that are sealed."""
+        if not keys:
+            return []
+        response = await self._target.call_ok(
+            self._dialect.lookup(keys), timeout_s=CALL_TIMEOUT_S
+        )
+        return _parse(self._dialect.parse_lookup, response.body)
+
+    async def read(self, places: collections.abc.Sequence[BlockRef]) -> bytes:
+        """Returns the bytes of blocks, one after the other, unverified."""
+        response = await self._target.call_ok(
+            self._dialect.read(places), timeout_s=BLOCKS_TIMEOUT_S
+        )
+        return response.body
+
+    async def write(
+        self,
+        keys: collections.abc.Sequence[bytes],
+        contents: collections.abc.Sequence[bytes],
+    ) -> None:
+        """Puts blocks into the engine's cache."""
+        request = self._dialect.write(keys, contents)
+        await self._target.call_ok(request, timeout_s=BLOCKS_TIMEOUT_S)
+
+    @contextlib.asynccontextmanager
+    async def _open(
+        self, request: http.Request
+    ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[Event]]:
+        async with self._target.open_lines(
+            request, timeout_s=SILENCE_LIMIT_S
+        ) as lines:
+            yield self._events(lines)
+
+    async def _events(
+        self, lines: collections.abc.AsyncIterator[bytes]
+    ) -> collections.abc.AsyncIterator[Event]:
+        async for line in lines:
+            for event in _parse(self._dialect.parse_event, line):
+                yield event
+
+
+_T = typing.TypeVar("_T")
+
+
+def _parse(parse: collections.abc.Callable[[bytes], _T], data: bytes) -> _T:
+    try:
+        return parse(data)
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        raise exceptions.TargetError(
+            f"the target's answer is malformed: {error!r}", sent=True
+        ) from error
--- /dev/null
+++ b/src/cactusstile/targets/http.py
@@ -0,0 +1,195 @@
+"""HTTP calls to one outside process, with bounds on time and size."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import attrs
+import httpcore
+
+from cactusstile.targets import exceptions
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 512
+MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_LINE_BYTES = 1024 * 1024
+OK_LIMIT = 300
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+Headers: typing.TypeAlias = "collections.abc.Sequence[tuple[str, str]]"
+
+
+@attrs.frozen
+class Request:
+    """One HTTP request.
+
+    Attributes:
+      method: HTTP method.
+      path: Path and query.
+      body: Body.
+      headers: Headers besides Host and Content-Length.
+    """
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@attrs.frozen
+class Response:
+    """One whole HTTP response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class HttpTarget:
+    """Connections to one outside process.
+
+    Attributes:
+      url: Base address, "http://host:port".
+    """
+
+    def __init__(self, url: str, connections: httpcore.AsyncConnectionPool):
+        """Calls `url` over `connections`; see `open_target`."""
+        self.url = url.rstrip("/")
+        self._connections = connections
+
+    async def call(
+        self,
+        request: Request,
+        *,
+        timeout_s: float,
+        max_bytes: int = MAX_BODY_BYTES,
+    ) -> Response:
+        """Returns the whole answer, whatever its status.
+
+        Raises:
+          TargetError: If there was no whole answer within bounds.
+        """
+        async with self.open_call(request, timeout_s=timeout_s) as response:
+            body = await _read_body(response, max_bytes)
+            headers = tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in response.headers
+            )
+            return Response(response.status, headers, body)
+
+    async def call_ok(self, request: Request, *, timeout_s: float) -> Response:
+        """Returns the whole answer to a call that must succeed.
+
+        Raises:
+          TargetStatusError: If the status is an error.
+          TargetError: If there was no whole answer within bounds.
+        """
+        response = await self.call(request, timeout_s=timeout_s)
+        if response.status >= OK_LIMIT:
+            raise _status_error(request, response.status, response.body)
+        return response
+
+    @contextlib.asynccontextmanager
+    async def open_lines(
+        self, request: Request, *, timeout_s: float
+    ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[bytes]]:
+        """Opens a call and yields its answer's lines.
+
+        Args:
+          request: The call.
+          timeout_s: Bound on the silence between two parts of the answer.
+
+        Raises:
+          TargetStatusError: If the status is an error.
+          TargetError: If the answer breaks off.
+        """
+        async with self.open_call(request, timeout_s=timeout_s) as response:
+            if response.status >= OK_LIMIT:
+                body = await _read_body(response, MAX_LINE_BYTES)
+                raise _status_error(request, response.status, body)
+            yield _split_lines(response)
+
+    @contextlib.asynccontextmanager
+    async def open_call(
+        self, request: Request, *, timeout_s: float
+    ) -> collections.abc.AsyncIterator[httpcore.Response]:
+        """Opens a call; failures in the context become `TargetError`."""
+        timeouts = {
+            "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+            "read": timeout_s,
+            "write": timeout_s,
+            "pool": timeout_s,
+        }
+        place = f"{request.method} {self.url}"
+        try:
+            async with self._connections.stream(
+                request.method,
+                self.url + request.path,
+                headers=list(request.headers),
+                content=request.body,
+                extensions={"timeout": timeouts},
+            ) as response:
+                yield response
+        except _NOT_SENT as error:
+            text = f"{place} cannot be reached: {error!r}"
+            raise exceptions.TargetError(text, sent=False) from error
+        except httpcore.PoolTimeout as error:
+            text = f"{place} has no free connection"
+            raise exceptions.TargetError(text, sent=False) from error
+        except _FAILURES as error:
+            text = f"{place} broke off: {error!r}"
+            raise exceptions.TargetError(text, sent=True) from error
+
+
+@contextlib.asynccontextmanager
+async def open_target(
+    url: str,
+) -> collections.abc.AsyncIterator[HttpTarget]:
+    """Opens the connections to one outside process."""
+    async with httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS, keepalive_expiry=30.0
+    ) as connections:
+        yield HttpTarget(url, connections)
+
+
+def _status_error(
+    request: Request, status: int, body: bytes
+) -> exceptions.TargetStatusError:
+    detail = body[:200].decode(errors="replace")
+    return exceptions.TargetStatusError(
+        f"{request.method} {request.path} answered {status}: {detail}", status
+    )
+
+
+async def _read_body(response: httpcore.Response, max_bytes: int) -> bytes:
+    parts = []
+    size = 0
+    async for part in response.aiter_stream():
+        size += len(part)
+        if size > max_bytes:
+            raise exceptions.TargetError(
+                f"answer is longer than {max_bytes} bytes", sent=True
+            )
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def _split_lines(
+    response: httpcore.Response,
+) -> collections.abc.AsyncIterator[bytes]:
+    rest = b""
+    async for part in response.aiter_stream():
+        *lines, rest = (rest + part).split(b"\n")
+        if len(rest) > MAX_LINE_BYTES:
+            raise exceptions.TargetError("line is too long", sent=True)
+        for line in lines:
+            yield line
--- /dev/null
+++ b/src/cactusstile/targets/platform.py
@@ -0,0 +1,56 @@
+"""Client of the platform's list of VMs."""
+
+from __future__ import annotations
+
+import enum
+import json
+import typing
+
+from cactusstile.targets import exceptions
+from cactusstile.targets import http
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+CALL_TIMEOUT_S = 2.0
+MAX_VMS = 100_000
+
+
+class VmState(enum.Enum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+def parse_vms(data: bytes) -> dict[str, VmState]:
+    """Returns the listed VMs; unknown states read as live.
+
+    >>> parse_vms(b'{"vms": [{"name": "vm1", "state": "leaving"}]}')
+    {'vm1': <VmState.LEAVING: 'leaving'>}
+    """
+    states = {}
+    for entry in json.loads(data)["vms"][:MAX_VMS]:
+        leaving = entry["state"] == VmState.LEAVING.value
+        state = VmState.LEAVING if leaving else VmState.LIVE
+        states[str(entry["name"])] = state
+    return states
+
+
+async def list_vms(
+    target: http.HttpTarget,
+    parse: collections.abc.Callable[[bytes], dict[str, VmState]] = parse_vms,
+) -> dict[str, VmState]:
+    """Returns the platform's list; it lags behind the truth.
+
+    Raises:
+      TargetError: If the platform gave no usable list.
+    """
+    request = http.Request("GET", "/vms")
+    response = await target.call_ok(request, timeout_s=CALL_TIMEOUT_S)
+    try:
+        return parse(response.body)
+    except (ValueError, KeyError, TypeError) as error:
+        raise exceptions.TargetError(
+            f"the platform's list is malformed: {error!r}", sent=True
+        ) from error
--- /dev/null
+++ b/src/cactusstile/targets/weight_store.py
@@ -0,0 +1,58 @@
+"""Client of the weight store's rate limit."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import attrs
+
+from cactusstile.targets import exceptions
+from cactusstile.targets import http
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+CALL_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class Limits:
+    """State of a weight store.
+
+    Attributes:
+      max_transfers: Transfers at once.
+      active: Transfers under way.
+    """
+
+    max_transfers: int
+    active: int
+
+
+def parse_limits(data: bytes) -> Limits:
+    """Returns the limits in an answer of the store.
+
+    >>> parse_limits(b'{"max_transfers": 2, "active": 1}')
+    Limits(max_transfers=2, active=1)
+    """
+    body = json.loads(data)
+    return Limits(int(body["max_transfers"]), int(body["active"]))
+
+
+async def read_limits(
+    target: http.HttpTarget,
+    parse: collections.abc.Callable[[bytes], Limits] = parse_limits,
+) -> Limits:
+    """Returns the store's limits.
+
+    Raises:
+      TargetError: If the store gave no usable answer.
+    """
+    request = http.Request("GET", "/limits")
+    response = await target.call_ok(request, timeout_s=CALL_TIMEOUT_S)
+    try:
+        return parse(response.body)
+    except (ValueError, KeyError, TypeError) as error:
+        raise exceptions.TargetError(
+            f"the weight store's answer is malformed: {error!r}", sent=True
+        ) from error
