--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -103,16 +103,7 @@
     """
     common = settings.process
     identity = handshake.Identity("agent", common.name)
-    is_engine = settings.kind == "engine"
-    owner = node.Node(
-        settings.target,
-        identity.incarnation,
-        links.fleet_holder,
-        admission.Admission(
-            1 if is_engine else settings.service_slots,
-            tokens_per_s=FIRST_TOKENS_PER_S if is_engine else CALLS_PER_S,
-        ),
-    )
+    owner = _build_node(settings, links, identity)
     async with contextlib.AsyncExitStack() as stack:
         target = await stack.enter_async_context(http.open_target(settings.url))
         group = await stack.enter_async_context(anyio.create_task_group())
@@ -121,7 +112,7 @@
         group.start_soon(owner.admission.expire)
         if settings.platform_url:
             group.start_soon(_watch_platform, owner, settings)
-        if is_engine:
+        if settings.kind == "engine":
             beside = engine_agent.start(
                 settings, links, owner, target, claimer, group
             )
@@ -140,6 +131,21 @@
         )
 
 
+def _build_node(
+    settings: agent_settings.AgentSettings,
+    links: Links,
+    identity: handshake.Identity,
+) -> node.Node:
+    is_engine = settings.kind == "engine"
+    slots = admission.Admission(
+        1 if is_engine else settings.service_slots,
+        tokens_per_s=FIRST_TOKENS_PER_S if is_engine else CALLS_PER_S,
+    )
+    return node.Node(
+        settings.target, identity.incarnation, links.fleet_holder, slots
+    )
+
+
 async def run_until_signal(
     running: Agent, settings: agent_settings.AgentSettings
 ) -> None:
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -27,6 +27,7 @@
     from cactusstile.agent import claims
     from cactusstile.agent import daemon
     from cactusstile.settings import agent as agent_settings
+    from cactusstile.state import model
     from cactusstile.transport import incoming
 
 PEER_TIMEOUT_S = 1.0
@@ -69,27 +70,6 @@
 ) -> orders.WaitTurn:
     """Returns what waits until this target may load weights."""
 
-    async def read_version(name: str) -> str | None:
-        peer = owner.fleet.targets[name]
-        question = messages.Probe("", peer.serves, "", (), 0, 0)
-        try:
-            reply = await links.peers.call(
-                peer.agent, question, timeout_s=PEER_TIMEOUT_S
-            )
-        except (transport_exceptions.TransportError, TimeoutError):
-            return None
-        return reply.version if isinstance(reply, messages.ProbeReply) else None
-
-    async def has_room() -> bool:
-        if not settings.weight_store_url:
-            return True
-        async with http.open_target(settings.weight_store_url) as store:
-            try:
-                limits = await weight_store.read_limits(store)
-            except exceptions.TargetError:
-                return False
-        return limits.active < limits.max_transfers
-
     async def wait(wanted: desired.Desired) -> None:
         names = [
             peer.name for peer in owner.fleet.targets_of(wanted.deployment)
@@ -99,8 +79,41 @@
         )
 
         async def is_next() -> bool:
-            return await rollout.is_turn(chain, wanted.version, read_version)
+            return await rollout.is_turn(
+                chain,
+                wanted.version,
+                lambda name: _read_version(links, owner.fleet, name),
+            )
 
-        await rollout.wait_turn(is_next, has_room)
+        await rollout.wait_turn(
+            is_next, lambda: _has_room(settings.weight_store_url)
+        )
 
     return wait
+
+
+async def _read_version(
+    links: daemon.Links, fleet: model.Fleet, name: str
+) -> str | None:
+    """Returns the version that another target runs, if it can be asked."""
+    peer = fleet.targets[name]
+    question = messages.Probe("", peer.serves, "", (), 0, 0)
+    try:
+        reply = await links.peers.call(
+            peer.agent, question, timeout_s=PEER_TIMEOUT_S
+        )
+    except (transport_exceptions.TransportError, TimeoutError):
+        return None
+    return reply.version if isinstance(reply, messages.ProbeReply) else None
+
+
+async def _has_room(weight_store_url: str) -> bool:
+    """Returns whether the weight store takes one more transfer."""
+    if not weight_store_url:
+        return True
+    async with http.open_target(weight_store_url) as store:
+        try:
+            limits = await weight_store.read_limits(store)
+        except exceptions.TargetError:
+            return False
+    return limits.active < limits.max_transfers
