Keep blocks on stores, readable only when sealed and verified

Need: kept blocks must never be read freed, partly written, altered, or by another workspace or weight version; a store's faults may cost time only.

Change: a shelf with a memory tier and a tier of write-once files, generations that rise over restarts, checksums over scope, key and content that are made at the export and verified after the copy; a store process and an agent's client.

Shown without the checks: free, overwrite, truncate and corrupt in the middle of a transfer each deliver wrong content (tests/store/test_transfer_faults.py runs each fault with the checks and without).

Run: .venv/bin/python -m pytest tests/store

--- /dev/null
+++ b/src/cactusstile/store/blocks.py
@@ -0,0 +1,69 @@
+"""Kept blocks: what identifies one and proves its content."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import attrs
+
+from cactusstile import tokens
+from cactusstile.store import exceptions
+
+CHECKSUM_BYTES = 16
+
+
+@attrs.frozen
+class Block:
+    """A block of kept prompt state with its content.
+
+    Attributes:
+      key: Chained key, see `tokens.block_keys`.
+      parent: Key of the block before it; empty for the first.
+      position: Number of the block in its prompt, from 0.
+      data: Exported state.
+      checksum: Checksum made beside the engine that exported it.
+      recompute_us: Time to compute the block again, in microseconds.
+    """
+
+    key: bytes
+    parent: bytes
+    position: int
+    data: bytes
+    checksum: bytes
+    recompute_us: int = 0
+
+
+def checksum(scope: tokens.Scope, key: bytes, data: bytes) -> bytes:
+    """Returns the checksum of a block's scope, key and content.
+
+    >>> scope = tokens.Scope("bank", "chat", "v1")
+    >>> one = checksum(scope, b"key", b"state")
+    >>> one == checksum(scope._replace(version="v2"), b"key", b"state")
+    False
+    """
+    digest = start_checksum(scope, key)
+    digest.update(data)
+    return digest.digest()
+
+
+def start_checksum(scope: tokens.Scope, key: bytes) -> hashlib.blake2b:
+    """Returns a running checksum that lacks only the block's content."""
+    digest = hashlib.blake2b(digest_size=CHECKSUM_BYTES)
+    for part in (*(text.encode() for text in scope), key):
+        digest.update(len(part).to_bytes(4, "little"))
+        digest.update(part)
+    return digest
+
+
+def verify(scope: tokens.Scope, block: Block) -> None:
+    """Checks a copied block before it is used.
+
+    Raises:
+      CorruptBlockError: If it is not what was exported for `scope` and key.
+    """
+    actual = checksum(scope, block.key, block.data)
+    if not hmac.compare_digest(actual, block.checksum):
+        raise exceptions.CorruptBlockError(
+            f"block {block.key.hex()} does not match its checksum; dropped"
+        )
--- /dev/null
+++ b/src/cactusstile/store/daemon.py
@@ -0,0 +1,227 @@
+"""The process beside a store VM: serves kept blocks to agents."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import pathlib
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.store import blocks
+from cactusstile.store import disk
+from cactusstile.store import exceptions
+from cactusstile.store import messages
+from cactusstile.store import shelf
+from cactusstile.store import uploads
+from cactusstile.transport import address
+from cactusstile.transport import exceptions as transport_exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+logger = logging.getLogger(__name__)
+
+_FOLDER = "blocks"
+
+
+@attrs.frozen
+class Settings:
+    """Settings of a store process.
+
+    Attributes:
+      name: Name of the store target.
+      listen: Address to listen on.
+      secrets: Secrets of the deployment.
+      data_folder: Folder of the disk tier.
+      bounds: Bounds of both tiers; 0 bytes of disk needs no folder.
+    """
+
+    name: str
+    listen: address.Address
+    secrets: handshake.Secrets
+    data_folder: pathlib.Path
+    bounds: shelf.Bounds
+
+
+@attrs.frozen
+class Store:
+    """A running store.
+
+    Attributes:
+      bound: Address it listens on.
+      kept: Its blocks.
+    """
+
+    bound: address.Address
+    kept: shelf.Shelf
+
+
+@attrs.frozen
+class _Service:
+    """Handlers of a store's calls."""
+
+    kept: shelf.Shelf
+    uploads: uploads.Uploads
+
+    async def have(
+        self,
+        responder: incoming.Responder,  # noqa: ARG002
+        message: messages.Have,
+    ) -> messages.HaveReply:
+        _bound_keys(message.keys)
+        scope = messages.to_scope(message.scope)
+        found = self.kept.leading(scope, message.keys)
+        size = sum(record.header.size for record in found)
+        return messages.HaveReply(len(found), size)
+
+    async def fetch(
+        self, responder: incoming.Responder, message: messages.Fetch
+    ) -> messages.FetchEnd:
+        _bound_keys(message.keys)
+        scope = messages.to_scope(message.scope)
+        sent = 0
+        for key in message.keys:
+            record = self.kept.find(scope, key)
+            if record is None:
+                break
+            try:
+                await self._send(responder, record)
+            except exceptions.StoreError:
+                break
+            sent += 1
+        return messages.FetchEnd(sent)
+
+    async def keep(
+        self,
+        responder: incoming.Responder,  # noqa: ARG002
+        message: messages.Keep,
+    ) -> messages.KeepReply:
+        scope = messages.to_scope(message.scope)
+        for count, part in enumerate(message.parts):
+            try:
+                block = self.uploads.add(scope, message.upload, part)
+                if block is not None:
+                    self.kept.keep(scope, block)
+            except exceptions.StoreError as error:
+                return messages.KeepReply(count, str(error))
+        return messages.KeepReply(len(message.parts))
+
+    async def free(
+        self,
+        responder: incoming.Responder,  # noqa: ARG002
+        message: messages.Free,
+    ) -> messages.FreeReply:
+        if not message.workspace:
+            raise transport_exceptions.RemoteError(
+                "bad_request", "name the workspace whose blocks are freed"
+            )
+        return messages.FreeReply(free_matching(self.kept, message))
+
+    def is_whole(self, header: disk.Header, checksum: bytes) -> bool:
+        """Returns whether what was read matches; frees the block if not."""
+        if checksum == header.checksum:
+            return True
+        self.kept.drop_corrupt(header)
+        return False
+
+    async def _send(
+        self, responder: incoming.Responder, record: shelf.Record
+    ) -> None:
+        """Sends a block in parts, each read under its generation."""
+        header = record.header
+        self.kept.visit(record)
+        digest = blocks.start_checksum(header.scope, header.key)
+        offset = 0
+        while True:
+            data = self.kept.read(header, offset, messages.PART_BYTES)
+            digest.update(data)
+            last = offset + len(data) >= header.size
+            if last and not self.is_whole(header, digest.digest()):
+                raise exceptions.CorruptBlockError("content has changed")
+            part = messages.BlockPart(
+                header.key,
+                header.parent,
+                header.position,
+                header.generation,
+                header.checksum,
+                header.size,
+                header.recompute_us,
+                offset,
+                data,
+            )
+            await responder.send(part)
+            offset += len(data)
+            if last:
+                return
+
+
+def free_matching(kept: shelf.Shelf, message: messages.Free) -> int:
+    """Frees the blocks that match all fields that are not empty."""
+    count = 0
+    for record in list(kept.records.values()):
+        header = record.header
+        scope = header.scope
+        if (
+            kept.records.get(header.key) is record
+            and scope.workspace == message.workspace
+            and message.deployment in ("", scope.deployment)
+            and message.version in ("", scope.version)
+            and message.key in (b"", header.key)
+        ):
+            count += kept.free(record)
+    return count
+
+
+@contextlib.asynccontextmanager
+async def open_store(
+    settings: Settings,
+) -> collections.abc.AsyncIterator[Store]:
+    """Serves until the context is left, then saves memory to disk.
+
+    Raises:
+      OSError: If the address or the data folder cannot be used.
+    """
+    tier = None
+    if settings.bounds.disk_bytes:
+        tier = disk.DiskTier(settings.data_folder / _FOLDER)
+    kept = shelf.Shelf(settings.bounds, anyio.current_time, tier)
+    logger.info("store %s holds %d blocks", settings.name, len(kept.records))
+    service = _Service(kept, uploads.Uploads(anyio.current_time))
+    handlers = incoming.Handlers(
+        calls={
+            messages.Have: service.have,
+            messages.Fetch: service.fetch,
+            messages.Keep: service.keep,
+            messages.Free: service.free,
+        }
+    )
+    identity = handshake.Identity("store", settings.name)
+    async with server.open_server(
+        settings.listen, identity, settings.secrets, handlers
+    ) as opened:
+        yield Store(opened.bound, kept)
+    kept.flush()
+
+
+async def run_store(
+    settings: Settings,
+    *,
+    task_status: anyio.abc.TaskStatus[Store] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until cancelled; see `open_store`."""
+    async with open_store(settings) as store:
+        task_status.started(store)
+        await anyio.sleep_forever()
+
+
+def _bound_keys(keys: tuple[bytes, ...]) -> None:
+    if len(keys) > messages.MAX_KEYS:
+        raise transport_exceptions.RemoteError(
+            "too_large", f"at most {messages.MAX_KEYS} keys in a message"
+        )
--- /dev/null
+++ b/tests/store/conftest.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+import collections.abc
+import itertools
+import pathlib
+
+import attrs
+import pytest
+
+from cactusstile import tokens
+from cactusstile.state import model
+from cactusstile.store import blocks
+from cactusstile.store import client
+from cactusstile.store import daemon
+from cactusstile.store import shelf
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
+SCOPE = tokens.Scope("bank", "chat", "v1")
+SECRETS = handshake.Secrets(b"fleet-secret")
+LOCAL = address.Address("127.0.0.1", 0)
+
+
+def make_blocks(
+    count: int,
+    *,
+    first: int = 0,
+    size: int = 100,
+    scope: tokens.Scope = SCOPE,
+    recompute_us: int = 1000,
+) -> list[blocks.Block]:
+    """Returns the chained blocks of one prompt that starts with `first`."""
+    length = count * tokens.BLOCK_TOKENS
+    keys = tokens.block_keys(scope, range(first, first + length))
+    result = []
+    for position, key in enumerate(keys):
+        parent = keys[position - 1] if position else b""
+        data = (key * (size // len(key) + 1))[:size]
+        checksum = blocks.checksum(scope, key, data)
+        result.append(
+            blocks.Block(key, parent, position, data, checksum, recompute_us)
+        )
+    return result
+
+
+def make_shelf(
+    memory_bytes: int, disk_bytes: int = 0, **rest: object
+) -> shelf.Shelf:
+    """Returns a shelf on a clock that counts its calls."""
+    ticks = itertools.count()
+    return shelf.Shelf(
+        shelf.Bounds(memory_bytes, disk_bytes),
+        lambda: float(next(ticks)),
+        **rest,  # type: ignore[arg-type]
+    )
+
+
+@attrs.frozen
+class Bench:
+    """A store process and an agent's client of it."""
+
+    settings: daemon.Settings
+    store: daemon.Store
+    client: client.StoreClient
+
+
+@pytest.fixture
+async def bench(
+    tmp_path: pathlib.Path,
+) -> collections.abc.AsyncIterator[Bench]:
+    settings = daemon.Settings(
+        "s1", LOCAL, SECRETS, tmp_path, shelf.Bounds(4_000_000, 4_000_000)
+    )
+    identity = handshake.Identity("agent", "a1")
+    async with (
+        daemon.open_store(settings) as store,
+        pool.open_pool(identity, SECRETS) as peers,
+    ):
+        target = model.Target(
+            "s1", model.TargetKind.STORE, store.bound, "ikeja"
+        )
+        yield Bench(
+            settings, store, client.StoreClient(peers, lambda _: [target])
+        )
