Serve callers over HTTP and relay runs of agents

Need: callers reach nothing yet; the agents' messages have no sender.

Change: the entry role. uvicorn is embedded on the process's own loop with starlette routing; requests pass a chain of plain async filters (size, key, marks, identity, bounds, body, caller's leaving) to the completion and service handlers. Additive in shared files: Run.digest and ServiceCall.digest (so that agents can tell a caller's key that comes again with other content), the rule which call of a run owns it (Attach), ClientStream.receive_ready.

--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -99,6 +99,8 @@
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
       reservation: Number of a reservation; 0 without one.
+      digest: Digest of the request's content; a caller's key that comes
+        again with another digest names another request and is refused.
     """
 
     request_key: str
@@ -115,6 +117,7 @@
     repeatable: bool = True
     revision: int = 0
     reservation: int = 0
+    digest: bytes = b""
 
 
 @codec.register(103, _SCHEMA, "Attach")
@@ -122,6 +125,11 @@
 class Attach:
     """Resumes the stream of a run that the agent still knows.
 
+    The newest call of a run owns it: cancelling that call cancels the run,
+    while cancelling an older one, or losing the connection, leaves the run
+    to be attached to for a while. An entry that found a gap opens the attach
+    before it cancels the older call.
+
     Attributes:
       request_key: Key of the run.
       workspace: Workspace of the caller.
@@ -198,6 +206,7 @@
       time_left_ms: Time until the caller's deadline; 0 means none.
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
+      digest: Digest of the request's content, see `Run`.
     """
 
     request_key: str
@@ -212,6 +221,7 @@
     time_left_ms: int = 0
     repeatable: bool = True
     revision: int = 0
+    digest: bytes = b""
 
 
 @codec.register(107, _SCHEMA, "ServiceReply")
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -42,6 +42,7 @@
   repeatable @11 :Bool;
   revision @12 :UInt64;
   reservation @13 :UInt64;
+  digest @14 :Data;
 }
 
 struct Attach {
@@ -83,6 +84,7 @@
   timeLeftMs @9 :UInt32;
   repeatable @10 :Bool;
   revision @11 :UInt64;
+  digest @12 :Data;
 }
 
 struct ServiceReply {
--- /dev/null
+++ b/src/cactusstile/entry/application.py
@@ -0,0 +1,195 @@
+"""ASGI application for callers."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+import starlette.routing
+
+from cactusstile import verdict
+from cactusstile.entry import completions
+from cactusstile.entry import openai_answers
+from cactusstile.entry import openai_requests
+from cactusstile.entry import services
+from cactusstile.filters import authenticate
+from cactusstile.filters import body
+from cactusstile.filters import chain
+from cactusstile.filters import exceptions
+from cactusstile.filters import exchange
+from cactusstile.filters import limit
+from cactusstile.filters import marks
+from cactusstile.filters import refusals
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.observability import entry_metrics
+
+_CLOSE = (b"connection", b"close")
+
+
+@attrs.define
+class Gate:
+    """Whether this entry serves callers.
+
+    Attributes:
+      is_configured: Returns whether a configuration is confirmed.
+      draining: Whether the process is about to stop.
+    """
+
+    is_configured: collections.abc.Callable[[], bool]
+    draining: bool = False
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer should send new callers."""
+        return self.is_configured() and not self.draining
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds of the filter chain.
+
+    Attributes:
+      max_body_bytes: Bound on one request body.
+      memory: Bound on all bodies held at once.
+      in_flight: Bound on requests in flight.
+    """
+
+    max_body_bytes: int
+    memory: body.BodyMemory
+    in_flight: limit.InFlight
+
+
+@attrs.frozen
+class Endpoint:
+    """ASGI endpoint that passes exchanges through a chain of filters.
+
+    Attributes:
+      route: Name of the route in metrics.
+      handler: Filters and handler.
+      metrics: Counters of the entry.
+      gate: Tells whether connections are to be closed after the answer.
+      methods: HTTP methods that are served.
+    """
+
+    route: str
+    handler: chain.Handler
+    metrics: entry_metrics.EntryMetrics
+    gate: Gate
+    methods: tuple[str, ...]
+
+    async def __call__(
+        self,
+        scope: exchange.Scope,
+        receive: exchange.Receive,
+        send: exchange.Send,
+    ) -> None:
+        """Serves one request."""
+        passing = exchange.build(scope, receive, self._closing(send))
+        try:
+            await self.handler(passing)
+        except exceptions.CallerLeftError:
+            self.metrics.callers_left.inc()
+        finally:
+            self.metrics.requests.labels(self.route, passing.status).inc()
+
+    def _closing(self, send: exchange.Send) -> exchange.Send:
+        """Returns a sender that closes the connection while draining."""
+        if not self.gate.draining:
+            return send
+
+        async def send_closing(message: typing.Any) -> None:
+            if message["type"] == "http.response.start":
+                headers = [*message["headers"], _CLOSE]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        return send_closing
+
+
+def build(
+    parts: completions.Parts,
+    find_workspace: collections.abc.Callable[[str], str | None],
+    gate: Gate,
+    bounds: Bounds,
+) -> starlette.routing.Router:
+    """Returns the application that serves callers."""
+    filters = _build_filters(parts, find_workspace, gate, bounds)
+    chat = completions.build_handler(
+        parts, openai_answers.CHAT, openai_requests.parse_chat
+    )
+    text = completions.build_handler(
+        parts, openai_answers.TEXT, openai_requests.parse_completion
+    )
+    service = services.build_handler(parts.fleet, parts.dispatcher)
+    models = completions.build_models_handler(parts.fleet)
+    guard = filters[0]
+
+    def endpoint(route: str, handler: chain.Handler, *methods: str) -> Endpoint:
+        checked = _check_method(methods)
+        composed = chain.compose([guard, checked, *filters[1:]], handler)
+        return Endpoint(route, composed, parts.metrics, gate, methods)
+
+    routes = [
+        ("/v1/chat/completions", endpoint("chat", chat, "POST")),
+        ("/v1/completions", endpoint("completions", text, "POST")),
+        ("/v1/models", endpoint("models", models, "GET")),
+        (
+            services.PATH_PREFIX + "{rest:path}",
+            endpoint("service", service, *services.METHODS),
+        ),
+    ]
+    missing = Endpoint(
+        "unknown",
+        chain.compose([guard], _refuse_path),
+        parts.metrics,
+        gate,
+        (),
+    )
+    return starlette.routing.Router(
+        [starlette.routing.Route(path, found) for path, found in routes],
+        redirect_slashes=False,
+        default=missing,
+    )
+
+
+def _build_filters(
+    parts: completions.Parts,
+    find_workspace: collections.abc.Callable[[str], str | None],
+    gate: Gate,
+    bounds: Bounds,
+) -> list[chain.Filter]:
+    return [
+        refusals.answer_refusals(parts.metrics.count_refusal),
+        marks.require_confirmed(gate.is_configured),
+        body.bound_size(bounds.max_body_bytes),
+        authenticate.authenticate(parts.fleet, find_workspace),
+        marks.read_marks,
+        marks.identify,
+        limit.limit_in_flight(bounds.in_flight),
+        body.read_body(bounds.max_body_bytes, bounds.memory),
+        body.cancel_when_caller_leaves,
+    ]
+
+
+def _check_method(methods: tuple[str, ...]) -> chain.Filter:
+    async def filter_exchange(
+        passing: exchange.Exchange, proceed: chain.Handler
+    ) -> None:
+        if passing.scope["method"] not in methods:
+            raise verdict.refuse(
+                verdict.Reason.BAD_REQUEST,
+                f"use {' or '.join(methods)} for {passing.scope['path']}",
+            )
+        await proceed(passing)
+
+    return filter_exchange
+
+
+async def _refuse_path(passing: exchange.Exchange) -> None:
+    raise verdict.refuse(
+        verdict.Reason.BAD_REQUEST,
+        f"nothing is served at {passing.scope['path'][:200]!r}; see "
+        "/v1/models, /v1/chat/completions, /v1/completions and /services/NAME",
+    )
--- /dev/null
+++ b/src/cactusstile/entry/daemon.py
@@ -0,0 +1,193 @@
+"""The entry role: a library function over an exit stack."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import logging
+import typing
+
+import anyio
+import attrs
+
+from cactusstile import tokens
+from cactusstile.entry import application
+from cactusstile.entry import completions
+from cactusstile.entry import dispatch
+from cactusstile.entry import routes
+from cactusstile.filters import body
+from cactusstile.filters import limit
+from cactusstile.limits import retry_budget
+from cactusstile.observability import admin
+from cactusstile.observability import entry_metrics
+from cactusstile.observability import http_listener
+
+if typing.TYPE_CHECKING:
+    from cactusstile.settings import entry as entry_settings
+    from cactusstile.state import holder
+    from cactusstile.transport import address
+    from cactusstile.transport import pool
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Parts:
+    """What an entry is given by the process that runs it.
+
+    Attributes:
+      fleet: The configuration; kept up to date by the process.
+      peers: Connections to the agents.
+      find_workspace: Returns the name of the workspace that owns a key.
+      routing: Decisions on where requests go; None for the simple ones.
+      tokenize: Turns a prompt's text into tokens.
+      notice_revision: Called with an agent's newer configuration revision.
+    """
+
+    fleet: holder.FleetHolder
+    peers: pool.Pool
+    find_workspace: collections.abc.Callable[[str], str | None]
+    routing: routes.Routes | None = None
+    tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
+    notice_revision: collections.abc.Callable[[int], None] = lambda _: None
+
+
+@attrs.frozen
+class EntryState:
+    """State of an entry for the dump.
+
+    Attributes:
+      name: Name of the process.
+      revision: Configuration revision in force here.
+      ready: Whether it is ready for new callers.
+      draining: Whether it is about to stop.
+      connections: Open callers' connections.
+      in_flight: Requests in flight by workspace.
+      running: Requests at agents by target.
+      body_bytes: Bytes of request bodies held.
+      retry_balance: Retries that may be sent now.
+    """
+
+    name: str
+    revision: int
+    ready: bool
+    draining: bool
+    connections: int
+    in_flight: dict[str, int]
+    running: dict[str, int]
+    body_bytes: int
+    retry_balance: float
+
+
+@attrs.frozen
+class Entry:
+    """A running entry.
+
+    Attributes:
+      settings: Its settings.
+      listener: Listener for callers.
+      admin: Listener for operators.
+      gate: Whether it serves callers.
+      dispatcher: Sends requests to agents.
+      bounds: Bounds and counts of the filter chain.
+      metrics: Its metrics.
+    """
+
+    settings: entry_settings.EntrySettings
+    listener: http_listener.HttpListener
+    admin: http_listener.HttpListener
+    gate: application.Gate
+    dispatcher: dispatch.Dispatcher
+    bounds: application.Bounds
+    metrics: entry_metrics.EntryMetrics
+
+    def callers_address(self) -> address.Address:
+        """Returns the address that callers reach."""
+        return self.listener.bound
+
+    async def drain(self) -> None:
+        """Stops gracefully: no request in flight is cut off.
+
+        Readiness ends at once; new requests are still served until the
+        balancer had time to notice, each on a connection that closes after
+        it. Then nothing is accepted, and the requests in flight finish.
+        """
+        if self.gate.draining:
+            return
+        self.gate.draining = True
+        logger.info("draining; readiness is off")
+        await anyio.sleep(self.settings.drain_delay_s)
+        await self.listener.drain()
+        logger.info("drained; all requests have finished")
+
+
+@contextlib.asynccontextmanager
+async def open_entry(
+    settings: entry_settings.EntrySettings, parts: Parts
+) -> collections.abc.AsyncIterator[Entry]:
+    """Runs an entry until the context is left.
+
+    Raises:
+      CannotListenError: If one of its addresses cannot be bound.
+    """
+    metrics = entry_metrics.build()
+    gate = application.Gate(parts.fleet.confirmed.is_set)
+    bounds = application.Bounds(
+        settings.max_body_bytes,
+        body.BodyMemory(settings.max_buffered_bytes),
+        limit.InFlight(settings.max_in_flight),
+    )
+    dispatcher = dispatch.Dispatcher(
+        parts.peers,
+        parts.fleet,
+        parts.routing or routes.build_simple(lambda: parts.fleet.fleet),
+        retry_budget.RetryBudget(settings.retry_share),
+        metrics,
+        parts.notice_revision,
+    )
+    app = application.build(
+        completions.Parts(parts.fleet, dispatcher, parts.tokenize, metrics),
+        parts.find_workspace,
+        gate,
+        bounds,
+    )
+    app.routes.extend(admin.health_routes(gate.is_ready))
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await stack.enter_async_context(
+            http_listener.open_listener(app, settings.callers_listen)
+        )
+
+        def dump() -> EntryState:
+            return _dump(entry, parts.fleet.fleet.revision)
+
+        admin_app = admin.build([metrics.registry], gate.is_ready, dump)
+        admin_listener = await stack.enter_async_context(
+            http_listener.open_listener(
+                admin_app, settings.process.admin_listen
+            )
+        )
+        entry = Entry(
+            settings,
+            listener,
+            admin_listener,
+            gate,
+            dispatcher,
+            bounds,
+            metrics,
+        )
+        logger.info("serving callers on %s", listener.bound)
+        yield entry
+
+
+def _dump(entry: Entry, revision: int) -> EntryState:
+    return EntryState(
+        entry.settings.process.name,
+        revision,
+        entry.gate.is_ready(),
+        entry.gate.draining,
+        entry.listener.open_connections(),
+        dict(entry.bounds.in_flight.by_workspace),
+        dict(entry.dispatcher.running),
+        entry.bounds.memory.held_bytes,
+        entry.dispatcher.budget.balance,
+    )
--- /dev/null
+++ b/src/cactusstile/entry/prompts.py
@@ -0,0 +1,40 @@
+"""Rendering of chat messages into one prompt text.
+
+The rendering of a conversation is a prefix of the rendering of the same
+conversation with the answer and further messages appended, so that the kept
+blocks of a returning prompt match.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+ROLES = ("system", "developer", "user", "assistant", "tool")
+_OPEN = "<|"
+_ESCAPED_OPEN = "<\\|"
+
+
+@attrs.frozen
+class ChatMessage:
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+def render_chat(messages: collections.abc.Sequence[ChatMessage]) -> str:
+    """Returns the prompt that asks for the assistant's next message.
+
+    >>> render_chat([ChatMessage("user", "Hi")])
+    '<|user|>Hi<|end|><|assistant|>'
+    """
+    parts = []
+    for message in messages:
+        content = message.content.replace(_OPEN, _ESCAPED_OPEN)
+        parts.append(f"<|{message.role}|>{content}<|end|>")
+    return "".join(parts) + "<|assistant|>"
--- /dev/null
+++ b/src/cactusstile/entry/services.py
@@ -0,0 +1,128 @@
+"""Handler of calls to plain services."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+from cactusstile import verdict
+from cactusstile.agent import messages
+from cactusstile.entry import calls
+from cactusstile.filters import chain
+from cactusstile.filters import exchange
+from cactusstile.filters import marks
+
+if typing.TYPE_CHECKING:
+    from cactusstile.entry import dispatch
+    from cactusstile.state import holder
+    from cactusstile.state import model
+
+PATH_PREFIX = "/services/"
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+MAX_HEADERS = 100
+_DIGEST_BYTES = 16
+_HOP_BY_HOP = (
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+)
+_KEPT_HERE = (
+    "authorization",
+    "host",
+    marks.DEADLINE_HEADER,
+    marks.PRIORITY_HEADER,
+    marks.REPEATABLE_HEADER,
+)
+
+
+def build_handler(
+    fleet: holder.FleetHolder, dispatcher: dispatch.Dispatcher
+) -> chain.Handler:
+    """Returns the handler of calls under `PATH_PREFIX`."""
+
+    async def handle(passing: exchange.Exchange) -> None:
+        request = _build_request(fleet.fleet, passing)
+        passing.repeatable = request.repeatable
+        passing.body = b""
+        reply = await dispatcher.call_service(request)
+        headers = [
+            (header.name.lower().encode(), header.value.encode("latin-1"))
+            for header in reply.headers
+            if header.name.lower() not in _HOP_BY_HOP
+        ]
+        await passing.answer(reply.status, reply.body, headers)
+
+    return handle
+
+
+def _build_request(
+    fleet: model.Fleet, passing: exchange.Exchange
+) -> calls.ServiceRequest:
+    raw_path = passing.scope.get("raw_path") or passing.scope["path"].encode()
+    path = raw_path.decode("latin-1").removeprefix(PATH_PREFIX)
+    name, _, rest = path.partition("/")
+    service = fleet.services.get(name)
+    workspace = passing.workspace.name
+    if service is None or (
+        service.workspaces and workspace not in service.workspaces
+    ):
+        raise verdict.refuse(
+            verdict.Reason.UNKNOWN_MODEL,
+            f"the service {name!r} does not exist for this workspace",
+        )
+    method = passing.scope["method"]
+    if method not in METHODS:
+        raise verdict.refuse(
+            verdict.Reason.BAD_REQUEST, f"the method {method} is not passed on"
+        )
+    query = passing.scope["query_string"].decode("latin-1")
+    full_path = f"/{rest}?{query}" if query else f"/{rest}"
+    repeatable = passing.repeatable
+    if repeatable is None:
+        repeatable = method in service.repeatable_methods
+    return calls.ServiceRequest(
+        request_key=passing.request_key,
+        workspace=workspace,
+        service=name,
+        method=method,
+        path=full_path,
+        headers=_select_headers(passing),
+        body=passing.body,
+        timeout_s=service.timeout_s,
+        priority=passing.priority,
+        deadline_s=passing.deadline_s,
+        repeatable=repeatable,
+        digest=_digest(method, full_path, passing.body),
+    )
+
+
+def _select_headers(passing: exchange.Exchange) -> tuple[messages.Header, ...]:
+    """Returns the headers to pass on; the caller's key stays here."""
+    named = passing.headers.get("connection", "").lower().split(",")
+    dropped = {*_HOP_BY_HOP, *_KEPT_HERE, *(name.strip() for name in named)}
+    selected = [
+        messages.Header(name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in passing.scope["headers"]
+        if name.decode("latin-1") not in dropped
+    ]
+    if len(selected) > MAX_HEADERS:
+        raise verdict.refuse(
+            verdict.Reason.TOO_LARGE, f"more than {MAX_HEADERS} headers"
+        )
+    return tuple(selected)
+
+
+def _digest(method: str, path: str, body: bytes) -> bytes:
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "little"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/src/cactusstile/fakes/scripted_agent.py
@@ -0,0 +1,183 @@
+"""Stand-in of an agent over the real transport, for tests of the entry.
+
+Its output is a function of prompt, workspace, adapter and weight version, so
+that any wrong answer shows. A script replaces the way a run is answered.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import hashlib
+import json
+import typing
+
+import anyio
+import attrs
+
+from cactusstile import verdict
+from cactusstile.agent import messages
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import server
+
+TOKEN_CHARACTERS = 4
+_LOCAL = address.Address("127.0.0.1", 0)
+
+
+def output_tokens(run: messages.Run) -> list[int]:
+    """Returns the whole output of a run on its weight version."""
+    identity = [run.workspace, run.deployment, run.adapter, run.version]
+    content = json.dumps([identity, run.tokens]).encode()
+    size = run.max_tokens * TOKEN_CHARACTERS
+    data = hashlib.shake_128(content).digest(size)
+    letters = bytes(ord("a") + byte % 26 for byte in data)
+    return [
+        int.from_bytes(letters[start : start + TOKEN_CHARACTERS], "little")
+        for start in range(0, size, TOKEN_CHARACTERS)
+    ]
+
+
+def text_of(tokens: collections.abc.Sequence[int]) -> str:
+    """Returns the text of output tokens."""
+    return b"".join(
+        token.to_bytes(TOKEN_CHARACTERS, "little") for token in tokens
+    ).decode()
+
+
+def batch(run: messages.Run, first: int, end: int) -> messages.RunTokens:
+    """Returns a batch of a run's output."""
+    tokens = output_tokens(run)[first:end]
+    return messages.RunTokens(first, tuple(tokens), text_of(tokens))
+
+
+def end_of(run: messages.Run) -> messages.RunEnd:
+    """Returns the end mark of a run."""
+    return messages.RunEnd(
+        run.max_tokens, "length", run.version, len(run.tokens), 0, 0
+    )
+
+
+def not_run(
+    reason: verdict.Reason = verdict.Reason.OVERLOADED,
+) -> messages.Refused:
+    """Returns a refusal that says that nothing was started."""
+    refusal = verdict.Refusal(
+        verdict.Verdict.NOT_RUN, reason, "not started", 1.0
+    )
+    return messages.to_refused(refusal)
+
+
+Script: typing.TypeAlias = collections.abc.Callable[
+    [incoming.Responder, messages.Run], collections.abc.Awaitable[object]
+]
+
+
+@attrs.define
+class ScriptedAgent:
+    """An agent whose answers a test sets.
+
+    Attributes:
+      name: Name of its target.
+      version: Weight version that it reports.
+      batch_tokens: Tokens in a batch.
+      pace_s: Time between two batches.
+      wait_ms: Wait that it reports.
+      leaving: Whether it reports that its target is leaving.
+      script: Answers a run; None sends its output in order.
+      service: Answers a call of a plain service.
+      runs: Runs that arrived.
+      attaches: Attaches that arrived.
+      calls: Calls of a plain service that arrived.
+      was_cancelled: Set once the entry cancelled a run.
+      bound: Address it listens on.
+    """
+
+    name: str = "engine-1"
+    version: str = "v1"
+    batch_tokens: int = 4
+    pace_s: float = 0.0
+    wait_ms: int = 0
+    leaving: bool = False
+    script: Script | None = None
+    service: collections.abc.Callable[[messages.ServiceCall], object] = (
+        lambda call: messages.ServiceReply(200, (), call.body)
+    )
+    runs: list[messages.Run] = attrs.field(factory=list)
+    attaches: list[messages.Attach] = attrs.field(factory=list)
+    calls: list[messages.ServiceCall] = attrs.field(factory=list)
+    was_cancelled: anyio.Event = attrs.field(factory=anyio.Event)
+    bound: address.Address = _LOCAL
+
+    def handlers(self) -> incoming.Handlers:
+        """Returns the handlers of the agent's messages."""
+        return incoming.Handlers(
+            calls={
+                messages.Probe: self._probe,
+                messages.Run: self._run,
+                messages.Attach: self._attach,
+                messages.ServiceCall: self._call,
+            }
+        )
+
+    async def send_output(
+        self, responder: incoming.Responder, run: messages.Run, first: int
+    ) -> object:
+        """Sends a run's output from token `first` and returns its end."""
+        for start in range(first, run.max_tokens, self.batch_tokens):
+            end = min(start + self.batch_tokens, run.max_tokens)
+            await responder.send(batch(run, start, end))
+            await anyio.sleep(self.pace_s)
+        return end_of(run)
+
+    async def _probe(
+        self, _: incoming.Responder, probe: messages.Probe
+    ) -> object:
+        return messages.ProbeReply(
+            probe.revision, self.version, 0, 0, 0, 0, 8, self.wait_ms, 0,
+            self.leaving,
+        )  # fmt: skip
+
+    async def _run(
+        self, responder: incoming.Responder, run: messages.Run
+    ) -> object:
+        self.runs.append(run)
+        try:
+            if self.script is not None:
+                return await self.script(responder, run)
+            first = len(run.generated)
+            return await self.send_output(responder, run, first)
+        except anyio.get_cancelled_exc_class():
+            if responder.scope.cancel_called:
+                self.was_cancelled.set()
+            raise
+
+    async def _attach(
+        self, responder: incoming.Responder, attach: messages.Attach
+    ) -> object:
+        self.attaches.append(attach)
+        for run in self.runs:
+            if run.request_key == attach.request_key:
+                first = attach.next_index
+                return await self.send_output(responder, run, first)
+        return not_run(verdict.Reason.TARGET_LOST)
+
+    async def _call(
+        self, _: incoming.Responder, call: messages.ServiceCall
+    ) -> object:
+        self.calls.append(call)
+        return self.service(call)
+
+
+@contextlib.asynccontextmanager
+async def open_agent(
+    agent: ScriptedAgent, secrets: handshake.Secrets
+) -> collections.abc.AsyncIterator[server.Server]:
+    """Serves `agent` on a free local port until the context is left."""
+    identity = handshake.Identity("agent", agent.name)
+    async with server.open_server(
+        agent.bound, identity, secrets, agent.handlers()
+    ) as opened:
+        agent.bound = opened.bound
+        yield opened
--- /dev/null
+++ b/src/cactusstile/filters/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the filter chain."""
+
+from __future__ import annotations
+
+
+class CallerLeftError(Exception):
+    """Raised when the caller closed the connection or stopped reading."""
--- /dev/null
+++ b/src/cactusstile/filters/json_body.py
@@ -0,0 +1,59 @@
+"""Parsing of JSON bodies with bounds on nesting and counts."""
+
+from __future__ import annotations
+
+import json
+import re
+import typing
+
+from cactusstile import verdict
+
+MAX_NESTING = 32
+MAX_VALUES = 300_000
+_STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_BRACKETS = re.compile(rb"[\[\]{}]")
+
+
+def parse_object(data: bytes) -> dict[str, typing.Any]:
+    """Returns the JSON object in `data`.
+
+    Raises:
+      RefusedError: If it is no object, or exceeds the bounds.
+
+    >>> parse_object(b'{"a": 1}')
+    {'a': 1}
+    """
+    _check_bounds(data)
+    try:
+        value = json.loads(data, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
+        reason = str(error) if isinstance(error, json.JSONDecodeError) else ""
+        raise _bad(
+            f"the body is not valid JSON; {reason}".rstrip("; ")
+        ) from None
+    if not isinstance(value, dict):
+        raise _bad("the body must be a JSON object")
+    return value
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(name)
+
+
+def _check_bounds(data: bytes) -> None:
+    values = data.count(b",") + data.count(b"{") + data.count(b"[")
+    if values <= MAX_NESTING:
+        return
+    bare = _STRINGS.sub(b"", data)
+    values = bare.count(b",") + bare.count(b"{") + bare.count(b"[")
+    if values > MAX_VALUES:
+        raise _bad(f"the body holds more than {MAX_VALUES} values")
+    depth = 0
+    for bracket in _BRACKETS.findall(bare):
+        depth += 1 if bracket in b"[{" else -1
+        if depth > MAX_NESTING:
+            raise _bad(f"the body nests deeper than {MAX_NESTING} levels")
+
+
+def _bad(message: str) -> verdict.RefusedError:
+    return verdict.refuse(verdict.Reason.BAD_REQUEST, message)
--- /dev/null
+++ b/src/cactusstile/filters/limit.py
@@ -0,0 +1,61 @@
+"""Filter that bounds requests in flight."""
+
+from __future__ import annotations
+
+import attrs
+
+from cactusstile import verdict
+from cactusstile.filters import chain
+from cactusstile.filters import exchange
+
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define
+class InFlight:
+    """Requests in flight at this process.
+
+    Attributes:
+      max_total: Bound over all workspaces.
+      total: Requests in flight.
+      by_workspace: Requests in flight by workspace; only those with any.
+    """
+
+    max_total: int
+    total: int = 0
+    by_workspace: dict[str, int] = attrs.field(factory=dict)
+
+
+def limit_in_flight(state: InFlight) -> chain.Filter:
+    """Returns a filter that refuses requests beyond the bounds at once."""
+
+    async def filter_exchange(
+        passing: exchange.Exchange, proceed: chain.Handler
+    ) -> None:
+        workspace = passing.workspace
+        running = state.by_workspace.get(workspace.name, 0)
+        if running >= workspace.max_running:
+            raise _overloaded(
+                f"workspace {workspace.name} has {running} requests in flight "
+                "at this entry, its bound"
+            )
+        if state.total >= state.max_total:
+            raise _overloaded("this entry has too many requests in flight")
+        state.total += 1
+        state.by_workspace[workspace.name] = running + 1
+        try:
+            await proceed(passing)
+        finally:
+            state.total -= 1
+            left = state.by_workspace[workspace.name] - 1
+            state.by_workspace[workspace.name] = left
+            if not left:
+                del state.by_workspace[workspace.name]
+
+    return filter_exchange
+
+
+def _overloaded(message: str) -> verdict.RefusedError:
+    return verdict.refuse(
+        verdict.Reason.OVERLOADED, message, retry_after_s=RETRY_AFTER_S
+    )
--- /dev/null
+++ b/src/cactusstile/observability/admin.py
@@ -0,0 +1,101 @@
+"""Admin application of any role: metrics, health and the state dump."""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+import typing
+
+import attrs
+import prometheus_client
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+Dump: typing.TypeAlias = collections.abc.Callable[[], typing.Any]
+
+
+def build(
+    registries: collections.abc.Sequence[prometheus_client.CollectorRegistry],
+    is_ready: collections.abc.Callable[[], bool],
+    dump: Dump,
+) -> starlette.routing.Router:
+    """Returns the application for a role's admin address.
+
+    Args:
+      registries: Metrics of the process.
+      is_ready: Returns whether the process serves.
+      dump: Returns its state as an attrs instance; must hold no prompt text
+        and no secret.
+    """
+
+    async def metrics(
+        _: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        pages = [
+            prometheus_client.generate_latest(registry)
+            for registry in registries
+        ]
+        return starlette.responses.Response(
+            b"".join(pages),
+            media_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    async def show_state(
+        _: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        return starlette.responses.Response(
+            render_dump(dump()), media_type="application/json"
+        )
+
+    return starlette.routing.Router(
+        [
+            starlette.routing.Route("/metrics", metrics),
+            starlette.routing.Route("/dump", show_state),
+            *health_routes(is_ready),
+        ]
+    )
+
+
+def health_routes(
+    is_ready: collections.abc.Callable[[], bool],
+) -> list[starlette.routing.Route]:
+    """Returns the routes /livez and /readyz."""
+
+    async def live(
+        _: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        return starlette.responses.PlainTextResponse("live\n")
+
+    async def ready(
+        _: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        if is_ready():
+            return starlette.responses.PlainTextResponse("ready\n")
+        return starlette.responses.PlainTextResponse("not ready\n", 503)
+
+    return [
+        starlette.routing.Route("/livez", live),
+        starlette.routing.Route("/readyz", ready),
+    ]
+
+
+def render_dump(state: typing.Any) -> bytes:
+    """Returns typed state as JSON.
+
+    >>> @attrs.frozen
+    ... class Held:
+    ...     running: int
+    >>> print(render_dump(Held(1)).decode(), end="")
+    {
+     "running": 1
+    }
+    """
+    plain = attrs.asdict(state, value_serializer=_to_plain)
+    return json.dumps(plain, indent=1, default=str).encode() + b"\n"
+
+
+def _to_plain(_owner: object, _field: object, value: object) -> object:
+    if isinstance(value, bytes):
+        return value.hex()
+    return value
--- /dev/null
+++ b/src/cactusstile/observability/http_listener.py
@@ -0,0 +1,141 @@
+"""HTTP listeners that are embedded in the process's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import errno
+import logging
+import socket
+import typing
+
+import anyio
+import uvicorn
+
+from cactusstile.transport import address
+
+logger = logging.getLogger(__name__)
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 75
+MAX_HEADER_BYTES = 32 * 1024
+SEND_BUFFER_BYTES = 256 * 1024
+CUT_OFF_TIMEOUT_S = 1.0
+
+
+class CannotListenError(Exception):
+    """Raised when an address cannot be bound; says what to do."""
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """Server that leaves signals to the process that embeds it."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Iterator[None]:
+        """Captures none."""
+        yield
+
+
+class HttpListener:
+    """A running HTTP listener.
+
+    Attributes:
+      bound: Address it listens on, with the port that was chosen.
+    """
+
+    def __init__(self, bound: address.Address, server: uvicorn.Server) -> None:
+        """Wraps a server that runs in a task; see `open_listener`."""
+        self.bound = bound
+        self.stopped = anyio.Event()
+        self._server = server
+
+    def open_connections(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._server.server_state.connections)
+
+    async def drain(self) -> None:
+        """Accepts no more, lets open exchanges finish, then returns."""
+        self._server.should_exit = True
+        await self.stopped.wait()
+
+    async def serve(self, bound_socket: socket.socket) -> None:
+        """Serves until drained or cancelled."""
+        try:
+            await self._server.serve([bound_socket])
+        finally:
+            self.stopped.set()
+
+
+@contextlib.asynccontextmanager
+async def open_listener(
+    app: typing.Any, listen: address.Address
+) -> collections.abc.AsyncIterator[HttpListener]:
+    """Serves `app` until the context is left, which cuts open exchanges.
+
+    Call `HttpListener.drain` first to let them finish.
+
+    Raises:
+      CannotListenError: If the address cannot be bound.
+    """
+    bound_socket = _bind(listen)
+    port = bound_socket.getsockname()[1]
+    config = uvicorn.Config(
+        app,
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        proxy_headers=False,
+        ws="none",
+        backlog=BACKLOG,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        h11_max_incomplete_event_size=MAX_HEADER_BYTES,
+    )
+    server = _EmbeddedServer(config)
+    listener = HttpListener(address.Address(listen.host, port), server)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, bound_socket)
+        try:
+            yield listener
+        finally:
+            group.cancel_scope.cancel()
+            with anyio.CancelScope(shield=True):
+                await _cut_off(server)
+            bound_socket.close()
+
+
+async def _cut_off(server: uvicorn.Server) -> None:
+    """Closes what a server still has open."""
+    if server.started:
+        for listening in server.servers:
+            listening.close()
+    for connection in list(server.server_state.connections):
+        connection.transport.abort()
+    tasks = server.server_state.tasks
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=CUT_OFF_TIMEOUT_S)
+
+
+def _bind(listen: address.Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+    bound_socket = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
+        bound_socket.bind((listen.host, listen.port))
+        bound_socket.listen(BACKLOG)
+        bound_socket.setblocking(False)
+    except OSError as error:
+        bound_socket.close()
+        advice = "check the address in the settings"
+        if error.errno == errno.EADDRINUSE:
+            advice = "stop the process that uses it or set another port"
+        raise CannotListenError(
+            f"cannot listen on {listen}: {error.strerror}; {advice}"
+        ) from error
+    return bound_socket
--- /dev/null
+++ b/src/cactusstile/observability/logs.py
@@ -0,0 +1,42 @@
+"""JSON logs on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import pythonjsonlogger.json
+
+LEVELS = ("debug", "info", "warning", "error")
+_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+_QUIET = ("uvicorn.error", "uvicorn.access", "asyncio")
+
+
+def configure(role: str, name: str, level: str = "info") -> None:
+    """Sends the process's log lines to standard error as JSON.
+
+    Args:
+      role: Role of the process.
+      name: Name of the process.
+      level: One of `LEVELS`.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(build_formatter(role, name))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    for quiet in _QUIET:
+        logging.getLogger(quiet).setLevel(logging.WARNING)
+
+
+def build_formatter(role: str, name: str) -> logging.Formatter:
+    """Returns the formatter of a process's log lines."""
+    return pythonjsonlogger.json.JsonFormatter(
+        _FIELDS,
+        rename_fields={
+            "asctime": "time",
+            "levelname": "level",
+            "name": "logger",
+        },
+        static_fields={"role": role, "process": name},
+    )
--- a/src/cactusstile/transport/connection.py
+++ b/src/cactusstile/transport/connection.py
@@ -63,6 +63,10 @@
             raise StopAsyncIteration
         return item
 
+    def receive_ready(self) -> object | None:
+        """Returns the next item if it has arrived already, else None."""
+        return self.inbox.receive_ready()
+
     async def result(self) -> object:
         """Returns the final message, dropping items not yet read."""
         return await self.inbox.result()
--- a/src/cactusstile/transport/stream.py
+++ b/src/cactusstile/transport/stream.py
@@ -74,6 +74,13 @@
                 return None
             self._changed = anyio.Event()
             await self._changed.wait()
+        return self._take()
+
+    def receive_ready(self) -> object | None:
+        """Returns the next item if it has arrived already, else None."""
+        return self._take() if self._items else None
+
+    def _take(self) -> object:
         item, size = self._items.popleft()
         self._buffered_bytes -= size
         self._consumed_bytes += size
--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,231 @@
+"""The callers' interface: refusals, bounds, marks and plain services."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+import anyio
+import hypothesis
+import hypothesis.strategies
+import pytest
+from tests.entry import support
+
+from cactusstile import verdict
+from cactusstile.agent import messages
+from cactusstile.entry import openai_requests
+from cactusstile.fakes import scripted_agent
+from cactusstile.filters import json_body
+from cactusstile.state import holder
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "hint"),
+    [
+        (b"{", 400, "valid JSON"),
+        (b"[1]", 400, "object"),
+        (b'{"a":' * 5000 + b"1" + b"}" * 5000, 400, "nests deeper"),
+        (b'{"model":"chat","prompt":""}', 400, "prompt"),
+        (b'{"model":"chat","prompt":"x","stop":"y"}', 400, "stop"),
+        (b'{"model":"chat","prompt":"x","max_tokens":1e9}', 400, "max_tokens"),
+        (b'{"model":"nope","prompt":"x"}', 404, "/v1/models"),
+        (b'{"prompt":"' + b"x" * 200_000 + b'"}', 413, "100000"),
+        (b'{"model":"chat","prompt":"\\ud800"}', 400, "surrogates"),
+    ],
+)
+async def test_bad_input_gets_clear_error(
+    site: support.Site, body: bytes, status: int, hint: str
+) -> None:
+    response = await site.request("/v1/completions", body)
+    error = support.error_of(response)
+    assert response.status == status
+    assert hint in error["message"]
+    assert error["verdict"] == "not_run"
+    assert support.header(response, "cactusstile-verdict") == "not_run"
+    assert site.agents[0].runs == []
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("Cactusstile-Deadline-Ms", "soon"),
+        ("Cactusstile-Deadline-Ms", "0"),
+        ("Cactusstile-Priority", "101"),
+        ("Cactusstile-Repeatable", "maybe"),
+        ("Idempotency-Key", "x" * 300),
+    ],
+)
+async def test_bad_mark_names_the_header(
+    site: support.Site, name: str, value: str
+) -> None:
+    response = await site.complete(8, **{name: value})
+    assert response.status == 400
+    assert name.lower() in support.error_of(response)["message"].lower()
+
+
+async def test_marks_travel_to_the_agent(site: support.Site) -> None:
+    response = await site.complete(
+        Cactusstile_Deadline_Ms="5000",
+        Cactusstile_Priority="7",
+        Cactusstile_Repeatable="no",
+        Idempotency_Key="scan-7",
+    )
+    run = site.agents[0].runs[0]
+    assert response.status == 200
+    assert 4000 < run.time_left_ms <= 5000
+    assert (run.priority, run.repeatable) == (7, False)
+    assert (run.request_key, run.workspace) == ("c:scan-7", "bank")
+    assert run.revision == 1
+
+
+async def test_deadline_refuses_at_once_what_cannot_start(
+    site: support.Site,
+) -> None:
+    site.agents[0].wait_ms = 60_000
+    with anyio.fail_after(1):
+        response = await site.complete(Cactusstile_Deadline_Ms="20000")
+    assert response.status == 504
+    assert support.header(response, "cactusstile-verdict") == "not_run"
+    assert support.header(response, "retry-after") == "60"
+
+
+async def test_deadline_in_mid_run_cancels_and_says_so(
+    site: support.Site,
+) -> None:
+    site.agents[0].pace_s = 0.05
+    response = await site.complete(100, Cactusstile_Deadline_Ms="150")
+    assert response.status == 504
+    assert support.header(response, "cactusstile-verdict") == "may_have_run"
+    with anyio.fail_after(1):
+        await site.agents[0].was_cancelled.wait()
+
+
+async def test_workspace_beyond_its_bound_is_refused_alone(
+    site: support.Site,
+) -> None:
+    site.agents[0].pace_s = 0.05
+    statuses = []
+
+    async def ask() -> None:
+        statuses.append((await site.complete(16)).status)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(70):
+            group.start_soon(ask)
+        await anyio.sleep(0.1)
+        other = await site.request(
+            "/v1/models", None, key="key-of-clinic", method="GET"
+        )
+    assert other.status == 200
+    assert statuses.count(429) == 70 - 64
+    assert statuses.count(200) == 64
+
+
+async def test_unconfirmed_configuration_serves_nothing(
+    site: support.Site,
+) -> None:
+    fleet = holder.FleetHolder()
+    site.entry.gate.is_configured = fleet.confirmed.is_set
+    ready = await site.http.request("GET", f"{site.url}/readyz")
+    live = await site.http.request("GET", f"{site.url}/livez")
+    assert (ready.status, live.status) == (503, 200)
+
+
+async def test_service_call_is_passed_on_without_the_callers_key(
+    site: support.Site,
+) -> None:
+    response = await site.request(
+        "/services/inventory/items/a%2Fb?x=1",
+        b"body",
+        headers={"X-Scan": "7", "Connection": "X-Private", "X-Private": "p"},
+    )
+    call = site.agents[0].calls[0]
+    names = {header.name for header in call.headers}
+    assert (response.status, response.content) == (200, b"body")
+    assert (call.method, call.path) == ("POST", "/items/a%2Fb?x=1")
+    assert "x-scan" in names
+    assert names.isdisjoint({"authorization", "x-private", "connection"})
+    assert call.repeatable is False
+
+
+async def test_service_call_is_repeated_only_when_it_may_be() -> None:
+    agents = [scripted_agent.ScriptedAgent(name) for name in ("a", "b", "c")]
+
+    def lose(_: messages.ServiceCall) -> object:
+        refusal = verdict.Refusal(
+            verdict.Verdict.MAY_HAVE_RUN, verdict.Reason.TARGET_LOST, "lost"
+        )
+        return messages.to_refused(refusal)
+
+    for agent in agents:
+        agent.service = lose
+    async with support.open_site(agents) as site:
+        posted = await site.request("/services/inventory/stock", b"+1")
+        writes = sum(len(agent.calls) for agent in agents)
+        await site.request("/services/inventory/stock", method="GET")
+    reads = sum(len(agent.calls) for agent in agents) - writes
+    assert support.header(posted, "cactusstile-verdict") == "may_have_run"
+    assert support.header(posted, "x-should-retry") == "false"
+    assert (writes, reads) == (1, 3)
+
+
+JSON = hypothesis.strategies.recursive(
+    hypothesis.strategies.none()
+    | hypothesis.strategies.booleans()
+    | hypothesis.strategies.integers()
+    | hypothesis.strategies.floats()
+    | hypothesis.strategies.text(max_size=8),
+    lambda inner: (
+        hypothesis.strategies.lists(inner, max_size=4)
+        | hypothesis.strategies.dictionaries(
+            hypothesis.strategies.sampled_from(
+                ["role", "content", "type", "text", "include_usage"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+FIELDS = hypothesis.strategies.sampled_from(
+    ["model", "messages", "prompt", "max_tokens", "stream", "stream_options",
+     "n", "stop", "response_format"]
+)  # fmt: skip
+
+
+@hypothesis.given(
+    hypothesis.strategies.binary(max_size=64)
+    | hypothesis.strategies.dictionaries(FIELDS, JSON).map(
+        lambda value: json.dumps(value).encode()
+    )
+)
+def test_hostile_body_is_parsed_or_refused(data: bytes) -> None:
+    for parse in (
+        openai_requests.parse_chat,
+        openai_requests.parse_completion,
+    ):
+        with contextlib.suppress(verdict.RefusedError):
+            assert parse(json_body.parse_object(data)).model
+
+
+async def test_hostile_headers_are_refused_or_served(
+    site: support.Site,
+) -> None:
+    bound = site.entry.callers_address()
+    for hostile in (
+        b"Content-Length: -1\r\n",
+        b"Content-Length: 99999999999999999999999\r\n",
+        b"Authorization: Bearer \xff\xfe\r\n",
+        b"Authorization: Bearer " + b"k" * 9000 + b"\r\n",
+        b"Idempotency-Key: \x7f\r\n",
+        b"X: " + b"y" * 70_000 + b"\r\n",
+    ):
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + hostile
+        async with await anyio.connect_tcp(bound.host, bound.port) as raw:
+            await raw.send(head + b"\r\n")
+            with anyio.fail_after(2):
+                answer = await raw.receive()
+        assert answer.startswith(b"HTTP/1.1 4"), (hostile[:40], answer)
+    assert (await site.complete()).status == 200
