--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -4,19 +4,19 @@
 
 import collections.abc
 import contextlib
+import errno
 import logging
 import pathlib
 import signal
-import sys
 import typing
 
 import anyio
 
+from cactusstile.console import exceptions
 from cactusstile.entry import daemon
 from cactusstile.observability import http_listener
 from cactusstile.observability import logs
 from cactusstile.settings import entry as entry_settings
-from cactusstile.settings import ini
 
 if typing.TYPE_CHECKING:
     OpenParts = collections.abc.Callable[
@@ -26,41 +26,41 @@
 
 logger = logging.getLogger(__name__)
 
-EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_LISTEN = 3
-EXIT_CUT_OFF = 4
 
-
-def run(settings_file: str, open_parts: OpenParts) -> int:
-    """Runs an entry until a signal stops it and returns the exit code.
+def run_with(settings_file: str, open_parts: OpenParts) -> None:
+    """Runs an entry until a signal stops it.
 
     Args:
       settings_file: Path of the entry's INI file.
       open_parts: Opens what the entry is given, such as its configuration.
+
+    Raises:
+      InvalidFileError: If the settings have faults.
+      CommandError: If an address cannot be bound, or requests were cut off.
     """
-    try:
-        settings = entry_settings.load(pathlib.Path(settings_file))
-    except ini.InvalidFileError as error:
-        print(error, file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+    settings = entry_settings.load(pathlib.Path(settings_file))
     logs.configure("entry", settings.process.name, settings.log_level)
     try:
-        return anyio.run(serve, settings, open_parts)
+        anyio.run(serve, settings, open_parts)
     except* http_listener.CannotListenError as errors:
-        for cause in flatten(errors):
-            print(f"error: {cause}", file=sys.stderr)
-    return EXIT_CANNOT_LISTEN
+        cause = next(flatten(errors))
+        busy = getattr(cause, "errno", None) == errno.EADDRINUSE
+        advice = "stop its owner or set another address" if busy else ""
+        raise exceptions.CommandError(
+            f"{getattr(cause, 'strerror', cause)}; {advice}".rstrip("; "),
+            exceptions.ExitCode.ADDRESS_IN_USE
+            if busy
+            else exceptions.ExitCode.FAILED,
+        ) from None
 
 
 async def serve(
     settings: entry_settings.EntrySettings, open_parts: OpenParts
-) -> int:
+) -> None:
     """Serves callers until SIGTERM or SIGINT, then drains.
 
-    A second signal cuts off what is still in flight.
-
-    Returns:
-      The exit code: 0 if all requests finished.
+    Raises:
+      CommandError: If a second signal cut off requests in flight.
     """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with contextlib.AsyncExitStack() as stack:
@@ -69,26 +69,30 @@
                 daemon.open_entry(settings, parts)
             )
             await signals.__anext__()
-            return await _drain_until_signal(running, signals)
+            await _drain_until_signal(running, signals)
 
 
 async def _drain_until_signal(
     running: daemon.Entry,
     signals: collections.abc.AsyncIterator[signal.Signals],
-) -> int:
-    code = EXIT_CUT_OFF
+) -> None:
+    cut_off = False
 
     async def wait_for_second(scope: anyio.CancelScope) -> None:
+        nonlocal cut_off
         await signals.__anext__()
+        cut_off = True
         logger.warning("second signal; cutting off what is in flight")
         scope.cancel()
 
     async with anyio.create_task_group() as group:
         group.start_soon(wait_for_second, group.cancel_scope)
         await running.drain()
-        code = 0
         group.cancel_scope.cancel()
-    return code
+    if cut_off:
+        raise exceptions.CommandError(
+            "a second signal cut off requests in flight"
+        )
 
 
 def flatten(
--- a/src/cactusstile/entry/application.py
+++ b/src/cactusstile/entry/application.py
@@ -70,14 +70,12 @@
       handler: Filters and handler.
       metrics: Counters of the entry.
       gate: Tells whether connections are to be closed after the answer.
-      methods: HTTP methods that are served.
     """
 
     route: str
     handler: chain.Handler
     metrics: entry_metrics.EntryMetrics
     gate: Gate
-    methods: tuple[str, ...]
 
     async def __call__(
         self,
@@ -122,35 +120,28 @@
     text = completions.build_handler(
         parts, openai_answers.TEXT, openai_requests.parse_completion
     )
-    service = services.build_handler(parts.fleet, parts.dispatcher)
     models = completions.build_models_handler(parts.fleet)
-    guard = filters[0]
-
-    def endpoint(route: str, handler: chain.Handler, *methods: str) -> Endpoint:
-        checked = _check_method(methods)
-        composed = chain.compose([guard, checked, *filters[1:]], handler)
-        return Endpoint(route, composed, parts.metrics, gate, methods)
-
-    routes = [
-        ("/v1/chat/completions", endpoint("chat", chat, "POST")),
-        ("/v1/completions", endpoint("completions", text, "POST")),
-        ("/v1/models", endpoint("models", models, "GET")),
-        (
-            services.PATH_PREFIX + "{rest:path}",
-            endpoint("service", service, *services.METHODS),
-        ),
-    ]
-    missing = Endpoint(
-        "unknown",
-        chain.compose([guard], _refuse_path),
-        parts.metrics,
-        gate,
-        (),
-    )
+    service = services.build_handler(parts.fleet, parts.dispatcher)
+
+    def route(
+        path: str, name: str, handler: chain.Handler, *methods: str
+    ) -> starlette.routing.Route:
+        checked = [filters[0], _check_method(methods), *filters[1:]]
+        composed = chain.compose(checked, handler)
+        endpoint = Endpoint(name, composed, parts.metrics, gate)
+        return starlette.routing.Route(path, endpoint)
+
+    service_path = services.PATH_PREFIX + "{rest:path}"
+    missing = chain.compose(filters[:1], _refuse_path)
     return starlette.routing.Router(
-        [starlette.routing.Route(path, found) for path, found in routes],
+        [
+            route("/v1/chat/completions", "chat", chat, "POST"),
+            route("/v1/completions", "completions", text, "POST"),
+            route("/v1/models", "models", models, "GET"),
+            route(service_path, "service", service, *services.METHODS),
+        ],
         redirect_slashes=False,
-        default=missing,
+        default=Endpoint("unknown", missing, parts.metrics, gate),
     )
 
 
--- a/src/cactusstile/entry/attempts.py
+++ b/src/cactusstile/entry/attempts.py
@@ -256,6 +256,7 @@
         repeatable=call.repeatable,
         revision=revision,
         reservation=placed.reservation,
+        prefix_key=call.prefix_key,
         digest=call.digest,
     )
 
--- a/src/cactusstile/entry/calls.py
+++ b/src/cactusstile/entry/calls.py
@@ -20,6 +20,7 @@
       deployment: Model deployment.
       adapter: "name@version" of the adapter, empty without one.
       tokens: Prompt.
+      prefix_key: Key that places the prompt, see `routing.prefix`.
       max_tokens: Bound on the output.
       priority: Larger first.
       deadline_s: Deadline on the loop's clock; infinite without one.
@@ -32,6 +33,7 @@
     deployment: str
     adapter: str
     tokens: tuple[int, ...]
+    prefix_key: bytes
     max_tokens: int
     priority: int = 0
     deadline_s: float = math.inf
--- a/src/cactusstile/entry/completions.py
+++ b/src/cactusstile/entry/completions.py
@@ -11,6 +11,7 @@
 import anyio
 import attrs
 
+from cactusstile import tokens
 from cactusstile import verdict
 from cactusstile.entry import calls
 from cactusstile.entry import dispatch
@@ -21,6 +22,7 @@
 from cactusstile.filters import chain
 from cactusstile.filters import exchange
 from cactusstile.filters import json_body
+from cactusstile.routing import prefix
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -109,10 +111,30 @@
 ) -> calls.PromptCall:
     workspace = passing.workspace.name
     named = models.resolve(parts.fleet.fleet, workspace, request.model)
-    prompt = request.prompt
+    prompt = _tokenize(parts.tokenize, request.prompt)
+    scope = tokens.Scope(workspace, named.deployment, "", named.adapter)
+    anchor_tokens = len(parts.tokenize(request.anchor))
+    return calls.PromptCall(
+        request_key=passing.request_key,
+        workspace=workspace,
+        deployment=named.deployment,
+        adapter=named.adapter,
+        tokens=prompt,
+        prefix_key=prefix.prefix_key(scope, prompt, anchor_tokens),
+        max_tokens=request.max_tokens,
+        priority=passing.priority,
+        deadline_s=passing.deadline_s,
+        repeatable=passing.repeatable is not False,
+        digest=_digest(named, prompt, request.max_tokens),
+    )
+
+
+def _tokenize(
+    tokenize: Tokenize, prompt: str | tuple[int, ...]
+) -> tuple[int, ...]:
     if isinstance(prompt, str):
         try:
-            prompt = tuple(parts.tokenize(prompt))
+            prompt = tuple(tokenize(prompt))
         except UnicodeEncodeError:
             raise verdict.refuse(
                 verdict.Reason.BAD_REQUEST,
@@ -124,18 +146,7 @@
             f"the prompt has {len(prompt)} tokens, more than "
             f"{openai_requests.MAX_PROMPT_TOKENS}",
         )
-    return calls.PromptCall(
-        request_key=passing.request_key,
-        workspace=workspace,
-        deployment=named.deployment,
-        adapter=named.adapter,
-        tokens=prompt,
-        max_tokens=request.max_tokens,
-        priority=passing.priority,
-        deadline_s=passing.deadline_s,
-        repeatable=passing.repeatable is not False,
-        digest=_digest(named, prompt, request.max_tokens),
-    )
+    return prompt
 
 
 def _digest(
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -14,6 +14,7 @@
 from cactusstile.entry import application
 from cactusstile.entry import completions
 from cactusstile.entry import dispatch
+from cactusstile.entry import homes
 from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import limit
@@ -39,7 +40,7 @@
       fleet: The configuration; kept up to date by the process.
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
-      routing: Decisions on where requests go; None for the simple ones.
+      routing: Decisions on where requests go; None for the homes of the prompt.
       tokenize: Turns a prompt's text into tokens.
       notice_revision: Called with an agent's newer configuration revision.
     """
@@ -79,27 +80,27 @@
     retry_balance: float
 
 
-@attrs.frozen
+@attrs.define
 class Entry:
     """A running entry.
 
     Attributes:
       settings: Its settings.
-      listener: Listener for callers.
-      admin: Listener for operators.
       gate: Whether it serves callers.
       dispatcher: Sends requests to agents.
       bounds: Bounds and counts of the filter chain.
       metrics: Its metrics.
+      listener: Listener for callers.
+      admin: Listener for operators.
     """
 
     settings: entry_settings.EntrySettings
-    listener: http_listener.HttpListener
-    admin: http_listener.HttpListener
     gate: application.Gate
     dispatcher: dispatch.Dispatcher
     bounds: application.Bounds
     metrics: entry_metrics.EntryMetrics
+    listener: http_listener.HttpListener = attrs.field(init=False)
+    admin: http_listener.HttpListener = attrs.field(init=False)
 
     def callers_address(self) -> address.Address:
         """Returns the address that callers reach."""
@@ -130,53 +131,50 @@
     Raises:
       CannotListenError: If one of its addresses cannot be bound.
     """
-    metrics = entry_metrics.build()
-    gate = application.Gate(parts.fleet.confirmed.is_set)
-    bounds = application.Bounds(
-        settings.max_body_bytes,
-        body.BodyMemory(settings.max_buffered_bytes),
-        limit.InFlight(settings.max_in_flight),
+    entry = _build(settings, parts)
+    is_ready = entry.gate.is_ready
+    app = application.build(
+        completions.Parts(
+            parts.fleet, entry.dispatcher, parts.tokenize, entry.metrics
+        ),
+        parts.find_workspace,
+        entry.gate,
+        entry.bounds,
     )
+    app.routes.extend(admin.health_routes(is_ready))
+
+    def dump() -> EntryState:
+        return _dump(entry, parts.fleet.fleet.revision)
+
+    admin_app = admin.build([entry.metrics.registry], is_ready, dump)
+    admin_listen = settings.process.admin_listen
+    async with (
+        http_listener.open_listener(app, settings.callers_listen) as listener,
+        http_listener.open_listener(admin_app, admin_listen) as admin_listener,
+    ):
+        entry.listener = listener
+        entry.admin = admin_listener
+        logger.info("serving callers on %s", listener.bound)
+        yield entry
+
+
+def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
+    metrics = entry_metrics.build()
     dispatcher = dispatch.Dispatcher(
         parts.peers,
         parts.fleet,
-        parts.routing or routes.build_simple(lambda: parts.fleet.fleet),
+        parts.routing or homes.build(lambda: parts.fleet.fleet),
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
         parts.notice_revision,
     )
-    app = application.build(
-        completions.Parts(parts.fleet, dispatcher, parts.tokenize, metrics),
-        parts.find_workspace,
-        gate,
-        bounds,
+    bounds = application.Bounds(
+        settings.max_body_bytes,
+        body.BodyMemory(settings.max_buffered_bytes),
+        limit.InFlight(settings.max_in_flight),
     )
-    app.routes.extend(admin.health_routes(gate.is_ready))
-    async with contextlib.AsyncExitStack() as stack:
-        listener = await stack.enter_async_context(
-            http_listener.open_listener(app, settings.callers_listen)
-        )
-
-        def dump() -> EntryState:
-            return _dump(entry, parts.fleet.fleet.revision)
-
-        admin_app = admin.build([metrics.registry], gate.is_ready, dump)
-        admin_listener = await stack.enter_async_context(
-            http_listener.open_listener(
-                admin_app, settings.process.admin_listen
-            )
-        )
-        entry = Entry(
-            settings,
-            listener,
-            admin_listener,
-            gate,
-            dispatcher,
-            bounds,
-            metrics,
-        )
-        logger.info("serving callers on %s", listener.bound)
-        yield entry
+    gate = application.Gate(parts.fleet.confirmed.is_set)
+    return Entry(settings, gate, dispatcher, bounds, metrics)
 
 
 def _dump(entry: Entry, revision: int) -> EntryState:
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -151,7 +151,7 @@
         version = progress.version or (deployment.version if deployment else "")
         keys = routes.probe_keys(call, version, probes.MAX_KEYS)
         while True:
-            candidates = self.routing.candidates(call, keys, excluded)
+            candidates = self.routing.candidates(call, excluded, self.running)
             if not candidates:
                 raise verdict.refuse(
                     verdict.Reason.NO_TARGET,
@@ -180,7 +180,9 @@
         excluded: set[str] = set()
         attempt = 0
         while True:
-            targets = self.routing.service_order(request, excluded)
+            targets = self.routing.service_order(
+                request, excluded, self.running
+            )
             if not targets:
                 raise verdict.refuse(
                     verdict.Reason.NO_TARGET,
--- a/src/cactusstile/entry/openai_requests.py
+++ b/src/cactusstile/entry/openai_requests.py
@@ -42,6 +42,8 @@
     Attributes:
       model: Model as the caller named it.
       prompt: Prompt as text, or as tokens.
+      anchor: Leading text that each return of the prompt repeats; empty when
+        the request does not tell.
       max_tokens: Bound on the output.
       stream: Whether the answer is to be streamed.
       include_usage: Whether a stream ends with usage figures.
@@ -49,6 +51,7 @@
 
     model: str
     prompt: str | tuple[int, ...]
+    anchor: str
     max_tokens: int
     stream: bool
     include_usage: bool
@@ -66,7 +69,8 @@
     messages = [
         _parse_message(entry, position) for position, entry in enumerate(listed)
     ]
-    return _build(payload, prompts.render_chat(messages))
+    anchor = prompts.render_anchor(messages)
+    return _build(payload, prompts.render_chat(messages), anchor)
 
 
 def parse_completion(payload: dict[str, typing.Any]) -> CompletionRequest:
@@ -95,7 +99,9 @@
 
 
 def _build(
-    payload: dict[str, typing.Any], prompt: str | tuple[int, ...]
+    payload: dict[str, typing.Any],
+    prompt: str | tuple[int, ...],
+    anchor: str = "",
 ) -> CompletionRequest:
     model = payload.get("model")
     if not isinstance(model, str) or not 0 < len(model) <= MAX_MODEL_CHARACTERS:
@@ -114,6 +120,7 @@
     return CompletionRequest(
         model,
         prompt,
+        anchor,
         _read_max_tokens(payload),
         _read_flag(payload, "stream"),
         _read_flag(options, "include_usage"),
--- a/src/cactusstile/entry/probes.py
+++ b/src/cactusstile/entry/probes.py
@@ -44,6 +44,7 @@
         calls.time_left_ms(call.deadline_s),
         revision,
         reserve,
+        call.prefix_key,
     )
 
 
--- a/src/cactusstile/entry/prompts.py
+++ b/src/cactusstile/entry/prompts.py
@@ -33,8 +33,28 @@
     >>> render_chat([ChatMessage("user", "Hi")])
     '<|user|>Hi<|end|><|assistant|>'
     """
+    return _render(messages) + "<|assistant|>"
+
+
+def render_anchor(messages: collections.abc.Sequence[ChatMessage]) -> str:
+    """Returns the leading text that tells a conversation from others.
+
+    It ends with the first message of the user.
+
+    >>> render_anchor([ChatMessage("user", "Hi"), ChatMessage("user", "So?")])
+    '<|user|>Hi<|end|>'
+    """
+    leading = []
+    for message in messages:
+        leading.append(message)
+        if message.role == "user":
+            break
+    return _render(leading)
+
+
+def _render(messages: collections.abc.Sequence[ChatMessage]) -> str:
     parts = []
     for message in messages:
         content = message.content.replace(_OPEN, _ESCAPED_OPEN)
         parts.append(f"<|{message.role}|>{content}<|end|>")
-    return "".join(parts) + "<|assistant|>"
+    return "".join(parts)
--- a/src/cactusstile/entry/sse.py
+++ b/src/cactusstile/entry/sse.py
@@ -37,9 +37,7 @@
 ) -> None:
     """Runs a prompt and sends its text as events.
 
-    A stream ends with the `[DONE]` event only if the run was complete;
-    otherwise it ends with an error event that carries the verdict. A refusal
-    before the first token is an ordinary error answer.
+    Only a complete run ends with `[DONE]`, any other with an error event.
 
     Raises:
       RefusedError: If the run was refused before its first token.
@@ -62,13 +60,12 @@
         body = refusals.error_body(error.refusal)
         await _write(passing, b"data: " + body + b"\n\n", more=False)
         return
-    data = answer.last_event(end)
     if not passing.status:
         await passing.start(200, HEADERS)
-        data = answer.first_event() + data
-    if include_usage:
-        data += answer.usage_event(end)
-    await _write(passing, data + openai_answers.DONE_EVENT, more=False)
+        await _write(passing, answer.first_event())
+    tail = answer.usage_event(end) if include_usage else b""
+    tail = answer.last_event(end) + tail + openai_answers.DONE_EVENT
+    await _write(passing, tail, more=False)
 
 
 async def _write(
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import errno
 import logging
 import socket
 import typing
@@ -24,8 +23,8 @@
 CUT_OFF_TIMEOUT_S = 1.0
 
 
-class CannotListenError(Exception):
-    """Raised when an address cannot be bound; says what to do."""
+class CannotListenError(OSError):
+    """Raised when an address cannot be bound; carries the system's number."""
 
 
 class _EmbeddedServer(uvicorn.Server):
@@ -132,10 +131,7 @@
         bound_socket.setblocking(False)
     except OSError as error:
         bound_socket.close()
-        advice = "check the address in the settings"
-        if error.errno == errno.EADDRINUSE:
-            advice = "stop the process that uses it or set another port"
         raise CannotListenError(
-            f"cannot listen on {listen}: {error.strerror}; {advice}"
+            error.errno, f"cannot listen on {listen}: {error.strerror}"
         ) from error
     return bound_socket
