--- /dev/null
+++ b/src/cactusstile/entry/prompts.py
@@ -0,0 +1,60 @@
+"""Rendering of chat messages into one prompt text.
+
+The rendering of a conversation is a prefix of the rendering of the same
+conversation with the answer and further messages appended, so that the kept
+blocks of a returning prompt match.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+ROLES = ("system", "developer", "user", "assistant", "tool")
+_OPEN = "<|"
+_ESCAPED_OPEN = "<\\|"
+
+
+@attrs.frozen
+class ChatMessage:
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+def render_chat(messages: collections.abc.Sequence[ChatMessage]) -> str:
+    """Returns the prompt that asks for the assistant's next message.
+
+    >>> render_chat([ChatMessage("user", "Hi")])
+    '<|user|>Hi<|end|><|assistant|>'
+    """
+    return _render(messages) + "<|assistant|>"
+
+
+def render_anchor(messages: collections.abc.Sequence[ChatMessage]) -> str:
+    """Returns the leading text that tells a conversation from others.
+
+    It ends with the first message of the user.
+
+    >>> render_anchor([ChatMessage("user", "Hi"), ChatMessage("user", "So?")])
+    '<|user|>Hi<|end|>'
+    """
+    leading = []
+    for message in messages:
+        leading.append(message)
+        if message.role == "user":
+            break
+    return _render(leading)
+
+
+def _render(messages: collections.abc.Sequence[ChatMessage]) -> str:
+    parts = []
+    for message in messages:
+        content = message.content.replace(_OPEN, _ESCAPED_OPEN)
+        parts.append(f"<|{message.role}|>{content}<|end|>")
+    return "".join(parts)
