--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -44,6 +44,7 @@
   revision @12 :UInt64;
   reservation @13 :UInt64;
   prefixKey @14 :Data;
+  digest @15 :Data;
 }
 
 struct Attach {
@@ -85,6 +86,7 @@
   timeLeftMs @9 :UInt32;
   repeatable @10 :Bool;
   revision @11 :UInt64;
+  digest @12 :Data;
 }
 
 struct ServiceReply {
--- /dev/null
+++ b/src/cactusstile/entry/routes.py
@@ -0,0 +1,87 @@
+"""Choice of targets, as closures that the daemon is given."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import attrs
+
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.entry import calls
+from cactusstile.state import model
+
+
+@attrs.frozen
+class Probed:
+    """A candidate with the answer of its agent."""
+
+    target: model.Target
+    reply: messages.ProbeReply
+
+
+@attrs.frozen
+class Placement:
+    """Where to run a prompt.
+
+    Attributes:
+      target: Target that runs it.
+      version: Weight version of the target.
+      reservation: Place held at the target; 0 without one.
+    """
+
+    target: model.Target
+    version: str
+    reservation: int = 0
+
+
+Candidates: typing.TypeAlias = collections.abc.Callable[
+    [
+        calls.PromptCall,
+        collections.abc.Collection[str],
+        collections.abc.Mapping[str, int],
+    ],
+    collections.abc.Sequence[model.Target],
+]
+Choose: typing.TypeAlias = collections.abc.Callable[
+    [calls.PromptCall, str, collections.abc.Sequence[Probed]], Placement
+]
+ServiceOrder: typing.TypeAlias = collections.abc.Callable[
+    [
+        calls.ServiceRequest,
+        collections.abc.Collection[str],
+        collections.abc.Mapping[str, int],
+    ],
+    collections.abc.Sequence[model.Target],
+]
+
+
+@attrs.frozen
+class Routes:
+    """Decisions on where requests go.
+
+    Attributes:
+      candidates: Returns the targets to probe for a call, best first, none
+        of the excluded names among them; sees the requests that this entry
+        has under way by target.
+      choose: Returns the placement among the probed, running on the given
+        weight version unless that is empty; raises RefusedError.
+      service_order: Returns the targets of a service, best first; otherwise
+        like `candidates`.
+      reserve: Whether probes hold a place for a moment.
+    """
+
+    candidates: Candidates
+    choose: Choose
+    service_order: ServiceOrder
+    reserve: bool = False
+
+
+def probe_keys(
+    call: calls.PromptCall, version: str, max_keys: int
+) -> tuple[bytes, ...]:
+    """Returns the keys of the prompt's leading blocks, at most `max_keys`."""
+    scope = tokens.Scope(call.workspace, call.deployment, version, call.adapter)
+    leading = call.tokens[: max_keys * tokens.BLOCK_TOKENS]
+    return tuple(tokens.block_keys(scope, leading))
