Run a whole site in one process

Need: make demo runs the main job on an embedded default. Change: cactusstile local opens three control replicas, an entry and an agent with a stand-in for each target of a fleet file; followers keep every process up to date; the examples of both sites load and run. Ruled out: one deadline around the opening of all parts; a cancel scope may not be left in another order than the task groups inside it (seen as a RuntimeError). Not yet: kept blocks are not imported (0 from a store on return).

--- /dev/null
+++ b/src/cactusstile/console/local.py
@@ -0,0 +1,115 @@
+"""`cactusstile local`: a whole site in one process."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import signal
+import tempfile
+
+import anyio
+
+from cactusstile.console import exceptions
+from cactusstile.local import demonstration
+from cactusstile.local import site as local_site
+from cactusstile.observability import logs
+from cactusstile.settings import ini
+from cactusstile.state import fleet_file
+from cactusstile.transport import address
+
+KEYS_FILE = "demo-keys.ini"
+
+
+def run(
+    fleet: str = "examples/ledgerfield/fleet.ini",
+    listen: str = "127.0.0.1:8080",
+    admin: str = "127.0.0.1:8081",
+    data: str = "",
+    *,
+    demo: bool = False,
+    stay: bool = True,
+) -> None:
+    """Runs all roles and stand-ins of the targets in this process.
+
+    Args:
+      fleet: Fleet file.
+      listen: Address for callers.
+      admin: Address for metrics and the state dump.
+      data: Folder of durable state; a temporary one by default.
+      demo: Show a prompt that returns after its engine has forgotten it.
+      stay: Keep serving until interrupted.
+    """
+    path = pathlib.Path(fleet)
+    if not path.exists():
+        raise exceptions.CommandError(
+            f"no fleet file {fleet}; run from the project's folder or give "
+            "--fleet",
+            exceptions.ExitCode.USAGE,
+        )
+    logs.configure("local", "local", "warning")
+    declared = fleet_file.read(path)
+    keys = _read_keys(path.with_name(KEYS_FILE))
+    with contextlib.ExitStack() as stack:
+        folder = data or stack.enter_context(tempfile.TemporaryDirectory())
+        try:
+            settings = local_site.LocalSettings(
+                declared,
+                pathlib.Path(folder),
+                address.parse(listen),
+                address.parse(admin),
+            )
+        except ValueError as error:
+            raise exceptions.CommandError(
+                str(error), exceptions.ExitCode.USAGE
+            ) from error
+        anyio.run(_serve, settings, keys, demo, stay)
+
+
+async def _serve(
+    settings: local_site.LocalSettings,
+    keys: dict[str, str],
+    demo: bool,
+    stay: bool,
+) -> None:
+    async with local_site.open_site(settings) as site:
+        deployment = next(iter(settings.fleet.deployments))
+        key = next(iter(keys.values()), "KEY")
+        bound = site.entry.callers_address()
+        print(f"{settings.fleet.name} serves callers on http://{bound}")
+        print(f"metrics and state: http://{site.entry.admin.bound}/dump")
+        print(_curl_line(bound, deployment, key), flush=True)
+        if demo:
+            await demonstration.show(site, deployment, key, _write)
+        if stay:
+            print("stop with Ctrl-C", flush=True)
+            await _wait_for_signal()
+            await site.entry.drain()
+
+
+def _write(line: str) -> None:
+    print(line, flush=True)
+
+
+def _curl_line(bound: address.Address, deployment: str, key: str) -> str:
+    body = (
+        f'{{"model": "{deployment}", "stream": true, "messages": '
+        '[{"role": "user", "content": "Which assets are missing?"}]}'
+    )
+    return (
+        f"curl -N http://{bound}/v1/chat/completions "
+        f"-H 'Authorization: Bearer {key}' "
+        f"-H 'Content-Type: application/json' -d '{body}'"
+    )
+
+
+def _read_keys(path: pathlib.Path) -> dict[str, str]:
+    if not path.exists():
+        return {}
+    parser = ini.parse_text(path.read_text(encoding="utf-8"), str(path))
+    return dict(parser["keys"]) if parser.has_section("keys") else {}
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            return
--- /dev/null
+++ b/src/cactusstile/local/__init__.py
@@ -0,0 +1,3 @@
+"""All roles and stand-ins of the outside systems in one process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/local/site.py
@@ -0,0 +1,232 @@
+"""A whole site in one process on one loop: `cactusstile local`."""
+
+from __future__ import annotations
+
+import contextlib
+import secrets
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.agent import daemon as agent_daemon
+from cactusstile.agent import wiring as agent_wiring
+from cactusstile.consensus import replica
+from cactusstile.control import client
+from cactusstile.control import daemon as control_daemon
+from cactusstile.control import settings as control_settings
+from cactusstile.entry import daemon as entry_daemon
+from cactusstile.entry import wiring as entry_wiring
+from cactusstile.fakes import engine
+from cactusstile.fakes import engine_app
+from cactusstile.fakes import service
+from cactusstile.fakes import serving
+from cactusstile.settings import agent as agent_settings
+from cactusstile.settings import entry as entry_settings
+from cactusstile.settings import process
+from cactusstile.state import model
+from cactusstile.store import daemon as store_daemon
+from cactusstile.store import shelf
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+    import pathlib
+
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.02
+STORE_MEMORY_BYTES = 64 * 1024 * 1024
+STORE_DISK_BYTES = 256 * 1024 * 1024
+_ANY_PORT = 0
+_SECRET_BYTES = 24
+
+
+@attrs.frozen
+class LocalSettings:
+    """Settings of a local site.
+
+    Attributes:
+      fleet: Fleet to put in force; its targets' agents listen where it says.
+      data_folder: Folder of all durable state.
+      callers_listen: Address for callers.
+      admin_listen: Address of the entry's metrics and dump.
+      control_host: IP number on which control listens.
+      control_ports: Ports of the control processes, one for each replica.
+      engine: Behaviour of the stand-ins for engines.
+    """
+
+    fleet: model.Fleet
+    data_folder: pathlib.Path
+    callers_listen: address.Address
+    admin_listen: address.Address
+    control_host: str = "127.0.0.1"
+    control_ports: tuple[int, ...] = (7301, 7302, 7303)
+    engine: engine.EngineSettings = attrs.field(factory=engine.EngineSettings)
+
+
+@attrs.define
+class LocalSite:
+    """A running local site.
+
+    Attributes:
+      entry: Its entry.
+      agents: Agents of engines and services by target.
+      engines: Stand-ins for engines by target.
+      services: Stand-ins for plain services by target.
+      stores: Stores by target.
+    """
+
+    entry: entry_daemon.Entry
+    agents: dict[str, agent_daemon.Agent] = attrs.field(factory=dict)
+    engines: dict[str, engine.Engine] = attrs.field(factory=dict)
+    services: dict[str, service.Service] = attrs.field(factory=dict)
+    stores: dict[str, store_daemon.Store] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Opener:
+    """Opens the parts of a site on one exit stack."""
+
+    settings: LocalSettings
+    stack: contextlib.AsyncExitStack
+    secrets: handshake.Secrets
+
+    def process_settings(
+        self, name: str, data_centre: str, listen: address.Address
+    ) -> process.ProcessSettings:
+        return process.ProcessSettings(
+            name,
+            data_centre,
+            listen,
+            address.Address(listen.host, _ANY_PORT),
+            self.control_addresses(),
+            self.secrets,
+        )
+
+    def control_addresses(self) -> tuple[address.Address, ...]:
+        host = self.settings.control_host
+        return tuple(
+            address.Address(host, port) for port in self.settings.control_ports
+        )
+
+    async def open_control(self) -> None:
+        addresses = self.control_addresses()
+        founders = tuple(
+            replica.Founder(f"control-{number}", str(listen))
+            for number, listen in enumerate(addresses, 1)
+        )
+        for founder, listen in zip(founders, addresses, strict=True):
+            folder = self.settings.data_folder / founder.name
+            settings = control_settings.ControlSettings(
+                self.process_settings(founder.name, "local", listen),
+                folder,
+                founders,
+            )
+            await self.stack.enter_async_context(
+                control_daemon.open_control(settings)
+            )
+
+    async def apply(self) -> None:
+        operator = handshake.Identity("operator", "local")
+        async with pool.open_pool(operator, self.secrets) as peers:
+            control = client.ControlClient(peers, self.control_addresses())
+            base = await control.read_fleet(timeout_s=READY_TIMEOUT_S)
+            if base.revision < self.settings.fleet.revision:
+                await control.apply(
+                    base, self.settings.fleet, timeout_s=READY_TIMEOUT_S
+                )
+
+    async def open_entry(self) -> entry_daemon.Entry:
+        listen = address.Address(self.settings.control_host, _ANY_PORT)
+        common = self.process_settings("entry-1", "local", listen)
+        settings = entry_settings.EntrySettings(
+            attrs.evolve(common, admin_listen=self.settings.admin_listen),
+            self.settings.callers_listen,
+            **{
+                option.name: option.default
+                for option in entry_settings.OPTIONS
+                if option.name != "callers_listen"
+            },
+        )
+        parts = await self.stack.enter_async_context(
+            entry_wiring.open_parts(settings)
+        )
+        return await self.stack.enter_async_context(
+            entry_daemon.open_entry(settings, parts)
+        )
+
+    async def open_target(self, site: LocalSite, target: model.Target) -> None:
+        common = self.process_settings(
+            target.name, target.data_centre, target.agent
+        )
+        if target.kind is model.TargetKind.STORE:
+            folder = self.settings.data_folder / target.name
+            bounds = shelf.Bounds(STORE_MEMORY_BYTES, STORE_DISK_BYTES)
+            settings = store_daemon.Settings(
+                target.name, target.agent, self.secrets, folder, bounds
+            )
+            site.stores[target.name] = await self.stack.enter_async_context(
+                store_daemon.open_store(settings)
+            )
+            return
+        app = await self._open_stand_in(site, target)
+        bound = await self.stack.enter_async_context(serving.open_app(app))
+        agent = agent_settings.AgentSettings(
+            common, target.kind.value, target.name, f"http://{bound}"
+        )
+        site.agents[target.name] = await self.stack.enter_async_context(
+            agent_wiring.open_process(agent)
+        )
+
+    async def _open_stand_in(
+        self, site: LocalSite, target: model.Target
+    ) -> typing.Any:
+        if target.kind is model.TargetKind.SERVICE:
+            served = service.Service()
+            site.services[target.name] = served
+            return service.build_app(served)
+        deployment = self.settings.fleet.deployments[target.serves]
+        behaviour = attrs.evolve(
+            self.settings.engine,
+            model=deployment.model,
+            version=deployment.version,
+            checks_fence=target.checks_fence,
+        )
+        stand_in = engine.Engine(behaviour)
+        await self.stack.enter_async_context(stand_in.run())
+        site.engines[target.name] = stand_in
+        return engine_app.build_app(stand_in)
+
+
+@contextlib.asynccontextmanager
+async def open_site(
+    settings: LocalSettings,
+) -> collections.abc.AsyncIterator[LocalSite]:
+    """Runs a site until the context is left; yields once it serves.
+
+    Raises:
+      OSError: If an address cannot be bound.
+      TimeoutError: If the site does not become ready in `READY_TIMEOUT_S`.
+    """
+    shared = handshake.Secrets(
+        secrets.token_bytes(_SECRET_BYTES), secrets.token_bytes(_SECRET_BYTES)
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        opener = _Opener(settings, stack, shared)
+        await opener.open_control()
+        await opener.apply()
+        site = LocalSite(await opener.open_entry())
+        for target in settings.fleet.targets.values():
+            await opener.open_target(site, target)
+        with anyio.fail_after(READY_TIMEOUT_S):
+            while not is_ready(site):  # noqa: ASYNC110
+                await anyio.sleep(READY_POLL_S)
+        yield site
+
+
+def is_ready(site: LocalSite) -> bool:
+    """Returns whether the entry and all agents serve."""
+    agents_ready = all(agent.ready() for agent in site.agents.values())
+    return site.entry.gate.is_ready() and agents_ready
--- a/src/cactusstile/observability/admin.py
+++ b/src/cactusstile/observability/admin.py
@@ -25,7 +25,7 @@
     Args:
       registries: Metrics of the process.
       is_ready: Returns whether the process serves.
-      dump: Returns its state as an attrs instance; must hold no prompt text
+      dump: Returns its state, made of attrs instances; must hold no prompt text
         and no secret.
     """
 
@@ -91,11 +91,13 @@
      "running": 1
     }
     """
-    plain = attrs.asdict(state, value_serializer=_to_plain)
-    return json.dumps(plain, indent=1, default=str).encode() + b"\n"
+    plain = json.dumps(state, indent=1, default=_to_plain)
+    return plain.encode() + b"\n"
 
 
-def _to_plain(_owner: object, _field: object, value: object) -> object:
+def _to_plain(value: typing.Any) -> typing.Any:
+    if attrs.has(type(value)):
+        return attrs.asdict(value, recurse=False)
     if isinstance(value, bytes):
         return value.hex()
-    return value
+    return str(value)
--- /dev/null
+++ b/src/cactusstile/state/follower.py
@@ -0,0 +1,125 @@
+"""What every entry, agent and store process keeps up to date of the fleet."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.control import client
+from cactusstile.control import feed_messages
+from cactusstile.state import holder
+from cactusstile.state import relay
+from cactusstile.state import subscription
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import pool
+from cactusstile.transport import server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.settings import process
+
+
+@attrs.frozen
+class Follower:
+    """A process's view of the fleet.
+
+    Attributes:
+      fleet_holder: The fleet in force here.
+      peers: Connections to other processes.
+      control: Client of the control processes.
+      own: Relay of this process.
+      subscriber: Child's side of the delivery tree.
+    """
+
+    fleet_holder: holder.FleetHolder
+    peers: pool.Pool
+    control: client.ControlClient
+    own: relay.Relay
+    subscriber: subscription.Subscriber
+
+
+@attrs.frozen
+class FollowerState:
+    """State of a follower for the dump.
+
+    Attributes:
+      revision: Revision in force here.
+      confirmed: Whether a quorum confirmed it since the start.
+      parent: Address of the parent in the delivery tree; empty without one.
+      parent_changes: Parents taken so far.
+      children: Names of the children in the delivery tree.
+    """
+
+    revision: int
+    confirmed: bool
+    parent: str
+    parent_changes: int
+    children: list[str]
+
+
+def dump(follower: Follower) -> FollowerState:
+    """Returns the state of `follower` for operators."""
+    return FollowerState(
+        follower.fleet_holder.fleet.revision,
+        follower.fleet_holder.confirmed.is_set(),
+        str(follower.subscriber.parent or ""),
+        follower.subscriber.changes,
+        follower.own.children(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_follower(
+    settings: process.ProcessSettings,
+    identity: handshake.Identity,
+    *,
+    serves_children: bool = False,
+) -> collections.abc.AsyncIterator[Follower]:
+    """Follows the fleet until the context is left.
+
+    Args:
+      settings: Settings of the process.
+      identity: Identity that it presents.
+      serves_children: Whether it listens for children in the delivery tree,
+        as entries do.
+
+    Raises:
+      OSError: If the address for children cannot be bound.
+    """
+    own = relay.Relay(identity.name, is_agent=identity.role == "agent")
+    held = holder.FleetHolder()
+    async with contextlib.AsyncExitStack() as stack:
+        relay_address = None
+        if serves_children:
+            opened = await stack.enter_async_context(
+                server.open_server(
+                    settings.listen,
+                    identity,
+                    settings.secrets,
+                    _build_handlers(own),
+                )
+            )
+            relay_address = opened.bound
+        peers = await stack.enter_async_context(
+            pool.open_pool(identity, settings.secrets)
+        )
+        control = client.ControlClient(peers, settings.control)
+        subscriber = subscription.Subscriber(
+            held, own, peers, control, relay_address
+        )
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(subscriber.run)
+        stack.callback(group.cancel_scope.cancel)
+        yield Follower(held, peers, control, own, subscriber)
+
+
+def _build_handlers(own: relay.Relay) -> incoming.Handlers:
+    return incoming.Handlers(
+        calls={feed_messages.Subscribe: own.serve},
+        notices={feed_messages.FeedReport: own.take_report},
+    )
