--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import contextlib
+import pathlib
 import typing
 
+import attrs
 import prometheus_client
 
 from cactusstile.agent import daemon
 from cactusstile.observability import admin
 from cactusstile.observability import http_listener
 from cactusstile.state import follower
+from cactusstile.store import daemon as store_daemon
+from cactusstile.store import messages as store_messages
+from cactusstile.store import shelf
 from cactusstile.transport import handshake
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     from cactusstile.settings import agent as agent_settings
+    from cactusstile.state import model
 
 
 @contextlib.asynccontextmanager
@@ -48,3 +54,65 @@
             )
         )
         yield running
+
+
+@attrs.frozen
+class StoreState:
+    """State of a store process for the dump.
+
+    Attributes:
+      blocks: Blocks that it keeps.
+      follower: Its view of the fleet.
+    """
+
+    blocks: int
+    follower: follower.FollowerState
+
+
+@contextlib.asynccontextmanager
+async def open_store_process(
+    settings: agent_settings.AgentSettings,
+) -> collections.abc.AsyncIterator[store_daemon.Store]:
+    """Runs a store that follows the fleet, with its admin listener.
+
+    The blocks of a workspace that leaves the fleet are freed.
+
+    Raises:
+      OSError: If one of its addresses or its folder cannot be used.
+    """
+    common = settings.process
+    identity = handshake.Identity("agent", common.name)
+    bounds = shelf.Bounds(settings.memory_bytes, settings.disk_bytes)
+    async with contextlib.AsyncExitStack() as stack:
+        following = await stack.enter_async_context(
+            follower.open_follower(common, identity)
+        )
+        store = await stack.enter_async_context(
+            store_daemon.open_store(
+                store_daemon.Settings(
+                    settings.target,
+                    common.listen,
+                    common.secrets,
+                    pathlib.Path(settings.data_folder),
+                    bounds,
+                )
+            )
+        )
+
+        def free_removed(old: model.Fleet, new: model.Fleet) -> None:
+            for name in old.workspaces.keys() - new.workspaces.keys():
+                message = store_messages.Free(name)
+                store_daemon.free_matching(store.kept, message)
+
+        def dump() -> StoreState:
+            return StoreState(len(store.kept.records), follower.dump(following))
+
+        held = following.fleet_holder
+        held.observe(free_removed)
+        application = admin.build(
+            [prometheus_client.REGISTRY], held.confirmed.is_set, dump
+        )
+        await stack.enter_async_context(
+            http_listener.open_listener(application, common.admin_listen)
+        )
+        yield store
--- /dev/null
+++ b/src/cactusstile/console/agent.py
@@ -0,0 +1,37 @@
+"""`cactusstile agent`: runs the agent beside one target."""
+
+from __future__ import annotations
+
+import pathlib
+
+import anyio
+
+from cactusstile.agent import daemon
+from cactusstile.agent import wiring
+from cactusstile.console import signals
+from cactusstile.observability import logs
+from cactusstile.settings import agent as agent_settings
+
+
+def run(settings: str) -> None:
+    """Runs an agent until a signal stops it.
+
+    Args:
+      settings: Path of the agent's settings file.
+    """
+    loaded = agent_settings.load(pathlib.Path(settings))
+    logs.configure("agent", loaded.process.name, "info")
+    if loaded.kind == agent_settings.STORE_KIND:
+        anyio.run(_serve_store, loaded)
+        return
+    anyio.run(_serve, loaded)
+
+
+async def _serve(settings: agent_settings.AgentSettings) -> None:
+    async with wiring.open_process(settings) as running:
+        await daemon.run_until_signal(running, settings)
+
+
+async def _serve_store(settings: agent_settings.AgentSettings) -> None:
+    async with wiring.open_store_process(settings):
+        await signals.wait_for_stop()
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -14,6 +14,7 @@
 
 from cactusstile.console import exceptions
 from cactusstile.entry import daemon
+from cactusstile.entry import wiring
 from cactusstile.observability import http_listener
 from cactusstile.observability import logs
 from cactusstile.settings import entry as entry_settings
@@ -27,6 +28,15 @@
 logger = logging.getLogger(__name__)
 
 
+def run(settings: str) -> None:
+    """Runs an entry until a signal stops it.
+
+    Args:
+      settings: Path of the entry's settings file.
+    """
+    run_with(settings, wiring.open_parts)
+
+
 def run_with(settings_file: str, open_parts: OpenParts) -> None:
     """Runs an entry until a signal stops it.
 
--- a/src/cactusstile/console/local.py
+++ b/src/cactusstile/console/local.py
@@ -4,12 +4,12 @@
 
 import contextlib
 import pathlib
-import signal
 import tempfile
 
 import anyio
 
 from cactusstile.console import exceptions
+from cactusstile.console import signals
 from cactusstile.local import demonstration
 from cactusstile.local import site as local_site
 from cactusstile.observability import logs
@@ -82,7 +82,7 @@
             await demonstration.show(site, deployment, key, _write)
         if stay:
             print("stop with Ctrl-C", flush=True)
-            await _wait_for_signal()
+            await signals.wait_for_stop()
             await site.entry.drain()
 
 
@@ -107,9 +107,3 @@
         return {}
     parser = ini.parse_text(path.read_text(encoding="utf-8"), str(path))
     return dict(parser["keys"]) if parser.has_section("keys") else {}
-
-
-async def _wait_for_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            return
--- a/src/cactusstile/settings/agent.py
+++ b/src/cactusstile/settings/agent.py
@@ -11,9 +11,12 @@
 from cactusstile.settings import process
 
 if typing.TYPE_CHECKING:
+    import collections.abc
     import pathlib
 
 SECTION = "agent"
+STORE_KIND = "store"
+MAX_TIER_BYTES = 1 << 50
 DEFAULT_DRAIN_LIMIT_S = 300.0
 
 
@@ -32,6 +35,9 @@
       drain_limit_s: Bound on finishing work at shutdown.
       service_slots: Calls at once to a plain service.
       expected_load_s: Expected time of a load of weights.
+      data_folder: Folder of a store's disk tier; empty without one.
+      memory_bytes: Bound on a store's blocks in memory.
+      disk_bytes: Bound on a store's blocks on disk.
     """
 
     process: process.ProcessSettings
@@ -44,6 +50,9 @@
     drain_limit_s: float = DEFAULT_DRAIN_LIMIT_S
     service_slots: int = 64
     expected_load_s: float = 5.0
+    data_folder: str = ""
+    memory_bytes: int = 0
+    disk_bytes: int = 0
 
 
 def _parse_url(text: str) -> str:
@@ -93,6 +102,19 @@
         "expected time of a load of weights, in seconds",
         5.0,
     ),
+    ini.Option("data_folder", str, "folder of a store's disk tier", ""),
+    ini.Option(
+        "memory_bytes",
+        ini.integer(0, MAX_TIER_BYTES),
+        "bound on a store's blocks in memory, in bytes",
+        0,
+    ),
+    ini.Option(
+        "disk_bytes",
+        ini.integer(0, MAX_TIER_BYTES),
+        "bound on a store's blocks on disk, in bytes",
+        0,
+    ),
 )
 
 
@@ -103,9 +125,26 @@
       InvalidFileError: With all faults of the file.
     """
     common, values = process.load(path, SECTION, OPTIONS)
-    if values["kind"] != "store" and not values["url"]:
+    if values["kind"] == STORE_KIND:
+        _check_store(path, values)
+    elif not values["url"]:
         text = "missing; write: url = http://IP-number:port of the target"
         raise ini.InvalidFileError(
             [ini.Problem(str(path), SECTION, "url", text)]
         )
     return AgentSettings(common, **values)
+
+
+def _check_store(
+    path: pathlib.Path, values: collections.abc.Mapping[str, typing.Any]
+) -> None:
+    if values["disk_bytes"] and not values["data_folder"]:
+        text = "missing; write the folder of the disk tier, or disk_bytes = 0"
+        raise ini.InvalidFileError(
+            [ini.Problem(str(path), SECTION, "data_folder", text)]
+        )
+    if not values["disk_bytes"] and not values["memory_bytes"]:
+        text = "a store needs memory_bytes, disk_bytes or both above 0"
+        raise ini.InvalidFileError(
+            [ini.Problem(str(path), SECTION, "memory_bytes", text)]
+        )
