--- a/src/cactusstile/console/check.py
+++ b/src/cactusstile/console/check.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import json as json_module
 import pathlib
 
 from cactusstile.console import exceptions
@@ -12,18 +12,18 @@
 from cactusstile.state import fleet_file
 
 
-def run(file: str, *, json_output: bool = False) -> None:
+def run(file: str, *, json: bool = False) -> None:
     """Checks FILE as a whole and lists all faults.
 
     Args:
       file: Fleet file, or settings file of a process.
-      json_output: Print the faults as JSON.
+      json: Print the faults as JSON.
     """
     path = pathlib.Path(str(file))
     try:
         summary = _check(path)
     except ini.InvalidFileError as error:
-        if not json_output:
+        if not json:
             raise
         problems = [
             {
@@ -34,13 +34,13 @@
             }
             for problem in error.problems
         ]
-        print(json.dumps({"valid": False, "problems": problems}))
+        print(json_module.dumps({"valid": False, "problems": problems}))
         raise exceptions.CommandError(
             f"{file} has {len(problems)} faults",
             exceptions.ExitCode.INVALID_FILE,
         ) from error
-    if json_output:
-        print(json.dumps({"valid": True, "problems": []}))
+    if json:
+        print(json_module.dumps({"valid": True, "problems": []}))
         return
     print(summary)
 
--- /dev/null
+++ b/tests/support/site_processes.py
@@ -0,0 +1,233 @@
+"""Starts the processes of a whole site, each from its own settings file."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+import attrs
+
+from cactusstile.state import keys
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+WORKSPACES = ("bank", "clinic")
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+HTTP_OK = 200
+
+
+def free_port() -> int:
+    """Returns a port that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@attrs.define
+class Site:
+    """A site of real processes.
+
+    Attributes:
+      folder: Folder of settings, logs and data.
+      keys: Callers' keys by workspace.
+      ports: Ports by what listens there.
+      processes: Running processes by name.
+    """
+
+    folder: pathlib.Path
+    keys: dict[str, str] = attrs.field(factory=dict)
+    ports: dict[str, int] = attrs.field(factory=dict)
+    processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+
+    def port(self, name: str) -> int:
+        """Returns the port of `name`, chosen at the first call."""
+        if name not in self.ports:
+            self.ports[name] = free_port()
+        return self.ports[name]
+
+    def write(self, name: str, text: str) -> pathlib.Path:
+        """Writes a file of the site."""
+        path = self.folder / name
+        path.write_text(text)
+        return path
+
+    def start(self, name: str, *command: str) -> None:
+        """Starts a Python module as process `name`."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(  # noqa: S603
+                [sys.executable, "-m", *command],
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+
+    def start_role(self, role: str, name: str, section: str) -> None:
+        """Writes a role's settings and starts it."""
+        text = self.settings(name) + section
+        path = self.write(f"{name}.ini", text)
+        self.start(name, "cactusstile", role, "--settings", str(path))
+
+    def settings(self, name: str) -> str:
+        """Returns the `[process]` section of a process."""
+        control = ", ".join(
+            f"127.0.0.1:{self.port(f'control-{number}')}"
+            for number in (1, 2, 3)
+        )
+        return (
+            f"[process]\nname = {name}\ndata_centre = ikeja\n"
+            f"listen = 127.0.0.1:{self.port(name)}\n"
+            f"admin_listen = 127.0.0.1:{self.port(name + '-admin')}\n"
+            f"control = {control}\n"
+            f"secret_file = {self.folder / 'fleet.secret'}\n"
+            f"operator_secret_file = {self.folder / 'operator.secret'}\n\n"
+        )
+
+    def run_command(self, *command: str) -> subprocess.CompletedProcess[str]:
+        """Runs a command of the command line to its end."""
+        return subprocess.run(  # noqa: S603
+            [sys.executable, "-m", "cactusstile", *command],
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+            check=False,
+            cwd=self.folder,
+        )
+
+    def stop(self, name: str) -> int:
+        """Asks a process to stop and returns its exit code."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(STOP_TIMEOUT_S)
+
+    def kill(self, name: str) -> None:
+        """Kills a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait(STOP_TIMEOUT_S)
+
+    def get(self, name: str, path: str) -> tuple[int, str]:
+        """Returns status and text of a process's admin page."""
+        url = f"http://127.0.0.1:{self.port(name + '-admin')}{path}"
+        try:
+            with urllib.request.urlopen(url, timeout=2) as answer:  # noqa: S310
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, ""
+        except OSError:
+            return 0, ""
+
+    def wait_ready(self, name: str) -> None:
+        """Returns once a process is ready.
+
+        Raises:
+          TimeoutError: With the end of its log, if it is not in time.
+        """
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        while self.get(name, "/readyz")[0] != HTTP_OK:
+            if time.monotonic() > deadline_s:
+                log = (self.folder / f"{name}.log").read_text()
+                raise TimeoutError(f"{name} is not ready: {log[-2000:]}")
+            time.sleep(0.05)
+
+    def close(self) -> None:
+        """Kills what still runs."""
+        for name in list(self.processes):
+            self.kill(name)
+
+
+def fleet_text(site: Site, revision: int = 1) -> str:
+    """Returns the site's fleet file."""
+    parts = [f"[fleet]\nname = test\nrevision = {revision}\n"]
+    for workspace in WORKSPACES:
+        if workspace not in site.keys:
+            site.keys[workspace] = keys.new_key()
+        hashed = keys.hash_key(site.keys[workspace])
+        parts.append(f"[workspace {workspace}]\nkey_hashes = {hashed}\n")
+    parts.append("[deployment chat]\nmodel = model\nversion = v1\n")
+    parts.append("[service inventory]\ntimeout_s = 5\n")
+    for name, kind, serves in (
+        ("engine-1", "engine", "serves = chat"),
+        ("engine-2", "engine", "serves = chat"),
+        ("service-1", "service", "serves = inventory"),
+        ("store-1", "store", ""),
+    ):
+        parts.append(
+            f"[target {name}]\nkind = {kind}\ndata_centre = ikeja\n"
+            f"agent = 127.0.0.1:{site.port(name)}\n{serves}\n"
+        )
+    return "\n".join(parts)
+
+
+@contextlib.contextmanager
+def open_site(
+    folder: pathlib.Path,
+) -> collections.abc.Iterator[Site]:
+    """Runs a whole site: control, entries, agents, targets, a store."""
+    site = Site(folder)
+    try:
+        site.write("fleet.secret", "fleet-secret-of-the-tests")
+        site.write("operator.secret", "operator-secret-of-tests")
+        _start_control(site)
+        for number in (1, 2):
+            name = f"entry-{number}"
+            port = site.port(f"{name}-callers")
+            section = f"[entry]\ncallers_listen = 127.0.0.1:{port}\n"
+            site.start_role("entry", name, section + "drain_delay_s = 0.1\n")
+        for name, kind in (
+            ("engine-1", "engine"),
+            ("engine-2", "engine"),
+            ("service-1", "service"),
+        ):
+            start_target(site, name, kind)
+        _start_store(site)
+        yield site
+    finally:
+        site.close()
+
+
+def start_target(site: Site, name: str, kind: str) -> None:
+    """Starts a stand-in and the agent beside it."""
+    port = site.port(f"{name}-target")
+    site.start(f"{name}-target", "tests.support.fake_target", kind, str(port))
+    start_agent(site, name, kind)
+
+
+def start_agent(site: Site, name: str, kind: str) -> None:
+    """Starts the agent beside a stand-in that runs already."""
+    port = site.port(f"{name}-target")
+    section = (
+        f"[agent]\nkind = {kind}\ntarget = {name}\n"
+        f"url = http://127.0.0.1:{port}\n"
+    )
+    site.start_role("agent", name, section)
+
+
+def _start_control(site: Site) -> None:
+    founders = ", ".join(
+        f"control-{number}=127.0.0.1:{site.port(f'control-{number}')}"
+        for number in (1, 2, 3)
+    )
+    for number in (1, 2, 3):
+        name = f"control-{number}"
+        data = site.folder / f"{name}-data"
+        section = f"[control]\ndata_folder = {data}\nfounders = {founders}\n"
+        site.start_role("control", name, section)
+
+
+def _start_store(site: Site) -> None:
+    section = (
+        "[agent]\nkind = store\ntarget = store-1\n"
+        f"data_folder = {site.folder / 'store-1-data'}\n"
+        "memory_bytes = 10000000\ndisk_bytes = 100000000\n"
+    )
+    site.start_role("agent", "store-1", section)
