Drain without cutting off what was just sent; run an entry by its file

Need: a graceful shutdown cuts off no request in flight; a busy port gives a clear error and exit code; an entry process follows the configuration.

Found: under 30 callers that ask again and again, the drain by uvicorn alone failed its new test (2 of 30 callers got ReadError): closing the listening socket resets connections that wait to be accepted, and uvicorn closes connections whose request is not read yet.

Run.digest is taken back, as the agents compute their own.

Not covered: a connection that completes its handshake between the last accept and the close (well under a millisecond) is still reset.

--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -103,8 +103,6 @@
       reservation: Number of a reservation; 0 without one.
       prefix_key: Key that places the prompt, see `routing.prefix`; empty
         when nothing of it is to be kept.
-      digest: Digest of the request's content; a caller's key that comes
-        again with another digest names another request and is refused.
     """
 
     request_key: str
@@ -122,7 +120,6 @@
     revision: int = 0
     reservation: int = 0
     prefix_key: bytes = b""
-    digest: bytes = b""
 
 
 @codec.register(103, _SCHEMA, "Attach")
@@ -130,10 +127,8 @@
 class Attach:
     """Resumes the stream of a run that the agent still knows.
 
-    The newest call of a run owns it: cancelling that call cancels the run,
-    while cancelling an older one, or losing the connection, leaves the run
-    to be attached to for a while. An entry that found a gap opens the attach
-    before it cancels the older call.
+    A run that no open call follows any more is cancelled after a moment. An
+    entry that found a gap opens the attach before it cancels the older call.
 
     Attributes:
       request_key: Key of the run.
@@ -211,7 +206,6 @@
       time_left_ms: Time until the caller's deadline; 0 means none.
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
-      digest: Digest of the request's content, see `Run`.
     """
 
     request_key: str
@@ -226,7 +220,6 @@
     time_left_ms: int = 0
     repeatable: bool = True
     revision: int = 0
-    digest: bytes = b""
 
 
 @codec.register(107, _SCHEMA, "ServiceReply")
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -44,7 +44,6 @@
   revision @12 :UInt64;
   reservation @13 :UInt64;
   prefixKey @14 :Data;
-  digest @15 :Data;
 }
 
 struct Attach {
@@ -86,7 +85,6 @@
   timeLeftMs @9 :UInt32;
   repeatable @10 :Bool;
   revision @11 :UInt64;
-  digest @12 :Data;
 }
 
 struct ServiceReply {
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -14,6 +14,7 @@
 
 from cactusstile.console import exceptions
 from cactusstile.entry import daemon
+from cactusstile.entry import node
 from cactusstile.observability import http_listener
 from cactusstile.observability import logs
 from cactusstile.settings import entry as entry_settings
@@ -27,31 +28,33 @@
 logger = logging.getLogger(__name__)
 
 
-def run_with(settings_file: str, open_parts: OpenParts) -> None:
-    """Runs an entry until a signal stops it.
+def run(settings: str) -> None:
+    """Runs an entry process until a signal stops it.
 
     Args:
-      settings_file: Path of the entry's INI file.
-      open_parts: Opens what the entry is given, such as its configuration.
+      settings: Path of the settings file.
 
     Raises:
       InvalidFileError: If the settings have faults.
       CommandError: If an address cannot be bound, or requests were cut off.
     """
-    settings = entry_settings.load(pathlib.Path(settings_file))
-    logs.configure("entry", settings.process.name, settings.log_level)
+    loaded = entry_settings.load(pathlib.Path(settings))
+    logs.configure("entry", loaded.process.name, loaded.log_level)
     try:
-        anyio.run(serve, settings, open_parts)
+        anyio.run(serve, loaded, node.open_node)
     except* http_listener.CannotListenError as errors:
-        cause = next(flatten(errors))
-        busy = getattr(cause, "errno", None) == errno.EADDRINUSE
-        advice = "stop its owner or set another address" if busy else ""
-        raise exceptions.CommandError(
-            f"{getattr(cause, 'strerror', cause)}; {advice}".rstrip("; "),
-            exceptions.ExitCode.ADDRESS_IN_USE
-            if busy
-            else exceptions.ExitCode.FAILED,
-        ) from None
+        raise _report_address(next(_flatten(errors))) from None
+
+
+def _report_address(cause: BaseException) -> exceptions.CommandError:
+    if getattr(cause, "errno", None) == errno.EADDRINUSE:
+        advice = "stop its owner or set another address"
+        code = exceptions.ExitCode.ADDRESS_IN_USE
+    else:
+        advice = "check the address in the settings"
+        code = exceptions.ExitCode.FAILED
+    text = getattr(cause, "strerror", str(cause))
+    return exceptions.CommandError(f"{text}; {advice}", code)
 
 
 async def serve(
@@ -95,12 +98,12 @@
         )
 
 
-def flatten(
+def _flatten(
     group: BaseExceptionGroup[typing.Any],
 ) -> collections.abc.Iterator[BaseException]:
     """Yields the errors inside a group and its nested groups."""
     for error in group.exceptions:
         if isinstance(error, BaseExceptionGroup):
-            yield from flatten(error)
+            yield from _flatten(error)
             continue
         yield error
--- a/src/cactusstile/entry/attempts.py
+++ b/src/cactusstile/entry/attempts.py
@@ -257,7 +257,6 @@
         revision=revision,
         reservation=placed.reservation,
         prefix_key=call.prefix_key,
-        digest=call.digest,
     )
 
 
@@ -277,5 +276,4 @@
         time_left_ms=calls.time_left_ms(request.deadline_s),
         repeatable=request.repeatable,
         revision=revision,
-        digest=request.digest,
     )
--- a/src/cactusstile/entry/calls.py
+++ b/src/cactusstile/entry/calls.py
@@ -25,7 +25,6 @@
       priority: Larger first.
       deadline_s: Deadline on the loop's clock; infinite without one.
       repeatable: Whether the request may run more than once.
-      digest: Digest of the request's content.
     """
 
     request_key: str
@@ -38,7 +37,6 @@
     priority: int = 0
     deadline_s: float = math.inf
     repeatable: bool = True
-    digest: bytes = b""
 
 
 @attrs.frozen
@@ -57,7 +55,6 @@
       priority: Larger first.
       deadline_s: Deadline on the loop's clock; infinite without one.
       repeatable: Whether the request may run more than once.
-      digest: Digest of the request's content.
     """
 
     request_key: str
@@ -71,7 +68,6 @@
     priority: int = 0
     deadline_s: float = math.inf
     repeatable: bool = False
-    digest: bytes = b""
 
 
 def time_left_ms(deadline_s: float) -> int:
--- a/src/cactusstile/entry/completions.py
+++ b/src/cactusstile/entry/completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import secrets
 import time
@@ -36,7 +35,6 @@
     Tokenize = collections.abc.Callable[[str], list[int]]
 
 _IDENTITY_BYTES = 12
-_DIGEST_BYTES = 16
 
 
 @attrs.frozen
@@ -125,7 +123,6 @@
         priority=passing.priority,
         deadline_s=passing.deadline_s,
         repeatable=passing.repeatable is not False,
-        digest=_digest(named, prompt, request.max_tokens),
     )
 
 
@@ -149,14 +146,6 @@
     return prompt
 
 
-def _digest(
-    named: models.ModelName, prompt: tuple[int, ...], max_tokens: int
-) -> bytes:
-    content = json.dumps([named.deployment, named.adapter, max_tokens, prompt])
-    digest = hashlib.blake2b(content.encode(), digest_size=_DIGEST_BYTES)
-    return digest.digest()
-
-
 def build_models_handler(fleet: holder.FleetHolder) -> chain.Handler:
     """Returns the handler that lists the caller's models."""
 
--- a/src/cactusstile/entry/services.py
+++ b/src/cactusstile/entry/services.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import typing
 
 from cactusstile import verdict
@@ -20,7 +19,6 @@
 PATH_PREFIX = "/services/"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 MAX_HEADERS = 100
-_DIGEST_BYTES = 16
 _HOP_BY_HOP = (
     "connection",
     "content-length",
@@ -100,7 +98,6 @@
         priority=passing.priority,
         deadline_s=passing.deadline_s,
         repeatable=repeatable,
-        digest=_digest(method, full_path, passing.body),
     )
 
 
@@ -118,11 +115,3 @@
             verdict.Reason.TOO_LARGE, f"more than {MAX_HEADERS} headers"
         )
     return tuple(selected)
-
-
-def _digest(method: str, path: str, body: bytes) -> bytes:
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (method.encode(), path.encode(), body):
-        digest.update(len(part).to_bytes(8, "little"))
-        digest.update(part)
-    return digest.digest()
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -21,6 +21,8 @@
 MAX_HEADER_BYTES = 32 * 1024
 SEND_BUFFER_BYTES = 256 * 1024
 CUT_OFF_TIMEOUT_S = 1.0
+ACCEPT_LINGER_S = 0.1
+REQUEST_LINGER_S = 0.5
 
 
 class CannotListenError(OSError):
@@ -43,10 +45,14 @@
       bound: Address it listens on, with the port that was chosen.
     """
 
-    def __init__(self, bound: address.Address, server: uvicorn.Server) -> None:
+    def __init__(
+        self, bound_socket: socket.socket, server: uvicorn.Server
+    ) -> None:
         """Wraps a server that runs in a task; see `open_listener`."""
-        self.bound = bound
+        host, port = bound_socket.getsockname()[:2]
+        self.bound = address.Address(host, port)
         self.stopped = anyio.Event()
+        self._socket = bound_socket
         self._server = server
 
     def open_connections(self) -> int:
@@ -54,14 +60,25 @@
         return len(self._server.server_state.connections)
 
     async def drain(self) -> None:
-        """Accepts no more, lets open exchanges finish, then returns."""
+        """Accepts no more, lets open exchanges finish, then returns.
+
+        Connections that wait to be accepted would be reset by closing the
+        socket, and requests just sent by closing their connections. So the
+        queue is shut and emptied first, and what was accepted has a moment
+        to send its request.
+        """
+        self._socket.listen(0)
+        await anyio.sleep(ACCEPT_LINGER_S)
+        for listening in self._server.servers:
+            listening.close()
+        await anyio.sleep(REQUEST_LINGER_S)
         self._server.should_exit = True
         await self.stopped.wait()
 
-    async def serve(self, bound_socket: socket.socket) -> None:
+    async def serve(self) -> None:
         """Serves until drained or cancelled."""
         try:
-            await self._server.serve([bound_socket])
+            await self._server.serve([self._socket])
         finally:
             self.stopped.set()
 
@@ -78,7 +95,6 @@
       CannotListenError: If the address cannot be bound.
     """
     bound_socket = _bind(listen)
-    port = bound_socket.getsockname()[1]
     config = uvicorn.Config(
         app,
         lifespan="off",
@@ -92,9 +108,9 @@
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
     )
     server = _EmbeddedServer(config)
-    listener = HttpListener(address.Address(listen.host, port), server)
+    listener = HttpListener(bound_socket, server)
     async with anyio.create_task_group() as group:
-        group.start_soon(listener.serve, bound_socket)
+        group.start_soon(listener.serve)
         try:
             yield listener
         finally:
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -26,17 +26,12 @@
 
 
 @attrs.define
-class Site:
-    """An entry with agents, and a caller's view of it."""
+class Caller:
+    """A caller of an entry."""
 
-    agents: list[scripted_agent.ScriptedAgent]
-    entry: daemon.Entry
+    url: str
     http: httpcore.AsyncConnectionPool
 
-    @property
-    def url(self) -> str:
-        return f"http://{self.entry.callers_address()}"
-
     async def request(
         self,
         path: str,
@@ -83,6 +78,14 @@
         return [event.removeprefix("data: ") for event in events]
 
 
+@attrs.define
+class Site(Caller):
+    """An entry with agents, and a caller's view of it."""
+
+    agents: list[scripted_agent.ScriptedAgent]
+    entry: daemon.Entry
+
+
 def header(response: httpcore.Response, name: str) -> str | None:
     for found, value in response.headers:
         if found.decode().lower() == name:
@@ -173,4 +176,4 @@
         http = await stack.enter_async_context(
             httpcore.AsyncConnectionPool(max_connections=200)
         )
-        yield Site(agents, entry, http)
+        yield Site(f"http://{entry.callers_address()}", http, agents, entry)
--- /dev/null
+++ b/tests/entry/test_drain.py
@@ -0,0 +1,155 @@
+"""Graceful shutdown: no request in flight is cut off."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+
+import anyio
+import httpcore
+import pytest
+from tests.entry import support
+
+from cactusstile.console import application
+from cactusstile.console import entry as console_entry
+from cactusstile.console import exceptions
+from cactusstile.entry import daemon
+from cactusstile.fakes import scripted_agent
+from cactusstile.state import holder
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_drain_cuts_off_no_request_under_load() -> None:
+    agent = scripted_agent.ScriptedAgent(pace_s=0.02)
+    finished: list[str] = []
+    refused: list[Exception] = []
+    async with support.open_site([agent], drain_delay_s=0.3) as site:
+
+        async def ask_again_and_again() -> None:
+            with anyio.move_on_after(3):
+                while True:
+                    try:
+                        events = await site.stream(60)
+                    except httpcore.ConnectError as error:
+                        refused.append(error)
+                        return
+                    assert events[-1] == "[DONE]"
+                    finished.append(support.text_of(events))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(30):
+                group.start_soon(ask_again_and_again)
+            await anyio.sleep(0.2)
+            await site.entry.drain()
+        assert site.entry.listener.open_connections() == 0
+    assert len(refused) == 30
+    assert len(finished) >= 60
+    assert set(finished) == {support.expected_text(60)}
+
+
+async def test_readiness_ends_at_once_and_connections_close(
+    site: support.Site,
+) -> None:
+    async with anyio.create_task_group() as group:
+        group.start_soon(site.entry.drain)
+        await anyio.sleep(0.02)
+        ready = await site.http.request("GET", f"{site.url}/readyz")
+        live = await site.http.request("GET", f"{site.url}/livez")
+        late = await site.complete()
+    assert (ready.status, live.status, late.status) == (503, 200, 200)
+    assert support.header(late, "connection") == "close"
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+async def test_sigterm_finishes_streams_and_a_second_cuts_them(
+    signals: int,
+) -> None:
+    agent = scripted_agent.ScriptedAgent(pace_s=0.05)
+    listen = address.Address("127.0.0.1", _free_port())
+    settings = support.settings(callers_listen=listen, drain_delay_s=0.0)
+    events: list[str] = []
+
+    @contextlib.asynccontextmanager
+    async def open_parts(_: object):  # type: ignore[no-untyped-def]
+        identity = handshake.Identity("entry", "e")
+        async with (
+            scripted_agent.open_agent(agent, support.SECRETS),
+            pool.open_pool(identity, support.SECRETS) as peers,
+        ):
+            fleet = holder.FleetHolder()
+            fleet.advance(support.build_fleet([agent]))
+            fleet.confirmed.set()
+            yield daemon.Parts(fleet, peers, support.KEYS.get)
+
+    async def ask() -> None:
+        async with httpcore.AsyncConnectionPool() as http:
+            entry = support.Caller(f"http://{listen}", http)
+            with contextlib.suppress(httpcore.RemoteProtocolError):
+                events.extend(await entry.stream(40))
+
+    async def interrupt() -> None:
+        await anyio.sleep(0.3)
+        os.kill(os.getpid(), signal.SIGTERM)
+        if signals > 1:
+            await anyio.sleep(0.1)
+            os.kill(os.getpid(), signal.SIGTERM)
+
+    failure: BaseException | None = None
+    with anyio.fail_after(10):
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(console_entry.serve, settings, open_parts)
+                await anyio.sleep(0.1)
+                group.start_soon(ask)
+                group.start_soon(interrupt)
+        except* exceptions.CommandError as errors:
+            failure = errors
+    assert (failure is not None) == (signals > 1)
+    assert ("[DONE]" in events) == (signals == 1)
+
+
+def _write_settings(folder: pathlib.Path, callers: str) -> str:
+    (folder / "secret").write_text("s" * 20)
+    file = folder / "entry.ini"
+    file.write_text(
+        "[process]\nname = e\ndata_centre = ikeja\nlisten = 127.0.0.1:0\n"
+        f"control = 127.0.0.1:1\nsecret_file = {folder / 'secret'}\n"
+        f"[entry]\ncallers_listen = {callers}\n"
+    )
+    return str(file)
+
+
+def test_busy_port_is_reported_with_its_exit_code(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.socket() as owner:
+        owner.bind(("127.0.0.1", 0))
+        owner.listen()
+        busy = f"127.0.0.1:{owner.getsockname()[1]}"
+        code = application.run(["entry", _write_settings(tmp_path, busy)])
+    assert code == exceptions.ExitCode.ADDRESS_IN_USE
+    assert f"cannot listen on {busy}" in capsys.readouterr().err
+
+
+def test_bad_settings_are_reported_all_at_once(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = _write_settings(tmp_path, "localhost:80\nretry_share = 2\nx = 1")
+    code = application.run(["entry", path])
+    shown = capsys.readouterr().err
+    assert code == exceptions.ExitCode.INVALID_FILE
+    for option in ("callers_listen", "retry_share", "x: unknown option"):
+        assert option in shown
