--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -119,7 +119,7 @@
         """Returns status and text of a process's admin page."""
         url = f"http://127.0.0.1:{self.port(name + '-admin')}{path}"
         try:
-            with urllib.request.urlopen(url, timeout=2) as answer:  # noqa: S310
+            with urllib.request.urlopen(url, timeout=2) as answer:
                 return answer.status, answer.read().decode()
         except urllib.error.HTTPError as error:
             return error.code, ""
