--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -82,37 +82,44 @@
     """
     common = settings.process
     identity = handshake.Identity("agent", common.name)
-    bounds = shelf.Bounds(settings.memory_bytes, settings.disk_bytes)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
             follower.open_follower(common, identity)
         )
         store = await stack.enter_async_context(
-            store_daemon.open_store(
-                store_daemon.Settings(
-                    settings.target,
-                    common.listen,
-                    common.secrets,
-                    pathlib.Path(settings.data_folder),
-                    bounds,
-                )
-            )
+            store_daemon.open_store(_store_settings(settings))
         )
-
-        def free_removed(old: model.Fleet, new: model.Fleet) -> None:
-            for name in old.workspaces.keys() - new.workspaces.keys():
-                message = store_messages.Free(name)
-                store_daemon.free_matching(store.kept, message)
-
-        def dump() -> StoreState:
-            return StoreState(len(store.kept.records), follower.dump(following))
-
-        held = following.fleet_holder
-        held.observe(free_removed)
+        following.fleet_holder.observe(_free_removed_workspaces(store))
         application = admin.build(
-            [prometheus_client.REGISTRY], held.confirmed.is_set, dump
+            [prometheus_client.REGISTRY],
+            following.fleet_holder.confirmed.is_set,
+            lambda: StoreState(
+                len(store.kept.records), follower.dump(following)
+            ),
         )
         await stack.enter_async_context(
             http_listener.open_listener(application, common.admin_listen)
         )
         yield store
+
+
+def _store_settings(
+    settings: agent_settings.AgentSettings,
+) -> store_daemon.Settings:
+    return store_daemon.Settings(
+        settings.target,
+        settings.process.listen,
+        settings.process.secrets,
+        pathlib.Path(settings.data_folder),
+        shelf.Bounds(settings.memory_bytes, settings.disk_bytes),
+    )
+
+
+def _free_removed_workspaces(
+    store: store_daemon.Store,
+) -> collections.abc.Callable[[model.Fleet, model.Fleet], None]:
+    def free(old: model.Fleet, new: model.Fleet) -> None:
+        for name in old.workspaces.keys() - new.workspaces.keys():
+            store_daemon.free_matching(store.kept, store_messages.Free(name))
+
+    return free
--- a/src/cactusstile/console/local.py
+++ b/src/cactusstile/console/local.py
@@ -51,20 +51,24 @@
     keys = _read_keys(path.with_name(KEYS_FILE))
     with contextlib.ExitStack() as stack:
         folder = data or stack.enter_context(tempfile.TemporaryDirectory())
-        try:
-            settings = local_site.LocalSettings(
-                declared,
-                pathlib.Path(folder),
-                address.parse(listen),
-                address.parse(admin),
-            )
-        except ValueError as error:
-            raise exceptions.CommandError(
-                str(error), exceptions.ExitCode.USAGE
-            ) from error
+        settings = local_site.LocalSettings(
+            declared,
+            pathlib.Path(folder),
+            _parse_address(listen),
+            _parse_address(admin),
+        )
         anyio.run(_serve, settings, keys, demo, stay)
 
 
+def _parse_address(text: str) -> address.Address:
+    try:
+        return address.parse(text)
+    except ValueError as error:
+        raise exceptions.CommandError(
+            str(error), exceptions.ExitCode.USAGE
+        ) from error
+
+
 async def _serve(
     settings: local_site.LocalSettings,
     keys: dict[str, str],
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -97,12 +97,7 @@
         relay_address = None
         if serves_children:
             opened = await stack.enter_async_context(
-                server.open_server(
-                    settings.listen,
-                    identity,
-                    settings.secrets,
-                    _build_handlers(own),
-                )
+                _open_relay(settings, identity, own)
             )
             relay_address = opened.bound
         peers = await stack.enter_async_context(
@@ -118,8 +113,15 @@
         yield Follower(held, peers, control, own, subscriber)
 
 
-def _build_handlers(own: relay.Relay) -> incoming.Handlers:
-    return incoming.Handlers(
+def _open_relay(
+    settings: process.ProcessSettings,
+    identity: handshake.Identity,
+    own: relay.Relay,
+) -> contextlib.AbstractAsyncContextManager[server.Server]:
+    handlers = incoming.Handlers(
         calls={feed_messages.Subscribe: own.serve},
         notices={feed_messages.FeedReport: own.take_report},
     )
+    return server.open_server(
+        settings.listen, identity, settings.secrets, handlers
+    )
