--- /dev/null
+++ b/src/cactusstile/settings/reference.py
@@ -0,0 +1,90 @@
+"""Reference of all options, rendered from their declarations."""
+
+from __future__ import annotations
+
+import typing
+
+from cactusstile.settings import ini
+from cactusstile.settings import process
+from cactusstile.settings import roles
+from cactusstile.state import fleet_file
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+_PROBE = "?"
+_INTRODUCTION = """# Configuration
+
+Two kinds of INI file: settings of one process, and the fleet file that
+operators apply as a whole. Both are checked whole: `cactusstile check FILE`
+lists all faults at once. This page is rendered from the declarations by
+`python -m cactusstile.settings.reference`.
+"""
+
+
+def render() -> str:
+    """Returns the page docs/CONFIGURATION.md."""
+    parts = [_INTRODUCTION, "## Settings of a process\n"]
+    parts.append(_render_section("[process]", process.OPTIONS))
+    for role, options in roles.OPTIONS.items():
+        parts.append(_render_section(f"[{role}]", options))
+    parts.append("## Fleet file\n")
+    parts.append(_render_section("[fleet]", fleet_file.FLEET))
+    for kind, options in fleet_file.SECTIONS.items():
+        names = "A B" if kind == "link" else "NAME"
+        parts.append(_render_section(f"[{kind} {names}]", options))
+    return "\n".join(parts)
+
+
+def accepts(option: ini.Option) -> str:
+    """Returns what an option accepts, as its parser says it.
+
+    >>> accepts(ini.Option("size", ini.integer(1, 9), ""))
+    'a whole number from 1 to 9'
+    """
+    if option.name.endswith("_file"):
+        return "the path of a file"
+    try:
+        option.parse(_PROBE)
+    except ValueError as error:
+        text = str(error)
+        for prefix in (
+            f"{_PROBE!r} is not ",
+            f"{_PROBE!r} is none of: ",
+            "not ",
+        ):
+            text = text.removeprefix(prefix)
+        return text.replace("|", "\\|")
+    return "text"
+
+
+def _render_section(
+    title: str, options: collections.abc.Sequence[ini.Option]
+) -> str:
+    lines = [
+        f"### `{title}`",
+        "",
+        "| option | default | accepts | meaning |",
+        "|---|---|---|---|",
+    ]
+    for option in options:
+        default = _render_default(option.default)
+        meaning = option.doc[:1].upper() + option.doc[1:].rstrip(".")
+        lines.append(
+            f"| `{option.name}` | {default} | {accepts(option)} | {meaning}. |"
+        )
+    return "\n".join([*lines, ""])
+
+
+def _render_default(default: object) -> str:
+    if default is ini.REQUIRED:
+        return "required"
+    if isinstance(default, bool):
+        return "`yes`" if default else "`no`"
+    if isinstance(default, tuple):
+        return f"`{', '.join(default)}`" if default else "none"
+    return f"`{default}`" if default not in ("", b"") else "none"
+
+
+if __name__ == "__main__":
+    print(render(), end="")
