Arrange targets once for each fleet

Cause: each request built members for and scored every target of its deployment. Change: an index holds a two-level table for each deployment; candidates are chosen among the first 16 homes; stores are found from the same table, so that entry and agent agree on a prompt's first home. Ruled out: ranking the 16 anew by flat scores, which gives another first home than the one that decides the store.

--- a/src/cactusstile/routing/candidates.py
+++ b/src/cactusstile/routing/candidates.py
@@ -22,18 +22,36 @@
     count: int = MAX_CANDIDATES,
     load_factor: float = LOAD_FACTOR,
     near: str = "",
+) -> list[rendezvous.Member]:
+    """Returns the targets to probe among all members; see `select_ranked`."""
+    return select_ranked(
+        rendezvous.rank(key, members),
+        loads,
+        count=count,
+        load_factor=load_factor,
+        near=near,
+    )
+
+
+def select_ranked(
+    homes: collections.abc.Sequence[rendezvous.Member],
+    loads: collections.abc.Mapping[str, float],
+    *,
+    count: int = MAX_CANDIDATES,
+    load_factor: float = LOAD_FACTOR,
+    near: str = "",
 ) -> list[rendezvous.Member]:
     """Returns the targets to probe, the first home first.
 
-    Walks the homes of `key` and passes over members whose load has reached
+    Walks the homes and passes over members whose load has reached
     `load_factor` times the mean. They fill up the list only when too few
     others are left, least loaded first. When no chosen member lies in the
     data centre `near`, the last place goes to the best home there, since it
     can import the prompt's kept blocks without using a limited link.
 
     Args:
-      key: Key of the prompt, see `prefix.prefix_key`.
-      members: Live targets that serve the deployment.
+      homes: Live targets that serve the deployment, in the order in which
+        they are homes of the prompt's key.
       loads: Work that this process has under way, by target name; targets
         that are not named have none. Any unit that adds up.
       count: Length of the list, at least 1.
@@ -43,7 +61,6 @@
     Returns:
       At most `count` different members; empty only without live members.
     """
-    homes = rendezvous.rank(key, members)
     bound = load_bound(homes, loads, load_factor)
     free = [home for home in homes if loads.get(home.name, 0) < bound]
     chosen = free[:count]
--- /dev/null
+++ b/src/cactusstile/routing/fleet_index.py
@@ -0,0 +1,104 @@
+"""Homes of prompts over the fleet in force, arranged once for each fleet."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from cactusstile.routing import rendezvous
+from cactusstile.routing import table
+from cactusstile.state import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+NEIGHBOURHOOD = 16
+
+
+@attrs.frozen
+class _Group:
+    """Targets of one deployment or service, or all stores."""
+
+    targets: dict[str, model.Target]
+    homes: table.Table
+
+
+class FleetIndex:
+    """Finds the homes of a prompt; every process finds the same."""
+
+    def __init__(
+        self, find_fleet: collections.abc.Callable[[], model.Fleet]
+    ) -> None:
+        """Follows the fleet that `find_fleet` returns."""
+        self._find_fleet = find_fleet
+        self._fleet = model.Fleet()
+        self._groups: dict[str, _Group] = {}
+        self._stores = _arrange([])
+
+    def targets(self, serves: str) -> list[model.Target]:
+        """Returns all targets of a deployment or service."""
+        self._refresh()
+        group = self._groups.get(serves)
+        return list(group.targets.values()) if group else []
+
+    def homes(
+        self,
+        serves: str,
+        key: bytes,
+        excluded: collections.abc.Collection[str] = (),
+        count: int = NEIGHBOURHOOD,
+    ) -> list[model.Target]:
+        """Returns the first homes of a key, none of the excluded.
+
+        Args:
+          serves: Deployment or service.
+          key: Key of the prompt, see `prefix.prefix_key`.
+          excluded: Names of targets that are left out.
+          count: Bound on the result's length.
+        """
+        self._refresh()
+        group = self._groups.get(serves)
+        if group is None:
+            return []
+        ranked = group.homes.first(key, count + len(excluded))
+        left = [home.name for home in ranked if home.name not in excluded]
+        return [group.targets[name] for name in left[:count]]
+
+    def stores(self, serves: str, key: bytes) -> list[model.Target]:
+        """Returns the stores of a prompt, best first.
+
+        Those in the data centre of the prompt's first home go first, so that
+        most transfers use no limited link.
+        """
+        first = self.homes(serves, key, count=1)
+        ranked = self._stores.homes.first(key, NEIGHBOURHOOD)
+        found = [self._stores.targets[store.name] for store in ranked]
+        if first:
+            near = first[0].data_centre
+            found.sort(key=lambda store: store.data_centre != near)
+        return found
+
+    def _refresh(self) -> None:
+        fleet = self._find_fleet()
+        if fleet is self._fleet:
+            return
+        by_served: dict[str, list[model.Target]] = {}
+        for target in fleet.targets.values():
+            if target.kind is not model.TargetKind.STORE:
+                by_served.setdefault(target.serves, []).append(target)
+        self._groups = {
+            serves: _arrange(targets) for serves, targets in by_served.items()
+        }
+        self._stores = _arrange(fleet.stores())
+        self._fleet = fleet
+
+
+def to_member(target: model.Target) -> rendezvous.Member:
+    """Returns the member that stands for a target."""
+    return rendezvous.Member(target.name, target.data_centre)
+
+
+def _arrange(targets: collections.abc.Sequence[model.Target]) -> _Group:
+    by_name = {target.name: target for target in targets}
+    return _Group(by_name, table.Table(map(to_member, targets)))
--- /dev/null
+++ b/tests/routing/test_fleet_index.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import attrs
+
+from cactusstile.routing import fleet_index
+from cactusstile.state import model
+from cactusstile.transport import address
+
+KEYS = [number.to_bytes(16, "little") for number in range(100)]
+
+
+def _target(name: str, kind: model.TargetKind, centre: str) -> model.Target:
+    serves = "" if kind is model.TargetKind.STORE else "chat"
+    agent = address.Address("127.0.0.1", 1)
+    return model.Target(name, kind, agent, centre, serves)
+
+
+def _build_fleet() -> model.Fleet:
+    engines = [
+        _target(f"engine-{number}", model.TargetKind.ENGINE, f"dc{number % 3}")
+        for number in range(30)
+    ]
+    stores = [
+        _target(f"store-{number}", model.TargetKind.STORE, f"dc{number}")
+        for number in range(3)
+    ]
+    targets = {target.name: target for target in engines + stores}
+    return model.Fleet(revision=1, targets=targets)
+
+
+def test_homes_leaves_out_excluded_targets() -> None:
+    fleet = _build_fleet()
+    index = fleet_index.FleetIndex(lambda: fleet)
+    for key in KEYS:
+        homes = index.homes("chat", key)
+        assert len(homes) == fleet_index.NEIGHBOURHOOD
+        rest = index.homes("chat", key, excluded={homes[0].name})
+        assert rest[: len(homes) - 1] == homes[1:]
+    assert index.homes("unknown", KEYS[0]) == []
+
+
+def test_stores_begins_in_data_centre_of_first_home() -> None:
+    fleet = _build_fleet()
+    index = fleet_index.FleetIndex(lambda: fleet)
+    for key in KEYS:
+        home = index.homes("chat", key)[0]
+        stores = index.stores("chat", key)
+        assert stores[0].data_centre == home.data_centre
+        assert len(stores) == 3
+
+
+def test_index_follows_change_of_fleet() -> None:
+    held = [_build_fleet()]
+    index = fleet_index.FleetIndex(lambda: held[0])
+    gone = index.homes("chat", KEYS[0])[0].name
+    left = {
+        name: target for name, target in held[0].targets.items() if name != gone
+    }
+    held[0] = attrs.evolve(held[0], targets=left, revision=2)
+    names = [home.name for home in index.homes("chat", KEYS[0])]
+    assert gone not in names
+    assert len(index.targets("chat")) == 29
