--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -53,7 +53,7 @@
     state: states.State, term: int, *, pre_vote: bool, transfer: bool
 ) -> None:
     """Asks all other voters; a real vote only once the own one is synced."""
-    for voter in state.configuration.voters():
+    for voter in state.configuration.voter_ids:
         if voter == state.member_id:
             continue
         request = messages.VoteRequest(
@@ -140,7 +140,7 @@
 
 def _count_votes(state: states.State) -> None:
     """Moves on once a majority of the voters has granted."""
-    voters = state.configuration.voters()
+    voters = state.configuration.voter_ids
     count = 0
     for voter in voters:
         if voter in state.votes:
--- a/src/cactusstile/consensus/leadership.py
+++ b/src/cactusstile/consensus/leadership.py
@@ -16,7 +16,7 @@
     """Returns when the last heartbeat was sent that a quorum has answered."""
     leading = _get_leading(state)
     times = []
-    for voter in state.configuration.voters():
+    for voter in state.configuration.voter_ids:
         progress = leading.progress.get(voter)
         times.append(progress.acked_sent_at if progress else state.now)
     times.sort(reverse=True)
@@ -27,7 +27,7 @@
     """Returns the last heartbeat round that a quorum has answered."""
     leading = _get_leading(state)
     rounds = []
-    for voter in state.configuration.voters():
+    for voter in state.configuration.voter_ids:
         progress = leading.progress.get(voter)
         rounds.append(progress.acked_round if progress else leading.round)
     rounds.sort(reverse=True)
@@ -148,7 +148,7 @@
     if leading is None or not serves(state):
         raise exceptions.NotLeaderError(leader_hint(state))
     target = ""
-    for voter in state.configuration.voters():
+    for voter in state.configuration.voter_ids:
         progress = leading.progress.get(voter)
         if progress is None or not is_active(state, voter):
             continue
--- a/src/cactusstile/consensus/membership.py
+++ b/src/cactusstile/consensus/membership.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 
 import attrs
@@ -32,7 +33,7 @@
     address: str
     voter: bool = True
 
-    @property
+    @functools.cached_property
     def id(self) -> str:
         """Name and incarnation; never used twice."""
         return member_id(self.name, self.incarnation)
@@ -53,20 +54,23 @@
 
     members: tuple[Member, ...] = ()
 
+    @functools.cached_property
+    def by_id(self) -> dict[str, Member]:
+        """All members by identity."""
+        return {member.id: member for member in self.members}
+
+    @functools.cached_property
+    def voter_ids(self) -> tuple[str, ...]:
+        """Identities of all voters."""
+        return tuple(member.id for member in self.members if member.voter)
+
     def find(self, identity: str) -> Member | None:
         """Returns the member with this identity, if any."""
-        for member in self.members:
-            if member.id == identity:
-                return member
-        return None
-
-    def voters(self) -> list[str]:
-        """Returns the identities of all voters."""
-        return [member.id for member in self.members if member.voter]
+        return self.by_id.get(identity)
 
     def quorum(self) -> int:
         """Returns the number of voters that makes a majority."""
-        return len(self.voters()) // 2 + 1
+        return len(self.voter_ids) // 2 + 1
 
 
 @attrs.frozen
@@ -128,7 +132,7 @@
             members.remove(_get(configuration, change.lost_member_id))
         members.append(_new_learner(members, change))
     changed = Configuration(tuple(members))
-    if not changed.voters():
+    if not changed.voter_ids:
         raise exceptions.MembershipError("the last voter cannot be removed")
     return changed
 
--- a/src/cactusstile/consensus/replication.py
+++ b/src/cactusstile/consensus/replication.py
@@ -212,7 +212,7 @@
     if leading is None:
         return
     synced = []
-    for voter in state.configuration.voters():
+    for voter in state.configuration.voter_ids:
         progress = leading.progress.get(voter)
         synced.append(progress.match_index if progress else state.synced_index)
     synced.sort(reverse=True)
--- a/src/cactusstile/consensus/state.py
+++ b/src/cactusstile/consensus/state.py
@@ -193,7 +193,7 @@
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts in quorums."""
-        return self.member_id in self.configuration.voters()
+        return self.member_id in self.configuration.voter_ids
 
     def configuration_at(self, index: int) -> membership.Configuration:
         """Returns the members as of a log index that is still held."""
--- /dev/null
+++ b/tests/consensus/simulation.py
@@ -0,0 +1,432 @@
+"""Replica cores over a fake network, fake disks and skewed clocks."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from cactusstile.consensus import core
+from cactusstile.consensus import effects
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import leadership
+from cactusstile.consensus import membership
+from cactusstile.consensus import messages
+from cactusstile.consensus import repair
+from cactusstile.consensus import state as states
+
+STEP_S = 0.01
+CHUNK_BYTES = 64
+SETTINGS = states.CoreSettings(
+    heartbeat_interval_s=0.05,
+    election_timeout_s=0.3,
+    max_clock_drift=0.02,
+    max_append_bytes=200,
+    max_inflight_appends=3,
+)
+
+
+@attrs.define
+class Disk:
+    """What survives a crash."""
+
+    incarnation: int
+    group: str = ""
+    term: int = 0
+    vote: str = ""
+    snapshot: effects.InstallSnapshot | None = None
+    entries: list[messages.Entry] = attrs.field(factory=list)
+
+    def write(self, write: effects.Write) -> None:
+        if isinstance(write, effects.SaveMetadata):
+            self.group = write.group
+            self.term = write.term
+            self.vote = write.vote
+        elif isinstance(write, effects.AppendEntries):
+            first = write.entries[0].index
+            self.entries = [one for one in self.entries if one.index < first]
+            self.entries += write.entries
+        else:
+            self.snapshot = write
+            self.entries = []
+
+    def recover(self) -> core.Recovered:
+        snapshot = self.snapshot
+        if snapshot is None:
+            return core.Recovered(self.group, self.term, self.vote)
+        later = [one for one in self.entries if one.index > snapshot.index]
+        return core.Recovered(
+            group=self.group,
+            term=self.term,
+            vote=self.vote,
+            snapshot_index=snapshot.index,
+            snapshot_term=snapshot.term,
+            configuration=membership.decode(snapshot.configuration),
+            entries=tuple(later),
+        )
+
+
+@attrs.define
+class Node:
+    """One replica: its disk, its volatile core and its clock."""
+
+    name: str
+    disk: Disk
+    rate: float
+    state: states.State | None = None
+    pending: list[effects.Write | effects.Send] = attrs.field(factory=list)
+    applied: int = 0
+    frozen: bool = False
+    inbox: list[tuple[str, messages.GroupMessage]] = attrs.field(factory=list)
+
+    @property
+    def id(self) -> str:
+        return membership.member_id(self.name, self.disk.incarnation)
+
+
+@attrs.define
+class Simulation:
+    """All replicas; every event is checked against the safety properties."""
+
+    random: random.Random
+    loss: float = 0.0
+    max_delay_s: float = 0.02
+    sync_chance: float = 0.5
+    now: float = 0.0
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    flying: list[tuple[float, str, str, messages.GroupMessage]] = attrs.field(
+        factory=list
+    )
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+    incarnations: int = 0
+    leaders: dict[int, str] = attrs.field(factory=dict)
+    committed: dict[int, messages.Entry] = attrs.field(factory=dict)
+    read_floor: dict[int, int] = attrs.field(factory=dict)
+    reads_confirmed: int = 0
+    snapshots_installed: int = 0
+    proposals: int = 0
+
+    def found(self, names: list[str], drift: float = 0.02) -> None:
+        members = []
+        for position, name in enumerate(names):
+            rate = 1 + drift * (position % 3 - 1)
+            self.nodes[name] = Node(name, self._new_disk(), rate)
+            incarnation = self.nodes[name].disk.incarnation
+            members.append(membership.Member(name, incarnation, name))
+        data = membership.encode(membership.Configuration(tuple(members)))
+        snapshot = effects.InstallSnapshot(1, 1, data, b"")
+        for node in self.nodes.values():
+            node.disk.write(effects.SaveMetadata("g", 1, ""))
+            node.disk.write(snapshot)
+            self.start(node)
+
+    def _new_disk(self) -> Disk:
+        self.incarnations += 1
+        return Disk(self.incarnations)
+
+    def clock(self, node: Node) -> float:
+        return 100.0 + self.now * node.rate
+
+    def start(self, node: Node) -> None:
+        node.pending.clear()
+        node.inbox.clear()
+        node.frozen = False
+        node.state = core.start(
+            node.id,
+            node.disk.recover(),
+            self.clock(node),
+            settings=SETTINGS,
+            seed=self.random.getrandbits(32),
+        )
+        node.applied = node.state.snapshot_index
+
+    def crash(self, node: Node) -> None:
+        # Any prefix of the unsynced writes may have reached the disk.
+        for item in node.pending[: self.random.randint(0, len(node.pending))]:
+            if not isinstance(item, effects.Send):
+                node.disk.write(item)
+        node.state = None
+
+    def lose_disk(self, node: Node) -> None:
+        node.disk = self._new_disk()
+        self.start(node)
+
+    def sync(self, node: Node) -> None:
+        """Syncs all pending writes, then sends what waited for that."""
+        pending = node.pending
+        node.pending = []
+        last = (0, 0)
+        metadata = None
+        for item in pending:
+            if isinstance(item, effects.Send):
+                self._fly(node, item)
+                continue
+            node.disk.write(item)
+            if isinstance(item, effects.SaveMetadata):
+                metadata = item
+            elif isinstance(item, effects.AppendEntries):
+                last = (item.entries[-1].index, item.entries[-1].term)
+            else:
+                last = (item.index, item.term)
+        if node.state is None or not pending:
+            return
+        found = core.synced(
+            node.state,
+            index=last[0],
+            index_term=last[1],
+            metadata=metadata,
+            now=self.clock(node),
+        )
+        self.dispatch(node, found)
+
+    def advance(self, duration_s: float) -> None:
+        for _ in range(round(duration_s / STEP_S)):
+            self.now += STEP_S
+            self._deliver()
+            for node in self.nodes.values():
+                if node.state is None or node.frozen:
+                    continue
+                for sender, message in node.inbox:
+                    self._receive(node, sender, message)
+                node.inbox.clear()
+                self.dispatch(node, core.tick(node.state, self.clock(node)))
+                if self.random.random() < self.sync_chance:
+                    self.sync(node)
+
+    def _deliver(self) -> None:
+        due = [one for one in self.flying if one[0] <= self.now]
+        self.flying = [one for one in self.flying if one[0] > self.now]
+        for _, sender, target, message in due:
+            node = self.nodes[target]
+            if node.state is None or (sender, target) in self.cuts:
+                continue
+            node.inbox.append((sender, message))
+
+    def _receive(
+        self, node: Node, sender: str, message: messages.GroupMessage
+    ) -> None:
+        assert node.state is not None
+        found = core.receive(node.state, sender, message, self.clock(node))
+        self.dispatch(node, found)
+
+    def _fly(self, node: Node, send: effects.Send) -> None:
+        copies = 1
+        if self.random.random() < self.loss:
+            copies = self.random.choice((0, 2))
+        for _ in range(copies):
+            at = self.now + self.random.random() * self.max_delay_s
+            self.flying.append((at, node.name, send.address, send.message))
+
+    def dispatch(self, node: Node, found: list[effects.Effect]) -> None:
+        for effect in found:
+            if isinstance(effect, effects.Send):
+                if effect.after_sync:
+                    node.pending.append(effect)
+                else:
+                    self._fly(node, effect)
+            elif isinstance(effect, effects.Apply):
+                self._apply(node, effect)
+            elif isinstance(effect, effects.ReadConfirmed):
+                self.reads_confirmed += 1
+                assert effect.index >= self.read_floor[effect.read_id], (
+                    "stale read"
+                )
+            elif isinstance(effect, effects.SendChunk):
+                self._send_chunk(node, effect)
+            elif not isinstance(effect, effects.LeadershipLost):
+                node.pending.append(effect)
+                if isinstance(effect, effects.InstallSnapshot):
+                    self.snapshots_installed += 1
+                    assert effect.data == self.snapshot_data(effect.index)
+                    node.applied = effect.index
+        self._check_leader(node)
+
+    def _apply(self, node: Node, effect: effects.Apply) -> None:
+        for entry in effect.entries:
+            assert entry.index == node.applied + 1
+            node.applied = entry.index
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, "state machine safety"
+
+    def snapshot_data(self, index: int) -> bytes:
+        parts = []
+        for at in range(2, index + 1):
+            parts.append(b"%d:%s;" % (at, self.committed[at].data))
+        return b"".join(parts)
+
+    def _send_chunk(self, node: Node, effect: effects.SendChunk) -> None:
+        snapshot = node.disk.snapshot
+        if snapshot is None or node.state is None:
+            return
+        chunk = messages.SnapshotChunk(
+            group="g",
+            source=node.id,
+            target=effect.member_id,
+            term=effect.term,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            configuration=snapshot.configuration,
+            offset=effect.offset,
+            total=len(snapshot.data),
+            data=snapshot.data[effect.offset : effect.offset + CHUNK_BYTES],
+        )
+        self._fly(node, effects.Send(effect.address, chunk, after_sync=False))
+
+    def compact(self, node: Node) -> None:
+        """Takes a snapshot of what a replica has applied."""
+        state = node.state
+        if state is None or node.frozen:
+            return
+        self.sync(node)
+        term = state.log.term_at(node.applied)
+        held = node.disk.snapshot
+        if term is None or (held and node.applied <= held.index):
+            return
+        configuration = state.configuration_at(node.applied)
+        node.disk.snapshot = effects.InstallSnapshot(
+            node.applied,
+            term,
+            membership.encode(configuration),
+            self.snapshot_data(node.applied),
+        )
+        core.compacted(state, node.applied, keep_bytes=100)
+
+    def propose(self, node: Node) -> None:
+        if node.state is None or node.frozen:
+            return
+        self.proposals += 1
+        command = b"%d" % self.proposals
+        _, found = core.propose(node.state, [command], self.clock(node))
+        self.dispatch(node, found)
+
+    def read(self, node: Node) -> None:
+        if node.state is None or node.frozen:
+            return
+        read_id = len(self.read_floor)
+        self.read_floor[read_id] = max(self.committed, default=0)
+        try:
+            found = core.read(node.state, read_id, self.clock(node))
+        except exceptions.ConsensusError:
+            return
+        self.dispatch(node, found)
+
+    def transfer(self, node: Node) -> None:
+        if node.state is None or node.frozen:
+            return
+        try:
+            found = core.transfer(node.state, self.clock(node))
+        except exceptions.ConsensusError:
+            return
+        self.dispatch(node, found)
+
+    def change(self, node: Node, change: membership.Change) -> None:
+        if node.state is None or node.frozen:
+            return
+        try:
+            _, found = core.change_membership(
+                node.state, change, self.clock(node)
+            )
+        except exceptions.MembershipError:
+            return
+        self.dispatch(node, found)
+
+    def repair(self, name: str) -> None:
+        """Lets every replica that thinks it leads repair `name`."""
+        target = self.nodes[name]
+        hello = messages.Hello("", name, target.disk.incarnation, name)
+        for node in self.nodes.values():
+            state = node.state
+            if state is None or not leadership.serves(state):
+                continue
+            joining = []
+            if state.configuration.find(target.id) is None:
+                joining.append(hello)
+            try:
+                step = repair.next_step(state, name, joining)
+            except exceptions.MembershipError:
+                continue
+            if not isinstance(step, repair.Done | repair.Wait):
+                self.change(node, step)
+
+    def storm(self, duration_s: float) -> None:
+        """Works while replicas restart and links break at a high rate."""
+        names = list(self.nodes)
+        for _ in range(round(duration_s / 0.02)):
+            self.advance(0.02)
+            for node in self.nodes.values():
+                self.propose(node)
+                self.read(node)
+            node = self.nodes[self.random.choice(names)]
+            other = self.random.choice(names)
+            dice = self.random.random()
+            if dice < 0.06:
+                self.crash(node)
+                self.start(node)
+            elif dice < 0.1:
+                node.frozen = not node.frozen
+            elif dice < 0.15:
+                self.cuts |= {(node.name, other), (other, node.name)}
+            elif dice < 0.2:
+                self.cuts.clear()
+            elif dice < 0.23:
+                self.transfer(node)
+            elif dice < 0.25:
+                self.compact(node)
+
+    def leader(self) -> Node | None:
+        """Returns the leader that serves, if there is exactly one."""
+        found = []
+        for node in self.nodes.values():
+            if node.state is not None and leadership.serves(node.state):
+                found.append(node)
+        return found[0] if len(found) == 1 else None
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.loss = 0.0
+        for node in self.nodes.values():
+            node.frozen = False
+            if node.state is None:
+                self.start(node)
+
+    def _check_leader(self, node: Node) -> None:
+        state = node.state
+        if state is None or state.leading is None:
+            return
+        known = self.leaders.setdefault(state.term, node.id)
+        assert known == node.id, "election safety"
+        if state.log.last_index != state.leading.first_index:
+            return
+        for index, entry in self.committed.items():
+            if index > state.log.base_index and entry.term < state.term:
+                assert state.log.term_at(index) == entry.term, (
+                    "leader completeness"
+                )
+
+    def check_logs(self) -> None:
+        """Checks that equal terms at an index mean equal entries up to it."""
+        seen: dict[tuple[int, int], tuple[int | None, messages.Entry]] = {}
+        for node in self.nodes.values():
+            if node.state is None:
+                continue
+            for entry in node.state.log.entries:
+                before = node.state.log.term_at(entry.index - 1)
+                found = seen.setdefault(
+                    (entry.index, entry.term), (before, entry)
+                )
+                assert found == (before, entry), "log matching"
+
+    def can_elect(self) -> bool:
+        """Tells whether every known configuration has a live quorum."""
+        live = {node.id for node in self.nodes.values()}
+        found = False
+        for node in self.nodes.values():
+            assert node.state is not None
+            configuration = node.state.configuration
+            count = len(live.intersection(configuration.voter_ids))
+            if not configuration.voter_ids:
+                continue
+            found = True
+            if count < configuration.quorum():
+                return False
+        return found
