Prove the storage by injected faults

Need: a torn tail must be told from damage among synced records, and a failed write must stop the replica for good. Files in memory lose, tear and reorder unsynced writes, fill up and fail their syncs; bits flip; files go missing.

--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
+import errno
 import shutil
 
 import anyio
+import attrs
 import pytest
 from tests.consensus import conftest
 
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import replica
+from cactusstile.consensus.storage import files as file_access
 
 pytestmark = pytest.mark.anyio
 
@@ -113,6 +116,82 @@
     assert await _propose(group, b"two") == b"2"
 
 
+class FailingFile:
+    """A file whose sync fails once its disk is broken."""
+
+    def __init__(self, file: file_access.File, disk: FailingFiles) -> None:
+        self.file = file
+        self.disk = disk
+        self.write = file.write
+        self.close = file.close
+
+    def sync(self) -> None:
+        if self.disk.broken:
+            raise OSError(errno.EIO, "input/output error")
+        self.file.sync()
+
+
+class FailingFiles(file_access.LocalFiles):
+    """A folder on a disk that may break."""
+
+    broken = False
+
+    def open_append(self, name: str) -> file_access.File:
+        return FailingFile(super().open_append(name), self)
+
+
+async def test_failed_sync_stops_the_replica_and_acknowledges_nothing(
+    group: conftest.Group,
+) -> None:
+    leader = await group.leader()
+    name = next(one for one in conftest.NAMES if one != leader.leader)
+    await group.stop(name)
+    disk = FailingFiles(group.folder / name)
+    group.files[name] = disk
+    await group.start(name)
+    assert await _propose(group, b"one") == b"1"
+    other = next(
+        one for one in conftest.NAMES if one not in (name, leader.leader)
+    )
+    await group.stop(other)
+    disk.broken = True
+    # Only the broken replica could make the quorum.
+    with anyio.fail_after(2), pytest.raises(exceptions.UncertainError):
+        await leader.propose(b"two")
+    assert name not in group.replicas
+    assert "input/output error" in str(group.errors[name])
+    assert "has stopped" in str(group.errors[name])
+
+
+async def test_full_queue_and_large_command_are_refused(
+    group: conftest.Group,
+) -> None:
+    leader = await group.leader()
+    large = bytes(leader.settings.max_command_bytes + 1)
+    with pytest.raises(exceptions.TooLargeError):
+        await leader.propose(large)
+    leader.settings = attrs.evolve(leader.settings, max_queued_proposals=0)
+    with pytest.raises(exceptions.OverloadedError) as caught:
+        await leader.propose(b"one")
+    assert caught.value.retry_after_s > 0
+
+
+async def test_restart_of_all_replicas_keeps_commands_and_identity(
+    group: conftest.Group,
+) -> None:
+    for number in range(50):
+        await _propose(group, b"%0100d" % number)
+    before = {name: one.status() for name, one in group.replicas.items()}
+    for name in conftest.NAMES:
+        await group.stop(name)
+    for name in conftest.NAMES:
+        await group.start(name)
+    assert await _propose(group, b"after") == b"51"
+    for name, one in group.replicas.items():
+        assert one.status().member_id == before[name].member_id
+        assert one.status().snapshot_index > 1
+
+
 async def test_second_process_on_one_folder_is_refused(
     group: conftest.Group,
 ) -> None:
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,319 @@
+from __future__ import annotations
+
+import errno
+import pathlib
+import typing
+
+import attrs
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cactusstile.consensus import core
+from cactusstile.consensus import effects
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import messages
+from cactusstile.consensus.storage import files as file_access
+from cactusstile.consensus.storage import segments
+from cactusstile.consensus.storage import store as stores
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+
+@attrs.define
+class FaultyFile:
+    """A file whose unsynced writes are lost or torn by a crash."""
+
+    files: FaultyFiles
+    name: str
+
+    def write(self, data: bytes) -> None:
+        if self.files.fault == "enospc":
+            self.files.content[self.name] += data[: len(data) // 2]
+            raise OSError(errno.ENOSPC, "no space left on device")
+        self.files.content[self.name] += data
+
+    def sync(self) -> None:
+        if self.files.fault == "eio":
+            raise OSError(errno.EIO, "input/output error")
+        self.files.syncs += 1
+        content = self.files.content[self.name]
+        self.files.durable[self.name] = bytes(content)
+
+    def close(self) -> None:
+        pass
+
+
+@attrs.define
+class FaultyFiles:
+    """A folder in memory that can crash, fill up and fail."""
+
+    content: dict[str, bytearray] = attrs.field(factory=dict)
+    durable: dict[str, bytes] = attrs.field(factory=dict)
+    fault: str = ""
+    syncs: int = 0
+
+    def names(self) -> list[str]:
+        return sorted(self.content)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self.content[name])
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        return bytes(self.content[name][offset : offset + size])
+
+    def open_append(self, name: str) -> FaultyFile:
+        self.content.setdefault(name, bytearray())
+        return FaultyFile(self, name)
+
+    def truncate(self, name: str, size: int) -> None:
+        del self.content[name][size:]
+        self.durable[name] = bytes(self.content[name])
+
+    def rename(self, source: str, target: str) -> None:
+        self.content[target] = self.content.pop(source)
+        self.durable[target] = self.durable.pop(source)
+
+    def remove(self, name: str) -> None:
+        del self.content[name]
+        self.durable.pop(name, None)
+
+    def sync_folder(self) -> None:
+        if self.fault == "eio":
+            raise OSError(errno.EIO, "input/output error")
+        self.syncs += 1
+
+    def crash(self, mangle: collections.abc.Callable[[bytes], bytes]) -> None:
+        """Keeps what was synced and what `mangle` leaves of the rest."""
+        self.fault = ""
+        for name in list(self.content):
+            durable = self.durable.get(name, b"")
+            rest = bytes(self.content[name][len(durable) :])
+            self.content[name] = bytearray(durable + mangle(rest))
+
+
+def _open(files: file_access.Files) -> tuple[stores.Store, core.Recovered]:
+    store, recovered, _ = stores.open_store(files, "a")
+    return store, recovered
+
+
+def _entries(
+    first: int, count: int, term: int = 1, size: int = 20
+) -> effects.AppendEntries:
+    made = []
+    for index in range(first, first + count):
+        made.append(messages.Entry(index, term, 0, b"%0*d" % (size, index)))
+    return effects.AppendEntries(made)
+
+
+def _prepare(files: FaultyFiles, batches: int) -> None:
+    store, _ = _open(files)
+    store.write([effects.SaveMetadata("g", 1, "a")])
+    for batch in range(batches):
+        store.write([_entries(1 + 3 * batch, 3)])
+
+
+def test_reopen_returns_what_was_written() -> None:
+    files = FaultyFiles()
+    _prepare(files, 2)
+    store, _ = _open(files)
+    store.write([effects.SaveMetadata("g", 2, "b"), _entries(5, 3, term=2)])
+    _, recovered = _open(files)
+    assert (recovered.group, recovered.term, recovered.vote) == ("g", 2, "b")
+    terms = [(one.index, one.term) for one in recovered.entries]
+    assert terms == [(1, 1), (2, 1), (3, 1), (4, 1), (5, 2), (6, 2), (7, 2)]
+
+
+@hypothesis.given(
+    keep=strategies.integers(0, 400),
+    flip=strategies.integers(0, 400),
+    zero=strategies.booleans(),
+)
+def test_torn_unsynced_tail_is_cut(keep: int, flip: int, zero: bool) -> None:
+    files = FaultyFiles()
+    _prepare(files, 2)
+    store, _ = _open(files)
+    store.log.append(_entries(7, 4).entries)
+
+    def mangle(rest: bytes) -> bytes:
+        torn = bytearray(rest)
+        if zero and len(torn) > flip:
+            # Pages reach the disk in any order.
+            torn[flip : flip + 50] = bytes(len(torn[flip : flip + 50]))
+        return bytes(torn[:keep])
+
+    files.crash(mangle)
+    store, recovered = _open(files)
+    indexes = [one.index for one in recovered.entries]
+    assert indexes[:6] == [1, 2, 3, 4, 5, 6]
+    assert indexes == list(range(1, len(indexes) + 1))
+    store.write([_entries(len(indexes) + 1, 1)])
+    assert len(_open(files)[1].entries) == len(indexes) + 1
+
+
+@hypothesis.given(
+    position=strategies.integers(0, 10_000), bit=strategies.integers(0, 7)
+)
+def test_flipped_bit_before_synced_records_refuses_to_start(
+    position: int, bit: int
+) -> None:
+    files = FaultyFiles()
+    _prepare(files, 3)
+    name = files.names()[-1]
+    assert name.startswith(segments.PREFIX)
+    store, _ = _open(files)
+    end_of_second = store.log.segments[-1].size
+    store.write([_entries(10, 3)])
+    files.content[name][position % end_of_second] ^= 1 << bit
+    with pytest.raises(exceptions.CorruptStorageError, match="repair"):
+        _open(files)
+
+
+def test_lost_write_in_the_middle_breaks_the_chain() -> None:
+    files = FaultyFiles()
+    _prepare(files, 1)
+    name = files.names()[-1]
+    start = len(files.content[name])
+    _prepare_more(files, 4, 3)
+    end = len(files.content[name])
+    _prepare_more(files, 4, 3)
+    # The records after the gap are whole and carry the expected indexes.
+    del files.content[name][start:end]
+    with pytest.raises(exceptions.CorruptStorageError, match="lacks a record"):
+        _open(files)
+
+
+def _prepare_more(files: FaultyFiles, first: int, count: int) -> None:
+    store, _ = _open(files)
+    store.write([_entries(first, count)])
+
+
+def test_missing_segment_refuses_to_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(segments, "SEGMENT_BYTES", 200)
+    files = FaultyFiles()
+    _prepare(files, 5)
+    names = [one for one in files.names() if one.startswith(segments.PREFIX)]
+    assert len(names) > 3
+    files.remove(names[2])
+    with pytest.raises(exceptions.CorruptStorageError, match="missing"):
+        _open(files)
+
+
+@pytest.mark.parametrize("name", ["metadata", "segment-000000000001"])
+def test_missing_file_of_a_member_refuses_to_start(name: str) -> None:
+    files = FaultyFiles()
+    _prepare(files, 1)
+    files.remove(name)
+    with pytest.raises(exceptions.CorruptStorageError, match="repair"):
+        _open(files)
+
+
+def test_flipped_bit_in_metadata_or_snapshot_refuses_to_start() -> None:
+    for prefix in ("metadata", "snapshot-"):
+        files = FaultyFiles()
+        _prepare(files, 1)
+        store, _ = _open(files)
+        store.save_snapshot(effects.InstallSnapshot(2, 1, b"[]", b"state"))
+        name = next(one for one in files.names() if one.startswith(prefix))
+        files.content[name][-2] ^= 1
+        with pytest.raises(exceptions.CorruptStorageError, match="damaged"):
+            _open(files)
+
+
+@pytest.mark.parametrize("fault", ["enospc", "eio"])
+def test_failed_write_stops_the_store_for_good(fault: str) -> None:
+    files = FaultyFiles()
+    _prepare(files, 2)
+    store, _ = _open(files)
+    files.fault = fault
+    with pytest.raises(exceptions.StorageError, match="has stopped"):
+        store.write([_entries(7, 3)])
+    # A later sync that succeeds says nothing about the lost pages.
+    files.fault = ""
+    with pytest.raises(exceptions.StorageError, match="has stopped"):
+        store.write([_entries(7, 3)])
+    files.crash(lambda rest: rest[:30])
+    assert len(_open(files)[1].entries) == 6
+
+
+def test_failed_vote_keeps_the_old_one() -> None:
+    files = FaultyFiles()
+    _prepare(files, 1)
+    store, _ = _open(files)
+    files.fault = "enospc"
+    with pytest.raises(exceptions.StorageError):
+        store.write([effects.SaveMetadata("g", 9, "b")])
+    files.crash(lambda rest: rest)
+    _, recovered = _open(files)
+    assert (recovered.term, recovered.vote) == (1, "a")
+
+
+def test_snapshot_bounds_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(segments, "SEGMENT_BYTES", 500)
+    files = FaultyFiles()
+    _prepare(files, 30)
+    store, _ = _open(files)
+    store.save_snapshot(effects.InstallSnapshot(80, 1, b"[]", b"state"))
+    store.compact(80)
+    for segment in store.log.segments[:-1]:
+        assert segment.last_index > 80
+    kept = [one for one in files.names() if one.startswith(segments.PREFIX)]
+    assert kept == [segment.name for segment in store.log.segments]
+    store, recovered, data = stores.open_store(files, "a")
+    assert data == b"state"
+    assert [one.index for one in recovered.entries] == list(range(81, 91))
+    assert store.read_chunk(1, 3) == b"tat"
+
+
+@pytest.mark.parametrize("torn", [0, 10, 10_000])
+def test_installed_snapshot_replaces_a_conflicting_log(torn: int) -> None:
+    files = FaultyFiles()
+    _prepare(files, 3)
+    store, _ = _open(files)
+    snapshot = effects.InstallSnapshot(5, 2, b"[]", b"state")
+    store.write([effects.SaveMetadata("g", 2, ""), snapshot])
+    store.log.append(_entries(6, 2, term=2).entries)
+    files.crash(lambda rest: rest[:torn])
+    _, recovered = _open(files)
+    assert recovered.snapshot_index == 5
+    for entry in recovered.entries:
+        assert entry.term == 2
+
+
+def test_crash_between_snapshot_and_log_drops_the_old_log() -> None:
+    files = FaultyFiles()
+    _prepare(files, 3)
+    store, _ = _open(files)
+    store.write([effects.SaveMetadata("g", 2, "")])
+    store.save_snapshot(effects.InstallSnapshot(5, 2, b"[]", b"state"))
+    _, recovered = _open(files)
+    assert recovered.entries == ()
+    store, _ = _open(files)
+    store.write([_entries(6, 1, term=2)])
+    assert [one.index for one in _open(files)[1].entries] == [6]
+
+
+def test_one_sync_serves_many_entries() -> None:
+    files = FaultyFiles()
+    _prepare(files, 1)
+    store, _ = _open(files)
+    before = files.syncs
+    store.write([_entries(4, 100), _entries(104, 100)])
+    assert files.syncs == before + 1
+
+
+def test_local_files_survive_reopening(tmp_path: pathlib.Path) -> None:
+    files = file_access.LocalFiles(tmp_path)
+    store, _ = _open(files)
+    store.write([effects.SaveMetadata("g", 1, "a"), _entries(1, 3)])
+    store.save_snapshot(effects.InstallSnapshot(2, 1, b"[]", b"state"))
+    store.close()
+    store, recovered, data = stores.open_store(files, "a")
+    store.close()
+    assert data == b"state"
+    assert [one.index for one in recovered.entries] == [3]
+    with pytest.raises(exceptions.StorageError, match="belongs to a"):
+        stores.open_store(files, "b")
