--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -32,6 +32,7 @@
       time_left_ms: Time until the caller's deadline; 0 means none.
       revision: Configuration revision of the entry.
       reserve: Whether to hold a place in the queue for a moment.
+      prefix_key: Key that places the prompt, see `routing.prefix`.
     """
 
     workspace: str
@@ -44,6 +45,7 @@
     time_left_ms: int = 0
     revision: int = 0
     reserve: bool = False
+    prefix_key: bytes = b""
 
 
 @codec.register(101, _SCHEMA, "ProbeReply")
@@ -99,6 +101,8 @@
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
       reservation: Number of a reservation; 0 without one.
+      prefix_key: Key that places the prompt, see `routing.prefix`; empty
+        when nothing of it is to be kept.
     """
 
     request_key: str
@@ -115,6 +119,7 @@
     repeatable: bool = True
     revision: int = 0
     reservation: int = 0
+    prefix_key: bytes = b""
 
 
 @codec.register(103, _SCHEMA, "Attach")
@@ -122,6 +127,9 @@
 class Attach:
     """Resumes the stream of a run that the agent still knows.
 
+    A run that no open call follows any more is cancelled after a moment. An
+    entry that found a gap opens the attach before it cancels the older call.
+
     Attributes:
       request_key: Key of the run.
       workspace: Workspace of the caller.
@@ -244,6 +252,41 @@
     revision: int = 0
 
 
+@codec.register(109, _SCHEMA, "StoredRun")
+@attrs.frozen
+class StoredRun:
+    """Answer of a claimed run as control keeps it."""
+
+    output: RunTokens
+    end: RunEnd
+
+
+@codec.register(110, _SCHEMA, "Drain")
+@attrs.frozen
+class Drain:
+    """Tells an agent that its target leaves; ends with `DrainReply`.
+
+    Attributes:
+      leaving: Whether the target leaves; False takes a drain back.
+    """
+
+    leaving: bool = True
+
+
+@codec.register(111, _SCHEMA, "DrainReply")
+@attrs.frozen
+class DrainReply:
+    """State of a target that leaves.
+
+    Attributes:
+      leaving: Whether the target takes no new work.
+      running: Requests that are still queued or under way.
+    """
+
+    leaving: bool
+    running: int
+
+
 def to_refused(refusal: verdict.Refusal, revision: int = 0) -> Refused:
     """Returns the message that carries `refusal`."""
     return Refused(
