--- a/tests/support/fake_target.py
+++ b/tests/support/fake_target.py
@@ -1,7 +1,9 @@
-"""Runs one stand-in of a target as a process: KIND PORT."""
+"""Runs one stand-in of a target as a process: KIND PORT [LEDGER]."""
 
 from __future__ import annotations
 
+import json
+import pathlib
 import sys
 
 import anyio
@@ -14,13 +16,24 @@
 from cactusstile.transport import address
 
 
-async def _main(kind: str, port: int) -> None:
+SERVICE_CALL_S = 0.05
+
+
+async def _serve_service(listen: address.Address, ledger_path: str) -> None:
+    stand_in = service.Service(call_s=SERVICE_CALL_S)
+    async with serving.open_app(service.build_app(stand_in), listen):
+        await signals.wait_for_stop()
+    if ledger_path:
+        ledger = [
+            [entry.workspace, entry.request_key] for entry in stand_in.ledger
+        ]
+        pathlib.Path(ledger_path).write_text(json.dumps(ledger))
+
+
+async def _main(kind: str, port: int, ledger_path: str) -> None:
     listen = address.Address("127.0.0.1", port)
     if kind == "service":
-        async with serving.open_app(
-            service.build_app(service.Service()), listen
-        ):
-            await signals.wait_for_stop()
+        await _serve_service(listen, ledger_path)
         return
     stand_in = engine.Engine(engine.EngineSettings(output_token_s=0.005))
     async with (
@@ -31,4 +44,4 @@
 
 
 if __name__ == "__main__":
-    anyio.run(_main, sys.argv[1], int(sys.argv[2]))
+    anyio.run(_main, sys.argv[1], int(sys.argv[2]), (*sys.argv, "")[3])
--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -92,6 +92,18 @@
             f"operator_secret_file = {self.folder / 'operator.secret'}\n\n"
         )
 
+    def write_operator(self) -> pathlib.Path:
+        """Writes the settings of an operator."""
+        control = ", ".join(
+            f"127.0.0.1:{self.port(f'control-{number}')}"
+            for number in (1, 2, 3)
+        )
+        return self.write(
+            "operator.ini",
+            f"[operator]\nname = tester\ncontrol = {control}\n"
+            f"operator_secret_file = {self.folder / 'operator.secret'}\n",
+        )
+
     def run_command(self, *command: str) -> subprocess.CompletedProcess[str]:
         """Runs a command of the command line to its end."""
         return subprocess.run(  # noqa: S603
@@ -198,7 +210,10 @@
 def start_target(site: Site, name: str, kind: str) -> None:
     """Starts a stand-in and the agent beside it."""
     port = site.port(f"{name}-target")
-    site.start(f"{name}-target", "tests.support.fake_target", kind, str(port))
+    ledger = str(site.folder / f"{name}-ledger.json")
+    site.start(
+        f"{name}-target", "tests.support.fake_target", kind, str(port), ledger
+    )
     start_agent(site, name, kind)
 
 
