Test the delivery tree over real connections

Need: the tree's promises (deltas, catching up, leaving a silent or cut-off parent in 3 s, never stepping back, counts in force) had no run.

--- /dev/null
+++ b/tests/state/test_subscription.py
@@ -0,0 +1,281 @@
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import attrs
+import pytest
+from tests.support import cutting_relay
+
+from cactusstile.control import client
+from cactusstile.control import feed_messages
+from cactusstile.control import messages
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import holder
+from cactusstile.state import model
+from cactusstile.state import relay
+from cactusstile.state import subscription
+from cactusstile.transport import address
+from cactusstile.transport import exceptions as transport_exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import pool
+from cactusstile.transport import server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+pytestmark = pytest.mark.anyio
+
+SECRETS = handshake.Secrets(b"fleet-secret", b"operator-secret")
+LOCAL = address.Address("127.0.0.1", 0)
+CHANGE_OVER_S = 3.0
+SLACK_S = 1.0
+
+
+@attrs.define
+class Node:
+    relay: relay.Relay
+    held: holder.FleetHolder
+    bound: address.Address
+    subscriber: subscription.Subscriber | None = None
+    beating: bool = True
+    confirms: bool = True
+
+    def change(self, share: float = 1.0) -> model.Fleet:
+        """Puts the next revision before the children, as control does."""
+        base = self.relay.fleet
+        name = f"w{base.revision % 40}"
+        workspaces = {**base.workspaces, name: model.Workspace(name, (), share)}
+        fleet = attrs.evolve(
+            base, revision=base.revision + 1, workspaces=workspaces
+        )
+        digest = encoding.content_digest(fleet)
+        change = messages.FeedDelta(
+            base.revision,
+            fleet.revision,
+            encoding.digest_bytes(digest),
+            delta.pack(delta.between(base, fleet)),
+        )
+        self.relay.publish(change, fleet, digest)
+        return fleet
+
+
+class Tree:
+    """Opens roots and subscribers over real connections."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        self.stack = stack
+        self.beats = 0
+
+    async def open_root(self, name: str = "c1") -> Node:
+        node = await self._open_server(relay.Relay(name, redirects_leaves=True))
+        group = await self.stack.enter_async_context(anyio.create_task_group())
+        self.stack.callback(group.cancel_scope.cancel)
+        group.start_soon(self._beat, node)
+        await anyio.sleep(0.1)
+        return node
+
+    async def _beat(self, node: Node) -> None:
+        while True:
+            self.beats += 1
+            if node.beating:
+                revision = node.relay.fleet.revision
+                node.relay.take_beacon(self.beats, revision)
+            await anyio.sleep(0.05)
+
+    async def _open_server(self, own: relay.Relay) -> Node:
+        node = Node(own, holder.FleetHolder(), LOCAL)
+
+        async def read_revision(
+            _: incoming.Responder, __: messages.ReadRevision
+        ) -> object:
+            if not node.confirms:
+                raise transport_exceptions.RemoteError("not_leader", "")
+            return messages.FleetRevision(own.fleet.revision, b"")
+
+        handlers = incoming.Handlers(
+            {
+                feed_messages.Subscribe: own.serve,
+                messages.ReadRevision: read_revision,
+            },
+            {feed_messages.FeedReport: own.take_report},
+        )
+        identity = handshake.Identity("control", own.name)
+        opened = await self.stack.enter_async_context(
+            server.open_server(LOCAL, identity, SECRETS, handlers)
+        )
+        node.bound = opened.bound
+        return node
+
+    async def open_child(
+        self,
+        name: str,
+        roots: collections.abc.Sequence[address.Address],
+        *,
+        relays: bool = False,
+        fleet: model.Fleet | None = None,
+    ) -> Node:
+        own = relay.Relay(name, is_agent=not relays)
+        if fleet is not None:
+            own.reset(fleet, encoding.content_digest(fleet))
+        node = await self._open_server(own)
+        node.held = holder.FleetHolder(fleet)
+        identity = handshake.Identity("agent", name)
+        peers = await self.stack.enter_async_context(
+            pool.open_pool(identity, SECRETS)
+        )
+        node.subscriber = subscription.Subscriber(
+            node.held,
+            own,
+            peers,
+            client.ControlClient(peers, roots),
+            node.bound if relays else None,
+        )
+        group = await self.stack.enter_async_context(anyio.create_task_group())
+        self.stack.callback(group.cancel_scope.cancel)
+        group.start_soon(node.subscriber.run)
+        return node
+
+
+@pytest.fixture
+async def tree() -> collections.abc.AsyncIterator[Tree]:
+    async with contextlib.AsyncExitStack() as stack:
+        yield Tree(stack)
+
+
+async def _until(
+    condition: collections.abc.Callable[[], object], limit_s: float
+) -> None:
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_change_reaches_agents_behind_an_entry_as_delta(
+    tree: Tree,
+) -> None:
+    root = await tree.open_root()
+    for _ in range(300):
+        root.change()
+    entry = await tree.open_child("e1", [root.bound], relays=True)
+    await _until(lambda: root.relay.children() == ["e1"], 1)
+    agent = await tree.open_child("a1", [root.bound])
+    await _until(agent.held.confirmed.is_set, 1)
+    assert agent.subscriber is not None
+    assert agent.subscriber.parent == entry.bound
+    before = agent.subscriber.received_bytes
+    fleet = root.change(share=7.0)
+    await _until(lambda: agent.held.fleet == fleet, 1)
+    assert entry.held.fleet == fleet
+    one_delta = len(delta.pack(delta.between(model.Fleet(), fleet)))
+    assert agent.subscriber.received_bytes - before < one_delta / 2
+
+
+async def test_node_away_for_500_changes_catches_up(tree: Tree) -> None:
+    root = await tree.open_root()
+    old = root.change()
+    for _ in range(500):
+        fleet = root.change()
+    agent = await tree.open_child("a1", [root.bound], fleet=old)
+    await _until(agent.held.confirmed.is_set, 1)
+    assert agent.held.fleet == fleet
+
+
+async def test_cut_off_root_neither_feeds_nor_confirms(tree: Tree) -> None:
+    root = await tree.open_root("c1")
+    behind = await tree.open_root("c2")
+    behind.change()
+    behind.beating = False
+    behind.confirms = False
+    root.change()
+    fleet = root.change()
+    addresses = [behind.bound, root.bound]
+    agents = [await tree.open_child(f"a{n}", addresses) for n in range(6)]
+    await _until(
+        lambda: all(agent.held.fleet == fleet for agent in agents),
+        CHANGE_OVER_S + SLACK_S,
+    )
+    for agent in agents:
+        assert agent.subscriber is not None
+        await _until(agent.held.confirmed.is_set, 1)
+
+
+async def test_only_cut_off_roots_confirm_nothing(tree: Tree) -> None:
+    behind = await tree.open_root()
+    behind.change()
+    behind.confirms = False
+    agent = await tree.open_child("a1", [behind.bound])
+    await _until(lambda: agent.held.fleet.revision == 1, 1)
+    await anyio.sleep(0.3)
+    assert not agent.held.confirmed.is_set()
+
+
+@pytest.mark.parametrize("fault", ["silent", "cut off"])
+async def test_subscriber_leaves_useless_parent_in_time(
+    tree: Tree, fault: str
+) -> None:
+    roots = [await tree.open_root("c1"), await tree.open_root("c2")]
+    relays = [
+        await tree.stack.enter_async_context(
+            cutting_relay.open_relay(root.bound)
+        )
+        for root in roots
+    ]
+    addresses = [opened.bound for opened in relays]
+    agent = await tree.open_child("a1", addresses)
+    subscriber = agent.subscriber
+    assert subscriber is not None
+    await _until(lambda: subscriber.parent, 1)
+    used = addresses.index(typing.cast("address.Address", subscriber.parent))
+    if fault == "silent":
+        relays[used].cut()
+    else:
+        roots[used].beating = False
+    fleet = roots[1 - used].change()
+    await _until(lambda: agent.held.fleet == fleet, CHANGE_OVER_S + SLACK_S)
+
+
+async def test_node_never_steps_back(tree: Tree) -> None:
+    ahead = await tree.open_root("c1")
+    fleet = [ahead.change(), ahead.change()][-1]
+    behind = await tree.open_root("c2")
+    old = behind.change(share=3.0)
+    agent = await tree.open_child("a1", [behind.bound], fleet=fleet)
+    await _until(behind.relay.children, 1)
+    await anyio.sleep(0.2)
+    assert agent.held.fleet == fleet
+    assert not agent.held.advance(old)
+
+
+async def test_in_force_counts_the_tree_and_names_the_missing(
+    tree: Tree,
+) -> None:
+    root = await tree.open_root()
+    fleet = root.change()
+    await tree.open_child("e1", [root.bound], relays=True)
+    await _until(lambda: root.relay.children() == ["e1"], 1)
+    for number in range(3):
+        await tree.open_child(f"a{number}", [root.bound])
+    await _until(lambda: root.relay.in_force(1).current == 5, 2)
+    counted = root.relay.in_force(fleet.revision)
+    assert (counted.nodes, counted.agents, counted.missing) == (5, 3, ())
+    ahead = root.relay.in_force(fleet.revision + 1)
+    assert (ahead.current, set(ahead.missing)) == (0, {"c1", "e1"})
+
+
+async def test_full_parent_names_its_relays(
+    tree: Tree, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relay, "MAX_CHILDREN", 2)
+    root = await tree.open_root()
+    fleet = root.change()
+    entries = [
+        await tree.open_child(f"e{number}", [root.bound], relays=True)
+        for number in range(7)
+    ]
+    await _until(lambda: all(entry.held.fleet == fleet for entry in entries), 4)
+    assert len(root.relay.children()) == 2
+    await _until(lambda: root.relay.in_force(1).current == 8, 2)
