--- /dev/null
+++ b/src/cactusstile/console/history.py
@@ -0,0 +1,42 @@
+"""Command `history`: lists the configurations that were applied."""
+
+from __future__ import annotations
+
+import datetime
+
+from cactusstile.console import operator
+from cactusstile.control import messages
+from cactusstile.control import operations
+
+DEFAULT_COUNT = 20
+
+
+def run(
+    count: int = DEFAULT_COUNT,
+    *,
+    json: bool = False,
+    settings: str = operator.DEFAULT_SETTINGS,
+) -> None:
+    """Lists the last changes, the oldest first.
+
+    Args:
+      count: How many to list.
+      json: Whether to print JSON.
+      settings: Path of the operator's settings.
+    """
+
+    async def read(
+        opened: operations.Operator,
+    ) -> list[messages.ChangeRecord]:
+        return list(await opened.control.read_history(max(0, count)))
+
+    records = operator.run(settings, read)
+    if json:
+        operator.print_json(records)
+        return
+    for record in records:
+        at = datetime.datetime.fromtimestamp(record.at_ms / 1000, datetime.UTC)
+        print(
+            f"{record.revision:>8}  {at:%Y-%m-%d %H:%M:%S}  "
+            f"{record.digest.hex()[:12]}  {record.operator}"
+        )
--- /dev/null
+++ b/src/cactusstile/console/operator.py
@@ -0,0 +1,93 @@
+"""Frame of the operators' commands: settings, connections, errors."""
+
+from __future__ import annotations
+
+import json as json_module
+import pathlib
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.console import exceptions
+from cactusstile.control import exceptions as control_exceptions
+from cactusstile.control import operations
+from cactusstile.settings import operator
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    _T = typing.TypeVar("_T")
+    Task = collections.abc.Callable[
+        [operations.Operator], collections.abc.Awaitable[_T]
+    ]
+
+DEFAULT_SETTINGS = "operator.ini"
+
+
+def run(settings: str, task: Task[_T]) -> _T:
+    """Runs `task` with an operator's connections.
+
+    Raises:
+      CommandError: If control refused, or did not answer.
+    """
+    loaded = operator.load(pathlib.Path(settings))
+
+    async def connect() -> _T:
+        async with operations.open_operator(loaded) as opened:
+            return await task(opened)
+
+    try:
+        return anyio.run(connect)
+    except BaseExceptionGroup as group:
+        found = _find(group)
+        if found is None:
+            raise
+        raise _to_command_error(found) from group
+    except control_exceptions.ControlError as error:
+        raise _to_command_error(error) from error
+
+
+def _find(error: BaseException) -> control_exceptions.ControlError | None:
+    if isinstance(error, control_exceptions.ControlError):
+        return error
+    if not isinstance(error, BaseExceptionGroup):
+        return None
+    for inner in error.exceptions:
+        found = _find(inner)
+        if found is not None:
+            return found
+    return None
+
+
+def _to_command_error(
+    error: control_exceptions.ControlError,
+) -> exceptions.CommandError:
+    codes = exceptions.ExitCode
+    match error:
+        case control_exceptions.OutcomeUnknownError():
+            text = "it may have taken effect; give the same command again"
+            return exceptions.CommandError(f"{error}; {text}", codes.FAILED)
+        case control_exceptions.ControlUnavailableError():
+            text = "nothing was changed; check the control VMs"
+            return exceptions.CommandError(
+                f"{error}; {text}", codes.UNREACHABLE
+            )
+    return exceptions.CommandError(str(error), codes.REFUSED)
+
+
+def print_json(content: object) -> None:
+    """Prints attrs classes, or lists of them, as JSON."""
+    if isinstance(content, list):
+        plain: object = [_to_plain(item) for item in content]
+    else:
+        plain = _to_plain(content)
+    print(json_module.dumps(plain, indent=2))
+
+
+def _to_plain(item: typing.Any) -> object:
+    return attrs.asdict(item, value_serializer=_serialize)
+
+
+def _serialize(_instance: object, _field: object, value: object) -> object:
+    return value.hex() if isinstance(value, bytes) else value
--- /dev/null
+++ b/src/cactusstile/control/operations.py
@@ -0,0 +1,238 @@
+"""What operators do: apply, compare, wait, and change members."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import attrs
+
+from cactusstile.control import client
+from cactusstile.control import exceptions
+from cactusstile.control import feed_messages
+from cactusstile.control import member_messages
+from cactusstile.control import messages
+from cactusstile.control import settings as control_settings
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import model
+from cactusstile.transport import exceptions as transport_exceptions
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.settings import operator
+    from cactusstile.transport import address
+
+POLL_INTERVAL_S = 0.1
+POLL_TIMEOUT_S = 1.0
+MEMBER_TIMEOUT_S = 60.0
+
+
+@attrs.frozen
+class Operator:
+    """An operator's connections.
+
+    Attributes:
+      control: Client of the leader.
+      connections: Connections to each control VM.
+    """
+
+    control: client.ControlClient
+    connections: pool.Pool
+
+
+@attrs.frozen
+class Coverage:
+    """Where a revision is in force.
+
+    Attributes:
+      revision: The revision.
+      nodes: Processes known to the control VMs that answered.
+      agents: Agents among them.
+      current: Processes that hold the revision or a later one.
+      missing: Names of some that do not.
+      unreachable: Control VMs that did not answer; what hangs on them is not
+        counted.
+    """
+
+    revision: int
+    nodes: int = 0
+    agents: int = 0
+    current: int = 0
+    missing: tuple[str, ...] = ()
+    unreachable: tuple[str, ...] = ()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all processes answered for hold the revision."""
+        return self.current == self.nodes and not self.unreachable
+
+
+@attrs.frozen
+class PartChange:
+    """One part that differs between two fleets.
+
+    Attributes:
+      key: Kind and name, such as "target/ikeja-1".
+      change: "added", "removed" or "changed".
+      fields: Names of the fields that differ.
+    """
+
+    key: str
+    change: str
+    fields: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ControlView:
+    """What one control VM says of the groups; no groups if unreachable."""
+
+    address: str
+    groups: tuple[member_messages.Members, ...] = ()
+
+
+@contextlib.asynccontextmanager
+async def open_operator(
+    settings: operator.OperatorSettings,
+) -> collections.abc.AsyncIterator[Operator]:
+    """Opens an operator's connections until the context is left."""
+    identity = handshake.Identity(handshake.OPERATOR_ROLE, settings.name)
+    secrets = handshake.Secrets(b"", settings.secret)
+    async with pool.open_pool(identity, secrets) as connections:
+        control = client.ControlClient(connections, settings.control)
+        yield Operator(control, connections)
+
+
+async def apply_fleet(
+    control: client.ControlClient,
+    fleet: model.Fleet,
+    *,
+    timeout_s: float = client.CALL_TIMEOUT_S,
+) -> messages.ApplyReply:
+    """Asks for `fleet` until the answer is known.
+
+    Raises:
+      OutcomeUnknownError: No answer in time; applying the same file again is
+        safe and tells the outcome.
+      ControlUnavailableError: No leader answered; nothing was applied.
+    """
+    deadline_s = anyio.current_time() + timeout_s
+    while True:
+        left_s = deadline_s - anyio.current_time()
+        base = await control.read_fleet(timeout_s=left_s)
+        left_s = deadline_s - anyio.current_time()
+        reply = await control.apply(base, fleet, timeout_s=left_s)
+        if reply.outcome != messages.ApplyOutcome.MOVED.value:
+            return reply
+
+
+async def find_coverage(operator: Operator, revision: int) -> Coverage:
+    """Asks every control VM where `revision` is in force."""
+    found: list[feed_messages.InForce] = []
+    unreachable: list[str] = []
+
+    async def ask(target: address.Address) -> None:
+        message = feed_messages.ReadInForce(revision)
+        reply = await _ask_one(operator, target, message)
+        if isinstance(reply, feed_messages.InForce):
+            found.append(reply)
+        else:
+            unreachable.append(str(target))
+
+    async with anyio.create_task_group() as group:
+        for target in operator.control.addresses:
+            group.start_soon(ask, target)
+    return Coverage(
+        revision,
+        sum(reply.nodes for reply in found),
+        sum(reply.agents for reply in found),
+        sum(reply.current for reply in found),
+        tuple(sorted(name for reply in found for name in reply.missing)),
+        tuple(sorted(unreachable)),
+    )
+
+
+async def wait_in_force(
+    operator: Operator, revision: int, timeout_s: float
+) -> Coverage:
+    """Returns the coverage once it is complete, or when time is over."""
+    deadline_s = anyio.current_time() + timeout_s
+    while True:
+        coverage = await find_coverage(operator, revision)
+        if coverage.is_complete or anyio.current_time() >= deadline_s:
+            return coverage
+        await anyio.sleep(POLL_INTERVAL_S)
+
+
+async def view_members(operator: Operator) -> list[ControlView]:
+    """Asks every control VM for its view of the groups."""
+    views = []
+    for target in operator.control.addresses:
+        groups = []
+        for group in control_settings.GROUPS:
+            message = member_messages.ReadMembers(group)
+            reply = await _ask_one(operator, target, message)
+            if not isinstance(reply, member_messages.Members):
+                break
+            groups.append(reply)
+        views.append(ControlView(str(target), tuple(groups)))
+    return views
+
+
+async def change_member(
+    operator: Operator,
+    action: str,
+    name: str,
+    timeout_s: float = MEMBER_TIMEOUT_S,
+) -> None:
+    """Changes both groups; a repair returns once both hold everything.
+
+    Raises:
+      ControlError: As of `client.ControlClient.call`; the same command may
+        be given again to go on.
+    """
+    await operator.control.read_revision()
+    for group in control_settings.GROUPS:
+        control = client.ControlClient(
+            operator.connections,
+            operator.control.addresses,
+            attempt_timeout_s=timeout_s,
+        )
+        control.leader = operator.control.leader
+        message = member_messages.ChangeMember(group, action, name)
+        reply = member_messages.MemberChanged
+        try:
+            await control.call(message, reply, timeout_s)
+        except exceptions.CallRefusedError as error:
+            raise exceptions.CallRefusedError(
+                error.code, f"group {group}: {error}"
+            ) from error
+
+
+async def _ask_one(
+    operator: Operator, target: address.Address, message: object
+) -> object | None:
+    try:
+        return await operator.connections.call(
+            target, message, timeout_s=POLL_TIMEOUT_S
+        )
+    except (transport_exceptions.TransportError, TimeoutError):
+        return None
+
+
+def compare(old: model.Fleet, new: model.Fleet) -> list[PartChange]:
+    """Returns the parts that differ, sorted by key; shows no values."""
+    change = delta.between(old, new)
+    before = encoding.encode(old)
+    changes = [PartChange(key, "removed") for key in change.removed]
+    for key, value in change.changed.items():
+        if key not in before:
+            changes.append(PartChange(key, "added"))
+            continue
+        fields = encoding.differing_fields(before[key], value)
+        changes.append(PartChange(key, "changed", fields))
+    return sorted(changes, key=lambda entry: entry.key)
--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -24,6 +24,7 @@
       process: Settings common to all roles.
       data_folder: Folder of the durable state.
       founders: Replicas that found the groups, the same on all control VMs.
+      advertise: Address that the other control VMs send to.
       group_commit: Whether one sync serves many commands.
       sync_in_thread: Whether syncs run in a worker thread.
     """
@@ -31,6 +32,7 @@
     process: process.ProcessSettings
     data_folder: pathlib.Path
     founders: tuple[replica.Founder, ...]
+    advertise: address.Address
     group_commit: bool = True
     sync_in_thread: bool = True
 
@@ -38,7 +40,7 @@
         """Returns the settings of this process's replica of a group."""
         return replica.ReplicaSettings(
             name=self.process.name,
-            address=str(self.process.listen),
+            address=str(self.advertise),
             data_folder=self.data_folder / group,
             founders=self.founders,
             max_command_bytes=MAX_COMMAND_BYTES,
@@ -77,6 +79,12 @@
         "replicas that found the groups, as NAME=ADDRESS with commas; the "
         "same on all control VMs, never changed later",
     ),
+    ini.Option(
+        "advertise",
+        address.parse,
+        "address that the others send to, if it is not the one listened on",
+        None,
+    ),
 )
 
 
@@ -87,4 +95,5 @@
       InvalidFileError: With all faults of the file.
     """
     common, values = process.load(path, "control", OPTIONS)
+    values["advertise"] = values.get("advertise") or common.listen
     return ControlSettings(common, **values)
--- /dev/null
+++ b/src/cactusstile/settings/operator.py
@@ -0,0 +1,73 @@
+"""Settings of the operators' commands: the file `operator.ini`."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import attrs
+
+from cactusstile.settings import ini
+from cactusstile.settings import process
+
+if typing.TYPE_CHECKING:
+    from cactusstile.transport import address
+
+SECTION = "operator"
+
+
+@attrs.frozen
+class OperatorSettings:
+    """Settings of an operator.
+
+    Attributes:
+      name: Name under which changes are recorded.
+      control: Addresses of the control processes.
+      secret: The operators' secret.
+    """
+
+    name: str
+    control: tuple[address.Address, ...]
+    secret: bytes = attrs.field(repr=False)
+
+
+OPTIONS = (
+    ini.Option("name", ini.name, "name under which changes are recorded"),
+    ini.Option(
+        "control",
+        process.parse_addresses,
+        "addresses of the control processes, separated by commas",
+    ),
+    ini.Option(
+        "operator_secret_file",
+        process.read_secret,
+        "file with the operators' secret",
+    ),
+)
+
+
+def load(path: pathlib.Path) -> OperatorSettings:
+    """Reads the settings file of an operator.
+
+    Raises:
+      InvalidFileError: With all faults of the file.
+    """
+    file = str(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f"cannot be read: {error}; write [{SECTION}] with name, "
+        reason += "control and operator_secret_file, or pass --settings"
+        problem = ini.Problem(file, "", "", reason)
+        raise ini.InvalidFileError([problem]) from error
+    parser = ini.parse_text(text, file)
+    problems = [
+        ini.Problem(file, found, "", f"unknown section; known: {SECTION}")
+        for found in parser.sections()
+        if found != SECTION
+    ]
+    values = ini.read_section(parser, SECTION, OPTIONS, file, problems)
+    if problems:
+        raise ini.InvalidFileError(problems)
+    secret = values.pop("operator_secret_file")
+    return OperatorSettings(secret=secret, **values)
--- a/src/cactusstile/settings/process.py
+++ b/src/cactusstile/settings/process.py
@@ -39,7 +39,12 @@
     secrets: handshake.Secrets
 
 
-def _parse_addresses(text: str) -> tuple[address.Address, ...]:
+def parse_addresses(text: str) -> tuple[address.Address, ...]:
+    """Returns addresses separated by commas.
+
+    Raises:
+      ValueError: If one is malformed or there is none.
+    """
     parts = [part.strip() for part in text.split(",") if part.strip()]
     if not parts:
         raise ValueError("write at least one address like 10.0.0.1:7000")
@@ -79,7 +84,7 @@
     ),
     ini.Option(
         "control",
-        _parse_addresses,
+        parse_addresses,
         "addresses of the control processes, separated by commas",
     ),
     ini.Option(
--- a/src/cactusstile/state/encoding.py
+++ b/src/cactusstile/state/encoding.py
@@ -127,6 +127,19 @@
         self.digest = (self.digest - _entry_digest(key, value)) % _MODULUS
 
 
+def differing_fields(old: bytes, new: bytes) -> tuple[str, ...]:
+    """Returns the names of fields that differ between two encoded parts.
+
+    >>> differing_fields(b'{"a":1,"b":2}', b'{"a":1,"b":3}')
+    ('b',)
+    """
+    before, after = json.loads(old), json.loads(new)
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        return ("name",)
+    names = sorted(before.keys() | after.keys())
+    return tuple(name for name in names if before.get(name) != after.get(name))
+
+
 def split_key(key: str) -> tuple[str, str | tuple[str, str]]:
     """Returns kind and name of a part's key.
 
--- /dev/null
+++ b/tests/control/test_histories.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import os
+import random
+import typing
+
+import anyio
+import pytest
+from tests.support import control_cluster
+from tests.support import control_histories
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    Fault = collections.abc.Callable[
+        [control_cluster.Cluster, list[str]], collections.abc.Awaitable[None]
+    ]
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+SEEDS = range(int(os.environ.get("CACTUSSTILE_HISTORY_SEEDS", "1")))
+BEFORE_FAULT_S = 0.5
+FAULT_S = 1.3
+AFTER_FAULT_S = 0.5
+NEXT_COMMIT_S = 2.0
+
+
+async def _kill(cluster: control_cluster.Cluster, names: list[str]) -> None:
+    cluster.kill(names[0])
+    await anyio.sleep(FAULT_S)
+    cluster.start(names[0])
+
+
+async def _freeze(cluster: control_cluster.Cluster, names: list[str]) -> None:
+    cluster.freeze(names[0])
+    await anyio.sleep(FAULT_S)
+    cluster.wake(names[0])
+
+
+async def _cut(cluster: control_cluster.Cluster, names: list[str]) -> None:
+    cluster.cut_names.add(names[0])
+    await anyio.sleep(FAULT_S)
+    cluster.cut_names.discard(names[0])
+
+
+async def _kill_all(cluster: control_cluster.Cluster, _: list[str]) -> None:
+    for name in control_cluster.NAMES:
+        cluster.kill(name)
+    for name in control_cluster.NAMES:
+        cluster.start(name)
+    await anyio.sleep(FAULT_S)
+
+
+async def _freeze_and_cut(
+    cluster: control_cluster.Cluster, names: list[str]
+) -> None:
+    """Two at once: no quorum, then the old leader wakes first."""
+    cluster.freeze(names[0])
+    cluster.cut_names.add(names[1])
+    await anyio.sleep(FAULT_S)
+    cluster.wake(names[0])
+    cluster.cut_names.discard(names[1])
+
+
+async def _kill_and_freeze(
+    cluster: control_cluster.Cluster, names: list[str]
+) -> None:
+    """Two at once: no quorum until the frozen one wakes."""
+    cluster.kill(names[0])
+    cluster.freeze(names[1])
+    await anyio.sleep(FAULT_S)
+    cluster.wake(names[1])
+    await anyio.sleep(FAULT_S)
+    cluster.start(names[0])
+
+
+async def _lose_disk_then_another(
+    cluster: control_cluster.Cluster, names: list[str]
+) -> None:
+    """A repair that is reported done carries the loss of a second VM."""
+    cluster.lose_disk(names[0])
+    cluster.start(names[0])
+    await cluster.repair(names[0])
+    cluster.kill(names[1])
+
+
+SCENARIOS: dict[str, list[Fault]] = {
+    "singly": [_kill, _freeze, _cut],
+    "two at once": [_freeze_and_cut, _kill_and_freeze],
+    "lost disk": [_kill_all, _lose_disk_then_another],
+}
+
+
+async def _find_leader(cluster: control_cluster.Cluster) -> str:
+    async with cluster.open_client("finder") as control:
+        await control.read_revision()
+        return cluster.name_of(control.leader)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("scenario", SCENARIOS)
+async def test_histories_stay_linearizable(
+    cluster: control_cluster.Cluster, scenario: str, seed: int
+) -> None:
+    rng = random.Random(f"{scenario}/{seed}")
+    recorder = control_histories.Recorder(cluster, rng)
+    faults = list(SCENARIOS[scenario])
+    if seed and scenario != "lost disk":
+        rng.shuffle(faults)
+    async with anyio.create_task_group() as group:
+        group.start_soon(recorder.run)
+        for fault in faults:
+            await anyio.sleep(BEFORE_FAULT_S)
+            leader = await _find_leader(cluster)
+            others = [n for n in control_cluster.NAMES if n != leader]
+            rng.shuffle(others)
+            await fault(cluster, [leader, *others])
+        await anyio.sleep(NEXT_COMMIT_S)
+        healed_s = anyio.current_time()
+        await anyio.sleep(AFTER_FAULT_S)
+        recorder.stopping = True
+    histories = recorder.histories
+    print(
+        f"{scenario}/{seed}: %d operations, %d unanswered" % histories.count()
+    )
+    assert histories.known_after(healed_s) > 0, "nothing goes on"
+    histories.check()
--- a/tests/state/test_subscription.py
+++ b/tests/state/test_subscription.py
@@ -184,7 +184,10 @@
     assert agent.held.fleet == fleet
 
 
-async def test_cut_off_root_neither_feeds_nor_confirms(tree: Tree) -> None:
+async def test_cut_off_root_neither_feeds_nor_confirms(
+    tree: Tree, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relay, "STALE_AFTER_S", 0.5)
     root = await tree.open_root("c1")
     behind = await tree.open_root("c2")
     behind.change()
@@ -193,10 +196,10 @@
     root.change()
     fleet = root.change()
     addresses = [behind.bound, root.bound]
+    await anyio.sleep(0.5)
     agents = [await tree.open_child(f"a{n}", addresses) for n in range(6)]
     await _until(
-        lambda: all(agent.held.fleet == fleet for agent in agents),
-        CHANGE_OVER_S + SLACK_S,
+        lambda: all(agent.held.fleet == fleet for agent in agents), SLACK_S
     )
     for agent in agents:
         assert agent.subscriber is not None
@@ -213,10 +216,18 @@
     assert not agent.held.confirmed.is_set()
 
 
-@pytest.mark.parametrize("fault", ["silent", "cut off"])
-async def test_subscriber_leaves_useless_parent_in_time(
-    tree: Tree, fault: str
-) -> None:
+async def test_subscriber_leaves_silent_or_cut_off_parent_in_time() -> None:
+    async with anyio.create_task_group() as group:
+        for fault in ("silent", "cut off"):
+            group.start_soon(_check_change_over, fault)
+
+
+async def _check_change_over(fault: str) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        await _change_over(Tree(stack), fault)
+
+
+async def _change_over(tree: Tree, fault: str) -> None:
     roots = [await tree.open_root("c1"), await tree.open_root("c2")]
     relays = [
         await tree.stack.enter_async_context(
--- /dev/null
+++ b/tests/support/control_histories.py
@@ -0,0 +1,272 @@
+"""Clients that record histories of control, and what they must satisfy."""
+
+from __future__ import annotations
+
+import collections
+import math
+import random
+import typing
+
+import anyio
+import attrs
+from tests.support import linearizability
+
+from cactusstile.control import claim_messages
+from cactusstile.control import exceptions
+from cactusstile.control import messages
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import model
+
+if typing.TYPE_CHECKING:
+    from tests.support import control_cluster
+
+    from cactusstile.control import client
+
+CALL_TIMEOUT_S = 3.0
+CLAIM_PAUSE_S = 0.01
+CHANGE_PAUSE_S = 0.12
+FENCE_PAUSE_S = 0.08
+KEYS_PER_S = 8
+
+Operation = linearizability.Operation
+
+
+@attrs.define
+class Histories:
+    """What the clients saw.
+
+    Attributes:
+      claims: Operations by request key.
+      changes: Operations on the configuration.
+      fences: Operations on one target's fencing number.
+      runs: Runs that the fake service saw, by request key.
+    """
+
+    claims: dict[str, list[Operation]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
+    changes: list[Operation] = attrs.field(factory=list)
+    fences: list[Operation] = attrs.field(factory=list)
+    runs: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    def check(self) -> None:
+        """Asserts that every history is linearizable and no run repeats."""
+        repeated = {key: n for key, n in self.runs.items() if n > 1}
+        assert not repeated, f"ran more than once: {repeated}"
+        for key, history in self.claims.items():
+            assert linearizability.is_linearizable(history, None, step_claim), (
+                f"claims of {key}: {history}"
+            )
+        assert linearizability.is_linearizable(self.fences, 0, step_fence), (
+            self.fences
+        )
+        start = ((), 0)
+        assert linearizability.is_linearizable(
+            self.changes, start, step_change
+        ), self.changes
+
+    def count(self) -> tuple[int, int]:
+        """Returns the numbers of operations, and of those unanswered."""
+        everything = [*self.changes, *self.fences]
+        for history in self.claims.values():
+            everything += history
+        return len(everything), sum(not entry.is_known for entry in everything)
+
+    def known_after(self, time_s: float) -> int:
+        """Returns how many claim calls begun after `time_s` were answered."""
+        return sum(
+            entry.is_known and entry.invoked > time_s
+            for history in self.claims.values()
+            for entry in history
+        )
+
+
+def step_claim(
+    state: typing.Any, call: typing.Any
+) -> tuple[typing.Any, object]:
+    """One request key: None, or (state, claim identity, answer)."""
+    action, claim_id, answer = call
+    granted = False
+    if action == "claim" and state is None:
+        state = ("running", claim_id, b"")
+    if action == "claim":
+        granted = state == ("running", claim_id, b"")
+    if action == "close" and state is None:
+        state = ("closed", bytes(16), b"")
+    if action == "finish" and state == ("running", claim_id, b""):
+        state = ("finished", claim_id, answer)
+    return state, (granted, *(state or ("absent", b"", b"")))
+
+
+def step_fence(state: int, call: str) -> tuple[int, object]:
+    """A fencing number."""
+    number = state + 1 if call == "take" else state
+    return number, number
+
+
+def step_change(
+    state: typing.Any, call: typing.Any
+) -> tuple[typing.Any, object]:
+    """Configurations: (used numbers with digests, revision in force)."""
+    used, current = state
+    digests = dict(used)
+    if call == "read":
+        return state, (current, digests.get(current, b"")[:16])
+    revision, base, digest = call
+    if revision in digests:
+        same = digests[revision][:16] == digest[:16]
+        return state, ("accepted" if same else "taken", revision)
+    if revision <= current:
+        return state, ("lower", current)
+    if base != current:
+        return state, ("moved", current)
+    return ((*used, (revision, digest)), revision), ("accepted", revision)
+
+
+class Recorder:
+    """Runs clients against a cluster and records what they see.
+
+    Attributes:
+      histories: What they saw so far.
+      stopping: Set to end all clients.
+    """
+
+    def __init__(
+        self, cluster: control_cluster.Cluster, rng: random.Random
+    ) -> None:
+        self.cluster = cluster
+        self.rng = rng
+        self.histories = Histories()
+        self.stopping = False
+        self._started_s = anyio.current_time()
+
+    async def run(self) -> None:
+        """Runs all clients until `stopping`; then checks."""
+        async with anyio.create_task_group() as group:
+            for number in range(3):
+                group.start_soon(self._claim_again_and_again, f"a{number}")
+            for number in range(2):
+                group.start_soon(self._change_again_and_again, f"o{number}")
+            group.start_soon(self._read_again_and_again, "r")
+            group.start_soon(self._fence_again_and_again, "f")
+
+    async def _record(
+        self,
+        history: list[Operation],
+        call: typing.Any,
+        ask: typing.Any,
+    ) -> typing.Any:
+        """Asks and records; returns None without a known answer."""
+        invoked = anyio.current_time()
+        try:
+            result = await ask()
+        except exceptions.OutcomeUnknownError:
+            history.append(Operation(call, invoked, math.inf))
+            return None
+        except exceptions.ControlUnavailableError:
+            return None
+        returned = anyio.current_time()
+        history.append(Operation(call, invoked, returned, result))
+        return result
+
+    async def _claim_again_and_again(self, name: str) -> None:
+        async with self.cluster.open_client(name, "agent") as control:
+            while not self.stopping:
+                age_s = anyio.current_time() - self._started_s
+                number = int(age_s * KEYS_PER_S) - self.rng.randrange(3)
+                await self._use_key(control, f"k{max(0, number)}")
+                await anyio.sleep(CLAIM_PAUSE_S)
+
+    async def _use_key(self, control: client.ControlClient, key: str) -> None:
+        history = self.histories.claims[key]
+        claim_id = self.rng.randbytes(16)
+        ask = _asker(control)
+        kind = self.rng.choice(["claim"] * 6 + ["close", "read"])
+        if kind == "close":
+            message: object = claim_messages.CloseClaim("w", key, b"d")
+        elif kind == "read":
+            message = claim_messages.ReadClaim("w", key, b"d")
+        else:
+            message = claim_messages.Claim("w", key, b"d", 1, claim_id)
+        call = (kind, claim_id, b"")
+        result = await self._record(history, call, lambda: ask(message))
+        if result is None or not result[0]:
+            return
+        self.histories.runs[key] += 1
+        answer = claim_id[:4]
+        finish = claim_messages.FinishClaim("w", key, claim_id, "ok", answer)
+        call = ("finish", claim_id, answer)
+        await self._record(history, call, lambda: ask(finish))
+
+    async def _change_again_and_again(self, name: str) -> None:
+        async with self.cluster.open_client(name) as control:
+            while not self.stopping:
+                try:
+                    base = await control.read_fleet(timeout_s=CALL_TIMEOUT_S)
+                except exceptions.ControlError:
+                    continue
+                share = float(self.rng.randrange(1, 4))
+                await self._change(control, base, share)
+                await anyio.sleep(CHANGE_PAUSE_S)
+
+    async def _change(
+        self, control: client.ControlClient, base: model.Fleet, share: float
+    ) -> None:
+        revision = base.revision + self.rng.choice([0, 1, 1, 1, 2])
+        name = f"w{self.rng.randrange(3)}"
+        workspaces = {**base.workspaces, name: model.Workspace(name, (), share)}
+        fleet = model.Fleet("lagos", revision or 1, workspaces)
+        digest = encoding.digest_bytes(encoding.content_digest(fleet))
+        message = messages.ApplyChange(
+            fleet.revision,
+            base.revision,
+            digest,
+            delta.pack(delta.between(base, fleet)),
+        )
+
+        async def ask() -> object:
+            reply = await control.call(
+                message, messages.ApplyReply, CALL_TIMEOUT_S
+            )
+            return reply.outcome, reply.revision
+
+        call = (fleet.revision, base.revision, digest)
+        await self._record(self.histories.changes, call, ask)
+
+    async def _read_again_and_again(self, name: str) -> None:
+        async with self.cluster.open_client(name, "entry") as control:
+
+            async def ask() -> object:
+                found = await control.read_revision(timeout_s=CALL_TIMEOUT_S)
+                digest = found.digest[:16] if found.revision else b""
+                return found.revision, digest
+
+            while not self.stopping:
+                await self._record(self.histories.changes, "read", ask)
+                await anyio.sleep(CHANGE_PAUSE_S)
+
+    async def _fence_again_and_again(self, name: str) -> None:
+        async with self.cluster.open_client(name, "agent") as control:
+
+            async def take() -> object:
+                return await control.take_fence("t", timeout_s=CALL_TIMEOUT_S)
+
+            async def read() -> object:
+                return await control.read_fence("t", timeout_s=CALL_TIMEOUT_S)
+
+            while not self.stopping:
+                history = self.histories.fences
+                await self._record(history, "take", take)
+                await self._record(history, "read", read)
+                await anyio.sleep(FENCE_PAUSE_S)
+
+
+def _asker(control: client.ControlClient) -> typing.Any:
+    async def ask(message: object) -> object:
+        reply = await control.call(
+            message, claim_messages.ClaimReply, CALL_TIMEOUT_S
+        )
+        return (reply.granted, reply.state, reply.claim_id, reply.answer)
+
+    return ask
--- a/tests/support/cutting_relay.py
+++ b/tests/support/cutting_relay.py
@@ -13,7 +13,9 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+NAMES = ("control-0", "control-1", "control-2")
 _CHUNK_BYTES = 65_536
+_POLL_S = 0.01
 _GONE = (
     OSError,
     anyio.EndOfStream,
@@ -25,29 +27,31 @@
 class CuttingRelay:
     """Forwards connections to `upstream` while it is not cut.
 
+    Connections that a process opens are told by its name, which stands in
+    its first message.
+
     Attributes:
+      name: Name of the process behind this relay.
+      cut_names: Names of processes that are cut off; shared by all relays.
       bound: Address that it listens on.
       upstream: Address that it forwards to.
-      is_cut: Whether bytes are held back, in both directions.
     """
 
     def __init__(
-        self, bound: address.Address, upstream: address.Address
+        self,
+        bound: address.Address,
+        upstream: address.Address,
+        name: str,
+        cut_names: set[str],
     ) -> None:
         self.bound = bound
         self.upstream = upstream
-        self.is_cut = False
-        self._healed = anyio.Event()
+        self.name = name
+        self.cut_names = cut_names
 
     def cut(self) -> None:
-        """Stops forwarding; connections stay open."""
-        self.is_cut = True
-
-    def heal(self) -> None:
-        """Forwards again, also what was held back."""
-        self.is_cut = False
-        self._healed.set()
-        self._healed = anyio.Event()
+        """Holds back bytes in both directions; connections stay open."""
+        self.cut_names.add(self.name)
 
     async def handle(self, near: anyio.abc.ByteStream) -> None:
         try:
@@ -57,26 +61,32 @@
             return
 
     async def _join(self, near: anyio.abc.ByteStream) -> None:
-        await self._wait()
+        first = await near.receive(_CHUNK_BYTES)
+        ends = {self.name}
+        ends.update(name for name in NAMES if name.encode() in first)
+        await self._wait(ends)
         far = await anyio.connect_tcp(self.upstream.host, self.upstream.port)
         async with far, anyio.create_task_group() as group:
-            group.start_soon(self._pump, near, far, group.cancel_scope)
-            group.start_soon(self._pump, far, near, group.cancel_scope)
+            await far.send(first)
+            scope = group.cancel_scope
+            group.start_soon(self._pump, near, far, ends, scope)
+            group.start_soon(self._pump, far, near, ends, scope)
 
-    async def _wait(self) -> None:
-        while self.is_cut:
-            await self._healed.wait()
+    async def _wait(self, ends: set[str]) -> None:
+        while ends & self.cut_names:
+            await anyio.sleep(_POLL_S)
 
     async def _pump(
         self,
         source: anyio.abc.ByteStream,
         sink: anyio.abc.ByteStream,
+        ends: set[str],
         scope: anyio.CancelScope,
     ) -> None:
         try:
             while True:
                 data = await source.receive(_CHUNK_BYTES)
-                await self._wait()
+                await self._wait(ends)
                 await sink.send(data)
         except _GONE:
             scope.cancel()
@@ -84,14 +94,16 @@
 
 @contextlib.asynccontextmanager
 async def open_relay(
-    upstream: address.Address, port: int = 0
+    upstream: address.Address,
+    name: str = "upstream",
+    cut_names: set[str] | None = None,
 ) -> collections.abc.AsyncIterator[CuttingRelay]:
     """Listens on a local port until the context is left."""
-    listener = await anyio.create_tcp_listener(
-        local_host="127.0.0.1", local_port=port
-    )
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     chosen = listener.extra(anyio.abc.SocketAttribute.local_port)
-    relay = CuttingRelay(address.Address("127.0.0.1", chosen), upstream)
+    bound = address.Address("127.0.0.1", chosen)
+    cut = set() if cut_names is None else cut_names
+    relay = CuttingRelay(bound, upstream, name, cut)
     async with listener, anyio.create_task_group() as group:
         group.start_soon(listener.serve, relay.handle)
         try:
