--- a/src/cactusstile/console/apply.py
+++ b/src/cactusstile/console/apply.py
@@ -43,18 +43,20 @@
         _check(reply, fleet)
         if not wait:
             return None
-        return await operations.wait_in_force(opened, fleet.revision, timeout_s)
+        return await operations.wait_in_force(opened, fleet, timeout_s)
 
     coverage = operator.run(settings, apply)
-    if coverage is None:
-        coverage = operations.Coverage(fleet.revision)
+    _show(coverage or operations.Coverage(fleet.revision), wait, json)
+
+
+def _show(coverage: operations.Coverage, wait: bool, json: bool) -> None:
     if json:
         operator.print_json(coverage)
     else:
         _print(coverage, waited=wait)
     if wait and not coverage.is_complete:
         raise exceptions.CommandError(
-            f"revision {fleet.revision} is accepted but not yet in force "
+            f"revision {coverage.revision} is accepted but not yet in force "
             "everywhere; `cactusstile status` shows the progress",
             exceptions.ExitCode.INCOMPLETE,
         )
@@ -89,6 +91,9 @@
     if not waited:
         return
     print(f"in force on {coverage.current} of {coverage.nodes} processes")
+    absent = coverage.declared - coverage.agents
+    if absent > 0:
+        print(f"  {absent} declared targets have no agent that follows")
     for name in coverage.missing:
         print(f"  missing: {name}")
     for name in coverage.unreachable:
--- a/src/cactusstile/console/member.py
+++ b/src/cactusstile/console/member.py
@@ -48,12 +48,16 @@
         return
     if action != "list":
         print(f"{action} of {name} is done in all groups")
+    print_views(views)
+
+
+def print_views(views: list[operations.ControlView]) -> None:
+    """Prints what each control VM says of the groups."""
     for view in views:
-        print_view(view)
+        _print_view(view)
 
 
-def print_view(view: operations.ControlView) -> None:
-    """Prints what one control VM says of the groups."""
+def _print_view(view: operations.ControlView) -> None:
     if not view.groups:
         print(f"{view.address}: does not answer")
     for group in view.groups:
--- a/src/cactusstile/console/status.py
+++ b/src/cactusstile/console/status.py
@@ -16,13 +16,11 @@
     Attributes:
       site: Name of the site.
       coverage: Where the revision in force is known.
-      targets: Targets that the fleet declares.
       control: Views of the control VMs.
     """
 
     site: str
     coverage: operations.Coverage
-    targets: int
     control: list[operations.ControlView]
 
 
@@ -38,9 +36,9 @@
 
     async def read(opened: operations.Operator) -> Status:
         fleet = await opened.control.read_fleet()
-        coverage = await operations.find_coverage(opened, fleet.revision)
+        coverage = await operations.find_coverage(opened, fleet)
         views = await operations.view_members(opened)
-        return Status(fleet.name, coverage, len(fleet.targets), views)
+        return Status(fleet.name, coverage, views)
 
     status = operator.run(settings, read)
     if json:
@@ -49,8 +47,9 @@
     coverage = status.coverage
     print(f"{status.site or 'no site yet'}: revision {coverage.revision}")
     print(f"in force on {coverage.current} of {coverage.nodes} processes")
-    print(f"{coverage.agents} agents follow, {status.targets} targets declared")
+    print(
+        f"{coverage.agents} agents follow, {coverage.declared} targets declared"
+    )
     for name in coverage.missing:
         print(f"  missing: {name}")
-    for view in status.control:
-        member.print_view(view)
+    member.print_views(status.control)
--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -205,7 +205,7 @@
         self, target: str, *, timeout_s: float = CALL_TIMEOUT_S
     ) -> int:
         """Returns a fencing number above all that were taken before."""
-        message = messages.TakeFence(target)
+        message = messages.TakeFence(target, os.urandom(CLAIM_ID_BYTES))
         reply = await self.call(message, messages.FenceNumber, timeout_s)
         return reply.number
 
--- a/src/cactusstile/control/configuration.py
+++ b/src/cactusstile/control/configuration.py
@@ -22,6 +22,20 @@
 MAX_RECORD_BYTES = 4 * 1024 * 1024
 MAX_FENCES = 65_536
 MAX_TARGET_NAME_LENGTH = 128
+MAX_TAKE_ID_BYTES = 16
+
+
+class Fence(typing.NamedTuple):
+    """Last fencing number of a target.
+
+    Attributes:
+      number: The number.
+      take_id: Identity of the call that took it, in hexadecimal; a resend of
+        that call gets the same number.
+    """
+
+    number: int
+    take_id: str
 
 
 def _ignore(_record: messages.ChangeRecord | None) -> None:
@@ -35,7 +49,7 @@
       fleet: The fleet in force.
       digest: Its content digest.
       records: Last accepted changes, bounded in count and bytes.
-      fences: Fencing numbers by target; kept when a target is removed.
+      fences: Last fencing number by target; kept when a target is removed.
       observer: Called with each accepted change, and with None after the
         state was replaced by a snapshot.
     """
@@ -51,7 +65,7 @@
         self.records: collections.deque[messages.ChangeRecord] = (
             collections.deque()
         )
-        self.fences: dict[str, int] = {}
+        self.fences: dict[str, Fence] = {}
         self._record_bytes = 0
         self._revisions = revisions.Revisions()
 
@@ -64,7 +78,7 @@
         if isinstance(message, messages.ApplyChange):
             return commands.pack(self._apply_change(message))
         if isinstance(message, messages.TakeFence):
-            return commands.pack(self._take_fence(message.target))
+            return commands.pack(self._take_fence(message))
         text = f"{type(message).__name__} is no command"
         return commands.pack(commands.refuse("bad_request", text))
 
@@ -151,14 +165,18 @@
             dropped = self.records.popleft()
             self._record_bytes -= len(dropped.body)
 
-    def _take_fence(self, target: str) -> object:
+    def _take_fence(self, message: messages.TakeFence) -> object:
+        target = message.target
         if not target or len(target) > MAX_TARGET_NAME_LENGTH:
             return commands.refuse("bad_request", "no name of a target")
         if target not in self.fences and len(self.fences) >= MAX_FENCES:
             text = f"fencing numbers of {MAX_FENCES} targets are in use"
             return commands.refuse("too_many_targets", text)
-        self.fences[target] = self.fences.get(target, 0) + 1
-        return messages.FenceNumber(self.fences[target])
+        last = self.fences.get(target, Fence(0, ""))
+        take_id = message.take_id[:MAX_TAKE_ID_BYTES].hex()
+        if not take_id or last.take_id != take_id:
+            self.fences[target] = Fence(last.number + 1, take_id)
+        return messages.FenceNumber(self.fences[target].number)
 
     def whole(self) -> messages.FeedDelta:
         """Returns the fleet in force as one message."""
@@ -204,11 +222,12 @@
             self.fleet, self.digest = delta.apply_delta(
                 self.fleet, self.digest, change, image.revision
             )
-            self.fences = json.loads(image.fences)
+            fences = json.loads(image.fences)
         except ValueError as error:
             raise exceptions.SnapshotError(str(error)) from error
         if encoding.digest_bytes(self.digest) != image.digest:
             raise exceptions.SnapshotError("the fleet does not fit its digest")
+        self.fences = {name: Fence(*last) for name, last in fences.items()}
         self._revisions.load(image.revisions, image.digests)
         for record in image.records:
             self._remember(record)
--- a/src/cactusstile/control/control.capnp
+++ b/src/cactusstile/control/control.capnp
@@ -70,6 +70,7 @@
 
 struct TakeFence {
   target @0 :Text;
+  takeId @1 :Data;
 }
 
 struct ReadFence {
--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -105,7 +105,7 @@
     replicas = {}
     for name, machine in machines.items():
         settings.data_folder.mkdir(parents=True, exist_ok=True)
-        own_address = str(settings.advertise)
+        own_address = str(settings.own_address)
         opened = replica.open_replica(
             settings.for_group(name),
             machine,
--- a/src/cactusstile/control/handlers.py
+++ b/src/cactusstile/control/handlers.py
@@ -113,8 +113,8 @@
         _: incoming.Responder, message: messages.ReadFence
     ) -> object:
         await states.confirm_lead(state.configuration_replica)
-        number = state.configuration.fences.get(message.target, 0)
-        return messages.FenceNumber(number)
+        last = state.configuration.fences.get(message.target)
+        return messages.FenceNumber(last.number if last else 0)
 
     return {messages.TakeFence: take, messages.ReadFence: read}
 
--- a/src/cactusstile/control/member_handlers.py
+++ b/src/cactusstile/control/member_handlers.py
@@ -126,7 +126,10 @@
         "name": state.settings.process.name,
         "revision": state.configuration.fleet.revision,
         "claims": len(state.claims),
-        "fences": state.configuration.fences,
+        "fences": {
+            target: last.number
+            for target, last in state.configuration.fences.items()
+        },
         "children": state.relay.children(),
         "beacon": state.relay.beacon,
         "groups": groups,
--- a/src/cactusstile/control/messages.py
+++ b/src/cactusstile/control/messages.py
@@ -83,9 +83,15 @@
 @codec.register(204, SCHEMA, "TakeFence")
 @attrs.frozen
 class TakeFence:
-    """Raises the fencing number of a target; ends with `FenceNumber`."""
+    """Raises the fencing number of a target; ends with `FenceNumber`.
+
+    Attributes:
+      target: Name of the target.
+      take_id: Random identity of this call, the same when it is resent.
+    """
 
     target: str
+    take_id: bytes
 
 
 @codec.register(205, SCHEMA, "ReadFence")
--- a/src/cactusstile/control/operations.py
+++ b/src/cactusstile/control/operations.py
@@ -53,6 +53,7 @@
       revision: The revision.
       nodes: Processes known to the control VMs that answered.
       agents: Agents among them.
+      declared: Targets that the fleet declares, each with one agent.
       current: Processes that hold the revision or a later one.
       missing: Names of some that do not.
       unreachable: Control VMs that did not answer; what hangs on them is not
@@ -62,14 +63,16 @@
     revision: int
     nodes: int = 0
     agents: int = 0
+    declared: int = 0
     current: int = 0
     missing: tuple[str, ...] = ()
     unreachable: tuple[str, ...] = ()
 
     @property
     def is_complete(self) -> bool:
-        """Whether all processes answered for hold the revision."""
-        return self.current == self.nodes and not self.unreachable
+        """Whether every process that should hold the revision does."""
+        everyone = self.current == self.nodes and self.agents >= self.declared
+        return everyone and not self.unreachable
 
 
 @attrs.frozen
@@ -130,8 +133,9 @@
             return reply
 
 
-async def find_coverage(operator: Operator, revision: int) -> Coverage:
-    """Asks every control VM where `revision` is in force."""
+async def find_coverage(operator: Operator, fleet: model.Fleet) -> Coverage:
+    """Asks every control VM where the revision of `fleet` is in force."""
+    revision = fleet.revision
     found: list[feed_messages.InForce] = []
     unreachable: list[str] = []
 
@@ -150,6 +154,7 @@
         revision,
         sum(reply.nodes for reply in found),
         sum(reply.agents for reply in found),
+        len(fleet.targets),
         sum(reply.current for reply in found),
         tuple(sorted(name for reply in found for name in reply.missing)),
         tuple(sorted(unreachable)),
@@ -157,12 +162,12 @@
 
 
 async def wait_in_force(
-    operator: Operator, revision: int, timeout_s: float
+    operator: Operator, fleet: model.Fleet, timeout_s: float
 ) -> Coverage:
     """Returns the coverage once it is complete, or when time is over."""
     deadline_s = anyio.current_time() + timeout_s
     while True:
-        coverage = await find_coverage(operator, revision)
+        coverage = await find_coverage(operator, fleet)
         if coverage.is_complete or anyio.current_time() >= deadline_s:
             return coverage
         await anyio.sleep(POLL_INTERVAL_S)
--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -24,7 +24,8 @@
       process: Settings common to all roles.
       data_folder: Folder of the durable state.
       founders: Replicas that found the groups, the same on all control VMs.
-      advertise: Address that the other control VMs send to.
+      advertise: Address that the other control VMs send to, if it is not the
+        one listened on.
       group_commit: Whether one sync serves many commands.
       sync_in_thread: Whether syncs run in a worker thread.
     """
@@ -32,15 +33,20 @@
     process: process.ProcessSettings
     data_folder: pathlib.Path
     founders: tuple[replica.Founder, ...]
-    advertise: address.Address
+    advertise: address.Address | None = None
     group_commit: bool = True
     sync_in_thread: bool = True
 
+    @property
+    def own_address(self) -> address.Address:
+        """Address that the other control VMs send to."""
+        return self.advertise or self.process.listen
+
     def for_group(self, group: str) -> replica.ReplicaSettings:
         """Returns the settings of this process's replica of a group."""
         return replica.ReplicaSettings(
             name=self.process.name,
-            address=str(self.advertise),
+            address=str(self.own_address),
             data_folder=self.data_folder / group,
             founders=self.founders,
             max_command_bytes=MAX_COMMAND_BYTES,
@@ -95,5 +101,4 @@
       InvalidFileError: With all faults of the file.
     """
     common, values = process.load(path, "control", OPTIONS)
-    values["advertise"] = values.get("advertise") or common.listen
     return ControlSettings(common, **values)
--- a/src/cactusstile/settings/reference.py
+++ b/src/cactusstile/settings/reference.py
@@ -5,6 +5,7 @@
 import typing
 
 from cactusstile.settings import ini
+from cactusstile.settings import operator
 from cactusstile.settings import process
 from cactusstile.settings import roles
 from cactusstile.state import fleet_file
@@ -28,6 +29,8 @@
     parts.append(_render_section("[process]", process.OPTIONS))
     for role, options in roles.OPTIONS.items():
         parts.append(_render_section(f"[{role}]", options))
+    parts.append("## Settings of an operator\n")
+    parts.append(_render_section("[operator]", operator.OPTIONS))
     parts.append("## Fleet file\n")
     parts.append(_render_section("[fleet]", fleet_file.FLEET))
     for kind, options in fleet_file.SECTIONS.items():
--- /dev/null
+++ b/tests/control/test_operations.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import typing
+
+import anyio
+import anyio.to_thread
+import pytest
+from tests.support import control_cluster
+
+from cactusstile.console import application
+from cactusstile.control import client
+from cactusstile.control import exceptions
+from cactusstile.state import holder
+from cactusstile.state import model
+from cactusstile.state import relay
+from cactusstile.state import subscription
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+NEXT_COMMIT_S = 2.0
+CHANGE_OVER_S = 4.0
+STORES = """
+[target a1]
+kind = store
+agent = 127.0.0.1:7100
+data_centre = ikeja
+
+[target absent]
+kind = store
+agent = 127.0.0.1:7101
+data_centre = ikeja
+"""
+
+
+def _write_fleet(
+    folder: pathlib.Path, revision: int, share: int = 1, extra: str = ""
+) -> str:
+    path = folder / f"fleet-{revision}-{share}.ini"
+    path.write_text(
+        f"[fleet]\nname = lagos\nrevision = {revision}\n"
+        f"[workspace bank]\nshare = {share}\n{extra}"
+    )
+    return str(path)
+
+
+async def _command(cluster: control_cluster.Cluster, *arguments: str) -> int:
+    settings = ["--settings", str(cluster.folder / "operator.ini")]
+    return await anyio.to_thread.run_sync(
+        application.run, [*arguments, *settings]
+    )
+
+
+@contextlib.asynccontextmanager
+async def _open_subscriber(
+    cluster: control_cluster.Cluster,
+) -> collections.abc.AsyncIterator[
+    tuple[holder.FleetHolder, subscription.Subscriber]
+]:
+    identity = handshake.Identity("agent", "a1")
+    held = holder.FleetHolder()
+    async with (
+        pool.open_pool(identity, control_cluster.SECRETS) as connections,
+        anyio.create_task_group() as group,
+    ):
+        subscriber = subscription.Subscriber(
+            held,
+            relay.Relay("a1", is_agent=True),
+            connections,
+            client.ControlClient(connections, cluster.addresses),
+        )
+        group.start_soon(subscriber.run)
+        yield held, subscriber
+        group.cancel_scope.cancel()
+
+
+async def _until_revision(
+    held: holder.FleetHolder, revision: int, limit_s: float
+) -> None:
+    with anyio.fail_after(limit_s):
+        while held.fleet.revision < revision:
+            await anyio.sleep(0.01)
+
+
+async def test_operator_commands_on_real_processes(
+    cluster: control_cluster.Cluster, capsys: pytest.CaptureFixture[str]
+) -> None:
+    folder = cluster.folder
+    first = _write_fleet(folder, 5)
+    assert await _command(cluster, "apply", first) == 0
+    assert await _command(cluster, "apply", first) == 0, "resend"
+    assert await _command(cluster, "apply", _write_fleet(folder, 5, 2)) == 5
+    assert "first used by ada" in capsys.readouterr().err
+    assert await _command(cluster, "apply", _write_fleet(folder, 4)) == 5
+    assert "revision 5 is in force" in capsys.readouterr().err
+    assert await _command(cluster, "diff", _write_fleet(folder, 6, 3)) == 0
+    assert "changed  workspace/bank share" in capsys.readouterr().out
+    assert await _command(cluster, "history", "--json") == 0
+    records = json.loads(capsys.readouterr().out)
+    assert [record["revision"] for record in records] == [5]
+    assert await _command(cluster, "member", "list") == 0
+    assert capsys.readouterr().out.count("voter") == 18
+    assert await _command(cluster, "member", "paint") == 2
+    assert await _command(cluster, "member", "remove", "nobody") == 5
+    assert "nobody is no member" in capsys.readouterr().err
+
+
+async def test_apply_waits_and_names_what_is_missing(
+    cluster: control_cluster.Cluster, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async with _open_subscriber(cluster) as (held, subscriber):
+        with anyio.fail_after(CHANGE_OVER_S):
+            await held.confirmed.wait()
+            while subscriber.parent is None:
+                await anyio.sleep(0.01)
+        first = _write_fleet(cluster.folder, 1)
+        assert await _command(cluster, "apply", first, "--wait") == 0
+        assert "in force on 4 of 4 processes" in capsys.readouterr().out
+        assert subscriber.parent is not None
+        parent = cluster.name_of(subscriber.parent)
+        cluster.cut_names.add(parent)
+        second = _write_fleet(cluster.folder, 2)
+        wait = ["--wait", "--timeout_s", "0.1"]
+        assert await _command(cluster, "apply", second, *wait) == 7
+        assert "does not answer" in capsys.readouterr().out
+        await _until_revision(held, 2, CHANGE_OVER_S)
+        cluster.cut_names.clear()
+        assert await _command(cluster, "apply", second, "--wait") == 0
+        third = _write_fleet(cluster.folder, 3, extra=STORES)
+        assert await _command(cluster, "apply", third, *wait) == 7
+        assert "1 declared targets have no agent" in capsys.readouterr().out
+
+
+async def test_roles_and_shutdown(cluster: control_cluster.Cluster) -> None:
+    async with cluster.open_client("a1", "agent") as control:
+        with pytest.raises(exceptions.CallRefusedError) as caught:
+            await control.apply(model.Fleet(), model.Fleet("lagos", 1))
+        assert caught.value.code == "forbidden"
+        assert (await control.read_fleet()).revision == 0
+        for _ in range(2):
+            await control.take_fence("t")
+            leader = cluster.name_of(control.leader)
+            code = await anyio.to_thread.run_sync(cluster.terminate, leader)
+            assert code == 0
+            with anyio.fail_after(NEXT_COMMIT_S):
+                await control.take_fence("t")
+            cluster.start(leader)
+            await anyio.sleep(NEXT_COMMIT_S)
+
+
+def test_command_without_control_says_what_to_do(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    secret = tmp_path / "operator.secret"
+    secret.write_bytes(control_cluster.OPERATOR_SECRET)
+    settings = tmp_path / "operator.ini"
+    settings.write_text(
+        "[operator]\nname = ada\ncontrol = 127.0.0.1:1\n"
+        f"operator_secret_file = {secret}\n"
+    )
+    arguments = ["history", "--timeout_s", "0.3", "--settings", str(settings)]
+    assert application.run(arguments) == 6
+    assert "check the control VMs" in capsys.readouterr().err
