Let a refusal speak for earlier attempts of its key

Ruled out: closing the claim at each refusal (the key could never run after, and callers retry with it); saying 'may have run' for every keyed refusal (true, but useless to callers on the common path). Change: for refusals of requests that are not repeatable and carry a caller's key, the entry reads the claim from a quorum, at most 64 at once and for 0.5 s; without a sure answer the verdict is 'may have run'. Not proved: an earlier attempt that is still on its way may run after the refusal, which speaks for what was claimed until then.

--- a/src/cactusstile/entry/application.py
+++ b/src/cactusstile/entry/application.py
@@ -15,6 +15,7 @@
 from cactusstile.filters import authenticate
 from cactusstile.filters import body
 from cactusstile.filters import chain
+from cactusstile.filters import earlier_attempts
 from cactusstile.filters import exceptions
 from cactusstile.filters import exchange
 from cactusstile.filters import limit
@@ -111,9 +112,10 @@
     find_workspace: collections.abc.Callable[[str], str | None],
     gate: Gate,
     bounds: Bounds,
+    was_claimed: earlier_attempts.WasClaimed,
 ) -> starlette.routing.Router:
     """Returns the application that serves callers."""
-    filters = _build_filters(parts, find_workspace, gate, bounds)
+    filters = _build_filters(parts, find_workspace, gate, bounds, was_claimed)
     chat = completions.build_handler(
         parts, openai_answers.CHAT, openai_requests.parse_chat
     )
@@ -150,6 +152,7 @@
     find_workspace: collections.abc.Callable[[str], str | None],
     gate: Gate,
     bounds: Bounds,
+    was_claimed: earlier_attempts.WasClaimed,
 ) -> list[chain.Filter]:
     return [
         refusals.answer_refusals(parts.metrics.count_refusal),
@@ -158,6 +161,7 @@
         authenticate.authenticate(parts.fleet, find_workspace),
         marks.read_marks,
         marks.identify,
+        earlier_attempts.cover_earlier_attempts(was_claimed),
         limit.limit_in_flight(bounds.in_flight),
         body.read_body(bounds.max_body_bytes, bounds.memory),
         body.cancel_when_caller_leaves,
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -17,6 +17,7 @@
 from cactusstile.entry import homes
 from cactusstile.entry import routes
 from cactusstile.filters import body
+from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
 from cactusstile.limits import retry_budget
 from cactusstile.observability import admin
@@ -32,6 +33,10 @@
 logger = logging.getLogger(__name__)
 
 
+async def _never_claimed(_workspace: str, _request_key: str) -> bool:
+    return False
+
+
 @attrs.frozen
 class Parts:
     """What an entry is given by the process that runs it.
@@ -43,6 +48,7 @@
       routing: Decisions on where requests go; None for the homes of the prompt.
       tokenize: Turns a prompt's text into tokens.
       notice_revision: Called with an agent's newer configuration revision.
+      was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
     """
 
     fleet: holder.FleetHolder
@@ -51,6 +57,7 @@
     routing: routes.Routes | None = None
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
     notice_revision: collections.abc.Callable[[int], None] = lambda _: None
+    was_claimed: earlier_attempts.WasClaimed = _never_claimed
 
 
 @attrs.frozen
@@ -140,6 +147,7 @@
         parts.find_workspace,
         entry.gate,
         entry.bounds,
+        parts.was_claimed,
     )
     app.routes.extend(admin.health_routes(is_ready))
 
--- a/src/cactusstile/entry/wiring.py
+++ b/src/cactusstile/entry/wiring.py
@@ -5,6 +5,9 @@
 import contextlib
 import typing
 
+from cactusstile.control import claim_messages
+from cactusstile.control import client
+from cactusstile.control import exceptions
 from cactusstile.entry import daemon
 from cactusstile.entry import homes
 from cactusstile.state import follower
@@ -14,10 +17,18 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.filters import earlier_attempts
     from cactusstile.settings import entry as entry_settings
     from cactusstile.state import model
 
 
+CLAIM_TIMEOUT_S = 0.5
+_NEVER_RUN = (
+    claim_messages.ClaimState.ABSENT,
+    claim_messages.ClaimState.CLOSED,
+)
+
+
 @contextlib.asynccontextmanager
 async def open_parts(
     settings: entry_settings.EntrySettings,
@@ -43,4 +54,22 @@
             peers=following.peers,
             find_workspace=ring.find_workspace,
             routing=homes.build(lambda: held.fleet, reserve=True),
+            was_claimed=build_was_claimed(following.control),
         )
+
+
+def build_was_claimed(
+    control: client.ControlClient,
+) -> earlier_attempts.WasClaimed:
+    """Returns a question to control on earlier attempts of a request."""
+
+    async def was_claimed(workspace: str, request_key: str) -> bool:
+        try:
+            grant = await control.read_claim(
+                workspace, request_key, b"", timeout_s=CLAIM_TIMEOUT_S
+            )
+        except exceptions.ControlError:
+            return True
+        return grant.state not in _NEVER_RUN
+
+    return was_claimed
--- /dev/null
+++ b/src/cactusstile/filters/earlier_attempts.py
@@ -0,0 +1,81 @@
+"""Filter that makes a refusal speak for all attempts of a request."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from cactusstile import verdict
+from cactusstile.filters import chain
+from cactusstile.filters import exchange
+from cactusstile.filters import marks
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    WasClaimed = collections.abc.Callable[
+        [str, str], collections.abc.Awaitable[bool]
+    ]
+
+MAX_QUESTIONS = 64
+
+
+def cover_earlier_attempts(was_claimed: WasClaimed) -> chain.Filter:
+    """Returns a filter that checks "not run" against earlier attempts.
+
+    An entry knows that it did not run this attempt. An earlier attempt with
+    the same caller's key may have run through another entry, and then the
+    request was run. The check costs a quorum read, only for refusals of
+    requests that are not repeatable and carry a caller's key.
+
+    Args:
+      was_claimed: Returns whether any attempt with a workspace's key may have
+        run; returns True when it cannot tell.
+    """
+    open_questions = 0
+
+    async def filter_exchange(
+        passing: exchange.Exchange, proceed: chain.Handler
+    ) -> None:
+        nonlocal open_questions
+        try:
+            await proceed(passing)
+        except verdict.RefusedError as error:
+            if not _needs_check(passing, error.refusal):
+                raise
+            claimed = True
+            if open_questions < MAX_QUESTIONS:
+                open_questions += 1
+                try:
+                    claimed = await was_claimed(
+                        passing.workspace.name, passing.request_key
+                    )
+                finally:
+                    open_questions -= 1
+            if not claimed:
+                raise
+            raise _may_have_run(error.refusal) from error
+
+    return filter_exchange
+
+
+def _needs_check(passing: exchange.Exchange, refusal: verdict.Refusal) -> bool:
+    return (
+        refusal.verdict is verdict.Verdict.NOT_RUN
+        and refusal.reason is not verdict.Reason.BAD_REQUEST
+        and passing.repeatable is not True
+        and passing.request_key.startswith(marks.CALLER_KEY_PREFIX)
+    )
+
+
+def _may_have_run(refusal: verdict.Refusal) -> verdict.RefusedError:
+    message = (
+        f"{refusal.message}; this attempt was not run, an earlier one with "
+        "the same key may have run"
+    )
+    return verdict.RefusedError(
+        attrs.evolve(
+            refusal, verdict=verdict.Verdict.MAY_HAVE_RUN, message=message
+        )
+    )
--- a/src/cactusstile/filters/marks.py
+++ b/src/cactusstile/filters/marks.py
@@ -16,6 +16,7 @@
 DEADLINE_HEADER = "cactusstile-deadline-ms"
 REPEATABLE_HEADER = "cactusstile-repeatable"
 IDEMPOTENCY_HEADER = "idempotency-key"
+CALLER_KEY_PREFIX = "c:"
 MAX_PRIORITY = 100
 MAX_DEADLINE_MS = 86_400_000
 MAX_IDEMPOTENCY_CHARACTERS = 255
@@ -65,7 +66,7 @@
             f"Idempotency-Key must be 1 to {MAX_IDEMPOTENCY_CHARACTERS} "
             "printable ASCII characters"
         )
-    passing.request_key = "c:" + given
+    passing.request_key = CALLER_KEY_PREFIX + given
     await proceed(passing)
 
 
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -38,12 +38,10 @@
     words: list[str] = attrs.field(factory=list)
 
 
-async def _attempt(
-    site: site_processes.Site, entry: str, key: str
-) -> str:
+async def _attempt(site: site_processes.Site, entry: str, key: str) -> str:
     """Returns "answered", a verdict, or "unknown" for one attempt."""
     url = f"http://127.0.0.1:{site.port(f'{entry}-callers')}"
-    headers = {
+    headers: dict[bytes | str, bytes | str] = {
         "authorization": f"Bearer {site.keys['bank']}",
         "idempotency-key": key,
     }
--- a/tests/support/fake_target.py
+++ b/tests/support/fake_target.py
@@ -15,19 +15,20 @@
 from cactusstile.fakes import serving
 from cactusstile.transport import address
 
-
 SERVICE_CALL_S = 0.05
 
 
+def _write_ledger(stand_in: service.Service, path: str) -> None:
+    ledger = [[entry.workspace, entry.request_key] for entry in stand_in.ledger]
+    pathlib.Path(path).write_text(json.dumps(ledger))
+
+
 async def _serve_service(listen: address.Address, ledger_path: str) -> None:
     stand_in = service.Service(call_s=SERVICE_CALL_S)
     async with serving.open_app(service.build_app(stand_in), listen):
         await signals.wait_for_stop()
     if ledger_path:
-        ledger = [
-            [entry.workspace, entry.request_key] for entry in stand_in.ledger
-        ]
-        pathlib.Path(ledger_path).write_text(json.dumps(ledger))
+        _write_ledger(stand_in, ledger_path)
 
 
 async def _main(kind: str, port: int, ledger_path: str) -> None:
