Give each claim an identity that its owner chose

After a lost answer to a claim the agent released "the claim of this process that it never learned of", guessed from the incarnation. A later claim of the same key, already run and with its outcome not stored, matched the guess too.

Ruled out: remembering all started claims, which grows without bound.

Change: the agent draws the claim's identity before it asks (additive `claim_id` of `ControlClient.claim`) and releases exactly that one.

Conclusion: a claim is given back only by its own identity.

--- a/src/cactusstile/agent/claims.py
+++ b/src/cactusstile/agent/claims.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import typing
 
 import anyio
@@ -42,6 +43,7 @@
         content_digest: bytes,
         incarnation: int,
         *,
+        claim_id: bytes = ...,
         timeout_s: float = ...,
     ) -> client.ClaimGrant:
         """Claims a request's one run."""
@@ -129,7 +131,6 @@
         self._control = control
         self._incarnation = incarnation
         self._group = group
-        self._granted: set[bytes] = set()
 
     async def claim(self, key: Key) -> HeldClaim | StoredAnswer:
         """Claims the run of a request.
@@ -138,22 +139,23 @@
           RefusedError: If this process must not run it.
         """
         asked_s = anyio.current_time()
+        claim_id = os.urandom(client.CLAIM_ID_BYTES)
         try:
             grant = await self._control.claim(
                 key.workspace,
                 key.request_key,
                 key.digest,
                 self._incarnation,
+                claim_id=claim_id,
                 timeout_s=CLAIM_TIMEOUT_S,
             )
         except exceptions.OutcomeUnknownError as error:
-            self._group.start_soon(self._give_back_unknown, key)
+            self._group.start_soon(self._release, key, claim_id)
             raise _unavailable("the claim's answer was lost") from error
         except exceptions.ControlError as error:
             raise _unavailable(str(error)) from error
         if grant.granted:
-            self._granted.add(grant.claim_id)
-            return HeldClaim(key, grant.claim_id, asked_s)
+            return HeldClaim(key, claim_id, asked_s)
         return _read_foreign(grant)
 
     async def confirm(self, held: HeldClaim) -> None:
@@ -180,7 +182,6 @@
                 found.state is not claim_messages.ClaimState.RUNNING
                 or found.claim_id != held.claim_id
             ):
-                self._granted.discard(held.claim_id)
                 raise verdict.refuse(
                     verdict.Reason.DUPLICATE,
                     "the claim was lost before the run; retry",
@@ -213,7 +214,6 @@
             )
         except exceptions.ControlError as error:
             logger.warning("outcome of a claimed run was not kept: %s", error)
-        self._granted.discard(held.claim_id)
 
     async def _release(self, key: Key, claim_id: bytes) -> None:
         for _ in range(RELEASE_ATTEMPTS):
@@ -224,23 +224,6 @@
             except exceptions.ControlError:
                 await anyio.sleep(RELEASE_INTERVAL_S)
                 continue
-            break
-        self._granted.discard(claim_id)
-
-    async def _give_back_unknown(self, key: Key) -> None:
-        """Releases a claim of this process that it never learned of."""
-        for _ in range(RELEASE_ATTEMPTS):
-            await anyio.sleep(RELEASE_INTERVAL_S)
-            try:
-                found = await self._control.read_claim(
-                    key.workspace, key.request_key, key.digest
-                )
-            except exceptions.ControlError:
-                continue
-            ours = found.incarnation == self._incarnation
-            running = found.state is claim_messages.ClaimState.RUNNING
-            if running and ours and found.claim_id not in self._granted:
-                await self._release(key, found.claim_id)
             return
 
 
--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -121,14 +121,16 @@
         content_digest: bytes,
         incarnation: int,
         *,
+        claim_id: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> ClaimGrant:
         """Claims the one run of a request; see `ClaimGrant`.
 
         After `OutcomeUnknownError` the caller must not run the request; it
-        may claim again and then learns that its own claim holds the key.
+        may release the `claim_id` that it chose. Without one a random
+        identity is drawn.
         """
-        claim_id = os.urandom(CLAIM_ID_BYTES)
+        claim_id = claim_id or os.urandom(CLAIM_ID_BYTES)
         message = claim_messages.Claim(
             workspace, request_key, content_digest, incarnation, claim_id
         )
--- a/src/cactusstile/fakes/control.py
+++ b/src/cactusstile/fakes/control.py
@@ -11,8 +11,6 @@
 from cactusstile.control import client
 from cactusstile.control import exceptions
 
-CLAIM_ID_BYTES = 16
-
 _State = claim_messages.ClaimState
 
 
@@ -34,12 +32,14 @@
       delay_s: Time that each call takes.
       lose_claim_answers: How many of the next claims take effect without
         their caller learning of it.
+      grant_delay_s: Time between a claim's effect and its answer.
       unavailable: Whether all calls fail without effect.
       fences: Highest fencing number by target.
     """
 
     delay_s: float = 0.0
     lose_claim_answers: int = 0
+    grant_delay_s: float = 0.0
     unavailable: bool = False
     fences: dict[str, int] = attrs.field(factory=dict)
     _claims: dict[tuple[str, str], _Claim] = attrs.field(factory=dict)
@@ -51,6 +51,7 @@
         content_digest: bytes,
         incarnation: int,
         *,
+        claim_id: bytes = b"",
         timeout_s: float = client.CALL_TIMEOUT_S,
     ) -> client.ClaimGrant:
         """Claims a request's one run; see `client.ControlClient.claim`."""
@@ -58,10 +59,11 @@
         key = (workspace, request_key)
         granted = key not in self._claims
         if granted:
-            claim_id = os.urandom(CLAIM_ID_BYTES)
+            claim_id = claim_id or os.urandom(client.CLAIM_ID_BYTES)
             self._claims[key] = _Claim(
                 content_digest, _State.RUNNING, incarnation, claim_id
             )
+        await anyio.sleep(self.grant_delay_s)
         if self.lose_claim_answers:
             self.lose_claim_answers -= 1
             raise exceptions.OutcomeUnknownError("the answer was lost")
--- a/src/cactusstile/fakes/engine.py
+++ b/src/cactusstile/fakes/engine.py
@@ -145,6 +145,9 @@
       recomputed_tokens: Prompt tokens that were computed here.
       imported_blocks: Blocks that were written from outside.
       loading: Loads of weights under way.
+      breaks: For each of the next streams, events after which it is cut.
+      lose_order_answers: How many of the next orders take effect without an
+        answer.
     """
 
     def __init__(
@@ -161,6 +164,8 @@
         """
         self.fetch_weights = fetch_weights
         self.loading = 0
+        self.breaks: list[int] = []
+        self.lose_order_answers = 0
         self.settings = settings or EngineSettings()
         self.version = self.settings.version
         self.model = self.settings.model
--- a/src/cactusstile/fakes/engine_app.py
+++ b/src/cactusstile/fakes/engine_app.py
@@ -13,6 +13,7 @@
 from cactusstile import tokens
 from cactusstile.fakes import engine
 from cactusstile.fakes import oracle
+from cactusstile.fakes import serving
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -126,6 +127,9 @@
             return _refuse(409, str(error))
         except engine.LoadFailedError as error:
             return _refuse(503, str(error))
+        if self.engine.lose_order_answers:
+            self.engine.lose_order_answers -= 1
+            return serving.cut_off()
         return responses.JSONResponse({"version": self.engine.version})
 
     async def lookup(self, request: requests.Request) -> responses.Response:
@@ -182,9 +186,21 @@
     def _stream(
         self, stream: engine.Stream, first: int
     ) -> responses.StreamingResponse:
-        return responses.StreamingResponse(
-            _events(stream, first), media_type=SSE
-        )
+        events = _events(stream, first)
+        if self.engine.breaks:
+            events = _break(events, self.engine.breaks.pop(0))
+        return responses.StreamingResponse(events, media_type=SSE)
+
+
+async def _break(
+    events: collections.abc.AsyncIterator[str], count: int
+) -> collections.abc.AsyncIterator[str]:
+    """Passes `count` events on and breaks the connection off."""
+    async for event in events:
+        if not count:
+            raise serving.CutOffError("stream cut as asked")
+        count -= 1
+        yield event
 
 
 async def _events(
--- a/src/cactusstile/fakes/service.py
+++ b/src/cactusstile/fakes/service.py
@@ -10,6 +10,8 @@
 from starlette import responses
 from starlette import routing
 
+from cactusstile.fakes import serving
+
 if typing.TYPE_CHECKING:
     from starlette import requests
 
@@ -71,7 +73,7 @@
         await anyio.sleep(service.call_s)
         if service.drop_answers:
             service.drop_answers -= 1
-            raise ConnectionResetError("answer lost as asked")
+            return serving.cut_off()
         answer = {"number": len(service.ledger), "path": entry.path}
         return responses.JSONResponse(answer)
 
--- a/src/cactusstile/fakes/serving.py
+++ b/src/cactusstile/fakes/serving.py
@@ -7,7 +7,9 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import uvicorn
+from starlette import responses
 
 from cactusstile.transport import address
 
@@ -18,6 +20,22 @@
 KEEP_ALIVE_S = 60
 
 
+class CutOffError(Exception):
+    """Raised by a fake to break a connection off."""
+
+
+def cut_off() -> responses.StreamingResponse:
+    """Returns an answer that breaks off before its body."""
+
+    async def body() -> collections.abc.AsyncIterator[bytes]:
+        await anyio.lowlevel.checkpoint()
+        raise CutOffError("connection cut as asked")
+        yield b""
+
+    headers = {"Content-Length": "2"}
+    return responses.StreamingResponse(body(), headers=headers)
+
+
 class _Server(uvicorn.Server):
     """A server that leaves the process's signals alone."""
 
