Test runs, versions, orders and claims under faults

Need: each promise at the agent with a test that fails without its mechanism.

Change besides: one answer of a target is bounded in total time, not only between its parts.

--- a/src/cactusstile/fakes/control.py
+++ b/src/cactusstile/fakes/control.py
@@ -33,6 +33,7 @@
       lose_claim_answers: How many of the next claims take effect without
         their caller learning of it.
       grant_delay_s: Time between a claim's effect and its answer.
+      answer_delay_s: Time between the reading of a fence and its answer.
       unavailable: Whether all calls fail without effect.
       fences: Highest fencing number by target.
     """
@@ -40,6 +41,7 @@
     delay_s: float = 0.0
     lose_claim_answers: int = 0
     grant_delay_s: float = 0.0
+    answer_delay_s: float = 0.0
     unavailable: bool = False
     fences: dict[str, int] = attrs.field(factory=dict)
     _claims: dict[tuple[str, str], _Claim] = attrs.field(factory=dict)
@@ -153,7 +155,9 @@
     ) -> int:
         """Returns the highest number that was taken."""
         await self._answer(timeout_s)
-        return self.fences.get(target, 0)
+        highest = self.fences.get(target, 0)
+        await anyio.sleep(self.answer_delay_s)
+        return highest
 
     async def _answer(self, timeout_s: float) -> None:
         if self.unavailable or self.delay_s > timeout_s:
--- a/src/cactusstile/fakes/engine.py
+++ b/src/cactusstile/fakes/engine.py
@@ -146,6 +146,7 @@
       imported_blocks: Blocks that were written from outside.
       loading: Loads of weights under way.
       breaks: For each of the next streams, events after which it is cut.
+      truncations: As `breaks`, but the answer ends as if it were whole.
       lose_order_answers: How many of the next orders take effect without an
         answer.
     """
@@ -165,6 +166,7 @@
         self.fetch_weights = fetch_weights
         self.loading = 0
         self.breaks: list[int] = []
+        self.truncations: list[int] = []
         self.lose_order_answers = 0
         self.settings = settings or EngineSettings()
         self.version = self.settings.version
@@ -249,6 +251,12 @@
         elif kind == "role":
             self.role = value
 
+    def obey_later(self, fence: int, kind: str, value: str) -> None:
+        """Carries out an order whose giver gets no answer."""
+        if self._group is None:
+            raise RuntimeError("engine does not run")
+        self._group.start_soon(self.obey, fence, kind, value)
+
     async def _load(self, model: str, version: str) -> None:
         self.loading += 1
         try:
--- a/src/cactusstile/fakes/engine_app.py
+++ b/src/cactusstile/fakes/engine_app.py
@@ -121,15 +121,17 @@
 
     async def order(self, request: requests.Request) -> responses.Response:
         body = await request.json()
+        order = (body["fence"], body["kind"], body["value"])
+        if self.engine.lose_order_answers:
+            self.engine.lose_order_answers -= 1
+            self.engine.obey_later(*order)
+            return serving.cut_off()
         try:
-            await self.engine.obey(body["fence"], body["kind"], body["value"])
+            await self.engine.obey(*order)
         except engine.OldFenceError as error:
             return _refuse(409, str(error))
         except engine.LoadFailedError as error:
             return _refuse(503, str(error))
-        if self.engine.lose_order_answers:
-            self.engine.lose_order_answers -= 1
-            return serving.cut_off()
         return responses.JSONResponse({"version": self.engine.version})
 
     async def lookup(self, request: requests.Request) -> responses.Response:
@@ -189,6 +191,8 @@
         events = _events(stream, first)
         if self.engine.breaks:
             events = _break(events, self.engine.breaks.pop(0))
+        elif self.engine.truncations:
+            events = _truncate(events, self.engine.truncations.pop(0))
         return responses.StreamingResponse(events, media_type=SSE)
 
 
@@ -203,6 +207,17 @@
         yield event
 
 
+async def _truncate(
+    events: collections.abc.AsyncIterator[str], count: int
+) -> collections.abc.AsyncIterator[str]:
+    """Passes `count` events on and ends the answer as if it were whole."""
+    async for event in events:
+        if not count:
+            return
+        count -= 1
+        yield event
+
+
 async def _events(
     stream: engine.Stream, first: int
 ) -> collections.abc.AsyncIterator[str]:
--- a/src/cactusstile/targets/http.py
+++ b/src/cactusstile/targets/http.py
@@ -5,6 +5,7 @@
 import contextlib
 import typing
 
+import anyio
 import attrs
 import httpcore
 
@@ -78,6 +79,17 @@
         Raises:
           TargetError: If there was no whole answer within bounds.
         """
+        with anyio.move_on_after(timeout_s):
+            return await self._call(request, timeout_s, max_bytes)
+        raise exceptions.TargetError(
+            f"{request.method} {self.url} gave no whole answer in "
+            f"{timeout_s:.3f} s",
+            sent=True,
+        )
+
+    async def _call(
+        self, request: Request, timeout_s: float, max_bytes: int
+    ) -> Response:
         async with self.open_call(request, timeout_s=timeout_s) as response:
             body = await _read_body(response, max_bytes)
             headers = tuple(
--- a/tests/agent/test_engine_runs.py
+++ b/tests/agent/test_engine_runs.py
@@ -1,9 +1,15 @@
 from __future__ import annotations
 
+import collections.abc
+import typing
+
 import anyio
+import attrs
 import pytest
 
 from cactusstile import tokens
+from cactusstile import verdict
+from cactusstile.agent import engine_runs
 from cactusstile.agent import messages
 from cactusstile.fakes import engine
 from cactusstile.fakes import oracle
@@ -11,23 +17,23 @@
 
 pytestmark = pytest.mark.anyio
 
-FAST = engine.EngineSettings(time_scale=0.05)
 PROMPT = tuple(range(100, 180))
+COUNT = 12
+NOT_RUN = verdict.Verdict.NOT_RUN.value
 
 
 def _run(key: str = "k1", **changes: object) -> messages.Run:
-    values: dict[str, object] = {
-        "request_key": key,
-        "attempt": 0,
-        "workspace": "bank",
-        "deployment": site.DEPLOYMENT,
-        "version": "",
-        "adapter": "",
-        "tokens": PROMPT,
-        "max_tokens": 12,
-    }
-    values.update(changes)
-    return messages.Run(**values)  # type: ignore[arg-type]
+    run = messages.Run(
+        request_key=key,
+        attempt=0,
+        workspace="bank",
+        deployment=site.DEPLOYMENT,
+        version="",
+        adapter="",
+        tokens=PROMPT,
+        max_tokens=COUNT,
+    )
+    return attrs.evolve(run, **changes)  # type: ignore[arg-type]
 
 
 async def _collect(
@@ -45,53 +51,215 @@
 
 def _expected(version: str = "v1", workspace: str = "bank") -> list[int]:
     scope = tokens.Scope(workspace, site.DEPLOYMENT, version)
-    return oracle.answer(scope, PROMPT, 12)
+    return oracle.answer(scope, PROMPT, COUNT)
+
+
+@pytest.fixture
+async def opened() -> collections.abc.AsyncIterator[site.Site]:
+    slow = engine.EngineSettings(output_token_s=0.02, slots=2)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened, settings=slow),
+    ):
+        yield opened
+
+
+async def test_run_streams_whole_answer(opened: site.Site) -> None:
+    output, end = await _collect(opened, _run())
+    assert output == _expected()
+    assert end == messages.RunEnd(COUNT, "length", "v1", len(PROMPT), 0, 0)
+
+
+async def test_second_run_finds_resident_blocks(opened: site.Site) -> None:
+    await _collect(opened, _run("first"))
+    scope = tokens.Scope("bank", site.DEPLOYMENT, "v1")
+    keys = tuple(tokens.block_keys(scope, PROMPT))
+    probe = messages.Probe("bank", site.DEPLOYMENT, "", keys, 80, COUNT)
+    reply = await opened.call("engine-1", probe)
+    assert isinstance(reply, messages.ProbeReply)
+    assert reply.resident_blocks == len(keys) == 5
+    output, end = await _collect(opened, _run("second"))
+    assert output == _expected()
+    assert isinstance(end, messages.RunEnd)
+    assert end.resident_tokens == 80
+
+
+async def test_workspaces_do_not_share_blocks(opened: site.Site) -> None:
+    await _collect(opened, _run("first"))
+    output, end = await _collect(opened, _run("second", workspace="clinic"))
+    assert output == _expected(workspace="clinic")
+    assert isinstance(end, messages.RunEnd)
+    assert end.resident_tokens == 0
+
+
+async def test_second_run_of_a_live_key_joins_the_first(
+    opened: site.Site,
+) -> None:
+    results = []
+
+    async def collect() -> None:
+        results.append(await _collect(opened, _run()))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(collect)
+        await anyio.sleep(0.05)
+        group.start_soon(collect)
+    assert [output for output, _ in results] == [_expected()] * 2
+    assert len(opened.engines["engine-1"].streams) == 1
+
+
+async def test_same_key_in_another_workspace_is_another_run(
+    opened: site.Site,
+) -> None:
+    await _collect(opened, _run())
+    output, _ = await _collect(opened, _run(workspace="clinic"))
+    assert output == _expected(workspace="clinic")
+
+
+async def test_attach_resumes_at_an_index(opened: site.Site) -> None:
+    connection = await opened.peers.connect(opened.agents["engine-1"].bound)
+    output: list[int] = []
+    async with connection.open_stream(_run()) as stream:
+        async for item in stream:
+            assert isinstance(item, messages.RunTokens)
+            output += item.tokens
+            if len(output) >= 3:
+                break
+    attach = messages.Attach("k1", "bank", len(output))
+    async with connection.open_stream(attach) as stream:
+        async for item in stream:
+            assert isinstance(item, messages.RunTokens)
+            output[item.first_index :] = item.tokens
+        end = await stream.result()
+    assert output == _expected()
+    assert isinstance(end, messages.RunEnd)
+
+
+@pytest.mark.parametrize("how", ["breaks", "truncations"])
+async def test_broken_engine_stream_is_joined_again(
+    opened: site.Site, how: str
+) -> None:
+    setattr(opened.engines["engine-1"], how, [0, 3, 1, 2])
+    output, end = await _collect(opened, _run())
+    assert output == _expected()
+    assert isinstance(end, messages.RunEnd)
+    assert len(opened.engines["engine-1"].streams) == 1
+
 
+async def test_lost_engine_stream_never_looks_whole(opened: site.Site) -> None:
+    served = opened.engines["engine-1"]
+    served.breaks = [4]
 
-async def test_run_streams_whole_answer() -> None:
-    async with site.open_site() as opened, site.open_engine_agent(opened):
+    async def forget() -> None:
+        while not served.streams:
+            await anyio.sleep(0.01)
+        served.streams.clear()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(forget)
         output, end = await _collect(opened, _run())
+    assert output == _expected()[: len(output)]
+    assert isinstance(end, messages.Refused)
+    assert end.verdict == verdict.Verdict.MAY_HAVE_RUN.value
+
+
+async def test_abandoned_run_is_cancelled_and_frees_its_slot(
+    opened: site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(engine_runs, "ATTACH_GRACE_S", 0.05)
+    with anyio.move_on_after(0.1):
+        await _collect(opened, _run(max_tokens=10_000))
+    await anyio.sleep(0.2)
+    (stream,) = opened.engines["engine-1"].streams.values()
+    assert stream.state == "cancelled"
+    assert opened.agents["engine-1"].node.busy == 0
+
+
+async def test_claimed_run_finishes_and_keeps_its_answer(
+    opened: site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(engine_runs, "ATTACH_GRACE_S", 0.02)
+    async with site.open_engine_agent(opened, "engine-2"):
+        with anyio.move_on_after(0.1):
+            await _collect(opened, _run(repeatable=False))
+        await anyio.sleep(0.4)
+        again = _run(attempt=1, repeatable=False)
+        output, end = await _collect(opened, again, "engine-2")
         assert output == _expected()
         assert isinstance(end, messages.RunEnd)
-        assert (end.count, end.finish_reason, end.version) == (
-            12,
-            "length",
-            "v1",
-        )
-
-
-async def test_second_run_finds_resident_blocks() -> None:
-    async with site.open_site() as opened, site.open_engine_agent(opened):
-        await _collect(opened, _run("first"))
-        keys = tokens.block_keys(
-            tokens.Scope("bank", site.DEPLOYMENT, "v1"), PROMPT
-        )
-        probe = messages.Probe(
-            "bank", site.DEPLOYMENT, "", tuple(keys), len(PROMPT), 12
-        )
-        reply = await opened.call("engine-1", probe)
-        assert isinstance(reply, messages.ProbeReply)
-        assert reply.resident_blocks == len(keys) == 5
-        output, end = await _collect(opened, _run("second"))
-        assert output == _expected()
-        assert isinstance(end, messages.RunEnd)
-        assert end.resident_tokens == 80
+        assert not opened.engines["engine-2"].streams
 
 
-async def test_second_run_of_a_live_key_joins_the_first() -> None:
-    slow = engine.EngineSettings(output_token_s=0.02)
-    async with (
-        site.open_site() as opened,
-        site.open_engine_agent(opened, settings=slow),
-    ):
-        results = []
+async def test_continued_run_gives_the_rest(opened: site.Site) -> None:
+    generated = tuple(_expected()[:5])
+    connection = await opened.peers.connect(opened.agents["engine-1"].bound)
+    output = list(generated)
+    async with connection.open_stream(_run(generated=generated)) as stream:
+        async for item in stream:
+            assert isinstance(item, messages.RunTokens)
+            assert item.first_index == len(output)
+            output += item.tokens
+        end = await stream.result()
+    assert output == _expected()
+    assert isinstance(end, messages.RunEnd)
+    assert end.count == COUNT
+
+
+async def test_deadline_in_the_queue_refuses_at_once(
+    opened: site.Site,
+) -> None:
+    async def fill(key: str) -> None:
+        await _collect(opened, _run(key, max_tokens=60))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(fill, "a")
+        group.start_soon(fill, "b")
+        await anyio.sleep(0.1)
+        started_s = anyio.current_time()
+        _, end = await _collect(opened, _run("late", time_left_ms=100))
+        assert anyio.current_time() - started_s < 0.5
+        group.cancel_scope.cancel()
+    assert isinstance(end, messages.Refused)
+    assert (end.verdict, end.reason) == (NOT_RUN, "deadline_exceeded")
+    assert end.retry_after_ms > 0
+    streams = opened.engines["engine-1"].streams
+    assert len(streams) == 2
+
+
+async def test_reservation_counts_against_the_next_probe(
+    opened: site.Site,
+) -> None:
+    probe = messages.Probe(
+        "bank", site.DEPLOYMENT, "", (), 5000, COUNT, reserve=True
+    )
+    replies = [await opened.call("engine-1", probe) for _ in range(3)]
+    waits = []
+    for reply in replies:
+        assert isinstance(reply, messages.ProbeReply)
+        waits.append((reply.queued_tokens, reply.wait_ms > 0))
+    assert waits == [(0, False), (5000, False), (10_000, True)]
+    await anyio.sleep(0.3)
+    reply = await opened.call("engine-1", probe)
+    assert isinstance(reply, messages.ProbeReply)
+    assert reply.queued_tokens == 0
 
-        async def collect() -> None:
-            results.append(await _collect(opened, _run()))
 
-        async with anyio.create_task_group() as group:
-            group.start_soon(collect)
-            await anyio.sleep(0.05)
-            group.start_soon(collect)
-        assert [output for output, _ in results] == [_expected()] * 2
-        assert len(opened.engines["engine-1"].streams) == 1
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"workspace": "stranger"}, "unauthenticated"),
+        ({"workspace": "stranger", "revision": 99}, "stale_configuration"),
+        ({"deployment": "other"}, "no_target"),
+        ({"version": "v9"}, "version_changed"),
+        ({"adapter": "none@1"}, "no_target"),
+        ({"max_tokens": 1_000_000}, "too_large"),
+        ({"tokens": ()}, "bad_request"),
+    ],
+)
+async def test_refused_run_does_not_reach_the_engine(
+    opened: site.Site, changes: dict[str, typing.Any], reason: str
+) -> None:
+    _, end = await _collect(opened, _run(**changes))
+    assert isinstance(end, messages.Refused)
+    assert (end.verdict, end.reason) == (NOT_RUN, reason)
+    assert not opened.engines["engine-1"].streams
--- /dev/null
+++ b/tests/controllers/test_orders.py
@@ -0,0 +1,165 @@
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+
+import anyio
+import pytest
+
+from cactusstile.controllers import orders
+from cactusstile.controllers import rollout
+from cactusstile.fakes import engine
+from cactusstile.fakes import engine_app
+from cactusstile.fakes import serving
+from cactusstile.fakes import site
+from cactusstile.fakes import weight_store
+
+pytestmark = pytest.mark.anyio
+
+
+async def _wait_until(
+    condition: collections.abc.Callable[[], bool], limit_s: float = 10.0
+) -> None:
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_lost_answer_is_settled_by_reading_back() -> None:
+    quick = engine.EngineSettings(load_s=0.4)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened, settings=quick) as running,
+    ):
+        served = opened.engines["engine-1"]
+        served.lose_order_answers = 1
+        opened.set_version("v2")
+        await _wait_until(lambda: served.version == "v2")
+        await _wait_until(running.ready)
+        await anyio.sleep(0.2)
+        assert [kind for _, kind, _ in served.orders] == ["version"]
+
+
+@pytest.mark.parametrize("checks_fence", [True, False])
+async def test_superseded_agent_gives_no_order(checks_fence: bool) -> None:
+    settings = engine.EngineSettings(load_s=0.05, checks_fence=checks_fence)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened, settings=settings) as old,
+    ):
+        served = opened.engines["engine-1"]
+        await _wait_until(lambda: opened.control.fences.get("engine-1") == 1)
+        newer = await opened.control.take_fence("engine-1")
+        opened.set_version("v2")
+        await _wait_until(lambda: old.node.stopping)
+        assert newer not in [fence for fence, _, _ in served.orders]
+        assert served.orders == []
+
+
+async def test_agent_that_was_frozen_while_confirming_asks_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        "cactusstile.controllers.fencing.FENCE_AGE_LIMIT_S", 0.1
+    )
+    settings = engine.EngineSettings(load_s=0.05, checks_fence=False)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened, settings=settings) as old,
+    ):
+        await _wait_until(lambda: opened.control.fences.get("engine-1") == 1)
+        opened.control.answer_delay_s = 0.4
+        opened.set_version("v2")
+        await anyio.sleep(0.2)
+        opened.control.answer_delay_s = 0.0
+        await opened.control.take_fence("engine-1")
+        await _wait_until(lambda: old.node.stopping)
+        assert opened.engines["engine-1"].orders == []
+
+
+async def test_adapters_and_model_follow_the_fleet() -> None:
+    quick = engine.EngineSettings(model="other", load_s=0.02)
+    async with site.open_site() as opened:
+        deployments = dict(opened.fleet_holder.fleet.deployments)
+        chat = deployments[site.DEPLOYMENT]
+        deployments[site.DEPLOYMENT] = type(chat)(
+            "chat", "model", "v3", adapters=("tone@1", "tone@2")
+        )
+        opened.apply(deployments=deployments)
+        async with site.open_engine_agent(opened, settings=quick):
+            served = opened.engines["engine-1"]
+            await _wait_until(lambda: len(served.adapters) == 2)
+            assert (served.model, served.version) == ("model", "v3")
+
+
+@contextlib.asynccontextmanager
+async def _open_pool_of_engines(
+    opened: site.Site, store: weight_store.WeightStore, count: int
+) -> collections.abc.AsyncIterator[None]:
+    async with contextlib.AsyncExitStack() as stack:
+        url = await stack.enter_async_context(
+            serving.open_app(weight_store.build_app(store))
+        )
+        for number in range(count):
+            settings = engine.EngineSettings(load_s=0.05)
+            served = engine.Engine(settings, store.fetch)
+            await stack.enter_async_context(served.run())
+            bound = await stack.enter_async_context(
+                serving.open_app(engine_app.build_app(served))
+            )
+            name = f"engine-{number}"
+            opened.engines[name] = served
+            await stack.enter_async_context(
+                site.open_agent(
+                    opened,
+                    name,
+                    "engine",
+                    f"http://{bound}",
+                    weight_store_url=f"http://{url}",
+                )
+            )
+        yield
+
+
+@pytest.mark.parametrize("at_once", [1, 2])
+async def test_roll_out_is_staged(
+    at_once: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(rollout, "TURN_INTERVAL_S", 0.05)
+    store = weight_store.WeightStore(max_transfers=9, transfer_s=0.1)
+    async with site.open_site() as opened:
+        deployments = dict(opened.fleet_holder.fleet.deployments)
+        chat = deployments[site.DEPLOYMENT]
+        deployments[site.DEPLOYMENT] = type(chat)(
+            "chat", "model", "v1", max_concurrent_loads=at_once
+        )
+        opened.apply(deployments=deployments)
+        async with _open_pool_of_engines(opened, store, 5):
+            opened.set_version("v2")
+            await _wait_until(
+                lambda: all(
+                    served.version == "v2" for served in opened.engines.values()
+                )
+            )
+    assert store.peak == at_once
+    assert len(store.fetched) == 5
+
+
+async def test_full_weight_store_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(rollout, "TURN_INTERVAL_S", 0.05)
+    monkeypatch.setattr(orders, "RETRY_INTERVAL_S", 0.05)
+    store = weight_store.WeightStore(max_transfers=1, transfer_s=0.05)
+    async with (
+        site.open_site() as opened,
+        _open_pool_of_engines(opened, store, 1),
+    ):
+        store.active = 1
+        opened.set_version("v2")
+        await anyio.sleep(0.5)
+        assert store.fetched == []
+        store.active = 0
+        served = opened.engines["engine-0"]
+        await _wait_until(lambda: served.version == "v2")
+        assert store.refused == 0
--- /dev/null
+++ b/tests/targets/test_http.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+
+import anyio
+import anyio.abc
+import pytest
+
+from cactusstile import verdict
+from cactusstile.targets import engine
+from cactusstile.targets import exceptions
+from cactusstile.targets import http
+from cactusstile.targets import openai_dialect
+
+pytestmark = pytest.mark.anyio
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+ENDLESS = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def _open(
+    *parts: bytes, pause_s: float = 0.0
+) -> collections.abc.AsyncIterator[http.HttpTarget]:
+    """Opens a target whose process sends `parts` and closes."""
+
+    async def serve(stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            with contextlib.suppress(
+                anyio.BrokenResourceError, anyio.EndOfStream
+            ):
+                await stream.receive()
+                for part in parts:
+                    await stream.send(part)
+                    await anyio.sleep(pause_s)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        async with http.open_target(f"http://127.0.0.1:{port}") as target:
+            yield target
+        group.cancel_scope.cancel()
+
+
+REQUEST = http.Request("GET", "/status")
+
+
+async def test_unreachable_target_means_not_run() -> None:
+    async with http.open_target("http://127.0.0.1:9") as target:
+        with pytest.raises(exceptions.TargetError) as caught:
+            await target.call(REQUEST, timeout_s=1)
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize("parts", [(), (HEAD,), (HEAD, b"half")])
+async def test_broken_answer_means_may_have_run(
+    parts: tuple[bytes, ...],
+) -> None:
+    async with _open(*parts) as target:
+        with pytest.raises(exceptions.TargetError) as caught:
+            await target.call(REQUEST, timeout_s=1)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
+async def test_trickling_answer_is_bounded_in_time() -> None:
+    async with _open(HEAD, *[b"x"] * 100, pause_s=0.05) as target:
+        with anyio.fail_after(1), pytest.raises(exceptions.TargetError):
+            await target.call(REQUEST, timeout_s=0.3)
+
+
+async def test_long_answer_and_long_line_are_bounded() -> None:
+    big = b"x" * 100_000
+    async with _open(ENDLESS, *[big] * 30) as target:
+        with pytest.raises(exceptions.TargetError, match="longer than"):
+            await target.call(REQUEST, timeout_s=5, max_bytes=1_000_000)
+        async with target.open_lines(REQUEST, timeout_s=5) as lines:
+            with pytest.raises(exceptions.TargetError, match="too long"):
+                await anext(lines)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b"null", b'{"model": 1}', b"\xff\xfe"]
+)
+async def test_malformed_status_is_a_target_error(body: bytes) -> None:
+    async with _open(ENDLESS, body) as target:
+        client = engine.EngineClient(target, openai_dialect.DIALECT)
+        with pytest.raises(exceptions.TargetError, match="malformed"):
+            await client.status()
