Import kept blocks before runs and export them after

Need: a prompt that returns after its engine forgot it must not be computed again, and never answered from a wrong block.

Change: before a run the agent asks the engine and the prompt's store what they have, and imports what `store.transfer` finds worth it, under the version gate. After a run blocks are copied out in the background. A copy counts only if the same memory holds the block in the same generation afterwards and no byte is missing.

Found by the tests: - A copy with missing bytes was cut into blocks by position, so that later blocks held their neighbours' halves; the next import gave a wrong answer (`test_short_export_gives_no_wrong_answer`, first token wrong).

--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -6,6 +6,9 @@
 
 from cactusstile.agent import engine_runs
 from cactusstile.agent import gate
+from cactusstile.agent import kept_exports
+from cactusstile.agent import kept_imports
+from cactusstile.agent import kept_parts
 from cactusstile.agent import messages
 from cactusstile.agent import node
 from cactusstile.agent import probes
@@ -45,7 +48,16 @@
     client = engine.EngineClient(target, openai_dialect.DIALECT)
     version_gate = gate.VersionGate()
     parts = prompt_run.Parts(owner, client, version_gate, claimer)
-    running = engine_runs.EngineRuns(parts, group)
+    kept = kept_parts.build(
+        owner, client, version_gate, links.peers, settings.process.data_centre
+    )
+    exporter = kept_exports.Exporter(kept)
+    group.start_soon(exporter.run)
+    running = engine_runs.EngineRuns(
+        parts,
+        group,
+        engine_runs.Kept(kept_imports.Importer(kept), exporter),
+    )
     controller = orders.EngineController(
         owner,
         client,
--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -8,9 +8,12 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from cactusstile import verdict
 from cactusstile.agent import admission
+from cactusstile.agent import kept_exports
+from cactusstile.agent import kept_imports
 from cactusstile.agent import messages
 from cactusstile.agent import metrics
 from cactusstile.agent import node
@@ -28,6 +31,14 @@
 MAX_OUTPUT_TOKENS = 32_768
 
 
+@attrs.frozen
+class Kept:
+    """Import before a run and export after it."""
+
+    importer: kept_imports.Importer
+    exporter: kept_exports.Exporter
+
+
 class EngineRuns:
     """Starts runs and lets callers follow them.
 
@@ -39,11 +50,13 @@
         self,
         parts: prompt_run.Parts,
         group: anyio.abc.TaskGroup,
+        kept: Kept | None = None,
     ) -> None:
-        """Runs prompts in `group`."""
+        """Runs prompts in `group`; without `kept` nothing is kept."""
         self.table = runs.RunTable()
         self._parts = parts
         self._group = group
+        self._kept = kept
         self._numbers = itertools.count(1)
 
     async def run(
@@ -130,6 +143,10 @@
         final: runs.Final | None = None
         try:
             with record.scope:
+                prepared = await self._prepare(record)
+                running.imported_tokens = prepared.imported_tokens
+                left = max(1, work.tokens - prepared.tokens)
+                work = attrs.evolve(work, tokens=left)
                 async with owner.admission.enter(work):
                     final = await running.execute()
         except verdict.RefusedError as error:
@@ -142,6 +159,14 @@
                 await running.settle_claim()
             owner.end()
 
+    async def _prepare(self, record: runs.RunRecord) -> kept_imports.Prepared:
+        """Imports kept blocks of a run, within its deadline."""
+        if self._kept is None:
+            return kept_imports.Prepared()
+        with anyio.CancelScope(deadline=record.deadline_s):
+            return await self._kept.importer.prepare(record.request)
+        return kept_imports.Prepared()
+
     def _settle(
         self, record: runs.RunRecord, final: runs.Final | None, sent: bool
     ) -> None:
@@ -161,6 +186,8 @@
         outcome = "completed"
         if isinstance(final, messages.Refused):
             outcome = final.verdict
+        elif self._kept is not None:
+            self._kept.exporter.offer(record.request, final)
         metrics.RUNS.labels(owner.target, "prompt", outcome).inc()
 
     async def _follow(
--- /dev/null
+++ b/src/cactusstile/agent/kept_exports.py
@@ -0,0 +1,186 @@
+"""Export of blocks from the engine to the stores after a run."""
+
+from __future__ import annotations
+
+import collections
+import logging
+import typing
+
+import anyio
+import attrs
+
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.store import blocks
+from cactusstile.store import transfer
+from cactusstile.targets import exceptions
+
+if typing.TYPE_CHECKING:
+    from cactusstile.agent import kept_parts
+    from cactusstile.limits import token_bucket
+    from cactusstile.targets import engine
+
+logger = logging.getLogger(__name__)
+
+MAX_WAITING = 256
+BATCH_BLOCKS = 128
+RETRY_INTERVAL_S = 0.2
+MAX_LINK_WAIT_S = 10.0
+
+
+@attrs.frozen
+class _Export:
+    """Blocks of a prompt that may be exported."""
+
+    scope: tokens.Scope
+    prefix_key: bytes
+    keys: tuple[bytes, ...]
+    return_probability: float
+
+
+class Exporter:
+    """Exports blocks of finished runs, one prompt after the other.
+
+    Attributes:
+      exported_blocks: Blocks that stores took.
+      dropped: Prompts that were not exported for lack of room here.
+    """
+
+    def __init__(self, parts: kept_parts.KeptParts) -> None:
+        """Exports by `parts`; see `run`."""
+        self.exported_blocks = 0
+        self.dropped = 0
+        self._parts = parts
+        self._waiting: collections.deque[_Export] = collections.deque()
+        self._filled = anyio.Event()
+
+    def offer(self, request: messages.Run, end: messages.RunEnd) -> None:
+        """Considers the prompt of a finished run."""
+        if not request.prefix_key:
+            return
+        visits = self._parts.visits
+        hits = visits.visit(
+            request.workspace, request.prefix_key, anyio.current_time()
+        )
+        scope = tokens.Scope(
+            request.workspace, request.deployment, end.version, request.adapter
+        )
+        keys = tokens.block_keys(scope, request.tokens + request.generated)
+        if not keys:
+            return
+        chance = visits.returns.return_probability(request.workspace, hits)
+        if len(self._waiting) >= MAX_WAITING:
+            self._waiting.popleft()
+            self.dropped += 1
+        self._waiting.append(
+            _Export(scope, request.prefix_key, tuple(keys), chance)
+        )
+        self._filled.set()
+
+    async def run(self) -> None:
+        """Exports until cancelled."""
+        while True:
+            if not self._waiting:
+                self._filled = anyio.Event()
+                await self._filled.wait()
+            # The newest prompt is the likeliest to be resident still.
+            export = self._waiting.pop()
+            try:
+                await self._export(export)
+            except exceptions.TargetError as error:
+                logger.debug("export failed: %s", error)
+
+    async def _export(self, export: _Export) -> None:
+        parts = self._parts
+        found = await parts.stores.have(
+            export.scope, export.prefix_key, export.keys
+        )
+        status = parts.gate.status
+        if found.store is None or status is None:
+            return
+        link = parts.link_to(found.store)
+        resident = len(await parts.engine.lookup(export.keys))
+        count = resident - found.blocks
+        size = count * status.block_bytes
+        need = transfer.Need(count, size, parts.recompute_ms(count))
+        weights = parts.weights(export.scope.deployment)
+        if not transfer.is_export_worthwhile(
+            need, export.return_probability, weights, link
+        ):
+            return
+        for start in range(found.blocks, resident, BATCH_BLOCKS):
+            end = min(start + BATCH_BLOCKS, resident)
+            size = (end - start) * status.block_bytes
+            if not await _take_link(link, size):
+                return
+            copied = await copy_blocks(
+                parts.engine, export.keys[:end], start, status.block_bytes
+            )
+            taken = await self._keep(export, start, copied)
+            if taken < end - start:
+                return
+
+    async def _keep(
+        self, export: _Export, start: int, copied: list[bytes]
+    ) -> int:
+        """Gives copied blocks, which begin at block `start`, to the store."""
+        recompute_us = round(self._parts.recompute_ms(1) * 1000)
+        kept = []
+        for position, data in enumerate(copied, start):
+            key = export.keys[position]
+            parent = export.keys[position - 1] if position else b""
+            kept.append(
+                blocks.Block(
+                    key,
+                    parent,
+                    position,
+                    data,
+                    blocks.checksum(export.scope, key, data),
+                    recompute_us,
+                )
+            )
+        taken = await self._parts.stores.keep(
+            export.scope, export.prefix_key, kept
+        )
+        self.exported_blocks += taken
+        return taken
+
+
+async def copy_blocks(
+    client: engine.EngineClient,
+    keys: typing.Sequence[bytes],
+    start: int,
+    block_bytes: int,
+) -> list[bytes]:
+    """Returns the contents of the resident blocks from `start` on.
+
+    The engine may free and reuse memory during the copy. A block counts only
+    if, after the copy, the same memory still holds it in the same generation.
+    Nothing counts of a copy with missing bytes, since it does not show where.
+    """
+    before = (await client.lookup(keys))[start:]
+    if not before:
+        return []
+    data = await client.read(before)
+    if len(data) != len(before) * block_bytes:
+        return []
+    after = (await client.lookup(keys))[start:]
+    copied = []
+    for position, place in enumerate(before):
+        content = data[position * block_bytes : (position + 1) * block_bytes]
+        if position >= len(after) or after[position] != place:
+            break
+        copied.append(content)
+    return copied
+
+
+async def _take_link(link: token_bucket.TokenBucket | None, size: int) -> bool:
+    """Waits a bounded time until a link is idle enough."""
+    if link is None:
+        return True
+    give_up_s = anyio.current_time() + MAX_LINK_WAIT_S
+    while not link.try_take_background(size):
+        if anyio.current_time() > give_up_s:
+            return False
+        await anyio.sleep(RETRY_INTERVAL_S)
+    return True
--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -55,6 +55,7 @@
 
     Attributes:
       sent: Whether the engine may have seen the prompt.
+      imported_tokens: Prompt tokens that were imported for this run.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
     ) -> None:
         """Runs `record`; `number` is unique in this process."""
         self.sent = False
+        self.imported_tokens = 0
         self._parts = parts
         self._record = record
         self._request_id = f"{parts.node.incarnation:x}-{number}"
@@ -183,13 +185,15 @@
         if self._started is None or self._finished is None:
             raise exceptions.TargetError("the stream did not end", sent=True)
         self._count()
+        cached_tokens = self._started.cached_tokens
+        imported_tokens = min(self.imported_tokens, cached_tokens)
         return messages.RunEnd(
             self._record.count,
             self._finished.reason,
             self._started.version,
             len(self._record.request.tokens),
-            self._started.cached_tokens,
-            0,
+            cached_tokens - imported_tokens,
+            imported_tokens,
         )
 
     def _prompt(self, status: engine.Status) -> engine.Prompt:
--- a/src/cactusstile/fakes/engine.py
+++ b/src/cactusstile/fakes/engine.py
@@ -146,6 +146,7 @@
       imported_blocks: Blocks that were written from outside.
       loading: Loads of weights under way.
       breaks: For each of the next streams, events after which it is cut.
+      short_reads: How many of the next exported blocks lack their half.
       truncations: As `breaks`, but the answer ends as if it were whole.
       lose_order_answers: How many of the next orders take effect without an
         answer.
@@ -167,6 +168,7 @@
         self.loading = 0
         self.breaks: list[int] = []
         self.truncations: list[int] = []
+        self.short_reads = 0
         self.lose_order_answers = 0
         self.settings = settings or EngineSettings()
         self.version = self.settings.version
--- a/src/cactusstile/fakes/engine_app.py
+++ b/src/cactusstile/fakes/engine_app.py
@@ -152,7 +152,11 @@
     ) -> collections.abc.AsyncIterator[bytes]:
         for index in indexes:
             await self.engine.sleep(self.engine.settings.block_read_s)
-            yield self.engine.cache.read(index)
+            content = self.engine.cache.read(index)
+            if self.engine.short_reads:
+                self.engine.short_reads -= 1
+                content = content[: len(content) // 2]
+            yield content
 
     async def write(self, request: requests.Request) -> responses.Response:
         """Stores blocks; the engine trusts keys and content."""
--- a/src/cactusstile/fakes/site.py
+++ b/src/cactusstile/fakes/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import pathlib
 import typing
 
 import anyio
@@ -18,6 +19,8 @@
 from cactusstile.settings import process
 from cactusstile.state import holder
 from cactusstile.state import model
+from cactusstile.store import daemon as store_daemon
+from cactusstile.store import shelf
 from cactusstile.transport import address
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
@@ -28,6 +31,7 @@
 SECRETS = handshake.Secrets(b"fleet-secret-of-fakes", b"operator-secret-fakes")
 READY_TIMEOUT_S = 10.0
 READY_POLL_S = 0.01
+STORE_BYTES = 64 * 1024 * 1024
 DEPLOYMENT = "chat"
 SERVICE = "inventory"
 DATA_CENTRE = "ikeja"
@@ -44,6 +48,7 @@
       agents: Running agents by target.
       engines: Fake engines by target.
       services: Fake services by target.
+      stores: Stores by target.
     """
 
     control: control.MemoryControl
@@ -52,6 +57,7 @@
     agents: dict[str, daemon.Agent] = attrs.field(factory=dict)
     engines: dict[str, engine.Engine] = attrs.field(factory=dict)
     services: dict[str, service.Service] = attrs.field(factory=dict)
+    stores: dict[str, store_daemon.Store] = attrs.field(factory=dict)
 
     def apply(self, **changes: typing.Any) -> None:
         """Puts the next revision of the fleet in force."""
@@ -141,6 +147,28 @@
             yield running
 
 
+@contextlib.asynccontextmanager
+async def open_store(
+    site: Site, name: str = "store-1", data_centre: str = DATA_CENTRE
+) -> collections.abc.AsyncIterator[store_daemon.Store]:
+    """Adds a store that keeps blocks in memory."""
+    settings = store_daemon.Settings(
+        name,
+        address.Address("127.0.0.1", 0),
+        SECRETS,
+        pathlib.Path(),
+        shelf.Bounds(STORE_BYTES, 0),
+    )
+    async with store_daemon.open_store(settings) as opened:
+        site.stores[name] = opened
+        targets = dict(site.fleet_holder.fleet.targets)
+        targets[name] = model.Target(
+            name, model.TargetKind.STORE, opened.bound, data_centre
+        )
+        site.apply(targets=targets)
+        yield opened
+
+
 @contextlib.asynccontextmanager
 async def open_agent(
     site: Site, name: str, kind: str, url: str, **options: typing.Any
--- a/src/cactusstile/store/daemon.py
+++ b/src/cactusstile/store/daemon.py
@@ -140,6 +140,9 @@
         offset = 0
         while True:
             data = self.kept.read(header, offset, messages.PART_BYTES)
+            if not data and offset < header.size:
+                self.kept.drop_corrupt(header)
+                raise exceptions.CorruptBlockError("content is cut short")
             digest.update(data)
             last = offset + len(data) >= header.size
             if last and not self.is_whole(header, digest.digest()):
--- a/src/cactusstile/targets/engine.py
+++ b/src/cactusstile/targets/engine.py
@@ -17,6 +17,7 @@
 CALL_TIMEOUT_S = 2.0
 BLOCKS_TIMEOUT_S = 10.0
 SILENCE_LIMIT_S = 120.0
+WRITE_BATCH_BLOCKS = 256
 NOT_FOUND = 404
 
 
@@ -234,8 +235,10 @@
         contents: collections.abc.Sequence[bytes],
     ) -> None:
         """Puts blocks into the engine's cache."""
-        request = self._dialect.write(keys, contents)
-        await self._target.call_ok(request, timeout_s=BLOCKS_TIMEOUT_S)
+        for start in range(0, len(keys), WRITE_BATCH_BLOCKS):
+            end = start + WRITE_BATCH_BLOCKS
+            request = self._dialect.write(keys[start:end], contents[start:end])
+            await self._target.call_ok(request, timeout_s=BLOCKS_TIMEOUT_S)
 
     @contextlib.asynccontextmanager
     async def _open(
--- /dev/null
+++ b/tests/agent/test_kept_blocks.py
@@ -0,0 +1,198 @@
+from __future__ import annotations
+
+import collections.abc
+
+import anyio
+import attrs
+import pytest
+
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.fakes import engine
+from cactusstile.fakes import oracle
+from cactusstile.fakes import site
+from cactusstile.store import daemon as store_daemon
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+
+PROMPT = tuple(range(1000, 1960))
+BLOCKS = len(PROMPT) // tokens.BLOCK_TOKENS
+COUNT = 6
+SCOPE = tokens.Scope("bank", site.DEPLOYMENT, "v1")
+SETTINGS = engine.EngineSettings(
+    prompt_token_s=0.0005, output_token_s=0.001, load_s=0.02, cache_blocks=128
+)
+
+
+def _expected(
+    prompt: tuple[int, ...] = PROMPT, version: str = "v1"
+) -> list[int]:
+    scope = tokens.Scope("bank", site.DEPLOYMENT, version)
+    return oracle.answer(scope, prompt, COUNT)
+
+
+async def _ask(
+    opened: site.Site,
+    key: str,
+    target: str = "engine-1",
+    prompt: tuple[int, ...] = PROMPT,
+) -> tuple[list[int], messages.RunEnd]:
+    run = messages.Run(
+        request_key=key,
+        attempt=0,
+        workspace="bank",
+        deployment=site.DEPLOYMENT,
+        version="",
+        adapter="",
+        tokens=prompt,
+        max_tokens=COUNT,
+        prefix_key=b"conversation-one",
+    )
+    connection = await opened.peers.connect(opened.agents[target].bound)
+    output: list[int] = []
+    async with connection.open_stream(run) as stream:
+        async for item in stream:
+            assert isinstance(item, messages.RunTokens)
+            output += item.tokens
+        end = await stream.result()
+    assert isinstance(end, messages.RunEnd)
+    return output, end
+
+
+async def _wait_kept(opened: site.Site, count: int = BLOCKS) -> None:
+    records = opened.stores["store-1"].kept.records
+    with anyio.fail_after(5):
+        while len(records) < count:
+            await anyio.sleep(0.01)
+
+
+@pytest.fixture
+async def opened() -> collections.abc.AsyncIterator[site.Site]:
+    async with (
+        site.open_site() as opened,
+        site.open_store(opened),
+        site.open_engine_agent(opened, "engine-1", SETTINGS),
+        site.open_engine_agent(opened, "engine-2", SETTINGS),
+    ):
+        yield opened
+
+
+async def test_returning_prompt_is_served_from_kept_state(
+    opened: site.Site,
+) -> None:
+    await _ask(opened, "first")
+    await _wait_kept(opened)
+    served = opened.engines["engine-1"]
+    served.cache.clear()
+    before = served.recomputed_tokens
+    for target in ("engine-1", "engine-2"):
+        output, end = await _ask(opened, f"again-{target}", target)
+        assert output == _expected()
+        assert end.imported_tokens == len(PROMPT)
+    assert served.recomputed_tokens == before
+    assert opened.engines["engine-2"].recomputed_tokens == 0
+
+
+async def test_dead_store_costs_no_answer(opened: site.Site) -> None:
+    await _ask(opened, "first")
+    await _wait_kept(opened)
+    targets = dict(opened.fleet_holder.fleet.targets)
+    dead = type(targets["store-1"])(
+        "store-1",
+        targets["store-1"].kind,
+        address.Address("127.0.0.1", 9),
+        site.DATA_CENTRE,
+    )
+    opened.apply(targets={**targets, "store-1": dead})
+    output, end = await _ask(opened, "again", "engine-2")
+    assert output == _expected()
+    assert end.imported_tokens == 0
+
+
+def _damage(store: store_daemon.Store, how: str) -> None:
+    """Damages the third block as a faulty memory or disk would."""
+    key = tokens.block_keys(SCOPE, PROMPT)[2]
+    for record in store.kept.records.values():
+        if record.header.key != key or record.data is None:
+            continue
+        if how == "flip":
+            record.data = b"\xff" + record.data[1:]
+        elif how == "other":
+            record.data = oracle.kv_content(b"0123456789abcdef", 1024)
+        else:
+            record.data = record.data[:512]
+
+
+@pytest.mark.parametrize("store_checks", [True, False])
+@pytest.mark.parametrize("how", ["flip", "other", "truncate"])
+async def test_damaged_block_is_not_imported(
+    opened: site.Site,
+    how: str,
+    store_checks: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    if not store_checks:
+        always = lambda *_: True  # noqa: E731
+        monkeypatch.setattr(store_daemon._Service, "is_whole", always)
+    await _ask(opened, "first")
+    await _wait_kept(opened)
+    _damage(opened.stores["store-1"], how)
+    output, end = await _ask(opened, "again", "engine-2")
+    assert output == _expected()
+    assert end.imported_tokens == 2 * tokens.BLOCK_TOKENS
+
+
+async def test_short_export_gives_no_wrong_answer(opened: site.Site) -> None:
+    opened.engines["engine-1"].short_reads = 3
+    await _ask(opened, "first")
+    with anyio.fail_after(5):
+        while opened.engines["engine-1"].short_reads:
+            await anyio.sleep(0.01)
+    await anyio.sleep(0.3)
+    output, _ = await _ask(opened, "again", "engine-2")
+    assert output == _expected()
+
+
+@pytest.mark.parametrize("reused", [False, True])
+async def test_memory_freed_in_the_middle_of_an_export(
+    opened: site.Site, reused: bool
+) -> None:
+    served = opened.engines["engine-1"]
+    await _ask(opened, "warm", prompt=PROMPT[:16])
+    await _wait_kept(opened, 1)
+    served.settings = attrs.evolve(served.settings, block_read_s=0.003)
+    await _ask(opened, "first")
+    await anyio.sleep(0.06)
+    served.cache.clear()
+    if reused:
+        for number in range(100):
+            index = served.cache.allocate(b"other-%10d" % number)
+            assert index is not None
+            served.cache.seal(index, b"other-%10d" % number, None)
+    await anyio.sleep(0.4)
+    output, _ = await _ask(opened, "again", "engine-2")
+    assert output == _expected()
+
+
+async def test_swap_in_the_middle_of_an_import(
+    opened: site.Site,
+) -> None:
+    prompt = PROMPT[:160]
+    await _ask(opened, "first", prompt=prompt)
+    await _wait_kept(opened, 10)
+    opened.engines["engine-1"].cache.clear()
+    answers: list[tuple[list[int], messages.RunEnd]] = []
+
+    async def ask(key: str) -> None:
+        answers.append(await _ask(opened, key, prompt=prompt))
+
+    async with anyio.create_task_group() as group:
+        for number in range(12):
+            if number == 4:
+                opened.set_version("v2")
+            group.start_soon(ask, f"k{number}")
+            await anyio.sleep(0.01)
+    for output, end in answers:
+        assert output == _expected(prompt, end.version)
+    assert {end.version for _, end in answers} == {"v1", "v2"}
