--- /dev/null
+++ b/src/cactusstile/agent/wiring.py
@@ -0,0 +1,125 @@
+"""Opens an agent that runs as a process of its own."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import typing
+
+import attrs
+import prometheus_client
+
+from cactusstile.agent import daemon
+from cactusstile.observability import admin
+from cactusstile.observability import http_listener
+from cactusstile.state import follower
+from cactusstile.store import daemon as store_daemon
+from cactusstile.store import messages as store_messages
+from cactusstile.store import shelf
+from cactusstile.transport import handshake
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.settings import agent as agent_settings
+    from cactusstile.state import model
+
+
+@contextlib.asynccontextmanager
+async def open_process(
+    settings: agent_settings.AgentSettings,
+) -> collections.abc.AsyncIterator[daemon.Agent]:
+    """Runs an agent that follows the fleet, with its admin listener.
+
+    Raises:
+      OSError: If one of its addresses cannot be bound.
+    """
+    identity = handshake.Identity("agent", settings.process.name)
+    async with contextlib.AsyncExitStack() as stack:
+        following = await stack.enter_async_context(
+            follower.open_follower(settings.process, identity)
+        )
+        links = daemon.Links(
+            following.control, following.peers, following.fleet_holder
+        )
+        running = await stack.enter_async_context(
+            daemon.open_agent(settings, links)
+        )
+        application = admin.build(
+            [prometheus_client.REGISTRY], running.ready, running.dump
+        )
+        await stack.enter_async_context(
+            http_listener.open_listener(
+                application, settings.process.admin_listen
+            )
+        )
+        yield running
+
+
+@attrs.frozen
+class StoreState:
+    """State of a store process for the dump.
+
+    Attributes:
+      blocks: Blocks that it keeps.
+      follower: Its view of the fleet.
+    """
+
+    blocks: int
+    follower: follower.FollowerState
+
+
+@contextlib.asynccontextmanager
+async def open_store_process(
+    settings: agent_settings.AgentSettings,
+) -> collections.abc.AsyncIterator[store_daemon.Store]:
+    """Runs a store that follows the fleet, with its admin listener.
+
+    The blocks of a workspace that leaves the fleet are freed.
+
+    Raises:
+      OSError: If one of its addresses or its folder cannot be used.
+    """
+    common = settings.process
+    identity = handshake.Identity("agent", common.name)
+    async with contextlib.AsyncExitStack() as stack:
+        following = await stack.enter_async_context(
+            follower.open_follower(common, identity)
+        )
+        store = await stack.enter_async_context(
+            store_daemon.open_store(_store_settings(settings))
+        )
+        following.fleet_holder.observe(_free_removed_workspaces(store))
+        application = admin.build(
+            [prometheus_client.REGISTRY],
+            following.fleet_holder.confirmed.is_set,
+            lambda: StoreState(
+                len(store.kept.records), follower.dump(following)
+            ),
+        )
+        await stack.enter_async_context(
+            http_listener.open_listener(application, common.admin_listen)
+        )
+        yield store
+
+
+def _store_settings(
+    settings: agent_settings.AgentSettings,
+) -> store_daemon.Settings:
+    return store_daemon.Settings(
+        settings.target,
+        settings.process.listen,
+        settings.process.secrets,
+        pathlib.Path(settings.data_folder),
+        shelf.Bounds(settings.memory_bytes, settings.disk_bytes),
+    )
+
+
+def _free_removed_workspaces(
+    store: store_daemon.Store,
+) -> collections.abc.Callable[[model.Fleet, model.Fleet], None]:
+    def free(old: model.Fleet, new: model.Fleet) -> None:
+        for name in old.workspaces.keys() - new.workspaces.keys():
+            store_daemon.free_matching(store.kept, store_messages.Free(name))
+
+    return free
