--- a/src/cactusstile/agent/runs.py
+++ b/src/cactusstile/agent/runs.py
@@ -32,8 +32,6 @@
 
 def content_digest(request: messages.Run) -> bytes:
     """Returns a digest of what a run asks for, the same in all attempts."""
-    if request.digest:
-        return request.digest
     bare = messages.Run(
         request_key=request.request_key,
         attempt=0,
--- a/src/cactusstile/agent/service_calls.py
+++ b/src/cactusstile/agent/service_calls.py
@@ -43,8 +43,6 @@
 
 def content_digest(call: messages.ServiceCall) -> bytes:
     """Returns a digest of what a call asks for, the same in all attempts."""
-    if call.digest:
-        return call.digest
     bare = attrs.evolve(
         call, attempt=0, headers=(), priority=0, time_left_ms=0, revision=0
     )
--- a/src/cactusstile/fakes/engine.py
+++ b/src/cactusstile/fakes/engine.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import heapq
-import itertools
 import typing
 
 import anyio
@@ -12,6 +10,8 @@
 import attrs
 
 from cactusstile import tokens
+from cactusstile.fakes import engine_slots
+from cactusstile.fakes import engine_stream
 from cactusstile.fakes import kv_cache
 from cactusstile.fakes import oracle
 
@@ -73,63 +73,6 @@
     late_order_s: float = 0.0
 
 
-@attrs.frozen
-class Submission:
-    """A prompt to run.
-
-    Attributes:
-      request_id: Identity of the stream.
-      workspace: Workspace of the caller; part of the right answer.
-      deployment: Deployment of the request; part of the right answer.
-      adapter: Adapter, empty without one.
-      cache_scope: Scope by which the cache finds blocks. The engine trusts
-        it: a scope without the weight version finds blocks of old weights.
-      prompt: Tokens.
-      max_tokens: Count of output tokens.
-      priority: Larger first.
-    """
-
-    request_id: str
-    workspace: str
-    deployment: str
-    adapter: str
-    cache_scope: tokens.Scope
-    prompt: tuple[int, ...]
-    max_tokens: int
-    priority: int = 0
-
-
-@attrs.define
-class Stream:
-    """A run's output, kept so that it can be resumed.
-
-    Attributes:
-      submission: What runs.
-      scope: Cancels the run.
-      version: Weight version, once running.
-      cached_tokens: Prompt tokens found in the cache.
-      output: Tokens so far.
-      state: "waiting", "running", "done" or "cancelled".
-    """
-
-    submission: Submission
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
-    version: str = ""
-    cached_tokens: int = 0
-    output: list[int] = attrs.field(factory=list)
-    state: str = "waiting"
-    _changed: anyio.Event = attrs.field(factory=anyio.Event)
-
-    def notify(self) -> None:
-        """Wakes all readers."""
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    async def wait(self) -> None:
-        """Returns at the next change."""
-        await self._changed.wait()
-
-
 class Engine:
     """State of a fake engine.
 
@@ -144,6 +87,7 @@
       streams: Streams by request id.
       recomputed_tokens: Prompt tokens that were computed here.
       imported_blocks: Blocks that were written from outside.
+      slots: Runs under way and those that wait.
       loading: Loads of weights under way.
       breaks: For each of the next streams, events after which it is cut.
       short_reads: How many of the next exported blocks lack their half.
@@ -177,10 +121,9 @@
         self.role = "mixed"
         self.fence = 0
         self.orders: list[tuple[int, str, str]] = []
-        self.streams: dict[str, Stream] = {}
+        self.streams: dict[str, engine_stream.Stream] = {}
         self.recomputed_tokens = 0
         self.imported_blocks = 0
-        self.running = 0
         self.load_samples: list[tuple[float, int, int]] = []
         self.cache = kv_cache.KvCache(
             self.settings.cache_blocks,
@@ -188,8 +131,7 @@
             anyio.current_time,
         )
         self._group: anyio.abc.TaskGroup | None = None
-        self._waiting: list[tuple[int, int, anyio.Event]] = []
-        self._order = itertools.count()
+        self.slots = engine_slots.Slots(lambda: self.settings.slots)
         self._prefill = anyio.Lock()
 
     @contextlib.asynccontextmanager
@@ -200,12 +142,9 @@
             yield
             group.cancel_scope.cancel()
 
-    @property
-    def waiting(self) -> int:
-        """Runs that wait for a slot."""
-        return len(self._waiting)
-
-    def submit(self, submission: Submission) -> Stream:
+    def submit(
+        self, submission: engine_stream.Submission
+    ) -> engine_stream.Stream:
         """Starts a run; a second one with the same id joins the first."""
         known = self.streams.get(submission.request_id)
         if known is not None:
@@ -214,7 +153,7 @@
             raise RuntimeError("engine does not run")
         if len(self.streams) >= MAX_KEPT_STREAMS:
             self._drop_finished()
-        stream = Stream(submission)
+        stream = engine_stream.Stream(submission)
         self.streams[submission.request_id] = stream
         self._group.start_soon(self._run, stream)
         return stream
@@ -274,42 +213,15 @@
             if self.streams[request_id].state in ("done", "cancelled"):
                 del self.streams[request_id]
 
-    async def _run(self, stream: Stream) -> None:
+    async def _run(self, stream: engine_stream.Stream) -> None:
         with stream.scope:
-            async with self._slot(stream.submission.priority):
+            async with self.slots.take(stream.submission.priority):
                 await self._generate(stream)
         if stream.state != "done":
             stream.state = "cancelled"
         stream.notify()
 
-    @contextlib.asynccontextmanager
-    async def _slot(self, priority: int) -> collections.abc.AsyncIterator[None]:
-        if self.running >= self.settings.slots:
-            entry = (-priority, next(self._order), anyio.Event())
-            heapq.heappush(self._waiting, entry)
-            try:
-                await entry[2].wait()
-            except BaseException:
-                if entry in self._waiting:
-                    self._waiting.remove(entry)
-                    heapq.heapify(self._waiting)
-                else:
-                    self._release()
-                raise
-        else:
-            self.running += 1
-        try:
-            yield
-        finally:
-            self._release()
-
-    def _release(self) -> None:
-        if self._waiting:
-            heapq.heappop(self._waiting)[2].set()
-            return
-        self.running -= 1
-
-    async def _generate(self, stream: Stream) -> None:
+    async def _generate(self, stream: engine_stream.Stream) -> None:
         submission = stream.submission
         stream.version = self.version
         scope = tokens.Scope(
@@ -342,7 +254,7 @@
     async def _compute(
         self,
         scope: tokens.Scope,
-        submission: Submission,
+        submission: engine_stream.Submission,
         keys: list[bytes],
         pinned: list[int],
     ) -> list[bytes]:
@@ -392,7 +304,9 @@
         for index, truth in allocated:
             self.cache.seal(index, truth, None)
 
-    async def _decode(self, stream: Stream, context: oracle.Context) -> None:
+    async def _decode(
+        self, stream: engine_stream.Stream, context: oracle.Context
+    ) -> None:
         limit = stream.submission.max_tokens
         started_s = anyio.current_time()
         while len(stream.output) < limit:
--- a/src/cactusstile/fakes/engine_app.py
+++ b/src/cactusstile/fakes/engine_app.py
@@ -12,6 +12,7 @@
 
 from cactusstile import tokens
 from cactusstile.fakes import engine
+from cactusstile.fakes import engine_stream
 from cactusstile.fakes import oracle
 from cactusstile.fakes import serving
 
@@ -64,7 +65,7 @@
         adapter = body.get("adapter", "")
         if adapter and adapter not in self.engine.adapters:
             return _refuse(404, f"adapter {adapter} is not loaded")
-        submission = engine.Submission(
+        submission = engine_stream.Submission(
             body["request_id"],
             body["user"],
             body["deployment"],
@@ -109,7 +110,9 @@
         """Reports the load as it was a moment ago."""
         served = self.engine
         now_s = anyio.current_time()
-        served.load_samples.append((now_s, served.running, served.waiting))
+        served.load_samples.append(
+            (now_s, served.slots.running, served.slots.waiting)
+        )
         del served.load_samples[:-MAX_LOAD_SAMPLES]
         limit_s = now_s - served.settings.load_lag_s
         running, waiting = 0, 0
@@ -190,7 +193,7 @@
         return responses.JSONResponse({"events": found})
 
     def _stream(
-        self, stream: engine.Stream, first: int
+        self, stream: engine_stream.Stream, first: int
     ) -> responses.StreamingResponse:
         events = _events(stream, first)
         if self.engine.breaks:
@@ -223,7 +226,7 @@
 
 
 async def _events(
-    stream: engine.Stream, first: int
+    stream: engine_stream.Stream, first: int
 ) -> collections.abc.AsyncIterator[str]:
     while stream.state == "waiting":
         await stream.wait()
--- a/src/cactusstile/local/site.py
+++ b/src/cactusstile/local/site.py
@@ -123,6 +123,7 @@
                 self.process_settings(founder.name, "local", listen),
                 folder,
                 founders,
+                listen,
             )
             await self.stack.enter_async_context(
                 control_daemon.open_control(settings)
