Prove at most once over real processes; add drain and tests of leaving

Need: the claim must hold when the agent is killed between claim and answer or frozen, and callers retry through another entry.

Change: a history test over control, two entries, the agent and a stand-in whose ledger is read over HTTP: 60 calls with up to 5 attempts each, the agent killed twice and frozen for 1.5 s.

--- /dev/null
+++ b/src/cactusstile/console/drain.py
@@ -0,0 +1,78 @@
+"""Command `drain`: lets a target finish its work and take no more."""
+
+from __future__ import annotations
+
+import anyio
+
+from cactusstile.agent import messages
+from cactusstile.console import exceptions
+from cactusstile.console import operator
+from cactusstile.control import operations
+from cactusstile.transport import address
+from cactusstile.transport import exceptions as transport_exceptions
+
+CALL_TIMEOUT_S = 3.0
+POLL_INTERVAL_S = 0.5
+
+
+def run(
+    target: str,
+    *,
+    undo: bool = False,
+    wait_s: float = 0.0,
+    settings: str = operator.DEFAULT_SETTINGS,
+) -> None:
+    """Tells the agent of TARGET that its target leaves.
+
+    An agent that restarts forgets it; remove the target from the fleet file,
+    or let the platform list its VM as leaving, to make it last.
+
+    Args:
+      target: Name of the target in the fleet.
+      undo: Takes a drain back.
+      wait_s: Seconds to wait for accepted work to end; 0 does not wait.
+      settings: Path of the operator's settings.
+    """
+
+    async def drain(opened: operations.Operator) -> messages.DrainReply:
+        fleet = await opened.control.read_fleet()
+        declared = fleet.targets.get(str(target))
+        if declared is None:
+            raise exceptions.CommandError(
+                f"the fleet has no target {target!r}; see `cactusstile status`"
+            )
+        give_up_s = anyio.current_time() + wait_s
+        while True:
+            reply = await _call(opened, declared.agent, leaving=not undo)
+            late = anyio.current_time() >= give_up_s
+            if undo or late or not reply.running:
+                return reply
+            await anyio.sleep(POLL_INTERVAL_S)
+
+    reply = operator.run(settings, drain)
+    state = "leaves" if reply.leaving else "takes work"
+    print(f"{target} {state}; requests under way: {reply.running}")
+    if reply.running and wait_s:
+        raise exceptions.CommandError(
+            f"{target} still has {reply.running} requests under way",
+            exceptions.ExitCode.INCOMPLETE,
+        )
+
+
+async def _call(
+    opened: operations.Operator, agent: address.Address, *, leaving: bool
+) -> messages.DrainReply:
+    message = messages.Drain(leaving=leaving)
+    try:
+        reply = await opened.connections.call(
+            agent, message, timeout_s=CALL_TIMEOUT_S
+        )
+    except (transport_exceptions.TransportError, TimeoutError) as error:
+        raise exceptions.CommandError(
+            f"the agent at {agent} did not answer: {error}; does its settings "
+            "file name the operator_secret_file?",
+            exceptions.ExitCode.UNREACHABLE,
+        ) from error
+    if not isinstance(reply, messages.DrainReply):
+        raise exceptions.CommandError(f"the agent at {agent} is of other kind")
+    return reply
--- /dev/null
+++ b/tests/processes/test_at_most_once.py
@@ -0,0 +1,163 @@
+"""History check of calls that may not be repeated, over real processes.
+
+Callers record what they were told; the ledger of the stand-in says what ran.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+import os
+import random
+import signal
+import typing
+
+import anyio
+import httpcore
+import pytest
+from tests.support import site_processes
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+AGENT = "service-1"
+CALLS = 60
+ATTEMPTS = 5
+HTTP_OK = 200
+RUN_S = 6.0
+SEEDS = range(int(os.environ.get("CACTUSSTILE_HISTORY_SEEDS", "1")))
+
+
+class _Callers:
+    """Callers that retry through either entry and note what they hear."""
+
+    def __init__(self, site: site_processes.Site, seed: int) -> None:
+        self.told: dict[str, list[str]] = {}
+        self._site = site
+        self._random = random.Random(seed)
+
+    async def call(
+        self, connections: httpcore.AsyncConnectionPool, key: str
+    ) -> None:
+        await anyio.sleep(self._random.uniform(0, RUN_S))
+        answers = self.told.setdefault(key, [])
+        for _ in range(ATTEMPTS):
+            word = await self._attempt(connections, key)
+            answers.append(word)
+            if word == "done":
+                return
+            await anyio.sleep(self._random.uniform(0.1, 1.0))
+
+    async def _attempt(
+        self, connections: httpcore.AsyncConnectionPool, key: str
+    ) -> str:
+        entry = self._random.choice(("entry-1", "entry-2"))
+        port = self._site.port(f"{entry}-callers")
+        headers: dict[bytes | str, bytes | str] = {
+            "authorization": f"Bearer {self._site.keys['bank']}",
+            "idempotency-key": key,
+            "x-fake-delay-s": f"{self._random.choice((0, 0, 0.1, 0.4))}",
+        }
+        answer = await connections.request(
+            "POST",
+            f"http://127.0.0.1:{port}/services/inventory/stock",
+            headers=headers,
+            content=key.encode(),
+            extensions={"timeout": {"read": 20.0}},
+        )
+        if answer.status == HTTP_OK:
+            return "done"
+        found = {name.lower(): value for name, value in answer.headers}
+        return found[b"cactusstile-verdict"].decode()
+
+
+async def _kill_and_restart(site: site_processes.Site) -> None:
+    site.kill(AGENT)
+    await anyio.sleep(0.2)
+    site_processes.start_agent(site, AGENT, "service")
+
+
+async def _freeze_and_wake(site: site_processes.Site) -> None:
+    frozen = site.processes[AGENT]
+    frozen.send_signal(signal.SIGSTOP)
+    await anyio.sleep(1.5)
+    frozen.send_signal(signal.SIGCONT)
+
+
+@pytest.fixture(scope="module")
+def site(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[site_processes.Site]:
+    folder = tmp_path_factory.mktemp("at-most-once")
+    with site_processes.open_site(folder) as opened:
+        text = site_processes.fleet_text(opened)
+        opened.write("fleet.ini", text)
+        opened.write("operator.ini", _operator_text(opened))
+        applied = opened.run_command("apply", "fleet.ini")
+        assert applied.returncode == 0, applied.stderr
+        for name in ("entry-1", "entry-2", AGENT):
+            opened.wait_ready(name)
+        yield opened
+
+
+def _operator_text(site: site_processes.Site) -> str:
+    control = ", ".join(
+        f"127.0.0.1:{site.port(f'control-{number}')}" for number in (1, 2, 3)
+    )
+    secret = site.folder / "operator.secret"
+    return (
+        f"[operator]\nname = ada\ncontrol = {control}\n"
+        f"operator_secret_file = {secret}\n"
+    )
+
+
+async def _read_ledger(site: site_processes.Site) -> dict[str, int]:
+    port = site.port(f"{AGENT}-target")
+    async with httpcore.AsyncConnectionPool() as connections:
+        answer = await connections.request(
+            "GET", f"http://127.0.0.1:{port}/_ledger"
+        )
+    return typing.cast("dict[str, int]", json.loads(answer.content))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_history_with_killed_and_frozen_agent(
+    site: site_processes.Site, seed: int
+) -> None:
+    callers = _Callers(site, seed)
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=200) as connections,
+        anyio.create_task_group() as group,
+    ):
+        for number in range(CALLS):
+            key = f"s{seed}-k{number}"
+            group.start_soon(callers.call, connections, key)
+        await anyio.sleep(1.0)
+        await _kill_and_restart(site)
+        await anyio.sleep(1.5)
+        await _freeze_and_wake(site)
+        await _kill_and_restart(site)
+    ledger = await _read_ledger(site)
+    done = 0
+    for key, answers in callers.told.items():
+        count = ledger.get(f"bank/c:{key}", 0)
+        done += "done" in answers
+        assert count <= 1, (key, answers)
+        if "done" in answers or "has_run" in answers:
+            assert count == 1, (key, answers)
+        if set(answers) == {"not_run"}:
+            assert count == 0, (key, answers)
+    assert done > CALLS // 2, callers.told
+
+
+def test_drain_command_stops_and_resumes_new_work(
+    site: site_processes.Site,
+) -> None:
+    site.wait_ready(AGENT)
+    drained = site.run_command("drain", AGENT, "--wait_s", "5")
+    assert drained.returncode == 0, drained.stderr
+    assert "leaves" in drained.stdout
+    status, _ = site.get(AGENT, "/readyz")
+    assert status != HTTP_OK
+    undone = site.run_command("drain", AGENT, "--undo")
+    assert "takes work" in undone.stdout
+    site.wait_ready(AGENT)
