--- a/src/cactusstile/fakes/engine_app.py
+++ b/src/cactusstile/fakes/engine_app.py
@@ -12,7 +12,9 @@
 
 from cactusstile import tokens
 from cactusstile.fakes import engine
+from cactusstile.fakes import engine_stream
 from cactusstile.fakes import oracle
+from cactusstile.fakes import serving
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -63,7 +65,7 @@
         adapter = body.get("adapter", "")
         if adapter and adapter not in self.engine.adapters:
             return _refuse(404, f"adapter {adapter} is not loaded")
-        submission = engine.Submission(
+        submission = engine_stream.Submission(
             body["request_id"],
             body["user"],
             body["deployment"],
@@ -108,7 +110,9 @@
         """Reports the load as it was a moment ago."""
         served = self.engine
         now_s = anyio.current_time()
-        served.load_samples.append((now_s, served.running, served.waiting))
+        served.load_samples.append(
+            (now_s, served.slots.running, served.slots.waiting)
+        )
         del served.load_samples[:-MAX_LOAD_SAMPLES]
         limit_s = now_s - served.settings.load_lag_s
         running, waiting = 0, 0
@@ -120,8 +124,13 @@
 
     async def order(self, request: requests.Request) -> responses.Response:
         body = await request.json()
+        order = (body["fence"], body["kind"], body["value"])
+        if self.engine.lose_order_answers:
+            self.engine.lose_order_answers -= 1
+            self.engine.obey_later(*order)
+            return serving.cut_off()
         try:
-            await self.engine.obey(body["fence"], body["kind"], body["value"])
+            await self.engine.obey(*order)
         except engine.OldFenceError as error:
             return _refuse(409, str(error))
         except engine.LoadFailedError as error:
@@ -146,7 +155,11 @@
     ) -> collections.abc.AsyncIterator[bytes]:
         for index in indexes:
             await self.engine.sleep(self.engine.settings.block_read_s)
-            yield self.engine.cache.read(index)
+            content = self.engine.cache.read(index)
+            if self.engine.short_reads:
+                self.engine.short_reads -= 1
+                content = content[: len(content) // 2]
+            yield content
 
     async def write(self, request: requests.Request) -> responses.Response:
         """Stores blocks; the engine trusts keys and content."""
@@ -180,15 +193,40 @@
         return responses.JSONResponse({"events": found})
 
     def _stream(
-        self, stream: engine.Stream, first: int
+        self, stream: engine_stream.Stream, first: int
     ) -> responses.StreamingResponse:
-        return responses.StreamingResponse(
-            _events(stream, first), media_type=SSE
-        )
+        events = _events(stream, first)
+        if self.engine.breaks:
+            events = _break(events, self.engine.breaks.pop(0))
+        elif self.engine.truncations:
+            events = _truncate(events, self.engine.truncations.pop(0))
+        return responses.StreamingResponse(events, media_type=SSE)
+
+
+async def _break(
+    events: collections.abc.AsyncIterator[str], count: int
+) -> collections.abc.AsyncIterator[str]:
+    """Passes `count` events on and breaks the connection off."""
+    async for event in events:
+        if not count:
+            raise serving.CutOffError("stream cut as asked")
+        count -= 1
+        yield event
+
+
+async def _truncate(
+    events: collections.abc.AsyncIterator[str], count: int
+) -> collections.abc.AsyncIterator[str]:
+    """Passes `count` events on and ends the answer as if it were whole."""
+    async for event in events:
+        if not count:
+            return
+        count -= 1
+        yield event
 
 
 async def _events(
-    stream: engine.Stream, first: int
+    stream: engine_stream.Stream, first: int
 ) -> collections.abc.AsyncIterator[str]:
     while stream.state == "waiting":
         await stream.wait()
