Wait in the cluster fixture until all three have joined

Change: the fixture waits until every process shows no joining member; the assertion (18 voters) is unchanged. drain's report is a function of its own.

--- a/src/cactusstile/console/drain.py
+++ b/src/cactusstile/console/drain.py
@@ -49,10 +49,13 @@
                 return reply
             await anyio.sleep(POLL_INTERVAL_S)
 
-    reply = operator.run(settings, drain)
+    _report(target, operator.run(settings, drain), waited=wait_s > 0)
+
+
+def _report(target: str, reply: messages.DrainReply, *, waited: bool) -> None:
     state = "leaves" if reply.leaving else "takes work"
     print(f"{target} {state}; requests under way: {reply.running}")
-    if reply.running and wait_s:
+    if reply.running and waited:
         raise exceptions.CommandError(
             f"{target} still has {reply.running} requests under way",
             exceptions.ExitCode.INCOMPLETE,
--- a/tests/support/control_cluster.py
+++ b/tests/support/control_cluster.py
@@ -11,6 +11,7 @@
 import sys
 import typing
 
+import anyio
 import attrs
 from tests.support import cutting_relay
 
@@ -30,6 +31,7 @@
 OPERATOR_SECRET = b"operator-secret-for-tests"
 SECRETS = handshake.Secrets(FLEET_SECRET, OPERATOR_SECRET)
 START_TIMEOUT_S = 10.0
+START_POLL_S = 0.05
 STOP_TIMEOUT_S = 5.0
 
 
@@ -186,4 +188,21 @@
             cluster.start(name)
         async with cluster.open_client("starter") as control:
             await control.read_revision(timeout_s=START_TIMEOUT_S)
+        await _wait_until_all_joined(cluster)
         yield cluster
+
+
+async def _wait_until_all_joined(cluster: Cluster) -> None:
+    async with operations.open_operator(cluster.operator_settings()) as opened:
+        with anyio.fail_after(START_TIMEOUT_S):
+            while True:
+                views = await operations.view_members(opened)
+                if all(map(_has_joined, views)):
+                    return
+                await anyio.sleep(START_POLL_S)
+
+
+def _has_joined(view: operations.ControlView) -> bool:
+    return bool(view.groups) and not any(
+        member.joining for group in view.groups for member in group.members
+    )
