--- a/src/cactusstile/consensus/core.py
+++ b/src/cactusstile/consensus/core.py
@@ -85,19 +85,14 @@
     return state
 
 
-def next_tick_at(state: states.State) -> float:
-    """Returns the time at which `tick` has something to do."""
-    if state.leading is None:
-        return state.election_at
-    return state.leading.next_heartbeat_at
-
-
 def tick(state: states.State, now: float) -> list[effects.Effect]:
     """Handles the passing of time."""
     _advance(state, now)
     if state.leading is None:
         if now >= state.election_at:
             elections.start_pre_vote(state)
+        elif now >= state.retry_votes_at:
+            elections.retry_requests(state)
         return _take_effects(state)
     if now >= state.leading.next_heartbeat_at:
         leadership.broadcast_heartbeat(state)
--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -32,7 +32,7 @@
         return
     state.role = states.Role.PRE_CANDIDATE
     state.votes = {state.member_id}
-    _request_votes(state, state.term + 1, pre_vote=True, transfer=False)
+    _request_votes(state, transfer=False)
     _count_votes(state)
 
 
@@ -45,16 +45,27 @@
     state.vote = state.member_id
     state.save_metadata()
     state.votes = {state.member_id}
-    _request_votes(state, state.term, pre_vote=False, transfer=transfer)
+    _request_votes(state, transfer=transfer)
     _count_votes(state)
 
 
-def _request_votes(
-    state: states.State, term: int, *, pre_vote: bool, transfer: bool
-) -> None:
-    """Asks all other voters; a real vote only once the own one is synced."""
+def retry_requests(state: states.State) -> None:
+    """Asks again the voters whose grant is still missing.
+
+    A first message often meets a broken connection, and a voter may hear the
+    old leader a little longer; waiting for the next candidacy costs seconds.
+    """
+    if state.role in (states.Role.PRE_CANDIDATE, states.Role.CANDIDATE):
+        _request_votes(state, transfer=False)
+
+
+def _request_votes(state: states.State, *, transfer: bool) -> None:
+    """Asks the other voters; a real vote only once the own one is synced."""
+    pre_vote = state.role is states.Role.PRE_CANDIDATE
+    term = state.term + 1 if pre_vote else state.term
+    state.retry_votes_at = state.now + state.settings.heartbeat_interval_s
     for voter in state.configuration.voter_ids:
-        if voter == state.member_id:
+        if voter in state.votes:
             continue
         request = messages.VoteRequest(
             group=state.group,
--- a/src/cactusstile/consensus/state.py
+++ b/src/cactusstile/consensus/state.py
@@ -150,6 +150,7 @@
         what was promised to a leader before a restart must hold after it.
       election_at: Time at which a candidacy starts.
       votes: Members that granted the present candidacy.
+      retry_votes_at: Time at which missing votes are asked for again.
       leading: State of a leader; None in other roles.
       incoming: Snapshot that is being received.
       addresses: Addresses that messages came from, by member.
@@ -174,6 +175,7 @@
     role: Role = Role.FOLLOWER
     leader: str = ""
     votes: set[str] = attrs.field(factory=set)
+    retry_votes_at: float = 0.0
     leading: LeaderState | None = None
     incoming: IncomingSnapshot | None = None
     addresses: dict[str, str] = attrs.field(factory=dict)
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -14,6 +14,7 @@
 from cactusstile.consensus import messages
 from cactusstile.consensus import state as states
 
+FOLLOWER = states.Role.FOLLOWER
 TIMEOUT_S = simulation.SETTINGS.election_timeout_s
 
 
@@ -70,6 +71,19 @@
     assert _state(leader).term == term
 
 
+def test_lost_vote_requests_are_sent_again_within_the_candidacy() -> None:
+    group, leader = _group()
+    group.crash(leader)
+    first, second = _followers(group, leader)
+    group.cuts = {(first.name, second.name), (second.name, first.name)}
+    while {_state(first).role, _state(second).role} == {FOLLOWER}:
+        group.advance(simulation.STEP_S)
+    group.advance(3 * simulation.STEP_S)
+    group.cuts.clear()
+    group.advance(TIMEOUT_S - 4 * simulation.STEP_S)
+    assert group.leader() in (first, second)
+
+
 def test_check_quorum_stops_cut_leader_within_election_timeout() -> None:
     group, leader = _group()
     _isolate(group, leader)
