--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -14,6 +14,7 @@
 from cactusstile.consensus import messages
 from cactusstile.consensus import state as states
 
+FOLLOWER = states.Role.FOLLOWER
 TIMEOUT_S = simulation.SETTINGS.election_timeout_s
 
 
@@ -70,6 +71,19 @@
     assert _state(leader).term == term
 
 
+def test_lost_vote_requests_are_sent_again_within_the_candidacy() -> None:
+    group, leader = _group()
+    group.crash(leader)
+    first, second = _followers(group, leader)
+    group.cuts = {(first.name, second.name), (second.name, first.name)}
+    while {_state(first).role, _state(second).role} == {FOLLOWER}:
+        group.advance(simulation.STEP_S)
+    group.advance(3 * simulation.STEP_S)
+    group.cuts.clear()
+    group.advance(TIMEOUT_S - 4 * simulation.STEP_S)
+    assert group.leader() in (first, second)
+
+
 def test_check_quorum_stops_cut_leader_within_election_timeout() -> None:
     group, leader = _group()
     _isolate(group, leader)
@@ -106,15 +120,23 @@
     replies = [one for one in found if isinstance(one, effects.Send)]
     assert [one.after_sync for one in replies] == [True]
     assert found.index(replies[0]) > position
-    # A crash before the sync forgets the vote, but then nobody got it.
-    again = core.receive(
-        state, leader.name, _vote_request(leader.id, voter), now
-    )
-    assert not [
-        one
-        for one in again
-        if isinstance(one, effects.SaveMetadata) and one.term == request.term
-    ]
+    # The same request again needs no second write, but waits for the first.
+    again = core.receive(state, other.name, request, now)
+    assert [type(one) for one in again] == [effects.Send]
+    assert isinstance(again[0], effects.Send)
+    assert again[0].after_sync
+    # Nobody else gets a vote in this term, nor after a crash and the sync.
+    rival = _vote_request(leader.id, voter, term=request.term)
+    refused = core.receive(state, leader.name, rival, now)
+    group.dispatch(voter, found)
+    group.sync(voter)
+    group.crash(voter)
+    group.start(voter)
+    later = core.receive(_state(voter), leader.name, rival, now + TIMEOUT_S)
+    for effect in refused + later:
+        assert isinstance(effect, effects.Send)
+        assert isinstance(effect.message, messages.VoteReply)
+        assert not effect.message.granted
 
 
 def test_append_is_acknowledged_only_after_sync() -> None:
