Prove continuation with real agents; mend the fake engine's function

Need: a run that goes on elsewhere must end in the undisturbed text, with real agents and the checked fake engine, not only with scripted ones.

Found: 12 streams of 60 tokens over two agents, one of which ends in mid-stream: every continued answer differed from the expected one. The cause was the fake: the right answer hashed prompt tokens by block but output tokens one by one, so that an answer which goes on from its own beginning (prompt and tokens so far as prompt) differed as soon as it crossed a block boundary. The agent's own test stays within one block and did not see it.

Change: output tokens fold into blocks as these fill, in fakes.oracle (shared; answers change only after the first block that output fills). A doctest holds it. Relayed answers of services carry the verdict has_run.

--- a/src/cactusstile/entry/services.py
+++ b/src/cactusstile/entry/services.py
@@ -10,6 +10,7 @@
 from cactusstile.filters import chain
 from cactusstile.filters import exchange
 from cactusstile.filters import marks
+from cactusstile.filters import refusals
 
 if typing.TYPE_CHECKING:
     from cactusstile.entry import dispatch
@@ -56,6 +57,8 @@
             for header in reply.headers
             if header.name.lower() not in _HOP_BY_HOP
         ]
+        has_run = verdict.Verdict.HAS_RUN.value.encode()
+        headers.append((refusals.VERDICT_HEADER, has_run))
         await passing.answer(reply.status, reply.body, headers)
 
     return handle
--- a/src/cactusstile/fakes/oracle.py
+++ b/src/cactusstile/fakes/oracle.py
@@ -48,18 +48,38 @@
         """Starts after the blocks and the `tail` of tokens behind them."""
         name = "\x1f".join(scope).encode()
         self._state = hashlib.blake2b(name, digest_size=DIGEST_BYTES)
+        self._last = b""
+        self._scope = scope
+        self._blocks = 0
+        self._tail = list(tail)
         for digest in block_digests:
-            self._state.update(digest)
-        self._state.update(array.array("I", tail).tobytes())
+            self._add_block(digest)
 
     def next_token(self) -> int:
         """Returns the next token and appends it to the context."""
-        digest = self._state.digest()
-        letters = bytes(_LETTERS[byte & 15] for byte in digest[:3])
+        state = self._state.copy()
+        state.update(array.array("I", self._tail).tobytes())
+        letters = bytes(_LETTERS[byte & 15] for byte in state.digest()[:3])
         token = int.from_bytes(letters + b" ", "little")
-        self._state.update(token.to_bytes(4, "little"))
+        self._tail.append(token)
+        if len(self._tail) == tokens.BLOCK_TOKENS:
+            self._add_block(self._next_key())
+            self._tail.clear()
         return token
 
+    def _add_block(self, digest: bytes) -> None:
+        self._state.update(digest)
+        self._last = digest
+        self._blocks += 1
+
+    def _next_key(self) -> bytes:
+        """Returns the chained key of the block that the tail fills."""
+        if not self._blocks:
+            return tokens.block_keys(self._scope, self._tail)[0]
+        chained = hashlib.blake2b(self._last, digest_size=tokens.KEY_BYTES)
+        chained.update(array.array("I", self._tail).tobytes())
+        return chained.digest()
+
 
 def start(
     scope: tokens.Scope, prompt: collections.abc.Sequence[int]
@@ -80,6 +100,12 @@
     >>> whole = answer(scope, [1, 2, 3], 4)
     >>> answer(scope, [1, 2, 3], 2) == whole[:2]
     True
+
+    An answer that goes on from its own beginning ends alike:
+
+    >>> whole = answer(scope, list(range(20)), 40)
+    >>> answer(scope, list(range(20)) + whole[:17], 23) == whole[17:]
+    True
     """
     context = start(scope, prompt)
     return [context.next_token() for _ in range(count)]
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -102,7 +102,7 @@
 def text_of(events: list[str]) -> str:
     chunks = [json.loads(event) for event in events if event != "[DONE]"]
     return "".join(
-        chunk["choices"][0]["text"] for chunk in chunks if "choices" in chunk
+        chunk["choices"][0]["text"] for chunk in chunks if chunk.get("choices")
     )
 
 
