Show that each mechanism of the entry is held by a test

Need: each promise's test must fail without its mechanism.

Two were missed at first and have a test now: a dropped duplicate was also healed by an attach (the test now forbids the attach), and the accept queue's emptying (a connection that waits to be accepted is now served in a test of its own). A chunked body, whose size is not announced, is bounded in a test.

--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -47,6 +47,22 @@
     assert site.agents[0].runs == []
 
 
+async def test_body_of_undeclared_size_is_bounded(site: support.Site) -> None:
+    """A chunked body announces no length."""
+    bound = site.entry.callers_address()
+    head = (
+        b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+        b"key-of-bank\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    chunk = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
+    async with await anyio.connect_tcp(bound.host, bound.port) as raw:
+        await raw.send(head + chunk * 5)
+        with anyio.fail_after(2):
+            answer = await raw.receive()
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert site.entry.bounds.memory.held_bytes == 0
+
+
 @pytest.mark.parametrize(
     ("name", "value"),
     [
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -67,6 +67,17 @@
     assert support.header(late, "connection") == "close"
 
 
+async def test_drain_serves_connection_that_waits_to_be_accepted(
+    site: support.Site,
+) -> None:
+    """The loop does not run between the connection and the drain."""
+    bound = site.entry.callers_address()
+    with socket.create_connection((bound.host, bound.port)) as near:
+        near.sendall(b"GET /livez HTTP/1.1\r\nHost: x\r\n\r\n")
+        await site.entry.listener.drain()
+        assert near.recv(100).startswith(b"HTTP/1.1 200")
+
+
 def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -71,6 +71,8 @@
     events = await site.stream()
     assert support.text_of(events) == support.expected_text()
     assert events[-1] == "[DONE]"
+    is_duplicate = batches[:2] == [(0, 4), (0, 4)]
+    assert bool(site.agents[0].attaches) != is_duplicate
 
 
 async def test_late_batches_of_another_run_reach_no_caller() -> None:
