--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -136,7 +136,8 @@
 
 def _bind(listen: address.Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-    bound_socket = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio turns Nagle's algorithm off only where the protocol is named.
+    bound_socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound_socket.setsockopt(
