Pace writes when busy and bound the requests that probe at once

Need: 47,000 tokens/s a VM is past one loop at a write a token; a burst must not make an entry refuse everybody.

Found: 1,000 callers at once got no answer at all: starting them made the loop lag, the lag made all probes time out, and the refused came back as the next burst (requests/s 0, refused 2,426 in 3 s). A write's own timeout scope took about a fifth of a batch's time by profile.

--- a/src/cactusstile/entry/attempts.py
+++ b/src/cactusstile/entry/attempts.py
@@ -15,6 +15,7 @@
 from cactusstile.transport import exceptions
 
 if typing.TYPE_CHECKING:
+    from cactusstile.entry import pacing
     from cactusstile.entry import routes
     from cactusstile.state import model
     from cactusstile.transport import connection
@@ -43,6 +44,7 @@
     *,
     attempt: int,
     revision: int,
+    pacer: pacing.Pacer,
 ) -> messages.RunEnd:
     """Runs a prompt at one target, resuming its stream where it breaks.
 
@@ -62,6 +64,7 @@
             message=message,
             progress=progress,
             sink=sink,
+            pacer=pacer,
         )
     except verdict.RefusedError as error:
         if error.refusal.verdict is verdict.Verdict.NOT_RUN:
@@ -113,6 +116,7 @@
     message: messages.Run,
     progress: streams.Progress,
     sink: streams.Sink,
+    pacer: pacing.Pacer,
 ) -> messages.RunEnd:
     """Reads the run's stream; attaches again after gaps and losses."""
     opener: object = message
@@ -122,7 +126,7 @@
             received = len(progress.tokens)
             try:
                 stream = await _replace_stream(owner, opened, opener)
-                return await streams.relay(stream, progress, sink)
+                return await streams.relay(stream, progress, sink, pacer)
             except verdict.RefusedError as error:
                 if opener is message:
                     raise
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -67,6 +67,7 @@
       running: Requests at agents by target.
       body_bytes: Bytes of request bodies held.
       retry_balance: Retries that may be sent now.
+      busy_share: Share of one core that the process uses.
     """
 
     name: str
@@ -78,6 +79,7 @@
     running: dict[str, int]
     body_bytes: int
     retry_balance: float
+    busy_share: float
 
 
 @attrs.define
@@ -151,11 +153,14 @@
     async with (
         http_listener.open_listener(app, settings.callers_listen) as listener,
         http_listener.open_listener(admin_app, admin_listen) as admin_listener,
+        anyio.create_task_group() as group,
     ):
+        group.start_soon(entry.dispatcher.pacer.run)
         entry.listener = listener
         entry.admin = admin_listener
         logger.info("serving callers on %s", listener.bound)
         yield entry
+        group.cancel_scope.cancel()
 
 
 def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
@@ -188,4 +193,5 @@
         dict(entry.dispatcher.running),
         entry.bounds.memory.held_bytes,
         entry.dispatcher.budget.balance,
+        entry.dispatcher.pacer.busy_share,
     )
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -14,6 +14,7 @@
 from cactusstile.agent import messages
 from cactusstile.entry import attempts
 from cactusstile.entry import calls
+from cactusstile.entry import pacing
 from cactusstile.entry import probes
 from cactusstile.entry import routes
 from cactusstile.entry import streams
@@ -49,6 +50,8 @@
       metrics: Counters of the entry.
       notice_revision: Called with an agent's newer configuration revision.
       running: Work that this entry has under way, by target name.
+      pacer: Paces writes to callers.
+      probe_gate: Bounds the requests that probe at once.
     """
 
     peers: pool.Pool
@@ -58,6 +61,8 @@
     metrics: entry_metrics.EntryMetrics
     notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     running: dict[str, int] = attrs.field(factory=dict)
+    pacer: pacing.Pacer = attrs.field(factory=pacing.Pacer)
+    probe_gate: probes.ProbeGate = attrs.field(factory=probes.ProbeGate)
 
     async def run(
         self, call: calls.PromptCall, sink: streams.Sink
@@ -121,7 +126,8 @@
         excluded: set[str] = set()
         attempt = 0
         while True:
-            placed = await self._place(call, progress, excluded)
+            async with self.probe_gate.enter():
+                placed = await self._place(call, progress, excluded)
             try:
                 with self._count_running(placed.target.name):
                     return await attempts.run_at(
@@ -132,6 +138,7 @@
                         sink,
                         attempt=attempt,
                         revision=self.fleet.fleet.revision,
+                        pacer=self.pacer,
                     )
             except verdict.RefusedError as error:
                 attempt += 1
--- a/src/cactusstile/entry/probes.py
+++ b/src/cactusstile/entry/probes.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import typing
 
 import anyio
 
+from cactusstile import verdict
 from cactusstile.agent import messages
 from cactusstile.entry import calls
 from cactusstile.entry import routes
@@ -21,10 +23,52 @@
 logger = logging.getLogger(__name__)
 
 MAX_KEYS = 1024
-PROBE_TIMEOUT_S = 0.5
+MAX_PROBING = 32
+MAX_WAITING = 512
+RETRY_AFTER_WAITING_S = 1.0
+PROBE_TIMEOUT_S = 1.0
 STRAGGLER_GRACE_S = 0.02
 
 
+class ProbeGate:
+    """Bounds the requests that probe at once.
+
+    Without it a burst makes the loop lag, the lag makes probes time out, and
+    the refused requests come back as the next burst.
+
+    Attributes:
+      waiting: Requests that wait for their turn.
+    """
+
+    def __init__(self, max_probing: int = MAX_PROBING) -> None:
+        """Lets `max_probing` requests probe at once."""
+        self.waiting = 0
+        self._turns = anyio.Semaphore(max_probing)
+
+    @contextlib.asynccontextmanager
+    async def enter(self) -> collections.abc.AsyncIterator[None]:
+        """Holds a turn inside the context.
+
+        Raises:
+          RefusedError: If too many requests wait already.
+        """
+        if self.waiting >= MAX_WAITING:
+            raise verdict.refuse(
+                verdict.Reason.OVERLOADED,
+                "this entry has too many requests to place",
+                retry_after_s=RETRY_AFTER_WAITING_S,
+            )
+        self.waiting += 1
+        try:
+            await self._turns.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            yield
+        finally:
+            self._turns.release()
+
+
 def build(
     call: calls.PromptCall,
     keys: tuple[bytes, ...],
--- a/src/cactusstile/entry/sse.py
+++ b/src/cactusstile/entry/sse.py
@@ -8,7 +8,6 @@
 
 from cactusstile import verdict
 from cactusstile.entry import openai_answers
-from cactusstile.filters import exceptions
 from cactusstile.filters import refusals
 
 if typing.TYPE_CHECKING:
@@ -23,7 +22,6 @@
     (b"cache-control", b"no-cache"),
     (b"x-accel-buffering", b"no"),
 )
-STALLED_CALLER_LIMIT_S = 30.0
 
 
 async def stream_run(
@@ -50,7 +48,7 @@
             observe_first(anyio.current_time() - passing.started_s)
             await passing.start(200, HEADERS)
             data = answer.first_event() + data
-        await _write(passing, data)
+        await passing.write(data)
 
     try:
         end = await dispatcher.run(call, send)
@@ -58,25 +56,11 @@
         if not passing.status:
             raise
         body = refusals.error_body(error.refusal)
-        await _write(passing, b"data: " + body + b"\n\n", more=False)
+        await passing.write(b"data: " + body + b"\n\n", more=False)
         return
     if not passing.status:
         await passing.start(200, HEADERS)
-        await _write(passing, answer.first_event())
+        await passing.write(answer.first_event())
     tail = answer.usage_event(end) if include_usage else b""
     tail = answer.last_event(end) + tail + openai_answers.DONE_EVENT
-    await _write(passing, tail, more=False)
-
-
-async def _write(
-    passing: exchange.Exchange, data: bytes, *, more: bool = True
-) -> None:
-    """Writes to the caller.
-
-    Raises:
-      CallerLeftError: If the caller takes nothing for too long.
-    """
-    with anyio.move_on_after(STALLED_CALLER_LIMIT_S) as scope:
-        await passing.write(data, more=more)
-    if scope.cancelled_caught:
-        raise exceptions.CallerLeftError
+    await passing.write(tail, more=False)
--- a/src/cactusstile/entry/streams.py
+++ b/src/cactusstile/entry/streams.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import anyio
 import attrs
 
 from cactusstile import verdict
@@ -13,6 +14,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.entry import pacing
     from cactusstile.transport import connection
 
     Sink = collections.abc.Callable[[str], collections.abc.Awaitable[None]]
@@ -91,12 +93,15 @@
 
 
 async def relay(
-    opened: connection.ClientStream, progress: Progress, sink: Sink
+    opened: connection.ClientStream,
+    progress: Progress,
+    sink: Sink,
+    pacer: pacing.Pacer,
 ) -> messages.RunEnd:
     """Passes the text of a run's batches to `sink` until the run ends.
 
     Batches that wait already are passed on as one, so that a slow caller or
-    a busy loop costs fewer writes, and nothing waits for a timer.
+    a busy process costs fewer writes.
 
     Raises:
       GapError: If the output must be resumed.
@@ -121,6 +126,8 @@
             await sink("".join(parts))
         if gap:
             raise GapError
+        if pacer.interval_s:
+            await anyio.sleep(pacer.interval_s)
     final = await opened.result()
     if isinstance(final, messages.RunEnd):
         return progress.finish(final)
--- a/src/cactusstile/filters/body.py
+++ b/src/cactusstile/filters/body.py
@@ -17,6 +17,7 @@
 
 BODY_TIMEOUT_S = 30.0
 RETRY_AFTER_FULL_S = 1.0
+STALL_LIMIT_S = 30.0
 
 
 @attrs.define
@@ -85,9 +86,10 @@
 async def cancel_when_caller_leaves(
     passing: exchange.Exchange, proceed: chain.Handler
 ) -> None:
-    """Cancels the rest of the chain when the caller closes the connection.
+    """Cancels the rest of the chain when the caller leaves.
 
-    Must come after the body was read.
+    A caller that takes nothing of a write for `STALL_LIMIT_S` counts as one
+    that left. Must come after the body was read.
 
     Raises:
       CallerLeftError: If the caller left.
@@ -97,13 +99,9 @@
 
     async def watch(scope: anyio.CancelScope) -> None:
         nonlocal left
-        while True:
-            message = await passing.receive()
-            if message["type"] != "http.disconnect":
-                continue
-            left = not passing.finished
-            scope.cancel()
-            return
+        await _wait_until_left(passing)
+        left = not passing.finished
+        scope.cancel()
 
     async with anyio.create_task_group() as group:
         group.start_soon(watch, group.cancel_scope)
@@ -118,6 +116,17 @@
         raise exceptions.CallerLeftError
 
 
+async def _wait_until_left(passing: exchange.Exchange) -> None:
+    while True:
+        with anyio.move_on_after(STALL_LIMIT_S / 2):
+            message = await passing.receive()
+            if message["type"] == "http.disconnect":
+                return
+        stalled_s = anyio.current_time() - passing.write_started_s
+        if stalled_s > STALL_LIMIT_S:
+            return
+
+
 async def _receive_chunks(
     passing: exchange.Exchange,
 ) -> collections.abc.AsyncIterator[bytes]:
--- a/src/cactusstile/filters/exchange.py
+++ b/src/cactusstile/filters/exchange.py
@@ -43,6 +43,8 @@
       request_key: Identity of the request within its workspace.
       status: Status sent; 0 before the response starts.
       finished: Whether the whole response was handed over.
+      write_started_s: Time at which the write under way began; infinite
+        while none is.
     """
 
     scope: Scope
@@ -58,6 +60,7 @@
     request_key: str = ""
     status: int = 0
     finished: bool = False
+    write_started_s: float = math.inf
 
     async def start(self, status: int, headers: Headers) -> None:
         """Sends status and headers."""
@@ -72,9 +75,11 @@
 
     async def write(self, data: bytes, *, more: bool = True) -> None:
         """Sends a part of the body; waits while the caller is slow."""
+        self.write_started_s = anyio.current_time()
         await self.send(
             {"type": "http.response.body", "body": data, "more_body": more}
         )
+        self.write_started_s = math.inf
         self.finished = not more
 
     async def answer(
