--- a/src/cactusstile/fakes/scripted_agent.py
+++ b/src/cactusstile/fakes/scripted_agent.py
@@ -73,6 +73,10 @@
     [incoming.Responder, messages.Run], collections.abc.Awaitable[object]
 ]
 
+ProbeHandler: typing.TypeAlias = collections.abc.Callable[
+    [incoming.Responder, messages.Probe], collections.abc.Awaitable[object]
+]
+
 
 @attrs.define
 class ScriptedAgent:
@@ -92,6 +96,7 @@
       calls: Calls of a plain service that arrived.
       was_cancelled: Set once the entry cancelled a run.
       bound: Address it listens on.
+      answer_probe: Answers a probe.
     """
 
     name: str = "engine-1"
@@ -109,6 +114,11 @@
     calls: list[messages.ServiceCall] = attrs.field(factory=list)
     was_cancelled: anyio.Event = attrs.field(factory=anyio.Event)
     bound: address.Address = _LOCAL
+    answer_probe: ProbeHandler = attrs.field()
+
+    @answer_probe.default
+    def _default_probe(self) -> ProbeHandler:
+        return self._answer_probe
 
     def handlers(self) -> incoming.Handlers:
         """Returns the handlers of the agent's messages."""
@@ -132,6 +142,11 @@
         return end_of(run)
 
     async def _probe(
+        self, responder: incoming.Responder, probe: messages.Probe
+    ) -> object:
+        return await self.answer_probe(responder, probe)
+
+    async def _answer_probe(
         self, _: incoming.Responder, probe: messages.Probe
     ) -> object:
         return messages.ProbeReply(
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -12,7 +12,9 @@
 
 from cactusstile import verdict
 from cactusstile.agent import messages
+from cactusstile.entry import probes
 from cactusstile.fakes import scripted_agent
+from cactusstile.filters import body
 from cactusstile.observability import http_listener
 from cactusstile.transport import incoming
 from cactusstile.transport import stream
@@ -46,6 +48,21 @@
     agent.script = script
 
 
+def _raw_request(max_tokens: int) -> bytes:
+    content = {
+        "model": "chat",
+        "prompt": "x",
+        "max_tokens": max_tokens,
+        "stream": True,
+    }
+    data = json.dumps(content).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+        f"key-of-bank\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    return head.encode() + data
+
+
 def _pair() -> list[scripted_agent.ScriptedAgent]:
     """Returns two agents of which the first is always preferred."""
     first = scripted_agent.ScriptedAgent("engine-1")
@@ -199,19 +216,36 @@
     agent = site.agents[0]
     agent.pace_s = 0.02
     bound = site.entry.callers_address()
-    body = b'{"model":"chat","prompt":"x","max_tokens":4000,"stream":true}'
-    head = (
-        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
-        f"key-of-bank\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
     async with await anyio.connect_tcp(bound.host, bound.port) as raw:
-        await raw.send(head.encode() + body)
+        await raw.send(_raw_request(4000))
         await raw.receive()
     with anyio.fail_after(2):
         await agent.was_cancelled.wait()
     assert site.entry.bounds.in_flight.total == 0
 
 
+async def test_caller_that_reads_nothing_is_given_up(
+    site: support.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(body, "STALL_LIMIT_S", 0.3)
+    agent = site.agents[0]
+
+    async def flood(responder: incoming.Responder, run: messages.Run) -> object:
+        for first in range(0, run.max_tokens, 256):
+            tokens = tuple(range(256))
+            await responder.send(
+                messages.RunTokens(first, tokens, "x" * 100_000)
+            )
+        return scripted_agent.end_of(run)
+
+    agent.script = flood
+    bound = site.entry.callers_address()
+    async with await anyio.connect_tcp(bound.host, bound.port) as raw:
+        await raw.send(_raw_request(32_768))
+        with anyio.fail_after(3):
+            await agent.was_cancelled.wait()
+
+
 async def test_slow_caller_stops_the_agent_and_gets_all(
     site: support.Site,
 ) -> None:
@@ -230,18 +264,12 @@
 
     agent.script = flood
     bound = site.entry.callers_address()
-    body = b'{"model":"chat","prompt":"x","max_tokens":32768,"stream":true}'
-    head = (
-        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
-        f"key-of-bank\r\nContent-Length: {len(body)}\r\n"
-        "Connection: close\r\n\r\n"
-    )
     received = b""
     with socket.socket() as near:
         near.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
         near.connect((bound.host, bound.port))
         near.setblocking(False)
-        near.send(head.encode() + body)
+        near.send(_raw_request(32_768))
         await anyio.sleep(0.5)
         early = sent
         with anyio.fail_after(10):
@@ -252,3 +280,35 @@
     assert early <= window + 1_000_000
     assert sent == 128 * 40_000
     assert received.count(b"x") >= sent
+
+
+async def test_burst_of_callers_is_served_or_refused_at_once(
+    site: support.Site,
+) -> None:
+    """Without a gate all probes of a burst time out together."""
+    agent = site.agents[0]
+    probing = 0
+    most = 0
+    answer = agent.answer_probe
+
+    async def count(
+        responder: incoming.Responder, probe: messages.Probe
+    ) -> object:
+        nonlocal probing, most
+        probing += 1
+        most = max(most, probing)
+        await anyio.sleep(0.005)
+        probing -= 1
+        return await answer(responder, probe)
+
+    agent.answer_probe = count
+    statuses: list[int] = []
+
+    async def ask() -> None:
+        statuses.append((await site.complete(1)).status)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(60):
+            group.start_soon(ask)
+    assert most <= probes.MAX_PROBING
+    assert statuses == [200] * 60
