--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -14,7 +14,7 @@
 
 from cactusstile.console import exceptions
 from cactusstile.entry import daemon
-from cactusstile.entry import node
+from cactusstile.entry import wiring
 from cactusstile.observability import http_listener
 from cactusstile.observability import logs
 from cactusstile.settings import entry as entry_settings
@@ -41,7 +41,7 @@
     loaded = entry_settings.load(pathlib.Path(settings))
     logs.configure("entry", loaded.process.name, loaded.log_level)
     try:
-        anyio.run(serve, loaded, node.open_node)
+        anyio.run(serve, loaded, wiring.open_parts)
     except* http_listener.CannotListenError as errors:
         raise _report_address(next(_flatten(errors))) from None
 
--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -24,6 +24,8 @@
       process: Settings common to all roles.
       data_folder: Folder of the durable state.
       founders: Replicas that found the groups, the same on all control VMs.
+      advertise: Address that the other control VMs send to, if it is not the
+        one listened on.
       group_commit: Whether one sync serves many commands.
       sync_in_thread: Whether syncs run in a worker thread.
     """
@@ -31,14 +33,20 @@
     process: process.ProcessSettings
     data_folder: pathlib.Path
     founders: tuple[replica.Founder, ...]
+    advertise: address.Address | None = None
     group_commit: bool = True
     sync_in_thread: bool = True
 
+    @property
+    def own_address(self) -> address.Address:
+        """Address that the other control VMs send to."""
+        return self.advertise or self.process.listen
+
     def for_group(self, group: str) -> replica.ReplicaSettings:
         """Returns the settings of this process's replica of a group."""
         return replica.ReplicaSettings(
             name=self.process.name,
-            address=str(self.process.listen),
+            address=str(self.own_address),
             data_folder=self.data_folder / group,
             founders=self.founders,
             max_command_bytes=MAX_COMMAND_BYTES,
@@ -77,6 +85,12 @@
         "replicas that found the groups, as NAME=ADDRESS with commas; the "
         "same on all control VMs, never changed later",
     ),
+    ini.Option(
+        "advertise",
+        address.parse,
+        "address that the others send to, if it is not the one listened on",
+        None,
+    ),
 )
 
 
