--- a/src/cactusstile/entry/attempts.py
+++ b/src/cactusstile/entry/attempts.py
@@ -137,9 +137,8 @@
                 if opener is message:
                     _raise_unless_sent(error, placed.target)
                 lost = True
-            idle_resumes = (
-                idle_resumes + 1 if len(progress.tokens) == received else 0
-            )
+            is_idle = len(progress.tokens) == received
+            idle_resumes = idle_resumes + 1 if is_idle else 0
             if idle_resumes >= MAX_IDLE_RESUMES:
                 raise _lost(placed.target, "its stream makes no progress")
             progress.resumes += 1
--- a/src/cactusstile/entry/streams.py
+++ b/src/cactusstile/entry/streams.py
@@ -109,22 +109,10 @@
       TransportError: If the connection failed.
     """
     async for item in opened:
-        parts = [_accept(item, progress)]
-        size = len(parts[0])
-        gap = False
-        while size < MAX_COALESCED_CHARACTERS:
-            waiting = opened.receive_ready()
-            if waiting is None:
-                break
-            try:
-                parts.append(_accept(waiting, progress))
-            except GapError:
-                gap = True
-                break
-            size += len(parts[-1])
-        if size:
-            await sink("".join(parts))
-        if gap:
+        gathered = _gather(opened, progress, item)
+        if gathered.text:
+            await sink(gathered.text)
+        if gathered.has_gap:
             raise GapError
         if pacer.interval_s:
             await anyio.sleep(pacer.interval_s)
@@ -136,6 +124,32 @@
     raise exceptions.ProtocolError("unexpected end of a run")
 
 
+@attrs.frozen
+class _Gathered:
+    """Text of batches in a row, and whether a gap follows."""
+
+    text: str
+    has_gap: bool = False
+
+
+def _gather(
+    opened: connection.ClientStream, progress: Progress, first: object
+) -> _Gathered:
+    """Takes over a batch and those that wait behind it."""
+    parts = [_accept(first, progress)]
+    size = len(parts[0])
+    while size < MAX_COALESCED_CHARACTERS:
+        waiting = opened.receive_ready()
+        if waiting is None:
+            break
+        try:
+            parts.append(_accept(waiting, progress))
+        except GapError:
+            return _Gathered("".join(parts), has_gap=True)
+        size += len(parts[-1])
+    return _Gathered("".join(parts))
+
+
 def _accept(item: object, progress: Progress) -> str:
     if not isinstance(item, messages.RunTokens):
         raise exceptions.ProtocolError("unexpected item in a run")
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -297,7 +297,7 @@
         nonlocal probing, most
         probing += 1
         most = max(most, probing)
-        await anyio.sleep(0.005)
+        await anyio.sleep(0.1)
         probing -= 1
         return await answer(responder, probe)
 
