--- a/src/cactusstile/filters/marks.py
+++ b/src/cactusstile/filters/marks.py
@@ -17,6 +17,12 @@
 REPEATABLE_HEADER = "cactusstile-repeatable"
 IDEMPOTENCY_HEADER = "idempotency-key"
 CALLER_KEY_PREFIX = "c:"
+_MARKS = (
+    PRIORITY_HEADER,
+    DEADLINE_HEADER,
+    REPEATABLE_HEADER,
+    IDEMPOTENCY_HEADER,
+)
 MAX_PRIORITY = 100
 MAX_DEADLINE_MS = 86_400_000
 MAX_IDEMPOTENCY_CHARACTERS = 255
@@ -27,8 +33,15 @@
 async def read_marks(
     passing: exchange.Exchange, proceed: chain.Handler
 ) -> None:
-    """Reads priority, deadline and repeatability from the headers."""
+    """Reads priority, deadline and repeatability from the headers.
+
+    A mark that comes twice could be read either way, so it is refused.
+    """
     headers = passing.headers
+    names = [name for name, _ in passing.scope["headers"]]
+    for mark in _MARKS:
+        if names.count(mark.encode()) > 1:
+            raise _bad(f"{mark} is given more than once")
     if PRIORITY_HEADER in headers:
         passing.priority = _parse_integer(
             PRIORITY_HEADER,
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -81,6 +81,21 @@
     assert name.lower() in support.error_of(response)["message"].lower()
 
 
+async def test_mark_given_twice_is_refused(site: support.Site) -> None:
+    response = await site.http.request(
+        "POST",
+        site.url + "/v1/completions",
+        headers=[
+            ("Authorization", "Bearer key-of-bank"),
+            ("Cactusstile-Repeatable", "no"),
+            ("Cactusstile-Repeatable", "yes"),
+        ],
+        content=b'{"model":"chat","prompt":"x"}',
+    )
+    assert response.status == 400
+    assert site.agents[0].runs == []
+
+
 async def test_marks_travel_to_the_agent(site: support.Site) -> None:
     response = await site.complete(
         Cactusstile_Deadline_Ms="5000",
