--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,251 @@
+"""The product's policy and the baselines that it is measured against.
+
+A policy routes a request to an engine with the blocks to import first, or
+refuses it, and says which blocks to export.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import functools
+import itertools
+import typing
+
+import attrs
+
+from benchmarks import model
+from benchmarks import sites
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.routing import candidates
+from cactusstile.routing import choice
+from cactusstile.store import shelf
+from cactusstile.store import transfer
+
+if typing.TYPE_CHECKING:
+    from cactusstile.limits import token_bucket
+    from cactusstile.routing import rendezvous
+
+Route: typing.TypeAlias = (
+    "collections.abc.Callable[[model.World, model.Run], model.Engine | None]"
+)
+
+
+@attrs.frozen
+class Options:
+    """Variations of the product's policy.
+
+    Attributes:
+      probes: Agents that are probed.
+      load_factor: Bound on an engine's load; infinite turns it off.
+      reserve: Whether a probe's choice holds its place.
+      stores: Whether blocks are kept.
+      fetch_always: Whether to fetch and export whatever the link does.
+      near_store: Whether a candidate beside the store is probed.
+      lagging: Whether replies come from the last load report.
+    """
+
+    probes: int = candidates.MAX_CANDIDATES
+    load_factor: float = candidates.LOAD_FACTOR
+    reserve: bool = True
+    stores: bool = True
+    fetch_always: bool = False
+    near_store: bool = True
+    lagging: bool = False
+
+
+@attrs.frozen
+class Policy:
+    """A way to decide.
+
+    Attributes:
+      name: Name in the report.
+      route: Chooses the engine and sets the run's blocks to import; None
+        after it has set the run's refusal.
+      export: Decides on exports; None exports nothing.
+      value: Worth of kept blocks; None takes the product's.
+    """
+
+    name: str
+    route: Route
+    export: model.ExportRule | None = None
+    value: shelf.Value | None = None
+
+
+def round_robin() -> Policy:
+    """Returns a policy that takes engines in turn."""
+    numbers = itertools.count()
+
+    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+        engines = list(world.engines.values())
+        return engines[next(numbers) % len(engines)]
+
+    return Policy("round_robin", route)
+
+
+def least_loaded() -> Policy:
+    """Returns a policy that follows the engines' lagging load reports."""
+
+    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+        engines = world.engines.values()
+        return min(engines, key=lambda engine: engine.reported_tokens)
+
+    return Policy("least_loaded", route)
+
+
+def least_recently_used(record: shelf.Record, now_s: float) -> float:
+    """Returns a value of kept blocks that evicts by last visit alone."""
+    return record.visited_s - now_s
+
+
+def product(
+    name: str = "cactusstile", options: Options | None = None
+) -> Policy:
+    """Returns the product's policy or a variation of it."""
+    chosen = options or Options()
+    loads: collections.Counter[str] = collections.Counter()
+    route = functools.partial(_route, chosen, loads)
+    if not chosen.stores:
+        return Policy(name, route)
+    rule = _export_always if chosen.fetch_always else _export_if_worthwhile
+    return Policy(name, route, rule)
+
+
+def _route(
+    options: Options,
+    loads: collections.Counter[str],
+    world: model.World,
+    run: model.Run,
+) -> model.Engine | None:
+    request = run.request
+    store = world.store_of(request) if options.stores else None
+    kept_blocks = len(store.leading(request)) if store else 0
+    near = store.member.data_centre if store and options.near_store else ""
+    selected = candidates.select(
+        request.prefix_key,
+        world.site.engines,
+        loads,
+        count=options.probes,
+        load_factor=options.load_factor,
+        near=near,
+    )
+    probed = [
+        choice.Probed(
+            member,
+            _reply(options, world.engines[member.name], run, kept_blocks),
+        )
+        for member in selected
+    ]
+    import_time = functools.partial(_import_ms, options, world, store)
+    decision = choice.choose(
+        probed,
+        choice.Request(request.prompt_tokens, time_left_ms=60_000),
+        world.site.weights,
+        import_time,
+    )
+    if not decision.options:
+        run.refusal = decision.refusal
+        return None
+    best = decision.options[0]
+    engine = world.engines[best.member.name]
+    run.fetch_blocks = kept_blocks if best.import_blocks else 0
+    _hold(options, loads, world, engine, run)
+    return engine
+
+
+def _reply(
+    options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
+) -> messages.ProbeReply:
+    request = run.request
+    prompt = request.keys[: request.prompt_blocks]
+    resident = engine.resident(prompt)
+    speed = engine.speed.prefill_tokens_per_s
+    missing = request.prompt_tokens - resident * tokens.BLOCK_TOKENS
+    wait_ms = engine.wait_ms(request.workspace)
+    if options.lagging:
+        wait_ms = engine.reported_tokens / speed * 1000
+    return messages.ProbeReply(
+        revision=1,
+        version="v1",
+        resident_blocks=resident,
+        kept_blocks=kept_blocks,
+        queued_tokens=engine.queue.tokens,
+        running=engine.running,
+        slots=engine.speed.slots,
+        wait_ms=round(wait_ms),
+        prefill_ms=round(missing / speed * 1000),
+    )
+
+
+def _import_ms(
+    options: Options,
+    world: model.World,
+    store: model.Store | None,
+    member: rendezvous.Member,
+    count: int,
+) -> float:
+    if store is None:
+        return float("inf")
+    if options.fetch_always:
+        return 0.0
+    link = world.link(member, store.member)
+    return transfer.transfer_ms(count * sites.BLOCK_BYTES, link)
+
+
+def _hold(
+    options: Options,
+    loads: collections.Counter[str],
+    world: model.World,
+    engine: model.Engine,
+    run: model.Run,
+) -> None:
+    """Counts the run until it starts, and reserves its place."""
+    loads[engine.member.name] += 1
+    work = run.request.prompt_tokens if options.reserve else 0
+    resident = engine.resident(run.request.keys[: run.request.prompt_blocks])
+    kept = max(resident, run.fetch_blocks) * tokens.BLOCK_TOKENS
+    work = max(0, work - kept)
+    engine.reserved_tokens += work
+
+    def release() -> None:
+        engine.reserved_tokens -= work
+
+    def settle() -> None:
+        loads[engine.member.name] -= 1
+
+    world.timeline.after(world.site.round_trip_s, release)
+    wait_s = engine.wait_ms(run.request.workspace) / 1000
+    world.timeline.after(
+        wait_s + work / engine.speed.prefill_tokens_per_s, settle
+    )
+
+
+def _export_always(
+    engine: model.Engine,  # noqa: ARG001
+    run: model.Run,  # noqa: ARG001
+    count: int,
+    link: token_bucket.TokenBucket | None,
+) -> bool | None:
+    if link is not None:
+        link.try_take(count * sites.BLOCK_BYTES, float("inf"))
+    return True
+
+
+def _export_if_worthwhile(
+    engine: model.Engine,
+    run: model.Run,
+    count: int,
+    link: token_bucket.TokenBucket | None,
+) -> bool | None:
+    size = count * sites.BLOCK_BYTES
+    block_ms = tokens.BLOCK_TOKENS / engine.speed.prefill_tokens_per_s * 1000
+    need = transfer.Need(count, size, count * block_ms)
+    returns = engine.visits.returns
+    chance = returns.return_probability(run.request.workspace)
+    weights = choice.Weights()
+    if not transfer.is_export_worthwhile(need, chance, weights, link):
+        return False
+    if link is not None and not link.try_take_background(size):
+        return None
+    return True
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,267 @@
+"""Load tool: weighs the decisions in the model, by site, seed and fault.
+
+python -m benchmarks.load --site ledgerfield --seed 1 --json out.json
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import functools
+import json
+import pathlib
+import sys
+import typing
+
+import attrs
+import fire
+from hdrh import histogram
+
+from benchmarks import baselines
+from benchmarks import model
+from benchmarks import sites
+from benchmarks import traces
+
+MAX_LATENCY_US = 600_000_000
+DIGITS = 3
+WARM_UP_SHARE = 0.25
+REPORT_LAG_S = 0.2
+
+Fault: typing.TypeAlias = "collections.abc.Callable[[model.World], None]"
+
+
+@attrs.frozen
+class Result:
+    """Figures of one run of the load tool.
+
+    Attributes:
+      policy: Name of the policy.
+      requests: Requests after the warm-up.
+      p50_ms: Median time to first token from the scheduled arrival.
+      p95_ms: 95th percentile.
+      p99_ms: 99th percentile.
+      others_p95_ms: 95th percentile of workspaces that do not storm.
+      computed_share: Share of prompt tokens that was computed.
+      link_gb: Gigabytes over limited links.
+      local_gb: Gigabytes between engines and stores of one data centre.
+      utilization: Share of the engines' time spent on prompts.
+      refusals: Refusals by verdict and reason.
+    """
+
+    policy: str
+    requests: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    others_p95_ms: float
+    computed_share: float
+    link_gb: float
+    local_gb: float
+    utilization: float
+    refusals: dict[str, int]
+
+
+def run_policy(
+    site: sites.Site,
+    trace: list[traces.Request],
+    policy: baselines.Policy,
+    duration_s: float,
+    *,
+    fault: Fault | None = None,
+    calm_workspaces: collections.abc.Container[str] | None = None,
+) -> Result:
+    """Runs a trace under a policy and returns its figures.
+
+    Args:
+      site: The site.
+      trace: Arrivals.
+      policy: The policy, freshly made.
+      duration_s: Length of the trace.
+      fault: Called at the start to schedule faults.
+      calm_workspaces: Workspaces counted as others; all by default.
+    """
+    world = model.World(site, policy.value)
+    runs = [model.Run(request) for request in trace]
+    for run in runs:
+        arrive = functools.partial(_arrive, world, policy, run)
+        world.timeline.after(run.request.at_s, arrive)
+    _start_reports(world)
+    if policy.export is not None:
+        _start_exports(world, policy.export)
+    if fault is not None:
+        fault(world)
+    warm_s = WARM_UP_SHARE * duration_s
+    world.timeline.run(warm_s)
+    link_before = world.fetched_bytes + world.exported_bytes
+    local_before = world.local_bytes
+    busy_before = sum(e.busy_s for e in world.engines.values())
+    world.timeline.run(duration_s)
+    link_after = world.fetched_bytes + world.exported_bytes
+    local_after = world.local_bytes
+    busy_after = sum(e.busy_s for e in world.engines.values())
+    world.timeline.run(duration_s + 2 * model.GIVE_UP_S)
+    measured = [run for run in runs if run.request.at_s >= warm_s]
+    engine_s = (duration_s - warm_s) * len(world.engines)
+    return _summarize(
+        policy.name,
+        measured,
+        calm_workspaces,
+        link_gb=(link_after - link_before) / 1e9,
+        local_gb=(local_after - local_before) / 1e9,
+        utilization=(busy_after - busy_before) / engine_s,
+    )
+
+
+def _arrive(
+    world: model.World, policy: baselines.Policy, run: model.Run
+) -> None:
+    engine = policy.route(world, run)
+    if engine is None:
+        return
+    request = run.request
+    engine.visits.visit(
+        request.workspace, request.prefix_key, world.timeline.now_s
+    )
+
+    def admit() -> None:
+        delay_s = world.fetch(engine, run) if run.fetch_blocks else 0.0
+        world.timeline.after(delay_s, lambda: engine.submit(run))
+
+    world.timeline.after(world.site.round_trip_s * 1.5, admit)
+
+
+def _start_reports(world: model.World) -> None:
+    """Publishes each engine's load at intervals, after a lag."""
+
+    def publish(engine: model.Engine, value: float) -> None:
+        engine.reported_tokens = value
+
+    def report() -> None:
+        for engine in world.engines.values():
+            action = functools.partial(publish, engine, engine.queued_tokens())
+            world.timeline.after(REPORT_LAG_S, action)
+        world.timeline.after(model.REPORT_INTERVAL_S, report)
+
+    report()
+
+
+def _start_exports(world: model.World, rule: model.ExportRule) -> None:
+    def export() -> None:
+        for engine in world.engines.values():
+            for _ in range(len(engine.exports)):
+                run = engine.exports.popleft()
+                if not world.export(engine, run, rule):
+                    engine.exports.append(run)
+        world.timeline.after(model.EXPORT_INTERVAL_S, export)
+
+    export()
+
+
+def _summarize(
+    name: str,
+    runs: list[model.Run],
+    calm: collections.abc.Container[str] | None,
+    *,
+    link_gb: float,
+    local_gb: float,
+    utilization: float,
+) -> Result:
+    latencies = histogram.HdrHistogram(1, MAX_LATENCY_US, DIGITS)
+    others = histogram.HdrHistogram(1, MAX_LATENCY_US, DIGITS)
+    refusals: collections.Counter[str] = collections.Counter()
+    computed = total = 0
+    for run in runs:
+        if run.refusal is not None:
+            verdict = run.refusal.verdict.value
+            refusals[f"{verdict}/{run.refusal.reason.value}"] += 1
+            continue
+        if run.first_token_s is None:
+            refusals["unfinished"] += 1
+            continue
+        micros = round(run.first_token_s * 1e6)
+        latencies.record_value(micros)
+        if calm is None or run.request.workspace in calm:
+            others.record_value(micros)
+        computed += run.computed_blocks
+        total += run.request.prompt_blocks
+
+    def percentile(values: histogram.HdrHistogram, percent: float) -> float:
+        micros = float(values.get_value_at_percentile(percent))
+        return round(micros / 1000, 1)
+
+    return Result(
+        policy=name,
+        requests=len(runs),
+        p50_ms=percentile(latencies, 50),
+        p95_ms=percentile(latencies, 95),
+        p99_ms=percentile(latencies, 99),
+        others_p95_ms=percentile(others, 95),
+        computed_share=round(computed / max(1, total), 4),
+        link_gb=round(link_gb, 1),
+        local_gb=round(local_gb, 1),
+        utilization=round(utilization, 3),
+        refusals=dict(refusals),
+    )
+
+
+def print_table(results: list[Result]) -> None:
+    """Prints results as a table."""
+    print(
+        f"{'policy':24}{'n':>7}{'p50 ms':>9}{'p95 ms':>9}{'p99 ms':>9}"
+        f"{'others':>9}{'computed':>9}{'link GB':>9}{'local':>8}{'util':>6}"
+        "  refusals"
+    )
+    for row in results:
+        print(
+            f"{row.policy:24}{row.requests:7}{row.p50_ms:9}{row.p95_ms:9}"
+            f"{row.p99_ms:9}{row.others_p95_ms:9}{row.computed_share:9}"
+            f"{row.link_gb:9}{row.local_gb:8}{row.utilization:6.2f}"
+            f"  {row.refusals or ''}"
+        )
+
+
+def main(
+    site: str = "ledgerfield",
+    seed: int = 1,
+    load: float = 0.7,
+    duration_s: float = 1200.0,
+    json_file: str = "",
+) -> None:
+    """Runs the product's policy and its baselines on one trace."""
+    chosen = sites.SITES[site]
+    trace = traces.generate(chosen, seed, duration_s, load)
+    floor = traces.unlimited_cache_share(trace, WARM_UP_SHARE * duration_s)
+    results = [
+        run_policy(chosen, trace, policy, duration_s)
+        for policy in make_policies()
+    ]
+    print(f"{site}, seed {seed}, load {load}, {duration_s:.0f} s of arrivals")
+    print_table(results)
+    print(f"unlimited cache computes a share of {floor:.4f}")
+    if json_file:
+        report = {
+            "site": site,
+            "seed": seed,
+            "load": load,
+            "duration_s": duration_s,
+            "unlimited_cache_share": floor,
+            "results": [attrs.asdict(result) for result in results],
+        }
+        text = json.dumps(report, indent=2)
+        pathlib.Path(json_file).write_text(text + "\n")
+
+
+def make_policies() -> list[baselines.Policy]:
+    """Returns the product's policy and all baselines."""
+    options = baselines.Options
+    return [
+        baselines.product(),
+        baselines.round_robin(),
+        baselines.least_loaded(),
+        baselines.product("no_kept_state", options(stores=False)),
+        baselines.product("fetch_always", options(fetch_always=True)),
+    ]
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(main))
--- /dev/null
+++ b/benchmarks/traces.py
@@ -0,0 +1,197 @@
+"""Seeded traces of callers who return after gaps with a heavy tail."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import typing
+
+import attrs
+
+from cactusstile import tokens
+
+if typing.TYPE_CHECKING:
+    from benchmarks import sites
+
+WORKSPACES = 10
+LARGE_WORKSPACES = 3
+LARGE_SHARE = 0.65
+MAX_PROMPT_BLOCKS = 500
+SHORT_GAP_S = 45.0
+LONG_GAP_MEDIAN_S = 300.0
+LONG_GAP_SIGMA = 1.3
+LONG_GAP_SHARE = 0.5
+END_CHANCES = (0.1, 0.2, 0.35)
+_LONG_BLOCKS = 25
+
+
+@attrs.frozen
+class Request:
+    """One arrival.
+
+    Attributes:
+      at_s: Scheduled time.
+      workspace: Workspace of the caller.
+      prefix_key: Key that places the prompt.
+      keys: Keys of all blocks after the answer: prompt, then output.
+      prompt_blocks: Blocks of the prompt; the rest is output.
+      storm: Whether it belongs to a workspace's storm.
+    """
+
+    at_s: float
+    workspace: str
+    prefix_key: bytes
+    keys: tuple[bytes, ...]
+    prompt_blocks: int
+    storm: bool = False
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Returns the length of the prompt."""
+        return self.prompt_blocks * tokens.BLOCK_TOKENS
+
+    @property
+    def output_tokens(self) -> int:
+        """Returns the length of the answer."""
+        return (len(self.keys) - self.prompt_blocks) * tokens.BLOCK_TOKENS
+
+
+@attrs.frozen
+class Storm:
+    """One workspace that sends many times its share for a while."""
+
+    workspace: str
+    factor: float
+    start_s: float
+    end_s: float
+
+
+def generate(
+    site: sites.Site,
+    seed: int,
+    duration_s: float,
+    load: float,
+    storm: Storm | None = None,
+) -> list[Request]:
+    """Returns the arrivals of a site in order of time.
+
+    Args:
+      site: The site, for its capacity.
+      seed: Seed of everything drawn.
+      duration_s: Length of the trace.
+      load: Offered prompt work, computed whole, as a share of what the site's
+        engines compute.
+      storm: Additional arrivals.
+    """
+    capacity = len(site.engines) * site.engine.prefill_tokens_per_s
+    wanted = load * capacity * duration_s
+    arrivals = _converse(seed, duration_s, wanted)
+    if storm is not None:
+        arrivals += _blow(arrivals, storm, seed, duration_s)
+    arrivals.sort(key=lambda request: (request.at_s, request.keys[0]))
+    return arrivals
+
+
+def unlimited_cache_share(trace: list[Request], after_s: float) -> float:
+    """Returns the share of prompt work that one endless cache computes."""
+    seen: set[bytes] = set()
+    computed = total = 0
+    for request in trace:
+        if request.at_s >= after_s:
+            total += request.prompt_blocks
+            prompt = request.keys[: request.prompt_blocks]
+            computed += sum(key not in seen for key in prompt)
+        seen.update(request.keys)
+    return computed / max(1, total)
+
+
+def shares() -> list[float]:
+    """Returns the part of the traffic of each workspace.
+
+    >>> len(shares()), round(sum(shares()), 6)
+    (10, 1.0)
+    """
+    rest = WORKSPACES - LARGE_WORKSPACES
+    large = [LARGE_SHARE / LARGE_WORKSPACES] * LARGE_WORKSPACES
+    return large + [(1 - LARGE_SHARE) / rest] * rest
+
+
+def _converse(seed: int, duration_s: float, wanted: float) -> list[Request]:
+    """Starts conversations at random times until the work is reached."""
+    rng = random.Random(seed)
+    arrivals: list[Request] = []
+    offered = 0
+    number = 0
+    while offered < wanted:
+        [index] = rng.choices(range(WORKSPACES), weights=shares())
+        start_s = rng.uniform(-0.5 * duration_s, duration_s)
+        for request in _conversation(rng, index, number, start_s):
+            if 0 <= request.at_s < duration_s:
+                arrivals.append(request)
+                offered += request.prompt_tokens
+        number += 1
+    return arrivals
+
+
+def _conversation(
+    rng: random.Random, index: int, number: int, start_s: float
+) -> list[Request]:
+    workspace = f"w{index}"
+    system_blocks = 16 + 8 * (index % 4)
+    keys = [_key(workspace, "system", block) for block in range(system_blocks)]
+    end_chance = END_CHANCES[index % len(END_CHANCES)]
+    prefix_key = _key(workspace, "anchor", number)
+    requests: list[Request] = []
+    at_s = start_s
+    while True:
+        question = 4 + int(rng.expovariate(1 / _LONG_BLOCKS))
+        answer = 2 + int(rng.expovariate(1 / 6))
+        prompt_blocks = len(keys) + question
+        for _ in range(question + answer):
+            keys.append(_key(workspace, str(number), len(keys)))
+        if len(keys) > MAX_PROMPT_BLOCKS:
+            return requests
+        requests.append(
+            Request(at_s, workspace, prefix_key, tuple(keys), prompt_blocks)
+        )
+        if rng.random() < end_chance:
+            return requests
+        at_s += _gap_s(rng)
+
+
+def _gap_s(rng: random.Random) -> float:
+    if rng.random() < LONG_GAP_SHARE:
+        return LONG_GAP_MEDIAN_S * rng.lognormvariate(0, LONG_GAP_SIGMA)
+    return 5 + rng.expovariate(1 / SHORT_GAP_S)
+
+
+def _blow(
+    arrivals: list[Request], storm: Storm, seed: int, duration_s: float
+) -> list[Request]:
+    """Returns new prompts of one workspace at a multiple of its rate."""
+    rng = random.Random(seed + 1)
+    own = [r for r in arrivals if r.workspace == storm.workspace]
+    rate = (storm.factor - 1) * len(own) / duration_s
+    added: list[Request] = []
+    at_s = storm.start_s
+    number = 0
+    while True:
+        at_s += rng.expovariate(rate)
+        if at_s >= storm.end_s:
+            return added
+        model = rng.choice(own)
+        keys = tuple(
+            _key(storm.workspace, f"storm{number}", block)
+            for block in range(len(model.keys))
+        )
+        added.append(
+            attrs.evolve(
+                model, at_s=at_s, keys=keys, prefix_key=keys[0], storm=True
+            )
+        )
+        number += 1
+
+
+def _key(workspace: str, conversation: str, block: int) -> bytes:
+    text = f"{workspace}/{conversation}/{block}"
+    return hashlib.blake2b(text.encode(), digest_size=tokens.KEY_BYTES).digest()
--- a/src/cactusstile/store/returns.py
+++ b/src/cactusstile/store/returns.py
@@ -115,6 +115,37 @@
         return counts
 
 
+class VisitTracker:
+    """Learns returns from visits of prompts; bounded in prompts.
+
+    Attributes:
+      returns: What is learned.
+      max_prompts: Prompts remembered; the one idle longest is given up.
+    """
+
+    def __init__(self, max_prompts: int = 8192) -> None:
+        """Starts without any visit."""
+        self.returns = ReturnEstimator()
+        self.max_prompts = max_prompts
+        self._visits: collections.OrderedDict[bytes, tuple[str, int, float]]
+        self._visits = collections.OrderedDict()
+
+    def visit(self, workspace: str, prefix_key: bytes, now_s: float) -> int:
+        """Counts a visit; returns how often the prompt came back so far."""
+        hits = 0
+        before = self._visits.pop(prefix_key, None)
+        if before is not None:
+            _, hits, visited_s = before
+            self.returns.note_return(workspace, hits, now_s - visited_s)
+            hits += 1
+        self._visits[prefix_key] = (workspace, hits, now_s)
+        if len(self._visits) > self.max_prompts:
+            _, oldest = self._visits.popitem(last=False)
+            owner, owner_hits, visited_s = oldest
+            self.returns.note_drop(owner, owner_hits, now_s - visited_s)
+        return hits
+
+
 def _best_rates(chances: list[float]) -> list[float]:
     """Returns the largest chance per second of waiting, by first bucket."""
     rates = []
