Count link use in the choice, and evict leaves at constant cost

Change: the choice adds the link time of the import and of the later export; a member may always have 8 runs under way; only leaves are sampled.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -43,6 +43,7 @@
       stores: Whether blocks are kept.
       fetch_always: Whether to fetch and export whatever the link does.
       near_store: Whether a candidate beside the store is probed.
+      link_aware: Whether the choice counts link use.
       lagging: Whether replies come from the last load report.
     """
 
@@ -53,6 +54,7 @@
     fetch_always: bool = False
     near_store: bool = True
     lagging: bool = False
+    link_aware: bool = True
 
 
 @attrs.frozen
@@ -143,6 +145,7 @@
         choice.Request(request.prompt_tokens, time_left_ms=60_000),
         world.site.weights,
         import_time,
+        functools.partial(_link_ms, options, world, store),
     )
     if not decision.options:
         run.refusal = decision.refusal
@@ -193,6 +196,19 @@
     return transfer.transfer_ms(count * sites.BLOCK_BYTES, link)
 
 
+def _link_ms(
+    options: Options,
+    world: model.World,
+    store: model.Store | None,
+    member: rendezvous.Member,
+    count: int,
+) -> float:
+    if store is None or options.fetch_always or not options.link_aware:
+        return 0.0
+    link = world.link(member, store.member)
+    return transfer.link_cost_ms(count * sites.BLOCK_BYTES, link)
+
+
 def _hold(
     options: Options,
     loads: collections.Counter[str],
--- a/src/cactusstile/routing/candidates.py
+++ b/src/cactusstile/routing/candidates.py
@@ -12,6 +12,7 @@
 
 MAX_CANDIDATES = 3
 LOAD_FACTOR = 1.5
+MIN_LOAD_BOUND = 8
 
 
 def select(
@@ -62,14 +63,18 @@
 ) -> float:
     """Returns the load at which a member gets no further keys.
 
+    Small numbers say little, and the probes tell exact queues anyway, so that
+    a member may always have `MIN_LOAD_BOUND`.
+
     >>> members = [rendezvous.Member("a"), rendezvous.Member("b")]
-    >>> load_bound(members, {"a": 3}, 1.5)
-    3
+    >>> load_bound(members, {"a": 31}, 1.5)
+    24
     """
     if not members:
         return 0
     total = sum(loads.get(member.name, 0) for member in members)
-    return math.ceil(load_factor * (total + 1) / len(members))
+    mean_bound = math.ceil(load_factor * (total + 1) / len(members))
+    return max(MIN_LOAD_BOUND, mean_bound)
 
 
 def _swap_in_neighbour(
--- a/src/cactusstile/routing/choice.py
+++ b/src/cactusstile/routing/choice.py
@@ -76,6 +76,7 @@
       first_token_ms: Expected time to first token.
       recompute_ms: Part of it spent on computing the prompt.
       import_blocks: Kept blocks to import first.
+      link_ms: Time for which its transfers occupy a limited link.
       cost: Weighted sum that options are compared by; less is better.
     """
 
@@ -85,7 +86,8 @@
     first_token_ms: float
     recompute_ms: float
     import_blocks: int
-    cost: float
+    link_ms: float
+    cost: float = 0.0
 
 
 @attrs.frozen
@@ -103,10 +105,11 @@
 
 @attrs.frozen
 class Kept:
-    """Blocks of the prompt on a store, and the time to import some."""
+    """Blocks of the prompt on a store, and what it costs to move some."""
 
     blocks: int
     import_time: ImportTime
+    link_time: ImportTime
 
 
 def never_import(member: rendezvous.Member, blocks: int) -> float:  # noqa: ARG001
@@ -114,11 +117,17 @@
     return float("inf")
 
 
+def no_link(member: rendezvous.Member, blocks: int) -> float:  # noqa: ARG001
+    """Returns the link use of transfers that use no limited link."""
+    return 0.0
+
+
 def choose(
     probed: collections.abc.Sequence[Probed],
     request: Request,
     weights: Weights,
     import_time: ImportTime = never_import,
+    link_time: ImportTime = no_link,
 ) -> Choice:
     """Orders the probed candidates by cost.
 
@@ -129,6 +138,8 @@
       import_time: Gives the milliseconds to import a number of blocks at a
         member, with what is already under way on its link; infinite when it
         cannot.
+      link_time: Gives the milliseconds for which a number of blocks occupies
+        the limited link between a member and the prompt's store.
 
     Returns:
       All options that can start in time. Without any, a refusal that says
@@ -143,7 +154,7 @@
         if refusal is not None:
             refusals.append(refusal)
             continue
-        known = Kept(kept_blocks, import_time)
+        known = Kept(kept_blocks, import_time, link_time)
         options.append(_weigh(member, reply, request, weights, known))
     options.sort(key=lambda option: option.cost)
     if options:
@@ -168,52 +179,49 @@
     weights: Weights,
     kept: Kept,
 ) -> Option:
-    compute = _build_option(member, reply, weights, reply.prefill_ms)
-    blocks = kept.blocks - reply.resident_blocks
-    missing = (
-        request.prompt_tokens - reply.resident_blocks * tokens.BLOCK_TOKENS
+    """Returns the better of computing and importing at a member.
+
+    What is not kept yet is exported after the run, so a member across a
+    limited link costs that much more either way.
+    """
+    prompt_blocks = request.prompt_tokens // tokens.BLOCK_TOKENS
+    export_blocks = max(0, prompt_blocks - kept.blocks)
+    export_ms = kept.link_time(member, export_blocks)
+    compute = Option(
+        member,
+        reply.reservation,
+        reply.version,
+        reply.wait_ms + reply.prefill_ms,
+        reply.prefill_ms,
+        import_blocks=0,
+        link_ms=export_ms,
     )
+    resident_tokens = reply.resident_blocks * tokens.BLOCK_TOKENS
+    blocks = kept.blocks - reply.resident_blocks
+    missing = request.prompt_tokens - resident_tokens
     if blocks <= 0 or missing <= 0:
-        return compute
+        return _price(compute, weights)
     import_ms = kept.import_time(member, blocks)
-    if import_ms == float("inf"):
-        return compute
     left = max(0.0, 1 - blocks * tokens.BLOCK_TOKENS / missing)
-    fetch = _build_option(
-        member,
-        reply,
-        weights,
-        reply.prefill_ms * left,
+    rest_ms = reply.prefill_ms * left
+    fetch = attrs.evolve(
+        compute,
+        first_token_ms=max(reply.wait_ms, import_ms) + rest_ms,
+        recompute_ms=rest_ms,
         import_blocks=blocks,
-        import_ms=import_ms,
+        link_ms=export_ms + kept.link_time(member, blocks),
     )
-    return fetch if fetch.cost < compute.cost else compute
+    options = (_price(compute, weights), _price(fetch, weights))
+    return min(options, key=lambda option: option.cost)
 
 
-def _build_option(
-    member: rendezvous.Member,
-    reply: messages.ProbeReply,
-    weights: Weights,
-    recompute_ms: float,
-    *,
-    import_blocks: int = 0,
-    import_ms: float = 0.0,
-) -> Option:
-    first_token_ms = max(reply.wait_ms, import_ms) + recompute_ms
+def _price(option: Option, weights: Weights) -> Option:
     cost = (
-        weights.first_token * first_token_ms
-        + weights.recompute * recompute_ms
-        + weights.link * import_ms
-    )
-    return Option(
-        member,
-        reply.reservation,
-        reply.version,
-        first_token_ms,
-        recompute_ms,
-        import_blocks,
-        cost,
+        weights.first_token * option.first_token_ms
+        + weights.recompute * option.recompute_ms
+        + weights.link * option.link_ms
     )
+    return attrs.evolve(option, cost=cost)
 
 
 def _refuse_unfit(
--- a/src/cactusstile/store/shelf.py
+++ b/src/cactusstile/store/shelf.py
@@ -21,6 +21,7 @@
 from cactusstile.store import disk
 from cactusstile.store import exceptions
 from cactusstile.store import returns
+from cactusstile.store import sampler
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -57,7 +58,7 @@
       visited_s: Time of the last visit on the store's clock.
       hits: Visits after the first.
       children: Keys of kept blocks that follow this one.
-      slot: Place in the eviction order's sampling list of its tier.
+      memory_children: Count of those in the memory tier.
     """
 
     header: disk.Header
@@ -65,7 +66,7 @@
     visited_s: float
     hits: int = 0
     children: set[bytes] = attrs.field(factory=set)
-    slot: int = 0
+    memory_children: int = 0
 
 
 Value: typing.TypeAlias = "collections.abc.Callable[[Record, float], float]"
@@ -99,9 +100,9 @@
         self.returns = returns.ReturnEstimator()
         self.value = value or self.expected_saving
         self._clock = clock
-        self._random = random.Random(seed)
-        self._in_memory: list[Record] = []
-        self._on_disk: list[Record] = []
+        rng = random.Random(seed)
+        self._memory_leaves = sampler.Sampler[Record](rng)
+        self._disk_leaves = sampler.Sampler[Record](rng)
         epoch = disk_tier.next_epoch() if disk_tier else 1
         self._next_generation = (epoch << 40) + 1
         self._recover()
@@ -207,8 +208,9 @@
 
     def flush(self) -> None:
         """Moves what memory holds to disk, as far as it fits."""
-        for record in list(self._in_memory):
-            if self.records.get(record.header.key) is record:
+        for record in list(self.records.values()):
+            is_kept = self.records.get(record.header.key) is record
+            if is_kept and record.data is not None:
                 self._demote(record)
 
     def expected_saving(self, record: Record, now_s: float) -> float:
@@ -243,69 +245,56 @@
     def _add(self, record: Record) -> None:
         header = record.header
         self.records[header.key] = record
-        if header.position:
-            self.records[header.parent].children.add(header.key)
         if record.data is not None:
             self.memory_bytes += header.size
-            _append(self._in_memory, record)
-        else:
-            _append(self._on_disk, record)
+        self._refresh(record)
+        if not header.position:
+            return
+        parent = self.records[header.parent]
+        parent.children.add(header.key)
+        parent.memory_children += record.data is not None
+        self._refresh(parent)
 
     def _remove(self, record: Record) -> None:
         header = record.header
         del self.records[header.key]
-        parent = self.records.get(header.parent)
-        if parent is not None:
-            parent.children.discard(header.key)
+        self._memory_leaves.discard(record)
+        self._disk_leaves.discard(record)
         if record.data is not None:
             self.memory_bytes -= header.size
-            _swap_remove(self._in_memory, record)
-            return
-        _swap_remove(self._on_disk, record)
-        if self.disk is not None:
+        elif self.disk is not None:
             self.disk.delete(header)
+        parent = self.records.get(header.parent)
+        if parent is None:
+            return
+        parent.children.discard(header.key)
+        parent.memory_children -= record.data is not None
+        self._refresh(parent)
+
+    def _refresh(self, record: Record) -> None:
+        """Puts a block among those that may be evicted, or takes it out."""
+        self._memory_leaves.discard(record)
+        self._disk_leaves.discard(record)
+        if record.data is not None and not record.memory_children:
+            self._memory_leaves.add(record)
+        if record.data is None and not record.children:
+            self._disk_leaves.add(record)
 
     def _make_room(self) -> None:
         while self.memory_bytes > self.bounds.memory_bytes:
-            victim = self._pick_victim(self._in_memory, _is_in_memory)
-            self._demote(victim)
+            self._demote(self._pick_victim(self._memory_leaves))
         while self.disk and self.disk.used_bytes > self.bounds.disk_bytes:
-            victim = self._pick_victim(self._on_disk, _is_kept)
-            self._evict(victim, "disk")
+            leaves = self._disk_leaves or self._memory_leaves
+            self._evict(self._pick_victim(leaves), "disk")
 
-    def _pick_victim(
-        self,
-        tier: list[Record],
-        counts: collections.abc.Callable[[Record], bool],
-    ) -> Record:
-        """Returns a block of small value without children that count."""
+    def _pick_victim(self, leaves: sampler.Sampler[Record]) -> Record:
+        """Returns a block of small value that no other one needs."""
         now_s = self._clock()
-        sample = min(EVICTION_SAMPLE, len(tier))
-        candidates = [
-            self._descend(self._random.choice(tier), counts, now_s)
-            for _ in range(sample)
-        ]
         return min(
-            candidates,
-            key=lambda record: (
-                self.value(record, now_s),
-                -record.header.position,
-            ),
+            leaves.sample(EVICTION_SAMPLE),
+            key=lambda record: self.value(record, now_s),
         )
 
-    def _descend(
-        self,
-        record: Record,
-        counts: collections.abc.Callable[[Record], bool],
-        now_s: float,
-    ) -> Record:
-        while True:
-            children = [self.records[key] for key in record.children]
-            below = [child for child in children if counts(child)]
-            if not below:
-                return record
-            record = min(below, key=lambda child: self.value(child, now_s))
-
     def _demote(self, record: Record) -> None:
         """Moves a block from memory to disk, or frees it."""
         header = record.header
@@ -319,9 +308,12 @@
             self.free(record)
             return
         self.memory_bytes -= header.size
-        _swap_remove(self._in_memory, record)
         record.data = None
-        _append(self._on_disk, record)
+        self._refresh(record)
+        parent = self.records.get(header.parent)
+        if parent is not None:
+            parent.memory_children -= 1
+            self._refresh(parent)
 
     def _evict(self, record: Record, tier: str) -> None:
         _EVICTED.labels(tier).inc()
@@ -343,23 +335,3 @@
                 continue
             self._add(Record(header, None, now_s))
         self._make_room()
-
-
-def _is_in_memory(record: Record) -> bool:
-    return record.data is not None
-
-
-def _is_kept(record: Record) -> bool:  # noqa: ARG001
-    return True
-
-
-def _append(tier: list[Record], record: Record) -> None:
-    record.slot = len(tier)
-    tier.append(record)
-
-
-def _swap_remove(tier: list[Record], record: Record) -> None:
-    last = tier.pop()
-    if last is not record:
-        tier[record.slot] = last
-        last.slot = record.slot
