Let work far over its share yield to what waits

Change: `FairQueue.should_yield` names work whose workspace was given three times the others' mean; the owner starts the next entry ahead of it, as far as the engine honours priorities (the model's engine looks after each 512 tokens). `FairQueue.charge` counts work that started without having waited.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -123,22 +123,7 @@
     request = run.request
     store = world.store_of(request) if options.stores else None
     kept_blocks = len(store.leading(request)) if store else 0
-    near = store.member.data_centre if store and options.near_store else ""
-    selected = candidates.select(
-        request.prefix_key,
-        world.site.engines,
-        loads,
-        count=options.probes,
-        load_factor=options.load_factor,
-        near=near,
-    )
-    probed = [
-        choice.Probed(
-            member,
-            _reply(options, world.engines[member.name], run, kept_blocks),
-        )
-        for member in selected
-    ]
+    probed = _probe(options, loads, world, run, store)
     import_time = functools.partial(_import_ms, options, world, store)
     decision = choice.choose(
         probed,
@@ -157,6 +142,31 @@
     return engine
 
 
+def _probe(
+    options: Options,
+    loads: collections.Counter[str],
+    world: model.World,
+    run: model.Run,
+    store: model.Store | None,
+) -> list[choice.Probed]:
+    kept_blocks = len(store.leading(run.request)) if store else 0
+    near = store.member.data_centre if store and options.near_store else ""
+    selected = candidates.select(
+        run.request.prefix_key,
+        world.site.engines,
+        loads,
+        count=options.probes,
+        load_factor=options.load_factor,
+        near=near,
+    )
+    probed = []
+    for member in selected:
+        engine = world.engines[member.name]
+        reply = _reply(options, engine, run, kept_blocks)
+        probed.append(choice.Probed(member, reply))
+    return probed
+
+
 def _reply(
     options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
 ) -> messages.ProbeReply:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -190,12 +190,8 @@
     refusals: collections.Counter[str] = collections.Counter()
     computed = total = 0
     for run in runs:
-        if run.refusal is not None:
-            verdict = run.refusal.verdict.value
-            refusals[f"{verdict}/{run.refusal.reason.value}"] += 1
-            continue
-        if run.first_token_s is None:
-            refusals["unfinished"] += 1
+        if run.refusal is not None or run.first_token_s is None:
+            refusals[_name_failure(run)] += 1
             continue
         micros = round(run.first_token_s * 1e6)
         latencies.record_value(micros)
@@ -204,17 +200,13 @@
         computed += run.computed_blocks
         total += run.request.prompt_blocks
 
-    def percentile(values: histogram.HdrHistogram, percent: float) -> float:
-        micros = float(values.get_value_at_percentile(percent))
-        return round(micros / 1000, 1)
-
     return Result(
         policy=name,
         requests=len(runs),
-        p50_ms=percentile(latencies, 50),
-        p95_ms=percentile(latencies, 95),
-        p99_ms=percentile(latencies, 99),
-        others_p95_ms=percentile(others, 95),
+        p50_ms=_percentile_ms(latencies, 50),
+        p95_ms=_percentile_ms(latencies, 95),
+        p99_ms=_percentile_ms(latencies, 99),
+        others_p95_ms=_percentile_ms(others, 95),
         computed_share=round(computed / max(1, total), 4),
         link_gb=round(link_gb, 1),
         local_gb=round(local_gb, 1),
@@ -223,6 +215,17 @@
     )
 
 
+def _name_failure(run: model.Run) -> str:
+    if run.refusal is None:
+        return "unfinished"
+    return f"{run.refusal.verdict.value}/{run.refusal.reason.value}"
+
+
+def _percentile_ms(values: histogram.HdrHistogram, percent: float) -> float:
+    micros = float(values.get_value_at_percentile(percent))
+    return round(micros / 1000, 1)
+
+
 def kill_store(name: str, at_s: float, end_s: float) -> Fault:
     """Returns a fault in which a store loses everything for a while."""
 
@@ -297,25 +300,32 @@
     if faults:
         results = run_faults(chosen, seed, duration_s, load)
     else:
-        results = [
-            run_policy(chosen, trace, policy, duration_s)
-            for policy in make_policies()
-        ]
+        results = run_baselines(chosen, trace, duration_s)
     print_table(results)
     print(f"unlimited cache computes a share of {floor:.4f}")
-    report = {
-        "site": site,
-        "seed": seed,
-        "load": load,
-        "duration_s": duration_s,
-        "unlimited_cache_share": floor,
-        "results": [attrs.asdict(result) for result in results],
-    }
     if json_file:
+        report = {
+            "site": site,
+            "seed": seed,
+            "load": load,
+            "duration_s": duration_s,
+            "unlimited_cache_share": floor,
+            "results": [attrs.asdict(result) for result in results],
+        }
         text = json.dumps(report, indent=2)
         pathlib.Path(json_file).write_text(text + "\n")
 
 
+def run_baselines(
+    site: sites.Site, trace: list[traces.Request], duration_s: float
+) -> list[Result]:
+    """Runs the product and all baselines on one trace."""
+    return [
+        run_policy(site, trace, policy, duration_s)
+        for policy in make_policies()
+    ]
+
+
 def run_faults(
     site: sites.Site, seed: int, duration_s: float, load: float
 ) -> list[Result]:
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -80,6 +80,7 @@
       fetch_blocks: Leading blocks to have before it starts, by import.
       first_token_s: Time to first token from the scheduled arrival.
       computed_blocks: Prompt blocks that were computed.
+      tokens_left: Prompt tokens that are still to be computed.
       refusal: Set when it was refused.
     """
 
@@ -87,6 +88,7 @@
     fetch_blocks: int = 0
     first_token_s: float | None = None
     computed_blocks: int = 0
+    tokens_left: int = 0
     refusal: verdict.Refusal | None = None
 
 
@@ -124,6 +126,7 @@
         self._timeline = timeline
         self._prefill_until_s = 0.0
         self._prefilling = False
+        self._paused: collections.deque[Run] = collections.deque()
 
     def resident(self, keys: collections.abc.Sequence[bytes]) -> int:
         """Returns how many leading blocks the cache holds."""
@@ -170,7 +173,14 @@
         self._start_next()
 
     def _start_next(self) -> None:
-        if self._prefilling or self.running >= self.speed.slots:
+        if self._prefilling:
+            return
+        if self._paused:
+            oldest = self._paused[0].request.workspace
+            if not self.queue.should_yield(oldest):
+                self._compute(self._paused.popleft())
+                return
+        if self.running >= self.speed.slots + len(self._paused):
             return
         entry = self.queue.pop()
         if entry is None:
@@ -179,14 +189,35 @@
         request = run.request
         prompt = request.keys[: request.prompt_blocks]
         run.computed_blocks = request.prompt_blocks - self.resident(prompt)
-        work = max(1, run.computed_blocks) * tokens.BLOCK_TOKENS
-        duration_s = RUN_OVERHEAD_S + work / self.speed.prefill_tokens_per_s
-        self.busy_s += duration_s
+        run.tokens_left = max(1, run.computed_blocks) * tokens.BLOCK_TOKENS
         self.running += 1
-        self._prefilling = True
-        self._prefill_until_s = self._timeline.now_s + duration_s
+        self.busy_s += RUN_OVERHEAD_S
         self.insert(prompt)
-        self._timeline.after(duration_s, lambda: self._first_token(run))
+        self._compute(run, RUN_OVERHEAD_S)
+
+    def _compute(self, run: Run, delay_s: float = 0.0) -> None:
+        """Computes the next chunk of a prompt."""
+        chunk = min(run.tokens_left, self.speed.chunk_tokens)
+        run.tokens_left -= chunk
+        chunk_s = chunk / self.speed.prefill_tokens_per_s
+        self.busy_s += chunk_s
+        self._prefilling = True
+        left_s = run.tokens_left / self.speed.prefill_tokens_per_s
+        now_s = self._timeline.now_s
+        self._prefill_until_s = now_s + delay_s + chunk_s + left_s
+        self._timeline.after(delay_s + chunk_s, lambda: self._look(run))
+
+    def _look(self, run: Run) -> None:
+        """Goes on after a chunk, unless the run should give way."""
+        if not run.tokens_left:
+            self._first_token(run)
+            return
+        if self.queue.should_yield(run.request.workspace):
+            self._paused.append(run)
+            self._prefilling = False
+            self._start_next()
+            return
+        self._compute(run)
 
     def _first_token(self, run: Run) -> None:
         run.first_token_s = self._timeline.now_s - run.request.at_s
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -19,12 +19,14 @@
     Attributes:
       prefill_tokens_per_s: Prompt tokens computed in a second.
       decode_s_per_token: Time of one output token of a run.
+      chunk_tokens: Prompt tokens computed between two looks at priorities.
       slots: Runs at once.
       cache_blocks: Blocks that accelerator memory holds.
     """
 
     prefill_tokens_per_s: float = 1000.0
     decode_s_per_token: float = 0.02
+    chunk_tokens: int = 512
     slots: int = 24
     cache_blocks: int = 2500
 
--- a/src/cactusstile/limits/fair_queue.py
+++ b/src/cactusstile/limits/fair_queue.py
@@ -29,6 +29,7 @@
 MAX_RETRY_AFTER_S = 60.0
 MIN_SHARE = 1e-6
 FORGOTTEN_USE = 1.0
+OVER_SHARE_FACTOR = 3.0
 _HEAP_SLACK = 32
 
 T = typing.TypeVar("T")
@@ -191,6 +192,31 @@
         self._drop(entry)
         return entry
 
+    def charge(self, workspace: str, tokens: int, share: float = 1.0) -> None:
+        """Counts work that was started without having waited."""
+        now_s = self._clock()
+        flow = self._flow(workspace, now_s)
+        flow.share = share
+        flow.decayed_use(now_s)
+        flow.used += max(1, tokens) / max(share, MIN_SHARE)
+
+    def should_yield(self, workspace: str) -> bool:
+        """Returns whether work under way should give way to what waits.
+
+        So it is when its workspace was given `OVER_SHARE_FACTOR` times the
+        mean of the others lately, and one of those others waits. The owner of
+        the queue then starts the next entry ahead of it, as far as the target
+        honours priorities.
+        """
+        now_s = self._clock()
+        own = self._flows.get(workspace)
+        others = [flow for flow in self._flows.values() if flow is not own]
+        if own is None or not any(flow.count for flow in others):
+            return False
+        used = sum(flow.decayed_use(now_s) for flow in others)
+        mean = used / len(others)
+        return own.decayed_use(now_s) > OVER_SHARE_FACTOR * mean
+
     def remove(self, entry: Entry[T]) -> bool:
         """Takes out an entry whose caller went away.
 
@@ -250,11 +276,7 @@
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, drain_s))
 
     def _insert(self, entry: Entry[T], now_s: float) -> None:
-        flow = self._flows.get(entry.workspace)
-        if flow is None:
-            self._forget_idle_flows(now_s)
-            flow = _Flow(used_s=now_s)
-            self._flows[entry.workspace] = flow
+        flow = self._flow(entry.workspace, now_s)
         flow.share = entry.share
         entry.queued_s = now_s
         entry.waiting = True
@@ -268,6 +290,13 @@
         self.count += 1
         self.tokens += entry.tokens
 
+    def _flow(self, workspace: str, now_s: float) -> _Flow[T]:
+        flow = self._flows.get(workspace)
+        if flow is None:
+            self._forget_idle_flows(now_s)
+            flow = self._flows[workspace] = _Flow(used_s=now_s)
+        return flow
+
     def _drop(self, entry: Entry[T]) -> None:
         entry.waiting = False
         flow = self._flows[entry.workspace]
--- a/src/cactusstile/routing/choice.py
+++ b/src/cactusstile/routing/choice.py
@@ -103,6 +103,13 @@
 )
 
 
+"""Milliseconds for a number of blocks between a member and a prompt's store.
+
+For an import it covers what is already under way on the link, and is infinite
+when the member cannot import.
+"""
+
+
 @attrs.frozen
 class Kept:
     """Blocks of the prompt on a store, and what it costs to move some."""
@@ -135,11 +142,8 @@
       probed: Candidates, the first home first; it wins among equals.
       request: The request.
       weights: Weights of its deployment.
-      import_time: Gives the milliseconds to import a number of blocks at a
-        member, with what is already under way on its link; infinite when it
-        cannot.
-      link_time: Gives the milliseconds for which a number of blocks occupies
-        the limited link between a member and the prompt's store.
+      import_time: Time of an import, see `ImportTime`.
+      link_time: Occupation of a limited link, see `ImportTime`.
 
     Returns:
       All options that can start in time. Without any, a refusal that says
@@ -147,6 +151,7 @@
     """
     current = _drop_silent(probed)
     kept_blocks = max((reply.kept_blocks for _, reply in current), default=0)
+    known = Kept(kept_blocks, import_time, link_time)
     options = []
     refusals = []
     for member, reply in current:
@@ -154,7 +159,6 @@
         if refusal is not None:
             refusals.append(refusal)
             continue
-        known = Kept(kept_blocks, import_time, link_time)
         options.append(_weigh(member, reply, request, weights, known))
     options.sort(key=lambda option: option.cost)
     if options:
@@ -187,15 +191,7 @@
     prompt_blocks = request.prompt_tokens // tokens.BLOCK_TOKENS
     export_blocks = max(0, prompt_blocks - kept.blocks)
     export_ms = kept.link_time(member, export_blocks)
-    compute = Option(
-        member,
-        reply.reservation,
-        reply.version,
-        reply.wait_ms + reply.prefill_ms,
-        reply.prefill_ms,
-        import_blocks=0,
-        link_ms=export_ms,
-    )
+    compute = _compute(member, reply, export_ms)
     resident_tokens = reply.resident_blocks * tokens.BLOCK_TOKENS
     blocks = kept.blocks - reply.resident_blocks
     missing = request.prompt_tokens - resident_tokens
@@ -215,6 +211,20 @@
     return min(options, key=lambda option: option.cost)
 
 
+def _compute(
+    member: rendezvous.Member, reply: messages.ProbeReply, link_ms: float
+) -> Option:
+    return Option(
+        member,
+        reply.reservation,
+        reply.version,
+        reply.wait_ms + reply.prefill_ms,
+        reply.prefill_ms,
+        import_blocks=0,
+        link_ms=link_ms,
+    )
+
+
 def _price(option: Option, weights: Weights) -> Option:
     cost = (
         weights.first_token * option.first_token_ms
