Count a prompt that grew in the engine as a return

Cause: a prompt that comes back while its blocks are still in the engine fetches nothing, so the store took it for one that never returned, and eviction by expected return was behind least recently used on the sites' traces.

--- a/src/cactusstile/store/shelf.py
+++ b/src/cactusstile/store/shelf.py
@@ -27,6 +27,7 @@
     import collections.abc
 
 EVICTION_SAMPLE = 16
+SAME_VISIT_S = 1.0
 MAX_POSITION = 1 << 20
 
 _EVICTED = prometheus_client.Counter(
@@ -132,7 +133,8 @@
             block.recompute_us,
         )
         self._next_generation += 1
-        record = Record(header, block.data, now_s)
+        hits = self._note_growth(header, now_s)
+        record = Record(header, block.data, now_s, hits)
         self._add(record)
         self._make_room()
         if self.records.get(block.key) is not record:
@@ -222,6 +224,20 @@
         )
         return rate * max(1, header.recompute_us) / max(1, header.size)
 
+    def _note_growth(self, header: disk.Header, now_s: float) -> int:
+        """Counts a prompt that grew as a return, though nothing was fetched.
+
+        Returns:
+          How often the prompt came back so far.
+        """
+        if not header.position:
+            return 0
+        parent = self.records[header.parent]
+        is_last = not parent.children
+        if is_last and now_s - parent.visited_s > SAME_VISIT_S:
+            self.visit(parent)
+        return parent.hits if is_last else 0
+
     def _check(self, scope: tokens.Scope, block: blocks.Block) -> None:
         fits = len(block.data) <= max(
             self.bounds.memory_bytes, self.bounds.disk_bytes
