Place stores beside the home that entries compute

Cause: entries rank homes by routing.table, stores were placed beside the first home of another ranking, so that most prompts' store was in another data centre. tests/store/test_location.py fails with the old ranking.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -151,9 +151,9 @@
 ) -> list[choice.Probed]:
     kept_blocks = len(store.leading(run.request)) if store else 0
     near = store.member.data_centre if store and options.near_store else ""
-    selected = candidates.select(
-        run.request.prefix_key,
-        world.site.engines,
+    homes = world.table.first(run.request.prefix_key, len(world.engines))
+    selected = candidates.select_ranked(
+        homes,
         loads,
         count=options.probes,
         load_factor=options.load_factor,
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -22,6 +22,7 @@
 from cactusstile.limits import fair_queue
 from cactusstile.limits import token_bucket
 from cactusstile.routing import rendezvous
+from cactusstile.routing import table
 from cactusstile.store import blocks
 from cactusstile.store import exceptions
 from cactusstile.store import location
@@ -301,6 +302,7 @@
         """Builds an idle site."""
         self.site = site
         self.timeline = Timeline()
+        self.table = table.Table(site.engines)
         self.engines = {
             member.name: Engine(member, site.engine, self.timeline)
             for member in site.engines
@@ -329,9 +331,7 @@
     def store_of(self, request: traces.Request) -> Store | None:
         """Returns the live store that a prompt belongs to."""
         live = [s.member for s in self.stores.values() if s.alive]
-        ranked = location.rank_stores(
-            request.prefix_key, live, self.site.engines
-        )
+        ranked = location.rank_stores(request.prefix_key, live, self.table)
         return self.stores[ranked[0].name] if ranked else None
 
     def fetch(self, engine: Engine, run: Run) -> float:
--- a/src/cactusstile/store/location.py
+++ b/src/cactusstile/store/location.py
@@ -5,6 +5,7 @@
 import typing
 
 from cactusstile.routing import rendezvous
+from cactusstile.routing import table
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -13,7 +14,7 @@
 def rank_stores(
     prefix_key: bytes,
     stores: collections.abc.Sequence[rendezvous.Member],
-    engines: collections.abc.Sequence[rendezvous.Member] = (),
+    engines: table.Table | collections.abc.Sequence[rendezvous.Member] = (),
 ) -> list[rendezvous.Member]:
     """Returns the stores of a prompt, best first.
 
@@ -24,7 +25,8 @@
     Args:
       prefix_key: Key of the prompt, see `routing.prefix`.
       stores: Live stores.
-      engines: Targets of the prompt's deployment, live or not.
+      engines: Targets of the prompt's deployment, live or not; arranged as
+        entries rank them, or as a list.
 
     >>> stores = [rendezvous.Member("a", "x"), rendezvous.Member("b", "y")]
     >>> home = [rendezvous.Member("engine", "y")]
@@ -32,7 +34,9 @@
     ['b', 'a']
     """
     ranked = rendezvous.rank(prefix_key, stores)
-    homes = rendezvous.rank(prefix_key, engines)
+    if not isinstance(engines, table.Table):
+        engines = table.Table(engines)
+    homes = engines.first(prefix_key, 1)
     if homes:
         ranked.sort(key=lambda store: store.data_centre != homes[0].data_centre)
     return ranked
