Let entries count link use and probe beside the prompt's store

Change: entries pass the store's data centre to the candidates and a link time by a typical block size to the choice. Not run: over real processes with links.

--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -11,6 +11,7 @@
 from cactusstile.routing import candidates as routing_candidates
 from cactusstile.routing import choice
 from cactusstile.routing import fleet_index
+from cactusstile.routing import link_use
 from cactusstile.state import model
 
 if typing.TYPE_CHECKING:
@@ -42,10 +43,14 @@
         near = index.homes(call.deployment, call.prefix_key, excluded)
         by_name = {target.name: target for target in near}
         members = [fleet_index.to_member(target) for target in near]
-        homes = routing_candidates.select_ranked(members, running)
+        stores = index.stores(call.deployment, call.prefix_key)
+        store_side = stores[0].data_centre if stores else ""
+        homes = routing_candidates.select_ranked(
+            members, running, near=store_side
+        )
         return [by_name[home.name] for home in homes]
 
-    choose = _build_choose(find_fleet, import_time)
+    choose = _build_choose(find_fleet, index, import_time)
     return routes.Routes(
         candidates, choose, _build_service_order(index), reserve
     )
@@ -72,14 +77,19 @@
 
 
 def _build_choose(
-    find_fleet: FindFleet, import_time: choice.ImportTime
+    find_fleet: FindFleet,
+    index: fleet_index.FleetIndex,
+    import_time: choice.ImportTime,
 ) -> routes.Choose:
     def choose(
         call: calls.PromptCall,
         version: str,
         probed: collections.abc.Sequence[routes.Probed],
     ) -> routes.Placement:
-        weights = _weights(find_fleet(), call.deployment)
+        fleet = find_fleet()
+        weights = _weights(fleet, call.deployment)
+        stores = index.stores(call.deployment, call.prefix_key)
+        link_time = link_use.build(fleet, stores[0] if stores else None)
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
         by_name = {entry.target.name: entry.target for entry in probed}
@@ -87,7 +97,9 @@
             choice.Probed(fleet_index.to_member(entry.target), entry.reply)
             for entry in probed
         ]
-        chosen = choice.choose(options, request, weights, import_time)
+        chosen = choice.choose(
+            options, request, weights, import_time, link_time
+        )
         if chosen.refusal is not None:
             raise verdict.RefusedError(chosen.refusal)
         best = chosen.options[0]
--- a/src/cactusstile/routing/choice.py
+++ b/src/cactusstile/routing/choice.py
@@ -185,11 +185,12 @@
 ) -> Option:
     """Returns the better of computing and importing at a member.
 
-    What is not kept yet is exported after the run, so a member across a
-    limited link costs that much more either way.
+    What is neither kept nor resident is exported after the run, so a member
+    across a limited link costs that much more either way.
     """
     prompt_blocks = request.prompt_tokens // tokens.BLOCK_TOKENS
-    export_blocks = max(0, prompt_blocks - kept.blocks)
+    moved_blocks = max(kept.blocks, reply.resident_blocks)
+    export_blocks = max(0, prompt_blocks - moved_blocks)
     export_ms = kept.link_time(member, export_blocks)
     compute = _compute(member, reply, export_ms)
     resident_tokens = reply.resident_blocks * tokens.BLOCK_TOKENS
