--- /dev/null
+++ b/benchmarks/control_delivery.py
@@ -0,0 +1,231 @@
+"""Cost and delay of delivering configuration over the relay tree.
+
+    python -m benchmarks.control_delivery --subscribers 300
+
+One control root, entries that relay and agents below them run in this process
+over real connections; processor time covers both ends of all connections.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import time
+
+import anyio
+import anyio.lowlevel
+import attrs
+
+from cactusstile.control import client
+from cactusstile.control import feed_messages
+from cactusstile.control import messages
+from cactusstile.state import delta
+from cactusstile.state import encoding
+from cactusstile.state import holder
+from cactusstile.state import model
+from cactusstile.state import relay
+from cactusstile.state import subscription
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import pool
+from cactusstile.transport import server
+
+SECRETS = handshake.Secrets(b"fleet-secret-of-benchmark")
+LOCAL = address.Address("127.0.0.1", 0)
+CHILDREN_PER_ENTRY = 30
+CHANGES = 20
+IDLE_S = 5.0
+BEACON_INTERVAL_S = 0.5
+
+
+@attrs.frozen
+class Arguments:
+    """Arguments of the benchmark."""
+
+    subscribers: int
+    workspaces: int
+
+
+def make_fleet(workspaces: int) -> model.Fleet:
+    """Returns a fleet with `workspaces` workspaces of one key each."""
+    hashed = "scrypt$0123456789ab$4096$" + "A" * 24 + "$" + "B" * 44
+    parts = {
+        f"workspace-{number}": model.Workspace(f"workspace-{number}", (hashed,))
+        for number in range(workspaces)
+    }
+    return model.Fleet("benchmark", 1, parts)
+
+
+def change_one(
+    base: model.Fleet, digest: int
+) -> tuple[messages.FeedDelta, model.Fleet, int]:
+    """Returns a change of one workspace, and what it leads to."""
+    name = f"workspace-{base.revision % len(base.workspaces)}"
+    old = base.workspaces[name]
+    changed = attrs.evolve(old, share=old.share + 1)
+    key = encoding.key_of("workspace", name)
+    body = delta.Delta({key: encoding.encode_part(changed)})
+    fleet, after = delta.apply_delta(base, digest, body, base.revision + 1)
+    message = messages.FeedDelta(
+        base.revision,
+        fleet.revision,
+        encoding.digest_bytes(after),
+        delta.pack(body),
+    )
+    return message, fleet, after
+
+
+class Tree:
+    """A root, entries and agents in this process."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        """Closes everything with `stack`."""
+        self.stack = stack
+        self.relays: list[relay.Relay] = []
+        self.subscribers: list[subscription.Subscriber] = []
+
+    async def open_server(self, own: relay.Relay) -> address.Address:
+        """Serves `own` and returns its address."""
+
+        async def read_revision(
+            _: incoming.Responder, __: messages.ReadRevision
+        ) -> object:
+            return messages.FleetRevision(own.fleet.revision, b"")
+
+        handlers = incoming.Handlers(
+            {
+                feed_messages.Subscribe: own.serve,
+                messages.ReadRevision: read_revision,
+            },
+            {feed_messages.FeedReport: own.take_report},
+        )
+        identity = handshake.Identity("control", own.name)
+        opened = await self.stack.enter_async_context(
+            server.open_server(LOCAL, identity, SECRETS, handlers)
+        )
+        return opened.bound
+
+    async def open_child(
+        self,
+        name: str,
+        parent: address.Address,
+        *,
+        relays: bool,
+    ) -> None:
+        """Opens a subscriber of the root at `parent`; it does not run yet."""
+        own = relay.Relay(name, is_agent=not relays)
+        bound = await self.open_server(own) if relays else None
+        connections = await self.stack.enter_async_context(
+            pool.open_pool(handshake.Identity("agent", name), SECRETS)
+        )
+        subscriber = subscription.Subscriber(
+            holder.FleetHolder(),
+            own,
+            connections,
+            client.ControlClient(connections, [parent]),
+            bound,
+        )
+        self.relays.append(own)
+        self.subscribers.append(subscriber)
+
+
+async def beat(root: relay.Relay) -> None:
+    """Stands in for the leader's beacons."""
+    number = 0
+    while True:
+        number += 1
+        root.take_beacon(number, root.fleet.revision)
+        await anyio.sleep(BEACON_INTERVAL_S)
+
+
+async def wait_until_all(tree: Tree, root: relay.Relay) -> None:
+    """Returns once every subscriber holds the root's revision."""
+    for own in tree.relays:
+        while own.fleet.revision < root.fleet.revision:
+            await own.changed.wait()
+
+
+async def measure_idle(tree: Tree) -> None:
+    """Prints what subscribers cost that are up to date."""
+    cpu = time.process_time()
+    await anyio.sleep(IDLE_S)
+    used_s = time.process_time() - cpu
+    share = used_s / IDLE_S / len(tree.relays)
+    print(f"idle: {share * 1e6:.0f} us/s of processor a subscriber, both ends")
+
+
+async def measure_changes(tree: Tree, root: relay.Relay) -> None:
+    """Prints delay, bytes and processor time of changes."""
+    delays = []
+    received = sum(one.received_bytes for one in tree.subscribers)
+    cpu = time.process_time()
+    for _ in range(CHANGES):
+        root.publish(*change_one(root.fleet, root.digest))
+        started_s = anyio.current_time()
+        await wait_until_all(tree, root)
+        delays.append(anyio.current_time() - started_s)
+    used_s = time.process_time() - cpu
+    received = sum(one.received_bytes for one in tree.subscribers) - received
+    count = CHANGES * len(tree.relays)
+    delays.sort()
+    print(
+        f"change: {received / count:.0f} B and {used_s / count * 1e6:.0f} us "
+        f"a subscriber; in force everywhere after "
+        f"{delays[len(delays) // 2] * 1e3:.0f} ms (p50), "
+        f"{delays[-1] * 1e3:.0f} ms (max of {CHANGES})"
+    )
+
+
+async def run(arguments: Arguments) -> None:
+    """Runs the benchmark."""
+    async with contextlib.AsyncExitStack() as stack:
+        tree = Tree(stack)
+        root = relay.Relay("root", redirects_leaves=True)
+        fleet = make_fleet(arguments.workspaces)
+        root.reset(fleet, encoding.content_digest(fleet))
+        bound = await tree.open_server(root)
+        entries = max(1, arguments.subscribers // CHILDREN_PER_ENTRY)
+        for number in range(arguments.subscribers):
+            name = f"node-{number}"
+            await tree.open_child(name, bound, relays=number < entries)
+        async with anyio.create_task_group() as group:
+            group.start_soon(beat, root)
+            await anyio.lowlevel.checkpoint()
+            await join_all(tree, group, root, entries)
+            await measure_idle(tree)
+            await measure_changes(tree, root)
+            group.cancel_scope.cancel()
+
+
+async def join_all(
+    tree: Tree, group: anyio.abc.TaskGroup, root: relay.Relay, entries: int
+) -> None:
+    """Starts the relays, then the others; prints how long they took."""
+    for subscriber in tree.subscribers[:entries]:
+        group.start_soon(subscriber.run)
+    while len(root.children()) < entries:
+        await root.reported.wait()
+    started_s = anyio.current_time()
+    for subscriber in tree.subscribers[entries:]:
+        group.start_soon(subscriber.run)
+    await wait_until_all(tree, root)
+    joined_s = anyio.current_time() - started_s
+    print(
+        f"{len(tree.relays)} subscribers, {entries} of them relays, "
+        f"{len(root.fleet.workspaces)} workspaces: all joined in "
+        f"{joined_s:.2f} s"
+    )
+
+
+def main() -> None:
+    """Reads the arguments and runs."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--subscribers", type=int, default=100)
+    parser.add_argument("--workspaces", type=int, default=100)
+    parsed = parser.parse_args()
+    anyio.run(run, Arguments(parsed.subscribers, parsed.workspaces))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactusstile/control/control.capnp
+++ b/src/cactusstile/control/control.capnp
@@ -129,6 +129,7 @@
   name @0 :Text;
   relayAddress @1 :Text;
   revision @2 :UInt64;
+  relaysFull @3 :Bool;
 }
 
 struct FeedHeartbeat {
--- a/src/cactusstile/control/feed_messages.py
+++ b/src/cactusstile/control/feed_messages.py
@@ -21,11 +21,13 @@
       name: Name of the subscriber, unique over the fleet.
       relay_address: Address where it serves children; empty if it does not.
       revision: Revision that it holds.
+      relays_full: Whether the relays that the parent named had no room.
     """
 
     name: str
     relay_address: str
     revision: int
+    relays_full: bool = False
 
 
 @codec.register(231, messages.SCHEMA, "FeedHeartbeat")
--- a/src/cactusstile/state/relay.py
+++ b/src/cactusstile/state/relay.py
@@ -176,7 +176,8 @@
             if child.relay_address and name != subscribe.name
         ]
         others = ",".join(relays)
-        if self.redirects_leaves and relays and not subscribe.relay_address:
+        is_leaf = not subscribe.relay_address and not subscribe.relays_full
+        if self.redirects_leaves and relays and is_leaf:
             raise transport_exceptions.RemoteError(
                 REDIRECT, "relays serve this one", others
             )
--- a/src/cactusstile/state/subscription.py
+++ b/src/cactusstile/state/subscription.py
@@ -88,6 +88,7 @@
         self._control = control
         self._relay_address = str(relay_address) if relay_address else ""
         self._needs_whole = False
+        self._relays_full = False
         self._avoided: dict[address.Address, float] = {}
 
     async def run(self) -> None:
@@ -117,7 +118,7 @@
         self._held.confirmed.set()
 
     async def _follow_one(self) -> None:
-        candidates = self._rank(self._control.addresses)
+        first = candidates = self._rank(self._control.addresses)
         for _ in range(MAX_DESCENT):
             next_level: list[address.Address] = []
             for candidate in candidates:
@@ -140,6 +141,7 @@
             if not next_level:
                 break
             candidates = next_level
+        self._relays_full = candidates != first
         if all(map(self._is_avoided, self._control.addresses)):
             self._avoided.clear()
 
@@ -167,7 +169,7 @@
         opened = await self._connections.connect(candidate)
         revision = 0 if self._needs_whole else self._own.fleet.revision
         subscribe = feed_messages.Subscribe(
-            self._own.name, self._relay_address, revision
+            self._own.name, self._relay_address, revision, self._relays_full
         )
         async with (
             anyio.create_task_group() as group,
--- a/tests/state/test_subscription.py
+++ b/tests/state/test_subscription.py
@@ -290,3 +290,15 @@
     await _until(lambda: all(entry.held.fleet == fleet for entry in entries), 4)
     assert len(root.relay.children()) == 2
     await _until(lambda: root.relay.in_force(1).current == 8, 2)
+
+
+async def test_leaf_without_room_below_hangs_on_the_root(
+    tree: Tree, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relay, "MAX_CHILDREN", 3)
+    root = await tree.open_root()
+    fleet = root.change()
+    await tree.open_child("e1", [root.bound], relays=True)
+    await _until(lambda: root.relay.children() == ["e1"], 1)
+    agents = [await tree.open_child(f"a{n}", [root.bound]) for n in range(5)]
+    await _until(lambda: all(agent.held.fleet == fleet for agent in agents), 4)
