--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -1,163 +1,136 @@
-"""History check of calls that may not be repeated, over real processes.
-
-Callers record what they were told; the ledger of the stand-in says what ran.
-"""
+"""Callers, entries and an agent under kills and freezes; a ledger decides."""
 
 from __future__ import annotations
 
-import collections.abc
+import collections
 import json
 import os
+import pathlib
 import random
 import signal
 import typing
 
 import anyio
+import attrs
 import httpcore
 import pytest
 from tests.support import site_processes
 
-pytestmark = [pytest.mark.anyio, pytest.mark.processes]
-
-AGENT = "service-1"
-CALLS = 60
-ATTEMPTS = 5
-HTTP_OK = 200
-RUN_S = 6.0
-SEEDS = range(int(os.environ.get("CACTUSSTILE_HISTORY_SEEDS", "1")))
-
-
-class _Callers:
-    """Callers that retry through either entry and note what they hear."""
-
-    def __init__(self, site: site_processes.Site, seed: int) -> None:
-        self.told: dict[str, list[str]] = {}
-        self._site = site
-        self._random = random.Random(seed)
-
-    async def call(
-        self, connections: httpcore.AsyncConnectionPool, key: str
-    ) -> None:
-        await anyio.sleep(self._random.uniform(0, RUN_S))
-        answers = self.told.setdefault(key, [])
-        for _ in range(ATTEMPTS):
-            word = await self._attempt(connections, key)
-            answers.append(word)
-            if word == "done":
-                return
-            await anyio.sleep(self._random.uniform(0.1, 1.0))
-
-    async def _attempt(
-        self, connections: httpcore.AsyncConnectionPool, key: str
-    ) -> str:
-        entry = self._random.choice(("entry-1", "entry-2"))
-        port = self._site.port(f"{entry}-callers")
-        headers: dict[bytes | str, bytes | str] = {
-            "authorization": f"Bearer {self._site.keys['bank']}",
-            "idempotency-key": key,
-            "x-fake-delay-s": f"{self._random.choice((0, 0, 0.1, 0.4))}",
-        }
-        answer = await connections.request(
-            "POST",
-            f"http://127.0.0.1:{port}/services/inventory/stock",
-            headers=headers,
-            content=key.encode(),
-            extensions={"timeout": {"read": 20.0}},
-        )
-        if answer.status == HTTP_OK:
-            return "done"
-        found = {name.lower(): value for name, value in answer.headers}
-        return found[b"cactusstile-verdict"].decode()
-
-
-async def _kill_and_restart(site: site_processes.Site) -> None:
-    site.kill(AGENT)
-    await anyio.sleep(0.2)
-    site_processes.start_agent(site, AGENT, "service")
-
-
-async def _freeze_and_wake(site: site_processes.Site) -> None:
-    frozen = site.processes[AGENT]
-    frozen.send_signal(signal.SIGSTOP)
-    await anyio.sleep(1.5)
-    frozen.send_signal(signal.SIGCONT)
-
-
-@pytest.fixture(scope="module")
-def site(
-    tmp_path_factory: pytest.TempPathFactory,
-) -> collections.abc.Iterator[site_processes.Site]:
-    folder = tmp_path_factory.mktemp("at-most-once")
-    with site_processes.open_site(folder) as opened:
-        text = site_processes.fleet_text(opened)
-        opened.write("fleet.ini", text)
-        opened.write("operator.ini", _operator_text(opened))
-        applied = opened.run_command("apply", "fleet.ini")
-        assert applied.returncode == 0, applied.stderr
-        for name in ("entry-1", "entry-2", AGENT):
-            opened.wait_ready(name)
-        yield opened
-
-
-def _operator_text(site: site_processes.Site) -> str:
-    control = ", ".join(
-        f"127.0.0.1:{site.port(f'control-{number}')}" for number in (1, 2, 3)
-    )
-    secret = site.folder / "operator.secret"
-    return (
-        f"[operator]\nname = ada\ncontrol = {control}\n"
-        f"operator_secret_file = {secret}\n"
-    )
-
-
-async def _read_ledger(site: site_processes.Site) -> dict[str, int]:
-    port = site.port(f"{AGENT}-target")
-    async with httpcore.AsyncConnectionPool() as connections:
-        answer = await connections.request(
-            "GET", f"http://127.0.0.1:{port}/_ledger"
-        )
-    return typing.cast("dict[str, int]", json.loads(answer.content))
+from cactusstile.console import application
+from cactusstile.console import exceptions
+
+pytestmark = pytest.mark.processes
+
+SEEDS = [int(seed) for seed in os.environ.get("SEEDS", "1").split(",")]
+CALLERS = 6
+RUN_S = 8.0
+ATTEMPTS = 3
+ATTEMPT_TIMEOUT_S = 6.0
+SETTLE_S = 7.0
+FAULT_PAUSE_S = (0.3, 0.9)
+
+
+@attrs.define
+class Told:
+    """What the caller of one key was told, attempt by attempt."""
+
+    key: str
+    words: list[str] = attrs.field(factory=list)
+
+
+async def _attempt(site: site_processes.Site, entry: str, key: str) -> str:
+    """Returns "answered", a verdict, or "unknown" for one attempt."""
+    url = f"http://127.0.0.1:{site.port(f'{entry}-callers')}"
+    headers: dict[bytes | str, bytes | str] = {
+        "authorization": f"Bearer {site.keys['bank']}",
+        "idempotency-key": key,
+    }
+    with anyio.move_on_after(ATTEMPT_TIMEOUT_S):
+        async with httpcore.AsyncConnectionPool() as connections:
+            try:
+                answer = await connections.request(
+                    "POST",
+                    f"{url}/services/inventory/orders",
+                    headers=headers,
+                    content=b"{}",
+                )
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                return "unknown"
+        if answer.status == 200:
+            return "answered"
+        return str(json.loads(answer.content)["error"]["verdict"])
+    return "unknown"
+
+
+async def _call_until(
+    site: site_processes.Site, caller: int, history: list[Told]
+) -> None:
+    end_s = anyio.current_time() + RUN_S
+    count = 0
+    while anyio.current_time() < end_s:
+        count += 1
+        told = Told(f"{caller}-{count}")
+        history.append(told)
+        for attempt in range(ATTEMPTS):
+            entry = f"entry-{1 + (caller + attempt) % 2}"
+            told.words.append(await _attempt(site, entry, told.key))
+            if told.words[-1] == "answered":
+                break
+            await anyio.sleep(0.1)
+
+
+async def _inject_faults(
+    site: site_processes.Site, random_source: random.Random
+) -> None:
+    end_s = anyio.current_time() + RUN_S
+    while anyio.current_time() < end_s:
+        await anyio.sleep(random_source.uniform(*FAULT_PAUSE_S))
+        if random_source.random() < 0.5:
+            site.kill("service-1")
+            await anyio.sleep(random_source.uniform(0, 0.3))
+            site_processes.start_agent(site, "service-1", "service")
+            continue
+        process = site.processes["service-1"]
+        process.send_signal(signal.SIGSTOP)
+        await anyio.sleep(random_source.uniform(0.2, 1.5))
+        process.send_signal(signal.SIGCONT)
+
+
+async def _run(site: site_processes.Site, seed: int) -> list[Told]:
+    history: list[Told] = []
+    async with anyio.create_task_group() as group:
+        for caller in range(CALLERS):
+            group.start_soon(_call_until, site, caller, history)
+        group.start_soon(_inject_faults, site, random.Random(seed))
+    await anyio.sleep(SETTLE_S)
+    return history
+
+
+def _read_ledger(site: site_processes.Site) -> collections.Counter[str]:
+    site.stop("service-1-target")
+    text = (site.folder / "service-1-ledger.json").read_text()
+    ledger: list[list[typing.Any]] = json.loads(text)
+    return collections.Counter(key.removeprefix("c:") for _, key in ledger)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-async def test_history_with_killed_and_frozen_agent(
-    site: site_processes.Site, seed: int
-) -> None:
-    callers = _Callers(site, seed)
-    async with (
-        httpcore.AsyncConnectionPool(max_connections=200) as connections,
-        anyio.create_task_group() as group,
-    ):
-        for number in range(CALLS):
-            key = f"s{seed}-k{number}"
-            group.start_soon(callers.call, connections, key)
-        await anyio.sleep(1.0)
-        await _kill_and_restart(site)
-        await anyio.sleep(1.5)
-        await _freeze_and_wake(site)
-        await _kill_and_restart(site)
-    ledger = await _read_ledger(site)
-    done = 0
-    for key, answers in callers.told.items():
-        count = ledger.get(f"bank/c:{key}", 0)
-        done += "done" in answers
-        assert count <= 1, (key, answers)
-        if "done" in answers or "has_run" in answers:
-            assert count == 1, (key, answers)
-        if set(answers) == {"not_run"}:
-            assert count == 0, (key, answers)
-    assert done > CALLS // 2, callers.told
-
-
-def test_drain_command_stops_and_resumes_new_work(
-    site: site_processes.Site,
+def test_keyed_calls_run_at_most_once_under_kills_and_freezes(
+    seed: int, tmp_path: pathlib.Path
 ) -> None:
-    site.wait_ready(AGENT)
-    drained = site.run_command("drain", AGENT, "--wait_s", "5")
-    assert drained.returncode == 0, drained.stderr
-    assert "leaves" in drained.stdout
-    status, _ = site.get(AGENT, "/readyz")
-    assert status != HTTP_OK
-    undone = site.run_command("drain", AGENT, "--undo")
-    assert "takes work" in undone.stdout
-    site.wait_ready(AGENT)
+    with site_processes.open_site(tmp_path) as site:
+        fleet = site.write("fleet.ini", site_processes.fleet_text(site))
+        operator = site.write_operator()
+        code = application.run(
+            ["apply", str(fleet), "--settings", str(operator)]
+        )
+        assert code is exceptions.ExitCode.OK
+        for name in ("entry-1", "entry-2", "service-1"):
+            site.wait_ready(name)
+        history = anyio.run(_run, site, seed)
+        ledger = _read_ledger(site)
+    answered = [told for told in history if told.words[-1] == "answered"]
+    refused = [told for told in history if told.words[-1] == "not_run"]
+    assert len(answered) >= 20
+    assert [key for key, count in ledger.items() if count > 1] == []
+    assert [told.key for told in answered if not ledger[told.key]] == []
+    assert [told for told in refused if ledger[told.key]] == []
