Refuse at once while the engine is lost, loads for long, or the queue is full

Cause: a run without a deadline waited at the version gate for as long as the engine was gone, and imports were made for runs that a full queue then refused.

Change: runs wait at the gate for at most 5 s, and not at all when it is not expected to open by then; the queue's room is checked before the import. The stand-ins' server now cuts its connections when it ends; it went on answering over open ones, so that a dead engine looked alive.

Figures: `test_lost_engine_refuses_at_once` fails without the check (no answer in 1 s); a waiter that keeps its slot when it is cancelled, one that stays queued, and an agent that does not notice its freeze fail the new tests.

Conclusion: every wait of a run before its start is bounded.

--- a/src/cactusstile/agent/admission.py
+++ b/src/cactusstile/agent/admission.py
@@ -138,6 +138,22 @@
             self.running -= 1
             self._start_next()
 
+    def check_room(self, work: Work) -> None:
+        """Returns unless the queue is full already.
+
+        Raises:
+          RefusedError: If it is; the request was not run.
+        """
+        queue = self.queue
+        tokens = queue.tokens + work.tokens
+        if queue.count < queue.bounds.entries and tokens <= queue.bounds.tokens:
+            return
+        raise verdict.refuse(
+            verdict.Reason.OVERLOADED,
+            "the queue is full; retry later",
+            retry_after_s=queue.retry_after_s(work.workspace, work.tokens),
+        )
+
     def resize(self, slots: int) -> None:
         """Changes the number of slots."""
         self.slots = slots
--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -111,6 +111,7 @@
             count=len(request.generated),
         )
         work = self._plan(record)
+        self._parts.node.admission.check_room(work)
         self.table.add(record)
         self._parts.node.begin()
         self._group.start_soon(self._execute, record, work)
--- a/src/cactusstile/agent/gate.py
+++ b/src/cactusstile/agent/gate.py
@@ -40,6 +40,12 @@
         """Whether runs are admitted now."""
         return not self._closed and self.status is not None
 
+    def expected_wait_s(self) -> float:
+        """Returns when a run could pass; infinite while that is unknown."""
+        if self._closed:
+            return max(0.0, self.opens_s - anyio.current_time())
+        return 0.0 if self.status is not None else float("inf")
+
     @contextlib.asynccontextmanager
     async def admit(
         self,
--- a/src/cactusstile/agent/probes.py
+++ b/src/cactusstile/agent/probes.py
@@ -4,8 +4,6 @@
 
 import typing
 
-import anyio
-
 from cactusstile import tokens
 from cactusstile.agent import messages
 from cactusstile.targets import exceptions
@@ -61,8 +59,7 @@
         owner = self._parts.node
         declared = owner.fleet.workspaces.get(workspace)
         share = declared.share if declared is not None else 1.0
-        opens_s = self._parts.gate.opens_s
-        closed_s = max(0.0, opens_s - anyio.current_time()) if opens_s else 0.0
+        closed_s = self._parts.gate.expected_wait_s()
         return closed_s + owner.admission.wait_s(workspace, share)
 
     async def _resident_blocks(self, request: messages.Probe) -> int:
--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -30,6 +30,8 @@
 RESUME_INTERVAL_S = 0.05
 RESUME_LIMIT_S = 5.0
 CANCEL_TIMEOUT_S = 1.0
+MAX_GATE_WAIT_S = 5.0
+LOST_RETRY_AFTER_S = 1.0
 CLIENT_ERROR_STATUSES = range(400, 500)
 
 
@@ -107,13 +109,18 @@
     async def _pass_gate(
         self, gate_stack: contextlib.AsyncExitStack
     ) -> engine.Status:
-        with anyio.move_on_after(
-            self._record.deadline_s - anyio.current_time()
-        ):
-            return await gate_stack.enter_async_context(
-                self._parts.gate.admit()
-            )
-        raise _deadline_exceeded()
+        """Enters the version gate, or refuses when it stays closed."""
+        version_gate = self._parts.gate
+        expected_s = version_gate.expected_wait_s()
+        if expected_s > MAX_GATE_WAIT_S:
+            raise _gate_closed(expected_s)
+        now_s = anyio.current_time()
+        left_s = self._record.deadline_s - now_s
+        with anyio.move_on_after(min(left_s, MAX_GATE_WAIT_S)):
+            return await gate_stack.enter_async_context(version_gate.admit())
+        if left_s <= MAX_GATE_WAIT_S:
+            raise _deadline_exceeded()
+        raise _gate_closed(version_gate.expected_wait_s())
 
     def _check(self, status: engine.Status) -> None:
         """Returns if the engine can run the request as it is now."""
@@ -337,6 +344,21 @@
     return messages.RunTokens(0, tuple(output), text)
 
 
+def _gate_closed(expected_s: float) -> verdict.RefusedError:
+    """Returns the refusal of a run that would wait too long at the gate."""
+    if expected_s == float("inf"):
+        return verdict.refuse(
+            verdict.Reason.TARGET_LOST,
+            "the engine cannot be reached; try another target",
+            retry_after_s=LOST_RETRY_AFTER_S,
+        )
+    return verdict.refuse(
+        verdict.Reason.VERSION_CHANGED,
+        "the engine loads weights; try another target",
+        retry_after_s=max(LOST_RETRY_AFTER_S, expected_s),
+    )
+
+
 def _deadline_exceeded() -> verdict.RefusedError:
     return verdict.refuse(
         verdict.Reason.DEADLINE_EXCEEDED,
--- a/src/cactusstile/fakes/serving.py
+++ b/src/cactusstile/fakes/serving.py
@@ -78,3 +78,14 @@
                 yield address.Address(wanted.host, port)
             finally:
                 group.cancel_scope.cancel()
+                _cut_connections(served)
+
+
+def _cut_connections(served: uvicorn.Server) -> None:
+    """Closes what a stopped server would leave open."""
+    for listening in served.servers:
+        listening.close()
+    for connection in list(served.server_state.connections):
+        connection.transport.abort()
+    for task in served.server_state.tasks:
+        task.cancel()
--- /dev/null
+++ b/tests/agent/test_admission.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+
+from cactusstile import verdict
+from cactusstile.agent import admission
+from cactusstile.limits import fair_queue
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize("seed", range(5))
+async def test_slots_are_neither_lost_nor_exceeded(seed: int) -> None:
+    source = random.Random(seed)
+    bounds = fair_queue.Bounds(entries=12, workspace_entries=8)
+    slots = admission.Admission(3, tokens_per_s=1000.0, bounds=bounds)
+    inside = 0
+    outcomes: list[str] = []
+    refusals: list[verdict.Refusal] = []
+
+    async def use(workspace: str) -> None:
+        nonlocal inside
+        deadline_s = anyio.current_time() + source.uniform(-0.01, 0.1)
+        work = admission.Work(workspace, 10, deadline_s=deadline_s)
+        with anyio.move_on_after(source.uniform(0, 0.08)):
+            try:
+                async with slots.enter(work):
+                    inside += 1
+                    assert inside <= 3
+                    try:
+                        await anyio.sleep(source.uniform(0, 0.02))
+                    finally:
+                        inside -= 1
+                outcomes.append("done")
+            except verdict.RefusedError as error:
+                outcomes.append(error.refusal.reason.value)
+                refusals.append(error.refusal)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(slots.expire)
+        async with anyio.create_task_group() as users:
+            for _ in range(150):
+                users.start_soon(use, source.choice("abc"))
+                await anyio.sleep(source.choice((0, 0, 0.003)))
+        group.cancel_scope.cancel()
+    assert (slots.running, slots.queue.count, inside) == (0, 0, 0)
+    assert {refusal.verdict for refusal in refusals} == {
+        verdict.Verdict.NOT_RUN
+    }
+    assert min(refusal.retry_after_s for refusal in refusals) > 0
+    assert {"done", "overloaded"} <= set(outcomes)
--- a/tests/agent/test_engine_runs.py
+++ b/tests/agent/test_engine_runs.py
@@ -4,6 +4,7 @@
 import typing
 
 import anyio
+import anyio.abc
 import attrs
 import pytest
 
@@ -12,8 +13,11 @@
 from cactusstile.agent import engine_runs
 from cactusstile.agent import messages
 from cactusstile.fakes import engine
+from cactusstile.fakes import engine_app
 from cactusstile.fakes import oracle
+from cactusstile.fakes import serving
 from cactusstile.fakes import site
+from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
 
@@ -226,6 +230,54 @@
     assert len(streams) == 2
 
 
+async def test_full_queue_refuses_at_once(opened: site.Site) -> None:
+    queue = opened.agents["engine-1"].node.admission.queue
+    queue.bounds = attrs.evolve(queue.bounds, entries=2)
+
+    async def fill(key: str) -> None:
+        await _collect(opened, _run(key, max_tokens=60))
+
+    async with anyio.create_task_group() as group:
+        for key in "abcd":
+            group.start_soon(fill, key)
+        await anyio.sleep(0.2)
+        with anyio.fail_after(0.5):
+            _, end = await _collect(opened, _run("late"))
+        group.cancel_scope.cancel()
+    assert isinstance(end, messages.Refused)
+    assert (end.verdict, end.reason) == (NOT_RUN, "overloaded")
+    assert end.retry_after_ms > 0
+
+
+async def test_lost_engine_refuses_at_once() -> None:
+    served = engine.Engine()
+    stop = anyio.Event()
+
+    async def serve(
+        *, task_status: anyio.abc.TaskStatus[address.Address]
+    ) -> None:
+        app = engine_app.build_app(served)
+        async with serving.open_app(app) as bound:
+            task_status.started(bound)
+            await stop.wait()
+
+    async with (
+        site.open_site() as lone,
+        served.run(),
+        anyio.create_task_group() as group,
+    ):
+        url = f"http://{await group.start(serve)}"
+        async with site.open_agent(lone, "engine-1", "engine", url) as running:
+            stop.set()
+            with anyio.fail_after(3):
+                while running.ready():
+                    await anyio.sleep(0.05)
+            with anyio.fail_after(1):
+                _, end = await _collect(lone, _run())
+    assert isinstance(end, messages.Refused)
+    assert (end.verdict, end.reason) == (NOT_RUN, "target_lost")
+
+
 async def test_reservation_counts_against_the_next_probe(
     opened: site.Site,
 ) -> None:
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import time
 
 import anyio
 import pytest
@@ -77,6 +78,22 @@
         assert opened.engines["engine-1"].orders == []
 
 
+async def test_agent_that_wakes_after_its_successor_takes_no_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "FREEZE_LIMIT_S", 0.2)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened) as old,
+    ):
+        await _wait_until(lambda: opened.control.fences.get("engine-1") == 1)
+        await anyio.sleep(0.05)
+        opened.control.fences["engine-1"] = 2
+        time.sleep(1.5)  # noqa: ASYNC251
+        await _wait_until(lambda: old.node.stopping, 1.0)
+        assert not old.ready()
+
+
 async def test_adapters_and_model_follow_the_fleet() -> None:
     quick = engine.EngineSettings(model="other", load_s=0.02)
     async with site.open_site() as opened:
