Let a roll-out pass over an engine that its agent cannot reach

Cause: the agent of a lost engine names no version, which read as "not yet at the wanted one", so that every later target of its chain waited for ever.

Figures: `test_roll_out_passes_over_a_lost_engine` fails without the change (engine-1 and engine-2 stay at v1); `pytest tests/controllers`: 10 passed in 7.0 s with it.

--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -116,7 +116,10 @@
         )
     except (transport_exceptions.TransportError, TimeoutError):
         return None
-    return reply.version if isinstance(reply, messages.ProbeReply) else None
+    if not isinstance(reply, messages.ProbeReply):
+        return None
+    # An agent that cannot reach its engine names no version.
+    return reply.version or None
 
 
 async def _has_room(weight_store_url: str) -> bool:
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -162,6 +162,26 @@
     assert len(store.fetched) == 5
 
 
+async def test_roll_out_passes_over_a_lost_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(rollout, "TURN_INTERVAL_S", 0.05)
+    store = weight_store.WeightStore(max_transfers=9, transfer_s=0.05)
+    async with (
+        site.open_site() as opened,
+        _open_pool_of_engines(opened, store, 3),
+    ):
+        monkeypatch.setattr(opened.engines["engine-0"], "adapters", 0)
+        with anyio.fail_after(3):
+            while opened.agents["engine-0"].ready():
+                await anyio.sleep(0.05)
+        opened.set_version("v2")
+        last = opened.engines["engine-2"]
+        await _wait_until(lambda: last.version == "v2")
+        assert opened.engines["engine-1"].version == "v2"
+        assert opened.engines["engine-0"].version == "v1"
+
+
 async def test_full_weight_store_is_waited_for(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
