--- a/src/cactusstile/console/drain.py
+++ b/src/cactusstile/console/drain.py
@@ -37,10 +37,13 @@
     async def drain(opened: operations.Operator) -> messages.DrainReply:
         return await _drain(opened, str(target), undo=undo, wait_s=wait_s)
 
-    reply = operator.run(settings, drain)
+    _report(target, operator.run(settings, drain), waited=wait_s > 0)
+
+
+def _report(target: str, reply: messages.DrainReply, *, waited: bool) -> None:
     state = "leaves" if reply.leaving else "takes work"
     print(f"{target} {state}; requests under way: {reply.running}")
-    if reply.running and wait_s:
+    if reply.running and waited:
         raise exceptions.CommandError(
             f"{target} still has {reply.running} requests under way",
             exceptions.ExitCode.INCOMPLETE,
