--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import time
 
 import anyio
 import pytest
@@ -77,6 +78,22 @@
         assert opened.engines["engine-1"].orders == []
 
 
+async def test_agent_that_wakes_after_its_successor_takes_no_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "FREEZE_LIMIT_S", 0.2)
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened) as old,
+    ):
+        await _wait_until(lambda: opened.control.fences.get("engine-1") == 1)
+        await anyio.sleep(0.05)
+        opened.control.fences["engine-1"] = 2
+        time.sleep(1.5)  # noqa: ASYNC251
+        await _wait_until(lambda: old.node.stopping, 1.0)
+        assert not old.ready()
+
+
 async def test_adapters_and_model_follow_the_fleet() -> None:
     quick = engine.EngineSettings(model="other", load_s=0.02)
     async with site.open_site() as opened:
@@ -145,6 +162,26 @@
     assert len(store.fetched) == 5
 
 
+async def test_roll_out_passes_over_a_lost_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(rollout, "TURN_INTERVAL_S", 0.05)
+    store = weight_store.WeightStore(max_transfers=9, transfer_s=0.05)
+    async with (
+        site.open_site() as opened,
+        _open_pool_of_engines(opened, store, 3),
+    ):
+        monkeypatch.setattr(opened.engines["engine-0"], "adapters", 0)
+        with anyio.fail_after(3):
+            while opened.agents["engine-0"].ready():
+                await anyio.sleep(0.05)
+        opened.set_version("v2")
+        last = opened.engines["engine-2"]
+        await _wait_until(lambda: last.version == "v2")
+        assert opened.engines["engine-1"].version == "v2"
+        assert opened.engines["engine-0"].version == "v1"
+
+
 async def test_full_weight_store_is_waited_for(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
