--- a/src/cactusstile/console/drain.py
+++ b/src/cactusstile/console/drain.py
@@ -35,7 +35,19 @@
     """
 
     async def drain(opened: operations.Operator) -> messages.DrainReply:
-        return await _drain(opened, str(target), undo=undo, wait_s=wait_s)
+        fleet = await opened.control.read_fleet()
+        declared = fleet.targets.get(str(target))
+        if declared is None:
+            raise exceptions.CommandError(
+                f"the fleet has no target {target!r}; see `cactusstile status`"
+            )
+        give_up_s = anyio.current_time() + wait_s
+        while True:
+            reply = await _call(opened, declared.agent, leaving=not undo)
+            late = anyio.current_time() >= give_up_s
+            if undo or late or not reply.running:
+                return reply
+            await anyio.sleep(POLL_INTERVAL_S)
 
     _report(target, operator.run(settings, drain), waited=wait_s > 0)
 
@@ -50,24 +62,6 @@
         )
 
 
-async def _drain(
-    opened: operations.Operator, target: str, *, undo: bool, wait_s: float
-) -> messages.DrainReply:
-    fleet = await opened.control.read_fleet()
-    declared = fleet.targets.get(target)
-    if declared is None:
-        raise exceptions.CommandError(
-            f"the fleet has no target {target!r}; see `cactusstile status`"
-        )
-    give_up_s = anyio.current_time() + wait_s
-    while True:
-        reply = await _call(opened, declared.agent, leaving=not undo)
-        late = anyio.current_time() >= give_up_s
-        if undo or late or not reply.running:
-            return reply
-        await anyio.sleep(POLL_INTERVAL_S)
-
-
 async def _call(
     opened: operations.Operator, agent: address.Address, *, leaving: bool
 ) -> messages.DrainReply:
--- a/src/cactusstile/fakes/service.py
+++ b/src/cactusstile/fakes/service.py
@@ -16,6 +16,10 @@
     from starlette import requests
 
 
+LEDGER_PATH = "/_ledger"
+DELAY_HEADER = "x-fake-delay-s"
+
+
 @attrs.frozen
 class LedgerEntry:
     """One call that the service ran.
@@ -60,6 +64,13 @@
 def build_app(service: Service) -> applications.Starlette:
     """Returns the ASGI application of a service."""
 
+    async def show_ledger(_: requests.Request) -> responses.Response:
+        counts: dict[str, int] = {}
+        for entry in service.ledger:
+            name = f"{entry.workspace}/{entry.request_key}"
+            counts[name] = counts.get(name, 0) + 1
+        return responses.JSONResponse(counts)
+
     async def serve(request: requests.Request) -> responses.Response:
         body = await request.body()
         entry = LedgerEntry(
@@ -70,7 +81,9 @@
             body,
         )
         service.ledger.append(entry)
-        await anyio.sleep(service.call_s)
+        await anyio.sleep(
+            float(request.headers.get(DELAY_HEADER, service.call_s))
+        )
         if service.drop_answers:
             service.drop_answers -= 1
             return serving.cut_off()
@@ -79,4 +92,5 @@
 
     methods = ["GET", "POST", "PUT", "PATCH", "DELETE"]
     route = routing.Route("/{path:path}", serve, methods=methods)
-    return applications.Starlette(routes=[route])
+    ledger = routing.Route(LEDGER_PATH, show_ledger)
+    return applications.Starlette(routes=[ledger, route])
