Count work that starts without waiting against its workspace's share

Cause: a request that finds a free slot passed by the fair queue, so that a workspace which had just filled the target came first when a queue formed. Change: admission charges it.

--- a/src/cactusstile/agent/admission.py
+++ b/src/cactusstile/agent/admission.py
@@ -195,6 +195,7 @@
                     retry_after_s=fair_queue.MIN_RETRY_AFTER_S,
                 )
             self.running += 1
+            self.queue.charge(work.workspace, work.tokens, work.share)
             return
         waiter = _Waiter()
         entry = fair_queue.Entry(
