--- a/src/cactusstile/filters/exchange.py
+++ b/src/cactusstile/filters/exchange.py
@@ -90,13 +90,6 @@
         await self.start(status, [*headers, length])
         await self.write(body, more=False)
 
-    def time_left_ms(self) -> int:
-        """Returns the time until the deadline, at least 1; 0 without one."""
-        if math.isinf(self.deadline_s):
-            return 0
-        left_s = self.deadline_s - anyio.current_time()
-        return max(1, math.ceil(left_s * 1000))
-
 
 def build(scope: Scope, receive: Receive, send: Send) -> Exchange:
     """Returns a fresh exchange for an ASGI call."""
