Let operators choose group commit; measure without it

Need: claims and commits with group commit off and on were asked for. Change: option group_commit of [control]; the benchmark takes --no-group-commit.

--- a/benchmarks/control_commits.py
+++ b/benchmarks/control_commits.py
@@ -41,10 +41,11 @@
     clients: int
     seconds: float
     folder: pathlib.Path
+    group_commit: bool
 
 
 def start(
-    folder: pathlib.Path,
+    folder: pathlib.Path, group_commit: bool
 ) -> tuple[list[subprocess.Popen[bytes]], list[address.Address]]:
     """Starts the control processes and returns them with their addresses."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(COUNT)]
@@ -66,6 +67,7 @@
             f"operator_secret_file = {folder}/secret\n"
             f"[control]\ndata_folder = {folder}/data/{number}\n"
             f"founders = {founders}\n"
+            f"group_commit = {'yes' if group_commit else 'no'}\n"
         )
         command = [sys.executable, "-m", "cactusstile", "control"]
         command += ["--settings", str(settings)]
@@ -152,7 +154,7 @@
 
 async def run(arguments: Arguments) -> None:
     """Runs the benchmark."""
-    processes, addresses = start(arguments.folder)
+    processes, addresses = start(arguments.folder, arguments.group_commit)
     secrets = handshake.Secrets(SECRET, SECRET)
     identity = handshake.Identity("operator", "benchmark")
     async with contextlib.AsyncExitStack() as stack:
@@ -179,10 +181,14 @@
     parser.add_argument("--clients", type=int, default=64)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--folder", default=None)
+    parser.add_argument("--no-group-commit", action="store_true")
     parsed = parser.parse_args()
     with tempfile.TemporaryDirectory(dir=parsed.folder) as name:
         folder = pathlib.Path(name)
-        anyio.run(run, Arguments(parsed.clients, parsed.seconds, folder))
+        arguments = Arguments(
+            parsed.clients, parsed.seconds, folder, not parsed.no_group_commit
+        )
+        anyio.run(run, arguments)
 
 
 if __name__ == "__main__":
--- a/src/cactusstile/console/history.py
+++ b/src/cactusstile/console/history.py
@@ -4,6 +4,8 @@
 
 import datetime
 
+import attrs
+
 from cactusstile.console import operator
 from cactusstile.control import client
 from cactusstile.control import messages
@@ -39,7 +41,8 @@
 
     records = operator.run(settings, read)
     if json:
-        operator.print_json(records)
+        bare = [attrs.evolve(record, body=b"") for record in records]
+        operator.print_json(bare)
         return
     for record in records:
         at = datetime.datetime.fromtimestamp(record.at_ms / 1000, datetime.UTC)
--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -91,6 +91,12 @@
         "address that the others send to, if it is not the one listened on",
         None,
     ),
+    ini.Option(
+        "group_commit",
+        ini.yes_or_no,
+        "whether one sync serves many commands",
+        True,
+    ),
 )
 
 
--- a/src/cactusstile/settings/ini.py
+++ b/src/cactusstile/settings/ini.py
@@ -170,6 +170,15 @@
     return parse
 
 
+def yes_or_no(text: str) -> bool:
+    """Returns whether the text says yes.
+
+    >>> yes_or_no("no")
+    False
+    """
+    return choice("yes", "no")(text) == "yes"
+
+
 def name(text: str) -> str:
     """Returns a name of letters, digits, dots, dashes and underscores.
 
--- a/src/cactusstile/state/fleet_file.py
+++ b/src/cactusstile/state/fleet_file.py
@@ -22,10 +22,6 @@
 _PART_WORDS = 2
 
 
-def _yes_or_no(text: str) -> bool:
-    return ini.choice("yes", "no")(text) == "yes"
-
-
 def _adapters(text: str) -> tuple[str, ...]:
     result = []
     for part in filter(None, (piece.strip() for piece in text.split(","))):
@@ -106,7 +102,7 @@
     ini.Option("data_centre", ini.name, "Data centre of the target's VM."),
     ini.Option("serves", ini.name, "Deployment or service it serves.", ""),
     ini.Option(
-        "checks_fence", _yes_or_no, "Whether it refuses old orders.", False
+        "checks_fence", ini.yes_or_no, "Whether it refuses old orders.", False
     ),
 )
 LINK = (
