--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import secrets
 import typing
@@ -65,6 +66,8 @@
         self.stopped = False
         self.applied_index = 0
         self.applied_bytes = 0
+        self.effects: collections.deque[effects.Effect] = collections.deque()
+        self.dispatching = False
         self.state: states.State
 
     def start(self, recovered: core.Recovered, data: bytes) -> None:
@@ -289,25 +292,38 @@
             self.send(leader, hello)
 
     def _dispatch(self, found: list[effects.Effect]) -> None:
-        """Carries out effects in order."""
-        if self.stopped:
+        """Carries out effects in order.
+
+        A transport within one process may deliver an answer before `send`
+        returns; its effects wait until the earlier ones are carried out.
+        """
+        self.effects.extend(found)
+        if self.dispatching:
             return
-        for effect in found:
-            if isinstance(effect, effects.Send):
-                self._send(effect)
-            elif isinstance(effect, effects.Apply):
-                self._apply(effect)
-            elif isinstance(effect, effects.ReadConfirmed):
-                self.waiters.confirm_read(
-                    effect.read_id, effect.index, self.applied_index
-                )
-            elif isinstance(effect, effects.LeadershipLost):
-                leader = leadership.leader_hint(self.state)
-                self.waiters.lose_leadership(leader)
-            elif isinstance(effect, effects.SendChunk):
-                self._send_chunk(effect)
-            else:
-                self._write(effect)
+        self.dispatching = True
+        try:
+            while self.effects and not self.stopped:
+                self._carry_out(self.effects.popleft())
+        finally:
+            self.dispatching = False
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Carries out one effect."""
+        if isinstance(effect, effects.Send):
+            self._send(effect)
+        elif isinstance(effect, effects.Apply):
+            self._apply(effect)
+        elif isinstance(effect, effects.ReadConfirmed):
+            self.waiters.confirm_read(
+                effect.read_id, effect.index, self.applied_index
+            )
+        elif isinstance(effect, effects.LeadershipLost):
+            leader = leadership.leader_hint(self.state)
+            self.waiters.lose_leadership(leader)
+        elif isinstance(effect, effects.SendChunk):
+            self._send_chunk(effect)
+        else:
+            self._write(effect)
 
     def _send(self, send: effects.Send) -> None:
         """Sends a message, behind the writes if it must."""
@@ -338,10 +354,14 @@
     def _send_chunk(self, effect: effects.SendChunk) -> None:
         """Sends a part of the latest snapshot."""
         snapshot = self.store.snapshot
+        if snapshot.index != self.state.snapshot_index:
+            # Being replaced in the worker thread. A part that the core does
+            # not know would be asked for again and again; it retries later.
+            return
         try:
             data = self.store.read_chunk(effect.offset, CHUNK_BYTES)
         except OSError:
-            # Replaced just now; the core asks again when the member stalls.
+            # Removed just now; the core retries when the member stalls.
             return
         chunk = messages.SnapshotChunk(
             group=self.state.group,
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -165,6 +165,26 @@
     assert _state(lost).log.last_index == 0
 
 
+def test_replica_joins_one_group_for_good() -> None:
+    group, leader = _group()
+    fresh = _followers(group, leader)[0]
+    group.lose_disk(fresh)
+    request = _vote_request("x", fresh)
+    now = group.clock(fresh) + TIMEOUT_S + 0.001
+    found = core.receive(_state(fresh), "x", request, now)
+    assert effects.SaveMetadata("g", 0, "") in found
+    for effect in found:
+        assert not isinstance(effect, effects.Send) or effect.after_sync
+    group.dispatch(fresh, found)
+    group.sync(fresh)
+    for _ in range(2):
+        other = _vote_request("y", fresh, group="h", term=9)
+        assert core.receive(_state(fresh), "y", other, now) == []
+        group.crash(fresh)
+        group.start(fresh)
+        now = group.clock(fresh) + TIMEOUT_S + 0.001
+
+
 def test_repair_promotes_only_what_holds_all_committed_entries() -> None:
     group, leader = _group()
     lost = _followers(group, leader)[0]
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -8,7 +8,11 @@
 import pytest
 from tests.consensus import conftest
 
+from cactusstile.consensus import driver
+from cactusstile.consensus import effects
 from cactusstile.consensus import exceptions
+from cactusstile.consensus import founding
+from cactusstile.consensus import messages
 from cactusstile.consensus import replica
 from cactusstile.consensus.storage import files as file_access
 
@@ -47,8 +51,9 @@
 
 
 async def test_lost_disk_returns_as_learner_until_repaired(
-    group: conftest.Group,
+    group: conftest.Group, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(driver, "CHUNK_BYTES", 20)
     for number in range(60):
         await _propose(group, b"%0100d" % number)
     leader = await group.leader()
@@ -73,7 +78,44 @@
     )
     await group.stop(second)
     assert await _propose(group, b"after") == b"61"
-    assert group.replicas[lost].status().role == "follower"
+    assert repaired.snapshot_index > 1
+    await anyio.sleep(2 * conftest.TIMES.heartbeat_interval_s)
+    machines = group.machines
+    assert machines[lost].commands == machines[leader.leader].commands
+
+
+async def test_chunk_of_snapshot_unknown_to_the_core_is_not_sent(
+    group: conftest.Group,
+) -> None:
+    leader = await group.leader()
+    sent: list[messages.Message] = []
+    leader.driver.send = lambda _, message: sent.append(message)
+    wanted = effects.SendChunk("x", "x.1", 1, 0)
+    state = leader.driver.state
+    state.snapshot_index += 1
+    leader.driver._dispatch([wanted])
+    assert not sent
+    state.snapshot_index -= 1
+    leader.driver._dispatch([wanted])
+    assert [type(one) for one in sent] == [messages.SnapshotChunk]
+
+
+async def test_founder_with_lost_disk_joins_and_founds_no_second_group(
+    group: conftest.Group,
+) -> None:
+    await _propose(group, b"one")
+    founder = conftest.NAMES[0]
+    await group.stop(founder)
+    shutil.rmtree(group.folder / founder)
+    await group.start(founder)
+    await anyio.sleep(4 * founding.HELLO_INTERVAL_S)
+    status = group.replicas[founder].status()
+    assert (status.role, status.group) == ("joining", "")
+    leader = await group.leader()
+    with anyio.fail_after(5):
+        await leader.repair_member(founder)
+    assert group.replicas[founder].status().group == leader.status().group
+    assert await _propose(group, b"two") == b"2"
 
 
 async def test_leader_loss_keeps_committed_commands(
