Ping only where nothing is heard; measure a store's records

Change: a side pings after an interval without any frame; the accepting side waits 1.5 intervals, so that the dialling side goes first.

--- /dev/null
+++ b/benchmarks/kept_memory.py
@@ -0,0 +1,55 @@
+"""Memory of a store's record of one kept block, without its content.
+
+Run: python -m benchmarks.kept_memory
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import pathlib
+
+from cactusstile import tokens
+from cactusstile.store import blocks
+from cactusstile.store import shelf
+
+BLOCK_COUNTS = (10_000, 50_000, 100_000)
+BLOCKS_IN_PROMPT = 100
+CONTENT = b"state"
+MEMORY_BYTES = 1 << 40
+
+
+def _resident_bytes() -> int:
+    gc.collect()
+    status = pathlib.Path("/proc/self/status").read_text()
+    line = next(
+        line for line in status.splitlines() if line.startswith("VmRSS")
+    )
+    return int(line.split()[1]) * 1024
+
+
+def _fill(kept: shelf.Shelf, prompt: int) -> None:
+    scope = tokens.Scope("bank", "chat", "v1")
+    words = [prompt] * (BLOCKS_IN_PROMPT * tokens.BLOCK_TOKENS)
+    parent = b""
+    for position, key in enumerate(tokens.block_keys(scope, words)):
+        checksum = blocks.checksum(scope, key, CONTENT)
+        block = blocks.Block(key, parent, position, CONTENT, checksum)
+        kept.keep(scope, block)
+        parent = key
+
+
+def main() -> None:
+    """Prints one line for each number of blocks."""
+    for count in BLOCK_COUNTS:
+        before = _resident_bytes()
+        kept = shelf.Shelf(shelf.Bounds(MEMORY_BYTES, 0), lambda: 0.0)
+        for prompt in range(count // BLOCKS_IN_PROMPT):
+            _fill(kept, prompt)
+        used = _resident_bytes() - before
+        print(json.dumps({"blocks": count, "bytes_per_block": used / count}))
+        del kept
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactusstile/entry/wiring.py
+++ b/src/cactusstile/entry/wiring.py
@@ -53,7 +53,7 @@
             fleet=held,
             peers=following.peers,
             find_workspace=ring.find_workspace,
-            routing=homes.build(lambda: held.fleet, reserve=True),
+            routing=homes.build(lambda: held.fleet),
             was_claimed=build_was_claimed(following.control),
         )
 
--- a/src/cactusstile/transport/connection.py
+++ b/src/cactusstile/transport/connection.py
@@ -26,6 +26,7 @@
 HEARTBEAT_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.0
 IDLE_LIMIT_S = 60.0
+ACCEPTED_PATIENCE = 1.5
 _CREDIT_BYTES = 8
 
 
@@ -34,8 +35,9 @@
     """Heartbeat of a connection, in seconds.
 
     Attributes:
-      heartbeat_interval_s: Time between pings while calls are open or a
-        notice was sent lately; an idle connection costs nothing.
+      heartbeat_interval_s: Time without any frame after which a side pings,
+        while calls are open or a notice was sent lately; what one side hears
+        need not be asked for, and an idle connection costs nothing.
       silence_limit_s: Time without any frame after which the peer of a
         connection in use is lost.
       idle_limit_s: Time without use after which the dialling side closes
@@ -239,14 +241,23 @@
             self._in_use.set()
 
     async def _heartbeat(self, scope: anyio.CancelScope) -> None:
+        patience_s = self.timing.heartbeat_interval_s
+        if not self._dialled:
+            # Two equal timers would both fire; the dialling side goes first.
+            patience_s *= ACCEPTED_PATIENCE
         while True:
             if not self._is_used():
                 await self._wait_until_used(scope)
-            await anyio.sleep(self.timing.heartbeat_interval_s)
+            due_s = self._last_heard_s + patience_s
+            left_s = due_s - anyio.current_time()
+            if left_s > 0:
+                await anyio.sleep(left_s)
+                continue
             silence_s = anyio.current_time() - self._last_heard_s
             if silence_s > self.timing.silence_limit_s:
                 self._lose(f"peer silent for {silence_s:.1f} s", scope)
             self._put(frame.Kind.PING)
+            await anyio.sleep(patience_s)
 
     async def _wait_until_used(self, scope: anyio.CancelScope) -> None:
         self._in_use = anyio.Event()
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -201,3 +201,16 @@
             while opened.connections:
                 await anyio.sleep(0.02)
         assert await peers.call(opened.bound, message, timeout_s=1) == message
+
+
+async def test_only_the_side_that_hears_nothing_pings() -> None:
+    async with (
+        _open_pair() as opened,
+        opened.open_stream(messages.CallError("hang", "")),
+    ):
+        await anyio.sleep(FAST.heartbeat_interval_s)
+        queued = opened._outbox.queued
+        await anyio.sleep(20 * FAST.heartbeat_interval_s)
+        sent = opened._outbox.queued - queued
+        assert 10 <= sent <= 30
+        assert not opened.closed.is_set()
