Send small writes at once, and a run's end without waiting

Change: both HTTP listeners (the entry's too) name the protocol; the end of a run cuts the interval short.

--- a/src/cactusstile/agent/runs.py
+++ b/src/cactusstile/agent/runs.py
@@ -61,6 +61,7 @@
       claimed: Whether the run is claimed and so must finish.
       followers: Callers that read the output.
       ended_s: Time of the end.
+      ended: Set at the end.
     """
 
     request: messages.Run
@@ -73,6 +74,7 @@
     claimed: bool = False
     followers: int = 0
     ended_s: float = float("inf")
+    ended: anyio.Event = attrs.field(factory=anyio.Event)
     _changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -92,6 +94,7 @@
             return
         self.final = final
         self.ended_s = anyio.current_time()
+        self.ended.set()
         self._notify()
 
     async def follow(self, next_index: int, send: SendTokens) -> Final:
@@ -112,7 +115,8 @@
                 return self.final
             changed = self._changed
             if batches:
-                await anyio.sleep(COALESCE_INTERVAL_S)
+                with anyio.move_on_after(COALESCE_INTERVAL_S):
+                    await self.ended.wait()
             if position == len(self.batches) and self.final is None:
                 await changed.wait()
 
--- a/src/cactusstile/fakes/serving.py
+++ b/src/cactusstile/fakes/serving.py
@@ -55,7 +55,9 @@
     """
     wanted = listen or address.Address("127.0.0.1", 0)
     family = socket.AF_INET6 if ":" in wanted.host else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as listener:
+    with socket.socket(
+        family, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    ) as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((wanted.host, wanted.port))
         config = uvicorn.Config(
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -136,7 +136,7 @@
 
 def _bind(listen: address.Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-    bound_socket = socket.socket(family, socket.SOCK_STREAM)
+    bound_socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound_socket.setsockopt(
--- a/tests/agent/test_engine_runs.py
+++ b/tests/agent/test_engine_runs.py
@@ -12,6 +12,7 @@
 from cactusstile import verdict
 from cactusstile.agent import engine_runs
 from cactusstile.agent import messages
+from cactusstile.agent import runs
 from cactusstile.fakes import engine
 from cactusstile.fakes import engine_app
 from cactusstile.fakes import oracle
@@ -74,6 +75,15 @@
     assert end == messages.RunEnd(COUNT, "length", "v1", len(PROMPT), 0, 0)
 
 
+async def test_end_does_not_wait_for_more_output(
+    opened: site.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(runs, "COALESCE_INTERVAL_S", 5.0)
+    with anyio.fail_after(2):
+        output, _ = await _collect(opened, _run())
+    assert output == _expected()
+
+
 async def test_second_run_finds_resident_blocks(opened: site.Site) -> None:
     await _collect(opened, _run("first"))
     scope = tokens.Scope("bank", site.DEPLOYMENT, "v1")
