--- a/src/cactusstile/entry/streams.py
+++ b/src/cactusstile/entry/streams.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import anyio
 import attrs
 
 from cactusstile import verdict
@@ -13,6 +14,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.entry import pacing
     from cactusstile.transport import connection
 
     Sink = collections.abc.Callable[[str], collections.abc.Awaitable[None]]
@@ -91,12 +93,15 @@
 
 
 async def relay(
-    opened: connection.ClientStream, progress: Progress, sink: Sink
+    opened: connection.ClientStream,
+    progress: Progress,
+    sink: Sink,
+    pacer: pacing.Pacer,
 ) -> messages.RunEnd:
     """Passes the text of a run's batches to `sink` until the run ends.
 
     Batches that wait already are passed on as one, so that a slow caller or
-    a busy loop costs fewer writes, and nothing waits for a timer.
+    a busy process costs fewer writes.
 
     Raises:
       GapError: If the output must be resumed.
@@ -104,23 +109,13 @@
       TransportError: If the connection failed.
     """
     async for item in opened:
-        parts = [_accept(item, progress)]
-        size = len(parts[0])
-        gap = False
-        while size < MAX_COALESCED_CHARACTERS:
-            waiting = opened.receive_ready()
-            if waiting is None:
-                break
-            try:
-                parts.append(_accept(waiting, progress))
-            except GapError:
-                gap = True
-                break
-            size += len(parts[-1])
-        if size:
-            await sink("".join(parts))
-        if gap:
+        gathered = _gather(opened, progress, item)
+        if gathered.text:
+            await sink(gathered.text)
+        if gathered.has_gap:
             raise GapError
+        if pacer.interval_s:
+            await anyio.sleep(pacer.interval_s)
     final = await opened.result()
     if isinstance(final, messages.RunEnd):
         return progress.finish(final)
@@ -129,6 +124,32 @@
     raise exceptions.ProtocolError("unexpected end of a run")
 
 
+@attrs.frozen
+class _Gathered:
+    """Text of batches in a row, and whether a gap follows."""
+
+    text: str
+    has_gap: bool = False
+
+
+def _gather(
+    opened: connection.ClientStream, progress: Progress, first: object
+) -> _Gathered:
+    """Takes over a batch and those that wait behind it."""
+    parts = [_accept(first, progress)]
+    size = len(parts[0])
+    while size < MAX_COALESCED_CHARACTERS:
+        waiting = opened.receive_ready()
+        if waiting is None:
+            break
+        try:
+            parts.append(_accept(waiting, progress))
+        except GapError:
+            return _Gathered("".join(parts), has_gap=True)
+        size += len(parts[-1])
+    return _Gathered("".join(parts))
+
+
 def _accept(item: object, progress: Progress) -> str:
     if not isinstance(item, messages.RunTokens):
         raise exceptions.ProtocolError("unexpected item in a run")
