Serve metrics, health and the dump of control

Need: every process shows its state on request; control's admin address was in its settings and served by nobody. Change: gauges read from the state when asked, health (ready while a leader is known) and the dump. The tests ask all four roles.

--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -16,10 +16,14 @@
 from cactusstile.control import configuration
 from cactusstile.control import feed_messages
 from cactusstile.control import handlers
+from cactusstile.control import member_handlers
 from cactusstile.control import messages
 from cactusstile.control import sender
 from cactusstile.control import settings as control_settings
 from cactusstile.control import state as states
+from cactusstile.observability import admin
+from cactusstile.observability import control_metrics
+from cactusstile.observability import http_listener
 from cactusstile.state import relay
 from cactusstile.transport import exceptions as transport_exceptions
 from cactusstile.transport import handshake
@@ -29,6 +33,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    import starlette.routing
+
 logger = logging.getLogger(__name__)
 
 BEACON_INTERVAL_S = 0.5
@@ -86,12 +92,32 @@
                 handlers.build(state),
             )
         )
+        await stack.enter_async_context(
+            http_listener.open_listener(
+                _build_admin(state), settings.process.admin_listen
+            )
+        )
         group.start_soon(_send_beacons, state)
         group.start_soon(_tick_claims, state)
         logger.info("control %s is ready", settings.process.name)
         yield state
 
 
+def _build_admin(state: states.ControlState) -> starlette.routing.Router:
+    """Returns the admin application; ready means that a leader is known."""
+
+    def is_ready() -> bool:
+        return all(
+            found.status().leader_address for found in state.replicas.values()
+        )
+
+    return admin.build(
+        [control_metrics.build(state)],
+        is_ready,
+        lambda: member_handlers.describe_process(state),
+    )
+
+
 async def _open_state(
     settings: control_settings.ControlSettings,
     notices: sender.Sender,
--- a/src/cactusstile/control/member_handlers.py
+++ b/src/cactusstile/control/member_handlers.py
@@ -116,22 +116,43 @@
     )
 
 
+@attrs.frozen
+class ControlDump:
+    """State of a control process for operators.
+
+    Attributes:
+      name: Name of the process.
+      revision: Revision in force.
+      claims: Claims that are kept.
+      fences: Last fencing number by target.
+      children: Names of the children in the delivery tree.
+      beacon: Last beacon of the leader.
+      groups: View of each replicated group.
+    """
+
+    name: str
+    revision: int
+    claims: int
+    fences: dict[str, int]
+    children: list[str]
+    beacon: int
+    groups: list[member_messages.Members]
+
+
+def describe_process(state: states.ControlState) -> ControlDump:
+    """Returns the state of this process."""
+    fences = state.configuration.fences
+    return ControlDump(
+        state.settings.process.name,
+        state.configuration.fleet.revision,
+        len(state.claims),
+        {target: last.number for target, last in fences.items()},
+        state.relay.children(),
+        state.relay.beacon,
+        [describe(name, found) for name, found in state.replicas.items()],
+    )
+
+
 def dump(state: states.ControlState) -> str:
     """Returns the state of this process as JSON."""
-    groups = {
-        name: attrs.asdict(describe(name, found))
-        for name, found in state.replicas.items()
-    }
-    content = {
-        "name": state.settings.process.name,
-        "revision": state.configuration.fleet.revision,
-        "claims": len(state.claims),
-        "fences": {
-            target: last.number
-            for target, last in state.configuration.fences.items()
-        },
-        "children": state.relay.children(),
-        "beacon": state.relay.beacon,
-        "groups": groups,
-    }
-    return json.dumps(content, indent=2)
+    return json.dumps(attrs.asdict(describe_process(state)), indent=2)
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -124,7 +124,7 @@
 
 
 def test_dump_shows_state_without_secrets(site: site_processes.Site) -> None:
-    for name in ("entry-1", "engine-1", "store-1"):
+    for name in ("entry-1", "engine-1", "store-1", "control-1"):
         status, text = site.get(name, "/dump")
         assert status == 200
         assert "revision" in text
@@ -132,6 +132,20 @@
         assert "fleet-secret" not in text
 
 
+def test_metrics_of_every_role_name_their_subject(
+    site: site_processes.Site,
+) -> None:
+    for name, metric in (
+        ("entry-1", "cactusstile_entry"),
+        ("engine-1", "cactusstile_agent"),
+        ("store-1", "cactusstile_store"),
+        ("control-1", 'cactusstile_control_term{group="claims"}'),
+    ):
+        status, text = site.get(name, "/metrics")
+        assert status == 200
+        assert metric in text
+
+
 def test_site_serves_on_after_loss_of_engine_entry_and_control(
     site: site_processes.Site,
 ) -> None:
