--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -18,14 +18,15 @@
 from benchmarks import sites
 from cactusstile import tokens
 from cactusstile.agent import messages
+from cactusstile.limits import recent_use
 from cactusstile.routing import candidates
 from cactusstile.routing import choice
+from cactusstile.routing import rendezvous
 from cactusstile.store import shelf
 from cactusstile.store import transfer
 
 if typing.TYPE_CHECKING:
     from cactusstile.limits import token_bucket
-    from cactusstile.routing import rendezvous
 
 Route: typing.TypeAlias = (
     "collections.abc.Callable[[model.World, model.Run], model.Engine | None]"
@@ -44,6 +45,7 @@
       fetch_always: Whether to fetch and export whatever the link does.
       near_store: Whether a candidate beside the store is probed.
       link_aware: Whether the choice counts link use.
+      confine: Whether a storming workspace is confined to some engines.
       lagging: Whether replies come from the last load report.
     """
 
@@ -53,6 +55,7 @@
     stores: bool = True
     fetch_always: bool = False
     near_store: bool = True
+    confine: bool = True
     lagging: bool = False
     link_aware: bool = True
 
@@ -151,7 +154,7 @@
 ) -> list[choice.Probed]:
     kept_blocks = len(store.leading(run.request)) if store else 0
     near = store.member.data_centre if store and options.near_store else ""
-    homes = world.table.first(run.request.prefix_key, len(world.engines))
+    homes = _homes(options, world, run)
     selected = candidates.select_ranked(
         homes,
         loads,
@@ -167,6 +170,20 @@
     return probed
 
 
+def _homes(
+    options: Options, world: model.World, run: model.Run
+) -> list[rendezvous.Member]:
+    request = run.request
+    if not options.confine:
+        return world.table.first(request.prefix_key, len(world.engines))
+    world.use.note(request.workspace, request.prompt_tokens)
+    if not world.use.is_storming(request.workspace):
+        return world.table.first(request.prefix_key, len(world.engines))
+    count = recent_use.confined_count(len(world.engines))
+    allowed = world.table.first(request.workspace.encode(), count)
+    return rendezvous.rank(request.prefix_key, allowed)
+
+
 def _reply(
     options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
 ) -> messages.ProbeReply:
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -20,6 +20,7 @@
 from cactusstile import tokens
 from cactusstile import verdict
 from cactusstile.limits import fair_queue
+from cactusstile.limits import recent_use
 from cactusstile.limits import token_bucket
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
@@ -302,6 +303,7 @@
         """Builds an idle site."""
         self.site = site
         self.timeline = Timeline()
+        self.use = recent_use.RecentUse(self.timeline.clock)
         self.table = table.Table(site.engines)
         self.engines = {
             member.name: Engine(member, site.engine, self.timeline)
