--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -32,7 +32,7 @@
         return
     state.role = states.Role.PRE_CANDIDATE
     state.votes = {state.member_id}
-    _request_votes(state, state.term + 1, pre_vote=True, transfer=False)
+    _request_votes(state, transfer=False)
     _count_votes(state)
 
 
@@ -45,16 +45,27 @@
     state.vote = state.member_id
     state.save_metadata()
     state.votes = {state.member_id}
-    _request_votes(state, state.term, pre_vote=False, transfer=transfer)
+    _request_votes(state, transfer=transfer)
     _count_votes(state)
 
 
-def _request_votes(
-    state: states.State, term: int, *, pre_vote: bool, transfer: bool
-) -> None:
-    """Asks all other voters; a real vote only once the own one is synced."""
+def retry_requests(state: states.State) -> None:
+    """Asks again the voters whose grant is still missing.
+
+    A first message often meets a broken connection, and a voter may hear the
+    old leader a little longer; waiting for the next candidacy costs seconds.
+    """
+    if state.role in (states.Role.PRE_CANDIDATE, states.Role.CANDIDATE):
+        _request_votes(state, transfer=False)
+
+
+def _request_votes(state: states.State, *, transfer: bool) -> None:
+    """Asks the other voters; a real vote only once the own one is synced."""
+    pre_vote = state.role is states.Role.PRE_CANDIDATE
+    term = state.term + 1 if pre_vote else state.term
+    state.retry_votes_at = state.now + state.settings.heartbeat_interval_s
     for voter in state.configuration.voter_ids:
-        if voter == state.member_id:
+        if voter in state.votes:
             continue
         request = messages.VoteRequest(
             group=state.group,
@@ -80,7 +91,7 @@
     if not message.pre_vote and message.term > state.term:
         become_follower(state, message.term, "")
     granted = _may_grant(state, message)
-    if granted and not message.pre_vote:
+    if granted and not message.pre_vote and state.vote != message.source:
         state.vote = message.source
         state.save_metadata()
         state.reset_election_timer()
@@ -110,7 +121,10 @@
 def _reply(
     state: states.State, message: messages.VoteRequest, *, granted: bool
 ) -> None:
-    """Answers a vote request once term and vote are synced."""
+    """Answers a vote request; a vote only once it is synced.
+
+    A pre-vote promises nothing and need not wait for the disk.
+    """
     term = message.term if granted else state.term
     reply = messages.VoteReply(
         group=state.group,
@@ -120,7 +134,8 @@
         granted=granted,
         pre_vote=message.pre_vote,
     )
-    state.send(reply, after_sync=state.metadata_dirty)
+    after_sync = state.metadata_dirty and not message.pre_vote
+    state.send(reply, after_sync=after_sync)
 
 
 def handle_vote_reply(state: states.State, message: messages.VoteReply) -> None:
