--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,111 @@
+"""Loads of one node at the target size, worked out from measured slopes.
+
+Run: python -m benchmarks.capacity
+"""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+
+
+@attrs.frozen
+class Target:
+    """Size that the system is built towards; from the users' first letter."""
+
+    nodes: int = 670
+    control_vms: int = 10
+    workers: int = 7_800
+    requests_per_s: float = 110_000
+    tokens_per_s: float = 32_000_000
+    token_interval_s: float = 0.068
+    prompts: int = 4_600_000
+    workspaces: int = 5_800
+    models: int = 6
+    changes_per_day: float = 45_000
+
+
+@attrs.frozen
+class Slopes:
+    """Measured costs; docs/CAPACITY.md names the command of each.
+
+    Attributes:
+      write_us: Processor time of one relayed batch with its own write.
+      request_ms: Processor time of a request of one token at an entry.
+      homes_us: Time to rank the homes among a deployment's workers.
+      subscriber_us_per_s: Idle cost of a subscription, both ends.
+      change_us: Cost of a change for a subscription, both ends.
+      change_bytes: Bytes of a change for a subscription.
+      workspace_bytes: A node's copy of a workspace.
+      target_bytes: A node's copy of a target.
+      kept_block_bytes: A store's record of a block, without content.
+    """
+
+    write_us: float = 140
+    request_ms: float = 1.6
+    homes_us: float = 278
+    subscriber_us_per_s: float = 1_480
+    change_us: float = 869
+    change_bytes: float = 184
+    workspace_bytes: float = 450
+    target_bytes: float = 507
+    kept_block_bytes: float = 680
+
+
+PROMPT_TOKENS = 2_000
+BLOCK_TOKENS = 16
+HEARTBEAT_BYTES_PER_S = 80
+STORES = 300
+SECONDS_PER_DAY = 86_400
+
+
+def work_out(target: Target, slopes: Slopes) -> dict[str, float]:
+    """Returns the loads of one node by name."""
+    entries = target.nodes - target.control_vms
+    children = (target.workers + STORES) / entries
+    changes_per_s = target.changes_per_day / SECONDS_PER_DAY
+    tokens_per_request = target.tokens_per_s / target.requests_per_s
+    request_s = tokens_per_request * target.token_interval_s
+    requests = target.requests_per_s / entries
+    streams = requests * request_s
+    writes = streams / target.token_interval_s
+    edges = children + 1
+    idle_us = edges * slopes.subscriber_us_per_s / 2
+    change_us = changes_per_s * edges * slopes.change_us / 2
+    blocks = target.prompts * PROMPT_TOKENS / BLOCK_TOKENS / STORES
+    copy_bytes = (
+        target.workspaces * slopes.workspace_bytes
+        + (target.workers + STORES) * slopes.target_bytes
+    )
+    return {
+        "entry_requests_per_s": requests,
+        "entry_streams": streams,
+        "entry_tokens_per_s": target.tokens_per_s / entries,
+        "entry_writes_per_s": writes,
+        "entry_cores_for_writes": writes * slopes.write_us / 1e6,
+        "entry_cores_for_requests": requests * slopes.request_ms / 1e3,
+        "entry_cores_for_homes": requests * slopes.homes_us / 1e6,
+        "entry_children_in_tree": children,
+        "control_percent_of_core": (idle_us + change_us) / 1e6 * 100,
+        "control_bytes_per_s": edges * HEARTBEAT_BYTES_PER_S
+        + changes_per_s * edges * slopes.change_bytes,
+        "fleet_copy_megabytes": copy_bytes / 1e6,
+        "agent_requests_per_s": target.requests_per_s / target.workers,
+        "agent_tokens_per_s": target.tokens_per_s / target.workers,
+        "store_blocks": blocks,
+        "store_index_gigabytes": blocks * slopes.kept_block_bytes / 1e9,
+        "changes_per_s": changes_per_s,
+    }
+
+
+def main() -> None:
+    """Prints the loads as JSON."""
+    loads = work_out(Target(), Slopes())
+    print(
+        json.dumps({name: round(v, 3) for name, v in loads.items()}, indent=1)
+    )
+
+
+if __name__ == "__main__":
+    main()
