--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -13,6 +13,7 @@
 
 from cactusstile.agent import admission
 from cactusstile.agent import claims
+from cactusstile.agent import dump
 from cactusstile.agent import engine_agent
 from cactusstile.agent import messages
 from cactusstile.agent import node
@@ -74,7 +75,7 @@
     node: node.Node
     bound: address.Address
     ready: collections.abc.Callable[[], bool]
-    dump: collections.abc.Callable[[], dict[str, object]]
+    dump: collections.abc.Callable[[], dump.AgentState]
 
     async def drain(self, limit_s: float) -> bool:
         """Takes no new work and returns once accepted work is done.
@@ -127,7 +128,7 @@
             )
         )
         yield Agent(
-            owner, listener.bound, beside.ready, lambda: dump_node(owner)
+            owner, listener.bound, beside.ready, lambda: dump.describe(owner)
         )
 
 
@@ -168,25 +169,6 @@
             group.cancel_scope.cancel()
 
 
-def dump_node(owner: node.Node) -> dict[str, object]:
-    """Returns an agent's state for operators."""
-    queue = owner.admission.queue
-    return {
-        "target": owner.target,
-        "revision": owner.fleet.revision,
-        "confirmed": owner.fleet_holder.confirmed.is_set(),
-        "drained": owner.drained,
-        "platform_leaving": owner.platform_leaving,
-        "stopping": owner.stopping,
-        "busy": owner.busy,
-        "running": owner.admission.running,
-        "slots": owner.admission.slots,
-        "queued": queue.count,
-        "queued_tokens": queue.tokens,
-        "tokens_per_s": round(queue.tokens_per_s, 1),
-    }
-
-
 async def _watch_platform(
     owner: node.Node, settings: agent_settings.AgentSettings
 ) -> None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,7 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
-PAGES = sorted((ROOT / "docs").glob("*.md")) + [ROOT / "README.md"]
+PAGES = [*sorted((ROOT / "docs").glob("*.md")), ROOT / "README.md"]
 TEST_NAME = re.compile(r"`(test_\w+)")
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 
