Keep a caller's priority inside its workspace

Cause: the agent passed the caller's priority on to the engine, whose queue knows no workspaces; priority 100 of one would pass all others there. Conclusion: the callers' page promises 'within the workspace's share', and it now holds behind the queue too.

--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -218,7 +218,6 @@
             scope,
             request.tokens + request.generated,
             request.max_tokens - self._base,
-            request.priority,
         )
 
     async def _stream(
--- a/tests/agent/test_engine_runs.py
+++ b/tests/agent/test_engine_runs.py
@@ -75,6 +75,18 @@
     assert end == messages.RunEnd(COUNT, "length", "v1", len(PROMPT), 0, 0)
 
 
+async def test_callers_priority_does_not_reach_other_workspaces(
+    opened: site.Site,
+) -> None:
+    """The engine's own queue knows no workspaces, so it orders by arrival."""
+    await _collect(opened, _run(priority=100))
+    submitted = [
+        stream.submission.priority
+        for stream in opened.engines["engine-1"].streams.values()
+    ]
+    assert submitted == [0]
+
+
 async def test_end_does_not_wait_for_more_output(
     opened: site.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
