Name the address that cannot be bound

Cause: a second `cactusstile local` said 'Address already in use' without saying which; the new test saw that text. Change: the transport names the address; the command line leaves the system's number out; a local site drains without the wait for a balancer.

--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -98,6 +98,6 @@
     if isinstance(error, ini.InvalidFileError):
         return str(error), exceptions.ExitCode.INVALID_FILE
     if isinstance(error, OSError) and error.errno == errno.EADDRINUSE:
-        text = f"{error}; choose another address or stop its owner"
+        text = f"{error.strerror}; choose another address or stop its owner"
         return text, exceptions.ExitCode.ADDRESS_IN_USE
     return None
--- a/src/cactusstile/local/site.py
+++ b/src/cactusstile/local/site.py
@@ -142,13 +142,16 @@
     async def open_entry(self) -> entry_daemon.Entry:
         listen = address.Address(self.settings.control_host, _ANY_PORT)
         common = self.process_settings("entry-1", "local", listen)
+        defaults = {
+            option.name: option.default for option in entry_settings.OPTIONS
+        }
+        # No balancer stands before a local site that needs time to notice.
         settings = entry_settings.EntrySettings(
             attrs.evolve(common, admin_listen=self.settings.admin_listen),
-            self.settings.callers_listen,
             **{
-                option.name: option.default
-                for option in entry_settings.OPTIONS
-                if option.name != "callers_listen"
+                **defaults,
+                "callers_listen": self.settings.callers_listen,
+                "drain_delay_s": 0.0,
             },
         )
         parts = await self.stack.enter_async_context(
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -76,6 +76,19 @@
             self.server.connections.discard(opened)
 
 
+async def _bind(
+    listen: address.Address,
+) -> anyio.abc.Listener[anyio.abc.SocketStream]:
+    try:
+        return await anyio.create_tcp_listener(
+            local_host=listen.host, local_port=listen.port
+        )
+    except OSError as error:
+        raise OSError(
+            error.errno, f"cannot listen on {listen}: {error.strerror}"
+        ) from error
+
+
 @contextlib.asynccontextmanager
 async def open_server(
     listen: address.Address,
@@ -87,11 +100,9 @@
     """Listens until the context is left, which closes all connections.
 
     Raises:
-      OSError: If the address cannot be bound.
+      OSError: If the address cannot be bound; names it.
     """
-    listener = await anyio.create_tcp_listener(
-        local_host=listen.host, local_port=listen.port
-    )
+    listener = await _bind(listen)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     server = Server(address.Address(listen.host, port))
     acceptor = _Acceptor(server, identity, secrets, handlers, timing)
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import errno
 import socket
 
 import anyio
@@ -214,3 +215,15 @@
         sent = opened._outbox.queued - queued
         assert 10 <= sent <= 30
         assert not opened.closed.is_set()
+
+
+async def test_server_names_the_address_that_is_in_use() -> None:
+    identity = handshake.Identity("agent", "a")
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        holder.listen()
+        taken = address.Address("127.0.0.1", holder.getsockname()[1])
+        with pytest.raises(OSError, match=str(taken)) as caught:
+            async with server.open_server(taken, identity, SECRETS, HANDLERS):
+                pass
+    assert caught.value.errno == errno.EADDRINUSE
