--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -14,10 +14,13 @@
 from cactusstile.console import application
 from cactusstile.control import client
 from cactusstile.control import exceptions
+from cactusstile.control import messages
 from cactusstile.state import holder
 from cactusstile.state import model
 from cactusstile.state import relay
 from cactusstile.state import subscription
+from cactusstile.transport import address
+from cactusstile.transport import exceptions as transport_exceptions
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
 
@@ -159,6 +162,36 @@
         assert max(gaps) < LEAST_ELECTION_TIMEOUT_S
 
 
+async def test_cut_off_leader_answers_no_reads(
+    cluster: control_cluster.Cluster,
+) -> None:
+    identity = handshake.Identity("agent", "a1")
+    async with (
+        cluster.open_client("a1", "agent") as control,
+        pool.open_pool(identity, control_cluster.SECRETS) as connections,
+    ):
+        assert await control.take_fence("t") == 1
+        relays = dict(zip(cluster.addresses, cluster.relays, strict=True))
+        old_leader = relays[control.leader]
+        old_leader.cut()
+        assert await control.take_fence("t") == 2
+        read = messages.ReadFence("t")
+        for asked in (old_leader.upstream, _follower(cluster, control)):
+            with pytest.raises(transport_exceptions.TransportError):
+                await connections.call(asked, read, timeout_s=0.5)
+
+
+def _follower(
+    cluster: control_cluster.Cluster, control: client.ControlClient
+) -> address.Address:
+    """Returns the address of a replica that neither leads nor is cut off."""
+    for opened in cluster.relays:
+        is_cut = opened.name in cluster.cut_names
+        if opened.bound != control.leader and not is_cut:
+            return opened.upstream
+    raise AssertionError("no follower")
+
+
 async def _commit_again_and_again(
     control: client.ControlClient, gaps: list[float]
 ) -> None:
