Give each test site a loopback address of its own; log control as JSON

Change: a site draws an address of 127.0.0.0/8 and probes its ports there. Control logs JSON lines like the other roles.

--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 import pathlib
-import signal
 
 import anyio
 
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.console import exceptions
+from cactusstile.console import signals
 from cactusstile.control import daemon
 from cactusstile.control import settings as control_settings
+from cactusstile.observability import logs
 
 
 def run(settings: str) -> None:
@@ -21,7 +21,7 @@
       settings: Path of the settings file.
     """
     loaded = control_settings.load(pathlib.Path(settings))
-    logging.basicConfig(level=logging.INFO)
+    logs.configure("control", loaded.process.name)
     try:
         anyio.run(_serve, loaded)
     except* consensus_exceptions.StorageError as group:
@@ -34,14 +34,12 @@
 
 async def _serve(settings: control_settings.ControlSettings) -> None:
     stop = anyio.Event()
+
+    async def stop_at_signal() -> None:
+        await signals.wait_for_stop()
+        stop.set()
+
     async with anyio.create_task_group() as group:
-        group.start_soon(_wait_for_signal, stop)
+        group.start_soon(stop_at_signal)
         await daemon.run_control(settings, stop)
         group.cancel_scope.cancel()
-
-
-async def _wait_for_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _ in received:
-            stop.set()
-            return
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -40,7 +40,7 @@
 
 async def _attempt(site: site_processes.Site, entry: str, key: str) -> str:
     """Returns "answered", a verdict, or "unknown" for one attempt."""
-    url = f"http://127.0.0.1:{site.port(f'{entry}-callers')}"
+    url = f"http://{site.host}:{site.port(f'{entry}-callers')}"
     headers: dict[bytes | str, bytes | str] = {
         "authorization": f"Bearer {site.keys['bank']}",
         "idempotency-key": key,
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -41,7 +41,7 @@
     port = site.port("entry-1-callers")
     answer = httpcore.request(
         "POST",
-        f"http://127.0.0.1:{port}/v1/completions",
+        f"http://{site.host}:{port}/v1/completions",
         headers={
             "authorization": f"Bearer {site.keys['bank']}",
             "content-type": "application/json",
--- a/tests/processes/test_service_claims.py
+++ b/tests/processes/test_service_claims.py
@@ -59,7 +59,7 @@
         }
         answer = await connections.request(
             "POST",
-            f"http://127.0.0.1:{port}/services/inventory/stock",
+            f"http://{self._site.host}:{port}/services/inventory/stock",
             headers=headers,
             content=key.encode(),
             extensions={"timeout": {"read": 20.0}},
@@ -101,7 +101,7 @@
 
 def _operator_text(site: site_processes.Site) -> str:
     control = ", ".join(
-        f"127.0.0.1:{site.port(f'control-{number}')}" for number in (1, 2, 3)
+        f"{site.host}:{site.port(f'control-{number}')}" for number in (1, 2, 3)
     )
     secret = site.folder / "operator.secret"
     return (
@@ -114,7 +114,7 @@
     port = site.port(f"{AGENT}-target")
     async with httpcore.AsyncConnectionPool() as connections:
         answer = await connections.request(
-            "GET", f"http://127.0.0.1:{port}/_ledger"
+            "GET", f"http://{site.host}:{port}/_ledger"
         )
     return typing.cast("dict[str, int]", json.loads(answer.content))
 
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -40,7 +40,7 @@
     secrets = handshake.Secrets(b"", b"operator-secret-of-tests")
     operator = handshake.Identity("operator", "test")
     addresses = [
-        address.Address("127.0.0.1", site.port(f"control-{number}"))
+        address.Address(site.host, site.port(f"control-{number}"))
         for number in (1, 2, 3)
     ]
     async with pool.open_pool(operator, secrets) as peers:
@@ -56,7 +56,7 @@
     port = site.port(f"{entry}-callers")
     return openai.OpenAI(
         api_key=site.keys[workspace],
-        base_url=f"http://127.0.0.1:{port}/v1",
+        base_url=f"http://{site.host}:{port}/v1",
         max_retries=0,
     )
 
@@ -89,7 +89,7 @@
     port = site.port(f"{entry}-callers")
     return httpcore.request(
         "POST",
-        f"http://127.0.0.1:{port}/services/inventory/orders",
+        f"http://{site.host}:{port}/services/inventory/orders",
         headers={
             "authorization": f"Bearer {site.keys[workspace]}",
             "idempotency-key": key,
@@ -113,7 +113,7 @@
     port = site.port("entry-1-callers")
     answer = httpcore.request(
         "POST",
-        f"http://127.0.0.1:{port}/v1/chat/completions",
+        f"http://{site.host}:{port}/v1/chat/completions",
         headers={"authorization": "Bearer ck_000000_wrong"},
         content=b'{"model": "chat", "messages": []}',
     )
@@ -167,7 +167,7 @@
         "engine-1-target",
         "tests.support.fake_target",
         "engine",
-        str(site.port("engine-1-target")),
+        f"{site.host}:{site.port('engine-1-target')}",
     )
     site_processes.start_agent(site, "engine-1", "engine")
     site.wait_ready("engine-1")
--- a/tests/support/fake_target.py
+++ b/tests/support/fake_target.py
@@ -1,4 +1,4 @@
-"""Runs one stand-in of a target as a process: KIND PORT [LEDGER]."""
+"""Runs one stand-in of a target as a process: KIND ADDRESS [LEDGER]."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
         _write_ledger(stand_in, ledger_path)
 
 
-async def _main(kind: str, port: int, ledger_path: str) -> None:
-    listen = address.Address("127.0.0.1", port)
+async def _main(kind: str, place: str, ledger_path: str) -> None:
+    listen = address.parse(place)
     if kind == "service":
         await _serve_service(listen, ledger_path)
         return
@@ -45,4 +45,4 @@
 
 
 if __name__ == "__main__":
-    anyio.run(_main, sys.argv[1], int(sys.argv[2]), (*sys.argv, "")[3])
+    anyio.run(_main, sys.argv[1], sys.argv[2], (*sys.argv, "")[3])
--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import pathlib
+import secrets
 import socket
 import subprocess
 import sys
@@ -26,10 +27,16 @@
 HTTP_OK = 200
 
 
-def free_port() -> int:
-    """Returns a port that nobody listens on now."""
+def draw_host() -> str:
+    """Returns a random address of the loopback range."""
+    parts = [secrets.randbelow(253) + 1 for _ in range(3)]
+    return "127." + ".".join(map(str, parts))
+
+
+def free_port(host: str) -> int:
+    """Returns a port of `host` that nobody listens on now."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return int(probe.getsockname()[1])
 
 
@@ -42,9 +49,12 @@
       keys: Callers' keys by workspace.
       ports: Ports by what listens there.
       processes: Running processes by name.
+      host: Loopback address of this site alone, so that neither other runs
+        nor outgoing connections take its ports.
     """
 
     folder: pathlib.Path
+    host: str = attrs.field(factory=draw_host)
     keys: dict[str, str] = attrs.field(factory=dict)
     ports: dict[str, int] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
@@ -52,7 +62,7 @@
     def port(self, name: str) -> int:
         """Returns the port of `name`, chosen at the first call."""
         if name not in self.ports:
-            self.ports[name] = free_port()
+            self.ports[name] = free_port(self.host)
         return self.ports[name]
 
     def write(self, name: str, text: str) -> pathlib.Path:
@@ -80,13 +90,13 @@
     def settings(self, name: str) -> str:
         """Returns the `[process]` section of a process."""
         control = ", ".join(
-            f"127.0.0.1:{self.port(f'control-{number}')}"
+            f"{self.host}:{self.port(f'control-{number}')}"
             for number in (1, 2, 3)
         )
         return (
             f"[process]\nname = {name}\ndata_centre = ikeja\n"
-            f"listen = 127.0.0.1:{self.port(name)}\n"
-            f"admin_listen = 127.0.0.1:{self.port(name + '-admin')}\n"
+            f"listen = {self.host}:{self.port(name)}\n"
+            f"admin_listen = {self.host}:{self.port(name + '-admin')}\n"
             f"control = {control}\n"
             f"secret_file = {self.folder / 'fleet.secret'}\n"
             f"operator_secret_file = {self.folder / 'operator.secret'}\n\n"
@@ -95,7 +105,7 @@
     def write_operator(self) -> pathlib.Path:
         """Writes the settings of an operator."""
         control = ", ".join(
-            f"127.0.0.1:{self.port(f'control-{number}')}"
+            f"{self.host}:{self.port(f'control-{number}')}"
             for number in (1, 2, 3)
         )
         return self.write(
@@ -129,7 +139,7 @@
 
     def get(self, name: str, path: str) -> tuple[int, str]:
         """Returns status and text of a process's admin page."""
-        url = f"http://127.0.0.1:{self.port(name + '-admin')}{path}"
+        url = f"http://{self.host}:{self.port(name + '-admin')}{path}"
         try:
             with urllib.request.urlopen(url, timeout=2) as answer:
                 return answer.status, answer.read().decode()
@@ -175,7 +185,7 @@
     ):
         parts.append(
             f"[target {name}]\nkind = {kind}\ndata_centre = ikeja\n"
-            f"agent = 127.0.0.1:{site.port(name)}\n{serves}\n"
+            f"agent = {site.host}:{site.port(name)}\n{serves}\n"
         )
     return "\n".join(parts)
 
@@ -193,7 +203,7 @@
         for number in (1, 2):
             name = f"entry-{number}"
             port = site.port(f"{name}-callers")
-            section = f"[entry]\ncallers_listen = 127.0.0.1:{port}\n"
+            section = f"[entry]\ncallers_listen = {site.host}:{port}\n"
             site.start_role("entry", name, section + "drain_delay_s = 0.1\n")
         for name, kind in (
             ("engine-1", "engine"),
@@ -212,7 +222,11 @@
     port = site.port(f"{name}-target")
     ledger = str(site.folder / f"{name}-ledger.json")
     site.start(
-        f"{name}-target", "tests.support.fake_target", kind, str(port), ledger
+        f"{name}-target",
+        "tests.support.fake_target",
+        kind,
+        f"{site.host}:{port}",
+        ledger,
     )
     start_agent(site, name, kind)
 
@@ -222,14 +236,14 @@
     port = site.port(f"{name}-target")
     section = (
         f"[agent]\nkind = {kind}\ntarget = {name}\n"
-        f"url = http://127.0.0.1:{port}\n"
+        f"url = http://{site.host}:{port}\n"
     )
     site.start_role("agent", name, section)
 
 
 def _start_control(site: Site) -> None:
     founders = ", ".join(
-        f"control-{number}=127.0.0.1:{site.port(f'control-{number}')}"
+        f"control-{number}={site.host}:{site.port(f'control-{number}')}"
         for number in (1, 2, 3)
     )
     for number in (1, 2, 3):
