Bound the claims of one workspace

The new test was granted a third claim before. Ruled out: a shorter retention for drawn keys (an attempt may live as long as its deadline; needs an argument of its own). Change: a record names its workspace by 8 bytes; a workspace holds at most 25,000 claims and is told to come back after 60 s.

--- a/benchmarks/control_commits.py
+++ b/benchmarks/control_commits.py
@@ -104,7 +104,8 @@
             sequence += 1
             started_s = anyio.current_time()
             key = f"{arguments.clients}-{number}-{sequence}"
-            grant = await control.claim("w", key, b"digest", 1)
+            workspace = f"w{number % 8}"
+            grant = await control.claim(workspace, key, b"digest", 1)
             assert grant.granted
             spent_s = anyio.current_time() - started_s
             latencies.record_value(max(1, round(spent_s * 1e6)))
--- a/benchmarks/control_memory.py
+++ b/benchmarks/control_memory.py
@@ -53,7 +53,7 @@
     machine = claims.Claims()
     for number in range(count):
         claim = claim_messages.Claim(
-            "w", f"key-{number}", b"digest", 1, os.urandom(16)
+            f"w{number % 8}", f"key-{number}", b"digest", 1, os.urandom(16)
         )
         machine.apply(number, commands.pack(claim))
     return machine
--- a/src/cactusstile/control/claims.py
+++ b/src/cactusstile/control/claims.py
@@ -21,6 +21,8 @@
 from cactusstile.transport import exceptions as transport_exceptions
 
 MAX_CLAIMS = 100_000
+MAX_WORKSPACE_CLAIMS = 25_000
+WORKSPACE_FULL_RETRY_S = 60.0
 RETENTION_MS = 24 * 60 * 60 * 1000
 MAX_ANSWER_BYTES = 256 * 1024
 MAX_ANSWERS_BYTES = 16 * 1024 * 1024
@@ -29,7 +31,8 @@
 CLAIM_ID_BYTES = 16
 _KEY_BYTES = 16
 _DIGEST_BYTES = 16
-_RECORD = struct.Struct("<BQQ16s16s")
+_OWNER_BYTES = 8
+_RECORD = struct.Struct("<BQQ16s16s8s")
 _COUNTS = struct.Struct("<QII")
 _LENGTH = struct.Struct("<I")
 
@@ -56,6 +59,7 @@
     incarnation: int
     claim_id: bytes
     digest: bytes
+    owner: bytes
     outcome: str = ""
 
     def pack(self) -> bytes:
@@ -65,17 +69,24 @@
             self.incarnation,
             self.claim_id,
             self.digest,
+            self.owner,
         )
         return head + self.outcome.encode()
 
 
 def _unpack(data: bytes) -> _Record:
-    code, claimed_at_ms, incarnation, claim_id, digest = _RECORD.unpack_from(
-        data
+    code, claimed_at_ms, incarnation, claim_id, digest, owner = (
+        _RECORD.unpack_from(data)
     )
     outcome = data[_RECORD.size :].decode()
     return _Record(
-        _Code(code), claimed_at_ms, incarnation, claim_id, digest, outcome
+        _Code(code),
+        claimed_at_ms,
+        incarnation,
+        claim_id,
+        digest,
+        owner,
+        outcome,
     )
 
 
@@ -85,16 +96,24 @@
     Attributes:
       now_ms: Time that passed under leaders since the group was founded.
       max_claims: Bound on claims; a full group refuses new ones.
+      max_workspace_claims: Bound on the claims of one workspace, so that none
+        fills the group.
     """
 
-    def __init__(self, max_claims: int = MAX_CLAIMS) -> None:
+    def __init__(
+        self,
+        max_claims: int = MAX_CLAIMS,
+        max_workspace_claims: int = MAX_WORKSPACE_CLAIMS,
+    ) -> None:
         """Starts empty."""
         self.max_claims = max_claims
+        self.max_workspace_claims = max_workspace_claims
         self._reset()
 
     def _reset(self) -> None:
         self.now_ms = 0
         self._records: dict[bytes, bytes] = {}
+        self._owned: collections.Counter[bytes] = collections.Counter()
         self._answers: collections.OrderedDict[bytes, bytes] = (
             collections.OrderedDict()
         )
@@ -146,27 +165,34 @@
                 and record.claim_id == message.claim_id
             )
             return self._describe(key, digest, granted=granted)
-        if len(self._records) >= self.max_claims:
-            return self._refuse_full()
+        owner = _hash_owner(message.workspace)
+        refusal = self._refuse_full(owner)
+        if refusal is not None:
+            return refusal
         record = _Record(
             _Code.RUNNING,
             self.now_ms,
             message.incarnation,
             message.claim_id,
             digest,
+            owner,
         )
-        self._records[key] = record.pack()
+        self._insert(key, record)
         return self._describe(key, digest, granted=True)
 
     def _close(self, message: claim_messages.CloseClaim) -> object:
         key = _hash_key(message.workspace, message.request_key)
         digest = _shorten(message.content_digest)
         if key not in self._records:
-            if len(self._records) >= self.max_claims:
-                return self._refuse_full()
+            owner = _hash_owner(message.workspace)
+            refusal = self._refuse_full(owner)
+            if refusal is not None:
+                return refusal
             nobody = bytes(CLAIM_ID_BYTES)
-            record = _Record(_Code.CLOSED, self.now_ms, 0, nobody, digest)
-            self._records[key] = record.pack()
+            record = _Record(
+                _Code.CLOSED, self.now_ms, 0, nobody, digest, owner
+            )
+            self._insert(key, record)
         return self._describe(key, digest)
 
     def _finish(self, message: claim_messages.FinishClaim) -> object:
@@ -183,7 +209,7 @@
     def _release(self, message: claim_messages.ReleaseClaim) -> object:
         key = _hash_key(message.workspace, message.request_key)
         if self._find_running(key, message.claim_id) is not None:
-            del self._records[key]
+            self._remove(key)
         return self._describe(key)
 
     def _tick(self, message: claim_messages.ClaimTick) -> object:
@@ -195,11 +221,21 @@
                 break
             expired.append(key)
         for key in expired:
-            del self._records[key]
+            self._remove(key)
             answer = self._answers.pop(key, b"")
             self._answers_bytes -= len(answer)
         return message
 
+    def _insert(self, key: bytes, record: _Record) -> None:
+        self._records[key] = record.pack()
+        self._owned[record.owner] += 1
+
+    def _remove(self, key: bytes) -> None:
+        owner = _unpack(self._records.pop(key)).owner
+        self._owned[owner] -= 1
+        if not self._owned[owner]:
+            del self._owned[owner]
+
     def _find_running(self, key: bytes, claim_id: bytes) -> _Record | None:
         data = self._records.get(key)
         if data is None:
@@ -218,12 +254,20 @@
             _, dropped = self._answers.popitem(last=False)
             self._answers_bytes -= len(dropped)
 
-    def _refuse_full(self) -> object:
-        _, oldest_ms, *_ = _RECORD.unpack_from(
-            next(iter(self._records.values()))
-        )
-        wait_s = (oldest_ms + RETENTION_MS - self.now_ms) / 1000
-        text = f"control holds {self.max_claims} claims; come back later"
+    def _refuse_full(self, owner: bytes) -> object | None:
+        """Returns the refusal of one more claim, or None if there is room."""
+        if self._owned[owner] >= self.max_workspace_claims:
+            text = (
+                f"the workspace holds {self.max_workspace_claims} claims; "
+                "come back later"
+            )
+            wait_s = WORKSPACE_FULL_RETRY_S
+        elif len(self._records) >= self.max_claims:
+            oldest = _unpack(next(iter(self._records.values())))
+            wait_s = (oldest.claimed_at_ms + RETENTION_MS - self.now_ms) / 1000
+            text = f"control holds {self.max_claims} claims; come back later"
+        else:
+            return None
         return commands.refuse("overloaded", text, f"{wait_s:.3f}")
 
     def _describe(
@@ -271,6 +315,7 @@
         for _ in range(records):
             key, value = reader.take_pair()
             self._records[key] = value
+            self._owned[_unpack(value).owner] += 1
         for _ in range(answers):
             key, value = reader.take_pair()
             self._answers[key] = value
@@ -330,5 +375,11 @@
     return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
 
 
+def _hash_owner(workspace: str) -> bytes:
+    return hashlib.blake2b(
+        workspace.encode(), digest_size=_OWNER_BYTES
+    ).digest()
+
+
 def _shorten(digest: bytes) -> bytes:
     return hashlib.blake2b(digest, digest_size=_DIGEST_BYTES).digest()
--- a/tests/control/test_claims.py
+++ b/tests/control/test_claims.py
@@ -39,7 +39,7 @@
 
 
 def _restart(machine: claims.Claims) -> claims.Claims:
-    restored = claims.Claims(machine.max_claims)
+    restored = claims.Claims(machine.max_claims, machine.max_workspace_claims)
     restored.restore(machine.snapshot())
     return restored
 
@@ -157,3 +157,23 @@
     for damaged in (data[:-1], data + b"x"):
         with pytest.raises(exceptions.SnapshotError):
             claims.Claims().restore(damaged)
+
+
+def test_workspace_that_fills_its_bound_leaves_room_for_others() -> None:
+    machine = claims.Claims(max_claims=4, max_workspace_claims=2)
+    for number in range(2):
+        assert _apply(machine, _claim(key=f"k{number}")).granted
+    machine = _restart(machine)
+    other = claim_messages.Claim("clinic", "k1", b"d", 7, TWO)
+    with pytest.raises(transport_exceptions.RemoteError) as caught:
+        _apply(machine, _claim(key="k2"))
+    assert caught.value.code == "overloaded"
+    assert float(caught.value.detail) > 0
+    with pytest.raises(transport_exceptions.RemoteError):
+        _apply(machine, claim_messages.CloseClaim("bank", "k2", b"d"))
+    assert _apply(machine, other).granted
+    assert not _apply(machine, _claim(TWO, key="k1")).granted
+    _apply(machine, claim_messages.ReleaseClaim("bank", "k1", ONE))
+    assert _apply(machine, _claim(key="k2")).granted
+    _tick(machine, claims.RETENTION_MS)
+    assert _apply(machine, _claim(key="k3")).granted
