--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -22,7 +22,7 @@
 from cactusstile.routing import candidates
 from cactusstile.routing import choice
 from cactusstile.routing import rendezvous
-from cactusstile.store import shelf
+from cactusstile.store import block_store
 from cactusstile.store import transfer
 
 if typing.TYPE_CHECKING:
@@ -75,7 +75,7 @@
     name: str
     route: Route
     export: model.ExportRule | None = None
-    value: shelf.Value | None = None
+    value: block_store.Value | None = None
 
 
 def round_robin() -> Policy:
@@ -99,7 +99,7 @@
     return Policy("least_loaded", route)
 
 
-def least_recently_used(record: shelf.Record, now_s: float) -> float:
+def least_recently_used(record: block_store.Record, now_s: float) -> float:
     """Returns a value of kept blocks that evicts by last visit alone."""
     return record.visited_s - now_s
 
--- a/benchmarks/kept_memory.py
+++ b/benchmarks/kept_memory.py
@@ -10,8 +10,8 @@
 import pathlib
 
 from cactusstile import tokens
+from cactusstile.store import block_store
 from cactusstile.store import blocks
-from cactusstile.store import shelf
 
 BLOCK_COUNTS = (10_000, 50_000, 100_000)
 BLOCKS_IN_PROMPT = 100
@@ -28,7 +28,7 @@
     return int(line.split()[1]) * 1024
 
 
-def _fill(kept: shelf.Shelf, prompt: int) -> None:
+def _fill(kept: block_store.BlockStore, prompt: int) -> None:
     scope = tokens.Scope("bank", "chat", "v1")
     words = [prompt] * (BLOCKS_IN_PROMPT * tokens.BLOCK_TOKENS)
     parent = b""
@@ -43,7 +43,9 @@
     """Prints one line for each number of blocks."""
     for count in BLOCK_COUNTS:
         before = _resident_bytes()
-        kept = shelf.Shelf(shelf.Bounds(MEMORY_BYTES, 0), lambda: 0.0)
+        kept = block_store.BlockStore(
+            block_store.Bounds(MEMORY_BYTES, 0), lambda: 0.0
+        )
         for prompt in range(count // BLOCKS_IN_PROMPT):
             _fill(kept, prompt)
         used = _resident_bytes() - before
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -24,11 +24,11 @@
 from cactusstile.limits import token_bucket
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
+from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import exceptions
 from cactusstile.store import location
 from cactusstile.store import returns
-from cactusstile.store import shelf
 from cactusstile.store import transfer
 
 SCALED_BLOCK = b"\0" * 64
@@ -249,16 +249,16 @@
         member: rendezvous.Member,
         site: sites.Site,
         timeline: Timeline,
-        value: shelf.Value | None = None,
+        value: block_store.Value | None = None,
     ) -> None:
         """Starts empty; both tiers are modelled as one."""
         self.member = member
         self.alive = True
         count = site.store_memory_blocks + site.store_disk_blocks
-        bounds = shelf.Bounds(count * len(SCALED_BLOCK), 0)
-        self.kept = shelf.Shelf(bounds, timeline.clock, value=value)
+        bounds = block_store.Bounds(count * len(SCALED_BLOCK), 0)
+        self.kept = block_store.BlockStore(bounds, timeline.clock, value=value)
 
-    def leading(self, request: traces.Request) -> list[shelf.Record]:
+    def leading(self, request: traces.Request) -> list[block_store.Record]:
         """Returns the blocks kept of a prompt."""
         if not self.alive:
             return []
@@ -298,7 +298,7 @@
     """
 
     def __init__(
-        self, site: sites.Site, value: shelf.Value | None = None
+        self, site: sites.Site, value: block_store.Value | None = None
     ) -> None:
         """Builds an idle site."""
         self.site = site
--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -114,13 +114,13 @@
         if settings.platform_url:
             group.start_soon(_watch_platform, owner, settings)
         if settings.kind == "engine":
-            beside = engine_agent.start(
+            served = engine_agent.start(
                 settings, links, owner, target, claimer, group
             )
         else:
-            beside = service_agent.start(owner, target, claimer, group)
+            served = service_agent.start(owner, target, claimer, group)
         handlers = incoming.Handlers(
-            calls={**beside.calls, messages.Drain: _serve_drain(owner)}
+            calls={**served.calls, messages.Drain: _serve_drain(owner)}
         )
         listener = await stack.enter_async_context(
             server.open_server(
@@ -128,7 +128,7 @@
             )
         )
         yield Agent(
-            owner, listener.bound, beside.ready, lambda: dump.describe(owner)
+            owner, listener.bound, served.ready, lambda: dump.describe(owner)
         )
 
 
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -43,7 +43,7 @@
     target: http.HttpTarget,
     claimer: claims.Claimer,
     group: anyio.abc.TaskGroup,
-) -> node.Beside:
+) -> node.ServedCalls:
     """Starts the engine's controller; returns what serves calls."""
     client = engine.EngineClient(target, openai_dialect.DIALECT)
     version_gate = gate.VersionGate()
@@ -72,7 +72,9 @@
         messages.Run: running.run,
         messages.Attach: running.attach,
     }
-    return node.Beside(calls, lambda: owner.takes_work and version_gate.is_open)
+    return node.ServedCalls(
+        calls, lambda: owner.takes_work and version_gate.is_open
+    )
 
 
 def _turn_waiter(
--- a/src/cactusstile/agent/node.py
+++ b/src/cactusstile/agent/node.py
@@ -159,7 +159,7 @@
 
 
 @attrs.frozen
-class Beside:
+class ServedCalls:
     """What one kind of agent adds to the listener.
 
     Attributes:
--- a/src/cactusstile/agent/service_agent.py
+++ b/src/cactusstile/agent/service_agent.py
@@ -21,7 +21,7 @@
     target: http.HttpTarget,
     claimer: claims.Claimer,
     group: anyio.abc.TaskGroup,
-) -> node.Beside:
+) -> node.ServedCalls:
     """Returns what serves calls to a plain service."""
     calls = service_calls.ServiceCalls(owner, target, claimer, group)
 
@@ -47,4 +47,4 @@
         messages.ServiceCall: calls.call,
         messages.Probe: probe,
     }
-    return node.Beside(handlers, lambda: owner.takes_work)
+    return node.ServedCalls(handlers, lambda: owner.takes_work)
--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -13,9 +13,9 @@
 from cactusstile.observability import admin
 from cactusstile.observability import http_listener
 from cactusstile.state import follower
+from cactusstile.store import block_store
 from cactusstile.store import daemon as store_daemon
 from cactusstile.store import messages as store_messages
-from cactusstile.store import shelf
 from cactusstile.transport import handshake
 
 if typing.TYPE_CHECKING:
@@ -111,7 +111,7 @@
         settings.process.listen,
         settings.process.secrets,
         pathlib.Path(settings.data_folder),
-        shelf.Bounds(settings.memory_bytes, settings.disk_bytes),
+        block_store.Bounds(settings.memory_bytes, settings.disk_bytes),
     )
 
 
--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -62,7 +62,7 @@
             store, settings.sync_in_thread, settings.group_commit
         )
         self.waiters = waiters.Waiters()
-        self.acquaintances = founding.Acquaintances()
+        self.known_replicas = founding.KnownReplicas()
         self.stopped = False
         self.applied_index = 0
         self.applied_bytes = 0
@@ -124,7 +124,7 @@
 
     def joining(self) -> list[messages.Hello]:
         """Returns the replicas that made themselves known, not members."""
-        return self.acquaintances.current(
+        return self.known_replicas.current(
             self.state.configuration, self.clock()
         )
 
@@ -252,7 +252,7 @@
             return
         if founders[0] != self.settings.name:
             return
-        if self.acquaintances.group_exists:
+        if self.known_replicas.group_exists:
             return
         own = self._hello()
         writes = founding.found_group(own, founders, self.joining())
@@ -280,7 +280,7 @@
 
     def _receive_hello(self, hello: messages.Hello) -> None:
         """Notes a replica; tells it, and the leader, if a group exists."""
-        self.acquaintances.add(hello, self.clock())
+        self.known_replicas.add(hello, self.clock())
         if not self.state.group:
             self.writer.work.set()
             return
--- a/src/cactusstile/consensus/founding.py
+++ b/src/cactusstile/consensus/founding.py
@@ -37,7 +37,7 @@
 
 
 @attrs.define
-class Acquaintances:
+class KnownReplicas:
     """Replicas that made themselves known lately.
 
     Attributes:
--- a/src/cactusstile/fakes/site.py
+++ b/src/cactusstile/fakes/site.py
@@ -19,8 +19,8 @@
 from cactusstile.settings import process
 from cactusstile.state import holder
 from cactusstile.state import model
+from cactusstile.store import block_store
 from cactusstile.store import daemon as store_daemon
-from cactusstile.store import shelf
 from cactusstile.transport import address
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
@@ -157,7 +157,7 @@
         address.Address("127.0.0.1", 0),
         SECRETS,
         pathlib.Path(),
-        shelf.Bounds(STORE_BYTES, 0),
+        block_store.Bounds(STORE_BYTES, 0),
     )
     async with store_daemon.open_store(settings) as opened:
         site.stores[name] = opened
--- a/src/cactusstile/local/site.py
+++ b/src/cactusstile/local/site.py
@@ -25,8 +25,8 @@
 from cactusstile.settings import entry as entry_settings
 from cactusstile.settings import process
 from cactusstile.state import model
+from cactusstile.store import block_store
 from cactusstile.store import daemon as store_daemon
-from cactusstile.store import shelf
 from cactusstile.transport import address
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
@@ -167,7 +167,7 @@
         )
         if target.kind is model.TargetKind.STORE:
             folder = self.settings.data_folder / target.name
-            bounds = shelf.Bounds(STORE_MEMORY_BYTES, STORE_DISK_BYTES)
+            bounds = block_store.Bounds(STORE_MEMORY_BYTES, STORE_DISK_BYTES)
             settings = store_daemon.Settings(
                 target.name, target.agent, self.secrets, folder, bounds
             )
--- a/src/cactusstile/store/shelf.py
+++ b/src/cactusstile/store/block_store.py
@@ -73,7 +73,7 @@
 Value: typing.TypeAlias = "collections.abc.Callable[[Record, float], float]"
 
 
-class Shelf:
+class BlockStore:
     """Sealed blocks by key.
 
     Attributes:
@@ -93,7 +93,7 @@
         value: Value | None = None,
         seed: int = 0,
     ) -> None:
-        """Opens the shelf and finds what the disk still holds."""
+        """Opens the store and finds what the disk still holds."""
         self.bounds = bounds
         self.records: dict[bytes, Record] = {}
         self.memory_bytes = 0
--- a/src/cactusstile/store/daemon.py
+++ b/src/cactusstile/store/daemon.py
@@ -10,11 +10,11 @@
 import anyio
 import attrs
 
+from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import disk
 from cactusstile.store import exceptions
 from cactusstile.store import messages
-from cactusstile.store import shelf
 from cactusstile.store import uploads
 from cactusstile.transport import address
 from cactusstile.transport import exceptions as transport_exceptions
@@ -46,7 +46,7 @@
     listen: address.Address
     secrets: handshake.Secrets
     data_folder: pathlib.Path
-    bounds: shelf.Bounds
+    bounds: block_store.Bounds
 
 
 @attrs.frozen
@@ -59,14 +59,14 @@
     """
 
     bound: address.Address
-    kept: shelf.Shelf
+    kept: block_store.BlockStore
 
 
 @attrs.frozen
 class _Service:
     """Handlers of a store's calls."""
 
-    kept: shelf.Shelf
+    kept: block_store.BlockStore
     uploads: uploads.Uploads
 
     async def have(
@@ -131,7 +131,7 @@
         return False
 
     async def _send(
-        self, responder: incoming.Responder, record: shelf.Record
+        self, responder: incoming.Responder, record: block_store.Record
     ) -> None:
         """Sends a block in parts, each read under its generation."""
         header = record.header
@@ -164,7 +164,7 @@
                 return
 
 
-def free_matching(kept: shelf.Shelf, message: messages.Free) -> int:
+def free_matching(kept: block_store.BlockStore, message: messages.Free) -> int:
     """Frees the blocks that match all fields that are not empty."""
     count = 0
     for record in list(kept.records.values()):
@@ -193,7 +193,7 @@
     tier = None
     if settings.bounds.disk_bytes:
         tier = disk.DiskTier(settings.data_folder / _FOLDER)
-    kept = shelf.Shelf(settings.bounds, anyio.current_time, tier)
+    kept = block_store.BlockStore(settings.bounds, anyio.current_time, tier)
     logger.info("store %s holds %d blocks", settings.name, len(kept.records))
     service = _Service(kept, uploads.Uploads(anyio.current_time))
     handlers = incoming.Handlers(
--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -9,10 +9,10 @@
 
 from cactusstile import tokens
 from cactusstile.state import model
+from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import client
 from cactusstile.store import daemon
-from cactusstile.store import shelf
 from cactusstile.transport import address
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
@@ -44,13 +44,13 @@
     return result
 
 
-def make_shelf(
+def make_block_store(
     memory_bytes: int, disk_bytes: int = 0, **rest: object
-) -> shelf.Shelf:
-    """Returns a shelf on a clock that counts its calls."""
+) -> block_store.BlockStore:
+    """Returns a block store on a clock that counts its calls."""
     ticks = itertools.count()
-    return shelf.Shelf(
-        shelf.Bounds(memory_bytes, disk_bytes),
+    return block_store.BlockStore(
+        block_store.Bounds(memory_bytes, disk_bytes),
         lambda: float(next(ticks)),
         **rest,  # type: ignore[arg-type]
     )
@@ -70,7 +70,7 @@
     tmp_path: pathlib.Path,
 ) -> collections.abc.AsyncIterator[Bench]:
     settings = daemon.Settings(
-        "s1", LOCAL, SECRETS, tmp_path, shelf.Bounds(4_000_000, 4_000_000)
+        "s1", LOCAL, SECRETS, tmp_path, block_store.Bounds(4_000_000, 4_000_000)
     )
     identity = handshake.Identity("agent", "a1")
     async with (
--- a/tests/store/test_shelf.py
+++ b/tests/store/test_block_store.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 from tests.store import conftest
 
+from cactusstile.store import block_store
 from cactusstile.store import disk
 from cactusstile.store import exceptions
-from cactusstile.store import shelf
 
 
 @hypothesis.given(
@@ -23,10 +23,10 @@
         max_size=30,
     )
 )
-def test_shelf_stays_bounded_and_keeps_usable_prefixes(
+def test_block_store_stays_bounded_and_keeps_usable_prefixes(
     steps: list[tuple[int, int, bool]],
 ) -> None:
-    kept = conftest.make_shelf(1000)
+    kept = conftest.make_block_store(1000)
     for first, count, free in steps:
         for block in conftest.make_blocks(count, first=first):
             try:
@@ -43,7 +43,7 @@
 
 
 def test_keep_again_raises_generation() -> None:
-    kept = conftest.make_shelf(1000)
+    kept = conftest.make_block_store(1000)
     [block] = conftest.make_blocks(1)
     old = kept.keep(conftest.SCOPE, block).header
     kept.free(kept.records[block.key])
@@ -56,7 +56,9 @@
 def test_disk_tier_survives_restart_without_damaged_files(
     tmp_path: pathlib.Path,
 ) -> None:
-    first = conftest.make_shelf(300, 5000, disk_tier=disk.DiskTier(tmp_path))
+    first = conftest.make_block_store(
+        300, 5000, disk_tier=disk.DiskTier(tmp_path)
+    )
     chains = [conftest.make_blocks(4, first=n) for n in (0, 100, 200)]
     for block in [block for chain in chains for block in chain]:
         first.keep(conftest.SCOPE, block)
@@ -66,7 +68,9 @@
     torn.write_bytes(torn.read_bytes()[:-1])
     newest = max(r.header.generation for r in first.records.values())
 
-    again = conftest.make_shelf(300, 5000, disk_tier=disk.DiskTier(tmp_path))
+    again = conftest.make_block_store(
+        300, 5000, disk_tier=disk.DiskTier(tmp_path)
+    )
     found = [
         len(again.leading(conftest.SCOPE, [block.key for block in chain]))
         for chain in chains
@@ -82,7 +86,7 @@
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     tier = disk.DiskTier(tmp_path)
-    kept = conftest.make_shelf(300, 5000, disk_tier=tier)
+    kept = conftest.make_block_store(300, 5000, disk_tier=tier)
 
     def refuse(header: disk.Header, data: bytes) -> None:
         raise OSError(28, "No space left on device")
@@ -97,7 +101,7 @@
     assert not tier.used_bytes
 
 
-def _served_share(value: shelf.Value | None, seed: int) -> float:
+def _served_share(value: block_store.Value | None, seed: int) -> float:
     """Returns the share of returns that find their block.
 
     One workspace returns after gaps with a heavy tail, the other runs each
@@ -105,7 +109,9 @@
     """
     rng = random.Random(seed)
     now_s = 0.0
-    kept = shelf.Shelf(shelf.Bounds(20_000, 0), lambda: now_s, value=value)
+    kept = block_store.BlockStore(
+        block_store.Bounds(20_000, 0), lambda: now_s, value=value
+    )
     visits = []
     for first in range(1200):
         at_s = rng.uniform(0, 10_000)
@@ -137,7 +143,7 @@
     return found / returns
 
 
-def _least_recent(record: shelf.Record, now_s: float) -> float:
+def _least_recent(record: block_store.Record, now_s: float) -> float:
     return -(now_s - record.visited_s)
 
 
--- a/tests/store/test_transfer_faults.py
+++ b/tests/store/test_transfer_faults.py
@@ -10,27 +10,27 @@
 import pytest
 from tests.store import conftest
 
+from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import client
 from cactusstile.store import daemon
 from cactusstile.store import exceptions
 from cactusstile.store import messages
-from cactusstile.store import shelf
 from cactusstile.transport import incoming
 
 pytestmark = pytest.mark.anyio
 
 SIZE = 3 * messages.PART_BYTES
 Fault: typing.TypeAlias = collections.abc.Callable[
-    [shelf.Shelf, blocks.Block], None
+    [block_store.BlockStore, blocks.Block], None
 ]
 
 
-def _free(kept: shelf.Shelf, block: blocks.Block) -> None:
+def _free(kept: block_store.BlockStore, block: blocks.Block) -> None:
     kept.free(kept.records[block.key])
 
 
-def _overwrite(kept: shelf.Shelf, block: blocks.Block) -> None:
+def _overwrite(kept: block_store.BlockStore, block: blocks.Block) -> None:
     """Frees the block and keeps other content under its key.
 
     Two engines export the same prompt with different rounding.
@@ -41,20 +41,22 @@
     kept.keep(conftest.SCOPE, attrs.evolve(block, data=data, checksum=checksum))
 
 
-def _corrupt(kept: shelf.Shelf, block: blocks.Block) -> None:
+def _corrupt(kept: block_store.BlockStore, block: blocks.Block) -> None:
     path = _move_to_disk(kept, block)
     with path.open("r+b") as file:
         file.seek(-10, 2)
         file.write(b"corruption")
 
 
-def _truncate(kept: shelf.Shelf, block: blocks.Block) -> None:
+def _truncate(kept: block_store.BlockStore, block: blocks.Block) -> None:
     path = _move_to_disk(kept, block)
     with path.open("r+b") as file:
         file.truncate(path.stat().st_size - messages.PART_BYTES - 10)
 
 
-def _move_to_disk(kept: shelf.Shelf, block: blocks.Block) -> typing.Any:
+def _move_to_disk(
+    kept: block_store.BlockStore, block: blocks.Block
+) -> typing.Any:
     kept.flush()
     assert kept.disk is not None
     return kept.disk._path(block.key)
@@ -91,7 +93,7 @@
     """Serves and accepts parts without generation, length or checksum."""
 
     def read_any(
-        self: shelf.Shelf, header: typing.Any, offset: int, size: int
+        self: block_store.BlockStore, header: typing.Any, offset: int, size: int
     ) -> bytes:
         record = self.records.get(header.key)
         if record is None:
@@ -104,7 +106,7 @@
             min(size, header.size - offset), b"\0"
         )
 
-    monkeypatch.setattr(shelf.Shelf, "read", read_any)
+    monkeypatch.setattr(block_store.BlockStore, "read", read_any)
     monkeypatch.setattr(client, "_follows", _accept)
     monkeypatch.setattr(client, "_is_sound", _accept)
     monkeypatch.setattr(daemon._Service, "is_whole", _accept)
