Give each process of a test site a port of its own

Cause: Site.port() bound port 0, closed the socket and kept the number, so nothing stopped the next call from drawing the same number. The port dump of the red run shows it: service-1 held 40095, and entry-1 wanted the same. Ruled out: another run (each site draws its own loopback address) and outgoing connections (their source is 127.0.0.1).

Change: ports of a site are counted up from 20000, below the range of outgoing connections.

--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -5,7 +5,6 @@
 import contextlib
 import pathlib
 import secrets
-import socket
 import subprocess
 import sys
 import time
@@ -25,6 +24,8 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 HTTP_OK = 200
+# Below the range from which the kernel draws ports of outgoing connections.
+FIRST_PORT = 20_000
 
 
 def draw_host() -> str:
@@ -33,13 +34,6 @@
     return "127." + ".".join(map(str, parts))
 
 
-def free_port(host: str) -> int:
-    """Returns a port of `host` that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
-
-
 @attrs.define
 class Site:
     """A site of real processes.
@@ -60,9 +54,9 @@
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
 
     def port(self, name: str) -> int:
-        """Returns the port of `name`, chosen at the first call."""
+        """Returns the port of `name`, counted up at the first call."""
         if name not in self.ports:
-            self.ports[name] = free_port(self.host)
+            self.ports[name] = FIRST_PORT + len(self.ports)
         return self.ports[name]
 
     def write(self, name: str, text: str) -> pathlib.Path:
