Take text arguments of commands as they are written

Cause: fire reads each argument as a Python literal first. A file named 1e3 became "1000.0" and was not found; a path such as 250/at-0a.ini printed "<unknown>:1: SyntaxWarning: invalid decimal literal" into each process's log. Ruled out: quoting by the caller, which a shell takes off.

Change: parameters annotated `str` keep the text given.

Before: the new test fails (exit code 3). After: it passes, no warning.

--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -4,6 +4,7 @@
 
 import errno
 import importlib
+import inspect
 import sys
 import typing
 
@@ -51,6 +52,7 @@
         print(f"cactusstile: no command {name!r}\n{usage()}", file=sys.stderr)
         return exceptions.ExitCode.USAGE
     module = importlib.import_module(f"cactusstile.console.{name}")
+    _keep_text(module.run)
     try:
         fire.Fire(module.run, command=arguments[1:], name=f"cactusstile {name}")
     except fire.core.FireExit as exit_:
@@ -84,6 +86,14 @@
     return code
 
 
+def _keep_text(command: collections.abc.Callable[..., None]) -> None:
+    """Has text arguments taken as written: a target may be named `007`."""
+    parameters = inspect.signature(command).parameters.values()
+    texts = [one.name for one in parameters if one.annotation == "str"]
+    decorate = fire.decorators.SetParseFns(**dict.fromkeys(texts, str))
+    decorate(command)
+
+
 def _find_known(
     error: BaseException,
 ) -> tuple[str, exceptions.ExitCode] | None:
--- a/tests/console/test_check.py
+++ b/tests/console/test_check.py
@@ -36,3 +36,18 @@
         "revision",
         "kind",
     }
+
+
+def test_check_takes_path_that_looks_like_a_number(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    recwarn: pytest.WarningsRecorder,
+) -> None:
+    fleet = EXAMPLES / "ledgerfield" / "fleet.ini"
+    monkeypatch.chdir(tmp_path)
+    for name in ("1e3", "250/at-0a.ini"):
+        path = tmp_path / name
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(fleet.read_text())
+        assert application.run(["check", name]) is exceptions.ExitCode.OK
+    assert not recwarn.list
