Let operators declare the role of an engine

Ruled out: a role of the deployment, since engines of one deployment differ in role.

Change: [target] takes `role`; the controller orders it after model, version and adapters, under the same fencing number, and reads it back. A role on a service or store is a fault of the file.

Before: test_role_follows_the_fleet fails (a Target has no role).

--- a/src/cactusstile/controllers/desired.py
+++ b/src/cactusstile/controllers/desired.py
@@ -36,7 +36,9 @@
 def find_desired(fleet: model.Fleet, target: str) -> Desired | None:
     """Returns what `target` is to run, or None if the fleet says nothing."""
     declared = fleet.targets.get(target)
-    deployment = fleet.deployments.get(declared.serves) if declared else None
+    if declared is None:
+        return None
+    deployment = fleet.deployments.get(declared.serves)
     if deployment is None:
         return None
     return Desired(
@@ -44,6 +46,7 @@
         deployment.model,
         deployment.version,
         deployment.adapters,
+        declared.role,
         max_concurrent_loads=deployment.max_concurrent_loads,
     )
 
--- a/src/cactusstile/state/fleet_file.py
+++ b/src/cactusstile/state/fleet_file.py
@@ -104,6 +104,12 @@
     ini.Option(
         "checks_fence", ini.yes_or_no, "Whether it refuses old orders.", False
     ),
+    ini.Option(
+        "role",
+        ini.name,
+        "Role an engine is ordered to have; empty: its own.",
+        "",
+    ),
 )
 LINK = (
     ini.Option(
@@ -264,6 +270,8 @@
     by_agent: dict[address.Address, str] = {}
     for target in fleet.targets.values():
         section = f"target {target.name}"
+        if target.role and target.kind is not model.TargetKind.ENGINE:
+            report(section, "role", "only engines have roles; remove it")
         first = by_agent.setdefault(target.agent, target.name)
         if first != target.name:
             text = f"[target {first}] has the same agent; give each its own"
--- a/src/cactusstile/state/model.py
+++ b/src/cactusstile/state/model.py
@@ -92,6 +92,7 @@
         store.
       checks_fence: Whether the engine refuses orders with an old fencing
         number by itself.
+      role: Role that the engine is to have; empty leaves its own.
     """
 
     name: str
@@ -100,6 +101,7 @@
     data_centre: str
     serves: str = ""
     checks_fence: bool = False
+    role: str = ""
 
 
 @attrs.frozen
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -5,6 +5,7 @@
 import time
 
 import anyio
+import attrs
 import pytest
 
 from cactusstile.controllers import orders
@@ -109,6 +110,20 @@
             assert (served.model, served.version) == ("model", "v3")
 
 
+async def test_role_follows_the_fleet() -> None:
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened) as agent,
+    ):
+        await _wait_until(agent.ready)
+        served = opened.engines["engine-1"]
+        targets = dict(opened.fleet_holder.fleet.targets)
+        targets["engine-1"] = attrs.evolve(targets["engine-1"], role="decode")
+        opened.apply(targets=targets)
+        await _wait_until(lambda: served.role == "decode")
+        await _wait_until(agent.ready)
+
+
 @contextlib.asynccontextmanager
 async def _open_pool_of_engines(
     opened: site.Site, store: weight_store.WeightStore, count: int
--- a/tests/state/test_fleet_file.py
+++ b/tests/state/test_fleet_file.py
@@ -31,6 +31,7 @@
 data_centre = ikeja
 serves = chat
 checks_fence = yes
+role = decode
 
 [target store-1]
 kind = store
@@ -47,6 +48,7 @@
     assert (fleet.name, fleet.revision) == ("lagos", 7)
     assert fleet.deployments["chat"].adapters == ("tone@2",)
     assert fleet.targets["ikeja-1"].checks_fence
+    assert fleet.targets["ikeja-1"].role == "decode"
     assert fleet.targets["store-1"].kind is model.TargetKind.STORE
     assert fleet.link("ikeja", "lekki") is not None
 
@@ -62,6 +64,7 @@
     text = text.replace("serves = chat", "serves = chta")
     text = text.replace("7101", "7100").replace("share", "shre")
     text = text.replace("timeout_s = 5", "timeout = 5")
+    text = text.replace("lekki\n\n[link", "lekki\nrole = decode\n\n[link")
     text += f"[workspace other]\nkey_hashes = {HASH}\n[wat x]\n"
     with pytest.raises(ini.InvalidFileError) as caught:
         fleet_file.parse(text, "fleet.ini")
@@ -73,6 +76,7 @@
         ("deployment chat", "workspaces"),
         ("target ikeja-1", "serves"),
         ("target store-1", "agent"),
+        ("target store-1", "role"),
         ("service inventory", "timeout"),
         ("workspace other", "key_hashes"),
         ("wat x", ""),
