Notice a log whose last segment is missing

Cause: a lost segment in the middle was noticed by the numbers of its neighbours; the last one has no later neighbour, so a replica that lost it started as if it had never acknowledged those entries. Ruled out: reading it off the chain of checksums, which ends before the loss.

Change: the metadata file names the newest segment that was made durable.

Before: test_missing_segment_refuses_to_start[-1] fails (the store opens).

--- a/src/cactusstile/consensus/storage/metadata.py
+++ b/src/cactusstile/consensus/storage/metadata.py
@@ -24,6 +24,7 @@
       group: Identity of the group; empty before it joined one.
       term: Present term.
       vote: Member that got the vote in this term; empty if none.
+      segment: Number of the newest log segment that was made durable.
     """
 
     name: str
@@ -31,6 +32,7 @@
     group: str = ""
     term: int = 0
     vote: str = ""
+    segment: int = 0
 
 
 def save(files: file_access.Files, metadata: Metadata) -> None:
--- a/src/cactusstile/consensus/storage/segments.py
+++ b/src/cactusstile/consensus/storage/segments.py
@@ -95,9 +95,7 @@
         if self.file is not None:
             self.sync()
         self.close()
-        number = 1
-        if self.segments:
-            number = number_of(self.segments[-1].name) + 1
+        number = self.number() + 1 if self.segments else 1
         name = f"{PREFIX}{number:012d}"
         head, self.checksum = records.encode(
             records.HEAD_KIND,
@@ -131,6 +129,10 @@
         self.files.sync_folder()
         del self.segments[0]
 
+    def number(self) -> int:
+        """Returns the number of the newest segment."""
+        return number_of(self.segments[-1].name)
+
     def close(self) -> None:
         """Closes the open segment."""
         if self.file is not None:
--- a/src/cactusstile/consensus/storage/store.py
+++ b/src/cactusstile/consensus/storage/store.py
@@ -109,6 +109,15 @@
             self.last = None
         self.log.sync()
         self.log.roll(self.last)
+        self._note_segment()
+
+    def _note_segment(self) -> None:
+        """Remembers the newest segment, so that its loss is noticed."""
+        number = self.log.number()
+        if number == self.metadata.segment:
+            return
+        self.metadata = attrs.evolve(self.metadata, segment=number)
+        metadata_file.save(self.files, self.metadata)
 
     def _save_metadata(self, write: effects.SaveMetadata) -> None:
         self.metadata = attrs.evolve(
@@ -169,12 +178,8 @@
             f"the data folder belongs to {metadata.name}, not to {name};"
             " correct the name or the data folder in the settings"
         )
-    if metadata.group and not segments.exist(files):
-        raise exceptions.CorruptStorageError(
-            f"the log is missing beside the metadata; {segments.REMEDY}"
-        )
     snapshot, data = snapshots.load(files)
-    log, entries = segments.recover(files)
+    log, entries = _recover_log(files, metadata)
     entries = _join(log, snapshot, entries)
     last_term = entries[-1].term if entries else snapshot.term
     if last_term > metadata.term:
@@ -195,6 +200,22 @@
     return store, recovered, data
 
 
+def _recover_log(
+    files: file_access.Files, metadata: metadata_file.Metadata
+) -> tuple[segments.SegmentLog, list[messages.Entry]]:
+    """Reads the log; refuses one that lacks its last segment or all."""
+    if metadata.group and not segments.exist(files):
+        raise exceptions.CorruptStorageError(
+            f"the log is missing beside the metadata; {segments.REMEDY}"
+        )
+    log, entries = segments.recover(files)
+    if log.number() < metadata.segment:
+        raise exceptions.CorruptStorageError(
+            f"the last segment of the log is missing; {segments.REMEDY}"
+        )
+    return log, entries
+
+
 def _join(
     log: segments.SegmentLog,
     snapshot: snapshots.Snapshot,
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -189,15 +189,16 @@
     store.write([_entries(first, count)])
 
 
+@pytest.mark.parametrize("position", [2, -1])
 def test_missing_segment_refuses_to_start(
-    monkeypatch: pytest.MonkeyPatch,
+    position: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(segments, "SEGMENT_BYTES", 200)
     files = FaultyFiles()
     _prepare(files, 5)
     names = [one for one in files.names() if one.startswith(segments.PREFIX)]
     assert len(names) > 3
-    files.remove(names[2])
+    files.remove(names[position])
     with pytest.raises(exceptions.CorruptStorageError, match="missing"):
         _open(files)
 
