Refuse claims at once while control is lost

Cause: with all control VMs frozen, prompts were served, but each request that needs a claim waited 3.5 to 5.0 s (trial, real processes) before its refusal, as each one asked all control VMs anew. Ruled out: a shorter timeout of claims, which would fail claims during an election (next commit within 2 s).

Change: a call that no leader answers opens a circuit in the process's client; claims and reads of claims then fail at once. A background read, every 0.5 s after the last, closes it, as does any answer. What settles a claim (finish, release) is not cut short.

The attempts of a call moved from control/client.py to a module of their own.

Before: test_requests_are_served_or_refused_at_once_while_control_is_lost fails (4.0 s against 1 s).

--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -21,12 +21,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import typing
 
 import anyio
 import attrs
 
+from cactusstile.control import attempts
+from cactusstile.control import circuit
 from cactusstile.control import claim_messages
 from cactusstile.control import exceptions
 from cactusstile.control import messages
@@ -45,14 +48,9 @@
 
 CALL_TIMEOUT_S = 5.0
 ATTEMPT_TIMEOUT_S = 0.8
-RETRY_INTERVAL_S = 0.05
+TRIAL_INTERVAL_S = 0.5
 CLAIM_ID_BYTES = 16
 
-NOT_LEADER = "not_leader"
-UNCERTAIN = "uncertain"
-OVERLOADED = "overloaded"
-UNAVAILABLE = "unavailable"
-
 
 @attrs.frozen
 class ClaimGrant:
@@ -85,6 +83,7 @@
     Attributes:
       addresses: Addresses of the control VMs.
       leader: Address that answered last as leader.
+      circuit: Refuses claims and their reads at once while control is lost.
     """
 
     def __init__(
@@ -98,6 +97,7 @@
         self.addresses = tuple(addresses)
         self.leader = self.addresses[0]
         self.attempt_timeout_s = attempt_timeout_s
+        self.circuit = circuit.Circuit()
         self._connections = connections
 
     async def read_revision(
@@ -137,6 +137,7 @@
         message = claim_messages.Claim(
             workspace, request_key, content_digest, incarnation, claim_id
         )
+        self._check_circuit()
         return await self._ask_claim(message, timeout_s)
 
     async def read_claim(
@@ -151,6 +152,7 @@
         message = claim_messages.ReadClaim(
             workspace, request_key, content_digest
         )
+        self._check_circuit()
         return await self._ask_claim(message, timeout_s)
 
     async def finish_claim(
@@ -255,6 +257,27 @@
             reply.answer_kept,
         )
 
+    async def watch_circuit(self) -> None:
+        """Lets claims fail at once while control is lost; never returns.
+
+        Only this task tries control then, by reading a claim that nobody
+        makes.
+        """
+        self.circuit.is_watched = True
+        message = claim_messages.ReadClaim("", "", b"")
+        while True:
+            await self.circuit.opened.wait()
+            with contextlib.suppress(exceptions.ControlError):
+                await self._ask_claim(message, CALL_TIMEOUT_S)
+            await anyio.sleep(TRIAL_INTERVAL_S)
+
+    def _check_circuit(self) -> None:
+        """Raises at once while control is lost; nothing was sent."""
+        if self.circuit.opened.is_set():
+            raise exceptions.ControlUnavailableError(
+                "no leader of control answers at present; retry later"
+            )
+
     async def call(
         self, message: object, reply: type[_T], timeout_s: float
     ) -> _T:
@@ -267,93 +290,28 @@
           CallRefusedError: No effect.
         """
         deadline_s = anyio.current_time() + timeout_s
-        attempts = _Attempts(self.addresses, self.leader)
+        tries = attempts.Attempts(self.addresses, self.leader)
         while True:
             left_s = deadline_s - anyio.current_time()
             if left_s <= 0:
-                attempts.give_up(timeout_s)
-            target = attempts.next_address()
+                self.circuit.record_failure()
+                tries.give_up(timeout_s)
+            target = tries.next_address()
             limit_s = min(left_s, self.attempt_timeout_s)
             try:
                 answer = await self._connections.call(
                     target, message, timeout_s=limit_s
                 )
             except (transport_exceptions.TransportError, TimeoutError) as error:
-                attempts.record(error)
-                await anyio.sleep(attempts.pause_s())
+                if attempts.is_from_leader(error):
+                    self.circuit.record_success()
+                tries.record(error)
+                await anyio.sleep(tries.pause_s())
                 continue
             self.leader = target
+            self.circuit.record_success()
             if not isinstance(answer, reply):
                 raise transport_exceptions.ProtocolError(
                     f"expected {reply.__name__}, got {type(answer).__name__}"
                 )
             return answer
-
-
-class _Attempts:
-    """Chooses the next address and keeps what the failed attempts mean."""
-
-    def __init__(
-        self,
-        addresses: collections.abc.Sequence[address.Address],
-        leader: address.Address,
-    ) -> None:
-        """Tries `leader` first, then the addresses in turn."""
-        self.uncertain = False
-        self.last_error: Exception | None = None
-        self._addresses = addresses
-        self._hint: address.Address | None = leader
-        self._position = 0
-        self._count = 0
-
-    def next_address(self) -> address.Address:
-        """Returns the hinted leader, or else the next address in turn."""
-        hint, self._hint = self._hint, None
-        if hint is not None:
-            return hint
-        chosen = self._addresses[self._position % len(self._addresses)]
-        self._position += 1
-        return chosen
-
-    def record(self, error: Exception) -> None:
-        """Notes a failed attempt; raises if another one would not help."""
-        self._count += 1
-        self.last_error = error
-        if isinstance(error, transport_exceptions.RemoteError):
-            self._record_answer(error)
-        elif isinstance(error, transport_exceptions.ConnectionLostError):
-            self.uncertain = self.uncertain or error.sent
-
-    def _record_answer(self, error: transport_exceptions.RemoteError) -> None:
-        if error.code == NOT_LEADER:
-            if error.detail:
-                self._hint = address.parse(error.detail)
-            return
-        if error.code in (UNCERTAIN, "internal"):
-            self.uncertain = True
-            return
-        if error.code == UNAVAILABLE:
-            return
-        if self.uncertain:
-            raise exceptions.OutcomeUnknownError(str(error)) from error
-        if error.code == OVERLOADED:
-            retry_after_s = float(error.detail or RETRY_INTERVAL_S)
-            raise exceptions.ControlOverloadedError(
-                error.message, retry_after_s
-            ) from error
-        raise exceptions.CallRefusedError(error.code, error.message) from error
-
-    def pause_s(self) -> float:
-        """Returns the time to wait before the next attempt."""
-        if self._hint is not None and self._count == 1:
-            return 0.0
-        return RETRY_INTERVAL_S
-
-    def give_up(self, timeout_s: float) -> typing.NoReturn:
-        """Raises the error that says whether the call may have worked."""
-        text = f"no answer from control within {timeout_s:g} s"
-        if self.last_error is not None:
-            text += f"; last attempt: {self.last_error}"
-        if self.uncertain:
-            raise exceptions.OutcomeUnknownError(text)
-        raise exceptions.ControlUnavailableError(text)
--- a/src/cactusstile/control/state.py
+++ b/src/cactusstile/control/state.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cactusstile.consensus import exceptions as consensus_exceptions
-from cactusstile.control import client
+from cactusstile.control import attempts
 from cactusstile.control import commands
 from cactusstile.control import settings as control_settings
 from cactusstile.transport import exceptions as transport_exceptions
@@ -90,13 +90,13 @@
     text = str(error)
     match error:
         case consensus_exceptions.NotLeaderError():
-            code, detail = client.NOT_LEADER, error.leader_address
+            code, detail = attempts.NOT_LEADER, error.leader_address
         case consensus_exceptions.OverloadedError():
-            code, detail = client.OVERLOADED, f"{error.retry_after_s:.3f}"
+            code, detail = attempts.OVERLOADED, f"{error.retry_after_s:.3f}"
         case consensus_exceptions.TooLargeError():
             code, detail = "too_large", ""
         case consensus_exceptions.MembershipError():
             code, detail = "refused", ""
         case _:
-            code, detail = client.UNCERTAIN, ""
+            code, detail = attempts.UNCERTAIN, ""
     return transport_exceptions.RemoteError(code, text, detail)
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -109,6 +109,7 @@
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(subscriber.run)
+        group.start_soon(control.watch_circuit)
         stack.callback(group.cancel_scope.cancel)
         yield Follower(held, peers, control, own, subscriber)
 
