--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -22,6 +22,8 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 WORKSPACES = ("bank", "clinic")
+CONTROLS = ("control-1", "control-2", "control-3")
+ENTRIES = ("entry-1", "entry-2")
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 HTTP_OK = 200
@@ -199,12 +201,10 @@
     try:
         site.write("fleet.secret", "fleet-secret-of-the-tests")
         site.write("operator.secret", "operator-secret-of-tests")
-        _start_control(site)
-        for number in (1, 2):
-            name = f"entry-{number}"
-            port = site.port(f"{name}-callers")
-            section = f"[entry]\ncallers_listen = {site.host}:{port}\n"
-            site.start_role("entry", name, section + "drain_delay_s = 0.1\n")
+        for name in CONTROLS:
+            start_control(site, name)
+        for name in ENTRIES:
+            start_entry(site, name)
         for name, kind in (
             ("engine-1", "engine"),
             ("engine-2", "engine"),
@@ -241,16 +241,21 @@
     site.start_role("agent", name, section)
 
 
-def _start_control(site: Site) -> None:
+def start_entry(site: Site, name: str) -> None:
+    """Starts an entry."""
+    port = site.port(f"{name}-callers")
+    section = f"[entry]\ncallers_listen = {site.host}:{port}\n"
+    site.start_role("entry", name, section + "drain_delay_s = 0.1\n")
+
+
+def start_control(site: Site, name: str) -> None:
+    """Starts a control process."""
     founders = ", ".join(
-        f"control-{number}={site.host}:{site.port(f'control-{number}')}"
-        for number in (1, 2, 3)
+        f"{founder}={site.host}:{site.port(founder)}" for founder in CONTROLS
     )
-    for number in (1, 2, 3):
-        name = f"control-{number}"
-        data = site.folder / f"{name}-data"
-        section = f"[control]\ndata_folder = {data}\nfounders = {founders}\n"
-        site.start_role("control", name, section)
+    data = site.folder / f"{name}-data"
+    section = f"[control]\ndata_folder = {data}\nfounders = {founders}\n"
+    site.start_role("control", name, section)
 
 
 def _start_store(site: Site) -> None:
