Let member commands go on where they stopped, and tell the truth when done

Cause: nobody ran member remove, add and promote on real processes. The new test, which loses a data folder, replaces the replica by the three commands while commits run, and loses a second folder at once, found four faults: a command that stopped between the two groups was refused when given again ("is no member", exit 5), so the second group could not be reached; add took an incarnation that was lost again within 3 s and then refused its successor; promote was refused as long as the learner was one entry behind, and reported done before the new voter had synced; repair and promote could end with exit 5, "nothing changed", after the promotion was committed.

Ruled out: a loss of acknowledged commits; histories stayed linearizable throughout.

Change: what is done already in one group is no error (remove still is, when no group has the member); add replaces a learner that does not answer; promote waits as repair does; after its first change a command waits and ends with the outcome unknown instead of a refusal.

Conclusion: the operator can give each command again until it is done.

--- a/src/cactusstile/consensus/exceptions.py
+++ b/src/cactusstile/consensus/exceptions.py
@@ -46,6 +46,10 @@
     """Raised when a membership change is refused; says what to do."""
 
 
+class NotMemberError(MembershipError):
+    """Raised when the replica that a change names is no member."""
+
+
 class StorageError(ConsensusError):
     """Raised when durable state cannot be written; the replica must stop."""
 
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -227,16 +227,45 @@
             again on the new leader to go on.
           UncertainError: As for `NotLeaderError`.
         """
+        return await self._bring_in(name, is_repair=True)
+
+    async def promote_member(self, name: str) -> int:
+        """Makes the learner `name` a voter once it holds everything.
+
+        Returns:
+          The log index of the promotion, once the replica votes and has
+          synced everything that is committed; at once if it does already.
+
+        Raises:
+          MembershipError: No such member, or it does not answer.
+          NotLeaderError: As for `repair_member`.
+          UncertainError: As for `NotLeaderError`.
+        """
+        return await self._bring_in(name, is_repair=False)
+
+    async def _bring_in(self, name: str, *, is_repair: bool) -> int:
+        """Takes step after step until `name` votes and holds everything.
+
+        A refusal says that nothing was changed, so none is given after the
+        first step; the caller's time limit bounds the wait.
+        """
+        changed = False
         while True:
             self._check_serving()
             driver = self.driver
-            step = repair.next_step(driver.state, name, driver.joining())
-            if isinstance(step, repair.Done):
-                return step.index
-            if isinstance(step, repair.Wait):
-                await anyio.sleep(POLL_INTERVAL_S)
-                continue
-            await self.change_membership(step)
+            joining = driver.joining() if is_repair else ()
+            try:
+                step = repair.next_step(driver.state, name, joining)
+                if isinstance(step, repair.Done):
+                    return step.index
+                if not isinstance(step, repair.Wait):
+                    await self.change_membership(step)
+                    changed = True
+                    continue
+            except exceptions.MembershipError:
+                if not changed:
+                    raise
+            await anyio.sleep(POLL_INTERVAL_S)
 
     async def transfer_leadership(self) -> bool:
         """Hands leadership to the most advanced voter.
--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -52,6 +52,7 @@
 UNCERTAIN = "uncertain"
 OVERLOADED = "overloaded"
 UNAVAILABLE = "unavailable"
+NOT_MEMBER = "not_member"
 
 
 @attrs.frozen
--- a/src/cactusstile/control/member_handlers.py
+++ b/src/cactusstile/control/member_handlers.py
@@ -58,9 +58,9 @@
         case "repair":
             return await to.repair_member(message.name)
         case "add":
-            change = _add(to.status(), message.name)
+            return await _add(to, message.name)
         case "promote":
-            change = membership.Promote(_member(to.status(), message.name))
+            return await to.promote_member(message.name)
         case "remove":
             change = membership.Remove(_member(to.status(), message.name))
         case _:
@@ -70,12 +70,27 @@
     return await to.change_membership(change)
 
 
-def _add(status: replica.ReplicaStatus, name: str) -> membership.Change:
+async def _add(to: replica.Replica, name: str) -> int:
+    """Adds a learner; one that was added and answers is added already.
+
+    A learner of this name that does not answer is replaced, since a replica
+    may lose its disk again before it was promoted.
+    """
+    status = to.status()
+    silent = ""
+    for entry in status.members:
+        if entry.member.name != name or entry.member.voter:
+            continue
+        if entry.active:
+            return status.commit_index
+        silent = entry.member.id
     for joining in status.joining:
-        if joining.name == name:
-            return membership.AddLearner(
-                joining.name, joining.incarnation, joining.address
-            )
+        if joining.name != name:
+            continue
+        made = (name, joining.incarnation, joining.address)
+        if silent:
+            return await to.change_membership(membership.Replace(silent, *made))
+        return await to.change_membership(membership.AddLearner(*made))
     raise consensus_exceptions.MembershipError(
         f"{name} has not made itself known; start it with these founders"
     )
@@ -85,7 +100,7 @@
     for entry in status.members:
         if entry.member.name == name:
             return entry.member.id
-    raise consensus_exceptions.MembershipError(f"{name} is no member")
+    raise consensus_exceptions.NotMemberError(f"{name} is no member")
 
 
 def describe(group: str, of: replica.Replica) -> member_messages.Members:
--- a/src/cactusstile/control/operations.py
+++ b/src/cactusstile/control/operations.py
@@ -196,26 +196,40 @@
 ) -> None:
     """Changes both groups; a repair returns once both hold everything.
 
+    A command that stopped between the groups goes on when it is given again:
+    what is done already in one group is no error.
+
     Raises:
       ControlError: As of `client.ControlClient.call`; the same command may
         be given again to go on.
     """
     await operator.control.read_revision()
+    missing = []
     for group in control_settings.GROUPS:
-        control = client.ControlClient(
-            operator.connections,
-            operator.control.addresses,
-            attempt_timeout_s=timeout_s,
-        )
-        control.leader = operator.control.leader
-        message = member_messages.ChangeMember(group, action, name)
-        reply = member_messages.MemberChanged
         try:
-            await control.call(message, reply, timeout_s)
+            await _change_group(operator, group, action, name, timeout_s)
         except exceptions.CallRefusedError as error:
-            raise exceptions.CallRefusedError(
-                error.code, f"group {group}: {error}"
-            ) from error
+            text = f"group {group}: {error}"
+            refusal = exceptions.CallRefusedError(error.code, text)
+            if action != "remove" or error.code != client.NOT_MEMBER:
+                raise refusal from error
+            missing.append(refusal)
+    if len(missing) == len(control_settings.GROUPS):
+        raise missing[0]
+
+
+async def _change_group(
+    operator: Operator, group: str, action: str, name: str, timeout_s: float
+) -> None:
+    """Changes one group."""
+    control = client.ControlClient(
+        operator.connections,
+        operator.control.addresses,
+        attempt_timeout_s=timeout_s,
+    )
+    control.leader = operator.control.leader
+    message = member_messages.ChangeMember(group, action, name)
+    await control.call(message, member_messages.MemberChanged, timeout_s)
 
 
 async def _ask_one(
--- a/src/cactusstile/control/state.py
+++ b/src/cactusstile/control/state.py
@@ -95,6 +95,8 @@
             code, detail = client.OVERLOADED, f"{error.retry_after_s:.3f}"
         case consensus_exceptions.TooLargeError():
             code, detail = "too_large", ""
+        case consensus_exceptions.NotMemberError():
+            code, detail = client.NOT_MEMBER, ""
         case consensus_exceptions.MembershipError():
             code, detail = "refused", ""
         case _:
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -12,6 +12,7 @@
 from cactusstile.consensus import effects
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import founding
+from cactusstile.consensus import membership
 from cactusstile.consensus import messages
 from cactusstile.consensus import replica
 from cactusstile.consensus.storage import files as file_access
@@ -84,6 +85,54 @@
     assert machines[lost].commands == machines[leader.leader].commands
 
 
+async def _add_anew(group: conftest.Group, name: str) -> replica.Replica:
+    """Removes a replica, empties its folder and adds it as a learner."""
+    await _propose(group, b"one")
+    leader = await group.leader()
+    ids = {one.member.name: one.member.id for one in leader.status().members}
+    await group.stop(name)
+    await leader.change_membership(membership.Remove(ids[name]))
+    shutil.rmtree(group.folder / name)
+    await group.start(name)
+    number = group.replicas[name].driver.store.metadata.incarnation
+    with anyio.fail_after(5):
+        while number not in {
+            one.incarnation for one in leader.driver.joining()
+        }:
+            await anyio.sleep(0.01)
+        change = membership.AddLearner(name, number, name)
+        index = await leader.change_membership(change)
+        while True:
+            added = leader.status().members[-1]
+            if added.active and added.synced_index >= index:
+                return leader
+            await anyio.sleep(0.01)
+
+
+async def test_promotion_is_done_only_once_the_new_voter_has_synced_it(
+    group: conftest.Group,
+) -> None:
+    leader = await group.leader()
+    name = next(name for name in conftest.NAMES if name != leader.leader)
+    leader = await _add_anew(group, name)
+    group.cut.add(name)
+    done = anyio.Event()
+
+    async def promote() -> None:
+        index = await leader.promote_member(name)
+        assert group.replicas[name].status().last_index >= index
+        done.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(promote)
+        await anyio.sleep(2 * conftest.TIMES.election_timeout_s)
+        assert leader.status().members[-1].member.voter
+        assert not done.is_set()
+        group.cut.clear()
+        with anyio.fail_after(5):
+            await done.wait()
+
+
 async def test_chunk_of_snapshot_unknown_to_the_core_is_not_sent(
     group: conftest.Group,
 ) -> None:
--- a/tests/support/control_histories.py
+++ b/tests/support/control_histories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import math
 import random
 import typing
@@ -156,6 +157,17 @@
             group.start_soon(self._read_again_and_again, "r")
             group.start_soon(self._fence_again_and_again, "f")
 
+    async def read_all(self) -> None:
+        """Reads every key once more, so that no lost answer goes unseen."""
+        async with self.cluster.open_client("reader", "agent") as control:
+            ask = _asker(control)
+            for key, history in self.histories.claims.items():
+                read = claim_messages.ReadClaim("w", key, b"d")
+                call = ("read", b"", b"")
+                asked = functools.partial(ask, read)
+                found = await self._record(history, call, asked)
+                assert found is not None, f"{key} could not be read"
+
     async def _record(
         self,
         history: list[Operation],
