Fill the disk of a leading control process in the histories

Cause: full disks and failed syncs were injected on a fake file layer only.

Change: the scenario "lost disk" limits the size of the leader's files (RLIMIT_FSIZE, set by the test on its own child), so that a real write fails half-way. The process has to end with exit code 1 and say what to do; it starts again on the same folder with space, and must have synced what is committed; then the next fault takes the disk of the leader of then and kills another once that is repaired. All keys are read at the end.

--- a/tests/control/test_histories.py
+++ b/tests/control/test_histories.py
@@ -5,10 +5,13 @@
 import typing
 
 import anyio
+import anyio.to_thread
 import pytest
 from tests.support import control_cluster
 from tests.support import control_histories
 
+from cactusstile.console import exceptions
+
 if typing.TYPE_CHECKING:
     import collections.abc
 
@@ -74,6 +77,19 @@
     cluster.start(names[0])
 
 
+async def _fill_disk(
+    cluster: control_cluster.Cluster, names: list[str]
+) -> None:
+    """The leader's disk is full in the middle of a write; then has space."""
+    cluster.fill_disk(names[0])
+    code, log = await anyio.to_thread.run_sync(cluster.wait_end, names[0])
+    assert code == exceptions.ExitCode.FAILED
+    assert "durable state could not be written" in log
+    await anyio.sleep(FAULT_S)
+    cluster.start(names[0])
+    await cluster.wait_synced(names[0])
+
+
 async def _lose_disk_then_another(
     cluster: control_cluster.Cluster, names: list[str]
 ) -> None:
@@ -87,7 +103,7 @@
 SCENARIOS: dict[str, list[Fault]] = {
     "singly": [_kill, _freeze, _cut],
     "two at once": [_freeze_and_cut, _kill_and_freeze],
-    "lost disk": [_kill_all, _lose_disk_then_another],
+    "lost disk": [_kill_all, _fill_disk, _lose_disk_then_another],
 }
 
 
@@ -123,4 +139,5 @@
     asked, unanswered = histories.count()
     print(f"{scenario}/{seed}: {asked} operations, {unanswered} unanswered")
     assert histories.known_after(healed_s) > 0, "nothing goes on"
+    await recorder.read_all()
     histories.check()
--- a/tests/support/control_cluster.py
+++ b/tests/support/control_cluster.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -33,6 +34,7 @@
 START_TIMEOUT_S = 10.0
 START_POLL_S = 0.05
 STOP_TIMEOUT_S = 5.0
+FREE_BYTES = 10
 
 
 @attrs.define
@@ -90,6 +92,21 @@
         self.kill(name)
         shutil.rmtree(self.folder / "data" / name)
 
+    def fill_disk(self, name: str) -> None:
+        """Lets the next write that grows the largest file fail half-way."""
+        sizes = [
+            path.stat().st_size
+            for path in (self.folder / "data" / name).rglob("*")
+        ]
+        limit = max(sizes) + FREE_BYTES
+        pid = self.processes[name].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, limit))
+
+    def wait_end(self, name: str) -> tuple[int, str]:
+        """Returns the exit code of a process that ends, and its log."""
+        code = self.processes.pop(name).wait(STOP_TIMEOUT_S)
+        return code, (self.folder / f"{name}.log").read_text()
+
     def terminate(self, name: str) -> int:
         """Asks a process to stop and returns its exit code."""
         process = self.processes.pop(name)
@@ -127,6 +144,45 @@
                     continue
                 return
 
+    async def wait_synced(self, name: str) -> None:
+        """Returns once a replica has synced what is committed now."""
+        settings = self.operator_settings()
+        async with operations.open_operator(settings) as opened:
+            with anyio.fail_after(START_TIMEOUT_S):
+                wanted = _committed(await operations.view_members(opened))
+                while True:
+                    views = await operations.view_members(opened)
+                    if all(
+                        _synced(views, group, name) >= index
+                        for group, index in wanted.items()
+                    ):
+                        return
+                    await anyio.sleep(START_POLL_S)
+
+
+def _committed(views: list[operations.ControlView]) -> dict[str, int]:
+    """Returns the highest index known to be committed in each group."""
+    found: dict[str, int] = {}
+    for view in views:
+        for group in view.groups:
+            index = max(found.get(group.group, 0), group.commit_index)
+            found[group.group] = index
+    return found
+
+
+def _synced(views: list[operations.ControlView], group: str, name: str) -> int:
+    """Returns what a replica has synced, as its leader says."""
+    return max(
+        (
+            member.synced_index
+            for view in views
+            for told in view.groups
+            for member in told.members
+            if told.group == group and member.name == name
+        ),
+        default=0,
+    )
+
 
 def _write_settings(
     folder: pathlib.Path,
