Fence the older of two agents of one target, also beside services

Cause: agents beside plain services took no fencing token, and an engine's agent confirmed its own only before an order or after a freeze above 3 s. Of two processes for one target (an operator's mistake, or a paused VM that comes back) the older went on taking work for good. Claims kept it from running a request twice; nothing ended it.

Ruled out: a second run. With the claims, 20 keys sent to both agents, with those of the older waiting in the sockets of a frozen process, ran once at most.

Change: one watcher for both kinds confirms the token every 5 to 10 s, at once after an oversleep of 0.5 s, and stops new work ("not run") when a higher one was taken. A failed confirmation is tried again after 1 to 2 s. At 300 agents that is 40 reads/s at the leader by count; the load was not measured.

Conclusion: at most one agent of a target takes work within 10 s of a second start, and at once after a freeze.

--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -118,6 +118,8 @@
                 settings, links, owner, target, claimer, group
             )
         else:
+            fence = fencing.Fence(links.control, settings.target)
+            group.start_soon(fencing.watch, owner, fence)
             served = service_agent.start(owner, target, claimer, group)
         handlers = incoming.Handlers(
             calls={**served.calls, messages.Drain: _serve_drain(owner)}
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -58,11 +58,13 @@
         group,
         engine_runs.Kept(kept_imports.Importer(kept), exporter),
     )
+    fence = fencing.Fence(links.control, settings.target)
+    group.start_soon(fencing.watch, owner, fence)
     controller = orders.EngineController(
         owner,
         client,
         version_gate,
-        fencing.Fence(links.control, settings.target),
+        fence,
         wait_turn=_turn_waiter(settings, links, owner),
         timing=orders.Timing(expected_load_s=settings.expected_load_s),
     )
--- a/src/cactusstile/controllers/fencing.py
+++ b/src/cactusstile/controllers/fencing.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import logging
+import random
 import typing
 
 import anyio
 
+from cactusstile.control import exceptions as control_exceptions
 from cactusstile.controllers import exceptions
 
+if typing.TYPE_CHECKING:
+    from cactusstile.agent import node
+
+logger = logging.getLogger(__name__)
+
 FENCE_AGE_LIMIT_S = 1.0
 CALL_TIMEOUT_S = 3.0
+CHECK_INTERVAL_S = 10.0
+RETRY_INTERVAL_S = 2.0
+TICK_S = 0.25
+FREEZE_LIMIT_S = 0.5
 
 
 class FenceControl(typing.Protocol):
@@ -34,6 +46,7 @@
         self.number = 0
         self._control = control
         self._target = target
+        self._taking = anyio.Lock()
 
     async def take(self) -> None:
         """Takes a token above all others, once in this process.
@@ -41,10 +54,11 @@
         Raises:
           ControlError: If control gave none.
         """
-        if not self.number:
-            self.number = await self._control.take_fence(
-                self._target, timeout_s=CALL_TIMEOUT_S
-            )
+        async with self._taking:
+            if not self.number:
+                self.number = await self._control.take_fence(
+                    self._target, timeout_s=CALL_TIMEOUT_S
+                )
 
     async def confirm(self) -> None:
         """Returns if no newer agent owns the target; call right before use.
@@ -66,3 +80,31 @@
                 )
             if anyio.current_time() - asked_s <= FENCE_AGE_LIMIT_S:
                 return
+
+
+async def watch(owner: node.Node, fence: Fence) -> None:
+    """Takes no more work once a newer agent owns the target; then returns.
+
+    The token is confirmed at intervals, and at once after this process was
+    frozen. Claims keep what may not be repeated from running twice until then.
+    """
+    due_s = 0.0
+    while True:
+        started_s = anyio.current_time()
+        if started_s >= due_s:
+            pause_s = CHECK_INTERVAL_S
+            try:
+                await fence.take()
+                await fence.confirm()
+            except exceptions.SupersededError as error:
+                owner.stopping = True
+                logger.warning("%s; this one takes no more work", error)
+                return
+            except control_exceptions.ControlError:
+                pause_s = RETRY_INTERVAL_S
+            started_s = anyio.current_time()
+            due_s = started_s + random.uniform(0.5, 1.0) * pause_s
+        await anyio.sleep(TICK_S)
+        slept_s = anyio.current_time() - started_s
+        if slept_s > TICK_S + FREEZE_LIMIT_S:
+            due_s = 0.0
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from cactusstile.controllers import fencing
 from cactusstile.controllers import orders
 from cactusstile.controllers import rollout
 from cactusstile.fakes import engine
@@ -94,6 +95,20 @@
         assert not old.ready()
 
 
+async def test_superseded_agent_of_a_service_takes_no_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(fencing, "CHECK_INTERVAL_S", 0.2)
+    async with (
+        site.open_site() as opened,
+        site.open_service_agent(opened, "a") as old,
+    ):
+        await _wait_until(lambda: opened.control.fences.get("a") == 1)
+        assert old.ready()
+        await opened.control.take_fence("a")
+        await _wait_until(lambda: not old.ready())
+
+
 async def test_adapters_and_model_follow_the_fleet() -> None:
     quick = engine.EngineSettings(model="other", load_s=0.02)
     async with site.open_site() as opened:
--- a/tests/processes/test_service_claims.py
+++ b/tests/processes/test_service_claims.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import json
 import os
 import random
@@ -13,10 +14,16 @@
 import typing
 
 import anyio
+import anyio.to_thread
 import httpcore
 import pytest
 from tests.support import site_processes
 
+from cactusstile.agent import messages as agent_messages
+from cactusstile.transport import address
+from cactusstile.transport import handshake
+from cactusstile.transport import pool
+
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 AGENT = "service-1"
@@ -24,6 +31,9 @@
 ATTEMPTS = 5
 HTTP_OK = 200
 RUN_S = 6.0
+SENT_TWICE = 20
+ANSWER_S = 5.0
+FENCED_S = 5.0
 SEEDS = range(int(os.environ.get("CACTUSSTILE_HISTORY_SEEDS", "1")))
 
 
@@ -149,6 +159,92 @@
     assert done > CALLS // 2, callers.told
 
 
+def _build_call(name: str, number: int) -> agent_messages.Run | object:
+    """Returns a request for a target that may not be repeated."""
+    if name == AGENT:
+        return agent_messages.ServiceCall(
+            request_key=f"{name}-{number}",
+            attempt=0,
+            workspace="bank",
+            service="inventory",
+            method="POST",
+            path="/two",
+            headers=(),
+            body=b"",
+            repeatable=False,
+        )
+    return agent_messages.Run(
+        request_key=f"{name}-{number}",
+        attempt=0,
+        workspace="bank",
+        deployment="chat",
+        version="",
+        adapter="",
+        tokens=(number, 1),
+        max_tokens=4,
+        repeatable=False,
+    )
+
+
+async def _find_runs(site: site_processes.Site, name: str) -> list[int]:
+    """Returns how often each request of `_build_call` ran."""
+    if name == AGENT:
+        ledger = await _read_ledger(site)
+        keys = [f"bank/{name}-{number}" for number in range(SENT_TWICE)]
+        return [ledger.get(key, 0) for key in keys]
+    path = site.folder / f"{name}-ledger.json"
+    entries = path.read_text().splitlines()
+    prompts = [json.loads(entry)[1] for entry in entries]
+    return [prompts.count(number) for number in range(SENT_TWICE)]
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"), [(AGENT, "service"), ("engine-1", "engine")]
+)
+async def test_second_agent_of_a_target_fences_the_one_that_wakes(
+    site: site_processes.Site, name: str, kind: str
+) -> None:
+    """The older one finds requests in its sockets that the newer one ran."""
+    site.wait_ready(name)
+    secrets = handshake.Secrets(b"fleet-secret-of-the-tests")
+    newer = f"{name}-newer"
+    refusals: list[object] = []
+
+    async def send(to: str, number: int) -> None:
+        place = address.Address(site.host, site.port(to))
+        with contextlib.suppress(TimeoutError):
+            reply = await peers.call(
+                place, _build_call(name, number), timeout_s=ANSWER_S
+            )
+            if isinstance(reply, agent_messages.Refused):
+                refusals.append(reply)
+
+    identity = handshake.Identity("entry", "test")
+    async with (
+        pool.open_pool(identity, secrets) as peers,
+        anyio.create_task_group() as group,
+    ):
+        await peers.connect(address.Address(site.host, site.port(name)))
+        site.processes[name].send_signal(signal.SIGSTOP)
+        site_processes.start_agent(site, newer, kind, name)
+        for number in range(SENT_TWICE):
+            group.start_soon(send, name, number)
+        await anyio.to_thread.run_sync(site.wait_ready, newer)
+        for number in range(SENT_TWICE // 2):
+            group.start_soon(send, newer, number)
+        await anyio.sleep(0.1)
+        site.processes[name].send_signal(signal.SIGCONT)
+    runs = await _find_runs(site, name)
+    assert max(runs) == 1, (runs, refusals)
+    with anyio.fail_after(FENCED_S):
+        while site.get(name, "/readyz")[0] == HTTP_OK:
+            await anyio.sleep(0.05)
+    assert site.get(newer, "/readyz")[0] == HTTP_OK
+    site.kill(newer)
+    site.kill(name)
+    site_processes.start_agent(site, name, kind)
+
+
 def test_drain_command_stops_and_resumes_new_work(
     site: site_processes.Site,
 ) -> None:
--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -231,11 +231,19 @@
     start_agent(site, name, kind)
 
 
-def start_agent(site: Site, name: str, kind: str) -> None:
-    """Starts the agent beside a stand-in that runs already."""
-    port = site.port(f"{name}-target")
+def start_agent(site: Site, name: str, kind: str, target: str = "") -> None:
+    """Starts the agent beside a stand-in that runs already.
+
+    Args:
+      site: The site.
+      name: Name of the process.
+      kind: Kind of the target.
+      target: Name of the target, if it is not that of the process.
+    """
+    target = target or name
+    port = site.port(f"{target}-target")
     section = (
-        f"[agent]\nkind = {kind}\ntarget = {name}\n"
+        f"[agent]\nkind = {kind}\ntarget = {target}\n"
         f"url = http://{site.host}:{port}\n"
     )
     site.start_role("agent", name, section)
