--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -110,16 +110,16 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(group.cancel_scope.cancel)
         claimer = claims.Claimer(links.control, identity.incarnation, group)
+        fence = fencing.Fence(links.control, settings.target)
+        group.start_soon(fencing.watch, owner, fence)
         group.start_soon(owner.admission.expire)
         if settings.platform_url:
             group.start_soon(_watch_platform, owner, settings)
         if settings.kind == "engine":
             served = engine_agent.start(
-                settings, links, owner, target, claimer, group
+                settings, links, owner, target, claimer, fence, group
             )
         else:
-            fence = fencing.Fence(links.control, settings.target)
-            group.start_soon(fencing.watch, owner, fence)
             served = service_agent.start(owner, target, claimer, group)
         handlers = incoming.Handlers(
             calls={**served.calls, messages.Drain: _serve_drain(owner)}
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -14,7 +14,6 @@
 from cactusstile.agent import probes
 from cactusstile.agent import prompt_run
 from cactusstile.controllers import desired
-from cactusstile.controllers import fencing
 from cactusstile.controllers import orders
 from cactusstile.controllers import rollout
 from cactusstile.targets import engine
@@ -29,6 +28,7 @@
 
     from cactusstile.agent import claims
     from cactusstile.agent import daemon
+    from cactusstile.controllers import fencing
     from cactusstile.settings import agent as agent_settings
     from cactusstile.state import model
     from cactusstile.transport import incoming
@@ -42,6 +42,7 @@
     owner: node.Node,
     target: http.HttpTarget,
     claimer: claims.Claimer,
+    fence: fencing.Fence,
     group: anyio.abc.TaskGroup,
 ) -> node.ServedCalls:
     """Starts the engine's controller; returns what serves calls."""
@@ -58,8 +59,6 @@
         group,
         engine_runs.Kept(kept_imports.Importer(kept), exporter),
     )
-    fence = fencing.Fence(links.control, settings.target)
-    group.start_soon(fencing.watch, owner, fence)
     controller = orders.EngineController(
         owner,
         client,
