Rank stores at agents as entries do, from one index

Cause: the agent ranked the stores by flat rendezvous hashing over the whole fleet at every lookup; entries rank them in two levels from an index. With more than one store in a data centre the two named different stores, so an entry weighed links to a store that the agent didn't ask, and a lookup at an agent grew with the fleet.

Ruled out: the two-store sites; there the data centre alone decides between the two, except for homes in a data centre without a store.

Change: store.location arranges stores as a whole and by data centre, ranks them in one place, and both entry and agent call it through routing.fleet_index.

Seen first: test_agent_names_the_stores_that_entries_compute failed on the old lookup (store-7 against store-43).

--- a/src/cactusstile/agent/kept_parts.py
+++ b/src/cactusstile/agent/kept_parts.py
@@ -9,10 +9,9 @@
 
 from cactusstile import tokens
 from cactusstile.routing import choice
-from cactusstile.routing import rendezvous
+from cactusstile.routing import fleet_index
 from cactusstile.state import model
 from cactusstile.store import client
-from cactusstile.store import location
 from cactusstile.store import returns
 from cactusstile.store import transfer
 
@@ -89,33 +88,21 @@
         owner,
         engine_client,
         version_gate,
-        client.StoreClient(peers, _build_locate(owner)),
+        client.StoreClient(peers, build_locate(owner)),
         transfer.Links(anyio.current_time),
         returns.VisitTracker(),
         data_centre,
     )
 
 
-def _build_locate(
+def build_locate(
     owner: node.Node,
 ) -> collections.abc.Callable[[bytes], list[model.Target]]:
     """Returns a function that finds the stores of a prompt."""
+    index = fleet_index.FleetIndex(lambda: owner.fleet)
 
     def locate(prefix_key: bytes) -> list[model.Target]:
-        fleet = owner.fleet
         declared = owner.declared
-        stores = {store.name: store for store in fleet.stores()}
-        if not stores or declared is None:
-            return []
-        ranked = location.rank_stores(
-            prefix_key,
-            [_to_member(store) for store in stores.values()],
-            [_to_member(item) for item in fleet.targets_of(declared.serves)],
-        )
-        return [stores[member.name] for member in ranked]
+        return index.stores(declared.serves, prefix_key) if declared else []
 
     return locate
-
-
-def _to_member(target: model.Target) -> rendezvous.Member:
-    return rendezvous.Member(target.name, target.data_centre)
--- a/src/cactusstile/routing/fleet_index.py
+++ b/src/cactusstile/routing/fleet_index.py
@@ -9,6 +9,7 @@
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
 from cactusstile.state import model
+from cactusstile.store import location
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -18,7 +19,7 @@
 
 @attrs.frozen
 class _Group:
-    """Targets of one deployment or service, or all stores."""
+    """Targets of one deployment or service."""
 
     targets: dict[str, model.Target]
     homes: table.Table
@@ -34,7 +35,8 @@
         self._find_fleet = find_fleet
         self._fleet = model.Fleet()
         self._groups: dict[str, _Group] = {}
-        self._stores = _arrange([])
+        self._stores: dict[str, model.Target] = {}
+        self._ranked_stores = location.Stores([])
 
     def targets(self, serves: str) -> list[model.Target]:
         """Returns all targets of a deployment or service."""
@@ -71,13 +73,11 @@
         Those in the data centre of the prompt's first home go first, so that
         most transfers use no limited link.
         """
-        first = self.homes(serves, key, count=1)
-        ranked = self._stores.homes.first(key, NEIGHBOURHOOD)
-        found = [self._stores.targets[store.name] for store in ranked]
-        if first:
-            near = first[0].data_centre
-            found.sort(key=lambda store: store.data_centre != near)
-        return found
+        self._refresh()
+        group = self._groups.get(serves)
+        homes = group.homes if group else ()
+        ranked = location.rank_stores(key, self._ranked_stores, homes)
+        return [self._stores[store.name] for store in ranked]
 
     def _refresh(self) -> None:
         fleet = self._find_fleet()
@@ -90,7 +90,10 @@
         self._groups = {
             serves: _arrange(targets) for serves, targets in by_served.items()
         }
-        self._stores = _arrange(fleet.stores())
+        self._stores = {store.name: store for store in fleet.stores()}
+        self._ranked_stores = location.Stores(
+            map(to_member, self._stores.values())
+        )
         self._fleet = fleet
 
 
--- /dev/null
+++ b/tests/agent/test_kept_parts.py
@@ -0,0 +1,35 @@
+from __future__ import annotations
+
+import types
+import typing
+
+from cactusstile.agent import kept_parts
+from cactusstile.routing import fleet_index
+from cactusstile.state import model
+from cactusstile.transport import address
+
+if typing.TYPE_CHECKING:
+    from cactusstile.agent import node
+
+AGENT = address.Address("127.0.0.1", 1)
+
+
+def test_agent_names_the_stores_that_entries_compute() -> None:
+    """More stores than an entry lists, several in each data centre."""
+    targets = {}
+    for number in range(60):
+        kind = (model.TargetKind.ENGINE, model.TargetKind.STORE)[number % 2]
+        serves = "" if kind is model.TargetKind.STORE else "chat"
+        name = f"{kind.value}-{number}"
+        centre = f"dc{number % 9}"
+        targets[name] = model.Target(name, kind, AGENT, centre, serves)
+    fleet = model.Fleet(revision=1, targets=targets)
+    owner = types.SimpleNamespace(fleet=fleet, declared=targets["engine-0"])
+    locate = kept_parts.build_locate(typing.cast("node.Node", owner))
+    index = fleet_index.FleetIndex(lambda: fleet)
+    for number in range(100):
+        key = number.to_bytes(16, "little")
+        stores = index.stores("chat", key)
+        assert locate(key) == stores
+        [home] = index.homes("chat", key, count=1)
+        assert stores[0].data_centre == home.data_centre
