Export again what a lost store had taken, from engines that hold it

Engines still hold part of what is lost, but agents exported it anew only when the prompt returned, and by then the engine had dropped it. Exports and imports that met the dead store were given up, too.

Change: store.recovery remembers the newest exports by store; after three failures in a row, or when an operator removes the store, the agent offers them again behind newer prompts. A call without an answer is asked of the next store at once. The model calls the same code. kill_store in the model also dropped the store's eviction rule; it keeps it now.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -230,16 +230,10 @@
     """Returns a fault in which a store loses everything for a while."""
 
     def apply(world: model.World) -> None:
-        def die() -> None:
-            world.stores[name] = model.Store(
-                world.stores[name].member, world.site, world.timeline
-            )
-            world.stores[name].alive = False
-
         def revive() -> None:
             world.stores[name].alive = True
 
-        world.timeline.after(at_s, die)
+        world.timeline.after(at_s, functools.partial(world.lose_store, name))
         world.timeline.after(end_s, revive)
 
     return apply
@@ -282,6 +276,7 @@
     *,
     json_file: str = "",
     faults: bool = False,
+    only: str = "",
 ) -> None:
     """Runs the product's policy and its baselines on one trace.
 
@@ -292,28 +287,35 @@
       duration_s: Length of the trace in virtual seconds.
       json_file: File to write the figures to.
       faults: Whether to run the product under faults in place of baselines.
+      only: Fault to run beside the quiet run; all by default.
     """
     chosen = sites.SITES[site]
     trace = traces.generate(chosen, seed, duration_s, load)
     floor = traces.unlimited_cache_share(trace, WARM_UP_SHARE * duration_s)
     print(f"{site}, seed {seed}, load {load}, {duration_s:.0f} s of arrivals")
     if faults:
-        results = run_faults(chosen, seed, duration_s, load)
+        results = run_faults(chosen, seed, duration_s, load, only)
     else:
         results = run_baselines(chosen, trace, duration_s)
     print_table(results)
     print(f"unlimited cache computes a share of {floor:.4f}")
+    report = {
+        "site": site,
+        "seed": seed,
+        "load": load,
+        "duration_s": duration_s,
+        "unlimited_cache_share": floor,
+    }
     if json_file:
-        report = {
-            "site": site,
-            "seed": seed,
-            "load": load,
-            "duration_s": duration_s,
-            "unlimited_cache_share": floor,
-            "results": [attrs.asdict(result) for result in results],
-        }
-        text = json.dumps(report, indent=2)
-        pathlib.Path(json_file).write_text(text + "\n")
+        _write_report(pathlib.Path(json_file), report, results)
+
+
+def _write_report(
+    path: pathlib.Path, report: dict[str, object], results: list[Result]
+) -> None:
+    rows = [attrs.asdict(result) for result in results]
+    text = json.dumps({**report, "results": rows}, indent=2)
+    path.write_text(text + "\n")
 
 
 def run_baselines(
@@ -327,9 +329,13 @@
 
 
 def run_faults(
-    site: sites.Site, seed: int, duration_s: float, load: float
+    site: sites.Site,
+    seed: int,
+    duration_s: float,
+    load: float,
+    only: str = "",
 ) -> list[Result]:
-    """Runs the product quietly, then under each fault.
+    """Runs the product quietly, then under each fault or the one named.
 
     The storm is ten times the traffic of a large workspace; it and the faults
     begin with the measured time and last to its end.
@@ -356,6 +362,7 @@
             calm_workspaces=calm,
         )
         for name, trace, fault in cases
+        if only in ("", name) or name == "quiet"
     ]
 
 
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -9,14 +9,13 @@
 
 import collections
 import collections.abc
-import heapq
-import itertools
 import typing
 
 import attrs
 
 from benchmarks import sites
 from benchmarks import traces
+from benchmarks import virtual_time
 from cactusstile import tokens
 from cactusstile import verdict
 from cactusstile.limits import fair_queue
@@ -26,8 +25,10 @@
 from cactusstile.routing import table
 from cactusstile.store import block_store
 from cactusstile.store import blocks
+from cactusstile.store import client
 from cactusstile.store import exceptions
 from cactusstile.store import location
+from cactusstile.store import recovery
 from cactusstile.store import returns
 from cactusstile.store import transfer
 
@@ -39,40 +40,6 @@
 GIVE_UP_S = 60.0
 
 
-class Timeline:
-    """Events in virtual time.
-
-    Attributes:
-      now_s: The present.
-    """
-
-    def __init__(self) -> None:
-        """Starts at 0."""
-        self.now_s = 0.0
-        self._events: list[
-            tuple[float, int, collections.abc.Callable[[], None]]
-        ] = []
-        self._numbers = itertools.count()
-
-    def clock(self) -> float:
-        """Returns the present."""
-        return self.now_s
-
-    def after(
-        self, delay_s: float, action: collections.abc.Callable[[], None]
-    ) -> None:
-        """Runs `action` after a delay."""
-        event = (self.now_s + delay_s, next(self._numbers), action)
-        heapq.heappush(self._events, event)
-
-    def run(self, until_s: float) -> None:
-        """Runs all events up to a time."""
-        while self._events and self._events[0][0] <= until_s:
-            self.now_s, _, action = heapq.heappop(self._events)
-            action()
-        self.now_s = until_s
-
-
 @attrs.define(eq=False)
 class Run:
     """A request on its way.
@@ -104,10 +71,14 @@
       running: Runs that decode.
       reported_tokens: Queued tokens as last reported.
       exports: Runs whose blocks wait to be exported.
+      recent: Runs whose blocks were exported lately.
     """
 
     def __init__(
-        self, member: rendezvous.Member, speed: sites.Engine, timeline: Timeline
+        self,
+        member: rendezvous.Member,
+        speed: sites.Engine,
+        timeline: virtual_time.Timeline,
     ) -> None:
         """Starts idle with an empty cache."""
         self.member = member
@@ -117,6 +88,7 @@
         self.reported_tokens = 0.0
         self.busy_s = 0.0
         self.exports: collections.deque[Run] = collections.deque()
+        self.recent = recovery.RecentExports[Run]()
         self.visits = returns.VisitTracker()
         self.queue = fair_queue.FairQueue[Run](
             timeline.clock,
@@ -248,12 +220,13 @@
         self,
         member: rendezvous.Member,
         site: sites.Site,
-        timeline: Timeline,
+        timeline: virtual_time.Timeline,
         value: block_store.Value | None = None,
     ) -> None:
         """Starts empty; both tiers are modelled as one."""
         self.member = member
         self.alive = True
+        self.value = value
         count = site.store_memory_blocks + site.store_disk_blocks
         bounds = block_store.Bounds(count * len(SCALED_BLOCK), 0)
         self.kept = block_store.BlockStore(bounds, timeline.clock, value=value)
@@ -302,7 +275,7 @@
     ) -> None:
         """Builds an idle site."""
         self.site = site
-        self.timeline = Timeline()
+        self.timeline = virtual_time.Timeline()
         self.use = recent_use.RecentUse(self.timeline.clock)
         self.table = table.Table(site.engines)
         self.engines = {
@@ -323,6 +296,21 @@
         self.exported_bytes = 0
         self.local_bytes = 0
 
+    def lose_store(self, name: str) -> None:
+        """Kills a store; agents tell after some failures in a row."""
+        old = self.stores[name]
+        self.stores[name] = Store(
+            old.member, self.site, self.timeline, old.value
+        )
+        self.stores[name].alive = False
+
+        def recover() -> None:
+            for engine in self.engines.values():
+                engine.exports.extend(engine.recent.take(name))
+
+        failures = client.LOST_AFTER_FAILURES
+        self.timeline.after(failures * client.AVOID_FAILED_S, recover)
+
     def link(
         self, one: rendezvous.Member, other: rendezvous.Member
     ) -> token_bucket.TokenBucket | None:
@@ -372,6 +360,7 @@
         store = self.store_of(request)
         if store is None:
             return True
+        engine.recent.note(request.prefix_key, store.member.name, run)
         held = engine.resident(request.keys)
         first = len(store.kept.leading(scope_of(request), request.keys))
         if held <= first:
--- a/src/cactusstile/agent/kept_exports.py
+++ b/src/cactusstile/agent/kept_exports.py
@@ -12,12 +12,14 @@
 from cactusstile import tokens
 from cactusstile.agent import messages
 from cactusstile.store import blocks
+from cactusstile.store import recovery
 from cactusstile.store import transfer
 from cactusstile.targets import exceptions
 
 if typing.TYPE_CHECKING:
     from cactusstile.agent import kept_parts
     from cactusstile.limits import token_bucket
+    from cactusstile.state import model
     from cactusstile.targets import engine
 
 logger = logging.getLogger(__name__)
@@ -44,15 +46,20 @@
     Attributes:
       exported_blocks: Blocks that stores took.
       dropped: Prompts that were not exported for lack of room here.
+      recovered: Prompts that were offered again after the loss of a store.
     """
 
     def __init__(self, parts: kept_parts.KeptParts) -> None:
         """Exports by `parts`; see `run`."""
         self.exported_blocks = 0
         self.dropped = 0
+        self.recovered = 0
         self._parts = parts
+        self._recent = recovery.RecentExports[_Export]()
         self._waiting: collections.deque[_Export] = collections.deque()
         self._filled = anyio.Event()
+        parts.stores.observe_lost(self.recover)
+        parts.node.fleet_holder.observe(self._recover_removed)
 
     def offer(self, request: messages.Run, end: messages.RunEnd) -> None:
         """Considers the prompt of a finished run."""
@@ -77,6 +84,23 @@
         )
         self._filled.set()
 
+    def recover(self, store: str) -> None:
+        """Offers again what a lost store took, behind newer prompts.
+
+        What the engine no longer holds then is left out by the export.
+        """
+        room = MAX_WAITING - len(self._waiting)
+        lost = self._recent.take(store)[-room:] if room else []
+        self._waiting.extendleft(reversed(lost))
+        self.recovered += len(lost)
+        if lost:
+            self._filled.set()
+
+    def _recover_removed(self, old: model.Fleet, new: model.Fleet) -> None:
+        """Recovers from the stores that an operator removed."""
+        for name in old.targets.keys() - new.targets.keys():
+            self.recover(name)
+
     async def run(self) -> None:
         """Exports until cancelled."""
         while True:
@@ -99,6 +123,7 @@
         if found.store is None or status is None:
             return
         link = parts.link_to(found.store)
+        self._recent.note(export.prefix_key, found.store.name, export)
         resident = len(await parts.engine.lookup(export.keys))
         count = resident - found.blocks
         size = count * status.block_bytes
--- a/src/cactusstile/store/client.py
+++ b/src/cactusstile/store/client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import typing
 
@@ -28,9 +29,13 @@
 
     Locate = collections.abc.Callable[[bytes], list[model.Target]]
 
+logger = logging.getLogger(__name__)
+
 HAVE_TIMEOUT_S = 0.1
 KEEP_TIMEOUT_S = 5.0
 AVOID_FAILED_S = 2.0
+LOST_AFTER_FAILURES = 3
+MAX_ASKED_STORES = 2
 _UPLOAD_BITS = 64
 
 _REJECTED = prometheus_client.Counter(
@@ -78,6 +83,14 @@
         self._peers = peers
         self._locate = locate
         self._avoid_until_s: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
+        self._lost_observers: list[collections.abc.Callable[[str], None]] = []
+
+    def observe_lost(
+        self, observer: collections.abc.Callable[[str], None]
+    ) -> None:
+        """Calls `observer(name)` when a store has failed for some seconds."""
+        self._lost_observers.append(observer)
 
     def store_of(self, prefix_key: bytes) -> model.Target | None:
         """Returns the store that a prompt's blocks belong to now."""
@@ -93,24 +106,30 @@
         prefix_key: bytes,
         keys: collections.abc.Sequence[bytes],
     ) -> Kept:
-        """Returns how many of a prompt's leading blocks can be fetched."""
-        store = self.store_of(prefix_key)
-        if store is None or not keys:
-            return Kept(store)
+        """Returns how many of a prompt's leading blocks can be fetched.
+
+        When its store does not answer, the next one is asked.
+        """
         message = messages.Have(
             messages.to_message(scope), tuple(keys[: messages.MAX_KEYS])
         )
-        try:
-            reply = await self._peers.call(
-                store.agent, message, timeout_s=HAVE_TIMEOUT_S
-            )
-        except (transport_exceptions.TransportError, TimeoutError):
-            self._note_failure(store)
-            return Kept(None)
-        if not isinstance(reply, messages.HaveReply):
+        for _ in range(MAX_ASKED_STORES):
+            store = self.store_of(prefix_key)
+            if store is None or not keys:
+                return Kept(store)
+            try:
+                reply = await self._peers.call(
+                    store.agent, message, timeout_s=HAVE_TIMEOUT_S
+                )
+            except (transport_exceptions.TransportError, TimeoutError):
+                self._note_failure(store)
+                continue
+            self._failures.pop(store.name, None)
+            if isinstance(reply, messages.HaveReply):
+                count = min(reply.blocks, len(keys))
+                return Kept(store, count, reply.total_bytes)
             return Kept(None)
-        count = min(reply.blocks, len(keys))
-        return Kept(store, count, reply.total_bytes)
+        return Kept(None)
 
     async def fetch(
         self,
@@ -198,9 +217,23 @@
                     return
 
     def _note_failure(self, store: model.Target) -> None:
+        """Leaves a store alone for a moment.
+
+        Calls that fail together count once. A store that fails at several
+        moments in a row is lost.
+        """
         _FAILED.inc()
-        until_s = anyio.current_time() + AVOID_FAILED_S
-        self._avoid_until_s[store.name] = until_s
+        now_s = anyio.current_time()
+        if self._avoid_until_s.get(store.name, 0.0) > now_s:
+            return
+        self._avoid_until_s[store.name] = now_s + AVOID_FAILED_S
+        failures = self._failures.get(store.name, 0) + 1
+        self._failures[store.name] = failures
+        if failures != LOST_AFTER_FAILURES:
+            return
+        logger.warning("store %s is lost; its prompts go elsewhere", store.name)
+        for observer in self._lost_observers:
+            observer(store.name)
 
 
 def _follows(copying: _Copy, part: messages.BlockPart) -> bool:
