Show targets, stores and links in status

Ruled out: heartbeats of the delivery tree. They would carry load and fill of every target to control for a command that is seldom given, and lag; asking the agents costs the fleet nothing meanwhile and tells the present state.

Change: agents and stores answer `ReadTargetState` to operators. A link's use is the sum over engines' agents; a token bucket keeps a mean of late, with a half-life of 10 s. `operator_secret_file` was described as for control only, while agents need it for `drain` already.

--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -13,6 +13,7 @@
 from cactusstile.agent import node
 from cactusstile.agent import probes
 from cactusstile.agent import prompt_run
+from cactusstile.agent import status
 from cactusstile.controllers import desired
 from cactusstile.controllers import fencing
 from cactusstile.controllers import orders
@@ -58,23 +59,48 @@
         group,
         engine_runs.Kept(kept_imports.Importer(kept), exporter),
     )
-    controller = orders.EngineController(
-        owner,
-        client,
-        version_gate,
-        fencing.Fence(links.control, settings.target),
-        wait_turn=_turn_waiter(settings, links, owner),
-        timing=orders.Timing(expected_load_s=settings.expected_load_s),
-    )
+    controller = _build_controller(settings, links, parts)
     group.start_soon(controller.run)
+
+    def is_ready() -> bool:
+        return owner.takes_work and version_gate.is_open
+
     calls: dict[type, incoming.CallHandler] = {
         messages.Probe: probes.Probes(parts).probe,
         messages.Run: running.run,
         messages.Attach: running.attach,
+        status.ReadTargetState: status.serve(
+            lambda: _describe(kept, ready=is_ready())
+        ),
     }
-    return node.ServedCalls(
-        calls, lambda: owner.takes_work and version_gate.is_open
+    return node.ServedCalls(calls, is_ready)
+
+
+def _build_controller(
+    settings: agent_settings.AgentSettings,
+    links: daemon.Links,
+    parts: prompt_run.Parts,
+) -> orders.EngineController:
+    return orders.EngineController(
+        parts.node,
+        parts.client,
+        parts.gate,
+        fencing.Fence(links.control, settings.target),
+        wait_turn=_turn_waiter(settings, links, parts.node),
+        timing=orders.Timing(expected_load_s=settings.expected_load_s),
+    )
+
+
+def _describe(kept: kept_parts.KeptParts, *, ready: bool) -> status.TargetState:
+    links = tuple(
+        status.LinkState(
+            one, other, bucket.sent_bytes, round(bucket.recent_bytes_per_s())
+        )
+        for (one, other), bucket in sorted(kept.links.buckets.items())
     )
+    known = kept.gate.status
+    version = known.version if known is not None else ""
+    return status.describe(kept.node, ready=ready, version=version, links=links)
 
 
 def _turn_waiter(
--- a/src/cactusstile/agent/service_agent.py
+++ b/src/cactusstile/agent/service_agent.py
@@ -7,6 +7,7 @@
 from cactusstile.agent import messages
 from cactusstile.agent import node
 from cactusstile.agent import service_calls
+from cactusstile.agent import status
 
 if typing.TYPE_CHECKING:
     import anyio.abc
@@ -43,8 +44,12 @@
             leaving=not owner.takes_work,
         )
 
+    def describe() -> status.TargetState:
+        return status.describe(owner, ready=owner.takes_work)
+
     handlers: dict[type, incoming.CallHandler] = {
         messages.ServiceCall: calls.call,
         messages.Probe: probe,
+        status.ReadTargetState: status.serve(describe),
     }
     return node.ServedCalls(handlers, lambda: owner.takes_work)
--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -87,7 +87,10 @@
             follower.open_follower(common, identity)
         )
         store = await stack.enter_async_context(
-            store_daemon.open_store(_store_settings(settings))
+            store_daemon.open_store(
+                _store_settings(settings),
+                lambda: following.fleet_holder.fleet.revision,
+            )
         )
         following.fleet_holder.observe(_free_removed_workspaces(store))
         application = admin.build(
--- a/src/cactusstile/limits/token_bucket.py
+++ b/src/cactusstile/limits/token_bucket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -9,6 +10,7 @@
 
 BURST_S = 0.25
 BACKGROUND_RESERVE = 0.5
+RECENT_HALF_LIFE_S = 10.0
 BYTES_PER_GB = 1_000_000_000
 
 
@@ -45,6 +47,7 @@
         self.sent_bytes = 0
         self._clock = clock
         self._level = self.burst_bytes
+        self._recent_bytes = 0.0
         self._refilled_s = clock()
 
     def delay_s(self, size: int) -> float:
@@ -80,6 +83,12 @@
         """Returns bytes that were granted and not sent."""
         self._level = min(self.burst_bytes, self._level + size)
         self.sent_bytes -= size
+        self._recent_bytes = max(0.0, self._recent_bytes - size)
+
+    def recent_bytes_per_s(self) -> float:
+        """Returns the mean rate of what was granted of late."""
+        self._refill()
+        return self._recent_bytes * math.log(2) / RECENT_HALF_LIFE_S
 
     def price(self, size: int) -> float:
         """Returns the cost of `size` bytes, in the operators' unit."""
@@ -88,9 +97,12 @@
     def _take(self, size: int) -> None:
         self._level -= size
         self.sent_bytes += size
+        self._recent_bytes += size
 
     def _refill(self) -> None:
         now_s = self._clock()
-        gained = (now_s - self._refilled_s) * self.bytes_per_s
-        self._level = min(self.burst_bytes, self._level + max(0.0, gained))
+        elapsed_s = max(0.0, now_s - self._refilled_s)
+        gained = elapsed_s * self.bytes_per_s
+        self._level = min(self.burst_bytes, self._level + gained)
+        self._recent_bytes *= 0.5 ** (elapsed_s / RECENT_HALF_LIFE_S)
         self._refilled_s = now_s
--- a/src/cactusstile/settings/process.py
+++ b/src/cactusstile/settings/process.py
@@ -95,7 +95,7 @@
     ini.Option(
         "operator_secret_file",
         read_secret,
-        "file with the operators' secret; control only",
+        "file with the operators' secret; control, agents and stores",
         b"",
     ),
 )
--- a/src/cactusstile/store/daemon.py
+++ b/src/cactusstile/store/daemon.py
@@ -10,6 +10,7 @@
 import anyio
 import attrs
 
+from cactusstile.agent import status
 from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import disk
@@ -184,9 +185,14 @@
 @contextlib.asynccontextmanager
 async def open_store(
     settings: Settings,
+    find_revision: collections.abc.Callable[[], int] = lambda: 0,
 ) -> collections.abc.AsyncIterator[Store]:
     """Serves until the context is left, then saves memory to disk.
 
+    Args:
+      settings: Settings of the store.
+      find_revision: Returns the configuration revision in force here.
+
     Raises:
       OSError: If the address or the data folder cannot be used.
     """
@@ -202,6 +208,9 @@
             messages.Fetch: service.fetch,
             messages.Keep: service.keep,
             messages.Free: service.free,
+            status.ReadTargetState: status.serve(
+                lambda: _describe(kept, find_revision())
+            ),
         }
     )
     identity = handshake.Identity("store", settings.name)
@@ -212,6 +221,20 @@
     kept.flush()
 
 
+def _describe(
+    kept: block_store.BlockStore, revision: int
+) -> status.TargetState:
+    return status.TargetState(
+        revision=revision,
+        ready=True,
+        blocks=len(kept.records),
+        memory_bytes=kept.memory_bytes,
+        memory_bound_bytes=kept.bounds.memory_bytes,
+        disk_bytes=kept.disk.used_bytes if kept.disk is not None else 0,
+        disk_bound_bytes=kept.bounds.disk_bytes,
+    )
+
+
 async def run_store(
     settings: Settings,
     *,
--- a/src/cactusstile/store/transfer.py
+++ b/src/cactusstile/store/transfer.py
@@ -25,12 +25,16 @@
 
 
 class Links:
-    """Budgets of the limited links that this process sends over."""
+    """Budgets of the limited links that this process sends over.
+
+    Attributes:
+      buckets: Budgets so far, by sorted pair of data centres.
+    """
 
     def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
         """Starts without links; `clock` returns monotonic seconds."""
+        self.buckets: dict[tuple[str, str], token_bucket.TokenBucket] = {}
         self._clock = clock
-        self._buckets: dict[tuple[str, str], token_bucket.TokenBucket] = {}
 
     def between(
         self, fleet: model.Fleet, one: str, other: str, sharers: int = 1
@@ -48,12 +52,12 @@
             return None
         rate = link.bytes_per_s / max(1, sharers)
         pair = link.data_centres
-        bucket = self._buckets.get(pair)
+        bucket = self.buckets.get(pair)
         if bucket is None:
             bucket = token_bucket.TokenBucket(
                 rate, self._clock, price_per_gb=link.price
             )
-            self._buckets[pair] = bucket
+            self.buckets[pair] = bucket
         bucket.bytes_per_s = rate
         bucket.price_per_gb = link.price
         return bucket
--- a/tests/limits/test_token_bucket.py
+++ b/tests/limits/test_token_bucket.py
@@ -38,3 +38,14 @@
 def test_bucket_refuses_link_without_bandwidth() -> None:
     with pytest.raises(ValueError, match="bandwidth"):
         token_bucket.TokenBucket(0, lambda: 0.0)
+
+
+def test_recent_rate_nears_steady_use_and_fades() -> None:
+    now_s = 0.0
+    bucket = token_bucket.TokenBucket(1000, lambda: now_s)
+    for _ in range(600):
+        now_s += 0.1
+        assert bucket.try_take(20, max_delay_s=1.0)
+    assert bucket.recent_bytes_per_s() == pytest.approx(200, rel=0.05)
+    now_s += 10 * token_bucket.RECENT_HALF_LIFE_S
+    assert bucket.recent_bytes_per_s() < 1
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
 import collections.abc
+import json
 import pathlib
+import signal
+import time
+import typing
 
 import anyio
 import httpcore
@@ -146,6 +150,41 @@
         assert metric in text
 
 
+def _read_status(site: site_processes.Site) -> dict[str, typing.Any]:
+    shown = site.run_command("status", "--json")
+    assert shown.returncode == 0, shown.stderr
+    return typing.cast("dict[str, typing.Any]", json.loads(shown.stdout))
+
+
+def test_status_shows_fleet_and_waits_for_no_silent_target(
+    site: site_processes.Site,
+) -> None:
+    site.write_operator()
+    with _open_client(site) as caller:
+        caller.completions.create(model="chat", prompt=PROMPT, max_tokens=2)
+    # The export of the prompt's blocks runs after the answer.
+    for _ in range(50):
+        targets = {view["name"]: view for view in _read_status(site)["targets"]}
+        if targets["store-1"]["state"]["blocks"]:
+            break
+        time.sleep(0.1)
+    assert targets["engine-1"]["state"]["version"] == "v1"
+    assert targets["engine-1"]["state"]["ready"]
+    assert targets["service-1"]["state"]["slots"] > 0
+    store = targets["store-1"]["state"]
+    assert 0 < store["memory_bytes"] <= store["memory_bound_bytes"]
+    frozen = site.processes["engine-2"]
+    frozen.send_signal(signal.SIGSTOP)
+    try:
+        shown = site.run_command("status")
+    finally:
+        frozen.send_signal(signal.SIGCONT)
+    assert shown.returncode == 0, shown.stderr
+    assert "engine-2 (engine, ikeja): does not answer" in shown.stdout
+    assert "3 of 4 targets answer" in shown.stdout
+    assert "link ikeja lekki: 0.0% of 4.0 MB/s" in shown.stdout
+
+
 def test_site_serves_on_after_loss_of_engine_entry_and_control(
     site: site_processes.Site,
 ) -> None:
--- a/tests/support/site_processes.py
+++ b/tests/support/site_processes.py
@@ -177,6 +177,7 @@
         parts.append(f"[workspace {workspace}]\nkey_hashes = {hashed}\n")
     parts.append("[deployment chat]\nmodel = model\nversion = v1\n")
     parts.append("[service inventory]\ntimeout_s = 5\n")
+    parts.append("[link ikeja lekki]\nbytes_per_s = 4000000\n")
     for name, kind, serves in (
         ("engine-1", "engine", "serves = chat"),
         ("engine-2", "engine", "serves = chat"),
