--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -17,6 +17,7 @@
 from cactusstile.store import daemon as store_daemon
 from cactusstile.store import messages as store_messages
 from cactusstile.transport import handshake
+from cactusstile.transport import pool
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -28,16 +29,21 @@
 @contextlib.asynccontextmanager
 async def open_process(
     settings: agent_settings.AgentSettings,
+    dial: pool.Dial = pool.dial_tcp,
 ) -> collections.abc.AsyncIterator[daemon.Agent]:
     """Runs an agent that follows the fleet, with its admin listener.
 
+    Args:
+      settings: Settings of the agent.
+      dial: Opens byte streams to other processes.
+
     Raises:
       OSError: If one of its addresses cannot be bound.
     """
     identity = handshake.Identity("agent", settings.process.name)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
-            follower.open_follower(settings.process, identity)
+            follower.open_follower(settings.process, identity, dial=dial)
         )
         links = daemon.Links(
             following.control, following.peers, following.fleet_holder
--- a/src/cactusstile/local/site.py
+++ b/src/cactusstile/local/site.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import collections.abc
 import contextlib
+import pathlib
 import secrets
 import typing
 
 import anyio
+import anyio.abc
 import attrs
 
 from cactusstile.agent import daemon as agent_daemon
@@ -16,6 +19,7 @@
 from cactusstile.control import daemon as control_daemon
 from cactusstile.control import settings as control_settings
 from cactusstile.entry import daemon as entry_daemon
+from cactusstile.entry import routes
 from cactusstile.entry import wiring as entry_wiring
 from cactusstile.fakes import engine
 from cactusstile.fakes import engine_app
@@ -31,10 +35,7 @@
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-    import pathlib
-
+FindFleet: typing.TypeAlias = collections.abc.Callable[[], model.Fleet]
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.02
 STORE_MEMORY_BYTES = 64 * 1024 * 1024
@@ -43,6 +44,10 @@
 _SECRET_BYTES = 24
 
 
+def _dial_tcp_from(_: str) -> pool.Dial:
+    return pool.dial_tcp
+
+
 @attrs.frozen
 class LocalSettings:
     """Settings of a local site.
@@ -55,6 +60,10 @@
       control_host: IP number on which control listens.
       control_ports: Ports of the control processes, one for each replica.
       engine: Behaviour of the stand-ins for engines.
+      dial_from: Returns what opens byte streams to other processes for an
+        agent in a data centre.
+      build_routes: Returns the entry's decisions on where requests go, given
+        what returns the fleet in force; None for those of the product.
     """
 
     fleet: model.Fleet
@@ -64,6 +73,10 @@
     control_host: str = "127.0.0.1"
     control_ports: tuple[int, ...] = (7301, 7302, 7303)
     engine: engine.EngineSettings = attrs.field(factory=engine.EngineSettings)
+    dial_from: collections.abc.Callable[[str], pool.Dial] = _dial_tcp_from
+    build_routes: (
+        collections.abc.Callable[[FindFleet], routes.Routes] | None
+    ) = None
 
 
 @attrs.define
@@ -76,6 +89,7 @@
       engines: Stand-ins for engines by target.
       services: Stand-ins for plain services by target.
       stores: Stores by target.
+      store_scopes: Scope of each store; to cancel it kills the store.
     """
 
     entry: entry_daemon.Entry
@@ -83,6 +97,7 @@
     engines: dict[str, engine.Engine] = attrs.field(factory=dict)
     services: dict[str, service.Service] = attrs.field(factory=dict)
     stores: dict[str, store_daemon.Store] = attrs.field(factory=dict)
+    store_scopes: dict[str, anyio.CancelScope] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -92,6 +107,8 @@
     settings: LocalSettings
     stack: contextlib.AsyncExitStack
     secrets: handshake.Secrets
+    group: anyio.abc.TaskGroup
+    stopping: anyio.Event
 
     def process_settings(
         self, name: str, data_centre: str, listen: address.Address
@@ -157,6 +174,9 @@
         parts = await self.stack.enter_async_context(
             entry_wiring.open_parts(settings)
         )
+        if self.settings.build_routes is not None:
+            routing = self.settings.build_routes(lambda: parts.fleet.fleet)
+            parts = attrs.evolve(parts, routing=routing)
         return await self.stack.enter_async_context(
             entry_daemon.open_entry(settings, parts)
         )
@@ -171,8 +191,9 @@
             settings = store_daemon.Settings(
                 target.name, target.agent, self.secrets, folder, bounds
             )
-            site.stores[target.name] = await self.stack.enter_async_context(
-                store_daemon.open_store(settings)
+            scope = site.store_scopes[target.name] = anyio.CancelScope()
+            site.stores[target.name] = await self.group.start(
+                _serve_store, settings, scope, self.stopping
             )
             return
         app = await self._open_stand_in(site, target)
@@ -181,7 +202,9 @@
             common, target.kind.value, target.name, f"http://{bound}"
         )
         site.agents[target.name] = await self.stack.enter_async_context(
-            agent_wiring.open_process(agent)
+            agent_wiring.open_process(
+                agent, self.settings.dial_from(target.data_centre)
+            )
         )
 
     async def _open_stand_in(
@@ -218,7 +241,10 @@
         secrets.token_bytes(_SECRET_BYTES), secrets.token_bytes(_SECRET_BYTES)
     )
     async with contextlib.AsyncExitStack() as stack:
-        opener = _Opener(settings, stack, shared)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stopping = anyio.Event()
+        stack.callback(stopping.set)
+        opener = _Opener(settings, stack, shared, group, stopping)
         await opener.open_control()
         await opener.apply()
         site = LocalSite(await opener.open_entry())
@@ -230,6 +256,20 @@
         yield site
 
 
+async def _serve_store(
+    settings: store_daemon.Settings,
+    scope: anyio.CancelScope,
+    stopping: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[store_daemon.Store],
+) -> None:
+    """Serves until the site stops, or is killed by `scope`."""
+    with scope:
+        async with store_daemon.open_store(settings) as store:
+            task_status.started(store)
+            await stopping.wait()
+
+
 def is_ready(site: LocalSite) -> bool:
     """Returns whether the entry and all agents serve."""
     agents_ready = all(agent.ready() for agent in site.agents.values())
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -79,6 +79,7 @@
     identity: handshake.Identity,
     *,
     serves_children: bool = False,
+    dial: pool.Dial = pool.dial_tcp,
 ) -> collections.abc.AsyncIterator[Follower]:
     """Follows the fleet until the context is left.
 
@@ -87,6 +88,7 @@
       identity: Identity that it presents.
       serves_children: Whether it listens for children in the delivery tree,
         as entries do.
+      dial: Opens byte streams to other processes.
 
     Raises:
       OSError: If the address for children cannot be bound.
@@ -101,7 +103,7 @@
             )
             relay_address = opened.bound
         peers = await stack.enter_async_context(
-            pool.open_pool(identity, settings.secrets)
+            pool.open_pool(identity, settings.secrets, dial=dial)
         )
         control = client.ControlClient(peers, settings.control)
         subscriber = subscription.Subscriber(
--- a/src/cactusstile/transport/pool.py
+++ b/src/cactusstile/transport/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import contextlib
 import logging
 import typing
@@ -10,16 +11,12 @@
 import anyio.abc
 import attrs
 
+from cactusstile.transport import address
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
 from cactusstile.transport import handshake
 from cactusstile.transport import incoming
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
-    from cactusstile.transport import address
-
 logger = logging.getLogger(__name__)
 
 DIAL_TIMEOUT_S = 1.0
@@ -31,6 +28,15 @@
     anyio.ClosedResourceError,
 )
 
+Dial: typing.TypeAlias = collections.abc.Callable[
+    [address.Address], collections.abc.Awaitable[anyio.abc.ByteStream]
+]
+
+
+async def dial_tcp(target: address.Address) -> anyio.abc.ByteStream:
+    """Returns a fresh TCP connection to `target`."""
+    return await anyio.connect_tcp(target.host, target.port)
+
 
 @attrs.define
 class _Peer:
@@ -59,6 +65,8 @@
         secrets: handshake.Secrets,
         handlers: incoming.Handlers,
         timing: connection.Timing | None,
+        *,
+        dial: Dial = dial_tcp,
     ) -> None:
         """Runs connections in `group`; see `open_pool`."""
         self.identity = identity
@@ -66,6 +74,7 @@
         self._secrets = secrets
         self._handlers = handlers
         self._timing = timing
+        self._dial_stream = dial
         self._peers: dict[address.Address, _Peer] = {}
 
     async def connect(self, target: address.Address) -> connection.Connection:
@@ -112,7 +121,7 @@
 
     async def _dial(self, target: address.Address) -> connection.Connection:
         with anyio.fail_after(DIAL_TIMEOUT_S):
-            byte_stream = await anyio.connect_tcp(target.host, target.port)
+            byte_stream = await self._dial_stream(target)
             try:
                 peer, early, decoder = await handshake.connect(
                     byte_stream, self.identity, self._secrets
@@ -138,6 +147,7 @@
     secrets: handshake.Secrets,
     handlers: incoming.Handlers | None = None,
     timing: connection.Timing | None = None,
+    dial: Dial = dial_tcp,
 ) -> collections.abc.AsyncIterator[Pool]:
     """Opens a pool whose connections close when the context is left.
 
@@ -146,8 +156,9 @@
       secrets: Secrets of the deployment.
       handlers: Serve calls that peers make over dialled connections.
       timing: Heartbeat of the connections.
+      dial: Opens byte streams to peers.
     """
     async with anyio.create_task_group() as group:
         served = handlers or incoming.Handlers()
-        yield Pool(group, identity, secrets, served, timing)
+        yield Pool(group, identity, secrets, served, timing, dial=dial)
         group.cancel_scope.cancel()
