Serve fakes by the listener's own server class

test_drain_command_stops_and_resumes_new_work stood in two files. The bodies agree, but one drains an engine's agent (and names an unknown target), the other a plain service's, whose handlers are others. Both stay, named by what differs: ..._engine and ..._service.

--- a/src/cactusstile/fakes/serving.py
+++ b/src/cactusstile/fakes/serving.py
@@ -11,6 +11,7 @@
 import uvicorn
 from starlette import responses
 
+from cactusstile.observability import http_listener
 from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
@@ -36,14 +37,6 @@
     return responses.StreamingResponse(body(), headers=headers)
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves the process's signals alone."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> collections.abc.Iterator[None]:
-        yield
-
-
 @contextlib.asynccontextmanager
 async def open_app(
     app: typing.Any, listen: address.Address | None = None
@@ -70,7 +63,7 @@
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=1,
         )
-        served = _Server(config)
+        served = http_listener.EmbeddedServer(config)
         async with anyio.create_task_group() as group:
             group.start_soon(served.serve, [listener])
             while not served.started:  # noqa: ASYNC110
--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -57,7 +57,7 @@
     return answer.status, usage["completion_tokens"]
 
 
-def test_drain_command_stops_and_resumes_new_work(
+def test_drain_command_stops_and_resumes_engine(
     site: site_processes.Site,
 ) -> None:
     drained = site.run_command("drain", "engine-1", "--wait_s", "5")
--- a/tests/processes/test_service_claims.py
+++ b/tests/processes/test_service_claims.py
@@ -149,7 +149,7 @@
     assert done > CALLS // 2, callers.told
 
 
-def test_drain_command_stops_and_resumes_new_work(
+def test_drain_command_stops_and_resumes_service(
     site: site_processes.Site,
 ) -> None:
     site.wait_ready(AGENT)
