Serve callers over TLS

Ruled out: a reload by SIGHUP, which the operator must remember; loading into the context in use, which breaks handshakes while the two files differ; shortening asyncio's wait of 30 s for the peer's close, which bounds the last bytes to a slow caller as well.

Change: `[entry] tls_certificate` and `tls_key`, checked whole at the start and by `cactusstile check`, which now uses each role's loader. The files are looked at each 5 s; new handshakes take the new certificate through the SNI callback, open connections keep theirs, and a pair that does not match leaves the old one in use and is counted.

--- a/src/cactusstile/console/check.py
+++ b/src/cactusstile/console/check.py
@@ -63,5 +63,8 @@
         )
     found = [role for role in roles.OPTIONS if parser.has_section(role)]
     role = found[0] if found else ""
-    settings, _ = process.load(path, role, roles.OPTIONS.get(role, ()))
-    return f"{path}: settings of {role or 'a process'} {settings.name}"
+    if role in roles.LOADERS:
+        name = roles.LOADERS[role](path).process.name
+    else:
+        name = process.load(path)[0].name
+    return f"{path}: settings of {role or 'a process'} {name}"
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -23,8 +23,11 @@
 from cactusstile.observability import admin
 from cactusstile.observability import entry_metrics
 from cactusstile.observability import http_listener
+from cactusstile.observability import tls
 
 if typing.TYPE_CHECKING:
+    import starlette.routing
+
     from cactusstile.settings import entry as entry_settings
     from cactusstile.state import holder
     from cactusstile.transport import address
@@ -159,7 +162,7 @@
     admin_app = admin.build([entry.metrics.registry], is_ready, dump)
     admin_listen = settings.process.admin_listen
     async with (
-        http_listener.open_listener(app, settings.callers_listen) as listener,
+        _open_callers(entry, app) as listener,
         http_listener.open_listener(admin_app, admin_listen) as admin_listener,
         anyio.create_task_group() as group,
     ):
@@ -171,6 +174,31 @@
         group.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def _open_callers(
+    entry: Entry, app: starlette.routing.Router
+) -> collections.abc.AsyncIterator[http_listener.HttpListener]:
+    """Opens the callers' listener, with TLS if there is a certificate."""
+    listen = entry.settings.callers_listen
+    files = entry.settings.tls_files
+    if files is None:
+        async with http_listener.open_listener(app, listen) as listener:
+            yield listener
+        return
+    certificate = tls.ReloadedCertificate(
+        files, entry.metrics.count_certificate
+    )
+    async with (
+        http_listener.open_listener(
+            app, listen, certificate.context
+        ) as listener,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(certificate.run)
+        yield listener
+        group.cancel_scope.cancel()
+
+
 def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
     metrics = entry_metrics.build()
     dispatcher = dispatch.Dispatcher(
--- a/src/cactusstile/observability/entry_metrics.py
+++ b/src/cactusstile/observability/entry_metrics.py
@@ -42,6 +42,7 @@
       callers_left: Requests whose caller left before the answer's end.
       tokens: Output tokens relayed.
       first_token: Time to first token in seconds.
+      certificate_reloads: Changed certificates, by whether they are in use.
     """
 
     registry: prometheus_client.CollectorRegistry
@@ -53,6 +54,11 @@
     callers_left: prometheus_client.Counter
     tokens: prometheus_client.Counter
     first_token: prometheus_client.Histogram
+    certificate_reloads: prometheus_client.Counter
+
+    def count_certificate(self, in_use: bool) -> None:
+        """Counts a changed certificate."""
+        self.certificate_reloads.labels("used" if in_use else "failed").inc()
 
     def count_refusal(
         self, _passing: exchange.Exchange, refusal: verdict.Refusal
@@ -99,4 +105,5 @@
             buckets=_FIRST_TOKEN_BUCKETS_S,
             registry=registry,
         ),
+        counter("certificate_reloads", "Changed certificates.", "outcome"),
     )
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -7,6 +7,7 @@
 import contextlib
 import logging
 import socket
+import ssl
 import typing
 
 import anyio
@@ -29,7 +30,7 @@
     """Raised when an address cannot be bound; carries the system's number."""
 
 
-class _EmbeddedServer(uvicorn.Server):
+class EmbeddedServer(uvicorn.Server):
     """Server that leaves signals to the process that embeds it."""
 
     @contextlib.contextmanager
@@ -85,18 +86,40 @@
 
 @contextlib.asynccontextmanager
 async def open_listener(
-    app: typing.Any, listen: address.Address
+    app: typing.Any,
+    listen: address.Address,
+    tls: ssl.SSLContext | None = None,
 ) -> collections.abc.AsyncIterator[HttpListener]:
     """Serves `app` until the context is left, which cuts open exchanges.
 
     Call `HttpListener.drain` first to let them finish.
 
+    Args:
+      app: ASGI application.
+      listen: Address to listen on.
+      tls: Context of a TLS listener; None for plain HTTP.
+
     Raises:
       CannotListenError: If the address cannot be bound.
     """
     bound_socket = _bind(listen)
-    config = uvicorn.Config(
+    server = EmbeddedServer(_configure(app, tls))
+    listener = HttpListener(bound_socket, server)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve)
+        try:
+            yield listener
+        finally:
+            group.cancel_scope.cancel()
+            with anyio.CancelScope(shield=True):
+                await _cut_off(server)
+            bound_socket.close()
+
+
+def _configure(app: typing.Any, tls: ssl.SSLContext | None) -> uvicorn.Config:
+    return uvicorn.Config(
         app,
+        ssl_context_factory=None if tls is None else lambda *_: tls,
         lifespan="off",
         log_config=None,
         access_log=False,
@@ -107,17 +130,6 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
     )
-    server = _EmbeddedServer(config)
-    listener = HttpListener(bound_socket, server)
-    async with anyio.create_task_group() as group:
-        group.start_soon(listener.serve)
-        try:
-            yield listener
-        finally:
-            group.cancel_scope.cancel()
-            with anyio.CancelScope(shield=True):
-                await _cut_off(server)
-            bound_socket.close()
 
 
 async def _cut_off(server: uvicorn.Server) -> None:
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cactusstile.observability import logs
+from cactusstile.observability import tls
 from cactusstile.settings import ini
 from cactusstile.settings import process
 from cactusstile.transport import address
@@ -26,6 +27,9 @@
       drain_delay_s: Time between the end of readiness and the end of
         accepting, for the balancer to notice.
       log_level: Least level of log lines.
+      tls_certificate: Path of the callers' listener's certificate; empty for
+        plain HTTP.
+      tls_key: Path of its private key.
     """
 
     process: process.ProcessSettings
@@ -36,6 +40,28 @@
     retry_share: float
     drain_delay_s: float
     log_level: str
+    tls_certificate: str = ""
+    tls_key: str = ""
+
+    @property
+    def tls_files(self) -> tls.Files | None:
+        """Files of the callers' listener; None for plain HTTP."""
+        if not self.tls_certificate:
+            return None
+        return tls.Files(
+            pathlib.Path(self.tls_certificate), pathlib.Path(self.tls_key)
+        )
+
+
+def _parse_file(text: str) -> str:
+    """Returns the path of a file that can be read."""
+    try:
+        with pathlib.Path(text).open("rb"):
+            return text
+    except OSError as error:
+        raise ValueError(
+            f"cannot read the file {text!r}: {error.strerror}"
+        ) from error
 
 
 OPTIONS = (
@@ -76,6 +102,18 @@
         "least level of log lines",
         "info",
     ),
+    ini.Option(
+        "tls_certificate",
+        _parse_file,
+        "PEM certificate for callers with its issuers; none serves plain HTTP",
+        "",
+    ),
+    ini.Option(
+        "tls_key",
+        _parse_file,
+        "PEM private key of the certificate, without a passphrase",
+        "",
+    ),
 )
 
 
@@ -86,4 +124,23 @@
       InvalidFileError: With all faults of the file.
     """
     common, values = process.load(path, "entry", OPTIONS)
-    return EntrySettings(common, **values)
+    settings = EntrySettings(common, **values)
+    _check_tls(path, settings)
+    return settings
+
+
+def _check_tls(path: pathlib.Path, settings: EntrySettings) -> None:
+    certificate, key = settings.tls_certificate, settings.tls_key
+    problem = None
+    if bool(certificate) != bool(key):
+        missing = "tls_key" if certificate else "tls_certificate"
+        text = "missing; write both tls_certificate and tls_key, or neither"
+        problem = ini.Problem(str(path), "entry", missing, text)
+    elif settings.tls_files is not None:
+        try:
+            tls.load_context(settings.tls_files)
+        except tls.CertificateError as error:
+            option = "tls_certificate"
+            problem = ini.Problem(str(path), "entry", option, str(error))
+    if problem is not None:
+        raise ini.InvalidFileError([problem])
--- a/src/cactusstile/settings/reference.py
+++ b/src/cactusstile/settings/reference.py
@@ -45,7 +45,7 @@
     >>> accepts(ini.Option("size", ini.integer(1, 9), ""))
     'a whole number from 1 to 9'
     """
-    if option.name.endswith("_file"):
+    if option.name.endswith("_file") or option.name.startswith("tls_"):
         return "the path of a file"
     try:
         option.parse(_PROBE)
--- a/src/cactusstile/settings/roles.py
+++ b/src/cactusstile/settings/roles.py
@@ -1,7 +1,10 @@
-"""Options of each role's section, for checks and for the documentation."""
+"""Options and loader of each role, for checks and for the documentation."""
 
 from __future__ import annotations
 
+import collections.abc
+import pathlib
+
 from cactusstile.control import settings as control_settings
 from cactusstile.settings import agent
 from cactusstile.settings import entry
@@ -11,3 +14,16 @@
     "agent": agent.OPTIONS,
     "control": control_settings.OPTIONS,
 }
+LOADERS: dict[
+    str,
+    collections.abc.Callable[
+        [pathlib.Path],
+        agent.AgentSettings
+        | control_settings.ControlSettings
+        | entry.EntrySettings,
+    ],
+] = {
+    "entry": entry.load,
+    "agent": agent.load,
+    "control": control_settings.load,
+}
