Show the quorum in one line a group

Cause: `status` printed six times the same members with three control VMs. Change: one line a group, from the newest view, with how many agree; `member list` keeps the views.

--- a/src/cactusstile/console/status.py
+++ b/src/cactusstile/console/status.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from cactusstile.console import member
 from cactusstile.console import operator
 from cactusstile.control import operations
 from cactusstile.control import target_views
@@ -60,7 +59,7 @@
     )
     for name in coverage.missing:
         print(f"  missing: {name}")
-    member.print_views(status.control)
+    _print_quorum(status.control)
     _print_targets(status.targets, coverage.revision)
     for link in status.links:
         print(_describe_link(link))
@@ -75,6 +74,29 @@
     return Status(fleet.name, coverage, control, targets, links)
 
 
+def _print_quorum(views: list[operations.ControlView]) -> None:
+    """Prints, for each group, what the newest view tells and who agrees."""
+    answered = [view for view in views if view.groups]
+    print(f"{len(answered)} of {len(views)} control VMs answer")
+    for view in views:
+        if not view.groups:
+            print(f"  {view.address}: does not answer")
+    groups = [group for view in answered for group in view.groups]
+    for name in sorted({group.group for group in groups}):
+        seen = [group for group in groups if group.group == name]
+        newest = max(seen, key=lambda group: group.term)
+        agreeing = sum(
+            (group.term, group.leader) == (newest.term, newest.leader)
+            for group in seen
+        )
+        voters = sum(found.voter for found in newest.members)
+        print(
+            f"  {name}: leader {newest.leader or 'unknown'}, term "
+            f"{newest.term}, {agreeing} of {voters} voters agree, committed "
+            f"{newest.commit_index}"
+        )
+
+
 def _print_targets(views: list[target_views.TargetView], revision: int) -> None:
     """Prints a line for each target; of many only those to look after."""
     answered = sum(view.state is not None for view in views)
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -182,6 +182,7 @@
     assert shown.returncode == 0, shown.stderr
     assert "engine-2 (engine, ikeja): does not answer" in shown.stdout
     assert "3 of 4 targets answer" in shown.stdout
+    assert "3 of 3 voters agree" in shown.stdout
     assert "link ikeja lekki: 0.0% of 4.0 MB/s" in shown.stdout
 
 
