Weigh links by the engines' own block size

An entry took each block for 2 MiB, while these engines' have 4 KiB behind links that are scaled alike: every link looked 512 times as dear, and all work went to the engines beside the stores.

Change: probe replies carry the engine's block size; the choice weighs links by it, and by the typical size only where no agent tells one.

--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -65,6 +65,7 @@
       prefill_ms: Estimated time to compute what is not resident.
       leaving: Whether the target takes no new work.
       reservation: Number of the reservation; 0 without one.
+      block_bytes: Size of a KV block of the engine; 0 if unknown.
     """
 
     revision: int
@@ -78,6 +79,7 @@
     prefill_ms: int
     leaving: bool = False
     reservation: int = 0
+    block_bytes: int = 0
 
 
 @codec.register(102, _SCHEMA, "Run")
--- a/src/cactusstile/agent/probes.py
+++ b/src/cactusstile/agent/probes.py
@@ -53,6 +53,7 @@
             round(wait_s * 1000),
             round(missing_tokens / queue.tokens_per_s * 1000),
             reservation=reservation,
+            block_bytes=status.block_bytes,
         )
 
     def _wait_s(self, workspace: str) -> float:
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -26,6 +26,7 @@
   prefillMs @8 :UInt32;
   leaving @9 :Bool;
   reservation @10 :UInt64;
+  blockBytes @11 :UInt64;
 }
 
 struct Run {
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -89,7 +89,11 @@
         fleet = find_fleet()
         weights = _weights(fleet, call.deployment)
         stores = index.stores(call.deployment, call.prefix_key)
-        link_time = link_use.build(fleet, stores[0] if stores else None)
+        link_time = link_use.build(
+            fleet,
+            stores[0] if stores else None,
+            max((entry.reply.block_bytes for entry in probed), default=0),
+        )
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
         by_name = {entry.target.name: entry.target for entry in probed}
--- a/src/cactusstile/routing/link_use.py
+++ b/src/cactusstile/routing/link_use.py
@@ -12,16 +12,17 @@
 TYPICAL_BLOCK_BYTES = 2 * 1024 * 1024
 
 
-def build(fleet: model.Fleet, store: model.Target | None) -> choice.ImportTime:
+def build(
+    fleet: model.Fleet, store: model.Target | None, block_bytes: int = 0
+) -> choice.ImportTime:
     """Returns the link time between members and a prompt's store.
 
-    Agents know the true size of a block and plan each transfer themselves; to
-    compare engines, a typical size will do.
-
     Args:
       fleet: Configuration in force.
       store: Store of the prompt; None without one.
+      block_bytes: Size of a block as agents told it; 0 takes a typical one.
     """
+    known_bytes = block_bytes or TYPICAL_BLOCK_BYTES
 
     def link_time(member: rendezvous.Member, blocks: int) -> float:
         if store is None or member.data_centre == store.data_centre:
@@ -29,7 +30,7 @@
         link = fleet.link(member.data_centre, store.data_centre)
         if link is None:
             return 0.0
-        size = blocks * TYPICAL_BLOCK_BYTES
+        size = blocks * known_bytes
         return size / link.bytes_per_s * 1000 * (1 + link.price)
 
     return link_time
