--- a/tests/processes/test_service_claims.py
+++ b/tests/processes/test_service_claims.py
@@ -245,7 +245,7 @@
     site_processes.start_agent(site, name, kind)
 
 
-def test_drain_command_stops_and_resumes_new_work(
+def test_drain_command_stops_and_resumes_service(
     site: site_processes.Site,
 ) -> None:
     site.wait_ready(AGENT)
