Close a key to earlier attempts before saying that it was not run

Cause: an entry read the claim before it told a caller's key "not run". An earlier attempt that waited in the socket of a frozen agent had no claim yet, and ran when the agent woke.

Ruled out: closing the key for ever (the caller could not try again under it); wall clocks (one that runs ahead lets the old attempt pass); beacons of the configuration group as epochs (the claims leader may lag behind the newest).

Change: reads of claims return an epoch that is larger than all drawn before: the leader's term and a count, the term confirmed by a quorum after the count. An entry draws one for each request that must not be repeated and carries a caller's key, and passes it along to the claim. A refusal as "not run" closes the key to the epochs until then; a claim needs a later one. Without control such requests are refused with 503 control_unavailable. The histories of control check that draws rise in real time over all faults.

Cost: one more quorum read for each such request.

--- a/src/cactusstile/agent/claims.py
+++ b/src/cactusstile/agent/claims.py
@@ -44,6 +44,7 @@
         incarnation: int,
         *,
         claim_id: bytes = ...,
+        epoch: int = ...,
         timeout_s: float = ...,
     ) -> client.ClaimGrant:
         """Claims a request's one run."""
@@ -89,11 +90,13 @@
       workspace: Workspace of the caller.
       request_key: Identity of the request within it.
       digest: Digest of the request's content.
+      epoch: Epoch drawn when the attempt arrived; 0 if none was.
     """
 
     workspace: str
     request_key: str
     digest: bytes
+    epoch: int = 0
 
 
 @attrs.define
@@ -147,6 +150,7 @@
                 key.digest,
                 self._incarnation,
                 claim_id=claim_id,
+                epoch=key.epoch,
                 timeout_s=CLAIM_TIMEOUT_S,
             )
         except exceptions.OutcomeUnknownError as error:
@@ -229,7 +233,7 @@
 
 def _unavailable(cause: str) -> verdict.RefusedError:
     return verdict.refuse(
-        verdict.Reason.INTERNAL,
+        verdict.Reason.CONTROL_UNAVAILABLE,
         f"the run could not be claimed and did not start: {cause}",
         retry_after_s=RETRY_AFTER_S,
     )
@@ -249,7 +253,8 @@
     if grant.state is claim_messages.ClaimState.CLOSED:
         raise verdict.refuse(
             verdict.Reason.DUPLICATE,
-            "the request was given up before it ran; choose a new key",
+            "a later attempt was told that the request was not run; retry",
+            retry_after_s=RETRY_AFTER_S,
         )
     if grant.state is claim_messages.ClaimState.RUNNING:
         raise verdict.refuse(
--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -105,6 +105,7 @@
       reservation: Number of a reservation; 0 without one.
       prefix_key: Key that places the prompt, see `routing.prefix`; empty
         when nothing of it is to be kept.
+      epoch: Epoch drawn when the attempt arrived, for its claim; 0 without.
     """
 
     request_key: str
@@ -122,6 +123,7 @@
     revision: int = 0
     reservation: int = 0
     prefix_key: bytes = b""
+    epoch: int = 0
 
 
 @codec.register(103, _SCHEMA, "Attach")
@@ -208,6 +210,7 @@
       time_left_ms: Time until the caller's deadline; 0 means none.
       repeatable: Whether the request may run more than once.
       revision: Configuration revision of the entry.
+      epoch: Epoch drawn when the attempt arrived, for its claim; 0 without.
     """
 
     request_key: str
@@ -222,6 +225,7 @@
     time_left_ms: int = 0
     repeatable: bool = True
     revision: int = 0
+    epoch: int = 0
 
 
 @codec.register(107, _SCHEMA, "ServiceReply")
--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -154,7 +154,10 @@
         if request.repeatable:
             return None
         key = claims.Key(
-            request.workspace, request.request_key, self._record.digest
+            request.workspace,
+            request.request_key,
+            self._record.digest,
+            request.epoch,
         )
         result = await self._parts.claimer.claim(key)
         if isinstance(result, claims.StoredAnswer):
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -45,6 +45,7 @@
   revision @12 :UInt64;
   reservation @13 :UInt64;
   prefixKey @14 :Data;
+  epoch @15 :UInt64;
 }
 
 struct Attach {
@@ -86,6 +87,7 @@
   timeLeftMs @9 :UInt32;
   repeatable @10 :Bool;
   revision @11 :UInt64;
+  epoch @12 :UInt64;
 }
 
 struct ServiceReply {
--- a/src/cactusstile/agent/service_calls.py
+++ b/src/cactusstile/agent/service_calls.py
@@ -44,7 +44,13 @@
 def content_digest(call: messages.ServiceCall) -> bytes:
     """Returns a digest of what a call asks for, the same in all attempts."""
     bare = attrs.evolve(
-        call, attempt=0, headers=(), priority=0, time_left_ms=0, revision=0
+        call,
+        attempt=0,
+        headers=(),
+        priority=0,
+        time_left_ms=0,
+        revision=0,
+        epoch=0,
     )
     return hashlib.blake2b(codec.encode(bare), digest_size=16).digest()
 
@@ -148,7 +154,10 @@
         held: claims.HeldClaim | None = None
         if not request.repeatable:
             key = claims.Key(
-                request.workspace, request.request_key, content_digest(request)
+                request.workspace,
+                request.request_key,
+                content_digest(request),
+                request.epoch,
             )
             result = await self._claimer.claim(key)
             if isinstance(result, claims.StoredAnswer):
--- a/src/cactusstile/control/claim_messages.py
+++ b/src/cactusstile/control/claim_messages.py
@@ -31,6 +31,7 @@
       content_digest: Digest of the request's content.
       incarnation: Incarnation of the process that is to run it.
       claim_id: Random identity of this claim, the same when it is resent.
+      epoch: Epoch drawn when the attempt arrived; 0 if none was.
     """
 
     workspace: str
@@ -38,6 +39,7 @@
     content_digest: bytes
     incarnation: int
     claim_id: bytes
+    epoch: int = 0
 
 
 @codec.register(221, messages.SCHEMA, "ClaimReply")
@@ -53,6 +55,7 @@
       outcome: Word given by the process that ran it; empty before.
       answer: Stored answer; empty before the end or when it was dropped.
       answer_kept: Whether the answer is the whole one that was stored.
+      epoch: Of a read, larger than all epochs drawn before; otherwise 0.
     """
 
     granted: bool
@@ -62,6 +65,7 @@
     outcome: str = ""
     answer: bytes = b""
     answer_kept: bool = False
+    epoch: int = 0
 
 
 @codec.register(222, messages.SCHEMA, "FinishClaim")
@@ -79,11 +83,21 @@
 @codec.register(223, messages.SCHEMA, "CloseClaim")
 @attrs.frozen
 class CloseClaim:
-    """Closes a key for ever unless it is claimed; ends with `ClaimReply`."""
+    """Closes an unclaimed key to all attempts until now.
+
+    Ends with `ClaimReply`. Attempts whose epoch is drawn later may claim it.
+
+    Attributes:
+      workspace: Workspace of the caller.
+      request_key: Identity of the request within its workspace.
+      content_digest: Digest of the request's content.
+      epoch: Filled in by the leader.
+    """
 
     workspace: str
     request_key: str
     content_digest: bytes
+    epoch: int = 0
 
 
 @codec.register(224, messages.SCHEMA, "ReleaseClaim")
--- a/src/cactusstile/control/claims.py
+++ b/src/cactusstile/control/claims.py
@@ -17,7 +17,7 @@
 
 from cactusstile.control import claim_messages
 from cactusstile.control import commands
-from cactusstile.control import exceptions
+from cactusstile.control import snapshot_reader
 from cactusstile.transport import exceptions as transport_exceptions
 
 MAX_CLAIMS = 100_000
@@ -34,7 +34,6 @@
 _OWNER_BYTES = 8
 _RECORD = struct.Struct("<BQQ16s16s8s")
 _COUNTS = struct.Struct("<QII")
-_LENGTH = struct.Struct("<I")
 
 
 class _Code(enum.IntEnum):
@@ -54,6 +53,8 @@
 
 @attrs.frozen
 class _Record:
+    """A claim; `incarnation` of a closed one is the epoch of the closing."""
+
     code: _Code
     claimed_at_ms: int
     incarnation: int
@@ -158,6 +159,8 @@
     def _claim(self, message: claim_messages.Claim) -> object:
         key = _hash_key(message.workspace, message.request_key)
         digest = _shorten(message.content_digest)
+        if self._is_closed_before(key, message.epoch):
+            self._remove(key)
         if key in self._records:
             record = _unpack(self._records[key])
             granted = (
@@ -188,13 +191,25 @@
             refusal = self._refuse_full(owner)
             if refusal is not None:
                 return refusal
-            nobody = bytes(CLAIM_ID_BYTES)
-            record = _Record(
-                _Code.CLOSED, self.now_ms, 0, nobody, digest, owner
-            )
-            self._insert(key, record)
+            self._insert(key, self._build_closed(message.epoch, digest, owner))
+        elif self._is_closed_before(key, message.epoch):
+            owner = _unpack(self._records[key]).owner
+            self._remove(key)
+            self._insert(key, self._build_closed(message.epoch, digest, owner))
         return self._describe(key, digest)
 
+    def _build_closed(self, epoch: int, digest: bytes, owner: bytes) -> _Record:
+        nobody = bytes(CLAIM_ID_BYTES)
+        return _Record(_Code.CLOSED, self.now_ms, epoch, nobody, digest, owner)
+
+    def _is_closed_before(self, key: bytes, epoch: int) -> bool:
+        """Tells whether a key is closed to epochs below `epoch` only."""
+        data = self._records.get(key)
+        if data is None:
+            return False
+        record = _unpack(data)
+        return record.code is _Code.CLOSED and record.incarnation < epoch
+
     def _finish(self, message: claim_messages.FinishClaim) -> object:
         key = _hash_key(message.workspace, message.request_key)
         record = self._find_running(key, message.claim_id)
@@ -278,7 +293,8 @@
         if data is None:
             return claim_messages.ClaimReply(False, states.ABSENT.value)
         record = _unpack(data)
-        if digest is not None and record.digest != digest:
+        closed = record.code is _Code.CLOSED
+        if digest is not None and record.digest != digest and not closed:
             return claim_messages.ClaimReply(False, states.MISMATCH.value)
         return claim_messages.ClaimReply(
             granted,
@@ -296,7 +312,7 @@
         parts = [_COUNTS.pack(*counts)]
         for table in (self._records, self._answers):
             for key, value in table.items():
-                parts += (key, _LENGTH.pack(len(value)), value)
+                parts += (key, snapshot_reader.LENGTH.pack(len(value)), value)
         return b"".join(parts)
 
     def restore(self, data: bytes) -> None:
@@ -308,46 +324,21 @@
         self._reset()
         if not data:
             return
-        reader = _Reader(data)
+        reader = snapshot_reader.Reader(data)
         self.now_ms, records, answers = _COUNTS.unpack(
             reader.take(_COUNTS.size)
         )
         for _ in range(records):
-            key, value = reader.take_pair()
+            key, value = reader.take_pair(_KEY_BYTES)
             self._records[key] = value
             self._owned[_unpack(value).owner] += 1
         for _ in range(answers):
-            key, value = reader.take_pair()
+            key, value = reader.take_pair(_KEY_BYTES)
             self._answers[key] = value
             self._answers_bytes += len(value)
         reader.expect_end()
 
 
-class _Reader:
-    """Cuts a snapshot into its parts."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-        self.position = 0
-
-    def take(self, size: int) -> bytes:
-        end = self.position + size
-        if end > len(self.data):
-            raise exceptions.SnapshotError("claims are cut short")
-        part = self.data[self.position : end]
-        self.position = end
-        return part
-
-    def take_pair(self) -> tuple[bytes, bytes]:
-        key = self.take(_KEY_BYTES)
-        (length,) = _LENGTH.unpack(self.take(_LENGTH.size))
-        return key, self.take(length)
-
-    def expect_end(self) -> None:
-        if self.position != len(self.data):
-            raise exceptions.SnapshotError("claims have bytes after their end")
-
-
 def check(message: object) -> None:
     """Checks the sizes of a command.
 
@@ -371,7 +362,9 @@
 
 def _hash_key(workspace: str, request_key: str) -> bytes:
     owner = workspace.encode()
-    text = _LENGTH.pack(len(owner)) + owner + request_key.encode()
+    text = (
+        snapshot_reader.LENGTH.pack(len(owner)) + owner + request_key.encode()
+    )
     return hashlib.blake2b(text, digest_size=_KEY_BYTES).digest()
 
 
--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -66,6 +66,7 @@
       answer: Stored answer; empty before the end, or if it was dropped.
       answer_kept: Whether `answer` is the whole one that was stored; False
         before the end, and for answers that were too large or too old.
+      epoch: Of a read, larger than all epochs that were drawn before it.
     """
 
     granted: bool
@@ -75,6 +76,7 @@
     outcome: str
     answer: bytes
     answer_kept: bool = False
+    epoch: int = 0
 
 
 class ControlClient:
@@ -125,6 +127,7 @@
         incarnation: int,
         *,
         claim_id: bytes = b"",
+        epoch: int = 0,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> ClaimGrant:
         """Claims the one run of a request; see `ClaimGrant`.
@@ -135,7 +138,12 @@
         """
         claim_id = claim_id or os.urandom(CLAIM_ID_BYTES)
         message = claim_messages.Claim(
-            workspace, request_key, content_digest, incarnation, claim_id
+            workspace,
+            request_key,
+            content_digest,
+            incarnation,
+            claim_id,
+            epoch,
         )
         self._check_circuit()
         return await self._ask_claim(message, timeout_s)
@@ -179,15 +187,16 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> ClaimGrant:
-        """Closes a key, so that the request never runs.
+        """Closes a key to all attempts whose epoch was drawn before.
 
         Returns:
-          The state of the key: CLOSED means that nobody ran it and nobody
-          ever will; RUNNING and FINISHED are those of the first claim.
+          The state of the key: CLOSED means that none of them ran or will
+          run; RUNNING and FINISHED are those of the first claim.
         """
         message = claim_messages.CloseClaim(
             workspace, request_key, content_digest
         )
+        self._check_circuit()
         return await self._ask_claim(message, timeout_s)
 
     async def release_claim(
@@ -255,6 +264,7 @@
             reply.outcome,
             reply.answer,
             reply.answer_kept,
+            reply.epoch,
         )
 
     async def watch_circuit(self) -> None:
--- a/src/cactusstile/control/control.capnp
+++ b/src/cactusstile/control/control.capnp
@@ -26,6 +26,7 @@
   contentDigest @2 :Data;
   incarnation @3 :UInt64;
   claimId @4 :Data;
+  epoch @5 :UInt64;
 }
 
 struct ClaimReply {
@@ -36,6 +37,7 @@
   outcome @4 :Text;
   answer @5 :Data;
   answerKept @6 :Bool;
+  epoch @7 :UInt64;
 }
 
 struct FinishClaim {
@@ -50,6 +52,7 @@
   workspace @0 :Text;
   requestKey @1 :Text;
   contentDigest @2 :Data;
+  epoch @3 :UInt64;
 }
 
 struct ReleaseClaim {
--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -40,7 +40,6 @@
 BEACON_INTERVAL_S = 0.5
 CLAIM_TICK_INTERVAL_S = 10.0
 TRANSFER_TIMEOUT_S = 3.0
-_TERM_SHIFT = 40
 
 
 async def run_control(
@@ -189,7 +188,7 @@
             continue
         count += 1
         status = leading.status()
-        number = (status.term << _TERM_SHIFT) + count
+        number = (status.term << states.TERM_SHIFT) + count
         revision = state.configuration.fleet.revision
         state.relay.take_beacon(number, revision)
         beacon = feed_messages.Beacon(number, revision)
--- a/src/cactusstile/control/handlers.py
+++ b/src/cactusstile/control/handlers.py
@@ -91,13 +91,19 @@
     async def read(
         _: incoming.Responder, message: claim_messages.ReadClaim
     ) -> object:
-        await states.confirm_lead(state.claims_replica)
-        return state.claims.read(message)
+        epoch = await states.draw_epoch(state)
+        return attrs.evolve(state.claims.read(message), epoch=epoch)
+
+    async def close(
+        responder: incoming.Responder, message: claim_messages.CloseClaim
+    ) -> object:
+        epoch = await states.draw_epoch(state)
+        return await change(responder, attrs.evolve(message, epoch=epoch))
 
     return {
         claim_messages.Claim: change,
         claim_messages.FinishClaim: change,
-        claim_messages.CloseClaim: change,
+        claim_messages.CloseClaim: close,
         claim_messages.ReleaseClaim: change,
         claim_messages.ReadClaim: read,
     }
--- a/src/cactusstile/control/state.py
+++ b/src/cactusstile/control/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 import attrs
@@ -22,6 +23,9 @@
     from cactusstile.state import relay
 
 
+TERM_SHIFT = 40
+
+
 @attrs.frozen
 class ControlState:
     """Parts of a running control process.
@@ -33,6 +37,7 @@
       replicas: This process's replica of each group, by the group's name.
       relay: Root of the delivery tree.
       sender: Sends notices to the other control VMs.
+      draws: Counts the epochs that this process drew.
     """
 
     settings: control_settings.ControlSettings
@@ -41,6 +46,9 @@
     replicas: collections.abc.Mapping[str, replica.Replica]
     relay: relay.Relay
     sender: sender.Sender
+    draws: collections.abc.Iterator[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
 
     @property
     def configuration_replica(self) -> replica.Replica:
@@ -66,6 +74,26 @@
     return commands.unpack_result(result)
 
 
+async def draw_epoch(state: ControlState) -> int:
+    """Returns a number above all that were returned before this call.
+
+    A leader counts within its term, and a quorum confirms the term after the
+    count, so numbers of an earlier leader are smaller.
+
+    Raises:
+      RemoteError: As `confirm_lead` says.
+    """
+    leading = state.claims_replica
+    term = leading.status().term
+    epoch = (term << TERM_SHIFT) + next(state.draws)
+    await confirm_lead(leading)
+    if leading.status().term != term:
+        raise transport_exceptions.RemoteError(
+            attempts.NOT_LEADER, "the leader changed meanwhile"
+        )
+    return epoch
+
+
 async def confirm_lead(by: replica.Replica) -> None:
     """Returns once a quorum confirmed that the state is current.
 
--- a/src/cactusstile/entry/attempts.py
+++ b/src/cactusstile/entry/attempts.py
@@ -260,6 +260,7 @@
         revision=revision,
         reservation=placed.reservation,
         prefix_key=call.prefix_key,
+        epoch=call.epoch,
     )
 
 
@@ -279,4 +280,5 @@
         time_left_ms=calls.time_left_ms(request.deadline_s),
         repeatable=request.repeatable,
         revision=revision,
+        epoch=request.epoch,
     )
--- a/src/cactusstile/entry/calls.py
+++ b/src/cactusstile/entry/calls.py
@@ -25,6 +25,7 @@
       priority: Larger first.
       deadline_s: Deadline on the loop's clock; infinite without one.
       repeatable: Whether the request may run more than once.
+      epoch: Epoch drawn when it arrived; 0 if none was.
     """
 
     request_key: str
@@ -37,6 +38,7 @@
     priority: int = 0
     deadline_s: float = math.inf
     repeatable: bool = True
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -55,6 +57,7 @@
       priority: Larger first.
       deadline_s: Deadline on the loop's clock; infinite without one.
       repeatable: Whether the request may run more than once.
+      epoch: Epoch drawn when it arrived; 0 if none was.
     """
 
     request_key: str
@@ -68,6 +71,7 @@
     priority: int = 0
     deadline_s: float = math.inf
     repeatable: bool = False
+    epoch: int = 0
 
 
 def time_left_ms(deadline_s: float) -> int:
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -52,6 +52,8 @@
       tokenize: Turns a prompt's text into tokens.
       notice_revision: Called with an agent's newer configuration revision.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
+      draw_epoch: Returns an epoch for a workspace's key; it is larger than
+        all that were drawn before, and than those of earlier closings.
     """
 
     fleet: holder.FleetHolder
@@ -61,6 +63,7 @@
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
     notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     was_claimed: earlier_attempts.WasClaimed = _never_claimed
+    draw_epoch: earlier_attempts.DrawEpoch = earlier_attempts.draw_nothing
 
 
 @attrs.frozen
@@ -208,6 +211,7 @@
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
         parts.notice_revision,
+        draw_epoch=parts.draw_epoch,
     )
     bounds = application.Bounds(
         settings.max_body_bytes,
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -18,6 +18,8 @@
 from cactusstile.entry import probes
 from cactusstile.entry import routes
 from cactusstile.entry import streams
+from cactusstile.filters import earlier_attempts
+from cactusstile.filters import marks
 from cactusstile.limits import retry_budget
 
 if typing.TYPE_CHECKING:
@@ -27,6 +29,8 @@
 
 logger = logging.getLogger(__name__)
 
+_T = typing.TypeVar("_T", calls.PromptCall, calls.ServiceRequest)
+
 MAX_ATTEMPTS = 5
 _FINAL_REASONS = (
     verdict.Reason.BAD_REQUEST,
@@ -52,6 +56,8 @@
       running: Work that this entry has under way, by target name.
       pacer: Paces writes to callers.
       probe_gate: Bounds the requests that probe at once.
+      draw_epoch: Returns an epoch for a workspace's key, see
+        `filters.earlier_attempts`.
     """
 
     peers: pool.Pool
@@ -63,6 +69,7 @@
     running: dict[str, int] = attrs.field(factory=dict)
     pacer: pacing.Pacer = attrs.field(factory=pacing.Pacer)
     probe_gate: probes.ProbeGate = attrs.field(factory=probes.ProbeGate)
+    draw_epoch: earlier_attempts.DrawEpoch = earlier_attempts.draw_nothing
 
     async def run(
         self, call: calls.PromptCall, sink: streams.Sink
@@ -80,7 +87,8 @@
         self.budget.earn()
         try:
             with anyio.CancelScope(deadline=call.deadline_s):
-                return await self._run_attempts(call, progress, sink)
+                numbered = await self._number(call)
+                return await self._run_attempts(numbered, progress, sink)
             raise verdict.refuse(
                 verdict.Reason.DEADLINE_EXCEEDED,
                 "the deadline passed before the answer was complete",
@@ -107,7 +115,8 @@
         deadline_s = min(request.deadline_s, timeout_s)
         try:
             with anyio.CancelScope(deadline=deadline_s):
-                return await self._call_attempts(request, state)
+                numbered = await self._number(request)
+                return await self._call_attempts(numbered, state)
             raise verdict.refuse(
                 verdict.Reason.DEADLINE_EXCEEDED,
                 "the service did not answer in time",
@@ -117,6 +126,14 @@
                 error.refusal, may_have_run=state.may_have_run
             ) from None
 
+    async def _number(self, request: _T) -> _T:
+        """Adds an epoch to a request that its caller may send again."""
+        key = request.request_key
+        if request.repeatable or not key.startswith(marks.CALLER_KEY_PREFIX):
+            return request
+        epoch = await self.draw_epoch(request.workspace, key)
+        return attrs.evolve(request, epoch=epoch)
+
     async def _run_attempts(
         self,
         call: calls.PromptCall,
--- a/src/cactusstile/entry/wiring.py
+++ b/src/cactusstile/entry/wiring.py
@@ -5,6 +5,7 @@
 import contextlib
 import typing
 
+from cactusstile import verdict
 from cactusstile.control import claim_messages
 from cactusstile.control import client
 from cactusstile.control import exceptions
@@ -23,10 +24,8 @@
 
 
 CLAIM_TIMEOUT_S = 0.5
-_NEVER_RUN = (
-    claim_messages.ClaimState.ABSENT,
-    claim_messages.ClaimState.CLOSED,
-)
+DRAW_TIMEOUT_S = 3.0
+RETRY_AFTER_S = 1.0
 
 
 @contextlib.asynccontextmanager
@@ -55,21 +54,43 @@
             find_workspace=ring.find_workspace,
             routing=homes.build(lambda: held.fleet),
             was_claimed=build_was_claimed(following.control),
+            draw_epoch=build_draw_epoch(following.control),
         )
 
 
 def build_was_claimed(
     control: client.ControlClient,
 ) -> earlier_attempts.WasClaimed:
-    """Returns a question to control on earlier attempts of a request."""
+    """Returns a function that closes a key to earlier attempts."""
 
     async def was_claimed(workspace: str, request_key: str) -> bool:
         try:
-            grant = await control.read_claim(
+            grant = await control.close_claim(
                 workspace, request_key, b"", timeout_s=CLAIM_TIMEOUT_S
             )
         except exceptions.ControlError:
             return True
-        return grant.state not in _NEVER_RUN
+        return grant.state is not claim_messages.ClaimState.CLOSED
 
     return was_claimed
+
+
+def build_draw_epoch(
+    control: client.ControlClient,
+) -> earlier_attempts.DrawEpoch:
+    """Returns a function that draws epochs from control."""
+
+    async def draw_epoch(workspace: str, request_key: str) -> int:
+        try:
+            grant = await control.read_claim(
+                workspace, request_key, b"", timeout_s=DRAW_TIMEOUT_S
+            )
+        except exceptions.ControlError as error:
+            raise verdict.refuse(
+                verdict.Reason.CONTROL_UNAVAILABLE,
+                f"control cannot be asked for this key now: {error}",
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        return grant.epoch
+
+    return draw_epoch
--- a/src/cactusstile/filters/earlier_attempts.py
+++ b/src/cactusstile/filters/earlier_attempts.py
@@ -17,21 +17,31 @@
     WasClaimed = collections.abc.Callable[
         [str, str], collections.abc.Awaitable[bool]
     ]
+    DrawEpoch = collections.abc.Callable[
+        [str, str], collections.abc.Awaitable[int]
+    ]
 
 MAX_QUESTIONS = 64
 
 
+async def draw_nothing(_workspace: str, _request_key: str) -> int:
+    """Returns no epoch, for entries without control."""
+    return 0
+
+
 def cover_earlier_attempts(was_claimed: WasClaimed) -> chain.Filter:
     """Returns a filter that checks "not run" against earlier attempts.
 
     An entry knows that it did not run this attempt. An earlier attempt with
-    the same caller's key may have run through another entry, and then the
-    request was run. The check costs a quorum read, only for refusals of
-    requests that are not repeatable and carry a caller's key.
+    the same caller's key may have run through another entry, or may still be
+    on its way to a target that is frozen. So the key is closed to all attempts
+    that arrived before, unless one of them has claimed it. This costs a quorum
+    write, only for refusals of requests that are not repeatable and carry a
+    caller's key.
 
     Args:
-      was_claimed: Returns whether any attempt with a workspace's key may have
-        run; returns True when it cannot tell.
+      was_claimed: Closes a workspace's key to the attempts until now; returns
+        whether any of them may have run, True when it cannot tell.
     """
     open_questions = 0
 
--- a/src/cactusstile/filters/refusals.py
+++ b/src/cactusstile/filters/refusals.py
@@ -31,6 +31,7 @@
     verdict.Reason.VERSION_CHANGED: 503,
     verdict.Reason.DUPLICATE: 409,
     verdict.Reason.STALE_CONFIGURATION: 503,
+    verdict.Reason.CONTROL_UNAVAILABLE: 503,
     verdict.Reason.SHUTTING_DOWN: 503,
     verdict.Reason.INTERNAL: 500,
 }
--- a/src/cactusstile/verdict.py
+++ b/src/cactusstile/verdict.py
@@ -30,6 +30,7 @@
     VERSION_CHANGED = "version_changed"
     DUPLICATE = "duplicate"
     STALE_CONFIGURATION = "stale_configuration"
+    CONTROL_UNAVAILABLE = "control_unavailable"
     SHUTTING_DOWN = "shutting_down"
     INTERNAL = "internal"
 
--- a/tests/control/test_claims.py
+++ b/tests/control/test_claims.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from cactusstile.control import claim_messages
@@ -86,6 +87,21 @@
     assert (reply.granted, reply.state) == (False, STATE.CLOSED.value)
 
 
+def test_key_is_closed_to_epochs_until_the_last_closing() -> None:
+    machine = claims.Claims()
+    for epoch in (5, 9, 7):
+        _apply(
+            machine, claim_messages.CloseClaim("bank", "k", b"", epoch=epoch)
+        )
+    machine = _restart(machine)
+    for epoch, granted in ((8, False), (9, False), (10, True)):
+        claim = attrs.evolve(_claim(), epoch=epoch)
+        assert _apply(machine, claim).granted == granted
+    _apply(machine, _finish(ONE))
+    late = attrs.evolve(_claim(TWO), epoch=11)
+    assert _apply(machine, late).state == STATE.FINISHED.value
+
+
 def test_close_after_claim_reports_the_run() -> None:
     machine = claims.Claims()
     _apply(machine, _claim())
--- a/tests/support/control_histories.py
+++ b/tests/support/control_histories.py
@@ -42,6 +42,7 @@
       claims: Operations by request key.
       changes: Operations on the configuration.
       fences: Operations on one target's fencing number.
+      draws: Epochs that were drawn.
       runs: Runs that the fake service saw, by request key.
     """
 
@@ -50,6 +51,7 @@
     )
     changes: list[Operation] = attrs.field(factory=list)
     fences: list[Operation] = attrs.field(factory=list)
+    draws: list[Operation] = attrs.field(factory=list)
     runs: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
     def check(self) -> None:
@@ -63,6 +65,7 @@
         assert linearizability.is_linearizable(self.fences, 0, step_fence), (
             self.fences
         )
+        assert _rise(self.draws), self.draws
         start = ((), 0)
         assert linearizability.is_linearizable(
             self.changes, start, step_change
@@ -111,6 +114,16 @@
     return number, number
 
 
+def _rise(draws: list[Operation]) -> bool:
+    """Tells whether each draw exceeds all that had returned before it."""
+    known = [draw for draw in draws if draw.returned < math.inf]
+    for draw in known:
+        for other in known:
+            if other.returned < draw.invoked and other.result >= draw.result:
+                return False
+    return True
+
+
 def step_change(
     state: typing.Any, call: typing.Any
 ) -> tuple[typing.Any, object]:
@@ -153,6 +166,7 @@
             for number in range(3):
                 group.start_soon(self._claim_again_and_again, f"a{number}")
             for number in range(2):
+                group.start_soon(self._draw_again_and_again, f"d{number}")
                 group.start_soon(self._change_again_and_again, f"o{number}")
             group.start_soon(self._read_again_and_again, "r")
             group.start_soon(self._fence_again_and_again, "f")
@@ -187,6 +201,19 @@
         history.append(Operation(call, invoked, returned, result))
         return result
 
+    async def _draw_again_and_again(self, name: str) -> None:
+        async with self.cluster.open_client(name, "entry") as control:
+
+            async def draw() -> object:
+                found = await control.read_claim(
+                    "w", "drawn", b"d", timeout_s=CALL_TIMEOUT_S
+                )
+                return found.epoch
+
+            while not self.stopping:
+                await self._record(self.histories.draws, "draw", draw)
+                await anyio.sleep(FENCE_PAUSE_S)
+
     async def _claim_again_and_again(self, name: str) -> None:
         async with self.cluster.open_client(name, "agent") as control:
             while not self.stopping:
