Drain until a second signal in one place

Cause: the drain that a second signal cuts short stood in console/entry.py and in agent/daemon.py, with signals opened in three places.

Change: console/signals.py holds both; agent/daemon.py no longer knows signals. An agent still dies at once from a signal that comes before it is open.

--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import logging
-import signal
 import typing
 
 import anyio
@@ -147,28 +146,6 @@
     )
 
 
-async def run_until_signal(
-    running: Agent, settings: agent_settings.AgentSettings
-) -> None:
-    """Drains the agent at SIGTERM or SIGINT; a second signal ends it."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logger.info("signal %d: taking no more work", number)
-            break
-        async with anyio.create_task_group() as group:
-
-            async def cut_short() -> None:
-                async for number in signals:
-                    logger.warning("signal %d: stopping at once", number)
-                    break
-                group.cancel_scope.cancel()
-
-            group.start_soon(cut_short)
-            if not await running.drain(settings.drain_limit_s):
-                logger.warning("work was left at the end of the drain")
-            group.cancel_scope.cancel()
-
-
 async def _watch_platform(
     owner: node.Node, settings: agent_settings.AgentSettings
 ) -> None:
--- a/src/cactusstile/console/agent.py
+++ b/src/cactusstile/console/agent.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 
 import anyio
 
-from cactusstile.agent import daemon
 from cactusstile.agent import wiring
 from cactusstile.console import signals
 from cactusstile.observability import logs
 from cactusstile.settings import agent as agent_settings
 
+logger = logging.getLogger(__name__)
+
 
 def run(settings: str) -> None:
     """Runs an agent until a signal stops it.
@@ -29,7 +31,13 @@
 
 async def _serve(settings: agent_settings.AgentSettings) -> None:
     async with wiring.open_process(settings) as running:
-        await daemon.run_until_signal(running, settings)
+
+        async def drain() -> None:
+            if not await running.drain(settings.drain_limit_s):
+                logger.warning("work was left at the end of the drain")
+
+        with signals.receive() as received:
+            await signals.drain_at_signal(received, drain)
 
 
 async def _serve_store(settings: agent_settings.AgentSettings) -> None:
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -5,14 +5,13 @@
 import collections.abc
 import contextlib
 import errno
-import logging
 import pathlib
-import signal
 import typing
 
 import anyio
 
 from cactusstile.console import exceptions
+from cactusstile.console import signals
 from cactusstile.entry import daemon
 from cactusstile.entry import wiring
 from cactusstile.observability import http_listener
@@ -25,8 +24,6 @@
         contextlib.AbstractAsyncContextManager[daemon.Parts],
     ]
 
-logger = logging.getLogger(__name__)
-
 
 def run(settings: str) -> None:
     """Runs an entry process until a signal stops it.
@@ -65,37 +62,16 @@
     Raises:
       CommandError: If a second signal cut off requests in flight.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with signals.receive() as received:
         async with contextlib.AsyncExitStack() as stack:
             parts = await stack.enter_async_context(open_parts(settings))
             running = await stack.enter_async_context(
                 daemon.open_entry(settings, parts)
             )
-            await signals.__anext__()
-            await _drain_until_signal(running, signals)
-
-
-async def _drain_until_signal(
-    running: daemon.Entry,
-    signals: collections.abc.AsyncIterator[signal.Signals],
-) -> None:
-    cut_off = False
-
-    async def wait_for_second(scope: anyio.CancelScope) -> None:
-        nonlocal cut_off
-        await signals.__anext__()
-        cut_off = True
-        logger.warning("second signal; cutting off what is in flight")
-        scope.cancel()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(wait_for_second, group.cancel_scope)
-        await running.drain()
-        group.cancel_scope.cancel()
-    if cut_off:
-        raise exceptions.CommandError(
-            "a second signal cut off requests in flight"
-        )
+            if not await signals.drain_at_signal(received, running.drain):
+                raise exceptions.CommandError(
+                    "a second signal cut off requests in flight"
+                )
 
 
 def _flatten(
