Keep prompts in the fair queue while the engine computes others

Cause: an agent passed as many prompts to its engine as that has slots, and told probes that nobody waits while slots were free. An engine computes prompts in the order in which they arrive, so that order, not the fair one, decided, and entries placed prompts behind up to seven others.

Change: a slot is given only while prompts under way make up less than 0.1 s of work; probes are told the work under way, and of the queue only what goes ahead of the caller's workspace. A run that waits for a claim or at the version gate gives its window back.

Test replaced: test_reservation_counts_against_the_next_probe expected no wait behind 5,000 reserved tokens because slots were free; it is now held to the wait in milliseconds, 0, 1,000 and 2,000.

--- a/src/cactusstile/agent/admission.py
+++ b/src/cactusstile/agent/admission.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import math
 import typing
 
 import anyio
@@ -22,15 +23,43 @@
 MIN_MEASURED_S = 0.005
 
 
+@attrs.define(eq=False)
+class Place:
+    """A slot that a request holds.
+
+    Attributes:
+      tokens: Prompt tokens to compute.
+      computing: Whether they count as being computed.
+    """
+
+    tokens: int
+    _prefills: Prefills
+    computing: bool = False
+
+    def begin_prefill(self) -> None:
+        """Notes that the target computes the prompt from now on."""
+        if not self.computing:
+            self.computing = True
+            self._prefills.add(self.tokens)
+
+    def end_prefill(self) -> None:
+        """Notes that the prompt is computed, or will not be for now."""
+        if self.computing:
+            self.computing = False
+            self._prefills.remove(self.tokens)
+
+
 @attrs.define
 class _Waiter:
     """A request in the queue.
 
     Attributes:
+      place: Place that it is given.
       settled: Set once it may start or is refused.
       refusal: Why it will not start.
     """
 
+    place: Place
     settled: anyio.Event = attrs.field(factory=anyio.Event)
     refusal: verdict.Refusal | None = None
 
@@ -86,13 +115,55 @@
         self._tokens = 0
 
 
+class Prefills:
+    """Prompts that a target computes now.
+
+    Attributes:
+      count: Prompts.
+      tokens: Their tokens, computed or not.
+    """
+
+    def __init__(self, notify: collections.abc.Callable[[], None]) -> None:
+        """Calls `notify` after each prompt that ends."""
+        self.count = 0
+        self.tokens = 0
+        self._notify = notify
+        self._since_s = 0.0
+
+    def add(self, tokens: int) -> None:
+        """Counts a prompt."""
+        if not self.count:
+            self._since_s = anyio.current_time()
+        self.count += 1
+        self.tokens += tokens
+
+    def remove(self, tokens: int) -> None:
+        """Takes a prompt out; they are computed one after the other."""
+        self._since_s = anyio.current_time()
+        self.count -= 1
+        self.tokens -= tokens
+        self._notify()
+
+    def left_s(self, tokens_per_s: float) -> float:
+        """Returns the time until all of them are computed."""
+        if not self.count:
+            return 0.0
+        elapsed_s = anyio.current_time() - self._since_s
+        return max(0.0, self.tokens / tokens_per_s - elapsed_s)
+
+
 class Admission:
     """Slots of one target and the queue before them.
 
+    An engine computes prompts in the order in which they arrive there. So a
+    prompt is passed on only while those under way make up less than a moment
+    of work; the others wait in the fair queue, where the order is fair.
+
     Attributes:
       slots: Requests at once.
       running: Requests that hold a slot.
       queue: Requests that wait for one.
+      prefills: Prompts that the target computes now.
       speed: Measures the target.
       hold_s: Smoothed time for which a request holds its slot.
     """
@@ -102,9 +173,19 @@
         slots: int,
         *,
         tokens_per_s: float,
+        prefill_window_s: float = math.inf,
         bounds: fair_queue.Bounds | None = None,
     ) -> None:
-        """Starts idle; `tokens_per_s` is the first estimate of the speed."""
+        """Starts idle.
+
+        Args:
+          slots: Requests at once.
+          tokens_per_s: First estimate of the speed.
+          prefill_window_s: Prompt work under way at the target, in seconds,
+            at which no further prompt is passed on; infinite for targets
+            that compute no prompts.
+          bounds: Bounds on the queue.
+        """
         self.slots = slots
         self.running = 0
         self.queue: fair_queue.FairQueue[_Waiter] = fair_queue.FairQueue(
@@ -115,28 +196,32 @@
         )
         self.speed = SpeedMeter(self._correct_speed)
         self.hold_s = 0.0
+        self.prefills = Prefills(self._start_next)
+        self._prefill_window_s = prefill_window_s
         self._reservations: dict[int, tuple[float, int]] = {}
         self._numbers = itertools.count(1)
         self._queued = anyio.Event()
 
     @contextlib.asynccontextmanager
-    async def enter(self, work: Work) -> collections.abc.AsyncIterator[None]:
+    async def enter(self, work: Work) -> collections.abc.AsyncIterator[Place]:
         """Holds a slot while the context is open.
 
+        Yields:
+          The place; its holder notes the end of the prefill.
+
         Raises:
           RefusedError: If there is no room or the deadline is over; the
             request was not run.
         """
         self._reservations.pop(work.reservation, None)
-        await self._take_slot(work)
+        place = await self._take_slot(work)
         started_s = anyio.current_time()
         try:
-            yield
+            yield place
         finally:
             held_s = anyio.current_time() - started_s
             self.hold_s += SMOOTHING * (held_s - self.hold_s)
-            self.running -= 1
-            self._start_next()
+            self._leave(place)
 
     def check_room(self, work: Work) -> None:
         """Returns unless the queue is full already.
@@ -181,11 +266,14 @@
 
     def wait_s(self, workspace: str, share: float) -> float:
         """Returns the expected wait of a request that arrived now."""
-        ahead = self.running + self.queue.count + self.reserved_count()
+        tokens_per_s = self.queue.tokens_per_s
+        entries, tokens = self.queue.ahead_of(workspace, share)
+        compute_s = (self.reserved_tokens() + tokens) / tokens_per_s
+        if not math.isinf(self._prefill_window_s):
+            compute_s += self.prefills.left_s(tokens_per_s)
+        ahead = self.running + entries + self.reserved_count()
         if ahead < self.slots:
-            return 0.0
-        reserved_s = self.reserved_tokens() / self.queue.tokens_per_s
-        compute_s = self.queue.wait_s(workspace, share) + reserved_s
+            return compute_s
         slots_s = (ahead - self.slots + 1) * self.hold_s / max(1, self.slots)
         return max(compute_s, slots_s)
 
@@ -202,8 +290,17 @@
         old = self.queue.tokens_per_s
         self.queue.tokens_per_s = old + SMOOTHING * (tokens_per_s - old)
 
-    async def _take_slot(self, work: Work) -> None:
-        if self.running < self.slots and not self.queue.count:
+    def _has_room(self) -> bool:
+        if self.running >= self.slots:
+            return False
+        if not self.prefills.count:
+            return True
+        window_tokens = self._prefill_window_s * self.queue.tokens_per_s
+        return self.prefills.tokens < window_tokens
+
+    async def _take_slot(self, work: Work) -> Place:
+        place = Place(work.tokens, self.prefills)
+        if self._has_room() and not self.queue.count:
             if work.deadline_s <= anyio.current_time():
                 raise verdict.refuse(
                     verdict.Reason.DEADLINE_EXCEEDED,
@@ -211,9 +308,10 @@
                     retry_after_s=fair_queue.MIN_RETRY_AFTER_S,
                 )
             self.running += 1
+            place.begin_prefill()
             self.queue.charge(work.workspace, work.tokens, work.share)
-            return
-        waiter = _Waiter()
+            return place
+        waiter = _Waiter(place)
         entry = fair_queue.Entry(
             work.workspace,
             work.tokens,
@@ -229,18 +327,24 @@
         except BaseException:
             # A waiter that was started and cancelled at once owns a slot.
             if not self.queue.remove(entry) and waiter.refusal is None:
-                self.running -= 1
-                self._start_next()
+                self._leave(place)
             raise
         if waiter.refusal is not None:
             raise verdict.RefusedError(waiter.refusal)
+        return place
+
+    def _leave(self, place: Place) -> None:
+        self.running -= 1
+        place.end_prefill()
+        self._start_next()
 
     def _start_next(self) -> None:
-        while self.running < self.slots:
+        while self._has_room():
             entry = self.queue.pop()
             if entry is None:
                 return
             self.running += 1
+            entry.item.place.begin_prefill()
             entry.item.settled.set()
 
     def _expire_reservations(self) -> None:
--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import math
 import typing
 
 import anyio
@@ -37,6 +38,7 @@
 
 FIRST_TOKENS_PER_S = 5_000.0
 CALLS_PER_S = 100.0
+PREFILL_WINDOW_S = 0.1
 LINGER_S = 0.3
 DRAIN_ROLES = ("operator", "control")
 
@@ -140,6 +142,7 @@
     slots = admission.Admission(
         1 if is_engine else settings.service_slots,
         tokens_per_s=FIRST_TOKENS_PER_S if is_engine else CALLS_PER_S,
+        prefill_window_s=PREFILL_WINDOW_S if is_engine else math.inf,
     )
     return node.Node(
         settings.target, identity.incarnation, links.fleet_holder, slots
--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -148,8 +148,8 @@
                 running.imported_tokens = prepared.imported_tokens
                 left = max(1, work.tokens - prepared.tokens)
                 work = attrs.evolve(work, tokens=left)
-                async with owner.admission.enter(work):
-                    final = await running.execute()
+                async with owner.admission.enter(work) as place:
+                    final = await running.execute(place)
         except verdict.RefusedError as error:
             final = owner.refused(error.refusal)
         except exceptions.TargetError as error:
--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -21,6 +21,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.agent import admission
     from cactusstile.agent import gate
     from cactusstile.agent import node
     from cactusstile.agent import runs
@@ -74,20 +75,26 @@
         self._finished: engine.Finished | None = None
         self._held: claims.HeldClaim | None = None
         self._prefilled = False
+        self._place: admission.Place | None = None
 
-    async def execute(self) -> runs.Final:
-        """Runs the prompt and returns the final answer.
+    async def execute(self, place: admission.Place) -> runs.Final:
+        """Runs the prompt in a place and returns the final answer.
 
         Raises:
           RefusedError: If it was refused.
           TargetError: If the engine failed it.
         """
+        self._place = place
         async with contextlib.AsyncExitStack() as gate_stack:
+            if not (self._parts.gate.is_open and self._repeatable):
+                # Others must not wait for a load of weights or a claim.
+                place.end_prefill()
             status = await self._pass_gate(gate_stack)
             self._check(status)
             answer = await self._claim()
             if answer is not None:
                 return self._replay(answer)
+            place.begin_prefill()
             return await self._run(status, gate_stack)
 
     async def settle_claim(self) -> None:
@@ -106,6 +113,10 @@
             return
         await self._parts.claimer.finish(held, claims.OUTCOME_LOST, b"")
 
+    @property
+    def _repeatable(self) -> bool:
+        return self._record.request.repeatable
+
     async def _pass_gate(
         self, gate_stack: contextlib.AsyncExitStack
     ) -> engine.Status:
@@ -151,7 +162,7 @@
     async def _claim(self) -> bytes | None:
         """Claims a run that is not repeatable; returns a stored answer."""
         request = self._record.request
-        if request.repeatable:
+        if self._repeatable:
             return None
         key = claims.Key(
             request.workspace, request.request_key, self._record.digest
@@ -297,6 +308,8 @@
 
     def _end_prefill(self) -> None:
         """Notes that the engine has computed the prompt."""
+        if self._place is not None:
+            self._place.end_prefill()
         if self._started is None or self._prefilled:
             return
         self._prefilled = True
--- a/src/cactusstile/limits/fair_queue.py
+++ b/src/cactusstile/limits/fair_queue.py
@@ -244,21 +244,39 @@
         return self._deadlines[0][0] if self._deadlines else float("inf")
 
     def wait_s(self, workspace: str, share: float = 1.0) -> float:
-        """Returns the expected wait of an entry that arrived now.
+        """Returns the expected wait of an entry that arrived now."""
+        _, tokens = self.ahead_of(workspace, share)
+        return tokens / max(self.tokens_per_s, 1e-6)
 
-        Counts the workspace's own queue and, for each other workspace, at most
-        what its share lets it have in the meantime.
+    def ahead_of(
+        self, workspace: str, share: float = 1.0
+    ) -> tuple[float, float]:
+        """Returns what goes ahead of an entry that arrived now.
+
+        That is the workspace's own queue and, for each other workspace, what
+        it gets until it has been given as much as the own one by then. One
+        that was given more already gets nothing.
+
+        Returns:
+          Entries and prompt tokens.
         """
+        now_s = self._clock()
         own = self._flows.get(workspace)
-        ahead = own.tokens if own else 0
-        own_work = ahead / max(share, MIN_SHARE)
-        total = float(ahead)
-        for name, flow in self._flows.items():
-            if name == workspace or not flow.count:
+        entries, tokens, level = 0.0, 0.0, 0.0
+        if own is not None:
+            entries, tokens = own.count, own.tokens
+            level = own.decayed_use(now_s) + tokens / max(share, MIN_SHARE)
+        for flow in self._flows.values():
+            if flow is own or not flow.count:
+                continue
+            behind = level - flow.decayed_use(now_s)
+            if behind < 0:
                 continue
             head = flow.tokens / flow.count
-            total += min(flow.tokens, max(head, own_work * flow.share))
-        return total / max(self.tokens_per_s, 1e-6)
+            given = min(flow.tokens, max(head, behind * flow.share))
+            tokens += given
+            entries += given / max(head, 1.0)
+        return entries, tokens
 
     def retry_after_s(self, workspace: str, tokens: int) -> float:
         """Returns when there should be room for an entry of `tokens`."""
--- a/tests/agent/test_admission.py
+++ b/tests/agent/test_admission.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from cactusstile import verdict
@@ -52,3 +53,26 @@
     }
     assert min(refusal.retry_after_s for refusal in refusals) > 0
     assert {"done", "overloaded"} <= set(outcomes)
+
+
+async def test_prompts_wait_in_fair_order_while_the_target_computes() -> None:
+    """Free slots do not fill an engine with one workspace's prompts."""
+    slots = admission.Admission(8, tokens_per_s=1000.0, prefill_window_s=0.1)
+    order: list[str] = []
+
+    async def run(workspace: str) -> None:
+        async with slots.enter(admission.Work(workspace, 500)) as place:
+            order.append(workspace)
+            await anyio.sleep(0.02)
+            place.end_prefill()
+            await anyio.sleep(0.2)
+
+    async with anyio.create_task_group() as group:
+        for workspace in ("storm", "storm", "storm", "quiet"):
+            group.start_soon(run, workspace)
+            await anyio.lowlevel.checkpoint()
+        await anyio.wait_all_tasks_blocked()
+        assert order == ["storm"]
+        assert 0.4 < slots.wait_s("other", 1.0) <= 1.5
+    assert order[1] == "quiet"
+    assert slots.prefills.tokens == 0
--- a/tests/agent/test_engine_runs.py
+++ b/tests/agent/test_engine_runs.py
@@ -310,8 +310,8 @@
     waits = []
     for reply in replies:
         assert isinstance(reply, messages.ProbeReply)
-        waits.append((reply.queued_tokens, reply.wait_ms > 0))
-    assert waits == [(0, False), (5000, False), (10_000, True)]
+        waits.append((reply.queued_tokens, reply.wait_ms))
+    assert waits == [(0, 0), (5000, 1000), (10_000, 2000)]
     await anyio.sleep(0.3)
     reply = await opened.call("engine-1", probe)
     assert isinstance(reply, messages.ProbeReply)
--- a/tests/limits/test_fair_queue.py
+++ b/tests/limits/test_fair_queue.py
@@ -192,3 +192,20 @@
     bench.push("a", 10)
     expected = bench.push("b", 10)
     assert bench.queue.pop() is expected
+
+
+@pytest.mark.parametrize("given", [0, 250, 5000])
+def test_entries_ahead_are_those_that_go_first(given: int) -> None:
+    bench = Bench()
+    bench.queue.charge("storm", 1000)
+    bench.queue.charge("own", given)
+    for _ in range(20):
+        bench.push("storm", 100)
+    bench.push("own", 100)
+    entries, tokens = bench.queue.ahead_of("own")
+    mine = bench.push("own", 100)
+    ahead = 0
+    while bench.queue.pop() is not mine:
+        ahead += 1
+    assert abs(entries - ahead) <= 1
+    assert abs(tokens - 100 * ahead) <= 100
