Confine a storming workspace to a third of the busy targets

Cause: limits.recent_use and FairQueue.should_yield were measured in the model and had no caller in the product; a storm filled all engines.

Setting storm_factor, counter confined_placements_total, dump. candidates.select is the one path of product, benchmarks and tests; its ranking twin is gone, and so is Parts.routing, which nothing but the default used.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -18,7 +18,7 @@
 from benchmarks import sites
 from cactusstile import tokens
 from cactusstile.agent import messages
-from cactusstile.limits import recent_use
+from cactusstile.limits import confinement
 from cactusstile.routing import candidates
 from cactusstile.routing import choice
 from cactusstile.routing import rendezvous
@@ -28,6 +28,7 @@
 if typing.TYPE_CHECKING:
     from cactusstile.limits import token_bucket
 
+Loads: typing.TypeAlias = "dict[str, collections.Counter[str]]"
 Route: typing.TypeAlias = (
     "collections.abc.Callable[[model.World, model.Run], model.Engine | None]"
 )
@@ -109,7 +110,7 @@
 ) -> Policy:
     """Returns the product's policy or a variation of it."""
     chosen = options or Options()
-    loads: collections.Counter[str] = collections.Counter()
+    loads: Loads = collections.defaultdict(collections.Counter)
     route = functools.partial(_route, chosen, loads)
     if not chosen.stores:
         return Policy(name, route)
@@ -119,7 +120,7 @@
 
 def _route(
     options: Options,
-    loads: collections.Counter[str],
+    loads: Loads,
     world: model.World,
     run: model.Run,
 ) -> model.Engine | None:
@@ -147,7 +148,7 @@
 
 def _probe(
     options: Options,
-    loads: collections.Counter[str],
+    loads: Loads,
     world: model.World,
     run: model.Run,
     store: model.Store | None,
@@ -155,9 +156,9 @@
     kept_blocks = len(store.leading(run.request)) if store else 0
     near = store.member.data_centre if store and options.near_store else ""
     homes = _homes(options, world, run)
-    selected = candidates.select_ranked(
+    selected = candidates.select(
         homes,
-        loads,
+        loads[run.request.workspace],
         count=options.probes,
         load_factor=options.load_factor,
         near=near,
@@ -167,6 +168,8 @@
         engine = world.engines[member.name]
         reply = _reply(options, engine, run, kept_blocks)
         probed.append(choice.Probed(member, reply))
+    waits_ms = [entry.reply.wait_ms for entry in probed if entry.reply]
+    world.confining.observe_waits(sites.DEPLOYMENT, waits_ms)
     return probed
 
 
@@ -174,12 +177,12 @@
     options: Options, world: model.World, run: model.Run
 ) -> list[rendezvous.Member]:
     request = run.request
-    if not options.confine:
+    confining = world.confining
+    confining.use.note(request.workspace, request.prompt_tokens)
+    confined = confining.applies(request.workspace, sites.DEPLOYMENT)
+    if not options.confine or not confined:
         return world.table.first(request.prefix_key, len(world.engines))
-    world.use.note(request.workspace, request.prompt_tokens)
-    if not world.use.is_storming(request.workspace):
-        return world.table.first(request.prefix_key, len(world.engines))
-    count = recent_use.confined_count(len(world.engines))
+    count = confinement.confined_count(len(world.engines))
     allowed = world.table.first(request.workspace.encode(), count)
     return rendezvous.rank(request.prefix_key, allowed)
 
@@ -238,13 +241,14 @@
 
 def _hold(
     options: Options,
-    loads: collections.Counter[str],
+    loads: Loads,
     world: model.World,
     engine: model.Engine,
     run: model.Run,
 ) -> None:
     """Counts the run until it starts, and reserves its place."""
-    loads[engine.member.name] += 1
+    own = loads[run.request.workspace]
+    own[engine.member.name] += 1
     work = run.request.prompt_tokens if options.reserve else 0
     resident = engine.resident(run.request.keys[: run.request.prompt_blocks])
     kept = max(resident, run.fetch_blocks) * tokens.BLOCK_TOKENS
@@ -255,7 +259,7 @@
         engine.reserved_tokens -= work
 
     def settle() -> None:
-        loads[engine.member.name] -= 1
+        own[engine.member.name] -= 1
 
     world.timeline.after(world.site.round_trip_s, release)
     wait_s = engine.wait_ms(run.request.workspace) / 1000
--- a/benchmarks/homes_cost.py
+++ b/benchmarks/homes_cost.py
@@ -24,7 +24,7 @@
     ]
     started = time.perf_counter()
     for key in KEYS[:20]:
-        candidates.select(key, members, {})
+        candidates.select(rendezvous.rank(key, members), {})
     flat_s = (time.perf_counter() - started) / 20
     started = time.perf_counter()
     arranged = table.Table(members)
@@ -32,7 +32,7 @@
     started = time.perf_counter()
     for key in KEYS:
         homes = arranged.first(key, NEIGHBOURHOOD)
-        candidates.select(key, homes, {})
+        candidates.select(homes, {})
     two_level_s = (time.perf_counter() - started) / len(KEYS)
     return {
         "members": count,
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -19,8 +19,8 @@
 from benchmarks import traces
 from cactusstile import tokens
 from cactusstile import verdict
+from cactusstile.limits import confinement
 from cactusstile.limits import fair_queue
-from cactusstile.limits import recent_use
 from cactusstile.limits import token_bucket
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
@@ -128,7 +128,6 @@
         self._timeline = timeline
         self._prefill_until_s = 0.0
         self._prefilling = False
-        self._paused: collections.deque[Run] = collections.deque()
 
     def resident(self, keys: collections.abc.Sequence[bytes]) -> int:
         """Returns how many leading blocks the cache holds."""
@@ -177,12 +176,7 @@
     def _start_next(self) -> None:
         if self._prefilling:
             return
-        if self._paused:
-            oldest = self._paused[0].request.workspace
-            if not self.queue.should_yield(oldest):
-                self._compute(self._paused.popleft())
-                return
-        if self.running >= self.speed.slots + len(self._paused):
+        if self.running >= self.speed.slots:
             return
         entry = self.queue.pop()
         if entry is None:
@@ -210,16 +204,11 @@
         self._timeline.after(delay_s + chunk_s, lambda: self._look(run))
 
     def _look(self, run: Run) -> None:
-        """Goes on after a chunk, unless the run should give way."""
-        if not run.tokens_left:
-            self._first_token(run)
-            return
-        if self.queue.should_yield(run.request.workspace):
-            self._paused.append(run)
-            self._prefilling = False
-            self._start_next()
+        """Goes on after a chunk."""
+        if run.tokens_left:
+            self._compute(run)
             return
-        self._compute(run)
+        self._first_token(run)
 
     def _first_token(self, run: Run) -> None:
         run.first_token_s = self._timeline.now_s - run.request.at_s
@@ -303,7 +292,7 @@
         """Builds an idle site."""
         self.site = site
         self.timeline = Timeline()
-        self.use = recent_use.RecentUse(self.timeline.clock)
+        self.confining = confinement.Confinement(self.timeline.clock)
         self.table = table.Table(site.engines)
         self.engines = {
             member.name: Engine(member, site.engine, self.timeline)
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -15,10 +15,10 @@
 from cactusstile.entry import completions
 from cactusstile.entry import dispatch
 from cactusstile.entry import homes
-from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
+from cactusstile.limits import confinement
 from cactusstile.limits import retry_budget
 from cactusstile.observability import admin
 from cactusstile.observability import entry_metrics
@@ -45,7 +45,6 @@
       fleet: The configuration; kept up to date by the process.
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
-      routing: Decisions on where requests go; None for the homes of the prompt.
       tokenize: Turns a prompt's text into tokens.
       notice_revision: Called with an agent's newer configuration revision.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
@@ -54,7 +53,6 @@
     fleet: holder.FleetHolder
     peers: pool.Pool
     find_workspace: collections.abc.Callable[[str], str | None]
-    routing: routes.Routes | None = None
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
     notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     was_claimed: earlier_attempts.WasClaimed = _never_claimed
@@ -72,6 +70,9 @@
       connections: Open callers' connections.
       in_flight: Requests in flight by workspace.
       running: Requests at agents by target.
+      confined: Deployments and workspaces that storm and are confined to a
+        part of the targets.
+      wait_ms: Smoothed wait at targets by deployment.
       body_bytes: Bytes of request bodies held.
       retry_balance: Retries that may be sent now.
       busy_share: Share of one core that the process uses.
@@ -84,6 +85,8 @@
     connections: int
     in_flight: dict[str, int]
     running: dict[str, int]
+    confined: list[tuple[str, str]]
+    wait_ms: dict[str, float]
     body_bytes: int
     retry_balance: float
     busy_share: float
@@ -98,6 +101,7 @@
       gate: Whether it serves callers.
       dispatcher: Sends requests to agents.
       bounds: Bounds and counts of the filter chain.
+      confining: Tells which workspaces are confined.
       metrics: Its metrics.
       listener: Listener for callers.
       admin: Listener for operators.
@@ -107,6 +111,7 @@
     gate: application.Gate
     dispatcher: dispatch.Dispatcher
     bounds: application.Bounds
+    confining: confinement.Confinement
     metrics: entry_metrics.EntryMetrics
     listener: http_listener.HttpListener = attrs.field(init=False)
     admin: http_listener.HttpListener = attrs.field(init=False)
@@ -173,10 +178,17 @@
 
 def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
     metrics = entry_metrics.build()
+    confining = confinement.Confinement(
+        anyio.current_time, settings.storm_factor
+    )
     dispatcher = dispatch.Dispatcher(
         parts.peers,
         parts.fleet,
-        parts.routing or homes.build(lambda: parts.fleet.fleet),
+        homes.build(
+            lambda: parts.fleet.fleet,
+            confining,
+            count_confined=metrics.confined.inc,
+        ),
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
         parts.notice_revision,
@@ -187,7 +199,7 @@
         limit.InFlight(settings.max_in_flight),
     )
     gate = application.Gate(parts.fleet.confirmed.is_set)
-    return Entry(settings, gate, dispatcher, bounds, metrics)
+    return Entry(settings, gate, dispatcher, bounds, confining, metrics)
 
 
 def _dump(entry: Entry, revision: int) -> EntryState:
@@ -198,7 +210,9 @@
         entry.gate.draining,
         entry.listener.open_connections(),
         dict(entry.bounds.in_flight.by_workspace),
-        dict(entry.dispatcher.running),
+        dict(entry.dispatcher.under_way.by_target),
+        sorted(entry.confining.confined),
+        entry.confining.waits(),
         entry.bounds.memory.held_bytes,
         entry.dispatcher.budget.balance,
         entry.dispatcher.pacer.busy_share,
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections.abc
-import contextlib
 import logging
 import typing
 
@@ -18,6 +17,7 @@
 from cactusstile.entry import probes
 from cactusstile.entry import routes
 from cactusstile.entry import streams
+from cactusstile.entry import under_way
 from cactusstile.limits import retry_budget
 
 if typing.TYPE_CHECKING:
@@ -49,7 +49,7 @@
       budget: Bounds retries.
       metrics: Counters of the entry.
       notice_revision: Called with an agent's newer configuration revision.
-      running: Work that this entry has under way, by target name.
+      under_way: Requests that this entry has at agents.
       pacer: Paces writes to callers.
       probe_gate: Bounds the requests that probe at once.
     """
@@ -60,7 +60,7 @@
     budget: retry_budget.RetryBudget
     metrics: entry_metrics.EntryMetrics
     notice_revision: collections.abc.Callable[[int], None] = lambda _: None
-    running: dict[str, int] = attrs.field(factory=dict)
+    under_way: under_way.UnderWay = attrs.field(factory=under_way.UnderWay)
     pacer: pacing.Pacer = attrs.field(factory=pacing.Pacer)
     probe_gate: probes.ProbeGate = attrs.field(factory=probes.ProbeGate)
 
@@ -78,6 +78,7 @@
         """
         progress = streams.Progress(call.max_tokens)
         self.budget.earn()
+        self.routing.note_arrival(call)
         try:
             with anyio.CancelScope(deadline=call.deadline_s):
                 return await self._run_attempts(call, progress, sink)
@@ -129,7 +130,7 @@
             async with self.probe_gate.enter():
                 placed = await self._place(call, progress, excluded)
             try:
-                with self._count_running(placed.target.name):
+                with self.under_way.count(call.workspace, placed.target.name):
                     return await attempts.run_at(
                         self.peers,
                         placed,
@@ -158,7 +159,9 @@
         version = progress.version or (deployment.version if deployment else "")
         keys = routes.probe_keys(call, version, probes.MAX_KEYS)
         while True:
-            candidates = self.routing.candidates(call, excluded, self.running)
+            candidates = self.routing.candidates(
+                call, excluded, self.under_way.of_workspace(call.workspace)
+            )
             if not candidates:
                 raise verdict.refuse(
                     verdict.Reason.NO_TARGET,
@@ -188,7 +191,7 @@
         attempt = 0
         while True:
             targets = self.routing.service_order(
-                request, excluded, self.running
+                request, excluded, self.under_way.by_target
             )
             if not targets:
                 raise verdict.refuse(
@@ -198,7 +201,7 @@
                 )
             target = targets[0]
             try:
-                with self._count_running(target.name):
+                with self.under_way.count(request.workspace, target.name):
                     return await attempts.call_at(
                         self.peers,
                         target,
@@ -227,16 +230,6 @@
             raise error
         self.metrics.retries.labels(refusal.reason.value).inc()
 
-    @contextlib.contextmanager
-    def _count_running(self, name: str) -> collections.abc.Iterator[None]:
-        self.running[name] = self.running.get(name, 0) + 1
-        try:
-            yield
-        finally:
-            self.running[name] -= 1
-            if not self.running[name]:
-                del self.running[name]
-
 
 def _cover_attempts(
     refusal: verdict.Refusal, *, may_have_run: bool
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -8,6 +8,7 @@
 from cactusstile import verdict
 from cactusstile.entry import calls
 from cactusstile.entry import routes
+from cactusstile.limits import confinement
 from cactusstile.routing import candidates as routing_candidates
 from cactusstile.routing import choice
 from cactusstile.routing import fleet_index
@@ -22,38 +23,64 @@
 
 def build(
     find_fleet: FindFleet,
-    import_time: choice.ImportTime = choice.never_import,
+    confining: confinement.Confinement,
     *,
+    count_confined: collections.abc.Callable[[], None] = lambda: None,
     reserve: bool = False,
 ) -> routes.Routes:
     """Returns routes to the homes of a prompt.
 
     Args:
       find_fleet: Returns the fleet in force.
-      import_time: See `choice.choose`.
+      confining: Tells which workspaces are confined to a part of the targets.
+      count_confined: Called for each placement that is confined.
       reserve: Whether probes hold a place for a moment.
     """
     index = fleet_index.FleetIndex(find_fleet)
 
+    def note_arrival(call: calls.PromptCall) -> None:
+        workspace = find_fleet().workspaces.get(call.workspace)
+        share = workspace.share if workspace is not None else 1.0
+        confining.use.note(call.workspace, len(call.tokens), share)
+
+    return routes.Routes(
+        _build_candidates(index, confining, count_confined),
+        _build_choose(find_fleet, index, confining),
+        _build_service_order(index),
+        note_arrival,
+        reserve,
+    )
+
+
+def _build_candidates(
+    index: fleet_index.FleetIndex,
+    confining: confinement.Confinement,
+    count_confined: collections.abc.Callable[[], None],
+) -> routes.Candidates:
+    def find_homes(
+        call: calls.PromptCall, excluded: collections.abc.Collection[str]
+    ) -> list[model.Target]:
+        if not confining.applies(call.workspace, call.deployment):
+            return index.homes(call.deployment, call.prefix_key, excluded)
+        count_confined()
+        return index.confined_homes(
+            call.deployment, call.workspace, call.prefix_key, excluded
+        )
+
     def candidates(
         call: calls.PromptCall,
         excluded: collections.abc.Collection[str],
         running: collections.abc.Mapping[str, int],
     ) -> list[model.Target]:
-        near = index.homes(call.deployment, call.prefix_key, excluded)
+        near = find_homes(call, excluded)
         by_name = {target.name: target for target in near}
         members = [fleet_index.to_member(target) for target in near]
         stores = index.stores(call.deployment, call.prefix_key)
         store_side = stores[0].data_centre if stores else ""
-        homes = routing_candidates.select_ranked(
-            members, running, near=store_side
-        )
+        homes = routing_candidates.select(members, running, near=store_side)
         return [by_name[home.name] for home in homes]
 
-    choose = _build_choose(find_fleet, index, import_time)
-    return routes.Routes(
-        candidates, choose, _build_service_order(index), reserve
-    )
+    return candidates
 
 
 def _build_service_order(
@@ -79,13 +106,16 @@
 def _build_choose(
     find_fleet: FindFleet,
     index: fleet_index.FleetIndex,
-    import_time: choice.ImportTime,
+    confining: confinement.Confinement,
 ) -> routes.Choose:
     def choose(
         call: calls.PromptCall,
         version: str,
         probed: collections.abc.Sequence[routes.Probed],
     ) -> routes.Placement:
+        confining.observe_waits(
+            call.deployment, [entry.reply.wait_ms for entry in probed]
+        )
         fleet = find_fleet()
         weights = _weights(fleet, call.deployment)
         stores = index.stores(call.deployment, call.prefix_key)
@@ -98,7 +128,7 @@
             for entry in probed
         ]
         chosen = choice.choose(
-            options, request, weights, import_time, link_time
+            options, request, weights, choice.never_import, link_time
         )
         if chosen.refusal is not None:
             raise verdict.RefusedError(chosen.refusal)
--- a/src/cactusstile/entry/routes.py
+++ b/src/cactusstile/entry/routes.py
@@ -47,6 +47,9 @@
 Choose: typing.TypeAlias = collections.abc.Callable[
     [calls.PromptCall, str, collections.abc.Sequence[Probed]], Placement
 ]
+NoteArrival: typing.TypeAlias = collections.abc.Callable[
+    [calls.PromptCall], None
+]
 ServiceOrder: typing.TypeAlias = collections.abc.Callable[
     [
         calls.ServiceRequest,
@@ -64,17 +67,19 @@
     Attributes:
       candidates: Returns the targets to probe for a call, best first, none
         of the excluded names among them; sees the requests that this entry
-        has under way by target.
+        has under way for the call's workspace, by target.
       choose: Returns the placement among the probed, running on the given
         weight version unless that is empty; raises RefusedError.
       service_order: Returns the targets of a service, best first; otherwise
-        like `candidates`.
+        like `candidates`, but sees the requests of all workspaces.
+      note_arrival: Called once for each prompt, before its first attempt.
       reserve: Whether probes hold a place for a moment.
     """
 
     candidates: Candidates
     choose: Choose
     service_order: ServiceOrder
+    note_arrival: NoteArrival = lambda _: None
     reserve: bool = False
 
 
--- a/src/cactusstile/entry/wiring.py
+++ b/src/cactusstile/entry/wiring.py
@@ -9,7 +9,6 @@
 from cactusstile.control import client
 from cactusstile.control import exceptions
 from cactusstile.entry import daemon
-from cactusstile.entry import homes
 from cactusstile.state import follower
 from cactusstile.state import keys
 from cactusstile.transport import handshake
@@ -53,7 +52,6 @@
             fleet=held,
             peers=following.peers,
             find_workspace=ring.find_workspace,
-            routing=homes.build(lambda: held.fleet),
             was_claimed=build_was_claimed(following.control),
         )
 
--- a/src/cactusstile/limits/fair_queue.py
+++ b/src/cactusstile/limits/fair_queue.py
@@ -29,7 +29,6 @@
 MAX_RETRY_AFTER_S = 60.0
 MIN_SHARE = 1e-6
 FORGOTTEN_USE = 1.0
-OVER_SHARE_FACTOR = 3.0
 _HEAP_SLACK = 32
 
 T = typing.TypeVar("T")
@@ -200,23 +199,6 @@
         flow.decayed_use(now_s)
         flow.used += max(1, tokens) / max(share, MIN_SHARE)
 
-    def should_yield(self, workspace: str) -> bool:
-        """Returns whether work under way should give way to what waits.
-
-        So it is when its workspace was given `OVER_SHARE_FACTOR` times the
-        mean of the others lately, and one of those others waits. The owner of
-        the queue then starts the next entry ahead of it, as far as the target
-        honours priorities.
-        """
-        now_s = self._clock()
-        own = self._flows.get(workspace)
-        others = [flow for flow in self._flows.values() if flow is not own]
-        if own is None or not any(flow.count for flow in others):
-            return False
-        used = sum(flow.decayed_use(now_s) for flow in others)
-        mean = used / len(others)
-        return own.decayed_use(now_s) > OVER_SHARE_FACTOR * mean
-
     def remove(self, entry: Entry[T]) -> bool:
         """Takes out an entry whose caller went away.
 
--- a/src/cactusstile/observability/entry_metrics.py
+++ b/src/cactusstile/observability/entry_metrics.py
@@ -41,6 +41,7 @@
       duplicates: Batches of tokens that were dropped.
       callers_left: Requests whose caller left before the answer's end.
       tokens: Output tokens relayed.
+      confined: Placements of storming workspaces on a part of the targets.
       first_token: Time to first token in seconds.
     """
 
@@ -52,6 +53,7 @@
     duplicates: prometheus_client.Counter
     callers_left: prometheus_client.Counter
     tokens: prometheus_client.Counter
+    confined: prometheus_client.Counter
     first_token: prometheus_client.Histogram
 
     def count_refusal(
@@ -93,6 +95,10 @@
         counter("duplicate_batches", "Dropped batches of tokens."),
         counter("callers_left", "Callers that left before the end."),
         counter("output_tokens", "Output tokens relayed."),
+        counter(
+            "confined_placements",
+            "Placements of storming workspaces on a part of the targets.",
+        ),
         prometheus_client.Histogram(
             "cactusstile_entry_first_token_seconds",
             "Time to first token.",
--- a/src/cactusstile/routing/candidates.py
+++ b/src/cactusstile/routing/candidates.py
@@ -5,36 +5,17 @@
 import math
 import typing
 
-from cactusstile.routing import rendezvous
-
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.routing import rendezvous
+
 MAX_CANDIDATES = 3
 LOAD_FACTOR = 1.5
 MIN_LOAD_BOUND = 8
 
 
 def select(
-    key: bytes,
-    members: collections.abc.Sequence[rendezvous.Member],
-    loads: collections.abc.Mapping[str, float],
-    *,
-    count: int = MAX_CANDIDATES,
-    load_factor: float = LOAD_FACTOR,
-    near: str = "",
-) -> list[rendezvous.Member]:
-    """Returns the targets to probe among all members; see `select_ranked`."""
-    return select_ranked(
-        rendezvous.rank(key, members),
-        loads,
-        count=count,
-        load_factor=load_factor,
-        near=near,
-    )
-
-
-def select_ranked(
     homes: collections.abc.Sequence[rendezvous.Member],
     loads: collections.abc.Mapping[str, float],
     *,
@@ -83,6 +64,7 @@
     Small numbers say little, and the probes tell exact queues anyway, so that
     a member may always have `MIN_LOAD_BOUND`.
 
+    >>> from cactusstile.routing import rendezvous
     >>> members = [rendezvous.Member("a"), rendezvous.Member("b")]
     >>> load_bound(members, {"a": 31}, 1.5)
     24
--- a/src/cactusstile/routing/fleet_index.py
+++ b/src/cactusstile/routing/fleet_index.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cactusstile.limits import confinement
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
 from cactusstile.state import model
@@ -65,6 +66,30 @@
         left = [home.name for home in ranked if home.name not in excluded]
         return [group.targets[name] for name in left[:count]]
 
+    def confined_homes(
+        self,
+        serves: str,
+        workspace: str,
+        key: bytes,
+        excluded: collections.abc.Collection[str] = (),
+    ) -> list[model.Target]:
+        """Returns the homes of a key among those left to a storm.
+
+        Every process leaves the same targets to a workspace. When some of
+        them are excluded, the next ones take their place.
+
+        Args:
+          serves: Deployment.
+          workspace: Workspace that storms.
+          key: Key of the prompt.
+          excluded: Names of targets that are left out.
+        """
+        count = confinement.confined_count(len(self.targets(serves)))
+        left = self.homes(serves, workspace.encode(), excluded, count)
+        by_name = {target.name: target for target in left}
+        ranked = rendezvous.rank(key, map(to_member, left))
+        return [by_name[member.name] for member in ranked]
+
     def stores(self, serves: str, key: bytes) -> list[model.Target]:
         """Returns the stores of a prompt, best first.
 
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cactusstile.limits import recent_use
 from cactusstile.observability import logs
 from cactusstile.settings import ini
 from cactusstile.settings import process
@@ -26,6 +27,8 @@
       drain_delay_s: Time between the end of readiness and the end of
         accepting, for the balancer to notice.
       log_level: Least level of log lines.
+      storm_factor: Multiple of the others' mean use, by share, at which a
+        workspace storms; 0 for never.
     """
 
     process: process.ProcessSettings
@@ -36,6 +39,7 @@
     retry_share: float
     drain_delay_s: float
     log_level: str
+    storm_factor: float = recent_use.STORM_FACTOR
 
 
 OPTIONS = (
@@ -76,6 +80,13 @@
         "least level of log lines",
         "info",
     ),
+    ini.Option(
+        "storm_factor",
+        ini.number(0, 1000),
+        "multiple of the others' mean use, by share, at which a workspace "
+        "is confined to a third of the busy targets; 0 for never",
+        recent_use.STORM_FACTOR,
+    ),
 )
 
 
--- /dev/null
+++ b/tests/entry/test_storm.py
@@ -0,0 +1,75 @@
+"""A storm of one workspace over a real entry, agents and fake engines."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import itertools
+
+import anyio
+import httpcore
+import pytest
+from tests.entry import support
+
+from cactusstile.entry import daemon
+from cactusstile.fakes import engine
+from cactusstile.fakes import site as fake_site
+
+pytestmark = pytest.mark.anyio
+
+SPEED = engine.EngineSettings(prompt_token_s=0.001, output_token_s=0.0)
+STORM_CALLERS = 24
+LONG, SHORT = 800, 200
+WINDOW_S = 0.5
+
+
+def _count_prompts(
+    opened: fake_site.Site, workspace: str
+) -> collections.Counter[str]:
+    return collections.Counter(
+        name
+        for name, served in opened.engines.items()
+        for stream in served.streams.values()
+        if stream.submission.workspace == workspace
+    )
+
+
+async def test_storm_is_confined_and_engines_stay_free_for_others() -> None:
+    numbers = itertools.count()
+
+    async def repeat(caller: support.Caller, key: str, length: int) -> None:
+        while True:
+            prompt = f"{next(numbers)} ".ljust(length, "x")
+            body = {"model": "chat", "prompt": prompt, "max_tokens": 1}
+            await caller.request("/v1/completions", body, key=key)
+            await anyio.sleep(0.01)
+
+    async with contextlib.AsyncExitStack() as stack:
+        opened = await stack.enter_async_context(fake_site.open_site())
+        for number in range(3):
+            await stack.enter_async_context(
+                fake_site.open_engine_agent(opened, f"engine-{number}", SPEED)
+            )
+        parts = daemon.Parts(
+            opened.fleet_holder, opened.peers, support.KEYS.get
+        )
+        entry = await stack.enter_async_context(
+            daemon.open_entry(support.settings(), parts)
+        )
+        http = await stack.enter_async_context(
+            httpcore.AsyncConnectionPool(max_connections=50)
+        )
+        caller = support.Caller(f"http://{entry.callers_address()}", http)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        group.start_soon(repeat, caller, "key-of-clinic", SHORT)
+        for _ in range(STORM_CALLERS):
+            group.start_soon(repeat, caller, "key-of-bank", LONG)
+        with anyio.fail_after(15):
+            while True:
+                before = _count_prompts(opened, "bank")
+                await anyio.sleep(WINDOW_S)
+                new = _count_prompts(opened, "bank") - before
+                if len(new) == 1 and new.total() > 1:
+                    break
+        assert entry.confining.confined == {(fake_site.DEPLOYMENT, "bank")}
--- a/tests/limits/test_fair_queue.py
+++ b/tests/limits/test_fair_queue.py
@@ -173,19 +173,6 @@
     assert unfair > 1.25 * quiet
 
 
-def test_work_far_over_its_share_yields_to_others_that_wait() -> None:
-    bench = Bench()
-    for _ in range(10):
-        bench.queue.charge("storm", 1000)
-        bench.queue.charge("quiet", 100)
-    assert not bench.queue.should_yield("storm")
-    bench.push("quiet", 100)
-    assert bench.queue.should_yield("storm")
-    assert not bench.queue.should_yield("quiet")
-    bench.push("storm", 100)
-    assert not bench.queue.should_yield("quiet")
-
-
 def test_charged_work_counts_as_if_it_had_waited() -> None:
     bench = Bench()
     bench.queue.charge("a", 1000)
--- a/tests/routing/test_candidates.py
+++ b/tests/routing/test_candidates.py
@@ -44,7 +44,8 @@
 def test_select_returns_different_members_under_the_bound(
     key: bytes, loads: dict[str, int], count: int, near: str
 ) -> None:
-    chosen = candidates.select(key, MEMBERS, loads, count=count, near=near)
+    homes = rendezvous.rank(key, MEMBERS)
+    chosen = candidates.select(homes, loads, count=count, near=near)
     assert len({member.name for member in chosen}) == count
     bound = candidates.load_bound(MEMBERS, loads, candidates.LOAD_FACTOR)
     free = [m for m in MEMBERS if loads.get(m.name, 0) < bound]
@@ -54,8 +55,9 @@
 
 def test_select_bounds_load_of_one_hot_key() -> None:
     loads: collections.Counter[str] = collections.Counter()
+    homes = rendezvous.rank(KEYS[0], MEMBERS)
     for placed in range(1, 901):
-        best = candidates.select(KEYS[0], MEMBERS, loads, count=1)
+        best = candidates.select(homes, loads, count=1)
         loads[best[0].name] += 1
         mean = placed / len(MEMBERS)
         bound = max(candidates.MIN_LOAD_BOUND, candidates.LOAD_FACTOR * mean)
@@ -64,6 +66,7 @@
 
 def test_select_includes_neighbour_of_the_store() -> None:
     for key in KEYS[:50]:
-        chosen = candidates.select(key, MEMBERS, {}, near="dc2")
-        assert chosen[0] == rendezvous.rank(key, MEMBERS)[0]
+        homes = rendezvous.rank(key, MEMBERS)
+        chosen = candidates.select(homes, {}, near="dc2")
+        assert chosen[0] == homes[0]
         assert any(member.data_centre == "dc2" for member in chosen)
