--- a/benchmarks/http_policies.py
+++ b/benchmarks/http_policies.py
@@ -10,11 +10,13 @@
 import itertools
 import typing
 
+import anyio
 import attrs
 
 from cactusstile.entry import calls
 from cactusstile.entry import homes
 from cactusstile.entry import routes
+from cactusstile.limits import confinement
 from cactusstile.state import model
 
 FindFleet: typing.TypeAlias = collections.abc.Callable[[], model.Fleet]
@@ -99,7 +101,13 @@
             seen[:] = [(fleet, blind)]
         return seen[-1][1]
 
-    return homes.build(find)
+    return _build_homes(find)
+
+
+def _build_homes(find_fleet: FindFleet) -> routes.Routes:
+    """Returns the product's routes."""
+    confining = confinement.Confinement(anyio.current_time)
+    return homes.build(find_fleet, confining)
 
 
 def _round_robin(find_fleet: FindFleet, _: Reports) -> routes.Routes:
@@ -140,5 +148,6 @@
     ) -> routes.Placement:
         return routes.Placement(probed[0].target, probed[0].reply.version)
 
-    product = homes.build(find_fleet)
-    return attrs.evolve(product, candidates=candidates, choose=choose)
+    return attrs.evolve(
+        _build_homes(find_fleet), candidates=candidates, choose=choose
+    )
--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import logging
-import signal
+import math
 import typing
 
 import anyio
@@ -38,6 +38,7 @@
 
 FIRST_TOKENS_PER_S = 5_000.0
 CALLS_PER_S = 100.0
+PREFILL_WINDOW_S = 0.1
 LINGER_S = 0.3
 DRAIN_ROLES = ("operator", "control")
 
@@ -143,34 +144,13 @@
     slots = admission.Admission(
         1 if is_engine else settings.service_slots,
         tokens_per_s=FIRST_TOKENS_PER_S if is_engine else CALLS_PER_S,
+        prefill_window_s=PREFILL_WINDOW_S if is_engine else math.inf,
     )
     return node.Node(
         settings.target, identity.incarnation, links.fleet_holder, slots
     )
 
 
-async def run_until_signal(
-    running: Agent, settings: agent_settings.AgentSettings
-) -> None:
-    """Drains the agent at SIGTERM or SIGINT; a second signal ends it."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logger.info("signal %d: taking no more work", number)
-            break
-        async with anyio.create_task_group() as group:
-
-            async def cut_short() -> None:
-                async for number in signals:
-                    logger.warning("signal %d: stopping at once", number)
-                    break
-                group.cancel_scope.cancel()
-
-            group.start_soon(cut_short)
-            if not await running.drain(settings.drain_limit_s):
-                logger.warning("work was left at the end of the drain")
-            group.cancel_scope.cancel()
-
-
 async def _watch_platform(
     owner: node.Node, settings: agent_settings.AgentSettings
 ) -> None:
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -15,10 +15,10 @@
 from cactusstile.entry import completions
 from cactusstile.entry import dispatch
 from cactusstile.entry import homes
-from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
+from cactusstile.limits import confinement
 from cactusstile.limits import retry_budget
 from cactusstile.observability import admin
 from cactusstile.observability import entry_metrics
@@ -28,6 +28,7 @@
 if typing.TYPE_CHECKING:
     import starlette.routing
 
+    from cactusstile.entry import routes
     from cactusstile.settings import entry as entry_settings
     from cactusstile.state import holder
     from cactusstile.transport import address
@@ -48,7 +49,7 @@
       fleet: The configuration; kept up to date by the process.
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
-      routing: Decisions on where requests go; None for the homes of the prompt.
+      routing: Decisions on where requests go; by default to the homes.
       tokenize: Turns a prompt's text into tokens.
       notice_revision: Called with an agent's newer configuration revision.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
@@ -78,6 +79,9 @@
       connections: Open callers' connections.
       in_flight: Requests in flight by workspace.
       running: Requests at agents by target.
+      confined: Deployments and workspaces that storm and are confined to a
+        part of the targets.
+      wait_ms: Smoothed wait at targets by deployment.
       body_bytes: Bytes of request bodies held.
       retry_balance: Retries that may be sent now.
       busy_share: Share of one core that the process uses.
@@ -90,6 +94,8 @@
     connections: int
     in_flight: dict[str, int]
     running: dict[str, int]
+    confined: list[tuple[str, str]]
+    wait_ms: dict[str, float]
     body_bytes: int
     retry_balance: float
     busy_share: float
@@ -104,6 +110,7 @@
       gate: Whether it serves callers.
       dispatcher: Sends requests to agents.
       bounds: Bounds and counts of the filter chain.
+      confining: Tells which workspaces are confined.
       metrics: Its metrics.
       listener: Listener for callers.
       admin: Listener for operators.
@@ -113,6 +120,7 @@
     gate: application.Gate
     dispatcher: dispatch.Dispatcher
     bounds: application.Bounds
+    confining: confinement.Confinement
     metrics: entry_metrics.EntryMetrics
     listener: http_listener.HttpListener = attrs.field(init=False)
     admin: http_listener.HttpListener = attrs.field(init=False)
@@ -204,10 +212,18 @@
 
 def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
     metrics = entry_metrics.build()
+    confining = confinement.Confinement(
+        anyio.current_time, settings.storm_factor
+    )
     dispatcher = dispatch.Dispatcher(
         parts.peers,
         parts.fleet,
-        parts.routing or homes.build(lambda: parts.fleet.fleet),
+        parts.routing
+        or homes.build(
+            lambda: parts.fleet.fleet,
+            confining,
+            count_confined=metrics.confined.inc,
+        ),
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
         parts.notice_revision,
@@ -219,7 +235,7 @@
         limit.InFlight(settings.max_in_flight),
     )
     gate = application.Gate(parts.fleet.confirmed.is_set)
-    return Entry(settings, gate, dispatcher, bounds, metrics)
+    return Entry(settings, gate, dispatcher, bounds, confining, metrics)
 
 
 def _dump(entry: Entry, revision: int) -> EntryState:
@@ -230,7 +246,9 @@
         entry.gate.draining,
         entry.listener.open_connections(),
         dict(entry.bounds.in_flight.by_workspace),
-        dict(entry.dispatcher.running),
+        dict(entry.dispatcher.under_way.by_target),
+        sorted(entry.confining.confined),
+        entry.confining.waits(),
         entry.bounds.memory.held_bytes,
         entry.dispatcher.budget.balance,
         entry.dispatcher.pacer.busy_share,
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cactusstile.limits import recent_use
 from cactusstile.observability import logs
 from cactusstile.observability import tls
 from cactusstile.settings import ini
@@ -30,6 +31,8 @@
       tls_certificate: Path of the callers' listener's certificate; empty for
         plain HTTP.
       tls_key: Path of its private key.
+      storm_factor: Multiple of the others' mean use, by share, at which a
+        workspace storms; 0 for never.
     """
 
     process: process.ProcessSettings
@@ -40,6 +43,7 @@
     retry_share: float
     drain_delay_s: float
     log_level: str
+    storm_factor: float = recent_use.STORM_FACTOR
     tls_certificate: str = ""
     tls_key: str = ""
 
@@ -114,6 +118,13 @@
         "PEM private key of the certificate, without a passphrase",
         "",
     ),
+    ini.Option(
+        "storm_factor",
+        ini.number(0, 1000),
+        "multiple of the others' mean use, by share, at which a workspace "
+        "is confined to a third of the busy targets; 0 for never",
+        recent_use.STORM_FACTOR,
+    ),
 )
 
 
--- a/tests/entry/test_homes.py
+++ b/tests/entry/test_homes.py
@@ -4,6 +4,7 @@
 from cactusstile.entry import calls
 from cactusstile.entry import homes
 from cactusstile.entry import routes
+from cactusstile.limits import confinement
 from cactusstile.state import model
 from cactusstile.transport import address
 
@@ -37,5 +38,7 @@
         )
 
     probed = [routes.Probed(near, reply(2000)), routes.Probed(far, reply(0))]
-    placed = homes.build(lambda: fleet).choose(call, "", probed)
+    confining = confinement.Confinement(lambda: 0.0)
+    built = homes.build(lambda: fleet, confining)
+    placed = built.choose(call, "", probed)
     assert placed.target is far
