Name the declared targets that have no agent; count frames in the benchmark

A report now carries the targets of the agents below when that set has changed since the last report on this connection, and nothing otherwise; the operator's command asks the control VMs for them once the wait is over. Weighed and left: asking each declared agent (8,100 dials), buckets of hashes in each report (512 B each).

The limit of silence is 2.75 s: beacons are passed on when they arrive, so the last one is not younger than the fault, which the merged limit of one heartbeat less had allowed for. Heartbeats stay at one a second: with two seconds a leader's death (0.8 to 1.2 s) would make children leave sound parents.

The benchmark counts frames and takes the idle share off a change's cost; with changes 1.1 s apart none is gathered.

--- a/benchmarks/control_delivery.py
+++ b/benchmarks/control_delivery.py
@@ -30,6 +30,7 @@
 from cactusstile.state import relay
 from cactusstile.state import subscription
 from cactusstile.transport import address
+from cactusstile.transport import frame
 from cactusstile.transport import handshake
 from cactusstile.transport import incoming
 from cactusstile.transport import pool
@@ -41,7 +42,8 @@
 LOCAL = address.Address("127.0.0.1", 0)
 CHILDREN_PER_ENTRY = 30
 CHANGES = 20
-IDLE_S = 5.0
+CHANGE_INTERVAL_S = 1.1
+IDLE_S = 20.0
 BEACON_INTERVAL_S = 0.5
 
 
@@ -155,6 +157,22 @@
         await anyio.sleep_forever()
 
 
+def count_frames() -> list[int]:
+    """Returns a list that collects the size of each frame sent from now on."""
+    sizes: list[int] = []
+    encode = frame.encode
+
+    def encode_counted(
+        kind: frame.Kind, number: int, call_id: int, payload: bytes
+    ) -> bytes:
+        data = encode(kind, number, call_id, payload)
+        sizes.append(len(data))
+        return data
+
+    frame.encode = encode_counted
+    return sizes
+
+
 async def beat(root: relay.Relay) -> None:
     """Stands in for the leader's beacons."""
     number = 0
@@ -171,32 +189,51 @@
             await own.changed.wait()
 
 
-async def measure_idle(tree: Tree) -> None:
-    """Prints what subscribers cost that are up to date."""
+async def measure_idle(tree: Tree) -> tuple[float, float]:
+    """Prints what subscribers cost that are up to date.
+
+    Returns:
+      Seconds of processor and bytes for a second of one subscriber.
+    """
+    sizes = count_frames()
     cpu = time.process_time()
     await anyio.sleep(IDLE_S)
     used_s = time.process_time() - cpu
-    share = used_s / IDLE_S / len(tree.relays)
-    print(f"idle: {share * 1e6:.0f} us/s of processor a subscriber, both ends")
+    share = 1 / IDLE_S / len(tree.relays)
+    print(
+        f"idle: {used_s * share * 1e6:.0f} us/s of processor, "
+        f"{len(sizes) * share:.2f} frames/s and {sum(sizes) * share:.0f} B/s "
+        "a subscriber, both ends"
+    )
+    return used_s * share, sum(sizes) * share
 
 
-async def measure_changes(tree: Tree, root: relay.Relay) -> None:
-    """Prints delay, bytes and processor time of changes."""
+async def measure_changes(
+    tree: Tree, root: relay.Relay, idle: tuple[float, float]
+) -> None:
+    """Prints delay, bytes and processor time of changes, less `idle`."""
     delays = []
     received = sum(one.received_bytes for one in tree.subscribers)
+    sizes = count_frames()
     cpu = time.process_time()
+    begun_s = anyio.current_time()
     for _ in range(CHANGES):
         root.publish(*change_one(root.fleet, root.digest))
         started_s = anyio.current_time()
         await wait_until_all(tree, root)
         delays.append(anyio.current_time() - started_s)
-    used_s = time.process_time() - cpu
+        await anyio.sleep(CHANGE_INTERVAL_S)
+    spent = (anyio.current_time() - begun_s) * len(tree.relays)
+    used_s = time.process_time() - cpu - spent * idle[0]
+    frames_bytes = sum(sizes) - spent * idle[1]
     received = sum(one.received_bytes for one in tree.subscribers) - received
     count = CHANGES * len(tree.relays)
     delays.sort()
     print(
-        f"change: {received / count:.0f} B and {used_s / count * 1e6:.0f} us "
-        f"a subscriber; in force everywhere after "
+        f"change: {received / count:.0f} B of changes, "
+        f"{frames_bytes / count:.0f} B of frames and "
+        f"{used_s / count * 1e6:.0f} us a subscriber; in force everywhere "
+        "after "
         f"{delays[len(delays) // 2] * 1e3:.0f} ms (p50), "
         f"{delays[-1] * 1e3:.0f} ms (max of {CHANGES})"
     )
@@ -217,8 +254,8 @@
         group.start_soon(beat, root)
         await anyio.lowlevel.checkpoint()
         await join_all(tree, group, root, entries)
-        await measure_idle(tree)
-        await measure_changes(tree, root)
+        idle = await measure_idle(tree)
+        await measure_changes(tree, root, idle)
         group.cancel_scope.cancel()
 
 
--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -37,7 +37,9 @@
     identity = handshake.Identity("agent", settings.process.name)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
-            follower.open_follower(settings.process, identity)
+            follower.open_follower(
+                settings.process, identity, target=settings.target
+            )
         )
         links = daemon.Links(
             following.control, following.peers, following.fleet_holder
@@ -84,7 +86,7 @@
     identity = handshake.Identity("agent", common.name)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
-            follower.open_follower(common, identity)
+            follower.open_follower(common, identity, target=settings.target)
         )
         store = await stack.enter_async_context(
             store_daemon.open_store(_store_settings(settings))
--- a/src/cactusstile/console/apply.py
+++ b/src/cactusstile/console/apply.py
@@ -13,6 +13,7 @@
 
 APPLY_TIMEOUT_S = 15.0
 WAIT_TIMEOUT_S = 30.0
+MAX_NAMED = 16
 
 
 def run(
@@ -94,6 +95,10 @@
     absent = coverage.declared - coverage.agents
     if absent > 0:
         print(f"  {absent} declared targets have no agent that follows")
+    for name in coverage.absent[:MAX_NAMED]:
+        print(f"  no agent: {name}")
+    if len(coverage.absent) > MAX_NAMED:
+        print(f"  and {len(coverage.absent) - MAX_NAMED} more; see --json")
     for name in coverage.missing:
         print(f"  missing: {name}")
     for name in coverage.unreachable:
--- a/src/cactusstile/control/control.capnp
+++ b/src/cactusstile/control/control.capnp
@@ -144,6 +144,15 @@
   agents @3 :UInt32;
   current @4 :UInt32;
   missing @5 :List(Text);
+  agentNames @6 :List(Text);
+  hasAgentNames @7 :Bool;
+}
+
+struct ReadAgents {
+}
+
+struct AgentNames {
+  names @0 :List(Text);
 }
 
 struct ReadInForce {
--- a/src/cactusstile/control/feed_messages.py
+++ b/src/cactusstile/control/feed_messages.py
@@ -57,6 +57,8 @@
       agents: Agents among them.
       current: Processes that hold `revision` or a later one.
       missing: Names of some that do not.
+      agent_names: Targets of the agents, if they changed.
+      has_agent_names: Whether `agent_names` is told by this report.
     """
 
     name: str
@@ -65,6 +67,8 @@
     agents: int
     current: int
     missing: tuple[str, ...] = ()
+    agent_names: tuple[str, ...] = ()
+    has_agent_names: bool = False
 
 
 @codec.register(233, messages.SCHEMA, "ReadInForce")
@@ -86,6 +90,20 @@
     missing: tuple[str, ...] = ()
 
 
+@codec.register(236, messages.SCHEMA, "ReadAgents")
+@attrs.frozen
+class ReadAgents:
+    """Asks a control VM which agents follow; ends with `AgentNames`."""
+
+
+@codec.register(237, messages.SCHEMA, "AgentNames")
+@attrs.frozen
+class AgentNames:
+    """Targets of the agents below one control VM."""
+
+    names: tuple[str, ...] = ()
+
+
 @codec.register(235, messages.SCHEMA, "Beacon")
 @attrs.frozen
 class Beacon:
--- a/src/cactusstile/control/handlers.py
+++ b/src/cactusstile/control/handlers.py
@@ -160,6 +160,12 @@
     ) -> object:
         return state.relay.in_force(message.revision)
 
+    async def read_agents(
+        _: incoming.Responder, __: feed_messages.ReadAgents
+    ) -> object:
+        names = tuple(sorted(state.relay.agent_names()))
+        return feed_messages.AgentNames(names)
+
     async def read_dump(_: incoming.Responder, __: messages.ReadDump) -> object:
         return messages.Dump(member_handlers.dump(state))
 
@@ -167,6 +173,7 @@
         messages.ReadHistory: read_history,
         messages.ReadDump: read_dump,
         feed_messages.ReadInForce: read_in_force,
+        feed_messages.ReadAgents: read_agents,
     }
 
 
--- a/src/cactusstile/control/operations.py
+++ b/src/cactusstile/control/operations.py
@@ -58,6 +58,8 @@
       missing: Names of some that do not.
       unreachable: Control VMs that did not answer; what hangs on them is not
         counted.
+      absent: Names of the declared targets without an agent that follows;
+        known once the wait is over.
     """
 
     revision: int
@@ -67,6 +69,7 @@
     current: int = 0
     missing: tuple[str, ...] = ()
     unreachable: tuple[str, ...] = ()
+    absent: tuple[str, ...] = ()
 
     @property
     def is_complete(self) -> bool:
@@ -168,11 +171,26 @@
     deadline_s = anyio.current_time() + timeout_s
     while True:
         coverage = await find_coverage(operator, fleet)
-        if coverage.is_complete or anyio.current_time() >= deadline_s:
+        if coverage.is_complete:
             return coverage
+        if anyio.current_time() >= deadline_s:
+            absent = await _find_absent(operator, fleet)
+            return attrs.evolve(coverage, absent=absent)
         await anyio.sleep(POLL_INTERVAL_S)
 
 
+async def _find_absent(
+    operator: Operator, fleet: model.Fleet
+) -> tuple[str, ...]:
+    """Returns the names of targets whose agents no control VM knows."""
+    absent = set(fleet.targets)
+    for target in operator.control.addresses:
+        reply = await _ask_one(operator, target, feed_messages.ReadAgents())
+        if isinstance(reply, feed_messages.AgentNames):
+            absent.difference_update(reply.names)
+    return tuple(sorted(absent))
+
+
 async def view_members(operator: Operator) -> list[ControlView]:
     """Asks every control VM for its view of the groups."""
     views = []
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -79,19 +79,21 @@
     identity: handshake.Identity,
     *,
     serves_children: bool = False,
+    target: str = "",
 ) -> collections.abc.AsyncIterator[Follower]:
     """Follows the fleet until the context is left.
 
     Args:
       settings: Settings of the process.
       identity: Identity that it presents.
-      serves_children: Whether it listens for children in the delivery tree,
-        as entries do.
+      serves_children: Whether it listens for children, as entries do.
+      target: Name of the target that the process stands beside, if any.
 
     Raises:
       OSError: If the address for children cannot be bound.
     """
-    own = relay.Relay(identity.name, is_agent=identity.role == "agent")
+    is_agent = identity.role == "agent"
+    own = relay.Relay(identity.name, is_agent=is_agent, target=target)
     held = holder.FleetHolder()
     async with contextlib.AsyncExitStack() as stack:
         relay_address = None
--- a/src/cactusstile/state/relay.py
+++ b/src/cactusstile/state/relay.py
@@ -32,6 +32,7 @@
 MAX_DELTAS = 256
 MAX_DELTA_BYTES = 1024 * 1024
 MAX_NAMED = 16
+MAX_AGENT_NAMES = 65_536
 MAX_NAME_LENGTH = 128
 
 FULL = "full"
@@ -48,11 +49,13 @@
       relay_address: Where it serves children; empty if it does not.
       heard_at_s: Time on the loop's clock when it was heard last.
       report: Its last report; None before the first.
+      agent_names: Targets of the agents in its subtree.
     """
 
     relay_address: str
     heard_at_s: float
     report: feed_messages.FeedReport | None = None
+    agent_names: frozenset[str] = frozenset()
 
     def check_heard(self, now_s: float) -> None:
         """Raises `RemoteError` if the child has been silent for too long."""
@@ -66,6 +69,7 @@
     Attributes:
       name: Name of this process.
       is_agent: Whether this process is an agent.
+      target: Name of the target that it stands beside.
       fleet: The fleet that it holds.
       digest: Content digest of the fleet.
       beacon: Last beacon of the leader.
@@ -80,11 +84,13 @@
         name: str,
         *,
         is_agent: bool = False,
+        target: str = "",
         redirects_leaves: bool = False,
     ) -> None:
         """Starts without a fleet."""
         self.name = name
         self.is_agent = is_agent
+        self.target = target or name
         self.redirects_leaves = redirects_leaves
         self.fleet = model.Fleet()
         self.digest = encoding.content_digest(self.fleet)
@@ -317,10 +323,16 @@
     ) -> None:
         """Notes what a child says about its subtree; a notice handler."""
         child = self._children.get(report.name)
-        if child is None or len(report.missing) > MAX_NAMED:
+        too_many = (
+            len(report.missing) > MAX_NAMED
+            or len(report.agent_names) > MAX_AGENT_NAMES
+        )
+        if child is None or too_many:
             logger.debug("ignored a report of %s", peer.name)
             return
-        child.report = report
+        if report.has_agent_names:
+            child.agent_names = frozenset(report.agent_names)
+        child.report = attrs.evolve(report, agent_names=())
         child.heard_at_s = anyio.current_time()
         self._note_report()
 
@@ -349,8 +361,14 @@
             nodes, agents, current, tuple(missing[:MAX_NAMED])
         )
 
-    def report(self) -> feed_messages.FeedReport:
-        """Returns what this process tells its own parent."""
+    def report(
+        self, agent_names: frozenset[str] | None = None
+    ) -> feed_messages.FeedReport:
+        """Returns what this process tells its own parent.
+
+        Args:
+          agent_names: Names of the agents, if they are to be told.
+        """
         revision = self.fleet.revision
         found = self.in_force(revision)
         return feed_messages.FeedReport(
@@ -360,8 +378,16 @@
             found.agents,
             found.current,
             found.missing,
+            tuple(sorted(agent_names or ())),
+            agent_names is not None,
         )
 
+    def agent_names(self) -> frozenset[str]:
+        """Returns the targets whose agents are here and below."""
+        own = frozenset((self.target,)) if self.is_agent else frozenset()
+        below = (child.agent_names for child in self._children.values())
+        return own.union(*below)
+
     def children(self) -> list[str]:
         """Returns the names of the children."""
         return list(self._children)
--- a/src/cactusstile/state/subscription.py
+++ b/src/cactusstile/state/subscription.py
@@ -40,8 +40,8 @@
 
 logger = logging.getLogger(__name__)
 
-# The last fresh word may be one heartbeat younger than the fault.
-SILENCE_LIMIT_S = relay.STALE_AFTER_S - relay.HEARTBEAT_INTERVAL_S
+# Beacons are passed on as they arrive, so the last one is as old as the fault.
+SILENCE_LIMIT_S = relay.STALE_AFTER_S - 0.25
 AVOID_S = 5.0
 AVOID_REFUSING_S = 1.0
 RETRY_INTERVAL_S = 0.2
@@ -136,6 +136,7 @@
         first = candidates = self._rank(self._control.addresses)
         for _ in range(MAX_DESCENT):
             next_level: list[address.Address] = []
+            codes: set[str] = set()
             for candidate in candidates:
                 if self._is_avoided(candidate):
                     continue
@@ -145,6 +146,7 @@
                     next_level = self._rank(_parse_addresses(error.detail))
                     if next_level:
                         break
+                    codes.add(error.code)
                     self._avoid(candidate, error)
                 except (
                     _LostError,
@@ -156,7 +158,8 @@
             if not next_level:
                 break
             candidates = next_level
-        self._relays_full = candidates != first
+        # Relays that have only just joined are stale for a moment, not full.
+        self._relays_full = candidates != first and codes != {relay.STALE}
         if all(map(self._is_avoided, self._control.addresses)):
             self._avoided.clear()
 
@@ -172,8 +175,10 @@
         return sorted(addresses, key=weigh)
 
     def _avoid(self, candidate: address.Address, error: Exception) -> None:
-        refused = isinstance(error, transport_exceptions.RemoteError)
-        avoid_s = AVOID_REFUSING_S if refused else AVOID_S
+        avoid_s = AVOID_S
+        if isinstance(error, transport_exceptions.RemoteError):
+            stale = error.code == relay.STALE
+            avoid_s = RETRY_INTERVAL_S if stale else AVOID_REFUSING_S
         self._avoided[candidate] = anyio.current_time() + avoid_s
         logger.info("leaves parent %s: %s", candidate, error)
 
@@ -262,9 +267,13 @@
 
     async def _report(self, opened: connection.Connection) -> None:
         """Tells the parent about the subtree, at each change and at times."""
+        told: frozenset[str] | None = None
         while True:
             reported = self._own.reported
-            opened.notify(self._own.report(), pings=False)
+            names = self._own.agent_names()
+            report = self._own.report(None if names == told else names)
+            if opened.notify(report, pings=False):
+                told = names
             with anyio.move_on_after(REPORT_INTERVAL_S):
                 await reported.wait()
             await anyio.sleep(REPORT_DELAY_S)
--- a/tests/control/test_operations.py
+++ b/tests/control/test_operations.py
@@ -140,7 +140,10 @@
         assert await _command(cluster, "apply", second, "--wait") == 0
         third = _write_fleet(cluster.folder, 3, extra=STORES)
         assert await _command(cluster, "apply", third, *wait) == 7
-        assert "1 declared targets have no agent" in capsys.readouterr().out
+        shown = capsys.readouterr().out
+        assert "1 declared targets have no agent" in shown
+        assert "no agent: absent\n" in shown
+        assert "no agent: a1" not in shown
 
 
 async def test_roles_and_shutdown(cluster: control_cluster.Cluster) -> None:
--- a/tests/state/test_subscription.py
+++ b/tests/state/test_subscription.py
@@ -119,7 +119,7 @@
         relays: bool = False,
         fleet: model.Fleet | None = None,
     ) -> Node:
-        own = relay.Relay(name, is_agent=not relays)
+        own = relay.Relay(name, is_agent=not relays, target=f"t-{name}")
         if fleet is not None:
             own.reset(fleet, encoding.content_digest(fleet))
         node = await self._open_server(own)
@@ -322,6 +322,8 @@
     await _until(lambda: root.relay.in_force(1).current == 5, 2)
     counted = root.relay.in_force(fleet.revision)
     assert (counted.nodes, counted.agents, counted.missing) == (5, 3, ())
+    await _until(lambda: len(root.relay.agent_names()) == 3, 1)
+    assert root.relay.agent_names() == {"t-a0", "t-a1", "t-a2"}
     ahead = root.relay.in_force(fleet.revision + 1)
     assert (ahead.current, set(ahead.missing)) == (0, {"c1", "e1"})
 
