--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -239,6 +239,7 @@
             index, term, membership.encode(configuration), data
         )
         await self.writer.run(self.store.save_snapshot, snapshot)
+        self.writer.counters.snapshots_taken += 1
         if index > self.state.snapshot_index:
             core.compacted(self.state, index, keep_bytes=limit)
         # The core's base may already be that of a snapshot still to be saved.
@@ -336,6 +337,7 @@
         self.writer.add_write(write)
         if not isinstance(write, effects.InstallSnapshot):
             return
+        self.writer.counters.snapshots_installed += 1
         self.machine.restore(write.data)
         self.applied_index = write.index
         self.applied_bytes = 0
--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -40,6 +40,7 @@
     """Stands for election in a new term."""
     state.reset_election_timer()
     state.role = states.Role.CANDIDATE
+    state.campaigns += 1
     state.leader = ""
     state.term += 1
     state.vote = state.member_id
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -10,6 +10,7 @@
 import anyio
 import attrs
 
+from cactusstile.consensus import counters
 from cactusstile.consensus import driver as drivers
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import leadership
@@ -122,6 +123,7 @@
       snapshot_index: Last index that the snapshot covers.
       members: All members as of the last configuration in the log.
       joining: Replicas that made themselves known but are not members.
+      campaigns: Elections that this replica has stood for.
     """
 
     member_id: str
@@ -135,6 +137,7 @@
     snapshot_index: int
     members: tuple[MemberStatus, ...]
     joining: tuple[messages.Hello, ...]
+    campaigns: int = 0
 
 
 class Replica:
@@ -287,8 +290,13 @@
             snapshot_index=state.snapshot_index,
             members=tuple(members),
             joining=tuple(self.driver.joining()),
+            campaigns=state.campaigns,
         )
 
+    def counters(self) -> counters.Counters:
+        """Returns what was counted since the replica was opened."""
+        return self.driver.writer.counters
+
     def _check_serving(self) -> None:
         """Refuses work unless this replica leads."""
         if not self.driver.serves():
--- a/src/cactusstile/consensus/state.py
+++ b/src/cactusstile/consensus/state.py
@@ -149,6 +149,7 @@
       leader_contact_at: Time of the last word from a leader, or of the start:
         what was promised to a leader before a restart must hold after it.
       election_at: Time at which a candidacy starts.
+      campaigns: Elections that this replica has stood for.
       votes: Members that granted the present candidacy.
       retry_votes_at: Time at which missing votes are asked for again.
       leading: State of a leader; None in other roles.
@@ -174,6 +175,7 @@
     election_at: float
     role: Role = Role.FOLLOWER
     leader: str = ""
+    campaigns: int = 0
     votes: set[str] = attrs.field(factory=set)
     retry_votes_at: float = 0.0
     leading: LeaderState | None = None
--- a/src/cactusstile/consensus/writer.py
+++ b/src/cactusstile/consensus/writer.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import time
 import typing
 
 import anyio
 import anyio.to_thread
 import attrs
 
+from cactusstile.consensus import counters
 from cactusstile.consensus import effects
 
 if typing.TYPE_CHECKING:
@@ -57,6 +59,7 @@
       busy: Whether a batch is being written.
       work: Set when there may be something to do.
       limiter: Bound of one worker thread.
+      counters: What is counted for metrics.
     """
 
     store: stores.Store
@@ -68,6 +71,7 @@
     limiter: anyio.CapacityLimiter = attrs.field(
         factory=lambda: anyio.CapacityLimiter(1)
     )
+    counters: counters.Counters = attrs.field(factory=counters.Counters)
 
     def add_write(self, write: effects.Write) -> None:
         """Queues a write."""
@@ -98,7 +102,9 @@
         batch = self.pending.pop(0)
         if not batch.writes:
             return batch
+        started_s = time.monotonic()
         await self.run(self.store.write, batch.writes)
+        self.counters.add_sync(time.monotonic() - started_s)
         return batch
 
     async def run(
--- a/src/cactusstile/observability/control_metrics.py
+++ b/src/cactusstile/observability/control_metrics.py
@@ -8,6 +8,8 @@
 import prometheus_client.metrics_core
 import prometheus_client.registry
 
+from cactusstile.consensus import counters
+
 if typing.TYPE_CHECKING:
     import collections.abc
 
@@ -43,15 +45,45 @@
     ) -> collections.abc.Iterator[prometheus_client.metrics_core.Metric]:
         leader = _group_gauge("leader", "Whether this replica leads.")
         term = _group_gauge("term", "Present term.")
+        role = prometheus_client.metrics_core.GaugeMetricFamily(
+            f"{_NAMESPACE}_role",
+            "Present role of this replica; its value is 1.",
+            labels=["group", "role"],
+        )
         committed = _group_gauge("commit_index", "Last committed index.")
         applied = _group_gauge("applied_index", "Last applied index.")
         for name, replica in self.state.replicas.items():
             status = replica.status()
             leader.add_metric([name], replica.is_leader)
+            role.add_metric([name, status.role], 1)
             term.add_metric([name], status.term)
             committed.add_metric([name], status.commit_index)
             applied.add_metric([name], status.applied_index)
-        yield from (leader, term, committed, applied)
+        yield from (leader, role, term, committed, applied)
+        yield from self._collect_counters()
+
+    def _collect_counters(
+        self,
+    ) -> collections.abc.Iterator[prometheus_client.metrics_core.Metric]:
+        elections = _group_counter(
+            "elections", "Elections that this replica stood for."
+        )
+        taken = _group_counter("snapshots_taken", "Snapshots saved.")
+        installed = _group_counter(
+            "snapshots_installed", "Snapshots received from a leader."
+        )
+        syncs = prometheus_client.metrics_core.HistogramMetricFamily(
+            f"{_NAMESPACE}_sync_seconds",
+            "Time to make a batch of writes durable.",
+            labels=["group"],
+        )
+        for name, replica in self.state.replicas.items():
+            found = replica.counters()
+            elections.add_metric([name], replica.status().campaigns)
+            taken.add_metric([name], found.snapshots_taken)
+            installed.add_metric([name], found.snapshots_installed)
+            syncs.add_metric([name], _buckets(found), found.sync_s)
+        yield from (elections, taken, installed, syncs)
 
 
 def build(
@@ -63,6 +95,21 @@
     return registry
 
 
+def _buckets(found: counters.Counters) -> list[tuple[str, float]]:
+    """Returns the cumulative buckets of the time of syncs."""
+    bounds = [str(limit_s) for limit_s in counters.SYNC_BUCKETS_S]
+    buckets = zip(bounds, found.syncs_by_bucket, strict=True)
+    return [*buckets, ("+Inf", found.syncs)]
+
+
+def _group_counter(
+    name: str, text: str
+) -> prometheus_client.metrics_core.CounterMetricFamily:
+    return prometheus_client.metrics_core.CounterMetricFamily(
+        f"{_NAMESPACE}_{name}", text, labels=["group"]
+    )
+
+
 def _gauge(
     name: str, text: str, value: float
 ) -> prometheus_client.metrics_core.Metric:
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -140,6 +140,10 @@
         ("engine-1", "cactusstile_agent"),
         ("store-1", "cactusstile_store"),
         ("control-1", 'cactusstile_control_term{group="claims"}'),
+        ("control-1", 'cactusstile_control_elections_total{group="claims"}'),
+        ("control-1", 'control_snapshots_installed_total{group="claims"} 0.0'),
+        ("control-1", 'control_sync_seconds_bucket{group="claims",le="1.0"}'),
+        ("control-1", 'control_role{group="configuration",role="'),
     ):
         status, text = site.get(name, "/metrics")
         assert status == 200
