--- a/benchmarks/control_memory.py
+++ b/benchmarks/control_memory.py
@@ -15,15 +15,18 @@
 from cactusstile.control import claim_messages
 from cactusstile.control import claims
 from cactusstile.control import commands
+from cactusstile.control import revisions
 from cactusstile.state import delta
 from cactusstile.state import encoding
 from cactusstile.state import model
 from cactusstile.state import relay
+from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
 WORKSPACES = (100, 1_000, 5_800)
+TARGETS = (1_000, 8_100)
 CLAIMS = (1_000, 10_000, 100_000)
 
 
@@ -48,6 +51,26 @@
     return own
 
 
+def make_targets(count: int) -> model.Fleet:
+    """Returns a fleet of `count` targets."""
+    targets = {}
+    for number in range(count):
+        place = address.Address(f"10.{number >> 8}.{number & 255}.1", 7000)
+        name = f"target-{number}"
+        targets[name] = model.Target(
+            name, model.TargetKind.ENGINE, place, f"dc-{number % 9}", "chat"
+        )
+    return model.Fleet("benchmark", 1, targets=targets)
+
+
+def hold_revisions(count: int) -> revisions.Revisions:
+    """Returns the record of `count` accepted numbers."""
+    held = revisions.Revisions()
+    for number in range(1, count + 1):
+        held.add(number, number.to_bytes(32, "little"))
+    return held
+
+
 def hold_claims(count: int) -> claims.Claims:
     """Returns a claims group that holds `count` running claims."""
     machine = claims.Claims()
@@ -76,6 +99,15 @@
             f"{len(body) / 1e6:.3f} MB, one change {one_s * 1e3:.2f} ms, "
             f"whole digest {whole_s * 1e3:.1f} ms"
         )
+    for count in TARGETS:
+        body = delta.pack(delta.between(model.Fleet(), make_targets(count)))
+        used, _ = measure(lambda body=body: hold_fleet(body))  # type: ignore[misc]
+        print(
+            f"{count} targets: {used / 1e6:.2f} MB a node, "
+            f"{used / count:.0f} B each, snapshot {len(body) / 1e6:.3f} MB"
+        )
+    used, _ = measure(lambda: hold_revisions(revisions.MAX_REVISIONS))
+    print(f"{revisions.MAX_REVISIONS} numbers: {used / 1e6:.1f} MB")
     for count in CLAIMS:
         used, machine = measure(lambda count=count: hold_claims(count))  # type: ignore[misc]
         assert isinstance(machine, claims.Claims)
