--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from cactusstile.state import relay
+
 
 @attrs.frozen
 class Target:
@@ -35,8 +37,12 @@
       request_ms: Processor time of a request of one token at an entry.
       homes_us: Time to rank the homes among a deployment's workers.
       subscriber_us_per_s: Idle cost of a subscription, both ends.
-      change_us: Cost of a change for a subscription, both ends.
-      change_bytes: Bytes of a change for a subscription.
+      subscriber_bytes_per_s: Bytes of frames of an idle subscription, in both
+        directions.
+      delta_us: Cost of a delta for a subscription, both ends.
+      delta_frame_bytes: Bytes of frames that a delta costs, in both
+        directions, without the change itself.
+      change_bytes: Bytes of a change itself.
       workspace_bytes: A node's copy of a workspace.
       target_bytes: A node's copy of a target.
       kept_block_bytes: A store's record of a block, without content.
@@ -45,17 +51,18 @@
     write_us: float = 140
     request_ms: float = 1.6
     homes_us: float = 278
-    subscriber_us_per_s: float = 1_480
-    change_us: float = 869
-    change_bytes: float = 184
+    subscriber_us_per_s: float = 684
+    subscriber_bytes_per_s: float = 61
+    delta_us: float = 765
+    delta_frame_bytes: float = 191
+    change_bytes: float = 183
     workspace_bytes: float = 450
-    target_bytes: float = 507
+    target_bytes: float = 491
     kept_block_bytes: float = 680
 
 
 PROMPT_TOKENS = 2_000
 BLOCK_TOKENS = 16
-HEARTBEAT_BYTES_PER_S = 80
 STORES = 300
 SECONDS_PER_DAY = 86_400
 
@@ -70,9 +77,6 @@
     requests = target.requests_per_s / entries
     streams = requests * request_s
     writes = streams / target.token_interval_s
-    edges = children + 1
-    idle_us = edges * slopes.subscriber_us_per_s / 2
-    change_us = changes_per_s * edges * slopes.change_us / 2
     blocks = target.prompts * PROMPT_TOKENS / BLOCK_TOKENS / STORES
     copy_bytes = (
         target.workspaces * slopes.workspace_bytes
@@ -87,9 +91,7 @@
         "entry_cores_for_requests": requests * slopes.request_ms / 1e3,
         "entry_cores_for_homes": requests * slopes.homes_us / 1e6,
         "entry_children_in_tree": children,
-        "control_percent_of_core": (idle_us + change_us) / 1e6 * 100,
-        "control_bytes_per_s": edges * HEARTBEAT_BYTES_PER_S
-        + changes_per_s * edges * slopes.change_bytes,
+        **_control_loads(children + 1, changes_per_s, slopes),
         "fleet_copy_megabytes": copy_bytes / 1e6,
         "agent_requests_per_s": target.requests_per_s / target.workers,
         "agent_tokens_per_s": target.tokens_per_s / target.workers,
@@ -99,6 +101,26 @@
     }
 
 
+def _control_loads(
+    edges: float, changes_per_s: float, slopes: Slopes
+) -> dict[str, float]:
+    """Returns what following the configuration costs a relaying entry."""
+    # The first change leaves at once, those of the next second together.
+    deltas_per_s = 1 / (1 / changes_per_s + relay.GATHER_INTERVAL_S)
+    edge_us = slopes.subscriber_us_per_s + deltas_per_s * slopes.delta_us
+    edge_bytes = (
+        slopes.subscriber_bytes_per_s
+        + deltas_per_s * slopes.delta_frame_bytes
+        + changes_per_s * slopes.change_bytes
+    )
+    return {
+        "deltas_per_s": deltas_per_s,
+        "control_percent_of_core": edges * edge_us / 2 / 1e6 * 100,
+        "control_bytes_per_s": edges * edge_bytes,
+        "control_bytes_per_s_of_agent": edge_bytes,
+    }
+
+
 def main() -> None:
     """Prints the loads as JSON."""
     loads = work_out(Target(), Slopes())
