--- a/src/cactusstile/control/client.py
+++ b/src/cactusstile/control/client.py
@@ -77,6 +77,19 @@
     answer_kept: bool = False
 
 
+def to_grant(reply: claim_messages.ClaimReply) -> ClaimGrant:
+    """Returns what the answer of the claims group means to its caller."""
+    return ClaimGrant(
+        reply.granted,
+        claim_messages.ClaimState(reply.state),
+        reply.incarnation,
+        reply.claim_id,
+        reply.outcome,
+        reply.answer,
+        reply.answer_kept,
+    )
+
+
 class ControlClient:
     """Calls the control VMs.
 
@@ -247,15 +260,7 @@
 
     async def _ask_claim(self, message: object, timeout_s: float) -> ClaimGrant:
         reply = await self.call(message, claim_messages.ClaimReply, timeout_s)
-        return ClaimGrant(
-            reply.granted,
-            claim_messages.ClaimState(reply.state),
-            reply.incarnation,
-            reply.claim_id,
-            reply.outcome,
-            reply.answer,
-            reply.answer_kept,
-        )
+        return to_grant(reply)
 
     async def watch_circuit(self) -> None:
         """Lets claims fail at once while control is lost; never returns.
--- a/src/cactusstile/fakes/control.py
+++ b/src/cactusstile/fakes/control.py
@@ -8,20 +8,11 @@
 import attrs
 
 from cactusstile.control import claim_messages
+from cactusstile.control import claims
 from cactusstile.control import client
+from cactusstile.control import commands
 from cactusstile.control import exceptions
-
-_State = claim_messages.ClaimState
-
-
-@attrs.define
-class _Claim:
-    digest: bytes
-    state: _State
-    incarnation: int = 0
-    claim_id: bytes = b""
-    outcome: str = ""
-    answer: bytes = b""
+from cactusstile.transport import exceptions as transport_exceptions
 
 
 @attrs.define
@@ -36,6 +27,7 @@
       answer_delay_s: Time between the reading of a fence and its answer.
       unavailable: Whether all calls fail without effect.
       fences: Highest fencing number by target.
+      claims: State machine of the claims group, the one of control.
     """
 
     delay_s: float = 0.0
@@ -44,7 +36,7 @@
     answer_delay_s: float = 0.0
     unavailable: bool = False
     fences: dict[str, int] = attrs.field(factory=dict)
-    _claims: dict[tuple[str, str], _Claim] = attrs.field(factory=dict)
+    claims: claims.Claims = attrs.field(factory=claims.Claims)
 
     async def claim(
         self,
@@ -58,18 +50,17 @@
     ) -> client.ClaimGrant:
         """Claims a request's one run; see `client.ControlClient.claim`."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        granted = key not in self._claims
-        if granted:
-            claim_id = claim_id or os.urandom(client.CLAIM_ID_BYTES)
-            self._claims[key] = _Claim(
-                content_digest, _State.RUNNING, incarnation, claim_id
+        claim_id = claim_id or os.urandom(client.CLAIM_ID_BYTES)
+        grant = self._change(
+            claim_messages.Claim(
+                workspace, request_key, content_digest, incarnation, claim_id
             )
+        )
         await anyio.sleep(self.grant_delay_s)
         if self.lose_claim_answers:
             self.lose_claim_answers -= 1
             raise exceptions.OutcomeUnknownError("the answer was lost")
-        return self._grant(key, content_digest, granted=granted)
+        return grant
 
     async def read_claim(
         self,
@@ -81,7 +72,10 @@
     ) -> client.ClaimGrant:
         """Returns a key's state."""
         await self._answer(timeout_s)
-        return self._grant((workspace, request_key), content_digest)
+        message = claim_messages.ReadClaim(
+            workspace, request_key, content_digest
+        )
+        return client.to_grant(self.claims.read(message))
 
     async def finish_claim(
         self,
@@ -95,17 +89,11 @@
     ) -> client.ClaimGrant:
         """Stores outcome and answer of the claim `claim_id`."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        held = self._claims.get(key)
-        if (
-            held is not None
-            and held.claim_id == claim_id
-            and held.state is _State.RUNNING
-        ):
-            held.state = _State.FINISHED
-            held.outcome = outcome
-            held.answer = answer
-        return self._grant(key, b"")
+        return self._change(
+            claim_messages.FinishClaim(
+                workspace, request_key, claim_id, outcome, answer
+            )
+        )
 
     async def close_claim(
         self,
@@ -117,10 +105,9 @@
     ) -> client.ClaimGrant:
         """Closes a key for ever unless it is claimed."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        if key not in self._claims:
-            self._claims[key] = _Claim(content_digest, _State.CLOSED)
-        return self._grant(key, content_digest)
+        return self._change(
+            claim_messages.CloseClaim(workspace, request_key, content_digest)
+        )
 
     async def release_claim(
         self,
@@ -132,15 +119,9 @@
     ) -> client.ClaimGrant:
         """Gives a claim back that did not run."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        held = self._claims.get(key)
-        if (
-            held is not None
-            and held.claim_id == claim_id
-            and held.state is _State.RUNNING
-        ):
-            del self._claims[key]
-        return self._grant(key, b"")
+        return self._change(
+            claim_messages.ReleaseClaim(workspace, request_key, claim_id)
+        )
 
     async def take_fence(
         self, target: str, *, timeout_s: float = client.CALL_TIMEOUT_S
@@ -164,20 +145,14 @@
             raise exceptions.ControlUnavailableError("no quorum")
         await anyio.sleep(self.delay_s)
 
-    def _grant(
-        self, key: tuple[str, str], digest: bytes, *, granted: bool = False
-    ) -> client.ClaimGrant:
-        held = self._claims.get(key)
-        if held is None:
-            return client.ClaimGrant(False, _State.ABSENT, 0, b"", "", b"")
-        state = held.state
-        if digest and digest != held.digest:
-            state = _State.MISMATCH
-        return client.ClaimGrant(
-            granted,
-            state,
-            held.incarnation,
-            held.claim_id,
-            held.outcome,
-            held.answer,
-        )
+    def _change(self, message: object) -> client.ClaimGrant:
+        """Applies a command as a committed one and returns its answer."""
+        result = self.claims.apply(0, commands.pack(message))
+        try:
+            reply = commands.unpack_result(result)
+        except transport_exceptions.RemoteError as error:
+            raise exceptions.CallRefusedError(
+                error.code, error.message
+            ) from error
+        assert isinstance(reply, claim_messages.ClaimReply)  # noqa: S101
+        return client.to_grant(reply)
--- a/tests/agent/test_service_calls.py
+++ b/tests/agent/test_service_calls.py
@@ -9,6 +9,7 @@
 from cactusstile import verdict
 from cactusstile.agent import claims
 from cactusstile.agent import messages
+from cactusstile.agent import service_calls
 from cactusstile.fakes import site
 from cactusstile.targets import service
 
@@ -117,7 +118,8 @@
             group.start_soon(call_frozen)
             await anyio.sleep(0.1)
             opened.control.grant_delay_s = 0.0
-            held = await opened.control.read_claim("bank", "k1", b"")
+            digest = service_calls.content_digest(_call())
+            held = await opened.control.read_claim("bank", "k1", digest)
             await opened.control.release_claim("bank", "k1", held.claim_id)
             second = await opened.call("b", _call(attempt=1))
             assert isinstance(second, messages.ServiceReply)
