--- a/src/cactusstile/control/attempts.py
+++ b/src/cactusstile/control/attempts.py
@@ -18,6 +18,7 @@
 OVERLOADED = "overloaded"
 UNAVAILABLE = "unavailable"
 INTERNAL = "internal"
+NOT_MEMBER = "not_member"
 _WITHOUT_LEADER = frozenset({NOT_LEADER, UNCERTAIN, UNAVAILABLE, INTERNAL})
 
 
