--- a/src/cactusstile/state/relay.py
+++ b/src/cactusstile/state/relay.py
@@ -236,7 +236,8 @@
                 item = await self._change_after(revision)
                 await self._send(responder, item)
                 revision = item.revision
-                free_at_s = now_s + GATHER_INTERVAL_S
+                if not item.whole:
+                    free_at_s = now_s + GATHER_INTERVAL_S
                 continue
             if beacon_moved:
                 child.check_heard(now_s)
