--- a/tests/state/test_subscription.py
+++ b/tests/state/test_subscription.py
@@ -192,18 +192,28 @@
     assert len(advances) <= 3
 
 
-async def test_relay_passes_on_the_whole_fleet_as_it_came(tree: Tree) -> None:
+async def test_whole_fleet_is_packed_once_for_relays_and_late_nodes(
+    tree: Tree, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    packed: list[int] = []
+    pack_whole = delta.pack_whole
+
+    async def pack_counted(fleet: model.Fleet) -> bytes:
+        packed.append(fleet.revision)
+        return await pack_whole(fleet)
+
+    monkeypatch.setattr(delta, "pack_whole", pack_counted)
     root = await tree.open_root()
     fleet = root.change()
+    root.relay.reset(fleet, encoding.content_digest(fleet))
     entry = await tree.open_child("e1", [root.bound], relays=True)
     await _until(lambda: entry.held.fleet == fleet, 1)
-    packed = await root.relay.whole()
-    assert (await entry.relay.whole()) == packed
+    assert (await entry.relay.whole()).revision == fleet.revision
     for _ in range(3):
         fleet = root.change()
     late = await tree.open_child("e2", [root.bound], relays=True)
     await _until(lambda: late.held.fleet == fleet, 1)
-    assert (await root.relay.whole()) is not packed
+    assert packed == [1]
 
 
 async def test_silent_child_gives_its_place_up(
