--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -43,7 +43,9 @@
     identity = handshake.Identity("agent", settings.process.name)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
-            follower.open_follower(settings.process, identity, dial=dial)
+            follower.open_follower(
+                settings.process, identity, target=settings.target, dial=dial
+            )
         )
         links = daemon.Links(
             following.control, following.peers, following.fleet_holder
@@ -90,7 +92,7 @@
     identity = handshake.Identity("agent", common.name)
     async with contextlib.AsyncExitStack() as stack:
         following = await stack.enter_async_context(
-            follower.open_follower(common, identity)
+            follower.open_follower(common, identity, target=settings.target)
         )
         store = await stack.enter_async_context(
             store_daemon.open_store(
--- a/src/cactusstile/fakes/control.py
+++ b/src/cactusstile/fakes/control.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
+import itertools
 import os
+import typing
 
 import anyio
 import attrs
 
 from cactusstile.control import claim_messages
+from cactusstile.control import claims
 from cactusstile.control import client
+from cactusstile.control import commands
 from cactusstile.control import exceptions
+from cactusstile.transport import exceptions as transport_exceptions
 
-_State = claim_messages.ClaimState
-
-
-@attrs.define
-class _Claim:
-    digest: bytes
-    state: _State
-    incarnation: int = 0
-    claim_id: bytes = b""
-    outcome: str = ""
-    answer: bytes = b""
-    closed_to: int = 0
+if typing.TYPE_CHECKING:
+    import collections.abc
 
 
 @attrs.define
@@ -37,6 +32,8 @@
       answer_delay_s: Time between the reading of a fence and its answer.
       unavailable: Whether all calls fail without effect.
       fences: Highest fencing number by target.
+      claims: State machine of the claims group, the one of control.
+      epochs: Epochs of attempts, as control counts them.
     """
 
     delay_s: float = 0.0
@@ -45,8 +42,10 @@
     answer_delay_s: float = 0.0
     unavailable: bool = False
     fences: dict[str, int] = attrs.field(factory=dict)
-    _claims: dict[tuple[str, str], _Claim] = attrs.field(factory=dict)
-    _epoch: int = 0
+    claims: claims.Claims = attrs.field(factory=claims.Claims)
+    epochs: collections.abc.Iterator[int] = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
 
     async def claim(
         self,
@@ -61,19 +60,22 @@
     ) -> client.ClaimGrant:
         """Claims a request's one run; see `client.ControlClient.claim`."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        self._reopen(key, epoch)
-        granted = key not in self._claims
-        if granted:
-            claim_id = claim_id or os.urandom(client.CLAIM_ID_BYTES)
-            self._claims[key] = _Claim(
-                content_digest, _State.RUNNING, incarnation, claim_id
+        claim_id = claim_id or os.urandom(client.CLAIM_ID_BYTES)
+        grant = self._change(
+            claim_messages.Claim(
+                workspace,
+                request_key,
+                content_digest,
+                incarnation,
+                claim_id,
+                epoch,
             )
+        )
         await anyio.sleep(self.grant_delay_s)
         if self.lose_claim_answers:
             self.lose_claim_answers -= 1
             raise exceptions.OutcomeUnknownError("the answer was lost")
-        return self._grant(key, content_digest, granted=granted)
+        return grant
 
     async def read_claim(
         self,
@@ -85,9 +87,11 @@
     ) -> client.ClaimGrant:
         """Returns a key's state."""
         await self._answer(timeout_s)
-        self._epoch += 1
-        grant = self._grant((workspace, request_key), content_digest)
-        return attrs.evolve(grant, epoch=self._epoch)
+        message = claim_messages.ReadClaim(
+            workspace, request_key, content_digest
+        )
+        grant = client.to_grant(self.claims.read(message))
+        return attrs.evolve(grant, epoch=next(self.epochs))
 
     async def finish_claim(
         self,
@@ -101,17 +105,11 @@
     ) -> client.ClaimGrant:
         """Stores outcome and answer of the claim `claim_id`."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        held = self._claims.get(key)
-        if (
-            held is not None
-            and held.claim_id == claim_id
-            and held.state is _State.RUNNING
-        ):
-            held.state = _State.FINISHED
-            held.outcome = outcome
-            held.answer = answer
-        return self._grant(key, b"")
+        return self._change(
+            claim_messages.FinishClaim(
+                workspace, request_key, claim_id, outcome, answer
+            )
+        )
 
     async def close_claim(
         self,
@@ -123,14 +121,11 @@
     ) -> client.ClaimGrant:
         """Closes a key to all attempts until now unless it is claimed."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        self._epoch += 1
-        self._reopen(key, self._epoch)
-        if key not in self._claims:
-            self._claims[key] = _Claim(
-                content_digest, _State.CLOSED, closed_to=self._epoch
+        return self._change(
+            claim_messages.CloseClaim(
+                workspace, request_key, content_digest, next(self.epochs)
             )
-        return self._grant(key, content_digest)
+        )
 
     async def release_claim(
         self,
@@ -142,15 +137,9 @@
     ) -> client.ClaimGrant:
         """Gives a claim back that did not run."""
         await self._answer(timeout_s)
-        key = (workspace, request_key)
-        held = self._claims.get(key)
-        if (
-            held is not None
-            and held.claim_id == claim_id
-            and held.state is _State.RUNNING
-        ):
-            del self._claims[key]
-        return self._grant(key, b"")
+        return self._change(
+            claim_messages.ReleaseClaim(workspace, request_key, claim_id)
+        )
 
     async def take_fence(
         self, target: str, *, timeout_s: float = client.CALL_TIMEOUT_S
@@ -169,32 +158,19 @@
         await anyio.sleep(self.answer_delay_s)
         return highest
 
-    def _reopen(self, key: tuple[str, str], epoch: int) -> None:
-        held = self._claims.get(key)
-        if held is None or held.state is not _State.CLOSED:
-            return
-        if held.closed_to < epoch:
-            del self._claims[key]
-
     async def _answer(self, timeout_s: float) -> None:
         if self.unavailable or self.delay_s > timeout_s:
             raise exceptions.ControlUnavailableError("no quorum")
         await anyio.sleep(self.delay_s)
 
-    def _grant(
-        self, key: tuple[str, str], digest: bytes, *, granted: bool = False
-    ) -> client.ClaimGrant:
-        held = self._claims.get(key)
-        if held is None:
-            return client.ClaimGrant(False, _State.ABSENT, 0, b"", "", b"")
-        state = held.state
-        if digest and digest != held.digest:
-            state = _State.MISMATCH
-        return client.ClaimGrant(
-            granted,
-            state,
-            held.incarnation,
-            held.claim_id,
-            held.outcome,
-            held.answer,
-        )
+    def _change(self, message: object) -> client.ClaimGrant:
+        """Applies a command as a committed one and returns its answer."""
+        result = self.claims.apply(0, commands.pack(message))
+        try:
+            reply = commands.unpack_result(result)
+        except transport_exceptions.RemoteError as error:
+            raise exceptions.CallRefusedError(
+                error.code, error.message
+            ) from error
+        assert isinstance(reply, claim_messages.ClaimReply)  # noqa: S101
+        return client.to_grant(reply)
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -22,6 +22,7 @@
     import collections.abc
 
     from cactusstile.settings import process
+    from cactusstile.transport import address
 
 
 @attrs.frozen
@@ -79,6 +80,7 @@
     identity: handshake.Identity,
     *,
     serves_children: bool = False,
+    target: str = "",
     dial: pool.Dial = pool.dial_tcp,
 ) -> collections.abc.AsyncIterator[Follower]:
     """Follows the fleet until the context is left.
@@ -86,22 +88,20 @@
     Args:
       settings: Settings of the process.
       identity: Identity that it presents.
-      serves_children: Whether it listens for children in the delivery tree,
-        as entries do.
+      serves_children: Whether it listens for children, as entries do.
+      target: Name of the target that the process stands beside, if any.
       dial: Opens byte streams to other processes.
 
     Raises:
       OSError: If the address for children cannot be bound.
     """
-    own = relay.Relay(identity.name, is_agent=identity.role == "agent")
+    is_agent = identity.role == "agent"
+    own = relay.Relay(identity.name, is_agent=is_agent, target=target)
     held = holder.FleetHolder()
     async with contextlib.AsyncExitStack() as stack:
         relay_address = None
         if serves_children:
-            opened = await stack.enter_async_context(
-                _open_relay(settings, identity, own)
-            )
-            relay_address = opened.bound
+            relay_address = await _open_relay(settings, identity, own, stack)
         peers = await stack.enter_async_context(
             pool.open_pool(identity, settings.secrets, dial=dial)
         )
@@ -116,15 +116,20 @@
         yield Follower(held, peers, control, own, subscriber)
 
 
-def _open_relay(
+async def _open_relay(
     settings: process.ProcessSettings,
     identity: handshake.Identity,
     own: relay.Relay,
-) -> contextlib.AbstractAsyncContextManager[server.Server]:
+    stack: contextlib.AsyncExitStack,
+) -> address.Address:
+    """Listens for children until `stack` closes; returns the address."""
     handlers = incoming.Handlers(
         calls={feed_messages.Subscribe: own.serve},
         notices={feed_messages.FeedReport: own.take_report},
     )
-    return server.open_server(
-        settings.listen, identity, settings.secrets, handlers
+    opened = await stack.enter_async_context(
+        server.open_server(
+            settings.listen, identity, settings.secrets, handlers
+        )
     )
+    return opened.bound
