Check the model's answers token by token against the oracle

Cause: the model moved keys without contents, so its runs could not show a wrong answer.

Change: engines of the model hold a digest of each block, imports read the stores' contents through the product's generation and checksum checks when the transfer ends, and each answer is compared with the fake engine's function. A fault flips half of all kept blocks; the table has a column of wrong answers. Engines and faults have modules of their own.

With blocks.verify taken out the test sees wrong answers.

Conclusion: the model cannot show faults between two parts of one copy, since it copies at one moment; tests/store/test_transfer_faults.py has those.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from benchmarks import engines
 from benchmarks import model
 from benchmarks import sites
 from cactusstile import tokens
@@ -29,7 +30,8 @@
     from cactusstile.limits import token_bucket
 
 Route: typing.TypeAlias = (
-    "collections.abc.Callable[[model.World, model.Run], model.Engine | None]"
+    "collections.abc.Callable["
+    "[model.World, engines.Run], engines.Engine | None]"
 )
 
 
@@ -82,7 +84,7 @@
     """Returns a policy that takes engines in turn."""
     numbers = itertools.count()
 
-    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+    def route(world: model.World, run: engines.Run) -> engines.Engine:  # noqa: ARG001
         engines = list(world.engines.values())
         return engines[next(numbers) % len(engines)]
 
@@ -92,7 +94,7 @@
 def least_loaded() -> Policy:
     """Returns a policy that follows the engines' lagging load reports."""
 
-    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+    def route(world: model.World, run: engines.Run) -> engines.Engine:  # noqa: ARG001
         engines = world.engines.values()
         return min(engines, key=lambda engine: engine.reported_tokens)
 
@@ -121,8 +123,8 @@
     options: Options,
     loads: collections.Counter[str],
     world: model.World,
-    run: model.Run,
-) -> model.Engine | None:
+    run: engines.Run,
+) -> engines.Engine | None:
     request = run.request
     store = world.store_of(request) if options.stores else None
     kept_blocks = len(store.leading(request)) if store else 0
@@ -149,7 +151,7 @@
     options: Options,
     loads: collections.Counter[str],
     world: model.World,
-    run: model.Run,
+    run: engines.Run,
     store: model.Store | None,
 ) -> list[choice.Probed]:
     kept_blocks = len(store.leading(run.request)) if store else 0
@@ -171,7 +173,7 @@
 
 
 def _homes(
-    options: Options, world: model.World, run: model.Run
+    options: Options, world: model.World, run: engines.Run
 ) -> list[rendezvous.Member]:
     request = run.request
     if not options.confine:
@@ -185,7 +187,7 @@
 
 
 def _reply(
-    options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
+    options: Options, engine: engines.Engine, run: engines.Run, kept_blocks: int
 ) -> messages.ProbeReply:
     request = run.request
     prompt = request.keys[: request.prompt_blocks]
@@ -240,8 +242,8 @@
     options: Options,
     loads: collections.Counter[str],
     world: model.World,
-    engine: model.Engine,
-    run: model.Run,
+    engine: engines.Engine,
+    run: engines.Run,
 ) -> None:
     """Counts the run until it starts, and reserves its place."""
     loads[engine.member.name] += 1
@@ -265,8 +267,8 @@
 
 
 def _export_always(
-    engine: model.Engine,  # noqa: ARG001
-    run: model.Run,  # noqa: ARG001
+    engine: engines.Engine,  # noqa: ARG001
+    run: engines.Run,  # noqa: ARG001
     count: int,
     link: token_bucket.TokenBucket | None,
 ) -> bool | None:
@@ -276,8 +278,8 @@
 
 
 def _export_if_worthwhile(
-    engine: model.Engine,
-    run: model.Run,
+    engine: engines.Engine,
+    run: engines.Run,
     count: int,
     link: token_bucket.TokenBucket | None,
 ) -> bool | None:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -11,13 +11,14 @@
 import json
 import pathlib
 import sys
-import typing
 
 import attrs
 import fire
 from hdrh import histogram
 
 from benchmarks import baselines
+from benchmarks import engines
+from benchmarks import fault_cases
 from benchmarks import model
 from benchmarks import sites
 from benchmarks import traces
@@ -27,8 +28,6 @@
 WARM_UP_SHARE = 0.25
 REPORT_LAG_S = 0.2
 
-Fault: typing.TypeAlias = "collections.abc.Callable[[model.World], None]"
-
 
 @attrs.frozen
 class Result:
@@ -45,6 +44,7 @@
       link_gb: Gigabytes over limited links.
       local_gb: Gigabytes between engines and stores of one data centre.
       utilization: Share of the engines' time spent on prompts.
+      wrong: Answers with a token that differs from the oracle's.
       refusals: Refusals by verdict and reason.
     """
 
@@ -58,6 +58,7 @@
     link_gb: float
     local_gb: float
     utilization: float
+    wrong: int
     refusals: dict[str, int]
 
 
@@ -67,7 +68,7 @@
     policy: baselines.Policy,
     duration_s: float,
     *,
-    fault: Fault | None = None,
+    fault: fault_cases.Fault | None = None,
     calm_workspaces: collections.abc.Container[str] | None = None,
 ) -> Result:
     """Runs a trace under a policy and returns its figures.
@@ -81,7 +82,7 @@
       calm_workspaces: Workspaces counted as others; all by default.
     """
     world = model.World(site, policy.value)
-    runs = [model.Run(request) for request in trace]
+    runs = [engines.Run(request) for request in trace]
     _schedule(world, policy, runs)
     if fault is not None:
         fault(world)
@@ -90,7 +91,7 @@
     before = _measure(world)
     world.timeline.run(duration_s)
     after = _measure(world)
-    world.timeline.run(duration_s + 2 * model.GIVE_UP_S)
+    world.timeline.run(duration_s + 2 * engines.GIVE_UP_S)
     measured = [run for run in runs if run.request.at_s >= warm_s]
     engine_s = (duration_s - warm_s) * len(world.engines)
     return _summarize(
@@ -121,7 +122,7 @@
 
 
 def _schedule(
-    world: model.World, policy: baselines.Policy, runs: list[model.Run]
+    world: model.World, policy: baselines.Policy, runs: list[engines.Run]
 ) -> None:
     for run in runs:
         arrive = functools.partial(_arrive, world, policy, run)
@@ -132,7 +133,7 @@
 
 
 def _arrive(
-    world: model.World, policy: baselines.Policy, run: model.Run
+    world: model.World, policy: baselines.Policy, run: engines.Run
 ) -> None:
     engine = policy.route(world, run)
     if engine is None:
@@ -152,7 +153,7 @@
 def _start_reports(world: model.World) -> None:
     """Publishes each engine's load at intervals, after a lag."""
 
-    def publish(engine: model.Engine, value: float) -> None:
+    def publish(engine: engines.Engine, value: float) -> None:
         engine.reported_tokens = value
 
     def report() -> None:
@@ -178,7 +179,7 @@
 
 def _summarize(
     name: str,
-    runs: list[model.Run],
+    runs: list[engines.Run],
     calm: collections.abc.Container[str] | None,
     *,
     link_gb: float,
@@ -211,11 +212,12 @@
         link_gb=round(link_gb, 1),
         local_gb=round(local_gb, 1),
         utilization=round(utilization, 3),
+        wrong=sum(run.is_wrong for run in runs),
         refusals=dict(refusals),
     )
 
 
-def _name_failure(run: model.Run) -> str:
+def _name_failure(run: engines.Run) -> str:
     if run.refusal is None:
         return "unfinished"
     return f"{run.refusal.verdict.value}/{run.refusal.reason.value}"
@@ -226,45 +228,19 @@
     return round(micros / 1000, 1)
 
 
-def kill_store(name: str, at_s: float, end_s: float) -> Fault:
-    """Returns a fault in which a store loses everything for a while."""
-
-    def apply(world: model.World) -> None:
-        def revive() -> None:
-            world.stores[name].alive = True
-
-        world.timeline.after(at_s, functools.partial(world.lose_store, name))
-        world.timeline.after(end_s, revive)
-
-    return apply
-
-
-def slow_links(factor: float, at_s: float) -> Fault:
-    """Returns a fault in which all links lose bandwidth."""
-
-    def apply(world: model.World) -> None:
-        def slow() -> None:
-            for link in world.links.values():
-                link.bytes_per_s *= factor
-
-        world.timeline.after(at_s, slow)
-
-    return apply
-
-
 def print_table(results: list[Result]) -> None:
     """Prints results as a table."""
     print(
         f"{'policy':24}{'n':>7}{'p50 ms':>9}{'p95 ms':>9}{'p99 ms':>9}"
         f"{'others':>9}{'computed':>9}{'link GB':>9}{'local':>8}{'util':>6}"
-        "  refusals"
+        f"{'wrong':>6}  refusals"
     )
     for row in results:
         print(
             f"{row.policy:24}{row.requests:7}{row.p50_ms:9}{row.p95_ms:9}"
             f"{row.p99_ms:9}{row.others_p95_ms:9}{row.computed_share:9}"
             f"{row.link_gb:9}{row.local_gb:8}{row.utilization:6.2f}"
-            f"  {row.refusals or ''}"
+            f"{row.wrong:6}  {row.refusals or ''}"
         )
 
 
@@ -345,13 +321,12 @@
     blast = traces.Storm("w0", 10.0, start_s, duration_s)
     stormy = traces.generate(site, seed, duration_s, load, blast)
     calm = [f"w{index}" for index in range(1, traces.WORKSPACES)]
-    first = site.stores[0].name
-    cases: list[tuple[str, list[traces.Request], Fault | None]] = [
+    cases: list[tuple[str, list[traces.Request], fault_cases.Fault | None]] = [
         ("quiet", quiet, None),
         ("storm", stormy, None),
-        ("dead_store", quiet, kill_store(first, start_s, duration_s)),
-        ("slow_links", quiet, slow_links(0.1, start_s)),
     ]
+    for name, fault in fault_cases.build(site, start_s, duration_s).items():
+        cases.append((name, quiet, fault))
     return [
         run_policy(
             site,
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -11,14 +11,12 @@
 import collections.abc
 import typing
 
-import attrs
-
+from benchmarks import engines
 from benchmarks import sites
 from benchmarks import traces
 from benchmarks import virtual_time
 from cactusstile import tokens
-from cactusstile import verdict
-from cactusstile.limits import fair_queue
+from cactusstile.fakes import oracle
 from cactusstile.limits import recent_use
 from cactusstile.limits import token_bucket
 from cactusstile.routing import rendezvous
@@ -26,191 +24,14 @@
 from cactusstile.store import block_store
 from cactusstile.store import blocks
 from cactusstile.store import client
+from cactusstile.store import disk
 from cactusstile.store import exceptions
 from cactusstile.store import location
-from cactusstile.store import recovery
-from cactusstile.store import returns
 from cactusstile.store import transfer
 
-SCALED_BLOCK = b"\0" * 64
-RUN_OVERHEAD_S = 0.005
+SCALED_BLOCK_BYTES = 64
 REPORT_INTERVAL_S = 1.0
 EXPORT_INTERVAL_S = 1.0
-MAX_PENDING_EXPORTS = 256
-GIVE_UP_S = 60.0
-
-
-@attrs.define(eq=False)
-class Run:
-    """A request on its way.
-
-    Attributes:
-      request: The arrival.
-      fetch_blocks: Leading blocks to have before it starts, by import.
-      first_token_s: Time to first token from the scheduled arrival.
-      computed_blocks: Prompt blocks that were computed.
-      tokens_left: Prompt tokens that are still to be computed.
-      refusal: Set when it was refused.
-    """
-
-    request: traces.Request
-    fetch_blocks: int = 0
-    first_token_s: float | None = None
-    computed_blocks: int = 0
-    tokens_left: int = 0
-    refusal: verdict.Refusal | None = None
-
-
-class Engine:
-    """One engine with the queue of its agent.
-
-    Attributes:
-      member: Name and data centre.
-      queue: Fair queue of the agent.
-      reserved_tokens: Prompt tokens of reservations.
-      running: Runs that decode.
-      reported_tokens: Queued tokens as last reported.
-      exports: Runs whose blocks wait to be exported.
-      recent: Runs whose blocks were exported lately.
-    """
-
-    def __init__(
-        self,
-        member: rendezvous.Member,
-        speed: sites.Engine,
-        timeline: virtual_time.Timeline,
-    ) -> None:
-        """Starts idle with an empty cache."""
-        self.member = member
-        self.speed = speed
-        self.reserved_tokens = 0
-        self.running = 0
-        self.reported_tokens = 0.0
-        self.busy_s = 0.0
-        self.exports: collections.deque[Run] = collections.deque()
-        self.recent = recovery.RecentExports[Run]()
-        self.visits = returns.VisitTracker()
-        self.queue = fair_queue.FairQueue[Run](
-            timeline.clock,
-            self._refuse,
-            tokens_per_s=speed.prefill_tokens_per_s,
-        )
-        self.cache: collections.OrderedDict[bytes, None]
-        self.cache = collections.OrderedDict()
-        self._timeline = timeline
-        self._prefill_until_s = 0.0
-        self._prefilling = False
-        self._paused: collections.deque[Run] = collections.deque()
-
-    def resident(self, keys: collections.abc.Sequence[bytes]) -> int:
-        """Returns how many leading blocks the cache holds."""
-        for count, key in enumerate(keys):
-            if key not in self.cache:
-                return count
-        return len(keys)
-
-    def queued_tokens(self) -> float:
-        """Returns the prompt tokens ahead of a new run."""
-        left_s = max(0.0, self._prefill_until_s - self._timeline.now_s)
-        in_work = left_s * self.speed.prefill_tokens_per_s
-        return self.queue.tokens + in_work + self.reserved_tokens
-
-    def wait_ms(self, workspace: str) -> float:
-        """Returns the expected wait of a new run."""
-        left_s = max(0.0, self._prefill_until_s - self._timeline.now_s)
-        left_s += self.reserved_tokens / self.speed.prefill_tokens_per_s
-        return (left_s + self.queue.wait_s(workspace)) * 1000
-
-    def insert(self, keys: collections.abc.Sequence[bytes]) -> None:
-        """Puts blocks into the cache; the last ones are evicted first."""
-        for key in reversed(keys):
-            self.cache[key] = None
-            self.cache.move_to_end(key)
-        while len(self.cache) > self.speed.cache_blocks:
-            self.cache.popitem(last=False)
-
-    def submit(self, run: Run) -> None:
-        """Queues a run."""
-        request = run.request
-        prompt = request.keys[: request.prompt_blocks]
-        missing = request.prompt_blocks - self.resident(prompt)
-        entry = fair_queue.Entry(
-            request.workspace,
-            max(1, missing) * tokens.BLOCK_TOKENS,
-            run,
-            deadline_s=self._timeline.now_s + GIVE_UP_S,
-        )
-        try:
-            self.queue.push(entry)
-        except verdict.RefusedError as error:
-            run.refusal = error.refusal
-        self._start_next()
-
-    def _start_next(self) -> None:
-        if self._prefilling:
-            return
-        if self._paused:
-            oldest = self._paused[0].request.workspace
-            if not self.queue.should_yield(oldest):
-                self._compute(self._paused.popleft())
-                return
-        if self.running >= self.speed.slots + len(self._paused):
-            return
-        entry = self.queue.pop()
-        if entry is None:
-            return
-        run = entry.item
-        request = run.request
-        prompt = request.keys[: request.prompt_blocks]
-        run.computed_blocks = request.prompt_blocks - self.resident(prompt)
-        run.tokens_left = max(1, run.computed_blocks) * tokens.BLOCK_TOKENS
-        self.running += 1
-        self.busy_s += RUN_OVERHEAD_S
-        self.insert(prompt)
-        self._compute(run, RUN_OVERHEAD_S)
-
-    def _compute(self, run: Run, delay_s: float = 0.0) -> None:
-        """Computes the next chunk of a prompt."""
-        chunk = min(run.tokens_left, self.speed.chunk_tokens)
-        run.tokens_left -= chunk
-        chunk_s = chunk / self.speed.prefill_tokens_per_s
-        self.busy_s += chunk_s
-        self._prefilling = True
-        left_s = run.tokens_left / self.speed.prefill_tokens_per_s
-        now_s = self._timeline.now_s
-        self._prefill_until_s = now_s + delay_s + chunk_s + left_s
-        self._timeline.after(delay_s + chunk_s, lambda: self._look(run))
-
-    def _look(self, run: Run) -> None:
-        """Goes on after a chunk, unless the run should give way."""
-        if not run.tokens_left:
-            self._first_token(run)
-            return
-        if self.queue.should_yield(run.request.workspace):
-            self._paused.append(run)
-            self._prefilling = False
-            self._start_next()
-            return
-        self._compute(run)
-
-    def _first_token(self, run: Run) -> None:
-        run.first_token_s = self._timeline.now_s - run.request.at_s
-        self._prefilling = False
-        decode_s = run.request.output_tokens * self.speed.decode_s_per_token
-        self._timeline.after(decode_s, lambda: self._end(run))
-        self._start_next()
-
-    def _end(self, run: Run) -> None:
-        self.running -= 1
-        self.insert(run.request.keys)
-        if len(self.exports) < MAX_PENDING_EXPORTS:
-            self.exports.append(run)
-        self._start_next()
-
-    def _refuse(
-        self, entry: fair_queue.Entry[Run], refusal: verdict.Refusal
-    ) -> None:
-        entry.item.refusal = refusal
 
 
 class Store:
@@ -228,7 +49,7 @@
         self.alive = True
         self.value = value
         count = site.store_memory_blocks + site.store_disk_blocks
-        bounds = block_store.Bounds(count * len(SCALED_BLOCK), 0)
+        bounds = block_store.Bounds(count * SCALED_BLOCK_BYTES, 0)
         self.kept = block_store.BlockStore(bounds, timeline.clock, value=value)
 
     def leading(self, request: traces.Request) -> list[block_store.Record]:
@@ -236,19 +57,20 @@
         if not self.alive:
             return []
         prompt = request.keys[: request.prompt_blocks]
-        return self.kept.leading(scope_of(request), prompt)
+        return self.kept.leading(engines.scope_of(request), prompt)
 
     def keep(
         self, request: traces.Request, first: int, end: int, recompute_us: int
     ) -> None:
         """Keeps blocks of a prompt."""
-        scope = scope_of(request)
+        scope = engines.scope_of(request)
         for position in range(first, end):
             key = request.keys[position]
             parent = request.keys[position - 1] if position else b""
-            checksum = blocks.checksum(scope, key, SCALED_BLOCK)
+            data = oracle.kv_content(key, SCALED_BLOCK_BYTES)
+            checksum = blocks.checksum(scope, key, data)
             block = blocks.Block(
-                key, parent, position, SCALED_BLOCK, checksum, recompute_us
+                key, parent, position, data, checksum, recompute_us
             )
             try:
                 self.kept.keep(scope, block)
@@ -256,11 +78,6 @@
                 return
 
 
-def scope_of(request: traces.Request) -> tokens.Scope:
-    """Returns the scope of a request's blocks."""
-    return tokens.Scope(request.workspace, sites.DEPLOYMENT, "v1")
-
-
 class World:
     """Everything of one site.
 
@@ -279,7 +96,7 @@
         self.use = recent_use.RecentUse(self.timeline.clock)
         self.table = table.Table(site.engines)
         self.engines = {
-            member.name: Engine(member, site.engine, self.timeline)
+            member.name: engines.Engine(member, site.engine, self.timeline)
             for member in site.engines
         }
         self.stores = {
@@ -324,7 +141,7 @@
         ranked = location.rank_stores(request.prefix_key, live, self.table)
         return self.stores[ranked[0].name] if ranked else None
 
-    def fetch(self, engine: Engine, run: Run) -> float:
+    def fetch(self, engine: engines.Engine, run: engines.Run) -> float:
         """Imports kept blocks; returns the time that it takes in seconds."""
         store = self.store_of(run.request)
         if store is None:
@@ -344,12 +161,21 @@
             self.local_bytes += size
         for record in wanted:
             store.kept.visit(record)
-        keys = run.request.keys[: len(found)]
-        self.timeline.after(delay_s, lambda: engine.insert(keys))
+        keys = run.request.keys[:resident]
+        headers = [record.header for record in wanted]
+
+        def deliver() -> None:
+            digests = _read(store.kept, headers)
+            engine.insert([*keys, *digests], digests)
+
+        self.timeline.after(delay_s, deliver)
         return delay_s
 
     def export(
-        self, engine: Engine, run: Run, is_worthwhile: ExportRule
+        self,
+        engine: engines.Engine,
+        run: engines.Run,
+        is_worthwhile: ExportRule,
     ) -> bool:
         """Exports the blocks of a finished run that its store lacks.
 
@@ -362,7 +188,7 @@
             return True
         engine.recent.note(request.prefix_key, store.member.name, run)
         held = engine.resident(request.keys)
-        first = len(store.kept.leading(scope_of(request), request.keys))
+        first = len(store.kept.leading(engines.scope_of(request), request.keys))
         if held <= first:
             return True
         link = self.link(engine.member, store.member)
@@ -379,7 +205,33 @@
         return True
 
 
+def _read(
+    kept: block_store.BlockStore, headers: list[disk.Header]
+) -> dict[bytes, bytes]:
+    """Returns digests of blocks by key, up to the first that is unsound."""
+    digests: dict[bytes, bytes] = {}
+    for header in headers:
+        try:
+            data = kept.read(header, 0, header.size)
+            block = blocks.Block(
+                header.key,
+                header.parent,
+                header.position,
+                data,
+                header.checksum,
+            )
+            blocks.verify(header.scope, block)
+        except exceptions.CorruptBlockError:
+            kept.drop_corrupt(header)
+            break
+        except exceptions.UnknownBlockError:
+            break
+        digests[header.key] = oracle.kv_digest(data)
+    return digests
+
+
 ExportRule: typing.TypeAlias = (
     "collections.abc.Callable["
-    "[Engine, Run, int, token_bucket.TokenBucket | None], bool | None]"
+    "[engines.Engine, engines.Run, int, token_bucket.TokenBucket | None],"
+    " bool | None]"
 )
--- a/tests/benchmarks/test_model.py
+++ b/tests/benchmarks/test_model.py
@@ -3,9 +3,11 @@
 import pytest
 
 from benchmarks import baselines
+from benchmarks import fault_cases
 from benchmarks import load
 from benchmarks import sites
 from benchmarks import traces
+from cactusstile.store import blocks
 
 DURATION_S = 400.0
 
@@ -44,3 +46,19 @@
 def test_model_is_deterministic_by_seed(trace: list[traces.Request]) -> None:
     again = traces.generate(sites.TERAS, 5, DURATION_S, 0.7)
     assert _run(trace, baselines.product()) == _run(again, baselines.product())
+
+
+@pytest.mark.parametrize("checked", [True, False])
+def test_flipped_blocks_give_wrong_answers_only_unchecked(
+    trace: list[traces.Request],
+    checked: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    if not checked:
+        monkeypatch.setattr(blocks, "verify", lambda *_: None)
+    fault = fault_cases.flip_blocks(0.5 * DURATION_S)
+    policy = baselines.product()
+    result = load.run_policy(
+        sites.TERAS, trace, policy, DURATION_S, fault=fault
+    )
+    assert (result.wrong == 0) is checked
