--- a/benchmarks/engines.py
+++ b/benchmarks/engines.py
@@ -59,6 +59,8 @@
       running: Runs that decode.
       reported_tokens: Queued tokens as last reported.
       exports: Runs whose blocks wait to be exported.
+      import_late: Imports what was pushed out while a run waited; returns
+        the time that it takes in seconds.
       recent: Runs whose blocks were exported lately.
     """
 
@@ -77,6 +79,8 @@
         self.busy_s = 0.0
         self.exports: collections.deque[Run] = collections.deque()
         self.recent = recovery.RecentExports[Run]()
+        self.import_late: collections.abc.Callable[[Run], float]
+        self.import_late = lambda _: 0.0
         self.visits = returns.VisitTracker()
         self.queue = fair_queue.FairQueue[Run](
             timeline.clock,
@@ -160,13 +164,14 @@
         run = entry.item
         request = run.request
         prompt = request.keys[: request.prompt_blocks]
+        import_s = self.import_late(run)
         run.computed_blocks = request.prompt_blocks - self.resident(prompt)
         run.tokens_left = max(1, run.computed_blocks) * tokens.BLOCK_TOKENS
         self.running += 1
         self.busy_s += RUN_OVERHEAD_S
         self.insert(prompt)
         run.is_wrong = not self._answers_right(request, prompt)
-        self._compute(run, RUN_OVERHEAD_S)
+        self._compute(run, RUN_OVERHEAD_S + import_s)
 
     def _answers_right(
         self,
--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -9,6 +9,7 @@
 
 import collections
 import collections.abc
+import functools
 import typing
 
 from benchmarks import engines
@@ -99,6 +100,8 @@
             member.name: engines.Engine(member, site.engine, self.timeline)
             for member in site.engines
         }
+        for engine in self.engines.values():
+            engine.import_late = functools.partial(self.import_late, engine)
         self.stores = {
             member.name: Store(member, site, self.timeline, value)
             for member in site.stores
@@ -171,6 +174,34 @@
         self.timeline.after(delay_s, deliver)
         return delay_s
 
+    def import_late(self, engine: engines.Engine, run: engines.Run) -> float:
+        """Imports kept blocks when a run's turn comes, if that still pays."""
+        request = run.request
+        store = self.store_of(request)
+        if store is None:
+            return 0.0
+        found = store.leading(request)
+        resident = engine.resident(request.keys[: len(found)])
+        wanted = found[resident:]
+        link = self.link(engine.member, store.member)
+        size = len(wanted) * sites.BLOCK_BYTES
+        block_ms = tokens.BLOCK_TOKENS / engine.speed.prefill_tokens_per_s * 1e3
+        need = transfer.Need(len(wanted), size, len(wanted) * block_ms)
+        plan = transfer.plan_fetch(need, self.site.weights, link)
+        if not plan.blocks:
+            return 0.0
+        if link is None:
+            self.local_bytes += size
+        elif link.try_take(size, plan.limit_ms / 1000):
+            self.fetched_bytes += size
+        else:
+            return 0.0
+        for record in wanted:
+            store.kept.visit(record)
+        digests = _read(store.kept, [record.header for record in wanted])
+        engine.insert([*request.keys[:resident], *digests], digests)
+        return plan.expected_ms / 1000
+
     def export(
         self,
         engine: engines.Engine,
--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -27,6 +27,7 @@
 logger = logging.getLogger(__name__)
 
 ATTACH_GRACE_S = 1.0
+LONG_WAIT_S = 0.1
 MAX_PROMPT_TOKENS = 262_144
 MAX_OUTPUT_TOKENS = 32_768
 
@@ -148,7 +149,11 @@
                 running.imported_tokens = prepared.imported_tokens
                 left = max(1, work.tokens - prepared.tokens)
                 work = attrs.evolve(work, tokens=left)
+                queued_s = anyio.current_time()
                 async with owner.admission.enter(work):
+                    if anyio.current_time() - queued_s > LONG_WAIT_S:
+                        prepared = await self._prepare(record, prepared)
+                        running.imported_tokens = prepared.imported_tokens
                     final = await running.execute()
         except verdict.RefusedError as error:
             final = owner.refused(error.refusal)
@@ -160,12 +165,16 @@
                 await running.settle_claim()
             owner.end()
 
-    async def _prepare(self, record: runs.RunRecord) -> kept_imports.Prepared:
+    async def _prepare(
+        self,
+        record: runs.RunRecord,
+        before: kept_imports.Prepared | None = None,
+    ) -> kept_imports.Prepared:
         """Imports kept blocks of a run, within its deadline."""
         if self._kept is None:
             return kept_imports.Prepared()
         with anyio.CancelScope(deadline=record.deadline_s):
-            return await self._kept.importer.prepare(record.request)
+            return await self._kept.importer.prepare(record.request, before)
         return kept_imports.Prepared()
 
     def _settle(
--- a/src/cactusstile/agent/kept_imports.py
+++ b/src/cactusstile/agent/kept_imports.py
@@ -33,10 +33,15 @@
     resident: int = 0
     imported: int = 0
 
+    @property
+    def blocks(self) -> int:
+        """All these blocks."""
+        return self.resident + self.imported
+
     @property
     def tokens(self) -> int:
         """Prompt tokens in all these blocks."""
-        return (self.resident + self.imported) * tokens.BLOCK_TOKENS
+        return self.blocks * tokens.BLOCK_TOKENS
 
     @property
     def imported_tokens(self) -> int:
@@ -51,8 +56,16 @@
         """Imports by `parts`."""
         self._parts = parts
 
-    async def prepare(self, request: messages.Run) -> Prepared:
-        """Imports what pays for a run; failures cost only time."""
+    async def prepare(
+        self, request: messages.Run, before: Prepared | None = None
+    ) -> Prepared:
+        """Imports what pays for a run; failures cost only time.
+
+        Args:
+          request: The run.
+          before: What an earlier call prepared, for a run that has waited
+            since; imports only if the engine pushed out some of it.
+        """
         status = self._parts.gate.status
         if status is None or not request.prefix_key:
             return Prepared()
@@ -65,6 +78,8 @@
         keys = tokens.block_keys(scope, request.tokens + request.generated)
         try:
             resident = len(await self._parts.engine.lookup(keys))
+            if before is not None and resident >= before.blocks:
+                return before
             imported = await self._import(
                 scope, request.prefix_key, keys[resident:]
             )
--- a/tests/agent/test_kept_blocks.py
+++ b/tests/agent/test_kept_blocks.py
@@ -204,3 +204,29 @@
     for output, end in answers:
         assert output == _expected(prompt, end.version)
     assert {end.version for _, end in answers} == {"v1", "v2"}
+
+
+async def test_block_pushed_out_while_its_run_waits_is_imported_again(
+    opened: site.Site,
+) -> None:
+    served = opened.engines["engine-1"]
+    await _ask(opened, "first")
+    await _wait_kept(opened)
+    admission = opened.agents["engine-1"].node.admission
+    slots = admission.slots
+    answers: list[tuple[list[int], messages.RunEnd]] = []
+
+    async def ask() -> None:
+        answers.append(await _ask(opened, "again"))
+
+    async with anyio.create_task_group() as group:
+        admission.resize(0)
+        group.start_soon(ask)
+        await anyio.sleep(0.3)
+        served.cache.clear()
+        before = served.recomputed_tokens
+        admission.resize(slots)
+    [(output, end)] = answers
+    assert output == _expected()
+    assert served.recomputed_tokens == before
+    assert end.imported_tokens == len(PROMPT)
