--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from benchmarks import engines
 from benchmarks import model
 from benchmarks import sites
 from cactusstile import tokens
@@ -30,7 +31,8 @@
 
 Loads: typing.TypeAlias = "dict[str, collections.Counter[str]]"
 Route: typing.TypeAlias = (
-    "collections.abc.Callable[[model.World, model.Run], model.Engine | None]"
+    "collections.abc.Callable["
+    "[model.World, engines.Run], engines.Engine | None]"
 )
 
 
@@ -83,7 +85,7 @@
     """Returns a policy that takes engines in turn."""
     numbers = itertools.count()
 
-    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+    def route(world: model.World, run: engines.Run) -> engines.Engine:  # noqa: ARG001
         engines = list(world.engines.values())
         return engines[next(numbers) % len(engines)]
 
@@ -93,7 +95,7 @@
 def least_loaded() -> Policy:
     """Returns a policy that follows the engines' lagging load reports."""
 
-    def route(world: model.World, run: model.Run) -> model.Engine:  # noqa: ARG001
+    def route(world: model.World, run: engines.Run) -> engines.Engine:  # noqa: ARG001
         engines = world.engines.values()
         return min(engines, key=lambda engine: engine.reported_tokens)
 
@@ -122,8 +124,8 @@
     options: Options,
     loads: Loads,
     world: model.World,
-    run: model.Run,
-) -> model.Engine | None:
+    run: engines.Run,
+) -> engines.Engine | None:
     request = run.request
     store = world.store_of(request) if options.stores else None
     kept_blocks = len(store.leading(request)) if store else 0
@@ -150,7 +152,7 @@
     options: Options,
     loads: Loads,
     world: model.World,
-    run: model.Run,
+    run: engines.Run,
     store: model.Store | None,
 ) -> list[choice.Probed]:
     kept_blocks = len(store.leading(run.request)) if store else 0
@@ -174,7 +176,7 @@
 
 
 def _homes(
-    options: Options, world: model.World, run: model.Run
+    options: Options, world: model.World, run: engines.Run
 ) -> list[rendezvous.Member]:
     request = run.request
     confining = world.confining
@@ -188,7 +190,7 @@
 
 
 def _reply(
-    options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
+    options: Options, engine: engines.Engine, run: engines.Run, kept_blocks: int
 ) -> messages.ProbeReply:
     request = run.request
     prompt = request.keys[: request.prompt_blocks]
@@ -243,8 +245,8 @@
     options: Options,
     loads: Loads,
     world: model.World,
-    engine: model.Engine,
-    run: model.Run,
+    engine: engines.Engine,
+    run: engines.Run,
 ) -> None:
     """Counts the run until it starts, and reserves its place."""
     own = loads[run.request.workspace]
@@ -269,8 +271,8 @@
 
 
 def _export_always(
-    engine: model.Engine,  # noqa: ARG001
-    run: model.Run,  # noqa: ARG001
+    engine: engines.Engine,  # noqa: ARG001
+    run: engines.Run,  # noqa: ARG001
     count: int,
     link: token_bucket.TokenBucket | None,
 ) -> bool | None:
@@ -280,8 +282,8 @@
 
 
 def _export_if_worthwhile(
-    engine: model.Engine,
-    run: model.Run,
+    engine: engines.Engine,
+    run: engines.Run,
     count: int,
     link: token_bucket.TokenBucket | None,
 ) -> bool | None:
--- a/benchmarks/http_policies.py
+++ b/benchmarks/http_policies.py
@@ -8,9 +8,9 @@
 
 import collections.abc
 import itertools
+import time
 import typing
 
-import anyio
 import attrs
 
 from cactusstile.entry import calls
@@ -106,7 +106,7 @@
 
 def _build_homes(find_fleet: FindFleet) -> routes.Routes:
     """Returns the product's routes."""
-    confining = confinement.Confinement(anyio.current_time)
+    confining = confinement.Confinement(time.monotonic)
     return homes.build(find_fleet, confining)
 
 
