Weigh fetch against recompute at the entry by the store's own answer

Cause: ProbeReply.kept_blocks was always 0 and entries ruled every import out, so the choice of a target did not know what its store keeps; the model did. Entries also ranked the stores of a prompt by another hash than agents, and counted link use towards a store that might not hold the prompt.

Ruled out: asking the store by each probed agent (three calls in place of one); remembering exports at agents (the probed one is often another).

ProbeReply.kept_blocks is gone. Stores are ranked by store.location on both sides.

Not measured: the cost of the call at an entry.

The tests of the choice pass the kept blocks as an argument in place of a field of the reply, with the same assertions.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -135,6 +135,7 @@
         world.site.weights,
         import_time,
         functools.partial(_link_ms, options, world, store),
+        kept_blocks=kept_blocks,
     )
     if not decision.options:
         run.refusal = decision.refusal
@@ -153,7 +154,6 @@
     run: model.Run,
     store: model.Store | None,
 ) -> list[choice.Probed]:
-    kept_blocks = len(store.leading(run.request)) if store else 0
     near = store.member.data_centre if store and options.near_store else ""
     homes = _homes(options, world, run)
     selected = candidates.select(
@@ -166,7 +166,7 @@
     probed = []
     for member in selected:
         engine = world.engines[member.name]
-        reply = _reply(options, engine, run, kept_blocks)
+        reply = _reply(options, engine, run)
         probed.append(choice.Probed(member, reply))
     waits_ms = [entry.reply.wait_ms for entry in probed if entry.reply]
     world.confining.observe_waits(sites.DEPLOYMENT, waits_ms)
@@ -188,7 +188,7 @@
 
 
 def _reply(
-    options: Options, engine: model.Engine, run: model.Run, kept_blocks: int
+    options: Options, engine: model.Engine, run: model.Run
 ) -> messages.ProbeReply:
     request = run.request
     prompt = request.keys[: request.prompt_blocks]
@@ -202,7 +202,6 @@
         revision=1,
         version="v1",
         resident_blocks=resident,
-        kept_blocks=kept_blocks,
         queued_tokens=engine.queue.tokens,
         running=engine.running,
         slots=engine.speed.slots,
--- a/src/cactusstile/agent/messages.py
+++ b/src/cactusstile/agent/messages.py
@@ -57,7 +57,6 @@
       revision: Configuration revision of the agent.
       version: Weight version that the target runs now.
       resident_blocks: Leading blocks of the prompt in accelerator memory.
-      kept_blocks: Leading blocks known to lie on a store.
       queued_tokens: Prompt tokens that wait in the queue.
       running: Runs under way.
       slots: Runs that the target takes at once.
@@ -70,7 +69,6 @@
     revision: int
     version: str
     resident_blocks: int
-    kept_blocks: int
     queued_tokens: int
     running: int
     slots: int
--- a/src/cactusstile/agent/probes.py
+++ b/src/cactusstile/agent/probes.py
@@ -31,7 +31,7 @@
         if not owner.takes_work or status is None:
             version = status.version if status is not None else ""
             return messages.ProbeReply(
-                owner.fleet.revision, version, 0, 0, 0, 0, 0, 0, 0, leaving=True
+                owner.fleet.revision, version, 0, 0, 0, 0, 0, 0, leaving=True
             )
         resident = await self._resident_blocks(request)
         queue = owner.admission.queue
@@ -46,7 +46,6 @@
             owner.fleet.revision,
             status.version,
             resident,
-            0,
             queued_tokens,
             owner.admission.running,
             owner.admission.slots,
--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -18,14 +18,13 @@
   revision @0 :UInt64;
   version @1 :Text;
   residentBlocks @2 :UInt32;
-  keptBlocks @3 :UInt32;
-  queuedTokens @4 :UInt64;
-  running @5 :UInt32;
-  slots @6 :UInt32;
-  waitMs @7 :UInt32;
-  prefillMs @8 :UInt32;
-  leaving @9 :Bool;
-  reservation @10 :UInt64;
+  queuedTokens @3 :UInt64;
+  running @4 :UInt32;
+  slots @5 :UInt32;
+  waitMs @6 :UInt32;
+  prefillMs @7 :UInt32;
+  leaving @8 :Bool;
+  reservation @9 :UInt64;
 }
 
 struct Run {
--- a/src/cactusstile/agent/service_agent.py
+++ b/src/cactusstile/agent/service_agent.py
@@ -35,7 +35,6 @@
             "",
             0,
             0,
-            0,
             owner.admission.running,
             owner.admission.slots,
             round(owner.admission.wait_s(request.workspace, share) * 1000),
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -186,6 +186,7 @@
         parts.fleet,
         homes.build(
             lambda: parts.fleet.fleet,
+            parts.peers,
             confining,
             count_confined=metrics.confined.inc,
         ),
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -19,10 +19,12 @@
 from cactusstile.entry import streams
 from cactusstile.entry import under_way
 from cactusstile.limits import retry_budget
+from cactusstile.store import client
 
 if typing.TYPE_CHECKING:
     from cactusstile.observability import entry_metrics
     from cactusstile.state import holder
+    from cactusstile.state import model
     from cactusstile.transport import pool
 
 logger = logging.getLogger(__name__)
@@ -174,7 +176,7 @@
                 revision=self.fleet.fleet.revision,
                 reserve=self.routing.reserve,
             )
-            probed = await probes.probe_all(self.peers, candidates, message)
+            probed, kept = await self._ask(call, version, candidates, message)
             if probed:
                 break
             excluded.update(target.name for target in candidates)
@@ -182,7 +184,28 @@
         if newest > self.fleet.fleet.revision:
             self.notice_revision(newest)
         required = progress.version if progress.tokens else ""
-        return self.routing.choose(call, required, probed)
+        return self.routing.choose(call, required, probed, kept)
+
+    async def _ask(
+        self,
+        call: calls.PromptCall,
+        version: str,
+        candidates: collections.abc.Sequence[model.Target],
+        message: messages.Probe,
+    ) -> tuple[list[routes.Probed], client.Kept]:
+        """Probes the candidates and asks the prompt's store meanwhile."""
+        kept = client.Kept(None)
+
+        async def find_kept() -> None:
+            nonlocal kept
+            kept = await self.routing.find_kept(
+                call, version, message.block_keys
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_kept)
+            probed = await probes.probe_all(self.peers, candidates, message)
+        return probed, kept
 
     async def _call_attempts(
         self, request: calls.ServiceRequest, state: attempts.Exposure
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -7,6 +7,7 @@
 
 from cactusstile import verdict
 from cactusstile.entry import calls
+from cactusstile.entry import kept
 from cactusstile.entry import routes
 from cactusstile.limits import confinement
 from cactusstile.routing import candidates as routing_candidates
@@ -14,15 +15,19 @@
 from cactusstile.routing import fleet_index
 from cactusstile.routing import link_use
 from cactusstile.state import model
+from cactusstile.store import client as store_client
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.transport import pool
+
     FindFleet = collections.abc.Callable[[], model.Fleet]
 
 
 def build(
     find_fleet: FindFleet,
+    peers: pool.Pool,
     confining: confinement.Confinement,
     *,
     count_confined: collections.abc.Callable[[], None] = lambda: None,
@@ -32,6 +37,7 @@
 
     Args:
       find_fleet: Returns the fleet in force.
+      peers: Connections to the stores.
       confining: Tells which workspaces are confined to a part of the targets.
       count_confined: Called for each placement that is confined.
       reserve: Whether probes hold a place for a moment.
@@ -45,6 +51,7 @@
 
     return routes.Routes(
         _build_candidates(index, confining, count_confined),
+        kept.KeptFinder(peers, index).find,
         _build_choose(find_fleet, index, confining),
         _build_service_order(index),
         note_arrival,
@@ -112,14 +119,14 @@
         call: calls.PromptCall,
         version: str,
         probed: collections.abc.Sequence[routes.Probed],
+        held: store_client.Kept,
     ) -> routes.Placement:
         confining.observe_waits(
             call.deployment, [entry.reply.wait_ms for entry in probed]
         )
         fleet = find_fleet()
         weights = _weights(fleet, call.deployment)
-        stores = index.stores(call.deployment, call.prefix_key)
-        link_time = link_use.build(fleet, stores[0] if stores else None)
+        transfers = _transfers(fleet, index, call, held)
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
         by_name = {entry.target.name: entry.target for entry in probed}
@@ -128,7 +135,12 @@
             for entry in probed
         ]
         chosen = choice.choose(
-            options, request, weights, choice.never_import, link_time
+            options,
+            request,
+            weights,
+            transfers.import_ms,
+            transfers.link_ms,
+            kept_blocks=held.blocks,
         )
         if chosen.refusal is not None:
             raise verdict.RefusedError(chosen.refusal)
@@ -140,6 +152,20 @@
     return choose
 
 
+def _transfers(
+    fleet: model.Fleet,
+    index: fleet_index.FleetIndex,
+    call: calls.PromptCall,
+    held: store_client.Kept,
+) -> link_use.Transfers:
+    """Returns what transfers of a prompt's blocks would take."""
+    if held.store is not None and held.blocks:
+        block_bytes = held.total_bytes / held.blocks
+        return link_use.Transfers(fleet, held.store, block_bytes)
+    stores = index.stores(call.deployment, call.prefix_key)
+    return link_use.Transfers(fleet, stores[0] if stores else None)
+
+
 def _weights(fleet: model.Fleet, name: str) -> choice.Weights:
     deployment = fleet.deployments.get(name)
     if deployment is None:
--- a/src/cactusstile/entry/routes.py
+++ b/src/cactusstile/entry/routes.py
@@ -11,6 +11,7 @@
 from cactusstile.agent import messages
 from cactusstile.entry import calls
 from cactusstile.state import model
+from cactusstile.store import client as store_client
 
 
 @attrs.frozen
@@ -44,8 +45,18 @@
     ],
     collections.abc.Sequence[model.Target],
 ]
+FindKept: typing.TypeAlias = collections.abc.Callable[
+    [calls.PromptCall, str, collections.abc.Sequence[bytes]],
+    collections.abc.Awaitable[store_client.Kept],
+]
 Choose: typing.TypeAlias = collections.abc.Callable[
-    [calls.PromptCall, str, collections.abc.Sequence[Probed]], Placement
+    [
+        calls.PromptCall,
+        str,
+        collections.abc.Sequence[Probed],
+        store_client.Kept,
+    ],
+    Placement,
 ]
 NoteArrival: typing.TypeAlias = collections.abc.Callable[
     [calls.PromptCall], None
@@ -68,6 +79,8 @@
       candidates: Returns the targets to probe for a call, best first, none
         of the excluded names among them; sees the requests that this entry
         has under way for the call's workspace, by target.
+      find_kept: Returns what a store keeps of a prompt, given the weight
+        version and the keys of its leading blocks.
       choose: Returns the placement among the probed, running on the given
         weight version unless that is empty; raises RefusedError.
       service_order: Returns the targets of a service, best first; otherwise
@@ -77,6 +90,7 @@
     """
 
     candidates: Candidates
+    find_kept: FindKept
     choose: Choose
     service_order: ServiceOrder
     note_arrival: NoteArrival = lambda _: None
--- a/src/cactusstile/fakes/scripted_agent.py
+++ b/src/cactusstile/fakes/scripted_agent.py
@@ -150,7 +150,7 @@
         self, _: incoming.Responder, probe: messages.Probe
     ) -> object:
         return messages.ProbeReply(
-            probe.revision, self.version, 0, 0, 0, 0, 8, self.wait_ms, 0,
+            probe.revision, self.version, 0, 0, 0, 8, self.wait_ms, 0,
             self.leaving,
         )  # fmt: skip
 
--- a/src/cactusstile/routing/choice.py
+++ b/src/cactusstile/routing/choice.py
@@ -135,6 +135,8 @@
     weights: Weights,
     import_time: ImportTime = never_import,
     link_time: ImportTime = no_link,
+    *,
+    kept_blocks: int = 0,
 ) -> Choice:
     """Orders the probed candidates by cost.
 
@@ -144,13 +146,13 @@
       weights: Weights of its deployment.
       import_time: Time of an import, see `ImportTime`.
       link_time: Occupation of a limited link, see `ImportTime`.
+      kept_blocks: Leading blocks of the prompt that its store keeps.
 
     Returns:
       All options that can start in time. Without any, a refusal that says
       that the request was not run, and when to come back.
     """
     current = _drop_silent(probed)
-    kept_blocks = max((reply.kept_blocks for _, reply in current), default=0)
     known = Kept(kept_blocks, import_time, link_time)
     options = []
     refusals = []
--- a/src/cactusstile/routing/fleet_index.py
+++ b/src/cactusstile/routing/fleet_index.py
@@ -10,16 +10,18 @@
 from cactusstile.routing import rendezvous
 from cactusstile.routing import table
 from cactusstile.state import model
+from cactusstile.store import location
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
 NEIGHBOURHOOD = 16
+_NO_TARGETS = table.Table([])
 
 
 @attrs.frozen
 class _Group:
-    """Targets of one deployment or service, or all stores."""
+    """Targets of one deployment or service."""
 
     targets: dict[str, model.Target]
     homes: table.Table
@@ -35,7 +37,7 @@
         self._find_fleet = find_fleet
         self._fleet = model.Fleet()
         self._groups: dict[str, _Group] = {}
-        self._stores = _arrange([])
+        self._stores: dict[str, model.Target] = {}
 
     def targets(self, serves: str) -> list[model.Target]:
         """Returns all targets of a deployment or service."""
@@ -91,18 +93,13 @@
         return [by_name[member.name] for member in ranked]
 
     def stores(self, serves: str, key: bytes) -> list[model.Target]:
-        """Returns the stores of a prompt, best first.
-
-        Those in the data centre of the prompt's first home go first, so that
-        most transfers use no limited link.
-        """
-        first = self.homes(serves, key, count=1)
-        ranked = self._stores.homes.first(key, NEIGHBOURHOOD)
-        found = [self._stores.targets[store.name] for store in ranked]
-        if first:
-            near = first[0].data_centre
-            found.sort(key=lambda store: store.data_centre != near)
-        return found
+        """Returns the stores of a prompt, best first, as agents rank them."""
+        self._refresh()
+        group = self._groups.get(serves)
+        members = [to_member(store) for store in self._stores.values()]
+        engines = group.homes if group is not None else _NO_TARGETS
+        ranked = location.rank_stores(key, members, engines)
+        return [self._stores[member.name] for member in ranked]
 
     def _refresh(self) -> None:
         fleet = self._find_fleet()
@@ -115,7 +112,7 @@
         self._groups = {
             serves: _arrange(targets) for serves, targets in by_served.items()
         }
-        self._stores = _arrange(fleet.stores())
+        self._stores = {store.name: store for store in fleet.stores()}
         self._fleet = fleet
 
 
--- /dev/null
+++ b/tests/entry/test_kept.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import anyio
+import attrs
+import pytest
+
+from cactusstile import tokens
+from cactusstile.agent import messages
+from cactusstile.entry import calls
+from cactusstile.entry import homes
+from cactusstile.entry import routes
+from cactusstile.fakes import site as fake_site
+from cactusstile.limits import confinement
+from cactusstile.state import model
+from cactusstile.store import blocks
+from cactusstile.store import client
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+
+BLOCK_BYTES = 1000
+PROMPT = tuple(range(1600))
+SCOPE = tokens.Scope("bank", fake_site.DEPLOYMENT, "v1")
+CALL = calls.PromptCall(
+    "key", "bank", fake_site.DEPLOYMENT, "", PROMPT, b"prefix-key", 8
+)
+
+
+def _probed(name: str, data_centre: str, wait_ms: int) -> routes.Probed:
+    target = model.Target(
+        name,
+        model.TargetKind.ENGINE,
+        address.Address("127.0.0.1", 1),
+        data_centre,
+        fake_site.DEPLOYMENT,
+    )
+    reply = messages.ProbeReply(1, "v1", 0, 0, 0, 8, wait_ms, 400)
+    return routes.Probed(target, reply)
+
+
+async def test_prompt_goes_where_its_kept_blocks_are_cheap_to_fetch() -> None:
+    """Moving the whole prompt over the limited link takes 200 ms."""
+    keys = tokens.block_keys(SCOPE, PROMPT)
+    link = model.Link(
+        ("ikeja", "lekki"), len(keys) * BLOCK_BYTES / 0.2, price=0.0
+    )
+    near, far = _probed("near", "ikeja", 300), _probed("far", "lekki", 0)
+    async with fake_site.open_site() as opened, fake_site.open_store(opened):
+        opened.apply(links={link.data_centres: link})
+        routing = homes.build(
+            lambda: opened.fleet_holder.fleet,
+            opened.peers,
+            confinement.Confinement(anyio.current_time),
+        )
+        kept = await routing.find_kept(CALL, "v1", keys)
+        assert (kept.blocks, kept.total_bytes) == (0, 0)
+        stores = client.StoreClient(
+            opened.peers, lambda _: opened.fleet_holder.fleet.stores()
+        )
+        content = b"\0" * BLOCK_BYTES
+        held = [
+            blocks.Block(
+                key,
+                keys[position - 1] if position else b"",
+                position,
+                content,
+                blocks.checksum(SCOPE, key, content),
+                1000,
+            )
+            for position, key in enumerate(keys)
+        ]
+        assert await stores.keep(SCOPE, b"prefix-key", held) == len(keys)
+        kept = await routing.find_kept(CALL, "v1", keys)
+        assert (kept.blocks, kept.total_bytes) == (100, 100 * BLOCK_BYTES)
+        other = attrs.evolve(CALL, workspace="clinic")
+        assert not (await routing.find_kept(other, "v1", keys)).blocks
+        placed = routing.choose(CALL, "", [far, near], kept)
+        assert placed.target.name == "near"
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -21,7 +21,6 @@
         revision=1,
         version="v1",
         resident_blocks=0,
-        kept_blocks=0,
         queued_tokens=0,
         running=0,
         slots=8,
@@ -45,7 +44,6 @@
     wait_ms=strategies.integers(0, 2000),
     prefill_ms=strategies.integers(0, 2000),
     resident_blocks=strategies.integers(0, 100),
-    kept_blocks=strategies.integers(0, 100),
     version=strategies.sampled_from(["v1", "v2"]),
     leaving=strategies.booleans(),
 )
@@ -55,12 +53,15 @@
     strategies.lists(replies, max_size=3),
     strategies.sampled_from(["", "v1", "v2"]),
     strategies.integers(0, 1000),
+    strategies.integers(0, 100),
 )
 def test_choose_offers_only_fit_targets_or_refuses(
-    probed: list[choice.Probed], version: str, time_left_ms: int
+    probed: list[choice.Probed], version: str, time_left_ms: int, kept: int
 ) -> None:
     request = choice.Request(1600, version, time_left_ms)
-    chosen = choice.choose(probed, request, EVEN, _import_in(50))
+    chosen = choice.choose(
+        probed, request, EVEN, _import_in(50), kept_blocks=kept
+    )
     by_name = {id(entry.member): entry.reply for entry in probed}
     for option in chosen.options:
         reply = by_name[id(option.member)]
@@ -86,11 +87,18 @@
 
 
 def test_choose_imports_only_when_it_pays() -> None:
-    knows = _probed("a", kept_blocks=90)
-    fast = choice.choose([knows], REQUEST, EVEN, _import_in(50)).options[0]
+    def choose(import_ms: float) -> choice.Option:
+        return choice.choose(
+            [_probed("a")],
+            REQUEST,
+            EVEN,
+            _import_in(import_ms),
+            kept_blocks=90,
+        ).options[0]
+
+    fast = choose(50)
     assert (fast.import_blocks, round(fast.recompute_ms)) == (90, 40)
-    slow = choice.choose([knows], REQUEST, EVEN, _import_in(5000)).options[0]
-    assert slow.import_blocks == 0
+    assert choose(5000).import_blocks == 0
 
 
 @pytest.mark.parametrize(
@@ -101,9 +109,13 @@
     weights: choice.Weights, expected: int
 ) -> None:
     """An import of 500 ms saves 360 ms of work but delays the first token."""
-    knows = _probed("a", kept_blocks=90)
     chosen = choice.choose(
-        [knows], REQUEST, weights, _import_in(500), _import_in(500)
+        [_probed("a")],
+        REQUEST,
+        weights,
+        _import_in(500),
+        _import_in(500),
+        kept_blocks=90,
     )
     assert chosen.options[0].import_blocks == expected
 
--- a/tests/routing/test_fleet_index.py
+++ b/tests/routing/test_fleet_index.py
@@ -4,6 +4,7 @@
 
 from cactusstile.routing import fleet_index
 from cactusstile.state import model
+from cactusstile.store import location
 from cactusstile.transport import address
 
 KEYS = [number.to_bytes(16, "little") for number in range(100)]
@@ -49,6 +50,26 @@
         assert len(stores) == 3
 
 
+def test_stores_are_ranked_as_agents_rank_them() -> None:
+    fleet = _build_fleet()
+    more = [
+        _target(f"spare-{number}", model.TargetKind.STORE, f"dc{number}")
+        for number in range(3)
+    ]
+    added = {store.name: store for store in more}
+    fleet = attrs.evolve(fleet, targets=fleet.targets | added)
+    index = fleet_index.FleetIndex(lambda: fleet)
+    to_member = fleet_index.to_member
+    for key in KEYS:
+        ranked = location.rank_stores(
+            key,
+            list(map(to_member, fleet.stores())),
+            list(map(to_member, fleet.targets_of("chat"))),
+        )
+        found = [store.name for store in index.stores("chat", key)]
+        assert found == [member.name for member in ranked]
+
+
 def test_index_follows_change_of_fleet() -> None:
     held = [_build_fleet()]
     index = fleet_index.FleetIndex(lambda: held[0])
