--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -46,7 +46,6 @@
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
       tokenize: Turns a prompt's text into tokens.
-      notice_revision: Called with an agent's newer configuration revision.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
     """
 
@@ -54,7 +53,6 @@
     peers: pool.Pool
     find_workspace: collections.abc.Callable[[str], str | None]
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
-    notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     was_claimed: earlier_attempts.WasClaimed = _never_claimed
 
 
@@ -192,7 +190,6 @@
         ),
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
-        parts.notice_revision,
     )
     bounds = application.Bounds(
         settings.max_body_bytes,
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -50,7 +50,6 @@
       routing: Decisions on where requests go.
       budget: Bounds retries.
       metrics: Counters of the entry.
-      notice_revision: Called with an agent's newer configuration revision.
       under_way: Requests that this entry has at agents.
       pacer: Paces writes to callers.
       probe_gate: Bounds the requests that probe at once.
@@ -61,7 +60,6 @@
     routing: routes.Routes
     budget: retry_budget.RetryBudget
     metrics: entry_metrics.EntryMetrics
-    notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     under_way: under_way.UnderWay = attrs.field(factory=under_way.UnderWay)
     pacer: pacing.Pacer = attrs.field(factory=pacing.Pacer)
     probe_gate: probes.ProbeGate = attrs.field(factory=probes.ProbeGate)
@@ -180,9 +178,6 @@
             if probed:
                 break
             excluded.update(target.name for target in candidates)
-        newest = max(entry.reply.revision for entry in probed)
-        if newest > self.fleet.fleet.revision:
-            self.notice_revision(newest)
         required = progress.version if progress.tokens else ""
         return self.routing.choose(call, required, probed, kept)
 
