--- a/src/cactusstile/agent/requests.capnp
+++ b/src/cactusstile/agent/requests.capnp
@@ -25,6 +25,7 @@
   prefillMs @7 :UInt32;
   leaving @8 :Bool;
   reservation @9 :UInt64;
+  blockBytes @10 :UInt64;
 }
 
 struct Run {
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -15,6 +15,7 @@
 from cactusstile.entry import completions
 from cactusstile.entry import dispatch
 from cactusstile.entry import homes
+from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
@@ -23,8 +24,11 @@
 from cactusstile.observability import admin
 from cactusstile.observability import entry_metrics
 from cactusstile.observability import http_listener
+from cactusstile.observability import tls
 
 if typing.TYPE_CHECKING:
+    import starlette.routing
+
     from cactusstile.settings import entry as entry_settings
     from cactusstile.state import holder
     from cactusstile.transport import address
@@ -45,6 +49,7 @@
       fleet: The configuration; kept up to date by the process.
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
+      routing: Decisions on where requests go; None for the homes of the prompt.
       tokenize: Turns a prompt's text into tokens.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
     """
@@ -52,6 +57,7 @@
     fleet: holder.FleetHolder
     peers: pool.Pool
     find_workspace: collections.abc.Callable[[str], str | None]
+    routing: routes.Routes | None = None
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
     was_claimed: earlier_attempts.WasClaimed = _never_claimed
 
@@ -162,7 +168,7 @@
     admin_app = admin.build([entry.metrics.registry], is_ready, dump)
     admin_listen = settings.process.admin_listen
     async with (
-        http_listener.open_listener(app, settings.callers_listen) as listener,
+        _open_callers(entry, app) as listener,
         http_listener.open_listener(admin_app, admin_listen) as admin_listener,
         anyio.create_task_group() as group,
     ):
@@ -174,6 +180,31 @@
         group.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def _open_callers(
+    entry: Entry, app: starlette.routing.Router
+) -> collections.abc.AsyncIterator[http_listener.HttpListener]:
+    """Opens the callers' listener, with TLS if there is a certificate."""
+    listen = entry.settings.callers_listen
+    files = entry.settings.tls_files
+    if files is None:
+        async with http_listener.open_listener(app, listen) as listener:
+            yield listener
+        return
+    certificate = tls.ReloadedCertificate(
+        files, entry.metrics.count_certificate
+    )
+    async with (
+        http_listener.open_listener(
+            app, listen, certificate.context
+        ) as listener,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(certificate.run)
+        yield listener
+        group.cancel_scope.cancel()
+
+
 def _build(settings: entry_settings.EntrySettings, parts: Parts) -> Entry:
     metrics = entry_metrics.build()
     confining = confinement.Confinement(
@@ -182,10 +213,11 @@
     dispatcher = dispatch.Dispatcher(
         parts.peers,
         parts.fleet,
-        homes.build(
+        parts.routing
+        or homes.build(
             lambda: parts.fleet.fleet,
-            parts.peers,
-            confining,
+            peers=parts.peers,
+            confining=confining,
             count_confined=metrics.confined.inc,
         ),
         retry_budget.RetryBudget(settings.retry_share),
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 import typing
 
 from cactusstile import verdict
@@ -27,9 +28,9 @@
 
 def build(
     find_fleet: FindFleet,
-    peers: pool.Pool,
-    confining: confinement.Confinement,
     *,
+    peers: pool.Pool | None = None,
+    confining: confinement.Confinement | None = None,
     count_confined: collections.abc.Callable[[], None] = lambda: None,
     reserve: bool = False,
 ) -> routes.Routes:
@@ -37,22 +38,24 @@
 
     Args:
       find_fleet: Returns the fleet in force.
-      peers: Connections to the stores.
-      confining: Tells which workspaces are confined to a part of the targets.
+      peers: Connections to the stores; None asks no store.
+      confining: Tells which workspaces are confined to a part of the targets;
+        None confines nobody.
       count_confined: Called for each placement that is confined.
       reserve: Whether probes hold a place for a moment.
     """
     index = fleet_index.FleetIndex(find_fleet)
+    held = confining or confinement.Confinement(time.monotonic, 0.0)
 
     def note_arrival(call: calls.PromptCall) -> None:
         workspace = find_fleet().workspaces.get(call.workspace)
         share = workspace.share if workspace is not None else 1.0
-        confining.use.note(call.workspace, len(call.tokens), share)
+        held.use.note(call.workspace, len(call.tokens), share)
 
     return routes.Routes(
-        _build_candidates(index, confining, count_confined),
-        kept.KeptFinder(peers, index).find,
-        _build_choose(find_fleet, index, confining),
+        _build_candidates(index, held, count_confined),
+        kept.KeptFinder(peers, index).find if peers else kept.find_nothing,
+        _build_choose(find_fleet, index, held),
         _build_service_order(index),
         note_arrival,
         reserve,
@@ -126,7 +129,7 @@
         )
         fleet = find_fleet()
         weights = _weights(fleet, call.deployment)
-        transfers = _transfers(fleet, index, call, held)
+        transfers = _transfers(fleet, index, call, probed, held)
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
         by_name = {entry.target.name: entry.target for entry in probed}
@@ -156,14 +159,17 @@
     fleet: model.Fleet,
     index: fleet_index.FleetIndex,
     call: calls.PromptCall,
+    probed: collections.abc.Sequence[routes.Probed],
     held: store_client.Kept,
 ) -> link_use.Transfers:
     """Returns what transfers of a prompt's blocks would take."""
-    if held.store is not None and held.blocks:
-        block_bytes = held.total_bytes / held.blocks
-        return link_use.Transfers(fleet, held.store, block_bytes)
-    stores = index.stores(call.deployment, call.prefix_key)
-    return link_use.Transfers(fleet, stores[0] if stores else None)
+    store = held.store
+    if store is None:
+        stores = index.stores(call.deployment, call.prefix_key)
+        store = stores[0] if stores else None
+    told_bytes = max((entry.reply.block_bytes for entry in probed), default=0)
+    block_bytes = told_bytes or link_use.TYPICAL_BLOCK_BYTES
+    return link_use.Transfers(fleet, store, block_bytes)
 
 
 def _weights(fleet: model.Fleet, name: str) -> choice.Weights:
--- a/src/cactusstile/entry/kept.py
+++ b/src/cactusstile/entry/kept.py
@@ -15,6 +15,15 @@
     from cactusstile.transport import pool
 
 
+async def find_nothing(
+    _call: calls.PromptCall,
+    _version: str,
+    _keys: collections.abc.Sequence[bytes],
+) -> client.Kept:
+    """Asks no store."""
+    return client.Kept(None)
+
+
 class KeptFinder:
     """Asks a prompt's store what it keeps of it.
 
--- a/src/cactusstile/observability/entry_metrics.py
+++ b/src/cactusstile/observability/entry_metrics.py
@@ -43,6 +43,7 @@
       tokens: Output tokens relayed.
       confined: Placements of storming workspaces on a part of the targets.
       first_token: Time to first token in seconds.
+      certificate_reloads: Changed certificates, by whether they are in use.
     """
 
     registry: prometheus_client.CollectorRegistry
@@ -55,6 +56,11 @@
     tokens: prometheus_client.Counter
     confined: prometheus_client.Counter
     first_token: prometheus_client.Histogram
+    certificate_reloads: prometheus_client.Counter
+
+    def count_certificate(self, in_use: bool) -> None:
+        """Counts a changed certificate."""
+        self.certificate_reloads.labels("used" if in_use else "failed").inc()
 
     def count_refusal(
         self, _passing: exchange.Exchange, refusal: verdict.Refusal
@@ -105,4 +111,5 @@
             buckets=_FIRST_TOKEN_BUCKETS_S,
             registry=registry,
         ),
+        counter("certificate_reloads", "Changed certificates.", "outcome"),
     )
--- a/src/cactusstile/routing/fleet_index.py
+++ b/src/cactusstile/routing/fleet_index.py
@@ -38,6 +38,7 @@
         self._fleet = model.Fleet()
         self._groups: dict[str, _Group] = {}
         self._stores: dict[str, model.Target] = {}
+        self._ranked_stores = location.Stores([])
 
     def targets(self, serves: str) -> list[model.Target]:
         """Returns all targets of a deployment or service."""
@@ -93,13 +94,16 @@
         return [by_name[member.name] for member in ranked]
 
     def stores(self, serves: str, key: bytes) -> list[model.Target]:
-        """Returns the stores of a prompt, best first, as agents rank them."""
+        """Returns the stores of a prompt, best first.
+
+        Those in the data centre of the prompt's first home go first, so that
+        most transfers use no limited link.
+        """
         self._refresh()
         group = self._groups.get(serves)
-        members = [to_member(store) for store in self._stores.values()]
-        engines = group.homes if group is not None else _NO_TARGETS
-        ranked = location.rank_stores(key, members, engines)
-        return [self._stores[member.name] for member in ranked]
+        homes = group.homes if group else ()
+        ranked = location.rank_stores(key, self._ranked_stores, homes)
+        return [self._stores[store.name] for store in ranked]
 
     def _refresh(self) -> None:
         fleet = self._find_fleet()
@@ -113,6 +117,9 @@
             serves: _arrange(targets) for serves, targets in by_served.items()
         }
         self._stores = {store.name: store for store in fleet.stores()}
+        self._ranked_stores = location.Stores(
+            map(to_member, self._stores.values())
+        )
         self._fleet = fleet
 
 
--- a/tests/entry/test_kept.py
+++ b/tests/entry/test_kept.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import anyio
 import attrs
 import pytest
 
@@ -10,7 +9,6 @@
 from cactusstile.entry import homes
 from cactusstile.entry import routes
 from cactusstile.fakes import site as fake_site
-from cactusstile.limits import confinement
 from cactusstile.state import model
 from cactusstile.store import blocks
 from cactusstile.store import client
@@ -34,7 +32,9 @@
         data_centre,
         fake_site.DEPLOYMENT,
     )
-    reply = messages.ProbeReply(1, "v1", 0, 0, 0, 8, wait_ms, 400)
+    reply = messages.ProbeReply(
+        1, "v1", 0, 0, 0, 8, wait_ms, 400, block_bytes=BLOCK_BYTES
+    )
     return routes.Probed(target, reply)
 
 
@@ -49,8 +49,7 @@
         opened.apply(links={link.data_centres: link})
         routing = homes.build(
             lambda: opened.fleet_holder.fleet,
-            opened.peers,
-            confinement.Confinement(anyio.current_time),
+            peers=opened.peers,
         )
         kept = await routing.find_kept(CALL, "v1", keys)
         assert (kept.blocks, kept.total_bytes) == (0, 0)
