Name the HTTP parser, so that the bound on headers holds

Cause: weighing httptools against h11 showed that uvicorn takes httptools by itself once it is installed, and that the bound on the header section, which is h11's, is then gone without a word.

--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -128,6 +128,7 @@
         ws="none",
         backlog=BACKLOG,
         timeout_keep_alive=KEEP_ALIVE_S,
+        http="h11",
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
     )
 
