--- a/benchmarks/http_policies.py
+++ b/benchmarks/http_policies.py
@@ -18,6 +18,7 @@
 from cactusstile.entry import routes
 from cactusstile.limits import confinement
 from cactusstile.state import model
+from cactusstile.store import client
 
 FindFleet: typing.TypeAlias = collections.abc.Callable[[], model.Fleet]
 Reports: typing.TypeAlias = collections.abc.Mapping[str, int]
@@ -107,7 +108,7 @@
 def _build_homes(find_fleet: FindFleet) -> routes.Routes:
     """Returns the product's routes."""
     confining = confinement.Confinement(time.monotonic)
-    return homes.build(find_fleet, confining)
+    return homes.build(find_fleet, confining=confining)
 
 
 def _round_robin(find_fleet: FindFleet, _: Reports) -> routes.Routes:
@@ -145,6 +146,7 @@
         _call: calls.PromptCall,
         _version: str,
         probed: collections.abc.Sequence[routes.Probed],
+        _held: client.Kept,
     ) -> routes.Placement:
         return routes.Placement(probed[0].target, probed[0].reply.version)
 
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -15,6 +15,7 @@
 from cactusstile.entry import completions
 from cactusstile.entry import dispatch
 from cactusstile.entry import homes
+from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
@@ -49,9 +50,8 @@
       fleet: The configuration; kept up to date by the process.
       peers: Connections to the agents.
       find_workspace: Returns the name of the workspace that owns a key.
-      routing: Decisions on where requests go; by default to the homes.
+      routing: Decisions on where requests go; None for the homes of the prompt.
       tokenize: Turns a prompt's text into tokens.
-      notice_revision: Called with an agent's newer configuration revision.
       was_claimed: See `filters.earlier_attempts.cover_earlier_attempts`.
       draw_epoch: Returns an epoch for a workspace's key; it is larger than
         all that were drawn before, and than those of earlier closings.
@@ -62,7 +62,6 @@
     find_workspace: collections.abc.Callable[[str], str | None]
     routing: routes.Routes | None = None
     tokenize: collections.abc.Callable[[str], list[int]] = tokens.byte_tokenizer
-    notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     was_claimed: earlier_attempts.WasClaimed = _never_claimed
     draw_epoch: earlier_attempts.DrawEpoch = earlier_attempts.draw_nothing
 
@@ -221,12 +220,12 @@
         parts.routing
         or homes.build(
             lambda: parts.fleet.fleet,
-            confining,
+            peers=parts.peers,
+            confining=confining,
             count_confined=metrics.confined.inc,
         ),
         retry_budget.RetryBudget(settings.retry_share),
         metrics,
-        parts.notice_revision,
         draw_epoch=parts.draw_epoch,
     )
     bounds = application.Bounds(
--- a/src/cactusstile/entry/dispatch.py
+++ b/src/cactusstile/entry/dispatch.py
@@ -21,10 +21,12 @@
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import marks
 from cactusstile.limits import retry_budget
+from cactusstile.store import client
 
 if typing.TYPE_CHECKING:
     from cactusstile.observability import entry_metrics
     from cactusstile.state import holder
+    from cactusstile.state import model
     from cactusstile.transport import pool
 
 logger = logging.getLogger(__name__)
@@ -52,7 +54,6 @@
       routing: Decisions on where requests go.
       budget: Bounds retries.
       metrics: Counters of the entry.
-      notice_revision: Called with an agent's newer configuration revision.
       under_way: Requests that this entry has at agents.
       pacer: Paces writes to callers.
       probe_gate: Bounds the requests that probe at once.
@@ -65,7 +66,6 @@
     routing: routes.Routes
     budget: retry_budget.RetryBudget
     metrics: entry_metrics.EntryMetrics
-    notice_revision: collections.abc.Callable[[int], None] = lambda _: None
     under_way: under_way.UnderWay = attrs.field(factory=under_way.UnderWay)
     pacer: pacing.Pacer = attrs.field(factory=pacing.Pacer)
     probe_gate: probes.ProbeGate = attrs.field(factory=probes.ProbeGate)
@@ -191,15 +191,33 @@
                 revision=self.fleet.fleet.revision,
                 reserve=self.routing.reserve,
             )
-            probed = await probes.probe_all(self.peers, candidates, message)
+            probed, kept = await self._ask(call, version, candidates, message)
             if probed:
                 break
             excluded.update(target.name for target in candidates)
-        newest = max(entry.reply.revision for entry in probed)
-        if newest > self.fleet.fleet.revision:
-            self.notice_revision(newest)
         required = progress.version if progress.tokens else ""
-        return self.routing.choose(call, required, probed)
+        return self.routing.choose(call, required, probed, kept)
+
+    async def _ask(
+        self,
+        call: calls.PromptCall,
+        version: str,
+        candidates: collections.abc.Sequence[model.Target],
+        message: messages.Probe,
+    ) -> tuple[list[routes.Probed], client.Kept]:
+        """Probes the candidates and asks the prompt's store meanwhile."""
+        kept = client.Kept(None)
+
+        async def find_kept() -> None:
+            nonlocal kept
+            kept = await self.routing.find_kept(
+                call, version, message.block_keys
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_kept)
+            probed = await probes.probe_all(self.peers, candidates, message)
+        return probed, kept
 
     async def _call_attempts(
         self, request: calls.ServiceRequest, state: attempts.Exposure
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+import time
 import typing
 
 from cactusstile import verdict
 from cactusstile.entry import calls
+from cactusstile.entry import kept
 from cactusstile.entry import routes
 from cactusstile.limits import confinement
 from cactusstile.routing import candidates as routing_candidates
@@ -14,17 +16,21 @@
 from cactusstile.routing import fleet_index
 from cactusstile.routing import link_use
 from cactusstile.state import model
+from cactusstile.store import client as store_client
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.transport import pool
+
     FindFleet = collections.abc.Callable[[], model.Fleet]
 
 
 def build(
     find_fleet: FindFleet,
-    confining: confinement.Confinement,
     *,
+    peers: pool.Pool | None = None,
+    confining: confinement.Confinement | None = None,
     count_confined: collections.abc.Callable[[], None] = lambda: None,
     reserve: bool = False,
 ) -> routes.Routes:
@@ -32,20 +38,24 @@
 
     Args:
       find_fleet: Returns the fleet in force.
-      confining: Tells which workspaces are confined to a part of the targets.
+      peers: Connections to the stores; None asks no store.
+      confining: Tells which workspaces are confined to a part of the targets;
+        None confines nobody.
       count_confined: Called for each placement that is confined.
       reserve: Whether probes hold a place for a moment.
     """
     index = fleet_index.FleetIndex(find_fleet)
+    held = confining or confinement.Confinement(time.monotonic, 0.0)
 
     def note_arrival(call: calls.PromptCall) -> None:
         workspace = find_fleet().workspaces.get(call.workspace)
         share = workspace.share if workspace is not None else 1.0
-        confining.use.note(call.workspace, len(call.tokens), share)
+        held.use.note(call.workspace, len(call.tokens), share)
 
     return routes.Routes(
-        _build_candidates(index, confining, count_confined),
-        _build_choose(find_fleet, index, confining),
+        _build_candidates(index, held, count_confined),
+        kept.KeptFinder(peers, index).find if peers else kept.find_nothing,
+        _build_choose(find_fleet, index, held),
         _build_service_order(index),
         note_arrival,
         reserve,
@@ -112,18 +122,14 @@
         call: calls.PromptCall,
         version: str,
         probed: collections.abc.Sequence[routes.Probed],
+        held: store_client.Kept,
     ) -> routes.Placement:
         confining.observe_waits(
             call.deployment, [entry.reply.wait_ms for entry in probed]
         )
         fleet = find_fleet()
         weights = _weights(fleet, call.deployment)
-        stores = index.stores(call.deployment, call.prefix_key)
-        link_time = link_use.build(
-            fleet,
-            stores[0] if stores else None,
-            max((entry.reply.block_bytes for entry in probed), default=0),
-        )
+        transfers = _transfers(fleet, index, call, probed, held)
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
         by_name = {entry.target.name: entry.target for entry in probed}
@@ -132,7 +138,12 @@
             for entry in probed
         ]
         chosen = choice.choose(
-            options, request, weights, choice.never_import, link_time
+            options,
+            request,
+            weights,
+            transfers.import_ms,
+            transfers.link_ms,
+            kept_blocks=held.blocks,
         )
         if chosen.refusal is not None:
             raise verdict.RefusedError(chosen.refusal)
@@ -144,6 +155,23 @@
     return choose
 
 
+def _transfers(
+    fleet: model.Fleet,
+    index: fleet_index.FleetIndex,
+    call: calls.PromptCall,
+    probed: collections.abc.Sequence[routes.Probed],
+    held: store_client.Kept,
+) -> link_use.Transfers:
+    """Returns what transfers of a prompt's blocks would take."""
+    store = held.store
+    if store is None:
+        stores = index.stores(call.deployment, call.prefix_key)
+        store = stores[0] if stores else None
+    told_bytes = max((entry.reply.block_bytes for entry in probed), default=0)
+    block_bytes = told_bytes or link_use.TYPICAL_BLOCK_BYTES
+    return link_use.Transfers(fleet, store, block_bytes)
+
+
 def _weights(fleet: model.Fleet, name: str) -> choice.Weights:
     deployment = fleet.deployments.get(name)
     if deployment is None:
--- a/src/cactusstile/routing/fleet_index.py
+++ b/src/cactusstile/routing/fleet_index.py
@@ -16,6 +16,7 @@
     import collections.abc
 
 NEIGHBOURHOOD = 16
+_NO_TARGETS = table.Table([])
 
 
 @attrs.frozen
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -28,11 +28,11 @@
       drain_delay_s: Time between the end of readiness and the end of
         accepting, for the balancer to notice.
       log_level: Least level of log lines.
+      storm_factor: Multiple of the others' mean use, by share, at which a
+        workspace storms; 0 for never.
       tls_certificate: Path of the callers' listener's certificate; empty for
         plain HTTP.
       tls_key: Path of its private key.
-      storm_factor: Multiple of the others' mean use, by share, at which a
-        workspace storms; 0 for never.
     """
 
     process: process.ProcessSettings
@@ -106,6 +106,13 @@
         "least level of log lines",
         "info",
     ),
+    ini.Option(
+        "storm_factor",
+        ini.number(0, 1000),
+        "multiple of the others' mean use, by share, at which a workspace "
+        "is confined to a third of the busy targets; 0 for never",
+        recent_use.STORM_FACTOR,
+    ),
     ini.Option(
         "tls_certificate",
         _parse_file,
@@ -118,13 +125,6 @@
         "PEM private key of the certificate, without a passphrase",
         "",
     ),
-    ini.Option(
-        "storm_factor",
-        ini.number(0, 1000),
-        "multiple of the others' mean use, by share, at which a workspace "
-        "is confined to a third of the busy targets; 0 for never",
-        recent_use.STORM_FACTOR,
-    ),
 )
 
 
--- a/tests/entry/test_homes.py
+++ b/tests/entry/test_homes.py
@@ -4,8 +4,8 @@
 from cactusstile.entry import calls
 from cactusstile.entry import homes
 from cactusstile.entry import routes
-from cactusstile.limits import confinement
 from cactusstile.state import model
+from cactusstile.store import client
 from cactusstile.transport import address
 
 SMALL_BLOCK_BYTES = 4096
@@ -34,11 +34,11 @@
 
     def reply(wait_ms: int) -> messages.ProbeReply:
         return messages.ProbeReply(
-            1, "v1", 0, 0, 0, 0, 8, wait_ms, 640, block_bytes=SMALL_BLOCK_BYTES
+            1, "v1", 0, 0, 0, 8, wait_ms, 640, block_bytes=SMALL_BLOCK_BYTES
         )
 
     probed = [routes.Probed(near, reply(2000)), routes.Probed(far, reply(0))]
-    confining = confinement.Confinement(lambda: 0.0)
-    built = homes.build(lambda: fleet, confining)
-    placed = built.choose(call, "", probed)
+    placed = homes.build(lambda: fleet).choose(
+        call, "", probed, client.Kept(None)
+    )
     assert placed.target is far
