--- a/benchmarks/http_load.py
+++ b/benchmarks/http_load.py
@@ -14,6 +14,7 @@
 import collections.abc
 import json
 import pathlib
+import secrets
 import socket
 import sys
 import tempfile
@@ -37,7 +38,8 @@
 if typing.TYPE_CHECKING:
     from cactusstile.entry import routes
 
-HOST = "127.0.0.1"
+# An address of this process alone: no other run takes its ports.
+HOST = ".".join(["127", *(str(secrets.randbelow(253) + 1) for _ in "abc")])
 CONTROL_PORTS = 3
 START_DELAY_S = 0.5
 REPORT_INTERVAL_S = 1.0
