--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -15,7 +15,6 @@
 from cactusstile.agent import prompt_run
 from cactusstile.agent import status
 from cactusstile.controllers import desired
-from cactusstile.controllers import fencing
 from cactusstile.controllers import orders
 from cactusstile.controllers import rollout
 from cactusstile.targets import engine
@@ -30,6 +29,7 @@
 
     from cactusstile.agent import claims
     from cactusstile.agent import daemon
+    from cactusstile.controllers import fencing
     from cactusstile.settings import agent as agent_settings
     from cactusstile.state import model
     from cactusstile.transport import incoming
@@ -43,6 +43,7 @@
     owner: node.Node,
     target: http.HttpTarget,
     claimer: claims.Claimer,
+    fence: fencing.Fence,
     group: anyio.abc.TaskGroup,
 ) -> node.ServedCalls:
     """Starts the engine's controller; returns what serves calls."""
@@ -59,7 +60,7 @@
         group,
         engine_runs.Kept(kept_imports.Importer(kept), exporter),
     )
-    controller = _build_controller(settings, links, parts)
+    controller = _build_controller(settings, links, parts, fence)
     group.start_soon(controller.run)
 
     def is_ready() -> bool:
@@ -80,12 +81,13 @@
     settings: agent_settings.AgentSettings,
     links: daemon.Links,
     parts: prompt_run.Parts,
+    fence: fencing.Fence,
 ) -> orders.EngineController:
     return orders.EngineController(
         parts.node,
         parts.client,
         parts.gate,
-        fencing.Fence(links.control, settings.target),
+        fence,
         wait_turn=_turn_waiter(settings, links, parts.node),
         timing=orders.Timing(expected_load_s=settings.expected_load_s),
     )
