Wait for the fleet in force before the test of lost control

Its site applied the fleet without waiting; an entry that was ready with revision 0 then did not know the key yet. What the test checks is unchanged; its set-up now waits until the fleet is in force everywhere.

--- a/tests/processes/test_control_lost.py
+++ b/tests/processes/test_control_lost.py
@@ -26,7 +26,7 @@
     with site_processes.open_site(folder) as opened:
         opened.write("fleet.ini", site_processes.fleet_text(opened))
         opened.write_operator()
-        applied = opened.run_command("apply", "fleet.ini")
+        applied = opened.run_command("apply", "fleet.ini", "--wait")
         assert applied.returncode == 0, applied.stderr
         for name in ("entry-1", "engine-1", "engine-2", "service-1"):
             opened.wait_ready(name)
