Let a claim that was given back claim nothing later

Cause: an agent gives a claim back when its answer was lost. A copy of the claim may still wait in a connection to a frozen or cut-off VM; applied after the release, it held the key for 24 hours although nobody ran it, and all callers were told "may have run". Found by reading while the histories with releases were written; no history showed it.

Ruled out: a second run; nobody hears the answer of such a copy.

--- a/src/cactusstile/control/claims.py
+++ b/src/cactusstile/control/claims.py
@@ -17,7 +17,7 @@
 
 from cactusstile.control import claim_messages
 from cactusstile.control import commands
-from cactusstile.control import exceptions
+from cactusstile.control import snapshot_reader
 from cactusstile.transport import exceptions as transport_exceptions
 
 MAX_CLAIMS = 100_000
@@ -26,11 +26,13 @@
 RETENTION_MS = 24 * 60 * 60 * 1000
 MAX_ANSWER_BYTES = 256 * 1024
 MAX_ANSWERS_BYTES = 16 * 1024 * 1024
+MAX_RELEASED = 4096
 MAX_KEY_LENGTH = 512
 MAX_OUTCOME_LENGTH = 64
 CLAIM_ID_BYTES = 16
 _KEY_BYTES = 16
 _DIGEST_BYTES = 16
+_RELEASED_BYTES = _KEY_BYTES + CLAIM_ID_BYTES
 _OWNER_BYTES = 8
 _RECORD = struct.Struct("<BQQ16s16s8s")
 _COUNTS = struct.Struct("<QII")
@@ -118,6 +120,9 @@
             collections.OrderedDict()
         )
         self._answers_bytes = 0
+        self._released: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         """Returns the number of claims held."""
@@ -165,6 +170,8 @@
                 and record.claim_id == message.claim_id
             )
             return self._describe(key, digest, granted=granted)
+        if key + message.claim_id in self._released:
+            return self._describe(key, digest)
         owner = _hash_owner(message.workspace)
         refusal = self._refuse_full(owner)
         if refusal is not None:
@@ -210,8 +217,16 @@
         key = _hash_key(message.workspace, message.request_key)
         if self._find_running(key, message.claim_id) is not None:
             self._remove(key)
+        if key not in self._records:
+            self._remember_released(key + message.claim_id)
         return self._describe(key)
 
+    def _remember_released(self, identity: bytes) -> None:
+        """Keeps a late copy of a claim that was given back from claiming."""
+        self._released[identity] = None
+        if len(self._released) > MAX_RELEASED:
+            self._released.popitem(last=False)
+
     def _tick(self, message: claim_messages.ClaimTick) -> object:
         self.now_ms += message.elapsed_ms
         expired = []
@@ -297,7 +312,7 @@
         for table in (self._records, self._answers):
             for key, value in table.items():
                 parts += (key, _LENGTH.pack(len(value)), value)
-        return b"".join(parts)
+        return b"".join([*parts, *self._released])
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by that of a snapshot; empty data resets it.
@@ -308,44 +323,20 @@
         self._reset()
         if not data:
             return
-        reader = _Reader(data)
+        reader = snapshot_reader.SnapshotReader(data)
         self.now_ms, records, answers = _COUNTS.unpack(
             reader.take(_COUNTS.size)
         )
         for _ in range(records):
-            key, value = reader.take_pair()
+            key, value = reader.take_pair(_KEY_BYTES)
             self._records[key] = value
             self._owned[_unpack(value).owner] += 1
         for _ in range(answers):
-            key, value = reader.take_pair()
+            key, value = reader.take_pair(_KEY_BYTES)
             self._answers[key] = value
             self._answers_bytes += len(value)
-        reader.expect_end()
-
-
-class _Reader:
-    """Cuts a snapshot into its parts."""
-
-    def __init__(self, data: bytes) -> None:
-        self.data = data
-        self.position = 0
-
-    def take(self, size: int) -> bytes:
-        end = self.position + size
-        if end > len(self.data):
-            raise exceptions.SnapshotError("claims are cut short")
-        part = self.data[self.position : end]
-        self.position = end
-        return part
-
-    def take_pair(self) -> tuple[bytes, bytes]:
-        key = self.take(_KEY_BYTES)
-        (length,) = _LENGTH.unpack(self.take(_LENGTH.size))
-        return key, self.take(length)
-
-    def expect_end(self) -> None:
-        if self.position != len(self.data):
-            raise exceptions.SnapshotError("claims have bytes after their end")
+        while not reader.is_at_end:
+            self._remember_released(reader.take(_RELEASED_BYTES))
 
 
 def check(message: object) -> None:
--- a/tests/control/test_claims.py
+++ b/tests/control/test_claims.py
@@ -102,6 +102,20 @@
     assert _apply(machine, _claim(TWO)).granted
 
 
+@pytest.mark.parametrize("first", ["claim", "release"])
+def test_late_copy_of_a_claim_that_was_given_back_claims_nothing(
+    first: str,
+) -> None:
+    machine = claims.Claims()
+    if first == "claim":
+        assert _apply(machine, _claim(ONE)).granted
+    _apply(machine, claim_messages.ReleaseClaim("bank", "k", ONE))
+    machine = _restart(machine)
+    late = _apply(machine, _claim(ONE))
+    assert (late.granted, late.state) == (False, STATE.ABSENT.value)
+    assert _apply(machine, _claim(TWO)).granted
+
+
 def test_full_group_refuses_and_forgets_only_after_retention() -> None:
     machine = claims.Claims(max_claims=2)
     _apply(machine, _claim(key="k1"))
