--- a/src/cactusstile/control/operations.py
+++ b/src/cactusstile/control/operations.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from cactusstile.control import attempts
 from cactusstile.control import client
 from cactusstile.control import exceptions
 from cactusstile.control import feed_messages
@@ -211,7 +212,7 @@
         except exceptions.CallRefusedError as error:
             text = f"group {group}: {error}"
             refusal = exceptions.CallRefusedError(error.code, text)
-            if action != "remove" or error.code != client.NOT_MEMBER:
+            if action != "remove" or error.code != attempts.NOT_MEMBER:
                 raise refusal from error
             missing.append(refusal)
     if len(missing) == len(control_settings.GROUPS):
