Say "may have run" for a caller's key while an entry has no configuration

Cause: an entry that just started refused with "not run" before it knew the workspace, so that the claims could not be read; an earlier attempt with the same key had run.

Change: such a refusal of a request with Idempotency-Key that is not marked repeatable says "may have run", with the reason. Attempts of the test keep the message that was told.

The new unit test fails without the change.

--- a/src/cactusstile/filters/marks.py
+++ b/src/cactusstile/filters/marks.py
@@ -86,22 +86,37 @@
 def require_confirmed(
     is_ready: collections.abc.Callable[[], bool],
 ) -> chain.Filter:
-    """Returns a filter that refuses all until the configuration is known."""
+    """Returns a filter that refuses all until the configuration is known.
+
+    Until then no workspace and so no claim can be read: a caller's key may
+    have run in an earlier attempt.
+    """
 
     async def filter_exchange(
         passing: exchange.Exchange, proceed: chain.Handler
     ) -> None:
         if not is_ready():
-            raise verdict.refuse(
-                verdict.Reason.STALE_CONFIGURATION,
-                "this entry has no confirmed configuration yet",
-                retry_after_s=1.0,
-            )
+            raise _unconfirmed(passing)
         await proceed(passing)
 
     return filter_exchange
 
 
+def _unconfirmed(passing: exchange.Exchange) -> verdict.RefusedError:
+    message = "this entry has no confirmed configuration yet"
+    told = verdict.Verdict.NOT_RUN
+    mark = passing.headers.get(REPEATABLE_HEADER, "").strip().lower()
+    if IDEMPOTENCY_HEADER in passing.headers and mark != "yes":
+        message += "; an earlier attempt with the same key may have run"
+        told = verdict.Verdict.MAY_HAVE_RUN
+    return verdict.refuse(
+        verdict.Reason.STALE_CONFIGURATION,
+        message,
+        verdict=told,
+        retry_after_s=1.0,
+    )
+
+
 def _parse_integer(name: str, text: str, minimum: int, maximum: int) -> int:
     text = text.strip()
     digits = text.removeprefix("-")
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -15,7 +15,9 @@
 from cactusstile.agent import messages
 from cactusstile.entry import openai_requests
 from cactusstile.fakes import scripted_agent
+from cactusstile.filters import exchange
 from cactusstile.filters import json_body
+from cactusstile.filters import marks
 from cactusstile.state import holder
 
 pytestmark = pytest.mark.anyio
@@ -164,6 +166,29 @@
     assert (ready.status, live.status) == (503, 200)
 
 
+@pytest.mark.parametrize(
+    ("headers", "told"),
+    [
+        ([], verdict.Verdict.NOT_RUN),
+        ([(b"idempotency-key", b"k")], verdict.Verdict.MAY_HAVE_RUN),
+        (
+            [(b"idempotency-key", b"k"), (b"cactusstile-repeatable", b"yes")],
+            verdict.Verdict.NOT_RUN,
+        ),
+    ],
+)
+async def test_entry_that_just_started_does_not_speak_for_earlier_attempts(
+    headers: list[tuple[bytes, bytes]], told: verdict.Verdict
+) -> None:
+    async def never(*_: object) -> None:
+        raise AssertionError("passed on")
+
+    passing = exchange.build({"headers": headers}, never, never)
+    with pytest.raises(verdict.RefusedError) as caught:
+        await marks.require_confirmed(lambda: False)(passing, never)
+    assert caught.value.refusal.verdict is told
+
+
 async def test_service_call_is_passed_on_without_the_callers_key(
     site: support.Site,
 ) -> None:
--- a/tests/processes/test_prompts_at_most_once.py
+++ b/tests/processes/test_prompts_at_most_once.py
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class Attempt:
-    """One attempt: "answered", a verdict, or "unknown", and the text."""
+    """One attempt: "answered", a verdict, or "unknown", and what was told."""
 
     invoked_s: float
     word: str
@@ -83,7 +83,8 @@
         found = json.loads(answer.content)
         if answer.status == site_processes.HTTP_OK:
             return Attempt(invoked_s, "answered", found["choices"][0]["text"])
-        return Attempt(invoked_s, found["error"]["verdict"])
+        error = found["error"]
+        return Attempt(invoked_s, error["verdict"], error["message"])
     return Attempt(invoked_s, "unknown")
 
 
