Keep a control process that does not end among those that are killed

Cause: a trial, in which a full disk stopped nothing, left its process running: wait_end forgot it before it had ended.

Change: it is forgotten once it ended.

--- a/tests/support/control_cluster.py
+++ b/tests/support/control_cluster.py
@@ -104,7 +104,8 @@
 
     def wait_end(self, name: str) -> tuple[int, str]:
         """Returns the exit code of a process that ends, and its log."""
-        code = self.processes.pop(name).wait(STOP_TIMEOUT_S)
+        code = self.processes[name].wait(STOP_TIMEOUT_S)
+        del self.processes[name]
         return code, (self.folder / f"{name}.log").read_text()
 
     def terminate(self, name: str) -> int:
