--- a/src/cactusstile/control/attempts.py
+++ b/src/cactusstile/control/attempts.py
@@ -17,6 +17,7 @@
 UNCERTAIN = "uncertain"
 OVERLOADED = "overloaded"
 UNAVAILABLE = "unavailable"
+NOT_MEMBER = "not_member"
 INTERNAL = "internal"
 NOT_MEMBER = "not_member"
 _WITHOUT_LEADER = frozenset({NOT_LEADER, UNCERTAIN, UNAVAILABLE, INTERNAL})
--- a/src/cactusstile/control/snapshot_reader.py
+++ b/src/cactusstile/control/snapshot_reader.py
@@ -1,21 +1,32 @@
-"""Reads the packed snapshot of the claims group."""
+"""Reader that cuts a snapshot into its parts."""
 
 from __future__ import annotations
 
 import struct
 
+import attrs
+
 from cactusstile.control import exceptions
 
 LENGTH = struct.Struct("<I")
 
 
-class Reader:
-    """Cuts a snapshot of claims into its parts."""
+@attrs.define
+class SnapshotReader:
+    """Position in a snapshot.
+
+    Attributes:
+      data: The snapshot.
+      position: Bytes that were taken.
+    """
 
-    def __init__(self, data: bytes) -> None:
-        """Starts at the first byte of `data`."""
-        self.data = data
-        self.position = 0
+    data: bytes
+    position: int = 0
+
+    @property
+    def is_at_end(self) -> bool:
+        """Whether all was taken."""
+        return self.position == len(self.data)
 
     def take(self, size: int) -> bytes:
         """Returns the next `size` bytes.
@@ -25,18 +36,17 @@
         """
         end = self.position + size
         if end > len(self.data):
-            raise exceptions.SnapshotError("claims are cut short")
+            raise exceptions.SnapshotError("the snapshot is cut short")
         part = self.data[self.position : end]
         self.position = end
         return part
 
     def take_pair(self, key_bytes: int) -> tuple[bytes, bytes]:
-        """Returns the next key and the value behind its length."""
+        """Returns a key of `key_bytes` and a value behind its length.
+
+        Raises:
+          SnapshotError: If the snapshot ends before.
+        """
         key = self.take(key_bytes)
         (length,) = LENGTH.unpack(self.take(LENGTH.size))
         return key, self.take(length)
-
-    def expect_end(self) -> None:
-        """Raises `SnapshotError` unless all bytes were taken."""
-        if self.position != len(self.data):
-            raise exceptions.SnapshotError("claims have bytes after their end")
