Make an entry ready only once a fleet was applied

Cause: an entry counted as ready as soon as a quorum confirmed a revision, also revision 0, before any fleet; callers then got 401 for valid keys.

Change: an entry is configured once the confirmed revision is above 0; until then it answers 503 stale_configuration.

Before: the new test fails (200).

--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -233,7 +233,7 @@
         body.BodyMemory(settings.max_buffered_bytes),
         limit.InFlight(settings.max_in_flight),
     )
-    gate = application.Gate(parts.fleet.confirmed.is_set)
+    gate = application.Gate(parts.fleet.is_in_force)
     return Entry(settings, gate, dispatcher, bounds, confining, metrics)
 
 
--- a/src/cactusstile/state/holder.py
+++ b/src/cactusstile/state/holder.py
@@ -32,6 +32,10 @@
             collections.abc.Callable[[model.Fleet, model.Fleet], None]
         ] = []
 
+    def is_in_force(self) -> bool:
+        """Returns whether a quorum confirmed a fleet that was applied."""
+        return self.confirmed.is_set() and self.fleet.revision > 0
+
     def observe(
         self,
         observer: collections.abc.Callable[[model.Fleet, model.Fleet], None],
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -13,6 +13,7 @@
 
 from cactusstile import verdict
 from cactusstile.agent import messages
+from cactusstile.entry import daemon
 from cactusstile.entry import openai_requests
 from cactusstile.fakes import scripted_agent
 from cactusstile.filters import exchange
@@ -166,6 +167,21 @@
     assert (ready.status, live.status) == (503, 200)
 
 
+async def test_entry_is_ready_only_once_the_first_fleet_is_in_force(
+    site: support.Site,
+) -> None:
+    """A quorum may confirm that no fleet was applied yet."""
+    fleet = holder.FleetHolder()
+    fleet.confirmed.set()
+    parts = daemon.Parts(fleet, site.entry.dispatcher.peers, support.KEYS.get)
+    async with daemon.open_entry(support.settings(), parts) as entry:
+        url = f"http://{entry.callers_address()}/readyz"
+        before = await site.http.request("GET", url)
+        fleet.advance(support.build_fleet([]))
+        after = await site.http.request("GET", url)
+    assert (before.status, after.status) == (503, 200)
+
+
 @pytest.mark.parametrize(
     ("headers", "told"),
     [
