Look at confinement and placement of a storm in the same window

Change: a window counts only if the workspace is confined at its beginning and its end; the bound of 15 s and both conditions are the same.

--- a/tests/entry/test_storm.py
+++ b/tests/entry/test_storm.py
@@ -65,11 +65,14 @@
         group.start_soon(repeat, caller, "key-of-clinic", SHORT)
         for _ in range(STORM_CALLERS):
             group.start_soon(repeat, caller, "key-of-bank", LONG)
+        storming = {(fake_site.DEPLOYMENT, "bank")}
         with anyio.fail_after(15):
             while True:
+                was_confined = entry.confining.confined == storming
                 before = _count_prompts(opened, "bank")
                 await anyio.sleep(WINDOW_S)
                 new = _count_prompts(opened, "bank") - before
+                if not was_confined or entry.confining.confined != storming:
+                    continue
                 if len(new) == 1 and new.total() > 1:
                     break
-        assert entry.confining.confined == {(fake_site.DEPLOYMENT, "bank")}
