Complete no handshake while a listener closes

Before closing, the drain shrank the accept queue to zero, which on Linux still holds one connection: a handshake between the last accept and the close was completed and then reset, with a caller's request perhaps in it. CALLERS.md named it as a limit. Ruled out: a longer linger, which leaves the same instant.

Change: a packet filter on the listening socket drops whatever arrives from the end of accepting on; connections in the queue have sockets of their own and are served. Elsewhere than on Linux, and where the filter is refused, the queue shrinks as before.

--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -13,6 +13,7 @@
 import anyio
 import uvicorn
 
+from cactusstile.observability import accept_queue
 from cactusstile.transport import address
 
 logger = logging.getLogger(__name__)
@@ -68,7 +69,7 @@
         queue is shut and emptied first, and what was accepted has a moment
         to send its request.
         """
-        self._socket.listen(0)
+        accept_queue.shut(self._socket)
         await anyio.sleep(ACCEPT_LINGER_S)
         for listening in self._server.servers:
             listening.close()
