Freeze the older agent for longer than it may oversleep unnoticed

An agent asks control at once after a freeze above 0.75 s, else every 5 to 10 s. The test's freeze lasted as long as the newer agent took to start, 0.8 s when the machine is quiet, so the promise tested did not always apply. Ruled out: a lost answer of control, since the regular confirmation came in time in the passing runs.

Change: the freeze lasts 1.5 s longer than the start. Bound and checks are the same.

--- a/tests/processes/test_service_claims.py
+++ b/tests/processes/test_service_claims.py
@@ -20,6 +20,7 @@
 from tests.support import site_processes
 
 from cactusstile.agent import messages as agent_messages
+from cactusstile.controllers import fencing
 from cactusstile.transport import address
 from cactusstile.transport import handshake
 from cactusstile.transport import pool
@@ -34,6 +35,8 @@
 SENT_TWICE = 20
 ANSWER_S = 5.0
 FENCED_S = 5.0
+# Longer than an agent may oversleep without asking control at once.
+FROZEN_S = 2 * (fencing.TICK_S + fencing.FREEZE_LIMIT_S)
 ON_ITS_WAY_S = 0.3
 LATE_MS = 300
 SEEDS = range(int(os.environ.get("CACTUSSTILE_HISTORY_SEEDS", "1")))
@@ -289,7 +292,7 @@
         await anyio.to_thread.run_sync(site.wait_ready, newer)
         for number in range(SENT_TWICE // 2):
             group.start_soon(send, newer, number)
-        await anyio.sleep(0.1)
+        await anyio.sleep(FROZEN_S)
         site.processes[name].send_signal(signal.SIGCONT)
     runs = await _find_runs(site, name)
     assert max(runs) == 1, (runs, refusals)
