Write once what stood twice

Found in a read of the whole change: - three readers of INI files turned unreadable ones into the same fault: ini.read_text, with the operator's advice as an argument; - agents and entries both looked up a deployment's weights: choice.weights_of; - two benchmarks read their resident memory: benchmarks.resident_memory; - control.claims built a closed record on two branches; closing now removes a record closed before and inserts, as claiming does; - control.attempts named NOT_MEMBER twice, left by a merge.

--- a/benchmarks/kept_memory.py
+++ b/benchmarks/kept_memory.py
@@ -5,10 +5,9 @@
 
 from __future__ import annotations
 
-import gc
 import json
-import pathlib
 
+from benchmarks import resident_memory
 from cactusstile import tokens
 from cactusstile.store import block_store
 from cactusstile.store import blocks
@@ -19,15 +18,6 @@
 MEMORY_BYTES = 1 << 40
 
 
-def _resident_bytes() -> int:
-    gc.collect()
-    status = pathlib.Path("/proc/self/status").read_text()
-    line = next(
-        line for line in status.splitlines() if line.startswith("VmRSS")
-    )
-    return int(line.split()[1]) * 1024
-
-
 def _fill(kept: block_store.BlockStore, prompt: int) -> None:
     scope = tokens.Scope("bank", "chat", "v1")
     words = [prompt] * (BLOCKS_IN_PROMPT * tokens.BLOCK_TOKENS)
@@ -42,13 +32,13 @@
 def main() -> None:
     """Prints one line for each number of blocks."""
     for count in BLOCK_COUNTS:
-        before = _resident_bytes()
+        before = resident_memory.resident_bytes()
         kept = block_store.BlockStore(
             block_store.Bounds(MEMORY_BYTES, 0), lambda: 0.0
         )
         for prompt in range(count // BLOCKS_IN_PROMPT):
             _fill(kept, prompt)
-        used = _resident_bytes() - before
+        used = resident_memory.resident_bytes() - before
         print(json.dumps({"blocks": count, "bytes_per_block": used / count}))
         del kept
 
--- a/benchmarks/transport_cost.py
+++ b/benchmarks/transport_cost.py
@@ -6,13 +6,12 @@
 from __future__ import annotations
 
 import contextlib
-import gc
 import json
-import pathlib
 import time
 
 import anyio
 
+from benchmarks import resident_memory
 from cactusstile.transport import address
 from cactusstile.transport import connection
 from cactusstile.transport import handshake
@@ -28,15 +27,6 @@
 CONCURRENT_CALLS = 64
 
 
-def _resident_bytes() -> int:
-    gc.collect()
-    status = pathlib.Path("/proc/self/status").read_text()
-    line = next(
-        line for line in status.splitlines() if line.startswith("VmRSS")
-    )
-    return int(line.split()[1]) * 1024
-
-
 async def _echo(_: incoming.Responder, message: object) -> object:
     return message
 
@@ -49,7 +39,7 @@
 async def _measure_connections(count: int, *, busy: bool) -> dict[str, float]:
     """Returns the cost of `count` connections, both ends in this process."""
     handlers = incoming.Handlers(calls={messages.Empty: _hang})
-    before = _resident_bytes()
+    before = resident_memory.resident_bytes()
     async with contextlib.AsyncExitStack() as stack:
         opened = await stack.enter_async_context(
             server.open_server(
@@ -76,7 +66,7 @@
         started = time.process_time()
         await anyio.sleep(WATCH_S)
         spent_s = time.process_time() - started
-        used = _resident_bytes() - before
+        used = resident_memory.resident_bytes() - before
     return {
         "connections": count,
         "busy": busy,
--- a/src/cactusstile/agent/kept_exports.py
+++ b/src/cactusstile/agent/kept_exports.py
@@ -11,6 +11,7 @@
 
 from cactusstile import tokens
 from cactusstile.agent import messages
+from cactusstile.routing import choice
 from cactusstile.store import blocks
 from cactusstile.store import recovery
 from cactusstile.store import transfer
@@ -129,7 +130,7 @@
         count = resident - found.blocks
         size = count * status.block_bytes
         need = transfer.Need(count, size, parts.recompute_ms(count))
-        weights = parts.weights(export.scope.deployment)
+        weights = choice.weights_of(parts.node.fleet, export.scope.deployment)
         if not transfer.is_export_worthwhile(
             need, export.return_probability, weights, link
         ):
--- a/src/cactusstile/agent/kept_imports.py
+++ b/src/cactusstile/agent/kept_imports.py
@@ -9,6 +9,7 @@
 
 from cactusstile import tokens
 from cactusstile.agent import metrics
+from cactusstile.routing import choice
 from cactusstile.store import transfer
 from cactusstile.targets import exceptions
 
@@ -103,7 +104,9 @@
         need = transfer.Need(
             found.blocks, found.total_bytes, parts.recompute_ms(found.blocks)
         )
-        plan = transfer.plan_fetch(need, parts.weights(scope.deployment), link)
+        plan = transfer.plan_fetch(
+            need, choice.weights_of(parts.node.fleet, scope.deployment), link
+        )
         # A fetch that fails late costs at most half of what it could save.
         limit_ms = max(plan.limit_ms, need.recompute_ms * MAX_LOST_SHARE)
         limit_s = limit_ms / 1000
--- a/src/cactusstile/agent/kept_parts.py
+++ b/src/cactusstile/agent/kept_parts.py
@@ -8,7 +8,6 @@
 import attrs
 
 from cactusstile import tokens
-from cactusstile.routing import choice
 from cactusstile.routing import fleet_index
 from cactusstile.state import model
 from cactusstile.store import client
@@ -59,17 +58,6 @@
             fleet, self.data_centre, store.data_centre, sharers
         )
 
-    def weights(self, deployment: str) -> choice.Weights:
-        """Returns what a deployment values."""
-        declared = self.node.fleet.deployments.get(deployment)
-        if declared is None:
-            return choice.Weights()
-        return choice.Weights(
-            declared.first_token_weight,
-            declared.recompute_weight,
-            declared.link_weight,
-        )
-
     def recompute_ms(self, blocks: int) -> float:
         """Returns the expected time to compute blocks here."""
         computed = blocks * tokens.BLOCK_TOKENS
--- a/src/cactusstile/console/check.py
+++ b/src/cactusstile/console/check.py
@@ -46,12 +46,7 @@
 
 
 def _check(path: pathlib.Path) -> str:
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise ini.InvalidFileError(
-            [ini.Problem(str(path), "", "", f"cannot be read: {error}")]
-        ) from error
+    text = ini.read_text(path)
     parser = ini.parse_text(text, str(path))
     if not parser.has_section("process"):
         fleet = fleet_file.parse(text, str(path))
--- a/src/cactusstile/control/attempts.py
+++ b/src/cactusstile/control/attempts.py
@@ -19,7 +19,6 @@
 UNAVAILABLE = "unavailable"
 NOT_MEMBER = "not_member"
 INTERNAL = "internal"
-NOT_MEMBER = "not_member"
 _WITHOUT_LEADER = frozenset({NOT_LEADER, UNCERTAIN, UNAVAILABLE, INTERNAL})
 
 
--- a/src/cactusstile/control/claims.py
+++ b/src/cactusstile/control/claims.py
@@ -193,22 +193,20 @@
     def _close(self, message: claim_messages.CloseClaim) -> object:
         key = _hash_key(message.workspace, message.request_key)
         digest = _shorten(message.content_digest)
+        if self._is_closed_before(key, message.epoch):
+            self._remove(key)
         if key not in self._records:
             owner = _hash_owner(message.workspace)
             refusal = self._refuse_full(owner)
             if refusal is not None:
                 return refusal
-            self._insert(key, self._build_closed(message.epoch, digest, owner))
-        elif self._is_closed_before(key, message.epoch):
-            owner = _unpack(self._records[key]).owner
-            self._remove(key)
-            self._insert(key, self._build_closed(message.epoch, digest, owner))
+            nobody = bytes(CLAIM_ID_BYTES)
+            record = _Record(
+                _Code.CLOSED, self.now_ms, message.epoch, nobody, digest, owner
+            )
+            self._insert(key, record)
         return self._describe(key, digest)
 
-    def _build_closed(self, epoch: int, digest: bytes, owner: bytes) -> _Record:
-        nobody = bytes(CLAIM_ID_BYTES)
-        return _Record(_Code.CLOSED, self.now_ms, epoch, nobody, digest, owner)
-
     def _is_closed_before(self, key: bytes, epoch: int) -> bool:
         """Tells whether a key is closed to epochs below `epoch` only."""
         data = self._records.get(key)
--- a/src/cactusstile/entry/homes.py
+++ b/src/cactusstile/entry/homes.py
@@ -128,7 +128,7 @@
             call.deployment, [entry.reply.wait_ms for entry in probed]
         )
         fleet = find_fleet()
-        weights = _weights(fleet, call.deployment)
+        weights = choice.weights_of(fleet, call.deployment)
         transfers = _transfers(fleet, index, call, probed, held)
         left_ms = calls.time_left_ms(call.deadline_s)
         request = choice.Request(len(call.tokens), version, left_ms)
@@ -170,14 +170,3 @@
     told_bytes = max((entry.reply.block_bytes for entry in probed), default=0)
     block_bytes = told_bytes or link_use.TYPICAL_BLOCK_BYTES
     return link_use.Transfers(fleet, store, block_bytes)
-
-
-def _weights(fleet: model.Fleet, name: str) -> choice.Weights:
-    deployment = fleet.deployments.get(name)
-    if deployment is None:
-        return choice.Weights()
-    return choice.Weights(
-        deployment.first_token_weight,
-        deployment.recompute_weight,
-        deployment.link_weight,
-    )
--- a/src/cactusstile/routing/choice.py
+++ b/src/cactusstile/routing/choice.py
@@ -20,6 +20,7 @@
 
     from cactusstile.agent import messages
     from cactusstile.routing import rendezvous
+    from cactusstile.state import model
 
 MAX_REPLY_AGE_MS = 250.0
 RETRY_WITHOUT_TARGET_S = 1.0
@@ -34,6 +35,18 @@
     link: float = 1.0
 
 
+def weights_of(fleet: model.Fleet, deployment: str) -> Weights:
+    """Returns what a deployment values; the defaults for an unknown one."""
+    declared = fleet.deployments.get(deployment)
+    if declared is None:
+        return Weights()
+    return Weights(
+        declared.first_token_weight,
+        declared.recompute_weight,
+        declared.link_weight,
+    )
+
+
 @attrs.frozen
 class Request:
     """What the choice must know of a request.
--- a/src/cactusstile/settings/ini.py
+++ b/src/cactusstile/settings/ini.py
@@ -10,6 +10,7 @@
 
 if typing.TYPE_CHECKING:
     import collections.abc
+    import pathlib
 
 MAX_FILE_CHARACTERS = 8 * 1024 * 1024
 MAX_NAME_LENGTH = 128
@@ -67,6 +68,26 @@
     default: typing.Any = REQUIRED
 
 
+def read_text(path: pathlib.Path, advice: str = "") -> str:
+    """Returns the text of a file.
+
+    Args:
+      path: The file.
+      advice: What to do if it cannot be read.
+
+    Raises:
+      InvalidFileError: If it cannot be read or is not UTF-8.
+    """
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = f"cannot be read: {error}"
+        if advice:
+            reason += f"; {advice}"
+        problem = Problem(str(path), "", "", reason)
+        raise InvalidFileError([problem]) from error
+
+
 def parse_text(text: str, file: str) -> configparser.ConfigParser:
     """Returns the sections of an INI text.
 
--- a/src/cactusstile/settings/operator.py
+++ b/src/cactusstile/settings/operator.py
@@ -53,14 +53,9 @@
       InvalidFileError: With all faults of the file.
     """
     file = str(path)
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reason = f"cannot be read: {error}; write [{SECTION}] with name, "
-        reason += "control and operator_secret_file, or pass --settings"
-        problem = ini.Problem(file, "", "", reason)
-        raise ini.InvalidFileError([problem]) from error
-    parser = ini.parse_text(text, file)
+    advice = f"write [{SECTION}] with name, control and operator_secret_file,"
+    advice += " or pass --settings"
+    parser = ini.parse_text(ini.read_text(path, advice), file)
     problems = [
         ini.Problem(file, found, "", f"unknown section; known: {SECTION}")
         for found in parser.sections()
--- a/src/cactusstile/settings/process.py
+++ b/src/cactusstile/settings/process.py
@@ -120,14 +120,7 @@
       InvalidFileError: With all faults of the file.
     """
     file = str(path)
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reason = f"cannot be read: {error}"
-        raise ini.InvalidFileError(
-            [ini.Problem(file, "", "", reason)]
-        ) from error
-    parser = ini.parse_text(text, file)
+    parser = ini.parse_text(ini.read_text(path), file)
     problems: list[ini.Problem] = []
     for found in parser.sections():
         if found not in ("process", section):
