--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -21,6 +21,8 @@
     "entry": "run an entry process",
     "agent": "run the agent beside one target",
     "control": "run a control process",
+    "gateway": "run a gateway before targets without agents",
+    "registry": "run a registry process for gateways",
     "check": "check a fleet file or settings file without applying it",
     "key": "make a key for a workspace and its hash",
     "apply": "put a fleet file in force",
--- /dev/null
+++ b/src/cactusstile/console/gateway.py
@@ -0,0 +1,16 @@
+"""Command `gateway`: runs a gateway process."""
+
+from __future__ import annotations
+
+from cactusstile.console import node_process
+from cactusstile.gateway import process
+
+
+def run(settings: str = "") -> None:
+    """Runs a gateway process until it is told to stop.
+
+    Args:
+      settings: Path of the settings file; where the platform puts it by
+        default.
+    """
+    node_process.run("gateway", settings, process.run)
--- /dev/null
+++ b/src/cactusstile/console/registry.py
@@ -0,0 +1,16 @@
+"""Command `registry`: runs a registry process."""
+
+from __future__ import annotations
+
+from cactusstile.console import node_process
+from cactusstile.registry import process
+
+
+def run(settings: str = "") -> None:
+    """Runs a registry process until it is told to stop.
+
+    Args:
+      settings: Path of the settings file; where the platform puts it by
+        default.
+    """
+    node_process.run("registry", settings, process.run)
--- a/src/cactusstile/filters/refusals.py
+++ b/src/cactusstile/filters/refusals.py
@@ -22,6 +22,7 @@
     verdict.Reason.BAD_REQUEST: 400,
     verdict.Reason.UNAUTHENTICATED: 401,
     verdict.Reason.UNKNOWN_MODEL: 404,
+    verdict.Reason.UNKNOWN_ROUTE: 404,
     verdict.Reason.TOO_LARGE: 413,
     verdict.Reason.OVERLOADED: 429,
     verdict.Reason.DEADLINE_EXCEEDED: 504,
--- /dev/null
+++ b/src/cactusstile/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Forwards opaque HTTP requests of callers to targets without agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/gateway/admission.py
@@ -0,0 +1,131 @@
+"""What a gateway knows of a request once it may be forwarded."""
+
+from __future__ import annotations
+
+import attrs
+
+from cactusstile import verdict
+from cactusstile.gateway import prompts
+from cactusstile.gateway import routes
+from cactusstile.http import messages
+from cactusstile.platform import headers
+from cactusstile.sites import model
+
+# Ranks that an engine tells apart; 0 goes first.
+LOWEST_RANK = 9
+# Ranks of routes within one rank of workspaces.
+RANKS_PER_WORKSPACE_RANK = 3
+# Salt of the KV cache that all workspaces but isolated ones share.
+SHARED_SALT = "shared"
+
+
+@attrs.frozen
+class Admitted:
+    """A request that the configuration allows.
+
+    Attributes:
+      request: The request.
+      id: Identity that the caller gave it.
+      route: Its route.
+      workspace: Workspace of its key; None on public routes.
+      prompt: What it says of its prompt.
+      salt: Salt under which its KV cache is kept.
+      rank: Rank at engines, from 0, which goes first.
+      answer_by_s: Loop time by which the final answer is due.
+      caller_until_s: Loop time at which the caller stops waiting.
+      last_event_id: Last event that the caller has, of a resumed stream.
+      version: Version of the configuration that decided.
+    """
+
+    request: messages.Request
+    id: str
+    route: model.Route
+    workspace: model.Workspace | None
+    prompt: prompts.Prompt
+    salt: str
+    rank: int
+    answer_by_s: float
+    caller_until_s: float
+    last_event_id: int | None
+    version: int
+
+
+def admit(table: routes.Table, request: messages.Request) -> Admitted:
+    """Returns the request with what the configuration says of it.
+
+    Raises:
+      RefusedError: The configuration does not allow it.
+    """
+    host = request.find(b"host") or ""
+    route = table.find_route(host, request.path)
+    if route is None:
+        raise verdict.refuse(
+            verdict.Reason.UNKNOWN_ROUTE, "no route has this host and path"
+        )
+    workspace = _authenticate(table, route, request)
+    answer_by_s = request.received_s + route.timeout_s
+    until_s = _caller_until(request, answer_by_s)
+    return Admitted(
+        request=request,
+        id=request.find(headers.REQUEST_ID) or "",
+        route=route,
+        workspace=workspace,
+        prompt=prompts.parse(
+            request.find(headers.MODEL),
+            request.find(headers.TOKENS),
+            request.find(headers.PROMPT_PARTS),
+        ),
+        salt=_salt(workspace),
+        rank=rank_of(route, workspace),
+        answer_by_s=answer_by_s,
+        caller_until_s=until_s,
+        last_event_id=_last_event_id(request),
+        version=table.configuration.version,
+    )
+
+
+def _authenticate(
+    table: routes.Table, route: model.Route, request: messages.Request
+) -> model.Workspace | None:
+    if route.public or not table.needs_keys:
+        return None
+    workspace = table.find_workspace(request.find(headers.KEY) or "")
+    if workspace is None:
+        raise verdict.refuse(
+            verdict.Reason.UNAUTHENTICATED, "no workspace holds this key"
+        )
+    return workspace
+
+
+def _caller_until(request: messages.Request, default_s: float) -> float:
+    text = (request.find(headers.DEADLINE_MS) or "").strip()
+    if not text.isdecimal() or len(text) > len(str(2**31)):
+        return default_s
+    return request.received_s + int(text) / 1000
+
+
+def _last_event_id(request: messages.Request) -> int | None:
+    text = (request.find(headers.LAST_EVENT_ID) or "").strip()
+    if not text.isdecimal() or len(text) > len(str(2**31)):
+        return None
+    return int(text)
+
+
+def _salt(workspace: model.Workspace | None) -> str:
+    if workspace is None or not workspace.isolated:
+        return SHARED_SALT
+    return f"workspace-{workspace.name}"
+
+
+def rank_of(route: model.Route, workspace: model.Workspace | None) -> int:
+    """Returns the rank at engines; a workspace's goes before a route's.
+
+    >>> one = model.Route("r", "h", "/", model.Kind.ONCE, (), 1.0, priority=1)
+    >>> rank_of(one, None), rank_of(one, model.Workspace("w", (), priority=2))
+    (1, 7)
+    """
+    last = RANKS_PER_WORKSPACE_RANK - 1
+    rank = min(max(route.priority, 0), last)
+    if workspace is not None and workspace.priority is not None:
+        rank += RANKS_PER_WORKSPACE_RANK * max(workspace.priority, 0)
+    return min(rank, LOWEST_RANK)
--- /dev/null
+++ b/src/cactusstile/gateway/daemon.py
@@ -0,0 +1,203 @@
+"""The gateway role: callers in front, targets behind, control beside."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.gateway import budget as budgets
+from cactusstile.gateway import control_watch
+from cactusstile.gateway import forwarding
+from cactusstile.gateway import lifecycle
+from cactusstile.gateway import metrics as gateway_metrics
+from cactusstile.gateway import records
+from cactusstile.gateway import site_view
+from cactusstile.http import callers
+from cactusstile.http import sockets
+from cactusstile.http import targets
+from cactusstile.observability import plain_admin
+from cactusstile.platform import client as clients
+from cactusstile.settings import node
+from cactusstile.sites import discovery
+from cactusstile.transport import handshake
+from cactusstile.transport import pool as pools
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+logger = logging.getLogger(__name__)
+request_logger = logging.getLogger("cactusstile.requests")
+
+ROLE = "gateway"
+SWEEP_INTERVAL_S = 1.0
+# Age of the list of targets from which a gateway reads the platform itself.
+STALE_LIST_S = 1.4
+OWN_LIST_INTERVAL_S = 1.0
+# Part of the process's memory that bodies of requests may take.
+BODY_MEMORY_SHARE = 0.15
+_BYTES_PER_MB = 1 << 20
+
+
+@attrs.frozen
+class Gateway:
+    """Parts of a running gateway.
+
+    Attributes:
+      settings: Its settings.
+      site: What it knows of the site.
+      lifecycle: Its state towards the balancer.
+      serving: Connections of callers.
+      forwarder: Forwards the requests.
+      watch: Follows control.
+    """
+
+    settings: node.NodeSettings
+    site: site_view.SiteView
+    lifecycle: lifecycle.Lifecycle
+    serving: callers.Serving
+    forwarder: forwarding.Forwarder
+    watch: control_watch.ControlWatch
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Returns the state of the process; it holds no key."""
+        now_s = anyio.current_time()
+        views = []
+        for view in self.site.targets.views.values():
+            views.append(
+                {
+                    "id": view.target.id,
+                    "service": view.target.service,
+                    "leaving": view.target.leaving,
+                    "inflight": view.inflight,
+                    "others": view.others(now_s),
+                    "failure_share": round(view.failure_share, 3),
+                    "usable": view.is_usable(now_s),
+                }
+            )
+        return {
+            "name": self.settings.name,
+            "configuration": self.site.version,
+            "ready": self.lifecycle.is_ready(),
+            "leader": str(self.watch.leader or ""),
+            "gateways": self.site.gateways,
+            "weights": self.site.weights,
+            "open_requests": self.serving.open_requests,
+            "targets": views,
+        }
+
+
+@contextlib.asynccontextmanager
+async def open_gateway(
+    settings: node.NodeSettings,
+) -> collections.abc.AsyncIterator[Gateway]:
+    """Opens a gateway; leaving the context closes it.
+
+    Raises:
+      OSError: An address cannot be bound.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        connections = await stack.enter_async_context(
+            pools.open_pool(
+                handshake.Identity(ROLE, settings.name),
+                handshake.Secrets(settings.secret.encode()),
+            )
+        )
+        pool = targets.Pool()
+        stack.callback(pool.close)
+        counted = gateway_metrics.GatewayMetrics()
+        gateway = _assemble(settings, connections, pool, counted)
+        _start_background(gateway, pool, group)
+        _start_listeners(gateway, counted, group, stack)
+        yield gateway
+
+
+def _assemble(
+    settings: node.NodeSettings,
+    connections: pools.Pool,
+    pool: targets.Pool,
+    counted: gateway_metrics.GatewayMetrics,
+) -> Gateway:
+    site = site_view.SiteView()
+    budget = budgets.RepeatBudget(
+        settings.retry_ratio, settings.retry_window_s, settings.retry_slack
+    )
+
+    def record(ended: records.RequestRecord) -> None:
+        budget.gateways = site.gateways
+        counted.version.set(site.version)
+        counted.count(ended)
+        request_logger.info("request ended", extra=ended.fields())
+
+    forwarder = forwarding.Forwarder(site, pool, budget, record)
+    memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_SHARE
+    serving = callers.Serving(
+        forwarder.handle,
+        site.caller_limits,
+        callers.BodyMemory(int(memory_bytes)),
+    )
+    watch = control_watch.ControlWatch(
+        connections, site, settings.internal_seeds
+    )
+    return Gateway(
+        settings,
+        site,
+        lifecycle.Lifecycle(site),
+        serving,
+        forwarder,
+        watch,
+    )
+
+
+def _start_background(
+    gateway: Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
+) -> None:
+    site = gateway.site
+
+    def is_stale() -> bool:
+        if site.listed_s is None:
+            return site.confirmed_s is None
+        return anyio.current_time() - site.listed_s > STALE_LIST_S
+
+    group.start_soon(gateway.watch.run)
+    group.start_soon(
+        discovery.run,
+        clients.Client(pool),
+        gateway.settings.platform,
+        OWN_LIST_INTERVAL_S,
+        is_stale,
+        lambda listed: gateway.watch.take_targets(listed, "platform"),
+    )
+    group.start_soon(_sweep, pool)
+
+
+async def _sweep(pool: targets.Pool) -> None:
+    while True:
+        await anyio.sleep(SWEEP_INTERVAL_S)
+        pool.sweep()
+
+
+def _start_listeners(
+    gateway: Gateway,
+    counted: gateway_metrics.GatewayMetrics,
+    group: anyio.abc.TaskGroup,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    settings = gateway.settings
+    admin = plain_admin.build(counted.registry, gateway.dump)
+    listeners = [(settings.admin_address, callers.own_serving(admin))]
+    if settings.readiness is not None:
+        answer = gateway.lifecycle.answer_readiness
+        listeners.append((settings.readiness, callers.own_serving(answer)))
+    if settings.callers is not None:
+        listeners.append((settings.callers, gateway.serving))
+    for place, serving in listeners:
+        listener = sockets.listen(place)
+        stack.callback(listener.close)
+        group.start_soon(callers.serve_listener, listener, serving, group)
--- /dev/null
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -0,0 +1,66 @@
+"""When a gateway says that it is ready, and how it stops."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import attrs
+
+if typing.TYPE_CHECKING:
+    from cactusstile.gateway import site_view
+    from cactusstile.http import callers
+    from cactusstile.http import messages
+    from cactusstile.http import responder as responders
+
+logger = logging.getLogger(__name__)
+
+# Time that the balancer needs to notice: two questions, a second apart.
+NOTICE_S = 2.3
+# Time kept free before the platform kills the process.
+RESERVE_S = 0.8
+POLL_INTERVAL_S = 0.05
+OK = 200
+UNAVAILABLE = 503
+
+
+@attrs.define
+class Lifecycle:
+    """State of the process towards the balancer.
+
+    Attributes:
+      site: What is known of the site.
+      stopping: Whether the process stops.
+    """
+
+    site: site_view.SiteView
+    stopping: bool = False
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer may send callers here."""
+        return self.site.is_ready() and not self.stopping
+
+    async def answer_readiness(
+        self, request: messages.Request, responder: responders.Responder
+    ) -> None:
+        """Answers the balancer; see `http.callers`."""
+        del request
+        status = OK if self.is_ready() else UNAVAILABLE
+        await responder.respond(status, [], b"")
+
+    async def drain(self, serving: callers.Serving, stop_s: float) -> None:
+        """Returns once no request is in flight, or no time is left.
+
+        Callers keep coming until the balancer has noticed; they are served.
+        """
+        self.stopping = True
+        serving.stopping = True
+        with anyio.move_on_after(stop_s - RESERVE_S):
+            await anyio.sleep(NOTICE_S)
+            while True:
+                serving.close_idle()
+                if not serving.open_requests and not serving.connections:
+                    break
+                await anyio.sleep(POLL_INTERVAL_S)
+        logger.info("drained", extra={"cut_off": serving.open_requests})
--- /dev/null
+++ b/src/cactusstile/gateway/metrics.py
@@ -0,0 +1,78 @@
+"""Counters and histograms of a gateway."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+from cactusstile.gateway import records
+
+_LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.75,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+)
+
+
+class GatewayMetrics:
+    """Metrics of one gateway.
+
+    Attributes:
+      registry: Registry that holds them.
+    """
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "cactusstile_gateway_requests",
+            "Requests by route, outcome and status.",
+            ["route", "outcome", "status"],
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "cactusstile_gateway_attempts",
+            "Attempts at targets by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.duration = prometheus_client.Histogram(
+            "cactusstile_gateway_request_duration_seconds",
+            "Time from the first byte of a request to the end of its answer.",
+            ["route"],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.first_byte = prometheus_client.Histogram(
+            "cactusstile_gateway_first_byte_seconds",
+            "Time from the first byte of a request to that of its answer.",
+            ["route"],
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.version = prometheus_client.Gauge(
+            "cactusstile_gateway_configuration_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+
+    def count(self, record: records.RequestRecord) -> None:
+        """Counts one request."""
+        route = record.route
+        self.requests.labels(route, record.outcome, str(record.status)).inc()
+        self.duration.labels(route).observe(record.ended_s - record.received_s)
+        if record.first_byte_s is not None:
+            self.first_byte.labels(route).observe(
+                record.first_byte_s - record.received_s
+            )
+        for attempt in record.attempts:
+            self.attempts.labels(attempt.outcome or "cut_off").inc()
--- /dev/null
+++ b/src/cactusstile/gateway/placement.py
@@ -0,0 +1,119 @@
+"""Chooses the target of a request.
+
+Answers days on which prompts return and targets are unevenly loaded: a prompt
+goes where most of it is held, unless the queue there costs more than reading
+it anew elsewhere. Takes plain data and returns a choice.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+from cactusstile.gateway import prompts
+from cactusstile.gateway import target_view
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+# Prompt tokens that one running request delays a new one by.
+TOKENS_PER_RUNNING = 300.0
+# Part of an unseen request's prompt that is still to be read, on average.
+UNREAD_PART = 0.3
+# Share of a prompt's tokens that its home is preferred by.
+HOME_BONUS_SHARE = 0.5
+# Factor on the queue of a target that is not warm yet.
+COLD_FACTOR = 2.0
+# Weight of a target's share of failed requests, in its own slots.
+FAILURE_WEIGHT = 4.0
+
+
+def choose_engine(
+    views: collections.abc.Sequence[target_view.TargetView],
+    prompt: prompts.Prompt,
+    salt: str,
+    now_s: float,
+) -> target_view.TargetView | None:
+    """Returns the engine that is expected to answer first, if any.
+
+    Costs are counted in prompt tokens to be read before the first event.
+    """
+    best = None
+    best_cost = float("inf")
+    home = _home(views, prompt)
+    for view in views:
+        cost = engine_cost(view, prompt, salt, now_s)
+        if view is home:
+            cost -= HOME_BONUS_SHARE * prompt.tokens
+        if cost < best_cost:
+            best, best_cost = view, cost
+    return best
+
+
+def engine_cost(
+    view: target_view.TargetView,
+    prompt: prompts.Prompt,
+    salt: str,
+    now_s: float,
+) -> float:
+    """Returns the prompt tokens that an engine reads before an answer."""
+    missing = prompt.tokens - view.held.held_tokens(salt, prompt)
+    others = view.others(now_s)
+    queue = view.unread_tokens + others * UNREAD_PART * prompt.tokens
+    queue += TOKENS_PER_RUNNING * view.occupied(now_s)
+    if view.occupied(now_s) >= view.slots():
+        queue *= COLD_FACTOR
+    if view.target.cold_s > 0:
+        queue *= COLD_FACTOR
+    penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
+    return (missing + queue) * penalty
+
+
+def choose_service_target(
+    views: collections.abc.Sequence[target_view.TargetView],
+    request_id: str,
+    now_s: float,
+) -> target_view.TargetView | None:
+    """Returns the plain target with the shortest queue, if any.
+
+    Targets that are equal are told apart by the request's id, so that
+    gateways do not all choose the same one.
+    """
+    best = None
+    best_cost = (float("inf"), b"")
+    for view in views:
+        load = view.occupied(now_s) / view.slots()
+        load += FAILURE_WEIGHT * view.failure_share
+        if view.target.cold_s > 0:
+            load += 1.0
+        cost = (load, _score(request_id, view))
+        if cost < best_cost:
+            best, best_cost = view, cost
+    return best
+
+
+def _home(
+    views: collections.abc.Sequence[target_view.TargetView],
+    prompt: prompts.Prompt,
+) -> target_view.TargetView | None:
+    """Returns the engine that all gateways prefer for a session."""
+    if not prompt.parts:
+        return None
+    key = session_key(prompt)
+    best = None
+    best_score = b""
+    for view in views:
+        score = _score(key, view)
+        if score > best_score:
+            best, best_score = view, score
+    return best
+
+
+def session_key(prompt: prompts.Prompt) -> str:
+    """Returns the identity of the part by which a prompt returns."""
+    return prompt.parts[-1].id
+
+
+def _score(key: str, view: target_view.TargetView) -> bytes:
+    name = view.target.id.encode()
+    return hashlib.blake2b(key.encode(), key=name[:64], digest_size=8).digest()
--- /dev/null
+++ b/src/cactusstile/gateway/process.py
@@ -0,0 +1,35 @@
+"""Runs a gateway process from its start to its end."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+
+import anyio
+
+from cactusstile.console import signals
+from cactusstile.gateway import daemon
+from cactusstile.settings import node
+from cactusstile.settings import reload
+
+logger = logging.getLogger(__name__)
+
+
+async def run(settings: node.NodeSettings, path: pathlib.Path) -> None:
+    """Serves until a signal asks for a stop, then drains."""
+    with signals.receive() as received:
+        async with (
+            daemon.open_gateway(settings) as gateway,
+            anyio.create_task_group() as group,
+        ):
+            logger.info("started", extra={"first": settings.first_start})
+
+            def take(changed: node.NodeSettings) -> None:
+                gateway.watch.seeds = changed.internal_seeds
+
+            group.start_soon(reload.watch, path, settings, take)
+            number = await anext(received)
+            logger.info("stopping", extra={"signal": int(number)})
+            await gateway.lifecycle.drain(gateway.serving, settings.stop_s)
+            group.cancel_scope.cancel()
+    logger.info("stopped")
--- /dev/null
+++ b/src/cactusstile/gateway/records.py
@@ -0,0 +1,126 @@
+"""What happened to one request, for its log line and the metrics."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from cactusstile import verdict
+from cactusstile.gateway import admission
+from cactusstile.gateway import target_view
+from cactusstile.http import responder as responders
+
+MAX_ATTEMPTS_LOGGED = 8
+
+
+@attrs.define
+class AttemptRecord:
+    """One attempt.
+
+    Attributes:
+      target: Id of the target.
+      started_s: Loop time of its start.
+      occupied: Requests at the target, as believed then.
+      outcome: How it ended; empty while it is under way.
+      ended_s: Loop time of its end.
+    """
+
+    target: str
+    started_s: float
+    occupied: int
+    outcome: str = ""
+    ended_s: float = 0.0
+
+
+@attrs.define
+class RequestRecord:
+    """One request.
+
+    Attributes:
+      id: Identity that the caller gave it.
+      received_s: Loop time of its first byte.
+      route: Name of its route; empty if it has none.
+      workspace: Name of its workspace.
+      version: Version of the configuration that decided.
+      attempts: Attempts in order.
+      outcome: How it ended.
+      refusal_verdict: Whether it may have run, if it was refused.
+      status: Status that the caller received; 0 for none.
+      whole: Whether the caller received the whole answer.
+      ended_s: Loop time of its end.
+      first_byte_s: Loop time at which the answer began; None without one.
+    """
+
+    id: str
+    received_s: float
+    route: str = ""
+    workspace: str = ""
+    version: int = -1
+    attempts: list[AttemptRecord] = attrs.field(factory=list)
+    outcome: str = "answered"
+    refusal_verdict: str = ""
+    status: int = 0
+    whole: bool = False
+    ended_s: float = 0.0
+    first_byte_s: float | None = None
+
+    def note_admitted(self, admitted: admission.Admitted) -> None:
+        """Notes what the configuration says of the request."""
+        self.route = admitted.route.name
+        self.version = admitted.version
+        if admitted.workspace is not None:
+            self.workspace = admitted.workspace.name
+
+    def note_refusal(self, refusal: verdict.Refusal) -> None:
+        """Notes why the request was refused."""
+        self.outcome = refusal.reason.value
+        self.refusal_verdict = refusal.verdict.value
+
+    def begin_attempt(self, view: target_view.TargetView, now_s: float) -> None:
+        """Notes that the request is sent to a target."""
+        occupied = view.occupied(now_s)
+        self.attempts.append(AttemptRecord(view.target.id, now_s, occupied))
+
+    def end_attempt(self, outcome: str, now_s: float) -> None:
+        """Notes how the attempt that is under way ended."""
+        self.attempts[-1].outcome = outcome
+        self.attempts[-1].ended_s = now_s
+
+    def close(self, responder: responders.Responder, now_s: float) -> None:
+        """Notes what the caller received."""
+        self.status = responder.status
+        self.whole = responder.finished
+        self.first_byte_s = responder.started_s
+        self.ended_s = now_s
+
+    def fields(self) -> dict[str, typing.Any]:
+        """Returns the fields of the request's log line."""
+        attempts = []
+        for one in self.attempts[:MAX_ATTEMPTS_LOGGED]:
+            took_s = (one.ended_s or self.ended_s) - one.started_s
+            attempts.append(
+                {
+                    "target": one.target,
+                    "after_ms": _ms(one.started_s - self.received_s),
+                    "took_ms": _ms(took_s),
+                    "occupied": one.occupied,
+                    "outcome": one.outcome or "cut_off",
+                }
+            )
+        return {
+            "request": self.id,
+            "route": self.route,
+            "workspace": self.workspace,
+            "configuration": self.version,
+            "outcome": self.outcome,
+            "verdict": self.refusal_verdict,
+            "status": self.status,
+            "whole": self.whole,
+            "took_ms": _ms(self.ended_s - self.received_s),
+            "attempts": attempts,
+        }
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- /dev/null
+++ b/src/cactusstile/gateway/target_view.py
@@ -0,0 +1,181 @@
+"""What a gateway believes of one target, from its own observations."""
+
+from __future__ import annotations
+
+import attrs
+
+from cactusstile.gateway import prompts
+from cactusstile.sites import model
+
+# Time after which a report of load says nothing any more.
+REPORT_LIFE_S = 2.0
+# Failures in a row after which a target is passed over.
+FAILURES_TO_EJECT = 2
+EJECTION_S = 0.5
+MAX_EJECTION_S = 4.0
+# Weight of the newest result in a target's share of failed requests.
+FAILURE_SHARE_STEP = 0.1
+DEFAULT_HELD_TOKENS = 50_000
+
+
+@attrs.frozen
+class Load:
+    """Load that a target reported with an answer.
+
+    Attributes:
+      running: Requests that it worked on.
+      waiting: Requests that waited.
+      slots: Requests that it runs at once.
+      at_s: Loop time of the report.
+      own: Requests of this gateway among them, as far as it knows.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    at_s: float
+    own: int
+
+
+@attrs.define
+class TargetView:
+    """Belief about one target.
+
+    Attributes:
+      target: The target as last listed.
+      held: Parts of prompts that it is believed to hold.
+      inflight: Requests of this gateway at the target.
+      unread_tokens: Prompt tokens of those without any event yet.
+      load: Last report of its load, if any.
+      failures: Failed requests in a row.
+      failure_share: Moving share of requests that failed.
+      ejected_until_s: Loop time until which it is passed over.
+      refusing_until_s: Loop time until which it takes no work, by its own
+        word.
+    """
+
+    target: model.Target
+    held: prompts.HeldParts
+    inflight: int = 0
+    unread_tokens: int = 0
+    load: Load | None = None
+    failures: int = 0
+    failure_share: float = 0.0
+    ejected_until_s: float = 0.0
+    refusing_until_s: float = 0.0
+
+    def note_load(self, text: str | None, now_s: float) -> None:
+        """Notes the load that a target reports as "running,waiting,slots"."""
+        parts = (text or "").split(",")
+        if len(parts) != len(("running", "waiting", "slots")):
+            return
+        if not all(part.strip().isdecimal() for part in parts):
+            return
+        running, waiting, slots = (int(part) for part in parts)
+        self.load = Load(running, waiting, slots, now_s, self.inflight)
+
+    def others(self, now_s: float) -> int:
+        """Returns the requests of other gateways at the target, by report."""
+        load = self.load
+        if load is None or now_s - load.at_s > REPORT_LIFE_S:
+            return 0
+        return max(0, load.running + load.waiting - load.own)
+
+    def occupied(self, now_s: float) -> int:
+        """Returns the requests at the target, of all gateways."""
+        return self.inflight + self.others(now_s)
+
+    def slots(self) -> int:
+        """Returns the requests that the target runs at once."""
+        if self.load is not None and self.load.slots > 0:
+            return self.load.slots
+        return self.target.slots
+
+    def note_success(self) -> None:
+        """Notes that the target answered."""
+        self.failures = 0
+        self.failure_share *= 1 - FAILURE_SHARE_STEP
+
+    def note_failure(self, now_s: float, *, at_once: bool = False) -> None:
+        """Notes that a request failed at the target.
+
+        Args:
+          now_s: Loop time.
+          at_once: Whether one failure is enough to pass it over.
+        """
+        self.failures += 1
+        step = FAILURE_SHARE_STEP
+        self.failure_share += step * (1 - self.failure_share)
+        if not at_once and self.failures < FAILURES_TO_EJECT:
+            return
+        doublings = max(0, self.failures - FAILURES_TO_EJECT)
+        pause_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**doublings)
+        self.ejected_until_s = now_s + pause_s
+
+    def note_error(self) -> None:
+        """Notes an answer that reports an error of the target itself."""
+        self.failures = 0
+        self.failure_share += FAILURE_SHARE_STEP * (1 - self.failure_share)
+
+    def is_usable(self, now_s: float) -> bool:
+        """Returns whether requests may be sent there now."""
+        if self.target.leaving or now_s < self.refusing_until_s:
+            return False
+        return now_s >= self.ejected_until_s
+
+
+@attrs.define
+class Targets:
+    """All targets that are listed.
+
+    Attributes:
+      views: View of each target, by incarnation.
+      by_service: Views of each service.
+    """
+
+    views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
+    by_service: dict[str, list[TargetView]] = attrs.field(factory=dict)
+
+    def update(
+        self,
+        listed: tuple[model.Target, ...],
+        services: dict[str, model.Service],
+    ) -> None:
+        """Takes over a list; beliefs about targets that stay are kept."""
+        kept = {}
+        for target in listed:
+            view = self.views.get(target.incarnation)
+            if view is None:
+                limit = _held_limit(services.get(target.service))
+                view = TargetView(target, prompts.HeldParts(limit))
+            if _weights_changed(view.target, target):
+                view.held.clear()
+            view.target = target
+            kept[target.incarnation] = view
+        self.views = kept
+        self.by_service = {}
+        for view in kept.values():
+            name = view.target.service
+            self.by_service.setdefault(name, []).append(view)
+
+    def of(self, service: str) -> list[TargetView]:
+        """Returns the views of a service's targets."""
+        return self.by_service.get(service, [])
+
+    def live_services(self) -> set[str]:
+        """Returns the services that have a target which is not leaving."""
+        found = set()
+        for name, views in self.by_service.items():
+            if any(not view.target.leaving for view in views):
+                found.add(name)
+        return found
+
+
+def _held_limit(service: model.Service | None) -> int:
+    if service is None or service.engine is None:
+        return DEFAULT_HELD_TOKENS
+    return service.engine.kv_tokens or DEFAULT_HELD_TOKENS
+
+
+def _weights_changed(before: model.Target, after: model.Target) -> bool:
+    return before.weights != after.weights
--- /dev/null
+++ b/src/cactusstile/http/callers.py
@@ -0,0 +1,322 @@
+"""Connections of callers: requests in, answers out."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import h11
+
+from cactusstile.http import exceptions
+from cactusstile.http import messages
+from cactusstile.http import responder as responders
+from cactusstile.http import sockets
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+    import socket
+
+    Handler = collections.abc.Callable[
+        [messages.Request, responders.Responder],
+        collections.abc.Awaitable[None],
+    ]
+
+logger = logging.getLogger(__name__)
+
+OWN_IDLE_TIMEOUT_S = 60.0
+# Largest bodies that a listener for our own use holds at once.
+OWN_BODIES = 4
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds of what a caller may send.
+
+    Attributes:
+      max_header_bytes: Bound of a request's head.
+      max_body_bytes: Bound of a request's body.
+      header_timeout_s: Time from the first byte to the end of the head.
+      idle_timeout_s: Time that a connection may stay without a request.
+    """
+
+    max_header_bytes: int = 16 << 10
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.define
+class BodyMemory:
+    """Bound of the request bodies that a process holds at once, in bytes."""
+
+    limit_bytes: int
+    used_bytes: int = 0
+
+    def take(self, size: int) -> bool:
+        """Reserves `size` bytes, if they are free."""
+        if self.used_bytes + size > self.limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Releases `size` bytes."""
+        self.used_bytes -= size
+
+
+@attrs.define
+class Serving:
+    """What all connections of one listener share.
+
+    Attributes:
+      handle: Answers a request.
+      limits: Returns the bounds in force.
+      memory: Bound of bodies held at once.
+      stopping: Whether answers close their connections.
+      idle: Scopes of connections that wait for a request.
+      open_requests: Requests that are being answered.
+      connections: Connections that are open.
+    """
+
+    handle: Handler
+    limits: collections.abc.Callable[[], CallerLimits]
+    memory: BodyMemory
+    stopping: bool = False
+    idle: set[anyio.CancelScope] = attrs.field(factory=set)
+    open_requests: int = 0
+    connections: int = 0
+
+    def close_idle(self) -> None:
+        """Closes the connections that wait for a request."""
+        for scope in tuple(self.idle):
+            scope.cancel()
+
+
+class CallerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, opened: sockets.Socket, serving: Serving) -> None:
+        """Takes over an accepted connection; see `run`."""
+        self.socket = opened
+        self.serving = serving
+        self.limits = serving.limits()
+        self.protocol = self._new_protocol()
+        self.reserved_bytes = 0
+
+    def _new_protocol(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.max_header_bytes,
+        )
+
+    async def run(self) -> None:
+        """Answers requests until either side closes."""
+        while True:
+            self.limits = self.serving.limits()
+            request = await self._read_request()
+            if request is None:
+                return
+            self.serving.open_requests += 1
+            try:
+                keep = await self._answer(request)
+            finally:
+                self.serving.open_requests -= 1
+                self._release()
+            if not keep:
+                return
+            self.protocol.start_next_cycle()
+
+    def _release(self) -> None:
+        self.serving.memory.give_back(self.reserved_bytes)
+        self.reserved_bytes = 0
+
+    async def _answer(self, request: messages.Request) -> bool:
+        """Answers one request; returns whether the connection goes on."""
+        responder = responders.Responder(
+            self.socket, self.protocol, request, self._is_stopping
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch, group.cancel_scope)
+            await self._handle(request, responder)
+            group.cancel_scope.cancel()
+        return responder.can_continue()
+
+    def _is_stopping(self) -> bool:
+        return self.serving.stopping
+
+    async def _handle(
+        self, request: messages.Request, responder: responders.Responder
+    ) -> None:
+        try:
+            await self.serving.handle(request, responder)
+        except exceptions.ConnectionEndedError as error:
+            logger.debug("the caller closed its connection: %s", error)
+        except Exception:
+            logger.exception("a request failed by a fault of the program")
+            if not responder.started:
+                with contextlib.suppress(exceptions.ConnectionEndedError):
+                    await responder.respond(500, (), b"internal error\n")
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Cancels the answer once the caller has closed its connection."""
+        held = 0
+        while held < sockets.RECEIVE_BYTES:
+            try:
+                data = await self.socket.receive()
+            except exceptions.ConnectionEndedError:
+                data = b""
+            self.protocol.receive_data(data)
+            if not data:
+                scope.cancel()
+                return
+            held += len(data)
+
+    async def _read_request(self) -> messages.Request | None:
+        """Returns the next request; None if the connection is over."""
+        if not self.protocol.trailing_data[0] and not await self._wait_idle():
+            return None
+        received_s = anyio.current_time()
+        try:
+            with anyio.fail_after(self.limits.header_timeout_s):
+                head = await self._read_head()
+            if head is None:
+                return None
+            body = await self._read_body(head)
+        except TimeoutError:
+            await self._refuse(408, "the request did not arrive in time")
+            return None
+        except exceptions.MalformedError as error:
+            await self._refuse(error.status, str(error))
+            return None
+        return messages.Request(
+            bytes(head.method),
+            bytes(head.target),
+            tuple((bytes(name), bytes(value)) for name, value in head.headers),
+            body,
+            received_s,
+        )
+
+    async def _wait_idle(self) -> bool:
+        """Waits for the first byte of a request; False if none comes."""
+        with anyio.move_on_after(self.limits.idle_timeout_s) as scope:
+            self.serving.idle.add(scope)
+            try:
+                data = await self.socket.receive()
+            finally:
+                self.serving.idle.discard(scope)
+            self.protocol.receive_data(data)
+            return bool(data)
+        return False
+
+    async def _read_head(self) -> h11.Request | None:
+        event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) for name, value in event.headers)
+        if size + len(event.target) > self.limits.max_header_bytes:
+            raise exceptions.MalformedError("the header is too large", 431)
+        names = [name for name, _ in event.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            raise exceptions.MalformedError(
+                "send either a length or chunks, not both"
+            )
+        return event
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        declared = dict(head.headers).get(b"content-length", b"0")
+        if int(declared) > self.limits.max_body_bytes:
+            raise exceptions.MalformedError("the body is too large", 413)
+        parts = []
+        size = 0
+        while True:
+            with anyio.fail_after(self.limits.idle_timeout_s):
+                event = await self._next_event()
+            if not isinstance(event, h11.Data):
+                break
+            size += len(event.data)
+            if size > self.limits.max_body_bytes:
+                raise exceptions.MalformedError("the body is too large", 413)
+            if not self.serving.memory.take(len(event.data)):
+                raise exceptions.MalformedError("bodies fill the memory", 503)
+            self.reserved_bytes += len(event.data)
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    async def _next_event(self) -> object:
+        """Returns the next part of a request.
+
+        Raises:
+          MalformedError: The bytes are no valid request.
+          ConnectionEndedError: The caller left within a request.
+        """
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise exceptions.MalformedError(str(error), status) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self.protocol.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self.socket.send(self.protocol.send(go_on) or b"")
+            data = await self.socket.receive()
+            if not data:
+                raise exceptions.ConnectionEndedError("the caller left")
+            self.protocol.receive_data(data)
+
+    async def _refuse(self, status: int, text: str) -> None:
+        """Answers a request that cannot be read, and closes."""
+        self._release()
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"connection", b"close"), (b"content-type", b"text/plain")]
+        body = text.encode() + b"\n"
+        headers.append((b"content-length", b"%d" % len(body)))
+        if status == responders.UNAVAILABLE:
+            headers.append((b"retry-after", b"1"))
+        head = h11.Response(status_code=status, headers=headers)
+        data = (
+            (self.protocol.send(head) or b"")
+            + (self.protocol.send(h11.Data(data=body)) or b"")
+            + (self.protocol.send(h11.EndOfMessage()) or b"")
+        )
+        logger.info("refused an unreadable request: %d %s", status, text)
+        await self.socket.send(data)
+        await self.socket.linger()
+
+
+async def serve_listener(
+    listener: socket.socket, serving: Serving, group: anyio.abc.TaskGroup
+) -> None:
+    """Accepts connections and serves each in a task of `group`."""
+    while True:
+        opened = await sockets.accept(listener)
+        group.start_soon(_serve, opened, serving)
+
+
+async def _serve(opened: sockets.Socket, serving: Serving) -> None:
+    """Serves one connection and closes it."""
+    serving.connections += 1
+    with contextlib.ExitStack() as stack:
+        stack.callback(opened.close)
+        stack.enter_context(
+            contextlib.suppress(exceptions.ConnectionEndedError)
+        )
+        try:
+            await CallerConnection(opened, serving).run()
+        finally:
+            serving.connections -= 1
+
+
+def own_serving(handle: Handler, max_body_bytes: int = 1 << 20) -> Serving:
+    """Returns what connections of a listener for our own use share."""
+    limits = CallerLimits(
+        max_body_bytes=max_body_bytes, idle_timeout_s=OWN_IDLE_TIMEOUT_S
+    )
+    memory = BodyMemory(OWN_BODIES * max_body_bytes)
+    return Serving(handle, lambda: limits, memory)
--- /dev/null
+++ b/src/cactusstile/http/responder.py
@@ -0,0 +1,110 @@
+"""Answers to one request of a caller."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import h11
+
+from cactusstile.http import messages
+from cactusstile.http import sockets
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+UNAVAILABLE = 503
+_BODYLESS = (204, 304)
+
+
+class Responder:
+    """Writes the answer to one request.
+
+    Attributes:
+      status: Status that was sent; 0 before any.
+      started_s: Loop time at which the answer began; None before.
+      finished: Whether the answer is whole.
+    """
+
+    def __init__(
+        self,
+        socket: sockets.Socket,
+        protocol: h11.Connection,
+        request: messages.Request,
+        is_stopping: collections.abc.Callable[[], bool],
+    ) -> None:
+        """Answers `request` on the caller's connection."""
+        self.status = 0
+        self.started_s: float | None = None
+        self.finished = False
+        self._socket = socket
+        self._protocol = protocol
+        self._bodyless = request.method == b"HEAD"
+        self._is_stopping = is_stopping
+
+    @property
+    def started(self) -> bool:
+        """Whether any byte of the answer was sent."""
+        return self.started_s is not None
+
+    async def respond(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Sends a whole answer.
+
+        Raises:
+          ConnectionEndedError: The caller is gone.
+        """
+        fields = list(headers)
+        if messages.find(tuple(fields), b"content-length") is None:
+            fields.append((b"content-length", b"%d" % len(body)))
+        data = self._head(status, fields)
+        if body and not self._bodyless:
+            data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        await self._socket.send(data)
+        self.finished = True
+
+    async def start(
+        self,
+        status: int,
+        headers: collections.abc.Iterable[tuple[bytes, bytes]],
+    ) -> None:
+        """Sends the head of an answer whose body follows in parts."""
+        await self._socket.send(self._head(status, list(headers)))
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if self._bodyless or not data:
+            return
+        await self._socket.send(self._protocol.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """Marks the answer as whole."""
+        await self._socket.send(self._protocol.send(h11.EndOfMessage()) or b"")
+        self.finished = True
+
+    def can_continue(self) -> bool:
+        """Returns whether another request may follow.
+
+        An answer that was broken off must close the connection, so that the
+        caller sees that it is not whole.
+        """
+        return (
+            self.finished
+            and self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+
+    def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        if self._is_stopping():
+            headers.append((b"connection", b"close"))
+        if status in _BODYLESS:
+            self._bodyless = True
+        self.started_s = anyio.current_time()
+        self.status = status
+        event = h11.Response(status_code=status, headers=headers)
+        return self._protocol.send(event) or b""
--- /dev/null
+++ b/src/cactusstile/http/sockets.py
@@ -0,0 +1,193 @@
+"""Non-blocking TCP sockets that tell exactly which bytes left.
+
+A forwarder must know whether any byte of a request left this process, and
+whether bytes wait on an idle connection. Buffering streams hide both.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import select
+import socket
+import typing
+
+import anyio
+
+from cactusstile.http import exceptions
+from cactusstile.transport import address
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+RECEIVE_BYTES = 64 << 10
+BACKLOG_CONNECTIONS = 1024
+# Time that sent bytes may stay unacknowledged before the peer counts as lost.
+UNACKNOWLEDGED_LIMIT_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+LINGER_S = 1.0
+ACCEPT_PAUSE_S = 0.05
+
+
+class Socket:
+    """A connected TCP socket.
+
+    Attributes:
+      bytes_sent: Bytes that were handed to the operating system.
+    """
+
+    def __init__(self, raw: socket.socket) -> None:
+        """Takes over a connected, non-blocking socket."""
+        self.raw = raw
+        self.bytes_sent = 0
+
+    async def send(self, data: bytes) -> None:
+        """Sends all of `data`.
+
+        Raises:
+          ConnectionEndedError: The peer is gone.
+        """
+        view = memoryview(data)
+        while view:
+            try:
+                count = self.raw.send(view)
+            except BlockingIOError:
+                await self._wait(anyio.wait_writable)
+                continue
+            except OSError as error:
+                raise exceptions.ConnectionEndedError(str(error)) from error
+            self.bytes_sent += count
+            view = view[count:]
+
+    async def receive(self) -> bytes:
+        """Returns the next bytes; empty at the end of the peer's stream.
+
+        Raises:
+          ConnectionEndedError: The connection was reset or timed out.
+        """
+        while True:
+            try:
+                return self.raw.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                await self._wait(anyio.wait_readable)
+            except OSError as error:
+                raise exceptions.ConnectionEndedError(str(error)) from error
+
+    async def _wait(
+        self,
+        wait: collections.abc.Callable[
+            [socket.socket], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        try:
+            await wait(self.raw)
+        except (OSError, ValueError, anyio.ClosedResourceError) as error:
+            raise exceptions.ConnectionEndedError(str(error)) from error
+
+    def has_input(self) -> bool:
+        """Returns whether bytes, an end or an error wait to be read."""
+        poller = select.poll()
+        poller.register(self.raw, select.POLLIN)
+        return bool(poller.poll(0))
+
+    async def linger(self) -> None:
+        """Ends our stream and reads what still arrives, for a moment.
+
+        Closing with unread bytes would reset the connection and could destroy
+        an answer that the peer has not read yet.
+        """
+        with (
+            contextlib.suppress(OSError, exceptions.ConnectionEndedError),
+            anyio.move_on_after(LINGER_S),
+        ):
+            self.raw.shutdown(socket.SHUT_WR)
+            while await self.receive():
+                continue
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self.raw.fileno() >= 0:
+            anyio.notify_closing(self.raw)
+        self.raw.close()
+
+
+def _configure(raw: socket.socket) -> None:
+    """Has a silent peer noticed, and small messages sent at once."""
+    tcp = socket.IPPROTO_TCP
+    raw.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+
+
+async def connect(target: address.Address, timeout_s: float) -> Socket:
+    """Returns a connection to `target`.
+
+    Raises:
+      UnreachableError: It could not be opened in time; nothing was sent.
+    """
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw.setblocking(False)
+        _configure(raw)
+        code = raw.connect_ex((target.host, target.port))
+        if code == errno.EINPROGRESS:
+            with anyio.move_on_after(timeout_s) as scope:
+                await anyio.wait_writable(raw)
+            if scope.cancelled_caught:
+                raise exceptions.UnreachableError(
+                    f"{target} did not accept within {timeout_s:.2f} s"
+                )
+            code = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            reason = errno.errorcode.get(code, str(code))
+            raise exceptions.UnreachableError(f"{target} refused: {reason}")
+    except OSError as error:
+        raw.close()
+        raise exceptions.UnreachableError(f"{target}: {error}") from error
+    except BaseException:
+        raw.close()
+        raise
+    return Socket(raw)
+
+
+def listen(on: address.Address) -> socket.socket:
+    """Returns a listening socket.
+
+    Raises:
+      OSError: The address cannot be bound; names it.
+    """
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw.setblocking(False)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.bind((on.host, on.port))
+        raw.listen(BACKLOG_CONNECTIONS)
+    except OSError as error:
+        raw.close()
+        text = f"cannot listen on {on}: {error.strerror}"
+        raise OSError(error.errno, text) from error
+    return raw
+
+
+async def accept(listener: socket.socket) -> Socket:
+    """Returns the next connection that a listener receives."""
+    while True:
+        try:
+            raw, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            await anyio.wait_readable(listener)
+            continue
+        except OSError as error:
+            if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM):
+                raise
+            # Out of descriptors: connections wait until others have closed.
+            await anyio.sleep(ACCEPT_PAUSE_S)
+            continue
+        raw.setblocking(False)
+        _configure(raw)
+        return Socket(raw)
--- a/src/cactusstile/observability/logs.py
+++ b/src/cactusstile/observability/logs.py
@@ -22,6 +22,11 @@
     """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(build_formatter(role, name))
+    install(handler, level)
+
+
+def install(handler: logging.Handler, level: str = "info") -> None:
+    """Makes `handler` the only one of the process."""
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- /dev/null
+++ b/src/cactusstile/observability/plain_admin.py
@@ -0,0 +1,42 @@
+"""Metrics and the state dump over the plain HTTP listener."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import prometheus_client
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.http import callers
+    from cactusstile.http import messages
+    from cactusstile.http import responder as responders
+
+    Dump = collections.abc.Callable[[], dict[str, typing.Any]]
+
+OK = 200
+NOT_FOUND = 404
+_TEXT = (b"content-type", prometheus_client.CONTENT_TYPE_LATEST.encode())
+_JSON = (b"content-type", b"application/json")
+
+
+def build(
+    registry: prometheus_client.CollectorRegistry, dump: Dump
+) -> callers.Handler:
+    """Returns a handler of /metrics and /dump."""
+
+    async def handle(
+        request: messages.Request, responder: responders.Responder
+    ) -> None:
+        if request.path == "/metrics":
+            text = prometheus_client.generate_latest(registry)
+            await responder.respond(OK, [_TEXT], text)
+        elif request.path == "/dump":
+            body = json.dumps(dump(), indent=2).encode()
+            await responder.respond(OK, [_JSON], body)
+        else:
+            await responder.respond(NOT_FOUND, [], b"/metrics or /dump\n")
+
+    return handle
--- /dev/null
+++ b/src/cactusstile/platform/client.py
@@ -0,0 +1,122 @@
+"""The one client for the platform's and the targets' own calls."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from cactusstile.http import exceptions
+from cactusstile.http import messages
+from cactusstile.http import targets
+from cactusstile.platform import calls
+from cactusstile.platform import listings
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+CALL_TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_S = 0.3
+MAX_ANSWER_BYTES = 8 << 20
+MAX_PAGES = 200
+OK = 200
+
+
+class CallError(Exception):
+    """Raised when a call got no answer that can be used.
+
+    Attributes:
+      status: Status of the answer; 0 for none.
+    """
+
+    def __init__(self, message: str, status: int = 0) -> None:
+        """Describes the failure."""
+        super().__init__(message)
+        self.status = status
+
+
+class Client:
+    """Makes calls to the platform and to targets.
+
+    Attributes:
+      pool: Connections that the calls share.
+    """
+
+    def __init__(self, pool: targets.Pool) -> None:
+        """Calls over `pool`."""
+        self.pool = pool
+
+    async def list_targets(
+        self, platform: address.Address
+    ) -> tuple[model.Target, ...]:
+        """Returns all targets that the platform lists.
+
+        Raises:
+          CallError: The list could not be read in full.
+        """
+        found: list[model.Target] = []
+        token = ""
+        for _ in range(MAX_PAGES):
+            body = await self._read(platform, calls.list_request(token))
+            page = _decode(listings.decode_page, body)
+            found.extend(page.targets)
+            token = page.next_page
+            if not token:
+                return tuple(found)
+        raise CallError(f"the list has more than {MAX_PAGES} pages")
+
+    async def report(self, target: model.Target) -> listings.Report:
+        """Returns what a target tells of itself.
+
+        Raises:
+          CallError: It could not be asked.
+        """
+        body = await self._read(target.address, calls.report_request(target))
+        return _decode(listings.decode_report, body)
+
+    async def order(
+        self, target: model.Target, request: messages.Request
+    ) -> int:
+        """Sends an order and returns the status of the answer.
+
+        Raises:
+          CallError: No answer; the order may be carried out later.
+        """
+        status, _ = await self._call(target.address, request)
+        return status
+
+    async def _read(
+        self, target: address.Address, request: messages.Request
+    ) -> bytes:
+        status, body = await self._call(target, request)
+        if status != OK:
+            raise CallError(f"{target} answered {status}", status)
+        return body
+
+    async def _call(
+        self, target: address.Address, request: messages.Request
+    ) -> tuple[int, bytes]:
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                connection = await self.pool.take(target, CONNECT_TIMEOUT_S)
+                try:
+                    head = await connection.ask(request, lambda _: True)
+                    body = await connection.read_whole(MAX_ANSWER_BYTES)
+                finally:
+                    self.pool.give_back(connection)
+        except (exceptions.HttpError, TimeoutError) as error:
+            reason = str(error) or "no answer in time"
+            raise CallError(f"{target}: {reason}") from error
+        return head.status, body
+
+
+_T = typing.TypeVar("_T")
+
+
+def _decode(decode: collections.abc.Callable[[bytes], _T], body: bytes) -> _T:
+    try:
+        return decode(body)
+    except (ValueError, RecursionError) as error:
+        raise CallError(f"an answer cannot be read: {error}") from error
--- /dev/null
+++ b/src/cactusstile/registry/__init__.py
@@ -0,0 +1,3 @@
+"""Replicated state of a site whose targets have no agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/cactusstile/registry/commands.py
@@ -0,0 +1,68 @@
+"""Commands, results and snapshot of the replicated state."""
+
+from __future__ import annotations
+
+import attrs
+
+from cactusstile.sites import messages
+from cactusstile.transport import codec
+
+_SCHEMA = codec.load_schema(__file__, "registry.capnp")
+
+
+@codec.register(500, _SCHEMA, "ReplaceConfiguration")
+@attrs.frozen
+class ReplaceConfiguration:
+    """Command: puts a configuration in force unless it is outdated.
+
+    Attributes:
+      version: Number that the operator gave it.
+      digest: Digest of its content in one spelling.
+      document: The document as received, compressed.
+    """
+
+    version: int
+    digest: bytes
+    document: bytes
+
+
+@codec.register(501, _SCHEMA, "ConfigurationOutcome")
+@attrs.frozen
+class ConfigurationOutcome:
+    """Result of `ReplaceConfiguration`.
+
+    Attributes:
+      outcome: "accepted", "known", "outdated" or "conflict".
+      version: Version in force afterwards.
+    """
+
+    outcome: str
+    version: int
+
+
+@codec.register(502, _SCHEMA, "NameWeights")
+@attrs.frozen
+class NameWeights:
+    """Command: names the newest version of a model's weights."""
+
+    model: str
+    version: int
+
+
+@codec.register(503, _SCHEMA, "WeightsOutcome")
+@attrs.frozen
+class WeightsOutcome:
+    """Result of `NameWeights`: the newest version afterwards."""
+
+    version: int
+
+
+@codec.register(504, _SCHEMA, "SiteImage")
+@attrs.frozen
+class SiteImage:
+    """Snapshot of the replicated state."""
+
+    version: int
+    digest: bytes
+    document: bytes
+    weights: tuple[messages.NamedWeights, ...]
--- /dev/null
+++ b/src/cactusstile/registry/daemon.py
@@ -0,0 +1,259 @@
+"""The registry role: a replica, its operator's interface and its feed."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+import prometheus_client
+
+from cactusstile.consensus import messages as consensus_messages
+from cactusstile.consensus import replica
+from cactusstile.control import member_messages
+from cactusstile.control import sender
+from cactusstile.http import callers
+from cactusstile.http import sockets
+from cactusstile.http import targets
+from cactusstile.observability import plain_admin
+from cactusstile.platform import client as clients
+from cactusstile.registry import feed as feeds
+from cactusstile.registry import members
+from cactusstile.registry import operator
+from cactusstile.registry import state as states
+from cactusstile.registry import weights
+from cactusstile.settings import node
+from cactusstile.sites import discovery
+from cactusstile.transport import address
+from cactusstile.transport import codec
+from cactusstile.transport import connection
+from cactusstile.transport import handshake
+from cactusstile.transport import incoming
+from cactusstile.transport import pool as pools
+from cactusstile.transport import server
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.transport import messages as transport_messages
+
+logger = logging.getLogger(__name__)
+
+ROLE = "registry"
+GROUP = "site"
+MAX_DOCUMENT_BYTES = 16 << 20
+MAX_COMMAND_BYTES = 3 << 20
+SNAPSHOT_AFTER_BYTES = 4 << 20
+TRANSFER_TIMEOUT_S = 2.0
+TIMING = connection.Timing(heartbeat_interval_s=0.5, silence_limit_s=1.5)
+
+
+@attrs.frozen
+class Registry:
+    """Parts of a running registry process.
+
+    Attributes:
+      settings: Its settings.
+      site: The replicated state.
+      replica: Its replica.
+      feed: What gateways are told.
+    """
+
+    settings: node.NodeSettings
+    site: states.SiteState
+    replica: replica.Replica
+    feed: feeds.Feed
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Returns the state of the process; it holds no key."""
+        status = self.replica.status()
+        return {
+            "name": self.settings.name,
+            "role": status.role,
+            "term": status.term,
+            "leader": status.leader_address,
+            "committed": status.commit_index,
+            "members": [
+                {
+                    "id": one.member.id,
+                    "votes": one.member.voter,
+                    "active": one.active,
+                    "synced": one.synced_index,
+                }
+                for one in status.members
+            ],
+            "configuration": self.site.image.version,
+            "weights": self.site.weights(),
+            "gateways": sorted(self.feed.watchers),
+            "targets": len(self.feed.listed),
+        }
+
+    async def hand_over(self) -> None:
+        """Gives leadership away, so that nobody need wait for its loss."""
+        if not self.replica.is_leader:
+            return
+        with anyio.move_on_after(TRANSFER_TIMEOUT_S):
+            await self.replica.transfer_leadership()
+
+
+def replica_settings(
+    settings: node.NodeSettings,
+) -> replica.ReplicaSettings:
+    """Returns the settings of this process's replica.
+
+    Only the first start of the whole system may found a group: a VM that lost
+    its disk later joins the group that exists.
+    """
+    if settings.data_folder is None:
+        raise ValueError("the registry needs a data folder; run it on a disk")
+    seeds = settings.internal_seeds
+    founders = [replica.Founder(one.host, str(one)) for one in seeds]
+    if not settings.first_start:
+        founders = [one for one in founders if one.name != settings.host]
+    return replica.ReplicaSettings(
+        name=settings.host,
+        address=str(settings.internal_address),
+        data_folder=settings.data_folder / GROUP,
+        founders=tuple(founders),
+        max_command_bytes=MAX_COMMAND_BYTES,
+        snapshot_after_bytes=SNAPSHOT_AFTER_BYTES,
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_registry(
+    settings: node.NodeSettings,
+) -> collections.abc.AsyncIterator[Registry]:
+    """Opens a registry process; leaving the context closes it.
+
+    Raises:
+      StorageError: Durable state is damaged or cannot be written.
+      OSError: An address cannot be bound.
+    """
+    identity = handshake.Identity(ROLE, settings.name)
+    secrets = handshake.Secrets(settings.secret.encode())
+    own = replica_settings(settings)
+    own.data_folder.mkdir(parents=True, exist_ok=True)
+    async with contextlib.AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        connections = await stack.enter_async_context(
+            pools.open_pool(identity, secrets, timing=TIMING)
+        )
+        notices = sender.Sender(connections, group)
+        site = states.SiteState()
+        opened = await stack.enter_async_context(
+            replica.open_replica(
+                own, site, notices.for_group(GROUP, own.address)
+            )
+        )
+        feed = feeds.Feed(site, opened)
+        site.observer = feed.wake
+        registry = Registry(settings, site, opened, feed)
+        handlers = incoming.Handlers(
+            feeds.watch_handlers(feed), _notices(opened)
+        )
+        await stack.enter_async_context(
+            server.open_server(
+                settings.internal_address, identity, secrets, handlers, TIMING
+            )
+        )
+        _start_controllers(registry, group, stack)
+        _start_listeners(registry, group, stack)
+        yield registry
+
+
+def _notices(
+    of: replica.Replica,
+) -> collections.abc.Mapping[type, incoming.NoticeHandler]:
+    def take_envelope(
+        peer: transport_messages.Hello,
+        envelope: member_messages.GroupEnvelope,
+    ) -> None:
+        if peer.role != ROLE or envelope.group != GROUP:
+            return
+        message = codec.decode(envelope.number, envelope.payload)
+        if isinstance(message, consensus_messages.Message):
+            of.receive(envelope.sender, message)
+
+    return {member_messages.GroupEnvelope: take_envelope}
+
+
+def _start_controllers(
+    registry: Registry,
+    group: anyio.abc.TaskGroup,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    feed = registry.feed
+    own_replica = registry.replica
+    pool = targets.Pool()
+    stack.callback(pool.close)
+    client = clients.Client(pool)
+
+    def take(listed: tuple[typing.Any, ...]) -> None:
+        change = discovery.describe_change(feed.listed, listed)
+        if change:
+            logger.info("targets changed", extra=change)
+        feed.set_targets(listed, anyio.current_time())
+
+    controller = weights.WeightsController(
+        client, own_replica, lambda: feed.listed, registry.site.weights
+    )
+    group.start_soon(feed.run_confirmations)
+    group.start_soon(members.run, own_replica)
+    group.start_soon(
+        discovery.run,
+        client,
+        registry.settings.platform,
+        registry.settings.list_interval_s,
+        lambda: own_replica.is_leader,
+        take,
+    )
+    group.start_soon(controller.run, group)
+    group.start_soon(_log_leadership, own_replica)
+
+
+async def _log_leadership(of: replica.Replica) -> None:
+    """Writes a line whenever the leader or the term changes."""
+    last = ("", 0)
+    while True:
+        status = of.status()
+        present = (status.leader_address, status.term)
+        if present != last:
+            logger.info(
+                "leadership changed",
+                extra={
+                    "leader": status.leader_address,
+                    "term": status.term,
+                    "role": status.role,
+                    "committed": status.commit_index,
+                },
+            )
+            last = present
+        await anyio.sleep(members.CHECK_INTERVAL_S)
+
+
+def _start_listeners(
+    registry: Registry,
+    group: anyio.abc.TaskGroup,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    settings = registry.settings
+    metrics = prometheus_client.CollectorRegistry()
+    admin = plain_admin.build(metrics, registry.dump)
+    listeners: list[tuple[address.Address, callers.Serving]] = [
+        (settings.admin_address, callers.own_serving(admin))
+    ]
+    if settings.operator is not None:
+        interface = operator.OperatorInterface(
+            registry.site, registry.replica, settings.operator.port
+        )
+        serving = callers.own_serving(interface.handle, MAX_DOCUMENT_BYTES)
+        listeners.append((settings.operator, serving))
+    for place, serving in listeners:
+        listener = sockets.listen(place)
+        stack.callback(listener.close)
+        group.start_soon(callers.serve_listener, listener, serving, group)
--- /dev/null
+++ b/src/cactusstile/registry/registry.capnp
@@ -0,0 +1,33 @@
+@0xb1f3c0a7d2e4968d;
+
+struct NamedWeights {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct ReplaceConfiguration {
+  version @0 :UInt64;
+  digest @1 :Data;
+  document @2 :Data;
+}
+
+struct ConfigurationOutcome {
+  outcome @0 :Text;
+  version @1 :UInt64;
+}
+
+struct NameWeights {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct WeightsOutcome {
+  version @0 :UInt64;
+}
+
+struct SiteImage {
+  version @0 :UInt64;
+  digest @1 :Data;
+  document @2 :Data;
+  weights @3 :List(NamedWeights);
+}
--- /dev/null
+++ b/src/cactusstile/registry/weights.py
@@ -0,0 +1,230 @@
+"""Brings engines to the weights that were named.
+
+Answers the swap of a model's weights under load: engines change over a few at
+a time, so that the others carry the requests meanwhile. All orders carry the
+term of the leader as their fence and the count of orders that the engine has
+accepted, so that one that is carried out late changes nothing.
+"""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.platform import calls
+from cactusstile.platform import client as clients
+from cactusstile.sites import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.consensus import replica
+    from cactusstile.platform import listings
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 0.1
+# Time between two looks at an engine that carries out an order.
+POLL_INTERVAL_S = 0.15
+# Time after which an order without an answer is sent again.
+REPEAT_AFTER_S = 0.5
+# Part of a model's engines that change over at once.
+SHARE_AT_ONCE = 0.37
+MISDIRECTED = 421
+FENCED_OFF = 412
+
+
+@attrs.frozen
+class Swap:
+    """An engine that is to load weights."""
+
+    target: model.Target
+    weights: model.Weights
+
+
+def next_swaps(
+    engines: collections.abc.Sequence[model.Target],
+    wanted: collections.abc.Mapping[str, int],
+    done: collections.abc.Set[tuple[tuple[str, int], str, int]],
+    under_way: collections.abc.Set[tuple[str, int]],
+) -> list[Swap]:
+    """Returns the swaps to start now.
+
+    Args:
+      engines: All targets that are listed.
+      wanted: Newest version of each model.
+      done: Incarnation, model and version of swaps that were seen to end;
+        the list tells of them later.
+      under_way: Incarnations of engines with a swap under way.
+    """
+    swaps = []
+    for name, version in wanted.items():
+        holders = []
+        lagging = []
+        for target in engines:
+            held = _held_version(target, name)
+            if held is None or target.leaving:
+                continue
+            holders.append(target)
+            if held >= version or target.incarnation in under_way:
+                continue
+            if (target.incarnation, name, version) in done:
+                continue
+            lagging.append(target)
+        places = max(1, round(SHARE_AT_ONCE * len(holders)))
+        busy = sum(one.incarnation in under_way for one in holders)
+        for target in lagging[: max(0, places - busy)]:
+            swaps.append(Swap(target, model.Weights(name, version)))
+    return swaps
+
+
+def _held_version(target: model.Target, name: str) -> int | None:
+    for one in target.weights:
+        if one.model == name:
+            return one.version
+    return None
+
+
+class WeightsController:
+    """Orders swaps while this replica leads.
+
+    Attributes:
+      done: Swaps that were seen to end.
+      under_way: Incarnations of engines with a swap under way.
+      fenced_off_term: Term in which an engine refused our fence.
+    """
+
+    def __init__(
+        self,
+        client: clients.Client,
+        own_replica: replica.Replica,
+        listed: collections.abc.Callable[[], tuple[model.Target, ...]],
+        wanted: collections.abc.Callable[[], dict[str, int]],
+    ) -> None:
+        """Orders engines that `listed` returns to what `wanted` returns."""
+        self.client = client
+        self.replica = own_replica
+        self.listed = listed
+        self.wanted = wanted
+        self.done: set[tuple[tuple[str, int], str, int]] = set()
+        self.under_way: set[tuple[str, int]] = set()
+        self.fenced_off_term = -1
+
+    async def run(self, group: anyio.abc.TaskGroup) -> None:
+        """Starts swaps in `group` for as long as the process runs."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S)
+            if not self._may_order():
+                continue
+            engines = self.listed()
+            self._forget(engines)
+            swaps = next_swaps(
+                engines, self.wanted(), self.done, self.under_way
+            )
+            for swap in swaps:
+                self.under_way.add(swap.target.incarnation)
+                group.start_soon(self._run_swap, swap)
+
+    def _may_order(self) -> bool:
+        if not self.replica.is_leader:
+            return False
+        return self.replica.status().term != self.fenced_off_term
+
+    def _forget(self, engines: tuple[model.Target, ...]) -> None:
+        """Forgets swaps of engines that are gone."""
+        present = {one.incarnation for one in engines}
+        self.done = {one for one in self.done if one[0] in present}
+
+    async def _run_swap(self, swap: Swap) -> None:
+        """Orders one swap and follows it to its end."""
+        started_s = anyio.current_time()
+        outcome = "given_up"
+        try:
+            outcome = await self._follow(swap)
+        except clients.CallError as error:
+            outcome = str(error)
+        finally:
+            self.under_way.discard(swap.target.incarnation)
+        logger.info(
+            "a swap of weights ended",
+            extra={
+                "target": swap.target.id,
+                "model": swap.weights.model,
+                "version": swap.weights.version,
+                "outcome": outcome,
+                "took_ms": round((anyio.current_time() - started_s) * 1000),
+            },
+        )
+
+    async def _follow(self, swap: Swap) -> str:
+        """Orders until the engine reports the weights; returns the outcome.
+
+        Raises:
+          CallError: The engine cannot be asked.
+        """
+        ordered_s = float("-inf")
+        while self._may_order():
+            report = await self.client.report(swap.target)
+            if _has(report, swap.weights):
+                self.done.add(
+                    (
+                        swap.target.incarnation,
+                        swap.weights.model,
+                        swap.weights.version,
+                    )
+                )
+                return "done"
+            now_s = anyio.current_time()
+            due = now_s - ordered_s >= REPEAT_AFTER_S
+            if due and not report.ordered:
+                ordered_s = now_s
+                status = await self._order(swap, report)
+                if status in (FENCED_OFF, MISDIRECTED):
+                    return f"refused_{status}"
+            await anyio.sleep(POLL_INTERVAL_S)
+        return "not_leader"
+
+    async def _order(self, swap: Swap, report: listings.Report) -> int:
+        """Sends one order; returns the status of its answer, 0 for none."""
+        status = self.replica.status()
+        if not self._may_order():
+            return 0
+        request = calls.swap_request(
+            swap.target,
+            swap.weights,
+            calls.SwapMode.FINISH_FIRST,
+            self.replica.settings.name,
+            status.term,
+            report.orders,
+        )
+        try:
+            answered = await self.client.order(swap.target, request)
+        except clients.CallError as error:
+            logger.info(
+                "an order was left without an answer",
+                extra={"target": swap.target.id, "error": str(error)},
+            )
+            return 0
+        if answered == FENCED_OFF:
+            self.fenced_off_term = status.term
+        logger.info(
+            "an order was answered",
+            extra={
+                "target": swap.target.id,
+                "status": answered,
+                "fence": status.term,
+                "expected_orders": report.orders,
+            },
+        )
+        return answered
+
+
+def _has(report: listings.Report, wanted: model.Weights) -> bool:
+    for one in report.weights:
+        if one.model == wanted.model:
+            return one.version >= wanted.version
+    return False
--- /dev/null
+++ b/src/cactusstile/settings/node.py
@@ -0,0 +1,216 @@
+"""Settings of a node on a platform that gives out VMs, lists and addresses."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import attrs
+
+from cactusstile.settings import ini
+from cactusstile.transport import address
+
+MIN_SECRET_CHARACTERS = 16
+_MAX_MS = 3_600_000
+
+
+@attrs.frozen
+class NodeSettings:
+    """Settings of one process on a node.
+
+    Attributes:
+      name: Name of the VM.
+      role: Role of the process.
+      host: IP number of the VM.
+      data_centre: Data centre of the VM.
+      first_start: Whether the whole system starts for the first time.
+      data_folder: Folder of the durable state; None without a disk.
+      internal_ports: First and last port for the system's own processes.
+      admin_port: Port for metrics and the state dump.
+      secret: Secret that the system's processes prove to each other.
+      seeds: Operator addresses of a few control processes.
+      callers: Address for callers; None if this role serves none.
+      readiness: Address for the balancer's questions.
+      operator: Address for the operator.
+      platform: Address of the platform's list of targets.
+      list_interval_s: Time between two reads of that list.
+      memory_mb: Memory that the process may use.
+      stop_s: Time between SIGTERM and SIGKILL.
+      retry_ratio: Repeats allowed for each request to a service.
+      retry_window_s: Window over which these are counted.
+      retry_slack: Repeats allowed besides.
+    """
+
+    name: str
+    role: str
+    host: str
+    data_centre: str
+    first_start: bool
+    data_folder: pathlib.Path | None
+    internal_ports: tuple[int, int]
+    admin_port: int
+    secret: str = attrs.field(repr=False)
+    seeds: tuple[address.Address, ...]
+    callers: address.Address | None
+    readiness: address.Address | None
+    operator: address.Address | None
+    platform: address.Address
+    list_interval_s: float
+    memory_mb: int
+    stop_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+
+    @property
+    def internal_address(self) -> address.Address:
+        """Address for the system's own processes."""
+        return address.Address(self.host, self.internal_ports[0])
+
+    @property
+    def internal_seeds(self) -> tuple[address.Address, ...]:
+        """Addresses of the seeds for the system's own processes."""
+        port = self.internal_ports[0]
+        return tuple(address.Address(one.host, port) for one in self.seeds)
+
+    @property
+    def admin_address(self) -> address.Address:
+        """Address for metrics and the state dump."""
+        return address.Address(self.host, self.admin_port)
+
+
+def _optional_address(text: str) -> address.Address | None:
+    return address.parse(text) if text.strip() else None
+
+
+def _addresses(text: str) -> tuple[address.Address, ...]:
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    return tuple(address.parse(part) for part in parts)
+
+
+def _folder(text: str) -> pathlib.Path | None:
+    return pathlib.Path(text) if text.strip() else None
+
+
+def _ports(text: str) -> tuple[int, int]:
+    parse = ini.integer(1, address.MAX_PORT)
+    parts = [parse(part.strip()) for part in text.split(",")]
+    if len(parts) != len(("first", "last")) or parts[0] > parts[1]:
+        raise ValueError(f"{text!r} is not like 7700,7715")
+    return parts[0], parts[1]
+
+
+def _secret(text: str) -> str:
+    if len(text) < MIN_SECRET_CHARACTERS:
+        raise ValueError(
+            f"shorter than {MIN_SECRET_CHARACTERS} characters; write a random"
+            " one"
+        )
+    return text
+
+
+def _true_or_false(text: str) -> bool:
+    return ini.choice("true", "false")(text.strip().lower()) == "true"
+
+
+OPTIONS: dict[str, tuple[ini.Option, ...]] = {
+    "node": (
+        ini.Option("name", ini.name, "name of the VM"),
+        ini.Option("role", ini.name, "role of the process"),
+        ini.Option("host", ini.name, "IP number of the VM"),
+        ini.Option("data_centre", ini.name, "data centre of the VM"),
+        ini.Option(
+            "first_start",
+            _true_or_false,
+            "whether the whole system starts for the first time",
+            False,
+        ),
+        ini.Option("data_folder", _folder, "folder of the durable state", None),
+        ini.Option(
+            "internal_ports",
+            _ports,
+            "first and last port for the system's own processes",
+        ),
+        ini.Option(
+            "admin_port",
+            ini.integer(1, address.MAX_PORT),
+            "port for metrics and the state dump",
+        ),
+        ini.Option(
+            "secret",
+            _secret,
+            "shared by the system's processes, at least"
+            f" {MIN_SECRET_CHARACTERS} characters",
+        ),
+        ini.Option(
+            "memory_mb", ini.integer(16, 1 << 20), "memory of the process", 128
+        ),
+    ),
+    "listen": (
+        ini.Option("callers", _optional_address, "address for callers", None),
+        ini.Option(
+            "readiness", _optional_address, "address for the balancer", None
+        ),
+        ini.Option(
+            "operator", _optional_address, "address for the operator", None
+        ),
+    ),
+    "control": (
+        ini.Option(
+            "seeds", _addresses, "operator addresses of control processes", ()
+        ),
+    ),
+    "discovery": (
+        ini.Option("platform", address.parse, "address of the list of targets"),
+        ini.Option(
+            "interval_ms",
+            ini.number(50, _MAX_MS),
+            "time between two reads of the list",
+            600,
+        ),
+    ),
+    "limits": (
+        ini.Option(
+            "stop_s", ini.number(1, 3600), "time from SIGTERM to SIGKILL", 8
+        ),
+        ini.Option(
+            "retry_ratio", ini.number(0, 10), "repeats for each request", 0.1
+        ),
+        ini.Option(
+            "retry_window_s", ini.number(0.1, 3600), "window of the repeats", 10
+        ),
+        ini.Option(
+            "retry_slack", ini.number(0, 1e6), "repeats allowed besides", 10
+        ),
+    ),
+}
+
+
+def load(path: pathlib.Path) -> NodeSettings:
+    """Reads the settings file of a node.
+
+    Raises:
+      InvalidFileError: With all faults of the file.
+    """
+    return parse(ini.read_text(path), str(path))
+
+
+def parse(text: str, file: str) -> NodeSettings:
+    """Returns the settings in `text`.
+
+    Raises:
+      InvalidFileError: With all faults of the text.
+    """
+    parser = ini.parse_text(text, file)
+    problems: list[ini.Problem] = []
+    for found in parser.sections():
+        if found not in OPTIONS:
+            unknown = f"unknown section; known: {' '.join(OPTIONS)}"
+            problems.append(ini.Problem(file, found, "", unknown))
+    read: dict[str, typing.Any] = {}
+    for section, options in OPTIONS.items():
+        read.update(ini.read_section(parser, section, options, file, problems))
+    if problems:
+        raise ini.InvalidFileError(problems)
+    read["list_interval_s"] = read.pop("interval_ms") / 1000
+    return NodeSettings(**read)
--- /dev/null
+++ b/src/cactusstile/sites/messages.py
@@ -0,0 +1,126 @@
+"""What gateways are told of a site."""
+
+from __future__ import annotations
+
+import attrs
+
+from cactusstile.sites import model
+from cactusstile.transport import address
+from cactusstile.transport import codec
+
+_SCHEMA = codec.load_schema(__file__, "sites.capnp")
+
+
+@codec.register(0, _SCHEMA, "NamedWeights")
+@attrs.frozen
+class NamedWeights:
+    """A version of a model's weights."""
+
+    model: str
+    version: int
+
+
+@codec.register(510, _SCHEMA, "Watch")
+@attrs.frozen
+class Watch:
+    """Call of a gateway: answered with items for as long as it is open.
+
+    Attributes:
+      known_version: Version of the configuration that the gateway holds; -1
+        for none.
+    """
+
+    known_version: int
+
+
+@codec.register(511, _SCHEMA, "ConfigurationInForce")
+@attrs.frozen
+class ConfigurationInForce:
+    """Item: a configuration, compressed."""
+
+    version: int
+    document: bytes
+
+
+@codec.register(512, _SCHEMA, "WeightsInForce")
+@attrs.frozen
+class WeightsInForce:
+    """Item: the newest versions of all models' weights."""
+
+    weights: tuple[NamedWeights, ...]
+
+
+@codec.register(0, _SCHEMA, "ListedTarget")
+@attrs.frozen
+class ListedTarget:
+    """A target as the platform lists it; see `model.Target`."""
+
+    id: str
+    born_ms: int
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    weights: tuple[NamedWeights, ...]
+
+
+@codec.register(513, _SCHEMA, "TargetList")
+@attrs.frozen
+class TargetList:
+    """Item: all targets."""
+
+    targets: tuple[ListedTarget, ...]
+
+
+@codec.register(514, _SCHEMA, "Confirmation")
+@attrs.frozen
+class Confirmation:
+    """Item: a quorum confirmed a moment ago that what was sent is newest.
+
+    Attributes:
+      list_age_ms: Age of the list of targets.
+      gateways: Gateways that watch.
+      control: Addresses of all control processes.
+    """
+
+    list_age_ms: int
+    gateways: int
+    control: tuple[str, ...]
+
+
+def encode_target(target: model.Target) -> ListedTarget:
+    """Returns a target as sent."""
+    weights = tuple(
+        NamedWeights(one.model, one.version) for one in target.weights
+    )
+    return ListedTarget(
+        target.id,
+        target.born_ms,
+        target.service,
+        str(target.address),
+        target.data_centre,
+        target.slots,
+        target.leaving,
+        target.cold_s,
+        weights,
+    )
+
+
+def decode_target(sent: ListedTarget) -> model.Target:
+    """Returns the target that `encode_target` wrote."""
+    weights = tuple(
+        model.Weights(one.model, one.version) for one in sent.weights
+    )
+    return model.Target(
+        id=sent.id,
+        service=sent.service,
+        address=address.parse(sent.address),
+        data_centre=sent.data_centre,
+        slots=sent.slots,
+        leaving=sent.leaving,
+        born_ms=sent.born_ms,
+        cold_s=sent.cold_s,
+        weights=weights,
+    )
--- /dev/null
+++ b/src/cactusstile/sites/sites.capnp
@@ -0,0 +1,41 @@
+@0xc2a4d1b8e3f5079e;
+
+struct NamedWeights {
+  model @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Watch {
+  knownVersion @0 :Int64;
+}
+
+struct ConfigurationInForce {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct WeightsInForce {
+  weights @0 :List(NamedWeights);
+}
+
+struct ListedTarget {
+  id @0 :Text;
+  bornMs @1 :Int64;
+  service @2 :Text;
+  address @3 :Text;
+  dataCentre @4 :Text;
+  slots @5 :UInt32;
+  leaving @6 :Bool;
+  coldS @7 :Float64;
+  weights @8 :List(NamedWeights);
+}
+
+struct TargetList {
+  targets @0 :List(ListedTarget);
+}
+
+struct Confirmation {
+  listAgeMs @0 :UInt32;
+  gateways @1 :UInt32;
+  control @2 :List(Text);
+}
--- a/src/cactusstile/verdict.py
+++ b/src/cactusstile/verdict.py
@@ -21,6 +21,7 @@
     BAD_REQUEST = "bad_request"
     UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_ROUTE = "unknown_route"
     TOO_LARGE = "too_large"
     OVERLOADED = "overloaded"
     DEADLINE_EXCEEDED = "deadline_exceeded"
