--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -18,6 +18,9 @@
 
 # Time that the balancer needs to notice: two questions, a second apart.
 NOTICE_S = 2.3
+# Time after which new connections are refused, so that callers go elsewhere at
+# once: what is taken later might not end before the platform kills.
+ACCEPT_S = 2.8
 # Time kept free before the platform kills the process.
 RESERVE_S = 0.8
 POLL_INTERVAL_S = 0.05
@@ -58,8 +61,11 @@
         serving.stopping = True
         with anyio.move_on_after(stop_s - RESERVE_S):
             await anyio.sleep(NOTICE_S)
+            started_s = anyio.current_time()
             while True:
                 serving.close_idle()
+                if anyio.current_time() - started_s >= ACCEPT_S - NOTICE_S:
+                    serving.accepting.cancel()
                 if not serving.open_requests and not serving.connections:
                     break
                 await anyio.sleep(POLL_INTERVAL_S)
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -80,6 +80,7 @@
       idle: Scopes of connections that wait for a request.
       open_requests: Requests that are being answered.
       connections: Connections that are open.
+      accepting: Ends when no further connection is accepted.
     """
 
     handle: Handler
@@ -89,6 +90,7 @@
     idle: set[anyio.CancelScope] = attrs.field(factory=set)
     open_requests: int = 0
     connections: int = 0
+    accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
     def close_idle(self) -> None:
         """Closes the connections that wait for a request."""
@@ -293,10 +295,14 @@
 async def serve_listener(
     listener: socket.socket, serving: Serving, group: anyio.abc.TaskGroup
 ) -> None:
-    """Accepts connections and serves each in a task of `group`."""
-    while True:
-        opened = await sockets.accept(listener)
-        group.start_soon(_serve, opened, serving)
+    """Accepts connections and serves each in a task of `group`.
+
+    Ends, and closes the listener, when `serving.accepting` is cancelled.
+    """
+    with listener, serving.accepting:
+        while True:
+            opened = await sockets.accept(listener)
+            group.start_soon(_serve, opened, serving)
 
 
 async def _serve(opened: sockets.Socket, serving: Serving) -> None:
--- a/src/cactusstile/platform/calls.py
+++ b/src/cactusstile/platform/calls.py
@@ -72,6 +72,7 @@
 def swap_request(
     target: model.Target,
     weights: model.Weights,
+    *,
     mode: SwapMode,
     holder: str,
     fence: int,
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -196,10 +196,10 @@
         request = calls.swap_request(
             swap.target,
             swap.weights,
-            calls.SwapMode.FINISH_FIRST,
-            self.replica.settings.name,
-            status.term,
-            report.orders,
+            mode=calls.SwapMode.FINISH_FIRST,
+            holder=self.replica.settings.name,
+            fence=status.term,
+            expected_orders=report.orders,
         )
         try:
             answered = await self.client.order(swap.target, request)
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from tests.support import raw_target
+
+from cactusstile.gateway import budget
+from cactusstile.gateway import forwarding
+from cactusstile.gateway import records
+from cactusstile.gateway import site_view
+from cactusstile.http import callers
+from cactusstile.http import sockets
+from cactusstile.http import targets
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+
+def route(
+    kind: model.Kind = model.Kind.IDEMPOTENT, **rest: object
+) -> model.Route:
+    values: dict[str, object] = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/a/",
+        "shares": (model.Share("plain", 1.0),),
+        "timeout_s": 2.0,
+        "max_attempts": 2,
+    }
+    return model.Route(kind=kind, **{**values, **rest})  # type: ignore[arg-type]
+
+
+def configuration(
+    *routes: model.Route,
+    version: int = 1,
+    workspaces: tuple[model.Workspace, ...] | None = None,
+    limits: callers.CallerLimits | None = None,
+) -> model.SiteConfiguration:
+    services = {"plain": model.Service("plain")}
+    return model.SiteConfiguration(
+        version, routes, services, workspaces, limits or callers.CallerLimits()
+    )
+
+
+@attrs.define
+class Bench:
+    """A gateway's request path over real sockets.
+
+    Attributes:
+      site: What it knows of the site.
+      serving: Its listener's state.
+      place: Address of its listener.
+      records: What happened to each request.
+    """
+
+    site: site_view.SiteView
+    serving: callers.Serving
+    place: address.Address
+    pool: targets.Pool
+    budget: budget.RepeatBudget
+    records: list[records.RequestRecord] = attrs.field(factory=list)
+
+    async def connect(self) -> anyio.abc.SocketStream:
+        return await anyio.connect_tcp(self.place.host, self.place.port)
+
+    async def ask(self, request: bytes) -> bytes:
+        """Sends one request and returns all bytes up to the close."""
+        async with await self.connect() as stream:
+            await stream.send(request)
+            return await read_to_end(stream)
+
+
+async def read_to_end(stream: anyio.abc.SocketStream) -> bytes:
+    data = b""
+    with anyio.fail_after(5):
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            while True:
+                data += await stream.receive()
+    return data
+
+
+def request(
+    method: bytes = b"GET", rest: bytes = b"", body: bytes = b""
+) -> bytes:
+    """Returns the bytes of a request that closes its connection."""
+    head = method + b" /a/x?q=1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    head += b"X-Cactusstile-Attempt-Id: one\r\n" + rest
+    if body:
+        head += b"Content-Length: %d\r\n" % len(body)
+    return head + b"\r\n" + body
+
+
+def status(data: bytes) -> int:
+    return int(data.split(b" ", 2)[1])
+
+
+@contextlib.asynccontextmanager
+async def open_bench(
+    found: model.SiteConfiguration | None,
+    *opened: raw_target.RawTarget,
+    ratio: float = 1.0,
+    slack: float = 10.0,
+) -> collections.abc.AsyncIterator[Bench]:
+    site = site_view.SiteView()
+    if found is not None:
+        site.replace_configuration(found)
+    site.replace_targets(tuple(one.target for one in opened), 0.0)
+    pool = targets.Pool()
+    repeats = budget.RepeatBudget(ratio, 10.0, slack)
+    ended: list[records.RequestRecord] = []
+    forwarder = forwarding.Forwarder(site, pool, repeats, ended.append)
+    serving = callers.Serving(
+        forwarder.handle, site.caller_limits, callers.BodyMemory(1 << 20)
+    )
+    listener = sockets.listen(address.Address("127.0.0.1", 0))
+    place = address.Address(*listener.getsockname())
+    async with anyio.create_task_group() as group:
+        group.start_soon(callers.serve_listener, listener, serving, group)
+        yield Bench(site, serving, place, pool, repeats, ended)
+        group.cancel_scope.cancel()
+    listener.close()
+    pool.close()
--- /dev/null
+++ b/tests/gateway/test_lifecycle.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import anyio
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.gateway import lifecycle
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_readiness_needs_configuration_and_targets() -> None:
+    async with support.open_bench(None) as bench:
+        state = lifecycle.Lifecycle(bench.site)
+        assert not state.is_ready()
+        bench.site.replace_configuration(support.configuration())
+        assert state.is_ready()
+
+
+async def test_drain_finishes_requests_and_refuses_new_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lifecycle, "NOTICE_S", 0.1)
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", 0.2)
+
+    async def answer_late(stream: object, request: bytes) -> bool:
+        await anyio.sleep(0.6)
+        return await raw_target.answer()(stream, request)  # type: ignore[arg-type]
+
+    found = support.configuration(support.route())
+    async with (
+        raw_target.open_target(answer_late) as target,
+        support.open_bench(found, target) as bench,
+        anyio.create_task_group() as group,
+    ):
+        state = lifecycle.Lifecycle(bench.site)
+        stream = await bench.connect()
+        idle = await bench.connect()
+        await stream.send(support.request())
+        while not target.requests:
+            await anyio.sleep(0.01)
+        group.start_soon(state.drain, bench.serving, 8.0)
+        await anyio.sleep(0.4)
+        assert not state.is_ready()
+        assert await support.read_to_end(idle) == b""
+        with pytest.raises(OSError, match="connect"):
+            await bench.connect()
+        assert support.status(await support.read_to_end(stream)) == 200
+        await stream.aclose()
+        await idle.aclose()
--- /dev/null
+++ b/tests/platform/test_configurations.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+import json
+import typing
+
+import pytest
+
+from cactusstile.platform import configurations
+from cactusstile.sites import model
+
+
+def document(**changes: typing.Any) -> dict[str, typing.Any]:
+    route = {
+        "name": "r",
+        "host": "H.example",
+        "pathPrefix": "/a/",
+        "kind": "streaming",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 600,
+        "priority": 1,
+        "trafficSplit": [{"service": "s", "weight": 90}],
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": True,
+        "resumable": True,
+        "targetGapMs": 300,
+    }
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    }
+    whole = {
+        "version": 7,
+        "routes": [route],
+        "services": [{"name": "s", "unknownField": 1}],
+        "limits": limits,
+        "tenants": [{"name": "w", "apiKeys": ["k"], "priority": 1}],
+    }
+    return {**whole, **changes}
+
+
+def decode(**changes: typing.Any) -> model.SiteConfiguration:
+    return configurations.decode(json.dumps(document(**changes)).encode())
+
+
+def test_configuration_is_read_in_full() -> None:
+    read = decode()
+    assert read.version == 7
+    assert read.workspaces == (model.Workspace("w", ("k",), 1),)
+    route = read.routes[0]
+    assert (route.host, route.timeout_s, route.gap_s) == ("h.example", 4.0, 0.3)
+    assert route.kind is model.Kind.STREAM
+    assert route.may_repeat
+
+
+def test_configuration_without_workspaces_needs_no_keys() -> None:
+    whole = document()
+    del whole["tenants"]
+    read = configurations.decode(json.dumps(whole).encode())
+    assert read.workspaces is None
+
+
+def changed_route(**changes: typing.Any) -> dict[str, typing.Any]:
+    return {"routes": [{**document()["routes"][0], **changes}]}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        changed_route(timeoutMs=0),
+        changed_route(trafficSplit=[{"service": "other", "weight": 1}]),
+        changed_route(trafficSplit=[{"service": "s", "weight": 0}]),
+        changed_route(trafficSplit=[]),
+        changed_route(kind="other"),
+        changed_route(host=3),
+        {"routes": document()["routes"] * 2},
+        {"version": "7"},
+        {"version": True},
+        {"limits": None},
+        {"services": {}},
+        {
+            "tenants": [
+                {"name": "a", "apiKeys": ["k"]},
+                {"name": "b", "apiKeys": ["k"]},
+            ]
+        },
+    ],
+)
+def test_invalid_configuration_is_refused(
+    changes: dict[str, typing.Any],
+) -> None:
+    with pytest.raises(model.InvalidConfigurationError):
+        decode(**changes)
+
+
+@pytest.mark.parametrize("cut", [0, 1, 40, 400])
+def test_configuration_that_is_cut_short_is_refused(cut: int) -> None:
+    whole = json.dumps(document()).encode()
+    with pytest.raises(model.InvalidConfigurationError):
+        configurations.decode(whole[:cut])
+
+
+def test_equal_contents_have_one_spelling() -> None:
+    whole = document()
+    reordered = dict(reversed(whole.items()))
+    spelled = [
+        configurations.canonical(json.dumps(one, indent=indent).encode())
+        for one, indent in ((whole, None), (reordered, 2))
+    ]
+    assert spelled[0] == spelled[1]
--- /dev/null
+++ b/tests/registry/test_weights.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+from cactusstile.registry import weights
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+
+def engine(number: int, version: int, **rest: bool) -> model.Target:
+    return model.Target(
+        id=f"e-{number}",
+        service="s",
+        address=address.Address("127.0.0.1", 1000 + number),
+        data_centre="d",
+        slots=8,
+        weights=(model.Weights("m", version),),
+        **rest,
+    )
+
+
+def ids(swaps: list[weights.Swap]) -> list[str]:
+    return [swap.target.id for swap in swaps]
+
+
+def test_a_share_of_the_engines_changes_over_at_once() -> None:
+    engines = [engine(number, 1) for number in range(9)]
+    swaps = weights.next_swaps(engines, {"m": 2}, set(), set())
+    assert ids(swaps) == ["e-0", "e-1", "e-2"]
+    under_way = {swap.target.incarnation for swap in swaps}
+    assert weights.next_swaps(engines, {"m": 2}, set(), under_way) == []
+
+
+def test_engines_that_were_seen_to_end_are_left_alone() -> None:
+    engines = [engine(number, 1) for number in range(3)]
+    done = {(engines[0].incarnation, "m", 2)}
+    assert ids(weights.next_swaps(engines, {"m": 2}, done, set())) == ["e-1"]
+    # A newer version is another swap.
+    assert ids(weights.next_swaps(engines, {"m": 3}, done, set())) == ["e-0"]
+
+
+def test_engines_that_leave_or_hold_other_models_are_left_alone() -> None:
+    engines = [engine(1, 1, leaving=True), engine(2, 2)]
+    assert weights.next_swaps(engines, {"m": 2, "x": 9}, set(), set()) == []
--- /dev/null
+++ b/tests/support/raw_target.py
@@ -0,0 +1,167 @@
+"""A target whose answers are bytes that the test writes."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+Script = collections.abc.Callable[
+    [anyio.abc.SocketStream, bytes], collections.abc.Awaitable[bool]
+]
+SEAL = b"X-Cactusstile-Response-Seal: s\r\n"
+
+
+@attrs.define
+class RawTarget:
+    """A listener that runs one script for each request.
+
+    Attributes:
+      target: The target as the platform would list it.
+      requests: Heads of the requests that arrived.
+      closed: Set once a caller closed its connection.
+      connections: Count of accepted connections.
+      read_bodies: Whether a request's body is read before the script runs.
+    """
+
+    target: model.Target
+    scripts: list[Script]
+    requests: list[bytes] = attrs.field(factory=list)
+    closed: anyio.Event = attrs.field(factory=anyio.Event)
+    connections: int = 0
+    read_bodies: bool = True
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while True:
+                    request = await self._read_request(stream)
+                    self.requests.append(request)
+                    script = self.scripts.pop(0)
+                    if not await script(stream, request):
+                        return
+            self.closed.set()
+
+    async def _read_request(self, stream: anyio.abc.SocketStream) -> bytes:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = int(find_header(head, b"content-length") or b"0")
+        while len(body) < length and self.read_bodies:
+            body += await stream.receive()
+        return head + b"\r\n\r\n" + body
+
+
+def find_header(request: bytes, name: bytes) -> bytes | None:
+    for line in request.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        found, _, value = line.partition(b":")
+        if found.strip().lower() == name:
+            return value.strip()
+    return None
+
+
+def request_id(request: bytes) -> bytes:
+    return find_header(request, b"x-cactusstile-attempt-id") or b""
+
+
+def _head(request: bytes, status: bytes, rest: bytes) -> bytes:
+    identity = b"X-Cactusstile-Attempt-Id: " + request_id(request) + b"\r\n"
+    return b"HTTP/1.1 " + status + b"\r\n" + identity + rest + b"\r\n"
+
+
+def answer(
+    body: bytes = b"done", status: bytes = b"200 OK", rest: bytes = SEAL
+) -> Script:
+    """Returns a script that answers as a whole."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        length = b"Content-Length: %d\r\n" % len(body)
+        await stream.send(_head(request, status, rest + length) + body)
+        return True
+
+    return run
+
+
+def reject(status: bytes = b"503 Full") -> Script:
+    """Returns a script that says that the request was not run."""
+    return answer(b"", status, b"X-Cactusstile-Not-Executed: 1\r\n")
+
+
+def send_raw(
+    data: bytes, *, with_head: bool = False, keep: bool = False
+) -> Script:
+    """Returns a script that sends bytes and then closes or keeps."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        head = b""
+        if with_head:
+            head = _head(request, b"200 OK", SEAL).removesuffix(b"\r\n")
+        await stream.send(head + data)
+        return keep
+
+    return run
+
+
+def stream_events(
+    ids: collections.abc.Iterable[int], *, whole: bool = True, rest: bytes = b""
+) -> Script:
+    """Returns a script that streams events, and may break off."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        fields = SEAL + b"Content-Type: text/event-stream\r\n"
+        fields += b"Transfer-Encoding: chunked\r\n"
+        await stream.send(_head(request, b"200 OK", fields))
+        for number in ids:
+            event = b"id: %d\ndata: x\n\n" % number
+            await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
+        if rest:
+            await stream.send(b"%x\r\n%b\r\n" % (len(rest), rest))
+        if whole:
+            await stream.send(b"0\r\n\r\n")
+        return whole
+
+    return run
+
+
+def silent() -> Script:
+    """Returns a script that never answers."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        del request
+        await stream.receive()
+        return True
+
+    return run
+
+
+@contextlib.asynccontextmanager
+async def open_target(
+    *scripts: Script, **fields: typing.Any
+) -> collections.abc.AsyncIterator[RawTarget]:
+    """Opens a target that runs `scripts`, one for each request."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    fields.setdefault("id", f"t-{port}")
+    listed = model.Target(
+        service=fields.pop("service", "plain"),
+        address=address.Address("127.0.0.1", port),
+        data_centre="here",
+        slots=4,
+        **fields,
+    )
+    opened = RawTarget(listed, list(scripts))
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, opened.handle)
+        yield opened
+        group.cancel_scope.cancel()
