--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
 from cactusstile.gateway import routes
+from cactusstile.gateway import sessions
 from cactusstile.gateway import site_view
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
@@ -43,6 +44,7 @@
       pool: Connections to targets.
       budget: Bound of repeated requests.
       record: Takes what happened to each request.
+      sessions: What returns, by route.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.pool = pool
         self.budget = budget
         self.record = record
+        self.sessions = sessions.Sessions()
 
     async def handle(
         self, request: messages.Request, responder: responders.Responder
@@ -69,6 +72,7 @@
         try:
             admitted = self._admit(request)
             record.note_admitted(admitted)
+            self.sessions.note(admitted.route.name, admitted.prompt)
             await self._serve(admitted, responder, record)
         except verdict.RefusedError as error:
             record.note_refusal(error.refusal)
@@ -250,8 +254,12 @@
         # A target that seems to fail is still better than none.
         possible = usable or fresh
         if admitted.route.kind is model.Kind.STREAM:
+            returning = self.sessions.returning_parts(
+                admitted.route.name, admitted.prompt
+            )
+            session = returning[-1].id if returning else ""
             return placement.choose_engine(
-                possible, admitted.prompt, admitted.salt, now_s
+                possible, admitted.prompt, admitted.salt, session, now_s
             )
         return placement.choose_service_target(possible, admitted.id, now_s)
 
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -32,15 +32,17 @@
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
     salt: str,
+    session: str,
     now_s: float,
 ) -> target_view.TargetView | None:
     """Returns the engine that is expected to answer first, if any.
 
-    Costs are counted in prompt tokens to be read before the first event.
+    Costs are counted in prompt tokens to be read before the first event. The
+    home of `session` is preferred, since other gateways send it there too.
     """
     best = None
     best_cost = float("inf")
-    home = _home(views, prompt)
+    home = _home(views, session)
     for view in views:
         cost = engine_cost(view, prompt, salt, now_s)
         if view is home:
@@ -94,26 +96,20 @@
 
 def _home(
     views: collections.abc.Sequence[target_view.TargetView],
-    prompt: prompts.Prompt,
+    session: str,
 ) -> target_view.TargetView | None:
     """Returns the engine that all gateways prefer for a session."""
-    if not prompt.parts:
+    if not session:
         return None
-    key = session_key(prompt)
     best = None
     best_score = b""
     for view in views:
-        score = _score(key, view)
+        score = _score(session, view)
         if score > best_score:
             best, best_score = view, score
     return best
 
 
-def session_key(prompt: prompts.Prompt) -> str:
-    """Returns the identity of the part by which a prompt returns."""
-    return prompt.parts[-1].id
-
-
 def _score(key: str, view: target_view.TargetView) -> bytes:
     name = view.target.id.encode()
     return hashlib.blake2b(key.encode(), key=name[:64], digest_size=8).digest()
