--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -15,8 +15,8 @@
 LOWEST_RANK = 9
 # Ranks of routes within one rank of workspaces.
 RANKS_PER_WORKSPACE_RANK = 3
-# Salt of the KV cache that all workspaces but isolated ones share.
-SHARED_SALT = "shared"
+# Name of the KV cache that all workspaces but isolated ones share.
+SHARED_WALL = "shared"
 
 
 @attrs.frozen
@@ -29,7 +29,7 @@
       route: Its route.
       workspace: Workspace of its key; None on public routes.
       prompt: What it says of its prompt.
-      salt: Salt under which its KV cache is kept.
+      wall: Those with whom its KV cache is shared; part of the salt.
       rank: Rank at engines, from 0, which goes first.
       answer_by_s: Loop time by which the final answer is due.
       caller_until_s: Loop time at which the caller stops waiting.
@@ -42,7 +42,7 @@
     route: model.Route
     workspace: model.Workspace | None
     prompt: prompts.Prompt
-    salt: str
+    wall: str
     rank: int
     answer_by_s: float
     caller_until_s: float
@@ -75,7 +75,7 @@
             request.find(headers.TOKENS),
             request.find(headers.PROMPT_PARTS),
         ),
-        salt=_salt(workspace),
+        wall=_wall(workspace),
         rank=rank_of(route, workspace),
         answer_by_s=answer_by_s,
         caller_until_s=until_s,
@@ -111,9 +111,9 @@
     return int(text)
 
 
-def _salt(workspace: model.Workspace | None) -> str:
+def _wall(workspace: model.Workspace | None) -> str:
     if workspace is None or not workspace.isolated:
-        return SHARED_SALT
+        return SHARED_WALL
     return f"workspace-{workspace.name}"
 
 
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -135,6 +135,8 @@
         elif isinstance(item, messages.TargetList):
             listed = tuple(messages.decode_target(one) for one in item.targets)
             self.take_targets(listed, "control")
+        elif isinstance(item, messages.StoreUpdates):
+            self.site.kept.take(item, now_s)
         elif isinstance(item, messages.Confirmation):
             self.site.confirmed_s = now_s
             self.site.gateways = max(1, item.gateways)
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import kept_parts
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import targets
@@ -81,12 +82,31 @@
     connection: targets.TargetConnection
 
 
+@attrs.frozen
+class Dispatch:
+    """Where a request goes, and with what.
+
+    Attributes:
+      target: The target.
+      salt: Salt under which its KV cache is kept; empty without a model.
+      weights: Version of the weights that the engine must hold; None if it
+        does not matter or is not known.
+      last_event_id: Last event that the caller has, of a resumed stream.
+      kept: Parts of the prompt that the engine fetches and saves.
+    """
+
+    target: model.Target
+    salt: str = ""
+    weights: int | None = None
+    last_event_id: int | None = None
+    kept: kept_parts.Plan = kept_parts.NOTHING
+
+
 @contextlib.asynccontextmanager
 async def open_attempt(
     pool: targets.Pool,
-    target: model.Target,
     admitted: admission.Admitted,
-    last_event_id: int | None,
+    dispatch: Dispatch,
 ) -> collections.abc.AsyncIterator[Answer | OpenStream]:
     """Sends a request to a target; leaving the context ends the attempt.
 
@@ -97,13 +117,13 @@
       AttemptError: The attempt failed.
     """
     try:
-        connection = await pool.take(target.address, CONNECT_TIMEOUT_S)
+        connection = await pool.take(dispatch.target.address, CONNECT_TIMEOUT_S)
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, arrived=False
         ) from error
     try:
-        request = outgoing(admitted, target, last_event_id)
+        request = outgoing(admitted, dispatch)
         sent_before = connection.socket.bytes_sent
         try:
             opened = await _ask(connection, request, admitted)
@@ -127,30 +147,48 @@
 
 
 def outgoing(
-    admitted: admission.Admitted,
-    target: model.Target,
-    last_event_id: int | None,
+    admitted: admission.Admitted, dispatch: Dispatch
 ) -> messages.Request:
     """Returns the request as the target receives it."""
     request = admitted.request
     dropped = {*headers.SYSTEM_FIELDS, b"content-length", b"expect"}
-    if last_event_id is not None:
+    if dispatch.last_event_id is not None:
         dropped.add(headers.LAST_EVENT_ID)
     fields = messages.end_to_end(request.headers, dropped)
     until_s = min(admitted.caller_until_s, admitted.answer_by_s)
     left_ms = max(1, int((until_s - anyio.current_time()) * 1000))
     fields.append((headers.DEADLINE_MS, b"%d" % left_ms))
-    fields.append((headers.EXPECTED_TARGET, target.id.encode()))
-    if last_event_id is not None:
-        fields.append((headers.LAST_EVENT_ID, b"%d" % last_event_id))
+    fields.append((headers.EXPECTED_TARGET, dispatch.target.id.encode()))
+    if dispatch.last_event_id is not None:
+        last = b"%d" % dispatch.last_event_id
+        fields.append((headers.LAST_EVENT_ID, last))
     if admitted.workspace is not None:
         fields.append((headers.WORKSPACE, admitted.workspace.name.encode()))
     if admitted.prompt.model:
-        fields.append((headers.CACHE_SALT, admitted.salt.encode()))
         fields.append((headers.PRIORITY, b"%d" % admitted.rank))
+        fields.extend(_cache_fields(dispatch))
     return attrs.evolve(request, headers=tuple(fields))
 
 
+def _cache_fields(dispatch: Dispatch) -> list[tuple[bytes, bytes]]:
+    """Returns the fields that tell an engine about its KV cache."""
+    fields = [(headers.CACHE_SALT, dispatch.salt.encode())]
+    if dispatch.weights is not None:
+        fields.append((headers.EXPECTED_WEIGHTS, b"%d" % dispatch.weights))
+    kept = dispatch.kept
+    if any(kept.fetches):
+        sources = [
+            "-" if one is None else f"{one.address}/{one.tokens}"
+            for one in kept.fetches
+        ]
+        fields.append((headers.KV_FETCH, ",".join(sources).encode()))
+        fields.append((headers.KV_FETCH_UNTIL, b"%d" % int(kept.until_ms)))
+    if any(kept.saves):
+        stores = ",".join(one or "-" for one in kept.saves)
+        fields.append((headers.KV_SAVE, stores.encode()))
+    return fields
+
+
 async def _ask(
     connection: targets.TargetConnection,
     request: messages.Request,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -182,15 +182,16 @@
         relay: streams.Relay,
     ) -> None:
         """Sends a request to one target and relays its answer."""
-        tokens = admitted.prompt.tokens
-        tokens -= view.held.held_tokens(admitted.salt, admitted.prompt)
-        last_event_id = relay.splitter.last_id
+        dispatch = self._dispatch(admitted, view, relay)
+        held = view.held.held_tokens(dispatch.salt, admitted.prompt)
+        fetched = max(0, dispatch.kept.fetched_tokens - held)
+        tokens = max(0, admitted.prompt.tokens - held - fetched)
         view.inflight += 1
         view.unread_tokens += tokens
-        view.held.note(admitted.salt, admitted.prompt)
+        view.held.note(dispatch.salt, admitted.prompt)
         try:
             async with exchange.open_attempt(
-                self.pool, view.target, admitted, last_event_id
+                self.pool, admitted, dispatch
             ) as opened:
                 load = opened.head.find(headers.LOAD)
                 view.note_load(load, anyio.current_time())
@@ -205,6 +206,36 @@
         if isinstance(opened, exchange.Answer):
             await self._pass_on(opened, responder)
 
+    def _dispatch(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+        relay: streams.Relay,
+    ) -> exchange.Dispatch:
+        """Returns with what a request goes to a target."""
+        last_event_id = relay.splitter.last_id
+        name = admitted.prompt.model
+        weights = view.weights.get(name)
+        if not name or weights is None:
+            salt = view.salt(name, admitted.wall)
+            return exchange.Dispatch(
+                view.target, salt, last_event_id=last_event_id
+            )
+        salt = view.salt(name, admitted.wall)
+        returning = self.sessions.returning_parts(
+            admitted.route.name, admitted.prompt
+        )
+        plan = self.site.kept.plan(
+            admitted.prompt,
+            returning,
+            salt,
+            self.site.stores(),
+            anyio.current_time(),
+        )
+        return exchange.Dispatch(
+            view.target, salt, weights, last_event_id, plan
+        )
+
     async def _pass_on(
         self, answer: exchange.Answer, responder: responders.Responder
     ) -> None:
@@ -258,8 +289,16 @@
                 admitted.route.name, admitted.prompt
             )
             session = returning[-1].id if returning else ""
+            prompt = admitted.prompt
             return placement.choose_engine(
-                possible, admitted.prompt, admitted.salt, session, now_s
+                possible,
+                prompt,
+                wall=admitted.wall,
+                session=session,
+                kept=lambda salt: self.site.kept.held_tokens(
+                    prompt, salt, now_s
+                ),
+                now_s=now_s,
             )
         return placement.choose_service_target(possible, admitted.id, now_s)
 
--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -22,7 +22,7 @@
 # once: what is taken later might not end before the platform kills.
 ACCEPT_S = 2.8
 # Time kept free before the platform kills the process.
-RESERVE_S = 0.8
+RESERVE_S = 0.35
 POLL_INTERVAL_S = 0.05
 OK = 200
 UNAVAILABLE = 503
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -16,12 +16,16 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    KeptTokens = collections.abc.Callable[[str], int]
+
 # Prompt tokens that one running request delays a new one by.
 TOKENS_PER_RUNNING = 300.0
 # Part of an unseen request's prompt that is still to be read, on average.
 UNREAD_PART = 0.3
 # Share of a prompt's tokens that its home is preferred by.
 HOME_BONUS_SHARE = 0.5
+# Time to fetch a token, as a share of the time to read it.
+FETCH_COST = 0.3
 # Factor on the queue of a target that is not warm yet.
 COLD_FACTOR = 2.0
 # Weight of a target's share of failed requests, in its own slots.
@@ -31,20 +35,31 @@
 def choose_engine(
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
-    salt: str,
+    *,
+    wall: str,
     session: str,
+    kept: KeptTokens,
     now_s: float,
 ) -> target_view.TargetView | None:
     """Returns the engine that is expected to answer first, if any.
 
     Costs are counted in prompt tokens to be read before the first event. The
     home of `session` is preferred, since other gateways send it there too.
+
+    Args:
+      views: Engines to choose from.
+      prompt: Prompt of the request.
+      wall: Those with whom its KV cache is shared.
+      session: Identity of the part by which the prompt returns.
+      kept: Returns the first tokens that stores hold under a salt.
+      now_s: Loop time.
     """
     best = None
     best_cost = float("inf")
     home = _home(views, session)
     for view in views:
-        cost = engine_cost(view, prompt, salt, now_s)
+        salt = view.salt(prompt.model, wall)
+        cost = engine_cost(view, prompt, salt, kept(salt), now_s)
         if view is home:
             cost -= HOME_BONUS_SHARE * prompt.tokens
         if cost < best_cost:
@@ -56,10 +71,13 @@
     view: target_view.TargetView,
     prompt: prompts.Prompt,
     salt: str,
+    kept_tokens: int,
     now_s: float,
 ) -> float:
     """Returns the prompt tokens that an engine reads before an answer."""
-    missing = prompt.tokens - view.held.held_tokens(salt, prompt)
+    held = view.held.held_tokens(salt, prompt)
+    fetched = max(0, kept_tokens - held)
+    missing = prompt.tokens - held - fetched + FETCH_COST * fetched
     others = view.others(now_s)
     queue = view.unread_tokens + others * UNREAD_PART * prompt.tokens
     queue += TOKENS_PER_RUNNING * view.occupied(now_s)
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cactusstile.gateway import kept_parts
 from cactusstile.gateway import routes
 from cactusstile.gateway import target_view
 from cactusstile.http import callers
@@ -23,6 +24,7 @@
       confirmed_s: Loop time at which control last confirmed what is known.
       gateways: Gateways that share the site's limits.
       control: Addresses of control processes, as last told.
+      kept: Contents of the stores.
     """
 
     table: routes.Table | None = None
@@ -33,6 +35,7 @@
     confirmed_s: float | None = None
     gateways: int = 1
     control: tuple[str, ...] = ()
+    kept: kept_parts.KeptParts = attrs.field(factory=kept_parts.KeptParts)
 
     @property
     def version(self) -> int:
@@ -60,6 +63,12 @@
             services = self.table.configuration.services
         self.targets.update(listed, services)
 
+    def stores(self) -> tuple[model.Store, ...]:
+        """Returns the stores of the configuration in force."""
+        if self.table is None:
+            return ()
+        return self.table.configuration.stores
+
     def is_ready(self) -> bool:
         """Returns whether requests can be forwarded."""
         return self.table is not None and self.listed_s is not None
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -52,6 +52,7 @@
       ejected_until_s: Loop time until which it is passed over.
       refusing_until_s: Loop time until which it takes no work, by its own
         word.
+      weights: Version of each model's weights that it holds.
     """
 
     target: model.Target
@@ -63,6 +64,29 @@
     failure_share: float = 0.0
     ejected_until_s: float = 0.0
     refusing_until_s: float = 0.0
+    weights: dict[str, int] = attrs.field(factory=dict)
+
+    def note_listed(self, target: model.Target) -> None:
+        """Takes over what the platform lists; it lags behind answers."""
+        self.target = target
+        for one in target.weights:
+            if one.version > self.weights.get(one.model, 0):
+                self.note_weights(one.model, one.version)
+
+    def note_weights(self, name: str, version: int) -> None:
+        """Notes which weights the target holds."""
+        if self.weights.get(name) == version:
+            return
+        self.weights[name] = version
+        self.held.clear()
+
+    def salt(self, name: str, wall: str) -> str:
+        """Returns the salt of the KV cache made for a model there.
+
+        It holds the version of the weights, so that parts which other weights
+        made are never found.
+        """
+        return f"{wall}/{name}/{self.weights.get(name, 0)}"
 
     def note_load(self, text: str | None, now_s: float) -> None:
         """Notes the load that a target reports as "running,waiting,slots"."""
@@ -148,9 +172,7 @@
             if view is None:
                 limit = _held_limit(services.get(target.service))
                 view = TargetView(target, prompts.HeldParts(limit))
-            if _weights_changed(view.target, target):
-                view.held.clear()
-            view.target = target
+            view.note_listed(target)
             kept[target.incarnation] = view
         self.views = kept
         self.by_service = {}
@@ -175,7 +197,3 @@
     if service is None or service.engine is None:
         return DEFAULT_HELD_TOKENS
     return service.engine.kv_tokens or DEFAULT_HELD_TOKENS
-
-
-def _weights_changed(before: model.Target, after: model.Target) -> bool:
-    return before.weights != after.weights
--- a/src/cactusstile/platform/client.py
+++ b/src/cactusstile/platform/client.py
@@ -11,6 +11,7 @@
 from cactusstile.http import targets
 from cactusstile.platform import calls
 from cactusstile.platform import listings
+from cactusstile.platform import stores
 from cactusstile.sites import model
 from cactusstile.transport import address
 
@@ -76,6 +77,40 @@
         body = await self._read(target.address, calls.report_request(target))
         return _decode(listings.decode_report, body)
 
+    async def kept_parts(self, store: model.Store) -> stores.Contents:
+        """Returns all parts that a store holds whole.
+
+        Raises:
+          CallError: It could not be asked.
+        """
+        body = await self._read(store.address, stores.list_request())
+        return _decode(stores.decode_contents, body)
+
+    async def kept_events(
+        self, store: model.Store, since: int, wait_ms: int
+    ) -> stores.Events:
+        """Returns changes of a store's contents, once there are some.
+
+        Raises:
+          CallError: It could not be asked.
+        """
+        request = stores.events_request(since, wait_ms)
+        body = await self._read(store.address, request, wait_ms / 1000)
+        return _decode(stores.decode_events, body)
+
+    async def free_parts(
+        self,
+        store: model.Store,
+        request: messages.Request,
+    ) -> int:
+        """Frees parts of a store and returns the status of the answer.
+
+        Raises:
+          CallError: No answer; the parts may be freed.
+        """
+        status, _ = await self._call(store.address, request)
+        return status
+
     async def order(
         self, target: model.Target, request: messages.Request
     ) -> int:
@@ -88,18 +123,24 @@
         return status
 
     async def _read(
-        self, target: address.Address, request: messages.Request
+        self,
+        target: address.Address,
+        request: messages.Request,
+        wait_s: float = 0.0,
     ) -> bytes:
-        status, body = await self._call(target, request)
+        status, body = await self._call(target, request, wait_s)
         if status != OK:
             raise CallError(f"{target} answered {status}", status)
         return body
 
     async def _call(
-        self, target: address.Address, request: messages.Request
+        self,
+        target: address.Address,
+        request: messages.Request,
+        wait_s: float = 0.0,
     ) -> tuple[int, bytes]:
         try:
-            with anyio.fail_after(CALL_TIMEOUT_S):
+            with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
                 connection = await self.pool.take(target, CONNECT_TIMEOUT_S)
                 try:
                     head = await connection.ask(request, lambda _: True)
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -8,6 +8,7 @@
 from cactusstile.http import callers
 from cactusstile.platform import fields
 from cactusstile.sites import model
+from cactusstile.transport import address
 
 _KINDS = {
     "idempotent": model.Kind.IDEMPOTENT,
@@ -31,6 +32,7 @@
         routes = tuple(_route(one) for one in fields.tables(read, "routes"))
         workspaces = _workspaces(read)
         limits = _limits(fields.table(read.get("limits")))
+        stores = _stores(fields.tables(read, "services"))
     except (ValueError, RecursionError) as error:
         raise model.InvalidConfigurationError(
             f"the configuration cannot be read: {error}"
@@ -40,7 +42,7 @@
     _check_routes(routes, services)
     _check_keys(workspaces)
     return model.SiteConfiguration(
-        version, routes, services, workspaces, limits
+        version, routes, services, workspaces, limits, stores
     )
 
 
@@ -85,6 +87,23 @@
     return found
 
 
+def _stores(read: list[fields.Table]) -> tuple[model.Store, ...]:
+    """Returns the services that are stores: those with a store's address."""
+    found = []
+    for one in read:
+        if one.get("kvStoreAddr") is None:
+            continue
+        found.append(
+            model.Store(
+                fields.text(one, "name"),
+                address.parse(fields.text(one, "kvStoreAddr")),
+                fields.text(one, "zone", ""),
+                fields.whole(one, "kvCapacity", 0),
+            )
+        )
+    return tuple(found)
+
+
 def _engine(read: fields.Table) -> model.Engine:
     models = fields.tables(read, "models", required=False)
     return model.Engine(
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -24,6 +24,7 @@
 from cactusstile.registry import members
 from cactusstile.registry import operator
 from cactusstile.registry import state as states
+from cactusstile.registry import store_watch
 from cactusstile.registry import weights
 from cactusstile.settings import node
 from cactusstile.sites import discovery
@@ -213,6 +214,14 @@
         take,
     )
     group.start_soon(controller.run, group)
+    watch = store_watch.StoreWatch(
+        client,
+        lambda: own_replica.is_leader,
+        registry.site.stores,
+        feed.update_stores,
+    )
+    feed.contents = watch.contents
+    group.start_soon(watch.run, group)
     group.start_soon(_log_leadership, own_replica)
 
 
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -9,6 +9,7 @@
 
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
+from cactusstile.registry import store_contents
 from cactusstile.sites import messages
 from cactusstile.transport import codec
 from cactusstile.transport import exceptions as transport_exceptions
@@ -36,6 +37,7 @@
     weights: tuple[messages.NamedWeights, ...] = ()
     list_number: int = 0
     confirmation: int = 0
+    store_round: int = -1
 
 
 class Feed:
@@ -48,6 +50,7 @@
       listed: Targets as last listed.
       list_number: Count of lists that differed.
       listed_s: Loop time of the last list.
+      contents: Contents of the stores, by address.
     """
 
     def __init__(
@@ -60,7 +63,10 @@
         self.listed: tuple[model.Target, ...] = ()
         self.list_number = 0
         self.listed_s = float("-inf")
+        self.contents: dict[str, store_contents.StoreContents] = {}
         self._confirmation = 0
+        self._store_round = 0
+        self._store_changes = messages.StoreUpdates(())
         self._changed = anyio.Event()
         self._encoded: tuple[int, bytes] = (-1, b"")
 
@@ -80,6 +86,14 @@
         self.list_number += 1
         self.wake()
 
+    def update_stores(self) -> None:
+        """Takes what changed in the stores, and has it sent."""
+        self._store_changes = messages.StoreUpdates(
+            tuple(one.take_update() for one in self.contents.values())
+        )
+        self._store_round += 1
+        self.wake()
+
     async def run_confirmations(self) -> None:
         """Has a quorum confirm again and again that this replica leads."""
         was_leader = False
@@ -89,6 +103,7 @@
                 try:
                     await self.replica.read_barrier()
                     self._confirmation += 1
+                    self.update_stores()
                 except consensus_exceptions.ConsensusError:
                     leads = False
             if leads or was_leader:
@@ -146,10 +161,21 @@
             sent.list_number = self.list_number
             item, payload = self._encoded_list()
             await responder.send(item, payload)
+        if self._store_round > sent.store_round:
+            await responder.send(self._store_item(sent.store_round))
+            sent.store_round = self._store_round
         if self._confirmation > sent.confirmation:
             sent.confirmation = self._confirmation
             await responder.send(self._describe())
 
+    def _store_item(self, sent_round: int) -> messages.StoreUpdates:
+        """Returns what changed since the round that was sent last."""
+        if sent_round == self._store_round - 1:
+            return self._store_changes
+        return messages.StoreUpdates(
+            tuple(one.whole() for one in self.contents.values())
+        )
+
     def _encoded_list(self) -> tuple[messages.TargetList, bytes]:
         """Returns the list of targets, encoded once for all watches."""
         item = messages.TargetList(
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -5,8 +5,11 @@
 import typing
 
 from cactusstile.control import commands
+from cactusstile.platform import configurations
 from cactusstile.registry import commands as site_commands
+from cactusstile.sites import documents
 from cactusstile.sites import messages
+from cactusstile.sites import model
 from cactusstile.transport import exceptions as transport_exceptions
 from cactusstile.transport import messages as transport_messages
 
@@ -28,6 +31,7 @@
         """Starts empty."""
         self.image = site_commands.SiteImage(0, b"", b"", ())
         self.observer = observer
+        self._stores: tuple[int, tuple[model.Store, ...]] = (-1, ())
 
     @property
     def has_configuration(self) -> bool:
@@ -38,6 +42,15 @@
         """Returns the newest version of each model's weights."""
         return {one.model: one.version for one in self.image.weights}
 
+    def stores(self) -> tuple[model.Store, ...]:
+        """Returns the stores that the configuration in force names."""
+        image = self.image
+        if self.has_configuration and self._stores[0] != image.version:
+            document = documents.decompress(image.document)
+            read = configurations.decode(document)
+            self._stores = (image.version, read.stores)
+        return self._stores[1]
+
     def outcome_of(
         self, version: int, digest: bytes
     ) -> site_commands.ConfigurationOutcome:
--- /dev/null
+++ b/src/cactusstile/registry/store_watch.py
@@ -0,0 +1,125 @@
+"""Follows the contents of all stores while this replica leads."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import anyio.abc
+
+from cactusstile.platform import client as clients
+from cactusstile.registry import store_contents
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from cactusstile.sites import model
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 0.2
+# Time that a store holds the call back while nothing changes.
+EVENTS_WAIT_MS = 400
+RETRY_INTERVAL_S = 0.3
+# Time after an election until an earlier leader's frees are surely over.
+SETTLING_S = 1.0
+
+
+class StoreWatch:
+    """Contents of the stores that the configuration names.
+
+    Attributes:
+      contents: Contents of each store, by its address.
+    """
+
+    def __init__(
+        self,
+        client: clients.Client,
+        leads: collections.abc.Callable[[], bool],
+        named: collections.abc.Callable[[], tuple[model.Store, ...]],
+        on_loss: collections.abc.Callable[[], None],
+    ) -> None:
+        """Follows the stores that `named` returns while `leads` says so.
+
+        Args:
+          client: Makes the calls.
+          leads: Returns whether this process leads.
+          named: Returns the stores of the configuration in force.
+          on_loss: Called when the contents of a store are lost.
+        """
+        self.client = client
+        self.leads = leads
+        self.named = named
+        self.on_loss = on_loss
+        self.contents: dict[str, store_contents.StoreContents] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    async def run(self, group: anyio.abc.TaskGroup) -> None:
+        """Starts and ends the following of stores."""
+        led_s: float | None = None
+        while True:
+            wanted: dict[str, model.Store] = {}
+            now_s = anyio.current_time()
+            if self.leads():
+                led_s = now_s if led_s is None else led_s
+                if now_s - led_s >= SETTLING_S:
+                    wanted = {str(one.address): one for one in self.named()}
+            else:
+                led_s = None
+            for address in tuple(self._scopes):
+                if address not in wanted:
+                    self._scopes.pop(address).cancel()
+                    del self.contents[address]
+            for address, store in wanted.items():
+                if address not in self._scopes:
+                    self._scopes[address] = anyio.CancelScope()
+                    held = store_contents.StoreContents(address)
+                    self.contents[address] = held
+                    group.start_soon(self._follow, store, held)
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def _follow(
+        self, store: model.Store, held: store_contents.StoreContents
+    ) -> None:
+        """Follows one store until its scope is cancelled."""
+        reachable = True
+        with self._scopes[held.address]:
+            while True:
+                try:
+                    await self._read(store, held)
+                    reachable = True
+                except clients.CallError as error:
+                    if reachable:
+                        logger.warning(
+                            "a store is lost",
+                            extra={"store": store.name, "error": str(error)},
+                        )
+                    reachable = False
+                held.lose()
+                self.on_loss()
+                await anyio.sleep(RETRY_INTERVAL_S)
+
+    async def _read(
+        self, store: model.Store, held: store_contents.StoreContents
+    ) -> None:
+        """Reads the list and then the changes, until one contradicts."""
+        held.replace(await self.client.kept_parts(store))
+        logger.info(
+            "the contents of a store are known",
+            extra={
+                "store": store.name,
+                "epoch": held.epoch,
+                "parts": len(held.parts),
+            },
+        )
+        while True:
+            events = await self.client.kept_events(
+                store, held.next_event, EVENTS_WAIT_MS
+            )
+            if held.take(events):
+                continue
+            if events.epoch != held.epoch:
+                return
+            # Events were lost; the contents are read anew, and still hold.
+            held.replace(await self.client.kept_parts(store))
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -74,6 +74,45 @@
     targets: tuple[ListedTarget, ...]
 
 
+@codec.register(0, _SCHEMA, "KeptPart")
+@attrs.frozen
+class KeptPart:
+    """A part in a store; see `model.KeptPart`."""
+
+    salt: str
+    id: str
+    tokens: int
+
+
+@codec.register(0, _SCHEMA, "StoreUpdate")
+@attrs.frozen
+class StoreUpdate:
+    """What gateways may use of one store.
+
+    Attributes:
+      address: Address of the store.
+      open: Whether parts may be fetched and saved.
+      fetch_until_ms: Time by which a fetch must have ended, on the clock that
+        all targets share.
+      whole: Whether `changes` replace all that was known.
+      changes: Parts as they are now; one without tokens is gone.
+    """
+
+    address: str
+    open: bool
+    fetch_until_ms: float
+    whole: bool
+    changes: tuple[KeptPart, ...]
+
+
+@codec.register(515, _SCHEMA, "StoreUpdates")
+@attrs.frozen
+class StoreUpdates:
+    """Item: what changed in all stores."""
+
+    stores: tuple[StoreUpdate, ...]
+
+
 @codec.register(514, _SCHEMA, "Confirmation")
 @attrs.frozen
 class Confirmation:
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -99,6 +99,38 @@
     engine: Engine | None = None
 
 
+@attrs.frozen
+class Store:
+    """A store of kept KV cache.
+
+    Attributes:
+      name: Name of its service.
+      address: Where it listens.
+      data_centre: Data centre of its VM.
+      kv_tokens: Tokens of KV cache that it holds.
+    """
+
+    name: str
+    address: address.Address
+    data_centre: str
+    kv_tokens: int
+
+
+@attrs.frozen
+class KeptPart:
+    """A part of prompts that a store holds whole.
+
+    Attributes:
+      salt: Salt under which it was made.
+      id: Identity of the part.
+      tokens: Its length; 0 if it is gone.
+    """
+
+    salt: str
+    id: str
+    tokens: int
+
+
 @attrs.frozen
 class Workspace:
     """A workspace with its keys.
@@ -127,6 +159,7 @@
       services: All services by name.
       workspaces: All workspaces; None if callers need no key.
       limits: Bounds of what callers may send.
+      stores: Stores of kept KV cache.
     """
 
     version: int
@@ -134,6 +167,7 @@
     services: dict[str, Service]
     workspaces: tuple[Workspace, ...] | None
     limits: callers.CallerLimits
+    stores: tuple[Store, ...] = ()
 
 
 @attrs.frozen
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -34,6 +34,24 @@
   targets @0 :List(ListedTarget);
 }
 
+struct KeptPart {
+  salt @0 :Text;
+  id @1 :Text;
+  tokens @2 :UInt32;
+}
+
+struct StoreUpdate {
+  address @0 :Text;
+  open @1 :Bool;
+  fetchUntilMs @2 :Float64;
+  whole @3 :Bool;
+  changes @4 :List(KeptPart);
+}
+
+struct StoreUpdates {
+  stores @0 :List(StoreUpdate);
+}
+
 struct Confirmation {
   listAgeMs @0 :UInt32;
   gateways @1 :UInt32;
