--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -48,8 +48,17 @@
         pool: pools.Pool,
         site: site_view.SiteView,
         seeds: collections.abc.Sequence[address.Address],
+        own_address: str,
     ) -> None:
-        """Asks `seeds` and whom they name."""
+        """Asks `seeds` and whom they name.
+
+        Args:
+          pool: Connections to control processes.
+          site: The view to keep.
+          seeds: Control processes to ask first.
+          own_address: Where this gateway takes the loads of others.
+        """
+        self.own_address = own_address
         self.pool = pool
         self.site = site
         self.seeds = tuple(seeds)
@@ -110,7 +119,7 @@
     async def _take_items(
         self, opened: connection.Connection, target: address.Address
     ) -> None:
-        watch = messages.Watch(self.site.version)
+        watch = messages.Watch(self.site.version, self.own_address)
         async with opened.open_stream(watch, pings=False) as stream:
             while True:
                 with anyio.fail_after(SILENCE_LIMIT_S):
@@ -139,7 +148,7 @@
             self.site.kept.take(item, now_s)
         elif isinstance(item, messages.Confirmation):
             self.site.confirmed_s = now_s
-            self.site.gateways = max(1, item.gateways)
+            self.site.gateways = item.gateways
             self.site.control = item.control
             if self.site.listed_s is not None:
                 age_s = item.list_age_ms / 1000
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -14,6 +14,7 @@
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import lifecycle
+from cactusstile.gateway import load_exchange
 from cactusstile.gateway import metrics as gateway_metrics
 from cactusstile.gateway import records
 from cactusstile.gateway import site_view
@@ -84,7 +85,7 @@
             "configuration": self.site.version,
             "ready": self.lifecycle.is_ready(),
             "leader": str(self.watch.leader or ""),
-            "gateways": self.site.gateways,
+            "gateways": list(self.site.gateways),
             "weights": self.site.weights,
             "open_requests": self.serving.open_requests,
             "targets": views,
@@ -130,7 +131,7 @@
     )
 
     def record(ended: records.RequestRecord) -> None:
-        budget.gateways = site.gateways
+        budget.gateways = max(1, len(site.gateways))
         counted.version.set(site.version)
         counted.count(ended)
         request_logger.info("request ended", extra=ended.fields())
@@ -143,7 +144,10 @@
         callers.BodyMemory(int(memory_bytes)),
     )
     watch = control_watch.ControlWatch(
-        connections, site, settings.internal_seeds
+        connections,
+        site,
+        settings.internal_seeds,
+        str(settings.internal_address),
     )
     return Gateway(
         settings,
@@ -175,6 +179,13 @@
         lambda listed: gateway.watch.take_targets(listed, "platform"),
     )
     group.start_soon(_sweep, pool)
+    exchange = load_exchange.LoadExchange(
+        site,
+        gateway.settings.name,
+        gateway.settings.internal_address,
+        gateway.settings.secret.encode(),
+    )
+    group.start_soon(exchange.run)
 
 
 async def _sweep(pool: targets.Pool) -> None:
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -102,6 +102,23 @@
     kept: kept_parts.Plan = kept_parts.NOTHING
 
 
+@attrs.define
+class Work:
+    """Work that one attempt brings a target.
+
+    Attributes:
+      unread_tokens: Prompt tokens that are still to be read.
+      fetched_tokens: Prompt tokens that come from stores.
+      cost_tokens: Tokens to be read before the first event, with the queue.
+      started_s: Loop time of the attempt's start.
+    """
+
+    unread_tokens: int
+    fetched_tokens: int
+    cost_tokens: float
+    started_s: float
+
+
 @contextlib.asynccontextmanager
 async def open_attempt(
     pool: targets.Pool,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -135,7 +135,7 @@
             record.begin_attempt(view, anyio.current_time())
             attempts.begin(view.target)
             try:
-                await self._attempt(admitted, view, responder, relay)
+                await self._attempt(admitted, view, relay, record)
                 record.end_attempt("answered", anyio.current_time())
                 return
             except exchange.AttemptError as error:
@@ -178,16 +178,15 @@
         self,
         admitted: admission.Admitted,
         view: target_view.TargetView,
-        responder: responders.Responder,
         relay: streams.Relay,
+        record: records.RequestRecord,
     ) -> None:
         """Sends a request to one target and relays its answer."""
         dispatch = self._dispatch(admitted, view, relay)
-        held = view.held.held_tokens(dispatch.salt, admitted.prompt)
-        fetched = max(0, dispatch.kept.fetched_tokens - held)
-        tokens = max(0, admitted.prompt.tokens - held - fetched)
+        work = self._estimate(admitted, view, dispatch)
+        record.note_work(admitted, work, dispatch)
         view.inflight += 1
-        view.unread_tokens += tokens
+        view.unread_tokens += work.unread_tokens
         view.held.note(dispatch.salt, admitted.prompt)
         try:
             async with exchange.open_attempt(
@@ -196,15 +195,47 @@
                 load = opened.head.find(headers.LOAD)
                 view.note_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
-                    view.unread_tokens -= tokens
-                    tokens = 0
+                    record.attempts[-1].first_event_s = anyio.current_time()
+                    self._note_first_event(dispatch, work)
+                    view.unread_tokens -= work.unread_tokens
+                    work.unread_tokens = 0
                     await relay.feed(opened)
             view.note_success()
         finally:
             view.inflight -= 1
-            view.unread_tokens -= tokens
+            view.unread_tokens -= work.unread_tokens
         if isinstance(opened, exchange.Answer):
-            await self._pass_on(opened, responder)
+            await self._pass_on(opened, relay.responder)
+
+    def _estimate(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+        dispatch: exchange.Dispatch,
+    ) -> exchange.Work:
+        """Returns the work that a request brings a target."""
+        now_s = anyio.current_time()
+        prompt = admitted.prompt
+        held = view.held.held_tokens(dispatch.salt, prompt)
+        fetched = max(0, dispatch.kept.fetched_tokens - held)
+        unread = max(0, prompt.tokens - held - fetched)
+        cost = unread + placement.queue_cost(view, prompt, now_s)
+        return exchange.Work(unread, fetched, cost, now_s)
+
+    def _note_first_event(
+        self, dispatch: exchange.Dispatch, work: exchange.Work
+    ) -> None:
+        """Learns from the time until an engine's answer began."""
+        now_s = anyio.current_time()
+        took_s = now_s - work.started_s
+        costs = self.site.kept.costs
+        if not work.fetched_tokens:
+            costs.note_read(work.cost_tokens, took_s)
+            return
+        store, _ = dispatch.kept.main_source()
+        costs.note_fetch(
+            store, work.fetched_tokens, work.cost_tokens, took_s, now_s
+        )
 
     def _dispatch(
         self,
--- a/src/cactusstile/gateway/kept_parts.py
+++ b/src/cactusstile/gateway/kept_parts.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from cactusstile.gateway import fetch_costs
 from cactusstile.gateway import prompts
 from cactusstile.routing import rendezvous
 from cactusstile.sites import messages
@@ -57,6 +58,14 @@
     saves: tuple[str | None, ...] = ()
     until_ms: float = 0.0
 
+    def main_source(self) -> tuple[str, int]:
+        """Returns the store that most tokens come from, and how many."""
+        found = ("", 0)
+        for one in self.fetches:
+            if one is not None and one.tokens > found[1]:
+                found = (one.address, one.tokens)
+        return found
+
     @property
     def fetched_tokens(self) -> int:
         """Tokens of the prompt that stores hold."""
@@ -112,10 +121,12 @@
     Attributes:
       stores: View of each store, by its address.
       saving: Loop time until which a part counts as being saved.
+      costs: Whether fetches pay.
     """
 
     stores: dict[str, StoreView] = attrs.field(factory=dict)
     saving: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    costs: fetch_costs.FetchCosts = attrs.field(factory=fetch_costs.FetchCosts)
 
     def take(self, updates: messages.StoreUpdates, now_s: float) -> None:
         """Takes updates of all stores over; others are forgotten."""
@@ -167,7 +178,7 @@
             save = None
             if fetch is not None:
                 until_ms = min(until_ms, self.stores[fetch.address].until_ms)
-            elif part in returning:
+            elif part in returning and not self._is_kept(key):
                 save = self._choose_store(key, part.tokens, capacities, now_s)
             saves.append(save)
         return Plan(tuple(fetches), tuple(saves), until_ms)
@@ -175,10 +186,16 @@
     def _find(self, key: tuple[str, str], now_s: float) -> Fetch | None:
         for view in self.stores.values():
             tokens = view.parts.get(key)
-            if tokens and view.is_usable(now_s):
+            if not tokens or not view.is_usable(now_s):
+                continue
+            if self.costs.pays(view.address, now_s):
                 return Fetch(view.address, tokens)
         return None
 
+    def _is_kept(self, key: tuple[str, str]) -> bool:
+        """Returns whether any store holds a part, usable or not."""
+        return any(key in view.parts for view in self.stores.values())
+
     def _choose_store(
         self,
         key: tuple[str, str],
@@ -195,6 +212,8 @@
             view = self.stores.get(address)
             if view is None or not view.is_usable(now_s):
                 continue
+            if not self.costs.pays(address, now_s):
+                continue
             room = store.kv_tokens * FILLED_SHARE - view.used_tokens
             if room >= tokens:
                 weight = float(store.kv_tokens)
--- /dev/null
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -0,0 +1,132 @@
+"""Gateways tell each other what they have under way at each target.
+
+Answers days on which many gateways choose among few engines: each would
+otherwise see the load of the others only in the answers of targets, after the
+fact, and several would choose the same idle engine. Datagrams may be lost; the
+next one replaces them.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+
+import anyio
+import anyio.abc
+
+from cactusstile.gateway import site_view
+from cactusstile.gateway import target_view
+from cactusstile.sites import messages
+from cactusstile.transport import address
+from cactusstile.transport import codec
+from cactusstile.transport import exceptions as transport_exceptions
+
+logger = logging.getLogger(__name__)
+
+SEND_INTERVAL_S = 0.04
+# Time after which an unchanged load is sent again, since datagrams get lost.
+REPEAT_INTERVAL_S = 0.4
+MAC_BYTES = 16
+
+Loads = tuple[messages.TargetLoad, ...]
+
+
+class LoadExchange:
+    """Sends this gateway's load to the others, and takes theirs."""
+
+    def __init__(
+        self,
+        site: site_view.SiteView,
+        name: str,
+        own: address.Address,
+        secret: bytes,
+    ) -> None:
+        """Exchanges loads of `site`.
+
+        Args:
+          site: What this gateway knows of the site.
+          name: Name of this gateway.
+          own: Address that datagrams arrive at.
+          secret: Proves that a datagram is a gateway's.
+        """
+        self.site = site
+        self.name = name
+        self.own = own
+        self.secret = secret
+
+    async def run(self) -> None:
+        """Exchanges loads for as long as the process runs."""
+        async with (
+            await anyio.create_udp_socket(
+                local_host=self.own.host, local_port=self.own.port
+            ) as socket,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self._receive, socket)
+            await self._send(socket)
+
+    async def _send(self, socket: anyio.abc.UDPSocket) -> None:
+        sent: Loads = ()
+        sent_s = float("-inf")
+        while True:
+            await anyio.sleep(SEND_INTERVAL_S)
+            loads = self.own_loads()
+            now_s = anyio.current_time()
+            if loads == sent and now_s - sent_s < REPEAT_INTERVAL_S:
+                continue
+            sent, sent_s = loads, now_s
+            data = self.encode(loads)
+            for peer in self.site.gateways:
+                place = address.parse(peer)
+                if place != self.own:
+                    await self._send_to(socket, data, place)
+
+    async def _send_to(
+        self, socket: anyio.abc.UDPSocket, data: bytes, peer: address.Address
+    ) -> None:
+        try:
+            await socket.sendto(data, peer.host, peer.port)
+        except OSError as error:
+            logger.debug("a load was not sent to %s: %s", peer, error)
+
+    async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
+        async for data, _ in socket:
+            self.take(data)
+
+    def own_loads(self) -> Loads:
+        """Returns what this gateway has under way."""
+        return tuple(
+            messages.TargetLoad(
+                view.target.id, view.inflight, max(0, view.unread_tokens)
+            )
+            for view in self.site.targets.views.values()
+            if view.inflight
+        )
+
+    def encode(self, loads: Loads) -> bytes:
+        """Returns the datagram that tells `loads`."""
+        data = codec.encode(messages.GatewayLoad(self.name, loads))
+        return self._mac(data) + data
+
+    def take(self, datagram: bytes) -> None:
+        """Takes over what another gateway tells; others are dropped."""
+        mac, data = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(data)):
+            return
+        number = codec.number_of(messages.GatewayLoad)
+        try:
+            read = codec.decode(number, data)
+        except transport_exceptions.ProtocolError:
+            return
+        if not isinstance(read, messages.GatewayLoad):
+            return
+        now_s = anyio.current_time()
+        loads = {
+            one.id: target_view.PeerLoad(one.inflight, one.unread_tokens, now_s)
+            for one in read.targets
+        }
+        self.site.targets.take_peer(read.gateway, loads, now_s)
+
+    def _mac(self, data: bytes) -> bytes:
+        return hmac.digest(self.secret, data, hashlib.sha256)[:MAC_BYTES]
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -78,15 +78,24 @@
     held = view.held.held_tokens(salt, prompt)
     fetched = max(0, kept_tokens - held)
     missing = prompt.tokens - held - fetched + FETCH_COST * fetched
-    others = view.others(now_s)
-    queue = view.unread_tokens + others * UNREAD_PART * prompt.tokens
+    penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
+    return (missing + queue_cost(view, prompt, now_s)) * penalty
+
+
+def queue_cost(
+    view: target_view.TargetView, prompt: prompts.Prompt, now_s: float
+) -> float:
+    """Returns the prompt tokens that an engine reads for others first."""
+    unread = view.others_unread(now_s)
+    if not unread:
+        unread = int(view.others(now_s) * UNREAD_PART * prompt.tokens)
+    queue = float(view.unread_tokens + unread)
     queue += TOKENS_PER_RUNNING * view.occupied(now_s)
     if view.occupied(now_s) >= view.slots():
         queue *= COLD_FACTOR
     if view.target.cold_s > 0:
         queue *= COLD_FACTOR
-    penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
-    return (missing + queue) * penalty
+    return queue
 
 
 def choose_service_target(
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -8,6 +8,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import exchange
 from cactusstile.gateway import target_view
 from cactusstile.http import responder as responders
 
@@ -24,6 +25,11 @@
       occupied: Requests at the target, as believed then.
       outcome: How it ended; empty while it is under way.
       ended_s: Loop time of its end.
+      first_event_s: Loop time at which a stream began; None for none.
+      prompt_tokens: Tokens of the prompt.
+      unread_tokens: Those that the target was expected to read.
+      fetched_tokens: Those that it was told to fetch.
+      store: Store that most of these come from.
     """
 
     target: str
@@ -31,6 +37,30 @@
     occupied: int
     outcome: str = ""
     ended_s: float = 0.0
+    first_event_s: float | None = None
+    prompt_tokens: int = 0
+    unread_tokens: int = 0
+    fetched_tokens: int = 0
+    store: str = ""
+
+    def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
+        """Returns the fields of the attempt in its request's log line."""
+        took_s = (self.ended_s or ended_s) - self.started_s
+        found: dict[str, object] = {
+            "target": self.target,
+            "after_ms": _ms(self.started_s - received_s),
+            "took_ms": _ms(took_s),
+            "occupied": self.occupied,
+            "outcome": self.outcome or "cut_off",
+        }
+        if self.prompt_tokens:
+            found["tokens"] = self.prompt_tokens
+            found["unread"] = self.unread_tokens
+            found["fetched"] = self.fetched_tokens
+            found["store"] = self.store
+        if self.first_event_s is not None:
+            found["first_event_ms"] = _ms(self.first_event_s - self.started_s)
+        return found
 
 
 @attrs.define
@@ -82,6 +112,19 @@
         occupied = view.occupied(now_s)
         self.attempts.append(AttemptRecord(view.target.id, now_s, occupied))
 
+    def note_work(
+        self,
+        admitted: admission.Admitted,
+        work: exchange.Work,
+        dispatch: exchange.Dispatch,
+    ) -> None:
+        """Notes the work that the attempt under way brings its target."""
+        attempt = self.attempts[-1]
+        attempt.prompt_tokens = admitted.prompt.tokens
+        attempt.unread_tokens = work.unread_tokens
+        attempt.fetched_tokens = work.fetched_tokens
+        attempt.store, _ = dispatch.kept.main_source()
+
     def end_attempt(self, outcome: str, now_s: float) -> None:
         """Notes how the attempt that is under way ended."""
         self.attempts[-1].outcome = outcome
@@ -96,18 +139,10 @@
 
     def fields(self) -> dict[str, typing.Any]:
         """Returns the fields of the request's log line."""
-        attempts = []
-        for one in self.attempts[:MAX_ATTEMPTS_LOGGED]:
-            took_s = (one.ended_s or self.ended_s) - one.started_s
-            attempts.append(
-                {
-                    "target": one.target,
-                    "after_ms": _ms(one.started_s - self.received_s),
-                    "took_ms": _ms(took_s),
-                    "occupied": one.occupied,
-                    "outcome": one.outcome or "cut_off",
-                }
-            )
+        attempts = [
+            one.fields(self.received_s, self.ended_s)
+            for one in self.attempts[:MAX_ATTEMPTS_LOGGED]
+        ]
         return {
             "request": self.id,
             "route": self.route,
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -22,7 +22,7 @@
       listed: Targets of that list.
       weights: Newest version that was named, by model.
       confirmed_s: Loop time at which control last confirmed what is known.
-      gateways: Gateways that share the site's limits.
+      gateways: Addresses of all gateways; they share the site's limits.
       control: Addresses of control processes, as last told.
       kept: Contents of the stores.
     """
@@ -33,7 +33,7 @@
     listed: tuple[model.Target, ...] = ()
     weights: dict[str, int] = attrs.field(factory=dict)
     confirmed_s: float | None = None
-    gateways: int = 1
+    gateways: tuple[str, ...] = ()
     control: tuple[str, ...] = ()
     kept: kept_parts.KeptParts = attrs.field(factory=kept_parts.KeptParts)
 
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -9,6 +9,8 @@
 
 # Time after which a report of load says nothing any more.
 REPORT_LIFE_S = 2.0
+# Time after which a gateway's word on its load counts as outdated.
+PEER_LIFE_S = 1.0
 # Failures in a row after which a target is passed over.
 FAILURES_TO_EJECT = 2
 EJECTION_S = 0.5
@@ -37,6 +39,21 @@
     own: int
 
 
+@attrs.frozen
+class PeerLoad:
+    """Load that another gateway brings a target.
+
+    Attributes:
+      inflight: Requests under way.
+      unread_tokens: Prompt tokens of those without any event yet.
+      at_s: Loop time of the report.
+    """
+
+    inflight: int
+    unread_tokens: int
+    at_s: float
+
+
 @attrs.define
 class TargetView:
     """Belief about one target.
@@ -53,6 +70,8 @@
       refusing_until_s: Loop time until which it takes no work, by its own
         word.
       weights: Version of each model's weights that it holds.
+      peers: Load that other gateways bring it, by gateway.
+      peers_heard_s: Loop time at which any gateway last told its load.
     """
 
     target: model.Target
@@ -65,6 +84,8 @@
     ejected_until_s: float = 0.0
     refusing_until_s: float = 0.0
     weights: dict[str, int] = attrs.field(factory=dict)
+    peers: dict[str, PeerLoad] = attrs.field(factory=dict)
+    peers_heard_s: float = float("-inf")
 
     def note_listed(self, target: model.Target) -> None:
         """Takes over what the platform lists; it lags behind answers."""
@@ -99,12 +120,29 @@
         self.load = Load(running, waiting, slots, now_s, self.inflight)
 
     def others(self, now_s: float) -> int:
-        """Returns the requests of other gateways at the target, by report."""
+        """Returns the requests of other gateways at the target.
+
+        What they tell themselves goes before the target's own word, which is
+        as old as its last answer.
+        """
+        if now_s - self.peers_heard_s <= PEER_LIFE_S:
+            return sum(one.inflight for one in self._fresh_peers(now_s))
         load = self.load
         if load is None or now_s - load.at_s > REPORT_LIFE_S:
             return 0
         return max(0, load.running + load.waiting - load.own)
 
+    def _fresh_peers(self, now_s: float) -> list[PeerLoad]:
+        return [
+            one
+            for one in self.peers.values()
+            if now_s - one.at_s <= PEER_LIFE_S
+        ]
+
+    def others_unread(self, now_s: float) -> int:
+        """Returns the prompt tokens that it has to read for other gateways."""
+        return sum(one.unread_tokens for one in self._fresh_peers(now_s))
+
     def occupied(self, now_s: float) -> int:
         """Returns the requests at the target, of all gateways."""
         return self.inflight + self.others(now_s)
@@ -184,6 +222,18 @@
         """Returns the views of a service's targets."""
         return self.by_service.get(service, [])
 
+    def take_peer(
+        self, gateway: str, loads: dict[str, PeerLoad], now_s: float
+    ) -> None:
+        """Takes over what another gateway tells of its load."""
+        for view in self.views.values():
+            view.peers_heard_s = now_s
+            load = loads.get(view.target.id)
+            if load is not None:
+                view.peers[gateway] = load
+            else:
+                view.peers.pop(gateway, None)
+
     def live_services(self) -> set[str]:
         """Returns the services that have a target which is not leaving."""
         found = set()
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -46,7 +46,7 @@
     Attributes:
       site: The replicated state.
       replica: This process's replica.
-      watchers: Open watches by the gateway's name.
+      watchers: Addresses of open watches, by the gateway's name.
       listed: Targets as last listed.
       list_number: Count of lists that differed.
       listed_s: Loop time of the last list.
@@ -59,7 +59,7 @@
         """Tells what `site` holds while `own_replica` leads."""
         self.site = site
         self.replica = own_replica
-        self.watchers: dict[str, int] = {}
+        self.watchers: dict[str, list[str]] = {}
         self.listed: tuple[model.Target, ...] = ()
         self.list_number = 0
         self.listed_s = float("-inf")
@@ -116,7 +116,7 @@
     ) -> object:
         """Answers one watch until the gateway or the leadership is gone."""
         name = responder.peer.name
-        self.watchers[name] = self.watchers.get(name, 0) + 1
+        self.watchers.setdefault(name, []).append(message.address)
         try:
             await self._confirm()
             sent = _Sent(message.known_version)
@@ -127,7 +127,7 @@
                 if not self.replica.is_leader:
                     raise self._not_leader()
         finally:
-            self.watchers[name] -= 1
+            self.watchers[name].remove(message.address)
             if not self.watchers[name]:
                 del self.watchers[name]
 
@@ -194,7 +194,8 @@
         age_ms = _MAX_AGE_MS
         if age_s * _MS_PER_S < _MAX_AGE_MS:
             age_ms = int(age_s * _MS_PER_S)
-        return messages.Confirmation(age_ms, len(self.watchers), control)
+        gateways = tuple(found[-1] for found in self.watchers.values())
+        return messages.Confirmation(age_ms, gateways, control)
 
 
 def watch_handlers(
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -28,9 +28,11 @@
     Attributes:
       known_version: Version of the configuration that the gateway holds; -1
         for none.
+      address: Address at which it takes the loads of other gateways.
     """
 
     known_version: int
+    address: str
 
 
 @codec.register(511, _SCHEMA, "ConfigurationInForce")
@@ -120,15 +122,40 @@
 
     Attributes:
       list_age_ms: Age of the list of targets.
-      gateways: Gateways that watch.
+      gateways: Addresses at which gateways take each other's loads.
       control: Addresses of all control processes.
     """
 
     list_age_ms: int
-    gateways: int
+    gateways: tuple[str, ...]
     control: tuple[str, ...]
 
 
+@codec.register(0, _SCHEMA, "TargetLoad")
+@attrs.frozen
+class TargetLoad:
+    """Requests of one gateway at one target.
+
+    Attributes:
+      id: Id of the target.
+      inflight: Requests under way.
+      unread_tokens: Prompt tokens of those without any event yet.
+    """
+
+    id: str
+    inflight: int
+    unread_tokens: int
+
+
+@codec.register(520, _SCHEMA, "GatewayLoad")
+@attrs.frozen
+class GatewayLoad:
+    """Datagram: what a gateway has under way; other targets have none."""
+
+    gateway: str
+    targets: tuple[TargetLoad, ...]
+
+
 def encode_target(target: model.Target) -> ListedTarget:
     """Returns a target as sent."""
     weights = tuple(
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -7,6 +7,7 @@
 
 struct Watch {
   knownVersion @0 :Int64;
+  address @1 :Text;
 }
 
 struct ConfigurationInForce {
@@ -52,8 +53,19 @@
   stores @0 :List(StoreUpdate);
 }
 
+struct TargetLoad {
+  id @0 :Text;
+  inflight @1 :UInt32;
+  unreadTokens @2 :UInt32;
+}
+
+struct GatewayLoad {
+  gateway @0 :Text;
+  targets @1 :List(TargetLoad);
+}
+
 struct Confirmation {
   listAgeMs @0 :UInt32;
-  gateways @1 :UInt32;
+  gateways @1 :List(Text);
   control @2 :List(Text);
 }
--- /dev/null
+++ b/tests/gateway/test_load_exchange.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from cactusstile.gateway import load_exchange
+from cactusstile.gateway import placement
+from cactusstile.gateway import prompts
+from cactusstile.gateway import site_view
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+SECRET = b"s" * 16
+
+
+def engine(number: int) -> model.Target:
+    place = address.Address("127.0.0.1", 1000 + number)
+    return model.Target(f"e-{number}", "s", place, "d", 8)
+
+
+def exchange(name: str, engines: int = 3) -> load_exchange.LoadExchange:
+    site = site_view.SiteView()
+    site.replace_targets(tuple(engine(one) for one in range(engines)), 0.0)
+    own = address.Address("127.0.0.1", 1)
+    return load_exchange.LoadExchange(site, name, own, SECRET)
+
+
+async def test_gateways_do_not_choose_the_same_idle_engine() -> None:
+    """Ten long prompts at once at five gateways spread over five engines."""
+    gateways = [exchange(f"g-{number}", 5) for number in range(5)]
+    chosen = []
+    for turn in range(10):
+        own = gateways[turn % len(gateways)]
+        prompt = prompts.parse("m", "9000,9", f"shared:2000,own-{turn}:7000")
+        now_s = anyio.current_time()
+        view = placement.choose_engine(
+            list(own.site.targets.views.values()),
+            prompt,
+            wall="w",
+            session="",
+            kept=lambda _: 0,
+            now_s=now_s,
+        )
+        assert view is not None
+        chosen.append(view.target.id)
+        view.inflight += 1
+        view.unread_tokens += prompt.tokens
+        datagram = own.encode(own.own_loads())
+        for other in gateways:
+            if other is not own:
+                other.take(datagram)
+    counts = [chosen.count(engine(number).id) for number in range(5)]
+    assert counts == [2] * 5
+
+
+async def test_load_that_ended_is_forgotten() -> None:
+    one, other = exchange("a"), exchange("b")
+    view = one.site.targets.views["e-1", 0]
+    view.inflight, view.unread_tokens = 2, 500
+    other.take(one.encode(one.own_loads()))
+    seen = other.site.targets.views["e-1", 0]
+    now_s = anyio.current_time()
+    assert (seen.others(now_s), seen.others_unread(now_s)) == (2, 500)
+    view.inflight = 0
+    other.take(one.encode(one.own_loads()))
+    assert seen.others(now_s) == 0
+
+
+async def test_load_of_a_silent_gateway_is_forgotten() -> None:
+    one, other = exchange("a"), exchange("b")
+    one.site.targets.views["e-1", 0].inflight = 2
+    other.take(one.encode(one.own_loads()))
+    later_s = anyio.current_time() + 2
+    assert other.site.targets.views["e-1", 0].others(later_s) == 0
+
+
+async def test_datagram_without_the_secret_is_dropped() -> None:
+    one, other = exchange("a"), exchange("b")
+    one.site.targets.views["e-1", 0].inflight = 2
+    forged = bytearray(one.encode(one.own_loads()))
+    forged[-1] ^= 1
+    for datagram in (bytes(forged), b"", b"x" * 40):
+        other.take(datagram)
+    seen = other.site.targets.views["e-1", 0]
+    assert seen.others(anyio.current_time()) == 0
