--- /dev/null
+++ b/src/cactusstile/gateway/__main__.py
@@ -0,0 +1,8 @@
+"""Starts a gateway without the command line, whose import takes a while."""
+
+from __future__ import annotations
+
+from cactusstile.console import gateway
+
+if __name__ == "__main__":
+    gateway.run()
--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -11,6 +11,12 @@
 from cactusstile.platform import headers
 from cactusstile.sites import model
 
+# Longest wait for the first configuration: an election and a connection.
+HOLD_S = 1.5
+# Part of a caller's time that such a wait may take.
+HOLD_SHARE = 0.3
+# Time that a caller waits who does not say how long.
+DEFAULT_WAIT_S = 2.0
 # Ranks that an engine tells apart; 0 goes first.
 LOWEST_RANK = 9
 # Ranks of routes within one rank of workspaces.
@@ -74,6 +80,7 @@
             request.find(headers.MODEL),
             request.find(headers.TOKENS),
             request.find(headers.PROMPT_PARTS),
+            request.find(headers.LENGTH_ESTIMATE),
         ),
         wall=_wall(workspace),
         rank=rank_of(route, workspace),
@@ -84,6 +91,12 @@
     )
 
 
+def hold_s(request: messages.Request) -> float:
+    """Returns how long a request may wait for the first configuration."""
+    until_s = _caller_until(request, request.received_s + DEFAULT_WAIT_S)
+    return min(HOLD_S, HOLD_SHARE * (until_s - request.received_s))
+
+
 def _authenticate(
     table: routes.Table, route: model.Route, request: messages.Request
 ) -> model.Workspace | None:
--- /dev/null
+++ b/src/cactusstile/gateway/dispatching.py
@@ -0,0 +1,182 @@
+"""Chooses where a request goes, and learns from what becomes of it."""
+
+from __future__ import annotations
+
+import anyio
+
+from cactusstile import verdict
+from cactusstile.gateway import admission
+from cactusstile.gateway import exchange
+from cactusstile.gateway import placement
+from cactusstile.gateway import retries
+from cactusstile.gateway import routes
+from cactusstile.gateway import sessions
+from cactusstile.gateway import site_view
+from cactusstile.gateway import streams
+from cactusstile.gateway import target_view
+from cactusstile.platform import headers
+from cactusstile.sites import model
+
+# Time after which a caller may try again when no target is live.
+RETRY_AFTER_S = 0.2
+# Time for which a target is passed over whose address is another's now; the
+# platform's list tells of it within this time.
+MISDIRECTED_PAUSE_S = 5.0
+
+
+class Dispatcher:
+    """Chooses targets.
+
+    Attributes:
+      site: What is known of the site.
+      sessions: What returns, by route.
+    """
+
+    def __init__(self, site: site_view.SiteView) -> None:
+        """Chooses among the targets of `site`."""
+        self.site = site
+        self.sessions = sessions.Sessions()
+
+    def choose_service(self, admitted: admission.Admitted) -> str:
+        """Returns the service of a request, by the weights of its route.
+
+        Raises:
+          RefusedError: No target of the route is live.
+        """
+        live = self.site.targets.live_services()
+        found = routes.share_of(admitted.route, admitted.id, live)
+        if found is None:
+            raise verdict.refuse(
+                verdict.Reason.NO_TARGET,
+                "no target of this route is live",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return found
+
+    def choose_target(
+        self,
+        admitted: admission.Admitted,
+        service: str,
+        attempts: retries.Attempts,
+    ) -> target_view.TargetView | None:
+        """Returns a target that was not tried yet, if there is one."""
+        now_s = anyio.current_time()
+        fresh = []
+        for view in self.site.targets.of(service):
+            if view.target.leaving or view.target.incarnation in attempts.tried:
+                continue
+            fresh.append(view)
+        usable = [view for view in fresh if view.is_usable(now_s)]
+        # A target that seems to fail is still better than none.
+        possible = usable or fresh
+        if admitted.route.kind is model.Kind.STREAM:
+            returning = self.sessions.returning_parts(
+                admitted.route.name, admitted.prompt
+            )
+            session = returning[-1].id if returning else ""
+            prompt = admitted.prompt
+            return placement.choose_engine(
+                possible,
+                prompt,
+                wall=admitted.wall,
+                session=session,
+                kept=lambda salt: self.site.kept.held_tokens(
+                    prompt, salt, now_s
+                ),
+                now_s=now_s,
+            )
+        return placement.choose_service_target(possible, admitted.id, now_s)
+
+    def prepare(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+        relay: streams.Relay,
+    ) -> exchange.Dispatch:
+        """Returns with what a request goes to a target."""
+        last_event_id = relay.splitter.last_id
+        name = admitted.prompt.model
+        weights = view.weights.get(name)
+        if not name or weights is None:
+            salt = view.salt(name, admitted.wall)
+            return exchange.Dispatch(
+                view.target, salt, last_event_id=last_event_id
+            )
+        salt = view.salt(name, admitted.wall)
+        returning = self.sessions.returning_parts(
+            admitted.route.name, admitted.prompt
+        )
+        plan = self.site.kept.plan(
+            admitted.prompt,
+            returning,
+            salt,
+            self.site.stores(),
+            anyio.current_time(),
+        )
+        return exchange.Dispatch(
+            view.target, salt, weights, last_event_id, plan
+        )
+
+    def estimate(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+        dispatch: exchange.Dispatch,
+    ) -> exchange.Work:
+        """Returns the work that a request brings a target."""
+        now_s = anyio.current_time()
+        prompt = admitted.prompt
+        held = view.held.held_tokens(dispatch.salt, prompt)
+        fetched = max(0, dispatch.kept.fetched_tokens - held)
+        unread = max(0, prompt.tokens - held - fetched)
+        cost = unread + placement.queue_cost(view, prompt, now_s)
+        memory = placement.memory_tokens(prompt)
+        return exchange.Work(unread, fetched, cost, memory, now_s)
+
+    def note_first_event(
+        self, dispatch: exchange.Dispatch, work: exchange.Work
+    ) -> None:
+        """Learns from the time until an engine's answer began."""
+        now_s = anyio.current_time()
+        took_s = now_s - work.started_s
+        costs = self.site.kept.costs
+        if not work.fetched_tokens:
+            costs.note_read(work.cost_tokens, took_s)
+            return
+        store, _ = dispatch.kept.main_source()
+        costs.note_fetch(
+            store, work.fetched_tokens, work.cost_tokens, took_s, now_s
+        )
+
+    def note_failure(
+        self, view: target_view.TargetView, error: exchange.AttemptError
+    ) -> None:
+        """Learns from an attempt that failed."""
+        now_s = anyio.current_time()
+        if error.answer is not None:
+            load = error.answer.head.find(headers.LOAD)
+            view.note_load(load, now_s)
+        if error.is_misdirected:
+            self._note_misdirected(view, error, now_s)
+        elif error.reason.startswith("rejected"):
+            view.note_rejection(now_s)
+        elif error.answer is not None:
+            view.note_error()
+        else:
+            view.note_failure(now_s, at_once=not error.arrived)
+
+    def _note_misdirected(
+        self,
+        view: target_view.TargetView,
+        error: exchange.AttemptError,
+        now_s: float,
+    ) -> None:
+        """Notes that a target is another one, or holds other weights."""
+        answer = error.answer
+        found = None if answer is None else answer.head.find(headers.TARGET_ID)
+        if found is not None and found == view.target.id:
+            # Only the weights differ; the newest that were named are likely.
+            for name, version in self.site.weights.items():
+                view.note_weights(name, version)
+            return
+        view.refusing_until_s = now_s + MISDIRECTED_PAUSE_S
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -68,6 +68,13 @@
         self.arrived = arrived
         self.answer = answer
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether the address is another target's, or the weights differ."""
+        if self.answer is None:
+            return False
+        return self.answer.head.status == _MISDIRECTED
+
 
 @attrs.frozen
 class OpenStream:
@@ -110,12 +117,14 @@
       unread_tokens: Prompt tokens that are still to be read.
       fetched_tokens: Prompt tokens that come from stores.
       cost_tokens: Tokens to be read before the first event, with the queue.
+      memory_tokens: Tokens of memory that the request takes.
       started_s: Loop time of the attempt's start.
     """
 
     unread_tokens: int
     fetched_tokens: int
     cost_tokens: float
+    memory_tokens: int
     started_s: float
 
 
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -9,14 +9,13 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import budget as budgets
+from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
-from cactusstile.gateway import placement
 from cactusstile.gateway import records
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
-from cactusstile.gateway import routes
-from cactusstile.gateway import sessions
 from cactusstile.gateway import site_view
+from cactusstile.gateway import stream_pace
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
 from cactusstile.http import messages
@@ -32,8 +31,10 @@
 
 # Time after which a caller may try again when nothing better is known.
 RETRY_AFTER_S = 0.2
-# Time for which a target that rejected a request is passed over.
-REJECTION_PAUSE_S = 0.05
+# The same, while this gateway knows no configuration yet.
+START_RETRY_AFTER_S = 1.0
+# The same, when any other gateway can serve the request.
+STOP_RETRY_AFTER_S = 0.01
 
 
 class Forwarder:
@@ -44,7 +45,9 @@
       pool: Connections to targets.
       budget: Bound of repeated requests.
       record: Takes what happened to each request.
-      sessions: What returns, by route.
+      dispatcher: Chooses targets and learns from answers.
+      pace: How long streams last.
+      ends_s: Loop time at which the process ends; None while it goes on.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         self.pool = pool
         self.budget = budget
         self.record = record
-        self.sessions = sessions.Sessions()
+        self.dispatcher = dispatching.Dispatcher(site)
+        self.pace = stream_pace.StreamPace()
+        self.ends_s: float | None = None
 
     async def handle(
         self, request: messages.Request, responder: responders.Responder
@@ -70,9 +75,10 @@
             received_s=request.received_s,
         )
         try:
-            admitted = self._admit(request)
+            admitted = await self._admit(request)
             record.note_admitted(admitted)
-            self.sessions.note(admitted.route.name, admitted.prompt)
+            self.dispatcher.sessions.note(admitted.route.name, admitted.prompt)
+            self._check_stop(admitted)
             await self._serve(admitted, responder, record)
         except verdict.RefusedError as error:
             record.note_refusal(error.refusal)
@@ -85,15 +91,46 @@
             record.close(responder, anyio.current_time())
             self.record(record)
 
-    def _admit(self, request: messages.Request) -> admission.Admitted:
+    async def _admit(self, request: messages.Request) -> admission.Admitted:
+        """Admits a request; one that comes just after a start may wait.
+
+        All gateways start at the same moment after a loss of power, and know
+        the configuration about a second later: a refusal would cost callers
+        their retry while no other gateway could serve it.
+        """
+        if self.site.table is None:
+            hold_s = admission.hold_s(request)
+            with anyio.move_on_after(hold_s):
+                await self.site.configured.wait()
         if self.site.table is None:
             raise verdict.refuse(
                 verdict.Reason.STALE_CONFIGURATION,
                 "no configuration is known yet",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=START_RETRY_AFTER_S,
             )
         return admission.admit(self.site.table, request)
 
+    def _check_stop(self, admitted: admission.Admitted) -> None:
+        """Refuses a stream that may well outlast the process.
+
+        Raises:
+          RefusedError: It does; another gateway can serve it.
+        """
+        if self.ends_s is None or admitted.route.kind is not model.Kind.STREAM:
+            return
+        prompt = admitted.prompt
+        longest_s = self.pace.longest_s(
+            admitted.route.name,
+            prompt.expected_tokens,
+            prompt.max_output_tokens,
+        )
+        if anyio.current_time() + longest_s > self.ends_s:
+            raise verdict.refuse(
+                verdict.Reason.SHUTTING_DOWN,
+                "this gateway stops before the stream would end",
+                retry_after_s=STOP_RETRY_AFTER_S,
+            )
+
     async def _serve(
         self,
         admitted: admission.Admitted,
@@ -126,10 +163,10 @@
           RefusedError: No target answered.
         """
         relay = streams.Relay(responder, admitted.last_event_id)
-        service = self._choose_service(admitted)
+        service = self.dispatcher.choose_service(admitted)
         self.budget.count_request(service, anyio.current_time())
         while True:
-            view = self._choose_target(admitted, service, attempts)
+            view = self.dispatcher.choose_target(admitted, service, attempts)
             if view is None:
                 raise self._give_up(attempts, verdict.Reason.NO_TARGET)
             record.begin_attempt(view, anyio.current_time())
@@ -141,7 +178,7 @@
             except exchange.AttemptError as error:
                 record.end_attempt(error.reason, anyio.current_time())
                 attempts.fail(error)
-                self._note_failure(view, error)
+                self.dispatcher.note_failure(view, error)
                 if self._may_repeat(service, attempts, error):
                     continue
                 await self._answer_error(responder, attempts)
@@ -182,11 +219,12 @@
         record: records.RequestRecord,
     ) -> None:
         """Sends a request to one target and relays its answer."""
-        dispatch = self._dispatch(admitted, view, relay)
-        work = self._estimate(admitted, view, dispatch)
+        dispatch = self.dispatcher.prepare(admitted, view, relay)
+        work = self.dispatcher.estimate(admitted, view, dispatch)
         record.note_work(admitted, work, dispatch)
         view.inflight += 1
         view.unread_tokens += work.unread_tokens
+        view.tokens += work.memory_tokens
         view.held.note(dispatch.salt, admitted.prompt)
         try:
             async with exchange.open_attempt(
@@ -196,77 +234,23 @@
                 view.note_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
-                    self._note_first_event(dispatch, work)
+                    self.dispatcher.note_first_event(dispatch, work)
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
                     await relay.feed(opened)
+                    self.pace.note(
+                        admitted.route.name,
+                        admitted.prompt.expected_tokens,
+                        anyio.current_time() - work.started_s,
+                    )
             view.note_success()
         finally:
             view.inflight -= 1
+            view.tokens -= work.memory_tokens
             view.unread_tokens -= work.unread_tokens
         if isinstance(opened, exchange.Answer):
             await self._pass_on(opened, relay.responder)
 
-    def _estimate(
-        self,
-        admitted: admission.Admitted,
-        view: target_view.TargetView,
-        dispatch: exchange.Dispatch,
-    ) -> exchange.Work:
-        """Returns the work that a request brings a target."""
-        now_s = anyio.current_time()
-        prompt = admitted.prompt
-        held = view.held.held_tokens(dispatch.salt, prompt)
-        fetched = max(0, dispatch.kept.fetched_tokens - held)
-        unread = max(0, prompt.tokens - held - fetched)
-        cost = unread + placement.queue_cost(view, prompt, now_s)
-        return exchange.Work(unread, fetched, cost, now_s)
-
-    def _note_first_event(
-        self, dispatch: exchange.Dispatch, work: exchange.Work
-    ) -> None:
-        """Learns from the time until an engine's answer began."""
-        now_s = anyio.current_time()
-        took_s = now_s - work.started_s
-        costs = self.site.kept.costs
-        if not work.fetched_tokens:
-            costs.note_read(work.cost_tokens, took_s)
-            return
-        store, _ = dispatch.kept.main_source()
-        costs.note_fetch(
-            store, work.fetched_tokens, work.cost_tokens, took_s, now_s
-        )
-
-    def _dispatch(
-        self,
-        admitted: admission.Admitted,
-        view: target_view.TargetView,
-        relay: streams.Relay,
-    ) -> exchange.Dispatch:
-        """Returns with what a request goes to a target."""
-        last_event_id = relay.splitter.last_id
-        name = admitted.prompt.model
-        weights = view.weights.get(name)
-        if not name or weights is None:
-            salt = view.salt(name, admitted.wall)
-            return exchange.Dispatch(
-                view.target, salt, last_event_id=last_event_id
-            )
-        salt = view.salt(name, admitted.wall)
-        returning = self.sessions.returning_parts(
-            admitted.route.name, admitted.prompt
-        )
-        plan = self.site.kept.plan(
-            admitted.prompt,
-            returning,
-            salt,
-            self.site.stores(),
-            anyio.current_time(),
-        )
-        return exchange.Dispatch(
-            view.target, salt, weights, last_event_id, plan
-        )
-
     async def _pass_on(
         self, answer: exchange.Answer, responder: responders.Responder
     ) -> None:
@@ -275,64 +259,6 @@
             return
         await responder.respond(*exchange.passed_on(answer))
 
-    def _note_failure(
-        self, view: target_view.TargetView, error: exchange.AttemptError
-    ) -> None:
-        now_s = anyio.current_time()
-        if error.answer is not None:
-            load = error.answer.head.find(headers.LOAD)
-            view.note_load(load, now_s)
-        if error.reason.startswith("rejected"):
-            view.refusing_until_s = now_s + REJECTION_PAUSE_S
-        elif error.answer is not None:
-            view.note_error()
-        else:
-            view.note_failure(now_s, at_once=not error.arrived)
-
-    def _choose_service(self, admitted: admission.Admitted) -> str:
-        live = self.site.targets.live_services()
-        found = routes.share_of(admitted.route, admitted.id, live)
-        if found is None:
-            raise verdict.refuse(
-                verdict.Reason.NO_TARGET,
-                "no target of this route is live",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        return found
-
-    def _choose_target(
-        self,
-        admitted: admission.Admitted,
-        service: str,
-        attempts: retries.Attempts,
-    ) -> target_view.TargetView | None:
-        now_s = anyio.current_time()
-        fresh = []
-        for view in self.site.targets.of(service):
-            if view.target.leaving or view.target.incarnation in attempts.tried:
-                continue
-            fresh.append(view)
-        usable = [view for view in fresh if view.is_usable(now_s)]
-        # A target that seems to fail is still better than none.
-        possible = usable or fresh
-        if admitted.route.kind is model.Kind.STREAM:
-            returning = self.sessions.returning_parts(
-                admitted.route.name, admitted.prompt
-            )
-            session = returning[-1].id if returning else ""
-            prompt = admitted.prompt
-            return placement.choose_engine(
-                possible,
-                prompt,
-                wall=admitted.wall,
-                session=session,
-                kept=lambda salt: self.site.kept.held_tokens(
-                    prompt, salt, now_s
-                ),
-                now_s=now_s,
-            )
-        return placement.choose_service_target(possible, admitted.id, now_s)
-
     def _give_up(
         self, attempts: retries.Attempts, reason: verdict.Reason
     ) -> verdict.RefusedError:
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -98,7 +98,10 @@
         """Returns what this gateway has under way."""
         return tuple(
             messages.TargetLoad(
-                view.target.id, view.inflight, max(0, view.unread_tokens)
+                view.target.id,
+                view.inflight,
+                max(0, view.unread_tokens),
+                max(0, view.tokens),
             )
             for view in self.site.targets.views.values()
             if view.inflight
@@ -123,7 +126,9 @@
             return
         now_s = anyio.current_time()
         loads = {
-            one.id: target_view.PeerLoad(one.inflight, one.unread_tokens, now_s)
+            one.id: target_view.PeerLoad(
+                one.inflight, one.unread_tokens, one.tokens, now_s
+            )
             for one in read.targets
         }
         self.site.targets.take_peer(read.gateway, loads, now_s)
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -26,6 +26,12 @@
 HOME_BONUS_SHARE = 0.5
 # Time to fetch a token, as a share of the time to read it.
 FETCH_COST = 0.3
+# Part of the bound of output tokens that answers reach on average.
+OUTPUT_PART = 0.25
+# Part of an engine's memory that running requests may fill.
+MEMORY_PART = 0.85
+# Cost of a token that does not fit, in prompt tokens to be read.
+MEMORY_WEIGHT = 2.0
 # Factor on the queue of a target that is not warm yet.
 COLD_FACTOR = 2.0
 # Weight of a target's share of failed requests, in its own slots.
@@ -79,7 +85,26 @@
     fetched = max(0, kept_tokens - held)
     missing = prompt.tokens - held - fetched + FETCH_COST * fetched
     penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
-    return (missing + queue_cost(view, prompt, now_s)) * penalty
+    cost = missing + queue_cost(view, prompt, now_s)
+    cost += MEMORY_WEIGHT * _overflow(view, prompt, now_s)
+    return cost * penalty
+
+
+def memory_tokens(prompt: prompts.Prompt) -> int:
+    """Returns the tokens of an engine's memory that a request takes."""
+    return prompt.tokens + int(OUTPUT_PART * prompt.max_output_tokens)
+
+
+def _overflow(
+    view: target_view.TargetView, prompt: prompts.Prompt, now_s: float
+) -> int:
+    """Returns the tokens that do not fit an engine's memory.
+
+    An engine without room puts a request back in the middle of its stream and
+    reads it anew later.
+    """
+    needed = view.memory_tokens(now_s) + memory_tokens(prompt)
+    return max(0, needed - int(MEMORY_PART * view.held.limit_tokens))
 
 
 def queue_cost(
--- a/src/cactusstile/gateway/process.py
+++ b/src/cactusstile/gateway/process.py
@@ -9,6 +9,7 @@
 
 from cactusstile.console import signals
 from cactusstile.gateway import daemon
+from cactusstile.gateway import lifecycle
 from cactusstile.settings import node
 from cactusstile.settings import reload
 
@@ -30,6 +31,9 @@
             group.start_soon(reload.watch, path, settings, take)
             number = await anext(received)
             logger.info("stopping", extra={"signal": int(number)})
+            gateway.forwarder.ends_s = (
+                anyio.current_time() + settings.stop_s - lifecycle.RESERVE_S
+            )
             await gateway.lifecycle.drain(gateway.serving, settings.stop_s)
             group.cancel_scope.cancel()
     logger.info("stopped")
--- a/src/cactusstile/gateway/prompts.py
+++ b/src/cactusstile/gateway/prompts.py
@@ -31,24 +31,32 @@
       model: Name of the model; empty if the request names none.
       tokens: Tokens of the whole prompt.
       max_output_tokens: Bound of the answer.
+      expected_tokens: Length of the answer that the caller expects; 0 if it
+        does not say.
       parts: Parts in order; they may make up less than the whole prompt.
     """
 
     model: str = ""
     tokens: int = 0
     max_output_tokens: int = 0
+    expected_tokens: int = 0
     parts: tuple[Part, ...] = ()
 
 
-def parse(model: str | None, usage: str | None, parts: str | None) -> Prompt:
-    """Returns the prompt that three header fields describe.
+def parse(
+    model: str | None,
+    usage: str | None,
+    parts: str | None,
+    expected: str | None = None,
+) -> Prompt:
+    """Returns the prompt that header fields describe.
 
     What cannot be read counts as not said: it only decides the placement.
 
     >>> parse("m", "30,5", "a:10,b:20").parts[1]
     Part(id='b', tokens=20)
     >>> parse(None, "x", "a:y")
-    Prompt(model='', tokens=0, max_output_tokens=0, parts=())
+    Prompt(model='', tokens=0, max_output_tokens=0, expected_tokens=0, parts=())
     """
     found = []
     for text in (parts or "").split(",")[:MAX_PARTS]:
@@ -60,7 +68,11 @@
     if _is_count(tokens.strip()):
         prompt_tokens = int(tokens)
     output_tokens = int(bound) if _is_count(bound.strip()) else 0
-    return Prompt(model or "", prompt_tokens, output_tokens, tuple(found))
+    length = (expected or "").strip()
+    expected_tokens = int(length) if _is_count(length) else 0
+    return Prompt(
+        model or "", prompt_tokens, output_tokens, expected_tokens, tuple(found)
+    )
 
 
 def _is_count(text: str) -> bool:
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -14,6 +14,8 @@
 
 # Targets that refuse the connection, after which the request is given up.
 MAX_UNREACHABLE = 3
+# Addresses that belong to others now, after which it is given up.
+MAX_MISDIRECTED = 2
 
 
 @attrs.define
@@ -24,6 +26,7 @@
       route: Its route.
       arrived: Attempts of which a byte left.
       unreachable: Attempts of which none did.
+      misdirected: Attempts that met another target than the one meant.
       tried: Incarnations of the targets that were tried.
       worst_verdict: Whether the request may have run.
       under_way: Whether an attempt has not ended.
@@ -33,6 +36,7 @@
     route: model.Route
     arrived: int = 0
     unreachable: int = 0
+    misdirected: int = 0
     tried: set[tuple[str, int]] = attrs.field(factory=set)
     worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
     under_way: bool = False
@@ -46,7 +50,9 @@
     def fail(self, error: exchange.AttemptError) -> None:
         """Notes how the attempt failed."""
         self.under_way = False
-        if error.arrived:
+        if error.is_misdirected:
+            self.misdirected += 1
+        elif error.arrived:
             self.arrived += 1
         else:
             self.unreachable += 1
@@ -58,6 +64,8 @@
         """Returns whether the route permits another attempt."""
         if self.unreachable >= MAX_UNREACHABLE:
             return False
+        if self.misdirected >= MAX_MISDIRECTED:
+            return False
         if self.arrived >= self.route.max_attempts:
             return False
         if self.worst_verdict is verdict.Verdict.NOT_RUN:
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import attrs
 
 from cactusstile.gateway import kept_parts
@@ -25,6 +26,7 @@
       gateways: Addresses of all gateways; they share the site's limits.
       control: Addresses of control processes, as last told.
       kept: Contents of the stores.
+      configured: Set once the first configuration is known.
     """
 
     table: routes.Table | None = None
@@ -36,6 +38,7 @@
     gateways: tuple[str, ...] = ()
     control: tuple[str, ...] = ()
     kept: kept_parts.KeptParts = attrs.field(factory=kept_parts.KeptParts)
+    configured: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def version(self) -> int:
@@ -49,6 +52,7 @@
         if configuration.version <= self.version:
             return False
         self.table = routes.build(configuration)
+        self.configured.set()
         self.targets.update(self.listed, configuration.services)
         return True
 
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -14,6 +14,10 @@
 # Failures in a row after which a target is passed over.
 FAILURES_TO_EJECT = 2
 EJECTION_S = 0.5
+# Time for which a target that rejected a request is passed over; doubled with
+# each further rejection.
+REJECTION_PAUSE_S = 0.05
+MAX_DOUBLINGS = 3
 MAX_EJECTION_S = 4.0
 # Weight of the newest result in a target's share of failed requests.
 FAILURE_SHARE_STEP = 0.1
@@ -46,11 +50,13 @@
     Attributes:
       inflight: Requests under way.
       unread_tokens: Prompt tokens of those without any event yet.
+      tokens: Tokens of memory that the requests take.
       at_s: Loop time of the report.
     """
 
     inflight: int
     unread_tokens: int
+    tokens: int
     at_s: float
 
 
@@ -63,12 +69,14 @@
       held: Parts of prompts that it is believed to hold.
       inflight: Requests of this gateway at the target.
       unread_tokens: Prompt tokens of those without any event yet.
+      tokens: Tokens of memory that its requests take.
       load: Last report of its load, if any.
       failures: Failed requests in a row.
       failure_share: Moving share of requests that failed.
       ejected_until_s: Loop time until which it is passed over.
       refusing_until_s: Loop time until which it takes no work, by its own
         word.
+      rejections: Rejected requests in a row.
       weights: Version of each model's weights that it holds.
       peers: Load that other gateways bring it, by gateway.
       peers_heard_s: Loop time at which any gateway last told its load.
@@ -78,11 +86,13 @@
     held: prompts.HeldParts
     inflight: int = 0
     unread_tokens: int = 0
+    tokens: int = 0
     load: Load | None = None
     failures: int = 0
     failure_share: float = 0.0
     ejected_until_s: float = 0.0
     refusing_until_s: float = 0.0
+    rejections: int = 0
     weights: dict[str, int] = attrs.field(factory=dict)
     peers: dict[str, PeerLoad] = attrs.field(factory=dict)
     peers_heard_s: float = float("-inf")
@@ -143,6 +153,11 @@
         """Returns the prompt tokens that it has to read for other gateways."""
         return sum(one.unread_tokens for one in self._fresh_peers(now_s))
 
+    def memory_tokens(self, now_s: float) -> int:
+        """Returns the tokens of memory that requests of all gateways take."""
+        others = sum(one.tokens for one in self._fresh_peers(now_s))
+        return self.tokens + others
+
     def occupied(self, now_s: float) -> int:
         """Returns the requests at the target, of all gateways."""
         return self.inflight + self.others(now_s)
@@ -153,9 +168,17 @@
             return self.load.slots
         return self.target.slots
 
+    def note_rejection(self, now_s: float) -> None:
+        """Notes that the target said that it takes no request now."""
+        self.rejections += 1
+        doublings = min(self.rejections - 1, MAX_DOUBLINGS)
+        pause_s = REJECTION_PAUSE_S * 2.0**doublings
+        self.refusing_until_s = now_s + pause_s
+
     def note_success(self) -> None:
         """Notes that the target answered."""
         self.failures = 0
+        self.rejections = 0
         self.failure_share *= 1 - FAILURE_SHARE_STEP
 
     def note_failure(self, now_s: float, *, at_once: bool = False) -> None:
@@ -181,9 +204,9 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether requests may be sent there now."""
-        if self.target.leaving or now_s < self.refusing_until_s:
+        if self.target.leaving or self.target.swapping:
             return False
-        return now_s >= self.ejected_until_s
+        return now_s >= max(self.refusing_until_s, self.ejected_until_s)
 
 
 @attrs.define
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -13,6 +13,7 @@
 
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
+from cactusstile.consensus import state as consensus_state
 from cactusstile.control import member_messages
 from cactusstile.control import sender
 from cactusstile.http import callers
@@ -28,6 +29,7 @@
 from cactusstile.registry import weights
 from cactusstile.settings import node
 from cactusstile.sites import discovery
+from cactusstile.sites import model
 from cactusstile.transport import address
 from cactusstile.transport import codec
 from cactusstile.transport import connection
@@ -49,9 +51,20 @@
 MAX_COMMAND_BYTES = 3 << 20
 SNAPSHOT_AFTER_BYTES = 4 << 20
 TRANSFER_TIMEOUT_S = 2.0
+# Half a second without a leader is what callers notice least; four heartbeats
+# fit into it.
+HEARTBEAT_INTERVAL_S = 0.08
+ELECTION_TIMEOUT_S = 0.4
 TIMING = connection.Timing(heartbeat_interval_s=0.5, silence_limit_s=1.5)
 
 
+@attrs.define
+class Listing:
+    """Targets as the platform last listed them."""
+
+    targets: tuple[model.Target, ...] = ()
+
+
 @attrs.frozen
 class Registry:
     """Parts of a running registry process.
@@ -121,6 +134,10 @@
         founders=tuple(founders),
         max_command_bytes=MAX_COMMAND_BYTES,
         snapshot_after_bytes=SNAPSHOT_AFTER_BYTES,
+        core=consensus_state.CoreSettings(
+            heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+        ),
     )
 
 
@@ -188,41 +205,58 @@
     group: anyio.abc.TaskGroup,
     stack: contextlib.AsyncExitStack,
 ) -> None:
-    feed = registry.feed
-    own_replica = registry.replica
     pool = targets.Pool()
     stack.callback(pool.close)
     client = clients.Client(pool)
+    own_replica = registry.replica
+    group.start_soon(registry.feed.run_confirmations)
+    group.start_soon(members.run, own_replica)
+    group.start_soon(_log_leadership, own_replica)
+    _start_target_controllers(registry, client, group)
+    watch = store_watch.StoreWatch(
+        client,
+        lambda: own_replica.is_leader,
+        registry.site.stores,
+        registry.feed.update_stores,
+    )
+    registry.feed.contents = watch.contents
+    group.start_soon(watch.run, group)
+
 
-    def take(listed: tuple[typing.Any, ...]) -> None:
-        change = discovery.describe_change(feed.listed, listed)
+def _start_target_controllers(
+    registry: Registry, client: clients.Client, group: anyio.abc.TaskGroup
+) -> None:
+    """Starts what reads the list of targets, and what orders engines."""
+    feed = registry.feed
+    listing = Listing()
+
+    def tell() -> None:
+        feed.set_targets(controller.overlay(listing.targets))
+
+    def take(listed: tuple[model.Target, ...]) -> None:
+        change = discovery.describe_change(listing.targets, listed)
         if change:
             logger.info("targets changed", extra=change)
-        feed.set_targets(listed, anyio.current_time())
+        listing.targets = listed
+        feed.listed_s = anyio.current_time()
+        tell()
 
     controller = weights.WeightsController(
-        client, own_replica, lambda: feed.listed, registry.site.weights
+        client,
+        registry.replica,
+        lambda: listing.targets,
+        registry.site.weights,
+        tell,
     )
-    group.start_soon(feed.run_confirmations)
-    group.start_soon(members.run, own_replica)
     group.start_soon(
         discovery.run,
         client,
         registry.settings.platform,
         registry.settings.list_interval_s,
-        lambda: own_replica.is_leader,
+        lambda: registry.replica.is_leader,
         take,
     )
     group.start_soon(controller.run, group)
-    watch = store_watch.StoreWatch(
-        client,
-        lambda: own_replica.is_leader,
-        registry.site.stores,
-        feed.update_stores,
-    )
-    feed.contents = watch.contents
-    group.start_soon(watch.run, group)
-    group.start_soon(_log_leadership, own_replica)
 
 
 async def _log_leadership(of: replica.Replica) -> None:
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -75,11 +75,8 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def set_targets(
-        self, listed: tuple[model.Target, ...], now_s: float
-    ) -> None:
+    def set_targets(self, listed: tuple[model.Target, ...]) -> None:
         """Takes over a list of targets."""
-        self.listed_s = now_s
         if listed == self.listed and self.list_number:
             return
         self.listed = listed
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -29,7 +29,9 @@
 
 CHECK_INTERVAL_S = 0.1
 # Time between two looks at an engine that carries out an order.
-POLL_INTERVAL_S = 0.15
+POLL_INTERVAL_S = 0.1
+# Time that gateways have to stop sending requests to an engine.
+NOTICE_S = 0.05
 # Time after which an order without an answer is sent again.
 REPEAT_AFTER_S = 0.5
 # Part of a model's engines that change over at once.
@@ -104,12 +106,22 @@
         own_replica: replica.Replica,
         listed: collections.abc.Callable[[], tuple[model.Target, ...]],
         wanted: collections.abc.Callable[[], dict[str, int]],
+        on_change: collections.abc.Callable[[], None],
     ) -> None:
-        """Orders engines that `listed` returns to what `wanted` returns."""
+        """Prepares a controller; see `run`.
+
+        Args:
+          client: Makes the calls.
+          own_replica: Leads while engines are ordered.
+          listed: Returns all targets.
+          wanted: Returns the newest version of each model.
+          on_change: Called when a swap starts or ends.
+        """
         self.client = client
         self.replica = own_replica
         self.listed = listed
         self.wanted = wanted
+        self.on_change = on_change
         self.done: set[tuple[tuple[str, int], str, int]] = set()
         self.under_way: set[tuple[str, int]] = set()
         self.fenced_off_term = -1
@@ -128,6 +140,30 @@
             for swap in swaps:
                 self.under_way.add(swap.target.incarnation)
                 group.start_soon(self._run_swap, swap)
+            if swaps:
+                self.on_change()
+
+    def overlay(
+        self, listed: tuple[model.Target, ...]
+    ) -> tuple[model.Target, ...]:
+        """Returns targets with what this controller knows before the list."""
+        found = []
+        for target in listed:
+            weights = []
+            for one in target.weights:
+                version = one.version
+                for incarnation, name, done in self.done:
+                    if (incarnation, name) == (target.incarnation, one.model):
+                        version = max(version, done)
+                weights.append(model.Weights(one.model, version))
+            found.append(
+                attrs.evolve(
+                    target,
+                    weights=tuple(weights),
+                    swapping=target.incarnation in self.under_way,
+                )
+            )
+        return tuple(found)
 
     def _may_order(self) -> bool:
         if not self.replica.is_leader:
@@ -149,6 +185,7 @@
             outcome = str(error)
         finally:
             self.under_way.discard(swap.target.incarnation)
+            self.on_change()
         logger.info(
             "a swap of weights ended",
             extra={
@@ -167,6 +204,7 @@
           CallError: The engine cannot be asked.
         """
         ordered_s = float("-inf")
+        await anyio.sleep(NOTICE_S)
         while self._may_order():
             report = await self.client.report(swap.target)
             if _has(report, swap.weights):
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -66,6 +66,7 @@
     leaving: bool
     cold_s: float
     weights: tuple[NamedWeights, ...]
+    swapping: bool
 
 
 @codec.register(513, _SCHEMA, "TargetList")
@@ -140,11 +141,13 @@
       id: Id of the target.
       inflight: Requests under way.
       unread_tokens: Prompt tokens of those without any event yet.
+      tokens: Tokens of memory that the requests take.
     """
 
     id: str
     inflight: int
     unread_tokens: int
+    tokens: int
 
 
 @codec.register(520, _SCHEMA, "GatewayLoad")
@@ -171,6 +174,7 @@
         target.leaving,
         target.cold_s,
         weights,
+        target.swapping,
     )
 
 
@@ -189,4 +193,5 @@
         born_ms=sent.born_ms,
         cold_s=sent.cold_s,
         weights=weights,
+        swapping=sent.swapping,
     )
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -193,6 +193,7 @@
       leaving: Whether it takes no new work.
       cold_s: Time for which it is slow after its start.
       weights: Versions of the weights that it holds.
+      swapping: Whether it is being ordered to load other weights.
     """
 
     id: str
@@ -204,6 +205,7 @@
     born_ms: int = 0
     cold_s: float = 0.0
     weights: tuple[Weights, ...] = ()
+    swapping: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -29,6 +29,7 @@
   leaving @6 :Bool;
   coldS @7 :Float64;
   weights @8 :List(NamedWeights);
+  swapping @9 :Bool;
 }
 
 struct TargetList {
@@ -57,6 +58,7 @@
   id @0 :Text;
   inflight @1 :UInt32;
   unreadTokens @2 :UInt32;
+  tokens @3 :UInt32;
 }
 
 struct GatewayLoad {
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -65,6 +65,7 @@
     place: address.Address
     pool: targets.Pool
     budget: budget.RepeatBudget
+    forwarder: forwarding.Forwarder
     records: list[records.RequestRecord] = attrs.field(factory=list)
 
     async def connect(self) -> anyio.abc.SocketStream:
@@ -123,7 +124,7 @@
     place = address.Address(*listener.getsockname())
     async with anyio.create_task_group() as group:
         group.start_soon(callers.serve_listener, listener, serving, group)
-        yield Bench(site, serving, place, pool, repeats, ended)
+        yield Bench(site, serving, place, pool, repeats, forwarder, ended)
         group.cancel_scope.cancel()
     listener.close()
     pool.close()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -60,11 +60,44 @@
     assert 0 < int(left) <= 800
 
 
+async def test_request_after_a_start_waits_for_the_configuration() -> None:
+    found = support.configuration(support.route())
+    async with (
+        raw_target.open_target(raw_target.answer()) as target,
+        support.open_bench(None, target) as bench,
+        await bench.connect() as stream,
+    ):
+        rest = b"X-Cactusstile-Deadline-Ms: 3000\r\n"
+        await stream.send(support.request(rest=rest))
+        await anyio.sleep(0.1)
+        bench.site.replace_configuration(found)
+        assert support.status(await support.read_to_end(stream)) == 200
+
+
+async def test_target_whose_address_is_anothers_is_left_alone() -> None:
+    async with (
+        raw_target.open_target(
+            raw_target.answer(b"", b"421 Other"), id="a"
+        ) as gone,
+        raw_target.open_target(
+            raw_target.answer(), raw_target.answer(), id="b"
+        ) as live,
+    ):
+        found = support.configuration(support.route(ONCE, max_attempts=1))
+        async with support.open_bench(found, gone, live) as bench:
+            bench.site.targets.views["b", 0].inflight = 3
+            for _ in range(2):
+                data = await bench.ask(support.request(b"POST"))
+                assert support.status(data) == 200
+    assert (len(gone.requests), len(live.requests)) == (1, 2)
+
+
 async def test_answers_without_configuration_or_route_or_key() -> None:
     workspace = model.Workspace("w", ("k",))
     keyed = support.configuration(support.route(), workspaces=(workspace,))
     async with support.open_bench(None) as bench:
-        data = await bench.ask(support.request())
+        rest = b"X-Cactusstile-Deadline-Ms: 300\r\n"
+        data = await bench.ask(support.request(rest=rest))
         assert support.status(data) == 503
         assert b"retry-after" in data.lower()
     async with support.open_bench(keyed) as bench:
@@ -261,6 +294,22 @@
     assert not data.endswith(b"0\r\n\r\n")
 
 
+async def test_stream_that_would_outlast_the_process_is_refused() -> None:
+    whole = raw_target.stream_events([1])
+    async with raw_target.open_target(whole) as target:
+        found = support.configuration(support.route(STREAM))
+        async with support.open_bench(found, target) as bench:
+            bench.forwarder.ends_s = anyio.current_time() + 2.0
+            usage = b"X-Cactusstile-Token-Usage: 10,900\r\n"
+            hint = b"X-Cactusstile-Length-Hint: "
+            long = support.request(b"POST", usage + hint + b"500\r\n")
+            data = await bench.ask(long)
+            assert support.status(data) == 503
+            assert target.requests == []
+            short = support.request(b"POST", usage + hint + b"10\r\n")
+            assert support.status(await bench.ask(short)) == 200
+
+
 async def test_stream_cut_within_an_event_does_not_look_whole() -> None:
     cut = raw_target.stream_events([1], rest=b"id: 2\nda")
     async with raw_target.open_target(cut) as target:
--- a/tests/registry/test_weights.py
+++ b/tests/registry/test_weights.py
@@ -1,9 +1,15 @@
 from __future__ import annotations
 
+import typing
+
 from cactusstile.registry import weights
 from cactusstile.sites import model
 from cactusstile.transport import address
 
+if typing.TYPE_CHECKING:
+    from cactusstile.consensus import replica
+    from cactusstile.platform import client as clients
+
 
 def engine(number: int, version: int, **rest: bool) -> model.Target:
     return model.Target(
@@ -37,6 +43,22 @@
     assert ids(weights.next_swaps(engines, {"m": 3}, done, set())) == ["e-0"]
 
 
+def test_gateways_learn_of_swaps_before_the_list_tells() -> None:
+    engines = (engine(0, 1), engine(1, 1), engine(2, 1))
+    controller = weights.WeightsController(
+        typing.cast("clients.Client", None),
+        typing.cast("replica.Replica", None),
+        lambda: engines,
+        dict,
+        lambda: None,
+    )
+    controller.under_way.add(engines[0].incarnation)
+    controller.done.add((engines[1].incarnation, "m", 2))
+    seen = controller.overlay(engines)
+    assert [one.swapping for one in seen] == [True, False, False]
+    assert [one.weights[0].version for one in seen] == [1, 2, 1]
+
+
 def test_engines_that_leave_or_hold_other_models_are_left_alone() -> None:
     engines = [engine(1, 1, leaving=True), engine(2, 2)]
     assert weights.next_swaps(engines, {"m": 2, "x": 9}, set(), set()) == []
