Bound the time for which engines drain before they change weights

Ruled out: waiting in larger rounds; two rounds of 7 s exceed the limit too. Change: gateways stop sending to an engine, runs drain for a time that lets all rounds end within three quarters of the limit, and what still runs goes on under the new weights. Gateways leave engines on older weights alone near the limit.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -170,8 +170,9 @@
 
     def _take_weights(self, item: messages.WeightsInForce) -> None:
         for one in item.weights:
-            known = self.site.weights.get(one.model, 0)
-            self.site.weights[one.model] = max(known, one.version)
+            if one.version > self.site.weights.get(one.model, 0):
+                self.site.weights[one.model] = one.version
+                self.site.named_s[one.model] = anyio.current_time()
 
     def take_targets(
         self, listed: tuple[model.Target, ...], source: str
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -136,7 +136,9 @@
         counted.count(ended)
         request_logger.info("request ended", extra=ended.fields())
 
-    forwarder = forwarding.Forwarder(site, pool, budget, record)
+    forwarder = forwarding.Forwarder(
+        site, pool, budget, record, settings.weights_s
+    )
     memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_SHARE
     serving = callers.Serving(
         forwarder.handle,
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -24,6 +24,11 @@
 MISDIRECTED_PAUSE_S = 5.0
 
 
+# Part of the time for older weights after which their engines get no more
+# requests; a request may wait there before it begins.
+OUTDATED_PART = 0.8
+
+
 class Dispatcher:
     """Chooses targets.
 
@@ -32,9 +37,16 @@
       sessions: What returns, by route.
     """
 
-    def __init__(self, site: site_view.SiteView) -> None:
-        """Chooses among the targets of `site`."""
+    def __init__(self, site: site_view.SiteView, weights_s: float) -> None:
+        """Chooses among the targets of `site`.
+
+        Args:
+          site: What is known of the site.
+          weights_s: Time from the naming of weights until no request may begin
+            on older ones.
+        """
         self.site = site
+        self.weights_s = weights_s
         self.sessions = sessions.Sessions()
 
     def choose_service(self, admitted: admission.Admitted) -> str:
@@ -66,7 +78,12 @@
             if view.target.leaving or view.target.incarnation in attempts.tried:
                 continue
             fresh.append(view)
-        usable = [view for view in fresh if view.is_usable(now_s)]
+        usable = []
+        for view in fresh:
+            if view.is_usable(now_s) and not self._is_outdated(
+                view, admitted.prompt.model, now_s
+            ):
+                usable.append(view)
         # A target that seems to fail is still better than none.
         possible = usable or fresh
         if admitted.route.kind is model.Kind.STREAM:
@@ -87,6 +104,17 @@
             )
         return placement.choose_service_target(possible, admitted.id, now_s)
 
+    def _is_outdated(
+        self, view: target_view.TargetView, name: str, now_s: float
+    ) -> bool:
+        """Returns whether an engine holds weights that are too old by now."""
+        held = view.weights.get(name)
+        newest = self.site.weights.get(name)
+        if held is None or newest is None or held >= newest:
+            return False
+        since_s = now_s - self.site.named_s[name]
+        return since_s > OUTDATED_PART * self.weights_s
+
     def prepare(
         self,
         admitted: admission.Admitted,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -56,13 +56,14 @@
         pool: targets.Pool,
         budget: budgets.RepeatBudget,
         record: Record,
+        weights_s: float,
     ) -> None:
-        """Forwards to the targets of `site`."""
+        """Forwards to the targets of `site`; see `dispatching`."""
         self.site = site
         self.pool = pool
         self.budget = budget
         self.record = record
-        self.dispatcher = dispatching.Dispatcher(site)
+        self.dispatcher = dispatching.Dispatcher(site, weights_s)
         self.pace = stream_pace.StreamPace()
         self.ends_s: float | None = None
 
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -22,6 +22,7 @@
       listed_s: Loop time of the last list; None before the first.
       listed: Targets of that list.
       weights: Newest version that was named, by model.
+      named_s: Loop time at which that version became known here.
       confirmed_s: Loop time at which control last confirmed what is known.
       gateways: Addresses of all gateways; they share the site's limits.
       control: Addresses of control processes, as last told.
@@ -34,6 +35,7 @@
     listed_s: float | None = None
     listed: tuple[model.Target, ...] = ()
     weights: dict[str, int] = attrs.field(factory=dict)
+    named_s: dict[str, float] = attrs.field(factory=dict)
     confirmed_s: float | None = None
     gateways: tuple[str, ...] = ()
     control: tuple[str, ...] = ()
--- a/src/cactusstile/platform/listings.py
+++ b/src/cactusstile/platform/listings.py
@@ -87,12 +87,14 @@
       weights: Versions of the weights that it holds.
       ordered: Whether an order is being carried out.
       orders: Count of the orders that it accepted since its start.
+      requests: Requests that run or wait.
       born_ms: Unix time of its start, in ms; 0 if unknown.
     """
 
     weights: tuple[model.Weights, ...]
     ordered: bool
     orders: int
+    requests: int
     born_ms: int
 
 
@@ -107,5 +109,7 @@
         weights=_weights(read),
         ordered=fields.flag(read, "busy"),
         orders=fields.whole(read, "seq"),
+        requests=fields.whole(read, "active", 0)
+        + fields.whole(read, "queued", 0),
         born_ms=fields.whole(read, "born", 0),
     )
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -246,7 +246,8 @@
         registry.replica,
         lambda: listing.targets,
         registry.site.weights,
-        tell,
+        on_change=tell,
+        limit_s=registry.settings.weights_s,
     )
     group.start_soon(
         discovery.run,
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
 import anyio
@@ -32,10 +33,16 @@
 POLL_INTERVAL_S = 0.1
 # Time that gateways have to stop sending requests to an engine.
 NOTICE_S = 0.05
+# Part of the time until no request may begin on older weights within which all
+# engines change over.
+USED_PART = 0.75
+# Time to load weights, beside others that load.
+LOAD_S = 0.8
+MIN_DRAIN_S = 0.3
 # Time after which an order without an answer is sent again.
 REPEAT_AFTER_S = 0.5
 # Part of a model's engines that change over at once.
-SHARE_AT_ONCE = 0.37
+SHARE_AT_ONCE = 0.5
 MISDIRECTED = 421
 FENCED_OFF = 412
 
@@ -77,13 +84,35 @@
             if (target.incarnation, name, version) in done:
                 continue
             lagging.append(target)
-        places = max(1, round(SHARE_AT_ONCE * len(holders)))
+        places = _places(len(holders))
         busy = sum(one.incarnation in under_way for one in holders)
         for target in lagging[: max(0, places - busy)]:
             swaps.append(Swap(target, model.Weights(name, version)))
     return swaps
 
 
+def _places(engines: int) -> int:
+    """Returns how many engines change over at once."""
+    return max(1, round(SHARE_AT_ONCE * engines))
+
+
+def drain_s(engines: int, limit_s: float) -> float:
+    """Returns how long runs may go on before an engine changes over.
+
+    Answers long streams at engines that change over: waiting for the last of
+    them would keep others on older weights for too long.
+
+    Args:
+      engines: Engines that hold the model.
+      limit_s: Time until no request may begin on older weights.
+
+    >>> round(drain_s(9, 8.0), 2), drain_s(5, 2.0)
+    (1.2, 0.3)
+    """
+    rounds = math.ceil(max(1, engines) / _places(engines))
+    return max(MIN_DRAIN_S, USED_PART * limit_s / rounds - LOAD_S)
+
+
 def _held_version(target: model.Target, name: str) -> int | None:
     for one in target.weights:
         if one.model == name:
@@ -106,7 +135,9 @@
         own_replica: replica.Replica,
         listed: collections.abc.Callable[[], tuple[model.Target, ...]],
         wanted: collections.abc.Callable[[], dict[str, int]],
+        *,
         on_change: collections.abc.Callable[[], None],
+        limit_s: float,
     ) -> None:
         """Prepares a controller; see `run`.
 
@@ -116,12 +147,14 @@
           listed: Returns all targets.
           wanted: Returns the newest version of each model.
           on_change: Called when a swap starts or ends.
+          limit_s: Time until no request may begin on older weights.
         """
         self.client = client
         self.replica = own_replica
         self.listed = listed
         self.wanted = wanted
         self.on_change = on_change
+        self.limit_s = limit_s
         self.done: set[tuple[tuple[str, int], str, int]] = set()
         self.under_way: set[tuple[str, int]] = set()
         self.fenced_off_term = -1
@@ -205,6 +238,9 @@
         """
         ordered_s = float("-inf")
         await anyio.sleep(NOTICE_S)
+        drained_by_s = anyio.current_time() + drain_s(
+            self._count_holders(swap.weights.model), self.limit_s
+        )
         while self._may_order():
             report = await self.client.report(swap.target)
             if _has(report, swap.weights):
@@ -218,6 +254,7 @@
                 return "done"
             now_s = anyio.current_time()
             due = now_s - ordered_s >= REPEAT_AFTER_S
+            due = due and (not report.requests or now_s >= drained_by_s)
             if due and not report.ordered:
                 ordered_s = now_s
                 status = await self._order(swap, report)
@@ -226,6 +263,12 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return "not_leader"
 
+    def _count_holders(self, name: str) -> int:
+        found = 0
+        for target in self.listed():
+            found += _held_version(target, name) is not None
+        return found
+
     async def _order(self, swap: Swap, report: listings.Report) -> int:
         """Sends one order; returns the status of its answer, 0 for none."""
         status = self.replica.status()
@@ -234,7 +277,7 @@
         request = calls.swap_request(
             swap.target,
             swap.weights,
-            mode=calls.SwapMode.FINISH_FIRST,
+            mode=_mode(report),
             holder=self.replica.settings.name,
             fence=status.term,
             expected_orders=report.orders,
@@ -261,6 +304,17 @@
         return answered
 
 
+def _mode(report: listings.Report) -> calls.SwapMode:
+    """Returns what becomes of runs that outlast the drain.
+
+    They go on, so that their callers lose nothing; what they generate from
+    then on mixes weights, which is why they are few.
+    """
+    if report.requests:
+        return calls.SwapMode.GO_ON
+    return calls.SwapMode.FINISH_FIRST
+
+
 def _has(report: listings.Report, wanted: model.Weights) -> bool:
     for one in report.weights:
         if one.model == wanted.model:
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -39,6 +39,8 @@
       retry_ratio: Repeats allowed for each request to a service.
       retry_window_s: Window over which these are counted.
       retry_slack: Repeats allowed besides.
+      weights_s: Time from the naming of weights until no request may begin on
+        older ones.
     """
 
     name: str
@@ -61,6 +63,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    weights_s: float
 
     @property
     def internal_address(self) -> address.Address:
@@ -182,6 +185,12 @@
         ini.Option(
             "retry_slack", ini.number(0, 1e6), "repeats allowed besides", 10
         ),
+        ini.Option(
+            "weights_ms",
+            ini.number(100, _MAX_MS),
+            "time until no request begins on older weights",
+            8000,
+        ),
     ),
 }
 
@@ -212,5 +221,6 @@
         read.update(ini.read_section(parser, section, options, file, problems))
     if problems:
         raise ini.InvalidFileError(problems)
+    read["weights_s"] = read.pop("weights_ms") / 1000
     read["list_interval_s"] = read.pop("interval_ms") / 1000
     return NodeSettings(**read)
