Let a replica that was replaced while it was away join anew

Cause: a voter that is silent for 6 s gives its place to a learner; when it came back it held a log of a group that it no longer belonged to, and nobody wrote to it. Ruled out: keeping its vote; with four VMs a second loss would leave no quorum. Change: without a leader it asks the others; once a leader, confirmed by a quorum, does not know it, it drops its log and joins as a learner. Tests over real sockets and files: replacement, rejoin, reads without quorum.

--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -66,3 +66,19 @@
     digest: bytes
     document: bytes
     weights: tuple[messages.NamedWeights, ...]
+
+
+@codec.register(505, _SCHEMA, "AskMembership")
+@attrs.frozen
+class AskMembership:
+    """Call: asks the leader whether a replica still belongs to the group."""
+
+    member_id: str
+
+
+@codec.register(506, _SCHEMA, "MembershipAnswer")
+@attrs.frozen
+class MembershipAnswer:
+    """Answers `AskMembership`, as confirmed by a quorum."""
+
+    is_member: bool
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -24,6 +24,7 @@
 from cactusstile.registry import feed as feeds
 from cactusstile.registry import members
 from cactusstile.registry import operator
+from cactusstile.registry import rejoin
 from cactusstile.registry import state as states
 from cactusstile.registry import store_watch
 from cactusstile.registry import weights
@@ -74,12 +75,26 @@
       site: The replicated state.
       replica: Its replica.
       feed: What gateways are told.
+      connections: Connections to other replicas.
     """
 
     settings: node.NodeSettings
     site: states.SiteState
     replica: replica.Replica
     feed: feeds.Feed
+    connections: pools.Pool
+
+    async def wait_until_removed(self) -> None:
+        """Returns once this replica was replaced; see `rejoin`."""
+        await rejoin.wait_until_removed(
+            self.replica, self.connections, self._others
+        )
+
+    def _others(self) -> list[str]:
+        own = self.replica.settings.address
+        found = [one.member.address for one in self.replica.status().members]
+        found += [str(one) for one in self.settings.internal_seeds]
+        return [one for one in dict.fromkeys(found) if one != own]
 
     def dump(self) -> dict[str, typing.Any]:
         """Returns the state of the process; it holds no key."""
@@ -170,10 +185,9 @@
         )
         feed = feeds.Feed(site, opened)
         site.observer = feed.wake
-        registry = Registry(settings, site, opened, feed)
-        handlers = incoming.Handlers(
-            feeds.watch_handlers(feed), _notices(opened)
-        )
+        registry = Registry(settings, site, opened, feed, connections)
+        calls = {**feeds.watch_handlers(feed), **rejoin.handlers(opened)}
+        handlers = incoming.Handlers(calls, _notices(opened))
         await stack.enter_async_context(
             server.open_server(
                 settings.internal_address, identity, secrets, handlers, TIMING
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -4,28 +4,62 @@
 
 import logging
 import pathlib
+import typing
 
 import anyio
 
 from cactusstile.console import signals
 from cactusstile.registry import daemon
+from cactusstile.registry import rejoin
 from cactusstile.settings import node
 from cactusstile.settings import reload
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 logger = logging.getLogger(__name__)
 
 
 async def run(settings: node.NodeSettings, path: pathlib.Path) -> None:
-    """Serves until a signal asks for a stop, then hands leadership over."""
+    """Serves until a signal asks for a stop, then hands leadership over.
+
+    A replica that was replaced while it was away drops its log and joins anew.
+    """
     with signals.receive() as received:
-        async with (
-            daemon.open_registry(settings) as registry,
-            anyio.create_task_group() as group,
-        ):
-            logger.info("started", extra={"first": settings.first_start})
-            group.start_soon(reload.watch, path, settings, lambda _: None)
+        while await _serve(settings, path, received):
+            rejoin.drop_log(daemon.replica_settings(settings).data_folder)
+    logger.info("stopped")
+
+
+async def _serve(
+    settings: node.NodeSettings,
+    path: pathlib.Path,
+    received: signals.Signals,
+) -> bool:
+    """Serves once; returns whether the replica was replaced."""
+    removed = False
+    async with (
+        daemon.open_registry(settings) as registry,
+        anyio.create_task_group() as group,
+    ):
+        logger.info("started", extra={"first": settings.first_start})
+
+        async def stop_when(
+            wait: collections.abc.Callable[
+                [], collections.abc.Awaitable[object]
+            ],
+        ) -> None:
+            nonlocal removed
+            await wait()
+            removed = wait == registry.wait_until_removed
+            group.cancel_scope.cancel()
+
+        async def stop_at_signal() -> None:
             number = await anext(received)
             logger.info("stopping", extra={"signal": int(number)})
             await registry.hand_over()
-            group.cancel_scope.cancel()
-    logger.info("stopped")
+
+        group.start_soon(reload.watch, path, settings, lambda _: None)
+        group.start_soon(stop_when, stop_at_signal)
+        group.start_soon(stop_when, registry.wait_until_removed)
+    return removed
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -1,5 +1,13 @@
 @0xb1f3c0a7d2e4968d;
 
+struct AskMembership {
+  memberId @0 :Text;
+}
+
+struct MembershipAnswer {
+  isMember @0 :Bool;
+}
+
 struct NamedWeights {
   model @0 :Text;
   version @1 :UInt64;
--- /dev/null
+++ b/tests/registry/test_daemon.py
@@ -0,0 +1,165 @@
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import json
+import pathlib
+
+import anyio
+import attrs
+import pytest
+from tests.platform import test_configurations
+from tests.registry import support
+
+from cactusstile.consensus import founding
+from cactusstile.consensus import membership
+from cactusstile.http import messages
+from cactusstile.http import targets
+from cactusstile.registry import daemon
+from cactusstile.registry import members
+from cactusstile.registry import rejoin
+from cactusstile.settings import node
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5")
+
+
+@attrs.define
+class Site:
+    """Registry processes within this one, each on an address of its own."""
+
+    folder: pathlib.Path
+    port: int = attrs.field(factory=support.free_port)
+    running: dict[str, daemon.Registry] = attrs.field(factory=dict)
+
+    def settings(self, host: str, *, first: bool = True) -> node.NodeSettings:
+        found = support.settings(self.folder, host, host, self.port, *HOSTS[:3])
+        return attrs.evolve(found, first_start=first)
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, *hosts: str, first: bool = True
+    ) -> collections.abc.AsyncIterator[None]:
+        async with contextlib.AsyncExitStack() as stack:
+            for host in hosts:
+                settings = self.settings(host, first=first)
+                opened = daemon.open_registry(settings)
+                self.running[host] = await stack.enter_async_context(opened)
+            try:
+                yield
+            finally:
+                for host in hosts:
+                    del self.running[host]
+
+    async def leader(self) -> daemon.Registry:
+        with anyio.fail_after(10):
+            while True:
+                for one in self.running.values():
+                    if one.replica.is_leader:
+                        return one
+                await anyio.sleep(0.02)
+
+    async def ask(
+        self, host: str, method: bytes, path: bytes, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Makes an operator's call, and follows redirections."""
+        for _ in range(3):
+            pool = targets.Pool()
+            place = address.Address(host, self.port + 2)
+            connection = await pool.take(place, 1.0)
+            request = messages.Request(method, path, ((b"host", b"x"),), body)
+            head = await connection.ask(request, lambda _: True)
+            data = await connection.read_whole(1 << 20)
+            connection.close()
+            if head.status != 307:
+                return head.status, data
+            host = (head.find(b"location") or "").split("/")[2].split(":")[0]
+        return head.status, data
+
+    async def replace(self, version: int, **changes: object) -> int:
+        document = test_configurations.document(version=version, **changes)
+        body = json.dumps(document).encode()
+        host = next(iter(self.running))
+        found, _ = await self.ask(host, b"POST", b"/-/Config.Replace", body)
+        return found
+
+    async def wait_for_voters(self, *hosts: str) -> None:
+        with anyio.fail_after(15):
+            while True:
+                status = (await self.leader()).replica.status()
+                voters = {
+                    one.member.name
+                    for one in status.members
+                    if one.member.voter and one.active
+                }
+                if voters == set(hosts):
+                    return
+                await anyio.sleep(0.05)
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> Site:
+    return Site(tmp_path)
+
+
+async def test_configuration_is_accepted_and_read_back(site: Site) -> None:
+    async with site.open(*HOSTS[:3]):
+        await site.leader()
+        assert await site.replace(5) == 200
+        assert await site.replace(5) == 200
+        assert await site.replace(4) == 200
+        assert await site.replace(5, tenants=[]) == 409
+        assert await site.replace(6, limits=None) == 400
+        for host in HOSTS[:3]:
+            status, data = await site.ask(host, b"GET", b"/-/Config.Get")
+            assert (status, json.loads(data)["version"]) == (200, 5)
+
+
+async def test_replica_without_quorum_answers_no_read(site: Site) -> None:
+    async with site.open(*HOSTS[:3]):
+        await site.leader()
+        assert await site.replace(5) == 200
+    async with site.open(HOSTS[0], first=False):
+        await anyio.sleep(1.0)
+        status, _ = await site.ask(HOSTS[0], b"GET", b"/-/Config.Get")
+        assert status >= 500
+
+
+async def test_fourth_replica_replaces_one_that_lost_its_disk(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(members, "LOST_AFTER_S", 0.5)
+    async with site.open(*HOSTS[:2]):
+        async with site.open(HOSTS[2]):
+            await site.wait_for_voters(*HOSTS[:3])
+            assert await site.replace(5) == 200
+        async with site.open(HOSTS[3]):
+            await site.wait_for_voters(HOSTS[0], HOSTS[1], HOSTS[3])
+            assert await site.replace(6) == 200
+
+
+async def test_replica_that_was_replaced_joins_anew(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(rejoin, "LEADERLESS_S", 0.5)
+    # The founders' own words would let the removed one in again.
+    monkeypatch.setattr(founding, "HELLO_EXPIRY_S", 0.3)
+    async with site.open(*HOSTS[:2]):
+        async with site.open(HOSTS[2]):
+            await site.wait_for_voters(*HOSTS[:3])
+            lost = site.running[HOSTS[2]].replica.status().member_id
+        await anyio.sleep(0.5)
+        leader = await site.leader()
+        await leader.replica.read_barrier()
+        await leader.replica.change_membership(membership.Remove(lost))
+        async with site.open(HOSTS[2], first=False):
+            with anyio.fail_after(10):
+                await site.running[HOSTS[2]].wait_until_removed()
+        folder = daemon.replica_settings(site.settings(HOSTS[2])).data_folder
+        rejoin.drop_log(folder)
+        assert not folder.exists()
+        async with site.open(HOSTS[2], first=False):
+            with anyio.fail_after(10):
+                while len((await site.leader()).replica.status().members) < 3:
+                    await anyio.sleep(0.05)
