Free parts of stores that are outdated or the oldest of a full store

Cause: nothing was ever freed, so parts of older weights stayed for good and a full store took no more. Ruled out: letting gateways free; two owners could free what the other has just announced.

--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -6,6 +6,7 @@
 
 from cactusstile.gateway import prompts
 from cactusstile.sites import model
+from cactusstile.sites import salts
 
 # Time after which a report of load says nothing any more.
 REPORT_LIFE_S = 2.0
@@ -117,7 +118,7 @@
         It holds the version of the weights, so that parts which other weights
         made are never found.
         """
-        return f"{wall}/{name}/{self.weights.get(name, 0)}"
+        return salts.make(wall, name, self.weights.get(name, 0))
 
     def note_load(self, text: str | None, now_s: float) -> None:
         """Notes the load that a target reports as "running,waiting,slots"."""
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -26,6 +26,7 @@
 from cactusstile.registry import operator
 from cactusstile.registry import rejoin
 from cactusstile.registry import state as states
+from cactusstile.registry import store_cleaning
 from cactusstile.registry import store_watch
 from cactusstile.registry import weights
 from cactusstile.settings import node
@@ -231,7 +232,8 @@
         client,
         lambda: own_replica.is_leader,
         registry.site.stores,
-        registry.feed.update_stores,
+        on_loss=registry.feed.update_stores,
+        oldest=lambda: store_cleaning.oldest_versions(registry.feed.listed),
     )
     registry.feed.contents = watch.contents
     group.start_soon(watch.run, group)
--- a/src/cactusstile/registry/store_contents.py
+++ b/src/cactusstile/registry/store_contents.py
@@ -22,6 +22,21 @@
 # Time for which a confirmation permits fetches: two confirmations, the time in
 # an engine's queue and the transfer.
 LEASE_MS = 3000
+# Time between two updates, within which a lease may still be given.
+UPDATE_MS = 1000
+
+
+@attrs.frozen
+class Retired:
+    """A part that is to be freed.
+
+    Attributes:
+      part: The part.
+      since_ms: Time on the targets' clock at which it was retired.
+    """
+
+    part: model.KeptPart
+    since_ms: float
 
 
 @attrs.define
@@ -37,6 +52,7 @@
       parts: Whole parts, by salt and id.
       changed: Parts that changed since the last update.
       replaced: Whether the contents were replaced since.
+      retired: Parts that gateways no longer fetch, with the time since when.
     """
 
     address: str
@@ -47,6 +63,7 @@
     parts: dict[tuple[str, str], model.KeptPart] = attrs.field(factory=dict)
     changed: dict[tuple[str, str], model.KeptPart] = attrs.field(factory=dict)
     replaced: bool = False
+    retired: dict[tuple[str, str], Retired] = attrs.field(factory=dict)
 
     def replace(self, contents: stores.Contents) -> None:
         """Takes over a whole list."""
@@ -54,7 +71,13 @@
             self.lose()
         self.epoch = contents.epoch
         self.next_event = contents.next_event
-        self.parts = {(one.salt, one.id): one for one in contents.parts}
+        listed = {(one.salt, one.id): one for one in contents.parts}
+        self.retired = {
+            key: one for key, one in self.retired.items() if key in listed
+        }
+        self.parts = {
+            key: one for key, one in listed.items() if key not in self.retired
+        }
         self.changed = {}
         self.replaced = True
 
@@ -68,6 +91,10 @@
         self.next_event = events.next_event
         for part in events.changes:
             key = (part.salt, part.id)
+            if key in self.retired:
+                if not part.tokens:
+                    del self.retired[key]
+                continue
             self.changed[key] = part
             if part.tokens > 0:
                 self.parts[key] = part
@@ -81,9 +108,30 @@
             self.closed_until_ms = self.clock_ms + LEASE_MS
         self.epoch = None
         self.parts = {}
+        self.retired = {}
         self.changed = {}
         self.replaced = True
 
+    def retire(self, keys: collections.abc.Iterable[tuple[str, str]]) -> None:
+        """Has gateways stop fetching parts, so that they can be freed."""
+        for key in keys:
+            part = self.parts.pop(key)
+            self.retired[key] = Retired(part, self.clock_ms)
+            self.changed[key] = attrs.evolve(part, tokens=0)
+
+    def freeable(self) -> tuple[model.KeptPart, ...]:
+        """Returns retired parts that no fetch can reach any more."""
+        found = []
+        for one in self.retired.values():
+            if self.clock_ms > one.since_ms + LEASE_MS + UPDATE_MS:
+                found.append(one.part)
+        return tuple(found)
+
+    def note_freed(self, parts: tuple[model.KeptPart, ...]) -> None:
+        """Notes that parts are gone."""
+        for part in parts:
+            self.retired.pop((part.salt, part.id), None)
+
     def is_open(self) -> bool:
         """Returns whether gateways may fetch and save."""
         return self.epoch is not None and self.clock_ms > self.closed_until_ms
--- a/src/cactusstile/registry/store_watch.py
+++ b/src/cactusstile/registry/store_watch.py
@@ -9,6 +9,8 @@
 import anyio.abc
 
 from cactusstile.platform import client as clients
+from cactusstile.platform import stores
+from cactusstile.registry import store_cleaning
 from cactusstile.registry import store_contents
 
 if typing.TYPE_CHECKING:
@@ -22,6 +24,10 @@
 # Time that a store holds the call back while nothing changes.
 EVENTS_WAIT_MS = 400
 RETRY_INTERVAL_S = 0.3
+MAX_PARTS_PER_CALL = 200
+# Time after which a store refuses an order to free; an earlier leader's orders
+# are over when a new one has settled.
+FREE_LIMIT_MS = 700
 # Time after an election until an earlier leader's frees are surely over.
 SETTLING_S = 1.0
 
@@ -38,7 +44,9 @@
         client: clients.Client,
         leads: collections.abc.Callable[[], bool],
         named: collections.abc.Callable[[], tuple[model.Store, ...]],
+        *,
         on_loss: collections.abc.Callable[[], None],
+        oldest: collections.abc.Callable[[], dict[str, int]],
     ) -> None:
         """Follows the stores that `named` returns while `leads` says so.
 
@@ -47,11 +55,13 @@
           leads: Returns whether this process leads.
           named: Returns the stores of the configuration in force.
           on_loss: Called when the contents of a store are lost.
+          oldest: Returns the oldest version of each model at any engine.
         """
         self.client = client
         self.leads = leads
         self.named = named
         self.on_loss = on_loss
+        self.oldest = oldest
         self.contents: dict[str, store_contents.StoreContents] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
@@ -118,8 +128,42 @@
                 store, held.next_event, EVENTS_WAIT_MS
             )
             if held.take(events):
+                await self._clean(store, held)
                 continue
             if events.epoch != held.epoch:
                 return
             # Events were lost; the contents are read anew, and still hold.
             held.replace(await self.client.kept_parts(store))
+
+    async def _clean(
+        self, store: model.Store, held: store_contents.StoreContents
+    ) -> None:
+        """Retires parts that are of no use, and frees what was retired.
+
+        Raises:
+          CallError: The store could not be asked.
+        """
+        if not held.is_open() or held.epoch is None:
+            return
+        oldest = self.oldest()
+        retired = store_cleaning.outdated(held.parts, oldest)
+        if not retired:
+            retired = store_cleaning.surplus(held, store.kv_tokens)
+        held.retire(retired)
+        parts = held.freeable()[:MAX_PARTS_PER_CALL]
+        if not parts or not self.leads():
+            return
+        until_ms = held.clock_ms + FREE_LIMIT_MS
+        request = stores.free_request(parts, held.epoch, until_ms)
+        status = await self.client.free_parts(store, request)
+        logger.info(
+            "parts of a store were freed",
+            extra={
+                "store": store.name,
+                "parts": len(parts),
+                "status": status,
+                "oldest_weights": oldest,
+            },
+        )
+        if status == clients.OK:
+            held.note_freed(parts)
--- a/tests/registry/test_store_contents.py
+++ b/tests/registry/test_store_contents.py
@@ -5,8 +5,10 @@
 from hypothesis import strategies
 
 from cactusstile.platform import stores
+from cactusstile.registry import store_cleaning
 from cactusstile.registry import store_contents
 from cactusstile.sites import model
+from cactusstile.sites import salts
 
 PART = model.KeptPart("s", "p", 100)
 
@@ -58,6 +60,39 @@
     assert held.is_open()
 
 
+def test_part_is_freed_after_no_fetch_can_reach_it() -> None:
+    held = store_contents.StoreContents("a")
+    held.replace(contents(7, PART))
+    held.take(events(7, 1000.0))
+    permitted = held.take_update()
+    held.retire([("s", "p")])
+    assert held.take_update().changes[0].tokens == 0
+    assert held.freeable() == ()
+    held.take(events(7, permitted.fetch_until_ms))
+    assert held.freeable() == ()
+    last_ms = permitted.fetch_until_ms + store_contents.UPDATE_MS
+    held.take(events(7, last_ms + 1, PART))
+    assert held.freeable() == (PART,)
+    # What is to be freed is not announced again.
+    assert held.take_update().changes == ()
+    held.note_freed((PART,))
+    assert held.freeable() == ()
+
+
+def test_outdated_and_oldest_parts_make_room() -> None:
+    held = store_contents.StoreContents("a")
+    old = model.KeptPart(salts.make("w", "m", 1), "a", 60)
+    new = [
+        model.KeptPart(salts.make("w", "m", 2), str(number), 60)
+        for number in range(3)
+    ]
+    held.replace(contents(7, old, *new))
+    assert store_cleaning.outdated(held.parts, {"m": 2}) == [(old.salt, "a")]
+    assert store_cleaning.outdated(held.parts, {"m": 1}) == []
+    assert store_cleaning.surplus(held, 300) == []
+    assert store_cleaning.surplus(held, 250) == [(old.salt, "a")]
+
+
 class LeasedStore(stateful.RuleBasedStateMachine):
     """A store that restarts, its leader, and one gateway's fetches.
 
