--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -32,6 +32,7 @@
     "member": "list, add, replace or remove control members",
     "drain": "let a target finish its work and take no more",
     "dump": "print the state of one process",
+    "explain": "tell one request's story from the logs",
 }
 
 
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -167,6 +167,9 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
+                if self._protocol.trailing_data[1]:
+                    text = "closed within an answer"
+                    raise exceptions.ConnectionEndedError(text) from error
                 raise exceptions.MalformedError(str(error)) from error
             if event is h11.PAUSED:
                 raise exceptions.MalformedError("bytes after an answer")
