--- a/src/cactusstile/console/check.py
+++ b/src/cactusstile/console/check.py
@@ -7,6 +7,7 @@
 
 from cactusstile.console import exceptions
 from cactusstile.settings import ini
+from cactusstile.settings import node
 from cactusstile.settings import process
 from cactusstile.settings import roles
 from cactusstile.state import fleet_file
@@ -48,6 +49,9 @@
 def _check(path: pathlib.Path) -> str:
     text = ini.read_text(path)
     parser = ini.parse_text(text, str(path))
+    if parser.has_section("node"):
+        loaded = node.load(path)
+        return f"{path}: settings of {loaded.role} {loaded.name}"
     if not parser.has_section("process"):
         fleet = fleet_file.parse(text, str(path))
         return (
--- a/src/cactusstile/settings/reference.py
+++ b/src/cactusstile/settings/reference.py
@@ -5,6 +5,7 @@
 import typing
 
 from cactusstile.settings import ini
+from cactusstile.settings import node
 from cactusstile.settings import operator
 from cactusstile.settings import process
 from cactusstile.settings import roles
@@ -29,6 +30,9 @@
     parts.append(_render_section("[process]", process.OPTIONS))
     for role, options in roles.OPTIONS.items():
         parts.append(_render_section(f"[{role}]", options))
+    parts.append("## Settings of a gateway or a registry\n")
+    for section, options in node.OPTIONS.items():
+        parts.append(_render_section(f"[{section}]", options))
     parts.append("## Settings of an operator\n")
     parts.append(_render_section("[operator]", operator.OPTIONS))
     parts.append("## Fleet file\n")
--- /dev/null
+++ b/tests/settings/test_node.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+from cactusstile.console import application
+from cactusstile.console import exceptions
+from cactusstile.settings import ini
+from cactusstile.settings import node
+
+DEPLOY = pathlib.Path(__file__).parents[2] / "deploy"
+VALUES = {
+    "node": "edge-1",
+    "ip": "10.1.0.9",
+    "zone": "here",
+    "bootstrap": "true",
+    "dataDir": "",
+    "internalPorts": "7580,7595",
+    "limits.memoryMb": "150",
+    "listen.front": "10.1.0.9:8749",
+    "listen.ready": "10.1.0.9:8741",
+    "listen.control": "",
+    "seeds": "10.1.0.9:8745,10.2.0.38:8745",
+    "cloud.address": "10.200.0.157:8744",
+    "bounds.graceS": "8",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.budgetWindowS": "10",
+    "bounds.budgetSlack": "58",
+    "bounds.versionMs": "6000",
+}
+
+
+def render(role: str) -> str:
+    template = (DEPLOY / f"{role}.ini").read_text()
+    return re.sub(r"{{(.*?)}}", lambda found: VALUES[found[1]], template)
+
+
+@pytest.mark.parametrize("role", ["gateway", "registry"])
+def test_rendered_template_is_read(role: str) -> None:
+    read = node.parse(render(role), "node.ini")
+    assert (read.role, read.name, read.weights_s) == (role, "edge-1", 6.0)
+    assert read.operator is None
+    assert read.data_folder is None
+    assert str(read.internal_seeds[1]) == "10.2.0.38:7580"
+
+
+def test_torn_settings_name_every_fault() -> None:
+    whole = render("gateway")
+    text = whole[: whole.index("internal_ports")] + "\n[odd]\n"
+    with pytest.raises(ini.InvalidFileError) as caught:
+        node.parse(text, "node.ini")
+    options = {one.option for one in caught.value.problems}
+    assert {"secret", "platform", "admin_port"} <= options
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "option"),
+    [
+        ("7580,7595", "7595", "internal_ports"),
+        ("10.1.0.9:8749", "somewhere", "callers"),
+        ("replace-this-by-a-random-text", "short", "secret"),
+        ("weights_ms = 6000", "weights_ms = soon", "weights_ms"),
+    ],
+)
+def test_bad_value_is_named(old: str, new: str, option: str) -> None:
+    with pytest.raises(ini.InvalidFileError) as caught:
+        node.parse(render("gateway").replace(old, new), "node.ini")
+    assert [one.option for one in caught.value.problems] == [option]
+
+
+def test_check_knows_node_settings(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "node.ini"
+    path.write_text(render("registry"))
+    assert application.run(["check", str(path)]) is exceptions.ExitCode.OK
+    assert "settings of registry edge-1" in capsys.readouterr().out
