--- a/src/cactusstile/observability/story.py
+++ b/src/cactusstile/observability/story.py
@@ -99,7 +99,7 @@
     verdict = fields.get("verdict") or "none needed"
     story = [
         f"request {fields.get('request')} at {fields.get('process')}, ended"
-        f" {line.at} after {fields.get('took_ms')} ms",
+        f" {fields['time']} after {fields.get('took_ms')} ms",
         f"  route {fields.get('route') or '-'}, workspace"
         f" {fields.get('workspace') or '-'}, configuration"
         f" {fields.get('configuration')}",
@@ -151,8 +151,9 @@
             continue
         details = json.dumps(line.own_fields)
         story.append(
-            f"  {line.at} {line.fields.get('process')}:"
-            f" {line.fields.get('message')} {details}"
+            f"  {line.fields['time']} {line.fields.get('process')}"
+            f"/{line.fields.get('role')}: {line.fields.get('message')}"
+            f" {details}"
         )
     return story
 
