--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -25,6 +25,9 @@
 logger = logging.getLogger(__name__)
 
 SEND_INTERVAL_S = 0.04
+# The interval grows with the gateways, so that what each receives in a second
+# stays bounded.
+SEND_INTERVAL_PER_GATEWAY_S = 0.003
 # Time after which an unchanged load is sent again, since datagrams get lost.
 REPEAT_INTERVAL_S = 0.4
 MAC_BYTES = 16
@@ -32,6 +35,15 @@
 Loads = tuple[messages.TargetLoad, ...]
 
 
+def send_interval_s(gateways: int) -> float:
+    """Returns the least time between two datagrams to each other gateway.
+
+    >>> send_interval_s(8), round(send_interval_s(31), 3)
+    (0.04, 0.093)
+    """
+    return max(SEND_INTERVAL_S, SEND_INTERVAL_PER_GATEWAY_S * gateways)
+
+
 class LoadExchange:
     """Sends this gateway's load to the others, and takes theirs."""
 
@@ -70,7 +82,7 @@
         sent: Loads = ()
         sent_s = float("-inf")
         while True:
-            await anyio.sleep(SEND_INTERVAL_S)
+            await anyio.sleep(send_interval_s(len(self.site.gateways)))
             loads = self.own_loads()
             now_s = anyio.current_time()
             if loads == sent and now_s - sent_s < REPEAT_INTERVAL_S:
