--- a/tests/registry/support.py
+++ b/tests/registry/support.py
@@ -1,16 +1,18 @@
 from __future__ import annotations
 
 import pathlib
-import socket
+import secrets
 
 from cactusstile.settings import node
 from cactusstile.transport import address
 
+# Below the range from which the kernel draws ports of outgoing connections.
+FIRST_PORT = 20_000
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+
+def draw_network() -> str:
+    """Returns a prefix of loopback addresses that no other test uses."""
+    return f"127.{1 + secrets.randbelow(250)}.{secrets.randbelow(250)}"
 
 
 def settings(
--- a/tests/registry/test_daemon.py
+++ b/tests/registry/test_daemon.py
@@ -22,7 +22,8 @@
 from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
-HOSTS = ("127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5")
+NETWORK = support.draw_network()
+HOSTS = tuple(f"{NETWORK}.{number}" for number in (2, 3, 4, 5))
 
 
 @attrs.define
@@ -30,7 +31,7 @@
     """Registry processes within this one, each on an address of its own."""
 
     folder: pathlib.Path
-    port: int = attrs.field(factory=support.free_port)
+    port: int = support.FIRST_PORT
     running: dict[str, daemon.Registry] = attrs.field(factory=dict)
 
     def settings(self, host: str, *, first: bool = True) -> node.NodeSettings:
--- /dev/null
+++ b/tests/support/node_site.py
@@ -0,0 +1,177 @@
+"""Gateways and registries as processes, and the platform's list beside them."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from cactusstile.http import callers
+from cactusstile.http import messages
+from cactusstile.http import responder as responders
+from cactusstile.http import sockets
+from cactusstile.http import targets
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+STARTUP_LIMIT_S = 20.0
+STOP_LIMIT_S = 12.0
+
+
+def _template(role: str) -> str:
+    root = pathlib.Path(__file__).parents[2]
+    return (root / "deploy" / f"{role}.ini").read_text()
+
+
+@attrs.define
+class NodeSite:
+    """A site of one registry and some gateways, each on its own address.
+
+    Attributes:
+      folder: Folder for settings and state.
+      network: Prefix of the addresses of its processes.
+      port: First of the ports that all processes use.
+      listed: Targets that the platform lists.
+      processes: Running processes by name.
+    """
+
+    folder: pathlib.Path
+    network: str
+    port: int
+    listed: list[model.Target] = attrs.field(factory=list)
+    processes: dict[str, anyio.abc.Process] = attrs.field(factory=dict)
+
+    @property
+    def registry_host(self) -> str:
+        """Address of the registry."""
+        return f"{self.network}.2"
+
+    @property
+    def gateway_host(self) -> str:
+        """Address of the gateway."""
+        return f"{self.network}.3"
+
+    @property
+    def platform(self) -> address.Address:
+        """Address of the platform's list."""
+        return address.Address(f"{self.network}.1", self.port + 9)
+
+    def _values(self, name: str, host: str) -> dict[str, str]:
+        return {
+            "node": name,
+            "ip": host,
+            "zone": "here",
+            "bootstrap": "true",
+            "dataDir": str(self.folder / name),
+            "internalPorts": f"{self.port},{self.port + 5}",
+            "limits.memoryMb": "150",
+            "listen.front": f"{host}:{self.port + 6}",
+            "listen.ready": f"{host}:{self.port + 7}",
+            "listen.control": f"{host}:{self.port + 8}",
+            "seeds": f"{self.registry_host}:{self.port + 8}",
+            "cloud.address": str(self.platform),
+            "bounds.graceS": "8",
+            "bounds.retryBudgetRatio": "0.2",
+            "bounds.budgetWindowS": "10",
+            "bounds.budgetSlack": "50",
+            "bounds.versionMs": "6000",
+        }
+
+    async def start(self, role: str, name: str, host: str) -> None:
+        """Starts a process; its log goes to a file beside its settings."""
+        text = _template(role)
+        for key, value in self._values(name, host).items():
+            text = text.replace("{{" + key + "}}", value)
+        path = self.folder / f"{name}.ini"
+        path.write_text(text)
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            self.processes[name] = await anyio.open_process(
+                [sys.executable, "-m", "cactusstile", role, str(path)],
+                stdout=log,
+                stderr=log,
+                env={**os.environ},
+            )
+
+    async def stop(
+        self, name: str, number: signal.Signals = signal.SIGTERM
+    ) -> int:
+        """Signals a process and returns its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(number)
+        with anyio.fail_after(STOP_LIMIT_S):
+            return await process.wait()
+
+    def log(self, name: str) -> list[str]:
+        return (self.folder / f"{name}.log").read_text().splitlines()
+
+    async def ask(
+        self, host: str, offset: int, request: messages.Request
+    ) -> tuple[int, bytes]:
+        """Makes a call at a port of the site, offset from the first."""
+        place = address.Address(host, self.port + offset)
+        connection = await targets.Pool().take(place, 1.0)
+        try:
+            head = await connection.ask(request, lambda _: True)
+            return head.status, await connection.read_whole(1 << 20)
+        finally:
+            connection.close()
+
+    async def wait_for(
+        self, host: str, offset: int, request: messages.Request, status: int
+    ) -> bytes:
+        """Asks until the answer has a status; returns its body."""
+        with anyio.fail_after(STARTUP_LIMIT_S):
+            while True:
+                with contextlib.suppress(Exception):
+                    found, body = await self.ask(host, offset, request)
+                    if found == status:
+                        return body
+                await anyio.sleep(0.05)
+
+    async def answer_list(
+        self, request: messages.Request, responder: responders.Responder
+    ) -> None:
+        del request
+        entries: list[dict[str, typing.Any]] = [
+            {
+                "id": one.id,
+                "service": one.service,
+                "address": str(one.address),
+                "zone": one.data_centre,
+                "slots": one.slots,
+                "state": "draining" if one.leaving else "ready",
+            }
+            for one in self.listed
+        ]
+        body = json.dumps({"instances": entries, "next": None}).encode()
+        await responder.respond(200, (), body)
+
+
+@contextlib.asynccontextmanager
+async def open_site(
+    folder: pathlib.Path, network: str, port: int
+) -> collections.abc.AsyncIterator[NodeSite]:
+    """Opens a site with one registry; leaving the context kills all."""
+    site = NodeSite(folder, network, port)
+    listener = sockets.listen(site.platform)
+    serving = callers.own_serving(site.answer_list)
+    async with anyio.create_task_group() as group:
+        group.start_soon(callers.serve_listener, listener, serving, group)
+        try:
+            yield site
+        finally:
+            for process in site.processes.values():
+                process.kill()
+                with anyio.CancelScope(shield=True):
+                    await process.aclose()
+            group.cancel_scope.cancel()
