Let no single connection or missing descriptor end a process

Causes, found by reading: an error within one connection reached the listener's task group; `socket.socket` failed outside the handling when descriptors ran out; a registry whose disk failed ended with a traceback instead of a line.

--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import typing
 
 import anyio
 
+from cactusstile.consensus import exceptions as consensus_exceptions
+from cactusstile.console import exceptions
 from cactusstile.observability import lines
 from cactusstile.platform import places
 from cactusstile.settings import node
@@ -19,13 +22,27 @@
     ]
 
 
+logger = logging.getLogger(__name__)
+
+
 def run(role: str, settings: str, main: Main) -> None:
     """Reads the settings, sets up the log and runs `main`.
 
     Raises:
       InvalidFileError: The settings have faults.
+      CommandError: The durable state cannot be used.
     """
     path = pathlib.Path(settings) if settings else places.settings_path()
     loaded = node.load(path)
     lines.configure(role, loaded.name)
-    anyio.run(main, loaded, path)
+    try:
+        anyio.run(main, loaded, path)
+    except* consensus_exceptions.StorageError as group:
+        logger.critical(
+            "stopped: the durable state cannot be used; repair the disk, or"
+            " empty the data folder to have the VM join anew",
+            extra={"error": str(group.exceptions[0])},
+        )
+        raise exceptions.CommandError(
+            "stopped: the durable state cannot be used"
+        ) from group
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -313,10 +313,18 @@
         stack.enter_context(
             contextlib.suppress(exceptions.ConnectionEndedError)
         )
+        stack.callback(_note_closed, serving)
         try:
             await CallerConnection(opened, serving).run()
-        finally:
-            serving.connections -= 1
+        except exceptions.ConnectionEndedError:
+            raise
+        except Exception:
+            # One connection must never end the process.
+            logger.exception("a connection failed by a fault of the program")
+
+
+def _note_closed(serving: Serving) -> None:
+    serving.connections -= 1
 
 
 def own_serving(handle: Handler, max_body_bytes: int = 1 << 20) -> Serving:
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -130,7 +130,10 @@
     Raises:
       UnreachableError: It could not be opened in time; nothing was sent.
     """
-    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise exceptions.UnreachableError(f"no socket: {error}") from error
     try:
         raw.setblocking(False)
         _configure(raw)
--- a/tests/processes/test_gateways.py
+++ b/tests/processes/test_gateways.py
@@ -43,6 +43,15 @@
     return messages.Request(b"GET", path, ((b"host", b"x"),))
 
 
+async def _check_lost_answer(site: node_site.NodeSite) -> None:
+    """A lost answer is no refusal, and its cause is found by its id."""
+    status, _ = await site.ask(site.gateway_host, FRONT, _request("three"))
+    assert status == 502
+    assert await site.stop("g-1") == 0
+    told = story.tell("three", site.log("g-1"))
+    assert any("closed or reset the connection" in one for one in told)
+
+
 async def test_gateway_and_registry_serve_across_kills(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -79,12 +88,7 @@
         )
         assert json.loads(read)["version"] == 3
 
-        # A lost answer is no refusal, and its cause is found by its id.
-        status, _ = await site.ask(site.gateway_host, FRONT, _request("three"))
-        assert status == 502
-        assert await site.stop("g-1") == 0
-        told = story.tell("three", site.log("g-1"))
-        assert any("closed or reset the connection" in one for one in told)
+        await _check_lost_answer(site)
         assert len(target.requests) == 3
 
 
