--- a/benchmarks/consensus_commit.py
+++ b/benchmarks/consensus_commit.py
@@ -29,6 +29,7 @@
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import messages
 from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.consensus.storage import files as file_access
 from cactusstile.transport import codec
 
@@ -155,10 +156,10 @@
 ) -> None:
     port = ports[NAMES.index(name)]
     founders = tuple(
-        replica.Founder(one, str(at))
+        replica_settings.Founder(one, str(at))
         for one, at in zip(NAMES, ports, strict=True)
     )
-    settings = replica.ReplicaSettings(
+    settings = replica_settings.ReplicaSettings(
         name=name,
         address=str(port),
         data_folder=pathlib.Path(folder) / name,
--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -15,6 +15,7 @@
 from cactusstile.agent import claims
 from cactusstile.agent import dump
 from cactusstile.agent import engine_agent
+from cactusstile.agent import links as agent_links
 from cactusstile.agent import messages
 from cactusstile.agent import node
 from cactusstile.agent import service_agent
@@ -30,9 +31,7 @@
     import collections.abc
 
     from cactusstile.settings import agent as agent_settings
-    from cactusstile.state import holder
     from cactusstile.transport import address
-    from cactusstile.transport import pool
 
 logger = logging.getLogger(__name__)
 
@@ -43,25 +42,6 @@
 DRAIN_ROLES = ("operator", "control")
 
 
-class Control(claims.ClaimControl, fencing.FenceControl, typing.Protocol):
-    """Part of `control.client.ControlClient` that agents need."""
-
-
-@attrs.frozen
-class Links:
-    """What an agent has of the rest of the system.
-
-    Attributes:
-      control: Client of the control VMs.
-      peers: Connections to other agents.
-      fleet_holder: Configuration in force here, kept up by its owner.
-    """
-
-    control: Control
-    peers: pool.Pool
-    fleet_holder: holder.FleetHolder
-
-
 @attrs.frozen
 class Agent:
     """A running agent.
@@ -96,7 +76,7 @@
 
 @contextlib.asynccontextmanager
 async def open_agent(
-    settings: agent_settings.AgentSettings, links: Links
+    settings: agent_settings.AgentSettings, links: agent_links.Links
 ) -> collections.abc.AsyncIterator[Agent]:
     """Runs an agent until the context is left.
 
@@ -137,7 +117,7 @@
 
 def _build_node(
     settings: agent_settings.AgentSettings,
-    links: Links,
+    links: agent_links.Links,
     identity: handshake.Identity,
 ) -> node.Node:
     is_engine = settings.kind == "engine"
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -28,7 +28,7 @@
     import anyio.abc
 
     from cactusstile.agent import claims
-    from cactusstile.agent import daemon
+    from cactusstile.agent import links as agent_links
     from cactusstile.controllers import fencing
     from cactusstile.settings import agent as agent_settings
     from cactusstile.state import model
@@ -39,7 +39,7 @@
 
 def start(  # noqa: PLR0917
     settings: agent_settings.AgentSettings,
-    links: daemon.Links,
+    links: agent_links.Links,
     owner: node.Node,
     target: http.HttpTarget,
     claimer: claims.Claimer,
@@ -79,7 +79,7 @@
 
 def _build_controller(
     settings: agent_settings.AgentSettings,
-    links: daemon.Links,
+    links: agent_links.Links,
     parts: prompt_run.Parts,
     fence: fencing.Fence,
 ) -> orders.EngineController:
@@ -107,7 +107,7 @@
 
 def _turn_waiter(
     settings: agent_settings.AgentSettings,
-    links: daemon.Links,
+    links: agent_links.Links,
     owner: node.Node,
 ) -> orders.WaitTurn:
     """Returns what waits until this target may load weights."""
@@ -135,7 +135,7 @@
 
 
 async def _read_version(
-    links: daemon.Links, fleet: model.Fleet, name: str
+    links: agent_links.Links, fleet: model.Fleet, name: str
 ) -> str | None:
     """Returns the version that another target runs, if it can be asked."""
     peer = fleet.targets[name]
--- a/src/cactusstile/agent/wiring.py
+++ b/src/cactusstile/agent/wiring.py
@@ -10,6 +10,7 @@
 import prometheus_client
 
 from cactusstile.agent import daemon
+from cactusstile.agent import links as agent_links
 from cactusstile.observability import admin
 from cactusstile.observability import http_listener
 from cactusstile.state import follower
@@ -47,7 +48,7 @@
                 settings.process, identity, target=settings.target, dial=dial
             )
         )
-        links = daemon.Links(
+        links = agent_links.Links(
             following.control, following.peers, following.fleet_holder
         )
         running = await stack.enter_async_context(
--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -21,7 +21,8 @@
 from cactusstile.consensus import writer as writers
 
 if typing.TYPE_CHECKING:
-    from cactusstile.consensus import replica as replicas
+    from cactusstile.consensus import interfaces
+    from cactusstile.consensus import replica_settings
     from cactusstile.consensus.storage import store as stores
 
     Opened = tuple[stores.Store, core.Recovered, bytes]
@@ -46,10 +47,10 @@
 
     def __init__(
         self,
-        settings: replicas.ReplicaSettings,
-        machine: replicas.StateMachine,
-        send: replicas.Send,
-        clock: replicas.Clock,
+        settings: replica_settings.ReplicaSettings,
+        machine: interfaces.StateMachine,
+        send: interfaces.Send,
+        clock: interfaces.Clock,
         store: stores.Store,
     ) -> None:
         """Prepares a driver; `start` must follow."""
@@ -381,10 +382,10 @@
 
 
 def make_driver(
-    settings: replicas.ReplicaSettings,
-    machine: replicas.StateMachine,
-    send: replicas.Send,
-    clock: replicas.Clock,
+    settings: replica_settings.ReplicaSettings,
+    machine: interfaces.StateMachine,
+    send: interfaces.Send,
+    clock: interfaces.Clock,
     opened: Opened,
 ) -> Driver:
     """Returns a driver that starts from what was opened."""
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import pathlib
 import time
 import typing
 
@@ -13,11 +12,12 @@
 from cactusstile.consensus import counters
 from cactusstile.consensus import driver as drivers
 from cactusstile.consensus import exceptions
+from cactusstile.consensus import interfaces
 from cactusstile.consensus import leadership
 from cactusstile.consensus import membership
 from cactusstile.consensus import messages
 from cactusstile.consensus import repair
-from cactusstile.consensus import state as states
+from cactusstile.consensus import replica_settings
 from cactusstile.consensus import waiters
 from cactusstile.consensus.storage import files as file_access
 from cactusstile.consensus.storage import store as stores
@@ -28,68 +28,6 @@
 POLL_INTERVAL_S = 0.02
 RETRY_AFTER_S = 0.2
 
-Send = typing.Callable[[str, messages.Message], None]
-Clock = typing.Callable[[], float]
-
-
-class StateMachine(typing.Protocol):
-    """The replicated state; called from the loop, never at the same time."""
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Applies a committed command and returns its result.
-
-        Must depend on nothing but the state and the arguments.
-        """
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-
-    def restore(self, data: bytes) -> None:
-        """Replaces the state by that of a snapshot; empty data resets it."""
-
-
-@attrs.frozen
-class Founder:
-    """A replica that takes part in founding the group.
-
-    Attributes:
-      name: Name of the replica.
-      address: Address of the replica.
-    """
-
-    name: str
-    address: str
-
-
-@attrs.frozen
-class ReplicaSettings:
-    """Settings of one replica.
-
-    Attributes:
-      name: Name of this replica.
-      address: Address that the others send to.
-      data_folder: Folder of the durable state; one process at a time.
-      founders: Replicas that found the group, the same on all of them; later
-        replicas use these addresses to make themselves known.
-      max_command_bytes: Bound of one command.
-      max_queued_proposals: Bound of proposals that wait for their result.
-      snapshot_after_bytes: Log bytes after which a snapshot is taken.
-      sync_in_thread: Whether fsync runs in a worker thread.
-      group_commit: Whether one fsync serves many proposals.
-      core: Times and bounds of the consensus core.
-    """
-
-    name: str
-    address: str
-    data_folder: pathlib.Path
-    founders: tuple[Founder, ...]
-    max_command_bytes: int = 1 << 20
-    max_queued_proposals: int = 4096
-    snapshot_after_bytes: int = 16 << 20
-    sync_in_thread: bool = True
-    group_commit: bool = True
-    core: states.CoreSettings = attrs.field(factory=states.CoreSettings)
-
 
 @attrs.frozen
 class MemberStatus:
@@ -144,7 +82,7 @@
     """One replica of a group; made by `open_replica`."""
 
     def __init__(
-        self, settings: ReplicaSettings, driver: drivers.Driver
+        self, settings: replica_settings.ReplicaSettings, driver: drivers.Driver
     ) -> None:
         """Takes over a driver that is about to run."""
         self.settings = settings
@@ -340,11 +278,11 @@
 
 @contextlib.asynccontextmanager
 async def open_replica(
-    settings: ReplicaSettings,
-    machine: StateMachine,
-    send: Send,
+    settings: replica_settings.ReplicaSettings,
+    machine: interfaces.StateMachine,
+    send: interfaces.Send,
     *,
-    clock: Clock = boot_clock,
+    clock: interfaces.Clock = boot_clock,
     files: file_access.Files | None = None,
 ) -> collections.abc.AsyncIterator[Replica]:
     """Runs a replica until the context ends.
--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from cactusstile.consensus import exceptions as consensus_exceptions
+from cactusstile.consensus import interfaces
 from cactusstile.consensus import replica
 from cactusstile.control import claim_messages
 from cactusstile.control import claims
@@ -123,7 +124,7 @@
     stack: contextlib.AsyncExitStack,
 ) -> states.ControlState:
     root = relay.Relay(settings.process.name, redirects_leaves=True)
-    machines: dict[str, replica.StateMachine] = {
+    machines: dict[str, interfaces.StateMachine] = {
         control_settings.CONFIGURATION_GROUP: _configuration(root),
         control_settings.CLAIMS_GROUP: claims.Claims(),
     }
--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.settings import ini
 from cactusstile.settings import process
 from cactusstile.transport import address
@@ -32,7 +32,7 @@
 
     process: process.ProcessSettings
     data_folder: pathlib.Path
-    founders: tuple[replica.Founder, ...]
+    founders: tuple[replica_settings.Founder, ...]
     advertise: address.Address | None = None
     group_commit: bool = True
     sync_in_thread: bool = True
@@ -42,9 +42,9 @@
         """Address that the other control VMs send to."""
         return self.advertise or self.process.listen
 
-    def for_group(self, group: str) -> replica.ReplicaSettings:
+    def for_group(self, group: str) -> replica_settings.ReplicaSettings:
         """Returns the settings of this process's replica of a group."""
-        return replica.ReplicaSettings(
+        return replica_settings.ReplicaSettings(
             name=self.process.name,
             address=str(self.own_address),
             data_folder=self.data_folder / group,
@@ -58,14 +58,16 @@
 MAX_COMMAND_BYTES = 3 * 1024 * 1024 + 4096
 
 
-def _parse_founders(text: str) -> tuple[replica.Founder, ...]:
+def _parse_founders(text: str) -> tuple[replica_settings.Founder, ...]:
     founders = []
     for part in filter(None, (piece.strip() for piece in text.split(","))):
         name, mark, place = part.partition("=")
         if not mark:
             raise ValueError(f"{part!r} is not like control-1=10.0.0.1:7000")
         parsed = address.parse(place.strip())
-        founders.append(replica.Founder(ini.name(name.strip()), str(parsed)))
+        founders.append(
+            replica_settings.Founder(ini.name(name.strip()), str(parsed))
+        )
     if not founders:
         raise ValueError("write founders like control-1=10.0.0.1:7000")
     return tuple(founders)
--- a/src/cactusstile/fakes/site.py
+++ b/src/cactusstile/fakes/site.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cactusstile.agent import daemon
+from cactusstile.agent import links as agent_links
 from cactusstile.fakes import control
 from cactusstile.fakes import engine
 from cactusstile.fakes import engine_app
@@ -188,7 +189,7 @@
         url,
         **options,
     )
-    links = daemon.Links(site.control, site.peers, site.fleet_holder)
+    links = agent_links.Links(site.control, site.peers, site.fleet_holder)
     async with daemon.open_agent(settings, links) as running:
         site.agents[name] = running
         _declare(site, name, kind, running.bound)
--- a/src/cactusstile/local/site.py
+++ b/src/cactusstile/local/site.py
@@ -14,7 +14,7 @@
 
 from cactusstile.agent import daemon as agent_daemon
 from cactusstile.agent import wiring as agent_wiring
-from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.control import client
 from cactusstile.control import daemon as control_daemon
 from cactusstile.control import settings as control_settings
@@ -131,7 +131,7 @@
     async def open_control(self) -> None:
         addresses = self.control_addresses()
         founders = tuple(
-            replica.Founder(f"control-{number}", str(listen))
+            replica_settings.Founder(f"control-{number}", str(listen))
             for number, listen in enumerate(addresses, 1)
         )
         for founder, listen in zip(founders, addresses, strict=True):
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -13,6 +13,7 @@
 
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.consensus import state as consensus_state
 from cactusstile.control import member_messages
 from cactusstile.control import sender
@@ -129,9 +130,9 @@
             await self.replica.transfer_leadership()
 
 
-def replica_settings(
+def own_replica_settings(
     settings: node.NodeSettings,
-) -> replica.ReplicaSettings:
+) -> replica_settings.ReplicaSettings:
     """Returns the settings of this process's replica.
 
     Only the first start of the whole system may found a group: a VM that lost
@@ -140,10 +141,10 @@
     if settings.data_folder is None:
         raise ValueError("the registry needs a data folder; run it on a disk")
     seeds = settings.internal_seeds
-    founders = [replica.Founder(one.host, str(one)) for one in seeds]
+    founders = [replica_settings.Founder(one.host, str(one)) for one in seeds]
     if not settings.first_start:
         founders = [one for one in founders if one.name != settings.host]
-    return replica.ReplicaSettings(
+    return replica_settings.ReplicaSettings(
         name=settings.host,
         address=str(settings.internal_address),
         data_folder=settings.data_folder / GROUP,
@@ -169,7 +170,7 @@
     """
     identity = handshake.Identity(ROLE, settings.name)
     secrets = handshake.Secrets(settings.secret.encode())
-    own = replica_settings(settings)
+    own = own_replica_settings(settings)
     own.data_folder.mkdir(parents=True, exist_ok=True)
     async with contextlib.AsyncExitStack() as stack:
         group = await stack.enter_async_context(anyio.create_task_group())
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -27,7 +27,7 @@
     """
     with signals.receive() as received:
         while await _serve(settings, path, received):
-            rejoin.drop_log(daemon.replica_settings(settings).data_folder)
+            rejoin.drop_log(daemon.own_replica_settings(settings).data_folder)
     logger.info("stopped")
 
 
--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -11,6 +11,7 @@
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import messages
 from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.consensus import state as states
 from cactusstile.consensus.storage import files as file_access
 
@@ -49,12 +50,12 @@
     files: dict[str, file_access.Files] = attrs.field(factory=dict)
     errors: dict[str, BaseException] = attrs.field(factory=dict)
 
-    def settings(self, name: str) -> replica.ReplicaSettings:
-        return replica.ReplicaSettings(
+    def settings(self, name: str) -> replica_settings.ReplicaSettings:
+        return replica_settings.ReplicaSettings(
             name=name,
             address=name,
             data_folder=self.folder / name,
-            founders=tuple(replica.Founder(one, one) for one in NAMES),
+            founders=tuple(replica_settings.Founder(one, one) for one in NAMES),
             snapshot_after_bytes=2000,
             core=TIMES,
         )
--- a/tests/registry/test_daemon.py
+++ b/tests/registry/test_daemon.py
@@ -157,7 +157,9 @@
         async with site.open(HOSTS[2], first=False):
             with anyio.fail_after(10):
                 await site.running[HOSTS[2]].wait_until_removed()
-        folder = daemon.replica_settings(site.settings(HOSTS[2])).data_folder
+        folder = daemon.own_replica_settings(
+            site.settings(HOSTS[2])
+        ).data_folder
         rejoin.drop_log(folder)
         assert not folder.exists()
         async with site.open(HOSTS[2], first=False):
