Mend what a reading of the request path found

- An error while a body of more than 64 KB was sent was wrapped by the task group, so the caller got 500 and no other target was tried.
- A caller that left within a body never gave its memory back.
- After the only target's own error the caller got 502 instead of that answer.
- A target that stays silent was never passed over.
- Thousands of failures in a row overflowed the pause.
- A gateway without seeds ended; the memory of engines was not updated.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -69,6 +69,10 @@
         hint: address.Address | None = None
         for turn in itertools.count():
             target = hint or self._next_candidate(turn)
+            if target is None:
+                # The settings name no seed; they may be changed.
+                await anyio.sleep(SILENCE_LIMIT_S)
+                continue
             try:
                 hint = await self._follow(target)
             except (
@@ -82,10 +86,12 @@
                 jitter = 0.5 + random.random()
                 await anyio.sleep(RETRY_INTERVAL_S * jitter)
 
-    def _next_candidate(self, turn: int) -> address.Address:
-        """Returns the control process to ask next."""
+    def _next_candidate(self, turn: int) -> address.Address | None:
+        """Returns the control process to ask next, if any is known."""
         known = [address.parse(one) for one in self.site.control]
         candidates = list(dict.fromkeys([*known, *self.seeds]))
+        if not candidates:
+            return None
         return candidates[turn % len(candidates)]
 
     def _note_lost(self, target: address.Address, error: BaseException) -> None:
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -22,8 +22,6 @@
 # Time for which a target is passed over whose address is another's now; the
 # platform's list tells of it within this time.
 MISDIRECTED_PAUSE_S = 5.0
-
-
 # Part of the time for older weights after which their engines get no more
 # requests; a request may wait there before it begins.
 OUTDATED_PART = 0.8
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -169,7 +169,9 @@
         while True:
             view = self.dispatcher.choose_target(admitted, service, attempts)
             if view is None:
-                raise self._give_up(attempts, verdict.Reason.NO_TARGET)
+                reason = verdict.Reason.NO_TARGET
+                await self._answer_error(responder, attempts, reason)
+                return
             record.begin_attempt(view, anyio.current_time())
             attempts.begin(view.target)
             try:
@@ -182,7 +184,8 @@
                 self.dispatcher.note_failure(view, error)
                 if self._may_repeat(service, attempts, error):
                     continue
-                await self._answer_error(responder, attempts)
+                reason = verdict.Reason.TARGET_LOST
+                await self._answer_error(responder, attempts, reason)
                 return
 
     def _may_repeat(
@@ -198,7 +201,10 @@
         return self.budget.spend(service, anyio.current_time())
 
     async def _answer_error(
-        self, responder: responders.Responder, attempts: retries.Attempts
+        self,
+        responder: responders.Responder,
+        attempts: retries.Attempts,
+        reason: verdict.Reason,
     ) -> None:
         """Answers a request that no target served.
 
@@ -210,7 +216,12 @@
             if passed[0] not in exchange.PROMISING_STATUSES:
                 await responder.respond(*passed)
                 return
-        raise self._give_up(attempts, verdict.Reason.TARGET_LOST)
+        raise verdict.refuse(
+            reason,
+            "no target answered the request",
+            verdict=attempts.final_verdict(),
+            retry_after_s=RETRY_AFTER_S,
+        )
 
     async def _attempt(
         self,
@@ -239,12 +250,11 @@
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
                     await relay.feed(opened)
-                    self.pace.note(
-                        admitted.route.name,
-                        admitted.prompt.expected_tokens,
-                        anyio.current_time() - work.started_s,
-                    )
+                    self._note_stream(admitted, work)
             view.note_success()
+        except anyio.get_cancelled_exc_class():
+            self._note_silence(admitted, view, record)
+            raise
         finally:
             view.inflight -= 1
             view.tokens -= work.memory_tokens
@@ -252,6 +262,29 @@
         if isinstance(opened, exchange.Answer):
             await self._pass_on(opened, relay.responder)
 
+    def _note_stream(
+        self, admitted: admission.Admitted, work: exchange.Work
+    ) -> None:
+        """Learns from a stream that ended whole."""
+        self.pace.note(
+            admitted.route.name,
+            admitted.prompt.expected_tokens,
+            anyio.current_time() - work.started_s,
+        )
+
+    def _note_silence(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+        record: records.RequestRecord,
+    ) -> None:
+        """Notes a target that said nothing until the time was over."""
+        now_s = anyio.current_time()
+        if record.attempts[-1].first_event_s is not None:
+            return
+        if now_s >= admitted.answer_by_s:
+            view.note_failure(now_s)
+
     async def _pass_on(
         self, answer: exchange.Answer, responder: responders.Responder
     ) -> None:
@@ -259,13 +292,3 @@
         if responder.started:
             return
         await responder.respond(*exchange.passed_on(answer))
-
-    def _give_up(
-        self, attempts: retries.Attempts, reason: verdict.Reason
-    ) -> verdict.RefusedError:
-        return verdict.refuse(
-            reason,
-            "no target answered the request",
-            verdict=attempts.final_verdict(),
-            retry_after_s=RETRY_AFTER_S,
-        )
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -12,14 +12,14 @@
 REPORT_LIFE_S = 2.0
 # Time after which a gateway's word on its load counts as outdated.
 PEER_LIFE_S = 1.0
-# Failures in a row after which a target is passed over.
+# Failures in a row after which a target is passed over; the time doubles with
+# each further one.
 FAILURES_TO_EJECT = 2
 EJECTION_S = 0.5
 # Time for which a target that rejected a request is passed over; doubled with
 # each further rejection.
 REJECTION_PAUSE_S = 0.05
 MAX_DOUBLINGS = 3
-MAX_EJECTION_S = 4.0
 # Weight of the newest result in a target's share of failed requests.
 FAILURE_SHARE_STEP = 0.1
 DEFAULT_HELD_TOKENS = 50_000
@@ -195,7 +195,7 @@
         if not at_once and self.failures < FAILURES_TO_EJECT:
             return
         doublings = max(0, self.failures - FAILURES_TO_EJECT)
-        pause_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**doublings)
+        pause_s = EJECTION_S * 2.0 ** min(doublings, MAX_DOUBLINGS)
         self.ejected_until_s = now_s + pause_s
 
     def note_error(self) -> None:
@@ -231,9 +231,10 @@
         kept = {}
         for target in listed:
             view = self.views.get(target.incarnation)
+            limit = _held_limit(services.get(target.service))
             if view is None:
-                limit = _held_limit(services.get(target.service))
                 view = TargetView(target, prompts.HeldParts(limit))
+            view.held.limit_tokens = limit
             view.note_listed(target)
             kept[target.incarnation] = view
         self.views = kept
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -117,6 +117,12 @@
 
     async def run(self) -> None:
         """Answers requests until either side closes."""
+        try:
+            await self._run()
+        finally:
+            self._release()
+
+    async def _run(self) -> None:
         while True:
             self.limits = self.serving.limits()
             request = await self._read_request()
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -66,11 +66,18 @@
         if len(data) <= sockets.RECEIVE_BYTES:
             await self.socket.send(data)
             return await self._read_head(is_ours)
+        # Raised after the group has ended, which would wrap it otherwise.
+        failure: exceptions.HttpError | None = None
         async with anyio.create_task_group() as group:
             self._closing = True
             group.start_soon(self._send_long, data)
-            head = await self._read_head(is_ours)
+            try:
+                head = await self._read_head(is_ours)
+            except exceptions.HttpError as error:
+                failure = error
             group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         return head
 
     async def _send_long(self, data: bytes) -> None:
@@ -192,7 +199,8 @@
             raise exceptions.ConnectionEndedError("closed after a late answer")
         self._protocol = _new_protocol()
         self._protocol.send(self._event)
-        self._protocol.receive_data(waiting) if waiting else None
+        if waiting:
+            self._protocol.receive_data(waiting)
 
 
 def _new_protocol() -> h11.Connection:
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -92,6 +92,19 @@
         assert bench.serving.memory.used_bytes == 0
 
 
+async def test_caller_that_leaves_within_a_body_frees_its_memory() -> None:
+    found = support.configuration(support.route())
+    async with support.open_bench(found) as bench:
+        stream = await bench.connect()
+        await stream.send(HEAD + b"Content-Length: 9\r\n\r\nbody")
+        with anyio.fail_after(2):
+            while bench.serving.memory.used_bytes != 4:
+                await anyio.sleep(0.01)
+            await stream.aclose()
+            while bench.serving.memory.used_bytes:
+                await anyio.sleep(0.01)
+
+
 async def test_answers_close_connections_while_stopping() -> None:
     found = support.configuration(support.route(model.Kind.ONCE))
     async with (
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -164,6 +164,38 @@
     assert b"x-cactusstile-response-seal" not in data.lower()
 
 
+async def test_lost_answer_to_a_long_body_is_no_fault_of_the_program() -> None:
+    async with raw_target.open_target(raw_target.send_raw(b"")) as target:
+        found = support.configuration(support.route(ONCE))
+        async with support.open_bench(found, target) as bench:
+            ask = support.request(b"POST", body=b"a" * 200_000)
+            assert support.status(await bench.ask(ask)) == 502
+            assert bench.records[0].attempts[0].outcome == "broken"
+
+
+async def test_only_targets_own_error_is_passed_on() -> None:
+    error = raw_target.answer(b"bad", b"500 Oops")
+    async with raw_target.open_target(error) as target:
+        found = support.configuration(support.route())
+        async with support.open_bench(found, target) as bench:
+            data = await bench.ask(support.request())
+    assert support.status(data) == 500
+    assert data.endswith(b"bad")
+
+
+async def test_target_that_stays_silent_is_passed_over() -> None:
+    scripts = [raw_target.silent(), raw_target.silent()]
+    async with raw_target.open_target(*scripts) as target:
+        found = support.configuration(support.route(ONCE, timeout_s=0.1))
+        async with support.open_bench(found, target) as bench:
+            view = next(iter(bench.site.targets.views.values()))
+            for _ in range(2):
+                assert view.is_usable(anyio.current_time())
+                data = await bench.ask(support.request(b"POST"))
+                assert support.status(data) == 504
+            assert not view.is_usable(anyio.current_time())
+
+
 async def test_idempotent_request_that_failed_is_sent_again() -> None:
     error = raw_target.answer(b"bad", b"500 Oops")
     async with (
