Tell a gateway what changes in the stores while it is being told

Cause, found by reading the change: the feed noted the round of store updates as sent after the wait for the gateway, so a change that arrived during that wait was skipped. A gateway that reads slowly could go on fetching a part that was retired since, and then freed. Ruled out: the configuration, the weights and the list; they are noted before the wait. Change: the round is noted before the wait. Besides, the list of targets is built once and not for each gateway, one Retry-After stood twice, and a salt was made in two branches.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -17,7 +17,7 @@
 from cactusstile.platform import headers
 from cactusstile.sites import model
 
-# Time after which a caller may try again when no target is live.
+# Time after which a caller may try again when nothing better is known.
 RETRY_AFTER_S = 0.2
 # Time for which a target is passed over whose address is another's now; the
 # platform's list tells of it within this time.
@@ -123,12 +123,11 @@
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
         weights = view.weights.get(name)
+        salt = view.salt(name, admitted.wall)
         if not name or weights is None:
-            salt = view.salt(name, admitted.wall)
             return exchange.Dispatch(
                 view.target, salt, last_event_id=last_event_id
             )
-        salt = view.salt(name, admitted.wall)
         returning = self.sessions.returning_parts(
             admitted.route.name, admitted.prompt
         )
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -29,9 +29,8 @@
 
     Record = collections.abc.Callable[[records.RequestRecord], None]
 
-# Time after which a caller may try again when nothing better is known.
-RETRY_AFTER_S = 0.2
-# The same, while this gateway knows no configuration yet.
+# Time after which a caller may try again, while this gateway knows no
+# configuration yet.
 START_RETRY_AFTER_S = 1.0
 # The same, when any other gateway can serve the request.
 STOP_RETRY_AFTER_S = 0.01
@@ -148,7 +147,7 @@
             verdict.Reason.DEADLINE_EXCEEDED,
             "no answer within the time of the route",
             verdict=attempts.final_verdict(),
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=dispatching.RETRY_AFTER_S,
         )
 
     async def _try_targets(
@@ -220,7 +219,7 @@
             reason,
             "no target answered the request",
             verdict=attempts.final_verdict(),
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=dispatching.RETRY_AFTER_S,
         )
 
     async def _attempt(
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -68,7 +68,8 @@
         self._store_round = 0
         self._store_changes = messages.StoreUpdates(())
         self._changed = anyio.Event()
-        self._encoded: tuple[int, bytes] = (-1, b"")
+        self._encoded: tuple[messages.TargetList, bytes]
+        self._encoded_number = 0
 
     def wake(self) -> None:
         """Has the watches send what changed."""
@@ -156,11 +157,12 @@
             await responder.send(messages.WeightsInForce(image.weights))
         if self.list_number > sent.list_number:
             sent.list_number = self.list_number
-            item, payload = self._encoded_list()
-            await responder.send(item, payload)
+            await responder.send(*self._encoded_list())
         if self._store_round > sent.store_round:
-            await responder.send(self._store_item(sent.store_round))
+            # Noted before the wait: what changes during it is sent next.
+            item = self._store_item(sent.store_round)
             sent.store_round = self._store_round
+            await responder.send(item)
         if self._confirmation > sent.confirmation:
             sent.confirmation = self._confirmation
             await responder.send(self._describe())
@@ -175,14 +177,13 @@
 
     def _encoded_list(self) -> tuple[messages.TargetList, bytes]:
         """Returns the list of targets, encoded once for all watches."""
-        item = messages.TargetList(
-            tuple(messages.encode_target(one) for one in self.listed)
-        )
-        number, payload = self._encoded
-        if number != self.list_number:
-            payload = codec.encode(item)
-            self._encoded = (self.list_number, payload)
-        return item, payload
+        if self._encoded_number != self.list_number:
+            item = messages.TargetList(
+                tuple(messages.encode_target(one) for one in self.listed)
+            )
+            self._encoded = (item, codec.encode(item))
+            self._encoded_number = self.list_number
+        return self._encoded
 
     def _describe(self) -> messages.Confirmation:
         age_s = anyio.current_time() - self.listed_s
