--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -211,6 +211,6 @@
     if settings.callers is not None:
         listeners.append((settings.callers, gateway.serving))
     for place, serving in listeners:
-        listener = sockets.listen(place)
+        listener = sockets.listen(settings.bound(place))
         stack.callback(listener.close)
         group.start_soon(callers.serve_listener, listener, serving, group)
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -192,7 +192,7 @@
         handlers = incoming.Handlers(calls, _notices(opened))
         await stack.enter_async_context(
             server.open_server(
-                settings.internal_address, identity, secrets, handlers, TIMING
+                settings.internal_bound, identity, secrets, handlers, TIMING
             )
         )
         _start_controllers(registry, group, stack)
@@ -315,6 +315,6 @@
         serving = callers.own_serving(interface.handle, MAX_DOCUMENT_BYTES)
         listeners.append((settings.operator, serving))
     for place, serving in listeners:
-        listener = sockets.listen(place)
+        listener = sockets.listen(settings.bound(place))
         stack.callback(listener.close)
         group.start_soon(callers.serve_listener, listener, serving, group)
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -22,6 +22,8 @@
       name: Name of the VM.
       role: Role of the process.
       host: IP number of the VM.
+      bind_host: IP number that its listeners bind, where something stands in
+        front of them; None for the numbers that others are told.
       data_centre: Data centre of the VM.
       first_start: Whether the whole system starts for the first time.
       data_folder: Folder of the durable state; None without a disk.
@@ -64,12 +66,22 @@
     retry_window_s: float
     retry_slack: float
     weights_s: float
+    bind_host: str | None = None
+
+    def bound(self, told: address.Address) -> address.Address:
+        """Returns where to listen for an address that others are told."""
+        return address.Address(self.bind_host or told.host, told.port)
 
     @property
     def internal_address(self) -> address.Address:
         """Address for the system's own processes."""
         return address.Address(self.host, self.internal_ports[0])
 
+    @property
+    def internal_bound(self) -> address.Address:
+        """Where to listen for the system's own processes."""
+        return self.bound(self.internal_address)
+
     @property
     def internal_seeds(self) -> tuple[address.Address, ...]:
         """Addresses of the seeds for the system's own processes."""
@@ -121,6 +133,12 @@
         ini.Option("name", ini.name, "name of the VM"),
         ini.Option("role", ini.name, "role of the process"),
         ini.Option("host", ini.name, "IP number of the VM"),
+        ini.Option(
+            "bind_host",
+            ini.name,
+            "IP number that listeners bind, if a relay stands at host",
+            None,
+        ),
         ini.Option("data_centre", ini.name, "data centre of the VM"),
         ini.Option(
             "first_start",
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -46,6 +46,15 @@
     assert str(read.internal_seeds[1]) == "10.2.0.38:7580"
 
 
+def test_listeners_bind_what_others_are_told_or_another_host() -> None:
+    told = node.parse(render("gateway"), "node.ini")
+    assert told.internal_bound == told.internal_address
+    text = render("gateway").replace("[node]", "[node]\nbind_host = 127.0.0.9")
+    relayed = node.parse(text, "node.ini")
+    assert relayed.internal_address == told.internal_address
+    assert str(relayed.internal_bound) == "127.0.0.9:7580"
+
+
 def test_torn_settings_name_every_fault() -> None:
     whole = render("gateway")
     text = whole[: whole.index("internal_ports")] + "\n[odd]\n"
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -27,9 +27,59 @@
 STOP_LIMIT_S = 12.0
 
 
-def _template(role: str) -> str:
+def values(
+    *,
+    name: str,
+    host: str,
+    port: int,
+    seeds: str,
+    platform: str,
+    folder: pathlib.Path,
+    first_start: bool = True,
+) -> dict[str, str]:
+    """Returns what the platform puts into a template of settings.
+
+    Args:
+      name: Name of the VM.
+      host: Address of the VM.
+      port: First of the ports that all processes use.
+      seeds: Operator addresses of registries, separated by commas.
+      platform: Address of the platform's list.
+      folder: Folder of the durable state.
+      first_start: Whether the whole system starts for the first time.
+    """
+    return {
+        "node": name,
+        "ip": host,
+        "zone": "here",
+        "bootstrap": str(first_start).lower(),
+        "dataDir": str(folder),
+        "internalPorts": f"{port},{port + 5}",
+        "limits.memoryMb": "150",
+        "listen.front": f"{host}:{port + 6}",
+        "listen.ready": f"{host}:{port + 7}",
+        "listen.control": f"{host}:{port + 8}",
+        "seeds": seeds,
+        "cloud.address": platform,
+        "bounds.graceS": "8",
+        "bounds.retryBudgetRatio": "0.2",
+        "bounds.budgetWindowS": "10",
+        "bounds.budgetSlack": "50",
+        "bounds.versionMs": "6000",
+    }
+
+
+def render(
+    role: str, filled: collections.abc.Mapping[str, str], bind_host: str = ""
+) -> str:
+    """Returns the settings of a process from its template."""
     root = pathlib.Path(__file__).parents[2]
-    return (root / "deploy" / f"{role}.ini").read_text()
+    text = (root / "deploy" / f"{role}.ini").read_text()
+    for key, value in filled.items():
+        text = text.replace("{{" + key + "}}", value)
+    if bind_host:
+        text = text.replace("[node]", f"[node]\nbind_host = {bind_host}", 1)
+    return text
 
 
 @attrs.define
@@ -65,34 +115,18 @@
         """Address of the platform's list."""
         return address.Address(f"{self.network}.1", self.port + 9)
 
-    def _values(self, name: str, host: str) -> dict[str, str]:
-        return {
-            "node": name,
-            "ip": host,
-            "zone": "here",
-            "bootstrap": "true",
-            "dataDir": str(self.folder / name),
-            "internalPorts": f"{self.port},{self.port + 5}",
-            "limits.memoryMb": "150",
-            "listen.front": f"{host}:{self.port + 6}",
-            "listen.ready": f"{host}:{self.port + 7}",
-            "listen.control": f"{host}:{self.port + 8}",
-            "seeds": f"{self.registry_host}:{self.port + 8}",
-            "cloud.address": str(self.platform),
-            "bounds.graceS": "8",
-            "bounds.retryBudgetRatio": "0.2",
-            "bounds.budgetWindowS": "10",
-            "bounds.budgetSlack": "50",
-            "bounds.versionMs": "6000",
-        }
-
     async def start(self, role: str, name: str, host: str) -> None:
         """Starts a process; its log goes to a file beside its settings."""
-        text = _template(role)
-        for key, value in self._values(name, host).items():
-            text = text.replace("{{" + key + "}}", value)
+        filled = values(
+            name=name,
+            host=host,
+            port=self.port,
+            seeds=f"{self.registry_host}:{self.port + 8}",
+            platform=str(self.platform),
+            folder=self.folder / name,
+        )
         path = self.folder / f"{name}.ini"
-        path.write_text(text)
+        path.write_text(render(role, filled))
         log = (self.folder / f"{name}.log").open("ab")
         with log:
             self.processes[name] = await anyio.open_process(
