--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -233,6 +233,7 @@
         dispatch = self.dispatcher.prepare(admitted, view, relay)
         work = self.dispatcher.estimate(admitted, view, dispatch)
         record.note_work(admitted, work, dispatch)
+        before = relay.events
         view.inflight += 1
         view.unread_tokens += work.unread_tokens
         view.tokens += work.memory_tokens
@@ -255,6 +256,7 @@
             self._note_silence(admitted, view, record)
             raise
         finally:
+            record.attempts[-1].events = relay.events - before
             view.inflight -= 1
             view.tokens -= work.memory_tokens
             view.unread_tokens -= work.unread_tokens
--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -21,8 +21,9 @@
 # Time after which new connections are refused, so that callers go elsewhere at
 # once: what is taken later might not end before the platform kills.
 ACCEPT_S = 2.8
-# Time kept free before the platform kills the process.
-RESERVE_S = 0.35
+# Time kept free before the platform kills the process: closing what is open
+# takes some ms, and the longest streams need all that is left.
+RESERVE_S = 0.15
 POLL_INTERVAL_S = 0.05
 OK = 200
 UNAVAILABLE = 503
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -26,6 +26,7 @@
       outcome: How it ended; empty while it is under way.
       ended_s: Loop time of its end.
       first_event_s: Loop time at which a stream began; None for none.
+      events: Events that its stream passed on.
       prompt_tokens: Tokens of the prompt.
       unread_tokens: Those that the target was expected to read.
       fetched_tokens: Those that it was told to fetch.
@@ -38,6 +39,7 @@
     outcome: str = ""
     ended_s: float = 0.0
     first_event_s: float | None = None
+    events: int = 0
     prompt_tokens: int = 0
     unread_tokens: int = 0
     fetched_tokens: int = 0
@@ -60,6 +62,7 @@
             found["store"] = self.store
         if self.first_event_s is not None:
             found["first_event_ms"] = _ms(self.first_event_s - self.started_s)
+            found["events"] = self.events
         return found
 
 
@@ -72,6 +75,8 @@
       received_s: Loop time of its first byte.
       route: Name of its route; empty if it has none.
       workspace: Name of its workspace.
+      max_output_tokens: Bound of its answer; 0 if it names none.
+      expected_tokens: Length that its caller expects; 0 if it does not say.
       version: Version of the configuration that decided.
       attempts: Attempts in order.
       outcome: How it ended.
@@ -86,6 +91,8 @@
     received_s: float
     route: str = ""
     workspace: str = ""
+    max_output_tokens: int = 0
+    expected_tokens: int = 0
     version: int = -1
     attempts: list[AttemptRecord] = attrs.field(factory=list)
     outcome: str = "answered"
@@ -99,6 +106,8 @@
         """Notes what the configuration says of the request."""
         self.route = admitted.route.name
         self.version = admitted.version
+        self.max_output_tokens = admitted.prompt.max_output_tokens
+        self.expected_tokens = admitted.prompt.expected_tokens
         if admitted.workspace is not None:
             self.workspace = admitted.workspace.name
 
@@ -143,7 +152,7 @@
             one.fields(self.received_s, self.ended_s)
             for one in self.attempts[:MAX_ATTEMPTS_LOGGED]
         ]
-        return {
+        found = {
             "request": self.id,
             "route": self.route,
             "workspace": self.workspace,
@@ -155,6 +164,10 @@
             "took_ms": _ms(self.ended_s - self.received_s),
             "attempts": attempts,
         }
+        if self.max_output_tokens:
+            found["max_output"] = self.max_output_tokens
+            found["expected_output"] = self.expected_tokens
+        return found
 
 
 def _ms(seconds: float) -> float:
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -49,3 +49,25 @@
         assert support.status(await support.read_to_end(stream)) == 200
         await stream.aclose()
         await idle.aclose()
+
+
+async def test_drain_gives_the_longest_stream_all_but_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Long streams need all of the time until the platform kills."""
+    monkeypatch.setattr(lifecycle, "NOTICE_S", 0.1)
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", 0.2)
+    found = support.configuration(support.route())
+    async with (
+        raw_target.open_target(raw_target.silent()) as target,
+        support.open_bench(found, target) as bench,
+    ):
+        state = lifecycle.Lifecycle(bench.site)
+        stream = await bench.connect()
+        await stream.send(support.request())
+        while not target.requests:
+            await anyio.sleep(0.01)
+        began_s = anyio.current_time()
+        await state.drain(bench.serving, 1.0)
+        assert 0.8 <= anyio.current_time() - began_s < 1.0
+        await stream.aclose()
