--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -6,6 +6,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import backups
 from cactusstile.gateway import exchange
 from cactusstile.gateway import placement
 from cactusstile.gateway import retries
@@ -71,6 +72,8 @@
     ) -> target_view.TargetView | None:
         """Returns a target that was not tried yet, if there is one."""
         now_s = anyio.current_time()
+        if attempts.resuming and attempts.backup is not None:
+            return attempts.backup.view
         fresh = []
         for view in self.site.targets.of(service):
             if view.target.leaving or view.target.incarnation in attempts.tried:
@@ -118,12 +121,22 @@
         admitted: admission.Admitted,
         view: target_view.TargetView,
         relay: streams.Relay,
+        attempts: retries.Attempts,
     ) -> exchange.Dispatch:
         """Returns with what a request goes to a target."""
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
         weights = view.weights.get(name)
         salt = view.salt(name, admitted.wall)
+        backup = attempts.backup
+        if backup is not None and attempts.resuming:
+            return exchange.Dispatch(
+                view.target,
+                salt,
+                backup.weights,
+                last_event_id,
+                from_copy=True,
+            )
         if not name or weights is None:
             return exchange.Dispatch(
                 view.target, salt, last_event_id=last_event_id
@@ -138,8 +151,30 @@
             self.site.stores(),
             anyio.current_time(),
         )
+        copy_to = None if backup is None else backup.view.target.address
         return exchange.Dispatch(
-            view.target, salt, weights, last_event_id, plan
+            view.target, salt, weights, last_event_id, plan, copy_to
+        )
+
+    def choose_backup(
+        self,
+        admitted: admission.Admitted,
+        view: target_view.TargetView,
+    ) -> backups.Backup | None:
+        """Returns where a run is copied to, if that pays."""
+        service = self.site.service(view.target.service)
+        if service is None or service.engine is None:
+            return None
+        if not service.engine.backs_up or admitted.route.may_repeat:
+            return None
+        if not backups.is_worthwhile(admitted.prompt):
+            return None
+        return backups.choose(
+            self.site.targets.of(view.target.service),
+            view,
+            admitted.prompt,
+            placement.memory_tokens(admitted.prompt),
+            anyio.current_time(),
         )
 
     def estimate(
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -16,6 +16,7 @@
 from cactusstile.http import targets
 from cactusstile.platform import headers
 from cactusstile.sites import model
+from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -100,6 +101,8 @@
         does not matter or is not known.
       last_event_id: Last event that the caller has, of a resumed stream.
       kept: Parts of the prompt that the engine fetches and saves.
+      copy_to: Engine that the run's memory is copied to while it grows.
+      from_copy: Whether the run goes on from its copy at this engine.
     """
 
     target: model.Target
@@ -107,6 +110,8 @@
     weights: int | None = None
     last_event_id: int | None = None
     kept: kept_parts.Plan = kept_parts.NOTHING
+    copy_to: address.Address | None = None
+    from_copy: bool = False
 
 
 @attrs.define
@@ -193,6 +198,7 @@
     if admitted.prompt.model:
         fields.append((headers.PRIORITY, b"%d" % admitted.rank))
         fields.extend(_cache_fields(dispatch))
+        fields.extend(_copy_fields(dispatch, admitted.id))
     return attrs.evolve(request, headers=tuple(fields))
 
 
@@ -215,6 +221,19 @@
     return fields
 
 
+def _copy_fields(
+    dispatch: Dispatch, request_id: str
+) -> list[tuple[bytes, bytes]]:
+    """Returns the fields that tell an engine of a run's copy."""
+    fields = []
+    if dispatch.copy_to is not None:
+        fields.append((headers.KV_BACKUP, str(dispatch.copy_to).encode()))
+    if dispatch.from_copy:
+        copy = f"{dispatch.target.address}/{request_id}"
+        fields.append((headers.KV_FROM, copy.encode()))
+    return fields
+
+
 async def _ask(
     connection: targets.TargetConnection,
     request: messages.Request,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
 import anyio
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import backups
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
@@ -174,19 +176,39 @@
             record.begin_attempt(view, anyio.current_time())
             attempts.begin(view.target)
             try:
-                await self._attempt(admitted, view, relay, record)
+                await self._attempt(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
                 return
             except exchange.AttemptError as error:
                 record.end_attempt(error.reason, anyio.current_time())
                 attempts.fail(error)
                 self.dispatcher.note_failure(view, error)
+                if await self._may_resume(service, attempts, view, relay):
+                    attempts.resuming = True
+                    continue
+                attempts.resuming = False
                 if self._may_repeat(service, attempts, error):
                     continue
                 reason = verdict.Reason.TARGET_LOST
                 await self._answer_error(responder, attempts, reason)
                 return
 
+    async def _may_resume(
+        self,
+        service: str,
+        attempts: retries.Attempts,
+        view: target_view.TargetView,
+        relay: streams.Relay,
+    ) -> bool:
+        """Returns whether a broken run goes on from its copy."""
+        backup = attempts.backup
+        if backup is None or attempts.resuming or not relay.started:
+            return False
+        if not await backups.has_ended(view.target):
+            return False
+        now_s = anyio.current_time()
+        return backup.view.answers(now_s) and self.budget.spend(service, now_s)
+
     def _may_repeat(
         self,
         service: str,
@@ -227,21 +249,22 @@
         admitted: admission.Admitted,
         view: target_view.TargetView,
         relay: streams.Relay,
+        attempts: retries.Attempts,
         record: records.RequestRecord,
     ) -> None:
         """Sends a request to one target and relays its answer."""
-        dispatch = self.dispatcher.prepare(admitted, view, relay)
+        if not attempts.resuming:
+            attempts.backup = self.dispatcher.choose_backup(admitted, view)
+        dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
         work = self.dispatcher.estimate(admitted, view, dispatch)
         record.note_work(admitted, work, dispatch)
         before = relay.events
-        view.inflight += 1
-        view.unread_tokens += work.unread_tokens
-        view.tokens += work.memory_tokens
         view.held.note(dispatch.salt, admitted.prompt)
         try:
-            async with exchange.open_attempt(
-                self.pool, admitted, dispatch
-            ) as opened:
+            async with (
+                _counted(view, work, attempts.backup),
+                exchange.open_attempt(self.pool, admitted, dispatch) as opened,
+            ):
                 load = opened.head.find(headers.LOAD)
                 view.note_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
@@ -257,9 +280,6 @@
             raise
         finally:
             record.attempts[-1].events = relay.events - before
-            view.inflight -= 1
-            view.tokens -= work.memory_tokens
-            view.unread_tokens -= work.unread_tokens
         if isinstance(opened, exchange.Answer):
             await self._pass_on(opened, relay.responder)
 
@@ -293,3 +313,25 @@
         if responder.started:
             return
         await responder.respond(*exchange.passed_on(answer))
+
+
+@contextlib.asynccontextmanager
+async def _counted(
+    view: target_view.TargetView,
+    work: exchange.Work,
+    backup: backups.Backup | None,
+) -> collections.abc.AsyncIterator[None]:
+    """Counts the work of an attempt, and its copy, while it goes on."""
+    view.inflight += 1
+    view.unread_tokens += work.unread_tokens
+    view.tokens += work.memory_tokens
+    if backup is not None:
+        backup.view.tokens += backup.tokens
+    try:
+        yield
+    finally:
+        view.inflight -= 1
+        view.tokens -= work.memory_tokens
+        view.unread_tokens -= work.unread_tokens
+        if backup is not None:
+            backup.view.tokens -= backup.tokens
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -30,7 +30,8 @@
       prompt_tokens: Tokens of the prompt.
       unread_tokens: Those that the target was expected to read.
       fetched_tokens: Those that it was told to fetch.
-      store: Store that most of these come from.
+      store: Store or engine that most of these come from.
+      from_copy: Whether it went on from a copy of the run.
     """
 
     target: str
@@ -44,6 +45,7 @@
     unread_tokens: int = 0
     fetched_tokens: int = 0
     store: str = ""
+    from_copy: bool = False
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the fields of the attempt in its request's log line."""
@@ -60,6 +62,8 @@
             found["unread"] = self.unread_tokens
             found["fetched"] = self.fetched_tokens
             found["store"] = self.store
+        if self.from_copy:
+            found["from_copy"] = True
         if self.first_event_s is not None:
             found["first_event_ms"] = _ms(self.first_event_s - self.started_s)
             found["events"] = self.events
@@ -133,6 +137,7 @@
         attempt.unread_tokens = work.unread_tokens
         attempt.fetched_tokens = work.fetched_tokens
         attempt.store, _ = dispatch.kept.main_source()
+        attempt.from_copy = dispatch.from_copy
 
     def end_attempt(self, outcome: str, now_s: float) -> None:
         """Notes how the attempt that is under way ended."""
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -9,13 +9,15 @@
 import attrs
 
 from cactusstile import verdict
+from cactusstile.gateway import backups
 from cactusstile.gateway import exchange
 from cactusstile.sites import model
 
-# Targets that refuse the connection, after which the request is given up.
-MAX_UNREACHABLE = 3
+# Targets that refuse the connection, after which the request is given up: more
+# than fail together in one rack, and within a caller's patience.
+MAX_UNREACHABLE = 6
 # Addresses that belong to others now, after which it is given up.
-MAX_MISDIRECTED = 2
+MAX_MISDIRECTED = 4
 
 
 @attrs.define
@@ -31,6 +33,8 @@
       worst_verdict: Whether the request may have run.
       under_way: Whether an attempt has not ended.
       answer: Last answer in which a target reports its own error.
+      backup: Copy of the run that is or was under way.
+      resuming: Whether the next attempt goes on from that copy.
     """
 
     route: model.Route
@@ -41,6 +45,8 @@
     worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
     under_way: bool = False
     answer: exchange.Answer | None = None
+    backup: backups.Backup | None = None
+    resuming: bool = False
 
     def begin(self, target: model.Target) -> None:
         """Notes that the request is sent to a target."""
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -75,6 +75,12 @@
             return ()
         return self.table.configuration.stores
 
+    def service(self, name: str) -> model.Service | None:
+        """Returns a service of the configuration in force."""
+        if self.table is None:
+            return None
+        return self.table.configuration.services.get(name)
+
     def is_ready(self) -> bool:
         """Returns whether requests can be forwarded."""
         return self.table is not None and self.listed_s is not None
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -207,6 +207,10 @@
         """Returns whether requests may be sent there now."""
         if self.target.leaving or self.target.swapping:
             return False
+        return self.answers(now_s)
+
+    def answers(self, now_s: float) -> bool:
+        """Returns whether it is believed to answer at its address."""
         return now_s >= max(self.refusing_until_s, self.ejected_until_s)
 
 
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -111,6 +111,7 @@
         kv_tokens=fields.whole(read, "kvCapacity", 0),
         kv_token_bytes=fields.whole(read, "kvTokenBytes", 0),
         models=tuple(fields.text(one, "name") for one in models),
+        backs_up=fields.flag(read, "backups"),
     )
 
 
--- a/src/cactusstile/registry/store_watch.py
+++ b/src/cactusstile/registry/store_watch.py
@@ -27,9 +27,9 @@
 MAX_PARTS_PER_CALL = 200
 # Time after which a store refuses an order to free; an earlier leader's orders
 # are over when a new one has settled.
-FREE_LIMIT_MS = 700
+FREE_LIMIT_MS = 250
 # Time after an election until an earlier leader's frees are surely over.
-SETTLING_S = 1.0
+SETTLING_S = 0.4
 
 
 class StoreWatch:
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -76,12 +76,15 @@
       kv_tokens: Tokens of KV cache that fit its memory.
       kv_token_bytes: Size of one token's KV cache.
       models: Names of the models.
+      backs_up: Whether an engine copies the memory of a run to another while
+        it grows.
     """
 
     slots: int
     kv_tokens: int
     kv_token_bytes: int = 0
     models: tuple[str, ...] = ()
+    backs_up: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/gateway/test_backups.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.gateway import backups
+from cactusstile.gateway import prompts
+from cactusstile.gateway import target_view
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+
+PROMPT = prompts.parse("m", "800,796", "x:500,y:300", "250")
+FIELDS = (
+    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
+    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
+    b"X-Cactusstile-Length-Hint: 250\r\n"
+)
+ENGINE = model.Engine(8, 50_000, backs_up=True)
+WEIGHTS = (model.Weights("m", 3),)
+
+
+def engine(number: int, **changes: object) -> target_view.TargetView:
+    fields: dict[str, object] = {
+        "id": f"e-{number}",
+        "service": "s",
+        "address": address.Address("127.0.0.1", number),
+        "data_centre": "here",
+        "slots": 8,
+        "weights": WEIGHTS,
+    }
+    target = model.Target(**{**fields, **changes})  # type: ignore[arg-type]
+    view = target_view.TargetView(target, prompts.HeldParts(50_000))
+    view.note_listed(target)
+    return view
+
+
+def choose(
+    *views: target_view.TargetView,
+) -> target_view.TargetView | None:
+    found = backups.choose(views, views[0], PROMPT, 1000, 10.0)
+    return None if found is None else found.view
+
+
+def test_copy_goes_where_most_room_is() -> None:
+    chosen, full, free = engine(1), engine(2), engine(3)
+    full.tokens = 20_000
+    assert choose(chosen, full, free) is free
+
+
+def test_copy_stays_in_its_data_centre_while_there_is_room() -> None:
+    chosen, near, far = engine(1), engine(2), engine(3, data_centre="there")
+    near.tokens = 10_000
+    assert choose(chosen, near, far) is near
+    near.tokens = 40_000
+    assert choose(chosen, near, far) is far
+
+
+def test_copy_is_not_kept_where_it_could_not_go_on() -> None:
+    chosen = engine(1)
+    older = engine(2, weights=(model.Weights("m", 2),))
+    leaving = engine(3, leaving=True)
+    full = engine(4)
+    full.tokens = 45_000
+    assert choose(chosen, older, leaving, full) is None
+
+
+async def test_target_has_ended_once_nothing_listens() -> None:
+    async with raw_target.open_target() as target:
+        assert not await backups.has_ended(target.target)
+    assert await backups.has_ended(target.target)
+
+
+def configuration() -> model.SiteConfiguration:
+    once = support.route(model.Kind.STREAM, max_attempts=1)
+    found = support.configuration(once)
+    services = {"plain": model.Service("plain", 0, ENGINE)}
+    return attrs.evolve(found, services=services)
+
+
+async def test_stream_of_a_crashed_engine_goes_on_from_its_copy(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A long stream that may not run again survives the crash."""
+
+    async def has_ended(target: model.Target) -> bool:
+        return target.id == "a"
+
+    monkeypatch.setattr(backups, "has_ended", has_ended)
+    broken = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(
+            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
+        ) as second,
+        support.open_bench(configuration(), first, second) as bench,
+    ):
+        bench.site.targets.views["b", 0].inflight = 3
+        data = await bench.ask(support.request(b"POST", FIELDS))
+        assert bench.site.targets.views["b", 0].tokens == 0
+    ids = [line for line in data.split(b"\n") if line.startswith(b"id:")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+    assert data.endswith(b"0\r\n\r\n")
+    place = str(second.target.address).encode()
+    backup = b"x-cactusstile-kv-backup"
+    assert raw_target.find_header(first.requests[0], backup) == place
+    resumed = second.requests[0]
+    assert raw_target.find_header(resumed, b"kv-from") == place + b"/one"
+    assert raw_target.find_header(resumed, b"last-event-id") == b"2"
+    assert bench.records[0].attempts[1].from_copy
+
+
+async def test_stream_of_an_engine_that_lives_is_not_run_elsewhere() -> None:
+    broken = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(id="b", weights=WEIGHTS) as second,
+        support.open_bench(configuration(), first, second) as bench,
+    ):
+        bench.site.targets.views["b", 0].inflight = 3
+        data = await bench.ask(support.request(b"POST", FIELDS))
+    assert not data.endswith(b"0\r\n\r\n")
+    assert second.requests == []
+
+
+async def test_stream_whose_copy_is_missing_does_not_look_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def has_ended(target: model.Target) -> bool:
+        return target.id == "a"
+
+    monkeypatch.setattr(backups, "has_ended", has_ended)
+    broken = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(
+            raw_target.reject(), id="b", weights=WEIGHTS
+        ) as second,
+        support.open_bench(configuration(), first, second) as bench,
+    ):
+        bench.site.targets.views["b", 0].inflight = 3
+        data = await bench.ask(support.request(b"POST", FIELDS))
+    assert len(second.requests) == 1
+    assert not data.endswith(b"0\r\n\r\n")
