--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -19,6 +19,11 @@
 DEFAULT_WAIT_S = 2.0
 # Ranks that an engine tells apart; 0 goes first.
 LOWEST_RANK = 9
+# Time after the first configuration within which the contents of the stores are
+# told, at the latest: control learns of them just after its election.
+STORES_WAIT_S = 0.5
+# Prompts below this length are read sooner than the wait would last.
+MIN_WAITING_TOKENS = 2000
 # Ranks of routes within one rank of workspaces.
 RANKS_PER_WORKSPACE_RANK = 3
 # Name of the KV cache that all workspaces but isolated ones share.
@@ -97,6 +102,24 @@
     return min(HOLD_S, HOLD_SHARE * (until_s - request.received_s))
 
 
+def stores_wait_s(
+    prompt_tokens: int, since_configured_s: float, *, known: bool
+) -> float:
+    """Returns how long a prompt waits for the contents of the stores.
+
+    Answers a loss of all power: gateways that know nothing would have engines
+    read all prompts anew, for seconds, though stores still hold them.
+
+    >>> stores_wait_s(9000, 0.1, known=False)
+    0.4
+    >>> stores_wait_s(800, 0.1, known=False), stores_wait_s(9000, 0, known=True)
+    (0.0, 0.0)
+    """
+    if known or prompt_tokens < MIN_WAITING_TOKENS:
+        return 0.0
+    return max(0.0, STORES_WAIT_S - since_configured_s)
+
+
 def _authenticate(
     table: routes.Table, route: model.Route, request: messages.Request
 ) -> model.Workspace | None:
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -151,7 +151,7 @@
             listed = tuple(messages.decode_target(one) for one in item.targets)
             self.take_targets(listed, "control")
         elif isinstance(item, messages.StoreUpdates):
-            self.site.kept.take(item, now_s)
+            self.site.take_stores(item, now_s)
         elif isinstance(item, messages.Confirmation):
             self.site.confirmed_s = now_s
             self.site.gateways = item.gateways
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -187,6 +187,7 @@
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
     )
+    gateway.forwarder.tell_prompt = exchange.note_prompt
     group.start_soon(exchange.run)
 
 
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import typing
+
 import anyio
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import backups
 from cactusstile.gateway import exchange
+from cactusstile.gateway import peer_parts
 from cactusstile.gateway import placement
 from cactusstile.gateway import retries
 from cactusstile.gateway import routes
@@ -18,6 +21,9 @@
 from cactusstile.platform import headers
 from cactusstile.sites import model
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 # Time after which a caller may try again when nothing better is known.
 RETRY_AFTER_S = 0.2
 # Time for which a target is passed over whose address is another's now; the
@@ -149,7 +155,8 @@
             returning,
             salt,
             self.site.stores(),
-            anyio.current_time(),
+            holder=self._holder_of(view),
+            now_s=anyio.current_time(),
         )
         copy_to = None if backup is None else backup.view.target.address
         return exchange.Dispatch(
@@ -177,6 +184,14 @@
             anyio.current_time(),
         )
 
+    def _holder_of(
+        self, chosen: target_view.TargetView
+    ) -> collections.abc.Callable[[tuple[str, str]], str | None]:
+        """Returns what finds another engine that holds a part."""
+        now_s = anyio.current_time()
+        views = self.site.targets.of(chosen.target.service)
+        return lambda key: peer_parts.find_holder(views, chosen, key, now_s)
+
     def estimate(
         self,
         admitted: admission.Admitted,
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -214,7 +214,9 @@
             for one in kept.fetches
         ]
         fields.append((headers.KV_FETCH, ",".join(sources).encode()))
-        fields.append((headers.KV_FETCH_UNTIL, b"%d" % int(kept.until_ms)))
+        if kept.until_ms is not None:
+            until_ms = b"%d" % int(kept.until_ms)
+            fields.append((headers.KV_FETCH_UNTIL, until_ms))
     if any(kept.saves):
         stores = ",".join(one or "-" for one in kept.saves)
         fields.append((headers.KV_SAVE, stores.encode()))
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
+from cactusstile.gateway import prompts
 from cactusstile.gateway import records
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
@@ -30,6 +31,7 @@
     import collections.abc
 
     Record = collections.abc.Callable[[records.RequestRecord], None]
+    TellPrompt = collections.abc.Callable[[str, str, prompts.Prompt], None]
 
 # Time after which a caller may try again, while this gateway knows no
 # configuration yet.
@@ -48,6 +50,8 @@
       record: Takes what happened to each request.
       dispatcher: Chooses targets and learns from answers.
       pace: How long streams last.
+      tell_prompt: Tells other gateways which prompt an engine was sent, by the
+        engine's id and the salt.
       ends_s: Loop time at which the process ends; None while it goes on.
     """
 
@@ -66,6 +70,7 @@
         self.record = record
         self.dispatcher = dispatching.Dispatcher(site, weights_s)
         self.pace = stream_pace.StreamPace()
+        self.tell_prompt: TellPrompt = lambda *_: None
         self.ends_s: float | None = None
 
     async def handle(
@@ -110,7 +115,21 @@
                 "no configuration is known yet",
                 retry_after_s=START_RETRY_AFTER_S,
             )
-        return admission.admit(self.site.table, request)
+        admitted = admission.admit(self.site.table, request)
+        await self._wait_for_stores(admitted)
+        return admitted
+
+    async def _wait_for_stores(self, admitted: admission.Admitted) -> None:
+        """Lets a long prompt wait until it is known what stores hold."""
+        known = self.site.stores_known.is_set() or not self.site.stores()
+        wait_s = admission.stores_wait_s(
+            admitted.prompt.tokens,
+            anyio.current_time() - self.site.configured_s,
+            known=known,
+        )
+        if wait_s > 0:
+            with anyio.move_on_after(wait_s):
+                await self.site.stores_known.wait()
 
     def _check_stop(self, admitted: admission.Admitted) -> None:
         """Refuses a stream that may well outlast the process.
@@ -260,6 +279,7 @@
         record.note_work(admitted, work, dispatch)
         before = relay.events
         view.held.note(dispatch.salt, admitted.prompt)
+        self.tell_prompt(view.target.id, dispatch.salt, admitted.prompt)
         try:
             async with (
                 _counted(view, work, attempts.backup),
--- a/src/cactusstile/gateway/kept_parts.py
+++ b/src/cactusstile/gateway/kept_parts.py
@@ -1,9 +1,10 @@
 """Parts of prompts in stores: what to fetch, and what to save where.
 
 Answers prompts that return after the engines have forgotten them. A part is
-fetched only if a store is known to hold it whole, and only until the time up
-to which that was confirmed. A part that other prompts share is saved once, to
-the store that rendezvous hashing gives.
+fetched from a store only if that is known to hold it whole, and only until the
+time up to which that was confirmed. What no store holds may be held by another
+engine. A part that other prompts share is saved once, to the store that
+rendezvous hashing gives.
 """
 
 from __future__ import annotations
@@ -35,8 +36,8 @@
     """A part that is fetched.
 
     Attributes:
-      address: Store that holds it.
-      tokens: Tokens that it holds whole.
+      address: Store or engine that holds it.
+      tokens: Tokens of it that are fetched.
     """
 
     address: str
@@ -51,15 +52,15 @@
       fetches: Source of each part of the prompt; None for none.
       saves: Address of the store for each part; None for none.
       until_ms: Time by which fetches must have ended, on the clock that all
-        targets share.
+        targets share; None if nothing comes from a store.
     """
 
     fetches: tuple[Fetch | None, ...] = ()
     saves: tuple[str | None, ...] = ()
-    until_ms: float = 0.0
+    until_ms: float | None = None
 
     def main_source(self) -> tuple[str, int]:
-        """Returns the store that most tokens come from, and how many."""
+        """Returns the source that most tokens come from, and how many."""
         found = ("", 0)
         for one in self.fetches:
             if one is not None and one.tokens > found[1]:
@@ -68,7 +69,7 @@
 
     @property
     def fetched_tokens(self) -> int:
-        """Tokens of the prompt that stores hold."""
+        """Tokens of the prompt that are fetched."""
         return sum(one.tokens for one in self.fetches if one is not None)
 
 
@@ -157,6 +158,8 @@
         returning: collections.abc.Container[prompts.Part],
         salt: str,
         capacities: collections.abc.Sequence[model.Store],
+        *,
+        holder: collections.abc.Callable[[tuple[str, str]], str | None],
         now_s: float,
     ) -> Plan:
         """Returns what to fetch and to save for a request.
@@ -166,23 +169,37 @@
           returning: Parts that other prompts are expected to share.
           salt: Salt of the KV cache.
           capacities: Stores of the configuration.
+          holder: Returns the address of an engine that holds a part, by salt
+            and id.
           now_s: Loop time.
         """
         fetches: list[Fetch | None] = []
         saves: list[str | None] = []
-        until_ms = float("inf")
+        until_ms: float | None = None
         for part in prompt.parts:
             key = (salt, part.id)
             fetch = self._find(key, now_s)
-            fetches.append(fetch)
             save = None
             if fetch is not None:
-                until_ms = min(until_ms, self.stores[fetch.address].until_ms)
-            elif part in returning and not self._is_kept(key):
-                save = self._choose_store(key, part.tokens, capacities, now_s)
+                store_until_ms = self.stores[fetch.address].until_ms
+                until_ms = min(until_ms or store_until_ms, store_until_ms)
+            else:
+                fetch = self._from_engine(part, holder(key), now_s)
+                if part in returning and not self._is_kept(key):
+                    save = self._choose_store(
+                        key, part.tokens, capacities, now_s
+                    )
+            fetches.append(fetch)
             saves.append(save)
         return Plan(tuple(fetches), tuple(saves), until_ms)
 
+    def _from_engine(
+        self, part: prompts.Part, address: str | None, now_s: float
+    ) -> Fetch | None:
+        if address is None or not self.costs.pays(address, now_s):
+            return None
+        return Fetch(address, part.tokens)
+
     def _find(self, key: tuple[str, str], now_s: float) -> Fetch | None:
         for view in self.stores.values():
             tokens = view.parts.get(key)
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -2,12 +2,15 @@
 
 Answers days on which many gateways choose among few engines: each would
 otherwise see the load of the others only in the answers of targets, after the
-fact, and several would choose the same idle engine. Datagrams may be lost; the
-next one replaces them.
+fact, and several would choose the same idle engine. They also tell which
+prompts they sent where, so that a prompt that returns at another gateway finds
+the engine that holds it. Datagrams may be lost; the next one replaces a load,
+and a prompt that nobody heard of is read again.
 """
 
 from __future__ import annotations
 
+import collections
 import hashlib
 import hmac
 import logging
@@ -15,6 +18,7 @@
 import anyio
 import anyio.abc
 
+from cactusstile.gateway import prompts as prompt_parts
 from cactusstile.gateway import site_view
 from cactusstile.gateway import target_view
 from cactusstile.sites import messages
@@ -31,6 +35,8 @@
 # Time after which an unchanged load is sent again, since datagrams get lost.
 REPEAT_INTERVAL_S = 0.4
 MAC_BYTES = 16
+# Prompts that wait for the next datagram; it stays far below 64 KiB.
+MAX_SENT_PROMPTS = 128
 
 Loads = tuple[messages.TargetLoad, ...]
 
@@ -66,6 +72,9 @@
         self.name = name
         self.own = own
         self.secret = secret
+        self.prompts: collections.deque[messages.SentPrompt] = (
+            collections.deque(maxlen=MAX_SENT_PROMPTS)
+        )
 
     async def run(self) -> None:
         """Exchanges loads for as long as the process runs."""
@@ -85,7 +94,8 @@
             await anyio.sleep(send_interval_s(len(self.site.gateways)))
             loads = self.own_loads()
             now_s = anyio.current_time()
-            if loads == sent and now_s - sent_s < REPEAT_INTERVAL_S:
+            is_old = now_s - sent_s >= REPEAT_INTERVAL_S
+            if loads == sent and not self.prompts and not is_old:
                 continue
             sent, sent_s = loads, now_s
             data = self.encode(loads)
@@ -106,6 +116,16 @@
         async for data, _ in socket:
             self.take(data)
 
+    def note_prompt(
+        self, target: str, salt: str, prompt: prompt_parts.Prompt
+    ) -> None:
+        """Notes a prompt that was sent, for the next datagram."""
+        parts = tuple(
+            messages.SentPart(one.id, one.tokens) for one in prompt.parts
+        )
+        if parts:
+            self.prompts.append(messages.SentPrompt(target, salt, parts))
+
     def own_loads(self) -> Loads:
         """Returns what this gateway has under way."""
         return tuple(
@@ -120,8 +140,10 @@
         )
 
     def encode(self, loads: Loads) -> bytes:
-        """Returns the datagram that tells `loads`."""
-        data = codec.encode(messages.GatewayLoad(self.name, loads))
+        """Returns the datagram that tells `loads` and the prompts sent."""
+        prompts = tuple(self.prompts)
+        self.prompts.clear()
+        data = codec.encode(messages.GatewayLoad(self.name, loads, prompts))
         return self._mac(data) + data
 
     def take(self, datagram: bytes) -> None:
@@ -144,6 +166,7 @@
             for one in read.targets
         }
         self.site.targets.take_peer(read.gateway, loads, now_s)
+        self.site.targets.take_prompts(read.prompts)
 
     def _mac(self, data: bytes) -> bytes:
         return hmac.digest(self.secret, data, hashlib.sha256)[:MAC_BYTES]
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -19,7 +19,7 @@
     KeptTokens = collections.abc.Callable[[str], int]
 
 # Prompt tokens that one running request delays a new one by.
-TOKENS_PER_RUNNING = 300.0
+TOKENS_PER_RUNNING = 80.0
 # Part of an unseen request's prompt that is still to be read, on average.
 UNREAD_PART = 0.3
 # Share of a prompt's tokens that its home is preferred by.
@@ -49,8 +49,9 @@
 ) -> target_view.TargetView | None:
     """Returns the engine that is expected to answer first, if any.
 
-    Costs are counted in prompt tokens to be read before the first event. The
-    home of `session` is preferred, since other gateways send it there too.
+    Costs are counted in prompt tokens to be read before the first event. While
+    nothing is known of the prompt, as after a restart, the home of `session` is
+    preferred, since other gateways send it there too.
 
     Args:
       views: Engines to choose from.
@@ -62,10 +63,15 @@
     """
     best = None
     best_cost = float("inf")
-    home = _home(views, session)
+    most_held = 0
     for view in views:
         salt = view.salt(prompt.model, wall)
-        cost = engine_cost(view, prompt, salt, kept(salt), now_s)
+        most_held = max(most_held, view.held.held_tokens(salt, prompt))
+    home = None if most_held else _home(views, session)
+    for view in views:
+        salt = view.salt(prompt.model, wall)
+        elsewhere = max(kept(salt), most_held)
+        cost = engine_cost(view, prompt, salt, elsewhere, now_s)
         if view is home:
             cost -= HOME_BONUS_SHARE * prompt.tokens
         if cost < best_cost:
@@ -77,12 +83,20 @@
     view: target_view.TargetView,
     prompt: prompts.Prompt,
     salt: str,
-    kept_tokens: int,
+    elsewhere_tokens: int,
     now_s: float,
 ) -> float:
-    """Returns the prompt tokens that an engine reads before an answer."""
+    """Returns the prompt tokens that an engine reads before an answer.
+
+    Args:
+      view: The engine.
+      prompt: Prompt of the request.
+      salt: Salt of the engine's KV cache.
+      elsewhere_tokens: First tokens that a store or another engine holds.
+      now_s: Loop time.
+    """
     held = view.held.held_tokens(salt, prompt)
-    fetched = max(0, kept_tokens - held)
+    fetched = max(0, elsewhere_tokens - held)
     missing = prompt.tokens - held - fetched + FETCH_COST * fetched
     penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
     cost = missing + queue_cost(view, prompt, now_s)
--- a/src/cactusstile/gateway/prompts.py
+++ b/src/cactusstile/gateway/prompts.py
@@ -84,7 +84,7 @@
 class HeldParts:
     """Parts that a target has read lately, the last used at the end.
 
-    An estimate from this gateway's own requests; others' are not seen.
+    An estimate from the prompts that gateways sent there.
 
     Attributes:
       limit_tokens: Tokens after which the least recently used are forgotten.
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -9,6 +9,7 @@
 from cactusstile.gateway import routes
 from cactusstile.gateway import target_view
 from cactusstile.http import callers
+from cactusstile.sites import messages
 from cactusstile.sites import model
 
 
@@ -28,6 +29,8 @@
       control: Addresses of control processes, as last told.
       kept: Contents of the stores.
       configured: Set once the first configuration is known.
+      configured_s: Loop time of that.
+      stores_known: Set once the contents of a store are known.
     """
 
     table: routes.Table | None = None
@@ -41,6 +44,8 @@
     control: tuple[str, ...] = ()
     kept: kept_parts.KeptParts = attrs.field(factory=kept_parts.KeptParts)
     configured: anyio.Event = attrs.field(factory=anyio.Event)
+    configured_s: float = float("inf")
+    stores_known: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
     def version(self) -> int:
@@ -54,6 +59,8 @@
         if configuration.version <= self.version:
             return False
         self.table = routes.build(configuration)
+        if not self.configured.is_set():
+            self.configured_s = anyio.current_time()
         self.configured.set()
         self.targets.update(self.listed, configuration.services)
         return True
@@ -69,6 +76,12 @@
             services = self.table.configuration.services
         self.targets.update(listed, services)
 
+    def take_stores(self, updates: messages.StoreUpdates, now_s: float) -> None:
+        """Takes over what changed in the stores."""
+        self.kept.take(updates, now_s)
+        if any(one.open for one in updates.stores):
+            self.stores_known.set()
+
     def stores(self) -> tuple[model.Store, ...]:
         """Returns the stores of the configuration in force."""
         if self.table is None:
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 
 from cactusstile.gateway import prompts
+from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 # Time after which a report of load says nothing any more.
 REPORT_LIFE_S = 2.0
 # Time after which a gateway's word on its load counts as outdated.
@@ -263,6 +269,20 @@
             else:
                 view.peers.pop(gateway, None)
 
+    def take_prompts(
+        self, sent: collections.abc.Iterable[messages.SentPrompt]
+    ) -> None:
+        """Takes over which prompts another gateway sent to which engine."""
+        by_id = {one.target.id: one for one in self.views.values()}
+        for one in sent:
+            view = by_id.get(one.target)
+            if view is None:
+                continue
+            parts = tuple(
+                prompts.Part(part.id, part.tokens) for part in one.parts
+            )
+            view.held.note(one.salt, prompts.Prompt(parts=parts))
+
     def live_services(self) -> set[str]:
         """Returns the services that have a target which is not leaving."""
         found = set()
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -233,7 +233,7 @@
         client,
         lambda: own_replica.is_leader,
         registry.site.stores,
-        on_loss=registry.feed.update_stores,
+        on_change=registry.feed.update_stores,
         oldest=lambda: store_cleaning.oldest_versions(registry.feed.listed),
     )
     registry.feed.contents = watch.contents
--- a/src/cactusstile/registry/store_watch.py
+++ b/src/cactusstile/registry/store_watch.py
@@ -20,16 +20,16 @@
 
 logger = logging.getLogger(__name__)
 
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.05
 # Time that a store holds the call back while nothing changes.
 EVENTS_WAIT_MS = 400
 RETRY_INTERVAL_S = 0.3
 MAX_PARTS_PER_CALL = 200
 # Time after which a store refuses an order to free; an earlier leader's orders
 # are over when a new one has settled.
-FREE_LIMIT_MS = 250
+FREE_LIMIT_MS = 100
 # Time after an election until an earlier leader's frees are surely over.
-SETTLING_S = 0.4
+SETTLING_S = 0.15
 
 
 class StoreWatch:
@@ -45,7 +45,7 @@
         leads: collections.abc.Callable[[], bool],
         named: collections.abc.Callable[[], tuple[model.Store, ...]],
         *,
-        on_loss: collections.abc.Callable[[], None],
+        on_change: collections.abc.Callable[[], None],
         oldest: collections.abc.Callable[[], dict[str, int]],
     ) -> None:
         """Follows the stores that `named` returns while `leads` says so.
@@ -54,13 +54,14 @@
           client: Makes the calls.
           leads: Returns whether this process leads.
           named: Returns the stores of the configuration in force.
-          on_loss: Called when the contents of a store are lost.
+          on_change: Called when the contents of a store became known or were
+            lost.
           oldest: Returns the oldest version of each model at any engine.
         """
         self.client = client
         self.leads = leads
         self.named = named
-        self.on_loss = on_loss
+        self.on_change = on_change
         self.oldest = oldest
         self.contents: dict[str, store_contents.StoreContents] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -107,7 +108,7 @@
                         )
                     reachable = False
                 held.lose()
-                self.on_loss()
+                self.on_change()
                 await anyio.sleep(RETRY_INTERVAL_S)
 
     async def _read(
@@ -123,11 +124,16 @@
                 "parts": len(held.parts),
             },
         )
+        # The list does not tell the store's clock, which bounds all fetches.
+        wait_ms = 0
         while True:
             events = await self.client.kept_events(
-                store, held.next_event, EVENTS_WAIT_MS
+                store, held.next_event, wait_ms
             )
             if held.take(events):
+                if not wait_ms:
+                    self.on_change()
+                wait_ms = EVENTS_WAIT_MS
                 await self._clean(store, held)
                 continue
             if events.epoch != held.epoch:
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -150,13 +150,45 @@
     tokens: int
 
 
+@codec.register(0, _SCHEMA, "SentPart")
+@attrs.frozen
+class SentPart:
+    """A part of a prompt that was sent."""
+
+    id: str
+    tokens: int
+
+
+@codec.register(0, _SCHEMA, "SentPrompt")
+@attrs.frozen
+class SentPrompt:
+    """A prompt that an engine was sent, and now keeps.
+
+    Attributes:
+      target: Id of the engine.
+      salt: Salt of its KV cache.
+      parts: Parts of the prompt, in order.
+    """
+
+    target: str
+    salt: str
+    parts: tuple[SentPart, ...]
+
+
 @codec.register(520, _SCHEMA, "GatewayLoad")
 @attrs.frozen
 class GatewayLoad:
-    """Datagram: what a gateway has under way; other targets have none."""
+    """Datagram: what a gateway has under way; other targets have none.
+
+    Attributes:
+      gateway: Name of the gateway.
+      targets: Its load at targets.
+      prompts: Prompts that it sent since its last datagram.
+    """
 
     gateway: str
     targets: tuple[TargetLoad, ...]
+    prompts: tuple[SentPrompt, ...]
 
 
 def encode_target(target: model.Target) -> ListedTarget:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -61,9 +61,21 @@
   tokens @3 :UInt32;
 }
 
+struct SentPart {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct SentPrompt {
+  target @0 :Text;
+  salt @1 :Text;
+  parts @2 :List(SentPart);
+}
+
 struct GatewayLoad {
   gateway @0 :Text;
   targets @1 :List(TargetLoad);
+  prompts @2 :List(SentPrompt);
 }
 
 struct Confirmation {
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
 import anyio
+import attrs
 import pytest
 from tests.gateway import support
 from tests.support import raw_target
 
+from cactusstile.sites import messages
 from cactusstile.sites import model
+from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
 ONCE = model.Kind.ONCE
@@ -350,3 +353,43 @@
             data = await bench.ask(support.request(b"POST"))
     assert b"id: 2" not in data
     assert not data.endswith(b"0\r\n\r\n")
+
+
+async def test_long_prompt_after_a_start_waits_for_the_stores() -> None:
+    """All engines would read all prompts anew after a loss of power."""
+    engine = model.Engine(8, 50_000)
+    store = model.Store("k", address.Address("127.0.0.1", 9), "d", 10_000)
+    found = attrs.evolve(
+        support.configuration(support.route(STREAM)),
+        services={"plain": model.Service("plain", 0, engine)},
+        stores=(store,),
+    )
+    fields = (
+        b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 5000,9\r\n"
+        b"X-Cactusstile-Prompt-Prefix: x:4000,y:1000\r\n"
+    )
+    async with (
+        raw_target.open_target(
+            raw_target.stream_events([1]), weights=(model.Weights("m", 3),)
+        ) as target,
+        support.open_bench(found, target) as bench,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(bench.ask, support.request(b"POST", fields))
+        await anyio.sleep(0.1)
+        assert target.requests == []
+        salt = bench.site.targets.views[target.target.incarnation].salt(
+            "m", "shared"
+        )
+        part = messages.KeptPart(salt, "x", 4000)
+        update = messages.StoreUpdate("127.0.0.1:9", True, 9e9, True, (part,))
+        bench.site.take_stores(
+            messages.StoreUpdates((update,)), anyio.current_time()
+        )
+        with anyio.fail_after(1.0):
+            while not target.requests:
+                await anyio.sleep(0.01)
+    fetched = raw_target.find_header(
+        target.requests[0], b"x-cactusstile-kv-fetch"
+    )
+    assert fetched == b"127.0.0.1:9/4000,-"
--- a/tests/gateway/test_kept_parts.py
+++ b/tests/gateway/test_kept_parts.py
@@ -36,9 +36,19 @@
 
 
 def plan(
-    of: kept_parts.KeptParts, now_s: float = 10.0, salt: str = "s"
+    of: kept_parts.KeptParts,
+    now_s: float = 10.0,
+    salt: str = "s",
+    holder: str | None = None,
 ) -> kept_parts.Plan:
-    return of.plan(PROMPT, RETURNING, salt, STORES, now_s)
+    return of.plan(
+        PROMPT,
+        RETURNING,
+        salt,
+        STORES,
+        holder=lambda _: holder,
+        now_s=now_s,
+    )
 
 
 def saved(of: kept_parts.Plan) -> collections.abc.Sequence[bool]:
@@ -53,6 +63,26 @@
     assert saved(found) == [False, True, False]
 
 
+def test_part_that_no_store_holds_is_fetched_from_an_engine() -> None:
+    """A prompt that goes elsewhere is moved instead of being read again."""
+    stores = kept(update(STORES[0], ("x", 200)), update(STORES[1]))
+    found = plan(stores, holder="127.0.0.1:9")
+    assert found.fetches == (
+        kept_parts.Fetch("127.0.0.1:1", 200),
+        kept_parts.Fetch("127.0.0.1:9", 500),
+        kept_parts.Fetch("127.0.0.1:9", 200),
+    )
+    # Only what comes from a store has to end in time.
+    assert found.until_ms == 5000.0
+    assert plan(kept(), holder="127.0.0.1:9").until_ms is None
+
+
+def test_engine_whose_link_is_slow_is_not_fetched_from() -> None:
+    stores = kept()
+    stores.costs.note_fetch("127.0.0.1:9", 500, 0, 5.0, now_s=10.0)
+    assert not any(plan(stores, holder="127.0.0.1:9").fetches)
+
+
 def test_nothing_is_fetched_under_another_salt() -> None:
     found = plan(kept(update(STORES[0], ("x", 200))), salt="other")
     assert not any(found.fetches)
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -12,6 +12,7 @@
 
 pytestmark = pytest.mark.anyio
 SECRET = b"s" * 16
+PROMPT = prompts.parse("m", "9000,9", "shared:2000,own:7000")
 
 
 def engine(number: int) -> model.Target:
@@ -84,3 +85,37 @@
         other.take(datagram)
     seen = other.site.targets.views["e-1", 0]
     assert seen.others(anyio.current_time()) == 0
+
+
+def choose(of: load_exchange.LoadExchange) -> str:
+    view = placement.choose_engine(
+        list(of.site.targets.views.values()),
+        PROMPT,
+        wall="w",
+        session="",
+        kept=lambda _: 0,
+        now_s=anyio.current_time(),
+    )
+    assert view is not None
+    return view.target.id
+
+
+async def test_prompt_that_returns_at_another_gateway_finds_its_engine() -> (
+    None
+):
+    one, other = exchange("a"), exchange("b")
+    for number in range(3):
+        salt = one.site.targets.views[f"e-{number}", 0].salt("m", "w")
+        one.note_prompt(f"e-{number}", salt, PROMPT)
+        other.take(one.encode(()))
+        assert choose(other) == f"e-{number}"
+        other.site.targets.views[f"e-{number}", 0].held.clear()
+
+
+async def test_prompts_are_told_once() -> None:
+    one, other = exchange("a"), exchange("b")
+    one.note_prompt("e-1", "s", PROMPT)
+    one.note_prompt("e-gone", "s", PROMPT)
+    other.take(one.encode(()))
+    assert ("s", "own") in other.site.targets.views["e-1", 0].held.parts
+    assert not one.prompts
--- /dev/null
+++ b/tests/gateway/test_peer_parts.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+from cactusstile.gateway import peer_parts
+from cactusstile.gateway import prompts
+from cactusstile.gateway import target_view
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+PROMPT = prompts.parse("m", "900,9", "x:200,y:500")
+KEY = ("s", "y")
+
+
+def engine(
+    number: int, *, holds: bool = False, leaving: bool = False
+) -> target_view.TargetView:
+    target = model.Target(
+        id=f"e-{number}",
+        service="s",
+        address=address.Address("127.0.0.1", number),
+        data_centre="d",
+        slots=8,
+        leaving=leaving,
+    )
+    view = target_view.TargetView(target, prompts.HeldParts(10_000))
+    if holds:
+        view.held.note("s", PROMPT)
+    return view
+
+
+def find(*views: target_view.TargetView, now_s: float = 10.0) -> str | None:
+    """Finds a holder for a request that goes to the first engine."""
+    return peer_parts.find_holder(views, views[0], KEY, now_s)
+
+
+def test_engine_that_was_sent_the_part_hands_it_over() -> None:
+    assert find(engine(1), engine(2), engine(3, holds=True)) == "127.0.0.1:3"
+
+
+def test_nothing_is_fetched_by_an_engine_that_holds_the_part() -> None:
+    assert find(engine(1, holds=True), engine(2, holds=True)) is None
+
+
+def test_engine_that_fails_is_not_fetched_from() -> None:
+    """A dead source costs the caller some hundred ms."""
+    failed = engine(2, holds=True)
+    failed.note_failure(10.0, at_once=True)
+    assert find(engine(1), failed, now_s=10.1) is None
+
+
+def test_engine_that_leaves_hands_over_what_it_holds() -> None:
+    leaving = engine(2, holds=True, leaving=True)
+    assert find(engine(1), leaving) == "127.0.0.1:2"
