Count nothing to read for other gateways as nothing

Cause: where other gateways told that an engine had nothing left to read for them, placement took 0 for 'not told' and guessed 0.3 of the prompt for each request there; an engine that only generates looked the worst of all.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -180,7 +180,7 @@
             self.site.targets.of(view.target.service),
             view,
             admitted.prompt,
-            placement.memory_tokens(admitted.prompt),
+            placement.memory_tokens(admitted.prompt, 0),
             anyio.current_time(),
         )
 
@@ -205,7 +205,7 @@
         fetched = max(0, dispatch.kept.fetched_tokens - held)
         unread = max(0, prompt.tokens - held - fetched)
         cost = unread + placement.queue_cost(view, prompt, now_s)
-        memory = placement.memory_tokens(prompt)
+        memory = placement.memory_tokens(prompt, held)
         return exchange.Work(unread, fetched, cost, memory, now_s)
 
     def note_first_event(
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -19,13 +19,13 @@
     KeptTokens = collections.abc.Callable[[str], int]
 
 # Prompt tokens that one running request delays a new one by.
-TOKENS_PER_RUNNING = 80.0
+TOKENS_PER_RUNNING = 50.0
 # Part of an unseen request's prompt that is still to be read, on average.
 UNREAD_PART = 0.3
 # Share of a prompt's tokens that its home is preferred by.
 HOME_BONUS_SHARE = 0.5
 # Time to fetch a token, as a share of the time to read it.
-FETCH_COST = 0.3
+FETCH_COST = 0.12
 # Part of the bound of output tokens that answers reach on average.
 OUTPUT_PART = 0.25
 # Part of an engine's memory that running requests may fill.
@@ -100,24 +100,29 @@
     missing = prompt.tokens - held - fetched + FETCH_COST * fetched
     penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
     cost = missing + queue_cost(view, prompt, now_s)
-    cost += MEMORY_WEIGHT * _overflow(view, prompt, now_s)
+    needed = memory_tokens(prompt, held)
+    cost += MEMORY_WEIGHT * _overflow(view, needed, now_s)
     return cost * penalty
 
 
-def memory_tokens(prompt: prompts.Prompt) -> int:
-    """Returns the tokens of an engine's memory that a request takes."""
-    return prompt.tokens + int(OUTPUT_PART * prompt.max_output_tokens)
+def memory_tokens(prompt: prompts.Prompt, held_tokens: int) -> int:
+    """Returns the tokens of an engine's memory that a request adds.
+
+    Requests share the memory of the parts that they have in common.
+    """
+    output_tokens = int(OUTPUT_PART * prompt.max_output_tokens)
+    return prompt.tokens - held_tokens + output_tokens
 
 
 def _overflow(
-    view: target_view.TargetView, prompt: prompts.Prompt, now_s: float
+    view: target_view.TargetView, needed_tokens: int, now_s: float
 ) -> int:
     """Returns the tokens that do not fit an engine's memory.
 
     An engine without room puts a request back in the middle of its stream and
     reads it anew later.
     """
-    needed = view.memory_tokens(now_s) + memory_tokens(prompt)
+    needed = view.memory_tokens(now_s) + needed_tokens
     return max(0, needed - int(MEMORY_PART * view.held.limit_tokens))
 
 
@@ -126,7 +131,7 @@
 ) -> float:
     """Returns the prompt tokens that an engine reads for others first."""
     unread = view.others_unread(now_s)
-    if not unread:
+    if unread is None:
         unread = int(view.others(now_s) * UNREAD_PART * prompt.tokens)
     queue = float(view.unread_tokens + unread)
     queue += TOKENS_PER_RUNNING * view.occupied(now_s)
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -142,7 +142,7 @@
         What they tell themselves goes before the target's own word, which is
         as old as its last answer.
         """
-        if now_s - self.peers_heard_s <= PEER_LIFE_S:
+        if self.hears_peers(now_s):
             return sum(one.inflight for one in self._fresh_peers(now_s))
         load = self.load
         if load is None or now_s - load.at_s > REPORT_LIFE_S:
@@ -156,8 +156,17 @@
             if now_s - one.at_s <= PEER_LIFE_S
         ]
 
-    def others_unread(self, now_s: float) -> int:
-        """Returns the prompt tokens that it has to read for other gateways."""
+    def hears_peers(self, now_s: float) -> bool:
+        """Returns whether other gateways tell their load."""
+        return now_s - self.peers_heard_s <= PEER_LIFE_S
+
+    def others_unread(self, now_s: float) -> int | None:
+        """Returns the prompt tokens that it has to read for other gateways.
+
+        None if no gateway tells: that is not the same as none to read.
+        """
+        if not self.hears_peers(now_s):
+            return None
         return sum(one.unread_tokens for one in self._fresh_peers(now_s))
 
     def memory_tokens(self, now_s: float) -> int:
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -119,3 +119,19 @@
     other.take(one.encode(()))
     assert ("s", "own") in other.site.targets.views["e-1", 0].held.parts
     assert not one.prompts
+
+
+async def test_engine_that_only_generates_goes_before_one_that_reads() -> None:
+    """Others' requests that have begun leave nothing to read first."""
+    own = exchange("a", 2)
+    busy, reading = own.site.targets.views.values()
+    other = exchange("b", 2)
+    for view, unread_tokens in zip(
+        other.site.targets.views.values(), (0, 6000), strict=True
+    ):
+        view.inflight = 6
+        view.unread_tokens = unread_tokens
+    own.take(other.encode(other.own_loads()))
+    now_s = anyio.current_time()
+    assert placement.queue_cost(busy, PROMPT, now_s) < 6000
+    assert choose(own) == busy.target.id != reading.target.id
