--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -102,6 +102,8 @@
             return placement.choose_engine(
                 possible,
                 prompt,
+                request_id=admitted.id,
+                gateways=len(self.site.gateways),
                 wall=admitted.wall,
                 session=session,
                 kept=lambda salt: self.site.kept.held_tokens(
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -20,6 +20,11 @@
 
 # Prompt tokens that one running request delays a new one by.
 TOKENS_PER_RUNNING = 50.0
+# Largest difference by which a request prefers one engine to another for its id
+# alone, for each gateway: those that know the same would otherwise all choose the
+# same engine until they hear of each other's choice.
+SPREAD_TOKENS_PER_GATEWAY = 30.0
+MAX_SPREAD_TOKENS = 2000.0
 # Part of an unseen request's prompt that is still to be read, on average.
 UNREAD_PART = 0.3
 # Share of a prompt's tokens that its home is preferred by.
@@ -42,6 +47,8 @@
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
     *,
+    request_id: str,
+    gateways: int,
     wall: str,
     session: str,
     kept: KeptTokens,
@@ -56,6 +63,8 @@
     Args:
       views: Engines to choose from.
       prompt: Prompt of the request.
+      request_id: Identity of the request.
+      gateways: Gateways that choose among these engines.
       wall: Those with whom its KV cache is shared.
       session: Identity of the part by which the prompt returns.
       kept: Returns the first tokens that stores hold under a salt.
@@ -67,11 +76,13 @@
     for view in views:
         salt = view.salt(prompt.model, wall)
         most_held = max(most_held, view.held.held_tokens(salt, prompt))
+    spread = min(MAX_SPREAD_TOKENS, SPREAD_TOKENS_PER_GATEWAY * gateways)
     home = None if most_held else _home(views, session)
     for view in views:
         salt = view.salt(prompt.model, wall)
         elsewhere = max(kept(salt), most_held)
         cost = engine_cost(view, prompt, salt, elsewhere, now_s)
+        cost += spread * _share(request_id, view)
         if view is home:
             cost -= HOME_BONUS_SHARE * prompt.tokens
         if cost < best_cost:
@@ -181,6 +192,11 @@
     return best
 
 
+def _share(request_id: str, view: target_view.TargetView) -> float:
+    """Returns a number from 0 to 1 for a request and an engine."""
+    return int.from_bytes(_score(request_id, view)[:2], "big") / 65_536
+
+
 def _score(key: str, view: target_view.TargetView) -> bytes:
     name = view.target.id.encode()
     return hashlib.blake2b(key.encode(), key=name[:64], digest_size=8).digest()
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -38,6 +38,8 @@
         view = placement.choose_engine(
             list(own.site.targets.views.values()),
             prompt,
+            request_id=f"r-{turn}",
+            gateways=len(gateways),
             wall="w",
             session="",
             kept=lambda _: 0,
@@ -87,10 +89,12 @@
     assert seen.others(anyio.current_time()) == 0
 
 
-def choose(of: load_exchange.LoadExchange) -> str:
+def choose(of: load_exchange.LoadExchange, request_id: str = "r") -> str:
     view = placement.choose_engine(
         list(of.site.targets.views.values()),
         PROMPT,
+        request_id=request_id,
+        gateways=16,
         wall="w",
         session="",
         kept=lambda _: 0,
@@ -135,3 +139,14 @@
     now_s = anyio.current_time()
     assert placement.queue_cost(busy, PROMPT, now_s) < 6000
     assert choose(own) == busy.target.id != reading.target.id
+
+
+async def test_gateways_that_know_the_same_spread_their_requests() -> None:
+    """Sixteen gateways choose before they hear of each other's choice."""
+    engines = 8
+    chosen = []
+    for number in range(16):
+        own = exchange(f"g-{number}", engines)
+        chosen.append(choose(own, f"request-{number}"))
+    assert len(set(chosen)) >= engines // 2
+    assert max(map(chosen.count, chosen)) <= 6
