--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -94,25 +94,27 @@
         # A target that seems to fail is still better than none.
         possible = usable or fresh
         if admitted.route.kind is model.Kind.STREAM:
-            returning = self.sessions.returning_parts(
-                admitted.route.name, admitted.prompt
-            )
-            session = returning[-1].id if returning else ""
-            prompt = admitted.prompt
-            return placement.choose_engine(
-                possible,
-                prompt,
-                request_id=admitted.id,
-                gateways=len(self.site.gateways),
-                wall=admitted.wall,
-                session=session,
-                kept=lambda salt: self.site.kept.held_tokens(
-                    prompt, salt, now_s
-                ),
-                now_s=now_s,
-            )
+            return self._choose_engine(admitted, possible, now_s)
         return placement.choose_service_target(possible, admitted.id, now_s)
 
+    def _choose_engine(
+        self,
+        admitted: admission.Admitted,
+        possible: list[target_view.TargetView],
+        now_s: float,
+    ) -> target_view.TargetView | None:
+        prompt = admitted.prompt
+        returning = self.sessions.returning_parts(admitted.route.name, prompt)
+        return placement.choose_engine(
+            possible,
+            prompt,
+            spread=placement.spread_of(admitted.id, len(self.site.gateways)),
+            wall=admitted.wall,
+            session=returning[-1].id if returning else "",
+            kept=lambda salt: self.site.kept.held_tokens(prompt, salt, now_s),
+            now_s=now_s,
+        )
+
     def _is_outdated(
         self, view: target_view.TargetView, name: str, now_s: float
     ) -> bool:
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -17,12 +17,12 @@
     import collections.abc
 
     KeptTokens = collections.abc.Callable[[str], int]
+    Spread = collections.abc.Callable[[target_view.TargetView], float]
 
 # Prompt tokens that one running request delays a new one by.
 TOKENS_PER_RUNNING = 50.0
 # Largest difference by which a request prefers one engine to another for its id
-# alone, for each gateway: those that know the same would otherwise all choose the
-# same engine until they hear of each other's choice.
+# alone, for each gateway.
 SPREAD_TOKENS_PER_GATEWAY = 30.0
 MAX_SPREAD_TOKENS = 2000.0
 # Part of an unseen request's prompt that is still to be read, on average.
@@ -47,8 +47,7 @@
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
     *,
-    request_id: str,
-    gateways: int,
+    spread: Spread,
     wall: str,
     session: str,
     kept: KeptTokens,
@@ -63,8 +62,7 @@
     Args:
       views: Engines to choose from.
       prompt: Prompt of the request.
-      request_id: Identity of the request.
-      gateways: Gateways that choose among these engines.
+      spread: Returns what the request's id adds to an engine's cost.
       wall: Those with whom its KV cache is shared.
       session: Identity of the part by which the prompt returns.
       kept: Returns the first tokens that stores hold under a salt.
@@ -72,17 +70,13 @@
     """
     best = None
     best_cost = float("inf")
-    most_held = 0
-    for view in views:
-        salt = view.salt(prompt.model, wall)
-        most_held = max(most_held, view.held.held_tokens(salt, prompt))
-    spread = min(MAX_SPREAD_TOKENS, SPREAD_TOKENS_PER_GATEWAY * gateways)
+    most_held = _most_held(views, prompt, wall)
     home = None if most_held else _home(views, session)
     for view in views:
         salt = view.salt(prompt.model, wall)
         elsewhere = max(kept(salt), most_held)
         cost = engine_cost(view, prompt, salt, elsewhere, now_s)
-        cost += spread * _share(request_id, view)
+        cost += spread(view)
         if view is home:
             cost -= HOME_BONUS_SHARE * prompt.tokens
         if cost < best_cost:
@@ -90,6 +84,38 @@
     return best
 
 
+def _most_held(
+    views: collections.abc.Iterable[target_view.TargetView],
+    prompt: prompts.Prompt,
+    wall: str,
+) -> int:
+    """Returns how many of the prompt's first tokens an engine holds."""
+    found = 0
+    for view in views:
+        salt = view.salt(prompt.model, wall)
+        found = max(found, view.held.held_tokens(salt, prompt))
+    return found
+
+
+def spread_of(request_id: str, gateways: int) -> Spread:
+    """Returns what a request's id adds to the cost of an engine.
+
+    Gateways that know the same would otherwise all choose the same engine until
+    they hear of each other's choice; the more there are, the further they spread.
+
+    Args:
+      request_id: Identity of the request.
+      gateways: Gateways that choose among the same engines.
+    """
+    most = min(MAX_SPREAD_TOKENS, SPREAD_TOKENS_PER_GATEWAY * gateways)
+
+    def spread(view: target_view.TargetView) -> float:
+        share = int.from_bytes(_score(request_id, view)[:2], "big") / 65_536
+        return most * share
+
+    return spread
+
+
 def engine_cost(
     view: target_view.TargetView,
     prompt: prompts.Prompt,
@@ -192,11 +218,6 @@
     return best
 
 
-def _share(request_id: str, view: target_view.TargetView) -> float:
-    """Returns a number from 0 to 1 for a request and an engine."""
-    return int.from_bytes(_score(request_id, view)[:2], "big") / 65_536
-
-
 def _score(key: str, view: target_view.TargetView) -> bytes:
     name = view.target.id.encode()
     return hashlib.blake2b(key.encode(), key=name[:64], digest_size=8).digest()
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -38,8 +38,7 @@
         view = placement.choose_engine(
             list(own.site.targets.views.values()),
             prompt,
-            request_id=f"r-{turn}",
-            gateways=len(gateways),
+            spread=placement.spread_of(f"r-{turn}", len(gateways)),
             wall="w",
             session="",
             kept=lambda _: 0,
@@ -93,8 +92,7 @@
     view = placement.choose_engine(
         list(of.site.targets.views.values()),
         PROMPT,
-        request_id=request_id,
-        gateways=16,
+        spread=placement.spread_of(request_id, 16),
         wall="w",
         session="",
         kept=lambda _: 0,
