--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -101,7 +101,7 @@
     """Returns what a request's id adds to the cost of an engine.
 
     Gateways that know the same would otherwise all choose the same engine until
-    they hear of each other's choice; the more there are, the further they spread.
+    they hear of each other's choice. The more there are, the more they spread.
 
     Args:
       request_id: Identity of the request.
