Bound what gateways tell of prompts; begin no stream anew

Found by reading the change: a caller can send many or long parts, and a datagram over 64 KiB would not be sent, with all loads in it; a run without event ids would have begun anew at its copy. Both have tests now.

--- a/src/cactusstile/gateway/backups.py
+++ b/src/cactusstile/gateway/backups.py
@@ -12,20 +12,18 @@
 
 import attrs
 
+from cactusstile.gateway import placement
 from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
 from cactusstile.http import exceptions
 from cactusstile.http import sockets
 from cactusstile.sites import model
-from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
 # Prompt tokens for each expected token of the answer, up to which a copy pays.
 MAX_PROMPT_SHARE = 8.0
-# Part of the bound of output tokens that answers reach on average.
-OUTPUT_PART = 0.25
 # Part of an engine's memory up to which it takes copies.
 MEMORY_PART = 0.6
 PROBE_TIMEOUT_S = 0.2
@@ -56,7 +54,7 @@
     """
     expected = float(prompt.expected_tokens)
     if not expected:
-        expected = OUTPUT_PART * prompt.max_output_tokens
+        expected = placement.OUTPUT_PART * prompt.max_output_tokens
     return prompt.tokens <= MAX_PROMPT_SHARE * expected
 
 
@@ -104,9 +102,8 @@
     A run goes on elsewhere only then: one that still works on it would make
     the request run at more targets than its route allows.
     """
-    place: address.Address = target.address
     try:
-        opened = await sockets.connect(place, PROBE_TIMEOUT_S)
+        opened = await sockets.connect(target.address, PROBE_TIMEOUT_S)
     except exceptions.UnreachableError:
         return True
     opened.close()
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -221,7 +221,10 @@
     ) -> bool:
         """Returns whether a broken run goes on from its copy."""
         backup = attempts.backup
-        if backup is None or attempts.resuming or not relay.started:
+        if backup is None or attempts.resuming:
+            return False
+        # Without an event's id the run could only begin anew.
+        if relay.splitter.last_id is None or not relay.started:
             return False
         if not await backups.has_ended(view.target):
             return False
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -35,8 +35,11 @@
 # Time after which an unchanged load is sent again, since datagrams get lost.
 REPEAT_INTERVAL_S = 0.4
 MAC_BYTES = 16
-# Prompts that wait for the next datagram; it stays far below 64 KiB.
-MAX_SENT_PROMPTS = 128
+# Prompts that wait for the next datagram, and the size of one: a datagram has
+# 64 KiB at most.
+MAX_SENT_PROMPTS = 40
+MAX_PROMPT_BYTES = 1000
+_BYTES_PER_PART = 32
 
 Loads = tuple[messages.TargetLoad, ...]
 
@@ -119,11 +122,15 @@
     def note_prompt(
         self, target: str, salt: str, prompt: prompt_parts.Prompt
     ) -> None:
-        """Notes a prompt that was sent, for the next datagram."""
+        """Notes a prompt that was sent, for the next datagram.
+
+        One with many or long parts is not told: it would be read again.
+        """
         parts = tuple(
             messages.SentPart(one.id, one.tokens) for one in prompt.parts
         )
-        if parts:
+        size = sum(len(one.id) + _BYTES_PER_PART for one in parts)
+        if parts and size + len(salt) <= MAX_PROMPT_BYTES:
             self.prompts.append(messages.SentPrompt(target, salt, parts))
 
     def own_loads(self) -> Loads:
--- a/tests/gateway/test_backups.py
+++ b/tests/gateway/test_backups.py
@@ -145,3 +145,21 @@
         data = await bench.ask(support.request(b"POST", FIELDS))
     assert len(second.requests) == 1
     assert not data.endswith(b"0\r\n\r\n")
+
+
+async def test_stream_without_ids_is_not_begun_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def has_ended(target: model.Target) -> bool:
+        return target.id == "a"
+
+    monkeypatch.setattr(backups, "has_ended", has_ended)
+    broken = raw_target.stream_events([], whole=False, rest=b"data: x\n\n")
+    async with (
+        raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(id="b", weights=WEIGHTS) as second,
+        support.open_bench(configuration(), first, second) as bench,
+    ):
+        bench.site.targets.views["b", 0].inflight = 3
+        await bench.ask(support.request(b"POST", FIELDS))
+    assert second.requests == []
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -148,3 +148,15 @@
         chosen.append(choose(own, f"request-{number}"))
     assert len(set(chosen)) >= engines // 2
     assert max(map(chosen.count, chosen)) <= 6
+
+
+async def test_datagram_stays_within_its_bound() -> None:
+    one = exchange("a")
+    long = prompts.parse("m", "9000,9", "x" * 1000 + ":2000,y:7000")
+    fitting = prompts.parse("m", "9000,9", "x" * 800 + ":2000,y:7000")
+    for _ in range(200):
+        one.note_prompt("e-1", "s", long)
+    assert not one.prompts
+    for _ in range(200):
+        one.note_prompt("e-1", "s", fitting)
+    assert len(one.encode(one.own_loads())) < 60_000
