Write once what the change wrote twice

No change of behaviour: - gateway and registry listened by the same loop, and the order of closing had to be mended in both: callers.open_listener serves both and says the order; - choosing an engine looked up what each holds twice, and what stores hold once for each engine: once for each engine and once for each salt now; - the fields of a request that are not passed on were joined anew for each request; - two header fields were read as numbers by the same lines; - TargetConnection.uses was counted and never read.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -91,7 +91,7 @@
         rank=rank_of(route, workspace),
         answer_by_s=answer_by_s,
         caller_until_s=until_s,
-        last_event_id=_last_event_id(request),
+        last_event_id=_number(request, headers.LAST_EVENT_ID),
         version=table.configuration.version,
     )
 
@@ -134,14 +134,15 @@
 
 
 def _caller_until(request: messages.Request, default_s: float) -> float:
-    text = (request.find(headers.DEADLINE_MS) or "").strip()
-    if not text.isdecimal() or len(text) > len(str(2**31)):
-        return default_s
-    return request.received_s + int(text) / 1000
+    limit_ms = _number(request, headers.DEADLINE_MS)
+    return (
+        default_s if limit_ms is None else request.received_s + limit_ms / 1000
+    )
 
 
-def _last_event_id(request: messages.Request) -> int | None:
-    text = (request.find(headers.LAST_EVENT_ID) or "").strip()
+def _number(request: messages.Request, name: bytes) -> int | None:
+    """Returns the number in a header field; None if it holds none."""
+    text = (request.find(name) or "").strip()
     if not text.isdecimal() or len(text) > len(str(2**31)):
         return None
     return int(text)
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -19,7 +19,6 @@
 from cactusstile.gateway import records
 from cactusstile.gateway import site_view
 from cactusstile.http import callers
-from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
@@ -204,7 +203,7 @@
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
 ) -> None:
-    """Listens; `closers` end after the tasks of `group` that accept."""
+    """Listens; see `callers.open_listener`."""
     settings = gateway.settings
     admin = plain_admin.build(counted.registry, gateway.dump)
     listeners = [(settings.admin_address, callers.own_serving(admin))]
@@ -214,6 +213,4 @@
     if settings.callers is not None:
         listeners.append((settings.callers, gateway.serving))
     for place, serving in listeners:
-        listener = sockets.listen(settings.bound(place))
-        closers.callback(listener.close)
-        group.start_soon(callers.serve_listener, listener, serving, group)
+        callers.open_listener(settings.bound(place), serving, group, closers)
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -26,6 +26,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses that promise a caller that the request did not run.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+# Fields of a caller's request that are replaced or end here.
+_NOT_PASSED_ON = headers.SYSTEM_FIELDS | {b"content-length", b"expect"}
 _MISDIRECTED = 421
 _BAD_REQUEST = 400
 _SERVER_ERRORS = range(500, 600)
@@ -182,9 +184,9 @@
 ) -> messages.Request:
     """Returns the request as the target receives it."""
     request = admitted.request
-    dropped = {*headers.SYSTEM_FIELDS, b"content-length", b"expect"}
+    dropped = _NOT_PASSED_ON
     if dispatch.last_event_id is not None:
-        dropped.add(headers.LAST_EVENT_ID)
+        dropped |= {headers.LAST_EVENT_ID}
     fields = messages.end_to_end(request.headers, dropped)
     until_s = min(admitted.caller_until_s, admitted.answer_by_s)
     left_ms = max(1, int((until_s - anyio.current_time()) * 1000))
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -10,6 +10,8 @@
 import hashlib
 import typing
 
+import attrs
+
 from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
 
@@ -43,6 +45,21 @@
 FAILURE_WEIGHT = 4.0
 
 
+@attrs.frozen
+class _Holding:
+    """What an engine holds of a prompt.
+
+    Attributes:
+      view: The engine.
+      salt: Salt of its KV cache.
+      tokens: First tokens of the prompt that it holds.
+    """
+
+    view: target_view.TargetView
+    salt: str
+    tokens: int
+
+
 def choose_engine(
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
@@ -70,31 +87,26 @@
     """
     best = None
     best_cost = float("inf")
-    most_held = _most_held(views, prompt, wall)
+    holdings = [_holding(view, prompt, wall) for view in views]
+    most_held = max((one.tokens for one in holdings), default=0)
+    in_stores = {salt: kept(salt) for salt in {one.salt for one in holdings}}
     home = None if most_held else _home(views, session)
-    for view in views:
-        salt = view.salt(prompt.model, wall)
-        elsewhere = max(kept(salt), most_held)
-        cost = engine_cost(view, prompt, salt, elsewhere, now_s)
-        cost += spread(view)
-        if view is home:
+    for one in holdings:
+        elsewhere = max(in_stores[one.salt], most_held)
+        cost = engine_cost(one.view, prompt, one.tokens, elsewhere, now_s)
+        cost += spread(one.view)
+        if one.view is home:
             cost -= HOME_BONUS_SHARE * prompt.tokens
         if cost < best_cost:
-            best, best_cost = view, cost
+            best, best_cost = one.view, cost
     return best
 
 
-def _most_held(
-    views: collections.abc.Iterable[target_view.TargetView],
-    prompt: prompts.Prompt,
-    wall: str,
-) -> int:
-    """Returns how many of the prompt's first tokens an engine holds."""
-    found = 0
-    for view in views:
-        salt = view.salt(prompt.model, wall)
-        found = max(found, view.held.held_tokens(salt, prompt))
-    return found
+def _holding(
+    view: target_view.TargetView, prompt: prompts.Prompt, wall: str
+) -> _Holding:
+    salt = view.salt(prompt.model, wall)
+    return _Holding(view, salt, view.held.held_tokens(salt, prompt))
 
 
 def spread_of(request_id: str, gateways: int) -> Spread:
@@ -119,7 +131,7 @@
 def engine_cost(
     view: target_view.TargetView,
     prompt: prompts.Prompt,
-    salt: str,
+    held_tokens: int,
     elsewhere_tokens: int,
     now_s: float,
 ) -> float:
@@ -128,16 +140,15 @@
     Args:
       view: The engine.
       prompt: Prompt of the request.
-      salt: Salt of the engine's KV cache.
+      held_tokens: First tokens that the engine holds.
       elsewhere_tokens: First tokens that a store or another engine holds.
       now_s: Loop time.
     """
-    held = view.held.held_tokens(salt, prompt)
-    fetched = max(0, elsewhere_tokens - held)
-    missing = prompt.tokens - held - fetched + FETCH_COST * fetched
+    fetched = max(0, elsewhere_tokens - held_tokens)
+    missing = prompt.tokens - held_tokens - fetched + FETCH_COST * fetched
     penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
     cost = missing + queue_cost(view, prompt, now_s)
-    needed = memory_tokens(prompt, held)
+    needed = memory_tokens(prompt, held_tokens)
     cost += MEMORY_WEIGHT * _overflow(view, needed, now_s)
     return cost * penalty
 
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -15,6 +15,7 @@
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
 from cactusstile.http import sockets
+from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -311,6 +312,29 @@
             group.start_soon(_serve, opened, serving)
 
 
+def open_listener(
+    place: address.Address,
+    serving: Serving,
+    group: anyio.abc.TaskGroup,
+    closers: contextlib.ExitStack,
+) -> None:
+    """Listens at `place`, and serves in tasks of `group`.
+
+    Args:
+      place: Where to listen.
+      serving: What the connections share.
+      group: Runs the tasks.
+      closers: Closes the listener; must end after `group`, since a task that
+        accepts fails on a closed listener.
+
+    Raises:
+      OSError: The address cannot be bound; names it.
+    """
+    listener = sockets.listen(place)
+    closers.callback(listener.close)
+    group.start_soon(serve_listener, listener, serving, group)
+
+
 async def _serve(opened: sockets.Socket, serving: Serving) -> None:
     """Serves one connection and closes it."""
     serving.connections += 1
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -35,7 +35,6 @@
     Attributes:
       target: Address of the target.
       socket: The connection; tells how many bytes left.
-      uses: Requests that were sent on it.
       expires_s: Loop time after which it is not used again.
     """
 
@@ -43,7 +42,6 @@
         """Takes over a fresh connection."""
         self.target = target
         self.socket = opened
-        self.uses = 0
         self.expires_s = float("inf")
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._protocol = _new_protocol()
@@ -88,7 +86,6 @@
 
     def _start(self, request: messages.Request) -> bytes:
         """Returns the bytes of a request, and starts a cycle for it."""
-        self.uses += 1
         headers = list(request.headers)
         if request.body or request.method in _METHODS_WITH_BODY:
             length = b"%d" % len(request.body)
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -18,7 +18,6 @@
 from cactusstile.control import member_messages
 from cactusstile.control import sender
 from cactusstile.http import callers
-from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
@@ -302,7 +301,7 @@
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
 ) -> None:
-    """Listens; `closers` end after the tasks of `group` that accept."""
+    """Listens; see `callers.open_listener`."""
     settings = registry.settings
     metrics = prometheus_client.CollectorRegistry()
     admin = plain_admin.build(metrics, registry.dump)
@@ -316,6 +315,4 @@
         serving = callers.own_serving(interface.handle, MAX_DOCUMENT_BYTES)
         listeners.append((settings.operator, serving))
     for place, serving in listeners:
-        listener = sockets.listen(settings.bound(place))
-        closers.callback(listener.close)
-        group.start_soon(callers.serve_listener, listener, serving, group)
+        callers.open_listener(settings.bound(place), serving, group, closers)
