Make a test's call in one place; drop what the soak does not use

The soak and the site of node processes opened a connection, asked and closed by the same lines three times: node_site.call serves all. Three tests of copies set up the same stand-in: a fixture. Links.isolate was never called, Links.join by one test alone. All assertions stay.

--- a/tests/gateway/test_backups.py
+++ b/tests/gateway/test_backups.py
@@ -81,15 +81,19 @@
     return attrs.evolve(found, services=services)
 
 
-async def test_stream_of_a_crashed_engine_goes_on_from_its_copy(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """A long stream that may not run again survives the crash."""
+@pytest.fixture
+def first_has_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Has the engine "a" count as ended, though its stand-in listens."""
 
     async def has_ended(target: model.Target) -> bool:
         return target.id == "a"
 
     monkeypatch.setattr(backups, "has_ended", has_ended)
+
+
+@pytest.mark.usefixtures("first_has_ended")
+async def test_stream_of_a_crashed_engine_goes_on_from_its_copy() -> None:
+    """A long stream that may not run again survives the crash."""
     broken = raw_target.stream_events([1, 2], whole=False)
     async with (
         raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
@@ -126,13 +130,8 @@
     assert second.requests == []
 
 
-async def test_stream_whose_copy_is_missing_does_not_look_whole(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
+@pytest.mark.usefixtures("first_has_ended")
+async def test_stream_whose_copy_is_missing_does_not_look_whole() -> None:
     broken = raw_target.stream_events([1, 2], whole=False)
     async with (
         raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
@@ -147,13 +146,8 @@
     assert not data.endswith(b"0\r\n\r\n")
 
 
-async def test_stream_without_ids_is_not_begun_anew(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
+@pytest.mark.usefixtures("first_has_ended")
+async def test_stream_without_ids_is_not_begun_anew() -> None:
     broken = raw_target.stream_events([], whole=False, rest=b"data: x\n\n")
     async with (
         raw_target.open_target(broken, id="a", weights=WEIGHTS) as first,
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -10,10 +10,10 @@
 import attrs
 from tests.soak import history as histories
 from tests.soak import stand_ins
+from tests.support import node_site
 
 from cactusstile.http import exceptions
 from cactusstile.http import messages
-from cactusstile.http import targets
 from cactusstile.transport import address
 
 ANSWER_TIMEOUT_S = 1.0
@@ -217,7 +217,9 @@
         try:
             with anyio.fail_after(ANSWER_TIMEOUT_S):
                 for _ in range(MAX_REDIRECTS + 1):
-                    head, body = await _ask(place, request)
+                    head, body = await node_site.call(
+                        place, request, ANSWER_TIMEOUT_S
+                    )
                     if head.status != _REDIRECT:
                         return head.status, body
                     there = head.find(b"location") or ""
@@ -228,17 +230,6 @@
         return 0, b""
 
 
-async def _ask(
-    place: address.Address, request: messages.Request
-) -> tuple[messages.ResponseHead, bytes]:
-    connection = await targets.Pool().take(place, ANSWER_TIMEOUT_S)
-    try:
-        head = await connection.ask(request, lambda _: True)
-        return head, await connection.read_whole(1 << 20)
-    finally:
-        connection.close()
-
-
 def _post(path: bytes, body: dict[str, typing.Any]) -> messages.Request:
     fields = ((b"host", b"soak"), (b"content-type", b"application/json"))
     return messages.Request(b"POST", path, fields, json.dumps(body).encode())
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -44,14 +44,6 @@
             & {(sender, receiver), (ANYONE, receiver), (sender, ANYONE)}
         )
 
-    def isolate(self, name: str) -> None:
-        """Cuts a process off in both directions."""
-        self.held |= {(name, ANYONE), (ANYONE, name)}
-
-    def join(self, name: str) -> None:
-        """Ends all cuts that name a process."""
-        self.held = {one for one in self.held if name not in one}
-
 
 @attrs.define(eq=False)
 class _Pair:
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -9,6 +9,7 @@
 from tests.soak import history as histories
 from tests.soak import operators
 from tests.soak import stand_ins
+from tests.support import node_site
 
 from cactusstile.http import exceptions
 from cactusstile.http import messages
@@ -71,15 +72,10 @@
 
 async def _status(place: address.Address, request: messages.Request) -> int:
     try:
-        connection = await targets.Pool().take(place, QUESTION_TIMEOUT_S)
-    except exceptions.UnreachableError:
-        return 0
-    try:
-        return (await connection.ask(request, lambda _: True)).status
+        head, _ = await node_site.call(place, request, QUESTION_TIMEOUT_S)
     except exceptions.HttpError:
         return 0
-    finally:
-        connection.close()
+    return head.status
 
 
 @attrs.define
--- a/tests/soak/test_relay.py
+++ b/tests/soak/test_relay.py
@@ -69,7 +69,7 @@
         links.held.add(("echo", "caller"))
         await connection.send(b"two")
         assert await _receives(connection, 0.1) == b"nothing"
-        links.join("echo")
+        links.held.clear()
         assert await _receives(connection, 1.0) == b"two"
 
 
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -25,6 +25,7 @@
 
 STARTUP_LIMIT_S = 20.0
 STOP_LIMIT_S = 12.0
+MAX_ANSWER_BYTES = 1 << 20
 
 
 def values(
@@ -82,6 +83,24 @@
     return text
 
 
+async def call(
+    place: address.Address,
+    request: messages.Request,
+    connect_timeout_s: float = 1.0,
+) -> tuple[messages.ResponseHead, bytes]:
+    """Makes a call on a connection of its own.
+
+    Raises:
+      HttpError: There was no whole answer.
+    """
+    connection = await targets.Pool().take(place, connect_timeout_s)
+    try:
+        head = await connection.ask(request, lambda _: True)
+        return head, await connection.read_whole(MAX_ANSWER_BYTES)
+    finally:
+        connection.close()
+
+
 @attrs.define
 class NodeSite:
     """A site of one registry and some gateways, each on its own address.
@@ -153,12 +172,8 @@
     ) -> tuple[int, bytes]:
         """Makes a call at a port of the site, offset from the first."""
         place = address.Address(host, self.port + offset)
-        connection = await targets.Pool().take(place, 1.0)
-        try:
-            head = await connection.ask(request, lambda _: True)
-            return head.status, await connection.read_whole(1 << 20)
-        finally:
-            connection.close()
+        head, body = await call(place, request)
+        return head.status, body
 
     async def wait_for(
         self, host: str, offset: int, request: messages.Request, status: int
