Wait for the first commit of a new leader before a repair

Cause: repair_member of a leader that has just been elected raised MembershipError, since no entry of its term was committed yet. It is a state that passes by itself, like a change in progress, so the repair now waits. The new test fails without the change.

--- a/src/cactusstile/consensus/repair.py
+++ b/src/cactusstile/consensus/repair.py
@@ -31,7 +31,11 @@
 
 @attrs.frozen
 class Wait:
-    """The new incarnation is not caught up, or a change is in progress."""
+    """The new incarnation is not caught up, or no change is possible yet.
+
+    The leader changes no members while another change is in progress, and not
+    before it has committed an entry of its own term.
+    """
 
 
 def next_step(
@@ -52,6 +56,8 @@
     """
     if state.configuration_index > state.commit_index:
         return Wait()
+    if _is_newly_elected(state):
+        return Wait()
     member = _find_by_name(state, name)
     for hello in joining:
         if hello.name != name:
@@ -71,6 +77,12 @@
     return _next_step_of_member(state, member)
 
 
+def _is_newly_elected(state: states.State) -> bool:
+    """Returns whether the leader has yet to commit an entry of its term."""
+    leading = state.leading
+    return leading is not None and state.commit_index < leading.first_index
+
+
 def _next_step_of_member(
     state: states.State, member: membership.Member
 ) -> membership.Change | Done | Wait:
--- a/tests/consensus/test_core_membership.py
+++ b/tests/consensus/test_core_membership.py
@@ -6,6 +6,8 @@
 from cactusstile.consensus import core
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import membership
+from cactusstile.consensus import messages
+from cactusstile.consensus import repair
 
 
 def test_repair_promotes_only_member_with_all_committed_entries() -> None:
@@ -64,6 +66,23 @@
         )
 
 
+def test_repair_waits_for_the_first_commit_of_a_new_leader() -> None:
+    """Leadership may move right before an operator asks for a repair."""
+    group, leader = groups.build()
+    lost = groups.followers(group, leader)[0]
+    group.lose_disk(lost)
+    group.advance(0.5)
+    state = groups.state_of(leader)
+    hello = messages.Hello("", lost.name, 99, lost.name)
+    assert isinstance(
+        repair.next_step(state, lost.name, [hello]), membership.Replace
+    )
+    assert state.leading is not None
+    state.leading.first_index = state.commit_index + 1
+    step = repair.next_step(state, lost.name, [hello])
+    assert isinstance(step, repair.Wait)
+
+
 def test_lagging_learner_is_not_promoted() -> None:
     """A voter must not count in quorums before it holds committed entries."""
     group, leader = groups.build()
