Let the dying agent's engine stall in the test of resumed streams

Cause of the known red: the fixed wait of 0.35 s stood against streams of 0.6 s, which a stalled test process can overrun, so that nothing ran any more when the agent was stopped. The engine now makes one token a second, and the test waits for its first token: no stream can end there by itself, and all that were placed there have to go on elsewhere. The assertions are unchanged.

--- a/tests/entry/test_with_agents.py
+++ b/tests/entry/test_with_agents.py
@@ -20,6 +20,9 @@
 pytestmark = pytest.mark.anyio
 
 SLOW = engine.EngineSettings(time_scale=0.5)
+# One token a second: no stream of the tests ends there by itself.
+STALLING = engine.EngineSettings(output_token_s=1.0)
+START_TIMEOUT_S = 10.0
 PROMPT = "What is behind tag 7? " * 8
 
 
@@ -57,6 +60,13 @@
     return [event.removeprefix("data: ") for event in events]
 
 
+async def _wait_until_streaming(served: engine.Engine) -> None:
+    """Waits until an engine has produced a token of a stream."""
+    with anyio.fail_after(START_TIMEOUT_S):
+        while not any(stream.output for stream in served.streams.values()):
+            await anyio.sleep(0.01)
+
+
 async def test_repeated_prompt_reuses_blocks_within_its_workspace() -> None:
     async with (
         fake_site.open_site() as site,
@@ -88,7 +98,7 @@
     started, stop_agent = anyio.Event(), anyio.Event()
 
     async def run_agent_until_stopped(site: fake_site.Site) -> None:
-        async with fake_site.open_engine_agent(site, "engine-1", SLOW):
+        async with fake_site.open_engine_agent(site, "engine-1", STALLING):
             started.set()
             await stop_agent.wait()
 
@@ -107,7 +117,7 @@
         await started.wait()
         for _ in range(12):
             group.start_soon(stream_completion, caller)
-        await anyio.sleep(0.35)
+        await _wait_until_streaming(site.engines["engine-1"])
         assert site.agents["engine-1"].node.busy
         stop_agent.set()
     assert texts == [_expected_text(60)] * 12
