Redirect operators from control processes without a disk

Cause: deploy/system.toml places the registry by a share of the entry VMs of a data centre.

Change: such a process holds no replica and redirects operators to the leader, which it asks seeds and other replicas for. Ruled out: a replica in memory, as it would forget what it acknowledged; a smaller share, as no share gives one VM of 13 and two of 6.

--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -82,3 +82,23 @@
     """Answer to `AskMembership`, confirmed by a quorum."""
 
     is_member: bool
+
+
+@codec.register(507, _SCHEMA, "FindLeader")
+@attrs.frozen
+class FindLeader:
+    """Call to any control process: which one leads?"""
+
+
+@codec.register(508, _SCHEMA, "LeaderFound")
+@attrs.frozen
+class LeaderFound:
+    """Answer to `FindLeader`.
+
+    Attributes:
+      leader: Address of the leader, which may be outdated; empty if unknown.
+      control: Addresses of all control processes.
+    """
+
+    leader: str
+    control: tuple[str, ...]
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -21,7 +21,9 @@
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
+from cactusstile.registry import answers
 from cactusstile.registry import feed as feeds
+from cactusstile.registry import leader_lookup
 from cactusstile.registry import members
 from cactusstile.registry import operator
 from cactusstile.registry import rejoin
@@ -49,7 +51,6 @@
 
 ROLE = "registry"
 GROUP = "site"
-MAX_DOCUMENT_BYTES = 16 << 20
 MAX_COMMAND_BYTES = 3 << 20
 SNAPSHOT_AFTER_BYTES = 4 << 20
 TRANSFER_TIMEOUT_S = 2.0
@@ -197,8 +198,7 @@
         feed = feeds.Feed(site, own_replica)
         site.observer = feed.notify_watches
         registry = Registry(settings, site, own_replica, feed, connections)
-        calls = {**feeds.watch_handlers(feed), **rejoin.handlers(own_replica)}
-        handlers = incoming.Handlers(calls, _notice_handlers(own_replica))
+        handlers = _build_handlers(feed, own_replica)
         internal = server.open_server(
             settings.internal_bind_address, identity, secrets, handlers, TIMING
         )
@@ -208,6 +208,18 @@
         yield registry
 
 
+def _build_handlers(
+    feed: feeds.Feed, own_replica: replica.Replica
+) -> incoming.Handlers:
+    """Returns the handlers of the calls and notices of other processes."""
+    calls = {
+        **feeds.watch_handlers(feed),
+        **rejoin.handlers(own_replica),
+        **leader_lookup.handlers(own_replica),
+    }
+    return incoming.Handlers(calls, _notice_handlers(own_replica))
+
+
 def _notice_handlers(
     own_replica: replica.Replica,
 ) -> collections.abc.Mapping[type, incoming.NoticeHandler]:
@@ -323,7 +335,9 @@
         interface = operator.OperatorInterface(
             registry.site, registry.replica, settings.operator.port
         )
-        serving = callers.internal_serving(interface.handle, MAX_DOCUMENT_BYTES)
+        serving = callers.internal_serving(
+            interface.handle, answers.MAX_DOCUMENT_BYTES
+        )
         listeners.append((settings.operator, serving))
     for listen_address, serving in listeners:
         callers.open_listener(
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import json
 import logging
 import typing
 
@@ -15,6 +14,7 @@
 from cactusstile.http import responder as responders
 from cactusstile.platform import calls
 from cactusstile.platform import configurations
+from cactusstile.registry import answers
 from cactusstile.registry import commands as site_commands
 from cactusstile.registry import state as states
 from cactusstile.sites import documents
@@ -28,15 +28,6 @@
 
 # Bound of the time to commit a change. Callers wait one second for an answer.
 COMMIT_TIMEOUT_S = 3.0
-OK = 200
-TEMPORARY_REDIRECT = 307
-INVALID = 400
-NOT_FOUND = 404
-CONFLICT = 409
-UNAVAILABLE = 503
-# The outcome is unknown: the change may still be committed.
-UNCERTAIN = 504
-_JSON = (b"content-type", b"application/json")
 
 
 class OperatorInterface:
@@ -65,22 +56,29 @@
         """Handles one request; see `http.callers`."""
         call = calls.find_operator_call(request)
         if call is None:
-            await _respond(responder, NOT_FOUND, "there is no such call")
+            await answers.respond(
+                responder, answers.NOT_FOUND, "there is no such call"
+            )
             return
         try:
             with anyio.fail_after(COMMIT_TIMEOUT_S):
                 await self.replica.read_barrier()
                 await self._dispatch(call, request, responder)
         except consensus_exceptions.NotLeaderError as error:
-            await self._redirect(request, responder, error.leader_address)
+            leader = self._other_leader(error.leader_address)
+            await answers.redirect(
+                request, responder, leader, self.operator_port
+            )
         except consensus_exceptions.OverloadedError as error:
-            await _respond(responder, UNAVAILABLE, str(error))
+            await answers.respond(responder, answers.UNAVAILABLE, str(error))
         except (consensus_exceptions.ConsensusError, TimeoutError) as error:
             logger.warning(
                 "operator call ended without a known outcome",
                 extra={"call": call.name, "error": str(error)},
             )
-            await _respond(responder, UNCERTAIN, "the outcome is not known yet")
+            await answers.respond(
+                responder, answers.UNCERTAIN, "the outcome is not known yet"
+            )
 
     async def _dispatch(
         self,
@@ -95,31 +93,22 @@
         else:
             await self._replace_configuration(request, responder)
 
-    async def _redirect(
-        self,
-        request: http_messages.Request,
-        responder: responders.Responder,
-        leader: str,
-    ) -> None:
-        """Redirects to the leader; answers 503 if no other leader is known."""
+    def _other_leader(self, leader: str) -> address.Address | None:
+        """Returns the leader's address; None if no other leader is known."""
         if not leader or leader == self.replica.settings.address:
-            await _respond(responder, UNAVAILABLE, "no leader is known")
-            return
-        host = address.parse(leader).host
-        origin = address.Address(host, self.operator_port)
-        location = f"http://{origin}{request.target.decode('ascii', 'replace')}"
-        await responder.respond(
-            TEMPORARY_REDIRECT, [(b"location", location.encode())], b""
-        )
+            return None
+        return address.parse(leader)
 
     async def _read_configuration(
         self, responder: responders.Responder
     ) -> None:
         if not self.site.has_configuration:
-            await _respond(responder, UNAVAILABLE, "no configuration yet")
+            await answers.respond(
+                responder, answers.UNAVAILABLE, "no configuration yet"
+            )
             return
         document = documents.decompress(self.site.image.document)
-        await responder.respond(OK, [_JSON], document)
+        await responder.respond(answers.OK, [answers.JSON_CONTENT], document)
 
     async def _replace_configuration(
         self, request: http_messages.Request, responder: responders.Responder
@@ -129,7 +118,7 @@
             configuration = configurations.decode(request.body)
         except model.InvalidConfigurationError as error:
             logger.info("configuration rejected", extra={"reason": str(error)})
-            await _respond(responder, INVALID, str(error))
+            await answers.respond(responder, answers.INVALID, str(error))
             return
         canonical = configurations.canonical(request.body)
         digest = hashlib.sha256(canonical).digest()
@@ -155,9 +144,9 @@
         )
         if decision.outcome == "conflict":
             text = f"version {configuration.version} has other content already"
-            await _respond(responder, CONFLICT, text)
+            await answers.respond(responder, answers.CONFLICT, text)
             return
-        await _respond(responder, OK, decision.outcome)
+        await answers.respond(responder, answers.OK, decision.outcome)
 
     async def _name_weights(
         self, request: http_messages.Request, responder: responders.Responder
@@ -165,7 +154,9 @@
         try:
             named = calls.decode_weights(request.body)
         except (ValueError, RecursionError) as error:
-            await _respond(responder, INVALID, f"cannot be read: {error}")
+            await answers.respond(
+                responder, answers.INVALID, f"cannot be read: {error}"
+            )
             return
         if self.site.weights().get(named.model, 0) < named.version:
             command = site_commands.NameWeights(named.model, named.version)
@@ -174,13 +165,4 @@
             "newest weights set",
             extra={"model": named.model, "version": named.version},
         )
-        await _respond(responder, OK, "accepted")
-
-
-async def _respond(
-    responder: responders.Responder, status: int, text: str
-) -> None:
-    if responder.started:
-        return
-    body = json.dumps({"result": text}).encode()
-    await responder.respond(status, [_JSON], body)
+        await answers.respond(responder, answers.OK, "accepted")
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -10,6 +10,7 @@
 
 from cactusstile.console import signals
 from cactusstile.registry import daemon
+from cactusstile.registry import redirector
 from cactusstile.registry import rejoin
 from cactusstile.settings import node
 from cactusstile.settings import reload
@@ -24,13 +25,17 @@
     """Serves until a signal requests shutdown, then transfers leadership.
 
     A replica that was replaced while it was down discards its data and joins
-    the group as a new member.
+    the group as a new member. Without a data folder the process holds no
+    replica.
 
     Args:
       settings: Settings of the node.
       path: Settings file, which is watched for changes.
     """
     with signals.receive() as received:
+        if settings.data_folder is None:
+            await _redirect(settings, path, received)
+            return
         while await _serve(settings, path, received):
             rejoin.discard_replica_data(
                 daemon.build_replica_settings(settings).data_folder
@@ -38,6 +43,23 @@
     logger.info("stopped")
 
 
+async def _redirect(
+    settings: node.NodeSettings,
+    path: pathlib.Path,
+    received: signals.Signals,
+) -> None:
+    """Redirects operators to the leader until shutdown."""
+    async with (
+        redirector.open_redirector(settings) as opened,
+        anyio.create_task_group() as group,
+    ):
+        logger.info("started without a disk; operators are redirected")
+        group.start_soon(reload.watch, path, settings, opened.reload)
+        number = await anext(received)
+        logger.info("stopping", extra={"signal": int(number)})
+        group.cancel_scope.cancel()
+
+
 async def _serve(
     settings: node.NodeSettings,
     path: pathlib.Path,
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -39,3 +39,11 @@
   document @2 :Data;
   weights @3 :List(NamedWeights);
 }
+
+struct FindLeader {
+}
+
+struct LeaderFound {
+  leader @0 :Text;
+  control @1 :List(Text);
+}
