Exchange loads through relays, and sum them when they arrive

Cause: each gateway sent its load to all others, and each decision added up the reports of all gateways for each candidate.

Change: about the square root of the gateways, those with the fastest links, are relays. The others report to one of them and get the load of the whole site back, less their own as far as the sum includes it; relays exchange sums. Datagrams are packed and take a tenth of the link at most. Sums are kept by target (load_table), so a decision reads one sum for each candidate. The leader sends the list of gateways when it changes instead of with each confirmation, and encodes what all gateways get once.

The earlier tests of the exchange keep their assertions.

Ruled out: gossip with random neighbours (six rounds at 70); agents beside engines as sources of load (42 more processes).

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -38,7 +38,7 @@
     """Keeps the local view of the site up to date.
 
     Attributes:
-      own_address: Address at which this gateway receives the loads of others.
+      member: This gateway, as the others shall know it.
       pool: Connections to control processes.
       site: The view to update.
       seeds: Initial control processes.
@@ -50,7 +50,7 @@
         pool: pools.Pool,
         site: site_view.SiteView,
         seeds: collections.abc.Sequence[address.Address],
-        own_address: str,
+        member: messages.GatewayMember,
     ) -> None:
         """Follows `seeds` and the control processes discovered through them.
 
@@ -58,10 +58,9 @@
           pool: Connections to control processes.
           site: The view to update.
           seeds: Initial control processes.
-          own_address: Address at which this gateway receives the loads of
-            others.
+          member: This gateway, as the others shall know it.
         """
-        self.own_address = own_address
+        self.member = member
         self.pool = pool
         self.site = site
         self.seeds = tuple(seeds)
@@ -136,7 +135,7 @@
     async def _receive_items(
         self, opened: connection.Connection, target: address.Address
     ) -> None:
-        watch = messages.Watch(self.site.version, self.own_address)
+        watch = messages.Watch(self.site.version, self.member)
         async with opened.open_stream(watch, pings=False) as stream:
             while True:
                 with anyio.fail_after(SILENCE_TIMEOUT_S):
@@ -165,9 +164,10 @@
             self.apply_targets(listed, "control")
         elif isinstance(item, messages.StoreUpdates):
             self.site.apply_store_updates(item, now_s)
+        elif isinstance(item, messages.GatewayList):
+            self.site.gateways = item.members
         elif isinstance(item, messages.Confirmation):
             self.site.confirmed_s = now_s
-            self.site.gateways = item.gateways
             self.site.control = item.control
             if self.site.listed_s is not None:
                 age_s = item.list_age_ms / 1000
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -15,6 +15,7 @@
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import lifecycle
 from cactusstile.gateway import load_exchange
+from cactusstile.gateway import load_sharing
 from cactusstile.gateway import metrics as gateway_metrics
 from cactusstile.gateway import records
 from cactusstile.gateway import site_view
@@ -24,6 +25,7 @@
 from cactusstile.platform import client as clients
 from cactusstile.settings import node
 from cactusstile.sites import discovery
+from cactusstile.sites import messages
 from cactusstile.transport import handshake
 from cactusstile.transport import pool as pools
 
@@ -84,7 +86,7 @@
             "configuration": self.site.version,
             "ready": self.lifecycle.is_ready(),
             "leader": str(self.watch.leader or ""),
-            "gateways": list(self.site.gateways),
+            "gateways": [member.address for member in self.site.gateways],
             "weights": self.site.weights,
             "open_requests": self.serving.open_requests,
             "targets": views,
@@ -149,7 +151,7 @@
         connections,
         site,
         settings.internal_seeds,
-        str(settings.internal_address),
+        _own_member(settings),
     )
     return Gateway(
         settings,
@@ -161,6 +163,14 @@
     )
 
 
+def _own_member(settings: node.NodeSettings) -> messages.GatewayMember:
+    return messages.GatewayMember(
+        str(settings.internal_address),
+        settings.data_centre,
+        settings.link_mbps,
+    )
+
+
 def _start_background(
     gateway: Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
 ) -> None:
@@ -181,13 +191,13 @@
         lambda listed: gateway.watch.apply_targets(listed, "platform"),
     )
     group.start_soon(_sweep_idle_connections, pool)
+    sharing = load_sharing.LoadSharing(site, gateway.watch.member)
     loads_exchange = load_exchange.LoadExchange(
-        site,
-        gateway.settings.name,
+        sharing,
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
     )
-    gateway.forwarder.announce_prompt = loads_exchange.queue_prompt
+    gateway.forwarder.announce_prompt = sharing.queue_prompt
     group.start_soon(loads_exchange.run)
 
 
--- /dev/null
+++ b/src/cactusstile/gateway/load_datagrams.py
@@ -0,0 +1,38 @@
+"""Datagrams in which gateways exchange their loads, authenticated by a MAC."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from cactusstile.sites import messages
+from cactusstile.transport import codec
+from cactusstile.transport import exceptions as transport_exceptions
+
+Message = messages.GatewayLoad | messages.RelayedLoad | messages.SiteLoad
+MAC_BYTES = 16
+_NUMBER_BYTES = 2
+
+
+def encode(secret: bytes, message: Message) -> bytes:
+    """Returns the datagram of a message."""
+    number = codec.number_of(type(message)).to_bytes(_NUMBER_BYTES, "big")
+    data = number + codec.encode_packed(message)
+    return _mac(secret, data) + data
+
+
+def decode(secret: bytes, datagram: bytes) -> Message | None:
+    """Returns the message of a datagram; None if it is not authentic."""
+    mac, data = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _mac(secret, data)):
+        return None
+    number = int.from_bytes(data[:_NUMBER_BYTES], "big")
+    try:
+        message = codec.decode_packed(number, data[_NUMBER_BYTES:])
+    except transport_exceptions.ProtocolError:
+        return None
+    return message if isinstance(message, Message) else None
+
+
+def _mac(secret: bytes, data: bytes) -> bytes:
+    return hmac.digest(secret, data, hashlib.sha256)[:MAC_BYTES]
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -1,91 +1,71 @@
-"""Exchanges the gateways' loads at each target by UDP.
-
-Without the exchange, gateways would see each other's load only in the answers
-of targets, too late, and several of many gateways would choose the same idle
-engine. Gateways also announce which engine they sent a prompt to, so that a
-prompt with the same prefix at another gateway is placed on the engine that
-caches it. Datagrams may be lost: the next one replaces the load, and a prompt
-whose announcement was lost is recomputed.
-"""
+"""Exchanges the gateways' loads on each target by UDP; see `load_sharing`."""
 
 from __future__ import annotations
 
-import collections
-import hashlib
-import hmac
 import logging
 
 import anyio
 import anyio.abc
 
-from cactusstile.gateway import prompts as prompt_parts
-from cactusstile.gateway import site_view
-from cactusstile.gateway import target_view
-from cactusstile.sites import messages
+from cactusstile.gateway import load_datagrams
+from cactusstile.gateway import load_sharing
 from cactusstile.transport import address
-from cactusstile.transport import codec
-from cactusstile.transport import exceptions as transport_exceptions
 
 logger = logging.getLogger(__name__)
 
 SEND_INTERVAL_S = 0.04
-# The interval grows with the number of gateways, which bounds the datagrams
-# that each gateway receives per second.
-SEND_INTERVAL_PER_GATEWAY_S = 0.003
-# Time after which an unchanged load is sent again, since datagrams may be lost.
-REPEAT_INTERVAL_S = 0.4
-MAC_BYTES = 16
-# Limits of the prompts that are queued for the next datagram, and of the size
-# of each: the maximum size of a datagram is 64 KiB.
-MAX_SENT_PROMPTS = 40
-MAX_PROMPT_BYTES = 1000
-_BYTES_PER_PART = 32
-
-Loads = tuple[messages.TargetLoad, ...]
-
-
-def send_interval_s(gateways: int) -> float:
-    """Returns the minimum time between two datagrams to the same gateway.
-
-    >>> send_interval_s(8), round(send_interval_s(31), 3)
-    (0.04, 0.093)
+# The interval grows with the number of gateways that a relay exchanges loads
+# with, which bounds the datagrams that it handles per second.
+SEND_INTERVAL_PER_PEER_S = 0.003
+# Fraction of the VM's link that sent datagrams may take.
+MAX_LINK_FRACTION = 0.1
+_BITS_PER_BYTE = 8
+_BITS_PER_MBIT = 1_000_000
+
+
+def send_interval_s(peers: int, sent_bytes: int, link_mbps: float) -> float:
+    """Returns the time between two rounds of datagrams.
+
+    Args:
+      peers: Number of gateways that a relay exchanges loads with.
+      sent_bytes: Size of all datagrams of the last round.
+      link_mbps: Bandwidth of the VM's link, in Mbit/s.
+
+    >>> send_interval_s(8, 5_000, 1000.0), send_interval_s(30, 5_000, 1000.0)
+    (0.04, 0.09)
+    >>> send_interval_s(8, 40_000, 5.0)
+    0.64
     """
-    return max(SEND_INTERVAL_S, SEND_INTERVAL_PER_GATEWAY_S * gateways)
+    bits = sent_bytes * _BITS_PER_BYTE
+    link_s = bits / (link_mbps * _BITS_PER_MBIT * MAX_LINK_FRACTION)
+    return max(SEND_INTERVAL_S, SEND_INTERVAL_PER_PEER_S * peers, link_s)
 
 
 class LoadExchange:
-    """Sends this gateway's load to the other gateways and receives theirs.
+    """Sends and receives the datagrams of `load_sharing`.
 
     Attributes:
-      site: Local view of the site; updated with the loads of other gateways.
-      name: Name of this gateway.
+      sharing: State of the exchange.
       own_address: Address that this gateway receives datagrams at.
       secret: Key of the message authentication code.
-      prompts: Prompts queued for the next datagram.
     """
 
     def __init__(
         self,
-        site: site_view.SiteView,
-        name: str,
+        sharing: load_sharing.LoadSharing,
         own_address: address.Address,
         secret: bytes,
     ) -> None:
-        """Exchanges the loads in `site`.
+        """Exchanges what `sharing` decides.
 
         Args:
-          site: Local view of the site.
-          name: Name of this gateway.
+          sharing: State of the exchange.
           own_address: Address to receive datagrams at.
           secret: Key that authenticates the datagrams of gateways.
         """
-        self.site = site
-        self.name = name
+        self.sharing = sharing
         self.own_address = own_address
         self.secret = secret
-        self.prompts: collections.deque[messages.SentPrompt] = (
-            collections.deque(maxlen=MAX_SENT_PROMPTS)
-        )
 
     async def run(self) -> None:
         """Exchanges loads for as long as the process runs."""
@@ -100,21 +80,17 @@
             await self._send(socket)
 
     async def _send(self, socket: anyio.abc.UDPSocket) -> None:
-        last_loads: Loads = ()
-        last_sent_s = float("-inf")
+        sent_bytes = 0
         while True:
-            await anyio.sleep(send_interval_s(len(self.site.gateways)))
-            loads = self.own_loads()
-            now_s = anyio.current_time()
-            is_repeat_due = now_s - last_sent_s >= REPEAT_INTERVAL_S
-            if loads == last_loads and not self.prompts and not is_repeat_due:
-                continue
-            last_loads, last_sent_s = loads, now_s
-            data = self.encode(loads)
-            for gateway_address in self.site.gateways:
-                peer_address = address.parse(gateway_address)
-                if peer_address != self.own_address:
-                    await self._send_to(socket, data, peer_address)
+            link_mbps = self.sharing.own.link_mbps
+            peers = self.sharing.peer_count()
+            await anyio.sleep(send_interval_s(peers, sent_bytes, link_mbps))
+            sent_bytes = 0
+            for outgoing in self.sharing.collect(anyio.current_time()):
+                data = load_datagrams.encode(self.secret, outgoing.message)
+                for receiver in outgoing.receivers:
+                    await self._send_to(socket, data, address.parse(receiver))
+                sent_bytes += len(data) * len(outgoing.receivers)
 
     async def _send_to(
         self,
@@ -128,64 +104,11 @@
             logger.debug("failed to send the load to %s: %s", peer, error)
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
-        async for data, _ in socket:
-            self.handle_datagram(data)
-
-    def queue_prompt(
-        self, target: str, salt: str, prompt: prompt_parts.Prompt
-    ) -> None:
-        """Queues the announcement of a prompt for the next datagram.
-
-        A prompt with many or long parts is not announced; it may be recomputed.
-        """
-        parts = tuple(
-            messages.SentPart(part.id, part.tokens) for part in prompt.parts
-        )
-        size = sum(len(part.id) + _BYTES_PER_PART for part in parts)
-        if parts and size + len(salt) <= MAX_PROMPT_BYTES:
-            self.prompts.append(messages.SentPrompt(target, salt, parts))
-
-    def own_loads(self) -> Loads:
-        """Returns this gateway's load at each target with open requests."""
-        return tuple(
-            messages.TargetLoad(
-                view.target.id,
-                view.inflight,
-                max(0, view.unread_tokens),
-                max(0, view.tokens),
-            )
-            for view in self.site.targets.views.values()
-            if view.inflight
-        )
-
-    def encode(self, loads: Loads) -> bytes:
-        """Returns a datagram with `loads` and all queued prompts."""
-        prompts = tuple(self.prompts)
-        self.prompts.clear()
-        data = codec.encode(messages.GatewayLoad(self.name, loads, prompts))
-        return self._mac(data) + data
+        async for datagram, _ in socket:
+            self.handle_datagram(datagram)
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Applies a gateway's datagram; invalid datagrams are dropped."""
-        mac, data = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
-        if not hmac.compare_digest(mac, self._mac(data)):
-            return
-        number = codec.number_of(messages.GatewayLoad)
-        try:
-            message = codec.decode(number, data)
-        except transport_exceptions.ProtocolError:
-            return
-        if not isinstance(message, messages.GatewayLoad):
-            return
-        now_s = anyio.current_time()
-        loads = {
-            load.id: target_view.PeerLoad(
-                load.inflight, load.unread_tokens, load.tokens, now_s
-            )
-            for load in message.targets
-        }
-        self.site.targets.update_peer_loads(message.gateway, loads, now_s)
-        self.site.targets.record_peer_prompts(message.prompts)
-
-    def _mac(self, data: bytes) -> bytes:
-        return hmac.digest(self.secret, data, hashlib.sha256)[:MAC_BYTES]
+        message = load_datagrams.decode(self.secret, datagram)
+        if message is not None:
+            self.sharing.receive(message, anyio.current_time())
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -26,7 +26,7 @@
       weights_named_s: Loop time at which that version was received, by model.
       confirmed_s: Loop time at which control last confirmed that this view is
         current; None before the first confirmation.
-      gateways: Addresses of all gateways; they share the site's limits.
+      gateways: All gateways; they share the site's limits.
       control: Addresses of control processes, as last reported.
       stored: Contents of the stores.
       configured: Set once the first configuration was received.
@@ -43,7 +43,7 @@
     weights: dict[str, int] = attrs.field(factory=dict)
     weights_named_s: dict[str, float] = attrs.field(factory=dict)
     confirmed_s: float | None = None
-    gateways: tuple[str, ...] = ()
+    gateways: tuple[messages.GatewayMember, ...] = ()
     control: tuple[str, ...] = ()
     stored: stored_parts.StoredParts = attrs.field(
         factory=stored_parts.StoredParts
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cactusstile.gateway import load_table
 from cactusstile.gateway import prompts
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -56,23 +57,6 @@
     own_inflight: int
 
 
-@attrs.frozen
-class PeerLoad:
-    """Load that another gateway puts on a target.
-
-    Attributes:
-      inflight: Requests in flight.
-      unread_tokens: Prompt tokens of the requests without a first event.
-      tokens: KV cache that the requests occupy, in tokens.
-      received_at_s: Loop time at which the report arrived.
-    """
-
-    inflight: int
-    unread_tokens: int
-    tokens: int
-    received_at_s: float
-
-
 @attrs.define
 class TargetView:
     """Local view of one target.
@@ -92,8 +76,7 @@
         rejection or a misdirected request.
       rejections: Consecutive rejected requests.
       weights: Version of each model's weights at the target.
-      peer_loads: Load from other gateways, by gateway.
-      peers_last_seen_s: Loop time of the last report from any gateway.
+      peer_loads: Loads that other gateways report, of all targets.
     """
 
     target: model.Target
@@ -108,8 +91,7 @@
     backoff_until_s: float = 0.0
     rejections: int = 0
     weights: dict[str, int] = attrs.field(factory=dict)
-    peer_loads: dict[str, PeerLoad] = attrs.field(factory=dict)
-    peers_last_seen_s: float = float("-inf")
+    peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
 
     def update_from_list(self, target: model.Target) -> None:
         """Applies the platform's list, which lags behind answers.
@@ -153,22 +135,20 @@
         which is as old as the target's last answer.
         """
         if self.has_peer_reports(now_s):
-            return sum(peer.inflight for peer in self._recent_peer_loads(now_s))
+            return max(0, self._peer_load().inflight)
         load = self.load
         if load is None or now_s - load.received_at_s > LOAD_REPORT_MAX_AGE_S:
             return 0
         return max(0, load.running + load.waiting - load.own_inflight)
 
-    def _recent_peer_loads(self, now_s: float) -> list[PeerLoad]:
-        return [
-            peer
-            for peer in self.peer_loads.values()
-            if now_s - peer.received_at_s <= PEER_REPORT_MAX_AGE_S
-        ]
+    def _peer_load(self) -> load_table.Load:
+        totals = self.peer_loads.totals
+        return totals.get(self.target.id, load_table.NO_LOAD)
 
     def has_peer_reports(self, now_s: float) -> bool:
         """Returns whether other gateways currently report their load."""
-        return now_s - self.peers_last_seen_s <= PEER_REPORT_MAX_AGE_S
+        age_s = now_s - self.peer_loads.last_received_s
+        return age_s <= PEER_REPORT_MAX_AGE_S
 
     def peer_unread_tokens(self, now_s: float) -> int | None:
         """Returns the unread prompt tokens of other gateways' requests.
@@ -177,14 +157,13 @@
         """
         if not self.has_peer_reports(now_s):
             return None
-        return sum(
-            peer.unread_tokens for peer in self._recent_peer_loads(now_s)
-        )
+        return max(0, self._peer_load().unread_tokens)
 
     def memory_tokens(self, now_s: float) -> int:
         """Returns the KV cache of all gateways' requests, in tokens."""
-        others = sum(peer.tokens for peer in self._recent_peer_loads(now_s))
-        return self.tokens + others
+        if not self.has_peer_reports(now_s):
+            return self.tokens
+        return self.tokens + max(0, self._peer_load().tokens)
 
     def occupied(self, now_s: float) -> int:
         """Returns the requests of all gateways at the target."""
@@ -248,10 +227,14 @@
     Attributes:
       views: View of each target, by incarnation.
       by_service: Views of each service's targets.
+      by_id: View of each target, by its id.
+      peer_loads: Loads that other gateways report.
     """
 
     views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
     by_service: dict[str, list[TargetView]] = attrs.field(factory=dict)
+    by_id: dict[str, TargetView] = attrs.field(factory=dict)
+    peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
 
     def update(
         self,
@@ -264,11 +247,18 @@
             view = self.views.get(target.incarnation)
             capacity = _cache_capacity_tokens(services.get(target.service))
             if view is None:
-                view = TargetView(target, prompts.CachedParts(capacity))
+                view = TargetView(
+                    target,
+                    prompts.CachedParts(capacity),
+                    peer_loads=self.peer_loads,
+                )
             view.cached.capacity_tokens = capacity
             view.update_from_list(target)
             views_by_incarnation[target.incarnation] = view
         self.views = views_by_incarnation
+        self.by_id = {
+            view.target.id: view for view in views_by_incarnation.values()
+        }
         self.by_service = {}
         for view in views_by_incarnation.values():
             name = view.target.service
@@ -278,25 +268,12 @@
         """Returns the views of a service's targets."""
         return self.by_service.get(service, [])
 
-    def update_peer_loads(
-        self, gateway: str, loads: dict[str, PeerLoad], now_s: float
-    ) -> None:
-        """Applies the load that another gateway reported."""
-        for view in self.views.values():
-            view.peers_last_seen_s = now_s
-            load = loads.get(view.target.id)
-            if load is not None:
-                view.peer_loads[gateway] = load
-            else:
-                view.peer_loads.pop(gateway, None)
-
     def record_peer_prompts(
         self, sent: collections.abc.Iterable[messages.SentPrompt]
     ) -> None:
         """Records which prompts another gateway sent to which engine."""
-        by_id = {view.target.id: view for view in self.views.values()}
         for prompt in sent:
-            view = by_id.get(prompt.target)
+            view = self.by_id.get(prompt.target)
             if view is None:
                 continue
             parts = tuple(
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -39,6 +39,7 @@
       list_revision: Revision of the target list.
       confirmation_number: Number of the last confirmation.
       store_revision: Revision of the store contents; -1 before the first.
+      gateways: The list of gateways; None before the first.
     """
 
     version: int
@@ -46,6 +47,23 @@
     list_revision: int = 0
     confirmation_number: int = 0
     store_revision: int = -1
+    gateways: messages.GatewayList | None = None
+
+
+class _EncodedItems:
+    """Encodes items that all watches send once, instead of once a watch."""
+
+    def __init__(self) -> None:
+        self._newest: dict[type, tuple[object, bytes]] = {}
+
+    def payload(self, item: object) -> bytes:
+        """Returns the encoded item; the newest of each type is retained."""
+        newest = self._newest.get(type(item))
+        if newest is not None and newest[0] is item:
+            return newest[1]
+        payload = codec.encode(item)
+        self._newest[type(item)] = (item, payload)
+        return payload
 
 
 class Feed:
@@ -54,7 +72,7 @@
     Attributes:
       site: Replicated state of the site.
       replica: This process's replica.
-      watchers: Load exchange addresses of the open watches, by gateway name.
+      watchers: Gateways of the open watches, by name.
       targets: Targets of the last list.
       list_revision: Incremented whenever a list differs from the one before.
       listed_at_s: Loop time at which the last list was read, in seconds.
@@ -67,17 +85,20 @@
         """Serves watches of `site` while `own_replica` is the leader."""
         self.site = site
         self.replica = own_replica
-        self.watchers: dict[str, list[str]] = {}
+        self.watchers: dict[str, list[messages.GatewayMember]] = {}
         self.targets: tuple[model.Target, ...] = ()
         self.list_revision = 0
         self.listed_at_s = float("-inf")
         self.contents: dict[str, store_contents.StoreContents] = {}
         self._confirmation_number = 0
+        self._confirmation = messages.Confirmation(_MAX_AGE_MS, ())
+        self._gateway_list = messages.GatewayList(())
+        self._configuration = messages.ConfigurationInForce(0, b"")
         self._store_revision = 0
         self._store_updates = messages.StoreUpdates(())
         self._changed = anyio.Event()
-        self._encoded: tuple[messages.TargetList, bytes]
-        self._encoded_revision = 0
+        self._target_list = messages.TargetList(())
+        self._encoded = _EncodedItems()
 
     def notify_watches(self) -> None:
         """Wakes all watches, which then send what changed."""
@@ -89,6 +110,9 @@
         if targets == self.targets and self.list_revision:
             return
         self.targets = targets
+        self._target_list = messages.TargetList(
+            tuple(messages.encode_target(target) for target in targets)
+        )
         self.list_revision += 1
         self.notify_watches()
 
@@ -111,6 +135,8 @@
                 try:
                     await self.replica.read_barrier()
                     self._confirmation_number += 1
+                    self._confirmation = self._build_confirmation()
+                    self._update_gateway_list()
                     self.publish_store_updates()
                 except consensus_exceptions.ConsensusError:
                     is_leader = False
@@ -128,7 +154,7 @@
           RemoteError: This replica is not the leader.
         """
         name = responder.peer.name
-        self.watchers.setdefault(name, []).append(message.address)
+        self.watchers.setdefault(name, []).append(message.member)
         try:
             await self._check_leadership()
             sent = _WatchState(message.known_version)
@@ -139,7 +165,7 @@
                 if not self.replica.is_leader:
                     raise self._not_leader_error()
         finally:
-            self.watchers[name].remove(message.address)
+            self.watchers[name].remove(message.member)
             if not self.watchers[name]:
                 del self.watchers[name]
 
@@ -163,24 +189,46 @@
         image = self.site.image
         if self.site.has_configuration and image.version > sent.version:
             sent.version = image.version
-            await responder.send(
-                messages.ConfigurationInForce(image.version, image.document)
-            )
+            await self._send(responder, self._configuration_in_force())
         if image.weights != sent.weights:
             sent.weights = image.weights
             await responder.send(messages.WeightsInForce(image.weights))
         if self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
-            await responder.send(*self._encode_targets())
+            await self._send(responder, self._target_list)
         if self._store_revision > sent.store_revision:
             # The revision is recorded before the send, so that a change
             # during the send is sent by the next pass.
             item = self._store_updates_since(sent.store_revision)
             sent.store_revision = self._store_revision
-            await responder.send(item)
+            await self._send(responder, item)
+        if self._gateway_list is not sent.gateways:
+            sent.gateways = self._gateway_list
+            await self._send(responder, self._gateway_list)
         if self._confirmation_number > sent.confirmation_number:
             sent.confirmation_number = self._confirmation_number
-            await responder.send(self._build_confirmation())
+            await self._send(responder, self._confirmation)
+
+    async def _send(self, responder: incoming.Responder, item: object) -> None:
+        await responder.send(item, self._encoded.payload(item))
+
+    def _configuration_in_force(self) -> messages.ConfigurationInForce:
+        image = self.site.image
+        if self._configuration.version != image.version:
+            self._configuration = messages.ConfigurationInForce(
+                image.version, image.document
+            )
+        return self._configuration
+
+    def _update_gateway_list(self) -> None:
+        """Replaces the list of gateways if it changed.
+
+        The list is compared once for each confirmation, so that a start of
+        all gateways together does not send a list for each of them.
+        """
+        members = tuple(watches[-1] for watches in self.watchers.values())
+        if set(members) != set(self._gateway_list.members):
+            self._gateway_list = messages.GatewayList(members)
 
     def _store_updates_since(self, sent_revision: int) -> messages.StoreUpdates:
         """Returns the changes since a revision, or the full contents.
@@ -194,16 +242,6 @@
             tuple(contents.full_update() for contents in self.contents.values())
         )
 
-    def _encode_targets(self) -> tuple[messages.TargetList, bytes]:
-        """Returns the target list, which is encoded once for all watches."""
-        if self._encoded_revision != self.list_revision:
-            item = messages.TargetList(
-                tuple(messages.encode_target(target) for target in self.targets)
-            )
-            self._encoded = (item, codec.encode(item))
-            self._encoded_revision = self.list_revision
-        return self._encoded
-
     def _build_confirmation(self) -> messages.Confirmation:
         age_s = anyio.current_time() - self.listed_at_s
         members = self.replica.status().members
@@ -211,8 +249,7 @@
         age_ms = _MAX_AGE_MS
         if age_s * _MS_PER_S < _MAX_AGE_MS:
             age_ms = int(age_s * _MS_PER_S)
-        gateways = tuple(addresses[-1] for addresses in self.watchers.values())
-        return messages.Confirmation(age_ms, gateways, control)
+        return messages.Confirmation(age_ms, control)
 
 
 def watch_handlers(
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -45,6 +45,7 @@
       list_interval_s: Time between two reads of the list of targets, in
         seconds.
       memory_mb: Memory limit of the process, in MB.
+      link_mbps: Bandwidth of the VM's link, in Mbit/s.
       stop_s: Time between SIGTERM and SIGKILL, in seconds.
       retry_ratio: Retries allowed per request to a service.
       retry_window_s: Window over which the retries are counted, in seconds.
@@ -69,6 +70,7 @@
     platform: address.Address
     list_interval_s: float
     memory_mb: int
+    link_mbps: float
     stop_s: float
     retry_ratio: float
     retry_window_s: float
@@ -178,6 +180,12 @@
         ini.Option(
             "memory_mb", ini.integer(16, 1 << 20), "memory of the process", 128
         ),
+        ini.Option(
+            "link_mbps",
+            ini.number(0.1, 1e6),
+            "bandwidth of the VM's link, in Mbit/s",
+            1000,
+        ),
     ),
     "listen": (
         ini.Option(
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -20,6 +20,30 @@
     version: int
 
 
+@codec.register(0, _SCHEMA, "GatewayMember")
+@attrs.frozen
+class GatewayMember:
+    """A gateway, as the others know it.
+
+    Attributes:
+      address: Address at which it receives the loads of other gateways.
+      data_centre: Data centre of its VM.
+      link_mbps: Bandwidth of its VM's link, in Mbit/s.
+    """
+
+    address: str
+    data_centre: str
+    link_mbps: float
+
+
+@codec.register(516, _SCHEMA, "GatewayList")
+@attrs.frozen
+class GatewayList:
+    """Item: all gateways that follow the leader."""
+
+    members: tuple[GatewayMember, ...]
+
+
 @codec.register(510, _SCHEMA, "Watch")
 @attrs.frozen
 class Watch:
@@ -28,11 +52,11 @@
     Attributes:
       known_version: Version of the configuration that the gateway holds; -1
         for none.
-      address: Address at which the gateway receives loads of other gateways.
+      member: The gateway.
     """
 
     known_version: int
-    address: str
+    member: GatewayMember
 
 
 @codec.register(511, _SCHEMA, "ConfigurationInForce")
@@ -123,12 +147,10 @@
 
     Attributes:
       list_age_ms: Age of the target list, in ms.
-      gateways: Addresses at which gateways receive each other's loads.
       control: Addresses of all control processes.
     """
 
     list_age_ms: int
-    gateways: tuple[str, ...]
     control: tuple[str, ...]
 
 
@@ -178,16 +200,63 @@
 @codec.register(520, _SCHEMA, "GatewayLoad")
 @attrs.frozen
 class GatewayLoad:
-    """Datagram: load of a gateway; targets that it omits have no load.
+    """Datagram to a relay: load of one gateway.
+
+    Targets that a datagram omits have no load.
 
     Attributes:
-      gateway: Name of the gateway.
-      targets: Load of each target.
+      gateway: Address of the gateway.
+      sequence: Number of the report, by which the answer refers to it.
+      targets: Load on each target.
       prompts: Prompts that the gateway sent since its last datagram.
     """
 
     gateway: str
+    sequence: int
+    targets: tuple[TargetLoad, ...]
+    prompts: tuple[SentPrompt, ...]
+
+
+@codec.register(521, _SCHEMA, "RelayedLoad")
+@attrs.frozen
+class RelayedLoad:
+    """Datagram to another relay: sum of what a relay and its gateways load.
+
+    Attributes:
+      relay: Address of the relay.
+      targets: Load on each target.
+      prompts: Prompts that these gateways sent since the last datagram.
+    """
+
+    relay: str
+    targets: tuple[TargetLoad, ...]
+    prompts: tuple[SentPrompt, ...]
+
+
+@codec.register(0, _SCHEMA, "IncludedReport")
+@attrs.frozen
+class IncludedReport:
+    """Newest report of a gateway that a sum includes."""
+
+    gateway: str
+    sequence: int
+
+
+@codec.register(522, _SCHEMA, "SiteLoad")
+@attrs.frozen
+class SiteLoad:
+    """Datagram from a relay to the gateways that report to it.
+
+    Attributes:
+      relay: Address of the relay.
+      targets: Load of all gateways on each target.
+      included: Reports that this sum includes.
+      prompts: Prompts that gateways sent since the last datagram.
+    """
+
+    relay: str
     targets: tuple[TargetLoad, ...]
+    included: tuple[IncludedReport, ...]
     prompts: tuple[SentPrompt, ...]
 
 
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -5,9 +5,19 @@
   version @1 :UInt64;
 }
 
+struct GatewayMember {
+  address @0 :Text;
+  dataCentre @1 :Text;
+  linkMbps @2 :Float64;
+}
+
+struct GatewayList {
+  members @0 :List(GatewayMember);
+}
+
 struct Watch {
   knownVersion @0 :Int64;
-  address @1 :Text;
+  member @1 :GatewayMember;
 }
 
 struct ConfigurationInForce {
@@ -74,12 +84,30 @@
 
 struct GatewayLoad {
   gateway @0 :Text;
+  sequence @1 :UInt64;
+  targets @2 :List(TargetLoad);
+  prompts @3 :List(SentPrompt);
+}
+
+struct RelayedLoad {
+  relay @0 :Text;
   targets @1 :List(TargetLoad);
   prompts @2 :List(SentPrompt);
 }
 
+struct IncludedReport {
+  gateway @0 :Text;
+  sequence @1 :UInt64;
+}
+
+struct SiteLoad {
+  relay @0 :Text;
+  targets @1 :List(TargetLoad);
+  included @2 :List(IncludedReport);
+  prompts @3 :List(SentPrompt);
+}
+
 struct Confirmation {
   listAgeMs @0 :UInt32;
-  gateways @1 :List(Text);
-  control @2 :List(Text);
+  control @1 :List(Text);
 }
--- a/src/cactusstile/transport/codec.py
+++ b/src/cactusstile/transport/codec.py
@@ -28,6 +28,9 @@
 _WORD_BYTES = 8
 _TRAVERSAL_SLACK_WORDS = 1024
 _MAX_NESTING = 16
+# Packed messages are small, but may claim to unpack to any size.
+_MAX_PACKED_WORDS = 1 << 16
+_MALFORMED = (capnp.KjException, ValueError, OverflowError, MemoryError)
 _SCALARS = (bool, int, float, str, bytes)
 
 _T = typing.TypeVar("_T")
@@ -109,18 +112,52 @@
     Raises:
       ProtocolError: If the type is unknown or the bytes are malformed.
     """
-    codec = _by_number.get(number)
-    if codec is None:
-        raise exceptions.ProtocolError(f"unknown message type {number}")
+    codec = _find(number)
     limit = len(data) // _WORD_BYTES + _TRAVERSAL_SLACK_WORDS
     try:
         with codec.struct.from_bytes(
             data, traversal_limit_in_words=limit, nesting_limit=_MAX_NESTING
         ) as reader:
             return _read(codec, reader)
-    except (capnp.KjException, ValueError, OverflowError, MemoryError) as error:
-        name = codec.cls.__name__
-        raise exceptions.ProtocolError(f"malformed {name}") from error
+    except _MALFORMED as error:
+        raise _malformed(codec) from error
+
+
+def encode_packed(message: object) -> bytes:
+    """Encodes a registered message without its runs of zero bytes."""
+    codec = _by_class[type(message)]
+    builder = codec.struct.new_message()
+    _fill(codec, builder, message)
+    return typing.cast("bytes", builder.to_bytes_packed())
+
+
+def decode_packed(number: int, data: bytes) -> object:
+    """Decodes a message by `encode_packed`; see `decode`.
+
+    Raises:
+      ProtocolError: If the type is unknown or the bytes are malformed.
+    """
+    codec = _find(number)
+    try:
+        reader = codec.struct.from_bytes_packed(
+            data,
+            traversal_limit_in_words=_MAX_PACKED_WORDS,
+            nesting_limit=_MAX_NESTING,
+        )
+        return _read(codec, reader)
+    except _MALFORMED as error:
+        raise _malformed(codec) from error
+
+
+def _find(number: int) -> _Codec:
+    codec = _by_number.get(number)
+    if codec is None:
+        raise exceptions.ProtocolError(f"unknown message type {number}")
+    return codec
+
+
+def _malformed(codec: _Codec) -> exceptions.ProtocolError:
+    return exceptions.ProtocolError(f"malformed {codec.cls.__name__}")
 
 
 def _fill(codec: _Codec, builder: typing.Any, message: object) -> None:
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/test_load_exchange.py
@@ -3,10 +3,14 @@
 import anyio
 import pytest
 
+from cactusstile.gateway import load_datagrams
 from cactusstile.gateway import load_exchange
+from cactusstile.gateway import load_sharing
 from cactusstile.gateway import placement
 from cactusstile.gateway import prompts
 from cactusstile.gateway import site_view
+from cactusstile.gateway import target_view
+from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
 
@@ -20,25 +24,63 @@
     return model.Target(f"e-{number}", "s", place, "d", 8)
 
 
-def exchange(name: str, engines: int = 3) -> load_exchange.LoadExchange:
-    site = site_view.SiteView()
-    site.replace_targets(
-        tuple(engine(number) for number in range(engines)), 0.0
+Gateways = list[load_exchange.LoadExchange]
+
+
+def open_gateways(count: int, engines: int = 3) -> Gateways:
+    """Returns gateways that know each other."""
+    members = tuple(
+        messages.GatewayMember(f"127.0.0.1:{number}", "d", 100.0)
+        for number in range(1, count + 1)
     )
-    own = address.Address("127.0.0.1", 1)
-    return load_exchange.LoadExchange(site, name, own, SECRET)
+    gateways = []
+    for member in members:
+        site = site_view.SiteView(gateways=members)
+        site.replace_targets(
+            tuple(engine(number) for number in range(engines)), 0.0
+        )
+        sharing = load_sharing.LoadSharing(site, member)
+        own = address.parse(member.address)
+        gateways.append(load_exchange.LoadExchange(sharing, own, SECRET))
+    # The first messages tell the gateways who is there.
+    for gateway in gateways:
+        gateway.sharing.collect(anyio.current_time())
+    return gateways
+
+
+def collect_datagrams(sender: load_exchange.LoadExchange) -> list[bytes]:
+    """Returns the datagrams that a gateway sends now, one for all peers."""
+    return [
+        load_datagrams.encode(SECRET, outgoing.message)
+        for outgoing in sender.sharing.collect(anyio.current_time())
+    ]
+
+
+def deliver(
+    sender: load_exchange.LoadExchange,
+    *receivers: load_exchange.LoadExchange,
+) -> None:
+    for datagram in collect_datagrams(sender):
+        for receiver in receivers:
+            receiver.handle_datagram(datagram)
+
+
+def views_of(
+    gateway: load_exchange.LoadExchange,
+) -> dict[tuple[str, int], target_view.TargetView]:
+    return gateway.sharing.site.targets.views
 
 
 async def test_concurrent_long_prompts_spread_over_idle_engines() -> None:
     """Ten concurrent long prompts must not all go to the same idle engine."""
-    gateways = [exchange(f"g-{number}", 5) for number in range(5)]
+    gateways = open_gateways(5, 5)
     chosen = []
     for turn in range(10):
         own = gateways[turn % len(gateways)]
         prompt = prompts.parse("m", "9000,9", f"shared:2000,own-{turn}:7000")
         now_s = anyio.current_time()
         view = placement.choose_engine(
-            list(own.site.targets.views.values()),
+            list(views_of(own).values()),
             prompt,
             jitter=placement.request_jitter(f"r-{turn}", len(gateways)),
             cache_scope="w",
@@ -50,46 +92,43 @@
         chosen.append(view.target.id)
         view.inflight += 1
         view.unread_tokens += prompt.tokens
-        datagram = own.encode(own.own_loads())
-        for peer in gateways:
-            if peer is not own:
-                peer.handle_datagram(datagram)
+        deliver(own, *(peer for peer in gateways if peer is not own))
     counts = [chosen.count(engine(number).id) for number in range(5)]
     assert counts == [2] * 5
 
 
 async def test_completed_load_of_peer_is_removed() -> None:
-    sender, receiver = exchange("a"), exchange("b")
-    view = sender.site.targets.views["e-1", 0]
+    sender, receiver = open_gateways(2)
+    view = views_of(sender)["e-1", 0]
     view.inflight, view.unread_tokens = 2, 500
-    receiver.handle_datagram(sender.encode(sender.own_loads()))
-    received = receiver.site.targets.views["e-1", 0]
+    deliver(sender, receiver)
+    received = views_of(receiver)["e-1", 0]
     now_s = anyio.current_time()
     assert (received.others(now_s), received.peer_unread_tokens(now_s)) == (
         2,
         500,
     )
     view.inflight = 0
-    receiver.handle_datagram(sender.encode(sender.own_loads()))
+    deliver(sender, receiver)
     assert received.others(now_s) == 0
 
 
 async def test_load_of_silent_peer_expires() -> None:
-    sender, receiver = exchange("a"), exchange("b")
-    sender.site.targets.views["e-1", 0].inflight = 2
-    receiver.handle_datagram(sender.encode(sender.own_loads()))
+    sender, receiver = open_gateways(2)
+    views_of(sender)["e-1", 0].inflight = 2
+    deliver(sender, receiver)
     later_s = anyio.current_time() + 2
-    assert receiver.site.targets.views["e-1", 0].others(later_s) == 0
+    assert views_of(receiver)["e-1", 0].others(later_s) == 0
 
 
 async def test_unauthenticated_datagram_is_dropped() -> None:
-    sender, receiver = exchange("a"), exchange("b")
-    sender.site.targets.views["e-1", 0].inflight = 2
-    forged = bytearray(sender.encode(sender.own_loads()))
+    sender, receiver = open_gateways(2)
+    views_of(sender)["e-1", 0].inflight = 2
+    forged = bytearray(collect_datagrams(sender)[0])
     forged[-1] ^= 1
     for datagram in (bytes(forged), b"", b"x" * 40):
         receiver.handle_datagram(datagram)
-    received = receiver.site.targets.views["e-1", 0]
+    received = views_of(receiver)["e-1", 0]
     assert received.others(anyio.current_time()) == 0
 
 
@@ -97,7 +136,7 @@
     gateway: load_exchange.LoadExchange, request_id: str = "r"
 ) -> str:
     view = placement.choose_engine(
-        list(gateway.site.targets.views.values()),
+        list(views_of(gateway).values()),
         PROMPT,
         jitter=placement.request_jitter(request_id, 16),
         cache_scope="w",
@@ -110,35 +149,34 @@
 
 
 async def test_peer_places_announced_prompt_on_its_engine() -> None:
-    sender, receiver = exchange("a"), exchange("b")
+    sender, receiver = open_gateways(2)
     for number in range(3):
-        salt = sender.site.targets.views[f"e-{number}", 0].salt("m", "w")
-        sender.queue_prompt(f"e-{number}", salt, PROMPT)
-        receiver.handle_datagram(sender.encode(()))
+        salt = views_of(sender)[f"e-{number}", 0].salt("m", "w")
+        sender.sharing.queue_prompt(f"e-{number}", salt, PROMPT)
+        deliver(sender, receiver)
         assert choose_engine_id(receiver) == f"e-{number}"
-        receiver.site.targets.views[f"e-{number}", 0].cached.clear()
+        views_of(receiver)[f"e-{number}", 0].cached.clear()
 
 
 async def test_prompt_is_announced_once() -> None:
-    sender, receiver = exchange("a"), exchange("b")
-    sender.queue_prompt("e-1", "s", PROMPT)
-    sender.queue_prompt("e-gone", "s", PROMPT)
-    receiver.handle_datagram(sender.encode(()))
-    assert ("s", "own") in receiver.site.targets.views["e-1", 0].cached.parts
-    assert not sender.prompts
+    sender, receiver = open_gateways(2)
+    sender.sharing.queue_prompt("e-1", "s", PROMPT)
+    sender.sharing.queue_prompt("e-gone", "s", PROMPT)
+    deliver(sender, receiver)
+    assert ("s", "own") in views_of(receiver)["e-1", 0].cached.parts
+    assert not sender.sharing.has_prompts()
 
 
 async def test_decoding_engine_is_preferred_to_prefilling_engine() -> None:
     """Requests that are decoding leave no unread tokens ahead of a prompt."""
-    own = exchange("a", 2)
-    decoding, prefilling = own.site.targets.views.values()
-    peer = exchange("b", 2)
+    own, peer = open_gateways(2, 2)
+    decoding, prefilling = views_of(own).values()
     for view, unread_tokens in zip(
-        peer.site.targets.views.values(), (0, 6000), strict=True
+        views_of(peer).values(), (0, 6000), strict=True
     ):
         view.inflight = 6
         view.unread_tokens = unread_tokens
-    own.handle_datagram(peer.encode(peer.own_loads()))
+    deliver(peer, own)
     now_s = anyio.current_time()
     assert placement.queue_cost(decoding, PROMPT, now_s) < 6000
     assert choose_engine_id(own) == decoding.target.id != prefilling.target.id
@@ -148,20 +186,19 @@
     """Sixteen gateways choose an engine before they exchange their loads."""
     engines = 8
     chosen = []
-    for number in range(16):
-        own = exchange(f"g-{number}", engines)
+    for number, own in enumerate(open_gateways(16, engines)):
         chosen.append(choose_engine_id(own, f"request-{number}"))
     assert len(set(chosen)) >= engines // 2
     assert max(map(chosen.count, chosen)) <= 6
 
 
 async def test_datagram_with_many_prompts_stays_below_size_limit() -> None:
-    sender = exchange("a")
+    sender, _ = open_gateways(2)
     long = prompts.parse("m", "9000,9", "x" * 1000 + ":2000,y:7000")
     fitting = prompts.parse("m", "9000,9", "x" * 800 + ":2000,y:7000")
     for _ in range(200):
-        sender.queue_prompt("e-1", "s", long)
-    assert not sender.prompts
+        sender.sharing.queue_prompt("e-1", "s", long)
+    assert not sender.sharing.has_prompts()
     for _ in range(200):
-        sender.queue_prompt("e-1", "s", fitting)
-    assert len(sender.encode(sender.own_loads())) < 60_000
+        sender.sharing.queue_prompt("e-1", "s", fitting)
+    assert len(collect_datagrams(sender)[0]) < 60_000
--- a/tests/registry/support.py
+++ b/tests/registry/support.py
@@ -36,6 +36,7 @@
         platform=address.Address("127.0.0.1", 1),
         list_interval_s=0.5,
         memory_mb=128,
+        link_mbps=1000.0,
         stop_s=8.0,
         retry_ratio=0.2,
         retry_window_s=10.0,
--- a/tests/registry/test_feed.py
+++ b/tests/registry/test_feed.py
@@ -73,7 +73,9 @@
     gateway = SlowGateway(feed)
     responder = typing.cast("incoming.Responder", gateway)
     async with anyio.create_task_group() as group:
-        group.start_soon(feed.serve_watch, responder, messages.Watch(-1, "x"))
+        member = messages.GatewayMember("127.0.0.1:1", "d", 100.0)
+        watch = messages.Watch(-1, member)
+        group.start_soon(feed.serve_watch, responder, watch)
         await anyio.sleep(0.05)
         feed.publish_store_updates()
         await anyio.sleep(0.05)
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -19,6 +19,7 @@
     "dataDir": "",
     "internalPorts": "7580,7595",
     "limits.memoryMb": "150",
+    "limits.linkMbps": "100.0",
     "listen.front": "10.1.0.9:8749",
     "listen.ready": "10.1.0.9:8741",
     "listen.control": "",
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -28,6 +28,15 @@
 MAX_RESPONSE_BYTES = 1 << 20
 
 
+BOUNDS = {
+    "bounds.graceS": "8",
+    "bounds.retryBudgetRatio": "0.2",
+    "bounds.budgetWindowS": "10",
+    "bounds.budgetSlack": "50",
+    "bounds.versionMs": "6000",
+}
+
+
 def values(
     *,
     name: str,
@@ -57,16 +66,13 @@
         "dataDir": str(folder),
         "internalPorts": f"{port},{port + 5}",
         "limits.memoryMb": "150",
+        "limits.linkMbps": "100.0",
         "listen.front": f"{host}:{port + 6}",
         "listen.ready": f"{host}:{port + 7}",
         "listen.control": f"{host}:{port + 8}",
         "seeds": seeds,
         "cloud.address": platform,
-        "bounds.graceS": "8",
-        "bounds.retryBudgetRatio": "0.2",
-        "bounds.budgetWindowS": "10",
-        "bounds.budgetSlack": "50",
-        "bounds.versionMs": "6000",
+        **BOUNDS,
     }
 
 
