Send prompts only to engines with room, hold them briefly, space returns

The first event of a handover brief came after 1.8 s at the median of seconds 4 to 24 (objective 0.6 s), and 218 callers of 837 got nothing.

Change: a prompt goes only to an engine whose memory holds it (engine_memory: 0.85 of it for the least urgent, a tenth more for each level above). If none has room, it waits for a quarter of its objective, the most urgent and then the earliest first (waitlist), and is refused then. Callers are asked to return one after the other, at half the speed at which runs of this gateway return memory (return_times). Repeats do not wait.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cactusstile import verdict
+from cactusstile.gateway import priorities
 from cactusstile.gateway import prompts
 from cactusstile.gateway import routes
 from cactusstile.http import messages
@@ -18,15 +19,11 @@
 CONFIGURATION_WAIT_FRACTION = 0.3
 # Assumed timeout of callers that send no deadline.
 DEFAULT_CALLER_TIMEOUT_S = 2.0
-# Engines distinguish the priorities 0 (served first) to 9.
-LOWEST_ENGINE_PRIORITY = 9
 # Longest wait for the contents of the stores after the first configuration:
 # control receives them right after its election.
 MAX_STORES_WAIT_S = 0.5
 # Shorter prompts are prefilled faster than the wait would take.
 MIN_TOKENS_TO_WAIT = 2000
-# Route priorities within each workspace priority.
-PRIORITIES_PER_WORKSPACE_PRIORITY = 3
 # Cache scope of all workspaces that are not isolated.
 SHARED_CACHE_SCOPE = "shared"
 
@@ -45,6 +42,7 @@
       cache_scope: Isolation domain within which the KV cache is shared; part
         of the salt.
       engine_priority: Priority at engines; 0 is served first.
+      least_urgent: Priority at engines of the least urgent requests.
       answer_deadline_s: Loop time by which the route requires the final
         answer.
       caller_deadline_s: Loop time at which the caller stops waiting.
@@ -60,6 +58,7 @@
     prompt: prompts.Prompt
     cache_scope: str
     engine_priority: int
+    least_urgent: int
     answer_deadline_s: float
     caller_deadline_s: float
     last_event_id: int | None
@@ -95,7 +94,8 @@
             request.find(headers.LENGTH_ESTIMATE),
         ),
         cache_scope=_cache_scope(workspace),
-        engine_priority=compute_engine_priority(route, workspace),
+        engine_priority=priorities.compute_engine_priority(route, workspace),
+        least_urgent=table.least_urgent,
         answer_deadline_s=answer_deadline_s,
         caller_deadline_s=caller_deadline_s,
         last_event_id=_parse_number(request, headers.LAST_EVENT_ID),
@@ -172,25 +172,3 @@
     if workspace is None or not workspace.isolated:
         return SHARED_CACHE_SCOPE
     return f"workspace-{workspace.name}"
-
-
-def compute_engine_priority(
-    route: model.Route, workspace: model.Workspace | None
-) -> int:
-    """Returns the priority of a request at engines; 0 is served first.
-
-    Priorities of workspaces take precedence over those of routes.
-
-    >>> route = model.Route("r", "h", "/", model.Kind.ONCE, (), 1.0, priority=1)
-    >>> compute_engine_priority(route, None)
-    1
-    >>> compute_engine_priority(route, model.Workspace("w", (), priority=2))
-    7
-    """
-    lowest = PRIORITIES_PER_WORKSPACE_PRIORITY - 1
-    engine_priority = min(max(route.priority, 0), lowest)
-    if workspace is not None and workspace.priority is not None:
-        engine_priority += PRIORITIES_PER_WORKSPACE_PRIORITY * max(
-            workspace.priority, 0
-        )
-    return min(engine_priority, LOWEST_ENGINE_PRIORITY)
--- a/src/cactusstile/gateway/backups.py
+++ b/src/cactusstile/gateway/backups.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cactusstile.gateway import placement
+from cactusstile.gateway import engine_memory
 from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
 from cactusstile.http import exceptions
@@ -54,7 +54,7 @@
     """
     expected = float(prompt.expected_tokens)
     if not expected:
-        expected = placement.OUTPUT_FRACTION * prompt.max_output_tokens
+        expected = engine_memory.OUTPUT_FRACTION * prompt.max_output_tokens
     return prompt.tokens <= MAX_PROMPT_TOKENS_PER_OUTPUT_TOKEN * expected
 
 
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -9,6 +9,7 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import backups
+from cactusstile.gateway import engine_memory
 from cactusstile.gateway import exchange
 from cactusstile.gateway import peer_parts
 from cactusstile.gateway import placement
@@ -76,14 +77,42 @@
         admitted: admission.AdmittedRequest,
         service: str,
         attempts: retries.Attempts,
+        *,
+        memory_limit: float | None = None,
     ) -> target_view.TargetView | None:
         """Returns an untried target, or the backup's engine when resuming.
 
-        Returns None if no target is left.
+        Args:
+          admitted: The request.
+          service: Service of the request.
+          attempts: Attempts so far.
+          memory_limit: Fraction of an engine's memory that may be filled; None
+            for no limit.
+
+        Returns:
+          None if no target is left, or no engine has room.
         """
         now_s = anyio.current_time()
         if attempts.resuming and attempts.backup is not None:
             return attempts.backup.view
+        candidates = self.candidates(admitted, service, attempts)
+        if admitted.route.kind is model.Kind.STREAM:
+            return self._choose_engine(
+                admitted, candidates, memory_limit, now_s
+            )
+        return placement.choose_service_target(candidates, admitted.id, now_s)
+
+    def candidates(
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        attempts: retries.Attempts,
+    ) -> list[target_view.TargetView]:
+        """Returns the untried targets of a request.
+
+        A target that appears to fail is returned only if there is no other.
+        """
+        now_s = anyio.current_time()
         untried = []
         for view in self.site.targets.of_service(service):
             if (
@@ -98,16 +127,13 @@
                 view, admitted.prompt.model, now_s
             ):
                 usable.append(view)
-        # A target that appears to fail is still better than no target.
-        candidates = usable or untried
-        if admitted.route.kind is model.Kind.STREAM:
-            return self._choose_engine(admitted, candidates, now_s)
-        return placement.choose_service_target(candidates, admitted.id, now_s)
+        return usable or untried
 
     def _choose_engine(
         self,
         admitted: admission.AdmittedRequest,
         candidates: list[target_view.TargetView],
+        memory_limit: float | None,
         now_s: float,
     ) -> target_view.TargetView | None:
         prompt = admitted.prompt
@@ -123,6 +149,7 @@
             stored_tokens=lambda salt: self.site.stored.prefix_tokens(
                 prompt, salt, now_s
             ),
+            memory_limit=memory_limit,
             now_s=now_s,
         )
 
@@ -195,7 +222,7 @@
             self.site.targets.of_service(view.target.service),
             view,
             admitted.prompt,
-            placement.memory_tokens(admitted.prompt, 0),
+            engine_memory.needed_tokens(admitted.prompt, 0),
             anyio.current_time(),
         )
 
@@ -220,7 +247,7 @@
         fetched = max(0, dispatch.transfers.fetched_tokens - cached_tokens)
         unread = max(0, prompt.tokens - cached_tokens - fetched)
         cost = unread + placement.queue_cost(view, prompt, now_s)
-        memory = placement.memory_tokens(prompt, cached_tokens)
+        memory = engine_memory.needed_tokens(prompt, cached_tokens)
         return exchange.Work(unread, fetched, cost, memory, now_s)
 
     def record_first_event(
--- /dev/null
+++ b/src/cactusstile/gateway/engine_queue.py
@@ -0,0 +1,90 @@
+"""Sends a request at once, lets it wait briefly, or refuses it.
+
+A prompt waits while no engine has memory for it, as long as its answer can
+still meet the objective of its route. Longer waits would only make all answers
+late: the caller is told when to return instead.
+"""
+
+from __future__ import annotations
+
+import anyio
+
+from cactusstile import verdict
+from cactusstile.gateway import admission
+from cactusstile.gateway import dispatching
+from cactusstile.gateway import engine_memory
+from cactusstile.gateway import retries
+from cactusstile.gateway import return_times
+from cactusstile.gateway import target_view
+from cactusstile.gateway import waitlist
+from cactusstile.sites import model
+
+# Fraction of the latency objective that a prompt may wait here; prefill and the
+# queue of the engine take the rest.
+WAIT_FRACTION = 0.25
+
+
+class EngineQueue:
+    """Queue of the prompts that wait for memory.
+
+    Attributes:
+      dispatcher: Chooses targets.
+      waiting: Waiting prompts, by service.
+      times: When refused callers may return.
+    """
+
+    def __init__(self, dispatcher: dispatching.Dispatcher) -> None:
+        """Creates an empty queue in front of `dispatcher`."""
+        self.dispatcher = dispatcher
+        self.waiting: dict[str, waitlist.Waitlist] = {}
+        self.times = return_times.ReturnTimes()
+
+    async def choose_target(
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        attempts: retries.Attempts,
+    ) -> target_view.TargetView | None:
+        """Returns the target of the next attempt; None if none is left.
+
+        Only a first attempt waits: repeats have waited long enough.
+
+        Raises:
+          RefusedError: No engine has room within the wait.
+        """
+        if (
+            admitted.route.kind is not model.Kind.STREAM
+            or attempts.tried_incarnations
+        ):
+            return self.dispatcher.choose_target(admitted, service, attempts)
+        if not self.dispatcher.candidates(admitted, service, attempts):
+            return None
+        needed = engine_memory.needed_tokens(admitted.prompt, 0)
+        limit = engine_memory.limit_fraction(
+            admitted.least_urgent - admitted.engine_priority
+        )
+        received_s = admitted.request.received_s
+        wait_s = WAIT_FRACTION * admitted.route.objective_s
+        waiting = self.waiting.setdefault(service, waitlist.Waitlist())
+        view = await waiting.wait(
+            admitted.engine_priority,
+            needed,
+            received_s + wait_s,
+            lambda: self.dispatcher.choose_target(
+                admitted, service, attempts, memory_limit=limit
+            ),
+        )
+        if view is None:
+            raise self._refuse(admitted, needed)
+        return view
+
+    def _refuse(
+        self, admitted: admission.AdmittedRequest, needed: int
+    ) -> verdict.RefusedError:
+        now_s = anyio.current_time()
+        remaining_s = admitted.caller_deadline_s - now_s
+        return verdict.refuse(
+            verdict.Reason.OVERLOADED,
+            "no engine has room for the prompt; retry later",
+            retry_after_s=self.times.retry_after_s(needed, remaining_s, now_s),
+        )
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from cactusstile.gateway import backups
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
+from cactusstile.gateway import engine_queue
 from cactusstile.gateway import exchange
 from cactusstile.gateway import prompts
 from cactusstile.gateway import records
@@ -49,6 +50,7 @@
       budget: Retry budget.
       record: Called with the record of each request after its end.
       dispatcher: Chooses targets and updates their views.
+      queue: Prompts that wait for an engine with room.
       pace: Estimated duration of streams.
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
@@ -70,6 +72,7 @@
         self.budget = budget
         self.record = record
         self.dispatcher = dispatching.Dispatcher(site, weights_s)
+        self.queue = engine_queue.EngineQueue(self.dispatcher)
         self.pace = stream_pace.StreamPace()
         self.announce_prompt: AnnouncePrompt = lambda *_: None
         self.stop_at_s: float | None = None
@@ -204,7 +207,7 @@
         service = self.dispatcher.choose_service(admitted)
         self.budget.count_request(service, anyio.current_time())
         while True:
-            view = self.dispatcher.choose_target(admitted, service, attempts)
+            view = await self.queue.choose_target(admitted, service, attempts)
             if view is None:
                 reason = verdict.Reason.NO_TARGET
                 await self._answer_error(responder, attempts, reason)
@@ -304,7 +307,7 @@
         self.announce_prompt(view.target.id, dispatch.salt, admitted.prompt)
         try:
             async with (
-                _count_work(view, work, attempts.backup),
+                self._count_work(view, work, attempts.backup),
                 exchange.open_attempt(self.pool, admitted, dispatch) as opened,
             ):
                 load = opened.head.find(headers.LOAD)
@@ -356,24 +359,27 @@
             return
         await responder.respond(*exchange.relayed_answer(answer))
 
-
-@contextlib.asynccontextmanager
-async def _count_work(
-    view: target_view.TargetView,
-    work: exchange.Work,
-    backup: backups.Backup | None,
-) -> collections.abc.AsyncIterator[None]:
-    """Adds the work of an attempt and its copy to the views until it ends."""
-    view.inflight += 1
-    view.unread_tokens += work.unread_tokens
-    view.tokens += work.memory_tokens
-    if backup is not None:
-        backup.view.tokens += backup.tokens
-    try:
-        yield
-    finally:
-        view.inflight -= 1
-        view.tokens -= work.memory_tokens
-        view.unread_tokens -= work.unread_tokens
+    @contextlib.asynccontextmanager
+    async def _count_work(
+        self,
+        view: target_view.TargetView,
+        work: exchange.Work,
+        backup: backups.Backup | None,
+    ) -> collections.abc.AsyncIterator[None]:
+        """Adds an attempt's work and its copy to the views until it ends."""
+        view.inflight += 1
+        view.unread_tokens += work.unread_tokens
+        view.tokens += work.memory_tokens
         if backup is not None:
-            backup.view.tokens -= backup.tokens
+            backup.view.tokens += backup.tokens
+        try:
+            yield
+        finally:
+            view.inflight -= 1
+            view.tokens -= work.memory_tokens
+            view.unread_tokens -= work.unread_tokens
+            if backup is not None:
+                backup.view.tokens -= backup.tokens
+            self.queue.times.record_end(
+                work.memory_tokens, anyio.current_time()
+            )
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/placement.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from cactusstile.gateway import engine_memory
 from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
 
@@ -38,10 +39,6 @@
 HOME_BONUS_FRACTION = 0.5
 # Time to fetch a token relative to the time to prefill it.
 RELATIVE_FETCH_COST = 0.12
-# Average length of an answer, as a fraction of its limit of output tokens.
-OUTPUT_FRACTION = 0.25
-# Fraction of an engine's KV cache that running requests may fill.
-MEMORY_FRACTION = 0.85
 # Cost of a token that does not fit the memory, in prompt tokens.
 OVERFLOW_WEIGHT = 2.0
 # Factor on the queue of an engine that is still cold or has no free slot.
@@ -74,9 +71,10 @@
     cache_scope: str,
     affinity_key: str,
     stored_tokens: StoredTokens,
+    memory_limit: float | None = None,
     now_s: float,
 ) -> target_view.TargetView | None:
-    """Returns the engine with the lowest cost; None without any engine.
+    """Returns the engine with the lowest cost; None if no engine has room.
 
     Args:
       views: Engines to choose from.
@@ -85,16 +83,16 @@
       cache_scope: Isolation domain within which the KV cache is shared.
       affinity_key: Id of the last part that returns; empty without one.
       stored_tokens: Returns the tokens of the prefix that stores hold.
+      memory_limit: Fraction of an engine's memory to fill; None for any.
       now_s: Loop time.
     """
+    engines = [_candidate(view, prompt, cache_scope) for view in views]
+    if memory_limit is not None:
+        engines = _with_room(engines, prompt, memory_limit, now_s)
     best = None
     best_cost = float("inf")
-    engines = [_candidate(view, prompt, cache_scope) for view in views]
     max_cached = max((engine.tokens for engine in engines), default=0)
-    stored = {
-        salt: stored_tokens(salt)
-        for salt in {engine.salt for engine in engines}
-    }
+    stored = _stored_by_salt(engines, stored_tokens)
     home = None if max_cached else _home_target(views, affinity_key)
     for engine in engines:
         fetchable = max(stored[engine.salt], max_cached)
@@ -107,6 +105,29 @@
     return best
 
 
+def _stored_by_salt(
+    engines: list[_Candidate], stored_tokens: StoredTokens
+) -> dict[str, int]:
+    """Returns the stored tokens of the prefix, for the salt of each engine."""
+    salts = {engine.salt for engine in engines}
+    return {salt: stored_tokens(salt) for salt in salts}
+
+
+def _with_room(
+    engines: list[_Candidate],
+    prompt: prompts.Prompt,
+    memory_limit: float,
+    now_s: float,
+) -> list[_Candidate]:
+    """Returns the engines that have memory for a prompt."""
+    roomy = []
+    for engine in engines:
+        needed = engine_memory.needed_tokens(prompt, engine.tokens)
+        if engine_memory.has_room(engine.view, needed, memory_limit, now_s):
+            roomy.append(engine)
+    return roomy
+
+
 def _candidate(
     view: target_view.TargetView, prompt: prompts.Prompt, cache_scope: str
 ) -> _Candidate:
@@ -160,32 +181,12 @@
     )
     penalty = 1.0 + FAILURE_WEIGHT * view.failure_share
     cost = missing + queue_cost(view, prompt, now_s)
-    needed = memory_tokens(prompt, cached_tokens)
-    cost += OVERFLOW_WEIGHT * _overflow(view, needed, now_s)
+    needed = engine_memory.needed_tokens(prompt, cached_tokens)
+    overflow = engine_memory.overflow_tokens(view, needed, now_s)
+    cost += OVERFLOW_WEIGHT * overflow
     return cost * penalty
 
 
-def memory_tokens(prompt: prompts.Prompt, cached_tokens: int) -> int:
-    """Returns the KV cache that a request adds to an engine, in tokens.
-
-    Requests share the memory of their common prefixes.
-    """
-    output_tokens = int(OUTPUT_FRACTION * prompt.max_output_tokens)
-    return prompt.tokens - cached_tokens + output_tokens
-
-
-def _overflow(
-    view: target_view.TargetView, needed_tokens: int, now_s: float
-) -> int:
-    """Returns how many tokens exceed an engine's memory.
-
-    An engine that runs out of memory preempts a request in the middle of its
-    stream and recomputes its KV cache later.
-    """
-    needed = view.memory_tokens(now_s) + needed_tokens
-    return max(0, needed - int(MEMORY_FRACTION * view.cached.capacity_tokens))
-
-
 def queue_cost(
     view: target_view.TargetView, prompt: prompts.Prompt, now_s: float
 ) -> float:
--- a/src/cactusstile/gateway/routes.py
+++ b/src/cactusstile/gateway/routes.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cactusstile.gateway import priorities
 from cactusstile.sites import model
 
 _DIGEST_BYTES = 16
@@ -24,12 +25,14 @@
       configuration: The configuration.
       by_host: Routes of each host, the longest prefix first.
       by_key: Workspace of each key, by the key's digest.
+      least_urgent: Priority at engines of the least urgent requests.
       salt: Random key of the digests.
     """
 
     configuration: model.SiteConfiguration
     by_host: dict[str, list[model.Route]]
     by_key: dict[bytes, model.Workspace] = attrs.field(repr=False)
+    least_urgent: int
     salt: bytes = attrs.field(repr=False)
 
     def find_route(self, host: str, path: str) -> model.Route | None:
@@ -65,7 +68,8 @@
     for workspace in configuration.workspaces or ():
         for key in workspace.keys:
             by_key[_digest(salt, key)] = workspace
-    return RoutingTable(configuration, by_host, by_key, salt)
+    least_urgent = priorities.least_urgent(configuration)
+    return RoutingTable(configuration, by_host, by_key, least_urgent, salt)
 
 
 def _digest(salt: bytes, key: str) -> bytes:
