Judge fetches by the time in which the same route is prefilled

Cause: what a fetch added was taken from one average over all routes.

Change: the average is kept by route, and a fetch is judged by the tokens that the route would have prefilled in the time it added. Ruled out: fetching always, as a slow store must be left.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -11,6 +11,7 @@
 from cactusstile.gateway import backups
 from cactusstile.gateway import engine_memory
 from cactusstile.gateway import exchange
+from cactusstile.gateway import fetch_costs
 from cactusstile.gateway import peer_parts
 from cactusstile.gateway import placement
 from cactusstile.gateway import retries
@@ -251,19 +252,22 @@
         return exchange.Work(unread, fetched, cost, memory, now_s)
 
     def record_first_event(
-        self, dispatch: exchange.Dispatch, work: exchange.Work
+        self,
+        admitted: admission.AdmittedRequest,
+        dispatch: exchange.Dispatch,
+        work: exchange.Work,
     ) -> None:
         """Updates the cost estimates from an engine's time to first event."""
         now_s = anyio.current_time()
-        elapsed_s = now_s - work.started_s
+        sample = fetch_costs.FirstEvent(
+            admitted.route.name, work.cost_tokens, now_s - work.started_s
+        )
         costs = self.site.stored.costs
         if not work.fetched_tokens:
-            costs.record_prefill(work.cost_tokens, elapsed_s)
+            costs.record_prefill(sample)
             return
-        store, _ = dispatch.transfers.main_source()
-        costs.record_fetch(
-            store, work.fetched_tokens, work.cost_tokens, elapsed_s, now_s
-        )
+        source, _ = dispatch.transfers.main_source()
+        costs.record_fetch(source, work.fetched_tokens, sample, now_s)
 
     def record_failure(
         self, view: target_view.TargetView, error: exchange.AttemptError
--- a/src/cactusstile/gateway/fetch_costs.py
+++ b/src/cactusstile/gateway/fetch_costs.py
@@ -1,7 +1,8 @@
 """Estimates whether fetching KV cache is faster than recomputing it.
 
-Handles links that become slow. The delay that fetches add to the first event is
-estimated for each source, a store or an engine. A source that is slower than
+Handles links that become slow. What a fetch adds to the time to the first event
+is compared with the time in which the route's other prompts are prefilled, so
+that busy engines are not taken for slow links. A source that is slower than
 prefill is not used until its estimate has decayed.
 """
 
@@ -9,10 +10,10 @@
 
 import attrs
 
-# Assumed prefill time before the first observation.
+# Assumed prefill time before the first observation of a route.
 INITIAL_PREFILL_S_PER_TOKEN = 1 / 40_000
 # Weights of the newest observation in the moving averages.
-PREFILL_EWMA_WEIGHT = 0.05
+PREFILL_EWMA_WEIGHT = 0.1
 FETCH_EWMA_WEIGHT = 0.3
 # Shorter prompts or fetches give no usable observation.
 MIN_SAMPLE_TOKENS = 500
@@ -23,17 +24,33 @@
 MAX_FETCH_TO_PREFILL_RATIO = 1.5
 
 
+@attrs.frozen
+class FirstEvent:
+    """Time to the first event of one request.
+
+    Attributes:
+      route: Name of its route.
+      cost_tokens: Prompt tokens to prefill before it, those queued ahead
+        included.
+      elapsed_s: Time from the request to the event.
+    """
+
+    route: str
+    cost_tokens: float
+    elapsed_s: float
+
+
 @attrs.define
 class _Estimate:
-    """Estimated delay per fetched token at the time of its last update."""
+    """Time to fetch relative to prefill, at the time of its last update."""
 
-    s_per_token: float
+    ratio: float
     updated_s: float
 
     def now(self, now_s: float) -> float:
         """Returns the estimate after its decay since the last update."""
         decay: float = 0.5 ** ((now_s - self.updated_s) / HALF_LIFE_S)
-        return self.s_per_token * decay
+        return self.ratio * decay
 
 
 @attrs.define
@@ -41,53 +58,51 @@
     """Estimated time of prefill and of fetches.
 
     Attributes:
-      prefill_s_per_token: Time to the first event per token of estimated cost.
-      stores: Delay per fetched token, by address of the store or engine.
+      prefill_s_per_token: Time to the first event per token of estimated cost,
+        by route. It includes what the route's priority makes prompts wait.
+      sources: Estimate of each store or engine, by address.
     """
 
-    prefill_s_per_token: float = INITIAL_PREFILL_S_PER_TOKEN
-    stores: dict[str, _Estimate] = attrs.field(factory=dict)
+    prefill_s_per_token: dict[str, float] = attrs.field(factory=dict)
+    sources: dict[str, _Estimate] = attrs.field(factory=dict)
 
-    def record_prefill(self, cost_tokens: float, elapsed_s: float) -> None:
-        """Records the time to first event of a request without fetches."""
-        if cost_tokens < MIN_SAMPLE_TOKENS:
+    def record_prefill(self, sample: FirstEvent) -> None:
+        """Records a request without fetches."""
+        if sample.cost_tokens < MIN_SAMPLE_TOKENS:
             return
-        sample = elapsed_s / cost_tokens
-        step = PREFILL_EWMA_WEIGHT * (sample - self.prefill_s_per_token)
-        self.prefill_s_per_token += step
+        observed = sample.elapsed_s / sample.cost_tokens
+        before = self.prefill_s_per_token.get(sample.route, observed)
+        after = before + PREFILL_EWMA_WEIGHT * (observed - before)
+        self.prefill_s_per_token[sample.route] = after
 
     def record_fetch(
-        self,
-        store: str,
-        fetched_tokens: int,
-        cost_tokens: float,
-        elapsed_s: float,
-        now_s: float,
+        self, source: str, fetched_tokens: int, sample: FirstEvent, now_s: float
     ) -> None:
-        """Records the time to first event of a request with fetches."""
+        """Records a request that fetched tokens from a store or engine."""
         if fetched_tokens < MIN_SAMPLE_TOKENS:
             return
-        excess_s = max(0.0, elapsed_s - cost_tokens * self.prefill_s_per_token)
-        sample = excess_s / fetched_tokens
-        estimate = self.stores.get(store)
+        s_per_token = self.prefill_s_per_token.get(
+            sample.route, INITIAL_PREFILL_S_PER_TOKEN
+        )
+        total_tokens = sample.elapsed_s / s_per_token
+        excess_tokens = max(0.0, total_tokens - sample.cost_tokens)
+        observed = excess_tokens / fetched_tokens
+        estimate = self.sources.get(source)
         before = 0.0 if estimate is None else estimate.now(now_s)
-        after = before + FETCH_EWMA_WEIGHT * (sample - before)
-        self.stores[store] = _Estimate(after, now_s)
+        after = before + FETCH_EWMA_WEIGHT * (observed - before)
+        self.sources[source] = _Estimate(after, now_s)
 
-    def is_worthwhile(self, store: str, now_s: float) -> bool:
+    def is_worthwhile(self, source: str, now_s: float) -> bool:
         """Returns whether fetches from a store or engine are fast enough.
 
-        >>> costs = FetchCosts(prefill_s_per_token=1e-5)
-        >>> costs.record_fetch("s", 1000, 0, 1.0, now_s=0.0)
+        >>> costs = FetchCosts({"r": 1e-5})
+        >>> costs.record_fetch("s", 1000, FirstEvent("r", 0, 1.0), now_s=0.0)
         >>> costs.is_worthwhile("s", now_s=0.1)
         False
         >>> costs.is_worthwhile("s", now_s=9.0)
         True
         """
-        estimate = self.stores.get(store)
+        estimate = self.sources.get(source)
         if estimate is None:
             return True
-        return (
-            estimate.now(now_s)
-            <= MAX_FETCH_TO_PREFILL_RATIO * self.prefill_s_per_token
-        )
+        return estimate.now(now_s) <= MAX_FETCH_TO_PREFILL_RATIO
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -314,7 +314,7 @@
                 view.record_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
-                    self.dispatcher.record_first_event(dispatch, work)
+                    self.dispatcher.record_first_event(admitted, dispatch, work)
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
                     await relay.feed(opened)
