Count all room taken in stores, and evict only when all are full

Cause: gateways counted only the parts that they may fetch.

Change: updates tell retired tokens, gateways count their own saves on the way.

--- a/src/cactusstile/gateway/stored_parts.py
+++ b/src/cactusstile/gateway/stored_parts.py
@@ -26,9 +26,9 @@
 UPDATE_MAX_AGE_S = 1.0
 # Time for which a part that is being saved is not saved again.
 SAVE_DEDUPLICATION_S = 3.0
-MAX_PENDING_SAVES = 4096
-# Fraction of a store up to which parts are saved; reserved and incomplete
-# parts need space as well.
+MAX_PENDING_SAVES = 512
+# Fraction of a store up to which parts are saved; other gateways save at the
+# same time.
 MAX_FILL_FRACTION = 0.95
 
 
@@ -93,6 +93,7 @@
       updated_s: Loop time of the last update.
       parts: Tokens of each complete part, by salt and id.
       used_tokens: Sum of the parts' tokens.
+      retired_tokens: Tokens of other parts that still take room.
     """
 
     address: str
@@ -101,6 +102,7 @@
     updated_s: float = float("-inf")
     parts: dict[tuple[str, str], int] = attrs.field(factory=dict)
     used_tokens: int = 0
+    retired_tokens: int = 0
 
     def apply(self, update: messages.StoreUpdate, now_s: float) -> None:
         """Applies an update of this store."""
@@ -110,6 +112,7 @@
         self.is_open = update.open
         self.until_ms = update.fetch_until_ms
         self.updated_s = now_s
+        self.retired_tokens = update.retired_tokens
         for part in update.changes:
             key = (part.salt, part.id)
             self.used_tokens += part.tokens - self.parts.pop(key, 0)
@@ -121,19 +124,35 @@
         return self.is_open and now_s - self.updated_s <= UPDATE_MAX_AGE_S
 
 
+@attrs.frozen
+class PendingSave:
+    """A part that an engine is saving.
+
+    Attributes:
+      store: Address of the store.
+      tokens: Length of the part.
+      until_s: Loop time until which the part counts as being saved.
+    """
+
+    store: str
+    tokens: int
+    until_s: float
+
+
 @attrs.define
 class StoredParts:
     """Local view of the contents of all stores.
 
     Attributes:
       stores: View of each store, by its address.
-      pending_saves: Loop time until which a part counts as being saved, by salt
-        and id.
+      pending_saves: Parts that are being saved, by salt and id.
       costs: Estimated cost of fetches.
     """
 
     stores: dict[str, StoreView] = attrs.field(factory=dict)
-    pending_saves: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    pending_saves: dict[tuple[str, str], PendingSave] = attrs.field(
+        factory=dict
+    )
     costs: fetch_costs.FetchCosts = attrs.field(factory=fetch_costs.FetchCosts)
 
     def apply(self, updates: messages.StoreUpdates, now_s: float) -> None:
@@ -233,7 +252,8 @@
 
         Returns None if the part is being saved, or no store has room for it.
         """
-        if self.pending_saves.get(key, 0.0) > now_s:
+        pending = self.pending_saves.get(key)
+        if pending is not None and pending.until_s > now_s:
             return None
         members = []
         for store in configured_stores:
@@ -243,22 +263,37 @@
                 continue
             if not self.costs.is_worthwhile(address, now_s):
                 continue
-            room = store.kv_tokens * MAX_FILL_FRACTION - view.used_tokens
-            if room >= tokens:
+            used = view.used_tokens + view.retired_tokens
+            used += self._being_saved_tokens(address, now_s)
+            if used + tokens <= MAX_FILL_FRACTION * store.kv_tokens:
                 weight = float(store.kv_tokens)
                 members.append(rendezvous.Member(address, weight=weight))
         if not members:
             return None
         name = f"{key[0]} {key[1]}".encode()
         chosen = rendezvous.rank(name, members)[0].name
-        self._record_pending_save(key, now_s)
+        self._record_pending_save(key, chosen, tokens, now_s)
         return chosen
 
-    def _record_pending_save(self, key: tuple[str, str], now_s: float) -> None:
+    def _being_saved_tokens(self, address: str, now_s: float) -> int:
+        """Returns the tokens on their way to a store, which reserves them."""
+        parts = self.stores[address].parts
+        return sum(
+            save.tokens
+            for key, save in self.pending_saves.items()
+            if save.store == address
+            and save.until_s > now_s
+            and key not in parts
+        )
+
+    def _record_pending_save(
+        self, key: tuple[str, str], store: str, tokens: int, now_s: float
+    ) -> None:
         if len(self.pending_saves) >= MAX_PENDING_SAVES:
             self.pending_saves = {
-                pending: until_s
-                for pending, until_s in self.pending_saves.items()
-                if until_s > now_s
+                pending: save
+                for pending, save in self.pending_saves.items()
+                if save.until_s > now_s
             }
-        self.pending_saves[key] = now_s + SAVE_DEDUPLICATION_S
+        until_s = now_s + SAVE_DEDUPLICATION_S
+        self.pending_saves[key] = PendingSave(store, tokens, until_s)
--- a/src/cactusstile/registry/store_contents.py
+++ b/src/cactusstile/registry/store_contents.py
@@ -144,6 +144,16 @@
         for part in parts:
             self.retired_parts.pop((part.salt, part.id), None)
 
+    def used_tokens(self) -> int:
+        """Returns the tokens of the parts that gateways may use."""
+        return sum(part.tokens for part in self.parts.values())
+
+    def retired_tokens(self) -> int:
+        """Returns the tokens of retired parts, which still take room."""
+        return sum(
+            retired.part.tokens for retired in self.retired_parts.values()
+        )
+
     def is_open(self) -> bool:
         """Returns whether gateways may fetch and save parts."""
         return self.epoch is not None and self.clock_ms > self.closed_until_ms
@@ -163,6 +173,7 @@
                 self.clock_ms + LEASE_MS,
                 False,
                 _encode(self.changed_parts.values()),
+                self.retired_tokens(),
             )
         self.changed_parts = {}
         self.needs_full_update = False
@@ -174,7 +185,7 @@
         parts = _encode(self.parts.values()) if is_open else ()
         until_ms = self.clock_ms + LEASE_MS
         return messages.StoreUpdate(
-            self.address, is_open, until_ms, True, parts
+            self.address, is_open, until_ms, True, parts, self.retired_tokens()
         )
 
 
--- a/src/cactusstile/registry/store_watch.py
+++ b/src/cactusstile/registry/store_watch.py
@@ -155,6 +155,13 @@
             # again.
             contents.replace_parts(await self.client.list_parts(store))
 
+    def _is_site_full(self) -> bool:
+        stores = self.configured_stores()
+        capacity_tokens = sum(store.kv_tokens for store in stores)
+        return store_eviction.is_site_full(
+            self.contents.values(), capacity_tokens
+        )
+
     async def _evict_parts(
         self, store: model.Store, contents: store_contents.StoreContents
     ) -> None:
@@ -167,7 +174,7 @@
             return
         oldest_versions = self.find_oldest_versions()
         evicted = store_eviction.outdated_parts(contents.parts, oldest_versions)
-        if not evicted:
+        if not evicted and self._is_site_full():
             evicted = store_eviction.surplus_parts(contents, store.kv_tokens)
         contents.retire(evicted)
         parts = contents.freeable_parts()[:MAX_PARTS_PER_CALL]
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -123,6 +123,8 @@
         that all targets share.
       whole: Whether `changes` replaces all parts sent before.
       changes: Present state of the changed parts; 0 tokens mark a removed part.
+      retired_tokens: Tokens of parts that gateways may no longer use, but that
+        are not freed yet.
     """
 
     address: str
@@ -130,6 +132,7 @@
     fetch_until_ms: float
     whole: bool
     changes: tuple[KeptPart, ...]
+    retired_tokens: int = 0
 
 
 @codec.register(515, _SCHEMA, "StoreUpdates")
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -58,6 +58,7 @@
   fetchUntilMs @2 :Float64;
   whole @3 :Bool;
   changes @4 :List(KeptPart);
+  retiredTokens @5 :UInt32;
 }
 
 struct StoreUpdates {
--- a/tests/gateway/test_stored_parts.py
+++ b/tests/gateway/test_stored_parts.py
@@ -2,6 +2,9 @@
 
 import collections.abc
 
+import attrs
+
+from cactusstile.gateway import fetch_costs
 from cactusstile.gateway import prompts
 from cactusstile.gateway import stored_parts
 from cactusstile.sites import messages
@@ -84,7 +87,9 @@
 
 def test_part_is_not_fetched_over_slow_link() -> None:
     stores = make_stores()
-    stores.costs.record_fetch("127.0.0.1:9", 500, 0, 5.0, now_s=10.0)
+    stores.costs.record_fetch(
+        "127.0.0.1:9", 500, fetch_costs.FirstEvent("r", 0, 5.0), 10.0
+    )
     assert not any(plan(stores, holder="127.0.0.1:9").fetches)
 
 
@@ -122,6 +127,29 @@
     )
 
 
+def test_retired_parts_take_room_until_they_are_freed() -> None:
+    """Guards against saves that a full store drops."""
+    retired = attrs.evolve(
+        update(STORES[0], ("z", 1_000)), retired_tokens=8_400
+    )
+    assert not any(are_saved(plan(make_stores(retired))))
+
+
+def test_parts_on_their_way_to_a_store_take_room() -> None:
+    stores = make_stores(update(STORES[0], ("z", 9_000)))
+    assert are_saved(plan(stores)) == [True, False, False]
+    other = prompts.parse("m", "900,9", "other:200")
+    transfers = stores.plan(
+        other, other.parts, "s", STORES, holder=lambda _: None, now_s=10.0
+    )
+    assert are_saved(transfers) == [True]
+    third = prompts.parse("m", "900,9", "third:200")
+    transfers = stores.plan(
+        third, third.parts, "s", STORES, holder=lambda _: None, now_s=10.0
+    )
+    assert are_saved(transfers) == [False]
+
+
 def test_removed_part_is_not_fetched() -> None:
     stores = make_stores(update(STORES[0], ("x", 200)))
     gone = update(STORES[0], ("x", 0), whole=False)
@@ -135,7 +163,9 @@
         update(STORES[0], ("y", 500), ("x", 200)), update(STORES[1])
     )
     for _ in range(3):
-        stores.costs.record_fetch("127.0.0.1:1", 700, 0, 2.0, 10.0)
+        stores.costs.record_fetch(
+            "127.0.0.1:1", 700, fetch_costs.FirstEvent("r", 0, 2.0), 10.0
+        )
     assert not any(plan(stores).fetches)
     # Parts in the slow store are not saved to another store meanwhile.
     assert not any(are_saved(plan(stores)))
--- a/tests/registry/test_store_contents.py
+++ b/tests/registry/test_store_contents.py
@@ -95,6 +95,25 @@
     assert store_eviction.surplus_parts(contents, 250) == [(old.salt, "a")]
 
 
+def test_eviction_leaves_room_for_several_of_the_largest_parts() -> None:
+    """Parts are lost if gateways save more at once than there is room for."""
+    contents = store_contents.StoreContents("a")
+    parts = [model.KeptPart("s", str(number), 40) for number in range(22)]
+    contents.replace_parts(part_list(7, *parts))
+    evicted = store_eviction.surplus_parts(contents, 1000)
+    assert evicted == [("s", "0"), ("s", "1")]
+    left = 40 * (len(parts) - len(evicted))
+    assert 1000 - left >= 4 * 40
+
+
+def test_full_store_keeps_its_parts_while_another_has_room() -> None:
+    full, empty = (store_contents.StoreContents(name) for name in "ab")
+    full.replace_parts(part_list(7, model.KeptPart("s", "x", 990)))
+    assert not store_eviction.is_site_full([full, empty], 2000)
+    empty.replace_parts(part_list(8, model.KeptPart("s", "y", 900)))
+    assert store_eviction.is_site_full([full, empty], 2000)
+
+
 class LeasedStore(stateful.RuleBasedStateMachine):
     """Histories of a restarting store, the leader and one gateway's leases.
 
