Let a storming workspace leave room for the others

Change: limits.recent_use, which confines storms at entries, tells the queue; prompts of a storming workspace come last within their priority, and may fill a tenth less of an engine's memory.

--- a/src/cactusstile/gateway/engine_memory.py
+++ b/src/cactusstile/gateway/engine_memory.py
@@ -25,6 +25,8 @@
 # its memory an engine preempts less urgent runs for it.
 HEADROOM_FRACTION_PER_LEVEL = 0.1
 MAX_HEADROOM_LEVELS = 2
+# Workspaces that ask for far more than the others leave room for them.
+MIN_HEADROOM_LEVELS = -1
 
 
 def needed_tokens(prompt: prompts.Prompt, cached_tokens: int) -> int:
@@ -41,12 +43,14 @@
 
     Args:
       levels: Number of priorities by which the request is more urgent than the
-        least urgent ones.
+        least urgent ones; -1 for one that leaves room for those.
 
     >>> limit_fraction(0), limit_fraction(1), limit_fraction(8)
     (0.85, 0.95, 1.05)
+    >>> limit_fraction(-1)
+    0.75
     """
-    headroom = min(max(levels, 0), MAX_HEADROOM_LEVELS)
+    headroom = min(max(levels, MIN_HEADROOM_LEVELS), MAX_HEADROOM_LEVELS)
     fraction = LIMIT_FRACTION + HEADROOM_FRACTION_PER_LEVEL * headroom
     return round(fraction, 2)
 
--- a/src/cactusstile/gateway/engine_queue.py
+++ b/src/cactusstile/gateway/engine_queue.py
@@ -2,7 +2,8 @@
 
 A prompt waits while no engine has memory for it, as long as its answer can
 still meet the objective of its route. Longer waits would only make all answers
-late: the caller is told when to return instead.
+late: the caller is told when to return instead. A workspace that asks for far
+more than the others waits behind them and leaves room for them.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from cactusstile.gateway import return_times
 from cactusstile.gateway import target_view
 from cactusstile.gateway import waitlist
+from cactusstile.limits import recent_use
 from cactusstile.sites import model
 
 # Fraction of the latency objective that a prompt may wait here; prefill and the
@@ -31,6 +33,7 @@
       dispatcher: Chooses targets.
       waiting: Waiting prompts, by service.
       times: When refused callers may return.
+      use: Memory that workspaces asked for lately.
     """
 
     def __init__(self, dispatcher: dispatching.Dispatcher) -> None:
@@ -38,6 +41,7 @@
         self.dispatcher = dispatcher
         self.waiting: dict[str, waitlist.Waitlist] = {}
         self.times = return_times.ReturnTimes()
+        self.use = recent_use.RecentUse(anyio.current_time)
 
     async def choose_target(
         self,
@@ -60,14 +64,15 @@
         if not self.dispatcher.candidates(admitted, service, attempts):
             return None
         needed = engine_memory.needed_tokens(admitted.prompt, 0)
+        is_storming = self._is_storming(admitted, needed)
         limit = engine_memory.limit_fraction(
-            admitted.least_urgent - admitted.engine_priority
+            admitted.least_urgent - admitted.engine_priority - is_storming
         )
         received_s = admitted.request.received_s
         wait_s = WAIT_FRACTION * admitted.route.objective_s
         waiting = self.waiting.setdefault(service, waitlist.Waitlist())
         view = await waiting.wait(
-            admitted.engine_priority,
+            2 * admitted.engine_priority + is_storming,
             needed,
             received_s + wait_s,
             lambda: self.dispatcher.choose_target(
@@ -78,6 +83,16 @@
             raise self._refuse(admitted, needed)
         return view
 
+    def _is_storming(
+        self, admitted: admission.AdmittedRequest, needed: int
+    ) -> bool:
+        """Returns whether a workspace asks for far more than the others."""
+        if admitted.workspace is None:
+            return False
+        name = admitted.workspace.name
+        self.use.record(name, needed)
+        return self.use.is_storming(name)
+
     def _refuse(
         self, admitted: admission.AdmittedRequest, needed: int
     ) -> verdict.RefusedError:
--- a/tests/gateway/test_engine_queue.py
+++ b/tests/gateway/test_engine_queue.py
@@ -36,6 +36,8 @@
 DAY_S = 20.0
 EXCHANGE_S = 0.04
 PATIENCE_S = 2.4
+WORKSPACES = tuple(f"w-{number}" for number in range(10))
+STORMING = "w-0"
 
 
 @pytest.fixture
@@ -77,6 +79,7 @@
       in_time: Answers within the objective, by kind.
       late: Later answers.
       refused: Refused requests.
+      refused_by: Refused requests, by workspace.
       left: Callers that gave up without an event.
       retry_after_s: Times after which refused callers may return.
       longest_wait_s: Longest time from an arrival to a refusal.
@@ -86,6 +89,9 @@
     in_time: collections.Counter[str] = attrs.field(factory=collections.Counter)
     late: collections.Counter[str] = attrs.field(factory=collections.Counter)
     refused: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    refused_by: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     left: collections.Counter[str] = attrs.field(factory=collections.Counter)
     retry_after_s: list[float] = attrs.field(factory=list)
     longest_wait_s: float = 0.0
@@ -130,7 +136,7 @@
         1,
         tuple(map(_route, KINDS)),
         {"pool": model.Service("pool", 0, engine)},
-        None,
+        tuple(model.Workspace(name, (f"key-{name}",)) for name in WORKSPACES),
         callers.CallerLimits(),
     )
 
@@ -176,7 +182,7 @@
 
 
 def _admit(
-    gateway: Gateway, name: str, number: int
+    gateway: Gateway, name: str, number: int, workspace: str
 ) -> admission.AdmittedRequest:
     kind = KINDS[name]
     request = http_messages.Request(
@@ -185,6 +191,7 @@
         (
             (b"host", b"h"),
             (b"x-cactusstile-attempt-id", b"%d" % number),
+            (b"x-cactusstile-key", b"key-%s" % workspace.encode()),
             (b"x-cactusstile-model", b"m"),
             (
                 b"x-cactusstile-token-usage",
@@ -246,6 +253,8 @@
         view = await _choose(gateway, admitted, waits=waits)
     except verdict.RefusedError as error:
         results.refused[name] += 1
+        assert admitted.workspace is not None
+        results.refused_by[admitted.workspace.name] += 1
         results.retry_after_s.append(error.refusal.retry_after_s)
         waited_s = anyio.current_time() - started_s
         results.longest_wait_s = max(results.longest_wait_s, waited_s)
@@ -276,9 +285,12 @@
     results: Results,
     *,
     waits: bool,
+    storm_share: float,
+    seed: int,
 ) -> None:
     """Starts the calls of a day at random times."""
-    rng = random.Random(7)
+    rng = random.Random(seed)
+    workspace_rng = random.Random(seed)
     names = list(KINDS)
     rates = [kind.per_s for kind in KINDS.values()]
     started_s = anyio.current_time()
@@ -288,7 +300,10 @@
         number += 1
         name = rng.choices(names, rates)[0]
         gateway = rng.choice(gateways)
-        admitted = _admit(gateway, name, number)
+        workspace = workspace_rng.choice(WORKSPACES)
+        if workspace_rng.random() < storm_share:
+            workspace = STORMING
+        admitted = _admit(gateway, name, number, workspace)
 
         async def call(
             gateway: Gateway = gateway,
@@ -299,8 +314,16 @@
         group.start_soon(call)
 
 
-async def _play(*, waits: bool) -> Results:
-    """Plays a day; without `waits` every request is sent at once."""
+async def _play(
+    *, waits: bool = True, storm_share: float = 0.0, seed: int = 7
+) -> Results:
+    """Plays a day.
+
+    Args:
+      waits: Whether requests may wait; otherwise all are sent at once.
+      storm_share: Share of the requests that one workspace sends in addition.
+      seed: Seed of the arrivals.
+    """
     results = Results()
     gateways = _open_gateways()
     engines = {
@@ -312,7 +335,15 @@
             servers.start_soon(engine.serve)
         servers.start_soon(_exchange, gateways)
         async with anyio.create_task_group() as group:
-            await _arrive(group, gateways, engines, results, waits=waits)
+            await _arrive(
+                group,
+                gateways,
+                engines,
+                results,
+                waits=waits,
+                storm_share=storm_share,
+                seed=seed,
+            )
         servers.cancel_scope.cancel()
     results.preempted = sum(engine.preempted for engine in engines.values())
     return results
@@ -321,7 +352,7 @@
 async def test_waiting_for_memory_serves_more_callers_in_time() -> None:
     """Guards against engines that preempt and prefill prompts repeatedly."""
     before = await _play(waits=False)
-    after = await _play(waits=True)
+    after = await _play()
     for name in KINDS:
         assert after.asked(name) == before.asked(name)
         assert after.in_time[name] >= 0.99 * before.in_time[name]
@@ -331,7 +362,7 @@
 
 
 async def test_callers_without_room_are_refused_early_and_spread() -> None:
-    results = await _play(waits=True)
+    results = await _play()
     assert results.refused["brief"]
     assert not results.refused["tag"]
     brief = KINDS["brief"]
@@ -339,3 +370,11 @@
     assert min(results.retry_after_s) >= return_times.MIN_RETRY_S
     distinct = {round(delay_s, 1) for delay_s in results.retry_after_s}
     assert len(distinct) > 5
+
+
+async def test_storming_workspace_waits_behind_the_others() -> None:
+    """Nine quiet workspaces send as much as the storming one alone."""
+    results = await _play(storm_share=0.45)
+    storming = results.refused_by[STORMING]
+    others = sum(results.refused_by.values()) - storming
+    assert storming > 2 * others
