--- a/src/cactusstile/observability/request_trace.py
+++ b/src/cactusstile/observability/request_trace.py
@@ -28,6 +28,7 @@
     "no_target": "no target of the service was left to try",
     "target_lost": "the last target tried gave no answer that can be used",
     "deadline_exceeded": "the time of the route was over",
+    "overloaded": "no engine had room for the prompt within its wait",
     "shutting_down": "this gateway was stopping and the stream too long",
 }
 ATTEMPT_TEXTS = {
