Send the contents of stores compressed, encoded once, and together

Its heartbeats came too late: leaders were elected at 42.2, 43.7 and 44.6, and each began anew. Long prompts were read without stores meanwhile; 8 of 598 requests of seconds 40 to 42 were in aim.

Tests: one payload for all gateways, below 25 bytes a part; 17 changes are one update.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -164,6 +164,9 @@
             self.apply_targets(listed, "control")
         elif isinstance(item, messages.StoreUpdates):
             self.site.apply_store_updates(item, now_s)
+        elif isinstance(item, messages.CompressedStoreUpdates):
+            updates = messages.decompress_updates(item)
+            self.site.apply_store_updates(updates, now_s)
         elif isinstance(item, messages.GatewayList):
             self.site.gateways = item.members
         elif isinstance(item, messages.Confirmation):
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -246,6 +246,7 @@
     client = clients.Client(pool)
     own_replica = registry.replica
     group.start_soon(registry.feed.run_confirmations)
+    group.start_soon(registry.feed.run_store_updates)
     group.start_soon(members.run, own_replica)
     group.start_soon(_log_leadership, own_replica)
     _start_target_controllers(registry, client, group)
@@ -253,7 +254,7 @@
         client,
         lambda: own_replica.is_leader,
         registry.site.stores,
-        on_change=registry.feed.publish_store_updates,
+        on_change=registry.feed.schedule_store_updates,
         find_oldest_versions=lambda: store_eviction.oldest_versions(
             registry.feed.targets
         ),
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -25,6 +25,8 @@
 # Time between two confirmations by a quorum. A gateway that misses several of
 # them turns to another control process.
 CONFIRMATION_INTERVAL_S = 0.4
+# Time for which changes of several stores are collected.
+STORE_UPDATES_DELAY_S = 0.1
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**32 - 1
 
@@ -96,6 +98,8 @@
         self._configuration = messages.ConfigurationInForce(0, b"")
         self._store_revision = 0
         self._store_updates = messages.StoreUpdates(())
+        self._stores_changed = anyio.Event()
+        self._full_contents: messages.CompressedStoreUpdates | None = None
         self._changed = anyio.Event()
         self._target_list = messages.TargetList(())
         self._encoded = _EncodedItems()
@@ -123,9 +127,25 @@
                 contents.collect_update() for contents in self.contents.values()
             )
         )
+        self._full_contents = None
         self._store_revision += 1
         self.notify_watches()
 
+    def schedule_store_updates(self) -> None:
+        """Publishes changes of the stores soon, together with others.
+
+        After an election the contents of all stores arrive one by one.
+        """
+        self._stores_changed.set()
+
+    async def run_store_updates(self) -> None:
+        """Publishes scheduled changes for as long as the process runs."""
+        while True:
+            await self._stores_changed.wait()
+            await anyio.sleep(STORE_UPDATES_DELAY_S)
+            self._stores_changed = anyio.Event()
+            self.publish_store_updates()
+
     async def run_confirmations(self) -> None:
         """Confirms leadership with a quorum at a fixed interval."""
         was_leader = False
@@ -230,7 +250,9 @@
         if set(members) != set(self._gateway_list.members):
             self._gateway_list = messages.GatewayList(members)
 
-    def _store_updates_since(self, sent_revision: int) -> messages.StoreUpdates:
+    def _store_updates_since(
+        self, sent_revision: int
+    ) -> messages.StoreUpdates | messages.CompressedStoreUpdates:
         """Returns the changes since a revision, or the full contents.
 
         Only the changes of the latest revision are retained, so a watch that
@@ -238,9 +260,17 @@
         """
         if sent_revision == self._store_revision - 1:
             return self._store_updates
-        return messages.StoreUpdates(
-            tuple(contents.full_update() for contents in self.contents.values())
-        )
+        if self._full_contents is None:
+            # All gateways ask for it together after a start of the whole site.
+            self._full_contents = messages.compress_updates(
+                messages.StoreUpdates(
+                    tuple(
+                        contents.full_update()
+                        for contents in self.contents.values()
+                    )
+                )
+            )
+        return self._full_contents
 
     def _build_confirmation(self) -> messages.Confirmation:
         age_s = anyio.current_time() - self.listed_at_s
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cactusstile.sites import documents
 from cactusstile.sites import model
 from cactusstile.transport import address
 from cactusstile.transport import codec
@@ -143,6 +144,14 @@
     stores: tuple[StoreUpdate, ...]
 
 
+@codec.register(517, _SCHEMA, "CompressedStoreUpdates")
+@attrs.frozen
+class CompressedStoreUpdates:
+    """Item: `StoreUpdates` with the full contents; see `compress_updates`."""
+
+    data: bytes
+
+
 @codec.register(514, _SCHEMA, "Confirmation")
 @attrs.frozen
 class Confirmation:
@@ -303,3 +312,21 @@
         weights=weights,
         swapping=listed.swapping,
     )
+
+
+def compress_updates(updates: StoreUpdates) -> CompressedStoreUpdates:
+    """Returns updates in the form for many receivers or slow links."""
+    return CompressedStoreUpdates(documents.compress(codec.encode(updates)))
+
+
+def decompress_updates(item: CompressedStoreUpdates) -> StoreUpdates:
+    """Returns the updates of an item by `compress_updates`.
+
+    Raises:
+      ValueError: The data is malformed.
+      ProtocolError: The data contains no updates.
+    """
+    data = documents.decompress(item.data)
+    updates = codec.decode(codec.number_of(StoreUpdates), data)
+    assert isinstance(updates, StoreUpdates)  # noqa: S101
+    return updates
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -65,6 +65,10 @@
   stores @0 :List(StoreUpdate);
 }
 
+struct CompressedStoreUpdates {
+  data @0 :Data;
+}
+
 struct TargetLoad {
   id @0 :Text;
   inflight @1 :UInt32;
--- a/tests/registry/test_feed.py
+++ b/tests/registry/test_feed.py
@@ -46,6 +46,8 @@
 
     async def send(self, item: object, payload: bytes | None = None) -> None:
         del payload
+        if isinstance(item, messages.CompressedStoreUpdates):
+            item = messages.decompress_updates(item)
         if not isinstance(item, messages.StoreUpdates):
             return
         for update in item.stores:
@@ -81,3 +83,77 @@
         await anyio.sleep(0.05)
         group.cancel_scope.cancel()
     assert not gateway.tokens_by_part.get("p")
+
+
+class StartingGateway:
+    """Gateway that has just started; remembers the payloads it was sent."""
+
+    def __init__(self, name: str) -> None:
+        self.peer = typing.cast("typing.Any", type("Peer", (), {"name": name}))
+        self.payloads: list[bytes | None] = []
+
+    async def send(self, item: object, payload: bytes | None = None) -> None:
+        if isinstance(item, messages.CompressedStoreUpdates):
+            self.payloads.append(payload)
+
+
+async def test_full_contents_are_encoded_once_and_small() -> None:
+    """Guards against a leader that is busy with the starts of all gateways.
+
+    It would send no heartbeats meanwhile and lose its leadership.
+    """
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader())
+    )
+    contents = store_contents.StoreContents("a")
+    parts = tuple(
+        model.KeptPart("shared/model/1", f"{number * 7919:08x}", 500)
+        for number in range(4000)
+    )
+    contents.replace_parts(stores.Contents(7, 1, parts))
+    contents.apply_events(stores.Events(7, 2, False, 1000.0, ()))
+    feed.contents["a"] = contents
+    feed.publish_store_updates()
+    feed.publish_store_updates()
+    gateways = [StartingGateway(f"g-{number}") for number in range(3)]
+    async with anyio.create_task_group() as group:
+        for number, gateway in enumerate(gateways):
+            member = messages.GatewayMember(f"127.0.0.1:{number}", "d", 5.0)
+            responder = typing.cast("incoming.Responder", gateway)
+            watch = messages.Watch(-1, member)
+            group.start_soon(feed.serve_watch, responder, watch)
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    payloads = [gateway.payloads for gateway in gateways]
+    assert [len(sent) for sent in payloads] == [1, 1, 1]
+    first = payloads[0][0]
+    assert first is not None
+    assert all(sent[0] is first for sent in payloads)
+    assert len(first) < 25 * len(parts)
+
+
+async def test_changes_of_several_stores_are_published_together() -> None:
+    """Guards against one update for each store, to every gateway."""
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader())
+    )
+    gateway = SlowGateway(feed)
+    contents = store_contents.StoreContents("a")
+    contents.replace_parts(stores.Contents(7, 1, (PART,)))
+    contents.apply_events(stores.Events(7, 2, False, 1000.0, ()))
+    feed.contents["a"] = contents
+    member = messages.GatewayMember("127.0.0.1:1", "d", 5.0)
+    responder = typing.cast("incoming.Responder", gateway)
+    async with anyio.create_task_group() as group:
+        group.start_soon(feed.run_store_updates)
+        group.start_soon(
+            feed.serve_watch, responder, messages.Watch(-1, member)
+        )
+        for _ in range(17):
+            feed.schedule_store_updates()
+            await anyio.lowlevel.checkpoint()
+        await anyio.sleep(2 * feeds.STORE_UPDATES_DELAY_S)
+        group.cancel_scope.cancel()
+    # One with the watch's start, one for the changes, one for the retired part
+    # of `SlowGateway`.
+    assert gateway.update_count == 3
