--- a/src/cactusstile/gateway/load_sharing.py
+++ b/src/cactusstile/gateway/load_sharing.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from cactusstile.gateway import load_channel
 from cactusstile.gateway import load_relays
 from cactusstile.gateway import load_table
 from cactusstile.gateway import prompts as prompt_parts
@@ -28,8 +29,6 @@
 if typing.TYPE_CHECKING:
     from cactusstile.gateway import load_datagrams
 
-# Time after which an unchanged load is sent again, since datagrams may be lost.
-REPEAT_INTERVAL_S = 0.4
 # Silence after which a gateway reports to another relay: longer than a relay
 # that repeats an unchanged load is silent.
 RELAY_SILENCE_S = 0.6
@@ -37,11 +36,6 @@
 RELAY_RETRY_S = 5.0
 # Reports that are remembered until a relay has included them.
 MAX_SENT_REPORTS = 64
-# Limits of the prompts that are queued for the next datagram, and of the size
-# of each: the maximum size of a datagram is 64 KiB.
-MAX_QUEUED_BYTES = 40_000
-MAX_PROMPT_BYTES = 1000
-_BYTES_PER_PART = 32
 
 
 @attrs.frozen
@@ -65,63 +59,6 @@
     received_at_s: float
 
 
-@attrs.define
-class _PromptQueue:
-    """Announcements for the next datagram; the oldest are dropped if full."""
-
-    prompts: collections.deque[messages.SentPrompt] = attrs.field(
-        factory=collections.deque
-    )
-    size_bytes: int = 0
-
-    def add(self, prompt: messages.SentPrompt) -> None:
-        self.prompts.append(prompt)
-        self.size_bytes += prompt_bytes(prompt)
-        while self.size_bytes > MAX_QUEUED_BYTES:
-            self.size_bytes -= prompt_bytes(self.prompts.popleft())
-
-    def take(self) -> tuple[messages.SentPrompt, ...]:
-        taken = tuple(self.prompts)
-        self.prompts.clear()
-        self.size_bytes = 0
-        return taken
-
-
-@attrs.define
-class _Channel:
-    """What was last sent to one group of receivers.
-
-    Attributes:
-      prompts: Announcements for the next message.
-      loads: Loads of the last message.
-      sent_at_s: Loop time of the last message.
-    """
-
-    prompts: _PromptQueue = attrs.field(factory=_PromptQueue)
-    loads: load_table.Loads = attrs.field(factory=dict)
-    sent_at_s: float = float("-inf")
-
-    def is_due(self, loads: load_table.Loads, now_s: float) -> bool:
-        """Returns whether there is something new, or a repeat is due."""
-        if self.prompts.prompts or loads != self.loads:
-            return True
-        return now_s - self.sent_at_s >= REPEAT_INTERVAL_S
-
-    def record(
-        self, loads: load_table.Loads, now_s: float
-    ) -> tuple[messages.SentPrompt, ...]:
-        """Records a message; returns the announcements that belong to it."""
-        self.loads = loads
-        self.sent_at_s = now_s
-        return self.prompts.take()
-
-
-def prompt_bytes(prompt: messages.SentPrompt) -> int:
-    """Returns the approximate size of an announcement in bytes."""
-    parts = sum(len(part.id) + _BYTES_PER_PART for part in prompt.parts)
-    return len(prompt.target) + len(prompt.salt) + parts
-
-
 class LoadSharing:
     """State of one gateway's exchange of loads.
 
@@ -151,8 +88,8 @@
         self._sent_reports: collections.OrderedDict[int, load_table.Loads] = (
             collections.OrderedDict()
         )
-        self._to_relays = _Channel()
-        self._to_reporters = _Channel()
+        self._to_relays = load_channel.Channel()
+        self._to_reporters = load_channel.Channel()
 
     @property
     def is_relay(self) -> bool:
@@ -186,7 +123,10 @@
             messages.SentPart(part.id, part.tokens) for part in prompt.parts
         )
         sent = messages.SentPrompt(target, salt, parts)
-        if not parts or prompt_bytes(sent) > MAX_PROMPT_BYTES:
+        if (
+            not parts
+            or load_channel.prompt_bytes(sent) > load_channel.MAX_PROMPT_BYTES
+        ):
             return
         self._to_relays.prompts.add(sent)
         if self.reporters:
