Tell gateways each other's observed fetches

Change: gateways announce what each fetch added with their loads, and all apply it; short fetches count less, as other delays outweigh theirs. Test: of 70 gateways all learn of a slow store from four fetches.

Ruled out: one estimate for all stores, as half of them were not slow.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -198,6 +198,7 @@
         gateway.settings.secret.encode(),
     )
     gateway.forwarder.announce_prompt = sharing.queue_prompt
+    gateway.forwarder.announce_fetch = sharing.queue_fetch
     group.start_soon(loads_exchange.run)
 
 
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -21,6 +21,7 @@
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
 from cactusstile.platform import headers
+from cactusstile.sites import messages
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
@@ -256,8 +257,11 @@
         admitted: admission.AdmittedRequest,
         dispatch: exchange.Dispatch,
         work: exchange.Work,
-    ) -> None:
-        """Updates the cost estimates from an engine's time to first event."""
+    ) -> messages.ObservedFetch | None:
+        """Updates the cost estimates from an engine's time to first event.
+
+        Returns what other gateways should know of a fetch.
+        """
         now_s = anyio.current_time()
         sample = fetch_costs.FirstEvent(
             admitted.route.name, work.cost_tokens, now_s - work.started_s
@@ -265,9 +269,9 @@
         costs = self.site.stored.costs
         if not work.fetched_tokens:
             costs.record_prefill(sample)
-            return
+            return None
         source, _ = dispatch.transfers.main_source()
-        costs.record_fetch(source, work.fetched_tokens, sample, now_s)
+        return costs.record_fetch(source, work.fetched_tokens, sample, now_s)
 
     def record_failure(
         self, view: target_view.TargetView, error: exchange.AttemptError
--- a/src/cactusstile/gateway/fetch_costs.py
+++ b/src/cactusstile/gateway/fetch_costs.py
@@ -3,20 +3,27 @@
 Handles links that become slow. What a fetch adds to the time to the first event
 is compared with the time in which the route's other prompts are prefilled, so
 that busy engines are not taken for slow links. A source that is slower than
-prefill is not used until its estimate has decayed.
+prefill is not used until its estimate has decayed. Gateways tell each other
+what they observe: in a large site each of them alone sees too few fetches.
 """
 
 from __future__ import annotations
 
 import attrs
 
+from cactusstile.sites import messages
+
 # Assumed prefill time before the first observation of a route.
 INITIAL_PREFILL_S_PER_TOKEN = 1 / 40_000
 # Weights of the newest observation in the moving averages.
 PREFILL_EWMA_WEIGHT = 0.1
 FETCH_EWMA_WEIGHT = 0.3
-# Shorter prompts or fetches give no usable observation.
+# Shorter prompts give no usable observation.
 MIN_SAMPLE_TOKENS = 500
+# Shorter fetches give none either; up to the second length they count less,
+# since other delays outweigh theirs.
+MIN_FETCHED_TOKENS = 100
+FULL_WEIGHT_TOKENS = 4000
 # Half-life of a fetch estimate; its decay makes a slow source be retried.
 HALF_LIFE_S = 1.0
 # Fetches may be this much slower than prefill, since prefill also delays other
@@ -77,26 +84,43 @@
 
     def record_fetch(
         self, source: str, fetched_tokens: int, sample: FirstEvent, now_s: float
-    ) -> None:
-        """Records a request that fetched tokens from a store or engine."""
-        if fetched_tokens < MIN_SAMPLE_TOKENS:
-            return
+    ) -> messages.ObservedFetch | None:
+        """Records a request that fetched tokens from a store or engine.
+
+        Returns:
+          The observation, for other gateways; None if the fetch was too short
+          for one.
+        """
+        if fetched_tokens < MIN_FETCHED_TOKENS:
+            return None
         s_per_token = self.prefill_s_per_token.get(
             sample.route, INITIAL_PREFILL_S_PER_TOKEN
         )
         total_tokens = sample.elapsed_s / s_per_token
         excess_tokens = max(0.0, total_tokens - sample.cost_tokens)
-        observed = excess_tokens / fetched_tokens
-        estimate = self.sources.get(source)
+        observed = messages.ObservedFetch(
+            source, fetched_tokens, excess_tokens / fetched_tokens
+        )
+        self.apply(observed, now_s)
+        return observed
+
+    def apply(self, observed: messages.ObservedFetch, now_s: float) -> None:
+        """Updates the estimate of a source from an observed fetch."""
+        estimate = self.sources.get(observed.source)
         before = 0.0 if estimate is None else estimate.now(now_s)
-        after = before + FETCH_EWMA_WEIGHT * (observed - before)
-        self.sources[source] = _Estimate(after, now_s)
+        weight = FETCH_EWMA_WEIGHT * min(
+            1.0, observed.tokens / FULL_WEIGHT_TOKENS
+        )
+        after = before + weight * (observed.ratio - before)
+        self.sources[observed.source] = _Estimate(after, now_s)
 
     def is_worthwhile(self, source: str, now_s: float) -> bool:
         """Returns whether fetches from a store or engine are fast enough.
 
         >>> costs = FetchCosts({"r": 1e-5})
-        >>> costs.record_fetch("s", 1000, FirstEvent("r", 0, 1.0), now_s=0.0)
+        >>> fetch = FirstEvent("r", cost_tokens=0, elapsed_s=1.0)
+        >>> round(costs.record_fetch("s", 1000, fetch, now_s=0.0).ratio)
+        100
         >>> costs.is_worthwhile("s", now_s=0.1)
         False
         >>> costs.is_worthwhile("s", now_s=9.0)
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import arrival
 from cactusstile.gateway import backups
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
@@ -26,16 +27,18 @@
 from cactusstile.http import responder as responders
 from cactusstile.http import targets
 from cactusstile.platform import headers
+from cactusstile.sites import messages as site_messages
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     Record = collections.abc.Callable[[records.RequestRecord], None]
+    AnnounceFetch = collections.abc.Callable[
+        [site_messages.ObservedFetch], None
+    ]
     AnnouncePrompt = collections.abc.Callable[[str, str, prompts.Prompt], None]
 
-# Delay after which a caller may retry while this gateway has no configuration.
-UNCONFIGURED_RETRY_AFTER_S = 1.0
 # Delay after which a caller may retry when this gateway stops; short, since any
 # other gateway can serve the request.
 STOPPING_RETRY_AFTER_S = 0.01
@@ -54,6 +57,7 @@
       pace: Estimated duration of streams.
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
+      announce_fetch: Announces to other gateways how long a fetch took.
       stop_at_s: Loop time at which the process stops; None unless it is
         stopping.
     """
@@ -75,6 +79,7 @@
         self.queue = engine_queue.EngineQueue(self.dispatcher)
         self.pace = stream_pace.StreamPace()
         self.announce_prompt: AnnouncePrompt = lambda *_: None
+        self.announce_fetch: AnnounceFetch = lambda _: None
         self.stop_at_s: float | None = None
 
     async def handle(
@@ -86,7 +91,7 @@
             received_s=request.received_s,
         )
         try:
-            admitted = await self._admit(request)
+            admitted = await arrival.admit_when_ready(self.site, request)
             record.set_admitted(admitted)
             self.dispatcher.sessions.add(admitted.route.name, admitted.prompt)
             self._refuse_if_outlasting_stop(admitted)
@@ -102,45 +107,6 @@
             record.close(responder, anyio.current_time())
             self.record(record)
 
-    async def _admit(
-        self, request: messages.Request
-    ) -> admission.AdmittedRequest:
-        """Admits a request; waits for the first configuration if necessary.
-
-        After a power loss all gateways start at the same time and receive the
-        configuration about one second later. An immediate refusal would cost
-        callers their retry while no other gateway could serve it.
-        """
-        if self.site.table is None:
-            configuration_wait_s = admission.configuration_wait_s(request)
-            with anyio.move_on_after(configuration_wait_s):
-                await self.site.configured.wait()
-        if self.site.table is None:
-            raise verdict.refuse(
-                verdict.Reason.STALE_CONFIGURATION,
-                "no configuration is known yet",
-                retry_after_s=UNCONFIGURED_RETRY_AFTER_S,
-            )
-        admitted = admission.admit(self.site.table, request)
-        await self._wait_for_stores(admitted)
-        return admitted
-
-    async def _wait_for_stores(
-        self, admitted: admission.AdmittedRequest
-    ) -> None:
-        """Delays a long prompt until the contents of the stores are known."""
-        are_contents_known = (
-            self.site.stores_known.is_set() or not self.site.stores()
-        )
-        wait_s = admission.stores_wait_s(
-            admitted.prompt.tokens,
-            anyio.current_time() - self.site.configured_s,
-            are_contents_known=are_contents_known,
-        )
-        if wait_s > 0:
-            with anyio.move_on_after(wait_s):
-                await self.site.stores_known.wait()
-
     def _refuse_if_outlasting_stop(
         self, admitted: admission.AdmittedRequest
     ) -> None:
@@ -314,7 +280,7 @@
                 view.record_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
-                    self.dispatcher.record_first_event(admitted, dispatch, work)
+                    self._record_first_event(admitted, dispatch, work)
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
                     await relay.feed(opened)
@@ -328,6 +294,17 @@
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay.responder)
 
+    def _record_first_event(
+        self,
+        admitted: admission.AdmittedRequest,
+        dispatch: exchange.Dispatch,
+        work: exchange.Work,
+    ) -> None:
+        """Records the first event of a stream."""
+        observed = self.dispatcher.record_first_event(admitted, dispatch, work)
+        if observed is not None:
+            self.announce_fetch(observed)
+
     def _record_stream_end(
         self, admitted: admission.AdmittedRequest, work: exchange.Work
     ) -> None:
--- a/src/cactusstile/gateway/load_channel.py
+++ b/src/cactusstile/gateway/load_channel.py
@@ -15,6 +15,7 @@
 # of each: the maximum size of a datagram is 64 KiB.
 MAX_QUEUED_BYTES = 40_000
 MAX_PROMPT_BYTES = 1000
+MAX_QUEUED_FETCHES = 200
 _BYTES_PER_PART = 32
 
 
@@ -53,30 +54,47 @@
         return taken
 
 
+@attrs.frozen
+class Announcements:
+    """What gateways announce besides their loads.
+
+    Attributes:
+      prompts: Prompts that were sent to engines.
+      fetches: Observed fetches.
+    """
+
+    prompts: tuple[messages.SentPrompt, ...] = ()
+    fetches: tuple[messages.ObservedFetch, ...] = ()
+
+
 @attrs.define
 class Channel:
     """What was last sent to one group of receivers.
 
     Attributes:
-      prompts: Announcements for the next message.
+      prompts: Prompts to announce with the next message.
+      fetches: Fetches to announce with it; the oldest are dropped if full.
       loads: Loads of the last message.
       sent_at_s: Loop time of the last message.
     """
 
     prompts: PromptQueue = attrs.field(factory=PromptQueue)
+    fetches: collections.deque[messages.ObservedFetch] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_QUEUED_FETCHES)
+    )
     loads: load_table.Loads = attrs.field(factory=dict)
     sent_at_s: float = float("-inf")
 
     def is_due(self, loads: load_table.Loads, now_s: float) -> bool:
         """Returns whether there is something new, or a repeat is due."""
-        if self.prompts.prompts or loads != self.loads:
+        if self.prompts.prompts or self.fetches or loads != self.loads:
             return True
         return now_s - self.sent_at_s >= REPEAT_INTERVAL_S
 
-    def record(
-        self, loads: load_table.Loads, now_s: float
-    ) -> tuple[messages.SentPrompt, ...]:
+    def record(self, loads: load_table.Loads, now_s: float) -> Announcements:
         """Records a message; returns the announcements that belong to it."""
         self.loads = loads
         self.sent_at_s = now_s
-        return self.prompts.take()
+        fetches = tuple(self.fetches)
+        self.fetches.clear()
+        return Announcements(self.prompts.take(), fetches)
--- a/src/cactusstile/gateway/load_sharing.py
+++ b/src/cactusstile/gateway/load_sharing.py
@@ -4,8 +4,9 @@
 of targets, too late, and several of many gateways would choose the same idle
 engine. Gateways also announce which engine they sent a prompt to, so that a
 prompt with the same prefix at another gateway is placed on the engine that
-caches it. Messages may be lost: the next one replaces the load, and a prompt
-whose announcement was lost is recomputed.
+caches it, and how long their fetches took, so that a slow source is known to
+all after a few. Messages may be lost: the next one replaces the load, and a
+prompt whose announcement was lost is recomputed.
 
 The module does no I/O; see `load_relays` for who is a relay.
 """
@@ -132,6 +133,12 @@
         if self.reporters:
             self._to_reporters.prompts.add(sent)
 
+    def queue_fetch(self, observed: messages.ObservedFetch) -> None:
+        """Queues an observed fetch for the next datagram."""
+        self._to_relays.fetches.append(observed)
+        if self.reporters:
+            self._to_reporters.fetches.append(observed)
+
     def collect(self, now_s: float) -> list[Outgoing]:
         """Returns the messages that are due."""
         self._update_topology(now_s)
@@ -163,12 +170,18 @@
         else:
             sender = message.relay
         self.site.targets.peer_loads.replace(sender, loads, now_s)
+        self._apply_announcements(message, now_s)
+        if isinstance(message, messages.GatewayLoad):
+            _forward(message, self._to_relays)
+        if self.reporters:
+            _forward(message, self._to_reporters)
+
+    def _apply_announcements(
+        self, message: load_datagrams.Message, now_s: float
+    ) -> None:
         self.site.targets.record_peer_prompts(message.prompts)
-        for prompt in message.prompts:
-            if self.reporters:
-                self._to_reporters.prompts.add(prompt)
-            if isinstance(message, messages.GatewayLoad):
-                self._to_relays.prompts.add(prompt)
+        for observed in message.fetches:
+            self.site.stored.costs.apply(observed, now_s)
 
     def own_loads(self) -> dict[str, load_table.Load]:
         """Returns this gateway's load on each target with open requests."""
@@ -225,13 +238,17 @@
         """Returns this gateway's report to its relay, if it is due."""
         if not self._to_relays.is_due(own_loads, now_s):
             return []
-        prompts = self._to_relays.record(own_loads, now_s)
+        announced = self._to_relays.record(own_loads, now_s)
         self._sequence += 1
         self._sent_reports[self._sequence] = own_loads
         if len(self._sent_reports) > MAX_SENT_REPORTS:
             self._sent_reports.popitem(last=False)
         message = messages.GatewayLoad(
-            self.own.address, self._sequence, _encode_loads(own_loads), prompts
+            self.own.address,
+            self._sequence,
+            _encode_loads(own_loads),
+            announced.prompts,
+            announced.fetches,
         )
         return [Outgoing(message, (self.relay,))]
 
@@ -242,9 +259,12 @@
         loads = load_table.add(self._reported.totals, own_loads)
         if not self._to_relays.is_due(loads, now_s):
             return []
-        prompts = self._to_relays.record(loads, now_s)
+        announced = self._to_relays.record(loads, now_s)
         message = messages.RelayedLoad(
-            self.own.address, _encode_loads(loads), prompts
+            self.own.address,
+            _encode_loads(loads),
+            announced.prompts,
+            announced.fetches,
         )
         receivers = tuple(
             relay
@@ -263,13 +283,17 @@
         loads = load_table.add(totals, own_loads)
         if not self._to_reporters.is_due(loads, now_s):
             return []
-        prompts = self._to_reporters.record(loads, now_s)
+        announced = self._to_reporters.record(loads, now_s)
         included = tuple(
             messages.IncludedReport(gateway, reporter.sequence)
             for gateway, reporter in self.reporters.items()
         )
         message = messages.SiteLoad(
-            self.own.address, _encode_loads(loads), included, prompts
+            self.own.address,
+            _encode_loads(loads),
+            included,
+            announced.prompts,
+            announced.fetches,
         )
         return [Outgoing(message, tuple(self.reporters))]
 
@@ -286,7 +310,16 @@
         table = self.site.targets.peer_loads
         table.clear()
         table.replace(message.relay, loads, now_s)
-        self.site.targets.record_peer_prompts(message.prompts)
+        self._apply_announcements(message, now_s)
+
+
+def _forward(
+    message: load_datagrams.Message, channel: load_channel.Channel
+) -> None:
+    """Queues the announcements of a message on a channel."""
+    for prompt in message.prompts:
+        channel.prompts.add(prompt)
+    channel.fetches.extend(message.fetches)
 
 
 def _encode_loads(loads: load_table.Loads) -> tuple[messages.TargetLoad, ...]:
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -209,6 +209,22 @@
     parts: tuple[SentPart, ...]
 
 
+@codec.register(0, _SCHEMA, "ObservedFetch")
+@attrs.frozen
+class ObservedFetch:
+    """What a fetch of KV cache added to the time to the first event.
+
+    Attributes:
+      source: Address of the store or engine.
+      tokens: Number of fetched tokens.
+      ratio: Added time, relative to the time to prefill these tokens.
+    """
+
+    source: str
+    tokens: int
+    ratio: float
+
+
 @codec.register(520, _SCHEMA, "GatewayLoad")
 @attrs.frozen
 class GatewayLoad:
@@ -221,12 +237,14 @@
       sequence: Number of the report, by which the answer refers to it.
       targets: Load on each target.
       prompts: Prompts that the gateway sent since its last datagram.
+      fetches: Fetches that it observed since then.
     """
 
     gateway: str
     sequence: int
     targets: tuple[TargetLoad, ...]
     prompts: tuple[SentPrompt, ...]
+    fetches: tuple[ObservedFetch, ...]
 
 
 @codec.register(521, _SCHEMA, "RelayedLoad")
@@ -238,11 +256,13 @@
       relay: Address of the relay.
       targets: Load on each target.
       prompts: Prompts that these gateways sent since the last datagram.
+      fetches: Fetches that they observed since then.
     """
 
     relay: str
     targets: tuple[TargetLoad, ...]
     prompts: tuple[SentPrompt, ...]
+    fetches: tuple[ObservedFetch, ...]
 
 
 @codec.register(0, _SCHEMA, "IncludedReport")
@@ -264,12 +284,14 @@
       targets: Load of all gateways on each target.
       included: Reports that this sum includes.
       prompts: Prompts that gateways sent since the last datagram.
+      fetches: Fetches that gateways observed since then.
     """
 
     relay: str
     targets: tuple[TargetLoad, ...]
     included: tuple[IncludedReport, ...]
     prompts: tuple[SentPrompt, ...]
+    fetches: tuple[ObservedFetch, ...]
 
 
 def encode_target(target: model.Target) -> ListedTarget:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -87,17 +87,25 @@
   parts @2 :List(SentPart);
 }
 
+struct ObservedFetch {
+  source @0 :Text;
+  tokens @1 :UInt32;
+  ratio @2 :Float64;
+}
+
 struct GatewayLoad {
   gateway @0 :Text;
   sequence @1 :UInt64;
   targets @2 :List(TargetLoad);
   prompts @3 :List(SentPrompt);
+  fetches @4 :List(ObservedFetch);
 }
 
 struct RelayedLoad {
   relay @0 :Text;
   targets @1 :List(TargetLoad);
   prompts @2 :List(SentPrompt);
+  fetches @3 :List(ObservedFetch);
 }
 
 struct IncludedReport {
@@ -110,6 +118,7 @@
   targets @1 :List(TargetLoad);
   included @2 :List(IncludedReport);
   prompts @3 :List(SentPrompt);
+  fetches @4 :List(ObservedFetch);
 }
 
 struct Confirmation {
--- a/tests/gateway/test_load_sharing.py
+++ b/tests/gateway/test_load_sharing.py
@@ -202,6 +202,25 @@
         assert cached.prefix_tokens("salt", prompt) == 9000
 
 
+def test_slow_store_is_avoided_by_all_after_a_few_fetches() -> None:
+    """Each of many gateways alone sees a fetch from a store now and then."""
+    fleet = _open_fleet(70)
+    fleet.run_rounds(2 * HOPS)
+    for number, gateway in enumerate(list(fleet.gateways.values())[::10]):
+        for source, ratio in (("slow", 4.0), ("quick", 0.2)):
+            gateway.queue_fetch(messages.ObservedFetch(source, 7500, ratio))
+        if number >= 3:
+            break
+    fleet.run_rounds(HOPS)
+    avoiding = 0
+    for gateway in fleet.gateways.values():
+        costs = gateway.site.stored.costs
+        assert costs.is_worthwhile("quick", fleet.now_s)
+        avoiding += not costs.is_worthwhile("slow", fleet.now_s)
+    # Those that observed it apply their own observation themselves.
+    assert avoiding >= len(fleet.gateways) - 4
+
+
 def test_relays_are_the_gateways_with_the_fastest_links() -> None:
     fleet = _open_fleet(70, fast=6)
     fleet.run_rounds(1)
