Begin a round of the load exchange when a load changes

Cause: every gateway woke 50 times a second to see whether it had something to tell, and relays woke all others as often.

Change: a round begins at once when a load changes or a report arrives, at the earliest 20 ms (relays) and 10 ms (others) after the last; idle gateways wake every 0.4 s. Relays tell those who report to them at most every 40 ms.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -199,6 +199,7 @@
     )
     gateway.forwarder.announce_prompt = sharing.queue_prompt
     gateway.forwarder.announce_fetch = sharing.queue_fetch
+    gateway.forwarder.announce_load = sharing.announce_load
     group.start_soon(loads_exchange.run)
 
 
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -34,6 +34,7 @@
     import collections.abc
 
     Record = collections.abc.Callable[[records.RequestRecord], None]
+    AnnounceLoad = collections.abc.Callable[[], None]
     AnnounceFetch = collections.abc.Callable[
         [site_messages.ObservedFetch], None
     ]
@@ -58,6 +59,7 @@
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
       announce_fetch: Announces to other gateways how long a fetch took.
+      announce_load: Tells other gateways that the load of a target changed.
       stop_at_s: Loop time at which the process stops; None unless it is
         stopping.
     """
@@ -80,6 +82,7 @@
         self.pace = stream_pace.StreamPace()
         self.announce_prompt: AnnouncePrompt = lambda *_: None
         self.announce_fetch: AnnounceFetch = lambda _: None
+        self.announce_load: AnnounceLoad = lambda: None
         self.stop_at_s: float | None = None
 
     async def handle(
@@ -283,6 +286,7 @@
                     self._record_first_event(admitted, dispatch, work)
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
+                    self.announce_load()
                     await relay.feed(opened)
                     self._record_stream_end(admitted, work)
             view.record_success()
@@ -349,6 +353,7 @@
         view.tokens += work.memory_tokens
         if backup is not None:
             backup.view.tokens += backup.tokens
+        self.announce_load()
         try:
             yield
         finally:
@@ -357,6 +362,7 @@
             view.unread_tokens -= work.unread_tokens
             if backup is not None:
                 backup.view.tokens -= backup.tokens
+            self.announce_load()
             self.queue.times.record_end(
                 work.memory_tokens, anyio.current_time()
             )
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -7,12 +7,16 @@
 import anyio
 import anyio.abc
 
+from cactusstile.gateway import load_channel
 from cactusstile.gateway import load_datagrams
 from cactusstile.gateway import load_sharing
 from cactusstile.transport import address
 
 logger = logging.getLogger(__name__)
 
+# Shortest time between two reports to a relay.
+REPORT_INTERVAL_S = 0.01
+# Shortest time between two rounds of a relay.
 SEND_INTERVAL_S = 0.02
 # The interval grows with the number of gateways that a relay exchanges loads
 # with, which bounds the datagrams that it handles per second.
@@ -24,7 +28,7 @@
 
 
 def send_interval_s(peers: int, sent_bytes: int, link_mbps: float) -> float:
-    """Returns the time between two rounds of datagrams.
+    """Returns the shortest time between two rounds of a relay.
 
     Args:
       peers: Number of gateways that a relay exchanges loads with.
@@ -66,6 +70,7 @@
         self.sharing = sharing
         self.own_address = own_address
         self.secret = secret
+        self._last_round_s = float("-inf")
 
     async def run(self) -> None:
         """Exchanges loads for as long as the process runs."""
@@ -82,16 +87,33 @@
     async def _send(self, socket: anyio.abc.UDPSocket) -> None:
         sent_bytes = 0
         while True:
-            link_mbps = self.sharing.own.link_mbps
-            peers = self.sharing.peer_count()
-            await anyio.sleep(send_interval_s(peers, sent_bytes, link_mbps))
+            await self._wait_for_round(sent_bytes)
             sent_bytes = 0
-            for outgoing in self.sharing.collect(anyio.current_time()):
+            self._last_round_s = anyio.current_time()
+            for outgoing in self.sharing.collect(self._last_round_s):
                 data = load_datagrams.encode(self.secret, outgoing.message)
                 for receiver in outgoing.receivers:
                     await self._send_to(socket, data, address.parse(receiver))
                 sent_bytes += len(data) * len(outgoing.receivers)
 
+    async def _wait_for_round(self, sent_bytes: int) -> None:
+        """Waits until there is something new, or a repeat is due.
+
+        A change is sent at once unless the last round was just before.
+        """
+        with anyio.move_on_after(load_channel.REPEAT_INTERVAL_S):
+            await self.sharing.changed.wait()
+        interval_s = REPORT_INTERVAL_S
+        if self.sharing.is_relay:
+            interval_s = send_interval_s(
+                self.sharing.peer_count(),
+                sent_bytes,
+                self.sharing.own.link_mbps,
+            )
+        since_s = anyio.current_time() - self._last_round_s
+        if since_s < interval_s:
+            await anyio.sleep(interval_s - since_s)
+
     async def _send_to(
         self,
         socket: anyio.abc.UDPSocket,
--- a/src/cactusstile/gateway/load_sharing.py
+++ b/src/cactusstile/gateway/load_sharing.py
@@ -17,6 +17,7 @@
 import math
 import typing
 
+import anyio
 import attrs
 
 from cactusstile.gateway import load_channel
@@ -30,6 +31,9 @@
 if typing.TYPE_CHECKING:
     from cactusstile.gateway import load_datagrams
 
+# Shortest time between two messages to the gateways that report to a relay.
+# Each wakes all of them, whether or not they have a prompt to place.
+SITE_INTERVAL_S = 0.04
 # Silence after which a gateway reports to another relay: longer than a relay
 # that repeats an unchanged load is silent.
 RELAY_SILENCE_S = 0.6
@@ -69,6 +73,7 @@
       topology: Relays of the gateways that `site` lists.
       relay: Relay that this gateway reports to; empty if it is a relay.
       reporters: Gateways that report to this relay, by address.
+      changed: Set once there is something new to tell.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         self.topology = load_relays.Topology()
         self.relay = ""
         self.reporters: dict[str, _Reporter] = {}
+        self.changed = anyio.Event()
         self._members: tuple[messages.GatewayMember, ...] | None = None
         self._preferred_relays: tuple[str, ...] = ()
         self._reported = load_table.LoadTable()
@@ -109,6 +115,10 @@
         others = len(self._members or ()) - relays
         return relays - 1 + math.ceil(others / relays)
 
+    def announce_load(self) -> None:
+        """Lets the next round begin at once, as a load has changed."""
+        self.changed.set()
+
     def has_prompts(self) -> bool:
         """Returns whether announcements wait for the next datagram."""
         return bool(self._to_relays.prompts.prompts)
@@ -141,6 +151,7 @@
 
     def collect(self, now_s: float) -> list[Outgoing]:
         """Returns the messages that are due."""
+        self.changed = anyio.Event()
         self._update_topology(now_s)
         oldest_s = now_s - target_view.PEER_REPORT_MAX_AGE_S
         self.site.targets.peer_loads.expire(oldest_s)
@@ -167,6 +178,7 @@
             sender = message.gateway
             self.reporters[sender] = _Reporter(message.sequence, now_s)
             self._reported.replace(sender, loads, now_s)
+            self.changed.set()
         else:
             sender = message.relay
         self.site.targets.peer_loads.replace(sender, loads, now_s)
@@ -283,6 +295,9 @@
         loads = load_table.add(totals, own_loads)
         if not self._to_reporters.is_due(loads, now_s):
             return []
+        if now_s - self._to_reporters.sent_at_s < SITE_INTERVAL_S:
+            self.changed.set()
+            return []
         announced = self._to_reporters.record(loads, now_s)
         included = tuple(
             messages.IncludedReport(gateway, reporter.sequence)
