Pace the contents of stores that a leader sends to all gateways

The new test starts 70 gateways on 6,000 parts.

Ruled out: a longer election timeout, which callers would feel at each loss of a leader.

--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -195,7 +195,7 @@
                 config, site, notices.for_group(GROUP, config.address)
             )
         )
-        feed = feeds.Feed(site, own_replica)
+        feed = feeds.Feed(site, own_replica, settings.link_mbps)
         site.observer = feed.notify_watches
         registry = Registry(settings, site, own_replica, feed, connections)
         handlers = _build_handlers(feed, own_replica)
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -9,6 +9,7 @@
 
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
+from cactusstile.limits import token_bucket
 from cactusstile.registry import store_contents
 from cactusstile.sites import messages
 from cactusstile.transport import codec
@@ -27,6 +28,12 @@
 CONFIRMATION_INTERVAL_S = 0.4
 # Time for which changes of several stores are collected.
 STORE_UPDATES_DELAY_S = 0.1
+DEFAULT_LINK_MBPS = 1000.0
+# Fraction of the VM's link that full contents of stores may take. Heartbeats
+# queue behind them, so their bursts stay well below an election timeout.
+CONTENTS_LINK_FRACTION = 0.4
+CONTENTS_BURST_S = 0.8
+_BYTES_PER_MBIT = 125_000
 _MS_PER_S = 1000
 _MAX_AGE_MS = 2**32 - 1
 
@@ -82,9 +89,18 @@
     """
 
     def __init__(
-        self, site: state.SiteState, own_replica: replica.Replica
+        self,
+        site: state.SiteState,
+        own_replica: replica.Replica,
+        link_mbps: float = DEFAULT_LINK_MBPS,
     ) -> None:
-        """Serves watches of `site` while `own_replica` is the leader."""
+        """Serves watches of `site` while `own_replica` is the leader.
+
+        Args:
+          site: Replicated state of the site.
+          own_replica: This process's replica.
+          link_mbps: Bandwidth of the VM's link, in Mbit/s.
+        """
         self.site = site
         self.replica = own_replica
         self.watchers: dict[str, list[messages.GatewayMember]] = {}
@@ -99,6 +115,12 @@
         self._store_revision = 0
         self._store_updates = messages.StoreUpdates(())
         self._stores_changed = anyio.Event()
+        bytes_per_s = link_mbps * _BYTES_PER_MBIT * CONTENTS_LINK_FRACTION
+        self._contents_bucket = token_bucket.TokenBucket(
+            bytes_per_s,
+            anyio.current_time,
+            burst_bytes=CONTENTS_BURST_S * bytes_per_s,
+        )
         self._full_contents: messages.CompressedStoreUpdates | None = None
         self._changed = anyio.Event()
         self._target_list = messages.TargetList(())
@@ -216,18 +238,32 @@
         if self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
             await self._send(responder, self._target_list)
-        if self._store_revision > sent.store_revision:
-            # The revision is recorded before the send, so that a change
-            # during the send is sent by the next pass.
-            item = self._store_updates_since(sent.store_revision)
-            sent.store_revision = self._store_revision
-            await self._send(responder, item)
         if self._gateway_list is not sent.gateways:
             sent.gateways = self._gateway_list
             await self._send(responder, self._gateway_list)
         if self._confirmation_number > sent.confirmation_number:
             sent.confirmation_number = self._confirmation_number
             await self._send(responder, self._confirmation)
+        if self._store_revision > sent.store_revision:
+            await self._send_store_updates(responder, sent)
+
+    async def _send_store_updates(
+        self, responder: incoming.Responder, sent: _WatchState
+    ) -> None:
+        """Sends the changes of the stores, or the full contents.
+
+        Full contents wait for the next notification while the link is busy
+        with those of other gateways.
+        """
+        item = self._store_updates_since(sent.store_revision)
+        if isinstance(item, messages.CompressedStoreUpdates):
+            size = len(self._encoded.payload(item))
+            if not self._contents_bucket.try_take_background(size):
+                return
+        # The revision is recorded before the send, so that a change during the
+        # send is sent by the next pass.
+        sent.store_revision = self._store_revision
+        await self._send(responder, item)
 
     async def _send(self, responder: incoming.Responder, item: object) -> None:
         await responder.send(item, self._encoded.payload(item))
--- a/tests/registry/test_feed.py
+++ b/tests/registry/test_feed.py
@@ -97,24 +97,29 @@
             self.payloads.append(payload)
 
 
-async def test_full_contents_are_encoded_once_and_small() -> None:
-    """Guards against a leader that is busy with the starts of all gateways.
-
-    It would send no heartbeats meanwhile and lose its leadership.
-    """
-    feed = feeds.Feed(
-        state.SiteState(), typing.cast("replica.Replica", Leader())
-    )
+def _publish_parts(feed: feeds.Feed, count: int) -> None:
+    """Publishes a store's contents so that new watches need all of them."""
     contents = store_contents.StoreContents("a")
     parts = tuple(
         model.KeptPart("shared/model/1", f"{number * 7919:08x}", 500)
-        for number in range(4000)
+        for number in range(count)
     )
     contents.replace_parts(stores.Contents(7, 1, parts))
     contents.apply_events(stores.Events(7, 2, False, 1000.0, ()))
     feed.contents["a"] = contents
     feed.publish_store_updates()
     feed.publish_store_updates()
+
+
+async def test_full_contents_are_encoded_once_and_small() -> None:
+    """Guards against a leader that is busy with the starts of all gateways.
+
+    It would send no heartbeats meanwhile and lose its leadership.
+    """
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader())
+    )
+    _publish_parts(feed, 4000)
     gateways = [StartingGateway(f"g-{number}") for number in range(3)]
     async with anyio.create_task_group() as group:
         for number, gateway in enumerate(gateways):
@@ -129,7 +134,43 @@
     first = payloads[0][0]
     assert first is not None
     assert all(sent[0] is first for sent in payloads)
-    assert len(first) < 25 * len(parts)
+    assert len(first) < 25 * 4000
+
+
+async def test_full_contents_leave_room_on_the_link() -> None:
+    """Guards against heartbeats that wait behind the contents for everyone.
+
+    After a start of the whole site all gateways ask for them together.
+    """
+    link_mbps = 100.0
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader()), link_mbps
+    )
+    _publish_parts(feed, 6000)
+    gateways = [StartingGateway(f"g-{number}") for number in range(70)]
+
+    def count_bytes() -> int:
+        return sum(
+            len(payload or b"")
+            for gateway in gateways
+            for payload in gateway.payloads
+        )
+
+    async with anyio.create_task_group() as group:
+        for number, gateway in enumerate(gateways):
+            member = messages.GatewayMember(f"127.0.0.1:{number}", "d", 5.0)
+            responder = typing.cast("incoming.Responder", gateway)
+            watch = messages.Watch(-1, member)
+            group.start_soon(feed.serve_watch, responder, watch)
+        await anyio.sleep(0.05)
+        link_bytes_per_s = link_mbps * 125_000
+        assert 0 < count_bytes() < 0.2 * link_bytes_per_s
+        for _ in range(20):
+            await anyio.sleep(0.1)
+            feed.notify_watches()
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert all(gateway.payloads for gateway in gateways)
 
 
 async def test_changes_of_several_stores_are_published_together() -> None:
