Share the retry budget by the gateways of the last window

Cause, found on reading: a new leader's list of gateways is empty until its first confirmation, and incomplete until all have reconnected. A gateway that applied it took a larger share of the slack that all have together.

Change: an empty list is not sent, and the number by which a gateway divides the slack shrinks only after the budget's window. Tests: both, without a network.

--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -32,6 +32,7 @@
       window_s: Length of the window.
       slack: Further retries allowed in a window, for all gateways together.
       gateways: Number of gateways that share the slack.
+      gateways_seen_s: Loop time at which there were last as many.
       windows: Recorded requests and retries, by service.
     """
 
@@ -39,8 +40,29 @@
     window_s: float
     slack: float
     gateways: int = 1
+    gateways_seen_s: float = float("-inf")
     windows: dict[str, Window] = attrs.field(factory=dict)
 
+    def update_gateways(self, count: int, now_s: float) -> None:
+        """Updates the number of gateways.
+
+        It shrinks only after a window: after an election the gateways reconnect
+        one after the other, and the list of them is incomplete.
+
+        >>> budget = RetryBudget(ratio=0.5, window_s=10.0, slack=0.0)
+        >>> for count, at_s in ((70, 0.0), (1, 1.0)):
+        ...     budget.update_gateways(count, at_s)
+        >>> budget.gateways
+        70
+        >>> budget.update_gateways(60, 11.0)
+        >>> budget.gateways
+        60
+        """
+        is_outdated = now_s - self.gateways_seen_s > self.window_s
+        if count >= self.gateways or is_outdated:
+            self.gateways = max(1, count)
+            self.gateways_seen_s = now_s
+
     def count_request(self, service: str, now_s: float) -> None:
         """Counts a caller's request to a service."""
         window = self.windows.setdefault(service, Window())
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -133,7 +133,7 @@
     )
 
     def record_request(finished: records.RequestRecord) -> None:
-        budget.gateways = max(1, len(site.gateways))
+        budget.update_gateways(len(site.gateways), anyio.current_time())
         request_metrics.version.set(site.version)
         request_metrics.count(finished)
         request_logger.info("request ended", extra=finished.fields())
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -178,7 +178,7 @@
                     await self.replica.read_barrier()
                     self._confirmation_number += 1
                     self._confirmation = self._build_confirmation()
-                    self._update_gateway_list()
+                    self.update_gateway_list()
                     self.publish_store_updates()
                 except consensus_exceptions.ConsensusError:
                     is_leader = False
@@ -238,7 +238,9 @@
         if self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
             await self._send(responder, self._target_list)
-        if self._gateway_list is not sent.gateways:
+        # The list of a new leader is empty until its first confirmation.
+        is_list_known = bool(self._gateway_list.members)
+        if is_list_known and self._gateway_list is not sent.gateways:
             sent.gateways = self._gateway_list
             await self._send(responder, self._gateway_list)
         if self._confirmation_number > sent.confirmation_number:
@@ -276,7 +278,7 @@
             )
         return self._configuration
 
-    def _update_gateway_list(self) -> None:
+    def update_gateway_list(self) -> None:
         """Replaces the list of gateways if it changed.
 
         The list is compared once for each confirmation, so that a start of
--- a/tests/registry/test_feed.py
+++ b/tests/registry/test_feed.py
@@ -198,3 +198,39 @@
     # One with the watch's start, one for the changes, one for the retired part
     # of `SlowGateway`.
     assert gateway.update_count == 3
+
+
+async def test_list_of_gateways_is_sent_once_it_is_known() -> None:
+    """A gateway that took itself to be the only one would overspend budgets."""
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader())
+    )
+    lists: list[messages.GatewayList] = []
+
+    class Gateway(StartingGateway):
+        async def send(
+            self, item: object, payload: bytes | None = None
+        ) -> None:
+            if isinstance(item, messages.GatewayList):
+                lists.append(item)
+
+    members = [
+        messages.GatewayMember(f"127.0.0.1:{number}", "d", 5.0)
+        for number in range(2)
+    ]
+    async with anyio.create_task_group() as group:
+        for number, member in enumerate(members):
+            gateway = Gateway(f"g-{number}")
+            responder = typing.cast("incoming.Responder", gateway)
+            watch = messages.Watch(-1, member)
+            group.start_soon(feed.serve_watch, responder, watch)
+        await anyio.sleep(0.05)
+        assert not lists
+        feed.update_gateway_list()
+        feed.notify_watches()
+        await anyio.sleep(0.05)
+        feed.update_gateway_list()
+        feed.notify_watches()
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert [set(sent.members) for sent in lists] == [set(members)] * 2
