Send contents that were read anew compressed and paced, too

After an election the update that counts as changes held the whole contents of every store, uncompressed, and went to all gateways in step at once, past the pacing.

Change: more than 200 changed parts are sent as full contents, compressed and paced. The new test fails before it.

--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -28,6 +28,8 @@
 CONFIRMATION_INTERVAL_S = 0.4
 # Time for which changes of several stores are collected.
 STORE_UPDATES_DELAY_S = 0.1
+# Changed parts up to which changes are sent instead of the full contents.
+MAX_CHANGED_PARTS = 200
 DEFAULT_LINK_MBPS = 1000.0
 # Fraction of the VM's link that full contents of stores may take. Heartbeats
 # queue behind them, so their bursts stay well below an election timeout.
@@ -294,9 +296,12 @@
         """Returns the changes since a revision, or the full contents.
 
         Only the changes of the latest revision are retained, so a watch that
-        missed a revision receives the full contents.
+        missed a revision receives the full contents. So do all if the changes
+        are many, as when the contents of a store were read.
         """
-        if sent_revision == self._store_revision - 1:
+        count = sum(len(store.changes) for store in self._store_updates.stores)
+        is_small = count <= MAX_CHANGED_PARTS
+        if is_small and sent_revision == self._store_revision - 1:
             return self._store_updates
         if self._full_contents is None:
             # All gateways ask for it together after a start of the whole site.
--- a/tests/registry/test_feed.py
+++ b/tests/registry/test_feed.py
@@ -85,6 +85,9 @@
     assert not gateway.tokens_by_part.get("p")
 
 
+MAX_CHANGES_BYTES = 100 * feeds.MAX_CHANGED_PARTS
+
+
 class StartingGateway:
     """Gateway that has just started; remembers the payloads it was sent."""
 
@@ -95,6 +98,9 @@
     async def send(self, item: object, payload: bytes | None = None) -> None:
         if isinstance(item, messages.CompressedStoreUpdates):
             self.payloads.append(payload)
+        elif isinstance(item, messages.StoreUpdates) and item.stores:
+            assert payload is not None
+            assert len(payload) <= MAX_CHANGES_BYTES
 
 
 def _publish_parts(feed: feeds.Feed, count: int) -> None:
@@ -173,6 +179,31 @@
     assert all(gateway.payloads for gateway in gateways)
 
 
+async def test_contents_that_were_read_anew_are_not_sent_as_changes() -> None:
+    """Guards against changes that hold all parts, to gateways in step.
+
+    Contents are read again after an election and after lost events.
+    """
+    feed = feeds.Feed(
+        state.SiteState(), typing.cast("replica.Replica", Leader())
+    )
+    gateway = StartingGateway("g")
+    member = messages.GatewayMember("127.0.0.1:1", "d", 5.0)
+    responder = typing.cast("incoming.Responder", gateway)
+    async with anyio.create_task_group() as group:
+        group.start_soon(
+            feed.serve_watch, responder, messages.Watch(-1, member)
+        )
+        await anyio.sleep(0.05)
+        _publish_parts(feed, 4000)
+        await anyio.sleep(0.05)
+        feed.contents["a"].needs_full_update = True
+        feed.publish_store_updates()
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert len(gateway.payloads) == 2
+
+
 async def test_changes_of_several_stores_are_published_together() -> None:
     """Guards against one update for each store, to every gateway."""
     feed = feeds.Feed(
