--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -197,9 +197,10 @@
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
     )
-    gateway.forwarder.announce_prompt = sharing.queue_prompt
-    gateway.forwarder.announce_fetch = sharing.queue_fetch
-    gateway.forwarder.announce_load = sharing.announce_load
+    sender = gateway.forwarder.sender
+    sender.announce_prompt = sharing.queue_prompt
+    sender.announce_fetch = sharing.queue_fetch
+    sender.announce_load = sharing.announce_load
     group.start_soon(loads_exchange.run)
 
 
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import typing
 
 import anyio
@@ -15,30 +14,23 @@
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import engine_queue
 from cactusstile.gateway import exchange
-from cactusstile.gateway import prompts
 from cactusstile.gateway import records
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
+from cactusstile.gateway import sending
 from cactusstile.gateway import site_view
-from cactusstile.gateway import stream_pace
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
 from cactusstile.http import targets
 from cactusstile.platform import headers
-from cactusstile.sites import messages as site_messages
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     Record = collections.abc.Callable[[records.RequestRecord], None]
-    AnnounceLoad = collections.abc.Callable[[], None]
-    AnnounceFetch = collections.abc.Callable[
-        [site_messages.ObservedFetch], None
-    ]
-    AnnouncePrompt = collections.abc.Callable[[str, str, prompts.Prompt], None]
 
 # Delay after which a caller may retry when this gateway stops; short, since any
 # other gateway can serve the request.
@@ -50,16 +42,11 @@
 
     Attributes:
       site: Local view of the site.
-      pool: Connections to targets.
       budget: Retry budget.
       record: Called with the record of each request after its end.
       dispatcher: Chooses targets and updates their views.
       queue: Prompts that wait for an engine with room.
-      pace: Estimated duration of streams.
-      announce_prompt: Announces to other gateways that an engine was sent a
-        prompt; called with the engine's id, the salt and the prompt.
-      announce_fetch: Announces to other gateways how long a fetch took.
-      announce_load: Tells other gateways that the load of a target changed.
+      sender: Sends a request to one target.
       stop_at_s: Loop time at which the process stops; None unless it is
         stopping.
     """
@@ -74,15 +61,11 @@
     ) -> None:
         """Forwards to the targets of `site`; see `dispatching`."""
         self.site = site
-        self.pool = pool
         self.budget = budget
         self.record = record
         self.dispatcher = dispatching.Dispatcher(site, weights_s)
         self.queue = engine_queue.EngineQueue(self.dispatcher)
-        self.pace = stream_pace.StreamPace()
-        self.announce_prompt: AnnouncePrompt = lambda *_: None
-        self.announce_fetch: AnnounceFetch = lambda _: None
-        self.announce_load: AnnounceLoad = lambda: None
+        self.sender = sending.Sender(pool, self.dispatcher, self.queue.times)
         self.stop_at_s: float | None = None
 
     async def handle(
@@ -125,7 +108,7 @@
         ):
             return
         prompt = admitted.prompt
-        max_duration_s = self.pace.max_duration_s(
+        max_duration_s = self.sender.pace.max_duration_s(
             admitted.route.name,
             prompt.expected_tokens,
             prompt.max_output_tokens,
@@ -184,7 +167,7 @@
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
             try:
-                await self._attempt(admitted, view, relay, attempts, record)
+                await self.sender.send(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
                 return
             except exchange.AttemptError as error:
@@ -256,113 +239,3 @@
             verdict=attempts.final_verdict(),
             retry_after_s=dispatching.RETRY_AFTER_S,
         )
-
-    async def _attempt(
-        self,
-        admitted: admission.AdmittedRequest,
-        view: target_view.TargetView,
-        relay: streams.StreamRelay,
-        attempts: retries.Attempts,
-        record: records.RequestRecord,
-    ) -> None:
-        """Sends a request to one target and relays its answer."""
-        if not attempts.resuming:
-            attempts.backup = self.dispatcher.choose_backup(admitted, view)
-        dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
-        work = self.dispatcher.estimate_work(admitted, view, dispatch)
-        record.set_work(admitted, work, dispatch)
-        before = relay.events
-        view.cached.add(dispatch.salt, admitted.prompt)
-        self.announce_prompt(view.target.id, dispatch.salt, admitted.prompt)
-        try:
-            async with (
-                self._count_work(view, work, attempts.backup),
-                exchange.open_attempt(self.pool, admitted, dispatch) as opened,
-            ):
-                load = opened.head.find(headers.LOAD)
-                view.record_load(load, anyio.current_time())
-                if isinstance(opened, exchange.OpenStream):
-                    record.attempts[-1].first_event_s = anyio.current_time()
-                    self._record_first_event(admitted, dispatch, work)
-                    view.unread_tokens -= work.unread_tokens
-                    work.unread_tokens = 0
-                    self.announce_load()
-                    await relay.feed(opened)
-                    self._record_stream_end(admitted, work)
-            view.record_success()
-        except anyio.get_cancelled_exc_class():
-            self._record_timeout(admitted, view, record)
-            raise
-        finally:
-            record.attempts[-1].events = relay.events - before
-        if isinstance(opened, exchange.Answer):
-            await self._relay_answer(opened, relay.responder)
-
-    def _record_first_event(
-        self,
-        admitted: admission.AdmittedRequest,
-        dispatch: exchange.Dispatch,
-        work: exchange.Work,
-    ) -> None:
-        """Records the first event of a stream."""
-        observed = self.dispatcher.record_first_event(admitted, dispatch, work)
-        if observed is not None:
-            self.announce_fetch(observed)
-
-    def _record_stream_end(
-        self, admitted: admission.AdmittedRequest, work: exchange.Work
-    ) -> None:
-        """Records the duration of a completed stream."""
-        self.pace.add(
-            admitted.route.name,
-            admitted.prompt.expected_tokens,
-            anyio.current_time() - work.started_s,
-        )
-
-    def _record_timeout(
-        self,
-        admitted: admission.AdmittedRequest,
-        view: target_view.TargetView,
-        record: records.RequestRecord,
-    ) -> None:
-        """Records a failure if the target sent nothing until the deadline."""
-        now_s = anyio.current_time()
-        if record.attempts[-1].first_event_s is not None:
-            return
-        if now_s >= admitted.answer_deadline_s:
-            view.record_failure(now_s)
-
-    async def _relay_answer(
-        self, answer: exchange.Answer, responder: responders.Responder
-    ) -> None:
-        """Relays a complete answer, unless events were already sent."""
-        if responder.started:
-            return
-        await responder.respond(*exchange.relayed_answer(answer))
-
-    @contextlib.asynccontextmanager
-    async def _count_work(
-        self,
-        view: target_view.TargetView,
-        work: exchange.Work,
-        backup: backups.Backup | None,
-    ) -> collections.abc.AsyncIterator[None]:
-        """Adds an attempt's work and its copy to the views until it ends."""
-        view.inflight += 1
-        view.unread_tokens += work.unread_tokens
-        view.tokens += work.memory_tokens
-        if backup is not None:
-            backup.view.tokens += backup.tokens
-        self.announce_load()
-        try:
-            yield
-        finally:
-            view.inflight -= 1
-            view.tokens -= work.memory_tokens
-            view.unread_tokens -= work.unread_tokens
-            if backup is not None:
-                backup.view.tokens -= backup.tokens
-            self.announce_load()
-            self.queue.times.record_end(
-                work.memory_tokens, anyio.current_time()
-            )
--- /dev/null
+++ b/src/cactusstile/gateway/sending.py
@@ -0,0 +1,169 @@
+"""Sends a request to one target and relays its answer."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+
+from cactusstile.gateway import admission
+from cactusstile.gateway import backups
+from cactusstile.gateway import dispatching
+from cactusstile.gateway import exchange
+from cactusstile.gateway import prompts
+from cactusstile.gateway import records
+from cactusstile.gateway import retries
+from cactusstile.gateway import return_times
+from cactusstile.gateway import stream_pace
+from cactusstile.gateway import streams
+from cactusstile.gateway import target_view
+from cactusstile.http import responder as responders
+from cactusstile.http import targets
+from cactusstile.platform import headers
+from cactusstile.sites import messages
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    AnnounceLoad = collections.abc.Callable[[], None]
+    AnnounceFetch = collections.abc.Callable[[messages.ObservedFetch], None]
+    AnnouncePrompt = collections.abc.Callable[[str, str, prompts.Prompt], None]
+
+
+class Sender:
+    """Makes single attempts and counts their work.
+
+    Attributes:
+      pool: Connections to targets.
+      dispatcher: Prepares attempts and updates the views from their outcome.
+      times: When refused callers may return; learns of runs that end.
+      pace: Estimated duration of streams.
+      announce_prompt: Announces to other gateways that an engine was sent a
+        prompt; called with the engine's id, the salt and the prompt.
+      announce_fetch: Announces to other gateways how long a fetch took.
+      announce_load: Tells other gateways that the load of a target changed.
+    """
+
+    def __init__(
+        self,
+        pool: targets.Pool,
+        dispatcher: dispatching.Dispatcher,
+        times: return_times.ReturnTimes,
+    ) -> None:
+        """Sends over `pool`; see the attributes."""
+        self.pool = pool
+        self.dispatcher = dispatcher
+        self.times = times
+        self.pace = stream_pace.StreamPace()
+        self.announce_prompt: AnnouncePrompt = lambda *_: None
+        self.announce_fetch: AnnounceFetch = lambda _: None
+        self.announce_load: AnnounceLoad = lambda: None
+
+    async def send(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        relay: streams.StreamRelay,
+        attempts: retries.Attempts,
+        record: records.RequestRecord,
+    ) -> None:
+        """Sends a request to one target and relays its answer."""
+        if not attempts.resuming:
+            attempts.backup = self.dispatcher.choose_backup(admitted, view)
+        dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
+        work = self.dispatcher.estimate_work(admitted, view, dispatch)
+        record.set_work(admitted, work, dispatch)
+        before = relay.events
+        view.cached.add(dispatch.salt, admitted.prompt)
+        self.announce_prompt(view.target.id, dispatch.salt, admitted.prompt)
+        try:
+            async with (
+                self._count_work(view, work, attempts.backup),
+                exchange.open_attempt(self.pool, admitted, dispatch) as opened,
+            ):
+                load = opened.head.find(headers.LOAD)
+                view.record_load(load, anyio.current_time())
+                if isinstance(opened, exchange.OpenStream):
+                    record.attempts[-1].first_event_s = anyio.current_time()
+                    self._record_first_event(admitted, dispatch, work)
+                    view.unread_tokens -= work.unread_tokens
+                    work.unread_tokens = 0
+                    self.announce_load()
+                    await relay.feed(opened)
+                    self._record_stream_end(admitted, work)
+            view.record_success()
+        except anyio.get_cancelled_exc_class():
+            self._record_timeout(admitted, view, record)
+            raise
+        finally:
+            record.attempts[-1].events = relay.events - before
+        if isinstance(opened, exchange.Answer):
+            await self._relay_answer(opened, relay.responder)
+
+    def _record_first_event(
+        self,
+        admitted: admission.AdmittedRequest,
+        dispatch: exchange.Dispatch,
+        work: exchange.Work,
+    ) -> None:
+        """Records the first event of a stream."""
+        observed = self.dispatcher.record_first_event(admitted, dispatch, work)
+        if observed is not None:
+            self.announce_fetch(observed)
+
+    def _record_stream_end(
+        self, admitted: admission.AdmittedRequest, work: exchange.Work
+    ) -> None:
+        """Records the duration of a completed stream."""
+        self.pace.add(
+            admitted.route.name,
+            admitted.prompt.expected_tokens,
+            anyio.current_time() - work.started_s,
+        )
+
+    def _record_timeout(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        record: records.RequestRecord,
+    ) -> None:
+        """Records a failure if the target sent nothing until the deadline."""
+        now_s = anyio.current_time()
+        if record.attempts[-1].first_event_s is not None:
+            return
+        if now_s >= admitted.answer_deadline_s:
+            view.record_failure(now_s)
+
+    async def _relay_answer(
+        self, answer: exchange.Answer, responder: responders.Responder
+    ) -> None:
+        """Relays a complete answer, unless events were already sent."""
+        if responder.started:
+            return
+        await responder.respond(*exchange.relayed_answer(answer))
+
+    @contextlib.asynccontextmanager
+    async def _count_work(
+        self,
+        view: target_view.TargetView,
+        work: exchange.Work,
+        backup: backups.Backup | None,
+    ) -> collections.abc.AsyncIterator[None]:
+        """Adds an attempt's work and its copy to the views until it ends."""
+        view.inflight += 1
+        view.unread_tokens += work.unread_tokens
+        view.tokens += work.memory_tokens
+        if backup is not None:
+            backup.view.tokens += backup.tokens
+        self.announce_load()
+        try:
+            yield
+        finally:
+            view.inflight -= 1
+            view.tokens -= work.memory_tokens
+            view.unread_tokens -= work.unread_tokens
+            if backup is not None:
+                backup.view.tokens -= backup.tokens
+            self.announce_load()
+            self.times.record_end(work.memory_tokens, anyio.current_time())
