Log the weights of each attempt and when a gateway learns of newer ones

The line of a request now names for each attempt the version asked for, the newest one and the time since its announcement as this gateway counts it, and whether the target was usable. A line tells of each announcement. No decision changes.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -192,9 +192,19 @@
 
     def _apply_weights(self, item: messages.WeightsInForce) -> None:
         for weights in item.weights:
-            if weights.version > self.site.weights.get(weights.model, 0):
-                self.site.weights[weights.model] = weights.version
-                self.site.weights_named_s[weights.model] = anyio.current_time()
+            before = self.site.weights.get(weights.model, 0)
+            if weights.version <= before:
+                continue
+            self.site.weights[weights.model] = weights.version
+            self.site.weights_named_s[weights.model] = anyio.current_time()
+            logger.info(
+                "newer weights were announced",
+                extra={
+                    "model": weights.model,
+                    "version": weights.version,
+                    "before": before,
+                },
+            )
 
     def apply_targets(
         self, listed: tuple[model.Target, ...], source: str
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -32,6 +32,11 @@
       fetched_tokens: Prompt tokens that the target was instructed to fetch.
       store: Address of the store or engine with the largest fetch.
       from_copy: Whether the run resumed from its copy.
+      weights: Version of the weights that the engine was expected to hold;
+        None without a model.
+      newest_weights: Newest announced version of the weights; 0 for none.
+      newest_age_s: Time since its announcement, in seconds.
+      was_usable: Whether the target was neither failing nor swapping.
     """
 
     target: str
@@ -46,6 +51,10 @@
     fetched_tokens: int = 0
     store: str = ""
     from_copy: bool = False
+    weights: int | None = None
+    newest_weights: int = 0
+    newest_age_s: float = 0.0
+    was_usable: bool = True
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -64,6 +73,13 @@
             fields["store"] = self.store
         if self.from_copy:
             fields["from_copy"] = True
+        if self.weights is not None:
+            fields["weights"] = self.weights
+            if self.weights < self.newest_weights:
+                fields["newest_weights"] = self.newest_weights
+                fields["newest_age_ms"] = _to_ms(self.newest_age_s)
+        if not self.was_usable:
+            fields["usable"] = False
         if self.first_event_s is not None:
             fields["first_event_ms"] = _to_ms(
                 self.first_event_s - self.started_s
@@ -128,7 +144,18 @@
     def begin_attempt(self, view: target_view.TargetView, now_s: float) -> None:
         """Appends an attempt at a target."""
         occupied = view.occupied(now_s)
-        self.attempts.append(AttemptRecord(view.target.id, now_s, occupied))
+        attempt = AttemptRecord(view.target.id, now_s, occupied)
+        attempt.was_usable = view.is_usable(now_s)
+        self.attempts.append(attempt)
+
+    def set_weights(
+        self, version: int | None, newest: int, newest_age_s: float
+    ) -> None:
+        """Records the weights of the current attempt and the newest ones."""
+        attempt = self.attempts[-1]
+        attempt.weights = version
+        attempt.newest_weights = newest
+        attempt.newest_age_s = newest_age_s
 
     def set_work(
         self,
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -73,7 +73,7 @@
             attempts.backup = self.dispatcher.choose_backup(admitted, view)
         dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
         work = self.dispatcher.estimate_work(admitted, view, dispatch)
-        record.set_work(admitted, work, dispatch)
+        self._describe(admitted, work, dispatch, record)
         before = relay.events
         view.cached.add(dispatch.salt, admitted.prompt)
         self.announce_prompt(view.target.id, dispatch.salt, admitted.prompt)
@@ -101,6 +101,23 @@
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay.responder)
 
+    def _describe(
+        self,
+        admitted: admission.AdmittedRequest,
+        work: exchange.Work,
+        dispatch: exchange.Dispatch,
+        record: records.RequestRecord,
+    ) -> None:
+        """Records the work of an attempt, and its weights beside the newest."""
+        record.set_work(admitted, work, dispatch)
+        site = self.dispatcher.site
+        name = admitted.prompt.model
+        now_s = anyio.current_time()
+        announced_s = site.weights_named_s.get(name, now_s)
+        record.set_weights(
+            dispatch.weights, site.weights.get(name, 0), now_s - announced_s
+        )
+
     def _record_first_event(
         self,
         admitted: admission.AdmittedRequest,
