Show that announcements and starts renew the grace of old weights

Two tests fail on the current code: 8 s after version 2 and 1 s after version 3 an engine on version 1 is among the candidates, and so it is at a gateway that starts 8 s after the announcement.

--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -7,17 +7,23 @@
 from tests.gateway import support
 from tests.support import virtual_clock
 
+from cactusstile.control import commands
 from cactusstile.gateway import admission
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import retries
 from cactusstile.gateway import site_view
 from cactusstile.http import messages as http_messages
+from cactusstile.registry import commands as site_commands
+from cactusstile.registry import feed as feeds
+from cactusstile.registry import state
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
+    from cactusstile.consensus import replica
+    from cactusstile.transport import incoming
     from cactusstile.transport import pool as pools
 
 pytestmark = pytest.mark.anyio
@@ -92,3 +98,49 @@
     view = gateway.site.targets.views[new.incarnation]
     view.record_failure(anyio.current_time(), eject_now=True)
     assert gateway.candidates() == ["new"]
+
+
+async def test_further_announcement_renews_no_grace() -> None:
+    gateway = Gateway(engine("old", 1), engine("new", 3))
+    gateway.announce(2)
+    await anyio.sleep(WEIGHTS_S - 1.0)
+    gateway.announce(3)
+    await anyio.sleep(1.0)
+    assert gateway.candidates() == ["new"]
+
+
+class _Leader:
+    """Test double of a replica that always is the leader."""
+
+    is_leader = True
+
+    async def read_barrier(self) -> int:
+        return 1
+
+
+class _Responder:
+    """Passes the items of a watch to a gateway."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.peer = typing.cast("typing.Any", type("Peer", (), {"name": "g"}))
+
+    async def send(self, item: object, payload: bytes | None = None) -> None:
+        del payload
+        self.gateway.watch._apply_item(item)
+
+
+async def test_start_of_a_gateway_renews_no_grace() -> None:
+    site = state.SiteState()
+    feed = feeds.Feed(site, typing.cast("replica.Replica", _Leader()))
+    site.observer = feed.notify_watches
+    site.apply(1, commands.pack(site_commands.NameWeights("m", 2)))
+    await anyio.sleep(WEIGHTS_S)
+    gateway = Gateway(engine("old", 1), engine("new", 2))
+    responder = typing.cast("incoming.Responder", _Responder(gateway))
+    async with anyio.create_task_group() as group:
+        watch = messages.Watch(-1, MEMBER)
+        group.start_soon(feed.serve_watch, responder, watch)
+        await anyio.sleep(0.1)
+        group.cancel_scope.cancel()
+    assert gateway.candidates() == ["new"]
