Show that unreachable engines hold up a roll-out of weights

The test fails on the current code: of five engines the first two of the list cannot be reached; they get both places again and again, and the other three are on the older weights when the limit is over.

--- /dev/null
+++ b/tests/registry/test_rollout.py
@@ -0,0 +1,136 @@
+"""Roll-outs of weights to engines of which some cannot be reached."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import anyio
+import attrs
+import pytest
+from tests.registry import test_weights
+from tests.support import virtual_clock
+
+from cactusstile.platform import client as clients
+from cactusstile.platform import listings
+from cactusstile.registry import weights
+from cactusstile.sites import model
+
+if typing.TYPE_CHECKING:
+    from cactusstile.consensus import replica
+    from cactusstile.http import messages
+
+pytestmark = pytest.mark.anyio
+LIMIT_S = 6.0
+UNREACHABLE_AFTER_S = 0.3
+LOAD_S = 0.5
+
+
+@pytest.fixture
+def anyio_backend() -> virtual_clock.Backend:
+    return virtual_clock.BACKEND
+
+
+@attrs.define
+class Engine:
+    """Model of an engine.
+
+    Attributes:
+      version: Version of the weights that it holds.
+      requests: Requests that it runs.
+      reachable: Whether calls reach it.
+      failing_reads: Of so many reads of the report, one fails; 0 for none.
+      reads: Reads of the report so far.
+      swapped_s: Loop time of the last order.
+    """
+
+    version: int = 1
+    requests: int = 0
+    reachable: bool = True
+    failing_reads: int = 0
+    reads: int = 0
+    swapped_s: float | None = None
+
+
+class Client:
+    """Calls to modelled engines."""
+
+    def __init__(self, engines: dict[str, Engine]) -> None:
+        self.engines = engines
+
+    async def _reach(self, target: model.Target) -> Engine:
+        engine = self.engines[target.id]
+        if not engine.reachable:
+            await anyio.sleep(UNREACHABLE_AFTER_S)
+            raise clients.CallError("did not answer")
+        return engine
+
+    async def read_report(self, target: model.Target) -> listings.Report:
+        engine = await self._reach(target)
+        engine.reads += 1
+        if engine.failing_reads and engine.reads % engine.failing_reads == 0:
+            raise clients.CallError("did not answer")
+        held = (model.Weights("m", engine.version),)
+        return listings.Report(held, False, 0, engine.requests, 0)
+
+    async def send_order(
+        self, target: model.Target, request: messages.Request
+    ) -> int:
+        engine = await self._reach(target)
+        engine.swapped_s = anyio.current_time()
+        await anyio.sleep(LOAD_S)
+        engine.version = json.loads(request.body)["version"]
+        return 202
+
+
+class _Leader:
+    """Test double of a replica that always is the leader."""
+
+    is_leader = True
+    settings = typing.cast("typing.Any", type("S", (), {"name": "leader"}))
+
+    def status(self) -> object:
+        return type("Status", (), {"term": 3})
+
+
+async def roll_out(engines: dict[str, Engine], wanted: int) -> None:
+    """Runs the controller until all reachable engines hold the weights.
+
+    Raises:
+      TimeoutError: The limit of the roll-out passed before.
+    """
+    listed = tuple(
+        attrs.evolve(
+            test_weights.engine(number, 1),
+            id=name,
+        )
+        for number, name in enumerate(engines)
+    )
+    controller = weights.WeightsController(
+        typing.cast("clients.Client", Client(engines)),
+        typing.cast("replica.Replica", _Leader()),
+        lambda: listed,
+        lambda: {"m": wanted},
+        on_change=lambda: None,
+        rollout_limit_s=LIMIT_S,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(controller.run, group)
+        with anyio.fail_after(LIMIT_S):
+            while any(
+                engine.reachable and engine.version < wanted
+                for engine in engines.values()
+            ):
+                await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+
+
+async def test_unreachable_engines_do_not_hold_up_the_others() -> None:
+    engines = {
+        "a": Engine(reachable=False),
+        "b": Engine(reachable=False),
+        "c": Engine(),
+        "d": Engine(),
+        "e": Engine(),
+    }
+    await roll_out(engines, 2)
