--- a/tests/registry/test_weights.py
+++ b/tests/registry/test_weights.py
@@ -81,3 +81,9 @@
 def test_leaving_engines_and_those_without_the_model_are_not_swapped() -> None:
     engines = [engine(1, 1, leaving=True), engine(2, 2)]
     assert weights.next_swaps(engines, {"m": 2, "x": 9}, set(), set()) == []
+
+
+def test_engine_furthest_behind_is_swapped_first() -> None:
+    engines = [engine(number, 2) for number in range(4)] + [engine(4, 1)]
+    swaps = weights.next_swaps(engines, {"m": 3}, set(), set())
+    assert ids(swaps)[0] == "e-4"
