Show that a lost report renews the drain of an engine

The test fails on the current code: each report that cannot be read ends the swap, and the next one waits for the engine's runs from the beginning, so a busy engine is never ordered.

--- a/tests/registry/test_rollout.py
+++ b/tests/registry/test_rollout.py
@@ -134,3 +134,8 @@
         "e": Engine(),
     }
     await roll_out(engines, 2)
+
+
+async def test_report_that_cannot_be_read_does_not_renew_the_drain() -> None:
+    busy = Engine(requests=3, failing_reads=4)
+    await roll_out({"a": busy}, 2)
