Never send a prompt to an engine past the limit of its weights

Cause: Dispatcher.candidates returned `usable or untried`. Weights past the limit were one more reason not to prefer an engine, like a back-off, and were forgotten when no engine was usable: when the current ones were ejected, backed off after rejections, swapped, or had been tried by the request.

Why it works: what may be used at all (weights) is decided before what is preferred (usable), and only the preference has a fallback. A first attempt waits in the queue for an engine that gets the weights, as for memory, and is refused with a Retry-After when the wait is over: a request that no permitted engine can take is not sent.

Ruled out: that the expected version in the request protects from it; the gateway asks for the version that it believes the engine to hold.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -110,26 +110,33 @@
         service: str,
         attempts: retries.Attempts,
     ) -> list[target_view.TargetView]:
-        """Returns the untried targets of a request.
+        """Returns the untried targets that a request may be sent to.
 
-        A target that appears to fail is returned only if there is no other.
+        A target that appears to fail is returned only if there is no other. An
+        engine on outdated weights is never returned.
         """
         now_s = anyio.current_time()
+        permitted = []
+        for view in self.untried(service, attempts):
+            if not self._has_outdated_weights(
+                view, admitted.prompt.model, now_s
+            ):
+                permitted.append(view)
+        usable = [view for view in permitted if view.is_usable(now_s)]
+        return usable or permitted
+
+    def untried(
+        self, service: str, attempts: retries.Attempts
+    ) -> list[target_view.TargetView]:
+        """Returns the targets of a service that a request was not sent to."""
         untried = []
         for view in self.site.targets.of_service(service):
-            if (
-                view.target.leaving
-                or view.target.incarnation in attempts.tried_incarnations
-            ):
+            if view.target.leaving:
+                continue
+            if view.target.incarnation in attempts.tried_incarnations:
                 continue
             untried.append(view)
-        usable = []
-        for view in untried:
-            if view.is_usable(now_s) and not self._has_outdated_weights(
-                view, admitted.prompt.model, now_s
-            ):
-                usable.append(view)
-        return usable or untried
+        return untried
 
     def _choose_engine(
         self,
--- a/src/cactusstile/gateway/engine_queue.py
+++ b/src/cactusstile/gateway/engine_queue.py
@@ -1,9 +1,10 @@
 """Sends a request at once, lets it wait briefly, or refuses it.
 
-A prompt waits while no engine has memory for it, as long as its answer can
-still meet the objective of its route. Longer waits would only make all answers
-late: the caller is told when to return instead. A workspace that asks for far
-more than the others waits behind them and leaves room for them.
+A prompt waits while no engine has memory for it, or the weights that it needs,
+as long as its answer can still meet the objective of its route. Longer waits
+would only make all answers late: the caller is told when to return instead. A
+workspace that asks for far more than the others waits behind them and leaves
+room for them.
 """
 
 from __future__ import annotations
@@ -61,7 +62,7 @@
             or attempts.tried_incarnations
         ):
             return self.dispatcher.choose_target(admitted, service, attempts)
-        if not self.dispatcher.candidates(admitted, service, attempts):
+        if not self.dispatcher.untried(service, attempts):
             return None
         needed = engine_memory.needed_tokens(admitted.prompt, 0)
         is_storming = self._is_storming(admitted, needed)
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -7,10 +7,12 @@
 from tests.gateway import support
 from tests.support import virtual_clock
 
+from cactusstile import verdict
 from cactusstile.control import commands
 from cactusstile.gateway import admission
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dispatching
+from cactusstile.gateway import engine_queue
 from cactusstile.gateway import retries
 from cactusstile.gateway import site_view
 from cactusstile.http import messages as http_messages
@@ -66,18 +68,22 @@
         named = messages.NamedWeights("m", version)
         self.watch._apply_item(messages.WeightsInForce((named,)))
 
-    def candidates(self, *tried: model.Target) -> list[str]:
-        """Returns the ids of the engines that a prompt may be sent to."""
+    def admit(self) -> admission.AdmittedRequest:
         assert self.site.table is not None
         headers = (
             (b"host", b"h"),
             (b"x-cactusstile-model", b"m"),
             (b"x-cactusstile-token-usage", b"100,9"),
         )
-        admitted = admission.admit(
-            self.site.table,
-            http_messages.Request(b"POST", b"/a/x", headers),
+        now_s = anyio.current_time()
+        request = http_messages.Request(
+            b"POST", b"/a/x", headers, received_s=now_s
         )
+        return admission.admit(self.site.table, request)
+
+    def candidates(self, *tried: model.Target) -> list[str]:
+        """Returns the ids of the engines that a prompt may be sent to."""
+        admitted = self.admit()
         attempts = retries.Attempts(admitted.route)
         attempts.tried_incarnations.update(
             target.incarnation for target in tried
@@ -100,6 +106,31 @@
     assert gateway.candidates() == ["new"]
 
 
+async def test_prompt_waits_for_the_first_engine_with_current_weights() -> None:
+    old = engine("old", 1)
+    gateway = Gateway(old)
+    gateway.announce(2)
+    await anyio.sleep(WEIGHTS_S)
+    queue = engine_queue.EngineQueue(gateway.dispatcher)
+    admitted = gateway.admit()
+    attempts = retries.Attempts(admitted.route)
+
+    async def swap_soon() -> None:
+        await anyio.sleep(0.1)
+        gateway.site.targets.views[old.incarnation].set_weights("m", 2)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(swap_soon)
+        view = await queue.choose_target(admitted, "plain", attempts)
+    assert view is not None
+    gateway.announce(3)
+    await anyio.sleep(WEIGHTS_S)
+    with pytest.raises(verdict.RefusedError) as caught:
+        await queue.choose_target(gateway.admit(), "plain", attempts)
+    assert caught.value.refusal.verdict is verdict.Verdict.NOT_RUN
+    assert caught.value.refusal.retry_after_s
+
+
 async def test_further_announcement_renews_no_grace() -> None:
     gateway = Gateway(engine("old", 1), engine("new", 3))
     gateway.announce(2)
