Count the limit of old weights from each announcement, at every gateway

Cause: a gateway kept one time for each model, at which it had received the newest version. A further announcement and a start of the gateway set it anew.

Why it works: announcements keep the time of each version, and an engine is outdated from the first one that it lacks. The time travels as an age, since clocks of VMs differ: control processes note it when they learn of a version, followers too, so that a new leader knows it, and send it with each watch. An older build sends none and is read as before. The record of an attempt now names the time since the first version that it lacked.

Remains: when all control processes and a gateway start again together, the age counts from that start.

The tests follow the observer's name in the daemon; test_new_leader_knows_the_age_of_ announced_weights checks the wiring with real registries.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -32,6 +32,7 @@
 SILENCE_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.1
+_MS_PER_S = 1000
 
 
 class ControlWatch:
@@ -173,7 +174,7 @@
             self.site.confirmed_s = now_s
             self.site.control = item.control
             if self.site.listed_s is not None:
-                age_s = item.list_age_ms / 1000
+                age_s = item.list_age_ms / _MS_PER_S
                 self.site.listed_s = max(self.site.listed_s, now_s - age_s)
 
     def _apply_configuration(self, item: messages.ConfigurationInForce) -> None:
@@ -191,18 +192,30 @@
             )
 
     def _apply_weights(self, item: messages.WeightsInForce) -> None:
-        for weights in item.weights:
-            before = self.site.weights.get(weights.model, 0)
-            if weights.version <= before:
+        now_s = anyio.current_time()
+        announced = list(item.announced)
+        if not announced:
+            # A control process of an older build sends no ages.
+            for named in item.weights:
+                announced.append(
+                    messages.AnnouncedWeights(named.model, named.version, 0)
+                )
+        for weights in announced:
+            before = self.site.weights.newest(weights.model)
+            is_newer = self.site.weights.add(
+                weights.model,
+                weights.version,
+                now_s - weights.age_ms / _MS_PER_S,
+            )
+            if not is_newer:
                 continue
-            self.site.weights[weights.model] = weights.version
-            self.site.weights_named_s[weights.model] = anyio.current_time()
             logger.info(
                 "newer weights were announced",
                 extra={
                     "model": weights.model,
                     "version": weights.version,
-                    "before": before,
+                    "age_ms": weights.age_ms,
+                    "before": 0 if before is None else before.version,
                 },
             )
 
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -87,7 +87,7 @@
             "ready": self.lifecycle.is_ready(),
             "leader": str(self.watch.leader or ""),
             "gateways": [member.address for member in self.site.gateways],
-            "weights": self.site.weights,
+            "weights": self.site.weights.newest_versions(),
             "open_requests": self.serving.open_requests,
             "targets": views,
         }
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -167,11 +167,12 @@
     ) -> bool:
         """Returns whether an engine's weights are too old for new requests."""
         loaded = view.weights.get(name)
-        newest = self.site.weights.get(name)
-        if loaded is None or newest is None or loaded >= newest:
+        if loaded is None:
             return False
-        since_s = now_s - self.site.weights_named_s[name]
-        return since_s > OUTDATED_WEIGHTS_FRACTION * self.weights_s
+        since_s = self.site.weights.lacking_since_s(name, loaded)
+        if since_s is None:
+            return False
+        return now_s - since_s > OUTDATED_WEIGHTS_FRACTION * self.weights_s
 
     def prepare(
         self,
@@ -310,7 +311,7 @@
         )
         if target_id is not None and target_id == view.target.id:
             # Only the weights differ: assume the newest announced versions.
-            for name, version in self.site.weights.items():
+            for name, version in self.site.weights.newest_versions().items():
                 view.set_weights(name, version)
             return
         view.backoff_until_s = now_s + MISDIRECTED_BACKOFF_S
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -34,8 +34,8 @@
       from_copy: Whether the run resumed from its copy.
       weights: Version of the weights that the engine was expected to hold;
         None without a model.
-      newest_weights: Newest announced version of the weights; 0 for none.
-      newest_age_s: Time since its announcement, in seconds.
+      outdated_s: Time since a newer version was announced, in seconds; None
+        if there is none.
       was_usable: Whether the target was neither failing nor swapping.
     """
 
@@ -52,8 +52,7 @@
     store: str = ""
     from_copy: bool = False
     weights: int | None = None
-    newest_weights: int = 0
-    newest_age_s: float = 0.0
+    outdated_s: float | None = None
     was_usable: bool = True
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
@@ -75,9 +74,8 @@
             fields["from_copy"] = True
         if self.weights is not None:
             fields["weights"] = self.weights
-            if self.weights < self.newest_weights:
-                fields["newest_weights"] = self.newest_weights
-                fields["newest_age_ms"] = _to_ms(self.newest_age_s)
+        if self.outdated_s is not None:
+            fields["outdated_ms"] = _to_ms(self.outdated_s)
         if not self.was_usable:
             fields["usable"] = False
         if self.first_event_s is not None:
@@ -148,14 +146,10 @@
         attempt.was_usable = view.is_usable(now_s)
         self.attempts.append(attempt)
 
-    def set_weights(
-        self, version: int | None, newest: int, newest_age_s: float
-    ) -> None:
-        """Records the weights of the current attempt and the newest ones."""
-        attempt = self.attempts[-1]
-        attempt.weights = version
-        attempt.newest_weights = newest
-        attempt.newest_age_s = newest_age_s
+    def set_weights(self, version: int, outdated_s: float | None) -> None:
+        """Records the weights of the current attempt."""
+        self.attempts[-1].weights = version
+        self.attempts[-1].outdated_s = outdated_s
 
     def set_work(
         self,
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -108,15 +108,17 @@
         dispatch: exchange.Dispatch,
         record: records.RequestRecord,
     ) -> None:
-        """Records the work of an attempt, and its weights beside the newest."""
+        """Records the work of an attempt and its weights."""
         record.set_work(admitted, work, dispatch)
-        site = self.dispatcher.site
+        if dispatch.weights is None:
+            return
+        announced = self.dispatcher.site.weights
         name = admitted.prompt.model
-        now_s = anyio.current_time()
-        announced_s = site.weights_named_s.get(name, now_s)
-        record.set_weights(
-            dispatch.weights, site.weights.get(name, 0), now_s - announced_s
-        )
+        since_s = announced.lacking_since_s(name, dispatch.weights)
+        outdated_s = None
+        if since_s is not None:
+            outdated_s = anyio.current_time() - since_s
+        record.set_weights(dispatch.weights, outdated_s)
 
     def _record_first_event(
         self,
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -9,6 +9,7 @@
 from cactusstile.gateway import stored_parts
 from cactusstile.gateway import target_view
 from cactusstile.http import callers
+from cactusstile.sites import announcements
 from cactusstile.sites import messages
 from cactusstile.sites import model
 
@@ -22,8 +23,7 @@
       targets: Views of the targets as last listed.
       listed_s: Loop time of the last list; None before the first.
       listed: Targets of that list.
-      weights: Newest announced version of the weights, by model.
-      weights_named_s: Loop time at which that version was received, by model.
+      weights: Announced versions of the weights.
       confirmed_s: Loop time at which control last confirmed that this view is
         current; None before the first confirmation.
       gateways: All gateways; they share the site's limits.
@@ -40,8 +40,9 @@
     )
     listed_s: float | None = None
     listed: tuple[model.Target, ...] = ()
-    weights: dict[str, int] = attrs.field(factory=dict)
-    weights_named_s: dict[str, float] = attrs.field(factory=dict)
+    weights: announcements.Announcements = attrs.field(
+        factory=announcements.Announcements
+    )
     confirmed_s: float | None = None
     gateways: tuple[messages.GatewayMember, ...] = ()
     control: tuple[str, ...] = ()
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -196,7 +196,7 @@
             )
         )
         feed = feeds.Feed(site, own_replica, settings.link_mbps)
-        site.observer = feed.notify_watches
+        site.observer = feed.observe_state
         registry = Registry(settings, site, own_replica, feed, connections)
         handlers = _build_handlers(feed, own_replica)
         internal = server.open_server(
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -11,6 +11,7 @@
 from cactusstile.control import attempts
 from cactusstile.limits import token_bucket
 from cactusstile.registry import store_contents
+from cactusstile.sites import announcements
 from cactusstile.sites import messages
 from cactusstile.transport import codec
 from cactusstile.transport import exceptions as transport_exceptions
@@ -36,8 +37,6 @@
 CONTENTS_LINK_FRACTION = 0.4
 CONTENTS_BURST_S = 0.8
 _BYTES_PER_MBIT = 125_000
-_MS_PER_S = 1000
-_MAX_AGE_MS = 2**32 - 1
 
 
 @attrs.define
@@ -88,6 +87,7 @@
       list_revision: Incremented whenever a list differs from the one before.
       listed_at_s: Loop time at which the last list was read, in seconds.
       contents: Contents of the stores, by address.
+      announcements: When this process learned of the announced weights.
     """
 
     def __init__(
@@ -110,8 +110,10 @@
         self.list_revision = 0
         self.listed_at_s = float("-inf")
         self.contents: dict[str, store_contents.StoreContents] = {}
+        self.announcements = announcements.Announcements()
+        self.record_announcements()
         self._confirmation_number = 0
-        self._confirmation = messages.Confirmation(_MAX_AGE_MS, ())
+        self._confirmation = messages.Confirmation(messages.MAX_AGE_MS, ())
         self._gateway_list = messages.GatewayList(())
         self._configuration = messages.ConfigurationInForce(0, b"")
         self._store_revision = 0
@@ -128,6 +130,22 @@
         self._target_list = messages.TargetList(())
         self._encoded = _EncodedItems()
 
+    def observe_state(self) -> None:
+        """Handles a change of the replicated state."""
+        self.record_announcements()
+        self.notify_watches()
+
+    def record_announcements(self) -> None:
+        """Records the weights that were announced since the last call.
+
+        Followers record them, too, so that a new leader knows their age.
+        """
+        now_s = anyio.current_time()
+        for named in self.site.image.weights:
+            newest = self.announcements.newest(named.model)
+            if newest is None or newest.version < named.version:
+                self.announcements.add(named.model, named.version, now_s)
+
     def notify_watches(self) -> None:
         """Wakes all watches, which then send what changed."""
         self._changed.set()
@@ -236,7 +254,7 @@
             await self._send(responder, self._configuration_in_force())
         if image.weights != sent.weights:
             sent.weights = image.weights
-            await responder.send(messages.WeightsInForce(image.weights))
+            await responder.send(self._weights_in_force())
         if self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
             await self._send(responder, self._target_list)
@@ -272,6 +290,19 @@
     async def _send(self, responder: incoming.Responder, item: object) -> None:
         await responder.send(item, self._encoded.payload(item))
 
+    def _weights_in_force(self) -> messages.WeightsInForce:
+        now_s = anyio.current_time()
+        announced = []
+        for name, versions in self.announcements.by_model.items():
+            for one in versions:
+                age_ms = messages.age_ms(now_s - one.announced_s)
+                announced.append(
+                    messages.AnnouncedWeights(name, one.version, age_ms)
+                )
+        return messages.WeightsInForce(
+            self.site.image.weights, tuple(announced)
+        )
+
     def _configuration_in_force(self) -> messages.ConfigurationInForce:
         image = self.site.image
         if self._configuration.version != image.version:
@@ -319,10 +350,7 @@
         age_s = anyio.current_time() - self.listed_at_s
         members = self.replica.status().members
         control = tuple(peer.member.address for peer in members)
-        age_ms = _MAX_AGE_MS
-        if age_s * _MS_PER_S < _MAX_AGE_MS:
-            age_ms = int(age_s * _MS_PER_S)
-        return messages.Confirmation(age_ms, control)
+        return messages.Confirmation(messages.age_ms(age_s), control)
 
 
 def watch_handlers(
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -10,6 +10,8 @@
 from cactusstile.transport import codec
 
 _SCHEMA = codec.load_schema(__file__, "sites.capnp")
+MAX_AGE_MS = 2**32 - 1
+_MS_PER_S = 1000
 
 
 @codec.register(0, _SCHEMA, "NamedWeights")
@@ -69,12 +71,34 @@
     document: bytes
 
 
+@codec.register(0, _SCHEMA, "AnnouncedWeights")
+@attrs.frozen
+class AnnouncedWeights:
+    """A version of a model's weights, with the time since its announcement.
+
+    Attributes:
+      model: The model.
+      version: The version.
+      age_ms: Time since the announcement, in ms, at most `MAX_AGE_MS`.
+    """
+
+    model: str
+    version: int
+    age_ms: int
+
+
 @codec.register(512, _SCHEMA, "WeightsInForce")
 @attrs.frozen
 class WeightsInForce:
-    """Item: the newest version of each model's weights."""
+    """Item: the versions of the models' weights.
+
+    Attributes:
+      weights: Newest version of each model.
+      announced: All versions that engines may still lack.
+    """
 
     weights: tuple[NamedWeights, ...]
+    announced: tuple[AnnouncedWeights, ...] = ()
 
 
 @codec.register(0, _SCHEMA, "ListedTarget")
@@ -294,6 +318,17 @@
     fetches: tuple[ObservedFetch, ...]
 
 
+def age_ms(age_s: float) -> int:
+    """Returns an age in the unit of messages; see `MAX_AGE_MS`.
+
+    >>> age_ms(0.25), age_ms(float("inf")) == MAX_AGE_MS
+    (250, True)
+    """
+    if age_s * _MS_PER_S >= MAX_AGE_MS:
+        return MAX_AGE_MS
+    return max(0, int(age_s * _MS_PER_S))
+
+
 def encode_target(target: model.Target) -> ListedTarget:
     """Returns the message for a target."""
     weights = tuple(
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -25,8 +25,15 @@
   document @1 :Data;
 }
 
+struct AnnouncedWeights {
+  model @0 :Text;
+  version @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
 struct WeightsInForce {
   weights @0 :List(NamedWeights);
+  announced @1 :List(AnnouncedWeights);
 }
 
 struct ListedTarget {
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -164,7 +164,7 @@
 async def test_start_of_a_gateway_renews_no_grace() -> None:
     site = state.SiteState()
     feed = feeds.Feed(site, typing.cast("replica.Replica", _Leader()))
-    site.observer = feed.notify_watches
+    site.observer = feed.observe_state
     site.apply(1, commands.pack(site_commands.NameWeights("m", 2)))
     await anyio.sleep(WEIGHTS_S)
     gateway = Gateway(engine("old", 1), engine("new", 2))
--- a/tests/gateway/test_records.py
+++ b/tests/gateway/test_records.py
@@ -10,16 +10,15 @@
 pytestmark = pytest.mark.anyio
 
 
-async def test_record_names_weights_of_attempt_and_newer_ones() -> None:
+async def test_record_names_weights_of_attempt_and_their_age() -> None:
     async with raw_target.open_target(
         raw_target.stream_events([1]), weights=(model.Weights("m", 3),)
     ) as target:
         config = support.configuration(support.route(model.Kind.STREAM))
         async with support.open_harness(config, target) as harness:
-            harness.site.weights["m"] = 4
-            harness.site.weights_named_s["m"] = anyio.current_time() - 2.0
+            harness.site.weights.add("m", 4, anyio.current_time() - 2.0)
             fields = b"X-Cactusstile-Model: m\r\n"
             await harness.ask(support.request(b"POST", fields))
     logged = harness.records[0].fields()["attempts"][0]
-    assert (logged["weights"], logged["newest_weights"]) == (3, 4)
-    assert 2000 <= logged["newest_age_ms"] < 4000
+    assert logged["weights"] == 3
+    assert 2000 <= logged["outdated_ms"] < 4000
--- a/tests/registry/test_daemon.py
+++ b/tests/registry/test_daemon.py
@@ -203,3 +203,23 @@
             with anyio.fail_after(10):
                 while len((await site.leader()).replica.status().members) < 3:
                     await anyio.sleep(0.05)
+
+
+async def test_new_leader_knows_the_age_of_announced_weights(
+    site: Site,
+) -> None:
+    async with site.open(*HOSTS[:3]):
+        leader = await site.leader()
+        body = json.dumps({"model": "m", "version": 2}).encode()
+        path = b"/-/version-put"
+        status, _ = await site.ask(leader.settings.host, b"POST", path, body)
+        assert status == 200
+        announced_s = anyio.current_time()
+        await leader.step_down()
+        with anyio.fail_after(10):
+            while (await site.leader()) is leader:
+                await anyio.sleep(0.02)
+        newest = (await site.leader()).feed.announcements.newest("m")
+    assert newest is not None
+    assert newest.version == 2
+    assert abs(newest.announced_s - announced_s) < 1.0
