--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import typing
 
 import anyio
@@ -18,6 +17,7 @@
 
 from cactusstile.platform import calls
 from cactusstile.platform import client as clients
+from cactusstile.registry import swap_plan
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
@@ -33,95 +33,12 @@
 POLL_INTERVAL_S = 0.1
 # Time for gateways to stop sending requests to an engine.
 GATEWAY_NOTICE_S = 0.05
-# Fraction of the rollout limit within which all engines swap.
-SWAP_WINDOW_FRACTION = 0.75
-# Time to load weights while other engines load, too.
-WEIGHTS_LOAD_S = 0.8
-MIN_DRAIN_TIMEOUT_S = 0.3
 # Time after which an unanswered order is sent again.
 REPEAT_AFTER_S = 0.5
-# Fraction of a model's engines that swap at the same time.
-CONCURRENT_SWAP_FRACTION = 0.5
 MISDIRECTED = 421
 FENCED_OFF = 412
 
 
-@attrs.frozen
-class Swap:
-    """An engine and the weights that it has to load."""
-
-    target: model.Target
-    weights: model.Weights
-
-
-def next_swaps(
-    engines: collections.abc.Sequence[model.Target],
-    wanted_versions: collections.abc.Mapping[str, int],
-    completed: collections.abc.Set[tuple[tuple[str, int], str, int]],
-    in_progress: collections.abc.Set[tuple[str, int]],
-) -> list[Swap]:
-    """Returns the swaps to start now.
-
-    Args:
-      engines: All listed targets.
-      wanted_versions: Newest version by model.
-      completed: Incarnation, model and version of the completed swaps, which
-        the list shows only later.
-      in_progress: Incarnations of the engines with a swap in progress.
-    """
-    swaps = []
-    for name, version in wanted_versions.items():
-        holders = []
-        lagging = []
-        for target in engines:
-            current_version = _held_version(target, name)
-            if current_version is None or target.leaving:
-                continue
-            holders.append(target)
-            if current_version >= version or target.incarnation in in_progress:
-                continue
-            if (target.incarnation, name, version) in completed:
-                continue
-            lagging.append(target)
-        max_concurrent = _max_concurrent_swaps(len(holders))
-        busy = sum(holder.incarnation in in_progress for holder in holders)
-        for target in lagging[: max(0, max_concurrent - busy)]:
-            swaps.append(Swap(target, model.Weights(name, version)))
-    return swaps
-
-
-def _max_concurrent_swaps(engines: int) -> int:
-    """Returns how many engines may swap at the same time."""
-    return max(1, round(CONCURRENT_SWAP_FRACTION * engines))
-
-
-def drain_timeout_s(engines: int, rollout_limit_s: float) -> float:
-    """Returns how long a swap waits for the runs of an engine, in seconds.
-
-    The wait is bounded, since waiting for the end of long streams would delay
-    the swaps of the remaining engines beyond the rollout limit.
-
-    Args:
-      engines: Number of engines that hold the model.
-      rollout_limit_s: Time after which no request may start on older weights.
-
-    >>> round(drain_timeout_s(9, 8.0), 2), drain_timeout_s(5, 2.0)
-    (1.2, 0.3)
-    """
-    rounds = math.ceil(max(1, engines) / _max_concurrent_swaps(engines))
-    return max(
-        MIN_DRAIN_TIMEOUT_S,
-        SWAP_WINDOW_FRACTION * rollout_limit_s / rounds - WEIGHTS_LOAD_S,
-    )
-
-
-def _held_version(target: model.Target, name: str) -> int | None:
-    for weights in target.weights:
-        if weights.model == name:
-            return weights.version
-    return None
-
-
 class WeightsController:
     """Orders swaps of weights while this replica is the leader.
 
@@ -170,7 +87,7 @@
                 continue
             engines = self.list_targets()
             self._discard_gone_engines(engines)
-            swaps = next_swaps(
+            swaps = swap_plan.next_swaps(
                 engines,
                 self.wanted_versions(),
                 self.completed,
@@ -216,7 +133,7 @@
             entry for entry in self.completed if entry[0] in present
         }
 
-    async def _run_swap(self, swap: Swap) -> None:
+    async def _run_swap(self, swap: swap_plan.Swap) -> None:
         """Runs one swap and logs its outcome."""
         started_s = anyio.current_time()
         outcome = "given_up"
@@ -238,7 +155,7 @@
             },
         )
 
-    async def _drive_swap(self, swap: Swap) -> str:
+    async def _drive_swap(self, swap: swap_plan.Swap) -> str:
         """Sends orders until the engine reports the weights.
 
         Returns:
@@ -250,7 +167,7 @@
         """
         last_order_s = float("-inf")
         await anyio.sleep(GATEWAY_NOTICE_S)
-        drain_deadline_s = anyio.current_time() + drain_timeout_s(
+        drain_deadline_s = anyio.current_time() + swap_plan.drain_timeout_s(
             self._count_holders(swap.weights.model), self.rollout_limit_s
         )
         while self._may_order():
@@ -280,10 +197,12 @@
     def _count_holders(self, name: str) -> int:
         holder_count = 0
         for target in self.list_targets():
-            holder_count += _held_version(target, name) is not None
+            holder_count += swap_plan.held_version(target, name) is not None
         return holder_count
 
-    async def _send_order(self, swap: Swap, report: listings.Report) -> int:
+    async def _send_order(
+        self, swap: swap_plan.Swap, report: listings.Report
+    ) -> int:
         """Sends one order; returns the status of the answer, 0 for none."""
         status = self.replica.status()
         if not self._may_order():
--- a/tests/registry/test_order_histories.py
+++ b/tests/registry/test_order_histories.py
@@ -13,7 +13,7 @@
 from tests.registry import test_weights
 
 from cactusstile.platform import calls
-from cactusstile.registry import weights
+from cactusstile.registry import swap_plan
 
 ROUNDS_TO_SETTLE = 4
 Order = dict[str, typing.Any]
@@ -64,7 +64,7 @@
     ) -> Order | None:
         """Returns the order that the controller's code builds; None if none."""
         listed = test_weights.engine(0, self.engine.version)
-        swaps = weights.next_swaps([listed], {"m": newest}, set(), set())
+        swaps = swap_plan.next_swaps([listed], {"m": newest}, set(), set())
         if not swaps:
             return None
         request = calls.swap_request(
--- a/tests/registry/test_weights.py
+++ b/tests/registry/test_weights.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from cactusstile.registry import swap_plan
 from cactusstile.registry import weights
 from cactusstile.sites import model
 from cactusstile.transport import address
@@ -23,16 +24,16 @@
     )
 
 
-def ids(swaps: list[weights.Swap]) -> list[str]:
+def ids(swaps: list[swap_plan.Swap]) -> list[str]:
     return [swap.target.id for swap in swaps]
 
 
 def test_only_a_fraction_of_the_engines_swaps_at_once() -> None:
     engines = [engine(number, 1) for number in range(9)]
-    swaps = weights.next_swaps(engines, {"m": 2}, set(), set())
+    swaps = swap_plan.next_swaps(engines, {"m": 2}, set(), set())
     assert ids(swaps) == ["e-0", "e-1", "e-2", "e-3"]
     in_progress = {swap.target.incarnation for swap in swaps}
-    assert weights.next_swaps(engines, {"m": 2}, set(), in_progress) == []
+    assert swap_plan.next_swaps(engines, {"m": 2}, set(), in_progress) == []
 
 
 def test_long_streams_do_not_keep_engines_on_older_weights() -> None:
@@ -43,10 +44,10 @@
     """
     for engines in (1, 2, 5, 9, 21, 27):
         for rollout_limit_s in (6.0, 8.0, 10.0):
-            places = max(1, round(weights.CONCURRENT_SWAP_FRACTION * engines))
+            places = max(1, round(swap_plan.CONCURRENT_SWAP_FRACTION * engines))
             rounds = -(-engines // places)
             took_s = rounds * (
-                weights.drain_timeout_s(engines, rollout_limit_s) + 0.8
+                swap_plan.drain_timeout_s(engines, rollout_limit_s) + 0.8
             )
             assert took_s <= 0.8 * rollout_limit_s
 
@@ -54,10 +55,10 @@
 def test_engines_that_were_seen_to_end_are_left_alone() -> None:
     engines = [engine(number, 1) for number in range(3)]
     completed = {(engines[0].incarnation, "m", 2)}
-    swaps = weights.next_swaps(engines, {"m": 2}, completed, set())
+    swaps = swap_plan.next_swaps(engines, {"m": 2}, completed, set())
     assert ids(swaps) == ["e-1", "e-2"]
     # A newer version requires another swap.
-    swaps = weights.next_swaps(engines, {"m": 3}, completed, set())
+    swaps = swap_plan.next_swaps(engines, {"m": 3}, completed, set())
     assert ids(swaps) == ["e-0", "e-1"]
 
 
@@ -80,10 +81,10 @@
 
 def test_leaving_engines_and_those_without_the_model_are_not_swapped() -> None:
     engines = [engine(1, 1, leaving=True), engine(2, 2)]
-    assert weights.next_swaps(engines, {"m": 2, "x": 9}, set(), set()) == []
+    assert swap_plan.next_swaps(engines, {"m": 2, "x": 9}, set(), set()) == []
 
 
 def test_engine_furthest_behind_is_swapped_first() -> None:
     engines = [engine(number, 2) for number in range(4)] + [engine(4, 1)]
-    swaps = weights.next_swaps(engines, {"m": 3}, set(), set())
+    swaps = swap_plan.next_swaps(engines, {"m": 3}, set(), set())
     assert ids(swaps)[0] == "e-4"
