Swap the weights of the engines first that are furthest behind

Cause: the places of a roll-out went by the order of the list. With a further announcement the engines at its head, just swapped, lagged again and got the places before one that had not been swapped at all.

Why it works: lagging engines are ordered by the version that they hold, as far as known from the list or from a swap that has ended; the sort keeps the list's order among equals. So each engine is swapped once before another is swapped twice.

--- a/src/cactusstile/registry/swap_plan.py
+++ b/src/cactusstile/registry/swap_plan.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import operator
 import typing
 
 import attrs
@@ -53,22 +54,38 @@
         holders = []
         lagging = []
         for target in engines:
-            current_version = held_version(target, name)
+            current_version = _known_version(target, name, completed)
             if current_version is None or target.leaving:
                 continue
             holders.append(target)
             if current_version >= version or target.incarnation in in_progress:
                 continue
-            if (target.incarnation, name, version) in completed:
-                continue
-            lagging.append(target)
+            lagging.append((current_version, target))
+        # A further version must not let the first engines of the list pass
+        # those that still lack the version before.
+        lagging.sort(key=operator.itemgetter(0))
         max_concurrent = _max_concurrent_swaps(len(holders))
         busy = sum(holder.incarnation in in_progress for holder in holders)
-        for target in lagging[: max(0, max_concurrent - busy)]:
+        for _, target in lagging[: max(0, max_concurrent - busy)]:
             swaps.append(Swap(target, model.Weights(name, version)))
     return swaps
 
 
+def _known_version(
+    target: model.Target,
+    name: str,
+    completed: collections.abc.Set[tuple[tuple[str, int], str, int]],
+) -> int | None:
+    """Returns the version that an engine holds by the list or by its swaps."""
+    version = held_version(target, name)
+    if version is None:
+        return None
+    for incarnation, swapped_name, swapped_version in completed:
+        if (incarnation, swapped_name) == (target.incarnation, name):
+            version = max(version, swapped_version)
+    return version
+
+
 def _max_concurrent_swaps(engines: int) -> int:
     """Returns how many engines may swap at the same time."""
     return max(1, round(CONCURRENT_SWAP_FRACTION * engines))
