Give the places of a roll-out to engines that can be reached

Cause: an engine whose report could not be read gave its place up and got it again a tenth of a second later, being the first of the list. Two dark or cut-off engines of five held both places until they were delisted or reachable again.

Why it works: an engine that could not be reached is not tried for half a second and comes after all others then. Gateways are told that an engine swaps only once it was reached, so an engine that only control cannot reach keeps serving until its weights are past the limit.

--- a/src/cactusstile/registry/swap_plan.py
+++ b/src/cactusstile/registry/swap_plan.py
@@ -26,6 +26,9 @@
 CONCURRENT_SWAP_FRACTION = 0.5
 
 
+_NONE: dict[tuple[str, int], float] = {}
+
+
 @attrs.frozen
 class Swap:
     """An engine and the weights that it has to load."""
@@ -38,7 +41,10 @@
     engines: collections.abc.Sequence[model.Target],
     wanted_versions: collections.abc.Mapping[str, int],
     completed: collections.abc.Set[tuple[tuple[str, int], str, int]],
-    in_progress: collections.abc.Set[tuple[str, int]],
+    in_progress: set[tuple[str, int]],
+    *,
+    unreachable: collections.abc.Mapping[tuple[str, int], float] = _NONE,
+    now_s: float = 0.0,
 ) -> list[Swap]:
     """Returns the swaps to start now.
 
@@ -48,25 +54,27 @@
       completed: Incarnation, model and version of the completed swaps, which
         the list shows only later.
       in_progress: Incarnations of the engines with a swap in progress.
+      unreachable: Loop time before which an engine is not tried again, by the
+        incarnation of engines whose last call failed.
+      now_s: Loop time.
     """
     swaps = []
     for name, version in wanted_versions.items():
         holders = []
         lagging = []
         for target in engines:
-            current_version = _known_version(target, name, completed)
-            if current_version is None or target.leaving:
-                continue
-            holders.append(target)
-            if current_version >= version or target.incarnation in in_progress:
+            incarnation = target.incarnation
+            held = _known_version(target, name, completed)
+            if held is None or target.leaving:
                 continue
-            lagging.append((current_version, target))
-        # A further version must not let the first engines of the list pass
-        # those that still lack the version before.
-        lagging.sort(key=operator.itemgetter(0))
-        max_concurrent = _max_concurrent_swaps(len(holders))
-        busy = sum(holder.incarnation in in_progress for holder in holders)
-        for _, target in lagging[: max(0, max_concurrent - busy)]:
+            holders.append(incarnation)
+            is_tried = now_s >= unreachable.get(incarnation, now_s)
+            if held < version and is_tried and incarnation not in in_progress:
+                lagging.append((incarnation in unreachable, held, target))
+        # Unreachable engines must not hold the places of others, and a further
+        # version must not let engines pass those that lack the one before.
+        lagging.sort(key=operator.itemgetter(0, 1))
+        for *_, target in lagging[: _free_places(holders, in_progress)]:
             swaps.append(Swap(target, model.Weights(name, version)))
     return swaps
 
@@ -86,6 +94,14 @@
     return version
 
 
+def _free_places(
+    holders: list[tuple[str, int]], in_progress: set[tuple[str, int]]
+) -> int:
+    """Returns how many more of a model's engines may swap now."""
+    busy = len(in_progress.intersection(holders))
+    return max(0, _max_concurrent_swaps(len(holders)) - busy)
+
+
 def _max_concurrent_swaps(engines: int) -> int:
     """Returns how many engines may swap at the same time."""
     return max(1, round(CONCURRENT_SWAP_FRACTION * engines))
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -31,6 +31,8 @@
 CHECK_INTERVAL_S = 0.1
 # Interval at which the report of a swapping engine is read.
 POLL_INTERVAL_S = 0.1
+# Time after which an engine that could not be reached is tried again.
+UNREACHABLE_RETRY_S = 0.5
 # Time for gateways to stop sending requests to an engine.
 GATEWAY_NOTICE_S = 0.05
 # Time after which an unanswered order is sent again.
@@ -45,6 +47,10 @@
     Attributes:
       completed: Incarnation, model and version of the completed swaps.
       in_progress: Incarnations of the engines with a swap in progress.
+      draining: Incarnations of those that were reached, to which gateways send
+        no more requests.
+      unreachable: Loop time before which an engine is not tried again, by the
+        incarnation of engines whose last call failed.
       fenced_off_term: Term whose fence an engine refused; -1 for none.
     """
 
@@ -77,6 +83,8 @@
         self.rollout_limit_s = rollout_limit_s
         self.completed: set[tuple[tuple[str, int], str, int]] = set()
         self.in_progress: set[tuple[str, int]] = set()
+        self.draining: set[tuple[str, int]] = set()
+        self.unreachable: dict[tuple[str, int], float] = {}
         self.fenced_off_term = -1
 
     async def run(self, group: anyio.abc.TaskGroup) -> None:
@@ -92,12 +100,12 @@
                 self.wanted_versions(),
                 self.completed,
                 self.in_progress,
+                unreachable=self.unreachable,
+                now_s=anyio.current_time(),
             )
             for swap in swaps:
                 self.in_progress.add(swap.target.incarnation)
                 group.start_soon(self._run_swap, swap)
-            if swaps:
-                self.on_change()
 
     def with_swap_progress(
         self, targets: tuple[model.Target, ...]
@@ -116,7 +124,7 @@
                 attrs.evolve(
                     target,
                     weights=tuple(weights),
-                    swapping=target.incarnation in self.in_progress,
+                    swapping=target.incarnation in self.draining,
                 )
             )
         return tuple(updated)
@@ -127,8 +135,10 @@
         return self.replica.status().term != self.fenced_off_term
 
     def _discard_gone_engines(self, engines: tuple[model.Target, ...]) -> None:
-        """Discards the completed swaps of engines that are not listed."""
+        """Discards what is known of engines that are not listed."""
         present = {entry.incarnation for entry in engines}
+        for incarnation in self.unreachable.keys() - present:
+            del self.unreachable[incarnation]
         self.completed = {
             entry for entry in self.completed if entry[0] in present
         }
@@ -136,13 +146,18 @@
     async def _run_swap(self, swap: swap_plan.Swap) -> None:
         """Runs one swap and logs its outcome."""
         started_s = anyio.current_time()
+        incarnation = swap.target.incarnation
         outcome = "given_up"
         try:
             outcome = await self._drive_swap(swap)
+            self.unreachable.pop(incarnation, None)
         except clients.CallError as error:
             outcome = str(error)
+            retry_at_s = anyio.current_time() + UNREACHABLE_RETRY_S
+            self.unreachable[incarnation] = retry_at_s
         finally:
-            self.in_progress.discard(swap.target.incarnation)
+            self.in_progress.discard(incarnation)
+            self.draining.discard(incarnation)
             self.on_change()
         logger.info(
             "swap of weights ended",
@@ -165,28 +180,23 @@
         Raises:
           CallError: The report of the engine cannot be read.
         """
-        last_order_s = float("-inf")
+        await self.client.read_report(swap.target)
+        self.draining.add(swap.target.incarnation)
+        self.on_change()
         await anyio.sleep(GATEWAY_NOTICE_S)
         drain_deadline_s = anyio.current_time() + swap_plan.drain_timeout_s(
             self._count_holders(swap.weights.model), self.rollout_limit_s
         )
+        last_order_s = float("-inf")
         while self._may_order():
             report = await self.client.read_report(swap.target)
             if _holds_version(report, swap.weights):
-                self.completed.add(
-                    (
-                        swap.target.incarnation,
-                        swap.weights.model,
-                        swap.weights.version,
-                    )
-                )
+                self._record_completed(swap)
                 return "done"
             now_s = anyio.current_time()
             is_due = now_s - last_order_s >= REPEAT_AFTER_S
-            is_due = is_due and (
-                not report.requests or now_s >= drain_deadline_s
-            )
-            if is_due and not report.is_executing_order:
+            is_drained = not report.requests or now_s >= drain_deadline_s
+            if is_due and is_drained and not report.is_executing_order:
                 last_order_s = now_s
                 status = await self._send_order(swap, report)
                 if status in (FENCED_OFF, MISDIRECTED):
@@ -194,6 +204,11 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return "not_leader"
 
+    def _record_completed(self, swap: swap_plan.Swap) -> None:
+        incarnation = swap.target.incarnation
+        weights = swap.weights
+        self.completed.add((incarnation, weights.model, weights.version))
+
     def _count_holders(self, name: str) -> int:
         holder_count = 0
         for target in self.list_targets():
--- a/tests/registry/test_weights.py
+++ b/tests/registry/test_weights.py
@@ -75,7 +75,7 @@
         on_change=lambda: None,
         rollout_limit_s=8.0,
     )
-    controller.in_progress.add(engines[0].incarnation)
+    controller.draining.add(engines[0].incarnation)
     controller.completed.add((engines[1].incarnation, "m", 2))
     seen = controller.with_swap_progress(engines)
     assert [target.swapping for target in seen] == [True, False, False]
