Let the drain of an engine count from the first try of its swap

Cause: a report that could not be read ended a swap, and the next try waited for the engine's runs from the beginning. An engine that is never idle and loses a report now and then was not ordered at all.

Evidence: test_report_that_cannot_be_read_does_not_renew_the_drain (one report of four lost) failed before and passes now.

Why it works: the end of the drain is kept by incarnation until the swap is completed or the engine is gone, so the tries share one drain.

--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -51,6 +51,8 @@
         no more requests.
       unreachable: Loop time before which an engine is not tried again, by the
         incarnation of engines whose last call failed.
+      drain_deadlines: Loop time at which the drain of an engine ends, by its
+        incarnation, until its swap is completed.
       fenced_off_term: Term whose fence an engine refused; -1 for none.
     """
 
@@ -85,6 +87,7 @@
         self.in_progress: set[tuple[str, int]] = set()
         self.draining: set[tuple[str, int]] = set()
         self.unreachable: dict[tuple[str, int], float] = {}
+        self.drain_deadlines: dict[tuple[str, int], float] = {}
         self.fenced_off_term = -1
 
     async def run(self, group: anyio.abc.TaskGroup) -> None:
@@ -137,8 +140,9 @@
     def _discard_gone_engines(self, engines: tuple[model.Target, ...]) -> None:
         """Discards what is known of engines that are not listed."""
         present = {entry.incarnation for entry in engines}
-        for incarnation in self.unreachable.keys() - present:
-            del self.unreachable[incarnation]
+        for known in (self.unreachable, self.drain_deadlines):
+            for incarnation in known.keys() - present:
+                del known[incarnation]
         self.completed = {
             entry for entry in self.completed if entry[0] in present
         }
@@ -184,9 +188,7 @@
         self.draining.add(swap.target.incarnation)
         self.on_change()
         await anyio.sleep(GATEWAY_NOTICE_S)
-        drain_deadline_s = anyio.current_time() + swap_plan.drain_timeout_s(
-            self._count_holders(swap.weights.model), self.rollout_limit_s
-        )
+        drain_deadline_s = self._begin_drain(swap)
         last_order_s = float("-inf")
         while self._may_order():
             report = await self.client.read_report(swap.target)
@@ -204,10 +206,25 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return "not_leader"
 
+    def _begin_drain(self, swap: swap_plan.Swap) -> float:
+        """Returns the loop time until which the engine's runs may end.
+
+        It counts from the first try: a swap that ended without an answer and
+        is tried again must not wait for the runs again.
+        """
+        timeout_s = swap_plan.drain_timeout_s(
+            self._count_holders(swap.weights.model), self.rollout_limit_s
+        )
+        deadline_s = anyio.current_time() + timeout_s
+        return self.drain_deadlines.setdefault(
+            swap.target.incarnation, deadline_s
+        )
+
     def _record_completed(self, swap: swap_plan.Swap) -> None:
         incarnation = swap.target.incarnation
         weights = swap.weights
         self.completed.add((incarnation, weights.model, weights.version))
+        self.drain_deadlines.pop(incarnation, None)
 
     def _count_holders(self, name: str) -> int:
         holder_count = 0
