--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -113,6 +113,7 @@
     *open_targets: raw_target.RawTarget,
     ratio: float = 1.0,
     slack: float = 10.0,
+    weights_s: float = 8.0,
 ) -> collections.abc.AsyncIterator[GatewayHarness]:
     site = site_view.SiteView()
     if site_configuration is not None:
@@ -122,7 +123,7 @@
     retry_budget = budget.RetryBudget(ratio, 10.0, slack)
     ended: list[records.RequestRecord] = []
     forwarder = forwarding.Forwarder(
-        site, pool, retry_budget, ended.append, 8.0
+        site, pool, retry_budget, ended.append, weights_s
     )
     serving = callers.Serving(
         forwarder.handle, site.caller_limits, callers.BodyMemory(1 << 20)
