Withdraw a prompt that waits at an engine until its weights are outdated

Cause: gateways stop choosing an engine at 0.8 of the limit, but a request sent before may wait in the engine's queue for longer than the rest.

Why it works: an attempt knows by when its run must begin, 0.95 of the limit after the first version that the engine lacks, or after now if it lacks none. If the head of the stream has not come by then, the connection is closed, which drops the request at the engine. It may have begun just then, so it goes on elsewhere only on routes that permit it, within the budget; others get an error that promises nothing. The engine is not counted as failing.

Ruled out: a shorter deadline in the request to the engine, which would also end runs that began in time; stopping to choose such engines earlier, which takes more engines out for longer and still bounds no wait.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -18,6 +18,7 @@
 from cactusstile.gateway import routes
 from cactusstile.gateway import sessions
 from cactusstile.gateway import site_view
+from cactusstile.gateway import stored_parts
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
 from cactusstile.platform import headers
@@ -35,6 +36,8 @@
 # Fraction of the grace period for older weights after which their engines
 # receive no more requests, since a request may wait there before it starts.
 OUTDATED_WEIGHTS_FRACTION = 0.8
+# Fraction after which a request that still waits there is withdrawn.
+WITHDRAWAL_FRACTION = 0.95
 
 
 class Dispatcher:
@@ -199,21 +202,42 @@
             return exchange.Dispatch(
                 view.target, salt, last_event_id=last_event_id
             )
-        shared_parts = self.sessions.shared_parts(
-            admitted.route.name, admitted.prompt
+        copy_to = None if backup is None else backup.view.target.address
+        return exchange.Dispatch(
+            view.target,
+            salt,
+            weights,
+            last_event_id,
+            self._plan_transfers(admitted, view, salt),
+            copy_to,
+            begin_by_s=self._begin_by_s(name, weights),
         )
-        plan = self.site.stored.plan(
+
+    def _plan_transfers(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        salt: str,
+    ) -> stored_parts.TransferPlan:
+        """Returns the parts of the prompt that an engine fetches and saves."""
+        return self.site.stored.plan(
             admitted.prompt,
-            shared_parts,
+            self.sessions.shared_parts(admitted.route.name, admitted.prompt),
             salt,
             self.site.stores(),
             holder=self._make_holder_lookup(view),
             now_s=anyio.current_time(),
         )
-        copy_to = None if backup is None else backup.view.target.address
-        return exchange.Dispatch(
-            view.target, salt, weights, last_event_id, plan, copy_to
-        )
+
+    def _begin_by_s(self, name: str, weights: int) -> float:
+        """Returns the loop time by which a run on these weights must begin.
+
+        A version that is announced while a request waits counts from then on.
+        """
+        since_s = self.site.weights.lacking_since_s(name, weights)
+        if since_s is None:
+            since_s = anyio.current_time()
+        return since_s + WITHDRAWAL_FRACTION * self.weights_s
 
     def choose_backup(
         self,
@@ -286,6 +310,8 @@
     ) -> None:
         """Updates the view of a target after a failed attempt."""
         now_s = anyio.current_time()
+        if error.is_withdrawn:
+            return
         if error.answer is not None:
             load = error.answer.head.find(headers.LOAD)
             view.record_load(load, now_s)
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -54,6 +54,7 @@
       reason: Cause as one word, for logs.
       was_sent: Whether any byte of the request left for the target.
       answer: Rejection or error answer of the target; None without one.
+      is_withdrawn: Whether this gateway gave up a target that has not failed.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         *,
         was_sent: bool = True,
         answer: Answer | None = None,
+        is_withdrawn: bool = False,
     ) -> None:
         """Describes a failed attempt."""
         super().__init__(reason)
@@ -70,6 +72,7 @@
         self.verdict = outcome
         self.was_sent = was_sent
         self.answer = answer
+        self.is_withdrawn = is_withdrawn
 
     @property
     def is_misdirected(self) -> bool:
@@ -107,6 +110,8 @@
       copy_to: Address of the engine that the run's KV cache is copied to while
         it grows; None if it is not copied.
       from_copy: Whether the run resumes from its copy at this engine.
+      begin_by_s: Loop time by which the run must begin; infinite if it may
+        begin at any time.
     """
 
     target: model.Target
@@ -116,6 +121,7 @@
     transfers: stored_parts.TransferPlan = stored_parts.NO_TRANSFERS
     copy_to: address.Address | None = None
     from_copy: bool = False
+    begin_by_s: float = float("inf")
 
 
 @attrs.define
@@ -160,13 +166,19 @@
         ) from error
     try:
         request = build_request(admitted, dispatch)
+        answer: Answer | OpenStream | None = None
         bytes_before = connection.socket.bytes_sent
         try:
-            answer_or_stream = await _exchange(connection, request, admitted)
+            with anyio.CancelScope(deadline=dispatch.begin_by_s):
+                answer = await _exchange(connection, request, admitted)
         except exceptions.HttpError as error:
             was_sent = connection.socket.bytes_sent > bytes_before
             raise _make_error(error, was_sent=was_sent) from error
-        yield answer_or_stream
+        if answer is None:
+            raise AttemptError(
+                "withdrawn", verdict.Verdict.MAY_HAVE_RUN, is_withdrawn=True
+            )
+        yield answer
     finally:
         pool.give_back(connection)
 
