Read the builds of targets, log them and what a caller resumes

Records of requests name both now, the list carries the build to gateways, and nothing decides by it yet.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -48,6 +48,8 @@
       caller_deadline_s: Loop time at which the caller stops waiting.
       last_event_id: Id of the last event that the caller received before it
         resumed the stream; None if it does not resume one.
+      resumed_id: Id of the attempt that brought the first event of the stream
+        that the caller resumes; empty if it names none.
       version: Version of the configuration that was applied.
     """
 
@@ -62,6 +64,7 @@
     answer_deadline_s: float
     caller_deadline_s: float
     last_event_id: int | None
+    resumed_id: str
     version: int
 
 
@@ -99,6 +102,7 @@
         answer_deadline_s=answer_deadline_s,
         caller_deadline_s=caller_deadline_s,
         last_event_id=_parse_number(request, headers.LAST_EVENT_ID),
+        resumed_id=request.find(headers.RESUMED_REQUEST) or "",
         version=table.configuration.version,
     )
 
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -32,6 +32,7 @@
       fetched_tokens: Prompt tokens that the target was instructed to fetch.
       store: Address of the store or engine with the largest fetch.
       from_copy: Whether the run resumed from its copy.
+      build: Build of the target's software; empty if unknown.
       weights: Version of the weights that the engine was expected to hold;
         None without a model.
       outdated_s: Time since a newer version was announced, in seconds; None
@@ -51,6 +52,7 @@
     fetched_tokens: int = 0
     store: str = ""
     from_copy: bool = False
+    build: str = ""
     weights: int | None = None
     outdated_s: float | None = None
     was_usable: bool = True
@@ -70,6 +72,8 @@
             fields["unread"] = self.unread_tokens
             fields["fetched"] = self.fetched_tokens
             fields["store"] = self.store
+        if self.build:
+            fields["build"] = self.build
         if self.from_copy:
             fields["from_copy"] = True
         if self.weights is not None:
@@ -99,6 +103,10 @@
       expected_tokens: Number of output tokens that the caller expects; 0 if it
         gives no estimate.
       version: Version of the configuration that was applied.
+      resumed_id: Id of the attempt that began the stream that the caller
+        resumes; empty if it names none.
+      last_event_id: Last event that the caller received of it; None if it
+        resumes none.
       attempts: Attempts in order.
       outcome: "answered", "caller_left" or the reason of a refusal.
       refusal_verdict: Whether a refused request may have run; empty if it was
@@ -117,6 +125,8 @@
     max_output_tokens: int = 0
     expected_tokens: int = 0
     version: int = -1
+    resumed_id: str = ""
+    last_event_id: int | None = None
     attempts: list[AttemptRecord] = attrs.field(factory=list)
     outcome: str = "answered"
     refusal_verdict: str = ""
@@ -129,6 +139,8 @@
         """Records the route, the workspace and the prompt's limits."""
         self.route = admitted.route.name
         self.version = admitted.version
+        self.resumed_id = admitted.resumed_id
+        self.last_event_id = admitted.last_event_id
         self.max_output_tokens = admitted.prompt.max_output_tokens
         self.expected_tokens = admitted.prompt.expected_tokens
         if admitted.workspace is not None:
@@ -144,6 +156,7 @@
         occupied = view.occupied(now_s)
         attempt = AttemptRecord(view.target.id, now_s, occupied)
         attempt.was_usable = view.is_usable(now_s)
+        attempt.build = view.target.build
         self.attempts.append(attempt)
 
     def set_weights(self, version: int, outdated_s: float | None) -> None:
@@ -195,6 +208,9 @@
             "took_ms": _to_ms(self.ended_s - self.received_s),
             "attempts": attempts,
         }
+        if self.last_event_id is not None:
+            fields["resumes"] = self.resumed_id
+            fields["last_event"] = self.last_event_id
         if self.max_output_tokens:
             fields["max_output"] = self.max_output_tokens
             fields["expected_output"] = self.expected_tokens
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -12,6 +12,8 @@
 # The caller's estimate of the output tokens, which is often far off.
 LENGTH_ESTIMATE = b"x-cactusstile-length-hint"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the attempt that brought the first event of the stream to be resumed.
+RESUMED_REQUEST = b"resumes"
 
 # Set by callers; the gateway replaces or removes them.
 DEADLINE_MS = b"x-cactusstile-deadline-ms"
--- a/src/cactusstile/platform/listings.py
+++ b/src/cactusstile/platform/listings.py
@@ -68,6 +68,7 @@
         born_ms=fields.integer(entry, "born", 0),
         cold_s=fields.number(entry, "coldRemainingMs", 0) / 1000,
         weights=_decode_weights(entry),
+        build=fields.text(entry, "version", ""),
     )
 
 
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -116,6 +116,7 @@
     cold_s: float
     weights: tuple[NamedWeights, ...]
     swapping: bool
+    build: str = ""
 
 
 @codec.register(513, _SCHEMA, "TargetList")
@@ -345,6 +346,7 @@
         target.cold_s,
         weights,
         target.swapping,
+        target.build,
     )
 
 
@@ -368,6 +370,7 @@
         cold_s=listed.cold_s,
         weights=weights,
         swapping=listed.swapping,
+        build=listed.build,
     )
 
 
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -197,6 +197,8 @@
       cold_s: Remaining time for which it is slow after its start.
       weights: Versions of the weights that it holds.
       swapping: Whether a swap of its weights is in progress.
+      build: Version of its software; empty if unknown. What targets of two
+        builds write does not fit together.
     """
 
     id: str
@@ -209,6 +211,7 @@
     cold_s: float = 0.0
     weights: tuple[Weights, ...] = ()
     swapping: bool = False
+    build: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -47,6 +47,7 @@
   coldS @7 :Float64;
   weights @8 :List(NamedWeights);
   swapping @9 :Bool;
+  build @10 :Text;
 }
 
 struct TargetList {
--- a/tests/gateway/test_records.py
+++ b/tests/gateway/test_records.py
@@ -22,3 +22,20 @@
     logged = harness.records[0].fields()["attempts"][0]
     assert logged["weights"] == 3
     assert 2000 <= logged["outdated_ms"] < 4000
+
+
+async def test_record_names_builds_and_the_resumed_request() -> None:
+    async with raw_target.open_target(
+        raw_target.stream_events([2]), build="v7"
+    ) as target:
+        config = support.configuration(
+            support.route(model.Kind.STREAM, resumable=True)
+        )
+        async with support.open_harness(config, target) as harness:
+            fields = b"Last-Event-Id: 1\r\nResumes: earlier\r\n"
+            await harness.ask(support.request(b"POST", fields))
+    logged = harness.records[0].fields()
+    assert (logged["resumes"], logged["last_event"]) == ("earlier", 1)
+    assert logged["attempts"][0]["build"] == "v7"
+    sent = target.requests[0]
+    assert raw_target.find_header(sent, b"resumes") == b"earlier"
--- a/tests/platform/test_listings.py
+++ b/tests/platform/test_listings.py
@@ -27,6 +27,7 @@
     target = decoded.targets[0]
     assert target.incarnation == ("i-1", 17)
     assert target.weights[0].version == 3
+    assert target.build == "v1"
     assert (target.cold_s, target.leaving) == (0.5, False)
     assert decoded.next_page == "p-50"
 
--- a/tests/registry/test_weights.py
+++ b/tests/registry/test_weights.py
@@ -12,7 +12,7 @@
     from cactusstile.platform import client as clients
 
 
-def engine(number: int, version: int, **rest: bool) -> model.Target:
+def engine(number: int, version: int, **rest: typing.Any) -> model.Target:
     return model.Target(
         id=f"e-{number}",
         service="s",
