--- /dev/null
+++ b/tests/gateway/test_stream_builds.py
@@ -0,0 +1,53 @@
+"""Streams that are interrupted while targets of several builds serve."""
+
+from __future__ import annotations
+
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.sites import model
+
+pytestmark = pytest.mark.anyio
+STREAM = model.Kind.STREAM
+CONFIG = support.configuration(support.route(STREAM, resumable=True))
+
+
+def event_ids(data: bytes) -> list[bytes]:
+    return [line for line in data.split(b"\n") if line.startswith(b"id:")]
+
+
+async def test_interrupted_stream_does_not_go_on_at_another_build() -> None:
+    cut = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(cut, id="a", build="v1") as first,
+        raw_target.open_target(
+            raw_target.stream_events([3]), id="b", build="v2"
+        ) as other,
+        support.open_harness(CONFIG, first, other) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request(b"POST"))
+    assert other.requests == []
+    assert event_ids(data) == [b"id: 1", b"id: 2"]
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+async def test_interrupted_stream_goes_on_at_the_build_that_began_it() -> None:
+    cut = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(cut, id="a", build="v1") as first,
+        raw_target.open_target(
+            raw_target.stream_events([3]), id="b", build="v2"
+        ) as other,
+        raw_target.open_target(
+            raw_target.stream_events([3]), id="c", build="v1"
+        ) as same,
+        support.open_harness(CONFIG, first, other, same) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 1
+        harness.site.targets.views["c", 0].inflight = 3
+        data = await harness.ask(support.request(b"POST"))
+    assert (len(same.requests), other.requests) == (1, [])
+    assert event_ids(data) == [b"id: 1", b"id: 2", b"id: 3"]
+    assert data.endswith(b"0\r\n\r\n")
