Let an interrupted stream go on only at the build that began it

Cause: an interrupted stream was sent to any untried target of its service, and a run was copied to any engine with the same weights; neither knew the build.

Why it works: the first event that is passed on fixes where the stream began. From then on a target of another build is none that the request may be sent to, whatever the state of the others; without one of the same build the answer is cut off and does not look complete. Copies are made only within a build, so resuming from one cannot leave it.

What callers take up again by a new request is a separate matter.

--- a/src/cactusstile/gateway/backups.py
+++ b/src/cactusstile/gateway/backups.py
@@ -86,6 +86,8 @@
             continue
         if view.weights.get(prompt.model) != weights:
             continue
+        if view.target.build != primary.target.build:
+            continue
         limit = view.cached.capacity_tokens
         usage = (view.memory_tokens(now_s) + needed_tokens) / max(1, limit)
         is_remote = view.target.data_centre != primary.target.data_centre
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -113,7 +113,7 @@
         service: str,
         attempts: retries.Attempts,
     ) -> list[target_view.TargetView]:
-        """Returns the untried targets that a request may be sent to.
+        """Returns the targets that a request may be sent to now.
 
         A target that appears to fail is returned only if there is no other. An
         engine on outdated weights is never returned.
@@ -131,15 +131,12 @@
     def untried(
         self, service: str, attempts: retries.Attempts
     ) -> list[target_view.TargetView]:
-        """Returns the targets of a service that a request was not sent to."""
-        untried = []
-        for view in self.site.targets.of_service(service):
-            if view.target.leaving:
-                continue
-            if view.target.incarnation in attempts.tried_incarnations:
-                continue
-            untried.append(view)
-        return untried
+        """Returns the targets of a service that a request may be sent to.
+
+        They may be unusable for the moment.
+        """
+        views = self.site.targets.of_service(service)
+        return [view for view in views if attempts.permits(view.target)]
 
     def _choose_engine(
         self,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -155,7 +155,7 @@
         Raises:
           RefusedError: No target answered.
         """
-        relay = streams.StreamRelay(responder, admitted.last_event_id)
+        relay = streams.StreamRelay(responder, admitted.last_event_id, attempts)
         service = self.dispatcher.choose_service(admitted)
         self.budget.count_request(service, anyio.current_time())
         while True:
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -21,6 +21,24 @@
 MAX_MISDIRECTED = 4
 
 
+@attrs.frozen
+class StreamOrigin:
+    """Where a stream began.
+
+    Attributes:
+      service: Name of the service.
+      build: Build of the target that made the first event.
+    """
+
+    service: str
+    build: str
+
+
+def origin_at(target: model.Target) -> StreamOrigin:
+    """Returns the origin of a stream that begins at a target."""
+    return StreamOrigin(target.service, target.build)
+
+
 @attrs.define
 class Attempts:
     """Attempts of one request so far.
@@ -37,6 +55,8 @@
       answer: Last answer in which a target reports its own error.
       backup: Copy of the current or last run; None if it was not copied.
       resuming: Whether the next attempt resumes from that copy.
+      origin: Where the stream began; only targets of its build may continue
+        it. None before the first event.
     """
 
     route: model.Route
@@ -49,6 +69,13 @@
     answer: exchange.Answer | None = None
     backup: backups.Backup | None = None
     resuming: bool = False
+    origin: StreamOrigin | None = None
+
+    def permits(self, target: model.Target) -> bool:
+        """Returns whether the request may be sent to a target at all."""
+        if target.leaving or target.incarnation in self.tried_incarnations:
+            return False
+        return self.origin is None or self.origin.build == target.build
 
     def record_start(self, target: model.Target) -> None:
         """Records that the request is being sent to a target."""
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -90,7 +90,7 @@
                     view.unread_tokens -= work.unread_tokens
                     work.unread_tokens = 0
                     self.announce_load()
-                    await relay.feed(opened)
+                    await relay.feed(opened, retries.origin_at(view.target))
                     self._record_stream_end(admitted, work)
             view.record_success()
         except anyio.get_cancelled_exc_class():
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -4,6 +4,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import exchange
+from cactusstile.gateway import retries
 from cactusstile.http import events
 from cactusstile.http import exceptions
 from cactusstile.http import messages
@@ -16,15 +17,20 @@
 
     Attributes:
       responder: Sends to the caller.
+      attempts: Attempts of the request; they learn where the stream began.
       splitter: Extracts complete events that were not sent before.
       events: Number of events sent to the caller.
     """
 
     def __init__(
-        self, responder: responders.Responder, last_event_id: int | None
+        self,
+        responder: responders.Responder,
+        last_event_id: int | None,
+        attempts: retries.Attempts,
     ) -> None:
         """Resumes after `last_event_id`; None starts from the beginning."""
         self.responder = responder
+        self.attempts = attempts
         self.splitter = events.EventSplitter(last_event_id)
         self.events = 0
 
@@ -33,8 +39,10 @@
         """Whether the caller has received any byte."""
         return self.responder.started
 
-    async def feed(self, stream: exchange.OpenStream) -> None:
-        """Relays a target's stream to its end.
+    async def feed(
+        self, stream: exchange.OpenStream, origin: retries.StreamOrigin
+    ) -> None:
+        """Relays the stream of a target at `origin` to its end.
 
         The head is sent with the first event, so that until then another target
         can still serve the request.
@@ -49,6 +57,8 @@
             if data is None:
                 break
             for event in self.splitter.feed(data):
+                if self.attempts.origin is None:
+                    self.attempts.origin = origin
                 await self._start(stream.head)
                 await self.responder.send(event)
                 self.events += 1
--- a/tests/gateway/test_backups.py
+++ b/tests/gateway/test_backups.py
@@ -51,6 +51,14 @@
     assert choose_backup(chosen, full, free) is free
 
 
+def test_backup_is_an_engine_of_the_same_build() -> None:
+    chosen, other = engine(1, build="v1"), engine(2, build="v2")
+    assert choose_backup(chosen, other) is None
+    same = engine(3, build="v1")
+    same.tokens = 10_000
+    assert choose_backup(chosen, other, same) is same
+
+
 def test_backup_prefers_own_data_centre_while_memory_is_free() -> None:
     chosen, near, far = engine(1), engine(2), engine(3, data_centre="there")
     near.tokens = 10_000
