--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -51,3 +51,23 @@
     assert (len(same.requests), other.requests) == (1, [])
     assert event_ids(data) == [b"id: 1", b"id: 2", b"id: 3"]
     assert data.endswith(b"0\r\n\r\n")
+
+
+async def test_resumed_stream_does_not_go_on_at_another_build() -> None:
+    cut = raw_target.stream_events([1, 2], whole=False)
+    resume = support.request(b"POST", b"Last-Event-Id: 2\r\nResumes: one\r\n")
+    async with (
+        raw_target.open_target(cut, id="a", build="v1") as first,
+        raw_target.open_target(
+            raw_target.stream_events([3]), id="b", build="v2"
+        ) as other,
+        support.open_harness(CONFIG, first, other) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        await harness.ask(support.request(b"POST"))
+        harness.site.targets.views["a", 0].inflight = 9
+        first.scripts.append(raw_target.stream_events([3]))
+        resumed = resume.replace(b"Id: one", b"Id: two", 1)
+        data = await harness.ask(resumed)
+    assert other.requests == []
+    assert event_ids(data) == [b"id: 3"]
