Resume a stream only at the build that began it, through any gateway

Cause: a caller that resumes a stream names the attempt that brought its first event, which nothing read, and the gateway that gets the request cannot know the engine: the one that relayed the first event may have ended.

Why it works: before a gateway passes on the first event of a stream that callers may resume, it tells two others, found by consistent hashing of the attempt's id, at which service and build it began. The gateway that gets the resumption asks the gateways that the id leads to and sends the request only to targets of that build; without one it refuses at once, as nothing has run. A gateway that stops hands over what it knows.

Choosing the build by a hash of the id needs no memory, but moves streams to another build with each target that comes or goes.

Where nobody knows the origin: while all targets of the service have been of one build for longer than callers resume, the stream goes on there; else it is refused. What remains: both owners and the first gateway lost together, and a gateway whose first list shows one build takes it to have been the only one.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -141,6 +141,7 @@
     forwarder = forwarding.Forwarder(
         site, pool, budget, record_request, settings.weights_s
     )
+    forwarder.directory.own_address = str(settings.internal_address)
     memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_FRACTION
     serving = callers.Serving(
         forwarder.handle,
@@ -148,10 +149,7 @@
         callers.BodyMemory(int(memory_bytes)),
     )
     watch = control_watch.ControlWatch(
-        connections,
-        site,
-        settings.internal_seeds,
-        _own_member(settings),
+        connections, site, settings.internal_seeds, _own_member(settings)
     )
     return Gateway(
         settings,
@@ -191,19 +189,27 @@
         lambda listed: gateway.watch.apply_targets(listed, "platform"),
     )
     group.start_soon(_sweep_idle_connections, pool)
-    sharing = load_sharing.LoadSharing(site, gateway.watch.member)
     loads_exchange = load_exchange.LoadExchange(
-        sharing,
+        load_sharing.LoadSharing(site, gateway.watch.member),
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
     )
-    sender = gateway.forwarder.sender
-    sender.announce_prompt = sharing.queue_prompt
-    sender.announce_fetch = sharing.queue_fetch
-    sender.announce_load = sharing.announce_load
+    _connect(gateway.forwarder, loads_exchange)
     group.start_soon(loads_exchange.run)
 
 
+def _connect(
+    forwarder: forwarding.Forwarder, exchange: load_exchange.LoadExchange
+) -> None:
+    """Lets a forwarder tell other gateways what they should know."""
+    forwarder.directory.send = exchange.send_stream
+    exchange.receive_stream = forwarder.directory.receive
+    sender = forwarder.sender
+    sender.announce_prompt = exchange.sharing.queue_prompt
+    sender.announce_fetch = exchange.sharing.queue_fetch
+    sender.announce_load = exchange.sharing.announce_load
+
+
 async def _sweep_idle_connections(pool: targets.Pool) -> None:
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -61,12 +61,23 @@
         self.weights_s = weights_s
         self.sessions = sessions.Sessions()
 
-    def choose_service(self, admitted: admission.AdmittedRequest) -> str:
+    def choose_service(
+        self,
+        admitted: admission.AdmittedRequest,
+        origin: retries.StreamOrigin | None = None,
+    ) -> str:
         """Returns the service of a request, by its route's traffic weights.
 
+        A stream goes on at the service where it began, if the route still has
+        it.
+
         Raises:
           RefusedError: No target of the route is live.
         """
+        if origin is not None:
+            for share in admitted.route.shares:
+                if share.service == origin.service:
+                    return origin.service
         live = self.site.targets.live_services()
         service = routes.pick_service(admitted.route, admitted.id, live)
         if service is None:
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cactusstile.gateway import retries
 from cactusstile.gateway import sending
 from cactusstile.gateway import site_view
+from cactusstile.gateway import stream_directory
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
 from cactusstile.http import messages
@@ -47,6 +48,7 @@
       dispatcher: Chooses targets and updates their views.
       queue: Prompts that wait for an engine with room.
       sender: Sends a request to one target.
+      directory: Knows where streams began that callers resume.
       stop_at_s: Loop time at which the process stops; None unless it is
         stopping.
     """
@@ -65,6 +67,7 @@
         self.record = record
         self.dispatcher = dispatching.Dispatcher(site, weights_s)
         self.queue = engine_queue.EngineQueue(self.dispatcher)
+        self.directory = stream_directory.StreamDirectory(site)
         self.sender = sending.Sender(pool, self.dispatcher, self.queue.times)
         self.stop_at_s: float | None = None
 
@@ -155,21 +158,21 @@
         Raises:
           RefusedError: No target answered.
         """
-        relay = streams.StreamRelay(responder, admitted.last_event_id, attempts)
-        service = self.dispatcher.choose_service(admitted)
+        attempts.origin = await self._find_origin(admitted)
+        relay = self._open_relay(admitted, responder, attempts)
+        service = self.dispatcher.choose_service(admitted, attempts.origin)
         self.budget.count_request(service, anyio.current_time())
         while True:
             view = await self.queue.choose_target(admitted, service, attempts)
             if view is None:
-                reason = verdict.Reason.NO_TARGET
-                await self._answer_error(responder, attempts, reason)
-                return
+                no_target = verdict.Reason.NO_TARGET
+                return await self._answer_error(responder, attempts, no_target)
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
             try:
                 await self.sender.send(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
-                return
+                return None
             except exchange.AttemptError as error:
                 record.end_attempt(error.reason, anyio.current_time())
                 attempts.record_failure(error)
@@ -182,7 +185,53 @@
                     continue
                 reason = verdict.Reason.TARGET_LOST
                 await self._answer_error(responder, attempts, reason)
+                return None
+
+    async def _find_origin(
+        self, admitted: admission.AdmittedRequest
+    ) -> retries.StreamOrigin | None:
+        """Returns where the stream began that a caller resumes.
+
+        None if it resumes none, or if all targets are of one build.
+
+        Raises:
+          RefusedError: Nobody knows, and targets of several builds serve or
+            served lately.
+        """
+        if admitted.last_event_id is None or not admitted.route.may_repeat:
+            return None
+        origin = await self.directory.find(admitted.resumed_id)
+        if origin is not None:
+            return origin
+        now_s = anyio.current_time()
+        for share in admitted.route.shares:
+            if self.site.builds.sole_build(share.service, now_s) is None:
+                raise verdict.refuse(
+                    verdict.Reason.NO_TARGET,
+                    "it is not known where the stream began; begin it anew",
+                    retry_after_s=dispatching.RETRY_AFTER_S,
+                )
+        return None
+
+    def _open_relay(
+        self,
+        admitted: admission.AdmittedRequest,
+        responder: responders.Responder,
+        attempts: retries.Attempts,
+    ) -> streams.StreamRelay:
+        """Returns a relay that records where the stream begins."""
+
+        def record_origin(origin: retries.StreamOrigin) -> None:
+            if attempts.origin is not None:
                 return
+            attempts.origin = origin
+            if admitted.route.may_repeat:
+                stream_id = admitted.resumed_id or admitted.id
+                self.directory.record(stream_id, origin)
+
+        return streams.StreamRelay(
+            responder, admitted.last_event_id, record_origin
+        )
 
     async def _may_resume(
         self,
--- a/src/cactusstile/gateway/load_datagrams.py
+++ b/src/cactusstile/gateway/load_datagrams.py
@@ -6,10 +6,14 @@
 import hmac
 
 from cactusstile.sites import messages
+from cactusstile.sites import stream_messages
 from cactusstile.transport import codec
 from cactusstile.transport import exceptions as transport_exceptions
 
-Message = messages.GatewayLoad | messages.RelayedLoad | messages.SiteLoad
+LoadMessage = messages.GatewayLoad | messages.RelayedLoad | messages.SiteLoad
+Message = (
+    LoadMessage | stream_messages.BegunStreams | stream_messages.FindStream
+)
 MAC_BYTES = 16
 _NUMBER_BYTES = 2
 
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import collections.abc
 import logging
 
 import anyio
@@ -10,8 +12,12 @@
 from cactusstile.gateway import load_channel
 from cactusstile.gateway import load_datagrams
 from cactusstile.gateway import load_sharing
+from cactusstile.sites import stream_messages
 from cactusstile.transport import address
 
+StreamMessage = stream_messages.BegunStreams | stream_messages.FindStream
+ReceiveStream = collections.abc.Callable[[StreamMessage], None]
+
 logger = logging.getLogger(__name__)
 
 # Shortest time between two reports to a relay.
@@ -21,6 +27,8 @@
 # The interval grows with the number of gateways that a relay exchanges loads
 # with, which bounds the datagrams that it handles per second.
 SEND_INTERVAL_PER_PEER_S = 0.00125
+# Messages about streams that wait to be sent; the oldest are dropped if full.
+MAX_OUTBOX = 2000
 # Fraction of the VM's link that sent datagrams may take.
 MAX_LINK_FRACTION = 0.1
 _BITS_PER_BYTE = 8
@@ -52,6 +60,7 @@
       sharing: State of the exchange.
       own_address: Address that this gateway receives datagrams at.
       secret: Key of the message authentication code.
+      receive_stream: Handles a message about the origin of streams.
     """
 
     def __init__(
@@ -70,7 +79,17 @@
         self.sharing = sharing
         self.own_address = own_address
         self.secret = secret
+        self.receive_stream: ReceiveStream = lambda _: None
         self._last_round_s = float("-inf")
+        self._outbox: collections.deque[tuple[StreamMessage, str]] = (
+            collections.deque(maxlen=MAX_OUTBOX)
+        )
+        self._outbox_filled = anyio.Event()
+
+    def send_stream(self, message: StreamMessage, receiver: str) -> None:
+        """Sends a message about the origin of streams soon; it may be lost."""
+        self._outbox.append((message, receiver))
+        self._outbox_filled.set()
 
     async def run(self) -> None:
         """Exchanges loads for as long as the process runs."""
@@ -82,6 +101,7 @@
             anyio.create_task_group() as group,
         ):
             group.start_soon(self._receive, socket)
+            group.start_soon(self._send_outbox, socket)
             await self._send(socket)
 
     async def _send(self, socket: anyio.abc.UDPSocket) -> None:
@@ -96,6 +116,15 @@
                     await self._send_to(socket, data, address.parse(receiver))
                 sent_bytes += len(data) * len(outgoing.receivers)
 
+    async def _send_outbox(self, socket: anyio.abc.UDPSocket) -> None:
+        while True:
+            await self._outbox_filled.wait()
+            self._outbox_filled = anyio.Event()
+            while self._outbox:
+                message, receiver = self._outbox.popleft()
+                data = load_datagrams.encode(self.secret, message)
+                await self._send_to(socket, data, address.parse(receiver))
+
     async def _wait_for_round(self, sent_bytes: int) -> None:
         """Waits until there is something new, or a repeat is due.
 
@@ -132,5 +161,9 @@
     def handle_datagram(self, datagram: bytes) -> None:
         """Applies a gateway's datagram; invalid datagrams are dropped."""
         message = load_datagrams.decode(self.secret, datagram)
-        if message is not None:
+        if isinstance(
+            message, stream_messages.BegunStreams | stream_messages.FindStream
+        ):
+            self.receive_stream(message)
+        elif message is not None:
             self.sharing.receive(message, anyio.current_time())
--- a/src/cactusstile/gateway/load_sharing.py
+++ b/src/cactusstile/gateway/load_sharing.py
@@ -47,7 +47,7 @@
 class Outgoing:
     """A message and the addresses that it is sent to."""
 
-    message: load_datagrams.Message
+    message: load_datagrams.LoadMessage
     receivers: tuple[str, ...]
 
 
@@ -166,7 +166,9 @@
         outgoing += self._collect_site(own_loads, now_s)
         return outgoing
 
-    def receive(self, message: load_datagrams.Message, now_s: float) -> None:
+    def receive(
+        self, message: load_datagrams.LoadMessage, now_s: float
+    ) -> None:
         """Applies a message of another gateway."""
         if isinstance(message, messages.SiteLoad):
             self._receive_site(message, now_s)
@@ -189,7 +191,7 @@
             _forward(message, self._to_reporters)
 
     def _apply_announcements(
-        self, message: load_datagrams.Message, now_s: float
+        self, message: load_datagrams.LoadMessage, now_s: float
     ) -> None:
         self.site.targets.record_peer_prompts(message.prompts)
         for observed in message.fetches:
@@ -329,7 +331,7 @@
 
 
 def _forward(
-    message: load_datagrams.Message, channel: load_channel.Channel
+    message: load_datagrams.LoadMessage, channel: load_channel.Channel
 ) -> None:
     """Queues the announcements of a message on a channel."""
     for prompt in message.prompts:
--- a/src/cactusstile/gateway/process.py
+++ b/src/cactusstile/gateway/process.py
@@ -15,6 +15,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Time in which the datagrams of the hand-over leave.
+HAND_OVER_S = 0.05
+
 
 async def run(settings: node.NodeSettings, path: pathlib.Path) -> None:
     """Serves until a signal requests a stop, then drains."""
@@ -35,5 +38,7 @@
                 anyio.current_time() + settings.stop_s - lifecycle.RESERVE_S
             )
             await gateway.lifecycle.drain(gateway.serving, settings.stop_s)
+            gateway.forwarder.directory.hand_over()
+            await anyio.sleep(HAND_OVER_S)
             group.cancel_scope.cancel()
     logger.info("stopped")
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from cactusstile.gateway import build_history
 from cactusstile.gateway import routes
 from cactusstile.gateway import stored_parts
 from cactusstile.gateway import target_view
@@ -23,6 +24,7 @@
       targets: Views of the targets as last listed.
       listed_s: Loop time of the last list; None before the first.
       listed: Targets of that list.
+      builds: Builds of the targets' software.
       weights: Announced versions of the weights.
       confirmed_s: Loop time at which control last confirmed that this view is
         current; None before the first confirmation.
@@ -40,6 +42,9 @@
     )
     listed_s: float | None = None
     listed: tuple[model.Target, ...] = ()
+    builds: build_history.BuildHistory = attrs.field(
+        factory=build_history.BuildHistory
+    )
     weights: announcements.Announcements = attrs.field(
         factory=announcements.Announcements
     )
@@ -77,6 +82,7 @@
         """Applies a list of targets."""
         self.listed = listed
         self.listed_s = now_s
+        self.builds.update(listed, now_s)
         services = {}
         if self.table is not None:
             services = self.table.configuration.services
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from cactusstile import verdict
 from cactusstile.gateway import exchange
 from cactusstile.gateway import retries
@@ -11,13 +13,16 @@
 from cactusstile.http import responder as responders
 from cactusstile.platform import headers
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 
 class StreamRelay:
     """A stream to a caller, which successive targets may continue.
 
     Attributes:
       responder: Sends to the caller.
-      attempts: Attempts of the request; they learn where the stream began.
+      on_begin: Called with its origin before the first event is passed on.
       splitter: Extracts complete events that were not sent before.
       events: Number of events sent to the caller.
     """
@@ -26,11 +31,11 @@
         self,
         responder: responders.Responder,
         last_event_id: int | None,
-        attempts: retries.Attempts,
+        on_begin: collections.abc.Callable[[retries.StreamOrigin], None],
     ) -> None:
         """Resumes after `last_event_id`; None starts from the beginning."""
         self.responder = responder
-        self.attempts = attempts
+        self.on_begin = on_begin
         self.splitter = events.EventSplitter(last_event_id)
         self.events = 0
 
@@ -57,8 +62,8 @@
             if data is None:
                 break
             for event in self.splitter.feed(data):
-                if self.attempts.origin is None:
-                    self.attempts.origin = origin
+                if not self.events:
+                    self.on_begin(origin)
                 await self._start(stream.head)
                 await self.responder.send(event)
                 self.events += 1
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -129,6 +129,22 @@
   fetches @4 :List(ObservedFetch);
 }
 
+struct BegunStream {
+  id @0 :Text;
+  service @1 :Text;
+  build @2 :Text;
+}
+
+struct BegunStreams {
+  gateway @0 :Text;
+  streams @1 :List(BegunStream);
+}
+
+struct FindStream {
+  gateway @0 :Text;
+  id @1 :Text;
+}
+
 struct Confirmation {
   listAgeMs @0 :UInt32;
   control @1 :List(Text);
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -6,6 +6,8 @@
 from tests.gateway import support
 from tests.support import raw_target
 
+from cactusstile.gateway import retries
+from cactusstile.sites import messages
 from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
@@ -71,3 +73,77 @@
         data = await harness.ask(resumed)
     assert other.requests == []
     assert event_ids(data) == [b"id: 3"]
+
+
+RESUME = b"Last-Event-Id: 2\r\nResumes: earlier\r\n"
+
+
+async def test_stream_of_unknown_origin_is_refused_while_builds_differ() -> (
+    None
+):
+    async with (
+        raw_target.open_target(id="a", build="v1") as one,
+        raw_target.open_target(id="b", build="v2") as other,
+        support.open_harness(CONFIG, one, other) as harness,
+    ):
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert support.status(data) == 503
+    assert b"retry-after" in data.lower()
+    assert one.requests == other.requests == []
+
+
+async def test_stream_of_unknown_origin_goes_on_while_all_builds_are_one() -> (
+    None
+):
+    whole = raw_target.stream_events([3])
+    async with (
+        raw_target.open_target(whole, id="a", build="v1") as one,
+        support.open_harness(CONFIG, one) as harness,
+    ):
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert event_ids(data) == [b"id: 3"]
+
+
+async def test_stream_is_refused_at_once_if_its_build_is_gone() -> None:
+    async with (
+        raw_target.open_target(id="b", build="v2") as other,
+        support.open_harness(CONFIG, other) as harness,
+    ):
+        origin = retries.StreamOrigin("plain", "v1")
+        harness.forwarder.directory.record("earlier", origin)
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert support.status(data) == 503
+    assert other.requests == []
+
+
+async def test_stream_goes_on_at_its_build_through_another_gateway() -> None:
+    cut = raw_target.stream_events([1, 2], whole=False)
+    async with (
+        raw_target.open_target(cut, id="a", build="v1") as first,
+        raw_target.open_target(
+            raw_target.stream_events([3]), id="b", build="v2"
+        ) as other,
+        support.open_harness(CONFIG, first, other) as left,
+        support.open_harness(CONFIG, first, other) as right,
+    ):
+        members = tuple(
+            messages.GatewayMember(f"127.0.0.1:{number}", "d", 100.0)
+            for number in (1, 2)
+        )
+        for own, harness, peer in (
+            (members[0], left, right),
+            (members[1], right, left),
+        ):
+            harness.site.gateways = members
+            directory = harness.forwarder.directory
+            directory.own_address = own.address
+            receive = peer.forwarder.directory.receive
+            directory.send = lambda message, _, to=receive: to(message)  # type: ignore[misc]
+        left.site.targets.views["b", 0].inflight = 3
+        await left.ask(support.request(b"POST"))
+        first.scripts.append(raw_target.stream_events([3]))
+        right.site.targets.views["a", 0].inflight = 9
+        again = support.request(b"POST", RESUME.replace(b"earlier", b"one"))
+        data = await right.ask(again.replace(b"Id: one", b"Id: two", 1))
+    assert other.requests == []
+    assert event_ids(data) == [b"id: 3"]
