Show that gateways send to targets that say they leave

A target that leaves says so in all its answers with the header Server-Leaving; requests must not reach it from a gateway that has passed such an answer on.

The adapter test looks for the header's name outside of the adapter as well.

--- /dev/null
+++ b/tests/gateway/test_leaving_targets.py
@@ -0,0 +1,242 @@
+from __future__ import annotations
+
+import logging
+import typing
+
+import anyio
+import attrs
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.gateway import backups
+from cactusstile.gateway import metrics
+from cactusstile.http import targets
+from cactusstile.sites import model
+
+if typing.TYPE_CHECKING:
+    from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+STREAM = model.Kind.STREAM
+WEIGHTS = (model.Weights("m", 3),)
+PROMPT = (
+    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
+    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
+    b"X-Cactusstile-Length-Hint: 250\r\n"
+)
+LEAVING = b"Server-Leaving: 1\r\n"
+NOT_RUN = b"X-Cactusstile-Not-Executed: 1\r\n"
+SEALED = raw_target.SEAL + LEAVING
+EVENT_2 = b"f\r\nid: 2\ndata: x\n\n\r\n"
+
+
+def configuration(
+    kind: model.Kind = model.Kind.IDEMPOTENT,
+) -> model.SiteConfiguration:
+    return support.configuration(support.route(kind))
+
+
+def leaving_answer() -> raw_target.Script:
+    return raw_target.answer(rest=SEALED)
+
+
+def leaving_stream() -> raw_target.Script:
+    return raw_target.stream_events([1, 2, 3], fields=LEAVING)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        leaving_answer(),
+        raw_target.answer(b"", b"503 Full", NOT_RUN + LEAVING),
+        raw_target.answer(b"", b"421 Other", LEAVING),
+        raw_target.answer(b"", b"500 Error", SEALED),
+        raw_target.answer(b"", b"200 OK", LEAVING),
+        leaving_stream(),
+    ],
+    ids=["answer", "rejection", "other", "error", "unproven", "stream"],
+)
+async def test_request_after_any_answer_of_a_leaving_target(
+    script: raw_target.Script,
+) -> None:
+    answers = [raw_target.answer() for _ in range(3)]
+    async with (
+        raw_target.open_target(script, *answers, id="a") as first,
+        raw_target.open_target(*answers, id="b") as second,
+        support.open_harness(configuration(), first, second) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        await harness.ask(support.request())
+        # Later lists first lack the target and then still show it as ready.
+        harness.site.replace_targets((second.target,), 0.0)
+        harness.site.replace_targets((first.target, second.target), 0.0)
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request())
+        assert support.status(data) == 200
+    assert len(first.requests) == 1
+
+
+async def test_service_of_which_all_targets_leave_is_refused_at_once() -> None:
+    answers = [leaving_answer(), raw_target.answer()]
+    async with (
+        raw_target.open_target(*answers) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        assert support.status(await harness.ask(support.request())) == 200
+        with anyio.fail_after(1):
+            data = await harness.ask(support.request())
+    assert support.status(data) == 503
+    assert raw_target.find_header(data, b"retry-after") is not None
+    assert len(target.requests) == 1
+
+
+async def test_restarted_target_is_used_again() -> None:
+    answers = [leaving_answer(), raw_target.answer()]
+    async with (
+        raw_target.open_target(*answers) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        await harness.ask(support.request())
+        restarted = attrs.evolve(target.target, born_ms=17)
+        harness.site.replace_targets((restarted,), 0.0)
+        data = await harness.ask(support.request())
+    assert support.status(data) == 200
+
+
+@pytest.mark.parametrize(
+    "script", [leaving_answer(), leaving_stream()], ids=["answer", "stream"]
+)
+async def test_callers_do_not_take_the_gateway_for_leaving(
+    script: raw_target.Script,
+) -> None:
+    async with (
+        raw_target.open_target(script) as target,
+        support.open_harness(configuration(STREAM), target) as harness,
+    ):
+        data = await harness.ask(support.request(b"POST"))
+    assert support.status(data) == 200
+    assert raw_target.find_header(data, b"server-leaving") is None
+
+
+async def test_callers_cannot_name_a_target_as_leaving() -> None:
+    async with (
+        raw_target.open_target(raw_target.answer()) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        await harness.ask(support.request(rest=LEAVING))
+    sent = target.requests[0]
+    assert raw_target.find_header(sent, b"server-leaving") is None
+
+
+async def test_stream_of_a_target_that_leaves_goes_on() -> None:
+    gate = anyio.Event()
+    begin = raw_target.stream_events([1], whole=False)
+    end = raw_target.send_raw(EVENT_2 + b"0\r\n\r\n", keep=True)
+    scripts = [raw_target.in_turn(begin, gate, end), leaving_answer()]
+    async with (
+        raw_target.open_target(*scripts) as target,
+        support.open_harness(configuration(STREAM), target) as harness,
+        await harness.connect() as caller,
+    ):
+        await caller.send(support.request(b"POST"))
+        assert b"id: 1" in await caller.receive()
+        await harness.ask(support.request(b"POST"))
+        gate.set()
+        data = await support.read_to_end(caller)
+    assert b"id: 2" in data
+    assert data.endswith(b"0\r\n\r\n")
+
+
+async def test_request_chosen_before_its_target_said_that_it_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    take = targets.Pool.take
+    connecting, gate = anyio.Event(), anyio.Event()
+
+    async def take_late(
+        pool: targets.Pool, target: address.Address, timeout_s: float
+    ) -> targets.TargetConnection:
+        if not connecting.is_set():
+            connecting.set()
+            await gate.wait()
+        return await take(pool, target, timeout_s)
+
+    monkeypatch.setattr(targets.Pool, "take", take_late)
+    answers = [leaving_answer(), raw_target.answer()]
+    async with (
+        raw_target.open_target(*answers, id="a") as first,
+        raw_target.open_target(raw_target.answer(), id="b") as second,
+        support.open_harness(configuration(), first, second) as harness,
+        await harness.connect() as caller,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        await caller.send(support.request())
+        await connecting.wait()
+        await harness.ask(support.request())
+        gate.set()
+        data = await support.read_to_end(caller)
+        view = harness.site.targets.views["a", 0]
+        assert view.failures == 0
+    assert support.status(data) == 200
+    assert (len(first.requests), len(second.requests)) == (1, 1)
+
+
+async def test_run_is_not_resumed_at_a_target_that_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def has_ended(target: model.Target) -> bool:
+        return target.id == "a"
+
+    monkeypatch.setattr(backups, "has_ended", has_ended)
+    once = support.route(STREAM, max_attempts=1)
+    engine = model.Engine(8, 50_000, backs_up=True)
+    config = attrs.evolve(
+        support.configuration(once),
+        services={"plain": model.Service("plain", 0, engine)},
+    )
+    gate = anyio.Event()
+    begin = raw_target.stream_events([1, 2], whole=False)
+    scripts = [raw_target.in_turn(begin, gate, raw_target.send_raw(b""))]
+    leaving = [leaving_stream(), raw_target.stream_events([3, 4])]
+    async with (
+        raw_target.open_target(*scripts, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(*leaving, id="b", weights=WEIGHTS) as second,
+        support.open_harness(config, first, second) as harness,
+        await harness.connect() as caller,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        await caller.send(support.request(b"POST", PROMPT))
+        assert b"id: 1" in await caller.receive()
+        harness.site.targets.views["a", 0].inflight = 9
+        await harness.ask(support.request(b"POST", PROMPT))
+        gate.set()
+        data = await support.read_to_end(caller)
+    assert not data.endswith(b"0\r\n\r\n")
+    assert len(second.requests) == 1
+
+
+async def test_operator_sees_that_a_target_leaves(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "cactusstile")
+    gate = anyio.Event()
+    late = raw_target.in_turn(raw_target.send_raw(b""), gate, leaving_answer())
+    async with (
+        raw_target.open_target(late, late) as target,
+        support.open_harness(configuration(), target) as harness,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(harness.ask, support.request())
+        group.start_soon(harness.ask, support.request())
+        while len(target.requests) < 2:
+            await anyio.sleep(0.01)
+        gate.set()
+    lines = [line for line in caplog.messages if "says that it leaves" in line]
+    assert len(lines) == 1
+    counters = metrics.GatewayMetrics()
+    for record in harness.records:
+        counters.count(record)
+    name = "cactusstile_gateway_target_notices_total"
+    labels = {"notice": "leaving"}
+    assert counters.registry.get_sample_value(name, labels) == 2
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -12,7 +12,7 @@
     path for path in sorted(ROOT.rglob("*.py")) if ADAPTER not in path.parents
 ]
 PLATFORM_NAMES = re.compile(
-    r"x-cactusstile-|kv-from|/-/|trafficSplit|pathPrefix|targetLatencyMs"
+    r"x-cactusstile-|kv-from|server-leaving|/-/|trafficSplit|pathPrefix|targetLatencyMs"
     r"|kvStoreAddr|apiKeys|maxAttempts|non_idempotent|bootEpoch|coldRemaining",
     re.IGNORECASE,
 )
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -124,7 +124,11 @@
 
 
 def stream_events(
-    ids: collections.abc.Iterable[int], *, whole: bool = True, rest: bytes = b""
+    ids: collections.abc.Iterable[int],
+    *,
+    whole: bool = True,
+    rest: bytes = b"",
+    fields: bytes = b"",
 ) -> Script:
     """Returns a script that streams events.
 
@@ -133,12 +137,13 @@
       whole: Whether the stream ends properly; otherwise the connection is
         closed in the middle.
       rest: Bytes that follow the last event.
+      fields: Further header fields.
     """
 
     async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-        fields = SEAL + b"Content-Type: text/event-stream\r\n"
-        fields += b"Transfer-Encoding: chunked\r\n"
-        await stream.send(_head(request, b"200 OK", fields))
+        head_fields = SEAL + b"Content-Type: text/event-stream\r\n" + fields
+        head_fields += b"Transfer-Encoding: chunked\r\n"
+        await stream.send(_head(request, b"200 OK", head_fields))
         for number in ids:
             event = b"id: %d\ndata: x\n\n" % number
             await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
@@ -151,6 +156,17 @@
     return run
 
 
+def in_turn(first: Script, gate: anyio.Event, second: Script) -> Script:
+    """Returns a script that waits for `gate` between two scripts."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        await first(stream, request)
+        await gate.wait()
+        return await second(stream, request)
+
+    return run
+
+
 def silent() -> Script:
     """Returns a script that never responds."""
 
