Heed targets that say in their answers that they leave

Callers saw nothing of it yet, but a request that reaches such a target after its grace breaks a rule, and is cut off when the target ends: only the platform's list, which lags, took a target out.

Cause: no gateway read the header Server-Leaving.

Now each head that arrives on a connection to a target is read for it, also that of a rejection, a 421, an unproven answer, a stream or a late answer to another request. The notice belongs to the incarnation and is kept beside the views, so no list takes it back; those of gone targets are bounded. It counts wherever the list's own mark counts (choice of target and service, copies of runs), and where a run would be resumed. Right before the send, when the connection is there, it is asked for once more; an attempt that is withdrawn then has sent nothing, counts neither as a failure of the target nor against the route's attempts, and another target is tried. Streams go on. An answer that names another target as its author says nothing of this one.

Decided: the header is removed from answers and from callers' requests. Other gateways are not told: the rule binds the one that read the answer, each other learns it from its own first answer or the list, and a message for it would change the exchange of loads. A leaving engine stays a source that other engines fetch parts from, as it was for engines that the list shows as leaving; no request of this gateway reaches it by that. Where all targets of a service leave, callers are refused at once as before for the list, with 0.2 s to return: a new target may be listed at any time.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -74,7 +74,7 @@
                 {
                     "id": view.target.id,
                     "service": view.target.service,
-                    "leaving": view.target.leaving,
+                    "leaving": view.leaving,
                     "inflight": view.inflight,
                     "others": view.others(now_s),
                     "failure_share": round(view.failure_share, 3),
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -118,7 +118,7 @@
         untried = []
         for view in self.site.targets.of_service(service):
             if (
-                view.target.leaving
+                view.leaving
                 or view.target.incarnation in attempts.tried_incarnations
             ):
                 continue
@@ -277,6 +277,8 @@
         self, view: target_view.TargetView, error: exchange.AttemptError
     ) -> None:
         """Updates the view of a target after a failed attempt."""
+        if error.is_withdrawn:
+            return
         now_s = anyio.current_time()
         if error.answer is not None:
             load = error.answer.head.find(headers.LOAD)
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -21,6 +21,9 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    MaySend = collections.abc.Callable[[], bool]
+    RecordHead = collections.abc.Callable[[messages.ResponseHead], None]
+
 # Limit of an answer that is buffered completely before it is relayed.
 MAX_ANSWER_BYTES = 8 << 20
 CONNECT_TIMEOUT_S = 0.3
@@ -31,6 +34,7 @@
 _MISDIRECTED = 421
 _BAD_REQUEST = 400
 _SERVER_ERRORS = range(500, 600)
+_WITHDRAWN = "withdrawn"
 
 
 @attrs.frozen
@@ -71,6 +75,11 @@
         self.was_sent = was_sent
         self.answer = answer
 
+    @property
+    def is_withdrawn(self) -> bool:
+        """Whether the target stopped accepting before anything was sent."""
+        return self.reason == _WITHDRAWN
+
     @property
     def is_misdirected(self) -> bool:
         """Whether the address belongs to another target, or weights differ."""
@@ -143,12 +152,23 @@
     pool: targets.Pool,
     admitted: admission.AdmittedRequest,
     dispatch: Dispatch,
+    may_send: MaySend,
+    record_head: RecordHead,
 ) -> collections.abc.AsyncIterator[Answer | OpenStream]:
     """Sends a request to a target; leaving the context ends the attempt.
 
     A connection whose answer was not read to its end is closed, which makes the
     target cancel the work.
 
+    Args:
+      pool: Connections to targets.
+      admitted: The request.
+      dispatch: Target and parameters of the attempt.
+      may_send: Returns whether the target still accepts the request; called
+        right before it is sent.
+      record_head: Called with the head of each answer, also of late answers to
+        other requests.
+
     Raises:
       AttemptError: The attempt failed.
     """
@@ -159,18 +179,35 @@
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
         ) from error
     try:
-        request = build_request(admitted, dispatch)
-        bytes_before = connection.socket.bytes_sent
-        try:
-            answer_or_stream = await _exchange(connection, request, admitted)
-        except exceptions.HttpError as error:
-            was_sent = connection.socket.bytes_sent > bytes_before
-            raise _make_error(error, was_sent=was_sent) from error
-        yield answer_or_stream
+        if not may_send():
+            raise AttemptError(
+                _WITHDRAWN, verdict.Verdict.NOT_RUN, was_sent=False
+            )
+        yield await _send(connection, admitted, dispatch, record_head)
     finally:
         pool.give_back(connection)
 
 
+async def _send(
+    connection: targets.TargetConnection,
+    admitted: admission.AdmittedRequest,
+    dispatch: Dispatch,
+    record_head: RecordHead,
+) -> Answer | OpenStream:
+    """Sends a request and returns its answer; see `_exchange`.
+
+    Raises:
+      AttemptError: The attempt failed.
+    """
+    request = build_request(admitted, dispatch)
+    bytes_before = connection.socket.bytes_sent
+    try:
+        return await _exchange(connection, request, admitted, record_head)
+    except exceptions.HttpError as error:
+        was_sent = connection.socket.bytes_sent > bytes_before
+        raise _make_error(error, was_sent=was_sent) from error
+
+
 def _make_error(error: exceptions.HttpError, *, was_sent: bool) -> AttemptError:
     """Returns the attempt error for a failed exchange."""
     reason = "broken"
@@ -245,6 +282,7 @@
     connection: targets.TargetConnection,
     request: messages.Request,
     admitted: admission.AdmittedRequest,
+    record_head: RecordHead,
 ) -> Answer | OpenStream:
     """Returns the answer, verified as complete and for this request.
 
@@ -254,7 +292,7 @@
       HttpError: The connection failed or the answer is malformed.
     """
     head = await connection.ask(
-        request, lambda received: _matches_request(received, admitted.id)
+        request, _make_matcher(admitted.id, record_head)
     )
     kind = head.find(b"content-type") or ""
     is_sealed = head.find(headers.SEAL) is not None
@@ -281,6 +319,18 @@
     return answer
 
 
+def _make_matcher(
+    request_id: str, record_head: RecordHead
+) -> targets.ResponseMatcher:
+    """Returns a function that records heads and finds that of a request."""
+
+    def is_match(head: messages.ResponseHead) -> bool:
+        record_head(head)
+        return _matches_request(head, request_id)
+
+    return is_match
+
+
 def _matches_request(head: messages.ResponseHead, request_id: str) -> bool:
     """Returns whether an answer belongs to the request with this id.
 
@@ -309,6 +359,6 @@
     answer: Answer,
 ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
     """Returns the status, header fields and body that the caller receives."""
-    dropped = (b"content-length", headers.LOAD)
+    dropped = headers.TARGET_ONLY_FIELDS | {b"content-length"}
     fields = messages.end_to_end(answer.head.headers, dropped)
     return answer.head.status, fields, answer.body
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -198,7 +198,7 @@
         # Without an event id the run could only restart from the beginning.
         if relay.splitter.last_id is None or not relay.started:
             return False
-        if not await backups.has_ended(view.target):
+        if not await backups.has_ended(view.target) or backup.view.leaving:
             return False
         now_s = anyio.current_time()
         return backup.view.is_reachable(now_s) and self.budget.try_spend(
--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -30,6 +30,7 @@
       registry: Registry of the metrics.
       requests: Requests by route, outcome and status.
       attempts: Attempts by outcome.
+      notices: Attempts whose target announced something in its answer.
       duration: Duration of requests in seconds, by route.
       first_byte: Time to the first byte of the answer in seconds, by route.
       version: Version of the configuration in force.
@@ -38,17 +39,20 @@
     def __init__(self) -> None:
         """Creates the metrics with zero values."""
         self.registry = prometheus_client.CollectorRegistry()
-        self.requests = prometheus_client.Counter(
+        self.requests = self._open_counter(
             "cactusstile_gateway_requests",
             "Requests by route, outcome and status.",
             ["route", "outcome", "status"],
-            registry=self.registry,
         )
-        self.attempts = prometheus_client.Counter(
+        self.attempts = self._open_counter(
             "cactusstile_gateway_attempts",
             "Attempts at targets by outcome.",
             ["outcome"],
-            registry=self.registry,
+        )
+        self.notices = self._open_counter(
+            "cactusstile_gateway_target_notices",
+            "Attempts whose target announced this in its answer.",
+            ["notice"],
         )
         self.duration = prometheus_client.Histogram(
             "cactusstile_gateway_request_duration_seconds",
@@ -70,6 +74,13 @@
             registry=self.registry,
         )
 
+    def _open_counter(
+        self, name: str, text: str, labels: list[str]
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, text, labels, registry=self.registry
+        )
+
     def count(self, record: records.RequestRecord) -> None:
         """Counts a completed request and its attempts."""
         route = record.route
@@ -81,3 +92,5 @@
             )
         for attempt in record.attempts:
             self.attempts.labels(attempt.outcome or "cut_off").inc()
+            if attempt.said_leaving:
+                self.notices.labels("leaving").inc()
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -10,7 +10,9 @@
 from cactusstile.gateway import admission
 from cactusstile.gateway import exchange
 from cactusstile.gateway import target_view
+from cactusstile.http import messages
 from cactusstile.http import responder as responders
+from cactusstile.platform import notices
 
 MAX_ATTEMPTS_LOGGED = 8
 
@@ -37,6 +39,7 @@
       newest_weights: Newest announced version of the weights; 0 for none.
       newest_age_s: Time since its announcement, in seconds.
       was_usable: Whether the target was neither failing nor swapping.
+      said_leaving: Whether the target announced that it leaves.
     """
 
     target: str
@@ -55,6 +58,7 @@
     newest_weights: int = 0
     newest_age_s: float = 0.0
     was_usable: bool = True
+    said_leaving: bool = False
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -80,6 +84,8 @@
                 fields["newest_age_ms"] = _to_ms(self.newest_age_s)
         if not self.was_usable:
             fields["usable"] = False
+        if self.said_leaving:
+            fields["said_leaving"] = True
         if self.first_event_s is not None:
             fields["first_event_ms"] = _to_ms(
                 self.first_event_s - self.started_s
@@ -148,6 +154,10 @@
         attempt.was_usable = view.is_usable(now_s)
         self.attempts.append(attempt)
 
+    def add_notices(self, head: messages.ResponseHead) -> None:
+        """Records what the target of the current attempt announced."""
+        self.attempts[-1].said_leaving |= notices.is_leaving(head)
+
     def set_weights(
         self, version: int | None, newest: int, newest_age_s: float
     ) -> None:
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -58,6 +58,8 @@
     def record_failure(self, error: exchange.AttemptError) -> None:
         """Records a failed attempt."""
         self.in_progress = False
+        if error.is_withdrawn:
+            return
         if error.is_misdirected:
             self.misdirected += 1
         elif error.was_sent:
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -18,6 +18,7 @@
 from cactusstile.gateway import stream_pace
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
+from cactusstile.http import messages as http_messages
 from cactusstile.http import responder as responders
 from cactusstile.http import targets
 from cactusstile.platform import headers
@@ -80,7 +81,7 @@
         try:
             async with (
                 self._count_work(view, work, attempts.backup),
-                exchange.open_attempt(self.pool, admitted, dispatch) as opened,
+                self._open_attempt(admitted, view, dispatch, record) as opened,
             ):
                 load = opened.head.find(headers.LOAD)
                 view.record_load(load, anyio.current_time())
@@ -101,6 +102,29 @@
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay.responder)
 
+    def _open_attempt(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        dispatch: exchange.Dispatch,
+        record: records.RequestRecord,
+    ) -> contextlib.AbstractAsyncContextManager[
+        exchange.Answer | exchange.OpenStream
+    ]:
+        """Opens an attempt that heeds and records the target's notices."""
+
+        def record_head(head: http_messages.ResponseHead) -> None:
+            view.notices.record(head)
+            record.add_notices(head)
+
+        return exchange.open_attempt(
+            self.pool,
+            admitted,
+            dispatch,
+            may_send=lambda: not view.leaving,
+            record_head=record_head,
+        )
+
     def _describe(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -66,7 +66,7 @@
     async def _start(self, head: messages.ResponseHead) -> None:
         if self.started:
             return
-        dropped = (b"content-length", headers.LOAD)
+        dropped = headers.TARGET_ONLY_FIELDS | {b"content-length"}
         fields = messages.end_to_end(head.headers, dropped)
         await self.responder.start(head.status, fields)
 
--- /dev/null
+++ b/src/cactusstile/gateway/target_notices.py
@@ -0,0 +1,85 @@
+"""What targets announced in their answers to this gateway.
+
+Notices bind this gateway at once, as long as the target's process runs. They
+outlive the views of targets: a list that lags may still show a target as it was
+before, or lack it for a while.
+"""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import attrs
+
+from cactusstile.http import messages
+from cactusstile.platform import headers
+from cactusstile.platform import notices
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+logger = logging.getLogger(__name__)
+
+# Targets without a view whose notices are retained.
+MAX_UNLISTED = 1000
+
+
+@attrs.define
+class TargetNotices:
+    """Notices of one incarnation of a target.
+
+    Attributes:
+      target_id: Id of the target.
+      leaving: Whether the target announced that it leaves.
+    """
+
+    target_id: str
+    leaving: bool = False
+
+    def record(self, head: messages.ResponseHead) -> None:
+        """Records the notices in the head of an answer.
+
+        An answer of another target, which has taken over the address, is
+        ignored.
+        """
+        if head.find(headers.TARGET_ID) not in (None, self.target_id):
+            return
+        if notices.is_leaving(head) and not self.leaving:
+            self.leaving = True
+            logger.info(
+                "a target says that it leaves",
+                extra={"target": self.target_id},
+            )
+
+
+@attrs.define
+class NoticeTable:
+    """Notices of all targets.
+
+    Attributes:
+      by_incarnation: Notices of each incarnation, oldest first.
+    """
+
+    by_incarnation: dict[tuple[str, int], TargetNotices] = attrs.field(
+        factory=dict
+    )
+
+    def of(self, incarnation: tuple[str, int]) -> TargetNotices:
+        """Returns the notices of an incarnation, which may be empty."""
+        found = self.by_incarnation.get(incarnation)
+        if found is None:
+            found = TargetNotices(incarnation[0])
+            self.by_incarnation[incarnation] = found
+        return found
+
+    def forget_unlisted(
+        self, listed: collections.abc.Container[tuple[str, int]]
+    ) -> None:
+        """Forgets the oldest unlisted incarnations beyond `MAX_UNLISTED`."""
+        unlisted = []
+        for incarnation in self.by_incarnation:
+            if incarnation not in listed:
+                unlisted.append(incarnation)
+        for incarnation in unlisted[: max(0, len(unlisted) - MAX_UNLISTED)]:
+            del self.by_incarnation[incarnation]
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -13,6 +13,7 @@
 
 from cactusstile.gateway import load_table
 from cactusstile.gateway import prompts
+from cactusstile.gateway import target_notices
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
@@ -77,6 +78,7 @@
       rejections: Consecutive rejected requests.
       weights: Version of each model's weights at the target.
       peer_loads: Loads that other gateways report, of all targets.
+      notices: What the target announced in its answers.
     """
 
     target: model.Target
@@ -92,6 +94,17 @@
     rejections: int = 0
     weights: dict[str, int] = attrs.field(factory=dict)
     peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
+    notices: target_notices.TargetNotices = attrs.field(
+        default=attrs.Factory(
+            lambda view: target_notices.TargetNotices(view.target.id),
+            takes_self=True,
+        )
+    )
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target must not receive new requests any more."""
+        return self.target.leaving or self.notices.leaving
 
     def update_from_list(self, target: model.Target) -> None:
         """Applies the platform's list, which lags behind answers.
@@ -211,7 +224,7 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the target may receive new requests."""
-        if self.target.leaving or self.target.swapping:
+        if self.leaving or self.target.swapping:
             return False
         return self.is_reachable(now_s)
 
@@ -229,12 +242,16 @@
       by_service: Views of each service's targets.
       by_id: View of each target, by its id.
       peer_loads: Loads that other gateways report.
+      notices: What targets announced in their answers.
     """
 
     views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
     by_service: dict[str, list[TargetView]] = attrs.field(factory=dict)
     by_id: dict[str, TargetView] = attrs.field(factory=dict)
     peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
+    notices: target_notices.NoticeTable = attrs.field(
+        factory=target_notices.NoticeTable
+    )
 
     def update(
         self,
@@ -251,11 +268,13 @@
                     target,
                     prompts.CachedParts(capacity),
                     peer_loads=self.peer_loads,
+                    notices=self.notices.of(target.incarnation),
                 )
             view.cached.capacity_tokens = capacity
             view.update_from_list(target)
             views_by_incarnation[target.incarnation] = view
         self.views = views_by_incarnation
+        self.notices.forget_unlisted(views_by_incarnation)
         self.by_id = {
             view.target.id: view for view in views_by_incarnation.values()
         }
@@ -285,7 +304,7 @@
         """Returns the services with at least one target that is not leaving."""
         live = set()
         for name, views in self.by_service.items():
-            if any(not view.target.leaving for view in views):
+            if any(not view.leaving for view in views):
                 live.add(name)
         return live
 
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -41,6 +41,8 @@
 LOAD = b"x-cactusstile-instance-load"
 TARGET_ID = b"x-cactusstile-instance-id"
 WEIGHTS = b"x-cactusstile-weight-versions"
+# "1" in all answers of a target that leaves.
+LEAVING = b"server-leaving"
 
 # Fields that callers must not set.
 SYSTEM_FIELDS = frozenset(
@@ -65,6 +67,9 @@
         LOAD,
         TARGET_ID,
         WEIGHTS,
+        LEAVING,
     )
 )
+# Fields of targets that callers do not receive.
+TARGET_ONLY_FIELDS = frozenset((LOAD, LEAVING))
 EVENT_STREAM = "text/event-stream"
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -11,6 +11,7 @@
 
 from cactusstile.gateway import backups
 from cactusstile.gateway import metrics
+from cactusstile.gateway import target_notices
 from cactusstile.http import targets
 from cactusstile.sites import model
 
@@ -75,6 +76,56 @@
         data = await harness.ask(support.request())
         assert support.status(data) == 200
     assert len(first.requests) == 1
+    assert len(harness.records[1].attempts) == 1
+
+
+async def test_late_answer_of_a_leaving_target() -> None:
+    late = b"HTTP/1.1 200 OK\r\nX-Cactusstile-Attempt-Id: other\r\n"
+    late += SEALED + b"Content-Length: 1\r\n\r\nx"
+    own = raw_target.answer(b"own")
+    gate = anyio.Event()
+    gate.set()
+    both = raw_target.in_turn(raw_target.send_raw(late), gate, own)
+    async with (
+        raw_target.open_target(both, own) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        assert (await harness.ask(support.request())).endswith(b"own")
+        assert support.status(await harness.ask(support.request())) == 503
+
+
+async def test_answer_of_another_target_says_nothing_of_this_one() -> None:
+    other = LEAVING + b"X-Cactusstile-Instance-Id: other\r\n"
+    scripts = [raw_target.answer(rest=raw_target.SEAL + other)]
+    async with (
+        raw_target.open_target(*scripts, raw_target.answer()) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        for _ in range(2):
+            data = await harness.ask(support.request())
+            assert support.status(data) == 200
+
+
+async def test_target_that_leaves_counts_as_usable_for_copies() -> None:
+    async with (
+        raw_target.open_target(leaving_answer()) as target,
+        support.open_harness(configuration(), target) as harness,
+    ):
+        view = harness.site.targets.views[target.target.incarnation]
+        assert view.is_usable(0.0)
+        await harness.ask(support.request())
+        assert not view.is_usable(0.0)
+
+
+def test_notices_of_gone_targets_do_not_pile_up() -> None:
+    table = target_notices.NoticeTable()
+    limit = target_notices.MAX_UNLISTED
+    for number in range(limit + 9):
+        table.of((str(number), 0))
+    table.forget_unlisted({("0", 0)})
+    assert len(table.by_incarnation) == limit + 1
+    assert ("0", 0) in table.by_incarnation
+    assert ("1", 0) not in table.by_incarnation
 
 
 async def test_service_of_which_all_targets_leave_is_refused_at_once() -> None:
@@ -91,6 +142,40 @@
     assert len(target.requests) == 1
 
 
+async def test_target_that_leaves_is_a_last_resort_beside_failing_ones() -> (
+    None
+):
+    answers = [raw_target.answer() for _ in range(2)]
+    async with (
+        raw_target.open_target(leaving_answer(), id="a") as first,
+        raw_target.open_target(*answers, id="b") as second,
+        support.open_harness(configuration(), first, second) as harness,
+    ):
+        view = harness.site.targets.views["b", 0]
+        view.inflight = 3
+        await harness.ask(support.request())
+        view.record_failure(anyio.current_time(), eject_now=True)
+        data = await harness.ask(support.request())
+    assert support.status(data) == 200
+    assert len(harness.records[1].attempts) == 1
+
+
+async def test_route_keeps_to_the_service_of_which_all_targets_leave() -> None:
+    shares = (model.Share("plain", 1.0), model.Share("other", 1.0))
+    config = support.configuration(support.route(shares=shares))
+    answers = [raw_target.answer() for _ in range(8)]
+    async with (
+        raw_target.open_target(*[leaving_answer()] * 8) as first,
+        raw_target.open_target(*answers, service="other") as second,
+        support.open_harness(config, first, second) as harness,
+    ):
+        for number in range(8):
+            request = support.request().replace(b"one", b"r-%d" % number)
+            data = await harness.ask(request)
+            assert support.status(data) == 200
+    assert (len(first.requests), len(second.requests)) == (1, 7)
+
+
 async def test_restarted_target_is_used_again() -> None:
     answers = [leaving_answer(), raw_target.answer()]
     async with (
@@ -214,6 +299,7 @@
         data = await support.read_to_end(caller)
     assert not data.endswith(b"0\r\n\r\n")
     assert len(second.requests) == 1
+    assert len(harness.records[-1].attempts) == 1
 
 
 async def test_operator_sees_that_a_target_leaves(
