Give targets the pause that they ask for with Retry-After

A target that answered 503 with Retry-After got the next requests all the same, after a back-off of 0.05 s or, as the last resort, at once; callers were told to come back after 0.2 s and met the same 503.

Cause: no gateway read the field; a rejection started a back-off of its own, which is a preference only.

Now the heads that are read for Server-Leaving are read for this as well, if the status is 503, whether it is marked, sealed or neither: whole and fractional seconds, at most MAX_PAUSE_S, anything else counts as absent. The pause belongs to the incarnation, outlives lists, and no later rejection shortens it. `accepts_requests` (neither leaving nor pausing) is the hard rule: it filters the candidates before ejection and back-off are looked at, so such a target is no last resort; it holds for copies, resumed runs and parts that another engine would fetch, and it is asked for right before the send. A withdrawn attempt costs nothing.

If all targets of a service pause, callers are refused at once with the time until the first pause ends, or a third of what they have left if that is less, as in return_times. Prompts wait for a pause that ends within their wait in the queue; one that waits already is refused as soon as a pause outlasts its wait, or at the end of its wait if it is not the first in line. Reports and orders of registries are no requests of callers and are left alone; gateways make no health checks, and the probe before a run is resumed opens a connection without a request.

Open: callers that are refused during a pause all come back when it ends; nothing spreads them.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -75,6 +75,7 @@
                     "id": view.target.id,
                     "service": view.target.service,
                     "leaving": view.leaving,
+                    "accepts_requests": view.accepts_requests(now_s),
                     "inflight": view.inflight,
                     "others": view.others(now_s),
                     "failure_share": round(view.failure_share, 3),
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -15,6 +15,7 @@
 from cactusstile.gateway import peer_parts
 from cactusstile.gateway import placement
 from cactusstile.gateway import retries
+from cactusstile.gateway import return_times
 from cactusstile.gateway import routes
 from cactusstile.gateway import sessions
 from cactusstile.gateway import site_view
@@ -112,13 +113,14 @@
     ) -> list[target_view.TargetView]:
         """Returns the untried targets of a request.
 
-        A target that appears to fail is returned only if there is no other.
+        A target that appears to fail is returned only if there is no other. One
+        that does not accept requests is never returned.
         """
         now_s = anyio.current_time()
         untried = []
         for view in self.site.targets.of_service(service):
             if (
-                view.leaving
+                not view.accepts_requests(now_s)
                 or view.target.incarnation in attempts.tried_incarnations
             ):
                 continue
@@ -131,6 +133,47 @@
                 usable.append(view)
         return usable or untried
 
+    def retry_after_s(
+        self, admitted: admission.AdmittedRequest, service: str
+    ) -> float:
+        """Returns the time after which a refused caller may return.
+
+        No target of the service accepts requests before that, unless the caller
+        cannot wait so long.
+        """
+        now_s = anyio.current_time()
+        longest_s = return_times.longest_wait_s(
+            admitted.caller_deadline_s - now_s
+        )
+        pause_s = self.site.targets.remaining_pause_s(service, now_s)
+        return max(RETRY_AFTER_S, min(pause_s, longest_s))
+
+    def refuse_if_paused(
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        until_s: float,
+    ) -> None:
+        """Refuses a request if no target accepts it within its wait.
+
+        Args:
+          admitted: The request.
+          service: Service of the request.
+          until_s: Loop time until which the request may wait.
+
+        Raises:
+          RefusedError: All targets of the service asked for a longer pause.
+        """
+        now_s = anyio.current_time()
+        pause_s = self.site.targets.remaining_pause_s(service, now_s)
+        if not pause_s or now_s + pause_s < until_s:
+            return
+        raise verdict.refuse(
+            verdict.Reason.OVERLOADED,
+            "all targets of the service ask for a pause; retry later",
+            retry_after_s=self.retry_after_s(admitted, service),
+        )
+
     def _choose_engine(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/engine_queue.py
+++ b/src/cactusstile/gateway/engine_queue.py
@@ -60,29 +60,64 @@
             admitted.route.kind is not model.Kind.STREAM
             or attempts.tried_incarnations
         ):
+            if not attempts.tried_incarnations:
+                self.dispatcher.refuse_if_paused(admitted, service, 0.0)
             return self.dispatcher.choose_target(admitted, service, attempts)
-        if not self.dispatcher.candidates(admitted, service, attempts):
+        if not self._may_wait(admitted, service, attempts):
             return None
+        return await self._wait_for_room(admitted, service, attempts)
+
+    async def _wait_for_room(
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        attempts: retries.Attempts,
+    ) -> target_view.TargetView:
+        """Returns an engine with room for a prompt.
+
+        Raises:
+          RefusedError: No engine has room within the wait.
+        """
         needed = engine_memory.needed_tokens(admitted.prompt, 0)
         is_storming = self._is_storming(admitted, needed)
         limit = engine_memory.limit_fraction(
             admitted.least_urgent - admitted.engine_priority - is_storming
         )
-        received_s = admitted.request.received_s
-        wait_s = WAIT_FRACTION * admitted.route.objective_s
+        until_s = admitted.request.received_s
+        until_s += WAIT_FRACTION * admitted.route.objective_s
+
+        def try_take() -> target_view.TargetView | None:
+            self.dispatcher.refuse_if_paused(admitted, service, until_s)
+            return self.dispatcher.choose_target(
+                admitted, service, attempts, memory_limit=limit
+            )
+
+        # Only the first in the queue tries to take; others are refused here.
+        self.dispatcher.refuse_if_paused(admitted, service, until_s)
         waiting = self.waiting.setdefault(service, waitlist.Waitlist())
         view = await waiting.wait(
             2 * admitted.engine_priority + is_storming,
             needed,
-            received_s + wait_s,
-            lambda: self.dispatcher.choose_target(
-                admitted, service, attempts, memory_limit=limit
-            ),
+            until_s,
+            try_take,
         )
         if view is None:
+            self.dispatcher.refuse_if_paused(admitted, service, 0.0)
             raise self._refuse(admitted, needed)
         return view
 
+    def _may_wait(
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        attempts: retries.Attempts,
+    ) -> bool:
+        """Returns whether a target accepts a prompt, now or after a pause."""
+        if self.dispatcher.candidates(admitted, service, attempts):
+            return True
+        targets = self.dispatcher.site.targets
+        return targets.remaining_pause_s(service, anyio.current_time()) > 0
+
     def _is_storming(
         self, admitted: admission.AdmittedRequest, needed: int
     ) -> bool:
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -162,8 +162,7 @@
             view = await self.queue.choose_target(admitted, service, attempts)
             if view is None:
                 reason = verdict.Reason.NO_TARGET
-                await self._answer_error(responder, attempts, reason)
-                return
+                break
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
             try:
@@ -181,8 +180,9 @@
                 if self._may_retry(service, attempts, error):
                     continue
                 reason = verdict.Reason.TARGET_LOST
-                await self._answer_error(responder, attempts, reason)
-                return
+                break
+        retry_after_s = self.dispatcher.retry_after_s(admitted, service)
+        await self._answer_error(responder, attempts, reason, retry_after_s)
 
     async def _may_resume(
         self,
@@ -198,9 +198,11 @@
         # Without an event id the run could only restart from the beginning.
         if relay.splitter.last_id is None or not relay.started:
             return False
-        if not await backups.has_ended(view.target) or backup.view.leaving:
+        if not await backups.has_ended(view.target):
             return False
         now_s = anyio.current_time()
+        if not backup.view.accepts_requests(now_s):
+            return False
         return backup.view.is_reachable(now_s) and self.budget.try_spend(
             service, now_s
         )
@@ -222,6 +224,7 @@
         responder: responders.Responder,
         attempts: retries.Attempts,
         reason: verdict.Reason,
+        retry_after_s: float,
     ) -> None:
         """Relays the last error answer of a target.
 
@@ -237,5 +240,5 @@
             reason,
             "no target answered the request",
             verdict=attempts.final_verdict(),
-            retry_after_s=dispatching.RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -94,3 +94,5 @@
             self.attempts.labels(attempt.outcome or "cut_off").inc()
             if attempt.said_leaving:
                 self.notices.labels("leaving").inc()
+            if attempt.pause_s:
+                self.notices.labels("pause").inc()
--- a/src/cactusstile/gateway/peer_parts.py
+++ b/src/cactusstile/gateway/peer_parts.py
@@ -36,7 +36,8 @@
     if key in chosen.cached.parts:
         return None
     for view in views:
-        if view is chosen or not view.is_reachable(now_s):
+        is_paused = now_s < view.notices.paused_until_s
+        if view is chosen or is_paused or not view.is_reachable(now_s):
             continue
         if key in view.cached.parts:
             return str(view.target.address)
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -40,6 +40,7 @@
       newest_age_s: Time since its announcement, in seconds.
       was_usable: Whether the target was neither failing nor swapping.
       said_leaving: Whether the target announced that it leaves.
+      pause_s: Pause that the target asked for, in seconds.
     """
 
     target: str
@@ -59,6 +60,7 @@
     newest_age_s: float = 0.0
     was_usable: bool = True
     said_leaving: bool = False
+    pause_s: float = 0.0
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -86,6 +88,8 @@
             fields["usable"] = False
         if self.said_leaving:
             fields["said_leaving"] = True
+        if self.pause_s:
+            fields["pause_ms"] = _to_ms(self.pause_s)
         if self.first_event_s is not None:
             fields["first_event_ms"] = _to_ms(
                 self.first_event_s - self.started_s
@@ -156,7 +160,9 @@
 
     def add_notices(self, head: messages.ResponseHead) -> None:
         """Records what the target of the current attempt announced."""
-        self.attempts[-1].said_leaving |= notices.is_leaving(head)
+        attempt = self.attempts[-1]
+        attempt.said_leaving |= notices.is_leaving(head)
+        attempt.pause_s = max(attempt.pause_s, notices.pause_s(head))
 
     def set_weights(
         self, version: int | None, newest: int, newest_age_s: float
--- a/src/cactusstile/gateway/return_times.py
+++ b/src/cactusstile/gateway/return_times.py
@@ -22,6 +22,11 @@
 MAX_WAIT_FRACTION = 1 / 3
 
 
+def longest_wait_s(remaining_s: float) -> float:
+    """Returns how long a caller waits that has `remaining_s` left."""
+    return max(0.0, MAX_WAIT_FRACTION * remaining_s)
+
+
 @attrs.define
 class ReturnTimes:
     """Schedule of returning callers, from the runs that ended lately.
@@ -65,7 +70,7 @@
             for ended_s, freed_tokens in self.ended
             if ended_s >= now_s - WINDOW_S
         )
-        longest_s = max(0.0, MAX_WAIT_FRACTION * remaining_s)
+        longest_s = longest_wait_s(remaining_s)
         if not freed:
             return min(DEFAULT_RETRY_S, longest_s)
         step_s = tokens * WINDOW_S / (RETURN_FRACTION * freed)
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -114,14 +114,14 @@
         """Opens an attempt that heeds and records the target's notices."""
 
         def record_head(head: http_messages.ResponseHead) -> None:
-            view.notices.record(head)
+            view.notices.record(head, anyio.current_time())
             record.add_notices(head)
 
         return exchange.open_attempt(
             self.pool,
             admitted,
             dispatch,
-            may_send=lambda: not view.leaving,
+            may_send=lambda: view.accepts_requests(anyio.current_time()),
             record_head=record_head,
         )
 
--- a/src/cactusstile/gateway/target_notices.py
+++ b/src/cactusstile/gateway/target_notices.py
@@ -21,6 +21,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Longest pause that a target is granted.
+MAX_PAUSE_S = 300.0
+# Time between two log lines about the pauses of one target.
+PAUSE_LOG_INTERVAL_S = 10.0
 # Targets without a view whose notices are retained.
 MAX_UNLISTED = 1000
 
@@ -32,16 +36,26 @@
     Attributes:
       target_id: Id of the target.
       leaving: Whether the target announced that it leaves.
+      paused_until_s: Loop time until which the target wants no requests.
+      pauses: Number of pauses that the target asked for.
+      pause_logged_s: Loop time of the last log line about them.
     """
 
     target_id: str
     leaving: bool = False
+    paused_until_s: float = float("-inf")
+    pauses: int = 0
+    pause_logged_s: float = float("-inf")
 
-    def record(self, head: messages.ResponseHead) -> None:
+    def record(self, head: messages.ResponseHead, now_s: float) -> None:
         """Records the notices in the head of an answer.
 
         An answer of another target, which has taken over the address, is
         ignored.
+
+        Args:
+          head: Status and header fields of the answer.
+          now_s: Loop time at which it arrived.
         """
         if head.find(headers.TARGET_ID) not in (None, self.target_id):
             return
@@ -51,6 +65,24 @@
                 "a target says that it leaves",
                 extra={"target": self.target_id},
             )
+        pause_s = min(notices.pause_s(head), MAX_PAUSE_S)
+        if pause_s > 0:
+            self._record_pause(pause_s, now_s)
+
+    def _record_pause(self, pause_s: float, now_s: float) -> None:
+        self.pauses += 1
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+        if now_s - self.pause_logged_s < PAUSE_LOG_INTERVAL_S:
+            return
+        self.pause_logged_s = now_s
+        logger.info(
+            "a target asks for a pause",
+            extra={
+                "target": self.target_id,
+                "pause_s": pause_s,
+                "pauses": self.pauses,
+            },
+        )
 
 
 @attrs.define
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -106,6 +106,14 @@
         """Whether the target must not receive new requests any more."""
         return self.target.leaving or self.notices.leaving
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Returns whether the target neither leaves nor asked for a pause.
+
+        A target that does not accept requests must not be used even if there is
+        no other.
+        """
+        return not self.leaving and now_s >= self.notices.paused_until_s
+
     def update_from_list(self, target: model.Target) -> None:
         """Applies the platform's list, which lags behind answers.
 
@@ -224,7 +232,7 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the target may receive new requests."""
-        if self.leaving or self.target.swapping:
+        if not self.accepts_requests(now_s) or self.target.swapping:
             return False
         return self.is_reachable(now_s)
 
@@ -287,6 +295,17 @@
         """Returns the views of a service's targets."""
         return self.by_service.get(service, [])
 
+    def remaining_pause_s(self, service: str, now_s: float) -> float:
+        """Returns the time until a target of a service accepts requests.
+
+        Returns 0 if one accepts requests now, or if all of them leave.
+        """
+        accepting_s = []
+        for view in self.of_service(service):
+            if not view.leaving:
+                accepting_s.append(view.notices.paused_until_s)
+        return max(0.0, min(accepting_s, default=now_s) - now_s)
+
     def record_peer_prompts(
         self, sent: collections.abc.Iterable[messages.SentPrompt]
     ) -> None:
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -43,6 +43,8 @@
 WEIGHTS = b"x-cactusstile-weight-versions"
 # "1" in all answers of a target that leaves.
 LEAVING = b"server-leaving"
+# In a 503: for how long the target wants nothing from the sender, in seconds.
+RETRY_AFTER = b"retry-after"
 
 # Fields that callers must not set.
 SYSTEM_FIELDS = frozenset(
--- a/src/cactusstile/platform/notices.py
+++ b/src/cactusstile/platform/notices.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
+
 from cactusstile.http import messages
 from cactusstile.platform import headers
 
 _LEAVING = "1"
+_UNAVAILABLE = 503
+_SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,20})?")
 
 
 def is_leaving(head: messages.ResponseHead) -> bool:
@@ -17,3 +21,23 @@
     False
     """
     return (head.find(headers.LEAVING) or "").strip() == _LEAVING
+
+
+def pause_s(head: messages.ResponseHead) -> float:
+    """Returns how long a target that rejects wants no requests, in seconds.
+
+    Returns 0 for other answers, and if the time is absent or malformed. Dates
+    are not understood.
+
+    >>> fields = ((headers.RETRY_AFTER, b"0.25"),)
+    >>> pause_s(messages.ResponseHead(503, fields))
+    0.25
+    >>> pause_s(messages.ResponseHead(200, fields))
+    0.0
+    """
+    if head.status != _UNAVAILABLE:
+        return 0.0
+    text = (head.find(headers.RETRY_AFTER) or "").strip()
+    if _SECONDS.fullmatch(text) is None:
+        return 0.0
+    return float(text)
