--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -165,27 +165,29 @@
         while True:
             view = await self.queue.choose_target(admitted, service, attempts)
             if view is None:
-                no_target = verdict.Reason.NO_TARGET
-                return await self._answer_error(responder, attempts, no_target)
+                reason = verdict.Reason.NO_TARGET
+                break
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
             try:
                 await self.sender.send(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
-                return None
+                return
             except exchange.AttemptError as error:
                 record.end_attempt(error.reason, anyio.current_time())
                 attempts.record_failure(error)
                 self.dispatcher.record_failure(view, error)
-                if await self._may_resume(service, attempts, view, relay):
-                    attempts.resuming = True
-                    continue
-                attempts.resuming = False
-                if self._may_retry(service, attempts, error):
+                attempts.resuming = await self._may_resume(
+                    service, attempts, view, relay
+                )
+                if attempts.resuming or self._may_retry(
+                    service, attempts, error
+                ):
                     continue
                 reason = verdict.Reason.TARGET_LOST
-                await self._answer_error(responder, attempts, reason)
-                return None
+                break
+        retry_after_s = self.dispatcher.retry_after_s(admitted, service)
+        await self._answer_error(responder, attempts, reason, retry_after_s)
 
     async def _find_origin(
         self, admitted: admission.AdmittedRequest
@@ -250,6 +252,8 @@
         if not await backups.has_ended(view.target):
             return False
         now_s = anyio.current_time()
+        if not backup.view.accepts_requests(now_s):
+            return False
         return backup.view.is_reachable(now_s) and self.budget.try_spend(
             service, now_s
         )
@@ -271,6 +275,7 @@
         responder: responders.Responder,
         attempts: retries.Attempts,
         reason: verdict.Reason,
+        retry_after_s: float,
     ) -> None:
         """Relays the last error answer of a target.
 
@@ -286,5 +291,5 @@
             reason,
             "no target answered the request",
             verdict=attempts.final_verdict(),
-            retry_after_s=dispatching.RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -10,7 +10,9 @@
 from cactusstile.gateway import admission
 from cactusstile.gateway import exchange
 from cactusstile.gateway import target_view
+from cactusstile.http import messages
 from cactusstile.http import responder as responders
+from cactusstile.platform import notices
 
 MAX_ATTEMPTS_LOGGED = 8
 
@@ -38,6 +40,8 @@
       outdated_s: Time since a newer version was announced, in seconds; None
         if there is none.
       was_usable: Whether the target was neither failing nor swapping.
+      said_leaving: Whether the target announced that it leaves.
+      pause_s: Pause that the target asked for, in seconds.
     """
 
     target: str
@@ -56,6 +60,8 @@
     weights: int | None = None
     outdated_s: float | None = None
     was_usable: bool = True
+    said_leaving: bool = False
+    pause_s: float = 0.0
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -82,6 +88,10 @@
             fields["outdated_ms"] = _to_ms(self.outdated_s)
         if not self.was_usable:
             fields["usable"] = False
+        if self.said_leaving:
+            fields["said_leaving"] = True
+        if self.pause_s:
+            fields["pause_ms"] = _to_ms(self.pause_s)
         if self.first_event_s is not None:
             fields["first_event_ms"] = _to_ms(
                 self.first_event_s - self.started_s
@@ -164,6 +174,12 @@
         self.attempts[-1].weights = version
         self.attempts[-1].outdated_s = outdated_s
 
+    def add_notices(self, head: messages.ResponseHead) -> None:
+        """Records what the target of the current attempt announced."""
+        attempt = self.attempts[-1]
+        attempt.said_leaving |= notices.is_leaving(head)
+        attempt.pause_s = max(attempt.pause_s, notices.pause_s(head))
+
     def set_work(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -73,7 +73,7 @@
 
     def permits(self, target: model.Target) -> bool:
         """Returns whether the request may be sent to a target at all."""
-        if target.leaving or target.incarnation in self.tried_incarnations:
+        if target.incarnation in self.tried_incarnations:
             return False
         return self.origin is None or self.origin.build == target.build
 
@@ -85,6 +85,8 @@
     def record_failure(self, error: exchange.AttemptError) -> None:
         """Records a failed attempt."""
         self.in_progress = False
+        if error.is_withdrawn and not error.was_sent:
+            return
         if error.is_misdirected:
             self.misdirected += 1
         elif error.was_sent:
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -13,6 +13,7 @@
 
 from cactusstile.gateway import load_table
 from cactusstile.gateway import prompts
+from cactusstile.gateway import target_notices
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
@@ -77,6 +78,7 @@
       rejections: Consecutive rejected requests.
       weights: Version of each model's weights at the target.
       peer_loads: Loads that other gateways report, of all targets.
+      notices: What the target announced in its answers.
     """
 
     target: model.Target
@@ -92,6 +94,25 @@
     rejections: int = 0
     weights: dict[str, int] = attrs.field(factory=dict)
     peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
+    notices: target_notices.TargetNotices = attrs.field(
+        default=attrs.Factory(
+            lambda view: target_notices.TargetNotices(view.target.id),
+            takes_self=True,
+        )
+    )
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target must not receive new requests any more."""
+        return self.target.leaving or self.notices.leaving
+
+    def accepts_requests(self, now_s: float) -> bool:
+        """Returns whether the target neither leaves nor asked for a pause.
+
+        A target that does not accept requests must not be used even if there is
+        no other.
+        """
+        return not self.leaving and now_s >= self.notices.paused_until_s
 
     def update_from_list(self, target: model.Target) -> None:
         """Applies the platform's list, which lags behind answers.
@@ -211,7 +232,7 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the target may receive new requests."""
-        if self.target.leaving or self.target.swapping:
+        if not self.accepts_requests(now_s) or self.target.swapping:
             return False
         return self.is_reachable(now_s)
 
@@ -229,12 +250,16 @@
       by_service: Views of each service's targets.
       by_id: View of each target, by its id.
       peer_loads: Loads that other gateways report.
+      notices: What targets announced in their answers.
     """
 
     views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
     by_service: dict[str, list[TargetView]] = attrs.field(factory=dict)
     by_id: dict[str, TargetView] = attrs.field(factory=dict)
     peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
+    notices: target_notices.NoticeTable = attrs.field(
+        factory=target_notices.NoticeTable
+    )
 
     def update(
         self,
@@ -251,11 +276,13 @@
                     target,
                     prompts.CachedParts(capacity),
                     peer_loads=self.peer_loads,
+                    notices=self.notices.of(target.incarnation),
                 )
             view.cached.capacity_tokens = capacity
             view.update_from_list(target)
             views_by_incarnation[target.incarnation] = view
         self.views = views_by_incarnation
+        self.notices.forget_unlisted(views_by_incarnation)
         self.by_id = {
             view.target.id: view for view in views_by_incarnation.values()
         }
@@ -268,6 +295,17 @@
         """Returns the views of a service's targets."""
         return self.by_service.get(service, [])
 
+    def remaining_pause_s(self, service: str, now_s: float) -> float:
+        """Returns the time until a target of a service accepts requests.
+
+        Returns 0 if one accepts requests now, or if all of them leave.
+        """
+        accepting_s = []
+        for view in self.of_service(service):
+            if not view.leaving:
+                accepting_s.append(view.notices.paused_until_s)
+        return max(0.0, min(accepting_s, default=now_s) - now_s)
+
     def record_peer_prompts(
         self, sent: collections.abc.Iterable[messages.SentPrompt]
     ) -> None:
@@ -285,7 +323,7 @@
         """Returns the services with at least one target that is not leaving."""
         live = set()
         for name, views in self.by_service.items():
-            if any(not view.target.leaving for view in views):
+            if any(not view.leaving for view in views):
                 live.add(name)
         return live
 
