--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -43,6 +43,10 @@
 LOAD = b"x-cactusstile-instance-load"
 TARGET_ID = b"x-cactusstile-instance-id"
 WEIGHTS = b"x-cactusstile-weight-versions"
+# "1" in all answers of a target that leaves.
+LEAVING = b"server-leaving"
+# In a 503: for how long the target wants nothing from the sender, in seconds.
+RETRY_AFTER = b"retry-after"
 
 # Fields that callers must not set.
 SYSTEM_FIELDS = frozenset(
@@ -67,6 +71,9 @@
         LOAD,
         TARGET_ID,
         WEIGHTS,
+        LEAVING,
     )
 )
+# Fields of targets that callers do not receive.
+TARGET_ONLY_FIELDS = frozenset((LOAD, LEAVING))
 EVENT_STREAM = "text/event-stream"
