Let other tasks run between the calls of a socket that is always ready

Callers saw nothing of any target while one target sent without end: the gateway answered no one, and no deadline ended the attempt.

Cause: Socket.receive and Socket.send yielded to the event loop only when the operating system had nothing to give or take. Bytes that arrive as fast as they are read keep one task running for ever, in the one loop of the process.

Now a socket lets other tasks run after CALLS_PER_TURN calls that did not have to wait. A turn is taken before a call, so a cancelled task has lost no received byte. The count starts anew with each real wait; an ordinary exchange takes no turn.

--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -13,6 +13,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 
 from cactusstile.http import exceptions
 from cactusstile.transport import address
@@ -21,6 +22,8 @@
     import collections.abc
 
 RECEIVE_BYTES = 64 << 10
+# Calls of one socket that succeed at once before other tasks get a turn.
+CALLS_PER_TURN = 16
 BACKLOG_CONNECTIONS = 1024
 # The peer is considered lost if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
@@ -43,6 +46,7 @@
         """Takes ownership of a connected, non-blocking socket."""
         self.raw = raw
         self.bytes_sent = 0
+        self._calls_in_turn = 0
 
     async def send(self, data: bytes) -> None:
         """Sends all of `data`.
@@ -52,6 +56,7 @@
         """
         view = memoryview(data)
         while view:
+            await self._take_turn()
             try:
                 count = self.raw.send(view)
             except BlockingIOError:
@@ -69,6 +74,7 @@
           ConnectionEndedError: The connection was reset or timed out.
         """
         while True:
+            await self._take_turn()
             try:
                 return self.raw.recv(RECEIVE_BYTES)
             except BlockingIOError:
@@ -76,12 +82,20 @@
             except OSError as error:
                 raise exceptions.ConnectionEndedError(str(error)) from error
 
+    async def _take_turn(self) -> None:
+        """Lets other tasks run if this socket never had to wait."""
+        self._calls_in_turn += 1
+        if self._calls_in_turn > CALLS_PER_TURN:
+            self._calls_in_turn = 0
+            await anyio.lowlevel.checkpoint()
+
     async def _wait(
         self,
         wait: collections.abc.Callable[
             [socket.socket], collections.abc.Awaitable[None]
         ],
     ) -> None:
+        self._calls_in_turn = 0
         try:
             await wait(self.raw)
         except (OSError, ValueError, anyio.ClosedResourceError) as error:
