Guard the bounds on heads and bodies without end

Heads (status line, one field, many fields, no HTTP at all) and bodies (without a length, in chunks, chunk extension, trailers) were bounded already: the attempt fails as malformed, the connection is closed, and the request goes on to another target. The tests in tests/gateway send from a thread until the caller closes; those in tests/http measure the memory of one head and one body.

--- /dev/null
+++ b/tests/gateway/test_endless_bytes.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from tests.gateway import support
+from tests.support import endless_target
+from tests.support import raw_target
+
+pytestmark = pytest.mark.anyio
+HEAD = b"HTTP/1.1 200 OK\r\n"
+IDENTITY = b"X-Cactusstile-Attempt-Id: %(id)s\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+ANSWER = HEAD + IDENTITY + raw_target.SEAL
+BLOCK = b"x" * 1024
+CHUNK = b"400\r\n" + BLOCK + b"\r\n"
+
+
+async def _ask_elsewhere(first: bytes, unit: bytes) -> None:
+    """Checks that the request goes on to another target within the limits."""
+    config = support.configuration(support.route(timeout_s=20.0))
+    async with (
+        raw_target.open_target(raw_target.answer(), id="b") as other,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        endless = stack.enter_context(
+            endless_target.open_target(first, unit, "a")
+        )
+        harness = await stack.enter_async_context(
+            support.open_harness(config, endless, other)  # type: ignore[arg-type]
+        )
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request())
+    assert endless.closed_by_caller
+    assert support.status(data) == 200
+    reasons = [attempt.outcome for attempt in harness.records[0].attempts]
+    assert reasons == ["malformed", "answered"]
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [
+        pytest.param(b"", b"\0", id="no-answer"),
+        pytest.param(b"HTTP/1.1 200 ", b"x", id="status-line"),
+        pytest.param(ANSWER + b"X-A: ", b"x", id="field"),
+        pytest.param(ANSWER, b"X-A: 1\r\n", id="fields"),
+    ],
+)
+async def test_request_goes_on_from_a_head_without_end(
+    first: bytes, unit: bytes
+) -> None:
+    await _ask_elsewhere(first, unit)
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [
+        pytest.param(ANSWER + b"\r\n", BLOCK, id="no-length"),
+        pytest.param(ANSWER + CHUNKED + b"\r\n", CHUNK, id="chunks"),
+        pytest.param(ANSWER + CHUNKED + b"\r\n1;a=", b"x", id="extension"),
+        pytest.param(
+            ANSWER + CHUNKED + b"\r\n0\r\n", b"X-A: 1\r\n", id="trailers"
+        ),
+    ],
+)
+async def test_request_goes_on_from_a_body_without_end(
+    first: bytes, unit: bytes
+) -> None:
+    await _ask_elsewhere(first, unit)
--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -1,16 +1,29 @@
 from __future__ import annotations
 
 import collections.abc
+import tracemalloc
 
 import anyio
 import anyio.lowlevel
+import attrs
 import pytest
 
+from cactusstile.http import exceptions
+from cactusstile.http import messages
 from cactusstile.http import sockets
+from cactusstile.http import targets
+from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
 # Calls after which an endless loop of a failing test ends.
 CALL_LIMIT = 20_000
+BYTE_LIMIT = 32 << 20
+BODY_LIMIT_BYTES = 256 << 10
+TARGET = address.Address("127.0.0.1", 1)
+REQUEST = messages.Request(b"GET", b"/", ((b"host", b"h"),), b"", 0.0)
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+BLOCK = b"x" * 1024
 
 
 class ReadyRaw:
@@ -63,3 +76,72 @@
         scope.cancel()
         await _receive_all(sockets.Socket(ReadyRaw()))  # type: ignore[arg-type]
     assert scope.cancelled_caught
+
+
+@attrs.define
+class EndlessSocket:
+    """A socket whose peer sends `first` and then `unit` without end."""
+
+    first: bytes
+    unit: bytes
+    received: int = 0
+    bytes_sent: int = 0
+
+    async def send(self, data: bytes) -> None:
+        self.bytes_sent += len(data)
+
+    async def receive(self) -> bytes:
+        assert self.received < BYTE_LIMIT, "reads without end"
+        data = self.unit * (sockets.RECEIVE_BYTES // len(self.unit))
+        if not self.received:
+            data = self.first + data
+        self.received += len(data)
+        return data
+
+
+def _connect(endless: EndlessSocket) -> targets.TargetConnection:
+    return targets.TargetConnection(TARGET, endless)  # type: ignore[arg-type]
+
+
+async def _read_answer(endless: EndlessSocket) -> None:
+    connection = _connect(endless)
+    await connection.ask(REQUEST, lambda _: True)
+    await connection.read_full_body(BODY_LIMIT_BYTES)
+
+
+async def _peak_bytes(endless: EndlessSocket) -> int:
+    """Returns the most memory that reading took until it was given up."""
+    tracemalloc.start()
+    try:
+        with pytest.raises(exceptions.MalformedError):
+            await _read_answer(endless)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [(b"HTTP/1.1 200 ", b"x"), (OK + b"X-A: ", b"x"), (OK, b"X-A: 1\r\n")],
+)
+async def test_head_without_end_takes_bounded_memory(
+    first: bytes, unit: bytes
+) -> None:
+    peak_bytes = await _peak_bytes(EndlessSocket(first, unit))
+    assert peak_bytes < 8 * targets.MAX_HEAD_BYTES
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [
+        (OK + b"\r\n", BLOCK),
+        (OK + CHUNKED, b"400\r\n" + BLOCK + b"\r\n"),
+        (OK + CHUNKED + b"1;a=", b"x"),
+        (OK + CHUNKED + b"0\r\n", b"X-A: 1\r\n"),
+    ],
+)
+async def test_body_without_end_takes_bounded_memory(
+    first: bytes, unit: bytes
+) -> None:
+    peak_bytes = await _peak_bytes(EndlessSocket(first, unit))
+    assert peak_bytes < 4 * BODY_LIMIT_BYTES
