Show that interim answers without end hold a request

Both tests fail on the current code: a connection reads 4 MiB of 100 Continue and wants more (the test's limit), and a gateway's caller has no answer within 5 s though another target would serve it.

--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -67,3 +67,7 @@
     first: bytes, unit: bytes
 ) -> None:
     await _ask_elsewhere(first, unit)
+
+
+async def test_request_goes_on_from_interim_answers_without_end() -> None:
+    await _ask_elsewhere(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -17,7 +17,7 @@
 pytestmark = pytest.mark.anyio
 # Calls after which an endless loop of a failing test ends.
 CALL_LIMIT = 20_000
-BYTE_LIMIT = 32 << 20
+BYTE_LIMIT = 4 << 20
 BODY_LIMIT_BYTES = 256 << 10
 TARGET = address.Address("127.0.0.1", 1)
 REQUEST = messages.Request(b"GET", b"/", ((b"host", b"h"),), b"", 0.0)
@@ -145,3 +145,10 @@
 ) -> None:
     peak_bytes = await _peak_bytes(EndlessSocket(first, unit))
     assert peak_bytes < 4 * BODY_LIMIT_BYTES
+
+
+async def test_interim_answers_without_end_are_given_up() -> None:
+    endless = EndlessSocket(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+    with pytest.raises(exceptions.MalformedError, match="interim"):
+        await _read_answer(endless)
+    assert endless.received <= 2 * sockets.RECEIVE_BYTES
