Give up a target after too many interim responses

A target that sends 100 Continue without end held its request until the route's timeout, though another target would have served it.

Cause: TargetConnection._read_head skipped interim responses without counting them. After MAX_INTERIM_RESPONSES the response is malformed now: the connection is closed and the attempt ends with the verdict that it may have run, so that the request goes on where its route permits it.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -20,6 +20,8 @@
     ResponseMatcher = collections.abc.Callable[[messages.ResponseHead], bool]
 
 MAX_HEAD_BYTES = 64 << 10
+# Interim (1xx) responses that may precede a response.
+MAX_INTERIM_RESPONSES = 16
 # Idle timeout of a connection if the target announces none.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Fraction of a target's announced idle timeout within which its connections are
@@ -108,9 +110,15 @@
         self, is_match: ResponseMatcher
     ) -> messages.ResponseHead:
         """Returns the response head; discards responses to other requests."""
+        interim_count = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise exceptions.MalformedError(
+                        "too many interim responses"
+                    )
                 continue
             if not isinstance(event, h11.Response):
                 raise exceptions.ConnectionEndedError("closed by the target")
