Show that late answers without end hold a request

All six cases fail on the current code: a connection discards 4 MiB of answers to another request and wants more (the test's limit); in a gateway the target gives up sending after 4 s (the test's limit), the gateway never.

--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -12,6 +12,7 @@
 IDENTITY = b"X-Cactusstile-Attempt-Id: %(id)s\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 ANSWER = HEAD + IDENTITY + raw_target.SEAL
+LATE = HEAD + b"X-Cactusstile-Attempt-Id: other\r\n"
 BLOCK = b"x" * 1024
 CHUNK = b"400\r\n" + BLOCK + b"\r\n"
 
@@ -71,3 +72,16 @@
 
 async def test_request_goes_on_from_interim_answers_without_end() -> None:
     await _ask_elsewhere(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [
+        pytest.param(LATE + CHUNKED + b"\r\n", CHUNK, id="one"),
+        pytest.param(b"", LATE + b"Content-Length: 0\r\n\r\n", id="many"),
+    ],
+)
+async def test_request_goes_on_from_late_answers_without_end(
+    first: bytes, unit: bytes
+) -> None:
+    await _ask_elsewhere(first, unit)
--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -152,3 +152,23 @@
     with pytest.raises(exceptions.MalformedError, match="interim"):
         await _read_answer(endless)
     assert endless.received <= 2 * sockets.RECEIVE_BYTES
+
+
+LATE = OK + b"X-Late: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "unit"),
+    [
+        (LATE + CHUNKED, b"400\r\n" + BLOCK + b"\r\n"),
+        (LATE + CHUNKED, b"1\r\nx\r\n"),
+        (b"", LATE + b"Content-Length: 0\r\n\r\n"),
+        (b"", LATE + CHUNKED + b"1\r\nx\r\n0\r\n\r\n"),
+    ],
+)
+async def test_late_answers_without_end_are_given_up(
+    first: bytes, unit: bytes
+) -> None:
+    connection = _connect(EndlessSocket(first, unit))
+    with pytest.raises(exceptions.MalformedError, match="late"):
+        await connection.ask(REQUEST, lambda head: not head.find(b"x-late"))
