Give up a target after too many bytes of late responses

A target that answers an earlier request without end held its caller until the route's timeout; the gateway read and threw away all that came.

Cause: TargetConnection discards responses to other requests with no bound, neither on one body nor on their number. Bytes received before the matching head are counted now, as they come from the socket, so that small chunks and small answers count whole; beyond MAX_LATE_BYTES the response is malformed, the connection is closed and the request goes on where its route permits it.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -22,6 +22,8 @@
 MAX_HEAD_BYTES = 64 << 10
 # Interim (1xx) responses that may precede a response.
 MAX_INTERIM_RESPONSES = 16
+# Bytes of responses to earlier requests that may precede a response.
+MAX_LATE_BYTES = 256 << 10
 # Idle timeout of a connection if the target announces none.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Fraction of a target's announced idle timeout within which its connections are
@@ -50,6 +52,7 @@
         self._protocol = _new_protocol()
         self._event: h11.Request
         self._closing = False
+        self._received_bytes = 0
 
     async def ask(
         self, request: messages.Request, is_match: ResponseMatcher
@@ -93,6 +96,7 @@
 
     def _start(self, request: messages.Request) -> bytes:
         """Starts a request cycle and returns the bytes of the request."""
+        self._received_bytes = 0
         headers = list(request.headers)
         if request.body or request.method in _METHODS_WITH_BODY:
             length = b"%d" % len(request.body)
@@ -204,6 +208,7 @@
             self._receive(await self.socket.receive())
 
     def _receive(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         try:
             self._protocol.receive_data(data)
         except RuntimeError as error:
@@ -212,7 +217,8 @@
     async def _discard_response(self) -> None:
         """Discards a late response to an earlier request."""
         while await self.read_body() is not None:
-            continue
+            self._check_late_bytes()
+        self._check_late_bytes()
         waiting, ended = self._protocol.trailing_data
         if ended or self._protocol.their_state is not h11.DONE:
             raise exceptions.ConnectionEndedError(
@@ -223,6 +229,10 @@
         if waiting:
             self._protocol.receive_data(waiting)
 
+    def _check_late_bytes(self) -> None:
+        if self._received_bytes > MAX_LATE_BYTES:
+            raise exceptions.MalformedError("late responses are too large")
+
 
 def _new_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
