--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -13,6 +13,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 ANSWER = HEAD + IDENTITY + raw_target.SEAL
 LATE = HEAD + b"X-Cactusstile-Attempt-Id: other\r\n"
+EVENTS = raw_target.SEAL + b"Content-Type: text/event-stream\r\n"
+STREAM = HEAD + IDENTITY + EVENTS + CHUNKED + b"\r\n"
 BLOCK = b"x" * 1024
 CHUNK = b"400\r\n" + BLOCK + b"\r\n"
 
@@ -85,3 +87,7 @@
     first: bytes, unit: bytes
 ) -> None:
     await _ask_elsewhere(first, unit)
+
+
+async def test_request_goes_on_from_an_event_without_end() -> None:
+    await _ask_elsewhere(STREAM, b"8000\r\n" + 32 * BLOCK + b"\r\n")
