Treat an event beyond the size limit as a failed attempt

A caller whose target sent an event without end got 500 internal error, which says nothing about whether the request ran; no other target was tried, and a stream that had begun was cut though its run may have had a copy to resume from.

Cause: StreamRelay.feed turned errors of the connection into failed attempts, but not those of the splitter. The splitter's error becomes the attempt error "malformed" with the verdict that the request may have run. Only the splitting is enclosed: an error of the caller's connection still ends the request.

The test failed before (500) and passes now.

--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from cactusstile import verdict
 from cactusstile.gateway import exchange
 from cactusstile.http import events
@@ -10,6 +12,9 @@
 from cactusstile.http import responder as responders
 from cactusstile.platform import headers
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 
 class StreamRelay:
     """A stream to a caller, which successive targets may continue.
@@ -48,7 +53,7 @@
             data = await self._read(stream)
             if data is None:
                 break
-            for event in self.splitter.feed(data):
+            for event in self._split(data):
                 await self._start(stream.head)
                 await self.responder.send(event)
                 self.events += 1
@@ -63,6 +68,12 @@
         except exceptions.HttpError as error:
             raise _interrupted("stream_broken") from error
 
+    def _split(self, data: bytes) -> collections.abc.Iterator[bytes]:
+        try:
+            yield from self.splitter.feed(data)
+        except exceptions.MalformedError as error:
+            raise _interrupted("malformed") from error
+
     async def _start(self, head: messages.ResponseHead) -> None:
         if self.started:
             return
