Show that splitting events takes quadratic time

Two tests fail on the current code at their limit of 4 s of processor time: one event of 1 MiB in one-byte pieces, and 1 MiB of two-byte events in one piece. The third, on an end of an event that arrives in pieces, passes and guards what a faster search could break.

--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import collections.abc
+import time
 import tracemalloc
 
 import anyio
@@ -8,6 +9,7 @@
 import attrs
 import pytest
 
+from cactusstile.http import events
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import sockets
@@ -18,6 +20,7 @@
 # Calls after which an endless loop of a failing test ends.
 CALL_LIMIT = 20_000
 BYTE_LIMIT = 4 << 20
+PROCESSOR_LIMIT_S = 4.0
 BODY_LIMIT_BYTES = 256 << 10
 TARGET = address.Address("127.0.0.1", 1)
 REQUEST = messages.Request(b"GET", b"/", ((b"host", b"h"),), b"", 0.0)
@@ -172,3 +175,39 @@
     connection = _connect(EndlessSocket(first, unit))
     with pytest.raises(exceptions.MalformedError, match="late"):
         await connection.ask(REQUEST, lambda head: not head.find(b"x-late"))
+
+
+def _split(pieces: collections.abc.Iterable[bytes]) -> int:
+    """Splits pieces within a limit on processor time; counts the events."""
+    splitter = events.EventSplitter(1)
+    end_s = time.process_time() + PROCESSOR_LIMIT_S
+    count = 0
+    for piece in pieces:
+        for _ in splitter.feed(piece):
+            count += 1
+            assert time.process_time() < end_s
+        assert time.process_time() < end_s
+    return count
+
+
+def test_event_in_small_pieces_takes_bounded_processor_time() -> None:
+    with pytest.raises(exceptions.MalformedError):
+        _split(b"x" for _ in range(events.MAX_EVENT_BYTES + 1))
+
+
+def test_many_small_events_take_bounded_processor_time() -> None:
+    size = events.MAX_EVENT_BYTES
+    assert _split([b"\n\n" * (size // 2)]) == size // 2
+
+
+@pytest.mark.parametrize("end", [b"\r\n\r\n", b"\n\n", b"\r\r"])
+def test_event_whose_end_arrives_in_pieces_is_found(end: bytes) -> None:
+    splitter = events.EventSplitter()
+    data = 2 * (b"data: a" + end)
+    found = [
+        event
+        for index in range(len(data))
+        for event in splitter.feed(data[index : index + 1])
+    ]
+    assert found == [b"data: a" + end] * 2
+    assert not splitter.remainder
