Split events in time that grows with the bytes, not their square

A target that sends an event in small pieces, or many small events at once, made the gateway search and copy all that was left with each of them. While it did, it answered no one.

The splitter now goes on searching where it stopped, less the bytes that may begin an event's end, and takes events off the front of a bytearray, which copies only the event. The remainder is a bytearray for this; the doctest converts it.

--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -12,6 +12,7 @@
 
 MAX_EVENT_BYTES = 1 << 20
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LONGEST_END_BYTES = 4
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 
 
@@ -26,7 +27,8 @@
     def __init__(self, last_id: int | None = None) -> None:
         """Starts after the event `last_id`, or at the first event if None."""
         self.last_id = last_id
-        self.remainder = b""
+        self.remainder = bytearray()
+        self._searched = 0
 
     def feed(self, data: bytes) -> collections.abc.Iterator[bytes]:
         r"""Yields the new events that `data` completes.
@@ -37,24 +39,28 @@
         >>> splitter = EventSplitter(1)
         >>> list(splitter.feed(b"id: 1\n\nid: 2\ndata: a\n\nid"))
         [b'id: 2\ndata: a\n\n']
-        >>> splitter.last_id, splitter.remainder
+        >>> splitter.last_id, bytes(splitter.remainder)
         (2, b'id')
         """
         self.remainder += data
         while True:
-            end = _EVENT_END.search(self.remainder)
+            end = _EVENT_END.search(self.remainder, self._searched)
             if end is None:
                 break
-            event = self.remainder[: end.end()]
-            self.remainder = self.remainder[end.end() :]
+            event = bytes(self.remainder[: end.end()])
+            del self.remainder[: end.end()]
+            self._searched = 0
             if self._is_new(event):
                 yield event
+        # The bytes searched so far may end with a part of an event's end.
+        self._searched = max(0, len(self.remainder) - _LONGEST_END_BYTES + 1)
         if len(self.remainder) > MAX_EVENT_BYTES:
             raise exceptions.MalformedError("event exceeds the size limit")
 
     def restart(self) -> None:
         """Discards an incomplete event before another source continues."""
-        self.remainder = b""
+        self.remainder = bytearray()
+        self._searched = 0
 
     def _is_new(self, event: bytes) -> bool:
         """Records an event's id; returns whether the event is new."""
