Show that a body of tiny chunks takes many times its limit of memory

The test fails on the current code: a body that is limited to 256 KiB and comes in chunks of 4 bytes takes more than 1 MiB before it is given up.

--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -211,3 +211,8 @@
     ]
     assert found == [b"data: a" + end] * 2
     assert not splitter.remainder
+
+
+async def test_body_of_tiny_chunks_takes_bounded_memory() -> None:
+    endless = EndlessSocket(OK + CHUNKED, b"4\r\nxxxx\r\n")
+    assert await _peak_bytes(endless) < 4 * BODY_LIMIT_BYTES
