Collect a body in one buffer

A body of tiny chunks took many times its limit of memory, since each part was kept as an object of its own until the end. The parts go into one bytearray now, so memory follows the bytes and the limit holds for it.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -153,16 +153,14 @@
         Raises:
           MalformedError: The body exceeds `limit_bytes`.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             part = await self.read_body()
             if part is None:
-                return b"".join(parts)
-            size += len(part)
-            if size > limit_bytes:
+                return bytes(body)
+            body += part
+            if len(body) > limit_bytes:
                 raise exceptions.MalformedError("response body is too large")
-            parts.append(part)
 
     def finish(self) -> bool:
         """Ends a request; returns whether the connection can be reused."""
