Show that tiny chunks starve the event loop

The test fails on the current code: other tasks get one turn during 20,000 parts of one byte, since these come with few calls of the socket. Counting turns moved to a function of its own; the test that used it checks the same.

--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -39,6 +39,23 @@
         return min(len(data), 16)
 
 
+async def _count_turns(work: collections.abc.Awaitable[object]) -> int:
+    """Returns how often another task ran during `work`."""
+    turns = 0
+
+    async def take_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await anyio.lowlevel.checkpoint()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(take_turns)
+        await work
+        group.cancel_scope.cancel()
+    return turns
+
+
 async def _receive_all(opened: sockets.Socket) -> None:
     for _ in range(CALL_LIMIT):
         await opened.receive()
@@ -59,19 +76,8 @@
         [sockets.Socket], collections.abc.Awaitable[None]
     ],
 ) -> None:
-    turns = 0
-
-    async def take_turns() -> None:
-        nonlocal turns
-        while True:
-            turns += 1
-            await anyio.lowlevel.checkpoint()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(take_turns)
-        await use(sockets.Socket(ReadyRaw()))  # type: ignore[arg-type]
-        group.cancel_scope.cancel()
-    assert turns > CALL_LIMIT // 100
+    opened = sockets.Socket(ReadyRaw())  # type: ignore[arg-type]
+    assert await _count_turns(use(opened)) > CALL_LIMIT // 100
 
 
 async def test_cancelling_ends_reading_of_endless_bytes() -> None:
@@ -216,3 +222,14 @@
 async def test_body_of_tiny_chunks_takes_bounded_memory() -> None:
     endless = EndlessSocket(OK + CHUNKED, b"4\r\nxxxx\r\n")
     assert await _peak_bytes(endless) < 4 * BODY_LIMIT_BYTES
+
+
+async def test_tiny_chunks_starve_no_other_task() -> None:
+    connection = _connect(EndlessSocket(OK + CHUNKED, b"1\r\nx\r\n"))
+    await connection.ask(REQUEST, lambda _: True)
+
+    async def read_parts() -> None:
+        for _ in range(CALL_LIMIT):
+            assert await connection.read_body()
+
+    assert await _count_turns(read_parts()) > CALL_LIMIT // 200
