Let other tasks run between the parts of a response

One call of a socket may bring thousands of tiny chunks, and a task that reads them reaches the socket's own turns only after many of them: other callers got no answer meanwhile.

A connection to a target lets other tasks run after PARTS_PER_TURN parts, whether it had to wait or not.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import attrs
 import h11
 
@@ -24,6 +25,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Bytes of responses to earlier requests that may precede a response.
 MAX_LATE_BYTES = 256 << 10
+# Parts of responses that are read before other tasks get a turn.
+PARTS_PER_TURN = 64
 # Idle timeout of a connection if the target announces none.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Fraction of a target's announced idle timeout within which its connections are
@@ -53,6 +56,7 @@
         self._event: h11.Request
         self._closing = False
         self._received_bytes = 0
+        self._parts_in_turn = 0
 
     async def ask(
         self, request: messages.Request, is_match: ResponseMatcher
@@ -188,7 +192,15 @@
             if name.lower() == "timeout" and value.isdecimal():
                 self._idle_limit_s = int(value) * IDLE_REUSE_FRACTION
 
+    async def _take_turn(self) -> None:
+        """Lets other tasks run after many parts that were read at once."""
+        self._parts_in_turn += 1
+        if self._parts_in_turn > PARTS_PER_TURN:
+            self._parts_in_turn = 0
+            await anyio.lowlevel.checkpoint()
+
     async def _next_event(self) -> object:
+        await self._take_turn()
         while True:
             try:
                 event = self._protocol.next_event()
