Show that one-byte chunks without end hold a request

The test fails on the current code: a body of one-byte chunks is read towards its limit of 8 MiB until the target gives up after 4 s (the test's limit), though another target would serve the request.

--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -91,3 +91,7 @@
 
 async def test_request_goes_on_from_an_event_without_end() -> None:
     await _ask_elsewhere(STREAM, b"8000\r\n" + 32 * BLOCK + b"\r\n")
+
+
+async def test_request_goes_on_from_one_byte_chunks_without_end() -> None:
+    await _ask_elsewhere(ANSWER + CHUNKED + b"\r\n", b"1\r\nx\r\n")
