Give up a body in too many parts

A body of one-byte chunks without end kept its caller waiting, and the processor busy, for seconds: the limit on its bytes is reached only after 8,388,608 parts.

read_full_body gives up after MAX_BODY_PARTS parts as for a body that is too large: the connection is closed and the request goes on where its route permits it. Streams are not read completely and have no such limit.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -25,6 +25,8 @@
 MAX_INTERIM_RESPONSES = 16
 # Bytes of responses to earlier requests that may precede a response.
 MAX_LATE_BYTES = 256 << 10
+# Parts of a body that is read completely.
+MAX_BODY_PARTS = 1 << 16
 # Parts of responses that are read before other tasks get a turn.
 PARTS_PER_TURN = 64
 # Idle timeout of a connection if the target announces none.
@@ -155,16 +157,17 @@
         """Returns the complete body; see `read_body`.
 
         Raises:
-          MalformedError: The body exceeds `limit_bytes`.
+          MalformedError: The body exceeds `limit_bytes` or `MAX_BODY_PARTS`.
         """
         body = bytearray()
-        while True:
+        for _ in range(MAX_BODY_PARTS):
             part = await self.read_body()
             if part is None:
                 return bytes(body)
             body += part
             if len(body) > limit_bytes:
                 raise exceptions.MalformedError("response body is too large")
+        raise exceptions.MalformedError("response body has too many parts")
 
     def finish(self) -> bool:
         """Ends a request; returns whether the connection can be reused."""
