Guard that a stream without end ends by its route's timeout

A stream whose events never end, bear ids already sent, or are comments goes to the caller, who reads it, until the timeout of the route; then the connection to the target is closed. Other callers are answered meanwhile.

All three cases pass.

--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -2,11 +2,15 @@
 
 import contextlib
 
+import anyio
+import attrs
 import pytest
 from tests.gateway import support
 from tests.support import endless_target
 from tests.support import raw_target
 
+from cactusstile.sites import model
+
 pytestmark = pytest.mark.anyio
 HEAD = b"HTTP/1.1 200 OK\r\n"
 IDENTITY = b"X-Cactusstile-Attempt-Id: %(id)s\r\n"
@@ -15,6 +19,7 @@
 LATE = HEAD + b"X-Cactusstile-Attempt-Id: other\r\n"
 EVENTS = raw_target.SEAL + b"Content-Type: text/event-stream\r\n"
 STREAM = HEAD + IDENTITY + EVENTS + CHUNKED + b"\r\n"
+OTHER = model.Share("other", 1.0)
 BLOCK = b"x" * 1024
 CHUNK = b"400\r\n" + BLOCK + b"\r\n"
 
@@ -95,3 +100,44 @@
 
 async def test_request_goes_on_from_one_byte_chunks_without_end() -> None:
     await _ask_elsewhere(ANSWER + CHUNKED + b"\r\n", b"1\r\nx\r\n")
+
+
+@pytest.mark.parametrize(
+    "unit",
+    [
+        pytest.param(b"data: x\n\n", id="unnumbered"),
+        pytest.param(b"id: 1\n\n", id="already-sent"),
+        pytest.param(b": x\n\n", id="comments"),
+    ],
+)
+async def test_stream_without_end_ends_by_the_timeout_of_its_route(
+    unit: bytes,
+) -> None:
+    routes = (
+        support.route(timeout_s=1.5),
+        support.route(name="other", prefix="/b/", shares=(OTHER,)),
+    )
+    services = {name: model.Service(name) for name in ("plain", "other")}
+    config = attrs.evolve(support.configuration(*routes), services=services)
+    chunk = b"%x\r\n%b\r\n" % (len(unit), unit)
+    statuses = []
+    async with (
+        raw_target.open_target(
+            raw_target.answer(), raw_target.answer(), service="other"
+        ) as other,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        endless = stack.enter_context(endless_target.open_target(STREAM, chunk))
+        harness = await stack.enter_async_context(
+            support.open_harness(config, endless, other)  # type: ignore[arg-type]
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(harness.ask, support.request())
+            for _ in range(2):
+                await anyio.sleep(0.1)
+                ask = support.request().replace(b"/a/x", b"/b/x")
+                statuses.append(support.status(await harness.ask(ask)))
+                assert len(harness.records) == len(statuses)
+    assert statuses == [200, 200]
+    assert endless.closed_by_caller
+    assert harness.records[-1].outcome == "deadline_exceeded"
