Split lines of an engine in time that grows with the bytes

A line without end in small pieces made the agent copy all that was left with each piece, up to 1 MiB; it did nothing else meanwhile. The pieces of a line go into one bytearray now; only the new piece is searched for an end.

--- a/src/cactusstile/targets/http.py
+++ b/src/cactusstile/targets/http.py
@@ -203,12 +203,15 @@
 async def _split_lines(
     response: httpcore.Response,
 ) -> collections.abc.AsyncIterator[bytes]:
-    remainder = b""
+    remainder = bytearray()
     async for part in response.aiter_stream():
-        *lines, remainder = (remainder + part).split(b"\n")
+        *ends, rest = part.split(b"\n")
+        for end in ends:
+            remainder += end
+            yield bytes(remainder)
+            remainder.clear()
+        remainder += rest
         if len(remainder) > MAX_LINE_BYTES:
             raise exceptions.TargetError(
                 "line of the answer is too long", sent=True
             )
-        for line in lines:
-            yield line
