--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -61,7 +61,7 @@
             data = await self._read(stream)
             if data is None:
                 break
-            for event in self.splitter.feed(data):
+            for event in self._split(data):
                 if not self.events:
                     self.on_begin(origin)
                 await self._start(stream.head)
@@ -78,6 +78,12 @@
         except exceptions.HttpError as error:
             raise _interrupted("stream_broken") from error
 
+    def _split(self, data: bytes) -> collections.abc.Iterator[bytes]:
+        try:
+            yield from self.splitter.feed(data)
+        except exceptions.MalformedError as error:
+            raise _interrupted("malformed") from error
+
     async def _start(self, head: messages.ResponseHead) -> None:
         if self.started:
             return
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import attrs
 import h11
 
@@ -20,6 +21,14 @@
     ResponseMatcher = collections.abc.Callable[[messages.ResponseHead], bool]
 
 MAX_HEAD_BYTES = 64 << 10
+# Interim (1xx) responses that may precede a response.
+MAX_INTERIM_RESPONSES = 16
+# Bytes of responses to earlier requests that may precede a response.
+MAX_LATE_BYTES = 256 << 10
+# Parts of a body that is read completely.
+MAX_BODY_PARTS = 1 << 16
+# Parts of responses that are read before other tasks get a turn.
+PARTS_PER_TURN = 64
 # Idle timeout of a connection if the target announces none.
 DEFAULT_IDLE_LIMIT_S = 4.0
 # Fraction of a target's announced idle timeout within which its connections are
@@ -48,6 +57,8 @@
         self._protocol = _new_protocol()
         self._event: h11.Request
         self._closing = False
+        self._received_bytes = 0
+        self._parts_in_turn = 0
 
     async def ask(
         self, request: messages.Request, is_match: ResponseMatcher
@@ -91,6 +102,7 @@
 
     def _start(self, request: messages.Request) -> bytes:
         """Starts a request cycle and returns the bytes of the request."""
+        self._received_bytes = 0
         headers = list(request.headers)
         if request.body or request.method in _METHODS_WITH_BODY:
             length = b"%d" % len(request.body)
@@ -108,9 +120,15 @@
         self, is_match: ResponseMatcher
     ) -> messages.ResponseHead:
         """Returns the response head; discards responses to other requests."""
+        interim_count = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                interim_count += 1
+                if interim_count > MAX_INTERIM_RESPONSES:
+                    raise exceptions.MalformedError(
+                        "too many interim responses"
+                    )
                 continue
             if not isinstance(event, h11.Response):
                 raise exceptions.ConnectionEndedError("closed by the target")
@@ -139,18 +157,17 @@
         """Returns the complete body; see `read_body`.
 
         Raises:
-          MalformedError: The body exceeds `limit_bytes`.
+          MalformedError: The body exceeds `limit_bytes` or `MAX_BODY_PARTS`.
         """
-        parts: list[bytes] = []
-        size = 0
-        while True:
+        body = bytearray()
+        for _ in range(MAX_BODY_PARTS):
             part = await self.read_body()
             if part is None:
-                return b"".join(parts)
-            size += len(part)
-            if size > limit_bytes:
+                return bytes(body)
+            body += part
+            if len(body) > limit_bytes:
                 raise exceptions.MalformedError("response body is too large")
-            parts.append(part)
+        raise exceptions.MalformedError("response body has too many parts")
 
     def finish(self) -> bool:
         """Ends a request; returns whether the connection can be reused."""
@@ -178,7 +195,15 @@
             if name.lower() == "timeout" and value.isdecimal():
                 self._idle_limit_s = int(value) * IDLE_REUSE_FRACTION
 
+    async def _take_turn(self) -> None:
+        """Lets other tasks run after many parts that were read at once."""
+        self._parts_in_turn += 1
+        if self._parts_in_turn > PARTS_PER_TURN:
+            self._parts_in_turn = 0
+            await anyio.lowlevel.checkpoint()
+
     async def _next_event(self) -> object:
+        await self._take_turn()
         while True:
             try:
                 event = self._protocol.next_event()
@@ -196,6 +221,7 @@
             self._receive(await self.socket.receive())
 
     def _receive(self, data: bytes) -> None:
+        self._received_bytes += len(data)
         try:
             self._protocol.receive_data(data)
         except RuntimeError as error:
@@ -204,7 +230,8 @@
     async def _discard_response(self) -> None:
         """Discards a late response to an earlier request."""
         while await self.read_body() is not None:
-            continue
+            self._check_late_bytes()
+        self._check_late_bytes()
         waiting, ended = self._protocol.trailing_data
         if ended or self._protocol.their_state is not h11.DONE:
             raise exceptions.ConnectionEndedError(
@@ -215,6 +242,10 @@
         if waiting:
             self._protocol.receive_data(waiting)
 
+    def _check_late_bytes(self) -> None:
+        if self._received_bytes > MAX_LATE_BYTES:
+            raise exceptions.MalformedError("late responses are too large")
+
 
 def _new_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
