Let one task at a time write to the socket of the exchange

Cause: the messages about streams are sent by a task of their own, over the socket that another task sends loads with; a write that waits made the other task's write an error, which ended the process. The tests of the directory passed messages directly.

Evidence: test_loads_and_stream_messages_are_sent_at_the_same_time failed before and passes now.

Why it works: a lock around the write; both tasks wait for a few microseconds at most.

--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -85,6 +85,7 @@
             collections.deque(maxlen=MAX_OUTBOX)
         )
         self._outbox_filled = anyio.Event()
+        self._sending = anyio.Lock()
 
     def send_stream(self, message: StreamMessage, receiver: str) -> None:
         """Sends a message about the origin of streams soon; it may be lost."""
@@ -149,10 +150,11 @@
         data: bytes,
         peer: address.Address,
     ) -> None:
-        try:
-            await socket.sendto(data, peer.host, peer.port)
-        except OSError as error:
-            logger.debug("failed to send the load to %s: %s", peer, error)
+        async with self._sending:
+            try:
+                await socket.sendto(data, peer.host, peer.port)
+            except OSError as error:
+                logger.debug("failed to send to %s: %s", peer, error)
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for datagram, _ in socket:
