--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -180,9 +180,7 @@
                 attempts.resuming = await self._may_resume(
                     service, attempts, view, relay
                 )
-                if attempts.resuming or self._may_retry(
-                    service, attempts, error
-                ):
+                if self._may_retry(service, attempts, error):
                     continue
                 reason = verdict.Reason.TARGET_LOST
                 break
@@ -264,6 +262,8 @@
         attempts: retries.Attempts,
         error: exchange.AttemptError,
     ) -> bool:
+        if attempts.resuming:
+            return True
         if not attempts.may_retry():
             return False
         if not error.was_sent:
