Show that engines that do not swap hold up a roll-out

Four cases fail on the current code: two of five engines refuse orders (400, 409, 421) or never answer them, hold both places for ever and the others stay on the older weights.

--- a/tests/registry/test_rollout.py
+++ b/tests/registry/test_rollout.py
@@ -17,6 +17,8 @@
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from cactusstile.consensus import replica
     from cactusstile.http import messages
 
@@ -40,6 +42,9 @@
       requests: Requests that it runs.
       reachable: Whether calls reach it.
       failing_reads: Of so many reads of the report, one fails; 0 for none.
+      order_status: Status with which it refuses orders; 0 if it accepts them.
+      answers_orders: Whether orders are answered; they are not carried out
+        otherwise.
       reads: Reads of the report so far.
       swapped_s: Loop time of the last order.
     """
@@ -48,6 +53,8 @@
     requests: int = 0
     reachable: bool = True
     failing_reads: int = 0
+    order_status: int = 0
+    answers_orders: bool = True
     reads: int = 0
     swapped_s: float | None = None
 
@@ -77,6 +84,10 @@
         self, target: model.Target, request: messages.Request
     ) -> int:
         engine = await self._reach(target)
+        if not engine.answers_orders:
+            raise clients.CallError("no answer in time")
+        if engine.order_status:
+            return engine.order_status
         engine.swapped_s = anyio.current_time()
         await anyio.sleep(LOAD_S)
         engine.version = json.loads(request.body)["version"]
@@ -93,11 +104,16 @@
         return type("Status", (), {"term": 3})
 
 
-async def roll_out(engines: dict[str, Engine], wanted: int) -> None:
-    """Runs the controller until all reachable engines hold the weights.
+async def roll_out(
+    engines: dict[str, Engine],
+    wanted: collections.abc.Callable[[], int],
+    *awaited: str,
+    limit_s: float = LIMIT_S,
+) -> None:
+    """Runs the controller until engines hold newer weights than at the start.
 
     Raises:
-      TimeoutError: The limit of the roll-out passed before.
+      TimeoutError: The limit passed before.
     """
     listed = tuple(
         attrs.evolve(
@@ -110,17 +126,14 @@
         typing.cast("clients.Client", Client(engines)),
         typing.cast("replica.Replica", _Leader()),
         lambda: listed,
-        lambda: {"m": wanted},
+        lambda: {"m": wanted()},
         on_change=lambda: None,
         rollout_limit_s=LIMIT_S,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(controller.run, group)
-        with anyio.fail_after(LIMIT_S):
-            while any(
-                engine.reachable and engine.version < wanted
-                for engine in engines.values()
-            ):
+        with anyio.fail_after(limit_s):
+            while any(engines[name].version == 1 for name in awaited):
                 await anyio.sleep(0.05)
         group.cancel_scope.cancel()
 
@@ -133,9 +146,32 @@
         "d": Engine(),
         "e": Engine(),
     }
-    await roll_out(engines, 2)
+    await roll_out(engines, lambda: 2, "c", "d", "e")
 
 
 async def test_report_that_cannot_be_read_does_not_renew_the_drain() -> None:
     busy = Engine(requests=3, failing_reads=4)
-    await roll_out({"a": busy}, 2)
+    await roll_out({"a": busy}, lambda: 2, "a")
+
+
+@pytest.mark.parametrize(
+    "faulty",
+    [
+        {"order_status": 400},
+        {"order_status": 409},
+        {"order_status": 421},
+        {"answers_orders": False},
+    ],
+    ids=["refuse", "conflict", "misdirected", "silent"],
+)
+async def test_engines_that_do_not_swap_do_not_hold_up_the_others(
+    faulty: dict[str, typing.Any],
+) -> None:
+    engines = {
+        "a": Engine(**faulty),
+        "b": Engine(**faulty),
+        "c": Engine(),
+        "d": Engine(),
+        "e": Engine(),
+    }
+    await roll_out(engines, lambda: 2, "c", "d", "e")
