--- a/tests/registry/test_rollout.py
+++ b/tests/registry/test_rollout.py
@@ -175,3 +175,18 @@
         "e": Engine(),
     }
     await roll_out(engines, lambda: 2, "c", "d", "e")
+
+
+@pytest.mark.parametrize("interval_s", [1.0, 1.5, 2.5])
+async def test_engine_that_was_unreachable_gets_its_turn(
+    interval_s: float,
+) -> None:
+    engines = {name: Engine(requests=3) for name in "abcde"}
+    started_s = anyio.current_time()
+
+    def wanted() -> int:
+        since_s = anyio.current_time() - started_s
+        engines["a"].reachable = since_s > 1.0
+        return 2 + int(since_s / interval_s)
+
+    await roll_out(engines, wanted, "a", limit_s=1.0 + LIMIT_S)
