Give engines that were unreachable their turn in a roll-out

Cause: an engine whose last call failed came after all others. While versions keep coming there is always another, so it was never tried again.

Why it works: the version that an engine holds decides first; among engines that hold the same, those that failed come last. The pause after a failure doubles up to 4 s, so an engine that stays unreachable takes a place for a small part of the time.

--- a/src/cactusstile/registry/swap_plan.py
+++ b/src/cactusstile/registry/swap_plan.py
@@ -70,9 +70,9 @@
             holders.append(incarnation)
             is_tried = now_s >= unreachable.get(incarnation, now_s)
             if held < version and is_tried and incarnation not in in_progress:
-                lagging.append((incarnation in unreachable, held, target))
-        # Unreachable engines must not hold the places of others, and a further
-        # version must not let engines pass those that lack the one before.
+                lagging.append((held, incarnation in unreachable, target))
+        # A further version must not let engines pass those that lack the one
+        # before, and unreachable engines must not hold the places of others.
         lagging.sort(key=operator.itemgetter(0, 1))
         for *_, target in lagging[: _free_places(holders, in_progress)]:
             swaps.append(Swap(target, model.Weights(name, version)))
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -31,8 +31,10 @@
 CHECK_INTERVAL_S = 0.1
 # Interval at which the report of a swapping engine is read.
 POLL_INTERVAL_S = 0.1
-# Time after which an engine that could not be reached is tried again.
-UNREACHABLE_RETRY_S = 0.5
+# Time after which an engine whose swap failed is tried again. It doubles with
+# each further failure, up to MAX_DOUBLINGS times.
+RETRY_BASE_S = 0.5
+MAX_DOUBLINGS = 3
 # Time for gateways to stop sending requests to an engine.
 GATEWAY_NOTICE_S = 0.05
 # Time after which an unanswered order is sent again.
@@ -51,6 +53,7 @@
         no more requests.
       unreachable: Loop time before which an engine is not tried again, by the
         incarnation of engines whose last call failed.
+      failures: Consecutive failed tries of an engine, by its incarnation.
       drain_deadlines: Loop time at which the drain of an engine ends, by its
         incarnation, until its swap is completed.
       fenced_off_term: Term whose fence an engine refused; -1 for none.
@@ -87,6 +90,7 @@
         self.in_progress: set[tuple[str, int]] = set()
         self.draining: set[tuple[str, int]] = set()
         self.unreachable: dict[tuple[str, int], float] = {}
+        self.failures: dict[tuple[str, int], int] = {}
         self.drain_deadlines: dict[tuple[str, int], float] = {}
         self.fenced_off_term = -1
 
@@ -140,9 +144,11 @@
     def _discard_gone_engines(self, engines: tuple[model.Target, ...]) -> None:
         """Discards what is known of engines that are not listed."""
         present = {entry.incarnation for entry in engines}
-        for known in (self.unreachable, self.drain_deadlines):
-            for incarnation in known.keys() - present:
-                del known[incarnation]
+        for incarnation in self.unreachable.keys() - present:
+            del self.unreachable[incarnation]
+            self.failures.pop(incarnation, None)
+        for incarnation in self.drain_deadlines.keys() - present:
+            del self.drain_deadlines[incarnation]
         self.completed = {
             entry for entry in self.completed if entry[0] in present
         }
@@ -155,10 +161,10 @@
         try:
             outcome = await self._drive_swap(swap)
             self.unreachable.pop(incarnation, None)
+            self.failures.pop(incarnation, None)
         except clients.CallError as error:
             outcome = str(error)
-            retry_at_s = anyio.current_time() + UNREACHABLE_RETRY_S
-            self.unreachable[incarnation] = retry_at_s
+            self._record_failure(incarnation)
         finally:
             self.in_progress.discard(incarnation)
             self.draining.discard(incarnation)
@@ -174,6 +180,13 @@
             },
         )
 
+    def _record_failure(self, incarnation: tuple[str, int]) -> None:
+        """Records a failed try; the next one is made later each time."""
+        failures = self.failures.get(incarnation, 0)
+        pause_s = RETRY_BASE_S * 2 ** min(failures, MAX_DOUBLINGS)
+        self.failures[incarnation] = failures + 1
+        self.unreachable[incarnation] = anyio.current_time() + pause_s
+
     async def _drive_swap(self, swap: swap_plan.Swap) -> str:
         """Sends orders until the engine reports the weights.
 
