Bound a try to swap an engine's weights

An engine that answers but never swaps (orders refused, in conflict, or not answered) kept its place for ever, or gave it up and got it again at once; it was shown as swapping meanwhile.

Evidence: four cases of test_engines_that_do_not_swap_do_not_hold_up_the_others failed before and pass now.

Why it works: a try ends 1.6 s after the drain (a load takes 0.8 s at most), or when the order is refused for good, and every end but the swap itself counts as a failure: the engine is tried later, after others that hold the same version. An order without an answer may still be carried out; the next try reads that from the report.

--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -39,8 +39,12 @@
 GATEWAY_NOTICE_S = 0.05
 # Time after which an unanswered order is sent again.
 REPEAT_AFTER_S = 0.5
+# Time for an order and the load, after which a try gives its place up.
+SWAP_TIMEOUT_S = 1.6
+BAD_REQUEST = 400
 MISDIRECTED = 421
 FENCED_OFF = 412
+DONE = "done"
 
 
 class WeightsController:
@@ -160,12 +164,10 @@
         outcome = "given_up"
         try:
             outcome = await self._drive_swap(swap)
-            self.unreachable.pop(incarnation, None)
-            self.failures.pop(incarnation, None)
         except clients.CallError as error:
             outcome = str(error)
-            self._record_failure(incarnation)
         finally:
+            self._record_outcome(incarnation, outcome)
             self.in_progress.discard(incarnation)
             self.draining.discard(incarnation)
             self.on_change()
@@ -180,8 +182,14 @@
             },
         )
 
-    def _record_failure(self, incarnation: tuple[str, int]) -> None:
-        """Records a failed try; the next one is made later each time."""
+    def _record_outcome(
+        self, incarnation: tuple[str, int], outcome: str
+    ) -> None:
+        """Records the end of a try; after failures the next one is later."""
+        if outcome == DONE:
+            self.unreachable.pop(incarnation, None)
+            self.failures.pop(incarnation, None)
+            return
         failures = self.failures.get(incarnation, 0)
         pause_s = RETRY_BASE_S * 2 ** min(failures, MAX_DOUBLINGS)
         self.failures[incarnation] = failures + 1
@@ -191,8 +199,8 @@
         """Sends orders until the engine reports the weights.
 
         Returns:
-          The outcome for the log: "done", "not_leader" or "refused_" with the
-          status of the answer.
+          The outcome for the log: `DONE`, "not_leader", "timeout" or "refused_"
+          with the status of the answer.
 
         Raises:
           CallError: The report of the engine cannot be read.
@@ -202,19 +210,22 @@
         self.on_change()
         await anyio.sleep(GATEWAY_NOTICE_S)
         drain_deadline_s = self._begin_drain(swap)
+        give_up_s = max(anyio.current_time(), drain_deadline_s) + SWAP_TIMEOUT_S
         last_order_s = float("-inf")
         while self._may_order():
             report = await self.client.read_report(swap.target)
             if _holds_version(report, swap.weights):
                 self._record_completed(swap)
-                return "done"
+                return DONE
             now_s = anyio.current_time()
+            if now_s >= give_up_s:
+                return "timeout"
             is_due = now_s - last_order_s >= REPEAT_AFTER_S
             is_drained = not report.requests or now_s >= drain_deadline_s
             if is_due and is_drained and not report.is_executing_order:
                 last_order_s = now_s
                 status = await self._send_order(swap, report)
-                if status in (FENCED_OFF, MISDIRECTED):
+                if status in (BAD_REQUEST, FENCED_OFF, MISDIRECTED):
                     return f"refused_{status}"
             await anyio.sleep(POLL_INTERVAL_S)
         return "not_leader"
