--- a/tests/gateway/test_late_starts.py
+++ b/tests/gateway/test_late_starts.py
@@ -8,6 +8,7 @@
 from tests.support import raw_target
 
 from cactusstile.sites import model
+from cactusstile.sites import salts
 
 pytestmark = pytest.mark.anyio
 STREAM = model.Kind.STREAM
@@ -57,3 +58,18 @@
             harness.site.weights.add("m", 2, anyio.current_time())
             data = await harness.ask(support.request(b"POST", FIELDS))
     assert data.endswith(b"0\r\n\r\n")
+
+
+async def test_engine_of_unknown_weights_is_told_what_to_expect() -> None:
+    async with raw_target.open_target(
+        raw_target.stream_events([1]), id="unknown"
+    ) as target:
+        config = support.configuration(support.route(STREAM))
+        async with support.open_harness(config, target) as harness:
+            harness.site.weights.add("m", 2, anyio.current_time() - 9.0)
+            await harness.ask(support.request(b"POST", FIELDS))
+    sent = target.requests[0]
+    expected = raw_target.find_header(sent, b"x-cactusstile-expect-version")
+    assert expected == b"2"
+    salt = raw_target.find_header(sent, b"x-cactusstile-cache-salt")
+    assert salt == salts.make("shared", "m", 2).encode()
