Expect the newest weights of an engine whose version is unknown

Cause: an unknown version was taken for one that needs no check: no expected version, no limit, and a salt of version 0 under which KV cache of different weights would meet.

Evidence: test_engine_of_unknown_weights_is_told_what_to_expect failed before and passes now.

Why it works: the newest announced version is expected, and named in the salt; an engine that holds another one rejects the prompt without running it.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -25,6 +25,7 @@
 from cactusstile.platform import headers
 from cactusstile.sites import messages
 from cactusstile.sites import model
+from cactusstile.sites import salts
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -244,8 +245,8 @@
         """Returns the target and the parameters of an attempt."""
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
-        weights = view.weights.get(name)
-        salt = view.salt(name, admitted.cache_scope)
+        weights = self._expected_weights(name, view)
+        salt = salts.make(admitted.cache_scope, name, weights or 0)
         backup = attempts.backup
         if backup is not None and attempts.resuming:
             return exchange.Dispatch(
@@ -270,6 +271,20 @@
             begin_by_s=self._begin_by_s(name, weights),
         )
 
+    def _expected_weights(
+        self, name: str, view: target_view.TargetView
+    ) -> int | None:
+        """Returns the version of a model that a target must hold.
+
+        A target whose version is unknown must hold the newest one: it rejects
+        the request otherwise, without running it.
+        """
+        held = view.weights.get(name)
+        newest = self.site.weights.newest(name)
+        if held is None and newest is not None:
+            return newest.version
+        return held
+
     def _plan_transfers(
         self,
         admitted: admission.AdmittedRequest,
