Show by what number the retry budget is divided, and its decisions

From a gateway's log and dump one could tell neither the number of gateways by which it divides the slack nor whether retries were granted or denied. The number is logged when it changes, and the dump holds all three.

--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import collections
+import logging
 
 import attrs
 
+logger = logging.getLogger(__name__)
+
 # Fraction of the allowance that a gateway uses, so that gateways whose clocks
 # and counts differ stay within it together.
 USED_FRACTION = 0.85
@@ -34,6 +37,8 @@
       gateways: Number of gateways that share the slack.
       gateways_seen_s: Loop time at which there were last as many.
       windows: Recorded requests and retries, by service.
+      granted: Number of retries granted since the start.
+      denied: Number of retries denied since the start.
     """
 
     ratio: float
@@ -42,6 +47,8 @@
     gateways: int = 1
     gateways_seen_s: float = float("-inf")
     windows: dict[str, Window] = attrs.field(factory=dict)
+    granted: int = 0
+    denied: int = 0
 
     def update_gateways(self, count: int, now_s: float) -> None:
         """Updates the number of gateways.
@@ -60,8 +67,14 @@
         """
         is_outdated = now_s - self.gateways_seen_s > self.window_s
         if count >= self.gateways or is_outdated:
+            before = self.gateways
             self.gateways = max(1, count)
             self.gateways_seen_s = now_s
+            if self.gateways != before:
+                logger.info(
+                    "the retry budget is divided by another number",
+                    extra={"gateways": self.gateways, "before": before},
+                )
 
     def count_request(self, service: str, now_s: float) -> None:
         """Counts a caller's request to a service."""
@@ -86,7 +99,9 @@
         allowed = self.ratio * len(window.requests)
         allowed += self.slack / max(1, self.gateways)
         if len(window.retries) + 1 > allowed * USED_FRACTION:
+            self.denied += 1
             return False
+        self.granted += 1
         window.retries.append(now_s)
         return True
 
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -68,6 +68,7 @@
     def dump(self) -> dict[str, typing.Any]:
         """Returns the state of the process, without any key."""
         now_s = anyio.current_time()
+        budget = self.forwarder.budget
         views = []
         for view in self.site.targets.views.values():
             views.append(
@@ -89,6 +90,11 @@
             "gateways": [member.address for member in self.site.gateways],
             "weights": self.site.weights,
             "open_requests": self.serving.open_requests,
+            "retry_budget": {
+                "gateways": budget.gateways,
+                "granted": budget.granted,
+                "denied": budget.denied,
+            },
             "targets": views,
         }
 
