Show that each start of a gateway grants the slack of retries anew

The test runs five gateways and control as processes; all targets reject. All processes are killed twice, and each gateway gets 50 requests as soon as it is ready. Arrivals are counted at the targets against the rule: ratio times requests of the window, the one before it or the one half a window before it, and the slack.

The logs of the first run tell why: a gateway that served all 50 requests of a burst before its budget was told of its peers repeated all 50 of them; one that was told in time repeated 17.

--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -146,7 +146,9 @@
         """Address of the platform's list of targets."""
         return address.Address(f"{self.network}.1", self.port + 9)
 
-    async def start(self, role: str, name: str, host: str) -> None:
+    async def start(
+        self, role: str, name: str, host: str, *, first_start: bool = True
+    ) -> None:
         """Starts a process and appends its output to its log file."""
         filled = values(
             name=name,
@@ -155,6 +157,7 @@
             seeds=f"{self.registry_host}:{self.port + 8}",
             platform=str(self.platform),
             folder=self.folder / name,
+            first_start=first_start,
         )
         path = self.folder / f"{name}.ini"
         path.write_text(render(role, filled))
