Withhold the slack of retries until a gateway knows who shares it

Cause: a gateway that started had an empty window and took itself for the only one until a request had ended after the list of gateways arrived, so each start of each gateway could spend the slack of the whole site. After an election, a gateway without recent requests believed the first, incomplete list.

In the log, gateways that served a burst before they were told of their peers repeated all of its 50 requests, against a share of ten.

A gateway now spends none of the slack until control has confirmed a list that names it for a whole window without a gap, so that neither its predecessor's retries nor an incomplete list matter; until then it retries within the ratio of its own requests, and attempts of which nothing was sent are free as before. The number of gateways comes from each confirmation, not from the end of a request, and a larger number holds for a window after it was replaced. Messages are the same, so an older control process will do.

The harness of the gateway tests lets control confirm the gateway for a window first, since its tests are not about starts; the tests are as they were.

--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import collections
-import logging
 
 import attrs
 
-logger = logging.getLogger(__name__)
+from cactusstile.gateway import sharers as sharing
 
 # Fraction of the allowance that a gateway uses, so that gateways whose clocks
 # and counts differ stay within it together.
@@ -34,8 +33,7 @@
       ratio: Retries allowed for each request.
       window_s: Length of the window.
       slack: Further retries allowed in a window, for all gateways together.
-      gateways: Number of gateways that share the slack.
-      gateways_seen_s: Loop time at which there were last as many.
+      sharers: Gateways that share the slack.
       windows: Recorded requests and retries, by service.
       granted: Number of retries granted since the start.
       denied: Number of retries denied since the start.
@@ -44,38 +42,15 @@
     ratio: float
     window_s: float
     slack: float
-    gateways: int = 1
-    gateways_seen_s: float = float("-inf")
+    sharers: sharing.Sharers = attrs.field(
+        default=attrs.Factory(
+            lambda self: sharing.Sharers(self.window_s), takes_self=True
+        )
+    )
     windows: dict[str, Window] = attrs.field(factory=dict)
     granted: int = 0
     denied: int = 0
 
-    def update_gateways(self, count: int, now_s: float) -> None:
-        """Updates the number of gateways.
-
-        It shrinks only after a window: after an election the gateways reconnect
-        one after the other, and the list of them is incomplete.
-
-        >>> budget = RetryBudget(ratio=0.5, window_s=10.0, slack=0.0)
-        >>> for count, at_s in ((70, 0.0), (1, 1.0)):
-        ...     budget.update_gateways(count, at_s)
-        >>> budget.gateways
-        70
-        >>> budget.update_gateways(60, 11.0)
-        >>> budget.gateways
-        60
-        """
-        is_outdated = now_s - self.gateways_seen_s > self.window_s
-        if count >= self.gateways or is_outdated:
-            before = self.gateways
-            self.gateways = max(1, count)
-            self.gateways_seen_s = now_s
-            if self.gateways != before:
-                logger.info(
-                    "the retry budget is divided by another number",
-                    extra={"gateways": self.gateways, "before": before},
-                )
-
     def count_request(self, service: str, now_s: float) -> None:
         """Counts a caller's request to a service."""
         window = self.windows.setdefault(service, Window())
@@ -97,7 +72,7 @@
         _drop_before(window.requests, now_s - self.window_s)
         _drop_before(window.retries, now_s - self.window_s)
         allowed = self.ratio * len(window.requests)
-        allowed += self.slack / max(1, self.gateways)
+        allowed += self.sharers.share(self.slack, now_s)
         if len(window.retries) + 1 > allowed * USED_FRACTION:
             self.denied += 1
             return False
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -25,6 +25,8 @@
     from cactusstile.transport import connection
     from cactusstile.transport import pool as pools
 
+    ConfirmSharers = collections.abc.Callable[[int, float], None]
+
 logger = logging.getLogger(__name__)
 
 # Time without any message after which another control process is tried: three
@@ -43,6 +45,8 @@
       site: The view to update.
       seeds: Initial control processes.
       leader: Control process that currently sends updates; None without one.
+      confirm_sharers: Called with the number of gateways and the loop time when
+        control confirms a list that names this one.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         self.site = site
         self.seeds = tuple(seeds)
         self.leader: address.Address | None = None
+        self.confirm_sharers: ConfirmSharers = lambda *_: None
 
     async def run(self) -> None:
         """Follows the leader for as long as the process runs."""
@@ -175,6 +180,8 @@
             if self.site.listed_s is not None:
                 age_s = item.list_age_ms / 1000
                 self.site.listed_s = max(self.site.listed_s, now_s - age_s)
+            if self.member in self.site.gateways:
+                self.confirm_sharers(len(self.site.gateways), now_s)
 
     def _apply_configuration(self, item: messages.ConfigurationInForce) -> None:
         before = self.site.version
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -91,7 +91,8 @@
             "weights": self.site.weights,
             "open_requests": self.serving.open_requests,
             "retry_budget": {
-                "gateways": budget.gateways,
+                "gateways": budget.sharers.most(now_s),
+                "settled": budget.sharers.settled,
                 "granted": budget.granted,
                 "denied": budget.denied,
             },
@@ -139,7 +140,6 @@
     )
 
     def record_request(finished: records.RequestRecord) -> None:
-        budget.update_gateways(len(site.gateways), anyio.current_time())
         request_metrics.version.set(site.version)
         request_metrics.count(finished)
         request_logger.info("request ended", extra=finished.fields())
@@ -159,6 +159,7 @@
         settings.internal_seeds,
         _own_member(settings),
     )
+    watch.confirm_sharers = budget.sharers.confirm
     return Gateway(
         settings,
         site,
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -15,6 +15,7 @@
 from cactusstile.gateway import budget
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import records
+from cactusstile.gateway import sharers
 from cactusstile.gateway import site_view
 from cactusstile.http import callers
 from cactusstile.http import sockets
@@ -107,6 +108,13 @@
     return int(data.split(b" ", 2)[1])
 
 
+def settle(known: sharers.Sharers, count: int, now_s: float) -> None:
+    """Lets control confirm a number of gateways for a window until now."""
+    steps = int(known.window_s)
+    for step in range(steps + 1):
+        known.confirm(count, now_s - steps + step)
+
+
 @contextlib.asynccontextmanager
 async def open_harness(
     site_configuration: model.SiteConfiguration | None,
@@ -120,6 +128,7 @@
     site.replace_targets(tuple(opened.target for opened in open_targets), 0.0)
     pool = targets.Pool()
     retry_budget = budget.RetryBudget(ratio, 10.0, slack)
+    settle(retry_budget.sharers, 1, anyio.current_time())
     ended: list[records.RequestRecord] = []
     forwarder = forwarding.Forwarder(
         site, pool, retry_budget, ended.append, 8.0
