Show that requests of two bursts add up to more retries than allowed

The rule counts the requests of the window of the retries, of the one before it or of the one half a window before it. Of two bursts that are 7 s of a window of 10 s apart, none holds both; the budget counts both.

--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from tests.gateway import support
+from tests.support import retry_rule
 
 from cactusstile.gateway import budget
 from cactusstile.gateway import sharers
@@ -82,3 +83,24 @@
     for number in range(20):
         started.count_request("s", number / 100)
     assert 0 < _spend_all(started, 0.2) <= 0.2 * 20
+
+
+def test_requests_of_two_distant_bursts_do_not_add_up() -> None:
+    """Guards against requests that no window of the rule holds together."""
+    ratio, burst = 0.2, 400
+    settled = _new_budget(ratio)
+    support.settle(settled.sharers, 1, 100.0)
+    sent, retries = [], []
+    for at_s in (100.0, 100.0 + 0.7 * WINDOW_S):
+        for _ in range(burst):
+            sent.append(at_s)
+            settled.count_request("s", at_s)
+    now_s = sent[-1] + 0.1 * WINDOW_S
+    _confirm(settled.sharers, 1, 100.0, now_s)
+    while settled.try_spend("s", now_s):
+        retries.append(now_s)
+    assert retries
+    beyond = retry_rule.most_beyond(
+        sent, retries, ratio=ratio, slack=SLACK, window_s=WINDOW_S
+    )
+    assert beyond == 0
