Count for a retry only requests that each window of the rule holds

Cause: the budget counted the requests of the window that ended with the retry. The rule looks at every window with the retry in it, and counts the requests of that window, of the one before it or of the one half a window before it. Two bursts 7 s apart lie in one window that ends now, but not in one of these three.

Under even load the count is that of a whole window, as before. It bounds each gateway by its own requests; gateways whose bursts fall at different times could still add up.

--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 
 import attrs
@@ -15,13 +16,15 @@
 # Fraction of the allowance that a gateway uses, so that gateways whose clocks
 # and counts differ stay within it together.
 USED_FRACTION = 0.85
+# Windows that are compared, one beginning at each step.
+WINDOW_STEPS = 20
 
 
 @attrs.define
 class Window:
     """Loop times of one service's requests and retries, oldest first."""
 
-    requests: collections.deque[float] = attrs.field(factory=collections.deque)
+    requests: list[float] = attrs.field(factory=list)
     retries: collections.deque[float] = attrs.field(factory=collections.deque)
 
 
@@ -55,7 +58,8 @@
         """Counts a caller's request to a service."""
         window = self.windows.setdefault(service, Window())
         window.requests.append(now_s)
-        _drop_before(window.requests, now_s - self.window_s)
+        oldest_s = now_s - 2 * self.window_s
+        del window.requests[: bisect.bisect_left(window.requests, oldest_s)]
 
     def try_spend(self, service: str, now_s: float) -> bool:
         """Spends one retry; returns False if the budget is exhausted.
@@ -69,9 +73,9 @@
         False
         """
         window = self.windows.setdefault(service, Window())
-        _drop_before(window.requests, now_s - self.window_s)
         _drop_before(window.retries, now_s - self.window_s)
-        allowed = self.ratio * len(window.requests)
+        counted = counted_requests(window.requests, now_s, self.window_s)
+        allowed = self.ratio * counted
         allowed += self.sharers.share(self.slack, now_s)
         if len(window.retries) + 1 > allowed * USED_FRACTION:
             self.denied += 1
@@ -81,6 +85,39 @@
         return True
 
 
+def counted_requests(times: list[float], now_s: float, window_s: float) -> int:
+    """Returns the requests that count for a retry at `now_s`.
+
+    The retry falls in many windows. For each, the rule counts the requests of
+    that window, of the one before it or of the one half a window before it,
+    whichever has most. The window with the fewest limits the retry.
+
+    Args:
+      times: Loop times of the requests until now, oldest first.
+      now_s: Loop time of the retry.
+      window_s: Length of a window.
+
+    >>> counted_requests([3.0, 4.0, 11.0], now_s=12.0, window_s=10.0)
+    2
+    """
+    newest = 2 * WINDOW_STEPS
+    # Requests before each point of a grid over the last two windows.
+    before = []
+    for step in range(newest):
+        point_s = now_s - (newest - step) * window_s / WINDOW_STEPS
+        before.append(bisect.bisect_left(times, point_s))
+    before.append(len(times))
+    fewest = len(times)
+    for begin in range(WINDOW_STEPS, newest + 1):
+        most = 0
+        for back in (0, WINDOW_STEPS // 2, WINDOW_STEPS):
+            first = begin - back
+            end = min(first + WINDOW_STEPS, newest)
+            most = max(most, before[end] - before[first])
+        fewest = min(fewest, most)
+    return fewest
+
+
 def _drop_before(times: collections.deque[float], cutoff_s: float) -> None:
     while times and times[0] < cutoff_s:
         times.popleft()
