--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pytest
+from tests.gateway import budget_model
 from tests.gateway import support
 from tests.support import retry_rule
 
@@ -104,3 +106,29 @@
         sent, retries, ratio=ratio, slack=SLACK, window_s=WINDOW_S
     )
     assert beyond == 0
+
+
+def test_gateway_cut_off_from_control_keeps_no_share_of_others() -> None:
+    """Guards against a share that two hold, as the others divide it anew."""
+    cut_off, follower = _new_budget(), _new_budget()
+    for known in (cut_off.sharers, follower.sharers):
+        support.settle(known, 2, 100.0)
+    retries = []
+    now_s = 100.0
+    while now_s < 100.0 + 4 * WINDOW_S:
+        now_s += CONFIRMATION_S
+        follower.sharers.confirm(1, now_s)
+        for gateway in (cut_off, follower):
+            retries.extend([now_s] * _spend_all(gateway, now_s))
+    assert retries
+    beyond = retry_rule.most_beyond(
+        [], retries, ratio=0.0, slack=SLACK, window_s=WINDOW_S
+    )
+    assert beyond == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_retries_stay_within_the_rule_under_faults(seed: int) -> None:
+    """Guards against shares that add up across restarts, cuts and elections."""
+    faults = ("cut_off", "kill", "kill_all", "elect", "add", "remove")
+    assert budget_model.run(seed, *faults) == 0
