Stop a gateway without control from using the others' share of retries

Cause: a gateway without control kept its share for ever, and the others divided the slack anew a window after it had left their list. The same between a gateway that is cut off and one that starts meanwhile.

A gateway settles, and a larger number holds, for one and a half windows, so that at least a window lies between the last use of the one and the first of the others.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -92,7 +92,7 @@
             "open_requests": self.serving.open_requests,
             "retry_budget": {
                 "gateways": budget.sharers.most(now_s),
-                "settled": budget.sharers.settled,
+                "settled": budget.sharers.is_settled(now_s),
                 "granted": budget.granted,
                 "denied": budget.denied,
             },
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -109,8 +109,8 @@
 
 
 def settle(known: sharers.Sharers, count: int, now_s: float) -> None:
-    """Lets control confirm a number of gateways for a window until now."""
-    steps = int(known.window_s)
+    """Lets control confirm a number of gateways until they are settled."""
+    steps = int(known.window_s * sharers.SETTLING_WINDOWS)
     for step in range(steps + 1):
         known.confirm(count, now_s - steps + step)
 
