--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -132,3 +132,25 @@
     """Guards against shares that add up across restarts, cuts and elections."""
     faults = ("cut_off", "kill", "kill_all", "elect", "add", "remove")
     assert budget_model.run(seed, *faults) == 0
+
+
+def test_restart_grants_no_second_ratio_for_one_window() -> None:
+    """Guards against retries of a process whose predecessor had its own."""
+    ratio = 0.2
+    sent, retries = [], []
+    process = _new_budget(ratio, slack=0.0)
+    now_s = 0.0
+    while now_s < 3 * WINDOW_S:
+        if now_s == WINDOW_S:
+            process = _new_budget(ratio, slack=0.0)
+        for _ in range(100):
+            sent.append(now_s)
+            process.count_request("s", now_s)
+        if now_s >= WINDOW_S - 1.0:
+            retries.extend([now_s] * _spend_all(process, now_s))
+        now_s += 1.0
+    assert retries
+    beyond = retry_rule.most_beyond(
+        sent, retries, ratio=ratio, slack=0.0, window_s=WINDOW_S
+    )
+    assert beyond == 0
