Give a started gateway only the retries its predecessor cannot have used

Cause: a killed gateway has retried by the requests of the window before, its successor retries by those of this window, and the rule counts one window only.

A gateway uses 0.85 of what the ratio allows; in the first window after a start it now uses the other 0.15 of its own requests, so that both stay within the ratio whatever the predecessors did, however often it starts. At the first start of a site there is no predecessor, and the whole 0.85 is used at once.

The soak's tests pass. A run of tests/gateway, tests/soak and three more files together failed once in test_connection_is_not_reused_after_early_answer_to_long_body, which passed in five runs alone after; it does not retry, and was not traced here.

--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -16,6 +16,9 @@
 # Fraction of the allowance that a gateway uses, so that gateways whose clocks
 # and counts differ stay within it together.
 USED_FRACTION = 0.85
+# Fraction that a gateway uses in the first window after its start: its
+# predecessor may have used the other in that window.
+STARTING_FRACTION = 1 - USED_FRACTION
 # Windows that are compared, one beginning at each step.
 WINDOW_STEPS = 20
 
@@ -36,6 +39,8 @@
       ratio: Retries allowed for each request.
       window_s: Length of the window.
       slack: Further retries allowed in a window, for all gateways together.
+      known_since_s: Loop time from which the retries of this gateway are known;
+        negative infinity if it has no predecessor.
       sharers: Gateways that share the slack.
       windows: Recorded requests and retries, by service.
       granted: Number of retries granted since the start.
@@ -45,6 +50,7 @@
     ratio: float
     window_s: float
     slack: float
+    known_since_s: float = float("-inf")
     sharers: sharing.Sharers = attrs.field(
         default=attrs.Factory(
             lambda self: sharing.Sharers(self.window_s), takes_self=True
@@ -77,7 +83,10 @@
         counted = counted_requests(window.requests, now_s, self.window_s)
         allowed = self.ratio * counted
         allowed += self.sharers.share(self.slack, now_s)
-        if len(window.retries) + 1 > allowed * USED_FRACTION:
+        fraction = USED_FRACTION
+        if now_s - self.known_since_s <= self.window_s:
+            fraction = STARTING_FRACTION
+        if len(window.retries) + 1 > allowed * fraction:
             self.denied += 1
             return False
         self.granted += 1
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -135,9 +135,7 @@
     request_metrics: gateway_metrics.GatewayMetrics,
 ) -> Gateway:
     site = site_view.SiteView()
-    budget = budgets.RetryBudget(
-        settings.retry_ratio, settings.retry_window_s, settings.retry_slack
-    )
+    budget = _new_budget(settings)
 
     def record_request(finished: records.RequestRecord) -> None:
         request_metrics.version.set(site.version)
@@ -170,6 +168,16 @@
     )
 
 
+def _new_budget(settings: node.NodeSettings) -> budgets.RetryBudget:
+    has_predecessor = not settings.first_start
+    return budgets.RetryBudget(
+        settings.retry_ratio,
+        settings.retry_window_s,
+        settings.retry_slack,
+        anyio.current_time() if has_predecessor else float("-inf"),
+    )
+
+
 def _own_member(settings: node.NodeSettings) -> messages.GatewayMember:
     return messages.GatewayMember(
         str(settings.internal_address),
--- a/tests/gateway/budget_model.py
+++ b/tests/gateway/budget_model.py
@@ -44,6 +44,7 @@
     def restart(self, up_s: float, connects_s: float) -> None:
         """Kills the process; a new one runs from `up_s`."""
         self.budget = _new_budget()
+        self.budget.known_since_s = up_s
         self.up_s = up_s
         self.connects_s = connects_s
 
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -143,6 +143,7 @@
     while now_s < 3 * WINDOW_S:
         if now_s == WINDOW_S:
             process = _new_budget(ratio, slack=0.0)
+            process.known_since_s = now_s
         for _ in range(100):
             sent.append(now_s)
             process.count_request("s", now_s)
