--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -68,6 +68,7 @@
     def dump(self) -> dict[str, typing.Any]:
         """Returns the state of the process, without any key."""
         now_s = anyio.current_time()
+        budget = self.forwarder.budget
         views = []
         for view in self.site.targets.views.values():
             views.append(
@@ -90,6 +91,12 @@
             "gateways": [member.address for member in self.site.gateways],
             "weights": self.site.weights.newest_versions(),
             "open_requests": self.serving.open_requests,
+            "retry_budget": {
+                "gateways": budget.sharers.most(now_s),
+                "settled": budget.sharers.is_settled(now_s),
+                "granted": budget.granted,
+                "denied": budget.denied,
+            },
             "targets": views,
         }
 
@@ -129,12 +136,9 @@
     request_metrics: gateway_metrics.GatewayMetrics,
 ) -> Gateway:
     site = site_view.SiteView()
-    budget = budgets.RetryBudget(
-        settings.retry_ratio, settings.retry_window_s, settings.retry_slack
-    )
+    budget = _new_budget(settings)
 
     def record_request(finished: records.RequestRecord) -> None:
-        budget.update_gateways(len(site.gateways), anyio.current_time())
         request_metrics.version.set(site.version)
         request_metrics.count(finished)
         request_logger.info("request ended", extra=finished.fields())
@@ -152,6 +156,7 @@
     watch = control_watch.ControlWatch(
         connections, site, settings.internal_seeds, _own_member(settings)
     )
+    watch.confirm_sharers = budget.sharers.confirm
     return Gateway(
         settings,
         site,
@@ -162,6 +167,16 @@
     )
 
 
+def _new_budget(settings: node.NodeSettings) -> budgets.RetryBudget:
+    has_predecessor = not settings.first_start
+    return budgets.RetryBudget(
+        settings.retry_ratio,
+        settings.retry_window_s,
+        settings.retry_slack,
+        anyio.current_time() if has_predecessor else float("-inf"),
+    )
+
+
 def _own_member(settings: node.NodeSettings) -> messages.GatewayMember:
     return messages.GatewayMember(
         str(settings.internal_address),
