--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -22,6 +22,7 @@
 from cactusstile.gateway import stored_parts
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
+from cactusstile.gateway import weights_limit
 from cactusstile.platform import headers
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -35,11 +36,6 @@
 # Back-off for a target whose address now belongs to another target; the
 # platform's list reflects the change within this time.
 MISDIRECTED_BACKOFF_S = 5.0
-# Fraction of the grace period for older weights after which their engines
-# receive no more requests, since a request may wait there before it starts.
-OUTDATED_WEIGHTS_FRACTION = 0.8
-# Fraction after which a request that still waits there is withdrawn.
-WITHDRAWAL_FRACTION = 0.95
 
 
 class Dispatcher:
@@ -47,7 +43,7 @@
 
     Attributes:
       site: Local view of the site.
-      weights_s: Grace period for older weights.
+      weights: Decides whose weights are too old.
       sessions: Statistics of returning prompt parts, by route.
     """
 
@@ -60,7 +56,7 @@
             request may start on older weights after it.
         """
         self.site = site
-        self.weights_s = weights_s
+        self.weights = weights_limit.WeightsLimit(site.weights, weights_s)
         self.sessions = sessions.Sessions()
 
     def choose_service(
@@ -137,9 +133,7 @@
         for view in self.untried(service, attempts):
             if not view.accepts_requests(now_s):
                 continue
-            if not self._has_outdated_weights(
-                view, admitted.prompt.model, now_s
-            ):
+            if not self.weights.is_outdated(view, admitted.prompt.model, now_s):
                 permitted.append(view)
         usable = [view for view in permitted if view.is_usable(now_s)]
         return usable or permitted
@@ -223,18 +217,6 @@
             now_s=now_s,
         )
 
-    def _has_outdated_weights(
-        self, view: target_view.TargetView, name: str, now_s: float
-    ) -> bool:
-        """Returns whether an engine's weights are too old for new requests."""
-        loaded = view.weights.get(name)
-        if loaded is None:
-            return False
-        since_s = self.site.weights.lacking_since_s(name, loaded)
-        if since_s is None:
-            return False
-        return now_s - since_s > OUTDATED_WEIGHTS_FRACTION * self.weights_s
-
     def prepare(
         self,
         admitted: admission.AdmittedRequest,
@@ -245,7 +227,7 @@
         """Returns the target and the parameters of an attempt."""
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
-        weights = self._expected_weights(name, view)
+        weights = self.weights.expected(name, view)
         salt = salts.make(admitted.cache_scope, name, weights or 0)
         backup = attempts.backup
         if backup is not None and attempts.resuming:
@@ -268,23 +250,11 @@
             last_event_id,
             self._plan_transfers(admitted, view, salt),
             copy_to,
-            begin_by_s=self._begin_by_s(name, weights),
+            begin_by_s=self.weights.begin_by_s(
+                name, weights, anyio.current_time()
+            ),
         )
 
-    def _expected_weights(
-        self, name: str, view: target_view.TargetView
-    ) -> int | None:
-        """Returns the version of a model that a target must hold.
-
-        A target whose version is unknown must hold the newest one: it rejects
-        the request otherwise, without running it.
-        """
-        held = view.weights.get(name)
-        newest = self.site.weights.newest(name)
-        if held is None and newest is not None:
-            return newest.version
-        return held
-
     def _plan_transfers(
         self,
         admitted: admission.AdmittedRequest,
@@ -301,16 +271,6 @@
             now_s=anyio.current_time(),
         )
 
-    def _begin_by_s(self, name: str, weights: int) -> float:
-        """Returns the loop time by which a run on these weights must begin.
-
-        A version that is announced while a request waits counts from then on.
-        """
-        since_s = self.site.weights.lacking_since_s(name, weights)
-        if since_s is None:
-            since_s = anyio.current_time()
-        return since_s + WITHDRAWAL_FRACTION * self.weights_s
-
     def choose_backup(
         self,
         admitted: admission.AdmittedRequest,
