--- a/tests/registry/test_rollout.py
+++ b/tests/registry/test_rollout.py
@@ -47,6 +47,7 @@
         otherwise.
       reads: Reads of the report so far.
       swapped_s: Loop time of the last order.
+      loads: Versions that it loaded, in order.
     """
 
     version: int = 1
@@ -57,6 +58,7 @@
     answers_orders: bool = True
     reads: int = 0
     swapped_s: float | None = None
+    loads: list[int] = attrs.field(factory=list)
 
 
 class Client:
@@ -91,6 +93,7 @@
         engine.swapped_s = anyio.current_time()
         await anyio.sleep(LOAD_S)
         engine.version = json.loads(request.body)["version"]
+        engine.loads.append(engine.version)
         return 202
 
 
@@ -190,3 +193,14 @@
         return 2 + int(since_s / interval_s)
 
     await roll_out(engines, wanted, "a", limit_s=1.0 + LIMIT_S)
+
+
+async def test_version_announced_during_a_drain_is_loaded_at_once() -> None:
+    busy = Engine(requests=3)
+    started_s = anyio.current_time()
+
+    def wanted() -> int:
+        return 2 if anyio.current_time() - started_s < 0.5 else 3
+
+    await roll_out({"a": busy}, wanted, "a")
+    assert busy.loads == [3]
