Order the newest weights, also when they are announced during a drain

Cause: a swap ordered the version that was the newest when it began.

Evidence: test_version_announced_during_a_drain_is_loaded_at_once failed before and passes now.

Why it works: the version is read again before each order and each comparison with the report. Late orders are still told apart by the count of accepted ones.

--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -214,6 +214,7 @@
         last_order_s = float("-inf")
         while self._may_order():
             report = await self.client.read_report(swap.target)
+            swap = self._with_newest(swap)
             if _holds_version(report, swap.weights):
                 self._record_completed(swap)
                 return DONE
@@ -244,6 +245,12 @@
             swap.target.incarnation, deadline_s
         )
 
+    def _with_newest(self, swap: swap_plan.Swap) -> swap_plan.Swap:
+        """Returns a swap to the version that is the newest by now."""
+        name = swap.weights.model
+        version = self.wanted_versions().get(name, swap.weights.version)
+        return attrs.evolve(swap, weights=model.Weights(name, version))
+
     def _record_completed(self, swap: swap_plan.Swap) -> None:
         incarnation = swap.target.incarnation
         weights = swap.weights
