Repeat the search for the leader until its time is over

Cause: the lookup passed over all replicas once, within the moment in which a new leader has not told its followers yet; nine tenths of its time were unused.

--- a/src/cactusstile/registry/leader_lookup.py
+++ b/src/cactusstile/registry/leader_lookup.py
@@ -7,6 +7,8 @@
 
 import typing
 
+import anyio
+
 from cactusstile.registry import commands
 from cactusstile.transport import address
 from cactusstile.transport import exceptions as transport_exceptions
@@ -20,6 +22,7 @@
 
 # Operators wait one second for an answer, which covers three silent peers.
 CALL_TIMEOUT_S = 0.25
+REPEAT_INTERVAL_S = 0.05
 
 
 def handlers(
@@ -59,7 +62,19 @@
         self.known: tuple[address.Address, ...] = ()
         self.leader: address.Address | None = None
 
-    async def find(self) -> address.Address | None:
+    async def find(self) -> address.Address:
+        """Returns the leader; asks again until a process knows it.
+
+        Right after an election the other replicas do not know the new leader
+        yet. The caller bounds the time.
+        """
+        while True:
+            found = await self._ask_once()
+            if found is not None:
+                return found
+            await anyio.sleep(REPEAT_INTERVAL_S)
+
+    async def _ask_once(self) -> address.Address | None:
         """Returns the leader, or None if no process answers with one."""
         for peer in self._candidates():
             try:
