Let the target of an early answer read little, so that its body cannot fit

It expects a connection to be closed on which a target answered before it had read a body of 6 MB. The kernel may buffer more than that (up to 32 MB for a receiver here): then the whole body was sent, and the connection may be used again.

--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -148,7 +148,9 @@
         limits=callers.CallerLimits(max_body_bytes=8 << 20),
     )
     async with (
-        raw_target.open_target(answer_early) as target,
+        raw_target.open_target(
+            answer_early, receive_buffer_bytes=64 << 10
+        ) as target,
         support.open_harness(config, target) as harness,
     ):
         harness.serving.memory.limit_bytes = 16 << 20
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import socket
 import typing
 
 import anyio
@@ -180,10 +181,21 @@
 
 @contextlib.asynccontextmanager
 async def open_target(
-    *scripts: Script, **fields: typing.Any
+    *scripts: Script, receive_buffer_bytes: int = 0, **fields: typing.Any
 ) -> collections.abc.AsyncIterator[RawTarget]:
-    """Opens a target that runs `scripts`, one for each request."""
+    """Opens a target that runs `scripts`, one for each request.
+
+    Args:
+      scripts: Scripts of the requests to come, in order.
+      receive_buffer_bytes: Size of the kernel's buffer for what the target has
+        not read; 0 for the kernel's choice.
+      fields: Further fields of the listed target.
+    """
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    if receive_buffer_bytes:
+        listener.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     fields.setdefault("id", f"t-{port}")
     listed = model.Target(
