Name what the roll-out and the exchange hold by now

The times before which engines are not tried again belong to all failed tries, not only to unreachable engines, and the exchange carries more than loads. No behaviour changes.

--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/load_exchange.py
@@ -1,4 +1,8 @@
-"""Exchanges the gateways' loads on each target by UDP; see `load_sharing`."""
+"""Exchanges datagrams with other gateways.
+
+They tell the loads on each target (see `load_sharing`) and where streams began
+(see `stream_directory`).
+"""
 
 from __future__ import annotations
 
@@ -54,7 +58,7 @@
 
 
 class LoadExchange:
-    """Sends and receives the datagrams of `load_sharing`.
+    """Sends and receives datagrams.
 
     Attributes:
       sharing: State of the exchange.
--- a/src/cactusstile/registry/swap_plan.py
+++ b/src/cactusstile/registry/swap_plan.py
@@ -24,8 +24,6 @@
 MIN_DRAIN_TIMEOUT_S = 0.3
 # Fraction of a model's engines that swap at the same time.
 CONCURRENT_SWAP_FRACTION = 0.5
-
-
 _NONE: dict[tuple[str, int], float] = {}
 
 
@@ -43,7 +41,7 @@
     completed: collections.abc.Set[tuple[tuple[str, int], str, int]],
     in_progress: set[tuple[str, int]],
     *,
-    unreachable: collections.abc.Mapping[tuple[str, int], float] = _NONE,
+    retry_at_s: collections.abc.Mapping[tuple[str, int], float] = _NONE,
     now_s: float = 0.0,
 ) -> list[Swap]:
     """Returns the swaps to start now.
@@ -54,8 +52,8 @@
       completed: Incarnation, model and version of the completed swaps, which
         the list shows only later.
       in_progress: Incarnations of the engines with a swap in progress.
-      unreachable: Loop time before which an engine is not tried again, by the
-        incarnation of engines whose last call failed.
+      retry_at_s: Loop time before which an engine is not tried again, by the
+        incarnation of engines whose last try failed.
       now_s: Loop time.
     """
     swaps = []
@@ -68,11 +66,11 @@
             if held is None or target.leaving:
                 continue
             holders.append(incarnation)
-            is_tried = now_s >= unreachable.get(incarnation, now_s)
+            is_tried = now_s >= retry_at_s.get(incarnation, now_s)
             if held < version and is_tried and incarnation not in in_progress:
-                lagging.append((held, incarnation in unreachable, target))
+                lagging.append((held, incarnation in retry_at_s, target))
         # A further version must not let engines pass those that lack the one
-        # before, and unreachable engines must not hold the places of others.
+        # before, and engines that fail must not hold the places of others.
         lagging.sort(key=operator.itemgetter(0, 1))
         for *_, target in lagging[: _free_places(holders, in_progress)]:
             swaps.append(Swap(target, model.Weights(name, version)))
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -55,8 +55,8 @@
       in_progress: Incarnations of the engines with a swap in progress.
       draining: Incarnations of those that were reached, to which gateways send
         no more requests.
-      unreachable: Loop time before which an engine is not tried again, by the
-        incarnation of engines whose last call failed.
+      retry_at_s: Loop time before which an engine is not tried again, by the
+        incarnation of engines whose last try failed.
       failures: Consecutive failed tries of an engine, by its incarnation.
       drain_deadlines: Loop time at which the drain of an engine ends, by its
         incarnation, until its swap is completed.
@@ -93,7 +93,7 @@
         self.completed: set[tuple[tuple[str, int], str, int]] = set()
         self.in_progress: set[tuple[str, int]] = set()
         self.draining: set[tuple[str, int]] = set()
-        self.unreachable: dict[tuple[str, int], float] = {}
+        self.retry_at_s: dict[tuple[str, int], float] = {}
         self.failures: dict[tuple[str, int], int] = {}
         self.drain_deadlines: dict[tuple[str, int], float] = {}
         self.fenced_off_term = -1
@@ -111,7 +111,7 @@
                 self.wanted_versions(),
                 self.completed,
                 self.in_progress,
-                unreachable=self.unreachable,
+                retry_at_s=self.retry_at_s,
                 now_s=anyio.current_time(),
             )
             for swap in swaps:
@@ -148,8 +148,8 @@
     def _discard_gone_engines(self, engines: tuple[model.Target, ...]) -> None:
         """Discards what is known of engines that are not listed."""
         present = {entry.incarnation for entry in engines}
-        for incarnation in self.unreachable.keys() - present:
-            del self.unreachable[incarnation]
+        for incarnation in self.retry_at_s.keys() - present:
+            del self.retry_at_s[incarnation]
             self.failures.pop(incarnation, None)
         for incarnation in self.drain_deadlines.keys() - present:
             del self.drain_deadlines[incarnation]
@@ -187,13 +187,13 @@
     ) -> None:
         """Records the end of a try; after failures the next one is later."""
         if outcome == DONE:
-            self.unreachable.pop(incarnation, None)
+            self.retry_at_s.pop(incarnation, None)
             self.failures.pop(incarnation, None)
             return
         failures = self.failures.get(incarnation, 0)
         pause_s = RETRY_BASE_S * 2 ** min(failures, MAX_DOUBLINGS)
         self.failures[incarnation] = failures + 1
-        self.unreachable[incarnation] = anyio.current_time() + pause_s
+        self.retry_at_s[incarnation] = anyio.current_time() + pause_s
 
     async def _drive_swap(self, swap: swap_plan.Swap) -> str:
         """Sends orders until the engine reports the weights.
