--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,9 @@
 # Seeds that failed at the full duration:
 # 62: a registry that was stopped while a caller connected exited with a
 #   traceback.
-FAILED_SEEDS = (62,)
+# 7003: a registry that stopped after a failed sync logged a traceback of the
+#   event loop, whose accept had been cancelled.
+FAILED_SEEDS = (62, 7003)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
