Ask first whether an engine holds the newest weights

The choice of an engine asks for each of them since when it lacks announced weights, and searched the announcements with an object made for the search, also for engines that hold the newest version, as nearly all do.

--- a/src/cactusstile/sites/announcements.py
+++ b/src/cactusstile/sites/announcements.py
@@ -89,8 +89,9 @@
           The time at which the first version after `held` was announced; None
           if there is none.
         """
-        known = self.by_model.get(name, [])
-        place = bisect.bisect_right(known, Announcement(held, 0.0))
-        if place == len(known):
+        known = self.by_model.get(name)
+        # Each choice of an engine asks for all of them; most hold the newest.
+        if not known or known[-1].version <= held:
             return None
+        place = bisect.bisect_right(known, Announcement(held, 0.0))
         return known[place].announced_s
