Log the shared parts of prompts whose engine's connection broke

Requests under which engines end could not be told from those beside them: the request log names neither has in common with the next. It names the parts but the last, of attempts whose connection broke before an event. The test fails without it (KeyError 'parts').

--- a/src/cactusstile/gateway/prompts.py
+++ b/src/cactusstile/gateway/prompts.py
@@ -42,6 +42,14 @@
     expected_tokens: int = 0
     parts: tuple[Part, ...] = ()
 
+    def shared_ids(self) -> tuple[str, ...]:
+        """Returns the ids of all parts but the last, which is its own.
+
+        >>> Prompt(parts=(Part("a", 10), Part("b", 20))).shared_ids()
+        ('a',)
+        """
+        return tuple(part.id for part in self.parts[:-1])
+
 
 def parse(
     model: str | None,
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -15,6 +15,8 @@
 from cactusstile.platform import notices
 
 MAX_ATTEMPTS_LOGGED = 8
+# Outcomes of attempts whose connection ended before their answer.
+_BROKEN = frozenset(("broken", "stream_broken", "cut_event"))
 
 
 @attrs.define
@@ -42,6 +44,7 @@
       was_usable: Whether the target was neither failing nor swapping.
       said_leaving: Whether the target announced that it leaves.
       pause_s: Pause that the target asked for, in seconds.
+      shared_parts: Ids of the prompt's parts that other prompts may share.
     """
 
     target: str
@@ -62,6 +65,7 @@
     was_usable: bool = True
     said_leaving: bool = False
     pause_s: float = 0.0
+    shared_parts: tuple[str, ...] = ()
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -82,6 +86,8 @@
             fields["build"] = self.build
         if self.from_copy:
             fields["from_copy"] = True
+        if self.outcome in _BROKEN and not self.events:
+            fields["parts"] = self.shared_parts
         if self.weights is not None:
             fields["weights"] = self.weights
         if self.outdated_s is not None:
@@ -189,6 +195,7 @@
         """Records the expected work of the current attempt."""
         attempt = self.attempts[-1]
         attempt.prompt_tokens = admitted.prompt.tokens
+        attempt.shared_parts = admitted.prompt.shared_ids()
         attempt.unread_tokens = work.unread_tokens
         attempt.fetched_tokens = work.fetched_tokens
         attempt.store, _ = dispatch.transfers.main_source()
--- a/tests/gateway/test_records.py
+++ b/tests/gateway/test_records.py
@@ -39,3 +39,15 @@
     assert logged["attempts"][0]["build"] == "v7"
     sent = target.requests[0]
     assert raw_target.find_header(sent, b"resumes") == b"earlier"
+
+
+async def test_record_hides_the_parts_of_a_prompt_whose_engine_ended() -> None:
+    cut = raw_target.stream_events([], whole=False)
+    parts = b"X-Cactusstile-Prompt-Prefix: a:10,b:20,own:5\r\n"
+    async with raw_target.open_target(cut) as target:
+        config = support.configuration(support.route(model.Kind.STREAM))
+        async with support.open_harness(config, target) as harness:
+            await harness.ask(support.request(b"POST", parts))
+    logged = harness.records[0].fields()["attempts"][0]
+    assert logged["outcome"] == "stream_broken"
+    assert logged["parts"] == ("a", "b")
