--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -210,11 +210,11 @@
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
     )
-    _connect(gateway.forwarder, loads_exchange)
+    connect_exchange(gateway.forwarder, loads_exchange)
     group.start_soon(loads_exchange.run)
 
 
-def _connect(
+def connect_exchange(
     forwarder: forwarding.Forwarder, exchange: load_exchange.LoadExchange
 ) -> None:
     """Lets a forwarder tell other gateways what they should know."""
--- /dev/null
+++ b/tests/gateway/test_prompts_that_end_targets.py
@@ -0,0 +1,129 @@
+"""Prompts with a part under which each target that answers them ends."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import typing
+
+import anyio
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.gateway import daemon
+from cactusstile.gateway import load_exchange
+from cactusstile.gateway import load_sharing
+from cactusstile.sites import messages
+from cactusstile.sites import model
+from cactusstile.transport import address
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+pytestmark = pytest.mark.anyio
+CONFIG = support.configuration(
+    support.route(model.Kind.STREAM, resumable=True, objective_s=1.0)
+)
+SECRET = b"s" * 16
+TARGETS = 14
+# The users' rule: ends that are forgiven, and requests after them.
+FORGIVEN_ENDS = 5
+FORGIVEN_REQUESTS = 3
+
+
+def prompt(number: int, parts: bytes) -> bytes:
+    """Returns a request; no two prompts have the same last part."""
+    fields = b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 99,9\r\n"
+    fields += b"X-Cactusstile-Prompt-Prefix: %b,%x:9\r\n" % (parts, number)
+    request = support.request(b"POST", fields)
+    return request.replace(b"Id: one", b"Id: %d" % number)
+
+
+def end_under_part(target: raw_target.RawTarget) -> raw_target.Script:
+    """Returns a script that ends the target if a prompt holds part "bad"."""
+    whole = raw_target.stream_events([1])
+    begin = raw_target.stream_events([], whole=False)
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        if b"bad:" not in request:
+            return await whole(stream, request)
+        await begin(stream, request)
+        target.end()
+        return False
+
+    return run
+
+
+@contextlib.asynccontextmanager
+async def open_targets(
+    count: int,
+) -> collections.abc.AsyncIterator[list[raw_target.RawTarget]]:
+    async with contextlib.AsyncExitStack() as stack:
+        opened = []
+        for number in range(count):
+            target = await stack.enter_async_context(
+                raw_target.open_target(id=f"t-{number}")
+            )
+            target.scripts += [end_under_part(target)] * 100
+            opened.append(target)
+        yield opened
+
+
+def find_free_address() -> address.Address:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return address.Address(*probe.getsockname())
+
+
+@contextlib.asynccontextmanager
+async def open_gateways(
+    count: int, targets: list[raw_target.RawTarget]
+) -> collections.abc.AsyncIterator[list[support.GatewayHarness]]:
+    """Opens gateways that exchange datagrams."""
+    addresses = [find_free_address() for _ in range(count)]
+    members = tuple(
+        messages.GatewayMember(str(own), "d", 100.0) for own in addresses
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        opened = []
+        for own, member in zip(addresses, members, strict=True):
+            harness = await stack.enter_async_context(
+                support.open_harness(CONFIG, *targets, slack=100.0)
+            )
+            harness.site.gateways = members
+            sharing = load_sharing.LoadSharing(harness.site, member)
+            exchange = load_exchange.LoadExchange(sharing, own, SECRET)
+            daemon.connect_exchange(harness.forwarder, exchange)
+            group.start_soon(exchange.run)
+            opened.append(harness)
+        await anyio.sleep(0.05)
+        yield opened
+
+
+def count_bad(targets: list[raw_target.RawTarget]) -> int:
+    received = [data for target in targets for data in target.requests]
+    return sum(b"bad:" in data for data in received)
+
+
+async def test_targets_end_one_after_another_under_one_part_of_prompts() -> (
+    None
+):
+    async with (
+        open_targets(TARGETS) as targets,
+        open_gateways(2, targets) as gateways,
+    ):
+        for number in range(TARGETS):
+            gateway = gateways[number % 2]
+            await gateway.ask(prompt(number, b"all:20,ours:20"))
+            await gateway.ask(prompt(100 + number, b"all:20,bad:20"))
+        statuses = []
+        for number in range(20):
+            data = await gateways[number % 2].ask(
+                prompt(200 + number, b"all:20,ours:20")
+            )
+            statuses.append(support.status(data))
+    assert count_bad(targets) <= FORGIVEN_ENDS + FORGIVEN_REQUESTS
+    assert statuses == [200] * 20
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -31,6 +31,7 @@
       closed: Set once a caller has closed its connection.
       connections: Number of accepted connections.
       read_bodies: Whether the whole body is read before the script runs.
+      process: Scope of the listener and its connections.
     """
 
     target: model.Target
@@ -39,6 +40,11 @@
     closed: anyio.Event = attrs.field(factory=anyio.Event)
     connections: int = 0
     read_bodies: bool = True
+    process: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+    def end(self) -> None:
+        """Closes the listener and all connections, as the end of a process."""
+        self.process.cancel()
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves one accepted connection."""
@@ -206,7 +212,13 @@
         **fields,
     )
     raw = RawTarget(listed, list(scripts))
-    async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, raw.handle)
+
+    async def serve() -> None:
+        with raw.process:
+            async with listener:
+                await listener.serve(raw.handle)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve)
         yield raw
         group.cancel_scope.cancel()
