Take the time of a target's end before the probe that confirms it

Ends within 0.1 s count once, but the time was taken after the probe, which waits up to 0.2 s for a silent target: a gateway that is cut off could count one moment as several and refuse sound prompts. test_targets_that_end_together_count_apart_if_probes_are_slow fails with the time taken after the probe (parts quarantined) and passes now.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -218,8 +218,9 @@
         self.dispatcher.record_failure(view, error)
         if run.is_answered or not error.is_broken_off:
             return
+        broken_s = anyio.current_time()
         if await backups.has_ended(view.target):
-            self.quarantine.record_end(view.target.id, run.prompt)
+            self.quarantine.record_end(view.target.id, run.prompt, broken_s)
 
     async def _find_origin(
         self, admitted: admission.AdmittedRequest
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -26,6 +26,8 @@
 
 logger = logging.getLogger(__name__)
 
+# The last part of a prompt is its own and tells nothing about other prompts.
+MIN_PARTS = 2
 # Time for which an answer must have gone on before it exonerates its prompt.
 SETTLING_S = 0.2
 # Time between two repeats, and the gateways that one goes to.
@@ -86,16 +88,24 @@
             retry_after_s=self.evidence.remaining_s(anyio.current_time()),
         )
 
-    def record_end(self, target_id: str, prompt: prompts.Prompt) -> None:
-        """Records that a target ended before it had answered a prompt."""
-        if len(prompt.parts) < 2:  # noqa: PLR2004
+    def record_end(
+        self, target_id: str, prompt: prompts.Prompt, ended_s: float
+    ) -> None:
+        """Records that a target ended before it had answered a prompt.
+
+        Args:
+          target_id: Id of the target's incarnation.
+          prompt: The prompt.
+          ended_s: Loop time at which the target ended.
+        """
+        if len(prompt.parts) < MIN_PARTS:
             return
         now_s = anyio.current_time()
         suspect = evidences.SuspectPrompt(
             target_id,
             evidences.part_key(prompt.parts[-1].id),
             _shared_keys(prompt),
-            now_s,
+            ended_s,
         )
         if not self._add_end(suspect, now_s):
             return
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -117,7 +117,7 @@
             if self.draw.random() < share:
                 under.append(self.waiting.pop(number))
         for address, prompt in under:
-            self.gateways[address].record_end(target, prompt)
+            self.gateways[address].record_end(target, prompt, now_s)
 
 
 async def play(seed: int, *, bad_per_s: float, ends_together: int) -> Site:
--- a/tests/gateway/test_prompts_that_end_targets.py
+++ b/tests/gateway/test_prompts_that_end_targets.py
@@ -11,6 +11,7 @@
 from tests.gateway import support
 from tests.support import raw_target
 
+from cactusstile.gateway import backups
 from cactusstile.gateway import daemon
 from cactusstile.gateway import load_exchange
 from cactusstile.gateway import load_sharing
@@ -131,3 +132,22 @@
             statuses.append(support.status(data))
     assert count_bad(targets) <= FORGIVEN_ENDS + FORGIVEN_REQUESTS
     assert statuses == [200] * 20
+
+
+async def test_targets_that_end_together_count_apart_if_probes_are_slow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def has_ended(target: model.Target) -> bool:
+        await anyio.sleep(INTERVAL_S * int(target.id.removeprefix("t-")))
+        return True
+
+    monkeypatch.setattr(backups, "has_ended", has_ended)
+    async with (
+        open_targets(4) as targets,
+        open_gateways(1, targets) as (gateway,),
+        anyio.create_task_group() as group,
+    ):
+        for number in range(4):
+            group.start_soon(gateway.ask, prompt(number, b"all:20,bad:20"))
+    assert gateway.forwarder.quarantine.evidence.ends
+    assert not gateway.forwarder.quarantine.evidence.quarantined
