Log the limit that a target names in its answers

Attempts name it in the request log, and a metric counts them; nothing heeds it yet. The test fails without it (KeyError 'limit_per_s').

--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -96,3 +96,5 @@
                 self.notices.labels("leaving").inc()
             if attempt.pause_s:
                 self.notices.labels("pause").inc()
+            if attempt.limit_per_s is not None:
+                self.notices.labels("limit").inc()
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -44,6 +44,8 @@
       was_usable: Whether the target was neither failing nor swapping.
       said_leaving: Whether the target announced that it leaves.
       pause_s: Pause that the target asked for, in seconds.
+      limit_per_s: Requests per second that the target takes from all senders;
+        None if it names no limit.
       shared_parts: Ids of the prompt's parts that other prompts may share.
     """
 
@@ -65,6 +67,7 @@
     was_usable: bool = True
     said_leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
     shared_parts: tuple[str, ...] = ()
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
@@ -100,8 +103,10 @@
         return fields
 
     def _answer_fields(self) -> dict[str, object]:
-        """Returns the fields about the events, and the lack of them."""
+        """Returns the fields about the answer and its events."""
         fields: dict[str, object] = {}
+        if self.limit_per_s is not None:
+            fields["limit_per_s"] = self.limit_per_s
         if self.first_event_s is not None:
             fields["first_event_ms"] = _to_ms(
                 self.first_event_s - self.started_s
@@ -191,6 +196,7 @@
         attempt = self.attempts[-1]
         attempt.said_leaving |= notices.is_leaving(head)
         attempt.pause_s = max(attempt.pause_s, notices.pause_s(head))
+        attempt.limit_per_s = notices.limit_per_s(head)
 
     def set_work(
         self,
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -45,6 +45,8 @@
 WEIGHTS = b"x-cactusstile-weight-versions"
 # "1" in all answers of a target that leaves.
 LEAVING = b"server-leaving"
+# Requests per second that a target in need takes from all senders together.
+LIMIT = b"server-limit"
 # In a 503: for how long the target wants nothing from the sender, in seconds.
 RETRY_AFTER = b"retry-after"
 
--- a/src/cactusstile/platform/notices.py
+++ b/src/cactusstile/platform/notices.py
@@ -9,7 +9,7 @@
 
 _LEAVING = "1"
 _UNAVAILABLE = 503
-_SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,20})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,20})?")
 
 
 def is_leaving(head: messages.ResponseHead) -> bool:
@@ -38,6 +38,21 @@
     if head.status != _UNAVAILABLE:
         return 0.0
     text = (head.find(headers.RETRY_AFTER) or "").strip()
-    if _SECONDS.fullmatch(text) is None:
+    if _DECIMAL.fullmatch(text) is None:
         return 0.0
     return float(text)
+
+
+def limit_per_s(head: messages.ResponseHead) -> float | None:
+    """Returns the requests per second that a target takes from all senders.
+
+    Returns None if the target names no limit, or a malformed one.
+
+    >>> limit_per_s(messages.ResponseHead(200, ((headers.LIMIT, b"1.4"),)))
+    1.4
+    >>> limit_per_s(messages.ResponseHead(200, ((headers.LIMIT, b"-1e3"),)))
+    """
+    text = (head.find(headers.LIMIT) or "").strip()
+    if _DECIMAL.fullmatch(text) is None:
+        return None
+    return float(text)
--- a/tests/gateway/test_records.py
+++ b/tests/gateway/test_records.py
@@ -51,3 +51,13 @@
     logged = harness.records[0].fields()["attempts"][0]
     assert logged["outcome"] == "stream_broken"
     assert logged["parts"] == ("a", "b")
+
+
+async def test_record_hides_the_limit_that_a_target_names() -> None:
+    fields = raw_target.SEAL + b"Server-Limit: 1.4\r\n"
+    async with raw_target.open_target(raw_target.answer(rest=fields)) as target:
+        config = support.configuration(support.route())
+        async with support.open_harness(config, target) as harness:
+            await harness.ask(support.request())
+    logged = harness.records[0].fields()["attempts"][0]
+    assert logged["limit_per_s"] == 1.4
