--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -171,14 +171,9 @@
     >>> [sorted(parts) for parts in find_responsible([other, *ends], ended)]
     [['a', 'b']]
     """
-    recurring = _recurring_parts(suspects)
-    sets = {suspect.parts & recurring for suspect in suspects}
-    sets |= {frozenset((part,)) for part in recurring}
     explained: set[str] = set()
     found = []
-    for parts in sorted(sets, key=lambda one: (-len(one), sorted(one))):
-        if not parts:
-            continue
+    for parts in _recurring_sets(suspects):
         unexplained = []
         for suspect in suspects:
             if parts <= suspect.parts and suspect.target not in explained:
@@ -223,14 +218,21 @@
     return count
 
 
-def _recurring_parts(
+def _recurring_sets(
     suspects: collections.abc.Sequence[SuspectPrompt],
-) -> frozenset[str]:
-    """Returns the parts that stand at the ends of enough targets."""
+) -> list[frozenset[str]]:
+    """Returns the sets of parts that may be responsible, largest first.
+
+    They hold only parts that stand at the ends of enough targets.
+    """
     targets: dict[str, set[str]] = collections.defaultdict(set)
     for suspect in suspects:
         for part in suspect.parts:
             targets[part].add(suspect.target)
-    return frozenset(
+    recurring = frozenset(
         part for part, ended in targets.items() if len(ended) >= MIN_ENDS
     )
+    sets = {frozenset((part,)) for part in recurring}
+    sets |= {suspect.parts & recurring for suspect in suspects}
+    sets.discard(frozenset())
+    return sorted(sets, key=lambda parts: (-len(parts), sorted(parts)))
