Share the limit that a target names among few gateways

Cause: no code read the field. The class: a limit that holds for all gateways together, before gateways that each decide alone; as the slack of the retry budget was.

Change: notices of a target hold its limit. As many gateways share it as it holds requests a second, at least one, by rendezvous hashing; each has a bucket that begins empty, spent right before the send. Limits and their ends are told to all gateways and repeated. The field is removed between callers and targets. Ruled out: an equal share for each gateway (0.04 a second at 31 gateways, and a burst of one each is more than the 5 that are allowed), leases of permits (a message a request).

One gateway still hears of an end only if one that shares the limit has a request to send.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -14,6 +14,7 @@
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import lifecycle
+from cactusstile.gateway import limit_sharing
 from cactusstile.gateway import load_exchange
 from cactusstile.gateway import load_sharing
 from cactusstile.gateway import metrics as gateway_metrics
@@ -25,6 +26,7 @@
 from cactusstile.platform import client as clients
 from cactusstile.settings import node
 from cactusstile.sites import discovery
+from cactusstile.sites import limit_messages
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
 from cactusstile.sites import stream_messages
@@ -227,8 +229,12 @@
     """Lets a forwarder tell other gateways what they should know."""
     forwarder.directory.send = exchange.send_soon
     forwarder.quarantine.send = exchange.send_soon
-    forwarder.quarantine.own_address = str(exchange.own_address)
+    limits = limit_sharing.LimitSharing(forwarder.site)
+    limits.send = exchange.send_soon
+    forwarder.sender.announce_limit = limits.tell
+    forwarder.site.own_address = str(exchange.own_address)
     exchange.handlers = {
+        limit_messages.TargetLimitNotice: limits.receive,
         stream_messages.BegunStreams: forwarder.directory.receive,
         stream_messages.FindStream: forwarder.directory.receive,
         quarantine_messages.PromptEvidence: forwarder.quarantine.receive,
--- a/src/cactusstile/gateway/load_datagrams.py
+++ b/src/cactusstile/gateway/load_datagrams.py
@@ -5,6 +5,7 @@
 import hashlib
 import hmac
 
+from cactusstile.sites import limit_messages
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
 from cactusstile.sites import stream_messages
@@ -17,6 +18,7 @@
     | stream_messages.BegunStreams
     | stream_messages.FindStream
     | quarantine_messages.PromptEvidence
+    | limit_messages.TargetLimitNotice
 )
 MAC_BYTES = 16
 _NUMBER_BYTES = 2
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -46,7 +46,6 @@
 
     Attributes:
       site: Local view of the site, with the list of gateways.
-      own_address: Address of this gateway; empty until it has one.
       send: Sends a message to the gateway with an address.
       evidence: What is known.
     """
@@ -54,7 +53,6 @@
     def __init__(self, site: site_view.SiteView) -> None:
         """Knows nothing and sends nothing yet."""
         self.site = site
-        self.own_address = ""
         self.send: Send = lambda *_: None
         self.evidence = evidences.Evidence()
         self._untold: set[str] = set()
@@ -112,7 +110,7 @@
         message = quarantine_messages.PromptEvidence(
             (_encode_end(suspect, now_s),), ()
         )
-        for receiver in self._others():
+        for receiver in self.site.other_gateways():
             self.send(message, receiver)
 
     def record_answer(self, prompt: prompts.Prompt) -> None:
@@ -167,7 +165,7 @@
         message = quarantine_messages.PromptEvidence(
             (), self._encode_answers(told, now_s)
         )
-        for receiver in self._others():
+        for receiver in self.site.other_gateways():
             self.send(message, receiver)
 
     def repeat(self) -> None:
@@ -176,7 +174,7 @@
         self.evidence.refresh(now_s)
         if not self.evidence.ends:
             return
-        others = self._others()
+        others = self.site.other_gateways()
         receivers = random.sample(others, min(REPEAT_RECEIVERS, len(others)))
         ends = [_encode_end(end, now_s) for end in self.evidence.ends.values()]
         for start in range(0, len(ends), MAX_ENDS_PER_MESSAGE):
@@ -205,10 +203,6 @@
             self._untold |= parts
             self._changed.set()
 
-    def _others(self) -> list[str]:
-        addresses = [member.address for member in self.site.gateways]
-        return [one for one in addresses if one != self.own_address]
-
     def _encode_answers(
         self, parts: collections.abc.Iterable[str], now_s: float
     ) -> tuple[quarantine_messages.AnsweredPart, ...]:
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -17,6 +17,7 @@
 from cactusstile.gateway import return_times
 from cactusstile.gateway import stream_pace
 from cactusstile.gateway import streams
+from cactusstile.gateway import target_limits
 from cactusstile.gateway import target_view
 from cactusstile.gateway.quarantine import quarantine as quarantines
 from cactusstile.http import messages as http_messages
@@ -30,6 +31,7 @@
 
     AnnounceLoad = collections.abc.Callable[[], None]
     AnnounceFetch = collections.abc.Callable[[messages.ObservedFetch], None]
+    AnnounceLimit = collections.abc.Callable[[target_limits.TargetLimit], None]
     AnnouncePrompt = collections.abc.Callable[[str, str, prompts.Prompt], None]
 
 
@@ -45,6 +47,7 @@
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
       announce_fetch: Announces to other gateways how long a fetch took.
+      announce_limit: Tells other gateways the limit that a target names.
       announce_load: Tells other gateways that the load of a target changed.
     """
 
@@ -63,6 +66,7 @@
         self.pace = stream_pace.StreamPace()
         self.announce_prompt: AnnouncePrompt = lambda *_: None
         self.announce_fetch: AnnounceFetch = lambda _: None
+        self.announce_limit: AnnounceLimit = lambda _: None
         self.announce_load: AnnounceLoad = lambda: None
 
     async def send(
@@ -116,15 +120,24 @@
         exchange.Answer | exchange.OpenStream
     ]:
         """Opens an attempt that heeds and records the target's notices."""
+        sent_s = float("-inf")
 
         def record_head(head: http_messages.ResponseHead) -> None:
-            view.notices.record(head, anyio.current_time())
+            is_own = head.find(headers.REQUEST_ID) == admitted.id
+            asked_s = sent_s if is_own else float("-inf")
+            view.notices.record(head, anyio.current_time(), asked_s)
             record.add_notices(head)
+            self.announce_limit(view.notices.limit)
 
         def may_send() -> bool:
+            nonlocal sent_s
+            sent_s = anyio.current_time()
             if self.quarantine.is_held(admitted.prompt):
                 return False
-            return view.accepts_requests(anyio.current_time())
+            if not view.accepts_requests(sent_s):
+                return False
+            view.notices.limit.spend(sent_s)
+            return True
 
         return exchange.open_attempt(
             self.pool, admitted, dispatch, may_send, record_head
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -58,6 +58,24 @@
     configured_s: float = float("inf")
     stores_known: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        """Lets the limits of targets be shared by the gateways listed here."""
+        self.targets.notices.sharers.list_members = lambda: self.gateways
+
+    @property
+    def own_address(self) -> str:
+        """Address of this gateway; empty until it has one."""
+        return self.targets.notices.sharers.own_address
+
+    @own_address.setter
+    def own_address(self, address: str) -> None:
+        self.targets.notices.sharers.own_address = address
+
+    def other_gateways(self) -> list[str]:
+        """Returns the addresses of all gateways but this one."""
+        addresses = [member.address for member in self.gateways]
+        return [one for one in addresses if one != self.own_address]
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; -1 before the first."""
--- a/src/cactusstile/gateway/target_notices.py
+++ b/src/cactusstile/gateway/target_notices.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from cactusstile.gateway import target_limits
 from cactusstile.http import messages
 from cactusstile.platform import headers
 from cactusstile.platform import notices
@@ -39,6 +40,7 @@
       paused_until_s: Loop time until which the target wants no requests.
       pauses: Number of pauses that the target asked for.
       pause_logged_s: Loop time of the last log line about them.
+      limit: Limit that the target names.
     """
 
     target_id: str
@@ -46,8 +48,31 @@
     paused_until_s: float = float("-inf")
     pauses: int = 0
     pause_logged_s: float = float("-inf")
+    limit: target_limits.TargetLimit = attrs.field(
+        default=attrs.Factory(
+            lambda self: target_limits.TargetLimit(
+                self.target_id, target_limits.Sharers()
+            ),
+            takes_self=True,
+        )
+    )
 
-    def record(self, head: messages.ResponseHead, now_s: float) -> None:
+    def accepts_from_s(self, now_s: float) -> float:
+        """Returns the loop time from which the target takes requests."""
+        return max(self.paused_until_s, self.limit.permits_from_s(now_s))
+
+    def accepts_requests(self, now_s: float) -> bool:
+        """Returns whether a request may be sent to the target now."""
+        if self.leaving or now_s < self.paused_until_s:
+            return False
+        return self.limit.permits(now_s)
+
+    def record(
+        self,
+        head: messages.ResponseHead,
+        now_s: float,
+        asked_s: float = float("-inf"),
+    ) -> None:
         """Records the notices in the head of an answer.
 
         An answer of another target, which has taken over the address, is
@@ -56,6 +81,8 @@
         Args:
           head: Status and header fields of the answer.
           now_s: Loop time at which it arrived.
+          asked_s: Loop time at which the request was sent that it answers;
+            negative infinity if unknown.
         """
         if head.find(headers.TARGET_ID) not in (None, self.target_id):
             return
@@ -68,6 +95,22 @@
         pause_s = min(notices.pause_s(head), MAX_PAUSE_S)
         if pause_s > 0:
             self._record_pause(pause_s, now_s)
+        self._record_limit(notices.limit_per_s(head), now_s, asked_s)
+
+    def _record_limit(
+        self, per_s: float | None, now_s: float, asked_s: float
+    ) -> None:
+        # An answer that was under way when the limit was named may lack it.
+        if per_s is None and asked_s <= self.limit.heard_s:
+            return
+        before = self.limit.per_s
+        if not self.limit.record(per_s, now_s):
+            return
+        if before is None or per_s is None:
+            logger.info(
+                "a target names a limit or ends it",
+                extra={"target": self.target_id, "limit_per_s": per_s},
+            )
 
     def _record_pause(self, pause_s: float, now_s: float) -> None:
         self.pauses += 1
@@ -91,17 +134,21 @@
 
     Attributes:
       by_incarnation: Notices of each incarnation, oldest first.
+      sharers: Gateways that share the limits that targets name.
     """
 
     by_incarnation: dict[tuple[str, int], TargetNotices] = attrs.field(
         factory=dict
     )
+    sharers: target_limits.Sharers = attrs.field(factory=target_limits.Sharers)
 
     def of(self, incarnation: tuple[str, int]) -> TargetNotices:
         """Returns the notices of an incarnation, which may be empty."""
         found = self.by_incarnation.get(incarnation)
         if found is None:
-            found = TargetNotices(incarnation[0])
+            target_id = incarnation[0]
+            limit = target_limits.TargetLimit(target_id, self.sharers)
+            found = TargetNotices(target_id, limit=limit)
             self.by_incarnation[incarnation] = found
         return found
 
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -107,12 +107,12 @@
         return self.target.leaving or self.notices.leaving
 
     def accepts_requests(self, now_s: float) -> bool:
-        """Returns whether the target neither leaves nor asked for a pause.
+        """Returns whether the target may be sent a request at all.
 
-        A target that does not accept requests must not be used even if there is
-        no other.
+        One that leaves, asked for a pause or named a limit must not be used
+        even if there is no other.
         """
-        return not self.leaving and now_s >= self.notices.paused_until_s
+        return not self.leaving and self.notices.accepts_requests(now_s)
 
     def update_from_list(self, target: model.Target) -> None:
         """Applies the platform's list, which lags behind answers.
@@ -303,7 +303,7 @@
         accepting_s = []
         for view in self.of_service(service):
             if not view.leaving:
-                accepting_s.append(view.notices.paused_until_s)
+                accepting_s.append(view.notices.accepts_from_s(now_s))
         return max(0.0, min(accepting_s, default=now_s) - now_s)
 
     def record_peer_prompts(
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -74,8 +74,9 @@
         TARGET_ID,
         WEIGHTS,
         LEAVING,
+        LIMIT,
     )
 )
 # Fields of targets that callers do not receive.
-TARGET_ONLY_FIELDS = frozenset((LOAD, LEAVING))
+TARGET_ONLY_FIELDS = frozenset((LOAD, LEAVING, LIMIT))
 EVENT_STREAM = "text/event-stream"
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -166,3 +166,10 @@
   ends @0 :List(TargetEnd);
   answered @1 :List(AnsweredPart);
 }
+
+struct TargetLimitNotice {
+  target @0 :Text;
+  isLimited @1 :Bool;
+  perS @2 :Float64;
+  ageMs @3 :UInt32;
+}
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -68,8 +68,9 @@
             messages.GatewayMember(f"g{number}", "d", 1.0)
             for number in range(GATEWAYS)
         )
-        gateway = quarantine.Quarantine(site_view.SiteView(gateways=members))
-        gateway.own_address = address
+        view = site_view.SiteView(gateways=members)
+        view.own_address = address
+        gateway = quarantine.Quarantine(view)
         gateway.send = self.send
         self.gateways[address] = gateway
         self.group.start_soon(gateway.run)
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -94,3 +94,60 @@
     # Most of what the target takes is used, and nobody is refused for it.
     assert most >= WINDOW_S * float(limit) / 2
     assert set(statuses) == {200}
+
+
+async def test_gateways_that_were_not_sent_an_answer_keep_an_ended_limit() -> (
+    None
+):
+    needy = LimitedTarget(b"1.0")
+    async with (
+        raw_target.open_target(*[needy.run] * 1000, id="a") as target,
+        support.open_gateways(4, CONFIG, [target]) as gateways,
+    ):
+        await ask_often(gateways, 0.02, 1.5)
+        assert len(needy.arrived_s) < 10
+        needy.limit = None
+        await ask_often(gateways, 0.02, 1.5)
+        await anyio.sleep(0.05)
+        statuses = await ask_often(gateways, 0.02, 0.5)
+    assert set(statuses) == {200}
+
+
+async def test_callers_learn_the_limit_of_a_target_and_wait_in_vain() -> None:
+    needy = LimitedTarget(b"0")
+    async with (
+        raw_target.open_target(*[needy.run] * 9, id="a") as target,
+        support.open_gateways(1, CONFIG, [target]) as (gateway,),
+    ):
+        data = await gateway.ask(support.request(b"POST"))
+        assert b"server-limit" not in data.lower()
+        with anyio.fail_after(0.5):
+            data = await gateway.ask(support.request(b"POST"))
+    assert support.status(data) == 503
+    retry_after = raw_target.find_header(data, b"retry-after")
+    assert retry_after is not None
+    # A third of the time that the caller has left.
+    assert 0.5 < float(retry_after) <= 0.7
+
+
+async def test_answer_that_was_under_way_ends_a_limit() -> None:
+    needy = LimitedTarget(None)
+    gate = anyio.Event()
+    late = raw_target.in_turn(raw_target.send_raw(b""), gate, needy.run)
+    async with (
+        raw_target.open_target(late, id="a") as target,
+        support.open_gateways(1, CONFIG, [target]) as (gateway,),
+        await gateway.connect() as caller,
+    ):
+        await caller.send(support.request(b"POST"))
+        while not target.requests:
+            await anyio.sleep(0.01)
+        needy.limit = b"1.0"
+        target.scripts.append(needy.run)
+        other = support.request(b"POST").replace(b"Id: one", b"Id: two")
+        await gateway.ask(other)
+        needy.limit = None
+        gate.set()
+        await support.read_to_end(caller)
+        view = gateway.site.targets.views["a", 0]
+        assert view.notices.limit.per_s == 1.0
