Find the end of an event whatever ends its lines

A stream with neither a length nor chunks is whole if it ends after an event. Events whose last line and empty line end differently (LF, then CR LF) were not recognised: the whole stream looked broken off, was begun again elsewhere or failed for its caller, and events were held back until the end. Cause: the pattern listed three ends of the nine that the format allows. An LF that follows an event's last CR in another packet is passed on too, so that the body stays the target's byte for byte.

--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -17,6 +17,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+_LINE_ENDS = b"\r\n"
+
 
 class StreamRelay:
     """A stream to a caller, which successive targets may continue.
@@ -72,10 +74,13 @@
                 await self.responder.send(event)
                 self.events += 1
                 self.run.record_event()
-        if self.splitter.remainder.strip():
+        rest = bytes(self.splitter.remainder)
+        if rest.strip(_LINE_ENDS):
             raise _interrupted("cut_event")
         self.run.record_whole()
         await self._start(stream.head)
+        # The LF of the last CR LF may have arrived after the event's end.
+        await self.responder.send(rest)
         await self.responder.finish()
 
     async def _read(self, stream: exchange.OpenStream) -> bytes | None:
--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -11,7 +11,8 @@
     import collections.abc
 
 MAX_EVENT_BYTES = 1 << 20
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# An empty line; each line ends with CR LF, LF or CR.
+_EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 _LONGEST_END_BYTES = 4
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 
