Take a stream that ends with its connection before an event for broken off

A target that ends after the head of such a stream may close its connection instead of resetting it. The gateway took that for a whole stream without events: the caller got an empty success, and the parts of the prompt counted as answered, also one under which the target had ended. Cause: the end of the connection was the only sign of the end, and no event was asked for. A stream that the caller or the gateway resumes may still have no events left, and one with a length or chunks may be empty. test_stream_that_ends_before_its_first_event_looks_whole failed before (nothing was asked of the second target) and passes.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -106,6 +106,12 @@
     head: messages.ResponseHead
     connection: targets.TargetConnection
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether its end can be told from the end of its connection."""
+        framing = (b"content-length", b"transfer-encoding")
+        return any(self.head.find(name) is not None for name in framing)
+
 
 @attrs.frozen
 class Dispatch:
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -75,7 +75,10 @@
                 self.events += 1
                 self.run.record_event()
         rest = bytes(self.splitter.remainder)
-        if rest.strip(_LINE_ENDS):
+        # A resumed stream may have no events left.
+        is_new = self.splitter.last_id is None and not self.events
+        is_empty = is_new and not stream.is_framed
+        if rest.strip(_LINE_ENDS) or is_empty:
             raise _interrupted("cut_event")
         self.run.record_whole()
         await self._start(stream.head)
--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -114,6 +114,15 @@
     assert not data.endswith(LAST_CHUNK)
 
 
+async def test_stream_that_ends_before_its_first_event_looks_whole() -> None:
+    rest = raw_target.stream_events([1])
+    data, targets = await ask(STREAM, unframed(EVENTS), rest)
+    assert len(targets[1].requests) == 1
+    assert b"id: 1\n" in data
+    data, _ = await ask(STREAM, unframed(EVENTS), CLOSE)
+    assert support.status(data) == 502
+
+
 async def test_stream_that_is_reset_after_an_event_looks_whole() -> None:
     events = EVENTS + b"id: 1\ndata: x\n\n"
     data, _ = await ask(STREAM, unframed(events, reset=True), CLOSE)
