--- a/tests/gateway/test_unframed_answers.py
+++ b/tests/gateway/test_unframed_answers.py
@@ -100,7 +100,7 @@
     yield b"id: 1\ndata: x\r\n\r\nid: 2\ndata: y\r\n"
 
 
-@pytest.mark.parametrize("events", broken_events())
+@pytest.mark.parametrize("events", list(broken_events()))
 async def test_stream_that_ends_inside_an_event_looks_whole(
     events: bytes,
 ) -> None:
