--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -6,8 +6,8 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import priorities
-from cactusstile.gateway import prompts
 from cactusstile.gateway import routes
+from cactusstile.gateway.engines import prompts
 from cactusstile.http import messages
 from cactusstile.platform import headers
 from cactusstile.sites import model
--- a/src/cactusstile/gateway/budget.py
+++ b/src/cactusstile/gateway/budget.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cactusstile.gateway import sharers as sharing
+from cactusstile.gateway.peers import sharers as sharing
 
 # Fraction of the allowance that a gateway uses, so that gateways whose clocks
 # and counts differ stay within it together.
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -14,12 +14,12 @@
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import lifecycle
-from cactusstile.gateway import limit_sharing
-from cactusstile.gateway import load_exchange
-from cactusstile.gateway import load_sharing
 from cactusstile.gateway import metrics as gateway_metrics
 from cactusstile.gateway import records
 from cactusstile.gateway import site_view
+from cactusstile.gateway.peers import datagram_exchange
+from cactusstile.gateway.peers import limit_sharing
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.http import callers
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
@@ -213,7 +213,7 @@
         lambda listed: gateway.watch.apply_targets(listed, "platform"),
     )
     group.start_soon(_sweep_idle_connections, pool)
-    loads_exchange = load_exchange.LoadExchange(
+    loads_exchange = datagram_exchange.DatagramExchange(
         load_sharing.LoadSharing(site, gateway.watch.member),
         gateway.settings.internal_address,
         gateway.settings.secret.encode(),
@@ -224,7 +224,8 @@
 
 
 def connect_exchange(
-    forwarder: forwarding.Forwarder, exchange: load_exchange.LoadExchange
+    forwarder: forwarding.Forwarder,
+    exchange: datagram_exchange.DatagramExchange,
 ) -> None:
     """Lets a forwarder tell other gateways what they should know."""
     forwarder.directory.send = exchange.send_soon
--- a/src/cactusstile/gateway/backups.py
+++ b/src/cactusstile/gateway/engines/backups.py
@@ -12,9 +12,9 @@
 
 import attrs
 
-from cactusstile.gateway import engine_memory
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import engine_memory
+from cactusstile.gateway.engines import prompts
 from cactusstile.http import exceptions
 from cactusstile.http import sockets
 from cactusstile.sites import model
--- a/src/cactusstile/gateway/engine_memory.py
+++ b/src/cactusstile/gateway/engines/engine_memory.py
@@ -11,7 +11,7 @@
 
 import typing
 
-from cactusstile.gateway import prompts
+from cactusstile.gateway.engines import prompts
 
 if typing.TYPE_CHECKING:
     from cactusstile.gateway import target_view
--- a/src/cactusstile/gateway/engine_queue.py
+++ b/src/cactusstile/gateway/engines/engine_queue.py
@@ -14,11 +14,11 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import dispatching
-from cactusstile.gateway import engine_memory
 from cactusstile.gateway import retries
-from cactusstile.gateway import return_times
 from cactusstile.gateway import target_view
-from cactusstile.gateway import waitlist
+from cactusstile.gateway.engines import engine_memory
+from cactusstile.gateway.engines import return_times
+from cactusstile.gateway.engines import waitlist
 from cactusstile.limits import recent_use
 from cactusstile.sites import model
 
--- a/src/cactusstile/gateway/placement.py
+++ b/src/cactusstile/gateway/engines/placement.py
@@ -16,9 +16,9 @@
 
 import attrs
 
-from cactusstile.gateway import engine_memory
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import engine_memory
+from cactusstile.gateway.engines import prompts
 
 if typing.TYPE_CHECKING:
     import collections.abc
--- a/src/cactusstile/gateway/sessions.py
+++ b/src/cactusstile/gateway/engines/sessions.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from cactusstile.gateway import prompts
+from cactusstile.gateway.engines import prompts
 
 # Last parts that are retained for each route.
 MAX_PARTS_PER_ROUTE = 4096
--- a/src/cactusstile/gateway/stored_parts.py
+++ b/src/cactusstile/gateway/engines/stored_parts.py
@@ -13,8 +13,8 @@
 
 import attrs
 
-from cactusstile.gateway import fetch_costs
-from cactusstile.gateway import prompts
+from cactusstile.gateway.engines import fetch_costs
+from cactusstile.gateway.engines import prompts
 from cactusstile.routing import rendezvous
 from cactusstile.sites import messages
 from cactusstile.sites import model
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -10,7 +10,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
-from cactusstile.gateway import stored_parts
+from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import targets
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -9,19 +9,19 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import arrival
-from cactusstile.gateway import backups
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
-from cactusstile.gateway import engine_queue
 from cactusstile.gateway import exchange
 from cactusstile.gateway import records
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
 from cactusstile.gateway import sending
 from cactusstile.gateway import site_view
-from cactusstile.gateway import stream_directory
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import backups
+from cactusstile.gateway.engines import engine_queue
+from cactusstile.gateway.peers import stream_directory
 from cactusstile.gateway.quarantine import quarantine as quarantines
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
--- /dev/null
+++ b/src/cactusstile/gateway/peers/__init__.py
@@ -0,0 +1,3 @@
+"""What gateways tell each other in datagrams."""
+
+from __future__ import annotations
--- a/src/cactusstile/gateway/load_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -14,9 +14,9 @@
 import anyio
 import anyio.abc
 
-from cactusstile.gateway import load_channel
-from cactusstile.gateway import load_datagrams
-from cactusstile.gateway import load_sharing
+from cactusstile.gateway.peers import datagrams
+from cactusstile.gateway.peers import load_channel
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.transport import address
 
 Handler = collections.abc.Callable[[typing.Any], None]
@@ -56,7 +56,7 @@
     return max(SEND_INTERVAL_S, SEND_INTERVAL_PER_PEER_S * peers, link_s)
 
 
-class LoadExchange:
+class DatagramExchange:
     """Sends and receives datagrams.
 
     Attributes:
@@ -84,13 +84,13 @@
         self.secret = secret
         self.handlers: dict[type, Handler] = {}
         self._last_round_s = float("-inf")
-        self._outbox: collections.deque[tuple[load_datagrams.Message, str]] = (
+        self._outbox: collections.deque[tuple[datagrams.Message, str]] = (
             collections.deque(maxlen=MAX_OUTBOX)
         )
         self._outbox_filled = anyio.Event()
         self._sending = anyio.Lock()
 
-    def send_soon(self, message: load_datagrams.Message, receiver: str) -> None:
+    def send_soon(self, message: datagrams.Message, receiver: str) -> None:
         """Sends a message to the gateway with an address; it may be lost."""
         self._outbox.append((message, receiver))
         self._outbox_filled.set()
@@ -115,7 +115,7 @@
             sent_bytes = 0
             self._last_round_s = anyio.current_time()
             for outgoing in self.sharing.collect(self._last_round_s):
-                data = load_datagrams.encode(self.secret, outgoing.message)
+                data = datagrams.encode(self.secret, outgoing.message)
                 for receiver in outgoing.receivers:
                     await self._send_to(socket, data, address.parse(receiver))
                 sent_bytes += len(data) * len(outgoing.receivers)
@@ -126,7 +126,7 @@
             self._outbox_filled = anyio.Event()
             while self._outbox:
                 message, receiver = self._outbox.popleft()
-                data = load_datagrams.encode(self.secret, message)
+                data = datagrams.encode(self.secret, message)
                 await self._send_to(socket, data, address.parse(receiver))
 
     async def _wait_for_round(self, sent_bytes: int) -> None:
@@ -165,10 +165,10 @@
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Applies a gateway's datagram; invalid datagrams are dropped."""
-        message = load_datagrams.decode(self.secret, datagram)
+        message = datagrams.decode(self.secret, datagram)
         if message is None:
             return
-        if isinstance(message, load_datagrams.LoadMessage):
+        if isinstance(message, datagrams.LoadMessage):
             self.sharing.receive(message, anyio.current_time())
             return
         handler = self.handlers.get(type(message))
--- a/src/cactusstile/gateway/limit_sharing.py
+++ b/src/cactusstile/gateway/peers/limit_sharing.py
@@ -4,7 +4,7 @@
 its answers that a limit has ended or has changed. Messages may be lost; they
 are repeated while answers arrive.
 
-The module does no I/O; see `load_exchange`.
+The module does no I/O; see `datagram_exchange`.
 """
 
 from __future__ import annotations
--- a/src/cactusstile/gateway/load_channel.py
+++ b/src/cactusstile/gateway/peers/load_channel.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cactusstile.gateway import load_table
+from cactusstile.gateway.peers import load_table
 from cactusstile.sites import messages
 
 # Time after which an unchanged load is sent again, since datagrams may be lost.
--- a/src/cactusstile/gateway/load_sharing.py
+++ b/src/cactusstile/gateway/peers/load_sharing.py
@@ -20,16 +20,16 @@
 import anyio
 import attrs
 
-from cactusstile.gateway import load_channel
-from cactusstile.gateway import load_relays
-from cactusstile.gateway import load_table
-from cactusstile.gateway import prompts as prompt_parts
 from cactusstile.gateway import site_view
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import prompts as prompt_parts
+from cactusstile.gateway.peers import load_channel
+from cactusstile.gateway.peers import load_relays
+from cactusstile.gateway.peers import load_table
 from cactusstile.sites import messages
 
 if typing.TYPE_CHECKING:
-    from cactusstile.gateway import load_datagrams
+    from cactusstile.gateway.peers import datagrams
 
 # Shortest time between two messages to the gateways that report to a relay.
 # Each wakes all of them, whether or not they have a prompt to place.
@@ -47,7 +47,7 @@
 class Outgoing:
     """A message and the addresses that it is sent to."""
 
-    message: load_datagrams.LoadMessage
+    message: datagrams.LoadMessage
     receivers: tuple[str, ...]
 
 
@@ -166,9 +166,7 @@
         outgoing += self._collect_site(own_loads, now_s)
         return outgoing
 
-    def receive(
-        self, message: load_datagrams.LoadMessage, now_s: float
-    ) -> None:
+    def receive(self, message: datagrams.LoadMessage, now_s: float) -> None:
         """Applies a message of another gateway."""
         if isinstance(message, messages.SiteLoad):
             self._receive_site(message, now_s)
@@ -191,7 +189,7 @@
             _forward(message, self._to_reporters)
 
     def _apply_announcements(
-        self, message: load_datagrams.LoadMessage, now_s: float
+        self, message: datagrams.LoadMessage, now_s: float
     ) -> None:
         self.site.targets.record_peer_prompts(message.prompts)
         for observed in message.fetches:
@@ -331,7 +329,7 @@
 
 
 def _forward(
-    message: load_datagrams.LoadMessage, channel: load_channel.Channel
+    message: datagrams.LoadMessage, channel: load_channel.Channel
 ) -> None:
     """Queues the announcements of a message on a channel."""
     for prompt in message.prompts:
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -4,7 +4,7 @@
 of answers that exonerate a suspect part. What it knows is repeated to a few
 gateways at a time, which reaches those that start and replaces lost datagrams.
 
-The module does no I/O; see `load_exchange`.
+The module does no I/O; see `datagram_exchange`.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 import anyio
 
 from cactusstile import verdict
-from cactusstile.gateway import prompts
 from cactusstile.gateway import site_view
+from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import evidence as evidences
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -10,8 +10,8 @@
 import attrs
 
 from cactusstile import verdict
-from cactusstile.gateway import backups
 from cactusstile.gateway import exchange
+from cactusstile.gateway.engines import backups
 from cactusstile.sites import model
 
 # Unreachable targets after which a request fails: more than fail together in
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -8,17 +8,17 @@
 import anyio
 
 from cactusstile.gateway import admission
-from cactusstile.gateway import backups
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
-from cactusstile.gateway import prompts
 from cactusstile.gateway import records
 from cactusstile.gateway import retries
-from cactusstile.gateway import return_times
-from cactusstile.gateway import stream_pace
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_limits
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import backups
+from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.engines import return_times
+from cactusstile.gateway.engines import stream_pace
 from cactusstile.gateway.quarantine import quarantine as quarantines
 from cactusstile.http import messages as http_messages
 from cactusstile.http import responder as responders
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -7,8 +7,8 @@
 
 from cactusstile.gateway import build_history
 from cactusstile.gateway import routes
-from cactusstile.gateway import stored_parts
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import callers
 from cactusstile.sites import announcements
 from cactusstile.sites import messages
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -11,9 +11,9 @@
 
 import attrs
 
-from cactusstile.gateway import load_table
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_notices
+from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.peers import load_table
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
--- a/tests/gateway/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -5,9 +5,9 @@
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway import backups
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import backups
+from cactusstile.gateway.engines import prompts
 from cactusstile.sites import model
 from cactusstile.transport import address
 
--- a/tests/gateway/test_engine_queue.py
+++ b/tests/gateway/engines/test_engine_queue.py
@@ -17,12 +17,12 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import dispatching
-from cactusstile.gateway import engine_queue
-from cactusstile.gateway import load_sharing
 from cactusstile.gateway import retries
-from cactusstile.gateway import return_times
 from cactusstile.gateway import site_view
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import engine_queue
+from cactusstile.gateway.engines import return_times
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.http import callers
 from cactusstile.http import messages as http_messages
 from cactusstile.sites import messages
--- a/tests/gateway/test_fetch_costs.py
+++ b/tests/gateway/engines/test_fetch_costs.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from cactusstile.gateway import fetch_costs
+from cactusstile.gateway.engines import fetch_costs
 
 PREFILL_S_PER_TOKEN = 1e-5
 PROMPT_TOKENS = 12_000
--- a/tests/gateway/test_peer_parts.py
+++ b/tests/gateway/engines/test_peer_parts.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
-from cactusstile.gateway import peer_parts
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import peer_parts
+from cactusstile.gateway.engines import prompts
 from cactusstile.sites import model
 from cactusstile.transport import address
 
--- a/tests/gateway/test_stored_parts.py
+++ b/tests/gateway/engines/test_stored_parts.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from cactusstile.gateway import fetch_costs
-from cactusstile.gateway import prompts
-from cactusstile.gateway import stored_parts
+from cactusstile.gateway.engines import fetch_costs
+from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.engines import stored_parts
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
--- a/tests/gateway/test_waitlist.py
+++ b/tests/gateway/engines/test_waitlist.py
@@ -6,7 +6,7 @@
 import pytest
 from tests.support import virtual_clock
 
-from cactusstile.gateway import waitlist
+from cactusstile.gateway.engines import waitlist
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/gateway/test_exchange_socket.py
+++ b/tests/gateway/peers/test_datagram_exchange.py
@@ -5,9 +5,9 @@
 import anyio
 import pytest
 
-from cactusstile.gateway import load_exchange
-from cactusstile.gateway import load_sharing
 from cactusstile.gateway import site_view
+from cactusstile.gateway.peers import datagram_exchange
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.sites import messages
 from cactusstile.sites import stream_messages
 from cactusstile.transport import address
@@ -33,7 +33,9 @@
         site = site_view.SiteView(gateways=members)
         sharing = load_sharing.LoadSharing(site, member)
         own = address.parse(member.address)
-        exchanges.append(load_exchange.LoadExchange(sharing, own, SECRET))
+        exchanges.append(
+            datagram_exchange.DatagramExchange(sharing, own, SECRET)
+        )
     sender, receiver = exchanges
     received: list[object] = []
     receiver.handlers[stream_messages.FindStream] = received.append
--- a/tests/gateway/test_load_exchange.py
+++ b/tests/gateway/peers/test_load_exchange.py
@@ -3,13 +3,13 @@
 import anyio
 import pytest
 
-from cactusstile.gateway import load_datagrams
-from cactusstile.gateway import load_exchange
-from cactusstile.gateway import load_sharing
-from cactusstile.gateway import placement
-from cactusstile.gateway import prompts
 from cactusstile.gateway import site_view
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import placement
+from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.peers import datagram_exchange
+from cactusstile.gateway.peers import datagrams
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
@@ -24,7 +24,7 @@
     return model.Target(f"e-{number}", "s", place, "d", 8)
 
 
-Gateways = list[load_exchange.LoadExchange]
+Gateways = list[datagram_exchange.DatagramExchange]
 
 
 def open_gateways(count: int, engines: int = 3) -> Gateways:
@@ -41,24 +41,28 @@
         )
         sharing = load_sharing.LoadSharing(site, member)
         own = address.parse(member.address)
-        gateways.append(load_exchange.LoadExchange(sharing, own, SECRET))
+        gateways.append(
+            datagram_exchange.DatagramExchange(sharing, own, SECRET)
+        )
     # The first messages tell the gateways who is there.
     for gateway in gateways:
         gateway.sharing.collect(anyio.current_time())
     return gateways
 
 
-def collect_datagrams(sender: load_exchange.LoadExchange) -> list[bytes]:
+def collect_datagrams(
+    sender: datagram_exchange.DatagramExchange,
+) -> list[bytes]:
     """Returns the datagrams that a gateway sends now, one for all peers."""
     return [
-        load_datagrams.encode(SECRET, outgoing.message)
+        datagrams.encode(SECRET, outgoing.message)
         for outgoing in sender.sharing.collect(anyio.current_time())
     ]
 
 
 def deliver(
-    sender: load_exchange.LoadExchange,
-    *receivers: load_exchange.LoadExchange,
+    sender: datagram_exchange.DatagramExchange,
+    *receivers: datagram_exchange.DatagramExchange,
 ) -> None:
     for datagram in collect_datagrams(sender):
         for receiver in receivers:
@@ -66,7 +70,7 @@
 
 
 def views_of(
-    gateway: load_exchange.LoadExchange,
+    gateway: datagram_exchange.DatagramExchange,
 ) -> dict[tuple[str, int], target_view.TargetView]:
     return gateway.sharing.site.targets.views
 
@@ -133,7 +137,7 @@
 
 
 def choose_engine_id(
-    gateway: load_exchange.LoadExchange, request_id: str = "r"
+    gateway: datagram_exchange.DatagramExchange, request_id: str = "r"
 ) -> str:
     view = placement.choose_engine(
         list(views_of(gateway).values()),
--- a/tests/gateway/test_load_rounds.py
+++ b/tests/gateway/peers/test_load_rounds.py
@@ -7,11 +7,11 @@
 import pytest
 from tests.support import virtual_clock
 
-from cactusstile.gateway import load_channel
-from cactusstile.gateway import load_exchange
-from cactusstile.gateway import load_relays
-from cactusstile.gateway import load_sharing
 from cactusstile.gateway import site_view
+from cactusstile.gateway.peers import datagram_exchange
+from cactusstile.gateway.peers import load_channel
+from cactusstile.gateway.peers import load_relays
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.sites import messages
 from cactusstile.transport import address
 
@@ -23,7 +23,7 @@
     return virtual_clock.BACKEND
 
 
-class RecordingExchange(load_exchange.LoadExchange):
+class RecordingExchange(datagram_exchange.DatagramExchange):
     """An exchange that records its rounds instead of sending datagrams."""
 
     def __init__(self, sharing: load_sharing.LoadSharing) -> None:
@@ -70,9 +70,9 @@
 @pytest.mark.parametrize("is_relay", [True, False])
 async def test_many_changes_are_told_together(is_relay: bool) -> None:
     exchange = _open_exchange(is_relay=is_relay)
-    interval_s = load_exchange.REPORT_INTERVAL_S
+    interval_s = datagram_exchange.REPORT_INTERVAL_S
     if is_relay:
-        interval_s = load_exchange.SEND_INTERVAL_S
+        interval_s = datagram_exchange.SEND_INTERVAL_S
     async with anyio.create_task_group() as group:
         group.start_soon(exchange.record_rounds)
         started_s = anyio.current_time()
--- a/tests/gateway/test_load_sharing.py
+++ b/tests/gateway/peers/test_load_sharing.py
@@ -8,9 +8,9 @@
 import attrs
 import pytest
 
-from cactusstile.gateway import load_sharing
-from cactusstile.gateway import prompts
 from cactusstile.gateway import site_view
+from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.peers import load_sharing
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
--- a/tests/gateway/test_stream_directory.py
+++ b/tests/gateway/peers/test_stream_directory.py
@@ -9,7 +9,7 @@
 
 from cactusstile.gateway import retries
 from cactusstile.gateway import site_view
-from cactusstile.gateway import stream_directory
+from cactusstile.gateway.peers import stream_directory
 from cactusstile.sites import messages
 
 pytestmark = pytest.mark.anyio
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -12,8 +12,8 @@
 import pytest
 from tests.support import virtual_clock
 
-from cactusstile.gateway import prompts
 from cactusstile.gateway import site_view
+from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import quarantine
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -16,11 +16,11 @@
 from cactusstile.gateway import budget
 from cactusstile.gateway import daemon
 from cactusstile.gateway import forwarding
-from cactusstile.gateway import load_exchange
-from cactusstile.gateway import load_sharing
 from cactusstile.gateway import records
-from cactusstile.gateway import sharers
 from cactusstile.gateway import site_view
+from cactusstile.gateway.peers import datagram_exchange
+from cactusstile.gateway.peers import load_sharing
+from cactusstile.gateway.peers import sharers
 from cactusstile.http import callers
 from cactusstile.http import sockets
 from cactusstile.http import targets
@@ -183,7 +183,7 @@
             )
             harness.site.gateways = members
             sharing = load_sharing.LoadSharing(harness.site, member)
-            exchange = load_exchange.LoadExchange(sharing, own, SECRET)
+            exchange = datagram_exchange.DatagramExchange(sharing, own, SECRET)
             daemon.connect_exchange(harness.forwarder, exchange)
             group.start_soon(exchange.run)
             group.start_soon(harness.forwarder.quarantine.run)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -6,7 +6,7 @@
 from tests.support import retry_rule
 
 from cactusstile.gateway import budget
-from cactusstile.gateway import sharers
+from cactusstile.gateway.peers import sharers
 
 WINDOW_S = 10.0
 SLACK = 58.0
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -12,9 +12,9 @@
 from cactusstile.gateway import admission
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dispatching
-from cactusstile.gateway import engine_queue
 from cactusstile.gateway import retries
 from cactusstile.gateway import site_view
+from cactusstile.gateway.engines import engine_queue
 from cactusstile.http import messages as http_messages
 from cactusstile.registry import commands as site_commands
 from cactusstile.registry import feed as feeds
--- a/tests/gateway/test_prompts_that_end_targets.py
+++ b/tests/gateway/test_prompts_that_end_targets.py
@@ -10,7 +10,7 @@
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway import backups
+from cactusstile.gateway.engines import backups
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -5,10 +5,10 @@
 import attrs
 import pytest
 
-from cactusstile.gateway import peer_parts
-from cactusstile.gateway import prompts
 from cactusstile.gateway import target_notices
 from cactusstile.gateway import target_view
+from cactusstile.gateway.engines import peer_parts
+from cactusstile.gateway.engines import prompts
 from cactusstile.http import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
--- a/tests/gateway/test_target_pauses.py
+++ b/tests/gateway/test_target_pauses.py
@@ -9,8 +9,8 @@
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway import backups
 from cactusstile.gateway import metrics
+from cactusstile.gateway.engines import backups
 from cactusstile.http import targets
 from cactusstile.sites import model
 
