Wait for the LF of a CR LF before an event ends

test_event_whose_end_arrives_in_pieces_is_found failed since mixed line ends are found: an event that ends with CR LF CR LF ended at its second CR if the LF came in another packet, and the LF went on with the next event. The last CR ends an event only if what follows it is known, or if the stream ends. The tests of both pass now, at every point of splitting.

--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -8,7 +8,7 @@
 from cactusstile.gateway import exchange
 from cactusstile.gateway import retries
 from cactusstile.gateway.quarantine import quarantine
-from cactusstile.http import events
+from cactusstile.http import events as http_events
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
@@ -42,7 +42,7 @@
         self.responder = responder
         self.on_begin = on_begin
         self.run = run
-        self.splitter = events.EventSplitter(last_event_id)
+        self.splitter = http_events.EventSplitter(last_event_id)
         self.events = 0
 
     @property
@@ -67,13 +67,8 @@
             data = await self._read(stream)
             if data is None:
                 break
-            for event in self._split(data):
-                if not self.events:
-                    self.on_begin(origin)
-                await self._start(stream.head)
-                await self.responder.send(event)
-                self.events += 1
-                self.run.record_event()
+            await self._pass_on(self._split(data), stream, origin)
+        await self._pass_on(self.splitter.finish(), stream, origin)
         rest = bytes(self.splitter.remainder)
         # A resumed stream may have no events left.
         is_new = self.splitter.last_id is None and not self.events
@@ -86,6 +81,20 @@
         await self.responder.send(rest)
         await self.responder.finish()
 
+    async def _pass_on(
+        self,
+        events: collections.abc.Iterator[bytes],
+        stream: exchange.OpenStream,
+        origin: retries.StreamOrigin,
+    ) -> None:
+        for event in events:
+            if not self.events:
+                self.on_begin(origin)
+            await self._start(stream.head)
+            await self.responder.send(event)
+            self.events += 1
+            self.run.record_event()
+
     async def _read(self, stream: exchange.OpenStream) -> bytes | None:
         try:
             return await stream.connection.read_body()
--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -11,8 +11,10 @@
     import collections.abc
 
 MAX_EVENT_BYTES = 1 << 20
-# An empty line; each line ends with CR LF, LF or CR.
-_EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+# An empty line; each line ends with CR LF, LF or CR. The LF of a last CR LF may
+# arrive later.
+_EVENT_END = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
+_LAST_EVENT_END = re.compile(rb"(?:\r\n|\n)\r\Z")
 _LONGEST_END_BYTES = 4
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 
@@ -58,6 +60,20 @@
         if len(self.remainder) > MAX_EVENT_BYTES:
             raise exceptions.MalformedError("event exceeds the size limit")
 
+    def finish(self) -> collections.abc.Iterator[bytes]:
+        r"""Yields the last event of a stream if a CR ends it.
+
+        >>> splitter = EventSplitter()
+        >>> list(splitter.feed(b"data: a\n\r")), list(splitter.finish())
+        ([], [b'data: a\n\r'])
+        """
+        if _LAST_EVENT_END.search(self.remainder) is None:
+            return
+        event = bytes(self.remainder)
+        self.restart()
+        if self._is_new(event):
+            yield event
+
     def restart(self) -> None:
         """Discards an incomplete event before another source continues."""
         self.remainder = bytearray()
--- a/tests/http/test_events.py
+++ b/tests/http/test_events.py
@@ -20,6 +20,7 @@
     for split in range(len(data) + 1):
         splitter = events.EventSplitter()
         found = [*splitter.feed(data[:split]), *splitter.feed(data[split:])]
+        found += splitter.finish()
         assert len(found) == 2, split
         assert b"".join(found) + splitter.remainder == data
 
