Bound how often a gateway decides what is quarantined

Found by reading: each end of a target under a prompt searched all that is known for responsible parts.

--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -72,6 +72,7 @@
       suspect_parts: Parts that an end of a target makes suspect.
       quarantined: Sets of parts; a prompt that holds all parts of one of them
         must not be sent to targets.
+      is_stale: Whether something was added since the last decision.
     """
 
     ends: dict[tuple[str, str], SuspectPrompt] = attrs.field(factory=dict)
@@ -83,29 +84,34 @@
     )
     suspect_parts: frozenset[str] = frozenset()
     quarantined: tuple[frozenset[str], ...] = ()
+    is_stale: bool = False
 
-    def add_end(self, suspect: SuspectPrompt, now_s: float) -> bool:
+    def add_end(self, suspect: SuspectPrompt) -> bool:
         """Adds a suspect prompt; returns False if it tells nothing new."""
         ended_s = self.ended.setdefault(suspect.target, suspect.ended_s)
         self.ended[suspect.target] = min(ended_s, suspect.ended_s)
         if len(self.ended) > MAX_ENDED_TARGETS:
             self.ended.popitem(last=False)
+        parts = self.unanswered(suspect)
         key = suspect.target, suspect.prompt
         known = self.ends.get(key)
         if known is not None:
             # Another gateway knows of answers that exonerate some of its parts.
-            parts = known.parts & suspect.parts
-            suspect = attrs.evolve(known, parts=parts)
-        if suspect == known:
+            suspect = known
+            parts &= known.parts
+        if not parts or (known is not None and parts == known.parts):
             return False
-        self.ends[key] = suspect
-        self._decide(now_s)
-        return known is None and key in self.ends
+        self.ends[key] = attrs.evolve(suspect, parts=parts)
+        if len(self.ends) > MAX_ENDS:
+            del self.ends[next(iter(self.ends))]
+        self.is_stale = True
+        return known is None
 
     def add_answer(self, part: str, answered_s: float) -> None:
         """Adds that a target answered a prompt with a part."""
         newest_s = max(answered_s, self.answered.pop(part, answered_s))
         self.answered[part] = newest_s
+        self.is_stale |= part in self.suspect_parts
         if len(self.answered) > MAX_ANSWERED_PARTS:
             self.answered.popitem(last=False)
 
@@ -118,11 +124,6 @@
         newest_s = max((one.ended_s for one in self.ends.values()), default=0.0)
         return max(0.0, newest_s + RETENTION_S - now_s)
 
-    def refresh(self, now_s: float) -> None:
-        """Decides anew after answers were added or time has passed."""
-        if self.ends:
-            self._decide(now_s)
-
     def unanswered(self, suspect: SuspectPrompt) -> frozenset[str]:
         """Returns the parts of a prompt that no answer exonerates."""
         parts = []
@@ -132,19 +133,21 @@
                 parts.append(part)
         return frozenset(parts)
 
-    def _decide(self, now_s: float) -> None:
+    def decide(self, now_s: float) -> None:
         """Drops what proves nothing and decides what is quarantined."""
-        suspects = []
+        self.is_stale = False
+        while self.ended:
+            oldest_s = next(iter(self.ended.values()))
+            if now_s - oldest_s <= RETENTION_S:
+                break
+            self.ended.popitem(last=False)
         for key, suspect in list(self.ends.items()):
             parts = self.unanswered(suspect)
             if not parts or now_s - suspect.ended_s > RETENTION_S:
                 del self.ends[key]
-                continue
-            self.ends[key] = attrs.evolve(suspect, parts=parts)
-            suspects.append(self.ends[key])
-        for suspect in suspects[:-MAX_ENDS]:
-            del self.ends[suspect.target, suspect.prompt]
-        del suspects[:-MAX_ENDS]
+            elif parts != suspect.parts:
+                self.ends[key] = attrs.evolve(suspect, parts=parts)
+        suspects = list(self.ends.values())
         self.suspect_parts = frozenset().union(*(one.parts for one in suspects))
         self.quarantined = find_responsible(suspects, self.ended)
 
@@ -162,22 +165,24 @@
       suspects: Prompts that targets had not answered when they ended.
       ended: Loop time of the end of each target.
 
-    >>> ends = [
-    ...     SuspectPrompt(f"t{n}", f"p{n}", frozenset("ab"), float(n))
-    ...     for n in range(3)
-    ... ]
+    >>> both = frozenset("ab")
+    >>> ends = [SuspectPrompt(f"t{n}", f"p{n}", both, n) for n in range(3)]
     >>> other = SuspectPrompt("t0", "p9", frozenset("a"), 0.0)
     >>> ended = {one.target: one.ended_s for one in ends}
     >>> [sorted(parts) for parts in find_responsible([other, *ends], ended)]
     [['a', 'b']]
     """
+    groups = _group_by_recurring_parts(suspects)
+    sets = set(groups)
+    for held in groups:
+        sets.update(frozenset((part,)) for part in held)
     explained: set[str] = set()
     found = []
-    for parts in _recurring_sets(suspects):
+    for parts in sorted(sets, key=lambda one: (-len(one), sorted(one))):
         unexplained = []
-        for suspect in suspects:
-            if parts <= suspect.parts and suspect.target not in explained:
-                unexplained.append(suspect)
+        for held, group in groups.items():
+            if parts <= held:
+                unexplained += _without(group, explained)
         targets = {suspect.target for suspect in unexplained}
         if count_causes(targets, ended) < MIN_ENDS:
             continue
@@ -188,6 +193,13 @@
     return tuple(found)
 
 
+def _without(
+    group: list[SuspectPrompt], targets: set[str]
+) -> list[SuspectPrompt]:
+    """Returns the prompts that were at other targets."""
+    return [suspect for suspect in group if suspect.target not in targets]
+
+
 def count_causes(
     targets: collections.abc.Set[str],
     ended: collections.abc.Mapping[str, float],
@@ -218,21 +230,22 @@
     return count
 
 
-def _recurring_sets(
+def _group_by_recurring_parts(
     suspects: collections.abc.Sequence[SuspectPrompt],
-) -> list[frozenset[str]]:
-    """Returns the sets of parts that may be responsible, largest first.
-
-    They hold only parts that stand at the ends of enough targets.
-    """
+) -> dict[frozenset[str], list[SuspectPrompt]]:
+    """Returns the prompts by those parts that recur at enough targets."""
     targets: dict[str, set[str]] = collections.defaultdict(set)
     for suspect in suspects:
         for part in suspect.parts:
             targets[part].add(suspect.target)
-    recurring = frozenset(
+    recurring = {
         part for part, ended in targets.items() if len(ended) >= MIN_ENDS
+    }
+    groups: dict[frozenset[str], list[SuspectPrompt]] = collections.defaultdict(
+        list
     )
-    sets = {frozenset((part,)) for part in recurring}
-    sets |= {suspect.parts & recurring for suspect in suspects}
-    sets.discard(frozenset())
-    return sorted(sets, key=lambda parts: (-len(parts), sorted(parts)))
+    for suspect in suspects:
+        held = suspect.parts & recurring
+        if held:
+            groups[held].append(suspect)
+    return groups
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -33,6 +33,9 @@
 # Time between two repeats, and the gateways that one goes to.
 REPEAT_INTERVAL_S = 0.5
 REPEAT_RECEIVERS = 2
+# Shortest time between two decisions, for each suspect prompt: many targets may
+# end together under hundreds.
+DECISION_INTERVAL_PER_END_S = 0.00005
 # Longest wait before answers are told: most gateways exonerate a common part at
 # the same time, and the first to tell it spares the others.
 MAX_ANSWER_DELAY_S = 0.02
@@ -55,11 +58,14 @@
         self.site = site
         self.send: Send = lambda *_: None
         self.evidence = evidences.Evidence()
+        self._decided_s = float("-inf")
         self._untold: set[str] = set()
         self._changed = anyio.Event()
 
     def is_held(self, prompt: prompts.Prompt) -> bool:
         """Returns whether a prompt must not be sent to targets."""
+        ends = len(self.evidence.ends)
+        self._decide(DECISION_INTERVAL_PER_END_S * ends)
         if not self.evidence.quarantined:
             return False
         return self.evidence.is_quarantined(_shared_keys(prompt))
@@ -105,7 +111,7 @@
             _shared_keys(prompt),
             ended_s,
         )
-        if not self._add_end(suspect, now_s):
+        if not self.evidence.add_end(suspect):
             return
         message = quarantine_messages.PromptEvidence(
             (_encode_end(suspect, now_s),), ()
@@ -120,9 +126,7 @@
         suspect = parts & self.evidence.suspect_parts
         for part in parts:
             self.evidence.add_answer(part, now_s)
-        if suspect:
-            self._tell_soon(suspect)
-            self.evidence.refresh(now_s)
+        self._tell_soon(suspect)
 
     def receive(self, message: quarantine_messages.PromptEvidence) -> None:
         """Applies what another gateway knows."""
@@ -131,8 +135,6 @@
             answered_s = now_s - answered.age_ms / _MS_PER_S
             self.evidence.add_answer(answered.part, answered_s)
             self._untold.discard(answered.part)
-        if message.answered:
-            self.evidence.refresh(now_s)
         for end in message.ends:
             suspect = evidences.SuspectPrompt(
                 end.target,
@@ -140,7 +142,7 @@
                 frozenset(end.parts),
                 now_s - end.age_ms / _MS_PER_S,
             )
-            self._add_end(suspect, now_s)
+            self.evidence.add_end(suspect)
             # The sender does not know of the answers that exonerate a part.
             unanswered = self.evidence.unanswered(suspect)
             self._tell_soon(suspect.parts - unanswered)
@@ -171,7 +173,8 @@
     def repeat(self) -> None:
         """Repeats the ends that count to a few gateways."""
         now_s = anyio.current_time()
-        self.evidence.refresh(now_s)
+        self.evidence.is_stale |= bool(self.evidence.ends)
+        self._decide(0.0)
         if not self.evidence.ends:
             return
         others = self.site.other_gateways()
@@ -183,20 +186,24 @@
             for receiver in receivers:
                 self.send(message, receiver)
 
-    def _add_end(self, suspect: evidences.SuspectPrompt, now_s: float) -> bool:
+    def _decide(self, interval_s: float) -> None:
+        """Decides anew if something changed and the last time is past."""
+        now_s = anyio.current_time()
+        if not self.evidence.is_stale or now_s - self._decided_s < interval_s:
+            return
+        self._decided_s = now_s
         before = self.evidence.quarantined
-        is_new = self.evidence.add_end(suspect, now_s)
-        if self.evidence.quarantined != before:
-            logger.warning(
-                "parts of prompts under which targets end are quarantined",
-                extra={
-                    "quarantined": [
-                        sorted(parts) for parts in self.evidence.quarantined
-                    ],
-                    "target": suspect.target,
-                },
-            )
-        return is_new
+        self.evidence.decide(now_s)
+        if self.evidence.quarantined == before:
+            return
+        logger.warning(
+            "parts of prompts under which targets end are quarantined",
+            extra={
+                "quarantined": [
+                    sorted(parts) for parts in self.evidence.quarantined
+                ]
+            },
+        )
 
     def _tell_soon(self, parts: collections.abc.Set[str]) -> None:
         if parts:
--- a/tests/gateway/quarantine/test_evidence.py
+++ b/tests/gateway/quarantine/test_evidence.py
@@ -28,7 +28,8 @@
     for part, answered_s in (answered or {}).items():
         known.add_answer(part, answered_s)
     for suspect in ends:
-        known.add_end(suspect, 10.0)
+        known.add_end(suspect)
+    known.decide(10.0)
     return known
 
 
@@ -68,7 +69,7 @@
     assert not known.is_quarantined(frozenset("a"))
     assert not known.is_quarantined(frozenset("b"))
     known.add_answer("a", 11.0)
-    known.refresh(11.0)
+    known.decide(11.0)
     assert known.is_quarantined(frozenset("b"))
 
 
@@ -76,7 +77,7 @@
     known = table(end(number, f"p{number}", "a") for number in range(3))
     assert known.is_quarantined(frozenset("a"))
     known.add_answer("a", 10.5)
-    known.refresh(10.5)
+    known.decide(10.5)
     assert not known.is_quarantined(frozenset("a"))
 
 
@@ -90,9 +91,9 @@
 
 def test_parts_stay_quarantined_for_ever() -> None:
     known = table(end(number, f"p{number}", "a") for number in range(3))
-    known.refresh(evidence.RETENTION_S)
+    known.decide(evidence.RETENTION_S)
     assert known.is_quarantined(frozenset("a"))
-    known.refresh(evidence.RETENTION_S + 1.0)
+    known.decide(evidence.RETENTION_S + 1.0)
     assert not known.is_quarantined(frozenset("a"))
 
 
@@ -100,7 +101,7 @@
     known = evidence.Evidence()
     for number in range(evidence.MAX_ENDS + 50):
         suspect = end(number, f"p{number}", "xyz"[number % 3], -number)
-        known.add_end(suspect, 10.0)
+        known.add_end(suspect)
     for number in range(evidence.MAX_ANSWERED_PARTS + 50):
         known.add_answer(str(number), 10.0)
     assert len(known.ends) == evidence.MAX_ENDS
@@ -141,7 +142,7 @@
             if isinstance(fact, tuple):
                 known.add_answer(*fact)
             else:
-                known.add_end(fact, 9.0)
-        known.refresh(9.0)
+                known.add_end(fact)
+        known.decide(9.0)
         decisions.append(set(known.quarantined))
     assert decisions[0] == decisions[1]
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -14,6 +14,7 @@
 
 from cactusstile.gateway import site_view
 from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.quarantine import evidence
 from cactusstile.gateway.quarantine import quarantine
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
@@ -144,6 +145,28 @@
     return site
 
 
+async def test_each_of_hundreds_of_ends_costs_a_decision(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    decisions = []
+    decide = evidence.Evidence.decide
+
+    def count(known: evidence.Evidence, now_s: float) -> None:
+        decisions.append(now_s)
+        decide(known, now_s)
+
+    monkeypatch.setattr(evidence.Evidence, "decide", count)
+    known = quarantine.Quarantine(site_view.SiteView())
+    for number in range(300):
+        prompt = prompts.parse("m", "15,5", f"all:5,{number:x}:5")
+        known.record_end(f"t{number % 9}", prompt, anyio.current_time())
+        known.is_held(prompt)
+    assert len(decisions) == 1
+    await anyio.sleep(300 * 2 * quarantine.DECISION_INTERVAL_PER_END_S)
+    known.is_held(prompt)
+    assert len(decisions) == 2
+
+
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("bad_per_s", [0.7, 5.0])
 async def test_prompts_with_a_bad_part_are_sent_on_after_many_ends(
