Tell other gateways only the suspect parts that no answer here exonerates

Found by reading: a gateway told of an end with all parts of the prompt, also those that it had seen answered a moment before. Others that had not held them suspect until some gateway told them. test_parts_that_are_answered_are_told_to_be_suspect failed before (two parts told) and passes.

--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -113,8 +113,10 @@
         )
         if not self.evidence.add_end(suspect):
             return
+        # Without the parts that an answer here exonerates.
+        stored = self.evidence.ends[suspect.target, suspect.prompt]
         message = quarantine_messages.PromptEvidence(
-            (_encode_end(suspect, now_s),), ()
+            (_encode_end(stored, now_s),), ()
         )
         for receiver in self.site.other_gateways():
             self.send(message, receiver)
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -145,6 +145,18 @@
     return site
 
 
+async def test_parts_that_are_answered_are_told_to_be_suspect() -> None:
+    members = (messages.GatewayMember("g1", "d", 1.0),)
+    known = quarantine.Quarantine(site_view.SiteView(gateways=members))
+    sent: list[quarantine_messages.PromptEvidence] = []
+    known.send = lambda message, _: sent.append(message)
+    known.record_answer(prompts.parse("m", "15,5", "all:5,rare1:5,1:5"))
+    prompt = prompts.parse("m", "15,5", "all:5,rare2:5,2:5")
+    known.record_end("t1", prompt, anyio.current_time())
+    (end,) = sent[0].ends
+    assert end.parts == (evidence.part_key("rare2"),)
+
+
 async def test_each_of_hundreds_of_ends_costs_a_decision(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
