--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -17,6 +17,7 @@
 
 from cactusstile.http import exceptions
 from cactusstile.transport import address
+from cactusstile.transport import listeners
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -31,7 +32,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 LINGER_TIMEOUT_S = 1.0
-ACCEPT_RETRY_DELAY_S = 0.05
 
 
 class Socket:
@@ -197,18 +197,6 @@
 
 async def accept(listener: socket.socket) -> Socket:
     """Accepts and returns the next connection of a listener."""
-    while True:
-        try:
-            raw, _ = listener.accept()
-        except (BlockingIOError, ConnectionAbortedError):
-            await anyio.wait_readable(listener)
-            continue
-        except OSError as error:
-            if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM):
-                raise
-            # Out of file descriptors or memory: retry until others are closed.
-            await anyio.sleep(ACCEPT_RETRY_DELAY_S)
-            continue
-        raw.setblocking(False)
-        _configure(raw)
-        return Socket(raw)
+    raw = await listeners.accept(listener)
+    _configure(raw)
+    return Socket(raw)
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import socket
 import typing
 
 import anyio
@@ -14,10 +15,13 @@
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
 from cactusstile.transport import handshake
+from cactusstile.transport import listeners
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from anyio.streams import stapled
+
     from cactusstile.transport import incoming
 
 logger = logging.getLogger(__name__)
@@ -61,6 +65,16 @@
         ):
             logger.debug("peer closed the connection during the handshake")
 
+    async def accept(
+        self, listener: socket.socket, group: anyio.abc.TaskGroup
+    ) -> None:
+        """Serves each connection of a listener in a task of its own."""
+        while True:
+            raw = await listeners.accept(listener)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = await anyio.abc.SocketStream.from_socket(raw)
+            group.start_soon(self.handle, stream)
+
     async def _serve(self, byte_stream: anyio.abc.ByteStream) -> None:
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
             peer, early, decoder = await handshake.accept(
@@ -78,7 +92,7 @@
 
 async def _bind(
     listen: address.Address,
-) -> anyio.abc.Listener[anyio.abc.SocketStream]:
+) -> stapled.MultiListener[anyio.abc.SocketStream]:
     try:
         return await anyio.create_tcp_listener(
             local_host=listen.host, local_port=listen.port
@@ -107,7 +121,9 @@
     server = Server(address.Address(listen.host, port))
     acceptor = _Acceptor(server, identity, secrets, handlers, timing)
     async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, acceptor.handle)
+        for part in listener.listeners:
+            raw = part.extra(anyio.abc.SocketAttribute.raw_socket)
+            group.start_soon(acceptor.accept, raw, group)
         try:
             yield server
         finally:
