Name what observes an answer, and the gateways that share a target's limit

Read as a newcomer: Run stood beside the engines' runs, and a second Sharers beside that of the retry budget.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -174,7 +174,9 @@
                 break
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
-            relay.run = quarantines.Run(self.quarantine, admitted.prompt)
+            relay.observer = quarantines.AnswerObserver(
+                self.quarantine, admitted.prompt
+            )
             try:
                 await self.sender.send(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
@@ -182,7 +184,7 @@
             except exchange.AttemptError as error:
                 record.end_attempt(error.reason, anyio.current_time())
                 attempts.record_failure(error)
-                await self._record_failure(view, error, relay.run)
+                await self._record_failure(view, error, relay.observer)
                 if await self._may_go_on(service, attempts, view, relay, error):
                     continue
                 reason = verdict.Reason.TARGET_LOST
@@ -212,15 +214,17 @@
         self,
         view: target_view.TargetView,
         error: exchange.AttemptError,
-        run: quarantines.Run,
+        observer: quarantines.AnswerObserver,
     ) -> None:
         """Records a failure of a target, and the prompt if it ended then."""
         self.dispatcher.record_failure(view, error)
-        if run.is_answered or not error.is_broken_off:
+        if observer.is_answered or not error.is_broken_off:
             return
         broken_s = anyio.current_time()
         if await backups.has_ended(view.target):
-            self.quarantine.record_end(view.target.id, run.prompt, broken_s)
+            self.quarantine.record_end(
+                view.target.id, observer.prompt, broken_s
+            )
 
     async def _find_origin(
         self, admitted: admission.AdmittedRequest
@@ -268,7 +272,7 @@
             responder,
             admitted.last_event_id,
             record_origin,
-            quarantines.Run(self.quarantine, admitted.prompt),
+            quarantines.AnswerObserver(self.quarantine, admitted.prompt),
         )
 
     async def _may_go_on(
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -224,8 +224,8 @@
         )
 
 
-class Run:
-    """One attempt at a target; tells whether the target answers its prompt.
+class AnswerObserver:
+    """Observes one attempt: whether the target answers its prompt.
 
     Attributes:
       quarantine: Is told of an answer that goes on.
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -60,16 +60,16 @@
 
     def __attrs_post_init__(self) -> None:
         """Lets the limits of targets be shared by the gateways listed here."""
-        self.targets.notices.sharers.list_members = lambda: self.gateways
+        self.targets.notices.gateways.list_members = lambda: self.gateways
 
     @property
     def own_address(self) -> str:
         """Address of this gateway; empty until it has one."""
-        return self.targets.notices.sharers.own_address
+        return self.targets.notices.gateways.own_address
 
     @own_address.setter
     def own_address(self, address: str) -> None:
-        self.targets.notices.sharers.own_address = address
+        self.targets.notices.gateways.own_address = address
 
     def other_gateways(self) -> list[str]:
         """Returns the addresses of all gateways but this one."""
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -28,7 +28,7 @@
       on_begin: Called with its origin before the first event is passed on.
       splitter: Extracts complete events that were not sent before.
       events: Number of events sent to the caller.
-      run: Is told how far the current target's answer has come.
+      observer: Is told how far the current target's answer has come.
     """
 
     def __init__(
@@ -36,12 +36,12 @@
         responder: responders.Responder,
         last_event_id: int | None,
         on_begin: collections.abc.Callable[[retries.StreamOrigin], None],
-        run: quarantine.Run,
+        observer: quarantine.AnswerObserver,
     ) -> None:
         """Resumes after `last_event_id`; None starts from the beginning."""
         self.responder = responder
         self.on_begin = on_begin
-        self.run = run
+        self.observer = observer
         self.splitter = http_events.EventSplitter(last_event_id)
         self.events = 0
 
@@ -75,7 +75,7 @@
         is_empty = is_new and not stream.is_framed
         if rest.strip(_LINE_ENDS) or is_empty:
             raise _interrupted("cut_event")
-        self.run.record_whole()
+        self.observer.record_whole()
         await self._start(stream.head)
         # The LF of the last CR LF may have arrived after the event's end.
         await self.responder.send(rest)
@@ -93,7 +93,7 @@
             await self._start(stream.head)
             await self.responder.send(event)
             self.events += 1
-            self.run.record_event()
+            self.observer.record_event()
 
     async def _read(self, stream: exchange.OpenStream) -> bytes | None:
         try:
--- a/src/cactusstile/gateway/target_limits.py
+++ b/src/cactusstile/gateway/target_limits.py
@@ -34,8 +34,12 @@
 END_REPEATED_S = 10.0
 
 
+def _list_nobody() -> tuple[messages.GatewayMember, ...]:
+    return ()
+
+
 @attrs.define
-class Sharers:
+class Gateways:
     """Gateways that share the limits of targets.
 
     Attributes:
@@ -44,7 +48,7 @@
     """
 
     own_address: str = ""
-    list_members: ListMembers = tuple
+    list_members: ListMembers = _list_nobody
 
 
 def share_per_s(
@@ -84,7 +88,7 @@
 
     Attributes:
       target_id: Id of the target.
-      sharers: Gateways that share the limit.
+      gateways: Gateways that share the limit.
       per_s: Requests per second that the target takes from all gateways; None
         without a limit.
       heard_s: Loop time at which the target last said so, to any gateway.
@@ -93,7 +97,7 @@
     """
 
     target_id: str
-    sharers: Sharers
+    gateways: Gateways
     per_s: float | None = None
     heard_s: float = float("-inf")
     told_s: float = float("-inf")
@@ -158,14 +162,14 @@
         burst = max(BURST, self._share_per_s * BURST_S)
         self._level = min(burst, self._level + elapsed_s * self._share_per_s)
         self._refilled_s = now_s
-        members = self.sharers.list_members()
+        members = self.gateways.list_members()
         if members is not self._members:
             self._members = members
             self._share_per_s = share_per_s(
                 self.target_id,
                 self.per_s or 0.0,
                 {member.address for member in members},
-                self.sharers.own_address,
+                self.gateways.own_address,
             )
         if not self._share_per_s:
             self._level = min(self._level, 0.0)
--- a/src/cactusstile/gateway/target_notices.py
+++ b/src/cactusstile/gateway/target_notices.py
@@ -51,7 +51,7 @@
     limit: target_limits.TargetLimit = attrs.field(
         default=attrs.Factory(
             lambda self: target_limits.TargetLimit(
-                self.target_id, target_limits.Sharers()
+                self.target_id, target_limits.Gateways()
             ),
             takes_self=True,
         )
@@ -134,20 +134,22 @@
 
     Attributes:
       by_incarnation: Notices of each incarnation, oldest first.
-      sharers: Gateways that share the limits that targets name.
+      gateways: Gateways that share the limits that targets name.
     """
 
     by_incarnation: dict[tuple[str, int], TargetNotices] = attrs.field(
         factory=dict
     )
-    sharers: target_limits.Sharers = attrs.field(factory=target_limits.Sharers)
+    gateways: target_limits.Gateways = attrs.field(
+        factory=target_limits.Gateways
+    )
 
     def of(self, incarnation: tuple[str, int]) -> TargetNotices:
         """Returns the notices of an incarnation, which may be empty."""
         found = self.by_incarnation.get(incarnation)
         if found is None:
             target_id = incarnation[0]
-            limit = target_limits.TargetLimit(target_id, self.sharers)
+            limit = target_limits.TargetLimit(target_id, self.gateways)
             found = TargetNotices(target_id, limit=limit)
             self.by_incarnation[incarnation] = found
         return found
--- a/tests/gateway/test_limit_shares.py
+++ b/tests/gateway/test_limit_shares.py
@@ -31,8 +31,9 @@
     limit: target_limits.TargetLimit = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        sharers = target_limits.Sharers(f"g{self.number}", lambda: self.members)
-        self.limit = target_limits.TargetLimit("t", sharers)
+        own = f"g{self.number}"
+        gateways = target_limits.Gateways(own, lambda: self.members)
+        self.limit = target_limits.TargetLimit("t", gateways)
 
 
 def play(limit_per_s: float, count: int, seed: int) -> list[float]:
