--- a/src/cactusstile/gateway/target_limits.py
+++ b/src/cactusstile/gateway/target_limits.py
@@ -26,7 +26,7 @@
 # Taken for smaller limits: only an answer can tell that a limit has ended.
 MIN_LIMIT_PER_S = 0.2
 # Requests that may be sent at once, and the time for which more are saved up.
-BURST = 1.0
+BURST_REQUESTS = 1.0
 BURST_S = 0.25
 # Time between two messages about the same limit.
 REPEAT_INTERVAL_S = 1.0
@@ -159,7 +159,7 @@
         # The time before a change of the members is granted at the old share,
         # which is 0 for a gateway that takes the place of another.
         elapsed_s = max(0.0, now_s - self._refilled_s)
-        burst = max(BURST, self._share_per_s * BURST_S)
+        burst = max(BURST_REQUESTS, self._share_per_s * BURST_S)
         self._level = min(burst, self._level + elapsed_s * self._share_per_s)
         self._refilled_s = now_s
         members = self.gateways.list_members()
