Read a new leader's state only once it has applied what was committed

Cause: the test read the feed of the new leader as soon as it led. A leader applies the last entries of the term before only once it has committed its first entry, which takes a write to disk.

Ruled out: a follower that loses the announcement (it is there after the barrier, with its age), and a fault in what gateways are told: Feed.serve_watch waits for the same barrier before it sends anything.

The test now does as the feed does, and slows the disk always, so that the window is met in each run; the bound of 1 s on the age stands.

--- a/tests/registry/test_daemon.py
+++ b/tests/registry/test_daemon.py
@@ -3,8 +3,10 @@
 import collections.abc
 import contextlib
 import json
+import os
 import pathlib
 import socket
+import time
 
 import anyio
 import attrs
@@ -27,6 +29,7 @@
 pytestmark = pytest.mark.anyio
 NETWORK = support.draw_network()
 HOSTS = tuple(f"{NETWORK}.{number}" for number in (2, 3, 4, 5))
+SLOW_SYNC_S = 0.03
 
 
 async def test_listeners_stay_open_until_nothing_accepts(
@@ -206,8 +209,13 @@
 
 
 async def test_new_leader_knows_the_age_of_announced_weights(
-    site: Site,
+    site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    def sync_slowly(descriptor: int) -> None:
+        time.sleep(SLOW_SYNC_S)
+        sync(descriptor)
+
+    sync = os.fsync
     async with site.open(*HOSTS[:3]):
         leader = await site.leader()
         body = json.dumps({"model": "m", "version": 2}).encode()
@@ -215,11 +223,14 @@
         status, _ = await site.ask(leader.settings.host, b"POST", path, body)
         assert status == 200
         announced_s = anyio.current_time()
+        monkeypatch.setattr(os, "fsync", sync_slowly)
         await leader.step_down()
         with anyio.fail_after(10):
-            while (await site.leader()) is leader:
+            while (new_leader := await site.leader()) is leader:
                 await anyio.sleep(0.02)
-        newest = (await site.leader()).feed.announcements.newest("m")
+        # A new leader applies the last entries once it commits its first one.
+        await new_leader.replica.read_barrier()
+        newest = new_leader.feed.announcements.newest("m")
     assert newest is not None
     assert newest.version == 2
     assert abs(newest.announced_s - announced_s) < 1.0
