Let prompts wait for an agent that confirms its token after a freeze

Cause: the test before it freezes engine-2's agent while it runs the status command. An agent with an unknown state answers probes with "leaving", so the entry refused at once; the other engine had just been killed.

The state of an engine is not unknown after a freeze, it only has to be confirmed before the next prompt. The controller now closes the version gate for that time, as it does for an order: probes are answered with the expected wait, prompts wait at the gate, and deadlines are still checked against it. If the token cannot be confirmed or was superseded, the state becomes unknown as before, so nothing new runs there.

The new test failed before (probes answered "leaving").

--- a/src/cactusstile/controllers/orders.py
+++ b/src/cactusstile/controllers/orders.py
@@ -33,6 +33,7 @@
 RETRY_INTERVAL_S = 0.5
 MAX_RETRY_INTERVAL_S = 8.0
 FREEZE_LIMIT_S = 2.0
+EXPECTED_CONFIRM_S = 0.5
 CONFLICT = 409
 
 
@@ -217,18 +218,24 @@
         self._changed = anyio.Event()
         slept_s = anyio.current_time() - started_s
         if slept_s > seconds + FREEZE_LIMIT_S:
-            self._gate.set_status(None)
-            await self._confirm_after_freeze()
+            async with self._gate.closed(EXPECTED_CONFIRM_S):
+                await self._confirm_after_freeze()
 
     async def _confirm_after_freeze(self) -> None:
+        """Confirms the token and reads the engine's state, in that order."""
         logger.warning("process was frozen; confirming the fencing token")
         try:
             await self._fence.confirm()
+            await self._read()
         except exceptions.SupersededError as error:
+            self._gate.set_status(None)
             self._node.stopping = True
             logger.warning("%s; this agent accepts no more work", error)
         except control_exceptions.ControlError as error:
+            self._gate.set_status(None)
             logger.warning("could not confirm the fencing token: %s", error)
+        except target_exceptions.TargetError as error:
+            logger.warning("could not read the engine's state: %s", error)
 
 
 def has_taken_effect(order: engine.Order, status: engine.Status) -> bool:
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from cactusstile.agent import messages
 from cactusstile.controllers import fencing
 from cactusstile.controllers import orders
 from cactusstile.controllers import rollout
@@ -96,6 +97,31 @@
         assert not old.ready()
 
 
+async def test_agent_that_was_frozen_is_not_taken_for_leaving(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusals while a resumed agent confirms its token."""
+    monkeypatch.setattr(orders, "FREEZE_LIMIT_S", 0.2)
+    probe = messages.Probe(
+        "bank", site.DEPLOYMENT, "", (), 10, 1, 0, 0, 1, reserve=False
+    )
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened) as agent,
+    ):
+        await _wait_until(agent.ready)
+        opened.control.fence_answer_delay_s = 0.5
+        time.sleep(1.5)  # noqa: ASYNC251
+        replies = []
+        for _ in range(20):
+            reply = await opened.peers.call(agent.bound, probe, timeout_s=1.0)
+            assert isinstance(reply, messages.ProbeReply)
+            replies.append(reply)
+            await anyio.sleep(0.02)
+    assert not any(reply.leaving for reply in replies)
+    assert max(reply.wait_ms for reply in replies) > 0
+
+
 async def test_superseded_agent_of_a_service_accepts_no_work(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
