Read the fields of a message by one call

Each struct was read field by field, through a dict, and built from keyword arguments. The fields are now read by one attrgetter, only those that need a conversion pass one, and the message is built from positions.

--- a/src/cactusstile/transport/codec.py
+++ b/src/cactusstile/transport/codec.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import operator
 import pathlib
 import types
 import typing
@@ -50,6 +51,7 @@
     cls: type
     struct: typing.Any
     fields: tuple[_Field, ...]
+    read: Decoder
 
 
 _by_class: dict[type, _Codec] = {}
@@ -84,7 +86,9 @@
         if number and number in _by_number:
             taken = _by_number[number].cls.__qualname__
             raise ValueError(f"message number {number} is taken by {taken}")
-        codec = _Codec(number, cls, getattr(schema, struct), _build_fields(cls))
+        fields = _build_fields(cls)
+        read = _build_reader(cls, fields)
+        codec = _Codec(number, cls, getattr(schema, struct), fields, read)
         _by_class[cls] = codec
         if number:
             _by_number[number] = codec
@@ -118,7 +122,7 @@
         with codec.struct.from_bytes(
             data, traversal_limit_in_words=limit, nesting_limit=_MAX_NESTING
         ) as reader:
-            return _read(codec, reader)
+            return codec.read(reader)
     except _MALFORMED as error:
         raise _malformed(codec) from error
 
@@ -144,7 +148,7 @@
             traversal_limit_in_words=_MAX_PACKED_WORDS,
             nesting_limit=_MAX_NESTING,
         )
-        return _read(codec, reader)
+        return codec.read(reader)
     except _MALFORMED as error:
         raise _malformed(codec) from error
 
@@ -165,12 +169,32 @@
         field.encode(builder, field.wire_name, getattr(message, field.name))
 
 
-def _read(codec: _Codec, reader: typing.Any) -> object:
-    values = {
-        field.name: field.decode(getattr(reader, field.wire_name))
-        for field in codec.fields
-    }
-    return codec.cls(**values)
+def _build_reader(cls: type, fields: tuple[_Field, ...]) -> Decoder:
+    """Returns a function that builds a message from the reader of a struct.
+
+    All fields are read by one call; only those that need it are converted.
+    """
+    if not fields:
+        return lambda _: cls()
+    if len(fields) == 1:
+        only = fields[0]
+        return lambda reader: cls(only.decode(getattr(reader, only.wire_name)))
+    read_fields = operator.attrgetter(*(field.wire_name for field in fields))
+    converted = [
+        (position, field.decode)
+        for position, field in enumerate(fields)
+        if field.decode is not _identity
+    ]
+    if not converted:
+        return lambda reader: cls(*read_fields(reader))
+
+    def read(reader: typing.Any) -> object:
+        values = list(read_fields(reader))
+        for position, decode in converted:
+            values[position] = decode(values[position])
+        return cls(*values)
+
+    return read
 
 
 def _build_fields(cls: type) -> tuple[_Field, ...]:
@@ -196,7 +220,7 @@
     def encode_nested(builder: typing.Any, name: str, value: object) -> None:
         _fill(codec, builder.init(name), value)
 
-    return encode_nested, lambda reader: _read(codec, reader)
+    return encode_nested, codec.read
 
 
 def _tuple_converters(item: typing.Any) -> tuple[Encoder, Decoder]:
@@ -221,9 +245,7 @@
         for position, value in enumerate(values):
             _fill(codec, items[position], value)
 
-    return encode_messages, lambda reader: tuple(
-        _read(codec, entry) for entry in reader
-    )
+    return encode_messages, lambda reader: tuple(map(codec.read, reader))
 
 
 def _identity(value: typing.Any) -> typing.Any:
