--- a/src/cactusstile/gateway/peers/load_table.py
+++ b/src/cactusstile/gateway/peers/load_table.py
@@ -97,11 +97,16 @@
         >>> table.totals
         {'e': Load(inflight=2, unread_tokens=0, tokens=10)}
         """
-        self._subtract(sender)
+        known = self.reports.get(sender)
+        before = {} if known is None else known.loads
         self.reports[sender] = _Report(loads, now_s)
         self.last_received_s = now_s
+        # Most loads are as in the report before.
         for target, load in loads.items():
-            self.totals[target] = self.totals.get(target, NO_LOAD).plus(load)
+            if before.get(target) != load:
+                self._change(target, before.get(target, NO_LOAD), load)
+        for target in before.keys() - loads.keys():
+            self._change(target, before[target], NO_LOAD)
 
     def expire(self, oldest_s: float) -> None:
         """Drops the reports received before `oldest_s`."""
@@ -115,12 +120,13 @@
         self.totals.clear()
 
     def _subtract(self, sender: str) -> None:
-        report = self.reports.pop(sender, None)
-        if report is None:
-            return
-        for target, load in report.loads.items():
-            rest = self.totals[target].plus(load, -1)
-            if rest == NO_LOAD:
-                del self.totals[target]
-            else:
-                self.totals[target] = rest
+        for target, load in self.reports.pop(sender).loads.items():
+            self._change(target, load, NO_LOAD)
+
+    def _change(self, target: str, before: Load, after: Load) -> None:
+        """Replaces the load that one sender reports on a target."""
+        rest = self.totals.get(target, NO_LOAD).plus(before, -1).plus(after)
+        if rest == NO_LOAD:
+            self.totals.pop(target, None)
+        else:
+            self.totals[target] = rest
