Close a cancelled server's listener without a second cancellation

A registry that is cancelled from outside never ended: its process spun at full speed. No caller has met it, since a stop by a signal leaves the context without an exception; it was found by new tests that cancel registries, one of which ran for 13 minutes until it was killed.

Cause: open_server closed its listener with an await after its scope had been cancelled, which raised a second CancelledError with the first as its context. AsyncExitStack of Python 3.11, which open_registry uses, takes such an exception that a later callback raises again for a new one, and makes it its own context (_fix_exception_context). Whoever follows the contexts then never ends: the stack of the test was in that function, that of a trial with one registry in anyio's task_done.

The listener is now closed in a shielded scope. The new test failed before (the cancellation had a context).

--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -120,11 +120,17 @@
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     server = Server(address.Address(listen.host, port))
     acceptor = _Acceptor(server, identity, secrets, handlers, timing)
-    async with listener, anyio.create_task_group() as group:
-        for part in listener.listeners:
-            raw = part.extra(anyio.abc.SocketAttribute.raw_socket)
-            group.start_soon(acceptor.accept, raw, group)
-        try:
-            yield server
-        finally:
-            group.cancel_scope.cancel()
+    try:
+        async with anyio.create_task_group() as group:
+            for part in listener.listeners:
+                raw = part.extra(anyio.abc.SocketAttribute.raw_socket)
+                group.start_soon(acceptor.accept, raw, group)
+            try:
+                yield server
+            finally:
+                group.cancel_scope.cancel()
+    finally:
+        # Unshielded, a cancelled close raises a second cancellation. Exit
+        # stacks chain the two into a cycle, which is then followed for ever.
+        with anyio.CancelScope(shield=True):
+            await listener.aclose()
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import typing
 
@@ -16,6 +17,31 @@
 LOCAL = address.Address("127.0.0.1", 0)
 
 
+def _open() -> contextlib.AbstractAsyncContextManager[server.Server]:
+    identity = handshake.Identity("control", "c")
+    secrets = handshake.Secrets(b"s" * 16)
+    return server.open_server(LOCAL, identity, secrets, incoming.Handlers())
+
+
+async def test_cancelled_server_raises_no_second_cancellation() -> None:
+    """Guards against exit stacks that spin over a cycle of cancellations."""
+    ended: list[BaseException] = []
+
+    async def serve() -> None:
+        try:
+            async with _open():
+                await anyio.sleep_forever()
+        except BaseException as error:
+            ended.append(error)
+            raise
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve)
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert [error.__context__ for error in ended] == [None]
+
+
 async def test_server_that_stops_while_a_caller_connects_logs_a_traceback() -> (
     None
 ):
@@ -25,12 +51,7 @@
     wake, waker = socket.socketpair()
     scope = anyio.CancelScope()
     with scope, wake, waker:
-        async with server.open_server(
-            LOCAL,
-            handshake.Identity("control", "c"),
-            handshake.Secrets(b"s" * 16),
-            incoming.Handlers(),
-        ) as opened:
+        async with _open() as opened:
             await anyio.sleep(0.05)
             loop.add_reader(wake, scope.cancel)
             # Both are ready in one turn of the loop, the cancellation first.
