--- a/tests/registry/test_daemon.py
+++ b/tests/registry/test_daemon.py
@@ -1,7 +1,5 @@
 from __future__ import annotations
 
-import collections.abc
-import contextlib
 import json
 import os
 import pathlib
@@ -9,26 +7,20 @@
 import time
 
 import anyio
-import attrs
 import pytest
-from tests.platform import test_configurations
+from tests.registry import sites
 from tests.registry import support
 
 from cactusstile.consensus import bootstrap
 from cactusstile.consensus import membership
 from cactusstile.gateway import daemon as gateway_daemon
 from cactusstile.http import callers
-from cactusstile.http import messages
-from cactusstile.http import targets
 from cactusstile.registry import daemon
 from cactusstile.registry import members
 from cactusstile.registry import rejoin
-from cactusstile.settings import node
-from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
-NETWORK = support.draw_network()
-HOSTS = tuple(f"{NETWORK}.{number}" for number in (2, 3, 4, 5))
+HOSTS = sites.HOSTS
 SLOW_SYNC_S = 0.03
 
 
@@ -63,87 +55,9 @@
     assert all(open_at_end)
 
 
-@attrs.define
-class Site:
-    """Registries within the test process, each on its own address."""
-
-    folder: pathlib.Path
-    port: int = support.FIRST_PORT
-    running: dict[str, daemon.Registry] = attrs.field(factory=dict)
-
-    def settings(self, host: str, *, first: bool = True) -> node.NodeSettings:
-        settings = support.settings(
-            self.folder, host, host, self.port, *HOSTS[:3]
-        )
-        return attrs.evolve(settings, first_start=first)
-
-    @contextlib.asynccontextmanager
-    async def open(
-        self, *hosts: str, first: bool = True
-    ) -> collections.abc.AsyncIterator[None]:
-        async with contextlib.AsyncExitStack() as stack:
-            for host in hosts:
-                settings = self.settings(host, first=first)
-                opened = daemon.open_registry(settings)
-                self.running[host] = await stack.enter_async_context(opened)
-            try:
-                yield
-            finally:
-                for host in hosts:
-                    del self.running[host]
-
-    async def leader(self) -> daemon.Registry:
-        with anyio.fail_after(10):
-            while True:
-                for registry in self.running.values():
-                    if registry.replica.is_leader:
-                        return registry
-                await anyio.sleep(0.02)
-
-    async def ask(
-        self, host: str, method: bytes, path: bytes, body: bytes = b""
-    ) -> tuple[int, bytes]:
-        """Makes an operator call and follows redirects."""
-        for _ in range(3):
-            pool = targets.Pool()
-            operator_address = address.Address(host, self.port + 2)
-            connection = await pool.take(operator_address, 1.0)
-            request = messages.Request(method, path, ((b"host", b"x"),), body)
-            head = await connection.ask(request, lambda _: True)
-            data = await connection.read_full_body(1 << 20)
-            connection.close()
-            if head.status != 307:
-                return head.status, data
-            host = (head.find(b"location") or "").split("/")[2].split(":")[0]
-        return head.status, data
-
-    async def replace(self, version: int, **changes: object) -> int:
-        document = test_configurations.document(version=version, **changes)
-        body = json.dumps(document).encode()
-        host = next(iter(self.running))
-        status, _ = await self.ask(host, b"POST", b"/-/Config.Replace", body)
-        return status
-
-    async def wait_for_voters(self, *hosts: str) -> None:
-        with anyio.fail_after(15):
-            while True:
-                status = (await self.leader()).replica.status()
-                voters = {
-                    peer.member.name
-                    for peer in status.members
-                    if peer.member.voter and peer.active
-                }
-                if voters == set(hosts):
-                    return
-                await anyio.sleep(0.05)
-
-
-@pytest.fixture
-def site(tmp_path: pathlib.Path) -> Site:
-    return Site(tmp_path)
-
-
-async def test_configuration_is_accepted_and_read_back(site: Site) -> None:
+async def test_configuration_is_accepted_and_read_back(
+    site: sites.Site,
+) -> None:
     async with site.open(*HOSTS[:3]):
         await site.leader()
         assert await site.replace(5) == 200
@@ -156,7 +70,7 @@
             assert (status, json.loads(data)["version"]) == (200, 5)
 
 
-async def test_replica_without_quorum_answers_no_read(site: Site) -> None:
+async def test_replica_without_quorum_answers_no_read(site: sites.Site) -> None:
     async with site.open(*HOSTS[:3]):
         await site.leader()
         assert await site.replace(5) == 200
@@ -167,7 +81,7 @@
 
 
 async def test_fourth_replica_replaces_a_permanently_lost_voter(
-    site: Site, monkeypatch: pytest.MonkeyPatch
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(members, "LOST_AFTER_S", 0.5)
     async with site.open(*HOSTS[:2]):
@@ -180,7 +94,7 @@
 
 
 async def test_removed_replica_discards_its_data_and_joins_again(
-    site: Site, monkeypatch: pytest.MonkeyPatch
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(rejoin, "LEADERLESS_S", 0.5)
     # Unexpired hello messages of the founders would let the removed replica
@@ -209,7 +123,7 @@
 
 
 async def test_new_leader_knows_the_age_of_announced_weights(
-    site: Site, monkeypatch: pytest.MonkeyPatch
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     def sync_slowly(descriptor: int) -> None:
         time.sleep(SLOW_SYNC_S)
--- a/tests/registry/test_redirector.py
+++ b/tests/registry/test_redirector.py
@@ -9,8 +9,8 @@
 import attrs
 import pytest
 from tests.platform import test_configurations
+from tests.registry import sites
 from tests.registry import support
-from tests.registry import test_daemon
 
 from cactusstile.http import exceptions
 from cactusstile.registry import process
@@ -19,12 +19,12 @@
 
 
 @pytest.fixture
-def site(tmp_path: pathlib.Path) -> test_daemon.Site:
-    return test_daemon.Site(tmp_path)
+def site(tmp_path: pathlib.Path) -> sites.Site:
+    return sites.Site(tmp_path)
 
 
 async def _ask(
-    site: test_daemon.Site, host: str, method: bytes, path: bytes, body: bytes
+    site: sites.Site, host: str, method: bytes, path: bytes, body: bytes
 ) -> tuple[int, bytes]:
     """Makes an operator call once the process listens."""
     with anyio.fail_after(10):
@@ -36,10 +36,10 @@
 
 
 async def test_process_without_disk_redirects_operators_to_each_leader(
-    site: test_daemon.Site, tmp_path: pathlib.Path
+    site: sites.Site, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a process that ends because its VM has no disk."""
-    *hosts, without_disk = test_daemon.HOSTS
+    *hosts, without_disk = sites.HOSTS
     settings = attrs.evolve(site.settings(without_disk), data_folder=None)
     body = json.dumps(test_configurations.document(version=5)).encode()
     replace, read = b"/-/Config.Replace", b"/-/Config.Get"
@@ -61,10 +61,10 @@
 
 
 async def test_redirector_finds_replicas_beyond_its_seeds(
-    site: test_daemon.Site, tmp_path: pathlib.Path
+    site: sites.Site, tmp_path: pathlib.Path
 ) -> None:
     """The seeds of the settings may be gone by the time of a call."""
-    *hosts, without_disk = test_daemon.HOSTS
+    *hosts, without_disk = sites.HOSTS
     settings = attrs.evolve(
         site.settings(without_disk),
         data_folder=None,
