Do not wait for open runs when an agent confirms its token after a freeze

After a freeze there is nothing to wait for, and one run that an engine does not begin would have held up all prompts for as long. The gate can now be paused, which only blocks new admissions; closing it is a pause and that wait.

--- a/src/cactusstile/agent/gate.py
+++ b/src/cactusstile/agent/gate.py
@@ -61,6 +61,22 @@
             self._admitted_count -= 1
             self._notify()
 
+    @contextlib.contextmanager
+    def paused(self, expected_s: float = 0.0) -> collections.abc.Iterator[None]:
+        """Blocks new admissions; the current ones go on.
+
+        Args:
+          expected_s: Expected duration, used to estimate the wait of runs.
+        """
+        self._closed = True
+        self.expected_open_s = anyio.current_time() + expected_s
+        try:
+            yield
+        finally:
+            self._closed = False
+            self.expected_open_s = 0.0
+            self._notify()
+
     @contextlib.asynccontextmanager
     async def closed(
         self, expected_s: float = 0.0
@@ -75,16 +91,10 @@
         """
         while self._closed:
             await self._changed.wait()
-        self._closed = True
-        self.expected_open_s = anyio.current_time() + expected_s
-        try:
+        with self.paused(expected_s):
             while self._admitted_count:
                 await self._changed.wait()
             yield
-        finally:
-            self._closed = False
-            self.expected_open_s = 0.0
-            self._notify()
 
     def set_status(self, status: engine.Status | None) -> None:
         """Sets the engine's state; None if it is uncertain."""
--- a/src/cactusstile/controllers/orders.py
+++ b/src/cactusstile/controllers/orders.py
@@ -218,7 +218,7 @@
         self._changed = anyio.Event()
         slept_s = anyio.current_time() - started_s
         if slept_s > seconds + FREEZE_LIMIT_S:
-            async with self._gate.closed(EXPECTED_CONFIRM_S):
+            with self._gate.paused(EXPECTED_CONFIRM_S):
                 await self._confirm_after_freeze()
 
     async def _confirm_after_freeze(self) -> None:
