Keep a gateway's own address in one place

The directory of streams held it beside the view of the site, and both had to be set. It reads the view's now.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -154,7 +154,6 @@
     forwarder = forwarding.Forwarder(
         site, pool, budget, record_request, settings.weights_s
     )
-    forwarder.directory.own_address = str(settings.internal_address)
     memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_FRACTION
     serving = callers.Serving(
         forwarder.handle,
--- a/src/cactusstile/gateway/peers/stream_directory.py
+++ b/src/cactusstile/gateway/peers/stream_directory.py
@@ -110,15 +110,13 @@
 
     Attributes:
       site: Local view of the site, with the list of gateways.
-      own_address: Address of this gateway; empty until it has one.
       send: Sends a message to the gateway with an address.
       entries: Origins by the id of the stream, oldest first.
     """
 
-    def __init__(self, site: site_view.SiteView, own_address: str = "") -> None:
+    def __init__(self, site: site_view.SiteView) -> None:
         """Creates an empty directory that sends nothing yet."""
         self.site = site
-        self.own_address = own_address
         self.send: Send = lambda *_: None
         self.entries: collections.OrderedDict[str, _Entry] = (
             collections.OrderedDict()
@@ -135,7 +133,8 @@
         begun = _encode(stream_id, origin)
         for owner in self._find_owners(stream_id, OWNERS):
             self.send(
-                stream_messages.BegunStreams(self.own_address, (begun,)), owner
+                stream_messages.BegunStreams(self.site.own_address, (begun,)),
+                owner,
             )
 
     async def find(self, stream_id: str) -> retries.StreamOrigin | None:
@@ -150,7 +149,7 @@
         if not asked:
             return None
         search = self._searches.setdefault(stream_id, _Search(set(asked)))
-        question = stream_messages.FindStream(self.own_address, stream_id)
+        question = stream_messages.FindStream(self.site.own_address, stream_id)
         try:
             for _ in range(MAX_QUESTIONS):
                 for owner in tuple(search.unanswered):
@@ -191,14 +190,15 @@
             for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
                 part = tuple(streams[start : start + MAX_STREAMS_PER_MESSAGE])
                 self.send(
-                    stream_messages.BegunStreams(self.own_address, part), owner
+                    stream_messages.BegunStreams(self.site.own_address, part),
+                    owner,
                 )
 
     def _answer(self, question: stream_messages.FindStream) -> None:
         origin = self._lookup(question.id)
         # An empty origin tells that this gateway does not know it.
         begun = _encode(question.id, origin or retries.StreamOrigin("", ""))
-        answer = stream_messages.BegunStreams(self.own_address, (begun,))
+        answer = stream_messages.BegunStreams(self.site.own_address, (begun,))
         self.send(answer, question.gateway)
 
     def _lookup(self, stream_id: str) -> retries.StreamOrigin | None:
@@ -225,7 +225,7 @@
         if self.site.gateways != self._members:
             self._members = self.site.gateways
             self._ring = Ring(member.address for member in self._members)
-        return self._ring.owners(stream_id, count, self.own_address)
+        return self._ring.owners(stream_id, count, self.site.own_address)
 
 
 def _encode(
--- a/tests/gateway/peers/test_stream_directory.py
+++ b/tests/gateway/peers/test_stream_directory.py
@@ -46,7 +46,8 @@
 
     def _open(self, address: str) -> stream_directory.StreamDirectory:
         site = site_view.SiteView(gateways=self.members)
-        directory = stream_directory.StreamDirectory(site, address)
+        site.own_address = address
+        directory = stream_directory.StreamDirectory(site)
 
         def send(message: stream_directory.Message, receiver: str) -> None:
             self.group.start_soon(self._deliver, message, receiver)
@@ -152,7 +153,8 @@
 ) -> None:
     monkeypatch.setattr(stream_directory, "MAX_STREAMS", 10)
     site = site_view.SiteView()
-    directory = stream_directory.StreamDirectory(site, "127.0.0.1:1")
+    site.own_address = "127.0.0.1:1"
+    directory = stream_directory.StreamDirectory(site)
     for number in range(30):
         directory.record(f"x{number}", ORIGIN)
     assert list(directory.entries) == [f"x{number}" for number in range(20, 30)]
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -136,7 +136,7 @@
         ):
             harness.site.gateways = members
             directory = harness.forwarder.directory
-            directory.own_address = own.address
+            harness.site.own_address = own.address
             receive = peer.forwarder.directory.receive
             directory.send = lambda message, _, to=receive: to(message)  # type: ignore[misc]
         left.site.targets.views["b", 0].inflight = 3
