--- a/tests/observability/test_http_listener.py
+++ b/tests/observability/test_http_listener.py
@@ -11,7 +11,7 @@
 from cactusstile.transport import address
 
 pytestmark = pytest.mark.anyio
-# Half of it is longer than all waits of a drain together.
+# The drain begins halfway; the rest is longer than all its waits together.
 ANSWER_S = 3.0
 PAUSE_S = 0.2
 
--- a/tests/registry/sites.py
+++ b/tests/registry/sites.py
@@ -25,7 +25,14 @@
 
 @attrs.define
 class Site:
-    """Registries within the test process, each on its own address."""
+    """Registries within the test process, each on its own address.
+
+    Attributes:
+      folder: Folder of their data.
+      port: First of the ports that each of them uses.
+      running: Running registries, by host.
+      stops: Ends the registries that `run` started, by host.
+    """
 
     folder: pathlib.Path
     port: int = support.FIRST_PORT
@@ -67,7 +74,7 @@
             await stop.wait()
 
     async def lose(self, host: str) -> None:
-        """Ends a registry that `run` started, without any farewell."""
+        """Ends a registry that `run` started; it does not step down."""
         self.stops.pop(host).set()
         while host in self.running:
             await anyio.sleep(0.01)
--- a/tests/registry/test_redirector.py
+++ b/tests/registry/test_redirector.py
@@ -18,11 +18,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def site(tmp_path: pathlib.Path) -> sites.Site:
-    return sites.Site(tmp_path)
-
-
 async def _ask(
     site: sites.Site, host: str, method: bytes, path: bytes, body: bytes
 ) -> tuple[int, bytes]:
@@ -39,7 +34,7 @@
     site: sites.Site, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a process that ends because its VM has no disk."""
-    *hosts, without_disk = sites.HOSTS
+    *hosts, without_disk = sites.HOSTS[:4]
     settings = attrs.evolve(site.settings(without_disk), data_folder=None)
     body = json.dumps(test_configurations.document(version=5)).encode()
     replace, read = b"/-/Config.Replace", b"/-/Config.Get"
@@ -64,7 +59,7 @@
     site: sites.Site, tmp_path: pathlib.Path
 ) -> None:
     """The seeds of the settings may be gone by the time of a call."""
-    *hosts, without_disk = sites.HOSTS
+    *hosts, without_disk = sites.HOSTS[:4]
     settings = attrs.evolve(
         site.settings(without_disk),
         data_folder=None,
--- a/tests/registry/test_replacement.py
+++ b/tests/registry/test_replacement.py
@@ -63,7 +63,21 @@
         await anyio.sleep(0.05)
 
 
+async def _race(site: sites.Site, version: int) -> dict[str, int]:
+    """Makes two changes to one version at once; returns their statuses."""
+    statuses: dict[str, int] = {}
+
+    async def change(key: str) -> None:
+        statuses[key] = await _change(site, version, key)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(change, "ada")
+        group.start_soon(change, "bob")
+    return statuses
+
+
 async def _find_host(site: sites.Site, *, leads: bool) -> str:
+    """Returns the host of the leader, or of a follower."""
     leader = (await site.leader()).settings.host
     if leads:
         return leader
@@ -111,16 +125,7 @@
         await site.lose(await _find_host(site, leads=True))
         await group.start(site.run, HOSTS[3])
         for version in range(1, 20):
-            outcomes: dict[str, int] = {}
-
-            async def race(
-                key: str, version: int, into: dict[str, int]
-            ) -> None:
-                into[key] = await _change(site, version, key)
-
-            async with anyio.create_task_group() as operators:
-                for key in ("ada", "bob"):
-                    operators.start_soon(race, key, version, outcomes)
+            outcomes = await _race(site, version)
             document = await _read(site)
             assert document["version"] == version
             winner = document["tenants"][0]["apiKeys"][0]
