--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -1,31 +1,21 @@
 from __future__ import annotations
 
 import logging
-import typing
 
 import anyio
 import attrs
 import pytest
+from tests.gateway import notices
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway import metrics
 from cactusstile.gateway import target_notices
-from cactusstile.gateway.engines import backups
-from cactusstile.http import targets
 from cactusstile.sites import model
 
-if typing.TYPE_CHECKING:
-    from cactusstile.transport import address
-
 pytestmark = pytest.mark.anyio
 STREAM = model.Kind.STREAM
-WEIGHTS = (model.Weights("m", 3),)
-PROMPT = (
-    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
-    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
-    b"X-Cactusstile-Length-Hint: 250\r\n"
-)
+PROMPT = notices.PROMPT
+WEIGHTS = notices.WEIGHTS
 LEAVING = b"Server-Leaving: 1\r\n"
 NOT_RUN = b"X-Cactusstile-Not-Executed: 1\r\n"
 SEALED = raw_target.SEAL + LEAVING
@@ -236,18 +226,7 @@
 async def test_request_chosen_before_its_target_said_that_it_leaves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    take = targets.Pool.take
-    connecting, gate = anyio.Event(), anyio.Event()
-
-    async def take_late(
-        pool: targets.Pool, target: address.Address, timeout_s: float
-    ) -> targets.TargetConnection:
-        if not connecting.is_set():
-            connecting.set()
-            await gate.wait()
-        return await take(pool, target, timeout_s)
-
-    monkeypatch.setattr(targets.Pool, "take", take_late)
+    held = notices.hold_first_connect(monkeypatch)
     answers = [leaving_answer(), raw_target.answer()]
     async with (
         raw_target.open_target(*answers, id="a") as first,
@@ -257,9 +236,9 @@
     ):
         harness.site.targets.views["b", 0].inflight = 3
         await caller.send(support.request())
-        await connecting.wait()
+        await held.begun.wait()
         await harness.ask(support.request())
-        gate.set()
+        held.gate.set()
         data = await support.read_to_end(caller)
         view = harness.site.targets.views["a", 0]
         assert view.failures == 0
@@ -270,23 +249,19 @@
 async def test_run_is_not_resumed_at_a_target_that_leaves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
     once = support.route(STREAM, max_attempts=1)
-    engine = model.Engine(8, 50_000, backs_up=True)
-    config = attrs.evolve(
-        support.configuration(once),
-        services={"plain": model.Service("plain", 0, engine)},
-    )
+    config = notices.back_up(monkeypatch, support.configuration(once))
     gate = anyio.Event()
     begin = raw_target.stream_events([1, 2], whole=False)
     scripts = [raw_target.in_turn(begin, gate, raw_target.send_raw(b""))]
     leaving = [leaving_stream(), raw_target.stream_events([3, 4])]
     async with (
-        raw_target.open_target(*scripts, id="a", weights=WEIGHTS) as first,
-        raw_target.open_target(*leaving, id="b", weights=WEIGHTS) as second,
+        raw_target.open_target(
+            *scripts, id="a", weights=notices.WEIGHTS
+        ) as first,
+        raw_target.open_target(
+            *leaving, id="b", weights=notices.WEIGHTS
+        ) as second,
         support.open_harness(config, first, second) as harness,
         await harness.connect() as caller,
     ):
@@ -320,9 +295,4 @@
         gate.set()
     lines = [line for line in caplog.messages if "says that it leaves" in line]
     assert len(lines) == 1
-    counters = metrics.GatewayMetrics()
-    for record in harness.records:
-        counters.count(record)
-    name = "cactusstile_gateway_target_notices_total"
-    labels = {"notice": "leaving"}
-    assert counters.registry.get_sample_value(name, labels) == 2
+    assert notices.count_notices(harness.records, "leaving") == 2
--- a/tests/gateway/test_target_pauses.py
+++ b/tests/gateway/test_target_pauses.py
@@ -1,31 +1,21 @@
 from __future__ import annotations
 
 import logging
-import typing
 
 import anyio
 import attrs
 import pytest
+from tests.gateway import notices
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway import metrics
-from cactusstile.gateway.engines import backups
-from cactusstile.http import targets
 from cactusstile.sites import model
 
-if typing.TYPE_CHECKING:
-    from cactusstile.transport import address
-
 pytestmark = pytest.mark.anyio
 ONCE = model.Kind.ONCE
 STREAM = model.Kind.STREAM
-WEIGHTS = (model.Weights("m", 3),)
-PROMPT = (
-    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
-    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
-    b"X-Cactusstile-Length-Hint: 250\r\n"
-)
+PROMPT = notices.PROMPT
+WEIGHTS = notices.WEIGHTS
 NOT_RUN = b"X-Cactusstile-Not-Executed: 1\r\n"
 # Longer than the back-off after a plain rejection.
 BACKOFF_S = 0.1
@@ -141,18 +131,7 @@
 async def test_request_chosen_before_its_target_asked_for_a_pause(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    take = targets.Pool.take
-    connecting, gate = anyio.Event(), anyio.Event()
-
-    async def take_late(
-        pool: targets.Pool, target: address.Address, timeout_s: float
-    ) -> targets.TargetConnection:
-        if not connecting.is_set():
-            connecting.set()
-            await gate.wait()
-        return await take(pool, target, timeout_s)
-
-    monkeypatch.setattr(targets.Pool, "take", take_late)
+    held = notices.hold_first_connect(monkeypatch)
     scripts = [pause(b"9"), raw_target.answer()]
     answers = [raw_target.answer() for _ in range(2)]
     async with (
@@ -163,9 +142,9 @@
     ):
         harness.site.targets.views["b", 0].inflight = 3
         await caller.send(support.request(b"POST"))
-        await connecting.wait()
+        await held.begun.wait()
         await harness.ask(support.request(b"POST"))
-        gate.set()
+        held.gate.set()
         data = await support.read_to_end(caller)
     assert support.status(data) == 200
     assert (len(first.requests), len(second.requests)) == (1, 2)
@@ -275,22 +254,18 @@
 async def test_run_is_resumed_at_a_target_within_its_pause(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
-    engine = model.Engine(8, 50_000, backs_up=True)
-    config = attrs.evolve(
-        configuration(STREAM, max_attempts=1),
-        services={"plain": model.Service("plain", 0, engine)},
-    )
+    config = notices.back_up(monkeypatch, configuration(STREAM, max_attempts=1))
     gate = anyio.Event()
     begin = raw_target.stream_events([1, 2], whole=False)
     scripts = [raw_target.in_turn(begin, gate, raw_target.send_raw(b""))]
     pauses = [pause(b"9"), raw_target.stream_events([3, 4])]
     async with (
-        raw_target.open_target(*scripts, id="a", weights=WEIGHTS) as first,
-        raw_target.open_target(*pauses, id="b", weights=WEIGHTS) as second,
+        raw_target.open_target(
+            *scripts, id="a", weights=notices.WEIGHTS
+        ) as first,
+        raw_target.open_target(
+            *pauses, id="b", weights=notices.WEIGHTS
+        ) as second,
         support.open_harness(config, first, second) as harness,
         await harness.connect() as caller,
     ):
@@ -325,9 +300,4 @@
         gate.set()
     lines = [line for line in caplog.messages if "asks for a pause" in line]
     assert len(lines) == 1
-    counters = metrics.GatewayMetrics()
-    for record in harness.records:
-        counters.count(record)
-    name = "cactusstile_gateway_target_notices_total"
-    labels = {"notice": "pause"}
-    assert counters.registry.get_sample_value(name, labels) == 2
+    assert notices.count_notices(harness.records, "pause") == 2
