Record the option of accepted sockets when their connection begins

The test of Nagle's algorithm found the socket through the object that uvicorn's send is bound to.

The option is now read where both servers accept a connection, whatever the application is handed. The check is the same: one connection, TCP_NODELAY set.

--- a/tests/fakes/test_serving.py
+++ b/tests/fakes/test_serving.py
@@ -1,11 +1,12 @@
 from __future__ import annotations
 
+import asyncio
 import socket
-import typing
 
 import httpcore
 import pytest
 from starlette import responses
+from uvicorn.protocols.http import h11_impl
 
 from cactusstile.fakes import serving
 from cactusstile.observability import http_listener
@@ -14,33 +15,34 @@
 pytestmark = pytest.mark.anyio
 
 
-def _record_no_delay_option(
-    app: typing.Any, no_delay_options: list[int]
-) -> typing.Any:
-    async def recording_app(
-        scope: typing.Any, receive: typing.Any, send: typing.Any
+def _record_no_delay_options(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Returns the option of each accepted socket, as connections begin."""
+    connection_made = h11_impl.H11Protocol.connection_made
+    options: list[int] = []
+
+    def record(
+        protocol: h11_impl.H11Protocol, transport: asyncio.Transport
     ) -> None:
-        accepted_socket = send.__self__.transport.get_extra_info("socket")
-        no_delay_options.append(
+        accepted_socket = transport.get_extra_info("socket")
+        options.append(
             accepted_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         )
-        await app(scope, receive, send)
+        connection_made(protocol, transport)
 
-    return recording_app
+    monkeypatch.setattr(h11_impl.H11Protocol, "connection_made", record)
+    return options
 
 
 @pytest.mark.parametrize("use_http_listener", [True, False])
 async def test_accepted_connections_disable_nagles_algorithm(
-    use_http_listener: bool,
+    use_http_listener: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against servers that delay small writes.
 
     Without TCP_NODELAY on the accepted socket, Nagle's algorithm delays them.
     """
-    no_delay_options: list[int] = []
-    app = _record_no_delay_option(
-        responses.PlainTextResponse(""), no_delay_options
-    )
+    no_delay_options = _record_no_delay_options(monkeypatch)
+    app = responses.PlainTextResponse("")
     listen = address.Address("127.0.0.1", 0)
     async with httpcore.AsyncConnectionPool() as connections:
         if use_http_listener:
