Read ages of messages where they are written

Datagrams of limits and of quarantined parts read an age back by dividing by a constant of their own, as the watch of control did already; only the way into a message was shared. No change of behaviour.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -12,6 +12,7 @@
 from cactusstile.control import attempts
 from cactusstile.gateway import site_view
 from cactusstile.platform import configurations
+from cactusstile.sites import ages
 from cactusstile.sites import discovery
 from cactusstile.sites import documents
 from cactusstile.sites import messages
@@ -34,7 +35,6 @@
 SILENCE_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.1
-_MS_PER_S = 1000
 
 
 class ControlWatch:
@@ -179,7 +179,7 @@
             self.site.confirmed_s = now_s
             self.site.control = item.control
             if self.site.listed_s is not None:
-                age_s = item.list_age_ms / _MS_PER_S
+                age_s = ages.to_s(item.list_age_ms)
                 self.site.listed_s = max(self.site.listed_s, now_s - age_s)
             if self.member in self.site.gateways:
                 self.confirm_sharers(len(self.site.gateways), now_s)
@@ -212,7 +212,7 @@
             is_newer = self.site.weights.add(
                 weights.model,
                 weights.version,
-                now_s - weights.age_ms / _MS_PER_S,
+                now_s - ages.to_s(weights.age_ms),
             )
             if not is_newer:
                 continue
--- a/src/cactusstile/gateway/peers/limit_sharing.py
+++ b/src/cactusstile/gateway/peers/limit_sharing.py
@@ -15,13 +15,11 @@
 
 from cactusstile.gateway import site_view
 from cactusstile.gateway import target_limits
+from cactusstile.sites import ages
 from cactusstile.sites import limit_messages
-from cactusstile.sites import messages
 
 Send = collections.abc.Callable[[limit_messages.TargetLimitNotice, str], None]
 
-_MS_PER_S = 1000
-
 
 class LimitSharing:
     """Exchange of the limits that targets name.
@@ -46,7 +44,7 @@
             limit.target_id,
             limit.per_s is not None,
             limit.per_s or 0.0,
-            messages.age_ms(now_s - limit.heard_s),
+            ages.to_ms(now_s - limit.heard_s),
         )
         for receiver in self.site.other_gateways():
             self.send(message, receiver)
@@ -58,7 +56,7 @@
             return
         now_s = anyio.current_time()
         limit = view.notices.limit
-        heard_s = now_s - message.age_ms / _MS_PER_S
+        heard_s = now_s - ages.to_s(message.age_ms)
         if limit.record(message.per_s if message.is_limited else None, heard_s):
             # The sender has told all others.
             limit.told_s = now_s
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -19,7 +19,7 @@
 from cactusstile.gateway import site_view
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import evidence as evidences
-from cactusstile.sites import messages
+from cactusstile.sites import ages
 from cactusstile.sites import quarantine_messages
 
 Send = collections.abc.Callable[[quarantine_messages.PromptEvidence, str], None]
@@ -41,7 +41,6 @@
 MAX_ANSWER_DELAY_S = 0.02
 MAX_ENDS_PER_MESSAGE = 100
 MAX_ANSWERED_PER_MESSAGE = 500
-_MS_PER_S = 1000
 
 
 class Quarantine:
@@ -134,7 +133,7 @@
         """Applies what another gateway knows."""
         now_s = anyio.current_time()
         for answered in message.answered:
-            answered_s = now_s - answered.age_ms / _MS_PER_S
+            answered_s = now_s - ages.to_s(answered.age_ms)
             self.evidence.add_answer(answered.part, answered_s)
             self._untold.discard(answered.part)
         for end in message.ends:
@@ -142,7 +141,7 @@
                 end.target,
                 end.prompt,
                 frozenset(end.parts),
-                now_s - end.age_ms / _MS_PER_S,
+                now_s - ages.to_s(end.age_ms),
             )
             self.evidence.add_end(suspect)
             # The sender does not know of the answers that exonerate a part.
@@ -217,7 +216,7 @@
     ) -> tuple[quarantine_messages.AnsweredPart, ...]:
         return tuple(
             quarantine_messages.AnsweredPart(
-                part, messages.age_ms(now_s - self.evidence.answered[part])
+                part, ages.to_ms(now_s - self.evidence.answered[part])
             )
             for part in parts
             if part in self.evidence.answered
@@ -268,5 +267,5 @@
         suspect.target,
         suspect.prompt,
         tuple(sorted(suspect.parts)),
-        messages.age_ms(now_s - suspect.ended_s),
+        ages.to_ms(now_s - suspect.ended_s),
     )
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -11,6 +11,7 @@
 from cactusstile.control import attempts
 from cactusstile.limits import token_bucket
 from cactusstile.registry import store_contents
+from cactusstile.sites import ages
 from cactusstile.sites import announcements
 from cactusstile.sites import messages
 from cactusstile.transport import codec
@@ -113,7 +114,7 @@
         self.announcements = announcements.Announcements()
         self.record_announcements()
         self._confirmation_number = 0
-        self._confirmation = messages.Confirmation(messages.MAX_AGE_MS, ())
+        self._confirmation = messages.Confirmation(ages.MAX_AGE_MS, ())
         self._gateway_list = messages.GatewayList(())
         self._configuration = messages.ConfigurationInForce(0, b"")
         self._store_revision = 0
@@ -295,7 +296,7 @@
         announced = []
         for name, versions in self.announcements.by_model.items():
             for one in versions:
-                age_ms = messages.age_ms(now_s - one.announced_s)
+                age_ms = ages.to_ms(now_s - one.announced_s)
                 announced.append(
                     messages.AnnouncedWeights(name, one.version, age_ms)
                 )
@@ -350,7 +351,7 @@
         age_s = anyio.current_time() - self.listed_at_s
         members = self.replica.status().members
         control = tuple(peer.member.address for peer in members)
-        return messages.Confirmation(messages.age_ms(age_s), control)
+        return messages.Confirmation(ages.to_ms(age_s), control)
 
 
 def watch_handlers(
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -10,8 +10,6 @@
 from cactusstile.transport import codec
 
 _SCHEMA = codec.load_schema(__file__, "sites.capnp")
-MAX_AGE_MS = 2**32 - 1
-_MS_PER_S = 1000
 
 
 @codec.register(0, _SCHEMA, "NamedWeights")
@@ -79,7 +77,8 @@
     Attributes:
       model: The model.
       version: The version.
-      age_ms: Time since the announcement, in ms, at most `MAX_AGE_MS`.
+      age_ms: Time since the announcement, in ms, at most
+        `ages.MAX_AGE_MS`.
     """
 
     model: str
@@ -319,17 +318,6 @@
     fetches: tuple[ObservedFetch, ...]
 
 
-def age_ms(age_s: float) -> int:
-    """Returns an age in the unit of messages; see `MAX_AGE_MS`.
-
-    >>> age_ms(0.25), age_ms(float("inf")) == MAX_AGE_MS
-    (250, True)
-    """
-    if age_s * _MS_PER_S >= MAX_AGE_MS:
-        return MAX_AGE_MS
-    return max(0, int(age_s * _MS_PER_S))
-
-
 def encode_target(target: model.Target) -> ListedTarget:
     """Returns the message for a target."""
     weights = tuple(
