Keep one observer of answers for a request

The forwarder made an observer with the relay of a stream and replaced it before the first attempt, so the first one was never used. The relay's observer now begins anew with each attempt. No change of behaviour.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -174,9 +174,7 @@
                 break
             record.begin_attempt(view, anyio.current_time())
             attempts.record_start(view.target)
-            relay.observer = quarantines.AnswerObserver(
-                self.quarantine, admitted.prompt
-            )
+            relay.observer.begin_attempt()
             try:
                 await self.sender.send(admitted, view, relay, attempts, record)
                 record.end_attempt("answered", anyio.current_time())
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -224,7 +224,7 @@
 
 
 class AnswerObserver:
-    """Observes one attempt: whether the target answers its prompt.
+    """Observes the current attempt: whether the target answers its prompt.
 
     Attributes:
       quarantine: Is told of an answer that goes on.
@@ -236,6 +236,10 @@
         """Observes an attempt that has not been answered yet."""
         self.quarantine = quarantine
         self.prompt = prompt
+        self.begin_attempt()
+
+    def begin_attempt(self) -> None:
+        """Forgets how far the answer of an earlier target had come."""
         self.is_answered = False
         self._began_s: float | None = None
 
