Repeat ends of targets at their own interval only

The task that tells other gateways what is known of ends also repeated all ends whenever answers were due, up to 50 times a second while targets answer suspect parts, where the constant beside it says each half second. Up to 500 ends were decided on and encoded anew each time. Answers are now told by a task of their own.

--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -150,13 +150,18 @@
 
     async def run(self) -> None:
         """Tells other gateways what is known while the process runs."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._run_answers)
+            while True:
+                await anyio.sleep(REPEAT_INTERVAL_S)
+                self.repeat()
+
+    async def _run_answers(self) -> None:
         while True:
-            with anyio.move_on_after(REPEAT_INTERVAL_S):
-                await self._changed.wait()
-                await anyio.sleep(random.random() * MAX_ANSWER_DELAY_S)
+            await self._changed.wait()
+            await anyio.sleep(random.random() * MAX_ANSWER_DELAY_S)
             self._changed = anyio.Event()
             self.tell_answers()
-            self.repeat()
 
     def tell_answers(self) -> None:
         """Tells all gateways of the answers that they may not know."""
