--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-import attrs
 import pytest
+from tests.gateway import copies
 from tests.gateway import support
 from tests.support import raw_target
 
@@ -14,13 +14,8 @@
 pytestmark = pytest.mark.anyio
 
 PROMPT = prompts.parse("m", "800,796", "x:500,y:300", "250")
-FIELDS = (
-    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
-    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
-    b"X-Cactusstile-Length-Hint: 250\r\n"
-)
-ENGINE = model.Engine(8, 50_000, backs_up=True)
-WEIGHTS = (model.Weights("m", 3),)
+FIELDS = copies.FIELDS
+WEIGHTS = copies.WEIGHTS
 
 
 def engine(number: int, **changes: object) -> target_view.TargetView:
@@ -84,19 +79,12 @@
 
 def configuration() -> model.SiteConfiguration:
     once = support.route(model.Kind.STREAM, max_attempts=1)
-    plain = support.configuration(once)
-    services = {"plain": model.Service("plain", 0, ENGINE)}
-    return attrs.evolve(plain, services=services)
+    return copies.back_up(support.configuration(once))
 
 
 @pytest.fixture
 def first_has_ended(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Makes the engine "a" count as ended, although its fake still listens."""
-
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
+    copies.end_first(monkeypatch)
 
 
 @pytest.mark.usefixtures("first_has_ended")
--- a/tests/gateway/notices.py
+++ b/tests/gateway/notices.py
@@ -9,9 +9,7 @@
 
 from cactusstile.gateway import metrics
 from cactusstile.gateway import records
-from cactusstile.gateway.engines import backups
 from cactusstile.http import targets
-from cactusstile.sites import model
 from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
@@ -19,13 +17,6 @@
 
     import pytest
 
-WEIGHTS = (model.Weights("m", 3),)
-PROMPT = (
-    b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 800,796\r\n"
-    b"X-Cactusstile-Prompt-Prefix: x:500,y:300\r\n"
-    b"X-Cactusstile-Length-Hint: 250\r\n"
-)
-
 
 @attrs.frozen
 class HeldConnect:
@@ -57,20 +48,6 @@
     return held
 
 
-def back_up(
-    monkeypatch: pytest.MonkeyPatch, config: model.SiteConfiguration
-) -> model.SiteConfiguration:
-    """Returns `config` with engines that copy runs; engine "a" has ended."""
-
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
-
-    monkeypatch.setattr(backups, "has_ended", has_ended)
-    engine = model.Engine(8, 50_000, backs_up=True)
-    services = {"plain": model.Service("plain", 0, engine)}
-    return attrs.evolve(config, services=services)
-
-
 def count_notices(
     ended: collections.abc.Iterable[records.RequestRecord], notice: str
 ) -> float | None:
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 import pytest
+from tests.gateway import copies
 from tests.gateway import notices
 from tests.gateway import support
 from tests.support import raw_target
@@ -14,8 +15,8 @@
 
 pytestmark = pytest.mark.anyio
 STREAM = model.Kind.STREAM
-PROMPT = notices.PROMPT
-WEIGHTS = notices.WEIGHTS
+PROMPT = copies.FIELDS
+WEIGHTS = copies.WEIGHTS
 LEAVING = b"Server-Leaving: 1\r\n"
 NOT_RUN = b"X-Cactusstile-Not-Executed: 1\r\n"
 SEALED = raw_target.SEAL + LEAVING
@@ -250,18 +251,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     once = support.route(STREAM, max_attempts=1)
-    config = notices.back_up(monkeypatch, support.configuration(once))
+    copies.end_first(monkeypatch)
+    config = copies.back_up(support.configuration(once))
     gate = anyio.Event()
     begin = raw_target.stream_events([1, 2], whole=False)
     scripts = [raw_target.in_turn(begin, gate, raw_target.send_raw(b""))]
     leaving = [leaving_stream(), raw_target.stream_events([3, 4])]
     async with (
-        raw_target.open_target(
-            *scripts, id="a", weights=notices.WEIGHTS
-        ) as first,
-        raw_target.open_target(
-            *leaving, id="b", weights=notices.WEIGHTS
-        ) as second,
+        raw_target.open_target(*scripts, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(*leaving, id="b", weights=WEIGHTS) as second,
         support.open_harness(config, first, second) as harness,
         await harness.connect() as caller,
     ):
--- a/tests/gateway/test_target_pauses.py
+++ b/tests/gateway/test_target_pauses.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 import pytest
+from tests.gateway import copies
 from tests.gateway import notices
 from tests.gateway import support
 from tests.support import raw_target
@@ -14,8 +15,8 @@
 pytestmark = pytest.mark.anyio
 ONCE = model.Kind.ONCE
 STREAM = model.Kind.STREAM
-PROMPT = notices.PROMPT
-WEIGHTS = notices.WEIGHTS
+PROMPT = copies.FIELDS
+WEIGHTS = copies.WEIGHTS
 NOT_RUN = b"X-Cactusstile-Not-Executed: 1\r\n"
 # Longer than the back-off after a plain rejection.
 BACKOFF_S = 0.1
@@ -254,18 +255,15 @@
 async def test_run_is_resumed_at_a_target_within_its_pause(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    config = notices.back_up(monkeypatch, configuration(STREAM, max_attempts=1))
+    copies.end_first(monkeypatch)
+    config = copies.back_up(configuration(STREAM, max_attempts=1))
     gate = anyio.Event()
     begin = raw_target.stream_events([1, 2], whole=False)
     scripts = [raw_target.in_turn(begin, gate, raw_target.send_raw(b""))]
     pauses = [pause(b"9"), raw_target.stream_events([3, 4])]
     async with (
-        raw_target.open_target(
-            *scripts, id="a", weights=notices.WEIGHTS
-        ) as first,
-        raw_target.open_target(
-            *pauses, id="b", weights=notices.WEIGHTS
-        ) as second,
+        raw_target.open_target(*scripts, id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(*pauses, id="b", weights=WEIGHTS) as second,
         support.open_harness(config, first, second) as harness,
         await harness.connect() as caller,
     ):
