Name the fingerprint of a request that a target broke off in its log line

Plain requests have no parts, so nothing in their log line tells them apart.

A broken attempt's log line now holds the fingerprint of its request: a hash of workspace, method, host, path with query, body and prompt. Fields that differ between two sendings (ids, deadlines, the event to resume after) are left out. Nothing decides by it yet. part_key moves beside it.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from cactusstile import verdict
 from cactusstile.gateway import priorities
 from cactusstile.gateway import routes
 from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.quarantine import request_keys
 from cactusstile.http import messages
 from cactusstile.platform import headers
 from cactusstile.sites import model
@@ -67,6 +70,12 @@
     resumed_id: str
     version: int
 
+    @functools.cached_property
+    def keys(self) -> request_keys.RequestKeys:
+        """Keys under which targets may end."""
+        caller = "" if self.workspace is None else self.workspace.name
+        return request_keys.compute(self.request, caller, self.prompt)
+
 
 def admit(
     table: routes.RoutingTable, request: messages.Request
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -180,7 +180,7 @@
                 record.end_attempt("answered", anyio.current_time())
                 return
             except exchange.AttemptError as error:
-                record.end_attempt(error.reason, anyio.current_time())
+                record.fail_attempt(admitted, error, anyio.current_time())
                 attempts.record_failure(error)
                 await self._record_failure(view, error, relay.observer)
                 if await self._may_go_on(service, attempts, view, relay, error):
--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -14,7 +14,6 @@
 
 import collections
 import collections.abc
-import hashlib
 
 import attrs
 
@@ -34,13 +33,6 @@
 MAX_ENDS = 500
 MAX_ENDED_TARGETS = 2000
 MAX_ANSWERED_PARTS = 20_000
-_KEY_BYTES = 8
-
-
-def part_key(part_id: str) -> str:
-    """Returns the key of a part, which has a fixed length."""
-    data = part_id.encode(errors="surrogateescape")
-    return hashlib.blake2b(data, digest_size=_KEY_BYTES).hexdigest()
 
 
 @attrs.frozen
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -19,6 +19,7 @@
 from cactusstile.gateway import site_view
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import evidence as evidences
+from cactusstile.gateway.quarantine import request_keys
 from cactusstile.sites import ages
 from cactusstile.sites import quarantine_messages
 
@@ -106,7 +107,7 @@
         now_s = anyio.current_time()
         suspect = evidences.SuspectPrompt(
             target_id,
-            evidences.part_key(prompt.parts[-1].id),
+            request_keys.part_key(prompt.parts[-1].id),
             _shared_keys(prompt),
             ended_s,
         )
@@ -266,7 +267,9 @@
 
 
 def _shared_keys(prompt: prompts.Prompt) -> frozenset[str]:
-    return frozenset(evidences.part_key(part) for part in prompt.shared_ids())
+    return frozenset(
+        request_keys.part_key(part) for part in prompt.shared_ids()
+    )
 
 
 def _encode_end(
--- /dev/null
+++ b/src/cactusstile/gateway/quarantine/request_keys.py
@@ -0,0 +1,74 @@
+"""Keys of what requests have in common, under which targets may end."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+import typing
+
+import attrs
+
+if typing.TYPE_CHECKING:
+    from cactusstile.gateway.engines import prompts
+    from cactusstile.http import messages
+
+_PART_KEY_BYTES = 8
+# A caller chooses most of what a fingerprint covers, so that it must be long
+# enough to make a collision infeasible.
+_FINGERPRINT_BYTES = 16
+_LENGTH_BYTES = 8
+
+
+def part_key(part_id: str) -> str:
+    """Returns the key of a part, which has a fixed length."""
+    data = part_id.encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=_PART_KEY_BYTES).hexdigest()
+
+
+@attrs.frozen
+class RequestKeys:
+    """Keys of a request.
+
+    Attributes:
+      request: Fingerprint of the request; the same if a caller repeats it.
+      parts: Keys of the prompt's parts that other prompts may share.
+    """
+
+    request: str
+    parts: frozenset[str] = frozenset()
+
+    @functools.cached_property
+    def all(self) -> frozenset[str]:
+        """All keys."""
+        return self.parts | {self.request}
+
+
+def compute(
+    request: messages.Request, caller: str, prompt: prompts.Prompt
+) -> RequestKeys:
+    """Returns the keys of a request.
+
+    Header fields that differ between two sendings, such as ids, deadlines and
+    the event after which a stream resumes, are left out.
+
+    Args:
+      request: The request.
+      caller: Name of the caller's workspace; empty if it has none.
+      prompt: Prompt as described by the header fields.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    fields = [
+        caller.encode(errors="surrogateescape"),
+        request.method,
+        (request.find(b"host") or "").lower().encode("latin-1"),
+        request.target,
+        request.body,
+        prompt.model.encode(errors="surrogateescape"),
+    ]
+    for part in prompt.parts:
+        fields.append(part.id.encode(errors="surrogateescape"))
+    for field in fields:
+        digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(field)
+    parts = frozenset(part_key(part) for part in prompt.shared_ids())
+    return RequestKeys(digest.hexdigest(), parts)
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -47,6 +47,8 @@
       limit_per_s: Requests per second that the target takes from all senders;
         None if it names no limit.
       shared_parts: Ids of the prompt's parts that other prompts may share.
+      fingerprint: Fingerprint of the request; empty unless the target may have
+        ended under it.
     """
 
     target: str
@@ -69,6 +71,7 @@
     pause_s: float = 0.0
     limit_per_s: float | None = None
     shared_parts: tuple[str, ...] = ()
+    fingerprint: str = ""
 
     def fields(self, received_s: float, ended_s: float) -> dict[str, object]:
         """Returns the attempt's fields in the log line of the request."""
@@ -114,6 +117,8 @@
             fields["events"] = self.events
         if self.outcome in _BROKEN and not self.events:
             fields["parts"] = self.shared_parts
+        if self.fingerprint:
+            fields["fingerprint"] = self.fingerprint
         return fields
 
 
@@ -218,6 +223,17 @@
         self.attempts[-1].outcome = outcome
         self.attempts[-1].ended_s = now_s
 
+    def fail_attempt(
+        self,
+        admitted: admission.AdmittedRequest,
+        error: exchange.AttemptError,
+        now_s: float,
+    ) -> None:
+        """Records why the current attempt failed."""
+        self.end_attempt(error.reason, now_s)
+        if error.is_broken_off:
+            self.attempts[-1].fingerprint = admitted.keys.request
+
     def close(self, responder: responders.Responder, now_s: float) -> None:
         """Records what the caller received."""
         self.status = responder.status
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -16,6 +16,7 @@
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import evidence
 from cactusstile.gateway.quarantine import quarantine
+from cactusstile.gateway.quarantine import request_keys
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
 
@@ -154,7 +155,7 @@
     prompt = prompts.parse("m", "15,5", "all:5,rare2:5,2:5")
     known.record_end("t1", prompt, anyio.current_time())
     (end,) = sent[0].ends
-    assert end.parts == (evidence.part_key("rare2"),)
+    assert end.parts == (request_keys.part_key("rare2"),)
 
 
 async def test_each_of_hundreds_of_ends_costs_a_decision(
--- a/tests/gateway/test_records.py
+++ b/tests/gateway/test_records.py
@@ -53,6 +53,23 @@
     assert logged["parts"] == ("a", "b")
 
 
+async def test_record_hides_which_request_a_target_broke_off() -> None:
+    cut = raw_target.send_raw(b"", with_head=True)
+    bodies = [b"same", b"same", b"other"]
+    async with raw_target.open_target(cut, cut, cut) as target:
+        config = support.configuration(support.route(max_attempts=1))
+        async with support.open_harness(config, target) as harness:
+            for number, body in enumerate(bodies):
+                rest = b"X-Cactusstile-Deadline-Ms: 9%d\r\n" % number
+                request = support.request(b"POST", rest, body)
+                await harness.ask(request.replace(b": one", b": %d" % number))
+    first, again, other = [
+        record.fields()["attempts"][0]["fingerprint"]
+        for record in harness.records
+    ]
+    assert first == again != other
+
+
 async def test_record_hides_the_limit_that_a_target_names() -> None:
     fields = raw_target.SEAL + b"Server-Limit: 1.4\r\n"
     async with raw_target.open_target(raw_target.answer(rest=fields)) as target:
