Add a failing test for a request that ends one target after another

Over sockets, two gateways in front of 14 targets send such a request to all 14, by idempotent routes, by those that run a request once, and by streams whose prompt has no parts; 3 ends and 3 arrivals after them are the users' rule.

--- /dev/null
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -0,0 +1,98 @@
+"""Requests under which each target that runs them ends."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import pytest
+from tests.gateway import support
+from tests.support import raw_target
+
+from cactusstile.sites import model
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+pytestmark = pytest.mark.anyio
+TARGETS = 14
+# Time that a target runs the request before it ends.
+RUN_S = 0.05
+PAUSE_S = 0.1
+# The users' rule: ends that are forgiven, and arrivals after them.
+FORGIVEN_ENDS = 3
+FORGIVEN_ARRIVALS = 3
+BAD = b"/a/bad"
+ROUTES = {
+    "idempotent": support.route(),
+    "once": support.route(model.Kind.ONCE),
+    "stream": support.route(model.Kind.STREAM, resumable=True, objective_s=1.0),
+}
+
+
+def request(number: int, path: bytes) -> bytes:
+    """Returns a request; only its id differs from that of another number."""
+    return (
+        support.request(b"POST", body=b"the same")
+        .replace(b"Id: one", b"Id: %d" % number)
+        .replace(b"/a/x?q=1", path)
+    )
+
+
+def end_under_bad_path(
+    target: raw_target.RawTarget, kind: model.Kind
+) -> raw_target.Script:
+    """Returns a script that ends the target under the bad path."""
+    answer = raw_target.answer()
+    if kind is model.Kind.STREAM:
+        answer = raw_target.stream_events([1])
+
+    async def run(stream: anyio.abc.SocketStream, data: bytes) -> bool:
+        if BAD not in data:
+            return await answer(stream, data)
+        await anyio.sleep(RUN_S)
+        await target.end()
+        return False
+
+    return run
+
+
+@contextlib.asynccontextmanager
+async def open_targets(
+    count: int, kind: model.Kind
+) -> collections.abc.AsyncIterator[list[raw_target.RawTarget]]:
+    async with contextlib.AsyncExitStack() as stack:
+        opened = []
+        for number in range(count):
+            target = await stack.enter_async_context(
+                raw_target.open_target(id=f"t-{number}")
+            )
+            target.scripts += [end_under_bad_path(target, kind)] * 100
+            opened.append(target)
+        yield opened
+
+
+def count_arrivals(targets: list[raw_target.RawTarget]) -> int:
+    received = [data for target in targets for data in target.requests]
+    return sum(BAD in data for data in received)
+
+
+@pytest.mark.parametrize("route", ROUTES)
+async def test_request_that_comes_again_ends_one_target_after_another(
+    route: str,
+) -> None:
+    config = support.configuration(ROUTES[route])
+    statuses = []
+    async with (
+        open_targets(TARGETS, ROUTES[route].kind) as targets,
+        support.open_gateways(2, config, targets) as gateways,
+    ):
+        for number in range(TARGETS):
+            gateway = gateways[number % 2]
+            await gateway.ask(request(number, BAD))
+            data = await gateway.ask(request(100 + number, b"/a/good"))
+            statuses.append(support.status(data))
+            await anyio.sleep(PAUSE_S)
+    assert count_arrivals(targets) <= FORGIVEN_ENDS + FORGIVEN_ARRIVALS
+    assert statuses == [200] * TARGETS
