Quarantine whole requests under which targets end, not only parts of prompts

Cause: the evidence knew parts of prompts only. record_end returned at once for a request with fewer than two parts, so requests to plain services and prompts without parts were forgotten; a prompt that comes again was left out by MIN_PROMPTS and by its last part being its own.

Change: a request's own fingerprint is one more key of the same evidence, instead of a second mechanism beside it. Exoneration, one cause, merging and repeats are as before. A set that holds the key of the only request at its ends needs no second request. Of sets that do not hold each other the one at the most ends comes first, and two requests at equally many ends that share one are both left alone until another end tells them apart: with four targets that end within 0.4 s a sound request can be at three of them. Whole answers of plain services exonerate now, too; a target's own 5xx does not. The oldest end of a request that did not come again is dropped first, so that a mass crash does not crowd out one that does. The decision is a module of its own; "prompts" became "requests" in messages and logs.

One check of test_part_that_all_prompts_share is replaced: the ends of nine requests stay known now, as each is suspect itself; it demands instead that none of their parts is, and that answers to them remove them all.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -101,9 +101,9 @@
                 "granted": budget.granted,
                 "denied": budget.denied,
             },
-            "quarantined_parts": [
-                sorted(parts)
-                for parts in self.forwarder.quarantine.evidence.quarantined
+            "quarantined": [
+                sorted(keys)
+                for keys in self.forwarder.quarantine.evidence.quarantined
             ],
             "targets": views,
         }
@@ -237,7 +237,7 @@
         limit_messages.TargetLimitNotice: limits.receive,
         stream_messages.BegunStreams: forwarder.directory.receive,
         stream_messages.FindStream: forwarder.directory.receive,
-        quarantine_messages.PromptEvidence: forwarder.quarantine.receive,
+        quarantine_messages.EndEvidence: forwarder.quarantine.receive,
     }
     sender = forwarder.sender
     sender.announce_prompt = exchange.sharing.queue_prompt
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -50,6 +50,11 @@
     head: messages.ResponseHead
     body: bytes
 
+    @property
+    def was_run(self) -> bool:
+        """Whether the target ran the request."""
+        return self.head.find(headers.NOT_RUN) is None
+
 
 class AttemptError(Exception):
     """Raised when an attempt failed.
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -50,7 +50,7 @@
       queue: Prompts that wait for an engine with room.
       sender: Sends a request to one target.
       directory: Knows where streams began that callers resume.
-      quarantine: Prompts that must not be sent to targets.
+      quarantine: Requests that must not be sent to targets.
       stop_at_s: Loop time at which the process stops; None unless it is
         stopping.
     """
@@ -199,13 +199,13 @@
         """Returns the target of the next attempt; None if none is left.
 
         Raises:
-          RefusedError: Targets end under the prompt, or none has room for it.
+          RefusedError: Targets end under the request, or none has room.
         """
         outcome = attempts.final_verdict()
-        self.quarantine.refuse_if_held(admitted.prompt, outcome)
+        self.quarantine.refuse_if_held(admitted.keys, outcome)
         view = await self.queue.choose_target(admitted, service, attempts)
-        # The prompt may have waited while targets ended.
-        self.quarantine.refuse_if_held(admitted.prompt, outcome)
+        # It may have waited while targets ended.
+        self.quarantine.refuse_if_held(admitted.keys, outcome)
         return view
 
     async def _record_failure(
@@ -214,15 +214,13 @@
         error: exchange.AttemptError,
         observer: quarantines.AnswerObserver,
     ) -> None:
-        """Records a failure of a target, and the prompt if it ended then."""
+        """Records a failure of a target, and the request if it ended then."""
         self.dispatcher.record_failure(view, error)
         if observer.is_answered or not error.is_broken_off:
             return
         broken_s = anyio.current_time()
         if await backups.has_ended(view.target):
-            self.quarantine.record_end(
-                view.target.id, observer.prompt, broken_s
-            )
+            observer.record_end(view.target.id, broken_s)
 
     async def _find_origin(
         self, admitted: admission.AdmittedRequest
@@ -270,7 +268,7 @@
             responder,
             admitted.last_event_id,
             record_origin,
-            quarantines.AnswerObserver(self.quarantine, admitted.prompt),
+            quarantines.AnswerObserver(self.quarantine, admitted.keys),
         )
 
     async def _may_go_on(
--- a/src/cactusstile/gateway/peers/datagram_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -1,8 +1,8 @@
 """Exchanges datagrams with other gateways.
 
 They tell the loads on each target (see `load_sharing`), where streams began
-(see `stream_directory`), under which prompts targets end (see `quarantine`) and
-which limits targets name (see `limit_sharing`).
+(see `stream_directory`), under which requests targets end (see `quarantine`)
+and which limits targets name (see `limit_sharing`).
 """
 
 from __future__ import annotations
--- a/src/cactusstile/gateway/peers/datagrams.py
+++ b/src/cactusstile/gateway/peers/datagrams.py
@@ -17,7 +17,7 @@
     LoadMessage
     | stream_messages.BegunStreams
     | stream_messages.FindStream
-    | quarantine_messages.PromptEvidence
+    | quarantine_messages.EndEvidence
     | limit_messages.TargetLimitNotice
 )
 MAC_BYTES = 16
--- a/src/cactusstile/gateway/quarantine/__init__.py
+++ b/src/cactusstile/gateway/quarantine/__init__.py
@@ -1,3 +1,3 @@
-"""Keeps prompts under which targets end away from the targets."""
+"""Keeps requests under which targets end away from the targets."""
 
 from __future__ import annotations
--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -1,13 +1,8 @@
-"""Decides which parts of prompts end targets, from what gateways observed.
+"""What gateways observed of targets that ended, and of answers.
 
-One end of a target proves nothing: all prompts that it had not answered yet are
-equally suspect. Parts that recur at the ends of several targets, and that no
-target answers meanwhile, are held responsible together. What is known merges in
-any order and any number of times to the same decision.
-
-The load that this answers: a few requests a second with one part under which
-each target ends, beside sound requests that share their other parts, and ends
-of many targets at once for reasons of their own.
+One end of a target proves nothing: all requests that it had not answered yet
+are equally suspect, and so is each part of their prompts. What is known merges
+in any order and any number of times to the same decision; see `decision`.
 """
 
 from __future__ import annotations
@@ -17,113 +12,92 @@
 
 import attrs
 
-# Times that a target ends under a set of parts before it is quarantined.
-MIN_ENDS = 3
-# Targets that end within this time of each other have one cause, such as the
-# loss of a rack. They count once, for parts that most of them were sent.
-ONE_CAUSE_S = 0.1
-# Prompts that these targets had not answered: one that is sent again and again
-# tells nothing about its parts.
-MIN_PROMPTS = 2
-# An answer exonerates a part of the ends until this time after it: a part that
-# nearly all prompts share is at each end of a target.
+from cactusstile.gateway.quarantine import decision
+
+# An answer exonerates its request and parts of the ends until this time after
+# it: a part that nearly all prompts share is at each end of a target.
 EXONERATION_S = 2.0
 # Time for which an end of a target counts.
 RETENTION_S = 600.0
 MAX_ENDS = 500
 MAX_ENDED_TARGETS = 2000
-MAX_ANSWERED_PARTS = 20_000
-
-
-@attrs.frozen
-class SuspectPrompt:
-    """A prompt that a target had not answered when it ended.
-
-    Attributes:
-      target: Id of the target's incarnation.
-      prompt: Key of the prompt's last part.
-      parts: Keys of its other parts.
-      ended_s: Loop time at which the target ended.
-    """
-
-    target: str
-    prompt: str
-    parts: frozenset[str]
-    ended_s: float
+MAX_ANSWERED_KEYS = 20_000
 
 
 @attrs.define
 class Evidence:
-    """Ends of targets, answers, and the quarantined sets of parts.
+    """Ends of targets, answers, and the quarantined sets of keys.
 
     Attributes:
-      ends: Suspect prompts by target and prompt, oldest first.
-      ended: Loop time of each target's end, also of those whose prompts are
+      ends: Suspect requests by target and request, oldest first.
+      ended: Loop time of each target's end, also of those whose requests are
         no longer suspect; oldest first.
-      answered: Loop time of the last answer by part, oldest first.
-      suspect_parts: Parts that an end of a target makes suspect.
-      quarantined: Sets of parts; a prompt that holds all parts of one of them
+      answered: Loop time of the last answer by key, oldest first.
+      suspect_keys: Keys that an end of a target makes suspect.
+      quarantined: Sets of keys; a request that has all keys of one of them
         must not be sent to targets.
       is_stale: Whether something was added since the last decision.
     """
 
-    ends: dict[tuple[str, str], SuspectPrompt] = attrs.field(factory=dict)
+    ends: dict[tuple[str, str], decision.SuspectRequest] = attrs.field(
+        factory=dict
+    )
     ended: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
     answered: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
-    suspect_parts: frozenset[str] = frozenset()
+    suspect_keys: frozenset[str] = frozenset()
     quarantined: tuple[frozenset[str], ...] = ()
     is_stale: bool = False
 
-    def add_end(self, suspect: SuspectPrompt) -> bool:
-        """Adds a suspect prompt; returns False if it tells nothing new."""
+    def add_end(self, suspect: decision.SuspectRequest) -> bool:
+        """Adds a suspect request; returns False if it was known already."""
         ended_s = self.ended.setdefault(suspect.target, suspect.ended_s)
         self.ended[suspect.target] = min(ended_s, suspect.ended_s)
         if len(self.ended) > MAX_ENDED_TARGETS:
             self.ended.popitem(last=False)
-        parts = self.unanswered(suspect)
-        key = suspect.target, suspect.prompt
+        if self.is_answered(suspect):
+            return False
+        key = suspect.target, suspect.request
         known = self.ends.get(key)
-        if known is not None:
-            # Another gateway knows of answers that exonerate some of its parts.
-            suspect = known
-            parts &= known.parts
-        if not parts or (known is not None and parts == known.parts):
+        merged = self._without_answered_parts(_merge(known, suspect))
+        if merged == known:
             return False
-        self.ends[key] = attrs.evolve(suspect, parts=parts)
+        self.ends[key] = merged
         if len(self.ends) > MAX_ENDS:
-            del self.ends[next(iter(self.ends))]
+            self._drop_one_end()
         self.is_stale = True
         return known is None
 
-    def add_answer(self, part: str, answered_s: float) -> None:
-        """Adds that a target answered a prompt with a part."""
-        newest_s = max(answered_s, self.answered.pop(part, answered_s))
-        self.answered[part] = newest_s
-        self.is_stale |= part in self.suspect_parts
-        if len(self.answered) > MAX_ANSWERED_PARTS:
+    def add_answer(self, key: str, answered_s: float) -> None:
+        """Adds that a target answered a request with a key."""
+        newest_s = max(answered_s, self.answered.pop(key, answered_s))
+        self.answered[key] = newest_s
+        self.is_stale |= key in self.suspect_keys
+        if len(self.answered) > MAX_ANSWERED_KEYS:
             self.answered.popitem(last=False)
 
-    def is_quarantined(self, parts: collections.abc.Set[str]) -> bool:
-        """Returns whether a prompt with these parts must not be sent."""
-        return any(held <= parts for held in self.quarantined)
+    def is_quarantined(self, keys: collections.abc.Set[str]) -> bool:
+        """Returns whether a request with these keys must not be sent."""
+        return any(held <= keys for held in self.quarantined)
 
     def remaining_s(self, now_s: float) -> float:
         """Returns the time until the newest end of a target is forgotten."""
         newest_s = max((one.ended_s for one in self.ends.values()), default=0.0)
         return max(0.0, newest_s + RETENTION_S - now_s)
 
-    def unanswered(self, suspect: SuspectPrompt) -> frozenset[str]:
-        """Returns the parts of a prompt that no answer exonerates."""
-        parts = []
-        for part in suspect.parts:
-            answered_s = self.answered.get(part, float("-inf"))
-            if answered_s + EXONERATION_S < suspect.ended_s:
-                parts.append(part)
-        return frozenset(parts)
+    def is_answered(self, suspect: decision.SuspectRequest) -> bool:
+        """Returns whether an answer exonerates a request with all its parts."""
+        return self._exonerates(suspect.request, suspect.ended_s)
+
+    def answered_keys(self, suspect: decision.SuspectRequest) -> frozenset[str]:
+        """Returns the keys of a suspect request that answers exonerate."""
+        keys = suspect.parts | {suspect.request}
+        return frozenset(
+            key for key in keys if self._exonerates(key, suspect.ended_s)
+        )
 
     def decide(self, now_s: float) -> None:
         """Drops what proves nothing and decides what is quarantined."""
@@ -134,110 +108,46 @@
                 break
             self.ended.popitem(last=False)
         for key, suspect in list(self.ends.items()):
-            parts = self.unanswered(suspect)
-            if not parts or now_s - suspect.ended_s > RETENTION_S:
+            is_old = now_s - suspect.ended_s > RETENTION_S
+            if is_old or self.is_answered(suspect):
                 del self.ends[key]
-            elif parts != suspect.parts:
-                self.ends[key] = attrs.evolve(suspect, parts=parts)
+                continue
+            self.ends[key] = self._without_answered_parts(suspect)
         suspects = list(self.ends.values())
-        self.suspect_parts = frozenset().union(*(one.parts for one in suspects))
-        self.quarantined = find_responsible(suspects, self.ended)
-
-
-def find_responsible(
-    suspects: collections.abc.Sequence[SuspectPrompt],
-    ended: collections.abc.Mapping[str, float],
-) -> tuple[frozenset[str], ...]:
-    """Returns the sets of parts that explain the ends of targets.
-
-    The largest sets come first, so that a part that sound prompts share is not
-    held responsible for what a larger set explains.
-
-    Args:
-      suspects: Prompts that targets had not answered when they ended.
-      ended: Loop time of the end of each target.
-
-    >>> both = frozenset("ab")
-    >>> ends = [SuspectPrompt(f"t{n}", f"p{n}", both, n) for n in range(3)]
-    >>> other = SuspectPrompt("t0", "p9", frozenset("a"), 0.0)
-    >>> ended = {one.target: one.ended_s for one in ends}
-    >>> [sorted(parts) for parts in find_responsible([other, *ends], ended)]
-    [['a', 'b']]
-    """
-    groups = _group_by_recurring_parts(suspects)
-    sets = set(groups)
-    for held in groups:
-        sets.update(frozenset((part,)) for part in held)
-    explained: set[str] = set()
-    found = []
-    for parts in sorted(sets, key=lambda one: (-len(one), sorted(one))):
-        unexplained = []
-        for held, group in groups.items():
-            if parts <= held:
-                unexplained += _without(group, explained)
-        targets = {suspect.target for suspect in unexplained}
-        if count_causes(targets, ended) < MIN_ENDS:
-            continue
-        if len({suspect.prompt for suspect in unexplained}) < MIN_PROMPTS:
-            continue
-        explained |= targets
-        found.append(parts)
-    return tuple(found)
-
-
-def _without(
-    group: list[SuspectPrompt], targets: set[str]
-) -> list[SuspectPrompt]:
-    """Returns the prompts that were at other targets."""
-    return [suspect for suspect in group if suspect.target not in targets]
-
-
-def count_causes(
-    targets: collections.abc.Set[str],
-    ended: collections.abc.Mapping[str, float],
-) -> int:
-    """Returns how often targets ended for a cause that they share.
-
-    Args:
-      targets: Targets that were sent some parts.
-      ended: Loop time of the end of each target, also of others.
-
-    >>> ended = {"a": 5.0, "b": 5.05, "c": 7.0, "d": 7.05, "e": 9.0}
-    >>> count_causes({"a", "b", "c", "e"}, ended)
-    2
-    """
-    count = 0
-    counted_s = float("-inf")
-    for at_s in sorted(ended[target] for target in targets & ended.keys()):
-        if at_s - counted_s <= ONE_CAUSE_S:
-            continue
-        counted_s = at_s
-        together = {
-            target
-            for target, ended_s in ended.items()
-            if abs(ended_s - at_s) <= ONE_CAUSE_S
-        }
-        if len(together & targets) > len(together - targets):
-            count += 1
-    return count
-
-
-def _group_by_recurring_parts(
-    suspects: collections.abc.Sequence[SuspectPrompt],
-) -> dict[frozenset[str], list[SuspectPrompt]]:
-    """Returns the prompts by those parts that recur at enough targets."""
-    targets: dict[str, set[str]] = collections.defaultdict(set)
-    for suspect in suspects:
-        for part in suspect.parts:
-            targets[part].add(suspect.target)
-    recurring = {
-        part for part, ended in targets.items() if len(ended) >= MIN_ENDS
-    }
-    groups: dict[frozenset[str], list[SuspectPrompt]] = collections.defaultdict(
-        list
+        self.suspect_keys = frozenset().union(*(one.keys for one in suspects))
+        self.quarantined = decision.find_responsible(suspects, self.ended)
+
+    def _drop_one_end(self) -> None:
+        """Drops the oldest end, of a request that did not come again if any."""
+        times = collections.Counter(request for _, request in self.ends)
+        for key in self.ends:
+            if times[key[1]] == 1:
+                del self.ends[key]
+                return
+        del self.ends[next(iter(self.ends))]
+
+    def _without_answered_parts(
+        self, suspect: decision.SuspectRequest
+    ) -> decision.SuspectRequest:
+        answered = self.answered_keys(suspect)
+        if not answered:
+            return suspect
+        return attrs.evolve(suspect, parts=suspect.parts - answered)
+
+    def _exonerates(self, key: str, ended_s: float) -> bool:
+        answered_s = self.answered.get(key, float("-inf"))
+        return answered_s + EXONERATION_S >= ended_s
+
+
+def _merge(
+    known: decision.SuspectRequest | None, other: decision.SuspectRequest
+) -> decision.SuspectRequest:
+    """Returns what two observations of a request at a target tell together."""
+    if known is None:
+        return other
+    return attrs.evolve(
+        known,
+        parts=known.parts & other.parts,
+        sent_s=max(known.sent_s, other.sent_s),
+        ended_s=min(known.ended_s, other.ended_s),
     )
-    for suspect in suspects:
-        held = suspect.parts & recurring
-        if held:
-            groups[held].append(suspect)
-    return groups
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -1,8 +1,9 @@
-"""Refuses prompts under which targets end, together with other gateways.
+"""Refuses requests under which targets end, together with other gateways.
 
-A gateway tells all others at once of a target that ended under its prompts, and
-of answers that exonerate a suspect part. What it knows is repeated to a few
-gateways at a time, which reaches those that start and replaces lost datagrams.
+A gateway tells all others at once of a target that ended under its requests,
+and of answers that exonerate a suspect key. What it knows is repeated to a few
+gateways at a time, which reaches those that start and replaces lost
+datagrams.
 
 The module does no I/O; see `datagram_exchange`.
 """
@@ -17,27 +18,25 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import site_view
-from cactusstile.gateway.engines import prompts
+from cactusstile.gateway.quarantine import decision
 from cactusstile.gateway.quarantine import evidence as evidences
 from cactusstile.gateway.quarantine import request_keys
 from cactusstile.sites import ages
 from cactusstile.sites import quarantine_messages
 
-Send = collections.abc.Callable[[quarantine_messages.PromptEvidence, str], None]
+Send = collections.abc.Callable[[quarantine_messages.EndEvidence, str], None]
 
 logger = logging.getLogger(__name__)
 
-# The last part of a prompt is its own and tells nothing about other prompts.
-MIN_PARTS = 2
-# Time for which an answer must have gone on before it exonerates its prompt.
+# Time for which an answer must have gone on before it exonerates its request.
 SETTLING_S = 0.2
 # Time between two repeats, and the gateways that one goes to.
 REPEAT_INTERVAL_S = 0.5
 REPEAT_RECEIVERS = 2
-# Shortest time between two decisions, for each suspect prompt: many targets may
-# end together under hundreds.
+# Shortest time between two decisions, for each suspect request: many targets
+# may end together under hundreds.
 DECISION_INTERVAL_PER_END_S = 0.00005
-# Longest wait before answers are told: most gateways exonerate a common part at
+# Longest wait before answers are told: most gateways exonerate a common key at
 # the same time, and the first to tell it spares the others.
 MAX_ANSWER_DELAY_S = 0.02
 MAX_ENDS_PER_MESSAGE = 100
@@ -45,7 +44,7 @@
 
 
 class Quarantine:
-    """Evidence against parts of prompts, shared with other gateways.
+    """Evidence against requests, shared with other gateways.
 
     Attributes:
       site: Local view of the site, with the list of gateways.
@@ -62,92 +61,86 @@
         self._untold: set[str] = set()
         self._changed = anyio.Event()
 
-    def is_held(self, prompt: prompts.Prompt) -> bool:
-        """Returns whether a prompt must not be sent to targets."""
+    def is_held(self, keys: request_keys.RequestKeys) -> bool:
+        """Returns whether a request must not be sent to targets."""
         ends = len(self.evidence.ends)
         self._decide(DECISION_INTERVAL_PER_END_S * ends)
         if not self.evidence.quarantined:
             return False
-        return self.evidence.is_quarantined(_shared_keys(prompt))
+        return self.evidence.is_quarantined(keys.all)
 
     def refuse_if_held(
-        self, prompt: prompts.Prompt, outcome: verdict.Verdict
+        self, keys: request_keys.RequestKeys, outcome: verdict.Verdict
     ) -> None:
-        """Refuses a prompt that must not be sent to targets.
+        """Refuses a request that must not be sent to targets.
 
         Args:
-          prompt: The prompt.
+          keys: Keys of the request.
           outcome: Whether the request may have run.
 
         Raises:
-          RefusedError: Targets end under prompts with the same parts.
+          RefusedError: Targets end under the request, or under prompts with
+            the same parts.
         """
-        if not self.is_held(prompt):
+        if not self.is_held(keys):
             return
         raise verdict.refuse(
             verdict.Reason.QUARANTINED,
-            "several targets ended under prompts with the same parts; "
-            "change the prompt",
+            "several targets ended under this request or under prompts with "
+            "the same parts; change the request",
             verdict=outcome,
             retry_after_s=self.evidence.remaining_s(anyio.current_time()),
         )
 
     def record_end(
-        self, target_id: str, prompt: prompts.Prompt, ended_s: float
+        self,
+        target_id: str,
+        keys: request_keys.RequestKeys,
+        sent_s: float,
+        ended_s: float,
     ) -> None:
-        """Records that a target ended before it had answered a prompt.
+        """Records that a target ended before it had answered a request.
 
         Args:
           target_id: Id of the target's incarnation.
-          prompt: The prompt.
+          keys: Keys of the request.
+          sent_s: Loop time from which the target may have run the request.
           ended_s: Loop time at which the target ended.
         """
-        if len(prompt.parts) < MIN_PARTS:
-            return
         now_s = anyio.current_time()
-        suspect = evidences.SuspectPrompt(
-            target_id,
-            request_keys.part_key(prompt.parts[-1].id),
-            _shared_keys(prompt),
-            ended_s,
+        suspect = decision.SuspectRequest(
+            target_id, keys.request, keys.parts, sent_s, ended_s
         )
         if not self.evidence.add_end(suspect):
             return
         # Without the parts that an answer here exonerates.
-        stored = self.evidence.ends[suspect.target, suspect.prompt]
-        message = quarantine_messages.PromptEvidence(
+        stored = self.evidence.ends[suspect.target, suspect.request]
+        message = quarantine_messages.EndEvidence(
             (_encode_end(stored, now_s),), ()
         )
         for receiver in self.site.other_gateways():
             self.send(message, receiver)
 
-    def record_answer(self, prompt: prompts.Prompt) -> None:
-        """Records that a target answers a prompt."""
+    def record_answer(self, keys: request_keys.RequestKeys) -> None:
+        """Records that a target answers a request."""
         now_s = anyio.current_time()
-        parts = _shared_keys(prompt)
-        suspect = parts & self.evidence.suspect_parts
-        for part in parts:
-            self.evidence.add_answer(part, now_s)
+        suspect = keys.all & self.evidence.suspect_keys
+        for key in keys.all:
+            self.evidence.add_answer(key, now_s)
         self._tell_soon(suspect)
 
-    def receive(self, message: quarantine_messages.PromptEvidence) -> None:
+    def receive(self, message: quarantine_messages.EndEvidence) -> None:
         """Applies what another gateway knows."""
         now_s = anyio.current_time()
         for answered in message.answered:
             answered_s = now_s - ages.to_s(answered.age_ms)
-            self.evidence.add_answer(answered.part, answered_s)
-            self._untold.discard(answered.part)
+            self.evidence.add_answer(answered.key, answered_s)
+            self._untold.discard(answered.key)
         for end in message.ends:
-            suspect = evidences.SuspectPrompt(
-                end.target,
-                end.prompt,
-                frozenset(end.parts),
-                now_s - ages.to_s(end.age_ms),
-            )
+            suspect = _decode_end(end, now_s)
             self.evidence.add_end(suspect)
-            # The sender does not know of the answers that exonerate a part.
-            unanswered = self.evidence.unanswered(suspect)
-            self._tell_soon(suspect.parts - unanswered)
+            # The sender does not know of the answers that exonerate a key.
+            self._tell_soon(self.evidence.answered_keys(suspect))
 
     async def run(self) -> None:
         """Tells other gateways what is known while the process runs."""
@@ -171,7 +164,7 @@
         now_s = anyio.current_time()
         told = sorted(self._untold)[:MAX_ANSWERED_PER_MESSAGE]
         self._untold.clear()
-        message = quarantine_messages.PromptEvidence(
+        message = quarantine_messages.EndEvidence(
             (), self._encode_answers(told, now_s)
         )
         for receiver in self.site.other_gateways():
@@ -189,7 +182,7 @@
         ends = [_encode_end(end, now_s) for end in self.evidence.ends.values()]
         for start in range(0, len(ends), MAX_ENDS_PER_MESSAGE):
             part = tuple(ends[start : start + MAX_ENDS_PER_MESSAGE])
-            message = quarantine_messages.PromptEvidence(part, ())
+            message = quarantine_messages.EndEvidence(part, ())
             for receiver in receivers:
                 self.send(message, receiver)
 
@@ -204,80 +197,96 @@
         if self.evidence.quarantined == before:
             return
         logger.warning(
-            "parts of prompts under which targets end are quarantined",
+            "requests under which targets end are quarantined",
             extra={
                 "quarantined": [
-                    sorted(parts) for parts in self.evidence.quarantined
+                    sorted(keys) for keys in self.evidence.quarantined
                 ]
             },
         )
 
-    def _tell_soon(self, parts: collections.abc.Set[str]) -> None:
-        if parts:
-            self._untold |= parts
+    def _tell_soon(self, keys: collections.abc.Set[str]) -> None:
+        if keys:
+            self._untold |= keys
             self._changed.set()
 
     def _encode_answers(
-        self, parts: collections.abc.Iterable[str], now_s: float
-    ) -> tuple[quarantine_messages.AnsweredPart, ...]:
+        self, keys: collections.abc.Iterable[str], now_s: float
+    ) -> tuple[quarantine_messages.AnsweredKey, ...]:
         return tuple(
-            quarantine_messages.AnsweredPart(
-                part, ages.to_ms(now_s - self.evidence.answered[part])
+            quarantine_messages.AnsweredKey(
+                key, ages.to_ms(now_s - self.evidence.answered[key])
             )
-            for part in parts
-            if part in self.evidence.answered
+            for key in keys
+            if key in self.evidence.answered
         )
 
 
 class AnswerObserver:
-    """Observes the current attempt: whether the target answers its prompt.
+    """Observes the current attempt: whether the target answers its request.
 
     Attributes:
       quarantine: Is told of an answer that goes on.
-      prompt: The prompt.
+      keys: Keys of the request.
       is_answered: Whether the answer has gone on for long enough, or is whole.
+      began_s: Loop time at which the attempt began.
     """
 
-    def __init__(self, quarantine: Quarantine, prompt: prompts.Prompt) -> None:
+    def __init__(
+        self, quarantine: Quarantine, keys: request_keys.RequestKeys
+    ) -> None:
         """Observes an attempt that has not been answered yet."""
         self.quarantine = quarantine
-        self.prompt = prompt
+        self.keys = keys
         self.begin_attempt()
 
     def begin_attempt(self) -> None:
         """Forgets how far the answer of an earlier target had come."""
         self.is_answered = False
-        self._began_s: float | None = None
+        self.began_s = anyio.current_time()
+        self._first_event_s: float | None = None
 
     def record_event(self) -> None:
         """Records that an event arrived."""
         if self.is_answered:
             return
         now_s = anyio.current_time()
-        if self._began_s is None:
-            self._began_s = now_s
-        elif now_s - self._began_s >= SETTLING_S:
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+        elif now_s - self._first_event_s >= SETTLING_S:
             self.record_whole()
 
     def record_whole(self) -> None:
         """Records that the answer is complete."""
         if not self.is_answered:
             self.is_answered = True
-            self.quarantine.record_answer(self.prompt)
-
+            self.quarantine.record_answer(self.keys)
 
-def _shared_keys(prompt: prompts.Prompt) -> frozenset[str]:
-    return frozenset(
-        request_keys.part_key(part) for part in prompt.shared_ids()
-    )
+    def record_end(self, target_id: str, ended_s: float) -> None:
+        """Records that the target ended before it had answered."""
+        self.quarantine.record_end(target_id, self.keys, self.began_s, ended_s)
 
 
 def _encode_end(
-    suspect: evidences.SuspectPrompt, now_s: float
+    suspect: decision.SuspectRequest, now_s: float
 ) -> quarantine_messages.TargetEnd:
     return quarantine_messages.TargetEnd(
         suspect.target,
-        suspect.prompt,
+        suspect.request,
         tuple(sorted(suspect.parts)),
         ages.to_ms(now_s - suspect.ended_s),
+        ages.to_ms(suspect.ended_s - suspect.sent_s),
+    )
+
+
+def _decode_end(
+    end: quarantine_messages.TargetEnd, now_s: float
+) -> decision.SuspectRequest:
+    ended_s = now_s - ages.to_s(end.age_ms)
+    return decision.SuspectRequest(
+        end.target,
+        end.request,
+        frozenset(end.parts),
+        ended_s - ages.to_s(end.ran_ms),
+        ended_s,
     )
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -21,7 +21,6 @@
 from cactusstile.gateway.engines import stream_pace
 from cactusstile.gateway.quarantine import quarantine as quarantines
 from cactusstile.http import messages as http_messages
-from cactusstile.http import responder as responders
 from cactusstile.http import targets
 from cactusstile.platform import headers
 from cactusstile.sites import messages
@@ -42,7 +41,7 @@
       pool: Connections to targets.
       dispatcher: Prepares attempts and updates the views from their outcome.
       times: When refused callers may return; learns of runs that end.
-      quarantine: Prompts that must not be sent to targets.
+      quarantine: Requests that must not be sent to targets.
       pace: Estimated duration of streams.
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
@@ -108,7 +107,7 @@
         finally:
             record.attempts[-1].events = relay.events - before
         if isinstance(opened, exchange.Answer):
-            await self._relay_answer(opened, relay.responder)
+            await self._relay_answer(opened, relay)
 
     def _open_attempt(
         self,
@@ -132,7 +131,7 @@
         def may_send() -> bool:
             nonlocal sent_s
             sent_s = anyio.current_time()
-            if self.quarantine.is_held(admitted.prompt):
+            if self.quarantine.is_held(admitted.keys):
                 return False
             if not view.accepts_requests(sent_s):
                 return False
@@ -197,12 +196,15 @@
             view.record_failure(now_s)
 
     async def _relay_answer(
-        self, answer: exchange.Answer, responder: responders.Responder
+        self, answer: exchange.Answer, relay: streams.StreamRelay
     ) -> None:
         """Relays a complete answer, unless events were already sent."""
-        if responder.started:
+        if answer.was_run:
+            relay.observer.record_whole()
+        if relay.started:
             return
-        await responder.respond(*exchange.relayed_answer(answer))
+        relayed = exchange.relayed_answer(answer)
+        await relay.responder.respond(*relayed)
 
     @contextlib.asynccontextmanager
     async def _count_work(
--- a/src/cactusstile/sites/quarantine_messages.py
+++ b/src/cactusstile/sites/quarantine_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams about prompts under which targets end."""
+"""Datagrams about requests under which targets end."""
 
 from __future__ import annotations
 
@@ -12,44 +12,46 @@
 @codec.register(0, _SCHEMA, "TargetEnd")
 @attrs.frozen
 class TargetEnd:
-    """A target ended while it had not answered a prompt yet.
+    """A target ended while it had not answered a request yet.
 
     Attributes:
       target: Id of the target's incarnation.
-      prompt: Key of the prompt's last part, which is its own.
-      parts: Keys of its other parts.
+      request: Fingerprint of the request.
+      parts: Keys of the parts of its prompt that other prompts may share.
       age_ms: Time since the end, in ms.
+      ran_ms: Longest time that the target had run the request, in ms.
     """
 
     target: str
-    prompt: str
+    request: str
     parts: tuple[str, ...]
     age_ms: int
+    ran_ms: int = 0
 
 
-@codec.register(0, _SCHEMA, "AnsweredPart")
+@codec.register(0, _SCHEMA, "AnsweredKey")
 @attrs.frozen
-class AnsweredPart:
-    """A part of prompts that targets answer.
+class AnsweredKey:
+    """A key of requests that targets answer.
 
     Attributes:
-      part: Key of the part.
+      key: Fingerprint of a request, or key of a part of prompts.
       age_ms: Time since the last such answer, in ms.
     """
 
-    part: str
+    key: str
     age_ms: int
 
 
-@codec.register(525, _SCHEMA, "PromptEvidence")
+@codec.register(525, _SCHEMA, "EndEvidence")
 @attrs.frozen
-class PromptEvidence:
-    """Datagram: what a gateway knows of prompts under which targets end.
+class EndEvidence:
+    """Datagram: what a gateway knows of requests under which targets end.
 
     Attributes:
       ends: Ends of targets.
-      answered: Parts that were answered all the same.
+      answered: Keys that were answered all the same.
     """
 
     ends: tuple[TargetEnd, ...]
-    answered: tuple[AnsweredPart, ...]
+    answered: tuple[AnsweredKey, ...]
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -152,19 +152,20 @@
 
 struct TargetEnd {
   target @0 :Text;
-  prompt @1 :Text;
+  request @1 :Text;
   parts @2 :List(Text);
   ageMs @3 :UInt32;
+  ranMs @4 :UInt32;
 }
 
-struct AnsweredPart {
-  part @0 :Text;
+struct AnsweredKey {
+  key @0 :Text;
   ageMs @1 :UInt32;
 }
 
-struct PromptEvidence {
+struct EndEvidence {
   ends @0 :List(TargetEnd);
-  answered @1 :List(AnsweredPart);
+  answered @1 :List(AnsweredKey);
 }
 
 struct TargetLimitNotice {
--- a/tests/gateway/quarantine/test_evidence.py
+++ b/tests/gateway/quarantine/test_evidence.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from cactusstile.gateway.quarantine import decision
 from cactusstile.gateway.quarantine import evidence
 
 if typing.TYPE_CHECKING:
@@ -12,16 +13,17 @@
 
 
 def end(
-    target: int, prompt: str, parts: str, ended_s: float = 0.0
-) -> evidence.SuspectPrompt:
-    """Returns a suspect prompt whose parts are single letters."""
-    return evidence.SuspectPrompt(
-        f"t{target}", prompt, frozenset(parts), ended_s + target
+    target: int, request: str, parts: str = "", ended_s: float = 0.0
+) -> decision.SuspectRequest:
+    """Returns a suspect request whose parts are single letters."""
+    ended_s += target
+    return decision.SuspectRequest(
+        f"t{target}", request, frozenset(parts), ended_s - 0.05, ended_s
     )
 
 
 def table(
-    ends: collections.abc.Iterable[evidence.SuspectPrompt],
+    ends: collections.abc.Iterable[decision.SuspectRequest],
     answered: collections.abc.Mapping[str, float] | None = None,
 ) -> evidence.Evidence:
     known = evidence.Evidence()
@@ -39,6 +41,10 @@
     ends = [end(number, f"p{number}", "a", -number) for number in range(9)]
     known = table(ends, {"a": 0.0})
     assert not known.is_quarantined(frozenset("a"))
+    assert not any(suspect.parts for suspect in known.ends.values())
+    for number in range(9):
+        known.add_answer(f"p{number}", 10.0)
+    known.decide(10.0)
     assert known.ends == {}
 
 
@@ -63,6 +69,46 @@
     assert not known.is_quarantined(frozenset("r"))
 
 
+def test_request_is_sent_on_that_comes_again_at_each_end() -> None:
+    known = table(end(number, "same", "r") for number in range(3))
+    assert known.is_quarantined(frozenset(("same", "r")))
+    known = table(end(number, "same") for number in range(3))
+    assert known.is_quarantined(frozenset(("same",)))
+
+
+def test_request_stays_quarantined_although_targets_answer_it() -> None:
+    known = table(end(number, "same") for number in range(3))
+    known.add_answer("same", 10.0)
+    known.decide(10.0)
+    assert not known.is_quarantined(frozenset(("same",)))
+
+
+def test_sound_request_is_blamed_for_ends_that_another_explains() -> None:
+    ends = [end(number, "bad") for number in range(4)]
+    ends += [end(number, "sound", "xyz") for number in range(3)]
+    known = table(ends)
+    assert known.is_quarantined(frozenset(("bad",)))
+    assert not known.is_quarantined(frozenset(("sound", *"xyz")))
+
+
+def test_one_of_two_requests_at_the_same_ends_is_blamed_by_chance() -> None:
+    ends = [end(number, "bad") for number in range(3)]
+    ends += [end(number, "sound") for number in range(3)]
+    known = table(ends)
+    assert known.quarantined == ()
+    known.add_end(end(3, "bad"))
+    known.decide(10.0)
+    assert [*known.quarantined] == [frozenset(("bad",))]
+
+
+def test_ends_under_many_requests_crowd_out_one_that_comes_again() -> None:
+    known = table(end(number, "same") for number in range(3))
+    for number in range(evidence.MAX_ENDS):
+        known.add_end(end(9, f"p{number}"))
+    known.decide(10.0)
+    assert known.is_quarantined(frozenset(("same",)))
+
+
 def test_one_part_is_blamed_for_all_that_only_the_whole_set_explains() -> None:
     known = table(end(number, f"p{number}", "ab") for number in range(3))
     assert known.is_quarantined(frozenset("abc"))
@@ -102,10 +148,10 @@
     for number in range(evidence.MAX_ENDS + 50):
         suspect = end(number, f"p{number}", "xyz"[number % 3], -number)
         known.add_end(suspect)
-    for number in range(evidence.MAX_ANSWERED_PARTS + 50):
+    for number in range(evidence.MAX_ANSWERED_KEYS + 50):
         known.add_answer(str(number), 10.0)
     assert len(known.ends) == evidence.MAX_ENDS
-    assert len(known.answered) == evidence.MAX_ANSWERED_PARTS
+    assert len(known.answered) == evidence.MAX_ANSWERED_KEYS
 
 
 PARTS = strategies.text("abcd", min_size=1, max_size=3)
@@ -123,13 +169,13 @@
 
 @hypothesis.given(
     strategies.lists(
-        ENDS, max_size=12, unique_by=lambda one: (one.target, one.prompt)
+        ENDS, max_size=12, unique_by=lambda one: (one.target, one.request)
     ),
     strategies.lists(ANSWERS, max_size=4),
     strategies.randoms(),
 )
 def test_decision_depends_on_the_order_of_what_is_known(
-    ends: list[evidence.SuspectPrompt],
+    ends: list[decision.SuspectRequest],
     answers: list[tuple[str, float]],
     shuffle: typing.Any,
 ) -> None:
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -17,6 +17,7 @@
 from cactusstile.gateway.quarantine import evidence
 from cactusstile.gateway.quarantine import quarantine
 from cactusstile.gateway.quarantine import request_keys
+from cactusstile.http import messages as http_messages
 from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
 
@@ -39,6 +40,12 @@
     return virtual_clock.BACKEND
 
 
+def keys_of(parts: str) -> request_keys.RequestKeys:
+    """Returns the keys of a prompt with these parts."""
+    request = http_messages.Request(b"POST", b"/a/x", ())
+    return request_keys.compute(request, "w", prompts.parse("m", "15,5", parts))
+
+
 @attrs.define
 class Site:
     """Gateways, and what callers and targets saw.
@@ -58,7 +65,9 @@
     draw: random.Random
     group: anyio.abc.TaskGroup
     gateways: dict[str, quarantine.Quarantine] = attrs.field(factory=dict)
-    waiting: dict[int, tuple[str, prompts.Prompt]] = attrs.field(factory=dict)
+    waiting: dict[int, tuple[str, request_keys.RequestKeys]] = attrs.field(
+        factory=dict
+    )
     ends_s: list[float] = attrs.field(factory=list)
     bad_sent_s: list[float] = attrs.field(factory=list)
     answered: int = 0
@@ -78,13 +87,13 @@
         self.group.start_soon(gateway.run)
 
     def send(
-        self, message: quarantine_messages.PromptEvidence, receiver: str
+        self, message: quarantine_messages.EndEvidence, receiver: str
     ) -> None:
         if self.draw.random() >= LOSS:
             self.group.start_soon(self.deliver, message, receiver)
 
     async def deliver(
-        self, message: quarantine_messages.PromptEvidence, receiver: str
+        self, message: quarantine_messages.EndEvidence, receiver: str
     ) -> None:
         await anyio.sleep(DELAY_S)
         self.gateways[receiver].receive(message)
@@ -95,23 +104,23 @@
         parts = f"all:5,rare{self.draw.randrange(40)}:5,{number:x}:5"
         if bad:
             parts = f"all:5,bad:5,{number:x}:5"
-        prompt = prompts.parse("m", "15,5", parts)
-        if self.gateways[address].is_held(prompt):
+        keys = keys_of(parts)
+        if self.gateways[address].is_held(keys):
             self.refused += not bad
             return
         if bad:
             self.bad_sent_s.append(anyio.current_time())
             await anyio.sleep(END_S)
-            self.end_target(0.3, [(address, prompt)])
+            self.end_target(0.3, [(address, keys)])
             return
-        self.waiting[number] = address, prompt
+        self.waiting[number] = address, keys
         await anyio.sleep(ANSWER_S)
         if self.waiting.pop(number, None) is not None:
             self.answered += 1
-            self.gateways[address].record_answer(prompt)
+            self.gateways[address].record_answer(keys)
 
     def end_target(
-        self, share: float, under: list[tuple[str, prompts.Prompt]]
+        self, share: float, under: list[tuple[str, request_keys.RequestKeys]]
     ) -> None:
         """Ends a target under prompts and a share of the waiting ones."""
         now_s = anyio.current_time()
@@ -120,8 +129,9 @@
         for number in list(self.waiting):
             if self.draw.random() < share:
                 under.append(self.waiting.pop(number))
-        for address, prompt in under:
-            self.gateways[address].record_end(target, prompt, now_s)
+        for address, keys in under:
+            gateway = self.gateways[address]
+            gateway.record_end(target, keys, now_s - END_S, now_s)
 
 
 async def play(seed: int, *, bad_per_s: float, ends_together: int) -> Site:
@@ -149,11 +159,11 @@
 async def test_parts_that_are_answered_are_told_to_be_suspect() -> None:
     members = (messages.GatewayMember("g1", "d", 1.0),)
     known = quarantine.Quarantine(site_view.SiteView(gateways=members))
-    sent: list[quarantine_messages.PromptEvidence] = []
+    sent: list[quarantine_messages.EndEvidence] = []
     known.send = lambda message, _: sent.append(message)
-    known.record_answer(prompts.parse("m", "15,5", "all:5,rare1:5,1:5"))
-    prompt = prompts.parse("m", "15,5", "all:5,rare2:5,2:5")
-    known.record_end("t1", prompt, anyio.current_time())
+    known.record_answer(keys_of("all:5,rare1:5,1:5"))
+    now_s = anyio.current_time()
+    known.record_end("t1", keys_of("all:5,rare2:5,2:5"), now_s, now_s)
     (end,) = sent[0].ends
     assert end.parts == (request_keys.part_key("rare2"),)
 
@@ -171,12 +181,13 @@
     monkeypatch.setattr(evidence.Evidence, "decide", count)
     known = quarantine.Quarantine(site_view.SiteView())
     for number in range(300):
-        prompt = prompts.parse("m", "15,5", f"all:5,{number:x}:5")
-        known.record_end(f"t{number % 9}", prompt, anyio.current_time())
-        known.is_held(prompt)
+        keys = keys_of(f"all:5,{number:x}:5")
+        now_s = anyio.current_time()
+        known.record_end(f"t{number % 9}", keys, now_s, now_s)
+        known.is_held(keys)
     assert len(decisions) == 1
     await anyio.sleep(300 * 2 * quarantine.DECISION_INTERVAL_PER_END_S)
-    known.is_held(prompt)
+    known.is_held(keys)
     assert len(decisions) == 2
 
 
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -28,13 +28,16 @@
     "idempotent": support.route(),
     "once": support.route(model.Kind.ONCE),
     "stream": support.route(model.Kind.STREAM, resumable=True, objective_s=1.0),
+    "prompt": support.route(model.Kind.STREAM, resumable=True, objective_s=1.0),
 }
+PROMPT = b"X-Cactusstile-Model: m\r\nX-Cactusstile-Token-Usage: 99,9\r\n"
+PROMPT += b"X-Cactusstile-Prompt-Prefix: all:20,ours:20,own:9\r\n"
 
 
-def request(number: int, path: bytes) -> bytes:
+def request(number: int, path: bytes, fields: bytes = b"") -> bytes:
     """Returns a request; only its id differs from that of another number."""
     return (
-        support.request(b"POST", body=b"the same")
+        support.request(b"POST", fields, b"the same")
         .replace(b"Id: one", b"Id: %d" % number)
         .replace(b"/a/x?q=1", path)
     )
@@ -83,6 +86,7 @@
     route: str,
 ) -> None:
     config = support.configuration(ROUTES[route])
+    fields = PROMPT if route == "prompt" else b""
     statuses = []
     async with (
         open_targets(TARGETS, ROUTES[route].kind) as targets,
@@ -90,8 +94,8 @@
     ):
         for number in range(TARGETS):
             gateway = gateways[number % 2]
-            await gateway.ask(request(number, BAD))
-            data = await gateway.ask(request(100 + number, b"/a/good"))
+            await gateway.ask(request(number, BAD, fields))
+            data = await gateway.ask(request(100 + number, b"/a/good", fields))
             statuses.append(support.status(data))
             await anyio.sleep(PAUSE_S)
     assert count_arrivals(targets) <= FORGIVEN_ENDS + FORGIVEN_ARRIVALS
