Count the ends of targets that a request was sent to in turn apart

An end counts by itself if its target was sent the request only after the last end that counted: nothing that ended them together could know. Targets that all had the request before the first of them ended still count once.

test_ends_of_targets_that_a_request_was_sent_to_in_turn_count_once failed before (two of three ends counted).

--- a/src/cactusstile/gateway/quarantine/decision.py
+++ b/src/cactusstile/gateway/quarantine/decision.py
@@ -19,7 +19,8 @@
 # Times that a target ends under a set of keys before it is quarantined.
 MIN_ENDS = 3
 # Targets that end within this time of each other have one cause, such as the
-# loss of a rack. They count once, for keys that most of them were sent.
+# loss of a rack, unless one was sent a request only after another had ended
+# under it. They count once, for keys that most of them were sent.
 ONE_CAUSE_S = 0.1
 # Requests that these targets had not answered, unless the set holds the key of
 # one: a prompt that comes again and again tells nothing about its parts.
@@ -156,16 +157,23 @@
     >>> count_causes(ends, ended)
     2
     """
-    targets = {one.target for one in suspects} & ended.keys()
+    sent_s: dict[str, float] = {}
+    for one in suspects:
+        if one.target in ended:
+            latest_s = sent_s.get(one.target, one.sent_s)
+            sent_s[one.target] = max(latest_s, one.sent_s)
+    targets = sent_s.keys()
     count = 0
     counted_s = float("-inf")
-    for at_s in sorted(ended[target] for target in targets):
-        if at_s - counted_s <= ONE_CAUSE_S:
+    for target in sorted(targets, key=lambda one: (ended[one], one)):
+        at_s = ended[target]
+        was_sent_before = sent_s[target] <= counted_s
+        if at_s - counted_s <= ONE_CAUSE_S and was_sent_before:
             continue
         counted_s = at_s
         together = {
-            target
-            for target, ended_s in ended.items()
+            other
+            for other, ended_s in ended.items()
             if abs(ended_s - at_s) <= ONE_CAUSE_S
         }
         if len(together & targets) > len(together - targets):
--- a/tests/gateway/quarantine/test_evidence.py
+++ b/tests/gateway/quarantine/test_evidence.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -76,6 +77,22 @@
     assert known.is_quarantined(frozenset(("same",)))
 
 
+def test_ends_of_targets_that_a_request_was_sent_to_in_turn_count_once() -> (
+    None
+):
+    ends = []
+    for number in range(3):
+        sent_s = 0.06 * number
+        ends.append(
+            decision.SuspectRequest(
+                f"t{number}", "same", frozenset(), sent_s, sent_s + 0.055
+            )
+        )
+    assert table(ends).is_quarantined(frozenset(("same",)))
+    together = [attrs.evolve(one, sent_s=0.0) for one in ends]
+    assert not table(together).is_quarantined(frozenset(("same",)))
+
+
 def test_request_stays_quarantined_although_targets_answer_it() -> None:
     known = table(end(number, "same") for number in range(3))
     known.add_answer("same", 10.0)
