--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -221,6 +221,8 @@
         broken_s = anyio.current_time()
         if await backups.has_ended(view.target):
             observer.record_end(view.target.id, broken_s)
+        else:
+            observer.record_break(view.target.id, broken_s)
 
     async def _find_origin(
         self, admitted: admission.AdmittedRequest
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -18,6 +18,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import site_view
+from cactusstile.gateway.quarantine import broken_attempts
 from cactusstile.gateway.quarantine import decision
 from cactusstile.gateway.quarantine import evidence as evidences
 from cactusstile.gateway.quarantine import request_keys
@@ -50,6 +51,7 @@
       site: Local view of the site, with the list of gateways.
       send: Sends a message to the gateway with an address.
       evidence: What is known.
+      broken: Attempts whose targets may have ended.
     """
 
     def __init__(self, site: site_view.SiteView) -> None:
@@ -57,6 +59,7 @@
         self.site = site
         self.send: Send = lambda *_: None
         self.evidence = evidences.Evidence()
+        self.broken = broken_attempts.BrokenAttempts()
         self._decided_s = float("-inf")
         self._untold: set[str] = set()
         self._changed = anyio.Event()
@@ -121,6 +124,20 @@
         for receiver in self.site.other_gateways():
             self.send(message, receiver)
 
+    def record_unlisted_ends(self) -> None:
+        """Records the ends that only the platform's list tells."""
+        if not self.broken.attempts:
+            return
+        now_s = anyio.current_time()
+        listed = self.site.targets.by_id
+        for attempt in self.broken.take_ended(listed, now_s):
+            self.record_end(
+                attempt.target,
+                attempt.keys,
+                attempt.sent_s,
+                attempt.broken_s,
+            )
+
     def record_answer(self, keys: request_keys.RequestKeys) -> None:
         """Records that a target answers a request."""
         now_s = anyio.current_time()
@@ -148,6 +165,7 @@
             group.start_soon(self._run_answers)
             while True:
                 await anyio.sleep(REPEAT_INTERVAL_S)
+                self.record_unlisted_ends()
                 self.repeat()
 
     async def _run_answers(self) -> None:
@@ -266,6 +284,14 @@
         """Records that the target ended before it had answered."""
         self.quarantine.record_end(target_id, self.keys, self.began_s, ended_s)
 
+    def record_break(self, target_id: str, broken_s: float) -> None:
+        """Records that the answer broke off, for whatever reason."""
+        self.quarantine.broken.add(
+            broken_attempts.BrokenAttempt(
+                target_id, self.keys, self.began_s, broken_s
+            )
+        )
+
 
 def _encode_end(
     suspect: decision.SuspectRequest, now_s: float
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import attrs
 import pytest
 from tests.gateway import support
 from tests.support import raw_target
@@ -100,3 +101,21 @@
             await anyio.sleep(PAUSE_S)
     assert count_arrivals(targets) <= FORGIVEN_ENDS + FORGIVEN_ARRIVALS
     assert statuses == [200] * TARGETS
+
+
+async def test_target_that_restarts_at_once_counts_as_one_that_goes_on() -> (
+    None
+):
+    config = support.configuration(ROUTES["once"])
+    async with (
+        raw_target.open_target(raw_target.send_raw(b""), id="t-1") as target,
+        support.open_gateways(1, config, [target]) as (gateway,),
+    ):
+        await gateway.ask(request(1, BAD))
+        quarantine = gateway.forwarder.quarantine
+        quarantine.record_unlisted_ends()
+        assert not quarantine.evidence.ends
+        restarted = attrs.evolve(target.target, id="t-2")
+        gateway.site.replace_targets((restarted,), anyio.current_time())
+        quarantine.record_unlisted_ends()
+        assert [key[0] for key in quarantine.evidence.ends] == ["t-1"]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -8,6 +8,10 @@
 
 REPEATABLE_PATHS = ("/read/", "/moved/", "/talk/")
 STREAM_PATHS = ("/talk/", "/draft/")
+# Contents of requests that callers repeat: one ends each target that runs it.
+ENDS_TARGETS = "ends-targets"
+HOT = "hot"
+ENDED_BY_REQUEST = "ended_by_request"
 
 
 @attrs.define
@@ -31,6 +35,8 @@
       body: Body of the answer.
       whole: Whether the answer is complete.
       failure: Error that the caller saw; empty for none.
+      shared_content: Content that it shares with other requests; empty if it
+        shares none.
     """
 
     id: str
@@ -48,6 +54,12 @@
     body: bytes = b""
     whole: bool = False
     failure: str = ""
+    shared_content: str = ""
+
+    @property
+    def content(self) -> str:
+        """Name of what its path and body hold."""
+        return self.shared_content or self.id
 
     @property
     def is_repeatable(self) -> bool:
@@ -235,6 +247,7 @@
       weights_at_end: Last versions of the weights in engines, by target id.
       lines: Log lines by process.
       errors: Standard error by process.
+      ended_by_request_s: Times at which a target ended under a request.
     """
 
     calls: dict[str, Call] = attrs.field(factory=dict)
@@ -252,9 +265,15 @@
     weights_at_end: dict[str, int] = attrs.field(factory=dict)
     lines: dict[str, list[str]] = attrs.field(factory=dict)
     errors: dict[str, str] = attrs.field(factory=dict)
+    ended_by_request_s: list[float] = attrs.field(factory=list)
 
     def is_fault_free(
-        self, from_s: float, to_s: float, *, with_planned: bool = False
+        self,
+        from_s: float,
+        to_s: float,
+        *,
+        with_planned: bool = False,
+        but_for: str = "",
     ) -> bool:
         """Returns whether no fault was active between two times.
 
@@ -262,10 +281,13 @@
           from_s: Start of the interval.
           to_s: End of the interval.
           with_planned: Whether planned operations count as faults.
+          but_for: Kind of fault that does not count.
         """
         for fault in self.injected_faults:
             if fault.planned and not with_planned:
                 continue
+            if fault.kind == but_for:
+                continue
             end_s = float("inf") if fault.to_s is None else fault.to_s
             if fault.from_s <= to_s and end_s >= from_s:
                 return False
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -29,6 +29,9 @@
 FIRST_TARGET = 30
 CALLERS = 14
 CHANGE_PAUSE_S = 0.7
+# Callers of one repeated request each, and the mean time between two.
+REPEATED_PAUSES_S = {histories.ENDS_TARGETS: 0.4, histories.HOT: 0.05}
+REPLACEMENT_DELAY_S = 1.5
 START_TIMEOUT_S = 20.0
 # Time after the last fault within which callers must be served again.
 RECOVERY_TIMEOUT_S = 12.0
@@ -62,6 +65,11 @@
     targets: int = 0
     answered_in_a_row: list[int] = attrs.field(factory=lambda: [0])
 
+    @property
+    def has_repeated_requests(self) -> bool:
+        """Whether callers repeat requests, one of which ends targets."""
+        return bool(self.seed % 2 and self.seed % faults.PLANNED_EVERY)
+
     def create_rng(self, name: str) -> random.Random:
         """Returns a random source derived from the seed and `name`."""
         return random.Random(f"{self.seed}/{name}")
@@ -82,6 +90,7 @@
             int(time.time() * 1000),
             weights=self.named_weights.newest,
         )
+        target.on_end = self.replace_ended
         target_address = address.Address(bound, self.site.port)
         relays.open_relay(
             target.id,
@@ -93,6 +102,22 @@
         self.group.start_soon(target.serve, target_address)
         self.listing.targets.append(target)
 
+    def replace_ended(self, target: stand_ins.Target) -> None:
+        """Opens another target for one that a request has ended."""
+        fault = histories.InjectedFault(
+            histories.ENDED_BY_REQUEST, target.id, anyio.current_time()
+        )
+        self.history.injected_faults.append(fault)
+
+        async def replace() -> None:
+            await anyio.sleep(REPLACEMENT_DELAY_S)
+            if target in self.listing.targets:
+                self.listing.targets.remove(target)
+            self.open_target(target.service)
+            fault.to_s = anyio.current_time()
+
+        self.group.start_soon(replace)
+
     def open_list(self) -> None:
         """Serves the platform's list."""
         list_address = address.Address(
@@ -136,15 +161,20 @@
         opened = []
         for gateway in gateways:
             self.group.start_soon(balancer.probe, gateway.name)
-        for number in range(CALLERS):
+        pauses_s = {f"c{number}": 0.0 for number in range(CALLERS)}
+        if self.has_repeated_requests:
+            pauses_s.update(REPEATED_PAUSES_S)
+        for number, (name, pause_s) in enumerate(pauses_s.items()):
             caller = soak_callers.Caller(
-                f"c{number}",
+                name,
                 balancer,
                 self.history,
                 site_operators,
                 self.create_rng(f"caller/{number}"),
                 self.answered_in_a_row,
             )
+            if pause_s:
+                caller.content, caller.mean_pause_s = name, pause_s
             opened.append(caller)
             self.group.start_soon(caller.run)
         return opened
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,7 @@
 from tests.soak import history as histories
 from tests.soak import limit_promise
 from tests.soak import operators
+from tests.soak import repeat_promise
 from tests.soak import stand_ins
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -115,8 +116,8 @@
             yield f"{arrival.target} got {arrival.request_id!r}, never sent"
             continue
         same = (
-            arrival.path == call.path + call.id
-            and arrival.body == f"body of {call.id}".encode()
+            arrival.path == call.path + call.content
+            and arrival.body == f"body of {call.content}".encode()
             and arrival.workspace == call.workspace
         )
         if not same:
@@ -372,6 +373,8 @@
     cancelled_work,
     bounded_repeats,
     limit_promise.kept_limits,
+    repeat_promise.spared_targets,
+    repeat_promise.sound_requests_served,
     answers_around_stops,
     recovery,
     process_ends,
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -99,6 +99,9 @@
       gateway: Gateway of the current connection.
       connection: Current connection; None if it is closed.
       stopped: Whether it sends no further requests.
+      content: Content of all its requests, each at any gateway; empty if each
+        has its own.
+      mean_pause_s: Mean time between two requests.
     """
 
     name: str
@@ -111,12 +114,16 @@
     gateway: str = ""
     connection: targets.TargetConnection | None = None
     stopped: bool = False
+    content: str = ""
+    mean_pause_s: float = MEAN_PAUSE_S
 
     async def run(self) -> None:
         """Sends requests until stopped."""
         try:
             while not self.stopped:
-                await anyio.sleep(self.random.expovariate(1 / MEAN_PAUSE_S))
+                await anyio.sleep(
+                    self.random.expovariate(1 / self.mean_pause_s)
+                )
                 await self._send_request()
         finally:
             self._close_connection()
@@ -141,7 +148,7 @@
         if scope.cancelled_caught:
             call.abandoned_s = anyio.current_time()
             self._close_connection()
-        if is_abandoned:
+        if is_abandoned or self.content:
             return
         if call.whole and call.status < 500:
             self.answered_in_a_row[0] += 1
@@ -175,15 +182,18 @@
         except exceptions.HttpError as error:
             call.failure = str(error) or type(error).__name__
         call.ended_s = anyio.current_time()
-        if call.failure or not connection.finish():
+        if call.failure or self.content or not connection.finish():
             self._close_connection()
 
     def _draw_request(self) -> tuple[histories.Call, messages.Request]:
         self.count += 1
         path = self.random.choice(PATHS)
         workspace = self.random.choice(tuple(operators.WORKSPACES))
+        if self.content:
+            path, workspace = "/read/", "bank"
         key = operators.WORKSPACES[workspace]
-        if path == "/read/" and self.random.random() < TEMPORARY_KEY_FRACTION:
+        is_temporary = self.random.random() < TEMPORARY_KEY_FRACTION
+        if path == "/read/" and is_temporary and not self.content:
             older_version = max(
                 0, self.operators.version - operators.VERSIONS_PER_KEY
             )
@@ -198,6 +208,7 @@
             workspace,
             key,
             anyio.current_time(),
+            shared_content=self.content,
         )
         fields = [
             (b"host", b"soak.example"),
@@ -208,8 +219,8 @@
         if path in histories.STREAM_PATHS:
             call.tokens_out = self.random.randint(3, 40)
             fields += self._prompt(call.tokens_out)
-        body = f"body of {call.id}".encode()
-        target = (path + call.id).encode()
+        body = f"body of {call.content}".encode()
+        target = (path + call.content).encode()
         return call, messages.Request(b"POST", target, tuple(fields), body)
 
     def _prompt(self, tokens_out: int) -> list[tuple[bytes, bytes]]:
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import json
 import random
 import typing
@@ -69,6 +70,7 @@
       cached: Version of the weights and workspace that each cached part was
         computed for, by salt and id of the part.
       scope: Cancelled to end the target.
+      on_end: Called when a request ends the target.
     """
 
     id: str
@@ -88,6 +90,7 @@
     running: int = 0
     cached: dict[tuple[str, str], tuple[int, str]] = attrs.field(factory=dict)
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    on_end: collections.abc.Callable[[Target], None] = lambda _: None
     _group: anyio.abc.TaskGroup = attrs.field(init=False)
 
     async def serve(self, bound: address.Address) -> None:
@@ -240,6 +243,12 @@
         responder: responders.Responder,
         arrival: histories.Arrival,
     ) -> None:
+        if arrival.path.endswith(histories.ENDS_TARGETS):
+            await anyio.sleep(MEAN_RUN_S)
+            self.history.ended_by_request_s.append(anyio.current_time())
+            self.on_end(self)
+            self.scope.cancel()
+            await anyio.sleep_forever()
         fails = self.random.random() < self.failure_fraction
         arrival.failed_by_target = fails
         fields = [
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -177,6 +177,31 @@
             history.arrivals.append(make_arrival(name, route="/read/"))
 
 
+def _sent_on(history: histories.History) -> None:
+    history.ended_by_request_s = [1.0, 2.0, 3.0]
+    for number in range(4):
+        call = make_call(
+            f"r{number}", path="/read/", shared_content=histories.ENDS_TARGETS
+        )
+        history.calls[call.id] = call
+        call.body = stand_ins.expected_body(call.id)
+        call.seal = f"t/{call.id}"
+        history.arrivals.append(
+            make_arrival(
+                call.id,
+                at_s=6.5 + number,
+                path="/read/" + histories.ENDS_TARGETS,
+                body=f"body of {histories.ENDS_TARGETS}".encode(),
+            )
+        )
+
+
+def _falsely_refused(history: histories.History) -> None:
+    call = history.calls["a"]
+    call.status, call.body = 503, b'{"error": {"code": "quarantined"}}'
+    history.arrivals.clear()
+
+
 def _beyond_limit(history: histories.History) -> None:
     history.limits.append(histories.NamedLimit("t", 1.0, 10.0))
     for number in range(13):
@@ -251,6 +276,8 @@
         (_runs_after_abandonment, "cancelled_work"),
         (_too_many_repeats, "bounded_repeats"),
         (_beyond_limit, "kept_limits"),
+        (_sent_on, "spared_targets"),
+        (_falsely_refused, "sound_requests_served"),
         (_interrupted_at_stop, "answers_around_stops"),
         (_stream_interrupted_at_stop, "answers_around_stops"),
         (_not_served, "recovery"),
