Do not hold requests responsible for the ends of targets that leave

A target that leaves is ended by its operator, whatever it runs. In a release, requests that were cut off so counted as suspects, and a sound one that is asked for often is at many of them: three such ends would refuse it.

An attempt that breaks off at a target that the list or its own answers show as leaving is no evidence. Nothing new is sent there anyway.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -218,6 +218,9 @@
         self.dispatcher.record_failure(view, error)
         if observer.is_answered or not error.is_broken_off:
             return
+        if view.leaving:
+            # It was going to end, whatever it ran.
+            return
         broken_s = anyio.current_time()
         if await backups.has_ended(view.target):
             observer.record_end(view.target.id, broken_s)
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -119,3 +119,18 @@
         gateway.site.replace_targets((restarted,), anyio.current_time())
         quarantine.record_unlisted_ends()
         assert [key[0] for key in quarantine.evidence.ends] == ["t-1"]
+
+
+async def test_target_that_leaves_and_ends_is_held_against_a_request() -> None:
+    config = support.configuration(ROUTES["once"])
+    async with (
+        open_targets(1, ROUTES["once"].kind) as (target,),
+        support.open_gateways(1, config, [target]) as (gateway,),
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(gateway.ask, request(1, BAD))
+        await anyio.sleep(RUN_S / 2)
+        leaving = attrs.evolve(target.target, leaving=True)
+        gateway.site.replace_targets((leaving,), anyio.current_time())
+    assert gateway.records[0].attempts[0].outcome == "broken"
+    assert not gateway.forwarder.quarantine.evidence.ends
