Keep holds in the registries' log, with trials and an operator's command

A set of keys that a gateway has held for 1 to 3 s is reported to the leader of the registries, which commits it; the feed sends all holds to gateways, also to those that start.

- by an answer to a request that has its keys: the gateway reports it,
- by an operator: 'cactusstile holds REGISTRY [--release ID]', which any registry takes (GET /-/holds, POST /-/holds/release); gateways then drop their evidence against it,

So that a wrong one does not last, the leader permits a gateway that refused such a request to send the next one: 60 s after the last change, then four times as long from each trial to the next. The number of trials stands in the log, so that restarts do not begin anew.

--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -32,6 +32,7 @@
     "member": "list, add, replace or remove control members",
     "drain": "let a target finish its work and accept no more",
     "dump": "print the state of one process",
+    "holds": "list or release requests that are kept from targets",
     "explain": "show from the logs what happened to a request",
 }
 
--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -73,8 +73,12 @@
     @functools.cached_property
     def keys(self) -> request_keys.RequestKeys:
         """Keys under which targets may end."""
-        caller = "" if self.workspace is None else self.workspace.name
-        return request_keys.compute(self.request, caller, self.prompt)
+        return request_keys.compute(
+            self.request,
+            self.prompt,
+            route=self.route.name,
+            workspace="" if self.workspace is None else self.workspace.name,
+        )
 
 
 def admit(
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -15,6 +15,7 @@
 from cactusstile.sites import ages
 from cactusstile.sites import discovery
 from cactusstile.sites import documents
+from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
@@ -27,6 +28,7 @@
     from cactusstile.transport import pool as pools
 
     ConfirmSharers = collections.abc.Callable[[int, float], None]
+    ApplyHolds = collections.abc.Callable[[hold_messages.HoldsInForce], None]
 
 logger = logging.getLogger(__name__)
 
@@ -48,6 +50,7 @@
       leader: Control process that currently sends updates; None without one.
       confirm_sharers: Called with the number of gateways and the loop time when
         control confirms a list that names this one.
+      apply_holds: Called with the holds in force.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self.seeds = tuple(seeds)
         self.leader: address.Address | None = None
         self.confirm_sharers: ConfirmSharers = lambda *_: None
+        self.apply_holds: ApplyHolds = lambda _: None
 
     async def run(self) -> None:
         """Follows the leader for as long as the process runs."""
@@ -173,16 +177,23 @@
         elif isinstance(item, messages.CompressedStoreUpdates):
             updates = messages.decompress_updates(item)
             self.site.apply_store_updates(updates, now_s)
+        elif isinstance(item, hold_messages.HoldsInForce):
+            self.apply_holds(item)
         elif isinstance(item, messages.GatewayList):
             self.site.gateways = item.members
         elif isinstance(item, messages.Confirmation):
-            self.site.confirmed_s = now_s
-            self.site.control = item.control
-            if self.site.listed_s is not None:
-                age_s = ages.to_s(item.list_age_ms)
-                self.site.listed_s = max(self.site.listed_s, now_s - age_s)
-            if self.member in self.site.gateways:
-                self.confirm_sharers(len(self.site.gateways), now_s)
+            self._apply_confirmation(item, now_s)
+
+    def _apply_confirmation(
+        self, item: messages.Confirmation, now_s: float
+    ) -> None:
+        self.site.confirmed_s = now_s
+        self.site.control = item.control
+        if self.site.listed_s is not None:
+            age_s = ages.to_s(item.list_age_ms)
+            self.site.listed_s = max(self.site.listed_s, now_s - age_s)
+        if self.member in self.site.gateways:
+            self.confirm_sharers(len(self.site.gateways), now_s)
 
     def _apply_configuration(self, item: messages.ConfigurationInForce) -> None:
         before = self.site.version
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -20,6 +20,7 @@
 from cactusstile.gateway.peers import datagram_exchange
 from cactusstile.gateway.peers import limit_sharing
 from cactusstile.gateway.peers import load_sharing
+from cactusstile.gateway.quarantine import hold_reports
 from cactusstile.http import callers
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
@@ -105,6 +106,7 @@
                 sorted(keys)
                 for keys in self.forwarder.quarantine.evidence.quarantined
             ],
+            "holds": sorted(self.forwarder.quarantine.holds.in_force),
             "targets": views,
         }
 
@@ -164,6 +166,7 @@
         connections, site, settings.internal_seeds, _own_member(settings)
     )
     watch.confirm_sharers = budget.sharers.confirm
+    watch.apply_holds = forwarder.quarantine.apply_holds
     return Gateway(
         settings,
         site,
@@ -219,7 +222,12 @@
     )
     connect_exchange(gateway.forwarder, loads_exchange)
     group.start_soon(loads_exchange.run)
-    group.start_soon(gateway.forwarder.quarantine.run)
+    quarantine = gateway.forwarder.quarantine
+    group.start_soon(quarantine.run)
+    reports = hold_reports.HoldReports(
+        quarantine, gateway.watch.pool, lambda: gateway.watch.leader
+    )
+    group.start_soon(reports.run)
 
 
 def connect_exchange(
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -21,8 +21,10 @@
 from cactusstile.gateway.quarantine import broken_attempts
 from cactusstile.gateway.quarantine import decision
 from cactusstile.gateway.quarantine import evidence as evidences
+from cactusstile.gateway.quarantine import holds
 from cactusstile.gateway.quarantine import request_keys
 from cactusstile.sites import ages
+from cactusstile.sites import hold_messages
 from cactusstile.sites import quarantine_messages
 
 Send = collections.abc.Callable[[quarantine_messages.EndEvidence, str], None]
@@ -52,6 +54,9 @@
       send: Sends a message to the gateway with an address.
       evidence: What is known.
       broken: Attempts whose targets may have ended.
+      holds: Holds that the registries keep.
+      answered_holds: Ids of holds whose requests were answered all the same.
+      names: Route and workspace of a refused request, by quarantined keys.
     """
 
     def __init__(self, site: site_view.SiteView) -> None:
@@ -60,12 +65,19 @@
         self.send: Send = lambda *_: None
         self.evidence = evidences.Evidence()
         self.broken = broken_attempts.BrokenAttempts()
+        self.holds = holds.Holds()
+        self.answered_holds: set[str] = set()
+        self.names: dict[frozenset[str], tuple[str, str]] = {}
         self._decided_s = float("-inf")
         self._untold: set[str] = set()
         self._changed = anyio.Event()
 
     def is_held(self, keys: request_keys.RequestKeys) -> bool:
         """Returns whether a request must not be sent to targets."""
+        if self.holds.is_trial(keys):
+            return False
+        if self.holds.find(keys):
+            return True
         ends = len(self.evidence.ends)
         self._decide(DECISION_INTERVAL_PER_END_S * ends)
         if not self.evidence.quarantined:
@@ -87,6 +99,11 @@
         """
         if not self.is_held(keys):
             return
+        if self.holds.begin_trial(keys, anyio.current_time()):
+            return
+        for held in self.evidence.quarantined:
+            if held <= keys.all:
+                self.names[held] = keys.route, keys.workspace
         raise verdict.refuse(
             verdict.Reason.QUARANTINED,
             "several targets ended under this request or under prompts with "
@@ -145,6 +162,15 @@
         for key in keys.all:
             self.evidence.add_answer(key, now_s)
         self._tell_soon(suspect)
+        for hold in self.holds.find(keys):
+            self.answered_holds.add(hold.id)
+
+    def apply_holds(self, item: hold_messages.HoldsInForce) -> None:
+        """Applies the holds that the registries keep."""
+        released = self.holds.apply(item, anyio.current_time())
+        for hold, released_s in released:
+            for key in hold.keys:
+                self.evidence.add_answer(key, released_s)
 
     def receive(self, message: quarantine_messages.EndEvidence) -> None:
         """Applies what another gateway knows."""
@@ -214,6 +240,10 @@
         self.evidence.decide(now_s)
         if self.evidence.quarantined == before:
             return
+        decided = set(self.evidence.quarantined)
+        self.names = {
+            held: name for held, name in self.names.items() if held in decided
+        }
         logger.warning(
             "requests under which targets end are quarantined",
             extra={
--- a/src/cactusstile/gateway/quarantine/request_keys.py
+++ b/src/cactusstile/gateway/quarantine/request_keys.py
@@ -32,10 +32,14 @@
     Attributes:
       request: Fingerprint of the request; the same if a caller repeats it.
       parts: Keys of the prompt's parts that other prompts may share.
+      route: Name of the route, for operators.
+      workspace: Name of the caller's workspace; empty if it has none.
     """
 
     request: str
     parts: frozenset[str] = frozenset()
+    route: str = ""
+    workspace: str = ""
 
     @functools.cached_property
     def all(self) -> frozenset[str]:
@@ -44,7 +48,11 @@
 
 
 def compute(
-    request: messages.Request, caller: str, prompt: prompts.Prompt
+    request: messages.Request,
+    prompt: prompts.Prompt,
+    *,
+    route: str = "",
+    workspace: str = "",
 ) -> RequestKeys:
     """Returns the keys of a request.
 
@@ -53,12 +61,13 @@
 
     Args:
       request: The request.
-      caller: Name of the caller's workspace; empty if it has none.
       prompt: Prompt as described by the header fields.
+      route: Name of the route.
+      workspace: Name of the caller's workspace; empty if it has none.
     """
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     fields = [
-        caller.encode(errors="surrogateescape"),
+        workspace.encode(errors="surrogateescape"),
         request.method,
         (request.find(b"host") or "").lower().encode("latin-1"),
         request.target,
@@ -71,4 +80,4 @@
         digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
         digest.update(field)
     parts = frozenset(part_key(part) for part in prompt.shared_ids())
-    return RequestKeys(digest.hexdigest(), parts)
+    return RequestKeys(digest.hexdigest(), parts, route, workspace)
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -136,6 +136,7 @@
             if not view.accepts_requests(sent_s):
                 return False
             view.notices.limit.spend(sent_s)
+            self.quarantine.holds.end_trial(admitted.keys)
             return True
 
         return exchange.open_attempt(
--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.transport import codec
 
@@ -66,6 +67,8 @@
     digest: bytes
     document: bytes
     weights: tuple[messages.NamedWeights, ...]
+    holds: tuple[hold_messages.Hold, ...] = ()
+    released: tuple[hold_messages.Hold, ...] = ()
 
 
 @codec.register(505, _SCHEMA, "AskMembership")
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -23,6 +23,7 @@
 from cactusstile.platform import client as clients
 from cactusstile.registry import answers
 from cactusstile.registry import feed as feeds
+from cactusstile.registry import hold_calls
 from cactusstile.registry import leader_lookup
 from cactusstile.registry import members
 from cactusstile.registry import operator
@@ -78,6 +79,7 @@
       replica: Replica of the control group.
       feed: Feed of state to gateways.
       connections: Connections to other replicas.
+      hold_calls: Changes holds.
     """
 
     settings: node.NodeSettings
@@ -85,6 +87,12 @@
     replica: replica.Replica
     feed: feeds.Feed
     connections: pools.Pool
+    hold_calls: hold_calls.HoldCalls = attrs.field(
+        default=attrs.Factory(
+            lambda self: hold_calls.HoldCalls(self.feed, self.replica),
+            takes_self=True,
+        )
+    )
 
     async def wait_until_removed(self) -> None:
         """Waits until this replica was replaced; see `rejoin`."""
@@ -122,6 +130,7 @@
             ],
             "configuration": self.site.image.version,
             "weights": self.site.weights(),
+            "holds": [hold.id for hold in self.site.image.holds],
             "gateways": sorted(self.feed.watchers),
             "targets": len(self.feed.targets),
         }
@@ -198,7 +207,7 @@
         feed = feeds.Feed(site, own_replica, settings.link_mbps)
         site.observer = feed.observe_state
         registry = Registry(settings, site, own_replica, feed, connections)
-        handlers = _build_handlers(feed, own_replica)
+        handlers = _build_handlers(registry)
         internal = server.open_server(
             settings.internal_bind_address, identity, secrets, handlers, TIMING
         )
@@ -208,12 +217,12 @@
         yield registry
 
 
-def _build_handlers(
-    feed: feeds.Feed, own_replica: replica.Replica
-) -> incoming.Handlers:
+def _build_handlers(registry: Registry) -> incoming.Handlers:
     """Returns the handlers of the calls and notices of other processes."""
+    own_replica = registry.replica
     calls = {
-        **feeds.watch_handlers(feed),
+        **feeds.watch_handlers(registry.feed),
+        **registry.hold_calls.handlers(),
         **rejoin.handlers(own_replica),
         **leader_lookup.handlers(own_replica),
     }
@@ -247,6 +256,7 @@
     own_replica = registry.replica
     group.start_soon(registry.feed.run_confirmations)
     group.start_soon(registry.feed.run_store_updates)
+    group.start_soon(registry.hold_calls.run_expiry)
     group.start_soon(members.run, own_replica)
     group.start_soon(_log_leadership, own_replica)
     _start_target_controllers(registry, client, group)
@@ -334,7 +344,10 @@
     ]
     if settings.operator is not None:
         interface = operator.OperatorInterface(
-            registry.site, registry.replica, settings.operator.port
+            registry.site,
+            registry.replica,
+            registry.hold_calls,
+            settings.operator.port,
         )
         serving = callers.internal_serving(
             interface.handle, answers.MAX_DOCUMENT_BYTES
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -10,6 +10,7 @@
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
 from cactusstile.limits import token_bucket
+from cactusstile.registry import holds
 from cactusstile.registry import store_contents
 from cactusstile.sites import ages
 from cactusstile.sites import announcements
@@ -51,6 +52,7 @@
       confirmation_number: Number of the last confirmation.
       store_revision: Revision of the store contents; -1 before the first.
       gateways: The list of gateways; None before the first.
+      holds: Holds in force, and those that were released.
     """
 
     version: int
@@ -59,6 +61,7 @@
     confirmation_number: int = 0
     store_revision: int = -1
     gateways: messages.GatewayList | None = None
+    holds: holds.HoldTable = attrs.field(factory=holds.HoldTable)
 
 
 class _EncodedItems:
@@ -89,6 +92,7 @@
       listed_at_s: Loop time at which the last list was read, in seconds.
       contents: Contents of the stores, by address.
       announcements: When this process learned of the announced weights.
+      hold_ages: When this process learned of the holds.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         self.contents: dict[str, store_contents.StoreContents] = {}
         self.announcements = announcements.Announcements()
         self.record_announcements()
+        self.hold_ages = holds.HoldAges()
         self._confirmation_number = 0
         self._confirmation = messages.Confirmation(ages.MAX_AGE_MS, ())
         self._gateway_list = messages.GatewayList(())
@@ -134,6 +139,7 @@
     def observe_state(self) -> None:
         """Handles a change of the replicated state."""
         self.record_announcements()
+        self.hold_ages.update(self.site.hold_table(), anyio.current_time())
         self.notify_watches()
 
     def record_announcements(self) -> None:
@@ -256,6 +262,11 @@
         if image.weights != sent.weights:
             sent.weights = image.weights
             await responder.send(self._weights_in_force())
+        table = self.site.hold_table()
+        if table != sent.holds:
+            sent.holds = table
+            now_s = anyio.current_time()
+            await responder.send(self.hold_ages.in_force(table, now_s))
         if self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
             await self._send(responder, self._target_list)
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -1,4 +1,4 @@
-"""HTTP interface through which the operator sets configuration and weights."""
+"""HTTP interface for operators: configuration, weights and holds."""
 
 from __future__ import annotations
 
@@ -16,8 +16,11 @@
 from cactusstile.platform import configurations
 from cactusstile.registry import answers
 from cactusstile.registry import commands as site_commands
+from cactusstile.registry import hold_calls
+from cactusstile.registry import operator_calls
 from cactusstile.registry import state as states
 from cactusstile.sites import documents
+from cactusstile.sites import hold_messages
 from cactusstile.sites import model
 from cactusstile.transport import address
 
@@ -37,6 +40,7 @@
         self,
         site: states.SiteState,
         own_replica: replica.Replica,
+        own_hold_calls: hold_calls.HoldCalls,
         operator_port: int,
     ) -> None:
         """Creates the interface; it handles no call yet.
@@ -44,17 +48,19 @@
         Args:
           site: Replicated state of the site.
           own_replica: This process's replica.
+          own_hold_calls: Changes holds.
           operator_port: Port of this interface, the same on all control VMs.
         """
         self.site = site
         self.replica = own_replica
+        self.hold_calls = own_hold_calls
         self.operator_port = operator_port
 
     async def handle(
         self, request: http_messages.Request, responder: responders.Responder
     ) -> None:
         """Handles one request; see `http.callers`."""
-        call = calls.find_operator_call(request)
+        call = operator_calls.find(request)
         if call is None:
             await answers.respond(
                 responder, answers.NOT_FOUND, "there is no such call"
@@ -82,7 +88,7 @@
 
     async def _dispatch(
         self,
-        call: calls.OperatorCall,
+        call: operator_calls.Call,
         request: http_messages.Request,
         responder: responders.Responder,
     ) -> None:
@@ -90,6 +96,12 @@
             await self._read_configuration(responder)
         elif call is calls.OperatorCall.NAME_WEIGHTS:
             await self._name_weights(request, responder)
+        elif call is operator_calls.HoldCall.LIST:
+            document = operator_calls.encode_holds(self.site.hold_table())
+            fields = [answers.JSON_CONTENT]
+            await responder.respond(answers.OK, fields, document)
+        elif call is operator_calls.HoldCall.RELEASE:
+            await self._release_hold(request, responder)
         else:
             await self._replace_configuration(request, responder)
 
@@ -148,6 +160,24 @@
             return
         await answers.respond(responder, answers.OK, decision.outcome)
 
+    async def _release_hold(
+        self, request: http_messages.Request, responder: responders.Responder
+    ) -> None:
+        try:
+            hold_id = operator_calls.decode_release(request.body)
+        except (ValueError, RecursionError) as error:
+            await answers.respond(
+                responder, answers.INVALID, f"cannot be read: {error}"
+            )
+            return
+        command = hold_messages.ReleaseHold(hold_id)
+        outcome = await self.hold_calls.propose(command)
+        if not outcome.is_done:
+            text = "no such hold is in force; list the holds"
+            await answers.respond(responder, answers.NOT_FOUND, text)
+            return
+        await answers.respond(responder, answers.OK, "released")
+
     async def _name_weights(
         self, request: http_messages.Request, responder: responders.Responder
     ) -> None:
--- a/src/cactusstile/registry/redirector.py
+++ b/src/cactusstile/registry/redirector.py
@@ -15,9 +15,9 @@
 
 from cactusstile.http import callers
 from cactusstile.observability import plain_admin
-from cactusstile.platform import calls
 from cactusstile.registry import answers
 from cactusstile.registry import leader_lookup
+from cactusstile.registry import operator_calls
 from cactusstile.transport import handshake
 from cactusstile.transport import pool as pools
 
@@ -52,7 +52,7 @@
         self, request: http_messages.Request, responder: responders.Responder
     ) -> None:
         """Handles one operator call; see `http.callers`."""
-        if calls.find_operator_call(request) is None:
+        if operator_calls.find(request) is None:
             await answers.respond(
                 responder, answers.NOT_FOUND, "there is no such call"
             )
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -38,6 +38,16 @@
   digest @1 :Data;
   document @2 :Data;
   weights @3 :List(NamedWeights);
+  holds @4 :List(Hold);
+  released @5 :List(Hold);
+}
+
+struct Hold {
+  id @0 :Text;
+  keys @1 :List(Text);
+  route @2 :Text;
+  workspace @3 :Text;
+  trials @4 :UInt32;
 }
 
 struct FindLeader {
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -1,13 +1,17 @@
-"""Replicated state machine: configuration and newest model weights."""
+"""Replicated state machine: configuration, newest weights and holds."""
 
 from __future__ import annotations
 
 import typing
 
+import attrs
+
 from cactusstile.control import commands
 from cactusstile.platform import configurations
 from cactusstile.registry import commands as site_commands
+from cactusstile.registry import holds
 from cactusstile.sites import documents
+from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import exceptions as transport_exceptions
@@ -18,7 +22,7 @@
 
 
 class SiteState:
-    """Committed configuration of the highest version, and newest weights.
+    """Configuration of the highest version, newest weights, and holds.
 
     Attributes:
       image: The state; version 0 with an empty document before the first
@@ -43,6 +47,10 @@
         """Returns the newest version of the weights by model."""
         return {named.model: named.version for named in self.image.weights}
 
+    def hold_table(self) -> holds.HoldTable:
+        """Returns the holds in force, and those that were released."""
+        return holds.HoldTable(self.image.holds, self.image.released)
+
     def stores(self) -> tuple[model.Store, ...]:
         """Returns the stores of the configuration in force."""
         image = self.image
@@ -83,19 +91,41 @@
             return self._replace_configuration(command)
         if isinstance(command, site_commands.NameWeights):
             return self._name_weights(command)
+        if isinstance(command, hold_messages.ReportHold):
+            return self._set_holds(self.hold_table().add(command.hold))
+        if isinstance(command, hold_messages.ReleaseHold):
+            return self._set_holds(self.hold_table().release(command.id))
+        if isinstance(command, hold_messages.BeginTrial):
+            return self._set_holds(
+                self.hold_table().begin_trial(command.id, command.number)
+            )
         return transport_messages.CallError("bad_request", "unknown command")
 
+    def _set_holds(
+        self, table: holds.HoldTable | None
+    ) -> hold_messages.HoldOutcome:
+        """Replaces the holds; None is a command without effect."""
+        if table is None:
+            return hold_messages.HoldOutcome(False)
+        if table != self.hold_table():
+            self._set_image(
+                attrs.evolve(
+                    self.image, holds=table.holds, released=table.released
+                )
+            )
+        return hold_messages.HoldOutcome(True)
+
     def _replace_configuration(
         self, command: site_commands.ReplaceConfiguration
     ) -> site_commands.ConfigurationOutcome:
         decision = self.evaluate_configuration(command.version, command.digest)
         if decision.outcome == "accepted":
             self._set_image(
-                site_commands.SiteImage(
-                    command.version,
-                    command.digest,
-                    command.document,
-                    self.image.weights,
+                attrs.evolve(
+                    self.image,
+                    version=command.version,
+                    digest=command.digest,
+                    document=command.document,
                 )
             )
         return decision
@@ -107,16 +137,11 @@
         newest = max(command.version, weights.get(command.model, 0))
         if newest != weights.get(command.model):
             weights[command.model] = newest
-            image = self.image
             named = tuple(
                 messages.NamedWeights(model, version)
                 for model, version in weights.items()
             )
-            self._set_image(
-                site_commands.SiteImage(
-                    image.version, image.digest, image.document, named
-                )
-            )
+            self._set_image(attrs.evolve(self.image, weights=named))
         return site_commands.WeightsOutcome(newest)
 
     def snapshot(self) -> bytes:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -174,3 +174,38 @@
   perS @2 :Float64;
   ageMs @3 :UInt32;
 }
+
+struct Hold {
+  id @0 :Text;
+  keys @1 :List(Text);
+  route @2 :Text;
+  workspace @3 :Text;
+  trials @4 :UInt32;
+}
+
+struct HoldInForce {
+  hold @0 :Hold;
+  ageMs @1 :UInt32;
+}
+
+struct HoldsInForce {
+  holds @0 :List(HoldInForce);
+  released @1 :List(HoldInForce);
+}
+
+struct ReportHold {
+  hold @0 :Hold;
+}
+
+struct ReleaseHold {
+  id @0 :Text;
+}
+
+struct BeginTrial {
+  id @0 :Text;
+  number @1 :UInt32;
+}
+
+struct HoldOutcome {
+  isDone @0 :Bool;
+}
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -43,7 +43,7 @@
 def keys_of(parts: str) -> request_keys.RequestKeys:
     """Returns the keys of a prompt with these parts."""
     request = http_messages.Request(b"POST", b"/a/x", ())
-    return request_keys.compute(request, "w", prompts.parse("m", "15,5", parts))
+    return request_keys.compute(request, prompts.parse("m", "15,5", parts))
 
 
 @attrs.define
