--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -213,3 +213,27 @@
     site = await play(seed, bad_per_s=0.0, ends_together=ends_together)
     assert site.ends_s
     assert site.refused == 0
+
+
+@pytest.mark.parametrize("gateways", [70, 300])
+async def test_some_of_hundreds_of_gateways_learn_too_late(
+    gateways: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(f"{__name__}.GATEWAYS", gateways)
+    random.seed(gateways)
+    bad = request_keys.RequestKeys("bad")
+    async with anyio.create_task_group() as group:
+        site = Site(random.Random(gateways), group)
+        for number in range(gateways):
+            site.start(f"g{number}")
+        await anyio.sleep(quarantine.REPEAT_INTERVAL_S)
+        for number in range(FORGIVEN_ENDS):
+            site.end_target(0.0, [(f"g{number}", bad)])
+            await anyio.sleep(END_S + DELAY_S)
+        # These lost what they knew while the others go on.
+        for number in range(gateways // 2):
+            site.start(f"g{number}")
+        await anyio.sleep(WINDOW_S)
+        late = [one for one in site.gateways.values() if not one.is_held(bad)]
+        group.cancel_scope.cancel()
+    assert late == []
