Turn what the postmortem of the limit left into failing checks

It listed, without a check: gateways without a share in any limited target refuse what others could send (27 of 31 if four targets name 1 a second), and the end of a limit is heard only by a gateway that has something to send. Its two other lines are no faults that a check could show: whether a registry's reports and orders count is a question to the users (docs/PLATFORM.md), and a gateway that does not know the others yet sends nothing to a target that named a limit by design.

--- a/tests/gateway/test_limit_shares.py
+++ b/tests/gateway/test_limit_shares.py
@@ -101,3 +101,33 @@
     limit.told_s = 5.6
     assert limit.is_to_be_told(6.7)
     assert not limit.is_to_be_told(16.0)
+
+
+def test_gateway_without_a_share_refuses_what_others_could_send() -> None:
+    everyone = {f"g{number}" for number in range(31)}
+    lacking = [
+        own
+        for own in everyone
+        if not any(
+            target_limits.share_per_s(f"t{number}", 1.0, everyone, own)
+            for number in range(4)
+        )
+    ]
+    assert lacking == []
+
+
+def test_limit_lasts_as_long_as_its_sharers_have_nothing_to_send() -> None:
+    everyone = tuple(member(number) for number in range(8))
+    gateways = [Gateway(number, everyone) for number in range(8)]
+    for gateway in gateways:
+        gateway.limit.record(1.0, 0.0)
+    addresses = {one.address for one in everyone}
+    others = []
+    for gateway in gateways:
+        own = f"g{gateway.number}"
+        if not target_limits.share_per_s("t", 1.0, addresses, own):
+            others.append(gateway)
+    assert len(others) == len(gateways) - 1
+    for now_s in (DAY_S, 2 * DAY_S):
+        permitted = any(one.limit.permits(now_s) for one in others)
+    assert permitted
