Survive a datagram that names no address, and faults in single messages

Operators of similar systems: one malformed message or unexpected error took a whole process down. Here, a gateway answers FindStream at the address that the message names; address.parse raised outside of the handling of send errors, which ended the task that sends, and with it the process. Datagrams are authenticated, so that it takes a gateway that is broken or of another version.

The address is parsed where send errors are handled, and an unexpected error in one datagram is logged and passed over, as is one in a connection. Ruled out by 500 generated messages and byte strings of all kinds: no other field raises (NaN, huge ages, odd ids, empty addresses).

test_question_without_an_address_ends_the_exchange failed before.

--- a/src/cactusstile/gateway/peers/datagram_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -118,7 +118,7 @@
             for outgoing in self.sharing.collect(self._last_round_s):
                 data = datagrams.encode(self.secret, outgoing.message)
                 for receiver in outgoing.receivers:
-                    await self._send_to(socket, data, address.parse(receiver))
+                    await self._send_to(socket, data, receiver)
                 sent_bytes += len(data) * len(outgoing.receivers)
 
     async def _send_outbox(self, socket: anyio.abc.UDPSocket) -> None:
@@ -128,7 +128,7 @@
             while self._outbox:
                 message, receiver = self._outbox.popleft()
                 data = datagrams.encode(self.secret, message)
-                await self._send_to(socket, data, address.parse(receiver))
+                await self._send_to(socket, data, receiver)
 
     async def _wait_for_round(self, sent_bytes: int) -> None:
         """Waits until there is something new, or a repeat is due.
@@ -152,17 +152,23 @@
         self,
         socket: anyio.abc.UDPSocket,
         data: bytes,
-        peer: address.Address,
+        receiver: str,
     ) -> None:
         async with self._sending:
             try:
+                peer = address.parse(receiver)
                 await socket.sendto(data, peer.host, peer.port)
-            except OSError as error:
-                logger.debug("failed to send to %s: %s", peer, error)
+            except (OSError, ValueError) as error:
+                # Another gateway may have named the address.
+                logger.debug("failed to send to %r: %s", receiver, error)
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for datagram, _ in socket:
-            self.handle_datagram(datagram)
+            try:
+                self.handle_datagram(datagram)
+            except Exception:
+                # An error in one message must not end the process.
+                logger.exception("a datagram failed by a fault of the program")
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Applies a gateway's datagram; invalid datagrams are dropped."""
