Give up request bodies that trickle in

Operators of similar systems: stalled streams that sent a byte now and then never ended. Here, the timeout of a request body began anew with each piece, so that a caller that sends a byte now and then kept a connection and the memory reserved for its body for as long as it liked.

A body has the idle timeout and, beyond it, as long as 1 KiB/s takes. Slow but sound bodies go on (test with 10 KiB/s).

test_body_that_trickles_in_is_awaited_without_end failed before for the single bytes (no answer within 3 s at an idle timeout of 0.3 s).

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -29,6 +29,8 @@
 logger = logging.getLogger(__name__)
 
 INTERNAL_IDLE_TIMEOUT_S = 60.0
+# A body that arrives more slowly, after the idle timeout, is given up.
+MIN_BODY_BYTES_PER_S = 1024
 # Number of request bodies of maximum size that an internal listener buffers.
 INTERNAL_MAX_BODIES = 4
 
@@ -42,7 +44,7 @@
       max_body_bytes: Maximum size of a request body.
       header_timeout_s: Time from the first byte to the end of the head.
       idle_timeout_s: Time after which a connection without a request, or with a
-        stalled request body, is closed.
+        stalled request body, is closed; see also `MIN_BODY_BYTES_PER_S`.
     """
 
     max_header_bytes: int = 16 << 10
@@ -242,8 +244,12 @@
             raise exceptions.MalformedError("the body is too large", 413)
         parts = []
         size = 0
+        idle_s = self.limits.idle_timeout_s
+        begun_s = anyio.current_time()
         while True:
-            with anyio.fail_after(self.limits.idle_timeout_s):
+            now_s = anyio.current_time()
+            due_s = begun_s + idle_s + size / MIN_BODY_BYTES_PER_S
+            with anyio.fail_after(min(idle_s, due_s - now_s)):
                 event = await self._next_event()
             if not isinstance(event, h11.Data):
                 break
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -160,3 +160,32 @@
         data = await harness.ask(request)
         assert support.status(data) == 400
         assert harness.pool.idle.get(target.target.address, []) == []
+
+
+@pytest.mark.parametrize(
+    ("piece", "pieces", "expected"), [(1, 1000, 408), (1024, 10, 200)]
+)
+async def test_body_that_trickles_in_is_awaited_without_end(
+    piece: int, pieces: int, expected: int
+) -> None:
+    limits = callers.CallerLimits(idle_timeout_s=0.3)
+    config = support.configuration(support.route(), limits=limits)
+    async with (
+        raw_target.open_target(raw_target.answer()) as target,
+        support.open_harness(config, target) as harness,
+        await harness.connect() as stream,
+        anyio.create_task_group() as group,
+    ):
+        length = b"Content-Length: %d\r\n" % (piece * pieces)
+        await stream.send(support.request(b"POST", length))
+
+        async def trickle() -> None:
+            for _ in range(pieces):
+                await anyio.sleep(0.1)
+                await stream.send(b"x" * piece)
+
+        group.start_soon(trickle)
+        with anyio.fail_after(3):
+            data = await stream.receive()
+        group.cancel_scope.cancel()
+    assert support.status(data) == expected
