--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -134,3 +134,17 @@
         gateway.site.replace_targets((leaving,), anyio.current_time())
     assert gateway.records[0].attempts[0].outcome == "broken"
     assert not gateway.forwarder.quarantine.evidence.ends
+
+
+async def test_request_that_ran_is_refused_as_not_run_once_it_is_held() -> None:
+    config = support.configuration(support.route(max_attempts=6))
+    async with (
+        open_targets(6, model.Kind.IDEMPOTENT) as targets,
+        support.open_gateways(1, config, targets) as (gateway,),
+    ):
+        first = await gateway.ask(request(1, BAD))
+        second = await gateway.ask(request(2, BAD))
+    assert count_arrivals(targets) == FORGIVEN_ENDS
+    refusals = [record.outcome for record in gateway.records]
+    assert refusals == ["quarantined", "quarantined"]
+    assert (support.status(first), support.status(second)) == (502, 503)
