Answer the operator calls that have begun before a registry stops

Operators of similar systems: during a planned stop, requests that had just been accepted were cut off without an answer. Gateways and entries finish theirs; a registry (and the redirector on VMs without a disk) cancelled its connections as soon as leadership was passed on, so that an operator whose call had been read saw a closed connection.

Answers close their connections meanwhile.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -85,6 +85,7 @@
       open_requests: Number of requests in progress.
       connections: Number of open connections.
       accepting: Cancelled to stop accepting connections.
+      finished: Set when no request is in progress any more.
     """
 
     handle: Handler
@@ -95,6 +96,22 @@
     open_requests: int = 0
     connections: int = 0
     accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    finished: anyio.Event = attrs.field(factory=anyio.Event)
+
+    async def finish(self, timeout_s: float) -> None:
+        """Waits until no request is in progress; answers close connections."""
+        self.stopping = True
+        self.close_idle()
+        self.finished = anyio.Event()
+        if self.open_requests:
+            with anyio.move_on_after(timeout_s):
+                await self.finished.wait()
+
+    def end_request(self) -> None:
+        """Counts a request that is no longer in progress."""
+        self.open_requests -= 1
+        if not self.open_requests:
+            self.finished.set()
 
     def close_idle(self) -> None:
         """Closes connections that wait for a request."""
@@ -136,7 +153,7 @@
             try:
                 keep_open = await self._answer(request)
             finally:
-                self.serving.open_requests -= 1
+                self.serving.end_request()
                 self._release()
             if not keep_open:
                 return
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -80,6 +80,7 @@
       feed: Feed of state to gateways.
       connections: Connections to other replicas.
       hold_calls: Changes holds.
+      listeners: Listeners for operators and administrators.
     """
 
     settings: node.NodeSettings
@@ -94,6 +95,13 @@
         )
     )
 
+    listeners: list[callers.Serving] = attrs.field(factory=list)
+
+    async def finish_calls(self) -> None:
+        """Waits until the calls that have begun are answered."""
+        for serving in self.listeners:
+            await serving.finish(operator.COMMIT_TIMEOUT_S)
+
     async def wait_until_removed(self) -> None:
         """Waits until this replica was replaced; see `rejoin`."""
         await rejoin.wait_until_removed(
@@ -354,6 +362,7 @@
         )
         listeners.append((settings.operator, serving))
     for listen_address, serving in listeners:
+        registry.listeners.append(serving)
         callers.open_listener(
             settings.bind_address(listen_address), serving, group, closers
         )
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -57,6 +57,7 @@
         group.start_soon(reload.watch, path, settings, opened.reload)
         number = await anext(received)
         logger.info("stopping", extra={"signal": int(number)})
+        await opened.finish_calls()
         group.cancel_scope.cancel()
 
 
@@ -87,6 +88,7 @@
             number = await anext(received)
             logger.info("stopping", extra={"signal": int(number)})
             await registry.step_down()
+            await registry.finish_calls()
 
         group.start_soon(reload.watch, path, settings, lambda _: None)
         group.start_soon(stop_when, stop_at_signal)
--- a/src/cactusstile/registry/redirector.py
+++ b/src/cactusstile/registry/redirector.py
@@ -39,10 +39,17 @@
     Attributes:
       settings: Settings of the node.
       lookup: Finds the leader.
+      listeners: Listeners for operators and administrators.
     """
 
     settings: node.NodeSettings
     lookup: leader_lookup.LeaderLookup
+    listeners: list[callers.Serving] = attrs.field(factory=list)
+
+    async def finish_calls(self) -> None:
+        """Waits until the calls that have begun are answered."""
+        for serving in self.listeners:
+            await serving.finish(LOOKUP_TIMEOUT_S)
 
     def reload(self, settings: node.NodeSettings) -> None:
         """Uses the seeds of changed settings."""
@@ -106,6 +113,7 @@
             )
             listeners.append((settings.operator, serving))
         for listen_address, serving in listeners:
+            redirector.listeners.append(serving)
             callers.open_listener(
                 settings.bind_address(listen_address), serving, group, closers
             )
