Do not take a later release for the end that broke an attempt

An attempt that broke off at an open address is evidence once the list no longer names its target. A connection that was reset, at a target that is emptied and taken away within 10 s of it, counted so, although the target went on. Attempts at targets that are seen to leave meanwhile are dropped.

test_reset_counts_as_an_end_if_its_target_leaves_later failed before.

--- a/src/cactusstile/gateway/quarantine/broken_attempts.py
+++ b/src/cactusstile/gateway/quarantine/broken_attempts.py
@@ -53,20 +53,24 @@
         del self.attempts[:-MAX_ATTEMPTS]
 
     def take_ended(
-        self, listed: collections.abc.Container[str], now_s: float
+        self, is_leaving: collections.abc.Mapping[str, bool], now_s: float
     ) -> list[BrokenAttempt]:
         """Removes and returns the attempts whose targets are not listed.
 
+        Those at targets that leave are dropped: their end was planned.
+
         Args:
-          listed: Ids of the listed targets.
+          is_leaving: Whether each listed target leaves, by its id.
           now_s: Loop time.
         """
         ended = []
         unknown = []
         for attempt in self.attempts:
-            if attempt.target not in listed:
+            if attempt.target not in is_leaving:
                 ended.append(attempt)
-            elif now_s - attempt.broken_s <= LIST_LAG_S:
+                continue
+            is_recent = now_s - attempt.broken_s <= LIST_LAG_S
+            if is_recent and not is_leaving[attempt.target]:
                 unknown.append(attempt)
         self.attempts = unknown
         return ended
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -146,8 +146,10 @@
         if not self.broken.attempts:
             return
         now_s = anyio.current_time()
-        listed = self.site.targets.by_id
-        for attempt in self.broken.take_ended(listed, now_s):
+        is_leaving = {
+            name: view.leaving for name, view in self.site.targets.by_id.items()
+        }
+        for attempt in self.broken.take_ended(is_leaving, now_s):
             self.record_end(
                 attempt.target,
                 attempt.keys,
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -148,3 +148,18 @@
     refusals = [record.outcome for record in gateway.records]
     assert refusals == ["quarantined", "quarantined"]
     assert (support.status(first), support.status(second)) == (502, 503)
+
+
+async def test_reset_counts_as_an_end_if_its_target_leaves_later() -> None:
+    config = support.configuration(ROUTES["once"])
+    async with (
+        raw_target.open_target(raw_target.send_raw(b""), id="t-1") as target,
+        support.open_gateways(1, config, [target]) as (gateway,),
+    ):
+        await gateway.ask(request(1, BAD))
+        quarantine = gateway.forwarder.quarantine
+        for listed in (attrs.evolve(target.target, leaving=True), None):
+            targets = () if listed is None else (listed,)
+            gateway.site.replace_targets(targets, anyio.current_time())
+            quarantine.record_unlisted_ends()
+        assert not quarantine.evidence.ends
