Repeat ends that tell nothing yet less often

Since whole requests count, each request that a crash cuts off stays known for 10 minutes: nothing answers it again. All of them were repeated to two gateways each 0.5 s, up to 500 ends in five datagrams.

Only new ends and those under keys that recur are repeated each time; the others in every tenth round. A gateway that starts late learns them when they begin to matter: another that knows two ends repeats both.

--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -17,6 +17,8 @@
 # An answer exonerates its request and parts of the ends until this time after
 # it: a part that nearly all prompts share is at each end of a target.
 EXONERATION_S = 2.0
+# Time for which an end is repeated often although nothing recurs at it.
+NEW_END_S = 10.0
 # Time for which an end of a target counts.
 RETENTION_S = 600.0
 MAX_ENDS = 500
@@ -99,6 +101,18 @@
             key for key in keys if self._exonerates(key, suspect.ended_s)
         )
 
+    def urgent_ends(self, now_s: float) -> list[decision.SuspectRequest]:
+        """Returns the ends that are new, or under keys at several ends."""
+        times = collections.Counter(
+            key for suspect in self.ends.values() for key in suspect.keys
+        )
+        urgent = []
+        for suspect in self.ends.values():
+            is_new = now_s - suspect.ended_s <= NEW_END_S
+            if is_new or any(times[key] > 1 for key in suspect.keys):
+                urgent.append(suspect)
+        return urgent
+
     def decide(self, now_s: float) -> None:
         """Drops what proves nothing and decides what is quarantined."""
         self.is_stale = False
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -36,6 +36,8 @@
 # Time between two repeats, and the gateways that one goes to.
 REPEAT_INTERVAL_S = 0.5
 REPEAT_RECEIVERS = 2
+# Rounds of repeats of which one includes the ends that are not urgent.
+ROUNDS_PER_WHOLE_REPEAT = 10
 # Shortest time between two decisions, for each suspect request: many targets
 # may end together under hundreds.
 DECISION_INTERVAL_PER_END_S = 0.00005
@@ -69,6 +71,7 @@
         self.answered_holds: set[str] = set()
         self.names: dict[frozenset[str], tuple[str, str]] = {}
         self._decided_s = float("-inf")
+        self._rounds = 0
         self._untold: set[str] = set()
         self._changed = anyio.Event()
 
@@ -217,7 +220,7 @@
             self.send(message, receiver)
 
     def repeat(self) -> None:
-        """Repeats the ends that count to a few gateways."""
+        """Repeats ends to a few gateways, the urgent ones each time."""
         now_s = anyio.current_time()
         self.evidence.is_stale |= bool(self.evidence.ends)
         self._decide(0.0)
@@ -225,7 +228,11 @@
             return
         others = self.site.other_gateways()
         receivers = random.sample(others, min(REPEAT_RECEIVERS, len(others)))
-        ends = [_encode_end(end, now_s) for end in self.evidence.ends.values()]
+        self._rounds += 1
+        known = list(self.evidence.ends.values())
+        if self._rounds % ROUNDS_PER_WHOLE_REPEAT:
+            known = self.evidence.urgent_ends(now_s)
+        ends = [_encode_end(end, now_s) for end in known]
         for start in range(0, len(ends), MAX_ENDS_PER_MESSAGE):
             part = tuple(ends[start : start + MAX_ENDS_PER_MESSAGE])
             message = quarantine_messages.EndEvidence(part, ())
