Do not commit a report of a hold that changes nothing

A gateway whose hold the table could not take, or that a wider one covers, reported it every 0.5 s, and each report was committed to the log. The leader answers from the table that would follow, and a gateway reports no hold whose requests another one includes.

--- a/src/cactusstile/gateway/quarantine/hold_reports.py
+++ b/src/cactusstile/gateway/quarantine/hold_reports.py
@@ -82,9 +82,9 @@
             for keys in decided
         }
         for keys, due_s in self._report_at_s.items():
-            hold_id = hold_messages.hold_id(keys)
-            if now_s < due_s or hold_id in self.quarantine.holds.in_force:
+            if now_s < due_s or self.quarantine.holds.covers(keys):
                 continue
+            hold_id = hold_messages.hold_id(keys)
             route, workspace = self.quarantine.names.get(keys, ("", ""))
             yield hold_messages.ReportHold(
                 hold_messages.Hold(
--- a/src/cactusstile/gateway/quarantine/holds.py
+++ b/src/cactusstile/gateway/quarantine/holds.py
@@ -16,6 +16,8 @@
 from cactusstile.sites import hold_messages
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from cactusstile.gateway.quarantine import request_keys
 
 # Time for which a permitted trial may be used.
@@ -56,6 +58,10 @@
             if keys.all.issuperset(hold.keys)
         ]
 
+    def covers(self, keys: collections.abc.Set[str]) -> bool:
+        """Returns whether a hold in force includes all requests with keys."""
+        return any(keys >= set(hold.keys) for hold in self.in_force.values())
+
     def begin_trial(self, keys: request_keys.RequestKeys, now_s: float) -> bool:
         """Returns whether a held request is sent as a trial.
 
--- a/src/cactusstile/registry/hold_calls.py
+++ b/src/cactusstile/registry/hold_calls.py
@@ -73,11 +73,11 @@
         _: incoming.Responder,
         command: hold_messages.ReportHold | hold_messages.ReleaseHold,
     ) -> object:
+        # Many gateways report the same, and a full table stays full.
         table = self.feed.site.hold_table()
-        is_known = table.find(_id_of(command)) is not None
-        if is_known == isinstance(command, hold_messages.ReportHold):
-            # Many gateways report the same.
-            return hold_messages.HoldOutcome(True)
+        changed = table.after(command)
+        if changed is None or changed == table:
+            return hold_messages.HoldOutcome(changed is not None)
         return await self._propose_as_leader(command)
 
     async def _answer_trial(
--- a/src/cactusstile/registry/holds.py
+++ b/src/cactusstile/registry/holds.py
@@ -45,6 +45,14 @@
                 return hold
         return None
 
+    def after(self, command: hold_messages.Command) -> HoldTable | None:
+        """Returns the table after a command; None if it has no effect."""
+        if isinstance(command, hold_messages.ReportHold):
+            return self.add(command.hold)
+        if isinstance(command, hold_messages.ReleaseHold):
+            return self.release(command.id)
+        return self.begin_trial(command.id, command.number)
+
     def add(self, hold: hold_messages.Hold) -> HoldTable | None:
         """Returns the table with a hold; None if it is full.
 
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -91,14 +91,8 @@
             return self._replace_configuration(command)
         if isinstance(command, site_commands.NameWeights):
             return self._name_weights(command)
-        if isinstance(command, hold_messages.ReportHold):
-            return self._set_holds(self.hold_table().add(command.hold))
-        if isinstance(command, hold_messages.ReleaseHold):
-            return self._set_holds(self.hold_table().release(command.id))
-        if isinstance(command, hold_messages.BeginTrial):
-            return self._set_holds(
-                self.hold_table().begin_trial(command.id, command.number)
-            )
+        if isinstance(command, hold_messages.Command):
+            return self._set_holds(self.hold_table().after(command))
         return transport_messages.CallError("bad_request", "unknown command")
 
     def _set_holds(
