Share the set-up of the tests of targets that end

Targets that run one script each time, and the quarantine of one of several gateways, were set up in two test files each.

--- a/tests/gateway/quarantine/test_machine.py
+++ b/tests/gateway/quarantine/test_machine.py
@@ -9,13 +9,12 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+from tests.gateway.quarantine import support
 from tests.support import virtual_clock
 
-from cactusstile.gateway import site_view
 from cactusstile.gateway.quarantine import decision
 from cactusstile.gateway.quarantine import quarantine
 from cactusstile.gateway.quarantine import request_keys
-from cactusstile.sites import messages
 from cactusstile.sites import quarantine_messages
 
 GATEWAYS = 4
@@ -69,21 +68,12 @@
         return self.runner.get_loop().time()
 
     def start_gateway(self, name: str) -> None:
-        members = tuple(
-            messages.GatewayMember(f"g{number}", "d", 1.0)
-            for number in range(GATEWAYS)
-        )
-        view = site_view.SiteView(gateways=members)
-        view.own_address = name
-        gateway = quarantine.Quarantine(view)
-
         def send(
             message: quarantine_messages.EndEvidence, receiver: str
         ) -> None:
             self.queue.append((name, receiver, message))
 
-        gateway.send = send
-        self.gateways[name] = gateway
+        self.gateways[name] = support.open_gateway(name, GATEWAYS, send)
         self.disturbed_s[name] = self.now_s()
 
     def deliver(self) -> None:
--- a/tests/gateway/quarantine/test_quarantine.py
+++ b/tests/gateway/quarantine/test_quarantine.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import attrs
 import pytest
+from tests.gateway.quarantine import support
 from tests.support import virtual_clock
 
 from cactusstile.gateway import site_view
@@ -75,14 +76,7 @@
 
     def start(self, address: str) -> None:
         """Starts a gateway, or starts it again without what it knew."""
-        members = tuple(
-            messages.GatewayMember(f"g{number}", "d", 1.0)
-            for number in range(GATEWAYS)
-        )
-        view = site_view.SiteView(gateways=members)
-        view.own_address = address
-        gateway = quarantine.Quarantine(view)
-        gateway.send = self.send
+        gateway = support.open_gateway(address, GATEWAYS, self.send)
         self.gateways[address] = gateway
         self.group.start_soon(gateway.run)
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -7,12 +7,11 @@
 import anyio
 import anyio.abc
 import attrs
+from tests.support import raw_target
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from tests.support import raw_target
-
 from cactusstile.gateway import budget
 from cactusstile.gateway import daemon
 from cactusstile.gateway import forwarding
@@ -29,6 +28,7 @@
 from cactusstile.transport import address
 
 SECRET = b"s" * 16
+MAX_REQUESTS = 100
 
 
 def route(
@@ -156,6 +156,25 @@
     pool.close()
 
 
+@contextlib.asynccontextmanager
+async def open_targets(
+    count: int,
+    make_script: collections.abc.Callable[
+        [raw_target.RawTarget], raw_target.Script
+    ],
+) -> collections.abc.AsyncIterator[list[raw_target.RawTarget]]:
+    """Opens targets t-0, t-1, ... that run the same script each time."""
+    async with contextlib.AsyncExitStack() as stack:
+        opened = []
+        for number in range(count):
+            target = await stack.enter_async_context(
+                raw_target.open_target(id=f"t-{number}")
+            )
+            target.scripts += [make_script(target)] * MAX_REQUESTS
+            opened.append(target)
+        yield opened
+
+
 def find_free_address() -> address.Address:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind(("127.0.0.1", 0))
--- a/tests/gateway/test_prompts_that_end_targets.py
+++ b/tests/gateway/test_prompts_that_end_targets.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import typing
-
 import anyio
 import pytest
 from tests.gateway import support
@@ -13,9 +10,6 @@
 from cactusstile.gateway.engines import backups
 from cactusstile.sites import model
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 pytestmark = pytest.mark.anyio
 CONFIG = support.configuration(
     support.route(model.Kind.STREAM, resumable=True, objective_s=1.0)
@@ -51,21 +45,6 @@
     return run
 
 
-@contextlib.asynccontextmanager
-async def open_targets(
-    count: int,
-) -> collections.abc.AsyncIterator[list[raw_target.RawTarget]]:
-    async with contextlib.AsyncExitStack() as stack:
-        opened = []
-        for number in range(count):
-            target = await stack.enter_async_context(
-                raw_target.open_target(id=f"t-{number}")
-            )
-            target.scripts += [end_under_part(target)] * 100
-            opened.append(target)
-        yield opened
-
-
 def count_bad(targets: list[raw_target.RawTarget]) -> int:
     received = [data for target in targets for data in target.requests]
     return sum(b"bad:" in data for data in received)
@@ -75,7 +54,7 @@
     None
 ):
     async with (
-        open_targets(TARGETS) as targets,
+        support.open_targets(TARGETS, end_under_part) as targets,
         support.open_gateways(2, CONFIG, targets) as gateways,
     ):
         for number in range(TARGETS):
@@ -102,7 +81,7 @@
 
     monkeypatch.setattr(backups, "has_ended", has_ended)
     async with (
-        open_targets(4) as targets,
+        support.open_targets(4, end_under_part) as targets,
         support.open_gateways(1, CONFIG, targets) as (gateway,),
         anyio.create_task_group() as group,
     ):
--- a/tests/gateway/test_requests_that_end_targets.py
+++ b/tests/gateway/test_requests_that_end_targets.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import typing
 
 import anyio
 import attrs
@@ -13,9 +12,6 @@
 
 from cactusstile.sites import model
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 pytestmark = pytest.mark.anyio
 TARGETS = 14
 # Time that a target runs the request before it ends.
@@ -44,37 +40,25 @@
     )
 
 
-def end_under_bad_path(
-    target: raw_target.RawTarget, kind: model.Kind
-) -> raw_target.Script:
-    """Returns a script that ends the target under the bad path."""
+def open_targets(
+    count: int, kind: model.Kind
+) -> contextlib.AbstractAsyncContextManager[list[raw_target.RawTarget]]:
+    """Opens targets that end under the bad path."""
     answer = raw_target.answer()
     if kind is model.Kind.STREAM:
         answer = raw_target.stream_events([1])
 
-    async def run(stream: anyio.abc.SocketStream, data: bytes) -> bool:
-        if BAD not in data:
-            return await answer(stream, data)
-        await anyio.sleep(RUN_S)
-        await target.end()
-        return False
+    def make_script(target: raw_target.RawTarget) -> raw_target.Script:
+        async def run(stream: anyio.abc.SocketStream, data: bytes) -> bool:
+            if BAD not in data:
+                return await answer(stream, data)
+            await anyio.sleep(RUN_S)
+            await target.end()
+            return False
 
-    return run
+        return run
 
-
-@contextlib.asynccontextmanager
-async def open_targets(
-    count: int, kind: model.Kind
-) -> collections.abc.AsyncIterator[list[raw_target.RawTarget]]:
-    async with contextlib.AsyncExitStack() as stack:
-        opened = []
-        for number in range(count):
-            target = await stack.enter_async_context(
-                raw_target.open_target(id=f"t-{number}")
-            )
-            target.scripts += [end_under_bad_path(target, kind)] * 100
-            opened.append(target)
-        yield opened
+    return support.open_targets(count, make_script)
 
 
 def count_arrivals(targets: list[raw_target.RawTarget]) -> int:
