Keep the newest end when the table of ends is full

The table drops the oldest end of a request that did not come again. If all others did, that was the end just added; the gateway that recorded it then looked it up and failed the request with an internal error. Found by reading the diff. test_newest_end_is_dropped_if_all_others_recur failed before.

--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -69,7 +69,7 @@
             return False
         self.ends[key] = merged
         if len(self.ends) > MAX_ENDS:
-            self._drop_one_end()
+            self._drop_one_end(newest=key)
         self.is_stale = True
         return known is None
 
@@ -131,11 +131,11 @@
         self.suspect_keys = frozenset().union(*(one.keys for one in suspects))
         self.quarantined = decision.find_responsible(suspects, self.ended)
 
-    def _drop_one_end(self) -> None:
+    def _drop_one_end(self, newest: tuple[str, str]) -> None:
         """Drops the oldest end, of a request that did not come again if any."""
         times = collections.Counter(request for _, request in self.ends)
         for key in self.ends:
-            if times[key[1]] == 1:
+            if times[key[1]] == 1 and key != newest:
                 del self.ends[key]
                 return
         del self.ends[next(iter(self.ends))]
--- a/tests/gateway/quarantine/test_evidence.py
+++ b/tests/gateway/quarantine/test_evidence.py
@@ -126,6 +126,16 @@
     assert known.is_quarantined(frozenset(("same",)))
 
 
+def test_newest_end_is_dropped_if_all_others_recur() -> None:
+    known = table(
+        end(number, f"p{number // 2}") for number in range(evidence.MAX_ENDS)
+    )
+    newest = end(evidence.MAX_ENDS, "newest")
+    assert known.add_end(newest)
+    assert (newest.target, newest.request) in known.ends
+    assert len(known.ends) == evidence.MAX_ENDS
+
+
 def test_one_part_is_blamed_for_all_that_only_the_whole_set_explains() -> None:
     known = table(end(number, f"p{number}", "ab") for number in range(3))
     assert known.is_quarantined(frozenset("abc"))
