Do not hurry probes because a target that leaves replied first

Callers of the product's own entry were refused ('the target is leaving', not run, 503) during a planned stop of one engine although another had room: once an agent has replied to a probe the others have 20 ms more, and an agent that leaves replies at once.

A reply of a target that leaves is no choice, so it no longer starts that time; the others have the second that they have without it.

Test: test_prompt_is_refused_because_the_first_to_reply_leaves, which failed before (503 instead of 200).

--- a/src/cactusstile/entry/probes.py
+++ b/src/cactusstile/entry/probes.py
@@ -119,6 +119,9 @@
         if not isinstance(reply, messages.ProbeReply):
             return
         replies[target.name] = reply
+        if reply.leaving:
+            # It is no reason to choose without the others.
+            return
         straggler_deadline_s = anyio.current_time() + STRAGGLER_GRACE_S
         scope.deadline = min(scope.deadline, straggler_deadline_s)
 
--- a/tests/entry/test_faults.py
+++ b/tests/entry/test_faults.py
@@ -108,6 +108,31 @@
         assert text == support.expected_text(size)
 
 
+async def test_prompt_is_refused_because_the_first_to_reply_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    agents = [
+        scripted_agent.ScriptedAgent("engine-1", leaving=True),
+        scripted_agent.ScriptedAgent("engine-2"),
+    ]
+    reply = scripted_agent.ScriptedAgent._probe
+
+    async def reply_late(
+        agent: scripted_agent.ScriptedAgent,
+        responder: incoming.Responder,
+        probe: messages.Probe,
+    ) -> object:
+        if not agent.leaving:
+            await anyio.sleep(2 * probes.STRAGGLER_GRACE_S)
+        return await reply(agent, responder, probe)
+
+    monkeypatch.setattr(scripted_agent.ScriptedAgent, "_probe", reply_late)
+    async with support.open_site(agents) as site:
+        response = await site.complete()
+    assert response.status == 200
+    assert len(agents[1].runs) == 1
+
+
 async def test_repeatable_run_resumes_elsewhere_after_engine_loss() -> None:
     agents = _build_preferred_and_backup()
     _script_batches(agents[0], (0, 4), final=TARGET_LOST_REFUSAL)
