--- a/src/cactusstile/console/holds.py
+++ b/src/cactusstile/console/holds.py
@@ -13,7 +13,7 @@
       release: Id of the hold to release; lists all holds without it.
     """
     if release:
-        registry_calls.call(registry, "POST", "/-/holds/release", id=release)
+        registry_calls.call(registry, "POST", "/holds/release", id=release)
         print(f"released {release}")
         return
-    print(registry_calls.call(registry, "GET", "/-/holds"))
+    print(registry_calls.call(registry, "GET", "/holds"))
--- a/src/cactusstile/registry/operator_calls.py
+++ b/src/cactusstile/registry/operator_calls.py
@@ -18,8 +18,8 @@
 class HoldCall(enum.Enum):
     """Calls on holds, by method and path."""
 
-    LIST = "GET /-/holds"
-    RELEASE = "POST /-/holds/release"
+    LIST = "GET /holds"
+    RELEASE = "POST /holds/release"
 
 
 Call: typing.TypeAlias = calls.OperatorCall | HoldCall
--- a/tests/processes/test_restarts.py
+++ b/tests/processes/test_restarts.py
@@ -163,7 +163,7 @@
     with anyio.fail_after(10):
         while True:
             _, body = await site.ask(
-                site.registry_host, OPERATOR, get(b"/-/holds")
+                site.registry_host, OPERATOR, get(b"/holds")
             )
             holds = json.loads(body)["holds"]
             if holds:
--- a/tests/registry/test_holds.py
+++ b/tests/registry/test_holds.py
@@ -104,12 +104,12 @@
         assert await site.replace(1) == 200
         await leader.hold_calls.propose(hold_messages.ReportHold(ONE))
         for host in sites.HOSTS[:3]:
-            status, body = await site.ask(host, b"GET", b"/-/holds")
+            status, body = await site.ask(host, b"GET", b"/holds")
             assert status == 200
             (listed,) = json.loads(body)["holds"]
             assert (listed["id"], listed["workspace"]) == (ONE.id, "w")
         release = json.dumps({"id": ONE.id}).encode()
-        path = b"/-/holds/release"
+        path = b"/holds/release"
         statuses = []
         for body in (release, release, b"{}"):
             status, _ = await site.ask(sites.HOSTS[0], b"POST", path, body)
