Follow the redirect of a registry that does not lead

'cactusstile holds' ended with an error at any registry but the leader: it looked up the redirect's field as 'Location', while the registries send it in lower case. The test over real processes had one registry, which leads. Found by reading the change once more.

test_command_fails_at_a_registry_that_does_not_lead failed before; it asks each of three registries.

--- a/src/cactusstile/console/registry_calls.py
+++ b/src/cactusstile/console/registry_calls.py
@@ -48,13 +48,18 @@
                 ) from error
             if response.status != _REDIRECT:
                 return _read(response)
-            url = dict(response.headers)[b"Location"].decode()
+            url = _find_location(response)
     raise exceptions.CommandError(
         "the registries have no leader; try again",
         exceptions.ExitCode.UNREACHABLE,
     )
 
 
+def _find_location(response: httpcore.Response) -> str:
+    headers = {name.lower(): value for name, value in response.headers}
+    return headers[b"location"].decode()
+
+
 def _read(response: httpcore.Response) -> str:
     text = response.content.decode(errors="replace")
     if response.status == _OK:
--- a/tests/registry/test_holds.py
+++ b/tests/registry/test_holds.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 
+import anyio
+import anyio.to_thread
 import attrs
 import pytest
 from tests.registry import sites
@@ -142,3 +144,16 @@
     code = application.run(["holds", "127.0.0.1:9"])
     assert code is exceptions.ExitCode.UNREACHABLE
     assert "check the address" in capsys.readouterr().err
+
+
+async def test_command_fails_at_a_registry_that_does_not_lead(
+    tmp_path: pathlib.Path,
+) -> None:
+    site = sites.Site(tmp_path)
+    async with site.open(*sites.HOSTS[:3]):
+        await site.leader()
+        for host in sites.HOSTS[:3]:
+            registry = f"{host}:{site.port + 2}"
+            command = ["holds", registry]
+            code = await anyio.to_thread.run_sync(application.run, command)
+            assert code is exceptions.ExitCode.OK
