Add a failing test: a gateway that has just started joins resumed streams

All gateways ended while targets of another build were in service, which are gone by now. A gateway that has started since knows one build, takes it for settled, answers a resumed stream 200 and joins the events of two builds.

--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -104,6 +104,20 @@
     assert event_ids(data) == [b"id: 3"]
 
 
+async def test_gateway_that_has_just_started_refuses_streams_of_unknown_origin() -> (
+    None
+):
+    """All gateways ended while another build was in service, which is gone."""
+    whole = raw_target.stream_events([3])
+    async with (
+        raw_target.open_target(whole, id="a", build="v2") as one,
+        support.open_harness(CONFIG, one) as harness,
+    ):
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert support.status(data) == 503
+    assert one.requests == []
+
+
 async def test_stream_is_refused_at_once_if_its_build_is_gone() -> None:
     async with (
         raw_target.open_target(id="b", build="v2") as other,
