Keep in the log since when the targets of a service run which builds

Cause: a gateway that has just started took the builds on its first list for settled since ever; where streams began is known by gateways alone, which had all ended. It joined resumed streams to targets of another build.

Change: registries commit the builds of each service, with the time of day of the last change, before gateways get the list that shows them. A gateway lets a stream of unknown origin go on only if its list and the log agree on one build for 30 s and control confirmed within 1.5 s, and only at that build; before, a build that was listed while the stream waited could take it.

Gateways and registries are upgraded together: one item is new.

--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import contextlib
-import time
 import typing
 
 import anyio
 import attrs
 
+from cactusstile import clocks
 from cactusstile.consensus import counters
 from cactusstile.consensus import driver as drivers
 from cactusstile.consensus import exceptions
@@ -274,18 +274,13 @@
             raise exceptions.NotLeaderError(leader)
 
 
-def boot_clock() -> float:
-    """Returns seconds since boot, including time in suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @contextlib.asynccontextmanager
 async def open_replica(
     settings: replica_settings.ReplicaSettings,
     state_machine: interfaces.StateMachine,
     send: interfaces.Send,
     *,
-    clock: interfaces.Clock = boot_clock,
+    clock: interfaces.Clock = clocks.boot_s,
     files: file_access.Files | None = None,
 ) -> collections.abc.AsyncIterator[Replica]:
     """Runs a replica until the context ends.
--- a/src/cactusstile/gateway/build_history.py
+++ b/src/cactusstile/gateway/build_history.py
@@ -1,13 +1,20 @@
-"""Which builds of their software the targets of each service run."""
+"""Decides which build continues a stream whose origin nobody remembers.
+
+Two sources must agree: the list of targets as this process saw it, and the
+registries' log, which also knows what was listed before this process started.
+"""
 
 from __future__ import annotations
 
 import attrs
 
+from cactusstile.sites import ages
+from cactusstile.sites import builds
 from cactusstile.sites import model
 
-# Longer than callers resume a stream after it began.
-SETTLED_AFTER_S = 30.0
+# Time without word from control after which other builds may have come. It is
+# shorter than a new target takes to be listed and to begin a stream.
+MAX_SILENCE_S = 1.5
 
 
 @attrs.frozen
@@ -15,7 +22,7 @@
     """Builds of one service's targets.
 
     Attributes:
-      builds: The builds of the listed targets.
+      builds: The builds.
       since_s: Loop time from which exactly these were listed.
     """
 
@@ -25,51 +32,85 @@
 
 @attrs.define
 class BuildHistory:
-    """Builds of each service as last listed.
+    """Builds of each service, by the list of targets and by control.
 
+    >>> listed, told = {"v1"}, builds.AgedBuilds("s", ("v1",), 60_000)
     >>> history = BuildHistory()
-    >>> history.record("s", {"v1"}, 10.0)
-    >>> history.sole_build("s", 11.0)
+    >>> history.record("s", listed, 10.0)
+    >>> history.sole_build("s", 11.0, 11.0) is None
+    True
+    >>> history.apply(builds.BuildsInForce((told,)), 12.0)
+    >>> history.confirm(12.0)
+    >>> history.sole_build("s", 13.0, 13.0)
     'v1'
-    >>> history.record("s", {"v1", "v2"}, 12.0)
-    >>> history.record("s", {"v2"}, 13.0)
-    >>> history.sole_build("s", 14.0), history.sole_build("s", 43.0)
-    (None, 'v2')
+    >>> history.sole_build("s", 13.0, 20.0) is None
+    True
 
     Attributes:
-      services: Builds by service.
+      services: Builds by service, as last listed.
+      recorded: Builds by service, as control recorded them.
+      confirmed_s: Boot time at which control last confirmed that this process
+        knows the newest state; it advances while the VM is suspended.
     """
 
     services: dict[str, _Builds] = attrs.field(factory=dict)
+    recorded: dict[str, _Builds] = attrs.field(factory=dict)
+    confirmed_s: float = float("-inf")
 
     def update(self, listed: tuple[model.Target, ...], now_s: float) -> None:
         """Applies a list of targets."""
-        by_service: dict[str, set[str]] = {}
-        for target in listed:
-            by_service.setdefault(target.service, set()).add(target.build)
-        for service, builds in by_service.items():
-            self.record(service, builds, now_s)
+        for service, found in builds.by_service(listed).items():
+            self.record(service, found, now_s)
 
-    def record(self, service: str, builds: set[str], now_s: float) -> None:
+    def record(self, service: str, found: set[str], now_s: float) -> None:
         """Records the builds of a service's targets.
 
         The first ones that this process learns of may have been listed for
-        long.
+        long; control knows.
         """
         known = self.services.get(service)
         if known is None:
-            self.services[service] = _Builds(frozenset(builds), float("-inf"))
-        elif known.builds != builds:
-            self.services[service] = _Builds(frozenset(builds), now_s)
-
-    def sole_build(self, service: str, now_s: float) -> str | None:
+            self.services[service] = _Builds(frozenset(found), float("-inf"))
+        elif known.builds != found:
+            self.services[service] = _Builds(frozenset(found), now_s)
+
+    def apply(self, told: builds.BuildsInForce, now_s: float) -> None:
+        """Replaces what control recorded."""
+        self.recorded = {
+            one.service: _Builds(
+                frozenset(one.builds), now_s - ages.to_s(one.age_ms)
+            )
+            for one in told.services
+        }
+
+    def confirm(self, boot_s: float) -> None:
+        """Records that control confirmed the state at a boot time."""
+        self.confirmed_s = boot_s
+
+    def sole_build(
+        self, service: str, now_s: float, boot_s: float
+    ) -> str | None:
         """Returns the build of all streams that callers may still resume.
 
-        None if targets of several builds serve or served lately.
+        Args:
+          service: Name of the service.
+          now_s: Loop time.
+          boot_s: Boot time, time in suspension included.
+
+        Returns:
+          None if targets of several builds serve or served lately, or if this
+          process cannot know it.
         """
-        known = self.services.get(service)
-        if known is None or len(known.builds) != 1:
-            return None
-        if now_s - known.since_s < SETTLED_AFTER_S:
+        if boot_s - self.confirmed_s > MAX_SILENCE_S:
             return None
-        return next(iter(known.builds))
+        found: frozenset[str] = frozenset()
+        for source in (self.services, self.recorded):
+            known = source.get(service)
+            if known is None or len(known.builds) != 1:
+                return None
+            if now_s - known.since_s < builds.SETTLED_AFTER_S:
+                return None
+            if found and known.builds != found:
+                return None
+            found = known.builds
+        return next(iter(found))
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -9,10 +9,12 @@
 
 import anyio
 
+from cactusstile import clocks
 from cactusstile.control import attempts
 from cactusstile.gateway import site_view
 from cactusstile.platform import configurations
 from cactusstile.sites import ages
+from cactusstile.sites import builds
 from cactusstile.sites import discovery
 from cactusstile.sites import documents
 from cactusstile.sites import hold_messages
@@ -179,6 +181,9 @@
             self.site.apply_store_updates(updates, now_s)
         elif isinstance(item, hold_messages.HoldsInForce):
             self.apply_holds(item)
+        elif isinstance(item, builds.BuildsInForce):
+            self.site.builds.apply(item, now_s)
+            self.site.builds.confirm(clocks.boot_s())
         elif isinstance(item, messages.GatewayList):
             self.site.gateways = item.members
         elif isinstance(item, messages.Confirmation):
@@ -188,6 +193,7 @@
         self, item: messages.Confirmation, now_s: float
     ) -> None:
         self.site.confirmed_s = now_s
+        self.site.builds.confirm(clocks.boot_s())
         self.site.control = item.control
         if self.site.listed_s is not None:
             age_s = ages.to_s(item.list_age_ms)
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from cactusstile import clocks
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import exchange
@@ -86,6 +87,19 @@
             )
         return service
 
+    def find_sole_build(self, route: model.Route) -> str | None:
+        """Returns the build of all streams of a route that go on.
+
+        None if the services of the route run several, or did so lately.
+        """
+        now_s = anyio.current_time()
+        boot_s = clocks.boot_s()
+        found = set()
+        for share in route.shares:
+            service = share.service
+            found.add(self.site.builds.sole_build(service, now_s, boot_s))
+        return found.pop() if len(found) == 1 else None
+
     def choose_target(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -163,7 +163,7 @@
         Raises:
           RefusedError: No target answered.
         """
-        attempts.origin = await self._find_origin(admitted)
+        await self._find_origin(admitted, attempts)
         relay = self._open_relay(admitted, responder, attempts)
         service = self.dispatcher.choose_service(admitted, attempts.origin)
         self.budget.count_request(service, anyio.current_time())
@@ -228,30 +228,26 @@
             observer.record_break(view.target.id, broken_s)
 
     async def _find_origin(
-        self, admitted: admission.AdmittedRequest
-    ) -> retries.StreamOrigin | None:
-        """Returns where the stream began that a caller resumes.
-
-        None if it resumes none, or if all targets are of one build.
+        self, admitted: admission.AdmittedRequest, attempts: retries.Attempts
+    ) -> None:
+        """Finds the build that may continue the stream of a caller.
 
         Raises:
-          RefusedError: Nobody knows, and targets of several builds serve or
-            served lately.
+          RefusedError: Nobody knows where the stream began, and targets of
+            several builds serve or served lately.
         """
         if admitted.last_event_id is None or not admitted.route.may_repeat:
-            return None
-        origin = await self.directory.find(admitted.resumed_id)
-        if origin is not None:
-            return origin
-        now_s = anyio.current_time()
-        for share in admitted.route.shares:
-            if self.site.builds.sole_build(share.service, now_s) is None:
-                raise verdict.refuse(
-                    verdict.Reason.NO_TARGET,
-                    "it is not known where the stream began; begin it anew",
-                    retry_after_s=dispatching.RETRY_AFTER_S,
-                )
-        return None
+            return
+        attempts.origin = await self.directory.find(admitted.resumed_id)
+        if attempts.origin is not None:
+            return
+        attempts.sole_build = self.dispatcher.find_sole_build(admitted.route)
+        if attempts.sole_build is None:
+            raise verdict.refuse(
+                verdict.Reason.NO_TARGET,
+                "it is not known where the stream began; begin it anew",
+                retry_after_s=dispatching.RETRY_AFTER_S,
+            )
 
     def _open_relay(
         self,
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -57,6 +57,8 @@
       resuming: Whether the next attempt resumes from that copy.
       origin: Where the stream began; only targets of its build may continue
         it. None before the first event.
+      sole_build: Build that continues a stream of unknown origin; None if the
+        origin is known, and for a new stream.
     """
 
     route: model.Route
@@ -70,12 +72,16 @@
     backup: backups.Backup | None = None
     resuming: bool = False
     origin: StreamOrigin | None = None
+    sole_build: str | None = None
 
     def permits(self, target: model.Target) -> bool:
         """Returns whether the request may be sent to a target at all."""
         if target.incarnation in self.tried_incarnations:
             return False
-        return self.origin is None or self.origin.build == target.build
+        required = self.sole_build
+        if self.origin is not None:
+            required = self.origin.build
+        return required is None or required == target.build
 
     def record_start(self, target: model.Target) -> None:
         """Records that the request is being sent to a target."""
--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cactusstile.sites import builds
 from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.transport import codec
@@ -69,6 +70,7 @@
     weights: tuple[messages.NamedWeights, ...]
     holds: tuple[hold_messages.Hold, ...] = ()
     released: tuple[hold_messages.Hold, ...] = ()
+    builds: tuple[builds.ServiceBuilds, ...] = ()
 
 
 @codec.register(505, _SCHEMA, "AskMembership")
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -22,6 +22,7 @@
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.registry import answers
+from cactusstile.registry import build_records
 from cactusstile.registry import feed as feeds
 from cactusstile.registry import hold_calls
 from cactusstile.registry import leader_lookup
@@ -295,6 +296,15 @@
         change = discovery.describe_change(listing.targets, listed)
         if change:
             logger.info("targets changed", extra=change)
+        group.start_soon(
+            build_records.record_and_publish,
+            registry.site,
+            registry.replica,
+            listed,
+            apply_list,
+        )
+
+    def apply_list(listed: tuple[model.Target, ...]) -> None:
         listing.targets = listed
         feed.listed_at_s = anyio.current_time()
         publish_targets()
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from cactusstile import clocks
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
 from cactusstile.limits import token_bucket
@@ -14,6 +15,7 @@
 from cactusstile.registry import store_contents
 from cactusstile.sites import ages
 from cactusstile.sites import announcements
+from cactusstile.sites import builds
 from cactusstile.sites import messages
 from cactusstile.transport import codec
 from cactusstile.transport import exceptions as transport_exceptions
@@ -53,6 +55,7 @@
       store_revision: Revision of the store contents; -1 before the first.
       gateways: The list of gateways; None before the first.
       holds: Holds in force, and those that were released.
+      builds: Builds of all services; None before the first.
     """
 
     version: int
@@ -62,6 +65,7 @@
     store_revision: int = -1
     gateways: messages.GatewayList | None = None
     holds: holds.HoldTable = attrs.field(factory=holds.HoldTable)
+    builds: tuple[builds.ServiceBuilds, ...] | None = None
 
 
 class _EncodedItems:
@@ -256,6 +260,12 @@
         self, responder: incoming.Responder, sent: _WatchState
     ) -> None:
         image = self.site.image
+        # Gateways are ready once they have the configuration and a list; what
+        # binds them before is sent ahead of both.
+        if image.builds != sent.builds:
+            sent.builds = image.builds
+            item = builds.in_force(image.builds, clocks.unix_ms())
+            await responder.send(item)
         if self.site.has_configuration and image.version > sent.version:
             sent.version = image.version
             await self._send(responder, self._configuration_in_force())
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -40,6 +40,13 @@
   weights @3 :List(NamedWeights);
   holds @4 :List(Hold);
   released @5 :List(Hold);
+  builds @6 :List(ServiceBuilds);
+}
+
+struct ServiceBuilds {
+  service @0 :Text;
+  builds @1 :List(Text);
+  sinceMs @2 :UInt64;
 }
 
 struct Hold {
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -10,6 +10,7 @@
 from cactusstile.platform import configurations
 from cactusstile.registry import commands as site_commands
 from cactusstile.registry import holds
+from cactusstile.sites import builds
 from cactusstile.sites import documents
 from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
@@ -91,6 +92,8 @@
             return self._replace_configuration(command)
         if isinstance(command, site_commands.NameWeights):
             return self._name_weights(command)
+        if isinstance(command, builds.RecordBuilds):
+            return self._record_builds(command)
         if isinstance(command, hold_messages.Command):
             return self._set_holds(self.hold_table().after(command))
         return transport_messages.CallError("bad_request", "unknown command")
@@ -109,6 +112,13 @@
             )
         return hold_messages.HoldOutcome(True)
 
+    def _record_builds(
+        self, command: builds.RecordBuilds
+    ) -> builds.BuildsRecorded:
+        merged = builds.merge(self.image.builds, command.services)
+        self._set_image(attrs.evolve(self.image, builds=merged))
+        return builds.BuildsRecorded(len(command.services))
+
     def _replace_configuration(
         self, command: site_commands.ReplaceConfiguration
     ) -> site_commands.ConfigurationOutcome:
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -209,3 +209,27 @@
 struct HoldOutcome {
   isDone @0 :Bool;
 }
+
+struct ServiceBuilds {
+  service @0 :Text;
+  builds @1 :List(Text);
+  sinceMs @2 :UInt64;
+}
+
+struct AgedBuilds {
+  service @0 :Text;
+  builds @1 :List(Text);
+  ageMs @2 :UInt32;
+}
+
+struct BuildsInForce {
+  services @0 :List(AgedBuilds);
+}
+
+struct RecordBuilds {
+  services @0 :List(ServiceBuilds);
+}
+
+struct BuildsRecorded {
+  count @0 :UInt32;
+}
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -23,6 +23,8 @@
 from cactusstile.http import callers
 from cactusstile.http import sockets
 from cactusstile.http import targets
+from cactusstile.sites import ages
+from cactusstile.sites import builds
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
@@ -122,6 +124,16 @@
         known.confirm(count, now_s - steps + step)
 
 
+def tell_builds(site: site_view.SiteView, age_s: float) -> None:
+    """Lets control tell for how long the listed builds have been listed."""
+    told = tuple(
+        builds.AgedBuilds(service, tuple(sorted(found)), ages.to_ms(age_s))
+        for service, found in builds.by_service(site.listed).items()
+    )
+    site.builds.apply(builds.BuildsInForce(told), anyio.current_time())
+    site.builds.confirm(float("inf"))
+
+
 @contextlib.asynccontextmanager
 async def open_harness(
     site_configuration: model.SiteConfiguration | None,
@@ -129,11 +141,14 @@
     ratio: float = 1.0,
     slack: float = 10.0,
     weights_s: float = 8.0,
+    builds_known: bool = True,
 ) -> collections.abc.AsyncIterator[GatewayHarness]:
     site = site_view.SiteView()
     if site_configuration is not None:
         site.replace_configuration(site_configuration)
     site.replace_targets(tuple(opened.target for opened in open_targets), 0.0)
+    if builds_known:
+        tell_builds(site, float("inf"))
     pool = targets.Pool()
     retry_budget = budget.RetryBudget(ratio, 10.0, slack)
     settle(retry_budget.sharers, 1, anyio.current_time())
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 from tests.gateway import support
 from tests.support import raw_target
 
+from cactusstile import clocks
+from cactusstile.gateway import build_history
 from cactusstile.gateway import retries
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -104,20 +107,60 @@
     assert event_ids(data) == [b"id: 3"]
 
 
-async def test_gateway_that_has_just_started_refuses_streams_of_unknown_origin() -> (
-    None
-):
-    """All gateways ended while another build was in service, which is gone."""
+@pytest.mark.parametrize("age_s", [None, 29.0])
+async def test_gateway_that_has_just_started_joins_the_runs_of_two_builds(
+    age_s: float | None,
+) -> None:
+    """All gateways ended while another build was in service, which is gone.
+
+    Control has not told yet how long the listed build has been alone, or it
+    has not been for long.
+    """
     whole = raw_target.stream_events([3])
     async with (
         raw_target.open_target(whole, id="a", build="v2") as one,
+        support.open_harness(CONFIG, one, builds_known=False) as harness,
+    ):
+        if age_s is not None:
+            support.tell_builds(harness.site, age_s)
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert support.status(data) == 503
+    assert one.requests == []
+
+
+async def test_gateway_out_of_touch_joins_the_runs_of_two_builds() -> None:
+    """It was frozen or cut off while targets of another build came."""
+    whole = raw_target.stream_events([3])
+    async with (
+        raw_target.open_target(whole, id="a", build="v1") as one,
         support.open_harness(CONFIG, one) as harness,
     ):
+        silent_s = build_history.MAX_SILENCE_S + 0.1
+        harness.site.builds.confirm(clocks.boot_s() - silent_s)
         data = await harness.ask(support.request(b"POST", RESUME))
     assert support.status(data) == 503
     assert one.requests == []
 
 
+async def test_stream_of_unknown_origin_goes_on_at_a_later_build() -> None:
+    """Another build is listed while the only target is busy or fails."""
+    whole = raw_target.stream_events([3])
+    async with (
+        raw_target.open_target(id="a", build="v1") as one,
+        raw_target.open_target(whole, id="b", build="v2") as other,
+        support.open_harness(CONFIG, one) as harness,
+    ):
+
+        async def list_another(_: raw_target.RawTarget, __: object) -> None:
+            listed = (one.target, other.target)
+            harness.site.replace_targets(listed, anyio.current_time())
+
+        one.scripts.append(list_another)  # type: ignore[arg-type]
+        data = await harness.ask(support.request(b"POST", RESUME))
+    assert other.requests == []
+    assert event_ids(data) == []
+
+
 async def test_stream_is_refused_at_once_if_its_build_is_gone() -> None:
     async with (
         raw_target.open_target(id="b", build="v2") as other,
