Evacuate data centres on request, and spare cold targets

Cause: the order to evacuate a data centre was answered 404; the remaining cold time of a target only doubled its queue, so that all gateways together could send any number of requests to one that bears ten a second.

Change: the registries keep evacuations in their log and acknowledge them once committed; gateways learn of them ahead of configuration and list, and send no request, copy or fetch there. Until a target is warm, some gateways share its rate; a data centre that comes back, and a target that could not be reached, count as cold before the list says so. The command evacuations lists, begins and ends. The feed's sent state, the gateway's dump and the registry's listing are modules of their own now.

--- a/src/cactusstile/console/application.py
+++ b/src/cactusstile/console/application.py
@@ -33,6 +33,7 @@
     "drain": "let a target finish its work and accept no more",
     "dump": "print the state of one process",
     "holds": "list or release requests that are kept from targets",
+    "evacuations": "list, begin or end evacuations of data centres",
     "explain": "show from the logs what happened to a request",
 }
 
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -17,6 +17,7 @@
 from cactusstile.sites import builds
 from cactusstile.sites import discovery
 from cactusstile.sites import documents
+from cactusstile.sites import evacuation_messages
 from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -30,6 +31,7 @@
     from cactusstile.transport import pool as pools
 
     ConfirmSharers = collections.abc.Callable[[int, float], None]
+    Apply = collections.abc.Callable[[typing.Any, float], None]
     ApplyHolds = collections.abc.Callable[[hold_messages.HoldsInForce], None]
 
 logger = logging.getLogger(__name__)
@@ -77,6 +79,18 @@
         self.leader: address.Address | None = None
         self.confirm_sharers: ConfirmSharers = lambda *_: None
         self.apply_holds: ApplyHolds = lambda _: None
+        self._appliers: dict[type, Apply] = {
+            messages.ConfigurationInForce: self._apply_configuration,
+            messages.WeightsInForce: self._apply_weights,
+            messages.TargetList: self._apply_target_list,
+            messages.StoreUpdates: site.apply_store_updates,
+            messages.CompressedStoreUpdates: self._apply_compressed_updates,
+            messages.GatewayList: self._apply_gateways,
+            messages.Confirmation: self._apply_confirmation,
+            hold_messages.HoldsInForce: self._apply_holds,
+            builds.BuildsInForce: self._apply_builds,
+            evacuation_messages.EvacuationsInForce: self._apply_evacuations,
+        }
 
     async def run(self) -> None:
         """Follows the leader for as long as the process runs."""
@@ -164,30 +178,36 @@
                 self._apply_item(item)
 
     def _apply_item(self, item: object) -> None:
-        now_s = anyio.current_time()
-        if isinstance(item, messages.ConfigurationInForce):
-            self._apply_configuration(item)
-        elif isinstance(item, messages.WeightsInForce):
-            self._apply_weights(item)
-        elif isinstance(item, messages.TargetList):
-            listed = tuple(
-                messages.decode_target(target) for target in item.targets
-            )
-            self.apply_targets(listed, "control")
-        elif isinstance(item, messages.StoreUpdates):
-            self.site.apply_store_updates(item, now_s)
-        elif isinstance(item, messages.CompressedStoreUpdates):
-            updates = messages.decompress_updates(item)
-            self.site.apply_store_updates(updates, now_s)
-        elif isinstance(item, hold_messages.HoldsInForce):
-            self.apply_holds(item)
-        elif isinstance(item, builds.BuildsInForce):
-            self.site.builds.apply(item, now_s)
-            self.site.builds.confirm(clocks.boot_s())
-        elif isinstance(item, messages.GatewayList):
-            self.site.gateways = item.members
-        elif isinstance(item, messages.Confirmation):
-            self._apply_confirmation(item, now_s)
+        apply = self._appliers.get(type(item))
+        if apply is not None:
+            apply(item, anyio.current_time())
+
+    def _apply_target_list(
+        self, item: messages.TargetList, now_s: float
+    ) -> None:
+        del now_s
+        listed = tuple(messages.decode_target(one) for one in item.targets)
+        self.apply_targets(listed, "control")
+
+    def _apply_compressed_updates(
+        self, item: messages.CompressedStoreUpdates, now_s: float
+    ) -> None:
+        updates = messages.decompress_updates(item)
+        self.site.apply_store_updates(updates, now_s)
+
+    def _apply_holds(
+        self, item: hold_messages.HoldsInForce, now_s: float
+    ) -> None:
+        del now_s
+        self.apply_holds(item)
+
+    def _apply_gateways(self, item: messages.GatewayList, now_s: float) -> None:
+        del now_s
+        self.site.gateways = item.members
+
+    def _apply_builds(self, item: builds.BuildsInForce, now_s: float) -> None:
+        self.site.builds.apply(item, now_s)
+        self.site.builds.confirm(clocks.boot_s())
 
     def _apply_confirmation(
         self, item: messages.Confirmation, now_s: float
@@ -201,7 +221,31 @@
         if self.member in self.site.gateways:
             self.confirm_sharers(len(self.site.gateways), now_s)
 
-    def _apply_configuration(self, item: messages.ConfigurationInForce) -> None:
+    def _apply_evacuations(
+        self, item: evacuation_messages.EvacuationsInForce, now_s: float
+    ) -> None:
+        known = self.site.targets.evacuations
+        before = known.data_centres
+        known.replace(
+            item.data_centres,
+            {
+                one.data_centre: now_s - ages.to_s(one.age_ms)
+                for one in item.ended
+            },
+        )
+        if known.data_centres != before:
+            logger.info(
+                "evacuations changed",
+                extra={
+                    "evacuated": sorted(known.data_centres),
+                    "before": sorted(before),
+                },
+            )
+
+    def _apply_configuration(
+        self, item: messages.ConfigurationInForce, now_s: float
+    ) -> None:
+        del now_s
         before = self.site.version
         document = documents.decompress(item.document)
         try:
@@ -215,8 +259,9 @@
                 extra={"version": configuration.version, "before": before},
             )
 
-    def _apply_weights(self, item: messages.WeightsInForce) -> None:
-        now_s = anyio.current_time()
+    def _apply_weights(
+        self, item: messages.WeightsInForce, now_s: float
+    ) -> None:
         announced = list(item.announced)
         if not announced:
             # A control process of an older build sends no ages.
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import logging
 import typing
 
@@ -12,6 +13,7 @@
 
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import control_watch
+from cactusstile.gateway import dump
 from cactusstile.gateway import forwarding
 from cactusstile.gateway import lifecycle
 from cactusstile.gateway import metrics as gateway_metrics
@@ -70,46 +72,6 @@
     forwarder: forwarding.Forwarder
     watch: control_watch.ControlWatch
 
-    def dump(self) -> dict[str, typing.Any]:
-        """Returns the state of the process, without any key."""
-        now_s = anyio.current_time()
-        budget = self.forwarder.budget
-        views = []
-        for view in self.site.targets.views.values():
-            views.append(
-                {
-                    "id": view.target.id,
-                    "service": view.target.service,
-                    "leaving": view.leaving,
-                    "accepts_requests": view.accepts_requests(now_s),
-                    "inflight": view.inflight,
-                    "others": view.others(now_s),
-                    "failure_share": round(view.failure_share, 3),
-                    "usable": view.is_usable(now_s),
-                }
-            )
-        return {
-            "name": self.settings.name,
-            "configuration": self.site.version,
-            "ready": self.lifecycle.is_ready(),
-            "leader": str(self.watch.leader or ""),
-            "gateways": [member.address for member in self.site.gateways],
-            "weights": self.site.weights.newest_versions(),
-            "open_requests": self.serving.open_requests,
-            "retry_budget": {
-                "gateways": budget.sharers.most(now_s),
-                "settled": budget.sharers.is_settled(now_s),
-                "granted": budget.granted,
-                "denied": budget.denied,
-            },
-            "quarantined": [
-                sorted(keys)
-                for keys in self.forwarder.quarantine.evidence.quarantined
-            ],
-            "holds": sorted(self.forwarder.quarantine.holds.in_force),
-            "targets": views,
-        }
-
 
 @contextlib.asynccontextmanager
 async def open_gateway(
@@ -267,7 +229,9 @@
 ) -> None:
     """Starts the listeners; see `callers.open_listener`."""
     settings = gateway.settings
-    admin = plain_admin.build(request_metrics.registry, gateway.dump)
+    admin = plain_admin.build(
+        request_metrics.registry, functools.partial(dump.describe, gateway)
+    )
     listeners = [(settings.admin_address, callers.internal_serving(admin))]
     if settings.readiness is not None:
         answer = gateway.lifecycle.answer_readiness
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -162,7 +162,9 @@
         views = self.site.targets.of_service(service)
         found = []
         for view in views:
-            if not view.leaving and attempts.permits(view.target):
+            if view.leaving or view.is_evacuated:
+                continue
+            if attempts.permits(view.target):
                 found.append(view)
         return found
 
--- a/src/cactusstile/gateway/engines/peer_parts.py
+++ b/src/cactusstile/gateway/engines/peer_parts.py
@@ -39,6 +39,8 @@
         is_paused = now_s < view.notices.paused_until_s
         if view is chosen or is_paused or not view.is_reachable(now_s):
             continue
+        if view.is_evacuated:
+            continue
         if key in view.cached.parts:
             return str(view.target.address)
     return None
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -100,7 +100,7 @@
                     self.announce_load()
                     await relay.feed(opened, retries.origin_at(view.target))
                     self._record_stream_end(admitted, work)
-            view.record_success()
+            view.record_success(anyio.current_time())
         except anyio.get_cancelled_exc_class():
             self._record_timeout(admitted, view, record)
             raise
@@ -135,7 +135,7 @@
                 return False
             if not view.accepts_requests(sent_s):
                 return False
-            view.notices.limit.spend(sent_s)
+            view.spend(sent_s)
             self.quarantine.holds.end_trial(admitted.keys)
             return True
 
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -91,7 +91,8 @@
         if not self.configured.is_set():
             self.configured_s = anyio.current_time()
         self.configured.set()
-        self.targets.update(self.listed, configuration.services)
+        now_s = anyio.current_time()
+        self.targets.update(self.listed, configuration.services, now_s)
         return True
 
     def replace_targets(
@@ -104,7 +105,7 @@
         services = {}
         if self.table is not None:
             services = self.table.configuration.services
-        self.targets.update(listed, services)
+        self.targets.update(listed, services, now_s)
 
     def apply_store_updates(
         self, updates: messages.StoreUpdates, now_s: float
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -12,8 +12,10 @@
 import attrs
 
 from cactusstile.gateway import target_notices
+from cactusstile.gateway import warming
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.peers import load_table
+from cactusstile.routing import evacuation
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
@@ -79,6 +81,12 @@
       weights: Version of each model's weights at the target.
       peer_loads: Loads that other gateways report, of all targets.
       notices: What the target announced in its answers.
+      evacuations: Evacuated data centres.
+      warming: Bounds what this gateway sends to the target while it is cold.
+      cold_until_s: Loop time until which the target is cold, by the list and by
+        what this gateway saw of it.
+      was_lost: Whether the target could not be reached since its last success;
+        it may have started again.
     """
 
     target: model.Target
@@ -100,26 +108,61 @@
             takes_self=True,
         )
     )
+    evacuations: evacuation.Evacuations = attrs.field(
+        factory=evacuation.Evacuations
+    )
+    warming: warming.Warming = attrs.field(factory=warming.Warming)
+    cold_until_s: float = float("-inf")
+    was_lost: bool = False
 
     @property
     def leaving(self) -> bool:
         """Whether the target must not receive new requests any more."""
         return self.target.leaving or self.notices.leaving
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the target's data centre receives nothing new."""
+        return not self.evacuations.permits(self.target.data_centre)
+
     def accepts_requests(self, now_s: float) -> bool:
         """Returns whether the target may be sent a request at all.
 
-        One that leaves, asked for a pause or named a limit must not be used
-        even if there is no other.
+        One that leaves, asked for a pause or named a limit, that is evacuated
+        or cold must not be used even if there is no other.
         """
-        return not self.leaving and self.notices.accepts_requests(now_s)
+        if self.leaving or self.is_evacuated:
+            return False
+        if not self.warming.permits(self.is_cold(now_s), now_s):
+            return False
+        return self.notices.accepts_requests(now_s)
+
+    def accepts_from_s(self, now_s: float) -> float:
+        """Returns the loop time from which the target takes requests."""
+        warm_s = self.warming.permits_from_s(self.is_cold(now_s), now_s)
+        return max(warm_s, self.notices.accepts_from_s(now_s))
+
+    def spend(self, now_s: float) -> None:
+        """Counts a request that is sent to the target now."""
+        self.notices.limit.spend(now_s)
+        self.warming.spend(self.is_cold(now_s), now_s)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Returns whether the target is or may be cold."""
+        if now_s < self.cold_until_s:
+            return True
+        return self.evacuations.may_be_cold(
+            self.target.data_centre, now_s, self.warming.cold_start_s
+        )
 
-    def update_from_list(self, target: model.Target) -> None:
+    def update_from_list(self, target: model.Target, now_s: float) -> None:
         """Applies the platform's list, which lags behind answers.
 
         Versions of weights that are older than the local view are ignored.
         """
         self.target = target
+        if target.cold_s > 0:
+            self.cold_until_s = now_s + target.cold_s
         for weights in target.weights:
             if weights.version > self.weights.get(weights.model, 0):
                 self.set_weights(weights.model, weights.version)
@@ -203,8 +246,14 @@
         backoff_s = REJECTION_BACKOFF_BASE_S * 2.0**doublings
         self.backoff_until_s = now_s + backoff_s
 
-    def record_success(self) -> None:
+    def record_success(self, now_s: float) -> None:
         """Records a successful answer."""
+        if self.was_lost:
+            # It may have started again under the same id, and be cold.
+            self.cold_until_s = max(
+                self.cold_until_s, now_s + self.warming.cold_start_s
+            )
+        self.was_lost = False
         self.failures = 0
         self.rejections = 0
         self.failure_share *= 1 - FAILURE_EWMA_WEIGHT
@@ -217,6 +266,7 @@
           eject_now: Whether a single failure ejects the target.
         """
         self.failures += 1
+        self.was_lost = self.was_lost or eject_now
         step = FAILURE_EWMA_WEIGHT
         self.failure_share += step * (1 - self.failure_share)
         if not eject_now and self.failures < FAILURES_TO_EJECT:
@@ -251,6 +301,7 @@
       by_id: View of each target, by its id.
       peer_loads: Loads that other gateways report.
       notices: What targets announced in their answers.
+      evacuations: Evacuated data centres.
     """
 
     views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
@@ -260,11 +311,15 @@
     notices: target_notices.NoticeTable = attrs.field(
         factory=target_notices.NoticeTable
     )
+    evacuations: evacuation.Evacuations = attrs.field(
+        factory=evacuation.Evacuations
+    )
 
     def update(
         self,
         listed: tuple[model.Target, ...],
         services: dict[str, model.Service],
+        now_s: float,
     ) -> None:
         """Applies a list; views of targets that stay listed are retained."""
         views_by_incarnation = {}
@@ -277,9 +332,12 @@
                     prompts.CachedParts(capacity),
                     peer_loads=self.peer_loads,
                     notices=self.notices.of(target.incarnation),
+                    evacuations=self.evacuations,
+                    warming=warming.Warming(target.id, self.notices.gateways),
                 )
             view.cached.capacity_tokens = capacity
-            view.update_from_list(target)
+            view.warming.set_service(services.get(target.service))
+            view.update_from_list(target, now_s)
             views_by_incarnation[target.incarnation] = view
         self.views = views_by_incarnation
         self.notices.forget_unlisted(views_by_incarnation)
@@ -302,8 +360,8 @@
         """
         accepting_s = []
         for view in self.of_service(service):
-            if not view.leaving:
-                accepting_s.append(view.notices.accepts_from_s(now_s))
+            if not view.leaving and not view.is_evacuated:
+                accepting_s.append(view.accepts_from_s(now_s))
         return max(0.0, min(accepting_s, default=now_s) - now_s)
 
     def record_peer_prompts(
@@ -320,10 +378,10 @@
             view.cached.add(prompt.salt, prompts.Prompt(parts=parts))
 
     def live_services(self) -> set[str]:
-        """Returns the services with at least one target that is not leaving."""
+        """Returns the services with a target that may receive requests."""
         live = set()
         for name, views in self.by_service.items():
-            if any(not view.leaving for view in views):
+            if any(not (view.leaving or view.is_evacuated) for view in views):
                 live.add(name)
         return live
 
--- a/src/cactusstile/platform/calls.py
+++ b/src/cactusstile/platform/calls.py
@@ -24,6 +24,30 @@
     NAME_WEIGHTS = "POST /-/version-put"
 
 
+class EvacuationCall(enum.Enum):
+    """Calls whose path ends with the name of a data centre."""
+
+    BEGIN = "POST /-/Evacuations.Start/"
+    END = "POST /-/Evacuations.Finish/"
+
+
+def find_evacuation_call(
+    request: messages.Request,
+) -> tuple[EvacuationCall, str] | None:
+    """Returns the call that a request makes, and its data centre.
+
+    >>> path = b"/-/Evacuations.Start/ikeja-hall"
+    >>> find_evacuation_call(messages.Request(b"POST", path, ()))
+    (<EvacuationCall.BEGIN: 'POST /-/Evacuations.Start/'>, 'ikeja-hall')
+    """
+    name = f"{request.method.decode('ascii', 'replace')} {request.path}"
+    for call in EvacuationCall:
+        if name.startswith(call.value):
+            rest = name.removeprefix(call.value)
+            return call, urllib.parse.unquote(rest)
+    return None
+
+
 def find_operator_call(request: messages.Request) -> OperatorCall | None:
     """Returns the call that a request makes; None if it makes none."""
     name = f"{request.method.decode('ascii', 'replace')} {request.path}"
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -89,6 +89,8 @@
             None
             if engine is None
             else _decode_engine(fields.json_object(engine)),
+            cold_start_s=max(0, fields.number(entry, "coldStartS", 0)),
+            cold_per_s=max(0, fields.number(entry, "coldPerS", 0)),
         )
     return services
 
--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -71,6 +71,8 @@
     holds: tuple[hold_messages.Hold, ...] = ()
     released: tuple[hold_messages.Hold, ...] = ()
     builds: tuple[builds.ServiceBuilds, ...] = ()
+    evacuated: tuple[str, ...] = ()
+    readmitted: tuple[str, ...] = ()
 
 
 @codec.register(505, _SCHEMA, "AskMembership")
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -22,7 +22,6 @@
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.registry import answers
-from cactusstile.registry import build_records
 from cactusstile.registry import feed as feeds
 from cactusstile.registry import hold_calls
 from cactusstile.registry import leader_lookup
@@ -32,10 +31,10 @@
 from cactusstile.registry import state as states
 from cactusstile.registry import store_eviction
 from cactusstile.registry import store_watch
+from cactusstile.registry import target_listing
 from cactusstile.registry import weights
 from cactusstile.settings import node
 from cactusstile.sites import discovery
-from cactusstile.sites import model
 from cactusstile.transport import address
 from cactusstile.transport import codec
 from cactusstile.transport import connection
@@ -63,13 +62,6 @@
 TIMING = connection.Timing(heartbeat_interval_s=0.5, silence_limit_s=1.5)
 
 
-@attrs.define
-class TargetListing:
-    """Targets of the last list that was read from the platform."""
-
-    targets: tuple[model.Target, ...] = ()
-
-
 @attrs.frozen
 class Registry:
     """Components of a running registry process.
@@ -140,6 +132,7 @@
             "configuration": self.site.image.version,
             "weights": self.site.weights(),
             "holds": [hold.id for hold in self.site.image.holds],
+            "evacuated": self.site.image.evacuated,
             "gateways": sorted(self.feed.watchers),
             "targets": len(self.feed.targets),
         }
@@ -286,44 +279,25 @@
     registry: Registry, client: clients.Client, group: anyio.abc.TaskGroup
 ) -> None:
     """Starts reading the target list and ordering swaps of weights."""
-    feed = registry.feed
-    listing = TargetListing()
-
-    def publish_targets() -> None:
-        feed.set_targets(controller.with_swap_progress(listing.targets))
-
-    def update_targets(listed: tuple[model.Target, ...]) -> None:
-        change = discovery.describe_change(listing.targets, listed)
-        if change:
-            logger.info("targets changed", extra=change)
-        group.start_soon(
-            build_records.record_and_publish,
-            registry.site,
-            registry.replica,
-            listed,
-            apply_list,
-        )
-
-    def apply_list(listed: tuple[model.Target, ...]) -> None:
-        listing.targets = listed
-        feed.listed_at_s = anyio.current_time()
-        publish_targets()
-
+    listing = target_listing.TargetListing(
+        registry.feed, registry.replica, group
+    )
     controller = weights.WeightsController(
         client,
         registry.replica,
         lambda: listing.targets,
         registry.site.weights,
-        on_change=publish_targets,
+        on_change=listing.publish,
         rollout_limit_s=registry.settings.weights_s,
     )
+    listing.controller = controller
     group.start_soon(
         discovery.run,
         client,
         registry.settings.platform,
         registry.settings.list_interval_s,
         lambda: registry.replica.is_leader,
-        update_targets,
+        listing.update,
     )
     group.start_soon(controller.run, group)
 
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -5,19 +5,19 @@
 import typing
 
 import anyio
-import attrs
 
 from cactusstile import clocks
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
 from cactusstile.limits import token_bucket
+from cactusstile.registry import evacuations
 from cactusstile.registry import holds
 from cactusstile.registry import store_contents
+from cactusstile.registry import watch_state
 from cactusstile.sites import ages
 from cactusstile.sites import announcements
 from cactusstile.sites import builds
 from cactusstile.sites import messages
-from cactusstile.transport import codec
 from cactusstile.transport import exceptions as transport_exceptions
 
 if typing.TYPE_CHECKING:
@@ -43,47 +43,6 @@
 _BYTES_PER_MBIT = 125_000
 
 
-@attrs.define
-class _WatchState:
-    """Revisions that were sent on one watch.
-
-    Attributes:
-      version: Version of the configuration.
-      weights: Newest versions of all models' weights.
-      list_revision: Revision of the target list.
-      confirmation_number: Number of the last confirmation.
-      store_revision: Revision of the store contents; -1 before the first.
-      gateways: The list of gateways; None before the first.
-      holds: Holds in force, and those that were released.
-      builds: Builds of all services; None before the first.
-    """
-
-    version: int
-    weights: tuple[messages.NamedWeights, ...] = ()
-    list_revision: int = 0
-    confirmation_number: int = 0
-    store_revision: int = -1
-    gateways: messages.GatewayList | None = None
-    holds: holds.HoldTable = attrs.field(factory=holds.HoldTable)
-    builds: tuple[builds.ServiceBuilds, ...] | None = None
-
-
-class _EncodedItems:
-    """Encodes items that all watches send once, instead of once a watch."""
-
-    def __init__(self) -> None:
-        self._newest: dict[type, tuple[object, bytes]] = {}
-
-    def payload(self, item: object) -> bytes:
-        """Returns the encoded item; the newest of each type is retained."""
-        newest = self._newest.get(type(item))
-        if newest is not None and newest[0] is item:
-            return newest[1]
-        payload = codec.encode(item)
-        self._newest[type(item)] = (item, payload)
-        return payload
-
-
 class Feed:
     """State that is sent to gateways, and the gateways that watch it.
 
@@ -97,6 +56,7 @@
       contents: Contents of the stores, by address.
       announcements: When this process learned of the announced weights.
       hold_ages: When this process learned of the holds.
+      evacuation_ages: When this process learned that evacuations ended.
     """
 
     def __init__(
@@ -122,6 +82,7 @@
         self.announcements = announcements.Announcements()
         self.record_announcements()
         self.hold_ages = holds.HoldAges()
+        self.evacuation_ages = evacuations.EvacuationAges()
         self._confirmation_number = 0
         self._confirmation = messages.Confirmation(ages.MAX_AGE_MS, ())
         self._gateway_list = messages.GatewayList(())
@@ -129,21 +90,18 @@
         self._store_revision = 0
         self._store_updates = messages.StoreUpdates(())
         self._stores_changed = anyio.Event()
-        bytes_per_s = link_mbps * _BYTES_PER_MBIT * CONTENTS_LINK_FRACTION
-        self._contents_bucket = token_bucket.TokenBucket(
-            bytes_per_s,
-            anyio.current_time,
-            burst_bytes=CONTENTS_BURST_S * bytes_per_s,
-        )
+        self._contents_bucket = _open_contents_bucket(link_mbps)
         self._full_contents: messages.CompressedStoreUpdates | None = None
         self._changed = anyio.Event()
         self._target_list = messages.TargetList(())
-        self._encoded = _EncodedItems()
+        self._encoded = watch_state.EncodedItems()
 
     def observe_state(self) -> None:
         """Handles a change of the replicated state."""
         self.record_announcements()
-        self.hold_ages.update(self.site.hold_table(), anyio.current_time())
+        now_s = anyio.current_time()
+        self.hold_ages.update(self.site.hold_table(), now_s)
+        self.evacuation_ages.update(self.site.evacuation_table(), now_s)
         self.notify_watches()
 
     def record_announcements(self) -> None:
@@ -230,7 +188,7 @@
         self.watchers.setdefault(name, []).append(message.member)
         try:
             await self._check_leadership()
-            sent = _WatchState(message.known_version)
+            sent = watch_state.WatchState(message.known_version)
             while True:
                 changed = self._changed
                 await self._send_changes(responder, sent)
@@ -257,15 +215,12 @@
         )
 
     async def _send_changes(
-        self, responder: incoming.Responder, sent: _WatchState
+        self, responder: incoming.Responder, sent: watch_state.WatchState
     ) -> None:
-        image = self.site.image
         # Gateways are ready once they have the configuration and a list; what
         # binds them before is sent ahead of both.
-        if image.builds != sent.builds:
-            sent.builds = image.builds
-            item = builds.in_force(image.builds, clocks.unix_ms())
-            await responder.send(item)
+        await self._send_early_items(responder, sent)
+        image = self.site.image
         if self.site.has_configuration and image.version > sent.version:
             sent.version = image.version
             await self._send(responder, self._configuration_in_force())
@@ -291,8 +246,22 @@
         if self._store_revision > sent.store_revision:
             await self._send_store_updates(responder, sent)
 
+    async def _send_early_items(
+        self, responder: incoming.Responder, sent: watch_state.WatchState
+    ) -> None:
+        image = self.site.image
+        if image.builds != sent.builds:
+            sent.builds = image.builds
+            item = builds.in_force(image.builds, clocks.unix_ms())
+            await responder.send(item)
+        table = self.site.evacuation_table()
+        if table != sent.evacuations:
+            sent.evacuations = table
+            now_s = anyio.current_time()
+            await responder.send(self.evacuation_ages.in_force(table, now_s))
+
     async def _send_store_updates(
-        self, responder: incoming.Responder, sent: _WatchState
+        self, responder: incoming.Responder, sent: watch_state.WatchState
     ) -> None:
         """Sends the changes of the stores, or the full contents.
 
@@ -375,6 +344,16 @@
         return messages.Confirmation(ages.to_ms(age_s), control)
 
 
+def _open_contents_bucket(link_mbps: float) -> token_bucket.TokenBucket:
+    """Returns the bucket that paces full contents of stores."""
+    bytes_per_s = link_mbps * _BYTES_PER_MBIT * CONTENTS_LINK_FRACTION
+    return token_bucket.TokenBucket(
+        bytes_per_s,
+        anyio.current_time,
+        burst_bytes=CONTENTS_BURST_S * bytes_per_s,
+    )
+
+
 def watch_handlers(
     feed: Feed,
 ) -> dict[type, collections.abc.Callable[..., typing.Any]]:
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators: configuration, weights and holds."""
+"""HTTP interface for operators of a site."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from cactusstile.platform import configurations
 from cactusstile.registry import answers
 from cactusstile.registry import commands as site_commands
+from cactusstile.registry import evacuation_calls
 from cactusstile.registry import hold_calls
 from cactusstile.registry import operator_calls
 from cactusstile.registry import state as states
@@ -102,6 +103,14 @@
             await responder.respond(answers.OK, fields, document)
         elif call is operator_calls.HoldCall.RELEASE:
             await self._release_hold(request, responder)
+        elif call is evacuation_calls.ListCall.LIST:
+            document = evacuation_calls.encode(self.site.evacuation_table())
+            fields = [answers.JSON_CONTENT]
+            await responder.respond(answers.OK, fields, document)
+        elif isinstance(call, evacuation_calls.ChangeCall):
+            await evacuation_calls.change(
+                self.site, self.replica, call.command, responder
+            )
         else:
             await self._replace_configuration(request, responder)
 
--- a/src/cactusstile/registry/operator_calls.py
+++ b/src/cactusstile/registry/operator_calls.py
@@ -1,4 +1,4 @@
-"""Calls of the operator interface, those on holds included."""
+"""Calls of the operator interface, the product's own included."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import attrs
 
 from cactusstile.platform import calls
+from cactusstile.registry import evacuation_calls
 
 if typing.TYPE_CHECKING:
     from cactusstile.http import messages
@@ -22,7 +23,12 @@
     RELEASE = "POST /holds/release"
 
 
-Call: typing.TypeAlias = calls.OperatorCall | HoldCall
+Call: typing.TypeAlias = (
+    calls.OperatorCall
+    | HoldCall
+    | evacuation_calls.ListCall
+    | evacuation_calls.ChangeCall
+)
 
 
 def find(request: messages.Request) -> Call | None:
@@ -31,7 +37,7 @@
     for call in HoldCall:
         if call.value == name:
             return call
-    return calls.find_operator_call(request)
+    return calls.find_operator_call(request) or evacuation_calls.find(request)
 
 
 def encode_holds(table: holds.HoldTable) -> bytes:
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -41,6 +41,8 @@
   holds @4 :List(Hold);
   released @5 :List(Hold);
   builds @6 :List(ServiceBuilds);
+  evacuated @7 :List(Text);
+  readmitted @8 :List(Text);
 }
 
 struct ServiceBuilds {
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -1,4 +1,4 @@
-"""Replicated state machine: configuration, newest weights and holds."""
+"""Replicated state machine: all that a site's registries keep."""
 
 from __future__ import annotations
 
@@ -9,9 +9,11 @@
 from cactusstile.control import commands
 from cactusstile.platform import configurations
 from cactusstile.registry import commands as site_commands
+from cactusstile.registry import evacuations
 from cactusstile.registry import holds
 from cactusstile.sites import builds
 from cactusstile.sites import documents
+from cactusstile.sites import evacuation_messages
 from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -23,7 +25,7 @@
 
 
 class SiteState:
-    """Configuration of the highest version, newest weights, and holds.
+    """Configuration of the highest version, and what else outlives processes.
 
     Attributes:
       image: The state; version 0 with an empty document before the first
@@ -52,6 +54,12 @@
         """Returns the holds in force, and those that were released."""
         return holds.HoldTable(self.image.holds, self.image.released)
 
+    def evacuation_table(self) -> evacuations.EvacuationTable:
+        """Returns the evacuated data centres, and those that came back."""
+        return evacuations.EvacuationTable(
+            self.image.evacuated, self.image.readmitted
+        )
+
     def stores(self) -> tuple[model.Store, ...]:
         """Returns the stores of the configuration in force."""
         image = self.image
@@ -94,6 +102,8 @@
             return self._name_weights(command)
         if isinstance(command, builds.RecordBuilds):
             return self._record_builds(command)
+        if isinstance(command, evacuation_messages.Command):
+            return self._set_evacuations(command)
         if isinstance(command, hold_messages.Command):
             return self._set_holds(self.hold_table().after(command))
         return transport_messages.CallError("bad_request", "unknown command")
@@ -112,6 +122,19 @@
             )
         return hold_messages.HoldOutcome(True)
 
+    def _set_evacuations(
+        self, command: evacuation_messages.Command
+    ) -> evacuation_messages.EvacuationOutcome:
+        table = self.evacuation_table().after(command)
+        if table is None:
+            return evacuation_messages.EvacuationOutcome(False)
+        self._set_image(
+            attrs.evolve(
+                self.image, evacuated=table.evacuated, readmitted=table.ended
+            )
+        )
+        return evacuation_messages.EvacuationOutcome(True)
+
     def _record_builds(
         self, command: builds.RecordBuilds
     ) -> builds.BuildsRecorded:
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -95,11 +95,16 @@
       name: Name of the service.
       max_connections: Connections that a target accepts from all callers.
       engine: Properties of its engines; None for a plain service.
+      cold_start_s: Time for which a target is cold after its start, in seconds.
+      cold_per_s: Requests per second that a cold target bears from all callers;
+        0 if it bears any number.
     """
 
     name: str
     max_connections: int = 0
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -233,3 +233,25 @@
 struct BuildsRecorded {
   count @0 :UInt32;
 }
+
+struct BeginEvacuation {
+  dataCentre @0 :Text;
+}
+
+struct EndEvacuation {
+  dataCentre @0 :Text;
+}
+
+struct EvacuationOutcome {
+  isDone @0 :Bool;
+}
+
+struct EndedEvacuation {
+  dataCentre @0 :Text;
+  ageMs @1 :UInt32;
+}
+
+struct EvacuationsInForce {
+  dataCentres @0 :List(Text);
+  ended @1 :List(EndedEvacuation);
+}
--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -29,7 +29,7 @@
     }
     target = model.Target(**{**fields, **changes})  # type: ignore[arg-type]
     view = target_view.TargetView(target, prompts.CachedParts(50_000))
-    view.update_from_list(target)
+    view.update_from_list(target, 0.0)
     return view
 
 
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -75,7 +75,7 @@
 
 def test_parts_are_fetched_from_an_engine_within_its_pause() -> None:
     views = target_view.TargetViews()
-    views.update((listed("a"), listed("b")), {})
+    views.update((listed("a"), listed("b")), {}, 0.0)
     first, second = views.by_id["a"], views.by_id["b"]
     first.cached.add("s", prompts.Prompt(parts=(prompts.Part("x", 9),)))
     found = peer_parts.find_holder((first, second), second, ("s", "x"), 1.0)
--- a/tests/gateway/test_target_view.py
+++ b/tests/gateway/test_target_view.py
@@ -14,7 +14,7 @@
 
 def make_views(*listed: model.Target) -> target_view.TargetViews:
     targets = target_view.TargetViews()
-    targets.update(listed, {})
+    targets.update(listed, {}, 0.0)
     return targets
 
 
@@ -26,7 +26,7 @@
         view.record_failure(0.0)
     assert not view.is_usable(3.9)
     assert view.is_usable(4.0)
-    view.record_success()
+    view.record_success(0.0)
     view.record_failure(5.0)
     assert view.is_usable(5.0)
 
@@ -34,7 +34,7 @@
 def test_cache_capacity_follows_newest_configuration() -> None:
     targets = make_views(TARGET)
     service = model.Service("s", engine=ENGINE)
-    targets.update((TARGET,), {"s": service})
+    targets.update((TARGET,), {"s": service}, 0.0)
     assert view_of(targets).cached.capacity_tokens == 1000
 
 
@@ -42,7 +42,7 @@
     targets = make_views(TARGET)
     view_of(targets).inflight = 3
     restarted = model.Target("t", "s", TARGET.address, "d", 8, born_ms=17)
-    targets.update((restarted,), {})
+    targets.update((restarted,), {}, 0.0)
     assert list(targets.views) == [("t", 17)]
     assert targets.views["t", 17].inflight == 0
 
