--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -31,6 +31,8 @@
       ended_s: Loop time of the end.
       first_event_s: Loop time of the stream's start; None without a stream.
       events: Number of relayed events.
+      longest_gap_s: Longest time between two events of the answer so far, in
+        seconds.
       prompt_tokens: Length of the prompt in tokens.
       unread_tokens: Prompt tokens that the target was expected to prefill.
       fetched_tokens: Prompt tokens that the target was instructed to fetch.
@@ -58,6 +60,7 @@
     ended_s: float = 0.0
     first_event_s: float | None = None
     events: int = 0
+    longest_gap_s: float = 0.0
     prompt_tokens: int = 0
     unread_tokens: int = 0
     fetched_tokens: int = 0
@@ -115,6 +118,7 @@
                 self.first_event_s - self.started_s
             )
             fields["events"] = self.events
+            fields["longest_gap_ms"] = _to_ms(self.longest_gap_s)
         if self.outcome in _BROKEN and not self.events:
             fields["parts"] = self.shared_parts
         if self.fingerprint:
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -106,6 +106,7 @@
             raise
         finally:
             record.attempts[-1].events = relay.events - before
+            record.attempts[-1].longest_gap_s = relay.longest_gap_s
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay)
 
--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import anyio
+
 from cactusstile import verdict
 from cactusstile.gateway import exchange
 from cactusstile.gateway import retries
@@ -28,6 +30,7 @@
       on_begin: Called with its origin before the first event is passed on.
       splitter: Extracts complete events that were not sent before.
       events: Number of events sent to the caller.
+      longest_gap_s: Longest time between two of them, in seconds.
       observer: Is told how far the current target's answer has come.
     """
 
@@ -44,6 +47,8 @@
         self.observer = observer
         self.splitter = http_events.EventSplitter(last_event_id)
         self.events = 0
+        self.longest_gap_s = 0.0
+        self._event_s: float | None = None
 
     @property
     def started(self) -> bool:
@@ -93,8 +98,15 @@
             await self._start(stream.head)
             await self.responder.send(event)
             self.events += 1
+            self._record_gap(anyio.current_time())
             self.observer.record_event()
 
+    def _record_gap(self, now_s: float) -> None:
+        if self._event_s is not None:
+            gap_s = now_s - self._event_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self._event_s = now_s
+
     async def _read(self, stream: exchange.OpenStream) -> bytes | None:
         try:
             return await stream.connection.read_body()
