Read load reports of four figures, and place by the speed of targets

Cause: a load report was dropped as a whole unless it had three figures, so that gateways in front of such targets knew only each other's requests; the fourth, how long work takes at the target now, was known to nobody.

Change: platform.loads reads both forms; the expected time at a target is multiplied by its slowness, whose excess fades within two seconds (gateway.target_speed). The views of all targets are a module of their own.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -25,6 +25,7 @@
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.gateway.engines import weights_limit
 from cactusstile.platform import headers
+from cactusstile.platform import loads
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
@@ -361,8 +362,7 @@
             return
         now_s = anyio.current_time()
         if error.answer is not None:
-            load = error.answer.head.find(headers.LOAD)
-            view.record_load(load, now_s)
+            view.record_load(loads.find(error.answer.head), now_s)
         if error.is_misdirected:
             self._record_misdirected(view, error, now_s)
         elif error.reason.startswith("rejected"):
--- a/src/cactusstile/gateway/engines/placement.py
+++ b/src/cactusstile/gateway/engines/placement.py
@@ -184,7 +184,7 @@
     needed = engine_memory.needed_tokens(prompt, cached_tokens)
     overflow = engine_memory.overflow_tokens(view, needed, now_s)
     cost += OVERFLOW_WEIGHT * overflow
-    return cost * penalty
+    return cost * penalty * view.speed.slowness(now_s)
 
 
 def queue_cost(
@@ -216,7 +216,8 @@
     best = None
     best_cost = (float("inf"), b"")
     for view in views:
-        load = view.occupied(now_s) / view.slots()
+        load = (1 + view.occupied(now_s)) / view.slots()
+        load *= view.speed.slowness(now_s)
         load += FAILURE_WEIGHT * view.failure_share
         if view.target.cold_s > 0:
             load += 1.0
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -207,6 +207,11 @@
         attempt.pause_s = max(attempt.pause_s, notices.pause_s(head))
         attempt.limit_per_s = notices.limit_per_s(head)
 
+    def set_events(self, count: int, longest_gap_s: float) -> None:
+        """Sets what the last attempt added to a stream."""
+        self.attempts[-1].events = count
+        self.attempts[-1].longest_gap_s = longest_gap_s
+
     def set_work(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -23,6 +23,7 @@
 from cactusstile.http import messages as http_messages
 from cactusstile.http import targets
 from cactusstile.platform import headers
+from cactusstile.platform import loads
 from cactusstile.sites import messages
 
 if typing.TYPE_CHECKING:
@@ -90,7 +91,7 @@
                 self._count_work(view, work, attempts.backup),
                 self._open_attempt(admitted, view, dispatch, record) as opened,
             ):
-                load = opened.head.find(headers.LOAD)
+                load = loads.find(opened.head)
                 view.record_load(load, anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
@@ -105,8 +106,7 @@
             self._record_timeout(admitted, view, record)
             raise
         finally:
-            record.attempts[-1].events = relay.events - before
-            record.attempts[-1].longest_gap_s = relay.longest_gap_s
+            record.set_events(relay.events - before, relay.longest_gap_s)
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay)
 
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -7,7 +7,7 @@
 
 from cactusstile.gateway import build_history
 from cactusstile.gateway import routes
-from cactusstile.gateway import target_view
+from cactusstile.gateway import target_views
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import callers
 from cactusstile.sites import announcements
@@ -37,8 +37,8 @@
     """
 
     table: routes.RoutingTable | None = None
-    targets: target_view.TargetViews = attrs.field(
-        factory=target_view.TargetViews
+    targets: target_views.TargetViews = attrs.field(
+        factory=target_views.TargetViews
     )
     listed_s: float | None = None
     listed: tuple[model.Target, ...] = ()
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -1,4 +1,4 @@
-"""Local views of the targets: load, failures and cached prompts.
+"""Local view of one target: load, failures and cached prompts.
 
 A view is an estimate. It combines the platform's list of targets, the load
 reports in answers, the outcome of this gateway's requests, and the loads that
@@ -7,22 +7,18 @@
 
 from __future__ import annotations
 
-import typing
-
 import attrs
 
 from cactusstile.gateway import target_notices
+from cactusstile.gateway import target_speed
 from cactusstile.gateway import warming
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.peers import load_table
+from cactusstile.platform import loads
 from cactusstile.routing import evacuation
-from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.sites import salts
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 # Age from which the load report in a target's answer is ignored.
 LOAD_REPORT_MAX_AGE_S = 2.0
 # Age from which the load that another gateway reported is ignored.
@@ -37,8 +33,6 @@
 MAX_DOUBLINGS = 3
 # Weight of the newest result in a target's moving fraction of failed requests.
 FAILURE_EWMA_WEIGHT = 0.1
-# Assumed KV cache of an engine whose size is not configured.
-DEFAULT_CACHE_TOKENS = 50_000
 
 
 @attrs.frozen
@@ -71,6 +65,7 @@
       unread_tokens: Prompt tokens of the requests without a first event.
       tokens: KV cache that these requests occupy, in tokens.
       load: Last load report; None before the first.
+      speed: How long work takes at the target, as last reported.
       failures: Consecutive failed requests.
       failure_share: Moving fraction of requests that failed.
       ejected_until_s: Loop time until which the target is not used after
@@ -95,6 +90,7 @@
     unread_tokens: int = 0
     tokens: int = 0
     load: LoadReport | None = None
+    speed: target_speed.SpeedReport = target_speed.NO_REPORT
     failures: int = 0
     failure_share: float = 0.0
     ejected_until_s: float = 0.0
@@ -182,15 +178,15 @@
         """
         return salts.make(cache_scope, name, self.weights.get(name, 0))
 
-    def record_load(self, text: str | None, now_s: float) -> None:
-        """Records a load report in the form "running,waiting,slots"."""
-        parts = (text or "").split(",")
-        if len(parts) != len(("running", "waiting", "slots")):
-            return
-        if not all(part.strip().isdecimal() for part in parts):
+    def record_load(self, load: loads.Load | None, now_s: float) -> None:
+        """Records the load that a target named, if it did."""
+        if load is None:
             return
-        running, waiting, slots = (int(part) for part in parts)
-        self.load = LoadReport(running, waiting, slots, now_s, self.inflight)
+        self.load = LoadReport(
+            load.running, load.waiting, load.slots, now_s, self.inflight
+        )
+        if load.slowness is not None:
+            self.speed = target_speed.SpeedReport(load.slowness, now_s)
 
     def others(self, now_s: float) -> int:
         """Returns the requests of other gateways at the target.
@@ -289,104 +285,3 @@
     def is_reachable(self, now_s: float) -> bool:
         """Returns whether the target is neither ejected nor in back-off."""
         return now_s >= max(self.backoff_until_s, self.ejected_until_s)
-
-
-@attrs.define
-class TargetViews:
-    """Views of all listed targets.
-
-    Attributes:
-      views: View of each target, by incarnation.
-      by_service: Views of each service's targets.
-      by_id: View of each target, by its id.
-      peer_loads: Loads that other gateways report.
-      notices: What targets announced in their answers.
-      evacuations: Evacuated data centres.
-    """
-
-    views: dict[tuple[str, int], TargetView] = attrs.field(factory=dict)
-    by_service: dict[str, list[TargetView]] = attrs.field(factory=dict)
-    by_id: dict[str, TargetView] = attrs.field(factory=dict)
-    peer_loads: load_table.LoadTable = attrs.field(factory=load_table.LoadTable)
-    notices: target_notices.NoticeTable = attrs.field(
-        factory=target_notices.NoticeTable
-    )
-    evacuations: evacuation.Evacuations = attrs.field(
-        factory=evacuation.Evacuations
-    )
-
-    def update(
-        self,
-        listed: tuple[model.Target, ...],
-        services: dict[str, model.Service],
-        now_s: float,
-    ) -> None:
-        """Applies a list; views of targets that stay listed are retained."""
-        views_by_incarnation = {}
-        for target in listed:
-            view = self.views.get(target.incarnation)
-            capacity = _cache_capacity_tokens(services.get(target.service))
-            if view is None:
-                view = TargetView(
-                    target,
-                    prompts.CachedParts(capacity),
-                    peer_loads=self.peer_loads,
-                    notices=self.notices.of(target.incarnation),
-                    evacuations=self.evacuations,
-                    warming=warming.Warming(target.id, self.notices.gateways),
-                )
-            view.cached.capacity_tokens = capacity
-            view.warming.set_service(services.get(target.service))
-            view.update_from_list(target, now_s)
-            views_by_incarnation[target.incarnation] = view
-        self.views = views_by_incarnation
-        self.notices.forget_unlisted(views_by_incarnation)
-        self.by_id = {
-            view.target.id: view for view in views_by_incarnation.values()
-        }
-        self.by_service = {}
-        for view in views_by_incarnation.values():
-            name = view.target.service
-            self.by_service.setdefault(name, []).append(view)
-
-    def of_service(self, service: str) -> list[TargetView]:
-        """Returns the views of a service's targets."""
-        return self.by_service.get(service, [])
-
-    def remaining_pause_s(self, service: str, now_s: float) -> float:
-        """Returns the time until a target of a service accepts requests.
-
-        Returns 0 if one accepts requests now, or if all of them leave.
-        """
-        accepting_s = []
-        for view in self.of_service(service):
-            if not view.leaving and not view.is_evacuated:
-                accepting_s.append(view.accepts_from_s(now_s))
-        return max(0.0, min(accepting_s, default=now_s) - now_s)
-
-    def record_peer_prompts(
-        self, sent: collections.abc.Iterable[messages.SentPrompt]
-    ) -> None:
-        """Records which prompts another gateway sent to which engine."""
-        for prompt in sent:
-            view = self.by_id.get(prompt.target)
-            if view is None:
-                continue
-            parts = tuple(
-                prompts.Part(part.id, part.tokens) for part in prompt.parts
-            )
-            view.cached.add(prompt.salt, prompts.Prompt(parts=parts))
-
-    def live_services(self) -> set[str]:
-        """Returns the services with a target that may receive requests."""
-        live = set()
-        for name, views in self.by_service.items():
-            if any(not (view.leaving or view.is_evacuated) for view in views):
-                live.add(name)
-        return live
-
-
-def _cache_capacity_tokens(service: model.Service | None) -> int:
-    if service is None or service.engine is None:
-        return DEFAULT_CACHE_TOKENS
-    return service.engine.kv_tokens or DEFAULT_CACHE_TOKENS
--- a/src/cactusstile/platform/headers.py
+++ b/src/cactusstile/platform/headers.py
@@ -39,7 +39,9 @@
 # Set by targets.
 SEAL = b"x-cactusstile-response-seal"
 NOT_RUN = b"x-cactusstile-not-executed"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests and slots, separated by commas; where
+# targets share their machines, followed by the time that work takes there now,
+# in percent of the usual.
 LOAD = b"x-cactusstile-instance-load"
 TARGET_ID = b"x-cactusstile-instance-id"
 WEIGHTS = b"x-cactusstile-weight-versions"
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cactusstile.gateway import target_notices
-from cactusstile.gateway import target_view
+from cactusstile.gateway import target_views
 from cactusstile.gateway.engines import peer_parts
 from cactusstile.gateway.engines import prompts
 from cactusstile.http import messages
@@ -74,7 +74,7 @@
 
 
 def test_parts_are_fetched_from_an_engine_within_its_pause() -> None:
-    views = target_view.TargetViews()
+    views = target_views.TargetViews()
     views.update((listed("a"), listed("b")), {}, 0.0)
     first, second = views.by_id["a"], views.by_id["b"]
     first.cached.add("s", prompts.Prompt(parts=(prompts.Part("x", 9),)))
