--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -21,6 +21,7 @@
 from cactusstile.gateway.engines import peer_parts
 from cactusstile.gateway.engines import placement
 from cactusstile.gateway.engines import return_times
+from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import sessions
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.gateway.engines import weights_limit
@@ -47,6 +48,7 @@
       site: Local view of the site.
       weights: Decides whose weights are too old.
       sessions: Statistics of returning prompt parts, by route.
+      separations: Decides whether long prompts are kept apart.
     """
 
     def __init__(self, site: site_view.SiteView, weights_s: float) -> None:
@@ -60,6 +62,7 @@
         self.site = site
         self.weights = weights_limit.WeightsLimit(site.weights, weights_s)
         self.sessions = sessions.Sessions()
+        self.separations = separations.Separations()
 
     def choose_service(
         self,
@@ -219,12 +222,12 @@
     ) -> target_view.TargetView | None:
         prompt = admitted.prompt
         shared_parts = self.sessions.shared_parts(admitted.route.name, prompt)
+        jitter = placement.request_jitter(admitted.id, len(self.site.gateways))
+        surcharge = self.separations.surcharge(prompt, candidates, now_s)
         return placement.choose_engine(
             candidates,
             prompt,
-            jitter=placement.request_jitter(
-                admitted.id, len(self.site.gateways)
-            ),
+            added_cost=lambda view: jitter(view) + surcharge(view),
             cache_scope=admitted.cache_scope,
             affinity_key=shared_parts[-1].id if shared_parts else "",
             stored_tokens=lambda salt: self.site.stored.prefix_tokens(
--- a/src/cactusstile/gateway/engines/placement.py
+++ b/src/cactusstile/gateway/engines/placement.py
@@ -24,7 +24,7 @@
     import collections.abc
 
     StoredTokens = collections.abc.Callable[[str], int]
-    Jitter = collections.abc.Callable[[target_view.TargetView], float]
+    AddedCost = collections.abc.Callable[[target_view.TargetView], float]
 
 # Delay that each occupied slot adds to a new request, in prompt tokens.
 QUEUE_TOKENS_PER_REQUEST = 50.0
@@ -67,7 +67,7 @@
     views: collections.abc.Sequence[target_view.TargetView],
     prompt: prompts.Prompt,
     *,
-    jitter: Jitter,
+    added_cost: AddedCost,
     cache_scope: str,
     affinity_key: str,
     stored_tokens: StoredTokens,
@@ -79,7 +79,7 @@
     Args:
       views: Engines to choose from.
       prompt: Prompt of the request.
-      jitter: Returns the pseudo-random addition to an engine's cost.
+      added_cost: Returns what is added to an engine's cost, in prompt tokens.
       cache_scope: Isolation domain within which the KV cache is shared.
       affinity_key: Id of the last part that returns; empty without one.
       stored_tokens: Returns the tokens of the prefix that stores hold.
@@ -97,7 +97,7 @@
     for engine in engines:
         fetchable = max(stored[engine.salt], max_cached)
         cost = engine_cost(engine.view, prompt, engine.tokens, fetchable, now_s)
-        cost += jitter(engine.view)
+        cost += added_cost(engine.view)
         if engine.view is home:
             cost -= HOME_BONUS_FRACTION * prompt.tokens
         if cost < best_cost:
@@ -135,7 +135,7 @@
     return _Candidate(view, salt, view.cached.prefix_tokens(salt, prompt))
 
 
-def request_jitter(request_id: str, gateways: int) -> Jitter:
+def request_jitter(request_id: str, gateways: int) -> AddedCost:
     """Returns a function that adds pseudo-random cost to an engine.
 
     Gateways with the same view of the load would otherwise all choose the same
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -84,8 +84,7 @@
         work = self.dispatcher.estimate_work(admitted, view, dispatch)
         self._describe(admitted, work, dispatch, record)
         before = relay.events
-        view.cached.add(dispatch.salt, admitted.prompt)
-        self.announce_prompt(view.target.id, dispatch.salt, admitted.prompt)
+        self._announce(admitted.prompt, view, dispatch, work)
         try:
             async with (
                 self._count_work(view, work, attempts.backup),
@@ -100,7 +99,7 @@
                     work.unread_tokens = 0
                     self.announce_load()
                     await relay.feed(opened, retries.origin_at(view.target))
-                    self._record_stream_end(admitted, work)
+                    self._record_stream_end(admitted, work, view, relay)
             view.record_success(anyio.current_time())
         except anyio.get_cancelled_exc_class():
             self._record_timeout(admitted, view, record)
@@ -110,6 +109,18 @@
         if isinstance(opened, exchange.Answer):
             await self._relay_answer(opened, relay)
 
+    def _announce(
+        self,
+        prompt: prompts.Prompt,
+        view: target_view.TargetView,
+        dispatch: exchange.Dispatch,
+        work: exchange.Work,
+    ) -> None:
+        """Records a prompt that is sent to an engine, and tells others."""
+        self.dispatcher.separations.record_work(view, prompt, work)
+        view.cached.add(dispatch.salt, prompt)
+        self.announce_prompt(view.target.id, dispatch.salt, prompt)
+
     def _open_attempt(
         self,
         admitted: admission.AdmittedRequest,
@@ -175,9 +186,16 @@
             self.announce_fetch(observed)
 
     def _record_stream_end(
-        self, admitted: admission.AdmittedRequest, work: exchange.Work
+        self,
+        admitted: admission.AdmittedRequest,
+        work: exchange.Work,
+        view: target_view.TargetView,
+        relay: streams.StreamRelay,
     ) -> None:
-        """Records the duration of a completed stream."""
+        """Records the duration and the pauses of a completed stream."""
+        self.dispatcher.separations.record_pauses(
+            admitted.route, view, relay.longest_gap_s
+        )
         self.pace.add(
             admitted.route.name,
             admitted.prompt.expected_tokens,
--- a/tests/gateway/engines/test_slow_engines.py
+++ b/tests/gateway/engines/test_slow_engines.py
@@ -59,7 +59,7 @@
         view = placement.choose_engine(
             self.views,
             PROMPT,
-            jitter=placement.request_jitter(str(self.sent), 1),
+            added_cost=placement.request_jitter(str(self.sent), 1),
             cache_scope="shared",
             affinity_key="",
             stored_tokens=lambda _: 0,
--- a/tests/gateway/peers/test_load_exchange.py
+++ b/tests/gateway/peers/test_load_exchange.py
@@ -86,7 +86,7 @@
         view = placement.choose_engine(
             list(views_of(own).values()),
             prompt,
-            jitter=placement.request_jitter(f"r-{turn}", len(gateways)),
+            added_cost=placement.request_jitter(f"r-{turn}", len(gateways)),
             cache_scope="w",
             affinity_key="",
             stored_tokens=lambda _: 0,
@@ -142,7 +142,7 @@
     view = placement.choose_engine(
         list(views_of(gateway).values()),
         PROMPT,
-        jitter=placement.request_jitter(request_id, 16),
+        added_cost=placement.request_jitter(request_id, 16),
         cache_scope="w",
         affinity_key="",
         stored_tokens=lambda _: 0,
