Cut engines by the prompts of all gateways

Change: counts of all gateways, which are announced already; only the mean work of a prompt is a gateway's own. An output token counts 10 tokens, not 16: short prompts need less room.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -21,7 +21,6 @@
 from cactusstile.gateway.engines import peer_parts
 from cactusstile.gateway.engines import placement
 from cactusstile.gateway.engines import return_times
-from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import sessions
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.gateway.engines import weights_limit
@@ -48,7 +47,7 @@
       site: Local view of the site.
       weights: Decides whose weights are too old.
       sessions: Statistics of returning prompt parts, by route.
-      separations: Decides whether long prompts are kept apart.
+      separations: Decides whether long prompts are kept apart; of `site`.
     """
 
     def __init__(self, site: site_view.SiteView, weights_s: float) -> None:
@@ -62,7 +61,7 @@
         self.site = site
         self.weights = weights_limit.WeightsLimit(site.weights, weights_s)
         self.sessions = sessions.Sessions()
-        self.separations = separations.Separations()
+        self.separations = site.separations
 
     def choose_service(
         self,
--- a/src/cactusstile/gateway/engines/separations.py
+++ b/src/cactusstile/gateway/engines/separations.py
@@ -17,6 +17,7 @@
     from cactusstile.gateway import target_view
     from cactusstile.gateway.engines import placement
     from cactusstile.gateway.engines import prompts
+    from cactusstile.sites import messages
     from cactusstile.sites import model
 
 logger = logging.getLogger(__name__)
@@ -73,6 +74,18 @@
             prompt.tokens, work.unread_tokens, output_tokens, work.started_s
         )
 
+    def record_peer_prompts(
+        self,
+        service: str,
+        sent: collections.abc.Iterable[messages.SentPrompt],
+        now_s: float,
+    ) -> None:
+        """Records prompts that other gateways sent to engines of a service."""
+        known = self._separation(service)
+        for prompt in sent:
+            tokens = sum(part.tokens for part in prompt.parts)
+            known.record_peer_prompt(tokens, now_s)
+
     def record_pauses(
         self,
         route: model.Route,
--- a/src/cactusstile/gateway/peers/load_sharing.py
+++ b/src/cactusstile/gateway/peers/load_sharing.py
@@ -191,7 +191,7 @@
     def _apply_announcements(
         self, message: datagrams.LoadMessage, now_s: float
     ) -> None:
-        self.site.targets.record_peer_prompts(message.prompts)
+        self.site.record_peer_prompts(message.prompts, now_s)
         for observed in message.fetches:
             self.site.stored.costs.apply(observed, now_s)
 
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import typing
+
 import anyio
 import attrs
 
 from cactusstile.gateway import build_history
 from cactusstile.gateway import routes
 from cactusstile.gateway import target_views
+from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import callers
 from cactusstile.sites import announcements
 from cactusstile.sites import messages
 from cactusstile.sites import model
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 
 @attrs.define
 class SiteView:
@@ -31,6 +37,7 @@
       gateways: All gateways; they share the site's limits.
       control: Addresses of control processes, as last reported.
       stored: Contents of the stores.
+      separations: Mix of long and short prompts.
       configured: Set once the first configuration was received.
       configured_s: Loop time of the first configuration.
       stores_known: Set once the contents of an open store were received.
@@ -54,6 +61,9 @@
     stored: stored_parts.StoredParts = attrs.field(
         factory=stored_parts.StoredParts
     )
+    separations: separations.Separations = attrs.field(
+        factory=separations.Separations
+    )
     configured: anyio.Event = attrs.field(factory=anyio.Event)
     configured_s: float = float("inf")
     stores_known: anyio.Event = attrs.field(factory=anyio.Event)
@@ -115,6 +125,19 @@
         if any(store.open for store in updates.stores):
             self.stores_known.set()
 
+    def record_peer_prompts(
+        self, sent: collections.abc.Iterable[messages.SentPrompt], now_s: float
+    ) -> None:
+        """Records which prompts other gateways sent to which engines."""
+        by_service: dict[str, list[messages.SentPrompt]] = {}
+        for prompt in sent:
+            view = self.targets.record_peer_prompt(prompt)
+            if view is not None:
+                known = by_service.setdefault(view.target.service, [])
+                known.append(prompt)
+        for service, prompts in by_service.items():
+            self.separations.record_peer_prompts(service, prompts, now_s)
+
     def stores(self) -> tuple[model.Store, ...]:
         """Returns the stores of the configuration in force."""
         if self.table is None:
--- a/src/cactusstile/gateway/target_views.py
+++ b/src/cactusstile/gateway/target_views.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import typing
-
 import attrs
 
 from cactusstile.gateway import target_notices
@@ -15,9 +13,6 @@
 from cactusstile.sites import messages
 from cactusstile.sites import model
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 # Assumed KV cache of an engine whose size is not configured.
 DEFAULT_CACHE_TOKENS = 50_000
 
@@ -99,18 +94,20 @@
                 accepting_s.append(view.accepts_from_s(now_s))
         return max(0.0, min(accepting_s, default=now_s) - now_s)
 
-    def record_peer_prompts(
-        self, sent: collections.abc.Iterable[messages.SentPrompt]
-    ) -> None:
-        """Records which prompts another gateway sent to which engine."""
-        for prompt in sent:
-            view = self.by_id.get(prompt.target)
-            if view is None:
-                continue
+    def record_peer_prompt(
+        self, sent: messages.SentPrompt
+    ) -> target_view.TargetView | None:
+        """Records a prompt that another gateway sent; returns its engine.
+
+        None if the engine is not listed here.
+        """
+        view = self.by_id.get(sent.target)
+        if view is not None:
             parts = tuple(
-                prompts.Part(part.id, part.tokens) for part in prompt.parts
+                prompts.Part(part.id, part.tokens) for part in sent.parts
             )
-            view.cached.add(prompt.salt, prompts.Prompt(parts=parts))
+            view.cached.add(sent.salt, prompts.Prompt(parts=parts))
+        return view
 
     def live_services(self) -> set[str]:
         """Returns the services with a target that may receive requests."""
--- a/src/cactusstile/routing/separation.py
+++ b/src/cactusstile/routing/separation.py
@@ -21,7 +21,7 @@
 
 LONG_PROMPT_TOKENS = 2000
 # Work of an output token, in prompt tokens to prefill.
-TOKENS_PER_OUTPUT_TOKEN = 16.0
+TOKENS_PER_OUTPUT_TOKEN = 10.0
 # Half-life of what was seen.
 HALF_LIFE_S = 10.0
 # Fraction of streams that may miss their pause objective, and the number of
@@ -72,20 +72,43 @@
     return SHORT_SURCHARGE_TOKENS
 
 
+@attrs.define
+class Prompts:
+    """Prompts of one length, long or short.
+
+    Attributes:
+      count: Prompts that all gateways sent.
+      own_count: Prompts that this process sent.
+      own_work: Their work, in prompt tokens.
+    """
+
+    count: FadingSum = attrs.field(factory=FadingSum)
+    own_count: FadingSum = attrs.field(factory=FadingSum)
+    own_work: FadingSum = attrs.field(factory=FadingSum)
+
+    def work(self, now_s: float) -> float:
+        """Returns the work of all gateways' prompts, as far as it is known."""
+        own_count = self.own_count.value(now_s)
+        if not own_count:
+            return 0.0
+        mean = self.own_work.value(now_s) / own_count
+        return mean * self.count.value(now_s)
+
+
 @attrs.define
 class Separation:
     """Mix of the prompts of one service, and whether they are separated.
 
     Attributes:
-      long_work: Work of long prompts, in prompt tokens.
-      short_work: Work of all others.
+      long: Long prompts.
+      short: All others.
       streams: Streams that ended.
       late_streams: Those that paused for longer than their route allows.
       active_until_s: Loop time until which prompts are separated.
     """
 
-    long_work: FadingSum = attrs.field(factory=FadingSum)
-    short_work: FadingSum = attrs.field(factory=FadingSum)
+    long: Prompts = attrs.field(factory=Prompts)
+    short: Prompts = attrs.field(factory=Prompts)
     streams: FadingSum = attrs.field(factory=FadingSum)
     late_streams: FadingSum = attrs.field(factory=FadingSum)
     active_until_s: float = float("-inf")
@@ -106,8 +129,15 @@
           now_s: Loop time.
         """
         work = unread_tokens + TOKENS_PER_OUTPUT_TOKEN * output_tokens
-        total = self.long_work if is_long(prompt_tokens) else self.short_work
-        total.add(work, now_s)
+        prompts = self.long if is_long(prompt_tokens) else self.short
+        prompts.own_count.add(1.0, now_s)
+        prompts.own_work.add(work, now_s)
+        prompts.count.add(1.0, now_s)
+
+    def record_peer_prompt(self, prompt_tokens: int, now_s: float) -> None:
+        """Records a prompt that another gateway sent."""
+        prompts = self.long if is_long(prompt_tokens) else self.short
+        prompts.count.add(1.0, now_s)
 
     def record_stream(
         self, longest_pause_s: float, allowed_s: float, now_s: float
@@ -138,8 +168,8 @@
 
     def long_fraction(self, now_s: float) -> float:
         """Returns the part of the work that long prompts make."""
-        long_work = self.long_work.value(now_s)
-        total = long_work + self.short_work.value(now_s)
+        long_work = self.long.work(now_s)
+        total = long_work + self.short.work(now_s)
         return long_work / total if total else 0.0
 
     def engines_for(
--- a/tests/gateway/engine_model.py
+++ b/tests/gateway/engine_model.py
@@ -15,6 +15,7 @@
 STEP_PER_RUN_S = 0.00008
 PREFILL_TOKENS_PER_S = 125_000
 CHUNK_TOKENS = 1024
+TOKENS_PER_EVENT = 5
 
 
 @attrs.define(eq=False)
@@ -28,6 +29,7 @@
       output_tokens: Length of the answer.
       unread: Prompt tokens that are not prefilled yet.
       made: Tokens of the answer so far.
+      longest_pause_s: Longest time between two events of the answer.
       first_event: Set at the first token.
       ended: Set at the last token.
     """
@@ -38,6 +40,8 @@
     output_tokens: int
     unread: int = 0
     made: int = 0
+    longest_pause_s: float = 0.0
+    event_s: float | None = None
     first_event: anyio.Event = attrs.field(factory=anyio.Event)
     ended: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -45,6 +49,15 @@
     def rank(self) -> tuple[int, int]:
         return (self.priority, self.number)
 
+    def add_token(self, now_s: float) -> None:
+        self.made += 1
+        if self.made % TOKENS_PER_EVENT != 1:
+            return
+        if self.event_s is not None:
+            pause_s = now_s - self.event_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.event_s = now_s
+
 
 @attrs.define(eq=False)
 class Engine:
@@ -125,7 +138,7 @@
         for run in list(self.running):
             if run.unread or run not in self.running:
                 continue
-            run.made += 1
+            run.add_token(anyio.current_time())
             run.first_event.set()
             if run.made >= run.output_tokens:
                 self.running.remove(run)
