Bind requests to the regions of their route and workspace

Cause: allowedRegions of routes and workspaces was ignored. Change: targets, repeats and copies are chosen within the regions (routing.regions); bound prompts are neither saved nor fetched. Settings of a process name the region of each data centre.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -70,6 +70,14 @@
     resumed_id: str
     version: int
 
+    @functools.cached_property
+    def regions(self) -> tuple[frozenset[str], ...]:
+        """Sets of regions that bind the request; see `routing.regions`."""
+        bounds = [self.route.regions]
+        if self.workspace is not None:
+            bounds.append(self.workspace.regions)
+        return tuple(bound for bound in bounds if bound)
+
     @functools.cached_property
     def keys(self) -> request_keys.RequestKeys:
         """Keys under which targets may end."""
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -27,6 +27,7 @@
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
+from cactusstile.routing import regions
 from cactusstile.settings import node
 from cactusstile.sites import discovery
 from cactusstile.sites import limit_messages
@@ -107,7 +108,7 @@
     pool: targets.Pool,
     request_metrics: gateway_metrics.GatewayMetrics,
 ) -> Gateway:
-    site = site_view.SiteView()
+    site = site_view.SiteView(regions=regions.Regions(settings.regions))
     budget = _new_budget(settings)
 
     def record_request(finished: records.RequestRecord) -> None:
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -6,7 +6,6 @@
 
 import anyio
 
-from cactusstile import clocks
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import exchange
@@ -90,19 +89,6 @@
             )
         return service
 
-    def find_sole_build(self, route: model.Route) -> str | None:
-        """Returns the build of all streams of a route that go on.
-
-        None if the services of the route run several, or did so lately.
-        """
-        now_s = anyio.current_time()
-        boot_s = clocks.boot_s()
-        found = set()
-        for share in route.shares:
-            service = share.service
-            found.add(self.site.builds.sole_build(service, now_s, boot_s))
-        return found.pop() if len(found) == 1 else None
-
     def choose_target(
         self,
         admitted: admission.AdmittedRequest,
@@ -147,7 +133,7 @@
         """
         now_s = anyio.current_time()
         permitted = []
-        for view in self.untried(service, attempts):
+        for view in self.untried(admitted, service, attempts):
             if not view.accepts_requests(now_s):
                 continue
             if not self.weights.is_outdated(view, admitted.prompt.model, now_s):
@@ -156,13 +142,16 @@
         return usable or permitted
 
     def untried(
-        self, service: str, attempts: retries.Attempts
+        self,
+        admitted: admission.AdmittedRequest,
+        service: str,
+        attempts: retries.Attempts,
     ) -> list[target_view.TargetView]:
         """Returns the targets of a service that a request may be sent to.
 
         They may be unusable for the moment.
         """
-        views = self.site.targets.of_service(service)
+        views = self.site.targets_within(service, admitted.regions)
         found = []
         for view in views:
             if view.leaving or view.is_evacuated:
@@ -280,7 +269,13 @@
         view: target_view.TargetView,
         salt: str,
     ) -> stored_parts.TransferPlan:
-        """Returns the parts of the prompt that an engine fetches and saves."""
+        """Returns the parts of the prompt that an engine fetches and saves.
+
+        A prompt that is bound to regions is neither saved nor fetched: others
+        could not tell whose part it is.
+        """
+        if admitted.regions:
+            return stored_parts.NO_TRANSFERS
         return self.site.stored.plan(
             admitted.prompt,
             self.sessions.shared_parts(admitted.route.name, admitted.prompt),
@@ -304,7 +299,7 @@
         if not backups.is_worthwhile(admitted.prompt):
             return None
         return backups.choose(
-            self.site.targets.of_service(view.target.service),
+            self.site.targets_within(view.target.service, admitted.regions),
             view,
             admitted.prompt,
             engine_memory.needed_tokens(admitted.prompt, 0),
--- a/src/cactusstile/gateway/engines/engine_queue.py
+++ b/src/cactusstile/gateway/engines/engine_queue.py
@@ -64,7 +64,7 @@
             if not attempts.tried_incarnations:
                 self.dispatcher.refuse_if_paused(admitted, service, 0.0)
             return self.dispatcher.choose_target(admitted, service, attempts)
-        if not self.dispatcher.untried(service, attempts):
+        if not self.dispatcher.untried(admitted, service, attempts):
             return None
         return await self._wait_for_room(admitted, service, attempts)
 
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -241,7 +241,7 @@
         attempts.origin = await self.directory.find(admitted.resumed_id)
         if attempts.origin is not None:
             return
-        attempts.sole_build = self.dispatcher.find_sole_build(admitted.route)
+        attempts.sole_build = self.site.find_sole_build(admitted.route)
         if attempts.sole_build is None:
             raise verdict.refuse(
                 verdict.Reason.NO_TARGET,
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -7,12 +7,15 @@
 import anyio
 import attrs
 
+from cactusstile import clocks
 from cactusstile.gateway import build_history
 from cactusstile.gateway import routes
+from cactusstile.gateway import target_view
 from cactusstile.gateway import target_views
 from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import callers
+from cactusstile.routing import regions
 from cactusstile.sites import announcements
 from cactusstile.sites import messages
 from cactusstile.sites import model
@@ -38,6 +41,7 @@
       control: Addresses of control processes, as last reported.
       stored: Contents of the stores.
       separations: Mix of long and short prompts.
+      regions: Regions of the data centres.
       configured: Set once the first configuration was received.
       configured_s: Loop time of the first configuration.
       stores_known: Set once the contents of an open store were received.
@@ -64,6 +68,7 @@
     separations: separations.Separations = attrs.field(
         factory=separations.Separations
     )
+    regions: regions.Regions = attrs.field(factory=regions.Regions)
     configured: anyio.Event = attrs.field(factory=anyio.Event)
     configured_s: float = float("inf")
     stores_known: anyio.Event = attrs.field(factory=anyio.Event)
@@ -150,6 +155,34 @@
             return None
         return self.table.configuration.services.get(name)
 
+    def targets_within(
+        self,
+        service: str,
+        bounds: collections.abc.Sequence[collections.abc.Set[str]],
+    ) -> list[target_view.TargetView]:
+        """Returns the targets of a service within bounds of regions."""
+        views = self.targets.of_service(service)
+        if not bounds:
+            return views
+        within = []
+        for view in views:
+            if self.regions.permits(bounds, view.target.data_centre):
+                within.append(view)
+        return within
+
+    def find_sole_build(self, route: model.Route) -> str | None:
+        """Returns the build of all streams of a route that go on.
+
+        None if the services of the route run several, or did so lately.
+        """
+        now_s = anyio.current_time()
+        boot_s = clocks.boot_s()
+        found = set()
+        for share in route.shares:
+            service = share.service
+            found.add(self.builds.sole_build(service, now_s, boot_s))
+        return found.pop() if len(found) == 1 else None
+
     def is_ready(self) -> bool:
         """Returns whether requests can be forwarded."""
         return self.table is not None and self.listed_s is not None
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -73,6 +73,7 @@
         max_attempts=max(1, fields.integer(entry, "maxAttempts", 1)),
         public=fields.boolean(entry, "public"),
         resumable=fields.boolean(entry, "resumable"),
+        regions=frozenset(fields.texts(entry, "allowedRegions")),
     )
 
 
@@ -130,12 +131,7 @@
         return None
     workspaces = []
     for entry in fields.json_objects(root, "tenants"):
-        keys = entry.get("apiKeys", [])
-        if not isinstance(keys, list):
-            raise ValueError("apiKeys is no list")
-        for key in keys:
-            if not isinstance(key, str):
-                raise ValueError("a key is no text")
+        keys = fields.texts(entry, "apiKeys")
         priority = None
         if entry.get("priority") is not None:
             priority = fields.integer(entry, "priority")
@@ -145,6 +141,7 @@
                 tuple(keys),
                 priority,
                 fields.boolean(entry, "isolated"),
+                frozenset(fields.texts(entry, "allowedRegions")),
             )
         )
     return tuple(workspaces)
--- a/src/cactusstile/platform/fields.py
+++ b/src/cactusstile/platform/fields.py
@@ -47,6 +47,24 @@
     return value
 
 
+def texts(parent: JsonObject, name: str) -> list[str]:
+    """Returns a field that has to be a list of strings; empty if missing.
+
+    Raises:
+      ValueError: The field is of another type.
+
+    >>> texts({"a": ["b"]}, "a"), texts({}, "a")
+    (['b'], [])
+    """
+    value = parent.get(name, [])
+    if not isinstance(value, list):
+        raise ValueError(f"{name} is no list")
+    for item in value:
+        if not isinstance(item, str):
+            raise ValueError(f"{name} contains a value that is no text")
+    return value
+
+
 def integer(parent: JsonObject, name: str, default: int | None = None) -> int:
     """Returns a field that has to be an integer.
 
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import typing
 
@@ -29,6 +30,7 @@
         connections at the advertised addresses; None to bind to the
         advertised addresses.
       data_centre: Data centre of the VM.
+      regions: Region of each data centre.
       first_start: Whether the whole system is started for the first time.
       data_folder: Folder of the durable state; None if there is no disk.
       internal_ports: First and last port reserved for connections between
@@ -77,6 +79,7 @@
     retry_slack: float
     weights_s: float
     bind_host: str | None = None
+    regions: dict[str, str] = attrs.field(factory=dict)
 
     def bind_address(self, advertised: address.Address) -> address.Address:
         """Returns the address to bind for an advertised address."""
@@ -119,6 +122,19 @@
     return pathlib.Path(text) if text.strip() else None
 
 
+def _parse_regions(text: str) -> dict[str, str]:
+    try:
+        regions = json.loads(text or "{}")
+    except ValueError as error:
+        raise ValueError(f"{text!r} is no JSON object") from error
+    if not isinstance(regions, dict):
+        raise ValueError(f"{text!r} is no JSON object")
+    for data_centre, region in regions.items():
+        if not isinstance(region, str):
+            raise ValueError(f"the region of {data_centre!r} is no text")
+    return regions
+
+
 def _parse_port_range(text: str) -> tuple[int, int]:
     parse = ini.integer(1, address.MAX_PORT)
     parts = [parse(part.strip()) for part in text.split(",")]
@@ -152,6 +168,12 @@
             None,
         ),
         ini.Option("data_centre", ini.name, "data centre of the VM"),
+        ini.Option(
+            "regions",
+            _parse_regions,
+            "region of each data centre, as a JSON object",
+            {},
+        ),
         ini.Option(
             "first_start",
             _parse_boolean,
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -44,6 +44,7 @@
       max_attempts: Greatest number of targets that a request is sent to.
       public: Whether requests need no key.
       resumable: Whether a stream may be resumed at another target.
+      regions: Regions that may run its requests; empty for any.
     """
 
     name: str
@@ -58,6 +59,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -149,12 +151,14 @@
       priority: Priority, compared before that of the route; if None, only
         the route's priority counts.
       isolated: Whether its KV cache is isolated from all other workspaces.
+      regions: Regions that may run its requests; empty for any.
     """
 
     name: str
     keys: tuple[str, ...] = attrs.field(repr=False)
     priority: int | None = None
     isolated: bool = False
+    regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -15,6 +15,7 @@
     "node": "edge-1",
     "ip": "10.1.0.9",
     "zone": "here",
+    "zones": '{"here": "lagos"}',
     "bootstrap": "true",
     "dataDir": "",
     "internalPorts": "7580,7595",
@@ -47,6 +48,7 @@
         "edge-1",
         6.0,
     )
+    assert settings.regions == {"here": "lagos"}
     assert settings.operator is None
     assert settings.data_folder is None
     assert str(settings.internal_seeds[1]) == "10.2.0.38:7580"
