--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -97,7 +97,7 @@
         stack.callback(pool.close)
         request_metrics = gateway_metrics.GatewayMetrics()
         gateway = _assemble(settings, connections, pool, request_metrics)
-        _start_background(gateway, pool, group)
+        _start_background(gateway, pool, request_metrics, group)
         _start_listeners(gateway, request_metrics, group, closers)
         yield gateway
 
@@ -112,7 +112,6 @@
     budget = _new_budget(settings)
 
     def record_request(finished: records.RequestRecord) -> None:
-        request_metrics.version.set(site.version)
         request_metrics.count(finished)
         request_logger.info("request ended", extra=finished.fields())
 
@@ -159,7 +158,10 @@
 
 
 def _start_background(
-    gateway: Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
+    gateway: Gateway,
+    pool: targets.Pool,
+    request_metrics: gateway_metrics.GatewayMetrics,
+    group: anyio.abc.TaskGroup,
 ) -> None:
     site = gateway.site
 
@@ -177,7 +179,7 @@
         is_stale,
         lambda listed: gateway.watch.apply_targets(listed, "platform"),
     )
-    group.start_soon(_sweep_idle_connections, pool)
+    group.start_soon(_sweep, pool, site, request_metrics)
     loads_exchange = datagram_exchange.DatagramExchange(
         load_sharing.LoadSharing(site, gateway.watch.member),
         gateway.settings.internal_address,
@@ -216,10 +218,16 @@
     sender.announce_load = exchange.sharing.announce_load
 
 
-async def _sweep_idle_connections(pool: targets.Pool) -> None:
+async def _sweep(
+    pool: targets.Pool,
+    site: site_view.SiteView,
+    request_metrics: gateway_metrics.GatewayMetrics,
+) -> None:
+    """Closes idle connections and updates the gauges, again and again."""
     while True:
         await anyio.sleep(SWEEP_INTERVAL_S)
         pool.sweep()
+        request_metrics.show(site, anyio.current_time())
 
 
 def _start_listeners(
--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import typing
+
 import prometheus_client
 
 from cactusstile.gateway import records
 
+if typing.TYPE_CHECKING:
+    from cactusstile.gateway import site_view
+
 _LATENCY_BUCKETS_S = (
     0.005,
     0.01,
@@ -34,6 +39,9 @@
       duration: Duration of requests in seconds, by route.
       first_byte: Time to the first byte of the answer in seconds, by route.
       version: Version of the configuration in force.
+      evacuated: Number of evacuated data centres.
+      cold_targets: Number of targets that are or may be cold.
+      separated: Number of services that keep long prompts apart.
     """
 
     def __init__(self) -> None:
@@ -68,12 +76,26 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self.version = prometheus_client.Gauge(
+        self.version = self._open_gauge(
             "cactusstile_gateway_configuration_version",
             "Version of the configuration in force.",
-            registry=self.registry,
+        )
+        self.evacuated = self._open_gauge(
+            "cactusstile_gateway_evacuated_data_centres",
+            "Data centres that receive nothing new.",
+        )
+        self.cold_targets = self._open_gauge(
+            "cactusstile_gateway_cold_targets",
+            "Targets that are or may be cold.",
+        )
+        self.separated = self._open_gauge(
+            "cactusstile_gateway_separated_services",
+            "Services that keep long prompts apart from streams.",
         )
 
+    def _open_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(name, text, registry=self.registry)
+
     def _open_counter(
         self, name: str, text: str, labels: list[str]
     ) -> prometheus_client.Counter:
@@ -81,6 +103,15 @@
             name, text, labels, registry=self.registry
         )
 
+    def show(self, site: site_view.SiteView, now_s: float) -> None:
+        """Updates the gauges from the local view of the site."""
+        self.version.set(site.version)
+        self.evacuated.set(len(site.targets.evacuations.data_centres))
+        views = site.targets.views.values()
+        self.cold_targets.set(sum(view.is_cold(now_s) for view in views))
+        known = site.separations.services.values()
+        self.separated.set(sum(one.is_active(now_s) for one in known))
+
     def count(self, record: records.RequestRecord) -> None:
         """Counts a completed request and its attempts."""
         route = record.route
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,10 @@
 PLANNED = ("terminate", "target_drain", "weights", "storm_of_changes")
 # Every seed has one target that names a limit, which callers must not notice.
 LIMIT = "target_limit"
+# Every seed has one evacuation of a data centre.
+EVACUATION = "evacuation"
+EVACUATION_S = 5.0
+EVACUATED = "there"
 LIMIT_S = 9.0
 PLAIN = "plain"
 MAX_LIMIT_START_S = 2.0
@@ -103,6 +107,9 @@
     apart = random.Random(f"{seed}/{LIMIT}")
     start_s = apart.uniform(0, MAX_LIMIT_START_S)
     plan.append(Fault(LIMIT, "", start_s, LIMIT_S, apart.random()))
+    apart = random.Random(f"{seed}/{EVACUATION}")
+    start_s = apart.uniform(0, MAX_LIMIT_START_S)
+    plan.append(Fault(EVACUATION, "", start_s, EVACUATION_S, 0.0))
     return sorted(plan, key=lambda fault: fault.start_s)
 
 
@@ -164,7 +171,7 @@
             fault.kind,
             fault.subject,
             anyio.current_time(),
-            planned=fault.kind in (*PLANNED, LIMIT),
+            planned=fault.kind in (*PLANNED, LIMIT, EVACUATION),
         )
         self.history.injected_faults.append(injected)
         inject: typing.Any = getattr(self, f"_{fault.kind}")
@@ -334,6 +341,9 @@
         await anyio.sleep(fault.duration_s)
         self.listing.fault = ""
 
+    async def _evacuation(self, fault: Fault) -> None:
+        await self.operators.evacuate(EVACUATED, fault.duration_s)
+
     async def _weights(self, fault: Fault) -> None:
         await self.operators.name_weights()
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -78,6 +78,7 @@
       at_s: Time at which it was read.
       ran: Whether the target started to run it.
       ended_s: Time at which the run ended; None while it runs.
+      data_centre: Data centre of the target.
       failed_by_target: Whether the target itself made it fail.
       workspace: Workspace that it was sent for.
       path: Path and query.
@@ -96,6 +97,7 @@
     ran: bool = False
     ended_s: float | None = None
     failed_by_target: bool = False
+    data_centre: str = ""
     workspace: str = ""
     path: str = ""
     body: bytes = b""
@@ -188,6 +190,21 @@
     to_s: float = float("inf")
 
 
+@attrs.define
+class Evacuation:
+    """An evacuation that was acknowledged.
+
+    Attributes:
+      data_centre: The evacuated data centre.
+      acknowledged_s: Time of the acknowledgement.
+      ended_s: Time at which its end was first sent; infinite until then.
+    """
+
+    data_centre: str
+    acknowledged_s: float
+    ended_s: float = float("inf")
+
+
 @attrs.define
 class InjectedFault:
     """A fault that was injected.
@@ -239,6 +256,7 @@
       namings: Weights that were named and acknowledged.
       orders: Orders that reached engines.
       limits: Limits that targets named.
+      evacuations: Evacuations that were acknowledged.
       injected_faults: Faults that were injected.
       ends: Exits of processes.
       invalid_accepted: Invalid configurations that were acknowledged.
@@ -257,6 +275,7 @@
     namings: list[WeightsNaming] = attrs.field(factory=list)
     orders: list[Order] = attrs.field(factory=list)
     limits: list[NamedLimit] = attrs.field(factory=list)
+    evacuations: list[Evacuation] = attrs.field(factory=list)
     injected_faults: list[InjectedFault] = attrs.field(factory=list)
     ends: list[ProcessEnd] = attrs.field(factory=list)
     invalid_accepted: list[str] = attrs.field(factory=list)
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -178,6 +178,18 @@
                 histories.WeightsNaming(version, anyio.current_time())
             )
 
+    async def evacuate(self, data_centre: str, duration_s: float) -> None:
+        """Evacuates a data centre and takes it back."""
+        path = f"/-/Evacuations.Start/{data_centre}".encode()
+        if await self._send_until_clear(_post(path, {})) != _OK:
+            return
+        evacuation = histories.Evacuation(data_centre, anyio.current_time())
+        self.history.evacuations.append(evacuation)
+        await anyio.sleep(duration_s)
+        evacuation.ended_s = anyio.current_time()
+        path = f"/-/Evacuations.Finish/{data_centre}".encode()
+        await self._send_until_clear(_post(path, {}))
+
     async def read(self) -> None:
         """Reads from random registries until cancelled."""
         while True:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -27,6 +27,8 @@
 GATEWAYS = ("gateway-1", "gateway-2", "gateway-3")
 TARGETS = {"plain": 3, "other": 2, stand_ins.ENGINE: 4}
 FIRST_TARGET = 30
+# Targets stand in them by turns.
+DATA_CENTRES = ("here", faults.EVACUATED)
 CALLERS = 14
 CHANGE_PAUSE_S = 0.7
 # Callers of one repeated request each, and the mean time between two.
@@ -88,6 +90,7 @@
             self.named_weights,
             self.create_rng(f"target/{number}"),
             int(time.time() * 1000),
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             weights=self.named_weights.newest,
         )
         target.on_end = self.replace_ended
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,7 @@
 import json
 
 import attrs
+from tests.soak import evacuation_promise
 from tests.soak import history as histories
 from tests.soak import limit_promise
 from tests.soak import operators
@@ -373,6 +374,7 @@
     cancelled_work,
     bounded_repeats,
     limit_promise.kept_limits,
+    evacuation_promise.kept_evacuations,
     repeat_promise.spared_targets,
     repeat_promise.sound_requests_served,
     answers_around_stops,
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -59,6 +59,7 @@
       named_weights: Versions that operators named.
       random: Draws its failures.
       born_ms: Time of its start.
+      data_centre: Data centre that the list names.
       leaving: Whether the list shows it as leaving.
       failure_fraction: Fraction of requests that it makes fail.
       limit_per_s: Requests per second that it takes; None for any number.
@@ -80,6 +81,7 @@
     named_weights: Weights
     random: random.Random
     born_ms: int
+    data_centre: str = "here"
     leaving: bool = False
     failure_fraction: float = 0.0
     limit_per_s: float | None = None
@@ -136,7 +138,7 @@
             "id": self.id,
             "service": self.service,
             "address": str(self.listed),
-            "zone": "here",
+            "zone": self.data_centre,
             "slots": SLOTS,
             "state": "draining" if self.leaving else "ready",
             "coldRemainingMs": 0,
@@ -200,6 +202,7 @@
             self.id,
             self.service,
             anyio.current_time(),
+            data_centre=self.data_centre,
             workspace=request.find(headers.WORKSPACE) or "",
             path=request.target.decode(),
             body=request.body,
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -21,8 +21,9 @@
 def test_only_planned_seeds_have_planned_operations_alone() -> None:
     for seed in SEEDS:
         kinds = {fault.kind for fault in make_plan(seed)}
-        assert faults.LIMIT in kinds
-        is_planned = kinds <= {*faults.PLANNED, faults.LIMIT}
+        always = {faults.LIMIT, faults.EVACUATION}
+        assert always <= kinds
+        is_planned = kinds <= {*faults.PLANNED, *always}
         assert is_planned == (seed % faults.PLANNED_EVERY == 0)
 
 
@@ -42,6 +43,7 @@
         *faults.PLANNED,
         "lose_disk",
         faults.LIMIT,
+        faults.EVACUATION,
     )
     assert drawn == set(known)
     for kind in drawn:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -211,6 +211,11 @@
         history.arrivals.append(make_arrival(name, at_s=at_s, ended_s=at_s))
 
 
+def _arrives_while_evacuated(history: histories.History) -> None:
+    history.evacuations.append(histories.Evacuation("there", 6.0))
+    history.arrivals[0].data_centre = "there"
+
+
 def _interrupted_at_stop(history: histories.History) -> None:
     history.calls["a"] = make_call(status=0, failure="closed", whole=False)
     stop = histories.InjectedFault("terminate", "g", 9.0, 12.0, planned=True)
@@ -276,6 +281,7 @@
         (_runs_after_abandonment, "cancelled_work"),
         (_too_many_repeats, "bounded_repeats"),
         (_beyond_limit, "kept_limits"),
+        (_arrives_while_evacuated, "kept_evacuations"),
         (_sent_on, "spared_targets"),
         (_falsely_refused, "sound_requests_served"),
         (_interrupted_at_stop, "answers_around_stops"),
