Split the rate of a limit and of a cold target by one function

The shares stood twice, differing in the smallest share alone; target_limits.split serves both. The least limit stays with the limits.

--- a/src/cactusstile/gateway/target_limits.py
+++ b/src/cactusstile/gateway/target_limits.py
@@ -74,11 +74,35 @@
     0.0
     """
     limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
-    count = min(len(addresses), max(1, int(limit_per_s / MIN_SHARE_PER_S)))
+    return split(
+        target_id, limit_per_s, MIN_SHARE_PER_S, addresses, own_address
+    )
+
+
+def split(
+    target_id: str,
+    rate_per_s: float,
+    min_share_per_s: float,
+    addresses: collections.abc.Collection[str],
+    own_address: str,
+) -> float:
+    """Returns one gateway's part of a rate that few gateways share.
+
+    Args:
+      target_id: Id of the target; decides which gateways share.
+      rate_per_s: Requests per second of all gateways.
+      min_share_per_s: Smallest share, unless the whole rate is smaller.
+      addresses: Addresses of all gateways.
+      own_address: Address of the gateway.
+
+    Returns:
+      Requests per second; 0 for a gateway without a share.
+    """
+    count = min(len(addresses), max(1, int(rate_per_s / min_share_per_s)))
     members = [rendezvous.Member(address) for address in addresses]
     for member in rendezvous.rank(target_id.encode(), members)[:count]:
         if member.name == own_address:
-            return limit_per_s / count
+            return rate_per_s / count
     return 0.0
 
 
--- a/src/cactusstile/gateway/warming.py
+++ b/src/cactusstile/gateway/warming.py
@@ -16,7 +16,6 @@
 import attrs
 
 from cactusstile.gateway import target_limits
-from cactusstile.routing import rendezvous
 
 if typing.TYPE_CHECKING:
     from cactusstile.sites import messages
@@ -49,12 +48,9 @@
     >>> share_per_s("t", 10.0, ["g1"], "g1")
     10.0
     """
-    count = min(len(addresses), max(1, int(cold_per_s / SHARE_PER_S)))
-    members = [rendezvous.Member(address) for address in addresses]
-    for member in rendezvous.rank(target_id.encode(), members)[:count]:
-        if member.name == own_address:
-            return cold_per_s / count
-    return 0.0
+    return target_limits.split(
+        target_id, cold_per_s, SHARE_PER_S, addresses, own_address
+    )
 
 
 @attrs.define
