Log what a probe of a broken-off target shows, and what ended a process

Cause: the request log tells that a run went on elsewhere, not on what ground; has_ended answers yes for a refused connection, a timeout and an error of our own alike. A process that an exception ends writes a bare traceback.

Change: liveness.probe tells apart accepts, refuses, silent and unknown, and logs it in one line; the answer of has_ended is as before. An exception that leaves the role is logged as one critical JSON line.

--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -51,3 +51,6 @@
         raise exceptions.CommandError(
             "stopped: the durable state cannot be used"
         ) from group
+    except* Exception:
+        logger.critical("ended by a fault of the program", exc_info=True)
+        raise
--- a/src/cactusstile/gateway/engines/backups.py
+++ b/src/cactusstile/gateway/engines/backups.py
@@ -12,11 +12,10 @@
 
 import attrs
 
+from cactusstile.gateway import liveness
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import engine_memory
 from cactusstile.gateway.engines import prompts
-from cactusstile.http import exceptions
-from cactusstile.http import sockets
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
@@ -26,7 +25,6 @@
 MAX_PROMPT_TOKENS_PER_OUTPUT_TOKEN = 8.0
 # Fraction of an engine's KV cache above which it receives no copies.
 MAX_MEMORY_FRACTION = 0.6
-PROBE_TIMEOUT_S = 0.2
 
 
 @attrs.frozen
@@ -104,9 +102,4 @@
     A run may resume elsewhere only in this case. A target that still works on
     the run would make the request run at more targets than the route permits.
     """
-    try:
-        opened = await sockets.connect(target.address, PROBE_TIMEOUT_S)
-    except exceptions.UnreachableError:
-        return True
-    opened.close()
-    return False
+    return await liveness.probe(target) is not liveness.Finding.ACCEPTS
--- a/src/cactusstile/http/exceptions.py
+++ b/src/cactusstile/http/exceptions.py
@@ -26,3 +26,11 @@
 
 class UnreachableError(HttpError):
     """Raised when no connection could be opened; nothing was sent."""
+
+
+class RefusedConnectionError(UnreachableError):
+    """Raised when the peer's VM replies that nothing listens at the address."""
+
+
+class ConnectTimeoutError(UnreachableError):
+    """Raised when no reply to a connection request came in time."""
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -157,16 +157,13 @@
         _configure(raw)
         code = raw.connect_ex((target.host, target.port))
         if code == errno.EINPROGRESS:
-            with anyio.move_on_after(timeout_s) as scope:
-                await anyio.wait_writable(raw)
-            if scope.cancelled_caught:
-                raise exceptions.UnreachableError(
-                    f"{target} did not accept within {timeout_s:.2f} s"
-                )
-            code = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            code = await _wait_connected(raw, target, timeout_s)
         if code:
             reason = errno.errorcode.get(code, str(code))
-            raise exceptions.UnreachableError(f"{target} refused: {reason}")
+            kind = exceptions.UnreachableError
+            if code == errno.ECONNREFUSED:
+                kind = exceptions.RefusedConnectionError
+            raise kind(f"{target} refused: {reason}")
     except OSError as error:
         raw.close()
         raise exceptions.UnreachableError(f"{target}: {error}") from error
@@ -176,6 +173,23 @@
     return Socket(raw)
 
 
+async def _wait_connected(
+    raw: socket.socket, target: address.Address, timeout_s: float
+) -> int:
+    """Waits for the outcome of a connection request; returns its error code.
+
+    Raises:
+      ConnectTimeoutError: There was no reply within `timeout_s` seconds.
+    """
+    with anyio.move_on_after(timeout_s) as scope:
+        await anyio.wait_writable(raw)
+    if scope.cancelled_caught:
+        raise exceptions.ConnectTimeoutError(
+            f"{target} did not accept within {timeout_s:.2f} s"
+        )
+    return raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
 def listen(on: address.Address) -> socket.socket:
     """Returns a listening socket.
 
