Add failing tests: a silent or leaving engine is taken for ended

A run that must not be repeated goes on from its copy at a second engine when the first one's accept queue is full (probe: silent), and when it leaves and has closed its port (probe: refuses).

--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
+import typing
+
 import pytest
 from tests.gateway import copies
 from tests.gateway import support
 from tests.support import raw_target
+from tests.support import stalled_target
 
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import backups
@@ -11,6 +14,9 @@
 from cactusstile.sites import model
 from cactusstile.transport import address
 
+if typing.TYPE_CHECKING:
+    import anyio.abc
+
 pytestmark = pytest.mark.anyio
 
 PROMPT = prompts.parse("m", "800,796", "x:500,y:300", "250")
@@ -153,3 +159,48 @@
         harness.site.targets.views["b", 0].inflight = 3
         await harness.ask(support.request(b"POST", FIELDS))
     assert second.requests == []
+
+
+async def test_run_does_not_go_on_elsewhere_while_its_engine_is_silent() -> (
+    None
+):
+    """Guards against a second run beside an engine that is only stopped."""
+    async with (
+        stalled_target.open_target(
+            raw_target.stream_events([1, 2], whole=False),
+            id="a",
+            weights=WEIGHTS,
+        ) as first,
+        raw_target.open_target(
+            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
+        ) as second,
+        support.open_harness(configuration(), first, second) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request(b"POST", FIELDS))
+    assert b"id: 2\n" in data
+    assert not data.endswith(b"0\r\n\r\n")
+    assert second.requests == []
+
+
+async def test_run_does_not_go_on_elsewhere_while_its_engine_leaves() -> None:
+    """Guards against a second run beside an engine that closed its port."""
+    async with (
+        raw_target.open_target(id="a", weights=WEIGHTS) as first,
+        raw_target.open_target(
+            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
+        ) as second,
+        support.open_harness(configuration(), first, second) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+
+        async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+            harness.site.targets.views["a", 0].notices.leaving = True
+            await first.listener.aclose()
+            script = raw_target.stream_events([1, 2], whole=False)
+            return await script(stream, request)
+
+        first.scripts.append(leave)
+        data = await harness.ask(support.request(b"POST", FIELDS))
+    assert b"id: 2\n" in data
+    assert second.requests == []
