Take only a refused connection for the end of a target, and none that leaves

Callers saw: a stream that may run only once went on at a second engine while the first one could still work on it (TWICE); a sound request was counted as one under which a target had ended.

Silence of a stopped, overloaded or cut-off target, an error of our own (no descriptor, no route) and the closed port of a target that leaves were all taken for proof. Class: silence taken for proof.

Change: liveness.has_ended is true only if the target's VM replies that nothing listens there, and only for a target that is not known to leave.

--- a/src/cactusstile/gateway/engines/backups.py
+++ b/src/cactusstile/gateway/engines/backups.py
@@ -12,11 +12,9 @@
 
 import attrs
 
-from cactusstile.gateway import liveness
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import engine_memory
 from cactusstile.gateway.engines import prompts
-from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -94,12 +92,3 @@
     if best is None:
         return None
     return Backup(best, weights, needed_tokens)
-
-
-async def has_ended(target: model.Target) -> bool:
-    """Returns whether no connection to a target's address can be opened.
-
-    A run may resume elsewhere only in this case. A target that still works on
-    the run would make the request run at more targets than the route permits.
-    """
-    return await liveness.probe(target) is not liveness.Finding.ACCEPTS
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
+from cactusstile.gateway import liveness
 from cactusstile.gateway import records
 from cactusstile.gateway import refusals
 from cactusstile.gateway import retries
@@ -19,7 +20,6 @@
 from cactusstile.gateway import site_view
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_view
-from cactusstile.gateway.engines import backups
 from cactusstile.gateway.engines import engine_queue
 from cactusstile.gateway.peers import stream_directory
 from cactusstile.gateway.quarantine import quarantine as quarantines
@@ -222,7 +222,7 @@
             # It was going to end, whatever it ran.
             return
         broken_s = anyio.current_time()
-        if await backups.has_ended(view.target):
+        if await liveness.has_ended(view):
             observer.record_end(view.target.id, broken_s)
         else:
             observer.record_break(view.target.id, broken_s)
@@ -300,7 +300,7 @@
         # Without an event id the run could only restart from the beginning.
         if relay.splitter.last_id is None or not relay.started:
             return False
-        if not await backups.has_ended(view.target):
+        if not await liveness.has_ended(view):
             return False
         now_s = anyio.current_time()
         if not backup.view.accepts_requests(now_s):
--- a/src/cactusstile/gateway/liveness.py
+++ b/src/cactusstile/gateway/liveness.py
@@ -1,4 +1,4 @@
-"""Probes a target whose answer broke off: does it still run?"""
+"""Finds out whether a target whose answer broke off has ended."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cactusstile.gateway import target_view
 from cactusstile.http import exceptions
 from cactusstile.http import sockets
 from cactusstile.sites import model
@@ -25,6 +26,19 @@
     UNKNOWN = "unknown"
 
 
+async def has_ended(view: target_view.TargetView) -> bool:
+    """Returns whether a target certainly works on no request any more.
+
+    Only the reply of its VM that nothing listens at the address proves that. A
+    target that is stopped, overloaded or cut off is silent, too, and one that
+    leaves may close its port while it finishes its requests.
+    """
+    if view.leaving:
+        return False
+    finding = await probe(view.target)
+    return finding is Finding.REFUSES and not view.leaving
+
+
 async def probe(target: model.Target) -> Finding:
     """Opens a connection to a target, and logs what it shows.
 
--- a/tests/gateway/copies.py
+++ b/tests/gateway/copies.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from cactusstile.gateway.engines import backups
+from cactusstile.gateway import liveness
+from cactusstile.gateway import target_view
 from cactusstile.sites import model
 
 if typing.TYPE_CHECKING:
@@ -30,7 +31,7 @@
 def end_first(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes the engine "a" count as ended, although its fake still listens."""
 
-    async def has_ended(target: model.Target) -> bool:
-        return target.id == "a"
+    async def has_ended(view: target_view.TargetView) -> bool:
+        return view.target.id == "a"
 
-    monkeypatch.setattr(backups, "has_ended", has_ended)
+    monkeypatch.setattr(liveness, "has_ended", has_ended)
--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -1,22 +1,21 @@
 from __future__ import annotations
 
-import typing
-
+import anyio
+import anyio.abc
+import attrs
 import pytest
 from tests.gateway import copies
 from tests.gateway import support
 from tests.support import raw_target
 from tests.support import stalled_target
 
+from cactusstile.gateway import liveness
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import backups
 from cactusstile.gateway.engines import prompts
 from cactusstile.sites import model
 from cactusstile.transport import address
 
-if typing.TYPE_CHECKING:
-    import anyio.abc
-
 pytestmark = pytest.mark.anyio
 
 PROMPT = prompts.parse("m", "800,796", "x:500,y:300", "250")
@@ -79,8 +78,11 @@
 
 async def test_target_has_ended_once_connections_are_refused() -> None:
     async with raw_target.open_target() as target:
-        assert not await backups.has_ended(target.target)
-    assert await backups.has_ended(target.target)
+        view = target_view.TargetView(
+            target.target, prompts.CachedParts(50_000)
+        )
+        assert not await liveness.has_ended(view)
+    assert await liveness.has_ended(view)
 
 
 def configuration() -> model.SiteConfiguration:
@@ -185,22 +187,24 @@
 
 async def test_run_does_not_go_on_elsewhere_while_its_engine_leaves() -> None:
     """Guards against a second run beside an engine that closed its port."""
+    harness: support.GatewayHarness
+
+    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        listed = attrs.evolve(first.target, leaving=True), second.target
+        harness.site.replace_targets(listed, anyio.current_time())
+        script = raw_target.stream_events([1, 2], whole=False)
+        return await script(stream, request)
+
     async with (
-        raw_target.open_target(id="a", weights=WEIGHTS) as first,
+        stalled_target.open_target(
+            leave, closes_port=True, id="a", weights=WEIGHTS
+        ) as first,
         raw_target.open_target(
             raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
         ) as second,
         support.open_harness(configuration(), first, second) as harness,
     ):
         harness.site.targets.views["b", 0].inflight = 3
-
-        async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-            harness.site.targets.views["a", 0].notices.leaving = True
-            await first.listener.aclose()
-            script = raw_target.stream_events([1, 2], whole=False)
-            return await script(stream, request)
-
-        first.scripts.append(leave)
         data = await harness.ask(support.request(b"POST", FIELDS))
     assert b"id: 2\n" in data
     assert second.requests == []
--- a/tests/gateway/test_prompts_that_end_targets.py
+++ b/tests/gateway/test_prompts_that_end_targets.py
@@ -7,7 +7,8 @@
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.gateway.engines import backups
+from cactusstile.gateway import liveness
+from cactusstile.gateway import target_view
 from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
@@ -75,11 +76,12 @@
 async def test_targets_that_end_together_count_apart_if_probes_are_slow(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def has_ended(target: model.Target) -> bool:
-        await anyio.sleep(INTERVAL_S * int(target.id.removeprefix("t-")))
+    async def has_ended(view: target_view.TargetView) -> bool:
+        number = int(view.target.id.removeprefix("t-"))
+        await anyio.sleep(INTERVAL_S * number)
         return True
 
-    monkeypatch.setattr(backups, "has_ended", has_ended)
+    monkeypatch.setattr(liveness, "has_ended", has_ended)
     async with (
         support.open_targets(4, end_under_part) as targets,
         support.open_gateways(1, CONFIG, targets) as (gateway,),
--- a/tests/support/stalled_target.py
+++ b/tests/support/stalled_target.py
@@ -1,4 +1,4 @@
-"""A target that stalls: it listens, but accepts only one connection."""
+"""A target that works on one request and accepts no further connection."""
 
 from __future__ import annotations
 
@@ -50,12 +50,17 @@
 
 @contextlib.asynccontextmanager
 async def open_target(
-    script: raw_target.Script, **fields: typing.Any
+    script: raw_target.Script,
+    *,
+    closes_port: bool = False,
+    **fields: typing.Any,
 ) -> collections.abc.AsyncIterator[StalledTarget]:
     """Opens a target whose queue is full while `script` runs, and after it.
 
     Args:
       script: Answers the only request.
+      closes_port: Whether it closes its port instead, so that connections are
+        refused.
       fields: Further fields of the listed target.
     """
     with contextlib.ExitStack() as stack:
@@ -72,7 +77,10 @@
             raw = await listeners.accept(listener)
             async with await anyio.abc.SocketStream.from_socket(raw) as stream:
                 request = await _read_head(stream)
-                _fill_queue(place, stack)
+                if closes_port:
+                    listener.close()
+                else:
+                    _fill_queue(place, stack)
                 await script(stream, request)
 
         async with anyio.create_task_group() as group:
