--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -154,7 +154,7 @@
         views = self.site.targets_within(service, admitted.regions)
         found = []
         for view in views:
-            if view.leaving or view.is_evacuated:
+            if view.is_emptying:
                 continue
             if attempts.permits(view.target):
                 found.append(view)
--- a/src/cactusstile/gateway/target_view.py
+++ b/src/cactusstile/gateway/target_view.py
@@ -121,13 +121,18 @@
         """Whether the target's data centre receives nothing new."""
         return not self.evacuations.permits(self.target.data_centre)
 
+    @property
+    def is_emptying(self) -> bool:
+        """Whether it receives nothing new: it leaves or is evacuated."""
+        return self.leaving or self.is_evacuated
+
     def accepts_requests(self, now_s: float) -> bool:
         """Returns whether the target may be sent a request at all.
 
         One that leaves, asked for a pause or named a limit, that is evacuated
         or cold must not be used even if there is no other.
         """
-        if self.leaving or self.is_evacuated:
+        if self.is_emptying:
             return False
         if not self.warming.permits(self.is_cold(now_s), now_s):
             return False
--- a/src/cactusstile/gateway/target_views.py
+++ b/src/cactusstile/gateway/target_views.py
@@ -90,7 +90,7 @@
         """
         accepting_s = []
         for view in self.of_service(service):
-            if not view.leaving and not view.is_evacuated:
+            if not view.is_emptying:
                 accepting_s.append(view.accepts_from_s(now_s))
         return max(0.0, min(accepting_s, default=now_s) - now_s)
 
@@ -113,7 +113,7 @@
         """Returns the services with a target that may receive requests."""
         live = set()
         for name, views in self.by_service.items():
-            if any(not (view.leaving or view.is_evacuated) for view in views):
+            if any(not view.is_emptying for view in views):
                 live.add(name)
         return live
 
