--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -125,7 +125,7 @@
 def _parse_regions(text: str) -> dict[str, str]:
     try:
         regions = json.loads(text or "{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ValueError(f"{text!r} is no JSON object") from error
     if not isinstance(regions, dict):
         raise ValueError(f"{text!r} is no JSON object")
@@ -178,7 +178,6 @@
             "first_start",
             _parse_boolean,
             "whether the whole system starts for the first time",
-            False,
         ),
         ini.Option(
             "data_folder", _parse_folder, "folder of the durable state", None
