Keep a listener after a connection that was reset before its accept

Callers saw: a registry ended with exit code 1 when a peer that had just connected to its internal port reset the connection (a killed process, a timeout) before the registry accepted it.

Cause: anyio's SocketStream.from_socket raises ValueError for a connection without a peer, in the accept loop, which runs in the process's task group. listeners.accept also passed on every error but five; Linux hands pending errors of a new connection to accept. Class: an error of one connection taken for one of the listener.

The listener of uvicorn (entry, agent) uses asyncio's loop, which logs such errors.

--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -210,7 +210,9 @@
 
 
 async def accept(listener: socket.socket) -> Socket:
-    """Accepts and returns the next connection of a listener."""
-    raw = await listeners.accept(listener)
-    _configure(raw)
-    return Socket(raw)
+    """Accepts and returns the next connection of a listener.
+
+    Raises:
+      OSError: The listener is closed.
+    """
+    return Socket(await listeners.accept(listener, _configure))
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -52,9 +52,9 @@
     handlers: incoming.Handlers
     timing: connection.Timing | None
 
-    async def handle(self, byte_stream: anyio.abc.ByteStream) -> None:
+    async def handle(self, raw: socket.socket) -> None:
         try:
-            async with byte_stream:
+            async with await _open_stream(raw) as byte_stream:
                 await self._serve(byte_stream)
         except (exceptions.TransportError, TimeoutError) as error:
             logger.warning("rejected connection: %s", error)
@@ -62,6 +62,7 @@
             anyio.EndOfStream,
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
+            _ResetError,
         ):
             logger.debug("peer closed the connection during the handshake")
 
@@ -70,10 +71,8 @@
     ) -> None:
         """Serves each connection of a listener in a task of its own."""
         while True:
-            raw = await listeners.accept(listener)
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream = await anyio.abc.SocketStream.from_socket(raw)
-            group.start_soon(self.handle, stream)
+            raw = await listeners.accept(listener, _configure)
+            group.start_soon(self.handle, raw)
 
     async def _serve(self, byte_stream: anyio.abc.ByteStream) -> None:
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
@@ -90,6 +89,30 @@
             self.server.connections.discard(opened)
 
 
+class _ResetError(Exception):
+    """Raised for a connection that was reset before it was accepted."""
+
+
+def _configure(raw: socket.socket) -> None:
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+async def _open_stream(raw: socket.socket) -> anyio.abc.SocketStream:
+    """Returns the stream of a connection; closes it if that fails.
+
+    Raises:
+      _ResetError: The peer has reset the connection.
+    """
+    with contextlib.ExitStack() as stack:
+        stack.callback(raw.close)
+        try:
+            opened = await anyio.abc.SocketStream.from_socket(raw)
+        except (OSError, ValueError) as error:
+            raise _ResetError(str(error)) from error
+        stack.pop_all()
+        return opened
+
+
 async def _bind(
     listen: address.Address,
 ) -> stapled.MultiListener[anyio.abc.SocketStream]:
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -242,7 +242,8 @@
             yield site
         finally:
             for process in site.processes.values():
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
                 with anyio.CancelScope(shield=True):
                     await process.aclose()
             group.cancel_scope.cancel()
