Check lists, reports, stores and configurations once, where they come in

An operator got 200 for a tenant key with half a surrogate pair, and no gateway put that configuration in force.

Cause: the adapter to the platform checked types, not whether the values fit into what is made of them later: messages (capnp: UTF-8, 32 and 64 bit numbers), header fields, addresses, floats. The errors came up in tasks of the process's main group. Class: input checked by its use, not at the boundary. Found besides: a number of 400 digits (OverflowError) in a list, a report or a store's contents, a page token without an encoding, an id with a line break at a rollout, an address with a scope, token counts below 0 or above 32 bits, a salt with a version of 5,000 digits.

Change: platform.fields refuses texts without an encoding, numbers beyond 63 bits, and names that no header field can hold; listings and stores bound counts and lengths. An entry that fails is no target; the client logs the count once, with the first reason. A configuration that an older build acknowledged and that is refused now leaves a registry without stores instead of ending it.

--- a/src/cactusstile/platform/calls.py
+++ b/src/cactusstile/platform/calls.py
@@ -64,10 +64,8 @@
       ValueError: The body is malformed.
     """
     decoded = fields.json_object(json.loads(document))
-    version = fields.integer(decoded, "version")
-    if version < 1:
-        raise ValueError("version is below 1")
-    return model.Weights(fields.text(decoded, "model"), version)
+    version = fields.integer(decoded, "version", low=1)
+    return model.Weights(fields.label(decoded, "model"), version)
 
 
 def list_request(page: str) -> messages.Request:
--- a/src/cactusstile/platform/client.py
+++ b/src/cactusstile/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import anyio
@@ -18,6 +19,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+logger = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S = 0.6
 CONNECT_TIMEOUT_S = 0.3
 MAX_ANSWER_BYTES = 8 << 20
@@ -43,31 +46,47 @@
 
     Attributes:
       pool: Connection pool of the calls.
+      skipped: Count of the entries of the last list that cannot be read.
     """
 
     def __init__(self, pool: targets.Pool) -> None:
         """Creates a client that calls over `pool`."""
         self.pool = pool
+        self.skipped = 0
 
     async def list_targets(
         self, platform: address.Address
     ) -> tuple[model.Target, ...]:
-        """Returns all targets in the platform's list.
+        """Returns all targets in the platform's list that can be read.
 
         Raises:
           CallError: A page of the list could not be read.
         """
         listed: list[model.Target] = []
         token = ""
+        skipped = 0
+        reason = ""
         for _ in range(MAX_PAGES):
             body = await self._read(platform, calls.list_request(token))
             page = _decode(listings.decode_page, body)
             listed.extend(page.targets)
+            skipped += page.skipped
+            reason = reason or page.reason
             token = page.next_page
             if not token:
+                self._record_skipped(skipped, reason)
                 return tuple(listed)
         raise CallError(f"target list has more than {MAX_PAGES} pages")
 
+    def _record_skipped(self, skipped: int, reason: str) -> None:
+        """Logs how many entries cannot be read, whenever that changes."""
+        if skipped != self.skipped:
+            logger.warning(
+                "entries of the target list cannot be read",
+                extra={"entries": skipped, "first": reason},
+            )
+        self.skipped = skipped
+
     async def read_report(self, target: model.Target) -> listings.Report:
         """Returns the report of a target.
 
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -8,7 +8,6 @@
 from cactusstile.http import callers
 from cactusstile.platform import fields
 from cactusstile.sites import model
-from cactusstile.transport import address
 
 _KINDS = {
     "idempotent": model.Kind.IDEMPOTENT,
@@ -105,7 +104,7 @@
         stores.append(
             model.Store(
                 fields.text(entry, "name"),
-                address.parse(fields.text(entry, "kvStoreAddr")),
+                fields.address(entry, "kvStoreAddr"),
                 fields.text(entry, "zone", ""),
                 fields.integer(entry, "kvCapacity", 0),
             )
@@ -137,7 +136,7 @@
             priority = fields.integer(entry, "priority")
         workspaces.append(
             model.Workspace(
-                fields.text(entry, "name"),
+                fields.label(entry, "name"),
                 tuple(keys),
                 priority,
                 fields.boolean(entry, "isolated"),
--- a/src/cactusstile/platform/listings.py
+++ b/src/cactusstile/platform/listings.py
@@ -8,8 +8,12 @@
 
 from cactusstile.platform import fields
 from cactusstile.sites import model
-from cactusstile.transport import address
 
+# Bounds of an entry, so that thousands of them fit into one message: length of
+# each name in characters, and count of the models.
+_MAX_NAME_LENGTH = 500
+_MAX_MODELS = 200
+_MAX_REASON_LENGTH = 200
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -21,11 +25,13 @@
       targets: Targets of the valid entries.
       skipped: Count of the malformed entries.
       next_page: Token of the next page; empty on the last page.
+      reason: What is wrong with the first malformed entry; empty without one.
     """
 
     targets: tuple[model.Target, ...]
     skipped: int
     next_page: str
+    reason: str = ""
 
 
 def decode_page(document: bytes) -> Page:
@@ -39,44 +45,55 @@
     if not isinstance(entries, list):
         raise ValueError("instances is not a list")
     decoded = []
-    skipped = 0
+    reasons = []
     for entry in entries:
         try:
             decoded.append(_decode_target(fields.json_object(entry)))
-        except ValueError:
-            skipped += 1
-    next_page = root.get("next") or ""
-    if not isinstance(next_page, str):
-        raise ValueError("next is not a string")
-    return Page(tuple(decoded), skipped, next_page)
+        except ValueError as error:
+            reasons.append(str(error)[:_MAX_REASON_LENGTH])
+    next_page = fields.check_text(root.get("next") or "", "next")
+    reason = reasons[0] if reasons else ""
+    return Page(tuple(decoded), len(reasons), next_page, reason)
 
 
 def _decode_target(entry: fields.JsonObject) -> model.Target:
     state = fields.text(entry, "state")
     if state not in _IS_LEAVING_BY_STATE:
         raise ValueError(f"unknown state {state!r}")
-    identity = fields.text(entry, "id")
+    identity = _name(entry, "id")
     if not identity:
         raise ValueError("id is empty")
     return model.Target(
         id=identity,
-        service=fields.text(entry, "service"),
-        address=address.parse(fields.text(entry, "address")),
-        data_centre=fields.text(entry, "zone"),
-        slots=max(1, fields.integer(entry, "slots")),
+        service=_name(entry, "service"),
+        address=fields.address(entry, "address"),
+        data_centre=_name(entry, "zone"),
+        slots=max(1, fields.integer(entry, "slots", high=fields.MAX_COUNT)),
         leaving=_IS_LEAVING_BY_STATE[state],
         born_ms=fields.integer(entry, "born", 0),
         cold_s=fields.number(entry, "coldRemainingMs", 0) / 1000,
         weights=_decode_weights(entry),
-        build=fields.text(entry, "version", ""),
+        build=_name(entry, "version", ""),
     )
 
 
+def _name(
+    entry: fields.JsonObject, field: str, default: str | None = None
+) -> str:
+    name = fields.label(entry, field, default)
+    if len(name) > _MAX_NAME_LENGTH:
+        raise ValueError(f"{field} is longer than {_MAX_NAME_LENGTH}")
+    return name
+
+
 def _decode_weights(parent: fields.JsonObject) -> tuple[model.Weights, ...]:
+    entries = fields.json_objects(parent, "models", required=False)
+    if len(entries) > _MAX_MODELS:
+        raise ValueError(f"there are more than {_MAX_MODELS} models")
     weights = []
-    for entry in fields.json_objects(parent, "models", required=False):
-        version = fields.integer(entry, "version")
-        weights.append(model.Weights(fields.text(entry, "name"), version))
+    for entry in entries:
+        version = fields.integer(entry, "version", low=0)
+        weights.append(model.Weights(_name(entry, "name"), version))
     return tuple(weights)
 
 
--- a/src/cactusstile/platform/stores.py
+++ b/src/cactusstile/platform/stores.py
@@ -146,8 +146,10 @@
 def _decode_part(
     salt: object, identity: object, tokens: object
 ) -> model.KeptPart:
-    if not isinstance(salt, str) or not isinstance(identity, str):
-        raise ValueError("salt or id of a part is not a string")
-    if isinstance(tokens, bool) or not isinstance(tokens, int | float):
-        raise ValueError("token count of a part is not a number")
-    return model.KeptPart(salt, identity, int(tokens))
+    entry = {"salt": salt, "id": identity, "tokens": tokens}
+    length = fields.number(entry, "tokens")
+    if not 0 <= length <= fields.MAX_COUNT:
+        raise ValueError("token count of a part is out of range")
+    return model.KeptPart(
+        fields.text(entry, "salt"), fields.text(entry, "id"), int(length)
+    )
--- a/src/cactusstile/registry/operator_calls.py
+++ b/src/cactusstile/registry/operator_calls.py
@@ -9,6 +9,7 @@
 import attrs
 
 from cactusstile.platform import calls
+from cactusstile.platform import fields
 from cactusstile.registry import evacuation_calls
 
 if typing.TYPE_CHECKING:
@@ -52,7 +53,4 @@
     Raises:
       ValueError: The body is malformed.
     """
-    decoded = json.loads(document)
-    if not isinstance(decoded, dict) or not isinstance(decoded.get("id"), str):
-        raise ValueError('an object with the text "id" is expected')
-    return typing.cast("str", decoded["id"])
+    return fields.text(fields.json_object(json.loads(document)), "id")
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import attrs
@@ -23,6 +24,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+logger = logging.getLogger(__name__)
+
 
 class SiteState:
     """Configuration of the highest version, and what else outlives processes.
@@ -64,9 +67,7 @@
         """Returns the stores of the configuration in force."""
         image = self.image
         if self.has_configuration and self._stores[0] != image.version:
-            document = documents.decompress(image.document)
-            configuration = configurations.decode(document)
-            self._stores = (image.version, configuration.stores)
+            self._stores = (image.version, _decode_stores(image.document))
         return self._stores[1]
 
     def evaluate_configuration(
@@ -187,3 +188,16 @@
         self.image = image
         if self.observer is not None:
             self.observer()
+
+
+def _decode_stores(document: bytes) -> tuple[model.Store, ...]:
+    """Returns the stores of a document, which an older build accepted."""
+    try:
+        configuration = configurations.decode(documents.decompress(document))
+    except model.InvalidConfigurationError as error:
+        logger.warning(
+            "the configuration in force is invalid; replace it",
+            extra={"reason": str(error)},
+        )
+        return ()
+    return configuration.stores
--- a/src/cactusstile/registry/store_contents.py
+++ b/src/cactusstile/registry/store_contents.py
@@ -25,6 +25,8 @@
 # Longest time between two updates; until the next one, leases on a part that
 # was retired meanwhile may still be granted.
 MAX_UPDATE_INTERVAL_MS = 1000
+# Greatest number of tokens that an update carries.
+MAX_TOKENS = 2**32 - 1
 
 
 @attrs.frozen
@@ -150,9 +152,10 @@
 
     def retired_tokens(self) -> int:
         """Returns the tokens of retired parts, which still take room."""
-        return sum(
+        tokens = sum(
             retired.part.tokens for retired in self.retired_parts.values()
         )
+        return min(tokens, MAX_TOKENS)
 
     def is_open(self) -> bool:
         """Returns whether gateways may fetch and save parts."""
--- a/src/cactusstile/sites/salts.py
+++ b/src/cactusstile/sites/salts.py
@@ -4,6 +4,9 @@
 
 from cactusstile.sites import model
 
+# Digits of the greatest version.
+_MAX_DIGITS = 19
+
 
 def make(cache_scope: str, name: str, version: int) -> str:
     """Returns the salt of KV cache that is computed with a model's weights.
@@ -26,6 +29,6 @@
     """
     rest, _, version = salt.rpartition("/")
     _, separator, name = rest.rpartition("/")
-    if not separator or not version.isdecimal():
+    if not separator or not version.isdecimal() or len(version) > _MAX_DIGITS:
         return None
     return model.Weights(name, int(version))
--- a/src/cactusstile/transport/address.py
+++ b/src/cactusstile/transport/address.py
@@ -43,6 +43,9 @@
     host, _, port = text.rpartition(":")
     try:
         number = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        # A scope may hold any character.
+        if not (text.isascii() and text.isprintable()):
+            raise ValueError(text)
         if not port.isdecimal() or int(port) > MAX_PORT:
             raise ValueError(port)
     except ValueError:
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -110,3 +110,22 @@
         for variant, indent in ((content, None), (reordered, 2))
     ]
     assert canonical[0] == canonical[1]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"tenants": [{"name": "w", "apiKeys": ["\ud83d"]}]},
+        {"tenants": [{"name": "\ud83d", "apiKeys": ["k"]}]},
+        {"tenants": [{"name": "w\n", "apiKeys": ["k"]}]},
+        {"services": [{"name": "s"}, {"name": "\udcff"}]},
+        {"version": 10**400},
+        changed_route(timeoutMs=10**400),
+        changed_route(allowedRegions=["\udcff"]),
+    ],
+)
+def test_acknowledged_configuration_is_never_in_force(
+    changes: dict[str, typing.Any],
+) -> None:
+    with pytest.raises(model.InvalidConfigurationError):
+        decode(**changes)
--- a/tests/platform/test_listings.py
+++ b/tests/platform/test_listings.py
@@ -58,3 +58,48 @@
 def test_malformed_page_is_an_error(body: bytes) -> None:
     with pytest.raises(ValueError):  # noqa: PT011
         listings.decode_page(body)
+
+
+UNREADABLE: list[dict[str, typing.Any]] = [
+    {"id": "\udcff\udcfe"},
+    {"id": "i\r\nx: y"},
+    {"id": " i"},
+    {"id": "i" * 501},
+    {"service": "\ud83d"},
+    {"zone": "\ud83d"},
+    {"version": "\udcff"},
+    {"address": "[fe80::1%\udcff]:80"},
+    {"address": "[fe80::1%eth0]:80"},
+    {"slots": 1e20},
+    {"slots": 10**400},
+    {"slots": 2**32},
+    {"born": 1e19},
+    {"coldRemainingMs": 10**400},
+    {"models": [{"name": "m", "version": -1}]},
+    {"models": [{"name": "m", "version": 1e20}]},
+    {"models": [{"name": "\udcff", "version": 1}]},
+    {"models": [{"name": "m", "version": 1}] * 201},
+]
+
+
+@pytest.mark.parametrize("changes", UNREADABLE, ids=lambda one: str(one)[:40])
+def test_entry_that_no_message_can_carry_becomes_a_target(
+    changes: dict[str, typing.Any],
+) -> None:
+    """Guards against registries that end, and answers 500 for such entries."""
+    page = {"instances": [{**ENTRY, **changes}, {**ENTRY, "id": "i-9"}]}
+    decoded = listings.decode_page(json.dumps(page).encode())
+    assert [target.id for target in decoded.targets] == ["i-9"]
+    assert decoded.reason
+
+
+def test_token_of_a_page_without_an_encoding_ends_the_process() -> None:
+    page = {"instances": [ENTRY], "next": "\udcff"}
+    with pytest.raises(ValueError, match="surrogate"):
+        listings.decode_page(json.dumps(page).encode())
+
+
+def test_report_with_a_number_beyond_floats_ends_the_process() -> None:
+    report = json.dumps({"seq": 10**400})
+    with pytest.raises(ValueError, match="range"):
+        listings.decode_report(report.encode())
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -7,15 +7,19 @@
 import struct
 
 import anyio
+import anyio.abc
 import pytest
 from tests.platform import test_configurations
+from tests.platform import test_listings
 from tests.registry import support
 from tests.support import node_site
+from tests.support import raw_target
 
 from cactusstile.http import messages
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
-INTERNAL, OPERATOR = 0, 8
+INTERNAL, FRONT, READY, OPERATOR = 0, 6, 7, 8
+READINESS = messages.Request(b"GET", b"/-/readyz", ((b"host", b"x"),))
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -34,6 +38,25 @@
     return messages.Request(b"POST", b"/-/Config.Replace", headers, body)
 
 
+def caller_request(
+    identity: str, *headers: tuple[bytes, bytes]
+) -> messages.Request:
+    """Returns the request of a caller."""
+    fields = (
+        (b"host", b"h.example"),
+        (b"x-cactusstile-attempt-id", identity.encode()),
+        (b"x-cactusstile-key", b"k"),
+        *headers,
+    )
+    return messages.Request(b"POST", b"/a/x", fields, b"body")
+
+
+async def answer_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+    """Answers a request after longer than loads wait to be told."""
+    await anyio.sleep(1.5)
+    return await raw_target.answer(b"late")(stream, request)
+
+
 async def test_connection_reset_before_it_is_accepted_ends_a_registry(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -53,3 +76,39 @@
         replace = replace_request(4)
         assert process.returncode is None, site.log("r-1")[-1]
         await site.wait_for(site.registry_host, OPERATOR, replace, 200)
+
+
+async def test_list_with_unreadable_entries_ends_processes(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with (
+        raw_target.open_target(
+            *[raw_target.answer(b"x")] * 9, service="s"
+        ) as target,
+        node_site.open_site(
+            tmp_path, support.draw_network(), support.FIRST_PORT
+        ) as site,
+    ):
+        await site.start("registry", "r-1", site.registry_host)
+        await site.start("gateway", "g-1", site.gateway_host)
+        replace = replace_request(3)
+        await site.wait_for(site.registry_host, OPERATOR, replace, 200)
+        site.listed.append(target.target)
+        for changes in test_listings.UNREADABLE:
+            site.entries.append({**test_listings.ENTRY, **changes})
+        name = messages.Request(
+            b"POST",
+            b"/-/version-put",
+            ((b"host", b"x"),),
+            b'{"model": "m", "version": 9}',
+        )
+        await site.wait_for(site.registry_host, OPERATOR, name, 200)
+        await site.wait_for(site.gateway_host, READY, READINESS, 200)
+        for number in range(4):
+            await anyio.sleep(0.5)
+            call = caller_request(f"t-{number}")
+            assert await site.ask(site.gateway_host, FRONT, call) == (200, b"x")
+        for process in site.processes.values():
+            assert process.returncode is None
+        faults = [line for line in site.log("r-1") if "cannot be read" in line]
+        assert len(faults) == 1
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -79,3 +79,10 @@
 def test_decompressed_document_equals_the_original() -> None:
     original: typing.Final = b"a" * 100_000
     assert documents.decompress(documents.compress(original)) == original
+
+
+def test_configuration_that_an_older_build_accepted_ends_a_registry() -> None:
+    site = state.SiteState()
+    content = b'{"version": 3, "tenants": [{"name": "\\ud83d"}]}'
+    assert replace(site, 3, documents.compress(content)) == "accepted"
+    assert site.stores() == ()
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -123,6 +123,7 @@
       network: Prefix of the addresses of its processes.
       port: First port of the range that each process uses.
       listed: Targets in the platform's list.
+      entries: Further entries of that list, in the platform's form.
       processes: Running processes by name.
     """
 
@@ -130,6 +131,7 @@
     network: str
     port: int
     listed: list[model.Target] = attrs.field(factory=list)
+    entries: list[typing.Any] = attrs.field(factory=list)
     processes: dict[str, anyio.abc.Process] = attrs.field(factory=dict)
 
     @property
@@ -224,6 +226,7 @@
             }
             for target in self.listed
         ]
+        entries += self.entries
         body = json.dumps({"instances": entries, "next": None}).encode()
         await responder.respond(200, (), body)
 
