Send only what a datagram carries, and open a lost socket again

Callers saw nothing yet: shown in one process. Where more than 12 gateways share their loads, five prompts of 2^30 tokens (64 parts of the greatest length that a caller can describe), each at another gateway, made their relay's sum greater than 32 bits: encoding it raised KjException in the gateway's main task group, which ends the process. At 3,000 targets a relay's message took 87,041 bytes (600: 17,191; 1,000: 28,790), and that of 100 ends under prompts of 64 parts 266,056; UDP carries 65,507. The system's refusal (EMSGSIZE) is swallowed by the event loop, so that these were told to nobody. A socket that the event loop closes after an error ended the gateway (ClosedResourceError).

Cause: what is received was checked and contained, what is sent was not. Class: an error of our own output, made of outside input, taken for impossible.

Change: counts are bounded, too long evidence and stream lists are split, of too long loads the least busy targets are left out; a fault in one round is contained and counted by a small shared guard; a lost socket is opened again after 0.2 s. ECONNREFUSED, ENETUNREACH, EPERM and ENOBUFS of a send reach asyncio's error_received, which anyio only records.

--- a/src/cactusstile/gateway/peers/datagram_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -9,12 +9,14 @@
 
 import collections
 import collections.abc
+import contextlib
 import logging
 import typing
 
 import anyio
 import anyio.abc
 
+from cactusstile import guards
 from cactusstile.gateway.peers import datagrams
 from cactusstile.gateway.peers import load_channel
 from cactusstile.gateway.peers import load_sharing
@@ -33,6 +35,8 @@
 SEND_INTERVAL_PER_PEER_S = 0.00125
 # Messages that wait to be sent; the oldest are dropped if full.
 MAX_OUTBOX = 2000
+# Time after which a lost socket is opened again.
+REOPEN_DELAY_S = 0.2
 # Fraction of the VM's link that sent datagrams may take.
 MAX_LINK_FRACTION = 0.1
 _BITS_PER_BYTE = 8
@@ -65,6 +69,7 @@
       own_address: Address that this gateway receives datagrams at.
       secret: Key of the message authentication code.
       handlers: Handler of each type of message that tells no load.
+      socket: The open socket; None while there is none.
     """
 
     def __init__(
@@ -84,6 +89,9 @@
         self.own_address = own_address
         self.secret = secret
         self.handlers: dict[type, Handler] = {}
+        self.socket: anyio.abc.UDPSocket | None = None
+        self._sent = guards.Guard("sent datagrams")
+        self._received = guards.Guard("received datagrams")
         self._last_round_s = float("-inf")
         self._outbox: collections.deque[tuple[datagrams.Message, str]] = (
             collections.deque(maxlen=MAX_OUTBOX)
@@ -97,14 +105,29 @@
         self._outbox_filled.set()
 
     async def run(self) -> None:
-        """Exchanges loads for as long as the process runs."""
-        async with (
-            await anyio.create_udp_socket(
-                local_host=self.own_address.host,
-                local_port=self.own_address.port,
-            ) as socket,
-            anyio.create_task_group() as group,
-        ):
+        """Exchanges datagrams for as long as the process runs.
+
+        Raises:
+          OSError: The address cannot be bound.
+        """
+        self.socket = await self._open()
+        while True:
+            with self._sent.contain():
+                await self._exchange(self.socket)
+            self.socket = None
+            while self.socket is None:
+                await anyio.sleep(REOPEN_DELAY_S)
+                with contextlib.suppress(OSError):
+                    self.socket = await self._open()
+
+    async def _open(self) -> anyio.abc.UDPSocket:
+        return await anyio.create_udp_socket(
+            local_host=self.own_address.host, local_port=self.own_address.port
+        )
+
+    async def _exchange(self, socket: anyio.abc.UDPSocket) -> None:
+        """Exchanges datagrams until the socket fails."""
+        async with socket, anyio.create_task_group() as group:
             group.start_soon(self._receive, socket)
             group.start_soon(self._send_outbox, socket)
             await self._send(socket)
@@ -113,13 +136,21 @@
         sent_bytes = 0
         while True:
             await self._wait_for_round(sent_bytes)
-            sent_bytes = 0
             self._last_round_s = anyio.current_time()
-            for outgoing in self.sharing.collect(self._last_round_s):
-                data = datagrams.encode(self.secret, outgoing.message)
-                for receiver in outgoing.receivers:
-                    await self._send_to(socket, data, receiver)
-                sent_bytes += len(data) * len(outgoing.receivers)
+            due: list[tuple[bytes, str]] = []
+            with self._sent.contain():
+                due = self._encode_round(self._last_round_s)
+            for data, receiver in due:
+                await self._send_to(socket, data, receiver)
+            sent_bytes = sum(len(data) for data, _ in due)
+
+    def _encode_round(self, now_s: float) -> list[tuple[bytes, str]]:
+        """Returns the datagrams that are due, with their receivers."""
+        due = []
+        for outgoing in self.sharing.collect(now_s):
+            for data in datagrams.encode_all(self.secret, outgoing.message):
+                due += [(data, receiver) for receiver in outgoing.receivers]
+        return due
 
     async def _send_outbox(self, socket: anyio.abc.UDPSocket) -> None:
         while True:
@@ -127,8 +158,11 @@
             self._outbox_filled = anyio.Event()
             while self._outbox:
                 message, receiver = self._outbox.popleft()
-                data = datagrams.encode(self.secret, message)
-                await self._send_to(socket, data, receiver)
+                encoded: list[bytes] = []
+                with self._sent.contain():
+                    encoded = datagrams.encode_all(self.secret, message)
+                for data in encoded:
+                    await self._send_to(socket, data, receiver)
 
     async def _wait_for_round(self, sent_bytes: int) -> None:
         """Waits until there is something new, or a repeat is due.
@@ -164,11 +198,8 @@
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for datagram, _ in socket:
-            try:
+            with self._received.contain():
                 self.handle_datagram(datagram)
-            except Exception:
-                # An error in one message must not end the process.
-                logger.exception("a datagram failed by a fault of the program")
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Applies a gateway's datagram; invalid datagrams are dropped."""
--- a/src/cactusstile/gateway/peers/load_sharing.py
+++ b/src/cactusstile/gateway/peers/load_sharing.py
@@ -41,6 +41,8 @@
 RELAY_RETRY_S = 5.0
 # Reports that are remembered until a relay has included them.
 MAX_SENT_REPORTS = 64
+# Greatest count that a message carries.
+MAX_COUNT = 2**32 - 1
 
 
 @attrs.frozen
@@ -341,14 +343,19 @@
     return tuple(
         messages.TargetLoad(
             target,
-            max(0, load.inflight),
-            max(0, load.unread_tokens),
-            max(0, load.tokens),
+            _bound(load.inflight),
+            _bound(load.unread_tokens),
+            _bound(load.tokens),
         )
         for target, load in loads.items()
     )
 
 
+def _bound(count: int) -> int:
+    """Returns a count within the range that a message carries."""
+    return min(max(0, count), MAX_COUNT)
+
+
 def _decode_loads(
     targets: tuple[messages.TargetLoad, ...],
 ) -> dict[str, load_table.Load]:
