Contain faults of outside input in one place, and never those of a replica

An exception in most loops of gateway and registry, in a dialled or accepted connection, in one notice of another process, in a swap, a list, an item of control or a store ended the whole process. An address that is none, named by another process, raised ValueError in Sender.notify, in the lookup of a leader, and outside the try of the gateway's watch. On the other hand a fault of a replica that was met within an HTTP call was answered 500, and the replica went on with half of the effects applied.

Cause: every task ran in the process's main group without a rule which exceptions may leave it. Class: one message decides over the process.

Change: guards.Guard contains, counts and logs the 1st, 10th, 100th fault of a part; guards.keep_running starts a loop again.

--- a/src/cactusstile/agent/claims.py
+++ b/src/cactusstile/agent/claims.py
@@ -15,6 +15,7 @@
 import anyio
 import attrs
 
+from cactusstile import guards
 from cactusstile import verdict
 from cactusstile.control import claim_messages
 from cactusstile.control import client
@@ -136,6 +137,7 @@
         self._control = control
         self._incarnation = incarnation
         self._group = group
+        self._guard = guards.Guard("releases of claims")
 
     async def claim(self, key: ClaimKey) -> HeldClaim | StoredAnswer:
         """Claims the right to run a request.
@@ -159,7 +161,9 @@
                 timeout_s=CLAIM_TIMEOUT_S,
             )
         except exceptions.OutcomeUnknownError as error:
-            self._group.start_soon(self._release, key, claim_id)
+            self._group.start_soon(
+                self._guard.run, self._release, key, claim_id
+            )
             raise _claim_unavailable("the claim's answer was lost") from error
         except exceptions.ControlError as error:
             raise _claim_unavailable(str(error)) from error
@@ -200,7 +204,9 @@
 
     def release(self, claim: HeldClaim) -> None:
         """Releases a claim whose run certainly did not start."""
-        self._group.start_soon(self._release, claim.key, claim.claim_id)
+        self._group.start_soon(
+            self._guard.run, self._release, claim.key, claim.claim_id
+        )
 
     async def finish(
         self, claim: HeldClaim, outcome: str, answer: bytes
--- a/src/cactusstile/agent/daemon.py
+++ b/src/cactusstile/agent/daemon.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile.agent import admission
 from cactusstile.agent import claims
 from cactusstile.agent import dump
@@ -92,10 +93,11 @@
         stack.callback(group.cancel_scope.cancel)
         claimer = claims.Claimer(links.control, identity.incarnation, group)
         fence = fencing.Fence(links.control, settings.target)
-        group.start_soon(fencing.watch, agent, fence)
-        group.start_soon(agent.admission.expire)
+        keep = guards.keep_running
+        group.start_soon(keep, "fence", fencing.watch, agent, fence)
+        group.start_soon(keep, "admission", agent.admission.expire)
         if settings.platform_url:
-            group.start_soon(_watch_platform, agent, settings)
+            group.start_soon(keep, "platform", _watch_platform, agent, settings)
         if settings.kind == "engine":
             served = engine_agent.start(
                 settings, links, agent, target, claimer, fence, group
--- a/src/cactusstile/agent/engine_agent.py
+++ b/src/cactusstile/agent/engine_agent.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from cactusstile import guards
 from cactusstile.agent import engine_runs
 from cactusstile.agent import gate
 from cactusstile.agent import kept_exports
@@ -54,14 +55,14 @@
         agent, client, version_gate, links.peers, settings.process.data_centre
     )
     exporter = kept_exports.Exporter(transfers)
-    group.start_soon(exporter.run)
+    group.start_soon(guards.keep_running, "exports", exporter.run)
     running = engine_runs.EngineRuns(
         parts,
         group,
         engine_runs.BlockTransfers(kept_imports.Importer(transfers), exporter),
     )
     controller = _build_controller(settings, links, parts, fence)
-    group.start_soon(controller.run)
+    group.start_soon(guards.keep_running, "orders", controller.run)
 
     def is_ready() -> bool:
         return agent.accepts_work and version_gate.is_open
--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile import verdict
 from cactusstile.agent import admission
 from cactusstile.agent import kept_exports
@@ -57,6 +58,7 @@
         self.table = runs.RunTable()
         self._parts = parts
         self._group = group
+        self._guard = guards.Guard("runs")
         self._transfers = transfers
         self._numbers = itertools.count(1)
 
@@ -115,7 +117,7 @@
         self._parts.node.admission.check_queue_capacity(work)
         self.table.add(record)
         self._parts.node.begin()
-        self._group.start_soon(self._execute, record, work)
+        self._group.start_soon(self._guard.run, self._execute, record, work)
         return record
 
     def _build_work(self, record: runs.RunRecord) -> admission.Work:
--- a/src/cactusstile/agent/service_calls.py
+++ b/src/cactusstile/agent/service_calls.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile import verdict
 from cactusstile.agent import admission
 from cactusstile.agent import claims
@@ -71,6 +72,7 @@
         self._claimer = claimer
         self._group = group
         self._live: dict[tuple[str, str], _LiveCall] = {}
+        self._guard = guards.Guard("claimed calls")
 
     async def call(
         self, _: incoming.Responder, request: messages.ServiceCall
@@ -86,7 +88,9 @@
             if len(self._live) >= MAX_LIVE_CALLS:
                 return self._node.build_refused(_too_many_calls())
             self._live[key] = live
-            self._group.start_soon(self._run_claimed, request, live)
+            self._group.start_soon(
+                self._guard.run, self._run_claimed, request, live
+            )
         elif live.digest != digest:
             return self._node.build_refused(_key_in_use())
         await live.done.wait()
--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -309,6 +309,9 @@
         try:
             while self.effects and not self.stopped:
                 self._execute(self.effects.popleft())
+        except Exception as error:
+            self.writer.fail(error)
+            raise
         finally:
             self.dispatching = False
 
@@ -361,15 +364,12 @@
         """Sends a chunk of the latest snapshot."""
         snapshot = self.store.snapshot
         if snapshot.index != self.state.snapshot_index:
-            # The worker thread is replacing the snapshot. A chunk of a snapshot
-            # that the core does not track would make the core restart the
-            # transfer again and again; it retries later instead.
+            # The snapshot is being replaced; the core retries later.
             return
         try:
             data = self.store.read_chunk(effect.offset, CHUNK_BYTES)
         except OSError:
-            # The file was removed meanwhile; the core resends the chunk if
-            # the member makes no progress.
+            # The file was removed meanwhile; the core resends the chunk.
             return
         chunk = messages.SnapshotChunk(
             group=self.state.group,
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -233,7 +233,12 @@
 
     def receive(self, sender: str, message: messages.Message) -> None:
         """Handles a message that arrived from the address `sender`."""
-        self.driver.receive(sender, message)
+        try:
+            self.driver.receive(sender, message)
+        except Exception as error:
+            # Whoever serves the connection contains faults.
+            self.driver.writer.fail(error)
+            raise
 
     def status(self) -> ReplicaStatus:
         """Returns the current status."""
--- a/src/cactusstile/consensus/writer.py
+++ b/src/cactusstile/consensus/writer.py
@@ -60,6 +60,7 @@
       work_available: Set when there may be batches or proposals to process.
       limiter: Limits the writer to one worker thread.
       counters: Counters for metrics.
+      failure: Fault that ended the execution of effects; None without one.
     """
 
     store: stores.Store
@@ -72,6 +73,7 @@
         factory=lambda: anyio.CapacityLimiter(1)
     )
     counters: counters.Counters = attrs.field(factory=counters.Counters)
+    failure: Exception | None = None
 
     def add_write(self, write: effects.Write) -> None:
         """Queues a write."""
@@ -94,9 +96,23 @@
         self.work_available.set()
         return True
 
+    def fail(self, failure: Exception) -> None:
+        """Ends the replica, whoever contains the fault that it met.
+
+        State to which a part of the effects is applied must not be served.
+        """
+        self.failure = self.failure or failure
+        self.work_available.set()
+
     async def wait(self) -> None:
-        """Waits until there may be batches or proposals to process."""
+        """Waits until there may be batches or proposals to process.
+
+        Raises:
+          Exception: The fault of an earlier `fail`.
+        """
         await self.work_available.wait()
+        if self.failure is not None:
+            raise self.failure
         self.work_available = anyio.Event()
 
     async def write_next(self) -> Batch | None:
--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 
+from cactusstile import guards
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.consensus import interfaces
 from cactusstile.consensus import replica
@@ -97,8 +98,9 @@
                 _build_admin(state), settings.process.admin_listen
             )
         )
-        group.start_soon(_send_beacons, state)
-        group.start_soon(_tick_claims, state)
+        keep = guards.keep_running
+        group.start_soon(keep, "beacons", _send_beacons, state)
+        group.start_soon(keep, "claims", _tick_claims, state)
         logger.info("control %s is ready", settings.process.name)
         yield state
 
--- a/src/cactusstile/control/sender.py
+++ b/src/cactusstile/control/sender.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+from cactusstile import guards
 from cactusstile.control import member_messages
 from cactusstile.transport import address
 from cactusstile.transport import codec
@@ -36,10 +37,17 @@
         self._connections = connections
         self._task_group = group
         self._connecting: set[str] = set()
+        self._guard = guards.Guard("connections to control")
 
     def notify(self, peer_address: str, message: object) -> None:
         """Sends `message` to the address `peer_address` without waiting."""
-        connection = self._connections.existing(address.parse(peer_address))
+        try:
+            peer = address.parse(peer_address)
+        except ValueError:
+            # Another process has named the address.
+            self.dropped += 1
+            return
+        connection = self._connections.existing(peer)
         if connection is not None:
             if not connection.notify(message):
                 self.dropped += 1
@@ -47,11 +55,13 @@
         self.dropped += 1
         if peer_address not in self._connecting:
             self._connecting.add(peer_address)
-            self._task_group.start_soon(self._connect, peer_address)
+            self._task_group.start_soon(
+                self._guard.run, self._connect, peer_address, peer
+            )
 
-    async def _connect(self, peer_address: str) -> None:
+    async def _connect(self, peer_address: str, peer: address.Address) -> None:
         try:
-            await self._connections.connect(address.parse(peer_address))
+            await self._connections.connect(peer)
         except (transport_exceptions.TransportError, TimeoutError) as error:
             logger.debug("connection to %s failed: %s", peer_address, error)
         finally:
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -10,6 +10,7 @@
 import anyio
 import attrs
 
+from cactusstile import guards
 from cactusstile import tokens
 from cactusstile.entry import application
 from cactusstile.entry import completions
@@ -204,7 +205,7 @@
         ) as listener,
         anyio.create_task_group() as group,
     ):
-        group.start_soon(certificate.run)
+        group.start_soon(guards.keep_running, "certificate", certificate.run)
         yield listener
         group.cancel_scope.cancel()
 
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -10,6 +10,7 @@
 import anyio
 
 from cactusstile import clocks
+from cactusstile import guards
 from cactusstile.control import attempts
 from cactusstile.gateway import site_view
 from cactusstile.platform import configurations
@@ -41,6 +42,8 @@
 SILENCE_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.1
+# Items that hold changes since the one before.
+_CUMULATIVE = (messages.StoreUpdates, messages.CompressedStoreUpdates)
 
 
 class ControlWatch:
@@ -79,6 +82,7 @@
         self.leader: address.Address | None = None
         self.confirm_sharers: ConfirmSharers = lambda *_: None
         self.apply_holds: ApplyHolds = lambda _: None
+        self._guard = guards.Guard("items of control")
         self._appliers: dict[type, Apply] = {
             messages.ConfigurationInForce: self._apply_configuration,
             messages.WeightsInForce: self._apply_weights,
@@ -116,7 +120,7 @@
 
     def _next_candidate(self, attempt_number: int) -> address.Address | None:
         """Returns the next control process to try; None without any."""
-        discovered = [address.parse(text) for text in self.site.control]
+        discovered = address.parse_valid(self.site.control)
         candidates = list(dict.fromkeys([*discovered, *self.seeds]))
         if not candidates:
             return None
@@ -179,7 +183,13 @@
 
     def _apply_item(self, item: object) -> None:
         apply = self._appliers.get(type(item))
-        if apply is not None:
+        if apply is None:
+            return
+        if isinstance(item, _CUMULATIVE):
+            # A fault ends the connection: the next one begins anew.
+            apply(item, anyio.current_time())
+            return
+        with self._guard.contain():
             apply(item, anyio.current_time())
 
     def _apply_target_list(
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile.gateway import budget as budgets
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dump
@@ -170,8 +171,11 @@
             return site.confirmed_s is None
         return anyio.current_time() - site.listed_s > MAX_LIST_AGE_S
 
-    group.start_soon(gateway.watch.run)
+    keep = guards.keep_running
+    group.start_soon(keep, "control", gateway.watch.run)
     group.start_soon(
+        keep,
+        "target list",
         discovery.run,
         clients.Client(pool),
         gateway.settings.platform,
@@ -179,7 +183,7 @@
         is_stale,
         lambda listed: gateway.watch.apply_targets(listed, "platform"),
     )
-    group.start_soon(_sweep, pool, site, request_metrics)
+    group.start_soon(keep, "sweep", _sweep, pool, site, request_metrics)
     loads_exchange = datagram_exchange.DatagramExchange(
         load_sharing.LoadSharing(site, gateway.watch.member),
         gateway.settings.internal_address,
@@ -188,11 +192,11 @@
     connect_exchange(gateway.forwarder, loads_exchange)
     group.start_soon(loads_exchange.run)
     quarantine = gateway.forwarder.quarantine
-    group.start_soon(quarantine.run)
+    group.start_soon(keep, "quarantine", quarantine.run)
     reports = hold_reports.HoldReports(
         quarantine, gateway.watch.pool, lambda: gateway.watch.leader
     )
-    group.start_soon(reports.run)
+    group.start_soon(keep, "holds", reports.run)
 
 
 def connect_exchange(
--- a/src/cactusstile/guards.py
+++ b/src/cactusstile/guards.py
@@ -15,7 +15,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    Loop = collections.abc.Callable[..., collections.abc.Awaitable[None]]
+    Function = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 
 logger = logging.getLogger(__name__)
 
@@ -54,8 +54,13 @@
                 extra={"part": self.part, "faults": self.faults},
             )
 
+    async def run(self, function: Function, *args: object) -> None:
+        """Calls a function, which ends at an exception; see `contain`."""
+        with self.contain():
+            await function(*args)
 
-async def keep_running(part: str, loop: Loop, *args: object) -> None:
+
+async def keep_running(part: str, loop: Function, *args: object) -> None:
     """Runs a loop until it returns; starts it again after an exception.
 
     Args:
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -11,6 +11,7 @@
 import attrs
 import prometheus_client
 
+from cactusstile import guards
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
 from cactusstile.consensus import replica_settings
@@ -97,8 +98,12 @@
 
     async def wait_until_removed(self) -> None:
         """Waits until this replica was replaced; see `rejoin`."""
-        await rejoin.wait_until_removed(
-            self.replica, self.connections, self._peer_addresses
+        await guards.keep_running(
+            "replacement",
+            rejoin.wait_until_removed,
+            self.replica,
+            self.connections,
+            self._peer_addresses,
         )
 
     def _peer_addresses(self) -> list[str]:
@@ -256,11 +261,12 @@
     stack.callback(pool.close)
     client = clients.Client(pool)
     own_replica = registry.replica
-    group.start_soon(registry.feed.run_confirmations)
-    group.start_soon(registry.feed.run_store_updates)
-    group.start_soon(registry.hold_calls.run_expiry)
-    group.start_soon(members.run, own_replica)
-    group.start_soon(_log_leadership, own_replica)
+    keep, feed = guards.keep_running, registry.feed
+    group.start_soon(keep, "confirmations", feed.run_confirmations)
+    group.start_soon(keep, "store updates", feed.run_store_updates)
+    group.start_soon(keep, "holds", registry.hold_calls.run_expiry)
+    group.start_soon(keep, "members", members.run, own_replica)
+    group.start_soon(keep, "leadership", _log_leadership, own_replica)
     _start_target_controllers(registry, client, group)
     watch = store_watch.StoreWatch(
         client,
@@ -272,7 +278,7 @@
         ),
     )
     registry.feed.contents = watch.contents
-    group.start_soon(watch.run, group)
+    group.start_soon(keep, "stores", watch.run, group)
 
 
 def _start_target_controllers(
@@ -292,6 +298,8 @@
     )
     listing.controller = controller
     group.start_soon(
+        guards.keep_running,
+        "target list",
         discovery.run,
         client,
         registry.settings.platform,
@@ -299,7 +307,7 @@
         lambda: registry.replica.is_leader,
         listing.update,
     )
-    group.start_soon(controller.run, group)
+    group.start_soon(guards.keep_running, "weights", controller.run, group)
 
 
 async def _log_leadership(own_replica: replica.Replica) -> None:
--- a/src/cactusstile/registry/leader_lookup.py
+++ b/src/cactusstile/registry/leader_lookup.py
@@ -85,10 +85,11 @@
                 continue
             if not isinstance(answer, commands.LeaderFound):
                 continue
-            if not answer.leader:
+            named = address.parse_valid((answer.leader,))
+            if not named:
                 continue
-            self.known = tuple(address.parse(text) for text in answer.control)
-            self.leader = address.parse(answer.leader)
+            self.known = address.parse_valid(answer.control)
+            self.leader = named[0]
             return self.leader
         self.leader = None
         return None
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -116,9 +116,9 @@
 
     def _other_leader(self, leader: str) -> address.Address | None:
         """Returns the leader's address; None if no other leader is known."""
-        if not leader or leader == self.replica.settings.address:
+        if leader == self.replica.settings.address:
             return None
-        return address.parse(leader)
+        return next(iter(address.parse_valid((leader,))), None)
 
     async def _read_configuration(
         self, responder: responders.Responder
--- a/src/cactusstile/registry/rejoin.py
+++ b/src/cactusstile/registry/rejoin.py
@@ -97,7 +97,7 @@
             commands.AskMembership(member_id),
             timeout_s=CALL_TIMEOUT_S,
         )
-    except (transport_exceptions.TransportError, TimeoutError):
+    except (transport_exceptions.TransportError, TimeoutError, ValueError):
         return False
     if not isinstance(answer, commands.MembershipAnswer):
         return False
--- a/src/cactusstile/registry/store_watch.py
+++ b/src/cactusstile/registry/store_watch.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.abc
 
+from cactusstile import guards
 from cactusstile.platform import client as clients
 from cactusstile.platform import stores
 from cactusstile.registry import store_contents
@@ -103,22 +104,36 @@
     ) -> None:
         """Follows one store until its scope is cancelled."""
         reachable = True
+        guard = guards.Guard(f"store {store.name}")
         with self._scopes[contents.address]:
             while True:
-                try:
-                    await self._follow_once(store, contents)
-                    reachable = True
-                except clients.CallError as error:
-                    if reachable:
-                        logger.warning(
-                            "store is unreachable",
-                            extra={"store": store.name, "error": str(error)},
-                        )
-                    reachable = False
+                with guard.contain():
+                    reachable = await self._try_to_follow(
+                        store, contents, reachable=reachable
+                    )
                 contents.invalidate()
                 self.on_change()
                 await anyio.sleep(RETRY_INTERVAL_S)
 
+    async def _try_to_follow(
+        self,
+        store: model.Store,
+        contents: store_contents.StoreContents,
+        *,
+        reachable: bool,
+    ) -> bool:
+        """Follows a store until it fails; returns whether it was reachable."""
+        try:
+            await self._follow_once(store, contents)
+        except clients.CallError as error:
+            if reachable:
+                logger.warning(
+                    "store is unreachable",
+                    extra={"store": store.name, "error": str(error)},
+                )
+            return False
+        return True
+
     async def _follow_once(
         self, store: model.Store, contents: store_contents.StoreContents
     ) -> None:
--- a/src/cactusstile/registry/target_listing.py
+++ b/src/cactusstile/registry/target_listing.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.abc
 
+from cactusstile import guards
 from cactusstile.registry import build_records
 from cactusstile.sites import discovery
 
@@ -45,6 +46,7 @@
         self.group = group
         self.order = anyio.Lock()
         self.controller: weights.WeightsController | None = None
+        self._guard = guards.Guard("published lists")
 
     def update(self, listed: tuple[model.Target, ...]) -> None:
         """Publishes a new list, once what it changes is committed."""
@@ -58,9 +60,10 @@
     ) -> None:
         # A list whose commit takes long must not follow a newer one.
         async with self.order:
-            await build_records.record_and_publish(
-                self.feed.site, self.replica, listed, self._apply
-            )
+            with self._guard.contain():
+                await build_records.record_and_publish(
+                    self.feed.site, self.replica, listed, self._apply
+                )
 
     def _apply(self, listed: tuple[model.Target, ...]) -> None:
         self.targets = listed
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -15,6 +15,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile.platform import calls
 from cactusstile.platform import client as clients
 from cactusstile.registry import swap_plan
@@ -97,6 +98,7 @@
         self.failures: dict[tuple[str, int], int] = {}
         self.drain_deadlines: dict[tuple[str, int], float] = {}
         self.fenced_off_term = -1
+        self._guard = guards.Guard("swaps of weights")
 
     async def run(self, group: anyio.abc.TaskGroup) -> None:
         """Starts swaps in `group` for as long as the process runs."""
@@ -116,7 +118,7 @@
             )
             for swap in swaps:
                 self.in_progress.add(swap.target.incarnation)
-                group.start_soon(self._run_swap, swap)
+                group.start_soon(self._guard.run, self._run_swap, swap)
 
     def with_swap_progress(
         self, targets: tuple[model.Target, ...]
--- a/src/cactusstile/sites/discovery.py
+++ b/src/cactusstile/sites/discovery.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from cactusstile import guards
 from cactusstile.platform import client as clients
 
 if typing.TYPE_CHECKING:
@@ -39,11 +40,14 @@
       on_targets: Called with each list.
     """
     reachable = True
+    guard = guards.Guard("target list")
     while True:
         pause_s = interval_s
         if is_enabled():
             try:
-                on_targets(await client.list_targets(platform))
+                listed = await client.list_targets(platform)
+                with guard.contain():
+                    on_targets(listed)
                 if not reachable:
                     logger.info("target list is readable again")
                 reachable = True
--- a/src/cactusstile/state/follower.py
+++ b/src/cactusstile/state/follower.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from cactusstile import guards
 from cactusstile.control import client
 from cactusstile.control import feed_messages
 from cactusstile.state import holder
@@ -111,8 +112,9 @@
             fleet_holder, own_relay, peers, control, relay_address
         )
         group = await stack.enter_async_context(anyio.create_task_group())
-        group.start_soon(subscriber.run)
-        group.start_soon(control.probe_while_open)
+        keep = guards.keep_running
+        group.start_soon(keep, "configuration", subscriber.run)
+        group.start_soon(keep, "control", control.probe_while_open)
         stack.callback(group.cancel_scope.cancel)
         yield Follower(fleet_holder, peers, control, own_relay, subscriber)
 
--- a/src/cactusstile/transport/address.py
+++ b/src/cactusstile/transport/address.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import ipaddress
+import typing
 
 import attrs
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 MAX_PORT = 65_535
 
 
@@ -28,6 +33,19 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_valid(texts: collections.abc.Iterable[str]) -> tuple[Address, ...]:
+    """Returns the addresses of those texts that `parse` accepts.
+
+    >>> parse_valid(["somewhere", "127.0.0.1:80"])
+    (Address(host='127.0.0.1', port=80),)
+    """
+    parsed = []
+    for text in texts:
+        with contextlib.suppress(ValueError):
+            parsed.append(parse(text))
+    return tuple(parsed)
+
+
 def parse(text: str) -> Address:
     """Parses an address such as "10.0.0.1:7000" or "[::1]:7000".
 
--- a/src/cactusstile/transport/pool.py
+++ b/src/cactusstile/transport/pool.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile.transport import address
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
@@ -76,6 +77,7 @@
         self._timing = timing
         self._dial_stream = dial
         self._peers: dict[address.Address, _Peer] = {}
+        self._guard = guards.Guard("dialled connections")
 
     async def connect(
         self,
@@ -147,7 +149,7 @@
             self._timing,
             dialled=True,
         )
-        self._group.start_soon(opened.run, early)
+        self._group.start_soon(self._guard.run, opened.run, early)
         return opened
 
 
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -11,6 +11,7 @@
 import anyio.abc
 import attrs
 
+from cactusstile import guards
 from cactusstile.transport import address
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
@@ -51,6 +52,9 @@
     secrets: handshake.Secrets
     handlers: incoming.Handlers
     timing: connection.Timing | None
+    guard: guards.Guard = attrs.field(
+        factory=lambda: guards.Guard("accepted connections")
+    )
 
     async def handle(self, raw: socket.socket) -> None:
         try:
@@ -72,7 +76,7 @@
         """Serves each connection of a listener in a task of its own."""
         while True:
             raw = await listeners.accept(listener, _configure)
-            group.start_soon(self.handle, raw)
+            group.start_soon(self.guard.run, self.handle, raw)
 
     async def _serve(self, byte_stream: anyio.abc.ByteStream) -> None:
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
