Do not pass on a promise from the head of an event stream

Callers saw, in the test: status 503, 429 or 408 for a request that a target had run. A target's sealed answer with such a status and no mark of a rejection is a failure of its own; as a body it is not relayed, but as an event stream its status was. No such answer of a real target is known.

Cause: the head of a stream was taken for a success before its status was looked at. Class: a statement believed by its form.

Evidence: test_failed_run_with_a_stream_as_answer_is_not_called_not_run failed before for 408, 429 and 503 (the caller got the target's status) and passes now.

Only an answer of 200 to 299 is a stream now; any other one is read whole and judged as other answers are.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -33,6 +33,7 @@
 _DROPPED_FIELDS = headers.SYSTEM_FIELDS | {b"content-length", b"expect"}
 _MISDIRECTED = 421
 _BAD_REQUEST = 400
+_SUCCESSES = range(200, 300)
 _SERVER_ERRORS = range(500, 600)
 _WITHDRAWN = "withdrawn"
 _OUTDATED = "outdated"
@@ -319,7 +320,9 @@
     kind = head.find(b"content-type") or ""
     is_sealed = head.find(headers.SEAL) is not None
     is_plain = head.find(b"content-encoding") is None
-    if kind.startswith(headers.EVENT_STREAM) and is_sealed and is_plain:
+    is_stream = kind.startswith(headers.EVENT_STREAM)
+    is_success = head.status in _SUCCESSES
+    if is_stream and is_success and is_sealed and is_plain:
         return OpenStream(head, connection)
     answer = Answer(head, await connection.read_full_body(MAX_ANSWER_BYTES))
     if head.status == _MISDIRECTED or _is_marked_not_run(head):
