Count a target whose start is learned late as one incarnation

Callers saw, in the test: one request reached the same process twice. With a kept connection, a late copy of its first refusal would then answer the second attempt, and a request that runs could be sent elsewhere.

Cause: tried targets are kept by id and start, and a start that the list does not name yet is 0. Class: unknown taken for different.

Evidence: test_request_returns_to_no_target_whose_start_is_learned_late failed before with "assert 2 == 1" requests at the target, and passes now.

An unknown start is the same as any other start of that id now.

--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -76,8 +76,14 @@
 
     def permits(self, target: model.Target) -> bool:
         """Returns whether the request may be sent to a target at all."""
-        if target.incarnation in self.tried_incarnations:
-            return False
+        for target_id, born_ms in self.tried_incarnations:
+            # The start of a target may be unknown at first.
+            is_same = born_ms == target.born_ms or 0 in (
+                born_ms,
+                target.born_ms,
+            )
+            if target_id == target.id and is_same:
+                return False
         required = self.sole_build
         if self.origin is not None:
             required = self.origin.build
--- a/tests/gateway/test_verdicts_of_targets.py
+++ b/tests/gateway/test_verdicts_of_targets.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import anyio
+import anyio.abc
+import attrs
 import pytest
 from tests.gateway import support
 from tests.support import raw_target
@@ -33,3 +36,22 @@
         data = await harness.ask(support.request(b"POST", FIELDS))
     assert len(target.requests) == 1
     assert int(data.split()[1]) in (500, 502, 504)
+
+
+async def test_request_returns_to_no_target_whose_start_is_learned_late() -> (
+    None
+):
+    """Guards against one process that counts as two incarnations."""
+    harness: support.GatewayHarness
+
+    async def reject(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        listed = attrs.evolve(target.target, born_ms=7)
+        harness.site.replace_targets((listed,), anyio.current_time())
+        return await raw_target.reject()(stream, request)
+
+    async with (
+        raw_target.open_target(reject, raw_target.answer()) as target,
+        support.open_harness(STREAM, target) as harness,
+    ):
+        await harness.ask(support.request(b"POST", FIELDS))
+    assert len(target.requests) == 1
