Ask the newest view of a target whether it leaves before a run goes on

Callers saw, in the test: a stream that may run only once went on from its copy although its engine leaves, had closed its port and could still work on it (TWICE).

Cause: a list that lacks a target for once, by an entry that can't be read, drops its view; later lists update another one. The request kept the old view, which never learned that the target leaves. The same holds if the start of a target is learned late. Class: absence from one list taken for the end of what is known.

Evidence: test_run_does_not_go_on_elsewhere_if_a_list_lacked_its_engine failed before (the second engine was sent the request with Kv-From) and passes now.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -218,15 +218,29 @@
         self.dispatcher.record_failure(view, error)
         if observer.is_answered or not error.is_broken_off:
             return
-        if view.leaving:
+        if self._is_leaving(view):
             # It was going to end, whatever it ran.
             return
         broken_s = anyio.current_time()
-        if await liveness.has_ended(view):
+        if await self._has_ended(view):
             observer.record_end(view.target.id, broken_s)
         else:
             observer.record_break(view.target.id, broken_s)
 
+    async def _has_ended(self, view: target_view.TargetView) -> bool:
+        """Returns whether a target certainly works on no request any more."""
+        if self._is_leaving(view):
+            return False
+        return await liveness.has_ended(view) and not self._is_leaving(view)
+
+    def _is_leaving(self, view: target_view.TargetView) -> bool:
+        """Returns whether a target leaves, by any list since it was chosen.
+
+        A target that a list lacked has another view since.
+        """
+        newest = self.site.targets.by_id.get(view.target.id, view)
+        return view.leaving or newest.leaving
+
     async def _find_origin(
         self, admitted: admission.AdmittedRequest, attempts: retries.Attempts
     ) -> None:
@@ -300,7 +314,7 @@
         # Without an event id the run could only restart from the beginning.
         if relay.splitter.last_id is None or not relay.started:
             return False
-        if not await liveness.has_ended(view):
+        if not await self._has_ended(view):
             return False
         now_s = anyio.current_time()
         if not backup.view.accepts_requests(now_s):
