--- a/tests/processes/test_verdicts.py
+++ b/tests/processes/test_verdicts.py
@@ -65,6 +65,9 @@
         await asyncio.sleep(site.random.uniform(0, 0.01))
     target.signal(signal.SIGSTOP)
     await asyncio.sleep(site.random.choice((0.1, 0.5, 1, 2, 5)))
+    if site.random.random() < 0.2:
+        await _kill_target(site, target)
+        return
     target.signal(signal.SIGCONT)
 
 
--- a/tests/support/target_process.py
+++ b/tests/support/target_process.py
@@ -25,6 +25,8 @@
 MAX_RUN_S = 0.25
 # Fraction of runs that go on after their connection has closed.
 KEPT_FRACTION = 0.2
+# Fraction of refusals that follow an interim answer, and of those sent twice.
+ODD_FRACTION = 0.1
 Headers = dict[str, str]
 
 
@@ -144,9 +146,7 @@
             return True
         status = self._refusal(headers)
         if status:
-            await self._respond(
-                writer, status, headers, b"", "X-Cactusstile-Not-Executed: 1"
-            )
+            await self._refuse(writer, status, headers)
             return True
         return await self._run(path, headers, reader, writer)
 
@@ -161,6 +161,18 @@
         self.copies.discard(attempt)
         return 0
 
+    async def _refuse(
+        self, writer: asyncio.StreamWriter, status: int, headers: Headers
+    ) -> None:
+        """Refuses a request, sometimes after an interim answer, or twice."""
+        if self.random.random() < ODD_FRACTION:
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+        mark = "X-Cactusstile-Not-Executed: 1"
+        await self._respond(writer, status, headers, b"", mark)
+        if self.random.random() < ODD_FRACTION:
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+            await self._respond(writer, status, headers, b"", mark)
+
     def _report(self) -> bytes:
         report = {"stage": "both", "models": [], "busy": False, "seq": 0}
         report |= {"queued": 0, "active": self.running}
