Make durable at recovery what a replica read from its data folder

What would be seen: an acknowledged configuration, or a second vote in one term, lost after a process was killed, was started again and lost power.

Cause: recovery took what it could read for durable. The tail of the log may lie in the page cache only, as the process ended before its sync, and a rename may not have reached the folder. After a failed sync the kernel even keeps such pages as clean, so that no later sync writes them. Class: a state that was read is trusted as if it were synced.

Why this works: the start writes the tail that no record shows to be synced again, in place with the same bytes, and syncs it; it replaces the metadata, which syncs the folder, before it reads or removes anything else. A start so fails on a disk that takes no write.

--- a/src/cactusstile/consensus/storage/files.py
+++ b/src/cactusstile/consensus/storage/files.py
@@ -47,6 +47,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Truncates a file and makes the truncation durable."""
 
+    def rewrite(self, name: str, offset: int, data: bytes) -> None:
+        """Writes `data` at `offset` of a file durably."""
+
     def rename(self, source: str, target: str) -> None:
         """Renames a file, replacing the target."""
 
@@ -109,6 +112,15 @@
             file.truncate(size)
             os.fsync(file.fileno())
 
+    def rewrite(self, name: str, offset: int, data: bytes) -> None:
+        """Writes `data` at `offset` of a file durably."""
+        with (self.folder / name).open("r+b", buffering=0) as file:
+            view = memoryview(data)
+            file.seek(offset)
+            while view:
+                view = view[file.write(view) :]
+            os.fsync(file.fileno())
+
     def rename(self, source: str, target: str) -> None:
         """Renames a file, replacing the target."""
         (self.folder / source).replace(self.folder / target)
--- a/src/cactusstile/consensus/storage/segments.py
+++ b/src/cactusstile/consensus/storage/segments.py
@@ -159,6 +159,9 @@
 ) -> tuple[SegmentLog, list[messages.Entry]]:
     """Reads all segments, truncates a torn tail and opens the last segment.
 
+    The tail that no record shows to be synced becomes durable: the process may
+    have ended before its sync, or the sync may have failed.
+
     Raises:
       CorruptStorageError: Synced entries are damaged or missing.
     """
@@ -176,12 +179,22 @@
             )
         _read_segment(log, name, entries, is_last=is_last)
     if log.segments:
+        _make_tail_durable(log)
         log.file = files.open_append(log.segments[-1].name)
     else:
         log.start_segment(0, 0)
     return log, entries
 
 
+def _make_tail_durable(log: SegmentLog) -> None:
+    """Writes the tail again; a sync alone skips pages of a failed sync."""
+    last = log.segments[-1]
+    size = last.size - log.synced_bytes
+    tail = log.files.read_at(last.name, log.synced_bytes, size)
+    log.files.rewrite(last.name, log.synced_bytes, tail)
+    log.synced_bytes = last.size
+
+
 def _read_segment(
     log: SegmentLog, name: str, entries: list[messages.Entry], *, is_last: bool
 ) -> None:
@@ -199,6 +212,7 @@
         else:
             _add_entry(log, record, entries, name)
         log.checksum = record.checksum
+        log.synced_bytes = record.synced_bytes
         segment.last_index = max(segment.last_index, record.index)
         offset = record.end
     if offset < len(content) or not offset:
@@ -206,7 +220,6 @@
     if not offset:
         return
     segment.size = offset
-    log.synced_bytes = offset
     log.segments.append(segment)
 
 
--- a/src/cactusstile/consensus/storage/store.py
+++ b/src/cactusstile/consensus/storage/store.py
@@ -179,12 +179,14 @@
     if metadata is None:
         incarnation = secrets.randbits(INCARNATION_BITS)
         metadata = metadata_file.Metadata(name, incarnation)
-        metadata_file.save(files, metadata)
     if metadata.name != name:
         raise exceptions.StorageError(
             f"the data folder belongs to {metadata.name}, not to {name};"
             " correct the name or the data folder in the settings"
         )
+    # What was read may not be durable, such as the rename of a process that
+    # ended before it had synced the folder.
+    metadata_file.save(files, metadata)
     snapshot, data = snapshots.load(files)
     log, entries = _recover_log(files, metadata)
     entries = _entries_after_snapshot(log, snapshot, entries)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,13 +1,11 @@
 from __future__ import annotations
 
-import errno
 import pathlib
-import typing
 
-import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies
+from tests.consensus import faulty_files
 
 from cactusstile.consensus import core
 from cactusstile.consensus import effects
@@ -17,81 +15,6 @@
 from cactusstile.consensus.storage import segments
 from cactusstile.consensus.storage import store as stores
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
-
-@attrs.define
-class FaultyFile:
-    """A file whose unsynced writes are lost or torn by a crash."""
-
-    files: FaultyFiles
-    name: str
-
-    def write(self, data: bytes) -> None:
-        if self.files.fault == "enospc":
-            self.files.content[self.name] += data[: len(data) // 2]
-            raise OSError(errno.ENOSPC, "no space left on device")
-        self.files.content[self.name] += data
-
-    def sync(self) -> None:
-        if self.files.fault == "eio":
-            raise OSError(errno.EIO, "input/output error")
-        self.files.syncs += 1
-        content = self.files.content[self.name]
-        self.files.durable[self.name] = bytes(content)
-
-    def close(self) -> None:
-        pass
-
-
-@attrs.define
-class FaultyFiles:
-    """An in-memory folder that can lose unsynced data, fill up and fail."""
-
-    content: dict[str, bytearray] = attrs.field(factory=dict)
-    durable: dict[str, bytes] = attrs.field(factory=dict)
-    fault: str = ""
-    syncs: int = 0
-
-    def names(self) -> list[str]:
-        return sorted(self.content)
-
-    def read(self, name: str) -> bytes:
-        return bytes(self.content[name])
-
-    def read_at(self, name: str, offset: int, size: int) -> bytes:
-        return bytes(self.content[name][offset : offset + size])
-
-    def open_append(self, name: str) -> FaultyFile:
-        self.content.setdefault(name, bytearray())
-        return FaultyFile(self, name)
-
-    def truncate(self, name: str, size: int) -> None:
-        del self.content[name][size:]
-        self.durable[name] = bytes(self.content[name])
-
-    def rename(self, source: str, target: str) -> None:
-        self.content[target] = self.content.pop(source)
-        self.durable[target] = self.durable.pop(source)
-
-    def remove(self, name: str) -> None:
-        del self.content[name]
-        self.durable.pop(name, None)
-
-    def sync_folder(self) -> None:
-        if self.fault == "eio":
-            raise OSError(errno.EIO, "input/output error")
-        self.syncs += 1
-
-    def crash(self, mangle: collections.abc.Callable[[bytes], bytes]) -> None:
-        """Keeps synced data, and what `mangle` returns of unsynced data."""
-        self.fault = ""
-        for name in list(self.content):
-            durable = self.durable.get(name, b"")
-            rest = bytes(self.content[name][len(durable) :])
-            self.content[name] = bytearray(durable + mangle(rest))
-
 
 def _open(files: file_access.Files) -> tuple[stores.Store, core.RecoveredState]:
     store, recovered, _ = stores.open_store(files, "a")
@@ -107,7 +30,7 @@
     return effects.AppendEntries(entries)
 
 
-def _prepare(files: FaultyFiles, batches: int) -> None:
+def _prepare(files: faulty_files.FaultyFiles, batches: int) -> None:
     store, _ = _open(files)
     store.write([effects.SaveMetadata("g", 1, "a")])
     for batch in range(batches):
@@ -115,7 +38,7 @@
 
 
 def test_reopen_returns_written_state() -> None:
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 2)
     store, _ = _open(files)
     store.write([effects.SaveMetadata("g", 2, "b"), _entries(5, 3, term=2)])
@@ -133,7 +56,7 @@
 def test_torn_unsynced_tail_is_truncated(
     keep: int, flip: int, zero: bool
 ) -> None:
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 2)
     store, _ = _open(files)
     store.log.append(_entries(7, 4).entries)
@@ -160,7 +83,7 @@
 def test_flipped_bit_before_synced_records_refuses_to_start(
     position: int, bit: int
 ) -> None:
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 3)
     name = files.names()[-1]
     assert name.startswith(segments.PREFIX)
@@ -174,7 +97,7 @@
 
 def test_lost_write_in_the_middle_breaks_the_chain() -> None:
     """Valid records after a lost write must not hide the loss."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 1)
     name = files.names()[-1]
     start = len(files.content[name])
@@ -187,7 +110,9 @@
         _open(files)
 
 
-def _prepare_more(files: FaultyFiles, first: int, count: int) -> None:
+def _prepare_more(
+    files: faulty_files.FaultyFiles, first: int, count: int
+) -> None:
     store, _ = _open(files)
     store.write([_entries(first, count)])
 
@@ -198,7 +123,7 @@
 ) -> None:
     """A missing segment means that synced entries are lost."""
     monkeypatch.setattr(segments, "SEGMENT_BYTES", 200)
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 5)
     names = [name for name in files.names() if name.startswith(segments.PREFIX)]
     assert len(names) > 3
@@ -210,7 +135,7 @@
 @pytest.mark.parametrize("name", ["metadata", "segment-000000000001"])
 def test_missing_file_of_a_member_refuses_to_start(name: str) -> None:
     """A member must not restart with an empty log or without its vote."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 1)
     files.remove(name)
     with pytest.raises(exceptions.CorruptStorageError, match="repair"):
@@ -219,7 +144,7 @@
 
 def test_flipped_bit_in_metadata_or_snapshot_refuses_to_start() -> None:
     for prefix in ("metadata", "snapshot-"):
-        files = FaultyFiles()
+        files = faulty_files.FaultyFiles()
         _prepare(files, 1)
         store, _ = _open(files)
         store.save_snapshot(effects.InstallSnapshot(2, 1, b"[]", b"state"))
@@ -234,7 +159,7 @@
 @pytest.mark.parametrize("fault", ["enospc", "eio"])
 def test_failed_write_stops_the_store_permanently(fault: str) -> None:
     """After a failed sync the kernel may drop pages; a retry hides the loss."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 2)
     store, _ = _open(files)
     files.fault = fault
@@ -249,7 +174,7 @@
 
 
 def test_failed_write_of_a_vote_keeps_the_old_vote() -> None:
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 1)
     store, _ = _open(files)
     files.fault = "enospc"
@@ -260,11 +185,44 @@
     assert (recovered.term, recovered.vote) == (1, "a")
 
 
+@pytest.mark.parametrize("fault", ["", "eio"])
+def test_recovered_entries_are_not_lost_by_a_crash_after_recovery(
+    fault: str,
+) -> None:
+    files = faulty_files.FaultyFiles()
+    _prepare(files, 2)
+    store, _ = _open(files)
+    store.log.append(_entries(7, 3).entries)
+    if fault:
+        files.fault = fault
+        with pytest.raises(OSError, match="input/output"):
+            store.log.sync()
+        files.fault = ""
+    acknowledged = _open(files)[1].entries
+    assert len(acknowledged) == 9
+    files.crash(lambda _: b"")
+    assert _open(files)[1].entries == acknowledged
+
+
+def test_recovered_vote_is_not_lost_by_a_crash_after_recovery(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    files = faulty_files.FaultyFiles()
+    _prepare(files, 1)
+    store, _ = _open(files)
+    with monkeypatch.context() as patched:
+        patched.setattr(faulty_files.FaultyFiles, "sync_folder", lambda _: None)
+        store.write([effects.SaveMetadata("g", 9, "b")])
+    assert _open(files)[1].vote == "b"
+    files.crash(lambda _: b"")
+    assert _open(files)[1].vote == "b"
+
+
 def test_compaction_removes_segments_covered_by_a_snapshot(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(segments, "SEGMENT_BYTES", 500)
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 30)
     store, _ = _open(files)
     store.save_snapshot(effects.InstallSnapshot(80, 1, b"[]", b"state"))
@@ -284,7 +242,7 @@
 @pytest.mark.parametrize("torn", [0, 10, 10_000])
 def test_installed_snapshot_replaces_a_conflicting_log(torn: int) -> None:
     """Entries of an earlier term must not reappear after a torn write."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 3)
     store, _ = _open(files)
     snapshot = effects.InstallSnapshot(5, 2, b"[]", b"state")
@@ -299,7 +257,7 @@
 
 def test_crash_between_snapshot_and_log_drops_the_old_log() -> None:
     """The old log must not be appended to a snapshot that replaces it."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 3)
     store, _ = _open(files)
     store.write([effects.SaveMetadata("g", 2, "")])
@@ -313,7 +271,7 @@
 
 def test_last_metadata_of_a_batch_is_durable_before_its_entries() -> None:
     """Metadata older than the log could allow a second vote in a term."""
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 1)
     store, _ = _open(files)
     before = files.syncs
@@ -332,7 +290,7 @@
 
 
 def test_one_sync_covers_many_entries() -> None:
-    files = FaultyFiles()
+    files = faulty_files.FaultyFiles()
     _prepare(files, 1)
     store, _ = _open(files)
     before = files.syncs
