Keep a registry whose disk refuses writes up, and open its folder again

Cause: a failed write, rightly, ends the replica; the replica's end was the end of the process. Class: a fault of a part that passes is answered with the end of the whole.

Why this works: the replica is closed as before, so nothing in memory outlives a failed write and nothing is sent or acknowledged; the process then redirects operators, as one without a disk does, and opens the folder again with full recovery once a trial of it succeeds, after pauses that grow to a second. A damaged folder, or that of another replica, still ends the process at once with its log line: it would not pass.

--- a/src/cactusstile/consensus/exceptions.py
+++ b/src/cactusstile/consensus/exceptions.py
@@ -58,5 +58,12 @@
     """Raised when durable state is damaged; the replica must not start."""
 
 
-class FolderLockedError(StorageError):
+class StorageUnavailableError(StorageError):
+    """Raised when an access to the data folder failed.
+
+    What was not synced may be lost. The folder may be opened again later.
+    """
+
+
+class FolderLockedError(StorageUnavailableError):
     """Raised when another process is using the data folder."""
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -295,15 +295,12 @@
     Raises:
       CorruptStorageError: The data folder is damaged.
       FolderLockedError: Another process is using the data folder.
-      StorageError: Durable state could not be written; also raised from the
-        context, in an exception group, while the replica runs.
+      StorageUnavailableError: Durable state could not be read or written; also
+        raised from the context, in an exception group, while the replica runs.
+      StorageError: The data folder belongs to another replica.
     """
     with contextlib.ExitStack() as stack:
-        file_access.lock_folder(settings.data_folder, stack)
-        if files is None:
-            files = file_access.LocalFiles(settings.data_folder)
-        opened = stores.open_store(files, settings.name)
-        stack.callback(opened[0].close)
+        opened = _open_store(settings, stack, files)
         driver = drivers.make_driver(
             settings, state_machine, send, clock, opened
         )
@@ -314,3 +311,27 @@
             group.start_soon(driver.run_hellos)
             yield Replica(settings, driver)
             group.cancel_scope.cancel()
+
+
+def check_storage(settings: replica_settings.ReplicaSettings) -> None:
+    """Opens the data folder and closes it again; blocks for its disk.
+
+    Raises:
+      StorageError: As `open_replica`.
+    """
+    with contextlib.ExitStack() as stack:
+        _open_store(settings, stack, None)
+
+
+def _open_store(
+    settings: replica_settings.ReplicaSettings,
+    stack: contextlib.ExitStack,
+    files: file_access.Files | None,
+) -> drivers.OpenedStore:
+    """Locks and opens the data folder until `stack` closes."""
+    file_access.lock_folder(settings.data_folder, stack)
+    if files is None:
+        files = file_access.LocalFiles(settings.data_folder)
+    opened = stores.open_store(files, settings.name)
+    stack.callback(opened[0].close)
+    return opened
--- a/src/cactusstile/consensus/storage/files.py
+++ b/src/cactusstile/consensus/storage/files.py
@@ -159,9 +159,16 @@
 
     Raises:
       FolderLockedError: Another process holds the lock.
+      StorageUnavailableError: The folder cannot be created or written.
     """
-    folder.mkdir(parents=True, exist_ok=True)
-    file = stack.enter_context((folder / LOCK_NAME).open("ab"))
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        file = stack.enter_context((folder / LOCK_NAME).open("ab"))
+    except OSError as error:
+        raise exceptions.StorageUnavailableError(
+            f"the data folder could not be created or locked ({error}); check"
+            " its disk and permissions"
+        ) from error
     try:
         fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except BlockingIOError as error:
--- a/src/cactusstile/consensus/storage/store.py
+++ b/src/cactusstile/consensus/storage/store.py
@@ -46,10 +46,10 @@
         """Makes `writes` durable in order, with one sync for the log.
 
         Raises:
-          StorageError: Nothing may be acknowledged from now on.
+          StorageUnavailableError: Nothing may be acknowledged from now on.
         """
         if self.failure:
-            raise exceptions.StorageError(self.failure)
+            raise exceptions.StorageUnavailableError(self.failure)
         try:
             self._write(writes)
         except OSError as error:
@@ -59,10 +59,10 @@
         """Makes a snapshot of the applied state durable.
 
         Raises:
-          StorageError: Nothing may be acknowledged from now on.
+          StorageUnavailableError: Nothing may be acknowledged from now on.
         """
         if self.failure:
-            raise exceptions.StorageError(self.failure)
+            raise exceptions.StorageUnavailableError(self.failure)
         try:
             self._save_snapshot(snapshot)
         except OSError as error:
@@ -72,10 +72,10 @@
         """Removes segments that have no entries after `index`.
 
         Raises:
-          StorageError: Nothing may be acknowledged from now on.
+          StorageUnavailableError: Nothing may be acknowledged from now on.
         """
         if self.failure:
-            raise exceptions.StorageError(self.failure)
+            raise exceptions.StorageUnavailableError(self.failure)
         try:
             self.log.compact(index)
         except OSError as error:
@@ -144,9 +144,9 @@
     def _fail(self, error: OSError) -> typing.NoReturn:
         self.failure = (
             f"durable state could not be written ({error}); the replica has"
-            " stopped: free or replace the disk, then start it again"
+            " stopped: free or replace the disk, then open the folder again"
         )
-        raise exceptions.StorageError(self.failure) from error
+        raise exceptions.StorageUnavailableError(self.failure) from error
 
 
 def open_store(
@@ -160,13 +160,13 @@
 
     Raises:
       CorruptStorageError: Synced state is damaged; the text says what to do.
-      StorageError: The folder belongs to another replica, or an access to it
-        failed.
+      StorageUnavailableError: An access to the folder failed.
+      StorageError: The folder belongs to another replica.
     """
     try:
         return _open_store(files, name)
     except OSError as error:
-        raise exceptions.StorageError(
+        raise exceptions.StorageUnavailableError(
             f"the data folder could not be opened ({error}); check its disk"
             " and permissions"
         ) from error
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -191,7 +191,6 @@
     identity = handshake.Identity(ROLE, settings.name)
     secrets = handshake.Secrets(settings.secret.encode())
     config = build_replica_settings(settings)
-    config.data_folder.mkdir(parents=True, exist_ok=True)
     async with contextlib.AsyncExitStack() as stack:
         closers = stack.enter_context(contextlib.ExitStack())
         group = await stack.enter_async_context(anyio.create_task_group())
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import pathlib
 import typing
 
 import anyio
+import anyio.to_thread
+import attrs
 
+from cactusstile.consensus import exceptions
+from cactusstile.consensus import replica
 from cactusstile.console import signals
 from cactusstile.registry import daemon
 from cactusstile.registry import redirector
@@ -18,56 +23,167 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.consensus import replica_settings
+
 logger = logging.getLogger(__name__)
 
+# Time between attempts to open a data folder that refuses access; it doubles up
+# to the longest.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+
+
+@attrs.define
+class Pause:
+    """Pause before the next attempt to open a data folder, in seconds."""
+
+    next_s: float = FIRST_PAUSE_S
+
+
+@attrs.define
+class Run:
+    """How a run of a replica ended.
+
+    Attributes:
+      stopping: Whether a signal has requested shutdown.
+      replaced: Whether the replica was replaced and must discard its data.
+      failure: Why the data folder cannot be used; empty if it can.
+    """
+
+    stopping: bool = False
+    replaced: bool = False
+    failure: str = ""
+
 
 async def run(settings: node.NodeSettings, path: pathlib.Path) -> None:
     """Serves until a signal requests shutdown, then transfers leadership.
 
     A replica that was replaced while it was down discards its data and joins
-    the group as a new member. Without a data folder the process holds no
-    replica.
+    the group as a new member. While the data folder refuses access, and without
+    a data folder, the process holds no replica.
 
     Args:
       settings: Settings of the node.
       path: Settings file, which is watched for changes.
+
+    Raises:
+      StorageError: The data folder is damaged or belongs to another replica.
     """
     with signals.receive() as received:
         if settings.data_folder is None:
-            await _redirect(settings, path, received)
+            logger.info("no data folder; operators are redirected")
+            await _redirect(settings, path, received, anyio.sleep_forever)
+        else:
+            await _run_replica(settings, path, received)
+    logger.info("stopped")
+
+
+async def _run_replica(
+    settings: node.NodeSettings,
+    path: pathlib.Path,
+    received: signals.Signals,
+) -> None:
+    """Serves until shutdown, with a pause whenever the disk refuses access."""
+    config = daemon.build_replica_settings(settings)
+    pause = Pause()
+    while True:
+        started_s = anyio.current_time()
+        outcome = await _serve(settings, path, received)
+        if outcome.replaced:
+            outcome.failure = _discard_data(config)
+        if outcome.stopping:
+            return
+        if not outcome.failure:
+            continue
+        logger.error(
+            "the data folder cannot be used; operators are redirected",
+            extra={"error": outcome.failure},
+        )
+        if anyio.current_time() - started_s > LONGEST_PAUSE_S:
+            pause = Pause()
+        wait = functools.partial(_wait_for_disk, config, pause)
+        if not await _redirect(settings, path, received, wait):
             return
-        while await _serve(settings, path, received):
-            rejoin.discard_replica_data(
-                daemon.build_replica_settings(settings).data_folder
+
+
+async def _wait_for_disk(
+    config: replica_settings.ReplicaSettings, pause: Pause
+) -> None:
+    """Waits until the data folder can be opened and written."""
+    while True:
+        await anyio.sleep(pause.next_s)
+        pause.next_s = min(2 * pause.next_s, LONGEST_PAUSE_S)
+        try:
+            await anyio.to_thread.run_sync(replica.check_storage, config)
+        except exceptions.StorageUnavailableError as error:
+            logger.warning(
+                "the data folder cannot be used yet",
+                extra={"error": str(error)},
             )
-    logger.info("stopped")
+            continue
+        return
+
+
+def _discard_data(config: replica_settings.ReplicaSettings) -> str:
+    """Discards the data; returns why it cannot, empty if it was done."""
+    try:
+        rejoin.discard_replica_data(config.data_folder)
+    except OSError as error:
+        return str(error)
+    return ""
 
 
 async def _redirect(
     settings: node.NodeSettings,
     path: pathlib.Path,
     received: signals.Signals,
-) -> None:
-    """Redirects operators to the leader until shutdown."""
+    wait: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> bool:
+    """Redirects operators to the leader until shutdown or until `wait` ends.
+
+    Returns:
+      Whether `wait` ended.
+    """
+    has_ended = False
     async with (
         redirector.open_redirector(settings) as opened,
         anyio.create_task_group() as group,
     ):
-        logger.info("started without a disk; operators are redirected")
+
+        async def stop_at_signal() -> None:
+            number = await anext(received)
+            logger.info("stopping", extra={"signal": int(number)})
+            await opened.finish_calls()
+            group.cancel_scope.cancel()
+
         group.start_soon(reload.watch, path, settings, opened.reload)
-        number = await anext(received)
-        logger.info("stopping", extra={"signal": int(number)})
-        await opened.finish_calls()
+        group.start_soon(stop_at_signal)
+        await wait()
+        has_ended = True
         group.cancel_scope.cancel()
+    return has_ended
 
 
 async def _serve(
     settings: node.NodeSettings,
     path: pathlib.Path,
     received: signals.Signals,
-) -> bool:
-    """Serves until shutdown; returns whether the replica was replaced."""
-    removed = False
+) -> Run:
+    """Serves until shutdown or until the replica has to end."""
+    outcome = Run()
+    try:
+        await _serve_replica(settings, path, received, outcome)
+    except* exceptions.StorageUnavailableError as group:
+        outcome.failure = str(group.exceptions[0])
+    return outcome
+
+
+async def _serve_replica(
+    settings: node.NodeSettings,
+    path: pathlib.Path,
+    received: signals.Signals,
+    outcome: Run,
+) -> None:
     async with (
         daemon.open_registry(settings) as registry,
         anyio.create_task_group() as group,
@@ -79,13 +195,13 @@
                 [], collections.abc.Awaitable[object]
             ],
         ) -> None:
-            nonlocal removed
             await wait()
-            removed = wait == registry.wait_until_removed
+            outcome.replaced = wait == registry.wait_until_removed
             group.cancel_scope.cancel()
 
         async def stop_at_signal() -> None:
             number = await anext(received)
+            outcome.stopping = True
             logger.info("stopping", extra={"signal": int(number)})
             await registry.step_down()
             await registry.finish_calls()
@@ -93,4 +209,3 @@
         group.start_soon(reload.watch, path, settings, lambda _: None)
         group.start_soon(stop_when, stop_at_signal)
         group.start_soon(stop_when, registry.wait_until_removed)
-    return removed
