Create a group again whose creation was interrupted

What would be seen: the system never starts: no configuration is acknowledged and nobody leads, for ever, after the first founder was killed or its disk refused writes within the milliseconds in which it creates the group.

Cause: the founder recorded the group before its members; started again, it belonged to a group without members, and created none. Class: two writes that belong together are not read back as a whole.

Why this works: a replica that knows a group but neither members, a vote nor a later term has promised nothing in it, as nobody could have heard of it; it starts as one without a group, and the first founder creates the group again only once all others have announced that they have none.

--- a/src/cactusstile/consensus/bootstrap.py
+++ b/src/cactusstile/consensus/bootstrap.py
@@ -21,6 +21,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.consensus import core
+
 HELLO_INTERVAL_S = 0.25
 HELLO_EXPIRY_S = 3.0
 MAX_JOINING_REPLICAS = 32
@@ -110,3 +112,16 @@
             FIRST_INDEX, FIRST_TERM, membership.encode(configuration), b""
         ),
     ]
+
+
+def forget_interrupted(recovered: core.RecoveredState) -> core.RecoveredState:
+    """Returns the state without a group whose creation was interrupted.
+
+    The group is recorded before its members are. A replica that knows neither
+    members nor a later term has promised nothing in the group.
+    """
+    if recovered.snapshot_index or recovered.entries or recovered.vote:
+        return recovered
+    if recovered.term > FIRST_TERM:
+        return recovered
+    return attrs.evolve(recovered, group="", term=0)
--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -396,5 +396,5 @@
     """Returns a driver started from an opened store."""
     store, recovered, data = opened
     driver = Driver(settings, state_machine, send, clock, store)
-    driver.start(recovered, data)
+    driver.start(bootstrap.forget_interrupted(recovered), data)
     return driver
