--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,19 +16,27 @@
 DURATION_S = 10.0
 
 
-def run(first: int = 1, count: int = 1, duration_s: float = DURATION_S) -> None:
+def run(
+    first: int = 1,
+    count: int = 1,
+    duration_s: float = DURATION_S,
+    skip: str = "",
+) -> None:
     """Runs seeds one after the other and prints a summary line for each.
 
     Args:
       first: The first seed.
       count: Number of seeds.
       duration_s: Time within which faults start, in seconds.
+      skip: Kinds of faults to leave out, separated by commas.
     """
     failed_seeds = []
     for seed in range(first, first + count):
         folder = FOLDER / f"{seed}-{int(time.time())}"
         folder.mkdir(parents=True)
-        history, violations = anyio.run(play.play, seed, folder, duration_s)
+        history, violations = anyio.run(
+            play.play, seed, folder, duration_s, tuple(skip.split(","))
+        )
         print(f"seed {seed}: {describe(history)}", flush=True)
         for violation in violations[:20]:
             print(f"  {violation.promise}: {violation.text}", flush=True)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 import attrs
 
 REPEATABLE_PATHS = ("/read/", "/moved/", "/talk/")
-STREAM_PATHS = ("/talk/", "/draft/")
+STREAM_PATHS = ("/talk/", "/draft/", "/long/")
+# Streams that run so long that engines copy them.
+LONG_PATH = "/long/"
 # Contents of requests that callers repeat: one ends each target that runs it.
 ENDS_TARGETS = "ends-targets"
 HOT = "hot"
@@ -77,6 +80,7 @@
       service: Service of the target.
       at_s: Time at which it was read.
       ran: Whether the target started to run it.
+      began_s: Time at which the run began; 0 if it did not.
       ended_s: Time at which the run ended; None while it runs.
       data_centre: Data centre of the target.
       failed_by_target: Whether the target itself made it fail.
@@ -85,6 +89,7 @@
       body: Body.
       key: Key that it carried; must be empty.
       last_event: Last event that its caller has received.
+      from_copy: Whether it goes on from the copy of another run.
       weights: Version of the weights that it ran on.
       reused: For each cached part that it used, the version of the weights
         and the workspace that the part was computed for.
@@ -95,6 +100,7 @@
     service: str
     at_s: float
     ran: bool = False
+    began_s: float = 0.0
     ended_s: float | None = None
     failed_by_target: bool = False
     data_centre: str = ""
@@ -103,6 +109,7 @@
     body: bytes = b""
     key: str = ""
     last_event: int = 0
+    from_copy: bool = False
     weights: int = 0
     reused: tuple[tuple[int, str], ...] = ()
 
@@ -235,6 +242,7 @@
       at_s: Time of the exit.
       expected: Whether the soak caused the exit.
       took_s: Time from the signal to the exit; 0 without a signal.
+      signal: Signal that should end it; 0 without one.
     """
 
     name: str
@@ -242,6 +250,7 @@
     at_s: float
     expected: bool
     took_s: float = 0.0
+    signal: int = 0
 
 
 @attrs.define
@@ -250,11 +259,11 @@
 
     Attributes:
       calls: Requests of callers by id.
-      arrivals: Requests that reached targets, in order.
+      arrivals: Requests that reached targets, in order once `sort` was called.
       changes: Configurations that operators sent.
       reads: Configurations that registries returned.
       namings: Weights that were named and acknowledged.
-      orders: Orders that reached engines.
+      orders: Orders that reached engines, in order likewise.
       limits: Limits that targets named.
       evacuations: Evacuations that were acknowledged.
       injected_faults: Faults that were injected.
@@ -262,7 +271,6 @@
       invalid_accepted: Invalid configurations that were acknowledged.
       faults_ended_s: Time at which the last fault ended.
       recovered_s: Time at which callers were served again; None if never.
-      weights_at_end: Last versions of the weights in engines, by target id.
       lines: Log lines by process.
       errors: Standard error by process.
       ended_by_request_s: Times at which a target ended under a request.
@@ -281,11 +289,24 @@
     invalid_accepted: list[str] = attrs.field(factory=list)
     faults_ended_s: float = 0.0
     recovered_s: float | None = None
-    weights_at_end: dict[str, int] = attrs.field(factory=dict)
     lines: dict[str, list[str]] = attrs.field(factory=dict)
     errors: dict[str, str] = attrs.field(factory=dict)
     ended_by_request_s: list[float] = attrs.field(factory=list)
 
+    def runs_by_request(self) -> dict[str, list[Arrival]]:
+        """Returns the arrivals that ran, by request id and in order."""
+        runs: dict[str, list[Arrival]] = collections.defaultdict(list)
+        for arrival in self.arrivals:
+            if arrival.ran:
+                runs[arrival.request_id].append(arrival)
+        return runs
+
+    def sort(self) -> None:
+        """Orders what targets recorded, each in a journal of its own."""
+        self.arrivals.sort(key=lambda arrival: arrival.at_s)
+        self.orders.sort(key=lambda order: order.at_s)
+        self.ended_by_request_s.sort()
+
     def is_fault_free(
         self,
         from_s: float,
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 import attrs
+from tests.soak import fleet as fleets
 from tests.soak import history as histories
 from tests.soak import relay as relays
 from tests.support import node_site
@@ -19,8 +20,6 @@
 from cactusstile.transport import address
 
 INTERNAL, FRONT, READINESS, OPERATOR, LIST = 0, 6, 7, 8, 9
-# Added to the last octet of a relay's host to get that of the process.
-BEHIND_RELAY_OFFSET = 100
 FIRST_REGISTRY, FIRST_GATEWAY = 10, 20
 RESTART_DELAY_S = 0.3
 GRACE_PERIOD_S = 8.0
@@ -39,6 +38,7 @@
       first_start: Whether the system is bootstrapped.
       process: The last process that was started; None before the first.
       signalled_s: Time at which the soak signalled it to exit; None before.
+      end_signal: Signal that it was sent then; 0 before.
       restart_blocked: Whether a fault blocks its restart.
       tolerated_faults: Number of active faults that may make it exit.
     """
@@ -49,6 +49,7 @@
     first_start: bool = True
     process: anyio.abc.Process | None = None
     signalled_s: float | None = None
+    end_signal: int = 0
     restart_blocked: bool = False
     tolerated_faults: int = 0
 
@@ -56,7 +57,7 @@
     def bound(self) -> str:
         """Address that the process itself listens on."""
         network, _, last = self.host.rpartition(".")
-        return f"{network}.{int(last) + BEHIND_RELAY_OFFSET}"
+        return f"{network}.{int(last) + fleets.BEHIND_RELAY_OFFSET}"
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
@@ -67,6 +68,7 @@
         """Sends a signal that ends the process."""
         if self.signalled_s is None:
             self.signalled_s = anyio.current_time()
+            self.end_signal = int(number)
         self.send(number)
 
 
@@ -102,6 +104,16 @@
         """Returns an advertised address of a process."""
         return address.Address(node.host, self.port + offset)
 
+    def places_of(self, node: Node) -> list[address.Address]:
+        """Returns the addresses at which a process itself may listen."""
+        places = []
+        for offset in range(LIST):
+            # Gateways stand behind a relay with their front alone.
+            is_relayed = node.role == "registry" or offset == FRONT
+            host = node.bound if is_relayed else node.host
+            places.append(address.Address(host, self.port + offset))
+        return places
+
     def add(
         self, name: str, role: str, number: int, group: anyio.abc.TaskGroup
     ) -> None:
@@ -154,6 +166,7 @@
         while not self.closing:
             path = self._write_settings(node)
             node.signalled_s = None
+            node.end_signal = 0
             with (self.folder / f"{name}.err").open("ab") as errors:
                 node.process = await anyio.open_process(
                     [sys.executable, "-m", "cactusstile", node.role, str(path)],
@@ -185,9 +198,16 @@
         now_s = anyio.current_time()
         expected = node.signalled_s is not None or node.tolerated_faults > 0
         took_s = now_s - (node.signalled_s or now_s)
+        # A process with a full disk may end by any code at any time.
+        number = 0 if node.tolerated_faults else node.end_signal
         self.history.ends.append(
             histories.ProcessEnd(
-                node.name, code, now_s, expected or self.closing, took_s
+                node.name,
+                code,
+                now_s,
+                expected or self.closing,
+                took_s,
+                number,
             )
         )
 
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -31,6 +31,7 @@
     ("write", "/write/", "non_idempotent", ("plain",)),
     ("talk", "/talk/", "streaming", (stand_ins.ENGINE,)),
     ("draft", "/draft/", "streaming", (stand_ins.ENGINE,)),
+    ("long", "/long/", "streaming", (stand_ins.ENGINE,)),
 )
 WORKSPACES = {"bank": "key-of-bank", "clinic": "key-of-clinic"}
 SERVICES = ("plain", "other", stand_ins.ENGINE)
@@ -100,6 +101,7 @@
         "slots": stand_ins.SLOTS,
         "kvCapacity": 100_000,
         "kvTokenBytes": 1000,
+        "backups": True,
         "models": [{"name": stand_ins.MODEL}],
     }
     return services
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 import random
-import time
 
 import anyio
 import anyio.abc
 import attrs
 from tests.registry import support
+from tests.soak import busy
 from tests.soak import faults
+from tests.soak import fleet as fleets
 from tests.soak import history as histories
 from tests.soak import nodes
 from tests.soak import operators
+from tests.soak import plans
 from tests.soak import promises
 from tests.soak import relay as relays
 from tests.soak import soak_callers
@@ -24,16 +27,15 @@
 from cactusstile.transport import address
 
 REGISTRIES = ("registry-1", "registry-2", "registry-3")
-GATEWAYS = ("gateway-1", "gateway-2", "gateway-3")
+GATEWAYS = tuple(f"gateway-{number}" for number in range(1, 4))
+MANY_GATEWAYS = tuple(f"gateway-{number}" for number in range(1, 11))
 TARGETS = {"plain": 3, "other": 2, stand_ins.ENGINE: 4}
-FIRST_TARGET = 30
 # Targets stand in them by turns.
-DATA_CENTRES = ("here", faults.EVACUATED)
-CALLERS = 14
+DATA_CENTRES = ("here", plans.EVACUATED)
+CALLERS = 20
 CHANGE_PAUSE_S = 0.7
 # Callers of one repeated request each, and the mean time between two.
 REPEATED_PAUSES_S = {histories.ENDS_TARGETS: 0.4, histories.HOT: 0.05}
-REPLACEMENT_DELAY_S = 1.5
 START_TIMEOUT_S = 20.0
 # Time after the last fault within which callers must be served again.
 RECOVERY_TIMEOUT_S = 12.0
@@ -51,9 +53,7 @@
       site: The processes.
       history: Records of the run.
       group: Task group of the run.
-      listing: The list of targets.
-      named_weights: Weights that were named.
-      targets: Number of targets that were opened.
+      fleet: The targets and their list.
       answered_in_a_row: Number of successive answers, as the only item;
         shared by all callers.
     """
@@ -62,64 +62,22 @@
     site: nodes.Nodes
     history: histories.History
     group: anyio.abc.TaskGroup
-    listing: stand_ins.Listing = attrs.field(factory=stand_ins.Listing)
-    named_weights: stand_ins.Weights = attrs.field(factory=stand_ins.Weights)
-    targets: int = 0
+    fleet: fleets.Fleet
     answered_in_a_row: list[int] = attrs.field(factory=lambda: [0])
 
     @property
     def has_repeated_requests(self) -> bool:
         """Whether callers repeat requests, one of which ends targets."""
-        return bool(self.seed % 2 and self.seed % faults.PLANNED_EVERY)
+        return bool(self.seed % 2 and self.seed % plans.PLANNED_EVERY)
 
     def create_rng(self, name: str) -> random.Random:
         """Returns a random source derived from the seed and `name`."""
         return random.Random(f"{self.seed}/{name}")
 
-    def open_target(self, service: str) -> None:
-        """Opens a target and adds it to the list."""
-        number = FIRST_TARGET + self.targets
-        self.targets += 1
-        host = f"{self.site.network}.{number}"
-        bound = f"{self.site.network}.{number + nodes.BEHIND_RELAY_OFFSET}"
-        target = stand_ins.Target(
-            f"{service}-{number}",
-            service,
-            address.Address(host, self.site.port),
-            self.history,
-            self.named_weights,
-            self.create_rng(f"target/{number}"),
-            int(time.time() * 1000),
-            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
-            weights=self.named_weights.newest,
-        )
-        target.on_end = self.replace_ended
-        target_address = address.Address(bound, self.site.port)
-        relays.open_relay(
-            target.id,
-            target.listed,
-            target_address,
-            self.site.links,
-            self.group,
-        )
-        self.group.start_soon(target.serve, target_address)
-        self.listing.targets.append(target)
-
-    def replace_ended(self, target: stand_ins.Target) -> None:
-        """Opens another target for one that a request has ended."""
-        fault = histories.InjectedFault(
-            histories.ENDED_BY_REQUEST, target.id, anyio.current_time()
-        )
-        self.history.injected_faults.append(fault)
-
-        async def replace() -> None:
-            await anyio.sleep(REPLACEMENT_DELAY_S)
-            if target in self.listing.targets:
-                self.listing.targets.remove(target)
-            self.open_target(target.service)
-            fault.to_s = anyio.current_time()
-
-        self.group.start_soon(replace)
+    @property
+    def gateways(self) -> tuple[str, ...]:
+        """Names of the gateways."""
+        return MANY_GATEWAYS if plans.has_many_gateways(self.seed) else GATEWAYS
 
     def open_list(self) -> None:
         """Serves the platform's list."""
@@ -129,7 +87,7 @@
         self.group.start_soon(
             http_callers.serve_listener,
             sockets.listen(list_address),
-            http_callers.internal_serving(self.listing.answer),
+            http_callers.internal_serving(self.fleet.answer_list),
             self.group,
         )
 
@@ -139,7 +97,7 @@
             self.site.add(
                 name, "registry", nodes.FIRST_REGISTRY + number, self.group
             )
-        for number, name in enumerate(GATEWAYS):
+        for number, name in enumerate(self.gateways):
             self.site.add(
                 name, "gateway", nodes.FIRST_GATEWAY + number, self.group
             )
@@ -184,9 +142,19 @@
 
 
 async def play(
-    seed: int, folder: pathlib.Path, duration_s: float
+    seed: int,
+    folder: pathlib.Path,
+    duration_s: float,
+    skipped: tuple[str, ...] = (),
 ) -> tuple[histories.History, list[promises.Violation]]:
-    """Runs one seed; returns its records and the violated promises."""
+    """Runs one seed; returns its records and the violated promises.
+
+    Args:
+      seed: The seed.
+      folder: Folder for settings, state, journals and logs.
+      duration_s: Time within which faults start, in seconds.
+      skipped: Kinds of faults that are left out.
+    """
     history = histories.History()
     site = nodes.Nodes(
         folder,
@@ -196,17 +164,32 @@
         relays.Links(),
     )
     async with anyio.create_task_group() as group:
-        soak_run = SoakRun(seed, site, history, group)
-        await _run(soak_run, duration_s)
+        fleet = fleets.Fleet(
+            folder,
+            site.network,
+            site.port,
+            seed,
+            DATA_CENTRES,
+            history,
+            site.links,
+            group,
+        )
+        soak_run = SoakRun(seed, site, history, group, fleet)
+        async with contextlib.AsyncExitStack() as stack:
+            if plans.is_busy(seed):
+                await stack.enter_async_context(busy.open_busy(history))
+            await _run(soak_run, duration_s, skipped)
         group.cancel_scope.cancel()
     return history, promises.check(history)
 
 
-async def _run(soak_run: SoakRun, duration_s: float) -> None:
+async def _run(
+    soak_run: SoakRun, duration_s: float, skipped: tuple[str, ...]
+) -> None:
     soak_run.open_list()
     for service, count in TARGETS.items():
         for _ in range(count):
-            soak_run.open_target(service)
+            soak_run.fleet.open(service)
     soak_run.open_nodes()
     site_operators = operators.Operators(
         {
@@ -215,7 +198,7 @@
         },
         soak_run.history,
         soak_run.create_rng("operators"),
-        soak_run.named_weights,
+        soak_run.fleet.named_weights,
     )
     with anyio.fail_after(START_TIMEOUT_S):
         await site_operators.make_change()
@@ -224,16 +207,17 @@
     for _ in range(2):
         soak_run.group.start_soon(site_operators.change, CHANGE_PAUSE_S)
     soak_run.group.start_soon(site_operators.read)
-    plan = faults.draw_plan(soak_run.seed, REGISTRIES, GATEWAYS, duration_s)
+    plan = plans.draw_plan(
+        soak_run.seed, REGISTRIES, soak_run.gateways, duration_s
+    )
     injector = faults.Injector(
         soak_run.site,
-        soak_run.listing,
+        soak_run.fleet,
         site_operators,
         soak_run.history,
-        soak_run.open_target,
         soak_run.create_rng("faults"),
     )
-    await injector.run(plan)
+    await injector.run([fault for fault in plan if fault.kind not in skipped])
     await _recover_and_stop(soak_run, site_operators, callers)
 
 
@@ -255,14 +239,12 @@
     for caller in callers:
         caller.stopped = True
     await anyio.sleep(soak_callers.DEADLINE_S)
-    for target in soak_run.listing.targets:
-        if target.service == stand_ins.ENGINE:
-            soak_run.history.weights_at_end[target.id] = target.weights
     soak_run.site.closing = True
     async with anyio.create_task_group() as group:
         for name in soak_run.site.nodes:
             group.start_soon(soak_run.site.terminate, name)
     soak_run.site.record_errors()
+    await soak_run.fleet.close()
 
 
 async def _wait_until_answered(soak_run: SoakRun, timeout_s: float) -> bool:
--- /dev/null
+++ b/tests/soak/process_faults.py
@@ -0,0 +1,183 @@
+"""Faults that a process sees from its VM: signals, ports and restarts."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import signal
+import socket
+import struct
+import typing
+
+import anyio
+import attrs
+from tests.soak import nodes
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from tests.soak import faults
+    from tests.soak import plans
+
+# Time after a start within which an early signal arrives.
+EARLY_S = 1.0
+# Time after SIGTERM within which a late SIGHUP arrives.
+LATE_S = 0.3
+MAX_DOWN_S = 1.0
+RESETS_PER_PORT = 5
+CONNECT_TIMEOUT_S = 0.2
+RESET_STOP_S = 0.1
+_POLL_S = 0.002
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+async def _target_stop(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Stops a target, which goes on later."""
+    process = (await injector.pick_target()).process
+    assert process is not None
+    process.send_signal(signal.SIGSTOP)
+    await anyio.sleep(fault.duration_s)
+    if process.returncode is None:
+        process.send_signal(signal.SIGCONT)
+
+
+async def _target_restart(
+    injector: faults.Injector, fault: plans.Fault
+) -> None:
+    """Kills a target and starts it at the same address.
+
+    It keeps its id and is born anew, or is another target.
+    """
+    target = await injector.pick_target()
+    target.kill()
+    assert target.process is not None
+    await target.process.wait()
+    await anyio.sleep(min(fault.duration_s, MAX_DOWN_S))
+    if fault.strength < 0.5:
+        await injector.fleet.start(target)
+        return
+    injector.fleet.unlist(target)
+    # An id is of one target; strength tells them apart.
+    other = attrs.evolve(
+        target,
+        id=f"{target.id}-{int(fault.strength * 1e6)}",
+        reader=None,
+        process=None,
+        weights=injector.fleet.named_weights.newest,
+    )
+    await injector.fleet.start(other)
+
+
+async def _set_port(
+    injector: faults.Injector, fault: plans.Fault, state: str
+) -> None:
+    target = await injector.pick_target(is_relayed=False)
+    await target.command(port=state)
+    await anyio.sleep(fault.duration_s)
+    await target.command(port="open")
+
+
+async def _target_leave(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Lets a target leave, close its port and end, while runs go on."""
+    target = await injector.pick_target()
+    injector.fleet.open(target.service)
+    target.leaving = True
+    await target.command(leaving=True)
+    await anyio.sleep(fault.strength)
+    await target.command(port="closed")
+    await anyio.sleep(fault.duration_s)
+    injector.fleet.unlist(target)
+    target.kill()
+
+
+async def _target_reset(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Resets the connections to a target some times."""
+    relay = (await injector.pick_target(is_relayed=True)).relay
+    assert relay is not None
+    for _ in range(1 + int(fault.strength * 4)):
+        relay.reset()
+        await anyio.sleep(fault.duration_s / 4)
+
+
+async def _hang_up(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Tells a process that its settings have changed."""
+    injector.site.nodes[fault.subject].send(signal.SIGHUP)
+
+
+async def _early_signal(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Sends a signal to a process soon after its start."""
+    node = injector.site.nodes[fault.subject]
+    before = node.process
+    node.end(signal.SIGKILL)
+    while node.process is before:
+        await anyio.sleep(_POLL_S)
+    await anyio.sleep(fault.strength * EARLY_S)
+    if injector.random.random() < 0.7:
+        node.send(signal.SIGHUP)
+        return
+    node.end(signal.SIGTERM)
+
+
+async def _late_signal(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Sends SIGHUP to a process that stops."""
+    node = injector.site.nodes[fault.subject]
+    process = node.process
+    if process is None or process.returncode is not None:
+        return
+    node.end(signal.SIGTERM)
+    await anyio.sleep(fault.strength * LATE_S)
+    if process.returncode is None:
+        process.send_signal(signal.SIGHUP)
+    with anyio.move_on_after(nodes.GRACE_PERIOD_S + nodes.STOP_MARGIN_S):
+        await process.wait()
+    if process.returncode is None:
+        process.kill()
+
+
+async def _reset_ports(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Resets connections at each port of a process that is stopped."""
+    node = injector.site.nodes[fault.subject]
+    process = node.process
+    if process is None or process.returncode is not None:
+        return
+    process.send_signal(signal.SIGSTOP)
+    with contextlib.ExitStack() as stack:
+        for place in injector.site.places_of(node):
+            for _ in range(RESETS_PER_PORT):
+                opened = stack.enter_context(socket.socket())
+                opened.settimeout(CONNECT_TIMEOUT_S)
+                opened.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE
+                )
+                with contextlib.suppress(OSError):
+                    opened.connect((place.host, place.port))
+    await anyio.sleep(RESET_STOP_S)
+    if process.returncode is None:
+        process.send_signal(signal.SIGCONT)
+
+
+async def _odd_list(injector: faults.Injector, fault: plans.Fault) -> None:
+    """Adds entries to the list that nobody can read."""
+    injector.fleet.fault = "odd"
+    await anyio.sleep(fault.duration_s)
+    injector.fleet.fault = ""
+
+
+INJECT: dict[
+    str,
+    collections.abc.Callable[
+        [faults.Injector, plans.Fault], collections.abc.Awaitable[None]
+    ],
+] = {
+    "target_stop": _target_stop,
+    "target_restart": _target_restart,
+    "target_stall": functools.partial(_set_port, state="stalled"),
+    "target_refuse": functools.partial(_set_port, state="closed"),
+    "target_leave": _target_leave,
+    "target_reset": _target_reset,
+    "hang_up": _hang_up,
+    "early_signal": _early_signal,
+    "late_signal": _late_signal,
+    "reset_ports": _reset_ports,
+    "odd_list": _odd_list,
+}
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import json
+import signal
 
 import attrs
 from tests.soak import evacuation_promise
 from tests.soak import history as histories
 from tests.soak import limit_promise
+from tests.soak import once_promise
 from tests.soak import operators
 from tests.soak import repeat_promise
 from tests.soak import stand_ins
@@ -22,8 +23,6 @@
 CONFIGURATION_APPLY_S = 2.0
 STABLE_S = 3.0
 GRACE_PERIOD_S = 8.0
-DRAIN_S = 3.0
-LIST_LAG_S = 0.8
 CANCEL_TIMEOUT_S = 0.5
 WEIGHTS_APPLY_S = 6.0
 LOSS_SLACK_S = 0.2
@@ -48,32 +47,11 @@
     text: str
 
 
-def _runs_by_request(
-    history: histories.History,
-) -> dict[str, list[histories.Arrival]]:
-    """Returns the arrivals that ran, by request id."""
-    runs: dict[str, list[histories.Arrival]] = collections.defaultdict(list)
-    for arrival in history.arrivals:
-        if arrival.ran:
-            runs[arrival.request_id].append(arrival)
-    return runs
-
-
-def at_most_once(
-    history: histories.History,
-) -> collections.abc.Iterator[str]:
-    """A non-repeatable request runs at most once."""
-    for request_id, runs in _runs_by_request(history).items():
-        call = history.calls.get(request_id)
-        if call is not None and not call.is_repeatable and len(runs) > 1:
-            yield f"{request_id} ran {len(runs)} times"
-
-
 def truthful_refusals(
     history: histories.History,
 ) -> collections.abc.Iterator[str]:
     """A request that was refused as not run never runs."""
-    runs = _runs_by_request(history)
+    runs = history.runs_by_request()
     for call in history.calls.values():
         if call.status not in NOT_RUN_STATUSES or call.is_repeatable:
             continue
@@ -257,7 +235,7 @@
     history: histories.History,
 ) -> collections.abc.Iterator[str]:
     """Runs end soon after callers abandon them, with few exceptions."""
-    runs = _runs_by_request(history)
+    runs = history.runs_by_request()
     abandoned = []
     late = []
     for call in history.calls.values():
@@ -301,7 +279,7 @@
     history: histories.History,
 ) -> collections.abc.Iterator[str]:
     """Planned operations interrupt no request that a process has read."""
-    runs = _runs_by_request(history)
+    runs = history.runs_by_request()
     for call in history.calls.values():
         if call.whole or call.abandoned_s is not None or not call.failure:
             continue
@@ -328,6 +306,9 @@
     for end in history.ends:
         if not end.expected:
             yield f"{end.name} ended by itself with code {end.code}"
+        # Of the signals that a process may get, these alone end it.
+        if end.signal and end.code not in (0, -signal.SIGKILL, -end.signal):
+            yield f"{end.name} ended with {end.code} on signal {end.signal}"
         if end.took_s > GRACE_PERIOD_S:
             yield f"{end.name} took {end.took_s:.1f} s to stop"
 
@@ -359,7 +340,7 @@
 
 
 CHECKS = (
-    at_most_once,
+    once_promise.at_most_once,
     truthful_refusals,
     whole_answers,
     unaltered_requests,
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -30,7 +30,10 @@
 RECOVERED_ANSWERS = 30
 MAX_RESPONSE_BYTES = 1 << 20
 SESSIONS = 12
-PATHS = ("/read/", "/read/", "/write/", "/moved/", "/talk/", "/draft/")
+# Half of them are not repeatable.
+PATHS = ("/read/", "/moved/", "/talk/", "/write/", "/draft/", "/long/")
+MAX_TOKENS_OUT = 40
+LONG_TOKENS_OUT = (50, 110)
 
 
 @attrs.define
@@ -217,18 +220,29 @@
             (headers.DEADLINE_MS, b"%d" % (DEADLINE_S * 1000)),
         ]
         if path in histories.STREAM_PATHS:
-            call.tokens_out = self.random.randint(3, 40)
-            fields += self._prompt(call.tokens_out)
+            bounds = (3, MAX_TOKENS_OUT)
+            if path == histories.LONG_PATH:
+                bounds = LONG_TOKENS_OUT
+            call.tokens_out = self.random.randint(*bounds)
+            fields += self._prompt(call)
         body = f"body of {call.content}".encode()
         target = (path + call.content).encode()
         return call, messages.Request(b"POST", target, tuple(fields), body)
 
-    def _prompt(self, tokens_out: int) -> list[tuple[bytes, bytes]]:
+    def _prompt(self, call: histories.Call) -> list[tuple[bytes, bytes]]:
         session = self.random.randrange(SESSIONS)
-        shared = f"aa{session % 3:02x}:400,bb{session:02x}:200"
-        parts = f"{shared},cc{self.count:04x}:50"
+        shared, own = (400, 200), 50
+        if call.path == histories.LONG_PATH:
+            # Gateways have runs copied whose answer is long beside the prompt.
+            shared, own = (100, 50), 50
+        parts = (
+            f"aa{session % 3:02x}:{shared[0]},bb{session:02x}:{shared[1]}"
+            f",cc{self.count:04x}:{own}"
+        )
+        tokens = b"%d,%d" % (sum(shared) + own, call.tokens_out)
         return [
             (headers.MODEL, stand_ins.MODEL.encode()),
-            (headers.TOKENS, b"650,%d" % tokens_out),
+            (headers.TOKENS, tokens),
+            (headers.LENGTH_ESTIMATE, b"%d" % call.tokens_out),
             (headers.PROMPT_PARTS, parts.encode()),
         ]
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -1,22 +1,25 @@
-"""Fake targets that record all requests, and a fake platform list."""
+"""Fake targets that record all requests."""
 
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import json
+import os
 import random
+import signal
 import typing
 
 import anyio
 import anyio.abc
 import attrs
 from tests.soak import history as histories
+from tests.soak import journals
 
-from cactusstile.http import callers
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
-from cactusstile.http import sockets
+from cactusstile.http import targets
 from cactusstile.platform import headers
 from cactusstile.transport import address
 
@@ -32,6 +35,8 @@
 # Maximum delay until an order without an answer takes effect.
 MAX_LATE_S = 2.0
 LATE_FRACTION = 0.15
+COPY_PATH = "/-/copy/"
+COPY_TIMEOUT_S = 1.0
 MISDIRECTED = 421
 FULL = 503
 
@@ -54,63 +59,54 @@
     Attributes:
       id: Id of the target.
       service: Service of the target.
-      listed: Address in the list.
-      history: Records requests and orders.
-      named_weights: Versions that operators named.
+      journal: Records requests and orders.
       random: Draws its failures.
       born_ms: Time of its start.
-      data_centre: Data centre that the list names.
-      leaving: Whether the list shows it as leaving.
+      weights: Loaded version of the weights.
+      leaving: Whether its answers say that it leaves.
       failure_fraction: Fraction of requests that it makes fail.
       limit_per_s: Requests per second that it takes; None for any number.
-      weights: Loaded version of the weights.
       orders: Number of accepted orders.
       fence: Highest fence of all orders.
       busy: Whether it is carrying out an order.
       running: Number of requests that it runs or queues.
       cached: Version of the weights and workspace that each cached part was
         computed for, by salt and id of the part.
-      scope: Cancelled to end the target.
-      on_end: Called when a request ends the target.
+      copies: Ids of runs of which it holds a copy.
     """
 
     id: str
     service: str
-    listed: address.Address
-    history: histories.History
-    named_weights: Weights
+    journal: journals.Journal
     random: random.Random
     born_ms: int
-    data_centre: str = "here"
+    weights: int
     leaving: bool = False
     failure_fraction: float = 0.0
     limit_per_s: float | None = None
-    weights: int = 1
     orders: int = 0
     fence: int = 0
     busy: bool = False
     running: int = 0
     cached: dict[tuple[str, str], tuple[int, str]] = attrs.field(factory=dict)
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
-    on_end: collections.abc.Callable[[Target], None] = lambda _: None
+    copies: set[str] = attrs.field(factory=set)
     _group: anyio.abc.TaskGroup = attrs.field(init=False)
 
-    async def serve(self, bound: address.Address) -> None:
-        """Serves until `scope` is cancelled, which resets connections."""
-        with self.scope:
-            async with anyio.create_task_group() as group:
-                self._group = group
-                await callers.serve_listener(
-                    sockets.listen(bound),
-                    callers.internal_serving(self._handle),
-                    group,
-                )
+    def start(
+        self, group: anyio.abc.TaskGroup
+    ) -> collections.abc.Callable[
+        [messages.Request, responders.Responder],
+        collections.abc.Awaitable[None],
+    ]:
+        """Returns the handler of requests, whose tasks belong to `group`."""
+        self._group = group
+        return self._handle
 
     async def _handle(
         self, request: messages.Request, responder: responders.Responder
     ) -> None:
         if request.path == "/-/report":
-            await _send_json(responder, 200, self._report())
+            await send_json(responder, 200, self._report())
             return
         expected = request.find(headers.EXPECTED_TARGET)
         if expected not in (None, self.id):
@@ -119,6 +115,10 @@
         if request.path == "/-/order":
             await self._receive_order(request, responder)
             return
+        if request.path.startswith(COPY_PATH):
+            self.copies.add(request.path.removeprefix(COPY_PATH))
+            await send_json(responder, 200, {})
+            return
         await self._receive_request(request, responder)
 
     def _report(self) -> dict[str, typing.Any]:
@@ -132,43 +132,27 @@
             "born": self.born_ms,
         }
 
-    def entry(self) -> dict[str, typing.Any]:
-        """Returns the target's entry in the list."""
-        fields: dict[str, typing.Any] = {
-            "id": self.id,
-            "service": self.service,
-            "address": str(self.listed),
-            "zone": self.data_centre,
-            "slots": SLOTS,
-            "state": "draining" if self.leaving else "ready",
-            "coldRemainingMs": 0,
-            "born": self.born_ms,
-        }
-        if self.service == ENGINE:
-            fields["models"] = self._report()["models"]
-        return fields
-
     async def _receive_order(
         self, request: messages.Request, responder: responders.Responder
     ) -> None:
         order = json.loads(request.body)
-        now_s = anyio.current_time()
         accepted = (
             order["fence"] >= self.fence
             and not self.busy
             and order.get("expect", self.orders) == self.orders
         )
-        self.history.orders.append(
-            histories.Order(
-                self.id, order["holder"], order["fence"], now_s, accepted
-            )
+        self.journal.write(
+            "order",
+            holder=order["holder"],
+            fence=order["fence"],
+            accepted=accepted,
         )
         if order["fence"] < self.fence:
-            await _send_json(responder, 412, {})
+            await send_json(responder, 412, {})
             return
         self.fence = order["fence"]
         if not accepted:
-            await _send_json(responder, 409, {})
+            await send_json(responder, 409, {})
             return
         if self.random.random() < LATE_FRACTION:
             self._group.start_soon(self._accept_late, order)
@@ -176,7 +160,7 @@
                 "the answer to the order is withheld"
             )
         self._accept(order)
-        await _send_json(responder, 202, {})
+        await send_json(responder, 202, {})
 
     async def _accept_late(self, order: dict[str, typing.Any]) -> None:
         await anyio.sleep(self.random.uniform(0, MAX_LATE_S))
@@ -191,25 +175,27 @@
     async def _load(self, version: int) -> None:
         await anyio.sleep(LOAD_S)
         self.weights = version
+        self.journal.write("weights", version=version)
         self.cached.clear()
         self.busy = False
 
     async def _receive_request(
         self, request: messages.Request, responder: responders.Responder
     ) -> None:
+        copied_run = (request.find(headers.KV_FROM) or "").rpartition("/")[2]
         arrival = histories.Arrival(
             request.find(headers.REQUEST_ID) or "",
             self.id,
             self.service,
             anyio.current_time(),
-            data_centre=self.data_centre,
             workspace=request.find(headers.WORKSPACE) or "",
             path=request.target.decode(),
             body=request.body,
             key=request.find(headers.KEY) or "",
             last_event=int(request.find(headers.LAST_EVENT_ID) or 0),
+            from_copy=bool(copied_run),
         )
-        self.history.arrivals.append(arrival)
+        number = self.journal.arrive(arrival)
         wanted = request.find(headers.EXPECTED_WEIGHTS)
         if wanted is not None and int(wanted) != self.weights:
             await self._reject(request, responder, MISDIRECTED)
@@ -217,14 +203,20 @@
         if self.busy or self.running >= SLOTS + QUEUE_LIMIT:
             await self._reject(request, responder, FULL)
             return
-        arrival.ran = True
+        if copied_run and copied_run not in self.copies:
+            await self._reject(request, responder, FULL)
+            return
         arrival.weights = self.weights
         self.running += 1
+        began_s = anyio.current_time()
+        self.journal.change(
+            number, ran=True, began_s=began_s, weights=self.weights
+        )
         try:
-            await self._run(request, responder, arrival)
+            await self._run(request, responder, arrival, number)
         finally:
             self.running -= 1
-            arrival.ended_s = anyio.current_time()
+            self.journal.change(number, ended_s=anyio.current_time())
 
     async def _reject(
         self,
@@ -237,7 +229,7 @@
             (headers.NOT_RUN, "1"),
         ]
         encoded = [(name, value.encode()) for name, value in fields]
-        encoded += self._limit_fields()
+        encoded += self._own_fields()
         await responder.respond(status, encoded, b"")
 
     async def _run(
@@ -245,20 +237,21 @@
         request: messages.Request,
         responder: responders.Responder,
         arrival: histories.Arrival,
+        number: int,
     ) -> None:
         if arrival.path.endswith(histories.ENDS_TARGETS):
             await anyio.sleep(MEAN_RUN_S)
-            self.history.ended_by_request_s.append(anyio.current_time())
-            self.on_end(self)
-            self.scope.cancel()
-            await anyio.sleep_forever()
+            self.journal.write("ended_by_request")
+            os.kill(os.getpid(), signal.SIGKILL)
         fails = self.random.random() < self.failure_fraction
         arrival.failed_by_target = fails
+        if fails:
+            self.journal.change(number, failed_by_target=True)
         fields = [
             (headers.REQUEST_ID, arrival.request_id.encode()),
             (headers.SEAL, f"{self.id}/{arrival.request_id}".encode()),
             (headers.LOAD, b"%d,0,%d" % (self.running, SLOTS)),
-            *self._limit_fields(),
+            *self._own_fields(),
         ]
         if request.find(headers.TOKENS) is None:
             await anyio.sleep(self.random.expovariate(1 / MEAN_RUN_S))
@@ -267,17 +260,27 @@
             body = expected_body(arrival.request_id)
             await responder.respond(200, fields, body)
             return
-        await self._prefill(request, arrival)
+        await self._prefill(request, arrival, number)
+        holder = request.find(headers.KV_BACKUP)
+        if holder is not None:
+            self._group.start_soon(_send_copy, holder, arrival.request_id)
         fields.append((b"content-type", headers.EVENT_STREAM.encode()))
         await self._stream(request, responder, arrival, fields)
 
-    def _limit_fields(self) -> list[tuple[bytes, bytes]]:
-        if self.limit_per_s is None:
-            return []
-        return [(headers.LIMIT, str(self.limit_per_s).encode())]
+    def _own_fields(self) -> list[tuple[bytes, bytes]]:
+        """Returns the fields of each answer that tell of the target."""
+        fields = []
+        if self.limit_per_s is not None:
+            fields.append((headers.LIMIT, str(self.limit_per_s).encode()))
+        if self.leaving:
+            fields.append((headers.LEAVING, b"1"))
+        return fields
 
     async def _prefill(
-        self, request: messages.Request, arrival: histories.Arrival
+        self,
+        request: messages.Request,
+        arrival: histories.Arrival,
+        number: int,
     ) -> None:
         """Simulates prefill of uncached parts and records the reused ones."""
         salt = request.find(headers.CACHE_SALT) or ""
@@ -290,7 +293,7 @@
                 continue
             await anyio.sleep(PREFILL_S / len(parts))
             self.cached[key] = (self.weights, arrival.workspace)
-        arrival.reused = tuple(reused)
+        self.journal.change(number, reused=reused)
 
     async def _stream(
         self,
@@ -318,6 +321,21 @@
         await responder.finish()
 
 
+async def _send_copy(holder: str, run: str) -> None:
+    """Sends the copy of a run to another engine."""
+    request = messages.Request(
+        b"POST", f"{COPY_PATH}{run}".encode(), ((b"host", b"copy"),)
+    )
+    with contextlib.suppress(exceptions.HttpError, TimeoutError):
+        with anyio.fail_after(COPY_TIMEOUT_S):
+            pool = targets.Pool()
+            connection = await pool.take(address.parse(holder), COPY_TIMEOUT_S)
+            try:
+                await connection.ask(request, lambda _: True)
+            finally:
+                connection.close()
+
+
 def expected_body(request_id: str) -> bytes:
     """Returns the body of an answer that is not streamed."""
     return f"answer to {request_id}\n".encode() * 20
@@ -328,37 +346,9 @@
     return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
 
 
-async def _send_json(
+async def send_json(
     responder: responders.Responder, status: int, body: dict[str, typing.Any]
 ) -> None:
+    """Responds with a JSON body."""
     fields = [(b"content-type", b"application/json")]
     await responder.respond(status, fields, json.dumps(body).encode())
-
-
-@attrs.define
-class Listing:
-    """The platform's list of targets.
-
-    Attributes:
-      targets: Targets in the list.
-      fault: Current fault of its answers: "too_many", "silent" or "torn";
-        empty for none.
-    """
-
-    targets: list[Target] = attrs.field(factory=list)
-    fault: str = ""
-
-    async def answer(
-        self, request: messages.Request, responder: responders.Responder
-    ) -> None:
-        """Responds to a read of the list."""
-        del request
-        if self.fault == "too_many":
-            await _send_json(responder, 429, {})
-            return
-        if self.fault == "silent":
-            await anyio.sleep(2.0)
-        entries: list[typing.Any] = [target.entry() for target in self.targets]
-        if self.fault == "torn":
-            entries += [{"id": 7, "service": None}, "?", {"state": "odd"}]
-        await _send_json(responder, 200, {"instances": entries, "next": None})
