--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -170,7 +170,7 @@
         delays_s.pop(fault.subject, None)
 
     async def pick_target(
-        self, *, is_relayed: bool | None = None
+        self, *, is_relayed: bool | None = None, service: str = ""
     ) -> fleets.TargetNode:
         """Returns a target that runs and does not leave."""
         while True:
@@ -180,6 +180,7 @@
                 if target.runs
                 and not target.leaving
                 and is_relayed in (None, target.relay is not None)
+                and service in ("", target.service)
             ]
             if present:
                 return self.random.choice(present)
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -39,6 +39,7 @@
 # Drawn apart from the others; each needs targets that are processes.
 TARGET_PROCESS_FAULTS = (
     "target_stop",
+    "target_stop_reset",
     "target_restart",
     "target_stall",
     "target_refuse",
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -29,7 +29,7 @@
 REGISTRIES = ("registry-1", "registry-2", "registry-3")
 GATEWAYS = tuple(f"gateway-{number}" for number in range(1, 4))
 MANY_GATEWAYS = tuple(f"gateway-{number}" for number in range(1, 11))
-TARGETS = {"plain": 3, "other": 2, stand_ins.ENGINE: 4}
+TARGETS = {"plain": 3, "other": 2, stand_ins.ENGINE: 6}
 # Targets stand in them by turns.
 DATA_CENTRES = ("here", plans.EVACUATED)
 CALLERS = 20
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -12,11 +12,13 @@
 import anyio
 import attrs
 from tests.soak import nodes
+from tests.soak import stand_ins
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
     from tests.soak import faults
+    from tests.soak import fleet as fleets
     from tests.soak import plans
 
 # Time after a start within which an early signal arrives.
@@ -24,6 +26,10 @@
 # Time after SIGTERM within which a late SIGHUP arrives.
 LATE_S = 0.3
 MAX_DOWN_S = 1.0
+# Time until callers have filled the backlog of a target that is stopped.
+FULL_AFTER_S = 0.15
+# Fraction of these faults that meet engines, whose runs are long.
+ENGINES_FRACTION = 0.7
 RESETS_PER_PORT = 5
 CONNECT_TIMEOUT_S = 0.2
 RESET_STOP_S = 0.1
@@ -31,14 +37,43 @@
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
+async def _pick(
+    injector: faults.Injector, *, is_relayed: bool | None = None
+) -> fleets.TargetNode:
+    service = ""
+    if injector.random.random() < ENGINES_FRACTION:
+        service = stand_ins.ENGINE
+    return await injector.pick_target(is_relayed=is_relayed, service=service)
+
+
 async def _target_stop(injector: faults.Injector, fault: plans.Fault) -> None:
     """Stops a target, which goes on later."""
-    process = (await injector.pick_target()).process
+    process = (await _pick(injector)).process
+    assert process is not None
+    process.send_signal(signal.SIGSTOP)
+    await anyio.sleep(fault.duration_s)
+    if process.returncode is None:
+        process.send_signal(signal.SIGCONT)
+
+
+async def _target_stop_reset(
+    injector: faults.Injector, fault: plans.Fault
+) -> None:
+    """Stops a target with a full backlog, and resets its connections."""
+    target = await injector.pick_target(
+        is_relayed=True, service=stand_ins.ENGINE
+    )
+    relay, process = target.relay, target.process
+    assert relay is not None
     assert process is not None
+    relay.stall()
     process.send_signal(signal.SIGSTOP)
+    await anyio.sleep(FULL_AFTER_S)
+    relay.reset()
     await anyio.sleep(fault.duration_s)
     if process.returncode is None:
         process.send_signal(signal.SIGCONT)
+    relay.resume()
 
 
 async def _target_restart(
@@ -48,7 +83,7 @@
 
     It keeps its id and is born anew, or is another target.
     """
-    target = await injector.pick_target()
+    target = await _pick(injector)
     target.kill()
     assert target.process is not None
     await target.process.wait()
@@ -71,7 +106,7 @@
 async def _set_port(
     injector: faults.Injector, fault: plans.Fault, state: str
 ) -> None:
-    target = await injector.pick_target(is_relayed=False)
+    target = await _pick(injector, is_relayed=False)
     await target.command(port=state)
     await anyio.sleep(fault.duration_s)
     await target.command(port="open")
@@ -79,7 +114,7 @@
 
 async def _target_leave(injector: faults.Injector, fault: plans.Fault) -> None:
     """Lets a target leave, close its port and end, while runs go on."""
-    target = await injector.pick_target()
+    target = await _pick(injector)
     injector.fleet.open(target.service)
     target.leaving = True
     await target.command(leaving=True)
@@ -92,7 +127,7 @@
 
 async def _target_reset(injector: faults.Injector, fault: plans.Fault) -> None:
     """Resets the connections to a target some times."""
-    relay = (await injector.pick_target(is_relayed=True)).relay
+    relay = (await _pick(injector, is_relayed=True)).relay
     assert relay is not None
     for _ in range(1 + int(fault.strength * 4)):
         relay.reset()
@@ -170,6 +205,7 @@
     ],
 ] = {
     "target_stop": _target_stop,
+    "target_stop_reset": _target_stop_reset,
     "target_restart": _target_restart,
     "target_stall": functools.partial(_set_port, state="stalled"),
     "target_refuse": functools.partial(_set_port, state="closed"),
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -17,6 +17,7 @@
 ANY_PROCESS = ""
 CONNECT_TIMEOUT_S = 1.0
 _POLL_S = 0.01
+_STALLED_BACKLOG = 1
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -87,11 +88,15 @@
       upstream: Address that the process listens on.
       links: State of the links.
       connections: Open connections.
+      accepts: Whether it accepts connections.
+      listener: Its listener; None before it serves.
     """
 
     name: str
     upstream: address.Address
     links: Links
+    accepts: bool = True
+    listener: socket.socket | None = None
     connections: set[_RelayedConnection] = attrs.field(factory=set)
 
     def reset(self) -> None:
@@ -104,11 +109,26 @@
         for relayed in self.connections:
             relayed.silent = True
 
+    def stall(self) -> None:
+        """Accepts nothing and lets few connections wait, until `resume`."""
+        self.accepts = False
+        if self.listener is not None:
+            self.listener.listen(_STALLED_BACKLOG)
+
+    def resume(self) -> None:
+        """Accepts connections again."""
+        if self.listener is not None:
+            self.listener.listen(sockets.BACKLOG_CONNECTIONS)
+        self.accepts = True
+
     async def serve(self, listener: socket.socket) -> None:
         """Accepts connections until cancelled."""
+        self.listener = listener
         with listener:
             async with anyio.create_task_group() as group:
                 while True:
+                    while not self.accepts:
+                        await anyio.sleep(_POLL_S)
                     accepted = await sockets.accept(listener)
                     group.start_soon(self._handle, _RelayedConnection(accepted))
 
