--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -74,6 +74,25 @@
     history.arrivals.append(make_arrival(target="u"))
 
 
+def _copy_runs_beside(history: histories.History) -> None:
+    history.arrivals[0].ended_s = 10.9
+    copy = make_arrival(
+        target="u", from_copy=True, began_s=10.4, ended_s=11.5, at_s=10.4
+    )
+    history.arrivals.append(copy)
+
+
+def _refused_and_ran_later(history: histories.History) -> None:
+    history.calls["a"] = make_call(status=429, ended_s=10.0)
+    history.arrivals[0].at_s = 15.0
+    history.arrivals[0].ended_s = None
+
+
+def _ended_by_hang_up(history: histories.History) -> None:
+    end = histories.ProcessEnd("g", -1, 5.0, expected=True, signal=15)
+    history.ends.append(end)
+
+
 def _refused_but_ran(history: histories.History) -> None:
     history.calls["a"] = make_call(status=503)
 
@@ -259,7 +278,9 @@
     ("spoil", "promise"),
     [
         (_repeated_run, "at_most_once"),
+        (_copy_runs_beside, "at_most_once"),
         (_refused_but_ran, "truthful_refusals"),
+        (_refused_and_ran_later, "truthful_refusals"),
         (_foreign_answer, "whole_answers"),
         (_short_answer, "whole_answers"),
         (_unknown_request, "unaltered_requests"),
@@ -289,6 +310,7 @@
         (_not_served, "recovery"),
         (_unexpected_exit, "process_ends"),
         (_slow_stop, "process_ends"),
+        (_ended_by_hang_up, "process_ends"),
         (_non_json_line, "readable_logs"),
         (_internal_error, "readable_logs"),
         (_traceback, "readable_logs"),
@@ -317,3 +339,12 @@
     assert [violation.promise for violation in promises.check(history)] == [
         "at_most_once"
     ]
+
+
+def test_run_may_go_on_from_its_copy_once_it_has_stopped() -> None:
+    first = make_arrival(began_s=10.01, ended_s=10.5)
+    copy = make_arrival(
+        target="u", from_copy=True, at_s=10.3, began_s=10.3, ended_s=11.0
+    )
+    history = make_history(make_call(), arrivals=(first, copy))
+    assert promises.check(history) == []
