--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,6 +37,7 @@
         history, violations = anyio.run(
             play.play, seed, folder, duration_s, tuple(skip.split(","))
         )
+        write_times(history, folder / "times.txt")
         print(f"seed {seed}: {describe(history)}", flush=True)
         for violation in violations[:20]:
             print(f"  {violation.promise}: {violation.text}", flush=True)
@@ -47,6 +48,18 @@
         sys.exit(f"broken: seeds {failed_seeds}")
 
 
+def write_times(history: histories.History, path: pathlib.Path) -> None:
+    """Writes when faults began and processes ended, as loop times."""
+    lines = []
+    for fault in history.injected_faults:
+        until = "" if fault.to_s is None else f" until {fault.to_s:.3f}"
+        lines.append(f"{fault.from_s:.3f} {fault.kind} {fault.subject}{until}")
+    for end in history.ends:
+        cause = f"signal {end.signal}" if end.signal else "no signal"
+        lines.append(f"{end.at_s:.3f} end {end.name} {end.code}, {cause}")
+    path.write_text("\n".join(sorted(lines)) + "\n")
+
+
 def describe(history: histories.History) -> str:
     """Returns a one-line summary of a run."""
     status_counts = collections.Counter(
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 import resource
 import shutil
@@ -165,14 +166,15 @@
         self.history.lines[name] = []
         while not self.closing:
             path = self._write_settings(node)
-            node.signalled_s = None
-            node.end_signal = 0
             with (self.folder / f"{name}.err").open("ab") as errors:
                 node.process = await anyio.open_process(
                     [sys.executable, "-m", "cactusstile", node.role, str(path)],
                     stdout=subprocess.PIPE,
                     stderr=errors,
                 )
+            # A signal that came before was for the process before.
+            node.signalled_s = None
+            node.end_signal = 0
             try:
                 await self._follow(node, node.process)
             finally:
@@ -254,4 +256,6 @@
             largest = max(largest, path.stat().st_size)
         limit = largest if full else resource.RLIM_INFINITY
         bounds = (limit, resource.RLIM_INFINITY)
-        resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, bounds)
+        # It may end at this moment.
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, bounds)
