--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,7 +20,7 @@
     first: int = 1,
     count: int = 1,
     duration_s: float = DURATION_S,
-    skip: str = "",
+    skip: str | tuple[str, ...] = (),
 ) -> None:
     """Runs seeds one after the other and prints a summary line for each.
 
@@ -30,12 +30,14 @@
       duration_s: Time within which faults start, in seconds.
       skip: Kinds of faults to leave out, separated by commas.
     """
+    # The command line gives a tuple where there are commas.
+    skipped = (skip,) if isinstance(skip, str) else skip
     failed_seeds = []
     for seed in range(first, first + count):
         folder = FOLDER / f"{seed}-{int(time.time())}"
         folder.mkdir(parents=True)
         history, violations = anyio.run(
-            play.play, seed, folder, duration_s, tuple(skip.split(","))
+            play.play, seed, folder, duration_s, skipped
         )
         write_times(history, folder / "times.txt")
         print(f"seed {seed}: {describe(history)}", flush=True)
