Leave descriptors free for files when connections take all others

Callers saw nothing yet: shown with a real process. Silent connections by the hundred need no secret.

Cause: accept took descriptors to the last one, so that the process's files had none. Class: one limit shared by what comes from outside and by what must not fail.

Change: a listener keeps a connection waiting while fewer than 32 descriptors (a quarter of a low limit) are free, and leaves the others in its queue. Only listeners on transport.listeners; those of uvicorn (entry, agent, control's admin port) are as before.

Evidence: test_registry_without_descriptors_cannot_write_and_ends failed before ("assert b' 200 ' in b''", the registry had ended) and passes.

--- a/src/cactusstile/transport/listeners.py
+++ b/src/cactusstile/transport/listeners.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
+import os
+import resource
 import socket
+import sys
 import typing
 
 import anyio
@@ -17,6 +21,10 @@
 logger = logging.getLogger(__name__)
 
 RETRY_DELAY_S = 0.05
+# Descriptors that connections leave free for files and for own connections: at
+# most this number, and this fraction of all.
+RESERVED_DESCRIPTORS = 32
+RESERVED_FRACTION = 0.25
 # Errors of the listener itself; all others may pass.
 _CLOSED = (errno.EBADF, errno.EINVAL, errno.ENOTSOCK)
 
@@ -54,10 +62,41 @@
             has_failed = True
             await anyio.sleep(RETRY_DELAY_S)
             continue
+        if await _prepare(raw, configure):
+            return raw
+
+
+async def _prepare(raw: socket.socket, configure: Configure) -> bool:
+    """Returns whether a connection may be served; closes it otherwise."""
+    with contextlib.ExitStack() as stack:
+        stack.callback(raw.close)
+        while raw.fileno() >= _first_reserved():
+            if _has_room(raw):
+                break
+            await anyio.sleep(RETRY_DELAY_S)
         try:
             raw.setblocking(False)
             configure(raw)
         except OSError:
-            raw.close()
-            continue
-        return raw
+            return False
+        stack.pop_all()
+    return True
+
+
+def _first_reserved() -> int:
+    """Returns the lowest descriptor that connections must not take."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    reserved = min(RESERVED_DESCRIPTORS, int(limit * RESERVED_FRACTION))
+    return limit - reserved
+
+
+def _has_room(raw: socket.socket) -> bool:
+    """Returns whether a descriptor is free that is not reserved."""
+    try:
+        lowest = os.dup(raw.fileno())
+    except OSError:
+        return False
+    os.close(lowest)
+    return lowest < _first_reserved()
