--- a/tests/processes/test_faulty_disk.py
+++ b/tests/processes/test_faulty_disk.py
@@ -19,7 +19,9 @@
 from tests.support import faulty_disk
 from tests.support import node_site
 
+from cactusstile.consensus.storage import files
 from cactusstile.http import messages
+from cactusstile.registry import daemon
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 ADMIN_PORT, OPERATOR = 9465, 8
@@ -212,6 +214,27 @@
     assert await registries.site.stop("r-1") == 0
 
 
+@pytest.mark.parametrize("is_locked", [True, False])
+async def test_registry_waits_for_a_folder_that_is_locked_or_cannot_be_made(
+    registries: Registries, is_locked: bool
+) -> None:
+    folder = registries.folder / "r-1"
+    with contextlib.ExitStack() as stack:
+        if is_locked:
+            files.lock_folder(folder / daemon.GROUP, stack)
+        else:
+            folder.write_text("not a folder")
+        for name in NAMES:
+            await registries.start(name)
+        with anyio.fail_after(node_site.STARTUP_TIMEOUT_S):
+            while await registries.status("r-1") != 503:
+                await anyio.sleep(0.05)
+        if not is_locked:
+            folder.unlink()
+    await registries.replace(4)
+    registries.assert_running()
+
+
 async def test_registry_survives_a_disk_that_stalls(
     registries: Registries,
 ) -> None:
