Guard registries against a log that cannot grow, by the kernel's limit

The limit on file sizes refuses appends while small files can still be written, as a disk does that has almost no room.

--- a/tests/processes/test_faulty_disk.py
+++ b/tests/processes/test_faulty_disk.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import resource
 import subprocess
 import sys
 import typing
@@ -43,6 +44,9 @@
     def host(self, name: str) -> str:
         return f"{self.network}.{1 + int(name[-1])}"
 
+    def data(self, name: str) -> pathlib.Path:
+        return self.folder / name / daemon.GROUP
+
     def control(self, name: str) -> pathlib.Path:
         return self.folder / f"{name}.disk"
 
@@ -80,6 +84,16 @@
             )
         self.site.processes[name] = process
 
+    def limit_files(self, name: str, *, is_limited: bool) -> None:
+        """Lets files grow no further than the largest, or lifts the limit."""
+        sizes = [each.stat().st_size for each in self.data(name).iterdir()]
+        limit = max(sizes) if is_limited else resource.RLIM_INFINITY
+        resource.prlimit(
+            self.site.processes[name].pid,
+            resource.RLIMIT_FSIZE,
+            (limit, resource.RLIM_INFINITY),
+        )
+
     def assert_running(self) -> None:
         for name, process in self.site.processes.items():
             assert process.returncode is None, (name, self.site.log(name)[-3:])
@@ -165,6 +179,21 @@
     registries.assert_running()
 
 
+@pytest.mark.parametrize("at_leader", [True, False])
+async def test_registry_survives_a_log_that_cannot_grow(
+    registries: Registries, at_leader: bool
+) -> None:
+    leader = await start_all(registries)
+    faulty = next(name for name in NAMES if (name == leader) is at_leader)
+    registries.limit_files(faulty, is_limited=True)
+    for version in range(4, 10):
+        await registries.replace(version)
+        await anyio.sleep(FAULT_S / 5)
+    registries.limit_files(faulty, is_limited=False)
+    await registries.wait_until_synced(faulty, 9)
+    registries.assert_running()
+
+
 @pytest.mark.parametrize("is_empty", [True, False])
 async def test_registry_that_starts_on_a_full_disk_serves_once_there_is_room(
     registries: Registries, is_empty: bool
