--- a/tests/processes/test_faulty_disk.py
+++ b/tests/processes/test_faulty_disk.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import resource
 import subprocess
 import sys
 import typing
@@ -19,7 +20,9 @@
 from tests.support import faulty_disk
 from tests.support import node_site
 
+from cactusstile.consensus.storage import files
 from cactusstile.http import messages
+from cactusstile.registry import daemon
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 ADMIN_PORT, OPERATOR = 9465, 8
@@ -41,6 +44,9 @@
     def host(self, name: str) -> str:
         return f"{self.network}.{1 + int(name[-1])}"
 
+    def data(self, name: str) -> pathlib.Path:
+        return self.folder / name / daemon.GROUP
+
     def control(self, name: str) -> pathlib.Path:
         return self.folder / f"{name}.disk"
 
@@ -78,6 +84,16 @@
             )
         self.site.processes[name] = process
 
+    def limit_files(self, name: str, *, is_limited: bool) -> None:
+        """Lets files grow no further than the largest, or lifts the limit."""
+        sizes = [each.stat().st_size for each in self.data(name).iterdir()]
+        limit = max(sizes) if is_limited else resource.RLIM_INFINITY
+        resource.prlimit(
+            self.site.processes[name].pid,
+            resource.RLIMIT_FSIZE,
+            (limit, resource.RLIM_INFINITY),
+        )
+
     def assert_running(self) -> None:
         for name, process in self.site.processes.items():
             assert process.returncode is None, (name, self.site.log(name)[-3:])
@@ -163,6 +179,21 @@
     registries.assert_running()
 
 
+@pytest.mark.parametrize("at_leader", [True, False])
+async def test_registry_survives_a_log_that_cannot_grow(
+    registries: Registries, at_leader: bool
+) -> None:
+    leader = await start_all(registries)
+    faulty = next(name for name in NAMES if (name == leader) is at_leader)
+    registries.limit_files(faulty, is_limited=True)
+    for version in range(4, 10):
+        await registries.replace(version)
+        await anyio.sleep(FAULT_S / 5)
+    registries.limit_files(faulty, is_limited=False)
+    await registries.wait_until_synced(faulty, 9)
+    registries.assert_running()
+
+
 @pytest.mark.parametrize("is_empty", [True, False])
 async def test_registry_that_starts_on_a_full_disk_serves_once_there_is_room(
     registries: Registries, is_empty: bool
@@ -212,6 +243,27 @@
     assert await registries.site.stop("r-1") == 0
 
 
+@pytest.mark.parametrize("is_locked", [True, False])
+async def test_registry_waits_for_a_folder_that_is_locked_or_cannot_be_made(
+    registries: Registries, is_locked: bool
+) -> None:
+    folder = registries.folder / "r-1"
+    with contextlib.ExitStack() as stack:
+        if is_locked:
+            files.lock_folder(folder / daemon.GROUP, stack)
+        else:
+            folder.write_text("not a folder")
+        for name in NAMES:
+            await registries.start(name)
+        with anyio.fail_after(node_site.STARTUP_TIMEOUT_S):
+            while await registries.status("r-1") != 503:
+                await anyio.sleep(0.05)
+        if not is_locked:
+            folder.unlink()
+    await registries.replace(4)
+    registries.assert_running()
+
+
 async def test_registry_survives_a_disk_that_stalls(
     registries: Registries,
 ) -> None:
