--- a/tests/support/verdict_site.py
+++ b/tests/support/verdict_site.py
@@ -29,6 +29,8 @@
 GATEWAYS = 3
 PLAIN, ENGINES = 3, 5
 SLOTS = 8
+# So many that no run is lost for want of them.
+RETRY_SLACK = "3000"
 BACKLOG = 3
 FRONT, READINESS, OPERATOR, LIST = 6, 7, 8, 9
 TARGET_PORT = 20
@@ -184,6 +186,7 @@
             folder=self.folder / name,
             first_start=first,
         )
+        filled["bounds.budgetSlack"] = RETRY_SLACK
         text = (ROOT / "deploy" / f"{role}.ini").read_text()
         for key, value in filled.items():
             text = text.replace("{{" + key + "}}", value)
