Receive signals from a process's first moment to its last

Callers saw: a gateway or registry that was sent SIGHUP while it started or closed ended with signal 1, and SIGTERM during the start ended it with signal 15 instead of cleanly.

Cause: the handlers were set after all imports, the settings and the listeners, and the event loop puts the default action back while the process still closes. Class: a signal with its default action, which ends the process, at a time when the platform may send it.

Fix: the entry points ignore SIGHUP and take SIGTERM and SIGINT before they import anything else. The watch reads the file once when it begins, so that a change signalled before is applied. Agents and control processes receive signals until they are closed.

--- a/src/cactusstile/console/agent.py
+++ b/src/cactusstile/console/agent.py
@@ -30,16 +30,17 @@
 
 
 async def _serve(settings: agent_settings.AgentSettings) -> None:
-    async with wiring.open_process(settings) as running:
+    with signals.receive() as received:
+        async with wiring.open_process(settings) as running:
 
-        async def drain() -> None:
-            if not await running.drain(settings.drain_limit_s):
-                logger.warning("drain timed out; some work did not finish")
+            async def drain() -> None:
+                if not await running.drain(settings.drain_limit_s):
+                    logger.warning("drain timed out; some work did not finish")
 
-        with signals.receive() as received:
             await signals.drain_at_signal(received, drain)
 
 
 async def _serve_store(settings: agent_settings.AgentSettings) -> None:
-    async with wiring.open_store_process(settings):
-        await signals.wait_for_stop()
+    with signals.receive() as received:
+        async with wiring.open_store_process(settings):
+            await anext(received)
--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -35,11 +35,13 @@
 async def _serve(settings: control_settings.ControlSettings) -> None:
     stop = anyio.Event()
 
-    async def stop_at_signal() -> None:
-        await signals.wait_for_stop()
-        stop.set()
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(stop_at_signal)
-        await daemon.run_control(settings, stop)
-        group.cancel_scope.cancel()
+    with signals.receive() as received:
+
+        async def stop_at_signal() -> None:
+            await anext(received)
+            stop.set()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_at_signal)
+            await daemon.run_control(settings, stop)
+            group.cancel_scope.cancel()
--- a/src/cactusstile/gateway/__main__.py
+++ b/src/cactusstile/gateway/__main__.py
@@ -1,8 +1,11 @@
-"""Starts a gateway without the command line interface, which imports slowly."""
+"""Starts a gateway without importing the command line, which is slow."""
 
 from __future__ import annotations
 
-from cactusstile.console import gateway
+import importlib
+
+from cactusstile.console import early_signals
 
 if __name__ == "__main__":
-    gateway.run()
+    early_signals.hold()
+    importlib.import_module("cactusstile.console.gateway").run()
--- a/src/cactusstile/registry/__main__.py
+++ b/src/cactusstile/registry/__main__.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from cactusstile.console import registry
+import importlib
+
+from cactusstile.console import early_signals
 
 if __name__ == "__main__":
-    registry.run()
+    early_signals.hold()
+    importlib.import_module("cactusstile.console.registry").run()
--- a/src/cactusstile/settings/reload.py
+++ b/src/cactusstile/settings/reload.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from cactusstile.console import signals
 from cactusstile.settings import ini
 from cactusstile.settings import node
 
@@ -32,27 +33,27 @@
     partly written, leaves the settings as they are.
     """
     last_error = ""
-    with anyio.open_signal_receiver(signal.SIGHUP) as received:
+    with signals.receive(signal.SIGHUP) as received:
         while True:
-            with anyio.move_on_after(POLL_INTERVAL_S):
-                await anext(received)
-                logger.info("SIGHUP received; reloading the settings")
+            # The first time, for a change since the start read the file.
             try:
                 loaded = node.load(path)
+                last_error = ""
             except ini.InvalidFileError as error:
+                loaded = current
                 if str(error) != last_error:
                     logger.warning(
                         "cannot load the settings; keeping the current ones",
                         extra={"error": str(error)},
                     )
                 last_error = str(error)
-                continue
-            last_error = ""
-            if loaded == current:
-                continue
-            logger.info(
-                "settings changed",
-                extra={"seeds": [str(seed) for seed in loaded.seeds]},
-            )
-            current = loaded
-            apply(loaded)
+            if loaded != current:
+                logger.info(
+                    "settings changed",
+                    extra={"seeds": [str(seed) for seed in loaded.seeds]},
+                )
+                current = loaded
+                apply(loaded)
+            with anyio.move_on_after(POLL_INTERVAL_S):
+                await anext(received)
+                logger.info("SIGHUP received; reloading the settings")
