Report deeply nested regions as a problem of the settings

What a process met: a settings file whose `regions` were nested thousands deep ended it with RecursionError, also a running one that read the file again, since the watch keeps the old settings only for an invalid file.

Cause: the parser of the option expected ValueError alone. Class: an error that input raises past the handler for invalid input.

--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -125,7 +125,7 @@
 def _parse_regions(text: str) -> dict[str, str]:
     try:
         regions = json.loads(text or "{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ValueError(f"{text!r} is no JSON object") from error
     if not isinstance(regions, dict):
         raise ValueError(f"{text!r} is no JSON object")
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -96,3 +96,9 @@
     path.write_text(render("registry"))
     assert application.run(["check", str(path)]) is exceptions.ExitCode.OK
     assert "settings of registry edge-1" in capsys.readouterr().out
+
+
+def test_deeply_nested_regions_are_reported_as_a_problem() -> None:
+    text = render("gateway").replace('{"here": "lagos"}', "[" * 100_000)
+    with pytest.raises(ini.InvalidFileError, match="is no JSON object"):
+        node.parse(text, "node.ini")
