--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -178,7 +178,6 @@
             "first_start",
             _parse_boolean,
             "whether the whole system starts for the first time",
-            False,
         ),
         ini.Option(
             "data_folder", _parse_folder, "folder of the durable state", None
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -65,7 +65,7 @@
 
 def test_truncated_settings_report_every_problem() -> None:
     complete = render("gateway")
-    text = complete[: complete.index("internal_ports")] + "\n[odd]\n"
+    text = complete[: complete.index("platform")] + "\n[odd]\n"
     with pytest.raises(ini.InvalidFileError) as caught:
         node.parse(text, "node.ini")
     options = {problem.option for problem in caught.value.problems}
@@ -98,6 +98,20 @@
     assert "settings of registry edge-1" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("role", ["gateway", "registry"])
+def test_template_that_is_cut_off_is_not_taken_for_other_settings(
+    role: str,
+) -> None:
+    text = render(role)
+    whole = node.parse(text, "node.ini")
+    for length in range(len(text)):
+        try:
+            part = node.parse(text[:length], "node.ini")
+        except ini.InvalidFileError:
+            continue
+        assert part == whole, text[:length]
+
+
 def test_deeply_nested_regions_are_reported_as_a_problem() -> None:
     text = render("gateway").replace('{"here": "lagos"}', "[" * 100_000)
     with pytest.raises(ini.InvalidFileError, match="is no JSON object"):
