Bind an address again while a predecessor still uses it

What a platform saw: a gateway or registry that started while one of its addresses was still in use, by a predecessor that had not gone or by another connection with that port, ended at once with exit code 1.

Cause: each listener was bound once. Class: a state that passes by itself taken for a final one.

Fix: all listeners of all roles (callers, readiness, operator, admin, internal TCP, datagrams) bind again for up to 10 s, with a log line, and fail then with the error as before. A signal to stop that comes meanwhile cancels the start, also of entries, agents and control processes. A gateway listens for callers before it answers readiness, so that a wait between the two shows it to nobody.

test_server_error_contains_the_address_in_use shortens the wait; what it expects is unchanged.

--- a/src/cactusstile/console/agent.py
+++ b/src/cactusstile/console/agent.py
@@ -30,7 +30,7 @@
 
 
 async def _serve(settings: agent_settings.AgentSettings) -> None:
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
         async with wiring.open_process(settings) as running:
 
             async def drain() -> None:
@@ -41,6 +41,6 @@
 
 
 async def _serve_store(settings: agent_settings.AgentSettings) -> None:
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
         async with wiring.open_store_process(settings):
             await anext(received)
--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -33,15 +33,19 @@
 
 
 async def _serve(settings: control_settings.ControlSettings) -> None:
+    ready = anyio.Event()
     stop = anyio.Event()
 
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
 
         async def stop_at_signal() -> None:
+            await ready.wait()
             await anext(received)
             stop.set()
 
         async with anyio.create_task_group() as group:
             group.start_soon(stop_at_signal)
-            await daemon.run_control(settings, stop)
+            await daemon.run_control(
+                settings, stop, on_ready=lambda _: ready.set()
+            )
             group.cancel_scope.cancel()
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -62,7 +62,7 @@
     Raises:
       CommandError: If a second signal aborted requests in flight.
     """
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
         async with contextlib.AsyncExitStack() as stack:
             parts = await stack.enter_async_context(open_parts(settings))
             running = await stack.enter_async_context(
--- a/src/cactusstile/console/signals.py
+++ b/src/cactusstile/console/signals.py
@@ -9,6 +9,7 @@
 import typing
 
 import anyio
+import attrs
 
 from cactusstile.console import early_signals
 
@@ -25,11 +26,34 @@
 MAX_UNREAD = 16
 
 
+@attrs.define
+class Received:
+    """Signals that a process received.
+
+    Attributes:
+      stream: Stream of the signals.
+      is_awaited: Whether the first signal was or is awaited.
+    """
+
+    stream: Signals
+    is_awaited: bool = False
+
+    def __aiter__(self) -> Received:
+        """Returns the iterator itself."""
+        return self
+
+    async def __anext__(self) -> signal.Signals:
+        """Returns the next signal."""
+        self.is_awaited = True
+        return await anext(self.stream)
+
+
 @contextlib.contextmanager
 def receive(
     *numbers: signal.Signals,
-) -> collections.abc.Iterator[Signals]:
-    """Returns a context in which signals are received, each of them once.
+    on_early: collections.abc.Callable[[], None] = lambda: None,
+) -> collections.abc.Iterator[Received]:
+    """Returns a context in which signals are received.
 
     On exit the earlier handlers return. A process whose signals were held at
     its start is about to end then, and ignores those that stop it: the event
@@ -37,13 +61,17 @@
 
     Args:
       numbers: Signals to receive; by default those that stop a process.
+      on_early: Called for a signal that comes before the first is awaited.
     """
     loop = asyncio.get_running_loop()
     sender, receiver = anyio.create_memory_object_stream[signal.Signals](
         MAX_UNREAD
     )
+    received = Received(receiver)
 
     def deliver(number: int) -> None:
+        if not received.is_awaited:
+            on_early()
         with contextlib.suppress(anyio.WouldBlock, anyio.ClosedResourceError):
             sender.send_nowait(signal.Signals(number))
 
@@ -59,7 +87,21 @@
             if previous is early_signals.end_process:
                 previous = signal.SIG_IGN
             stack.callback(signal.signal, number, previous or signal.SIG_DFL)
-        yield receiver
+        yield received
+
+
+@contextlib.contextmanager
+def receive_from_start() -> collections.abc.Iterator[Received]:
+    """Receives the signals that stop a process; see `receive`.
+
+    One that comes before the first is awaited cancels the context: what starts
+    there may have to wait for long.
+    """
+    with (
+        anyio.CancelScope() as scope,
+        receive(on_early=scope.cancel) as received,
+    ):
+        yield received
 
 
 async def wait_for_stop() -> None:
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -98,7 +98,7 @@
         request_metrics = gateway_metrics.GatewayMetrics()
         gateway = _assemble(settings, connections, pool, request_metrics)
         _start_background(gateway, pool, request_metrics, group)
-        _start_listeners(gateway, request_metrics, group, closers)
+        await _start_listeners(gateway, request_metrics, group, closers)
         yield gateway
 
 
@@ -230,7 +230,7 @@
         request_metrics.site.show(site, anyio.current_time())
 
 
-def _start_listeners(
+async def _start_listeners(
     gateway: Gateway,
     request_metrics: gateway_metrics.GatewayMetrics,
     group: anyio.abc.TaskGroup,
@@ -242,12 +242,13 @@
         request_metrics.registry, functools.partial(dump.describe, gateway)
     )
     listeners = [(settings.admin_address, callers.internal_serving(admin))]
+    if settings.callers is not None:
+        listeners.append((settings.callers, gateway.serving))
+    # Last: the balancer must not hear of a gateway that is not listening yet.
     if settings.readiness is not None:
         answer = gateway.lifecycle.answer_readiness
         listeners.append((settings.readiness, callers.internal_serving(answer)))
-    if settings.callers is not None:
-        listeners.append((settings.callers, gateway.serving))
     for listen_address, serving in listeners:
-        callers.open_listener(
+        await callers.open_listener(
             settings.bind_address(listen_address), serving, group, closers
         )
--- a/src/cactusstile/gateway/peers/datagram_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -19,6 +19,7 @@
 from cactusstile.gateway.peers import load_channel
 from cactusstile.gateway.peers import load_sharing
 from cactusstile.transport import address
+from cactusstile.transport import binding
 
 Handler = collections.abc.Callable[[typing.Any], None]
 
@@ -99,16 +100,23 @@
     async def run(self) -> None:
         """Exchanges loads for as long as the process runs."""
         async with (
-            await anyio.create_udp_socket(
-                local_host=self.own_address.host,
-                local_port=self.own_address.port,
-            ) as socket,
+            await binding.wait_until_free(self._open) as socket,
             anyio.create_task_group() as group,
         ):
             group.start_soon(self._receive, socket)
             group.start_soon(self._send_outbox, socket)
             await self._send(socket)
 
+    async def _open(self) -> anyio.abc.UDPSocket:
+        own = self.own_address
+        try:
+            return await anyio.create_udp_socket(
+                local_host=own.host, local_port=own.port
+            )
+        except OSError as error:
+            text = f"cannot receive datagrams on {own}: {error.strerror}"
+            raise OSError(error.errno, text) from error
+
     async def _send(self, socket: anyio.abc.UDPSocket) -> None:
         sent_bytes = 0
         while True:
--- a/src/cactusstile/gateway/process.py
+++ b/src/cactusstile/gateway/process.py
@@ -21,7 +21,7 @@
 
 async def run(settings: node.NodeSettings, path: pathlib.Path) -> None:
     """Serves until a signal requests a stop, then drains."""
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
         async with (
             daemon.open_gateway(settings) as gateway,
             anyio.create_task_group() as group,
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -337,7 +337,7 @@
             group.start_soon(_serve, opened, serving)
 
 
-def open_listener(
+async def open_listener(
     place: address.Address,
     serving: Serving,
     group: anyio.abc.TaskGroup,
@@ -355,7 +355,7 @@
     Raises:
       OSError: The address cannot be bound; the message contains the address.
     """
-    listener = sockets.listen(place)
+    listener = await sockets.listen_when_free(place)
     closers.callback(listener.close)
     group.start_soon(serve_listener, listener, serving, group)
 
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -17,6 +17,7 @@
 
 from cactusstile.http import exceptions
 from cactusstile.transport import address
+from cactusstile.transport import binding
 from cactusstile.transport import listeners
 
 if typing.TYPE_CHECKING:
@@ -209,6 +210,19 @@
     return raw
 
 
+async def listen_when_free(on: address.Address) -> socket.socket:
+    """Returns a listening socket; waits a while if the address is in use.
+
+    Raises:
+      OSError: As `listen`.
+    """
+
+    async def bind() -> socket.socket:
+        return listen(on)
+
+    return await binding.wait_until_free(bind)
+
+
 async def accept(listener: socket.socket) -> Socket:
     """Accepts and returns the next connection of a listener."""
     raw = await listeners.accept(listener)
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import logging
 import socket
 import ssl
@@ -16,6 +17,7 @@
 from cactusstile.observability import accept_queue
 from cactusstile.observability import draining
 from cactusstile.transport import address
+from cactusstile.transport import binding
 
 logger = logging.getLogger(__name__)
 
@@ -133,7 +135,9 @@
     Raises:
       CannotListenError: If the address cannot be bound.
     """
-    bound_socket = _bind(listen)
+    bound_socket = await binding.wait_until_free(
+        functools.partial(_bind, listen)
+    )
     listener = HttpListener(bound_socket, app, tls)
     async with anyio.create_task_group() as group:
         group.start_soon(listener.serve)
@@ -162,7 +166,7 @@
     )
 
 
-def _bind(listen: address.Address) -> socket.socket:
+async def _bind(listen: address.Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
     # asyncio disables Nagle's algorithm only for sockets created with an
     # explicit TCP protocol number.
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -215,7 +215,7 @@
         )
         await stack.enter_async_context(internal)
         _start_controllers(registry, group, stack)
-        _start_listeners(registry, group, closers)
+        await _start_listeners(registry, group, closers)
         yield registry
 
 
@@ -322,7 +322,7 @@
         await anyio.sleep(members.CHECK_INTERVAL_S)
 
 
-def _start_listeners(
+async def _start_listeners(
     registry: Registry,
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
@@ -347,6 +347,6 @@
         listeners.append((settings.operator, serving))
     for listen_address, serving in listeners:
         registry.listeners.append(serving)
-        callers.open_listener(
+        await callers.open_listener(
             settings.bind_address(listen_address), serving, group, closers
         )
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -32,7 +32,7 @@
       settings: Settings of the node.
       path: Settings file, which is watched for changes.
     """
-    with signals.receive() as received:
+    with signals.receive_from_start() as received:
         if settings.data_folder is None:
             await _redirect(settings, path, received)
             return
--- a/src/cactusstile/registry/redirector.py
+++ b/src/cactusstile/registry/redirector.py
@@ -114,7 +114,7 @@
             listeners.append((settings.operator, serving))
         for listen_address, serving in listeners:
             redirector.listeners.append(serving)
-            callers.open_listener(
+            await callers.open_listener(
                 settings.bind_address(listen_address), serving, group, closers
             )
         yield redirector
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import logging
 import socket
 import typing
@@ -12,6 +13,7 @@
 import attrs
 
 from cactusstile.transport import address
+from cactusstile.transport import binding
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
 from cactusstile.transport import handshake
@@ -116,7 +118,7 @@
     Raises:
       OSError: If the address cannot be bound; the message contains the address.
     """
-    listener = await _bind(listen)
+    listener = await binding.wait_until_free(functools.partial(_bind, listen))
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     server = Server(address.Address(listen.host, port))
     acceptor = _Acceptor(server, identity, secrets, handlers, timing)
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -10,6 +10,7 @@
 from tests.support import cutting_relay
 
 from cactusstile.transport import address
+from cactusstile.transport import binding
 from cactusstile.transport import connection
 from cactusstile.transport import exceptions
 from cactusstile.transport import handshake
@@ -250,7 +251,10 @@
         assert opened.closed.is_set()
 
 
-async def test_server_error_contains_the_address_in_use() -> None:
+async def test_server_error_contains_the_address_in_use(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(binding, "IN_USE_LIMIT_S", 0.3)
     identity = handshake.Identity("agent", "a")
     with socket.socket() as holder:
         holder.bind(("127.0.0.1", 0))
