Stop a leader cleanly that no other voter answers

What a platform saw: a leading registry or control process that got SIGTERM while no other voter answered (alone, or as the last of several that are stopped) ended with exit code 1 and a traceback, and left calls of operators without an answer.

Cause: the stop begins with a transfer of leadership, which raises MembershipError if there is no successor; nothing caught it. Class: an expected outcome of a call to others treated as a fault of the program.

Both tests for leaders that no voter answers failed before with "MembershipError: no other voter answers; retry later" and exit code 1 instead of 0; alone, ended with 1 as well.

Fix: without a successor the process logs that and goes on stopping.

--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -180,7 +180,13 @@
         for name, group_replica in state.replicas.items():
             if not group_replica.is_leader:
                 continue
-            if not await group_replica.transfer_leadership():
+            has_successor = False
+            with contextlib.suppress(
+                consensus_exceptions.MembershipError,
+                consensus_exceptions.NotLeaderError,
+            ):
+                has_successor = await group_replica.transfer_leadership()
+            if not has_successor:
                 logger.warning(
                     "no other replica became leader of group %s", name
                 )
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -11,6 +11,7 @@
 import attrs
 import prometheus_client
 
+from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
 from cactusstile.consensus import replica_settings
@@ -141,8 +142,14 @@
         """Transfers leadership, which saves the group an election timeout."""
         if not self.replica.is_leader:
             return
-        with anyio.move_on_after(TRANSFER_TIMEOUT_S):
-            await self.replica.transfer_leadership()
+        try:
+            with anyio.move_on_after(TRANSFER_TIMEOUT_S):
+                await self.replica.transfer_leadership()
+        except (
+            consensus_exceptions.MembershipError,
+            consensus_exceptions.NotLeaderError,
+        ) as error:
+            logger.info("leadership stays without a successor: %s", error)
 
 
 def build_replica_settings(
--- a/tests/processes/test_signals_at_start_and_stop.py
+++ b/tests/processes/test_signals_at_start_and_stop.py
@@ -8,6 +8,7 @@
 
 import pytest
 from tests.support import deployed
+from tests.support import site_processes
 
 from cactusstile.console import exceptions
 
@@ -71,6 +72,35 @@
     assert "Traceback" not in process.log()
 
 
+def test_leading_registry_that_no_voter_answers_stops_cleanly(
+    start: Start,
+) -> None:
+    process = start("registry")
+    assert process.signal_until('"term": 2'), process.log()
+    assert process.process is not None
+    process.process.terminate()
+    assert process.process.wait(deployed.WAIT_TIMEOUT_S) == 0, process.log()
+    assert "Traceback" not in process.log()
+
+
+def test_leading_control_process_that_no_voter_answers_stops_cleanly(
+    tmp_path: pathlib.Path,
+) -> None:
+    site = site_processes.Site(tmp_path)
+    site.write("fleet.secret", "fleet-secret-of-the-tests")
+    site.write("operator.secret", "operator-secret-of-tests")
+    section = (
+        f"[control]\ndata_folder = {tmp_path / 'data'}\n"
+        f"founders = alone={site.host}:{site.port('alone')}\n"
+    )
+    try:
+        site.start_role("control", "alone", section)
+        site.wait_ready("alone")
+        assert site.stop("alone") == 0, (tmp_path / "alone.log").read_text()
+    finally:
+        site.close()
+
+
 @pytest.mark.parametrize("role", COMMANDS)
 def test_sighup_during_start_does_not_end_command(
     tmp_path: pathlib.Path, role: str
