--- a/tests/processes/test_signals_at_start_and_stop.py
+++ b/tests/processes/test_signals_at_start_and_stop.py
@@ -96,6 +96,8 @@
     try:
         site.start_role("control", "alone", section)
         site.wait_ready("alone")
+        site.processes["alone"].send_signal(HUP)
+        site.wait_ready("alone")
         assert site.stop("alone") == 0, (tmp_path / "alone.log").read_text()
     finally:
         site.close()
