--- a/tests/processes/test_addresses_in_use.py
+++ b/tests/processes/test_addresses_in_use.py
@@ -64,7 +64,7 @@
             process.log()
         )
         opened.close()
-    assert process.signal_until('"started'), process.log()
+    assert process.signal_until_started(), process.log()
     assert process.stop(signal.SIGTERM) == 0
 
 
@@ -88,7 +88,7 @@
 ) -> None:
     process = prepare(tmp_path, "gateway", holder)
     process.start()
-    assert process.signal_until('"started'), process.log()
+    assert process.signal_until_started(), process.log()
     for _ in range(5):
         holder.enter_context(
             socket.create_connection((process.host, CALLERS), timeout=5)
@@ -96,4 +96,4 @@
     process.close()
     (tmp_path / "log").unlink()
     process.start()
-    assert process.signal_until('"started'), process.log()
+    assert process.signal_until_started(), process.log()
--- a/tests/processes/test_incomplete_settings.py
+++ b/tests/processes/test_incomplete_settings.py
@@ -41,7 +41,7 @@
     gateway.start()
     assert gateway.signal_until("reading them again"), gateway.log()
     gateway.settings.write_text(gateway.text())
-    assert gateway.signal_until('"started'), gateway.log()
+    assert gateway.signal_until_started(), gateway.log()
 
 
 def test_invalid_file_ends_a_start_with_all_its_problems(
@@ -71,7 +71,7 @@
 ) -> None:
     gateway.settings.write_text(gateway.text())
     gateway.start()
-    assert gateway.signal_until('"started')
+    assert gateway.signal_until_started()
     assert gateway.process is not None
     for name, content in UNREADABLE.items():
         put(gateway.settings, content)
--- a/tests/processes/test_signals_at_start_and_stop.py
+++ b/tests/processes/test_signals_at_start_and_stop.py
@@ -43,7 +43,7 @@
 ) -> None:
     process = start(role)
     assert process.signal_until("importing")
-    assert process.signal_until('"started', HUP), process.log()
+    assert process.signal_until_started(HUP), process.log()
     assert process.process is not None
     process.process.terminate()
     assert process.stop(HUP, pause_s=0.001) == 0
@@ -67,7 +67,7 @@
     start: Start, role: str
 ) -> None:
     process = start(role)
-    assert process.signal_until('"started')
+    assert process.signal_until_started()
     assert process.stop(TERM, HUP, INT, pause_s=0.001) == 0
     assert "Traceback" not in process.log()
 
--- a/tests/support/deployed.py
+++ b/tests/support/deployed.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import socket
 import subprocess
 import sys
 import time
@@ -104,11 +105,30 @@
         Returns:
           Whether it has; False if the process ended without.
         """
+        return self._signal(lambda: text in self.log(), numbers, pause_s)
+
+    def signal_until_started(self, *numbers: int) -> bool:
+        """Sends signals until the process serves; see `signal_until`."""
+        if self.role != "redirector":
+            return self.signal_until('"started', *numbers)
+        return self._signal(self._is_listening, numbers, 0.005)
+
+    def _is_listening(self) -> bool:
+        with socket.socket() as probe:
+            place = (self.host, site_processes.FIRST_PORT + 8)
+            return probe.connect_ex(place) == 0
+
+    def _signal(
+        self,
+        is_done: collections.abc.Callable[[], bool],
+        numbers: collections.abc.Iterable[int],
+        pause_s: float,
+    ) -> bool:
         assert self.process is not None
         deadline_s = time.monotonic() + WAIT_TIMEOUT_S
-        while text not in self.log():
+        while not is_done():
             if self.process.poll() is not None:
-                return text in self.log()
+                return is_done()
             assert time.monotonic() < deadline_s, self.log()[-2000:]
             for number in numbers:
                 self.process.send_signal(number)
