Start the test of unreadable entries with the list in place

A gateway is ready with the empty list that it read before: the test failed with 503 in 2 of 13 runs.

--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -89,13 +89,13 @@
             tmp_path, support.draw_network(), support.FIRST_PORT
         ) as site,
     ):
+        site.listed.append(target.target)
+        for changes in test_listings.UNREADABLE:
+            site.entries.append({**test_listings.ENTRY, **changes})
         await site.start("registry", "r-1", site.registry_host)
         await site.start("gateway", "g-1", site.gateway_host)
         replace = replace_request(3)
         await site.wait_for(site.registry_host, OPERATOR, replace, 200)
-        site.listed.append(target.target)
-        for changes in test_listings.UNREADABLE:
-            site.entries.append({**test_listings.ENTRY, **changes})
         name = messages.Request(
             b"POST",
             b"/-/version-put",
