--- a/tests/processes/test_reset_connections.py
+++ b/tests/processes/test_reset_connections.py
@@ -19,6 +19,8 @@
 from tests.support import node_site
 from tests.support import raw_target
 
+from cactusstile.gateway.peers import datagrams
+
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 FRONT, OPERATOR = test_outside_input.FRONT, test_outside_input.OPERATOR
 ADMIN_PORTS = {"gateway": 9464, "registry": 9465}
@@ -49,6 +51,14 @@
                     opened.recv(10)
 
 
+def send_datagrams(host: str, port: int) -> None:
+    """Sends empty, odd and the largest datagrams to a gateway."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for number in range(600):
+            size = (0, 1, 17, 1400, datagrams.MAX_DATAGRAM_BYTES)[number % 5]
+            sender.sendto(secrets.token_bytes(size), (host, port))
+
+
 def exhaust(places: list[tuple[str, int]]) -> list[socket.socket]:
     """Opens silent connections until descriptors run out."""
     silent = []
@@ -101,6 +111,9 @@
         places = list_places(site)
         for place in places:
             await anyio.to_thread.run_sync(send_and_reset, *place)
+        await anyio.to_thread.run_sync(
+            send_datagrams, site.gateway_host, site.port
+        )
         for part in (places[:3], places[3:]):
             silent = await anyio.to_thread.run_sync(exhaust, part)
             await anyio.sleep(0.5)
