Hold a configuration decoded only while it is read, and bound its size

What would be seen: a registry is ended by the limit on its memory while an operator sends large configurations at once.

Cause: each call kept the decoded form, which takes several times the size of the document, until its commit; a listener took documents of 16 MB whatever memory the process has. Class: memory that no limit of the process bounds.

Why this works: what is kept beyond the reading is the document and its compressed form; a document may take 1/32 of the memory of the process (4.7 MB of 150), and four of them may be received at once. Larger ones are answered 413, more of them 503, as both limits did before.

--- a/src/cactusstile/registry/answers.py
+++ b/src/cactusstile/registry/answers.py
@@ -13,6 +13,9 @@
 
 # Largest configuration that an operator may send.
 MAX_DOCUMENT_BYTES = 16 << 20
+# A document takes many times its size while it is decoded, and several of them
+# may be received at once.
+DOCUMENT_MEMORY_FRACTION = 1 / 32
 OK = 200
 TEMPORARY_REDIRECT = 307
 INVALID = 400
@@ -24,6 +27,16 @@
 JSON_CONTENT = (b"content-type", b"application/json")
 
 
+def max_document_bytes(memory_mb: int) -> int:
+    """Returns the largest configuration that a process takes.
+
+    Args:
+      memory_mb: Memory that the process may use, in MB.
+    """
+    share_bytes = int((memory_mb << 20) * DOCUMENT_MEMORY_FRACTION)
+    return min(MAX_DOCUMENT_BYTES, share_bytes)
+
+
 async def respond(
     responder: responders.Responder, status: int, text: str
 ) -> None:
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -341,7 +341,7 @@
             settings.operator.port,
         )
         serving = callers.internal_serving(
-            interface.handle, answers.MAX_DOCUMENT_BYTES
+            interface.handle, answers.max_document_bytes(settings.memory_mb)
         )
         listeners.append((settings.operator, serving))
     for listen_address, serving in listeners:
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -136,19 +136,15 @@
     ) -> None:
         """Commits a configuration unless it is invalid or not newer."""
         try:
-            configuration = configurations.decode(request.body)
+            version, digest = _identify(request.body)
         except model.InvalidConfigurationError as error:
             logger.info("configuration rejected", extra={"reason": str(error)})
             await answers.respond(responder, answers.INVALID, str(error))
             return
-        canonical = configurations.canonical(request.body)
-        digest = hashlib.sha256(canonical).digest()
-        decision = self.site.evaluate_configuration(
-            configuration.version, digest
-        )
+        decision = self.site.evaluate_configuration(version, digest)
         if decision.outcome == "accepted":
             command = site_commands.ReplaceConfiguration(
-                configuration.version, digest, documents.compress(request.body)
+                version, digest, documents.compress(request.body)
             )
             result = await self.replica.propose(commands.pack(command))
             decision = typing.cast(
@@ -159,12 +155,12 @@
             "configuration processed",
             extra={
                 "outcome": decision.outcome,
-                "version": configuration.version,
+                "version": version,
                 "in_force": decision.version,
             },
         )
         if decision.outcome == "conflict":
-            text = f"version {configuration.version} has other content already"
+            text = f"version {version} has other content already"
             await answers.respond(responder, answers.CONFLICT, text)
             return
         await answers.respond(responder, answers.OK, decision.outcome)
@@ -205,3 +201,16 @@
             extra={"model": named.model, "version": named.version},
         )
         await answers.respond(responder, answers.OK, "accepted")
+
+
+def _identify(document: bytes) -> tuple[int, bytes]:
+    """Returns version and digest of a configuration.
+
+    Its decoded form takes many times its size, and is gone on return.
+
+    Raises:
+      InvalidConfigurationError: The configuration is invalid.
+    """
+    version = configurations.decode(document).version
+    canonical = configurations.canonical(document)
+    return version, hashlib.sha256(canonical).digest()
--- a/src/cactusstile/registry/redirector.py
+++ b/src/cactusstile/registry/redirector.py
@@ -109,7 +109,8 @@
         listeners = [(settings.admin_address, callers.internal_serving(admin))]
         if settings.operator is not None:
             serving = callers.internal_serving(
-                redirector.handle, answers.MAX_DOCUMENT_BYTES
+                redirector.handle,
+                answers.max_document_bytes(settings.memory_mb),
             )
             listeners.append((settings.operator, serving))
         for listen_address, serving in listeners:
