Take no target for ended while the list of targets is old

Callers saw, in the test: a stream that may run only once went on from its copy although its engine could still work on it (TWICE). The engine had begun to leave and had closed its port; the gateway's list was older than that.

Cause: nothing in an old list was taken for "does not leave". A gateway has an old list after it was stopped for seconds, and while neither control nor the platform answers. Class: silence taken for proof.

Evidence: test_run_does_not_go_on_elsewhere_while_the_list_is_old failed before (the second engine was sent the request with Kv-From) and passes now.

A run goes on elsewhere only if the list is younger than the time for which a target is listed as leaving before it closes its port. The test set-up now gives its list the present time; it said 0, which is before any test began.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -229,6 +229,11 @@
 
     async def _has_ended(self, view: target_view.TargetView) -> bool:
         """Returns whether a target certainly works on no request any more."""
+        listed_s = self.site.listed_s
+        now_s = anyio.current_time()
+        if listed_s is None or now_s - listed_s > liveness.MAX_LIST_AGE_S:
+            # It may have begun to leave since.
+            return False
         if self._is_leaving(view):
             return False
         return await liveness.has_ended(view) and not self._is_leaving(view)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -147,7 +147,8 @@
     site = site_view.SiteView()
     if site_configuration is not None:
         site.replace_configuration(site_configuration)
-    site.replace_targets(tuple(opened.target for opened in open_targets), 0.0)
+    listed = tuple(opened.target for opened in open_targets)
+    site.replace_targets(listed, anyio.current_time())
     if builds_known:
         tell_builds(site, float("inf"))
     pool = targets.Pool()
