Open a new connection when a request returns to an address

Callers saw: a request that must run once ran at a second target (TWICE); without another target, it was answered 503 while it ran (REFUSED).

Cause: a target is replaced at its address. The request reaches the successor under the old id and is answered 421. Once the list names the successor, the request is sent there again, over the same kept connection. A late copy of the first refusal bears the id of the request and is taken for the answer to the second attempt, which runs. Class: an answer told apart by the id alone, where the id isn't used once.

A copy can't arrive on a connection that didn't carry the request. A request that returns to an address is rare, so that the price of the connection doesn't matter.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -136,6 +136,9 @@
       from_copy: Whether the run resumes from its copy at this engine.
       begin_by_s: Loop time by which the run must begin; infinite if it may
         begin at any time.
+      is_return: Whether the request was sent to this address before. A late
+        copy of that answer could be taken for the next one on a connection
+        that carried it.
     """
 
     target: model.Target
@@ -146,6 +149,7 @@
     copy_to: address.Address | None = None
     from_copy: bool = False
     begin_by_s: float = float("inf")
+    is_return: bool = False
 
 
 @attrs.define
@@ -194,7 +198,11 @@
       AttemptError: The attempt failed.
     """
     try:
-        connection = await pool.take(dispatch.target.address, CONNECT_TIMEOUT_S)
+        connection = await pool.take(
+            dispatch.target.address,
+            CONNECT_TIMEOUT_S,
+            may_reuse=not dispatch.is_return,
+        )
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
--- a/src/cactusstile/gateway/retries.py
+++ b/src/cactusstile/gateway/retries.py
@@ -13,6 +13,7 @@
 from cactusstile.gateway import exchange
 from cactusstile.gateway.engines import backups
 from cactusstile.sites import model
+from cactusstile.transport import address
 
 # Unreachable targets after which a request fails: more than fail together in
 # one rack, and few enough to stay within the timeouts of callers.
@@ -50,6 +51,8 @@
       misdirected: Failed attempts that reached another target or other weights
         than expected.
       tried_incarnations: Incarnations of the targets that were tried.
+      tried_addresses: Addresses that the request was sent to.
+      is_return: Whether the current attempt goes to such an address.
       worst_verdict: Whether the request may have run.
       in_progress: Whether an attempt has started and not ended.
       answer: Last answer in which a target reports its own error.
@@ -66,6 +69,8 @@
     unreachable: int = 0
     misdirected: int = 0
     tried_incarnations: set[tuple[str, int]] = attrs.field(factory=set)
+    tried_addresses: set[address.Address] = attrs.field(factory=set)
+    is_return: bool = False
     worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
     in_progress: bool = False
     answer: exchange.Answer | None = None
@@ -92,6 +97,8 @@
     def record_start(self, target: model.Target) -> None:
         """Records that the request is being sent to a target."""
         self.tried_incarnations.add(target.incarnation)
+        self.is_return = target.address in self.tried_addresses
+        self.tried_addresses.add(target.address)
         self.in_progress = True
 
     def record_failure(self, error: exchange.AttemptError) -> None:
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import attrs
 
 from cactusstile.gateway import admission
 from cactusstile.gateway import dispatching
@@ -80,7 +81,8 @@
         """Sends a request to one target and relays its answer."""
         if not attempts.resuming:
             attempts.backup = self.dispatcher.choose_backup(admitted, view)
-        dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
+        prepared = self.dispatcher.prepare(admitted, view, relay, attempts)
+        dispatch = attrs.evolve(prepared, is_return=attempts.is_return)
         work = self.dispatcher.estimate_work(admitted, view, dispatch)
         self._describe(admitted, work, dispatch, record)
         before = relay.events
--- a/tests/gateway/test_verdicts_of_targets.py
+++ b/tests/gateway/test_verdicts_of_targets.py
@@ -55,3 +55,36 @@
     ):
         await harness.ask(support.request(b"POST", FIELDS))
     assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("others", [0, 1])
+async def test_late_copy_of_a_refusal_does_not_speak_for_the_next_target(
+    others: int,
+) -> None:
+    """Guards against a second run or a false promise after a copied refusal."""
+    harness: support.GatewayHarness
+    refusal = raw_target.reject(b"421 Misdirected")
+
+    async def refuse(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        successor = attrs.evolve(first.target, id="successor")
+        listed = successor, second.target
+        now_s = anyio.current_time()
+        harness.site.replace_targets(listed[: 1 + others], now_s)
+        return await refusal(stream, request)
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        if first.connections == 1:
+            await refusal(stream, request)
+        return await raw_target.answer()(stream, request)
+
+    once = support.configuration(support.route(model.Kind.ONCE, max_attempts=3))
+    async with (
+        raw_target.open_target(refuse, run, id="a") as first,
+        raw_target.open_target(raw_target.answer(), id="b") as second,
+        support.open_harness(once, first, second) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request(b"POST"))
+    assert len(first.requests) == 2
+    assert support.status(data) == 200
+    assert second.requests == []
