--- a/tests/support/target_process.py
+++ b/tests/support/target_process.py
@@ -26,7 +26,7 @@
 # Fraction of runs that go on after their connection has closed.
 KEPT_FRACTION = 0.2
 # Fraction of refusals that follow an interim answer, and of those sent twice.
-ODD_FRACTION = 0.1
+ODD_FRACTION = 0.25
 Headers = dict[str, str]
 
 
