Ask for a recent list only before a run goes on

While the platform's list is down, a refused connection still counts as an end under a request; otherwise one that ends its targets would never be held then.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -228,12 +228,7 @@
             observer.record_break(view.target.id, broken_s)
 
     async def _has_ended(self, view: target_view.TargetView) -> bool:
-        """Returns whether a target certainly works on no request any more."""
-        listed_s = self.site.listed_s
-        now_s = anyio.current_time()
-        if listed_s is None or now_s - listed_s > liveness.MAX_LIST_AGE_S:
-            # It may have begun to leave since.
-            return False
+        """Returns whether a target has ended; none that leaves counts."""
         if self._is_leaving(view):
             return False
         return await liveness.has_ended(view) and not self._is_leaving(view)
@@ -246,6 +241,13 @@
         newest = self.site.targets.by_id.get(view.target.id, view)
         return view.leaving or newest.leaving
 
+    def _is_list_old(self) -> bool:
+        """Returns whether targets may have begun to leave unnoticed."""
+        if self.site.listed_s is None:
+            return True
+        age_s = anyio.current_time() - self.site.listed_s
+        return age_s > liveness.MAX_LIST_AGE_S
+
     async def _find_origin(
         self, admitted: admission.AdmittedRequest, attempts: retries.Attempts
     ) -> None:
@@ -319,7 +321,7 @@
         # Without an event id the run could only restart from the beginning.
         if relay.splitter.last_id is None or not relay.started:
             return False
-        if not await self._has_ended(view):
+        if self._is_list_old() or not await self._has_ended(view):
             return False
         now_s = anyio.current_time()
         if not backup.view.accepts_requests(now_s):
