--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 from tests.soak import operators
 from tests.soak import plans
 from tests.soak import process_faults
+from tests.soak import signals
 from tests.soak import stand_ins
 
 
@@ -84,10 +85,9 @@
         process = self.site.nodes[fault.subject].process
         if process is None or process.returncode is not None:
             return
-        process.send_signal(signal.SIGSTOP)
+        signals.send(process, signal.SIGSTOP)
         await anyio.sleep(fault.duration_s)
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        signals.send(process, signal.SIGCONT)
 
     async def _terminate(self, fault: plans.Fault) -> None:
         await self.site.terminate(fault.subject)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,6 +19,7 @@
 from tests.soak import journals
 from tests.soak import odd_entries
 from tests.soak import relay as relays
+from tests.soak import signals
 from tests.soak import stand_ins
 
 from cactusstile.http import messages
@@ -77,8 +78,8 @@
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
-        if self.process is not None and self.runs:
-            self.process.send_signal(number)
+        if self.process is not None:
+            signals.send(self.process, number)
 
     def kill(self) -> None:
         """Ends the process at once."""
@@ -241,8 +242,7 @@
                 with anyio.move_on_after(READ_INTERVAL_S):
                     await process.wait()
         finally:
-            if process.returncode is None:
-                process.kill()
+            signals.send(process, signal.SIGKILL)
             self.running.discard(node)
         reader.close()
         if reader.killed_s is not None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -9,6 +9,7 @@
 
 REPEATABLE_PATHS = ("/read/", "/moved/", "/talk/")
 STREAM_PATHS = ("/talk/", "/draft/", "/long/")
+WRITE_PATH = "/write/"
 # Streams that run so long that engines copy them.
 LONG_PATH = "/long/"
 # Contents of requests that callers repeat: one ends each target that runs it.
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -16,6 +16,7 @@
 from tests.soak import fleet as fleets
 from tests.soak import history as histories
 from tests.soak import relay as relays
+from tests.soak import signals
 from tests.support import node_site
 
 from cactusstile.transport import address
@@ -62,8 +63,8 @@
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.process is not None:
+            signals.send(self.process, number)
 
     def end(self, number: signal.Signals) -> None:
         """Sends a signal that ends the process."""
@@ -214,8 +215,7 @@
         )
 
     def _kill(self, node: Node) -> None:
-        if node.process is not None and node.process.returncode is None:
-            node.process.kill()
+        node.send(signal.SIGKILL)
 
     def record_errors(self) -> None:
         """Records what processes wrote to standard error."""
@@ -232,8 +232,7 @@
         node.end(signal.SIGTERM)
         with anyio.move_on_after(GRACE_PERIOD_S + STOP_MARGIN_S):
             await process.wait()
-        if process.returncode is None:
-            process.kill()
+        signals.send(process, signal.SIGKILL)
 
     def lose_disk(self, name: str) -> None:
         """Removes the state of a process, which must not run."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -249,7 +249,7 @@
             await anyio.sleep(operators.READ_INTERVAL_S)
     for caller in callers:
         caller.stopped = True
-    await anyio.sleep(soak_callers.DEADLINE_S)
+    await anyio.sleep(soak_callers.PATIENCE_S)
     soak_run.site.closing = True
     async with anyio.create_task_group() as group:
         for name in soak_run.site.nodes:
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 from tests.soak import nodes
+from tests.soak import signals
 from tests.soak import stand_ins
 
 if typing.TYPE_CHECKING:
@@ -50,10 +51,9 @@
     """Stops a target, which goes on later."""
     process = (await _pick(injector)).process
     assert process is not None
-    process.send_signal(signal.SIGSTOP)
+    signals.send(process, signal.SIGSTOP)
     await anyio.sleep(fault.duration_s)
-    if process.returncode is None:
-        process.send_signal(signal.SIGCONT)
+    signals.send(process, signal.SIGCONT)
 
 
 async def _target_stop_reset(
@@ -67,12 +67,11 @@
     assert relay is not None
     assert process is not None
     relay.stall()
-    process.send_signal(signal.SIGSTOP)
+    signals.send(process, signal.SIGSTOP)
     await anyio.sleep(FULL_AFTER_S)
     relay.reset()
     await anyio.sleep(fault.duration_s)
-    if process.returncode is None:
-        process.send_signal(signal.SIGCONT)
+    signals.send(process, signal.SIGCONT)
     relay.resume()
 
 
@@ -161,12 +160,10 @@
         return
     node.end(signal.SIGTERM)
     await anyio.sleep(fault.strength * LATE_S)
-    if process.returncode is None:
-        process.send_signal(signal.SIGHUP)
+    signals.send(process, signal.SIGHUP)
     with anyio.move_on_after(nodes.GRACE_PERIOD_S + nodes.STOP_MARGIN_S):
         await process.wait()
-    if process.returncode is None:
-        process.kill()
+    signals.send(process, signal.SIGKILL)
 
 
 async def _reset_ports(injector: faults.Injector, fault: plans.Fault) -> None:
@@ -175,7 +172,7 @@
     process = node.process
     if process is None or process.returncode is not None:
         return
-    process.send_signal(signal.SIGSTOP)
+    signals.send(process, signal.SIGSTOP)
     with contextlib.ExitStack() as stack:
         for place in injector.site.places_of(node):
             for _ in range(RESETS_PER_PORT):
@@ -187,8 +184,7 @@
                 with contextlib.suppress(OSError):
                     opened.connect((place.host, place.port))
     await anyio.sleep(RESET_STOP_S)
-    if process.returncode is None:
-        process.send_signal(signal.SIGCONT)
+    signals.send(process, signal.SIGCONT)
 
 
 async def _odd_list(injector: faults.Injector, fault: plans.Fault) -> None:
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -23,6 +23,8 @@
 PROBE_TIMEOUT_S = 0.8
 MAX_FAILED_PROBES = 2
 DEADLINE_S = 3.0
+# Callers wait longer than they say, to read what is answered at the deadline.
+PATIENCE_S = 3.5
 # Fraction of requests that their callers abandon early.
 ABANDONED_FRACTION = 0.06
 TEMPORARY_KEY_FRACTION = 0.08
@@ -142,7 +144,7 @@
             return
         call, request = self._draw_request()
         self.history.calls[call.id] = call
-        timeout_s = DEADLINE_S
+        timeout_s = PATIENCE_S
         is_abandoned = self.random.random() < ABANDONED_FRACTION
         if is_abandoned:
             timeout_s = self.random.uniform(0.01, 0.15)
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -29,6 +29,8 @@
 # Requests that may wait beyond the slots; further ones are refused.
 QUEUE_LIMIT = 8
 MEAN_RUN_S = 0.03
+# Long enough that faults meet runs that must not be repeated.
+MEAN_WRITE_S = 0.25
 PREFILL_S = 0.05
 TOKEN_S = 0.02
 LOAD_S = 0.2
@@ -254,7 +256,10 @@
             *self._own_fields(),
         ]
         if request.find(headers.TOKENS) is None:
-            await anyio.sleep(self.random.expovariate(1 / MEAN_RUN_S))
+            mean_s = MEAN_RUN_S
+            if arrival.path.startswith(histories.WRITE_PATH):
+                mean_s = MEAN_WRITE_S
+            await anyio.sleep(self.random.expovariate(1 / mean_s))
             if fails:
                 raise exceptions.ConnectionEndedError("the answer is dropped")
             body = expected_body(arrival.request_id)
