--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -117,6 +117,20 @@
         return fields
 
 
+def _describe(node: TargetNode, journal: pathlib.Path) -> str:
+    """Returns the argument of the process of a target."""
+    arguments = {
+        "id": node.id,
+        "service": node.service,
+        "bound": str(node.bound),
+        "journal": str(journal.resolve()),
+        "seed": node.seed,
+        "born_ms": node.born_ms,
+        "weights": node.weights,
+    }
+    return json.dumps(arguments)
+
+
 @attrs.define
 class Fleet:
     """All targets of a run.
@@ -197,37 +211,33 @@
             self.history,
             node.weights,
         )
-        arguments = {
-            "id": node.id,
-            "service": node.service,
-            "bound": str(node.bound),
-            "journal": str(path.resolve()),
-            "seed": node.seed,
-            "born_ms": node.born_ms,
-            "weights": node.weights,
-        }
+        node.process = await self._open_process(node, path)
+        self.running.add(node)
+        self.group.start_soon(self._follow, node, node.process, node.reader)
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not node.reader.started and node.runs:
+                await anyio.sleep(READ_INTERVAL_S)
+        if node not in self.targets:
+            self.targets.append(node)
+            # Faults choose by the order, which a seed determines.
+            self.targets.sort(key=lambda target: target.id)
+
+    async def _open_process(
+        self, node: TargetNode, journal: pathlib.Path
+    ) -> anyio.abc.Process:
         with (self.folder / "targets.err").open("ab") as errors:
-            node.process = await anyio.open_process(
+            return await anyio.open_process(
                 [
                     sys.executable,
                     "-m",
                     "tests.soak.target_process",
-                    json.dumps(arguments),
+                    _describe(node, journal),
                 ],
                 stdin=subprocess.PIPE,
                 stdout=errors,
                 stderr=errors,
                 cwd=ROOT,
             )
-        self.running.add(node)
-        self.group.start_soon(self._follow, node, node.process, node.reader)
-        with anyio.fail_after(START_TIMEOUT_S):
-            while not node.reader.started and node.runs:
-                await anyio.sleep(READ_INTERVAL_S)
-        if node not in self.targets:
-            self.targets.append(node)
-            # Faults choose by the order, which a seed determines.
-            self.targets.sort(key=lambda target: target.id)
 
     async def _follow(
         self,
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -117,13 +117,20 @@
     # Drawn apart, so that the other faults of a seed stay as they were.
     if not planned_only:
         plan += _draw_process_faults(seed, registries, gateways, total_s)
+    plan += _draw_always(seed)
+    return sorted(plan, key=lambda fault: fault.start_s)
+
+
+def _draw_always(seed: int) -> list[Fault]:
+    """Returns the faults that every seed has."""
+    plan = []
     apart = random.Random(f"{seed}/{LIMIT}")
     start_s = apart.uniform(0, MAX_LIMIT_START_S)
     plan.append(Fault(LIMIT, "", start_s, LIMIT_S, apart.random()))
     apart = random.Random(f"{seed}/{EVACUATION}")
     start_s = apart.uniform(0, MAX_LIMIT_START_S)
     plan.append(Fault(EVACUATION, "", start_s, EVACUATION_S, 0.0))
-    return sorted(plan, key=lambda fault: fault.start_s)
+    return plan
 
 
 def _draw_process_faults(
