--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -172,7 +172,10 @@
     async def pick_target(
         self, *, is_relayed: bool | None = None, service: str = ""
     ) -> fleets.TargetNode:
-        """Returns a target that runs and does not leave."""
+        """Returns a target that runs and does not leave.
+
+        Of engines it is the busiest; others are drawn.
+        """
         while True:
             present = [
                 target
@@ -182,6 +185,9 @@
                 and is_relayed in (None, target.relay is not None)
                 and service in ("", target.service)
             ]
+            if present and service == stand_ins.ENGINE:
+                # Gateways send to few engines while there is room for all.
+                return max(present, key=lambda target: target.running)
             if present:
                 return self.random.choice(present)
             await anyio.sleep(0.05)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -76,6 +76,11 @@
         """Whether its process runs."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def running(self) -> int:
+        """Number of requests that it runs."""
+        return 0 if self.reader is None else self.reader.running
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
         if self.process is not None:
--- a/tests/soak/journals.py
+++ b/tests/soak/journals.py
@@ -84,6 +84,14 @@
     offset: int = 0
     arrivals: dict[int, histories.Arrival] = attrs.field(factory=dict)
 
+    @property
+    def running(self) -> int:
+        """Number of runs that have begun and not ended."""
+        return sum(
+            arrival.ran and arrival.ended_s is None
+            for arrival in self.arrivals.values()
+        )
+
     def read(self) -> None:
         """Reads the lines that are new."""
         with self.path.open("rb") as file:
