--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 from tests.soak import operators
 from tests.soak import plans
 from tests.soak import process_faults
+from tests.soak import signals
 from tests.soak import stand_ins
 
 
@@ -84,10 +85,9 @@
         process = self.site.nodes[fault.subject].process
         if process is None or process.returncode is not None:
             return
-        process.send_signal(signal.SIGSTOP)
+        signals.send(process, signal.SIGSTOP)
         await anyio.sleep(fault.duration_s)
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        signals.send(process, signal.SIGCONT)
 
     async def _terminate(self, fault: plans.Fault) -> None:
         await self.site.terminate(fault.subject)
@@ -172,7 +172,10 @@
     async def pick_target(
         self, *, is_relayed: bool | None = None, service: str = ""
     ) -> fleets.TargetNode:
-        """Returns a target that runs and does not leave."""
+        """Returns a target that runs and does not leave.
+
+        Of engines it is the busiest; others are drawn.
+        """
         while True:
             present = [
                 target
@@ -182,6 +185,9 @@
                 and is_relayed in (None, target.relay is not None)
                 and service in ("", target.service)
             ]
+            if present and service == stand_ins.ENGINE:
+                # Gateways send to few engines while there is room for all.
+                return max(present, key=lambda target: target.running)
             if present:
                 return self.random.choice(present)
             await anyio.sleep(0.05)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,6 +19,7 @@
 from tests.soak import journals
 from tests.soak import odd_entries
 from tests.soak import relay as relays
+from tests.soak import signals
 from tests.soak import stand_ins
 
 from cactusstile.http import messages
@@ -75,10 +76,15 @@
         """Whether its process runs."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def running(self) -> int:
+        """Number of requests that it runs."""
+        return 0 if self.reader is None else self.reader.running
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
-        if self.process is not None and self.runs:
-            self.process.send_signal(number)
+        if self.process is not None:
+            signals.send(self.process, number)
 
     def kill(self) -> None:
         """Ends the process at once."""
@@ -116,6 +122,20 @@
         return fields
 
 
+def _describe(node: TargetNode, journal: pathlib.Path) -> str:
+    """Returns the argument of the process of a target."""
+    arguments = {
+        "id": node.id,
+        "service": node.service,
+        "bound": str(node.bound),
+        "journal": str(journal.resolve()),
+        "seed": node.seed,
+        "born_ms": node.born_ms,
+        "weights": node.weights,
+    }
+    return json.dumps(arguments)
+
+
 @attrs.define
 class Fleet:
     """All targets of a run.
@@ -196,37 +216,33 @@
             self.history,
             node.weights,
         )
-        arguments = {
-            "id": node.id,
-            "service": node.service,
-            "bound": str(node.bound),
-            "journal": str(path.resolve()),
-            "seed": node.seed,
-            "born_ms": node.born_ms,
-            "weights": node.weights,
-        }
+        node.process = await self._open_process(node, path)
+        self.running.add(node)
+        self.group.start_soon(self._follow, node, node.process, node.reader)
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not node.reader.started and node.runs:
+                await anyio.sleep(READ_INTERVAL_S)
+        if node not in self.targets:
+            self.targets.append(node)
+            # Faults choose by the order, which a seed determines.
+            self.targets.sort(key=lambda target: target.id)
+
+    async def _open_process(
+        self, node: TargetNode, journal: pathlib.Path
+    ) -> anyio.abc.Process:
         with (self.folder / "targets.err").open("ab") as errors:
-            node.process = await anyio.open_process(
+            return await anyio.open_process(
                 [
                     sys.executable,
                     "-m",
                     "tests.soak.target_process",
-                    json.dumps(arguments),
+                    _describe(node, journal),
                 ],
                 stdin=subprocess.PIPE,
                 stdout=errors,
                 stderr=errors,
                 cwd=ROOT,
             )
-        self.running.add(node)
-        self.group.start_soon(self._follow, node, node.process, node.reader)
-        with anyio.fail_after(START_TIMEOUT_S):
-            while not node.reader.started and node.runs:
-                await anyio.sleep(READ_INTERVAL_S)
-        if node not in self.targets:
-            self.targets.append(node)
-            # Faults choose by the order, which a seed determines.
-            self.targets.sort(key=lambda target: target.id)
 
     async def _follow(
         self,
@@ -241,8 +257,7 @@
                 with anyio.move_on_after(READ_INTERVAL_S):
                     await process.wait()
         finally:
-            if process.returncode is None:
-                process.kill()
+            signals.send(process, signal.SIGKILL)
             self.running.discard(node)
         reader.close()
         if reader.killed_s is not None:
