Keep a registry's stop when its disk recovers during it

What operators would see: a registry that was told to stop while its disk refused access started its replica again, and ran on until it was killed.

Cause: while the redirector finished its calls after the signal, the wait for the disk could end; it cancelled the stop and the run went on, without the signal that was already taken. The class: a signal that is lost between two phases of a process.

Evidence: the test failed before ("assert not True").

Fix: once a signal came, the end of the wait changes nothing any more.

--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -142,8 +142,9 @@
     """Redirects operators to the leader until shutdown or until `wait` ends.
 
     Returns:
-      Whether `wait` ended.
+      Whether `wait` ended before a signal requested shutdown.
     """
+    is_stopping = False
     has_ended = False
     async with (
         redirector.open_redirector(settings) as opened,
@@ -151,7 +152,9 @@
     ):
 
         async def stop_at_signal() -> None:
+            nonlocal is_stopping
             number = await anext(received)
+            is_stopping = True
             logger.info("stopping", extra={"signal": int(number)})
             await opened.finish_calls()
             group.cancel_scope.cancel()
@@ -159,8 +162,9 @@
         group.start_soon(reload.watch, path, settings, opened.reload)
         group.start_soon(stop_at_signal)
         await wait()
-        has_ended = True
-        group.cancel_scope.cancel()
+        if not is_stopping:
+            has_ended = True
+            group.cancel_scope.cancel()
     return has_ended
 
 
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -15,6 +15,7 @@
 from cactusstile.http import exceptions
 from cactusstile.registry import daemon
 from cactusstile.registry import process
+from cactusstile.registry import redirector
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -72,3 +73,26 @@
         await anyio.sleep(READ_S / 3)
         stop.set()
     assert statuses == [503]
+
+
+async def test_disk_that_recovers_during_a_stop_starts_no_replica(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a signal to stop that is forgotten."""
+    finishing = anyio.Event()
+
+    async def finish_calls(_: redirector.Redirector) -> None:
+        finishing.set()
+        await anyio.sleep(READ_S)
+
+    monkeypatch.setattr(redirector.Redirector, "finish_calls", finish_calls)
+    settings = support.settings(tmp_path, HOST, HOST, support.FIRST_PORT, HOST)
+    stop = anyio.Event()
+    stop.set()
+    received: typing.Any = signal_at(stop)
+    path = tmp_path / "settings.ini"
+    with anyio.fail_after(5):
+        goes_on = await process._redirect(
+            settings, path, received, finishing.wait
+        )
+    assert not goes_on
