Continue no run elsewhere if its engine is not listed any more

What callers saw: a run that may happen only once went on at a second engine from its copy, while the first, which was leaving, still worked on it (TWICE).

Cause: whether a target leaves was read from its last known view. If no list was read while it was named leaving (a stopped gateway, a platform that is down), the next list lacks it, and it still counted as staying; its closed port then proved its end. The class: absence from a list is taken for an end.

Fix: only a listed target that doesn't leave can be proved to have ended. One that crashed stays listed for seconds, so runs still continue then.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -228,10 +228,18 @@
             observer.record_break(view.target.id, broken_s)
 
     async def _has_ended(self, view: target_view.TargetView) -> bool:
-        """Returns whether a target has ended; none that leaves counts."""
-        if self._is_leaving(view):
+        """Returns whether a target certainly works on no request any more.
+
+        One that is not listed may have left, and still finish its requests.
+        """
+        if not self._is_staying(view):
             return False
-        return await liveness.has_ended(view) and not self._is_leaving(view)
+        return await liveness.has_ended(view) and self._is_staying(view)
+
+    def _is_staying(self, view: target_view.TargetView) -> bool:
+        """Returns whether a target is listed and does not leave."""
+        is_listed = view.target.id in self.site.targets.by_id
+        return is_listed and not self._is_leaving(view)
 
     def _is_leaving(self, view: target_view.TargetView) -> bool:
         """Returns whether a target leaves, by any list since it was chosen.
--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -260,3 +260,29 @@
         data = await harness.ask(support.request(b"POST", FIELDS))
     assert b"id: 2\n" in data
     assert second.requests == []
+
+
+async def test_run_does_not_go_on_elsewhere_while_its_engine_is_unlisted() -> (
+    None
+):
+    """Guards against a second run if no list was read while it was leaving."""
+    harness: support.GatewayHarness
+
+    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        harness.site.replace_targets((second.target,), anyio.current_time())
+        script = raw_target.stream_events([1, 2], whole=False)
+        return await script(stream, request)
+
+    async with (
+        stalled_target.open_target(
+            leave, closes_port=True, id="a", weights=WEIGHTS
+        ) as first,
+        raw_target.open_target(
+            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
+        ) as second,
+        support.open_harness(configuration(), first, second) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        data = await harness.ask(support.request(b"POST", FIELDS))
+    assert b"id: 2\n" in data
+    assert second.requests == []
