--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import target_requests
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import exceptions
 from cactusstile.http import messages
@@ -29,8 +30,6 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses that guarantee to a caller that the request did not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# Header fields of a caller's request that are replaced or removed.
-_DROPPED_FIELDS = headers.SYSTEM_FIELDS | {b"content-length", b"expect"}
 _MISDIRECTED = 421
 _BAD_REQUEST = 400
 _SUCCESSES = range(200, 300)
@@ -197,8 +196,27 @@
     Raises:
       AttemptError: The attempt failed.
     """
+    connection = await _take_connection(pool, dispatch)
     try:
-        connection = await pool.take(
+        if not may_send():
+            raise AttemptError(
+                _WITHDRAWN, verdict.Verdict.NOT_RUN, was_sent=False
+            )
+        yield await _send(connection, admitted, dispatch, record_head)
+    finally:
+        pool.give_back(connection)
+
+
+async def _take_connection(
+    pool: targets.Pool, dispatch: Dispatch
+) -> targets.TargetConnection:
+    """Returns a connection to the target.
+
+    Raises:
+      AttemptError: The target is unreachable.
+    """
+    try:
+        return await pool.take(
             dispatch.target.address,
             CONNECT_TIMEOUT_S,
             may_reuse=not dispatch.is_return,
@@ -207,14 +225,6 @@
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
         ) from error
-    try:
-        if not may_send():
-            raise AttemptError(
-                _WITHDRAWN, verdict.Verdict.NOT_RUN, was_sent=False
-            )
-        yield await _send(connection, admitted, dispatch, record_head)
-    finally:
-        pool.give_back(connection)
 
 
 async def _send(
@@ -228,7 +238,7 @@
     Raises:
       AttemptError: The attempt failed.
     """
-    request = build_request(admitted, dispatch)
+    request = target_requests.build(admitted, dispatch)
     bytes_before = connection.socket.bytes_sent
     try:
         with anyio.CancelScope(deadline=dispatch.begin_by_s):
@@ -250,65 +260,6 @@
     return AttemptError(reason, outcome, was_sent=was_sent)
 
 
-def build_request(
-    admitted: admission.AdmittedRequest, dispatch: Dispatch
-) -> messages.Request:
-    """Returns the request in the form that the target receives."""
-    request = admitted.request
-    dropped = _DROPPED_FIELDS
-    if dispatch.last_event_id is not None:
-        dropped |= {headers.LAST_EVENT_ID}
-    fields = messages.end_to_end(request.headers, dropped)
-    deadline_s = min(admitted.caller_deadline_s, admitted.answer_deadline_s)
-    remaining_ms = max(1, int((deadline_s - anyio.current_time()) * 1000))
-    fields.append((headers.DEADLINE_MS, b"%d" % remaining_ms))
-    fields.append((headers.EXPECTED_TARGET, dispatch.target.id.encode()))
-    if dispatch.last_event_id is not None:
-        last = b"%d" % dispatch.last_event_id
-        fields.append((headers.LAST_EVENT_ID, last))
-    if admitted.workspace is not None:
-        fields.append((headers.WORKSPACE, admitted.workspace.name.encode()))
-    if admitted.prompt.model:
-        fields.append((headers.PRIORITY, b"%d" % admitted.engine_priority))
-        fields.extend(_cache_fields(dispatch))
-        fields.extend(_copy_fields(dispatch, admitted.id))
-    return attrs.evolve(request, headers=tuple(fields))
-
-
-def _cache_fields(dispatch: Dispatch) -> list[tuple[bytes, bytes]]:
-    """Returns the header fields about an engine's KV cache."""
-    fields = [(headers.CACHE_SALT, dispatch.salt.encode())]
-    if dispatch.weights is not None:
-        fields.append((headers.EXPECTED_WEIGHTS, b"%d" % dispatch.weights))
-    plan = dispatch.transfers
-    if any(plan.fetches):
-        sources = [
-            "-" if fetch is None else f"{fetch.address}/{fetch.tokens}"
-            for fetch in plan.fetches
-        ]
-        fields.append((headers.KV_FETCH, ",".join(sources).encode()))
-        if plan.until_ms is not None:
-            until_ms = b"%d" % int(plan.until_ms)
-            fields.append((headers.KV_FETCH_UNTIL, until_ms))
-    if any(plan.saves):
-        stores = ",".join(store or "-" for store in plan.saves)
-        fields.append((headers.KV_SAVE, stores.encode()))
-    return fields
-
-
-def _copy_fields(
-    dispatch: Dispatch, request_id: str
-) -> list[tuple[bytes, bytes]]:
-    """Returns the header fields about a run's copy."""
-    fields = []
-    if dispatch.copy_to is not None:
-        fields.append((headers.KV_BACKUP, str(dispatch.copy_to).encode()))
-    if dispatch.from_copy:
-        copy = f"{dispatch.target.address}/{request_id}"
-        fields.append((headers.KV_FROM, copy.encode()))
-    return fields
-
-
 async def _exchange(
     connection: targets.TargetConnection,
     request: messages.Request,
@@ -325,12 +276,9 @@
     head = await connection.ask(
         request, _make_matcher(admitted.id, record_head)
     )
-    kind = head.find(b"content-type") or ""
     is_sealed = head.find(headers.SEAL) is not None
     is_plain = head.find(b"content-encoding") is None
-    is_stream = kind.startswith(headers.EVENT_STREAM)
-    is_success = head.status in _SUCCESSES
-    if is_stream and is_success and is_sealed and is_plain:
+    if _is_event_stream(head) and is_sealed and is_plain:
         return OpenStream(head, connection)
     answer = Answer(head, await connection.read_full_body(MAX_ANSWER_BYTES))
     if head.status == _MISDIRECTED or _is_marked_not_run(head):
@@ -352,6 +300,12 @@
     return answer
 
 
+def _is_event_stream(head: messages.ResponseHead) -> bool:
+    kind = head.find(b"content-type") or ""
+    is_success = head.status in _SUCCESSES
+    return is_success and kind.startswith(headers.EVENT_STREAM)
+
+
 def _make_matcher(
     request_id: str, record_head: RecordHead
 ) -> targets.ResponseMatcher:
