Decode packed messages so that a missing segment cannot abort the process

A gateway that is broken or of another version could send them; without the secret nobody can.

Cause: Cap'n Proto reads all segments of a packed message but the first one late, the rest in a destructor, where its exception can't be caught. Class: a library's check that comes after the call.

Change: behind a packed message stand zero bytes for as many words as one may have, so that no read meets the end. A missing segment reads as zeros.

Evidence: test_packed_message_without_its_last_segment_ends_the_process failed before ('assert -6 == 0') and passes.

--- a/src/cactusstile/transport/codec.py
+++ b/src/cactusstile/transport/codec.py
@@ -31,6 +31,10 @@
 _MAX_NESTING = 16
 # Packed messages are small, but may claim to unpack to any size.
 _MAX_PACKED_WORDS = 1 << 16
+# The library reads all but the first segment late, where a missing one ends the
+# process. Behind a message there is always enough that unpacks to zero words,
+# two bytes for each, even if the last bytes are taken for a run of 255 words.
+_PACKED_END = bytes(2 * _MAX_PACKED_WORDS + 256 * _WORD_BYTES)
 _MALFORMED = (capnp.KjException, ValueError, OverflowError, MemoryError)
 _SCALARS = (bool, int, float, str, bytes)
 
@@ -144,7 +148,7 @@
     codec = _find(number)
     try:
         reader = codec.struct.from_bytes_packed(
-            data,
+            data + _PACKED_END,
             traversal_limit_in_words=_MAX_PACKED_WORDS,
             nesting_limit=_MAX_NESTING,
         )
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -1,9 +1,14 @@
 from __future__ import annotations
 
+import contextlib
+import subprocess
+import sys
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
+from cactusstile.sites import stream_messages
 from cactusstile.transport import codec
 from cactusstile.transport import exceptions
 from cactusstile.transport import frame
@@ -54,3 +59,36 @@
 def test_frame_encode_rejects_oversized_payload() -> None:
     with pytest.raises(exceptions.ProtocolError):
         frame.encode(frame.Kind.CALL, 1, 1, bytes(frame.MAX_PAYLOAD_BYTES + 1))
+
+
+TORN = bytes.fromhex(
+    "11010601054002110562110912ff3132372e302e302e0007313a350173"
+)
+
+
+def test_packed_message_without_its_last_segment_ends_the_process() -> None:
+    """Guards against an exception in a destructor, which no one can catch."""
+    program = (
+        "import sys\n"
+        "from cactusstile.sites import stream_messages\n"
+        "from cactusstile.transport import codec\n"
+        "number = codec.number_of(stream_messages.FindStream)\n"
+        "codec.decode_packed(number, bytes.fromhex(sys.argv[1]))\n"
+    )
+    done = subprocess.run(  # noqa: S603
+        [sys.executable, "-c", program, TORN.hex()], check=False
+    )
+    assert done.returncode == 0
+
+
+@hypothesis.given(strategies.data(), strategies.integers(1, 9))
+def test_strange_packed_bytes_raise_another_error(
+    data: strategies.DataObject, count: int
+) -> None:
+    strange = bytearray(TORN)
+    for _ in range(count):
+        place = data.draw(strategies.integers(0, len(TORN) - 1))
+        strange[place] = data.draw(strategies.integers(0, 255))
+    number = codec.number_of(stream_messages.FindStream)
+    with contextlib.suppress(exceptions.ProtocolError):
+        codec.decode_packed(number, bytes(strange))
