--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -11,6 +11,7 @@
 
 from cactusstile import guards
 from cactusstile.consensus import core
+from cactusstile.consensus import driver
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
 from cactusstile.control import sender
@@ -81,22 +82,30 @@
             await connection.closed.wait()
 
 
+@pytest.mark.parametrize("part", ["receive", "tick"])
 async def test_contained_fault_of_a_replica_leaves_it_running(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, part: str
 ) -> None:
     """Guards against durable state that half of a message was applied to."""
     group = replicas.Group(tmp_path, typing.cast("typing.Any", None))
     machine = replicas.ListMachine()
     hello = consensus_messages.Hello("", "b", 1, "b")
-    monkeypatch.setattr(core, "receive", fail)
+    effect: typing.Any = None
 
     async def run() -> None:
         async with replica.open_replica(
             group.settings("a"), machine, lambda *_: None
         ) as opened:
             opened.receive("b", hello)
+            if part == "receive":
+                monkeypatch.setattr(core, "receive", fail)
+            else:
+                # An effect of a tick that a call of an operator causes.
+                monkeypatch.setattr(driver.Driver, "_execute", fail)
             with guards.Guard("connection").contain():
-                opened.receive("b", typing.cast("typing.Any", None))
+                if part == "receive":
+                    opened.receive("b", effect)
+                opened.driver._dispatch([effect])
             await anyio.sleep_forever()
 
     with anyio.fail_after(5), pytest.raises(ExceptionGroup):
