Bound the memory for large answers that wait for their callers

What would be seen: a gateway is ended by the limit on its memory while callers read large answers slowly, or targets send many of them at once.

Cause: each answer was read to its end, up to 8 MB, however many of them the process held already; only the bodies of requests were bounded. Class: memory that no limit of the process bounds.

Why this works: an answer above 64 KB takes its whole size from a tenth of the memory of the process before more of it is read, in order of arrival, and gives it back once it is relayed or its request ends. As it takes once, no two wait for each other; the time of the route ends a wait.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -50,6 +50,8 @@
 PLATFORM_POLL_INTERVAL_S = 1.0
 # Fraction of the process's memory that request bodies may occupy.
 BODY_MEMORY_FRACTION = 0.15
+# Fraction that large answers may occupy; each is copied once while it is sent.
+ANSWER_MEMORY_FRACTION = 0.1
 _BYTES_PER_MB = 1 << 20
 
 
@@ -119,6 +121,9 @@
         site, pool, budget, record_request, settings.weights_s
     )
     memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_FRACTION
+    forwarder.sender.answers.limit_bytes = int(
+        settings.memory_mb * _BYTES_PER_MB * ANSWER_MEMORY_FRACTION
+    )
     serving = callers.Serving(
         forwarder.handle,
         site.caller_limits,
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from cactusstile import verdict
 from cactusstile.gateway import admission
+from cactusstile.gateway import answer_memory
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import exceptions
 from cactusstile.http import messages
@@ -24,8 +25,6 @@
     MaySend = collections.abc.Callable[[], bool]
     RecordHead = collections.abc.Callable[[messages.ResponseHead], None]
 
-# Limit of an answer that is buffered completely before it is relayed.
-MAX_ANSWER_BYTES = 8 << 20
 CONNECT_TIMEOUT_S = 0.3
 # Statuses that guarantee to a caller that the request did not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -174,6 +173,8 @@
     dispatch: Dispatch,
     may_send: MaySend,
     record_head: RecordHead,
+    *,
+    holding: answer_memory.Holding,
 ) -> collections.abc.AsyncIterator[Answer | OpenStream]:
     """Sends a request to a target; leaving the context ends the attempt.
 
@@ -184,10 +185,9 @@
       pool: Connections to targets.
       admitted: The request.
       dispatch: Target and parameters of the attempt.
-      may_send: Returns whether the target still accepts the request; called
-        right before it is sent.
-      record_head: Called with the head of each answer, also of late answers to
-        other requests.
+      may_send: Called right before the request is sent; may refuse it.
+      record_head: Called with the head of each answer, also of late ones.
+      holding: Memory for a large answer.
 
     Raises:
       AttemptError: The attempt failed.
@@ -203,7 +203,7 @@
             raise AttemptError(
                 _WITHDRAWN, verdict.Verdict.NOT_RUN, was_sent=False
             )
-        yield await _send(connection, admitted, dispatch, record_head)
+        yield await _send(connection, admitted, dispatch, record_head, holding)
     finally:
         pool.give_back(connection)
 
@@ -213,6 +213,7 @@
     admitted: admission.AdmittedRequest,
     dispatch: Dispatch,
     record_head: RecordHead,
+    holding: answer_memory.Holding,
 ) -> Answer | OpenStream:
     """Sends a request and returns its answer; see `_exchange`.
 
@@ -223,7 +224,9 @@
     bytes_before = connection.socket.bytes_sent
     try:
         with anyio.CancelScope(deadline=dispatch.begin_by_s):
-            return await _exchange(connection, request, admitted, record_head)
+            return await _exchange(
+                connection, request, admitted, record_head, holding
+            )
     except exceptions.HttpError as error:
         was_sent = connection.socket.bytes_sent > bytes_before
         raise _make_error(error, was_sent=was_sent) from error
@@ -305,6 +308,7 @@
     request: messages.Request,
     admitted: admission.AdmittedRequest,
     record_head: RecordHead,
+    holding: answer_memory.Holding,
 ) -> Answer | OpenStream:
     """Returns the answer, verified as complete and for this request.
 
@@ -321,7 +325,7 @@
     is_plain = head.find(b"content-encoding") is None
     if kind.startswith(headers.EVENT_STREAM) and is_sealed and is_plain:
         return OpenStream(head, connection)
-    answer = Answer(head, await connection.read_full_body(MAX_ANSWER_BYTES))
+    answer = Answer(head, await holding.read_body(connection, head))
     if head.status == _MISDIRECTED or _is_marked_not_run(head):
         raise AttemptError(
             f"rejected_{head.status}", verdict.Verdict.NOT_RUN, answer=answer
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -8,6 +8,7 @@
 import anyio
 
 from cactusstile.gateway import admission
+from cactusstile.gateway import answer_memory
 from cactusstile.gateway import dispatching
 from cactusstile.gateway import exchange
 from cactusstile.gateway import records
@@ -44,6 +45,7 @@
       times: When refused callers may return; learns of runs that end.
       quarantine: Requests that must not be sent to targets.
       pace: Estimated duration of streams.
+      answers: Limit on the large answers that are held; none by default.
       announce_prompt: Announces to other gateways that an engine was sent a
         prompt; called with the engine's id, the salt and the prompt.
       announce_fetch: Announces to other gateways how long a fetch took.
@@ -64,6 +66,7 @@
         self.times = times
         self.quarantine = quarantine
         self.pace = stream_pace.StreamPace()
+        self.answers = answer_memory.AnswerMemory()
         self.announce_prompt: AnnouncePrompt = lambda *_: None
         self.announce_fetch: AnnounceFetch = lambda _: None
         self.announce_limit: AnnounceLimit = lambda _: None
@@ -80,6 +83,24 @@
         """Sends a request to one target and relays its answer."""
         if not attempts.resuming:
             attempts.backup = self.dispatcher.choose_backup(admitted, view)
+        with self.answers.hold() as holding:
+            opened = await self._attempt(
+                admitted, view, relay, attempts, record, holding=holding
+            )
+            if isinstance(opened, exchange.Answer):
+                await self._relay_answer(opened, relay)
+
+    async def _attempt(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        relay: streams.StreamRelay,
+        attempts: retries.Attempts,
+        record: records.RequestRecord,
+        *,
+        holding: answer_memory.Holding,
+    ) -> exchange.Answer | exchange.OpenStream:
+        """Returns the answer of one attempt; a stream is already relayed."""
         dispatch = self.dispatcher.prepare(admitted, view, relay, attempts)
         work = self.dispatcher.estimate_work(admitted, view, dispatch)
         self._describe(admitted, work, dispatch, record)
@@ -88,10 +109,11 @@
         try:
             async with (
                 self._count_work(view, work, attempts.backup),
-                self._open_attempt(admitted, view, dispatch, record) as opened,
+                self._open_attempt(
+                    admitted, view, dispatch, record, holding
+                ) as opened,
             ):
-                load = loads.find(opened.head)
-                view.record_load(load, anyio.current_time())
+                view.record_load(loads.find(opened.head), anyio.current_time())
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
                     self._record_first_event(admitted, dispatch, work)
@@ -106,8 +128,7 @@
             raise
         finally:
             record.set_events(relay.events - before, relay.longest_gap_s)
-        if isinstance(opened, exchange.Answer):
-            await self._relay_answer(opened, relay)
+        return opened
 
     def _announce(
         self,
@@ -127,6 +148,7 @@
         view: target_view.TargetView,
         dispatch: exchange.Dispatch,
         record: records.RequestRecord,
+        holding: answer_memory.Holding,
     ) -> contextlib.AbstractAsyncContextManager[
         exchange.Answer | exchange.OpenStream
     ]:
@@ -152,7 +174,12 @@
             return True
 
         return exchange.open_attempt(
-            self.pool, admitted, dispatch, may_send, record_head
+            self.pool,
+            admitted,
+            dispatch,
+            may_send,
+            record_head,
+            holding=holding,
         )
 
     def _describe(
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -19,8 +19,11 @@
     import collections.abc
 
     ResponseMatcher = collections.abc.Callable[[messages.ResponseHead], bool]
+    Reserve = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 MAX_HEAD_BYTES = 64 << 10
+# Bodies up to this size are read without a reservation of memory.
+UNRESERVED_BYTES = 64 << 10
 # Interim (1xx) responses that may precede a response.
 MAX_INTERIM_RESPONSES = 16
 # Bytes of responses to earlier requests that may precede a response.
@@ -153,9 +156,16 @@
             return None
         raise exceptions.ConnectionEndedError("closed by the target")
 
-    async def read_full_body(self, limit_bytes: int) -> bytes:
+    async def read_full_body(
+        self, limit_bytes: int, reserve: Reserve | None = None
+    ) -> bytes:
         """Returns the complete body; see `read_body`.
 
+        Args:
+          limit_bytes: Maximum size of the body.
+          reserve: Called once if the body exceeds `UNRESERVED_BYTES`, before
+            more of it is read.
+
         Raises:
           MalformedError: The body exceeds `limit_bytes` or `MAX_BODY_PARTS`.
         """
@@ -167,6 +177,9 @@
             body += part
             if len(body) > limit_bytes:
                 raise exceptions.MalformedError("response body is too large")
+            if reserve is not None and len(body) > UNRESERVED_BYTES:
+                await reserve()
+                reserve = None
         raise exceptions.MalformedError("response body has too many parts")
 
     def finish(self) -> bool:
