Hold the body of a large request once while it is received and sent

What would be seen: a gateway of 150 MB is ended by the limit on its memory while large bodies arrive, although they stay within their share of it.

Cause: the share counts each body once; while it was received and sent it lay in memory as parts, as a whole and once more behind the head. Class: a bound that counts less than what is used.

Why this works: a body grows in place and is passed to the socket as it is, head and body one after the other.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -259,25 +259,24 @@
         declared = dict(head.headers).get(b"content-length", b"0")
         if int(declared) > self.limits.max_body_bytes:
             raise exceptions.MalformedError("the body is too large", 413)
-        parts = []
-        size = 0
+        body = bytearray()
         idle_s = self.limits.idle_timeout_s
         begun_s = anyio.current_time()
         while True:
             now_s = anyio.current_time()
-            due_s = begun_s + idle_s + size / MIN_BODY_BYTES_PER_S
+            due_s = begun_s + idle_s + len(body) / MIN_BODY_BYTES_PER_S
             with anyio.fail_after(min(idle_s, due_s - now_s)):
                 event = await self._next_event()
             if not isinstance(event, h11.Data):
                 break
-            size += len(event.data)
+            size = len(body) + len(event.data)
             if size > self.limits.max_body_bytes:
                 raise exceptions.MalformedError("the body is too large", 413)
             if not self.serving.memory.take(len(event.data)):
                 raise exceptions.MalformedError("bodies fill the memory", 503)
             self.reserved_bytes += len(event.data)
-            parts.append(bytes(event.data))
-        return b"".join(parts)
+            body += event.data
+        return bytes(body)
 
     async def _next_event(self) -> object:
         """Returns the next h11 event of a request.
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -79,15 +79,15 @@
           ConnectionEndedError: The target closed or reset the connection.
           MalformedError: The target sent an invalid response.
         """
-        data = self._start(request)
-        if len(data) <= sockets.RECEIVE_BYTES:
-            await self.socket.send(data)
+        parts = self._start(request)
+        if sum(map(len, parts)) <= sockets.RECEIVE_BYTES:
+            await self.socket.send(b"".join(parts))
             return await self._read_head(is_match)
         # Raised after the task group exits, which would wrap it in a group.
         failure: exceptions.HttpError | None = None
         async with anyio.create_task_group() as group:
             self._closing = True
-            group.start_soon(self._send_long, data)
+            group.start_soon(self._send_long, parts)
             try:
                 head = await self._read_head(is_match)
             except exceptions.HttpError as error:
@@ -97,14 +97,15 @@
             raise failure
         return head
 
-    async def _send_long(self, data: bytes) -> None:
+    async def _send_long(self, parts: list[bytes]) -> None:
         """Sends a long request; reading the response reports a failure."""
         with contextlib.suppress(exceptions.ConnectionEndedError):
-            await self.socket.send(data)
+            for part in parts:
+                await self.socket.send(part)
             self._closing = False
 
-    def _start(self, request: messages.Request) -> bytes:
-        """Starts a request cycle and returns the bytes of the request."""
+    def _start(self, request: messages.Request) -> list[bytes]:
+        """Starts a request cycle; returns the request without a copy."""
         self._received_bytes = 0
         headers = list(request.headers)
         if request.body or request.method in _METHODS_WITH_BODY:
@@ -113,11 +114,12 @@
         self._event = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
-        data = self._protocol.send(self._event) or b""
+        parts = [self._protocol.send(self._event) or b""]
         if request.body:
             body = h11.Data(data=request.body)
-            data += self._protocol.send(body) or b""
-        return data + (self._protocol.send(h11.EndOfMessage()) or b"")
+            parts.append(self._protocol.send(body) or b"")
+        parts.append(self._protocol.send(h11.EndOfMessage()) or b"")
+        return parts
 
     async def _read_head(
         self, is_match: ResponseMatcher
--- a/tests/processes/test_memory.py
+++ b/tests/processes/test_memory.py
@@ -122,3 +122,28 @@
         await anyio.sleep(3)
         assert site.processes["g-1"].returncode is None
         assert peak_mb(site, "g-1") < MEMORY_MB
+
+
+async def test_large_bodies_at_once_stay_within_the_memory(
+    site: node_site.NodeSite,
+) -> None:
+    answers = [raw_target.answer()] * (1 + 3 * CALLERS)
+    opened = raw_target.open_target(*answers, service="s", id="t")
+
+    async def send(identity: str) -> None:
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.EndOfStream, OSError
+        ):
+            address = (site.gateway_host, site.port + FRONT)
+            async with await anyio.connect_tcp(*address) as stream:
+                await stream.send(request(identity, bytes(LARGE_BYTES)))
+                await stream.receive()
+
+    async with opened as target:
+        await start_with_gateway(site, target)
+        for _ in range(3):
+            async with anyio.create_task_group() as group:
+                for _ in range(CALLERS):
+                    group.start_soon(send, secrets.token_hex(8))
+        assert site.processes["g-1"].returncode is None
+        assert peak_mb(site, "g-1") < MEMORY_MB
