--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -71,7 +71,7 @@
     """
     with signals.receive() as received:
         if settings.data_folder is None:
-            logger.info("no data folder; operators are redirected")
+            logger.info("started without a disk; operators are redirected")
             await _redirect(settings, path, received, anyio.sleep_forever)
         else:
             await _run_replica(settings, path, received)
