--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -198,11 +198,8 @@
       AttemptError: The attempt failed.
     """
     try:
-        connection = await pool.take(
-            dispatch.target.address,
-            CONNECT_TIMEOUT_S,
-            may_reuse=not dispatch.is_return,
-        )
+        connect = pool.open if dispatch.is_return else pool.take
+        connection = await connect(dispatch.target.address, CONNECT_TIMEOUT_S)
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -278,29 +278,30 @@
     opened: int = 0
 
     async def take(
-        self,
-        target: address.Address,
-        connect_timeout_s: float,
-        *,
-        may_reuse: bool = True,
+        self, target: address.Address, connect_timeout_s: float
     ) -> TargetConnection:
         """Returns an idle connection, or a new one if there is none.
 
-        Args:
-          target: Address of the target.
-          connect_timeout_s: Time in which a new connection must open.
-          may_reuse: Whether the connection may have been used before.
-
         Raises:
           UnreachableError: No connection could be opened; nothing was sent.
         """
         waiting = self.idle.get(target, [])
-        while waiting and may_reuse:
+        while waiting:
             found = waiting.pop()
             is_fresh = anyio.current_time() < found.expires_s
             if is_fresh and not found.socket.has_input():
                 return found
             found.close()
+        return await self.open(target, connect_timeout_s)
+
+    async def open(
+        self, target: address.Address, connect_timeout_s: float
+    ) -> TargetConnection:
+        """Returns a new connection, which carried no request before.
+
+        Raises:
+          UnreachableError: No connection could be opened; nothing was sent.
+        """
         self.opened += 1
         opened = await sockets.connect(target, connect_timeout_s)
         return TargetConnection(target, opened)
