--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -216,11 +216,8 @@
       AttemptError: The target is unreachable.
     """
     try:
-        return await pool.take(
-            dispatch.target.address,
-            CONNECT_TIMEOUT_S,
-            may_reuse=not dispatch.is_return,
-        )
+        connect = pool.open if dispatch.is_return else pool.take
+        return await connect(dispatch.target.address, CONNECT_TIMEOUT_S)
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
