--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -217,10 +217,11 @@
                     node.restart = None
         code = await process.wait()
         now_s = anyio.current_time()
-        expected = node.signalled_s is not None or node.tolerated_faults > 0
+        # A process with a full disk may end itself, and by no signal.
+        is_tolerated = node.tolerated_faults > 0 and code >= 0
+        expected = node.signalled_s is not None or is_tolerated
         took_s = now_s - (node.signalled_s or now_s)
-        # A process with a full disk may end by any code at any time.
-        number = 0 if node.tolerated_faults else node.end_signal
+        number = 0 if is_tolerated else node.end_signal
         self.history.ends.append(
             histories.ProcessEnd(
                 node.name,
