Let a replica do nothing more once it met a fault

What others could see: a replica whose handling of a message broke off went on handling messages, and answered from state of which a part (a vote, a term, an entry) was never passed to its disk, until its writes were done; beside load or a slow disk that is seconds. Two leaders of a term, or a lost configuration, could follow.

Cause: guards contain the fault in the connection's task now, and the replica notes it for its writing task; only that task's wait for work looked at the note. The class: an exception is contained that has to end something at once.

Evidence: found by reading; the test failed before: a message after the fault reached the core ("Left contains one more item").

Fix: after a fault messages, effects, proposals and reads are refused at once, and no further batch is written or sent.

--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -86,7 +86,7 @@
 
     def serves(self) -> bool:
         """Returns whether proposals and reads are accepted at present."""
-        if self.stopped:
+        if self.stopped or self.writer.failure:
             return False
         self._dispatch(core.tick(self.state, self.clock()))
         return leadership.serves(self.state)
@@ -133,7 +133,7 @@
 
     def receive(self, sender: str, message: messages.Message) -> None:
         """Handles a message received from the address `sender`."""
-        if self.stopped:
+        if self.stopped or self.writer.failure:
             return
         if isinstance(message, messages.Hello):
             self._receive_hello(message)
@@ -303,7 +303,7 @@
         effects of that reply are queued until the earlier ones are executed.
         """
         self.effects.extend(new_effects)
-        if self.dispatching:
+        if self.dispatching or self.writer.failure:
             return
         self.dispatching = True
         try:
--- a/src/cactusstile/consensus/writer.py
+++ b/src/cactusstile/consensus/writer.py
@@ -111,12 +111,20 @@
           Exception: The fault of an earlier `fail`.
         """
         await self.work_available.wait()
+        self._raise_failure()
+        self.work_available = anyio.Event()
+
+    def _raise_failure(self) -> None:
         if self.failure is not None:
             raise self.failure
-        self.work_available = anyio.Event()
 
     async def write_next(self) -> Batch | None:
-        """Makes the oldest batch durable and returns it; None without one."""
+        """Makes the oldest batch durable and returns it; None without one.
+
+        Raises:
+          Exception: The fault of an earlier `fail`.
+        """
+        self._raise_failure()
         if not self.pending:
             return None
         batch = self.pending.pop(0)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,8 +12,10 @@
 from cactusstile import guards
 from cactusstile.consensus import core
 from cactusstile.consensus import driver
+from cactusstile.consensus import effects
 from cactusstile.consensus import messages as consensus_messages
 from cactusstile.consensus import replica
+from cactusstile.consensus import writer as writers
 from cactusstile.control import sender
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import site_view
@@ -112,6 +114,45 @@
         await run()
 
 
+async def test_replica_goes_on_after_a_fault_until_all_writes_are_done(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against answers that state of which a part is missing gives."""
+    group = replicas.Group(tmp_path, typing.cast("typing.Any", None))
+    message = typing.cast("typing.Any", None)
+    gate = anyio.Event()
+    handled: list[object] = []
+    written: list[object] = []
+
+    async def write(_: object, __: object, writes: object) -> None:
+        await gate.wait()
+        written.append(writes)
+
+    async def run() -> None:
+        async with replica.open_replica(
+            group.settings("a"), replicas.ListMachine(), lambda *_: None
+        ) as opened:
+            writer = opened.driver.writer
+            monkeypatch.setattr(writers.Writer, "run", write)
+            writer.add_write(effects.SaveMetadata("", 1, ""))
+            await anyio.wait_all_tasks_blocked()
+            monkeypatch.setattr(core, "receive", fail)
+            with guards.Guard("connection").contain():
+                opened.receive("b", message)
+            monkeypatch.setattr(core, "receive", lambda *_: handled.append(_))
+            with guards.Guard("connection").contain():
+                opened.receive("b", message)
+            writer.add_write(effects.SaveMetadata("", 2, ""))
+            gate.set()
+            await anyio.sleep_forever()
+
+    with anyio.fail_after(5), pytest.raises(ExceptionGroup) as raised:
+        await run()
+    assert raised.group_contains(RuntimeError, match="a fault")
+    assert handled == []
+    assert len(written) == 1
+
+
 async def test_address_that_cannot_be_parsed_ends_a_process() -> None:
     """Guards against faults outside the loops that follow a leader."""
     unused: typing.Any = None
