--- a/src/cactusstile/gateway/quarantine/broken_attempts.py
+++ b/src/cactusstile/gateway/quarantine/broken_attempts.py
@@ -1,7 +1,8 @@
-"""Attempts that broke off while their target's address accepted connections.
+"""Attempts that broke off at targets that have not certainly ended.
 
 A target that restarts within milliseconds, or whose address is that of a relay,
-looks alive right after its end. The platform's list tells it later.
+looks alive right after its end, and one whose VM is lost is only silent. The
+platform's list tells it later.
 """
 
 from __future__ import annotations
