--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -174,7 +174,10 @@
     try:
         await _serve_replica(settings, path, received, outcome)
     except* exceptions.StorageUnavailableError as group:
-        outcome.failure = str(group.exceptions[0])
+        error: BaseException = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        outcome.failure = str(error)
     return outcome
 
 
--- a/tests/processes/test_faulty_disk.py
+++ b/tests/processes/test_faulty_disk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import os
 import pathlib
@@ -177,6 +178,8 @@
     await registries.replace(5)
     await registries.wait_until_synced(faulty, 5)
     registries.assert_running()
+    log = "\n".join(registries.site.log(faulty))
+    assert f"could not be written ([Errno {getattr(errno, fault)}]" in log
 
 
 @pytest.mark.parametrize("at_leader", [True, False])
