--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -322,12 +322,9 @@
     head = await connection.ask(
         request, _make_matcher(admitted.id, record_head)
     )
-    kind = head.find(b"content-type") or ""
     is_sealed = head.find(headers.SEAL) is not None
     is_plain = head.find(b"content-encoding") is None
-    is_stream = kind.startswith(headers.EVENT_STREAM)
-    is_success = head.status in _SUCCESSES
-    if is_stream and is_success and is_sealed and is_plain:
+    if _is_stream(head) and is_sealed and is_plain:
         return OpenStream(head, connection)
     answer = Answer(head, await connection.read_full_body(MAX_ANSWER_BYTES))
     if head.status == _MISDIRECTED or _is_marked_not_run(head):
@@ -349,6 +346,12 @@
     return answer
 
 
+def _is_stream(head: messages.ResponseHead) -> bool:
+    """Returns whether an answer is a stream of events and no failure."""
+    kind = head.find(b"content-type") or ""
+    return kind.startswith(headers.EVENT_STREAM) and head.status in _SUCCESSES
+
+
 def _make_matcher(
     request_id: str, record_head: RecordHead
 ) -> targets.ResponseMatcher:
--- a/tests/support/verdict_site.py
+++ b/tests/support/verdict_site.py
@@ -26,7 +26,7 @@
     os.environ.get("VERDICTS_ROOT", pathlib.Path(__file__).parents[2])
 )
 GATEWAYS = 3
-SLOTS = 8
+SLOTS = 4
 # So many that no run is lost for want of them.
 RETRY_SLACK = "3000"
 BACKLOG = 3
@@ -262,12 +262,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Responds to reads of the list on one connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, asyncio.IncompleteReadError),
+        ):
             while await reader.readuntil(b"\r\n\r\n"):
                 body = json.dumps({"instances": self.entries(), "next": None})
                 head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write((head + body).encode())
-        writer.close()
 
     async def ask(
         self, number: int, offset: int, head: str, body: bytes = b""
