--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -279,7 +279,7 @@
     )
     is_sealed = head.find(headers.SEAL) is not None
     is_plain = head.find(b"content-encoding") is None
-    if _is_event_stream(head) and is_sealed and is_plain:
+    if _is_stream(head) and is_sealed and is_plain:
         return OpenStream(head, connection)
     answer = Answer(head, await holding.read_body(connection, head))
     if head.status == _MISDIRECTED or _is_marked_not_run(head):
@@ -301,10 +301,10 @@
     return answer
 
 
-def _is_event_stream(head: messages.ResponseHead) -> bool:
+def _is_stream(head: messages.ResponseHead) -> bool:
+    """Returns whether an answer is a stream of events and no failure."""
     kind = head.find(b"content-type") or ""
-    is_success = head.status in _SUCCESSES
-    return is_success and kind.startswith(headers.EVENT_STREAM)
+    return kind.startswith(headers.EVENT_STREAM) and head.status in _SUCCESSES
 
 
 def _make_matcher(
