End a stopped process without the interpreter's own clean-up

Cause: the interpreter finalizes modules and memory after all is closed, and the grace of the platform goes on meanwhile. Class: time after the last step that nobody counts.

Evidence: test_clean_up_of_the_interpreter_does_not_delay_a_stop failed before (TimeoutExpired after 20 s) and passes now; test_signals_at_start_and_stop and test_gateways: 19 passed.

--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import pathlib
 import time
 import typing
@@ -32,7 +33,7 @@
 
 
 def run(role: str, settings: str, main: Main) -> None:
-    """Reads the settings, configures logging and runs `main`.
+    """Reads the settings, configures logging, runs `main` and exits.
 
     Args:
       role: Role of the process, for its log lines.
@@ -60,6 +61,9 @@
     except* Exception:
         logger.critical("ended by a fault of the program", exc_info=True)
         raise
+    # All is closed. On a busy machine, the clean-up of the interpreter can take
+    # longer than what is left until the platform kills the process.
+    os._exit(exceptions.ExitCode.OK)
 
 
 def load_settings(role: str, path: pathlib.Path) -> node.NodeSettings:
--- /dev/null
+++ b/tests/console/test_node_process.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+from tests.support import node_site
+
+PROGRAM = """
+import atexit, sys, time
+from cactusstile.console import node_process
+
+async def main(settings, path):
+    pass
+
+atexit.register(time.sleep, 60)
+node_process.run("gateway", sys.argv[1], main)
+"""
+TIMEOUT_S = 20
+
+
+def test_clean_up_of_the_interpreter_does_not_delay_a_stop(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a stopped process that is still there to be killed."""
+    filled = node_site.values(
+        name="vm",
+        host="127.0.0.1",
+        port=20_000,
+        seeds="127.0.0.1:20008",
+        platform="127.0.0.1:20009",
+        folder=tmp_path,
+    )
+    path = tmp_path / "gateway.ini"
+    path.write_text(node_site.render("gateway", filled))
+    done = subprocess.run(  # noqa: S603
+        [sys.executable, "-c", PROGRAM, str(path)],
+        check=False,
+        timeout=TIMEOUT_S,
+    )
+    assert done.returncode == 0
