Let a founder that is started again before the group exists found it

What would be seen: the system never starts: nobody leads and no configuration is ever acknowledged, after the first founder was killed in the second in which it starts, and was started again by settings that no longer call it the first start.

Cause: only the settings told whether a folder was made at the first start. Class: what a process has to remember is left to those who start it.

Evidence: test_founder_that_starts_again_before_the_group_exists_founds_it failed before (no leader in 10 s: 1 failed, 1 passed) and passes now; a founder that lost its disk founds no group, before and now. A kill before the folder is made (the first 0.4 s) is not covered.

--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -25,6 +25,7 @@
 from cactusstile.platform import client as clients
 from cactusstile.registry import answers
 from cactusstile.registry import feed as feeds
+from cactusstile.registry import founding
 from cactusstile.registry import hold_calls
 from cactusstile.registry import leader_lookup
 from cactusstile.registry import members
@@ -162,24 +163,26 @@
 ) -> replica_settings.ReplicaSettings:
     """Returns the settings of this process's replica.
 
-    A replica may bootstrap the group only on the first start of the system: a
-    VM that lost its disk later has to join the existing group.
+    A replica may bootstrap the group only with a folder that was made at the
+    first start of the system: a VM that lost its disk later has to join the
+    existing group.
 
     Raises:
       ValueError: The settings name no data folder.
     """
     if settings.data_folder is None:
         raise ValueError("the registry role requires a data folder")
+    folder = settings.data_folder / GROUP
     seeds = settings.internal_seeds
     founders = [
         replica_settings.Founder(seed.host, str(seed)) for seed in seeds
     ]
-    if not settings.first_start:
+    if not settings.first_start and not founding.is_remembered(folder):
         founders = [seed for seed in founders if seed.name != settings.host]
     return replica_settings.ReplicaSettings(
         name=settings.host,
         address=str(settings.internal_address),
-        data_folder=settings.data_folder / GROUP,
+        data_folder=folder,
         founders=tuple(founders),
         max_command_bytes=MAX_COMMAND_BYTES,
         snapshot_after_bytes=SNAPSHOT_AFTER_BYTES,
@@ -203,6 +206,8 @@
     identity = handshake.Identity(ROLE, settings.name)
     secrets = handshake.Secrets(settings.secret.encode())
     config = build_replica_settings(settings)
+    if settings.first_start:
+        founding.remember(config.data_folder)
     async with contextlib.AsyncExitStack() as stack:
         closers = stack.enter_context(contextlib.ExitStack())
         group = await stack.enter_async_context(anyio.create_task_group())
