Read settings again that are half written when a command starts

The processes of entry, agent and control ended at a start that met their settings file, or a file named in it, before it was whole: callers of an entry were refused connections until somebody started it again. The gateway and the registry read the file again for a while. Class: a state that passes by itself, taken for a final one.

All roles now share one function, console/first_settings. A file that stays invalid still ends the command with all its problems and the same exit code, 5 s later.

Evidence: test_file_that_is_still_written_does_not_end_a_command failed for all three roles before, with "[process] secret_file: cannot read the secret file" and exit code 3; it passes now.

--- a/src/cactusstile/console/agent.py
+++ b/src/cactusstile/console/agent.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import pathlib
 
 import anyio
 
 from cactusstile.agent import wiring
+from cactusstile.console import first_settings
 from cactusstile.console import signals
 from cactusstile.observability import logs
 from cactusstile.settings import agent as agent_settings
@@ -21,7 +23,11 @@
     Args:
       settings: Path of the agent's settings file.
     """
-    loaded = agent_settings.load(pathlib.Path(settings))
+    loaded = first_settings.load(
+        pathlib.Path(settings),
+        agent_settings.load,
+        functools.partial(logs.configure, "agent", ""),
+    )
     logs.configure("agent", loaded.process.name, "info")
     if loaded.kind == agent_settings.STORE_KIND:
         anyio.run(_serve_store, loaded)
--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 
 import anyio
 
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.console import exceptions
+from cactusstile.console import first_settings
 from cactusstile.console import signals
 from cactusstile.control import daemon
 from cactusstile.control import settings as control_settings
@@ -20,7 +22,11 @@
     Args:
       settings: Path of the settings file.
     """
-    loaded = control_settings.load(pathlib.Path(settings))
+    loaded = first_settings.load(
+        pathlib.Path(settings),
+        control_settings.load,
+        functools.partial(logs.configure, "control", ""),
+    )
     logs.configure("control", loaded.process.name)
     try:
         anyio.run(_serve, loaded)
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -5,12 +5,14 @@
 import collections.abc
 import contextlib
 import errno
+import functools
 import pathlib
 import typing
 
 import anyio
 
 from cactusstile.console import exceptions
+from cactusstile.console import first_settings
 from cactusstile.console import signals
 from cactusstile.entry import daemon
 from cactusstile.entry import wiring
@@ -35,7 +37,11 @@
       InvalidFileError: If the settings file is invalid.
       CommandError: If an address cannot be bound, or requests were aborted.
     """
-    loaded = entry_settings.load(pathlib.Path(settings))
+    loaded = first_settings.load(
+        pathlib.Path(settings),
+        entry_settings.load,
+        functools.partial(logs.configure, "entry", ""),
+    )
     logs.configure("entry", loaded.process.name, loaded.log_level)
     try:
         anyio.run(serve, loaded, wiring.open_parts)
--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import pathlib
-import time
 import typing
 
 import anyio
 
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.console import exceptions
+from cactusstile.console import first_settings
 from cactusstile.observability import rate_limited_logs
 from cactusstile.platform import paths
-from cactusstile.settings import ini
 from cactusstile.settings import node
 
 if typing.TYPE_CHECKING:
@@ -26,10 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The platform may still be writing the settings file.
-SETTINGS_TIMEOUT_S = 5.0
-SETTINGS_PAUSE_S = 0.1
-
 
 def run(role: str, settings: str, main: Main) -> None:
     """Reads the settings, configures logging and runs `main`.
@@ -44,8 +40,11 @@
       CommandError: If the durable state cannot be used.
     """
     path = pathlib.Path(settings) if settings else paths.settings_path()
-    loaded = load_settings(role, path)
-    rate_limited_logs.configure(role, loaded.name)
+    configure = functools.partial(rate_limited_logs.configure, role)
+    loaded = first_settings.load(
+        path, node.load, functools.partial(configure, "")
+    )
+    configure(loaded.name)
     try:
         anyio.run(main, loaded, path)
     except* consensus_exceptions.StorageError as group:
@@ -60,31 +59,3 @@
     except* Exception:
         logger.critical("ended by a fault of the program", exc_info=True)
         raise
-
-
-def load_settings(role: str, path: pathlib.Path) -> node.NodeSettings:
-    """Reads the settings; a file that is incomplete gets time to be written.
-
-    Args:
-      role: Role of the process, for its log lines.
-      path: Path of the settings file.
-
-    Raises:
-      InvalidFileError: The file is still invalid after `SETTINGS_TIMEOUT_S`.
-    """
-    give_up_s = time.monotonic() + SETTINGS_TIMEOUT_S
-    is_logged = False
-    while True:
-        try:
-            return node.load(path)
-        except ini.InvalidFileError as error:
-            if time.monotonic() >= give_up_s:
-                raise
-            if not is_logged:
-                rate_limited_logs.configure(role, "")
-                logger.warning(
-                    "cannot load the settings; reading them again for a while",
-                    extra={"error": str(error), "limit_s": SETTINGS_TIMEOUT_S},
-                )
-            is_logged = True
-        time.sleep(SETTINGS_PAUSE_S)
--- a/tests/processes/test_incomplete_settings.py
+++ b/tests/processes/test_incomplete_settings.py
@@ -8,6 +8,7 @@
 
 import pytest
 from tests.support import deployed
+from tests.support import site_processes
 
 pytestmark = pytest.mark.processes
 # Time between SIGTERM and SIGKILL on the platform.
@@ -19,6 +20,13 @@
     "torn": (b"[node]\nname = vm\nrole", "parsing errors"),
     "no text": (b"\xff\xfe\x00[node]", "codec can't decode"),
 }
+# Section of each role that is run by a command.
+SECTIONS = {
+    "entry": "[entry]\ncallers_listen = {host}:9000\ndrain_delay_s = 0.1\n",
+    "agent": "[agent]\nkind = engine\ntarget = t\nurl = http://{host}:9000\n",
+    "control": "[control]\ndata_folder = {folder}/data\n"
+    "founders = control={host}:20000\n",
+}
 
 
 @pytest.fixture
@@ -47,6 +55,31 @@
     assert gateway.signal_until_started(), gateway.log()
 
 
+@pytest.mark.parametrize("role", SECTIONS)
+def test_file_that_is_still_written_does_not_end_a_command(
+    tmp_path: pathlib.Path, role: str
+) -> None:
+    site = site_processes.Site(tmp_path)
+    site.write("fleet.secret", "fleet-secret-of-the-tests")
+    section = SECTIONS[role].format(folder=tmp_path, host=site.host)
+    text = site.settings(role) + section
+    half = site.write(f"{role}.ini", text[: len(text) // 2])
+    command = ["cactusstile", role, "--settings", str(half)]
+    process = deployed.Deployed(tmp_path, role)
+    process.start(command)
+    try:
+        assert process.signal_until("reading them again"), process.log()
+        site.write("operator.secret", "operator-secret-of-tests")
+        half.write_text(text)
+        assert process.process is not None
+        while not site.get(role, "/livez")[0]:
+            assert process.process.poll() is None, process.log()
+        process.process.terminate()
+        assert process.process.wait(GRACE_S) == 0, process.log()
+    finally:
+        process.close()
+
+
 def test_invalid_file_ends_a_start_with_all_its_problems(
     gateway: deployed.Deployed,
 ) -> None:
