Count a target as ended only if later lists lack it, too

A target that a single list lacked, for instance because its entry could not be read that once, counted as ended under every request that had broken off there. Such false evidence can get a sound request refused as quarantined. Class: a state that passes by itself, taken for a final one.

An attempt now counts if the lists of MISSING_S lack its target, or if another start is listed at its address; the time of the end is that of the break, as before. A target that has ended without a successor at its address counts up to that much later.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -225,7 +225,7 @@
         if await self._has_ended(view):
             observer.record_end(view.target.id, broken_s)
         else:
-            observer.record_break(view.target.id, broken_s)
+            observer.record_break(view.target, broken_s)
 
     async def _has_ended(self, view: target_view.TargetView) -> bool:
         """Returns whether a target certainly works on no request any more.
--- a/src/cactusstile/gateway/quarantine/broken_attempts.py
+++ b/src/cactusstile/gateway/quarantine/broken_attempts.py
@@ -14,9 +14,13 @@
     import collections.abc
 
     from cactusstile.gateway.quarantine import request_keys
+    from cactusstile.sites import model
+    from cactusstile.transport import address
 
 # Time within which the list shows that a target has ended.
 LIST_LAG_S = 10.0
+# Time for which lists must lack a target: a single one may lack it by mistake.
+MISSING_S = 2.0
 MAX_ATTEMPTS = 500
 
 
@@ -25,52 +29,79 @@
     """An attempt that ended without an answer.
 
     Attributes:
-      target: Id of the target's incarnation.
+      target: The target.
       keys: Keys of the request.
       sent_s: Loop time from which the target may have run the request.
       broken_s: Loop time at which the connection broke.
     """
 
-    target: str
+    target: model.Target
     keys: request_keys.RequestKeys
     sent_s: float
     broken_s: float
 
 
+@attrs.frozen
+class Listed:
+    """What the newest list tells of the targets.
+
+    Attributes:
+      is_leaving: Whether each listed target leaves, by its id.
+      addresses: Addresses of the listed targets.
+      listed_s: Loop time at which the list was current.
+    """
+
+    is_leaving: collections.abc.Mapping[str, bool]
+    addresses: collections.abc.Set[address.Address]
+    listed_s: float
+
+
 @attrs.define
 class BrokenAttempts:
     """Attempts at targets of which it is not known whether they ended.
 
     Attributes:
       attempts: The attempts, oldest first.
+      missing_s: Time of the first list that lacks a target, by its id, for
+        those that all lists since then lack.
     """
 
     attempts: list[BrokenAttempt] = attrs.field(factory=list)
+    missing_s: dict[str, float] = attrs.field(factory=dict)
 
     def add(self, attempt: BrokenAttempt) -> None:
         """Adds an attempt; the oldest is dropped if there are too many."""
         self.attempts.append(attempt)
         del self.attempts[:-MAX_ATTEMPTS]
 
-    def take_ended(
-        self, is_leaving: collections.abc.Mapping[str, bool], now_s: float
-    ) -> list[BrokenAttempt]:
-        """Removes and returns the attempts whose targets are not listed.
+    def take_ended(self, listed: Listed, now_s: float) -> list[BrokenAttempt]:
+        """Removes and returns the attempts whose targets ended.
 
-        Those at targets that leave are dropped: their end was planned.
+        Those have been missing from the lists for a while, or another start is
+        listed at their address. Attempts at targets that leave are dropped:
+        their end was planned.
 
         Args:
-          is_leaving: Whether each listed target leaves, by its id.
+          listed: The newest list.
           now_s: Loop time.
         """
         ended = []
         unknown = []
+        missing_s = {}
         for attempt in self.attempts:
-            if attempt.target not in is_leaving:
-                ended.append(attempt)
+            name = attempt.target.id
+            if name not in listed.is_leaving:
+                first_s = self.missing_s.get(name, listed.listed_s)
+                missing_s[name] = first_s
+                is_replaced = attempt.target.address in listed.addresses
+                if is_replaced or listed.listed_s - first_s >= MISSING_S:
+                    ended.append(attempt)
+                else:
+                    unknown.append(attempt)
                 continue
             is_recent = now_s - attempt.broken_s <= LIST_LAG_S
-            if is_recent and not is_leaving[attempt.target]:
+            if is_recent and not listed.is_leaving[name]:
                 unknown.append(attempt)
         self.attempts = unknown
+        self.missing_s = missing_s
         return ended
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -25,6 +25,7 @@
 from cactusstile.gateway.quarantine import request_keys
 from cactusstile.sites import ages
 from cactusstile.sites import hold_messages
+from cactusstile.sites import model
 from cactusstile.sites import quarantine_messages
 
 Send = collections.abc.Callable[[quarantine_messages.EndEvidence, str], None]
@@ -146,15 +147,17 @@
 
     def record_unlisted_ends(self) -> None:
         """Records the ends that only the platform's list tells."""
-        if not self.broken.attempts:
+        views = self.site.targets.by_id
+        if not self.broken.attempts or self.site.listed_s is None:
             return
-        now_s = anyio.current_time()
-        is_leaving = {
-            name: view.leaving for name, view in self.site.targets.by_id.items()
-        }
-        for attempt in self.broken.take_ended(is_leaving, now_s):
+        listed = broken_attempts.Listed(
+            {name: view.leaving for name, view in views.items()},
+            {view.target.address for view in views.values()},
+            self.site.listed_s,
+        )
+        for attempt in self.broken.take_ended(listed, anyio.current_time()):
             self.record_end(
-                attempt.target,
+                attempt.target.id,
                 attempt.keys,
                 attempt.sent_s,
                 attempt.broken_s,
@@ -323,11 +326,11 @@
         """Records that the target ended before it had answered."""
         self.quarantine.record_end(target_id, self.keys, self.began_s, ended_s)
 
-    def record_break(self, target_id: str, broken_s: float) -> None:
+    def record_break(self, target: model.Target, broken_s: float) -> None:
         """Records that the answer broke off, for whatever reason."""
         self.quarantine.broken.add(
             broken_attempts.BrokenAttempt(
-                target_id, self.keys, self.began_s, broken_s
+                target, self.keys, self.began_s, broken_s
             )
         )
 
