Start a store on a full disk, and never repeat its generations

A store agent whose disk was full ended at each start, since it could not write the file that counts its starts; engines lost a store that could have served what it had. If that file was torn, the count began again at 1; a store without a disk tier counted from 1 at each start. Generations then repeated, and a copy that went on across the start could mix two contents. Class: a start that depends on a write to the disk.

Generations now begin at the time of the start, above all generations on disk; the file is gone.

Evidence: before, test_store_starts_on_a_full_disk failed with "OSError: [Errno 28] no space left: .../epoch" and test_generations_do_not_repeat_after_a_restart with "assert 1 == 3", with and without a disk tier. They pass now, as does the present test that a restart continues above the newest generation.

--- a/src/cactusstile/store/block_store.py
+++ b/src/cactusstile/store/block_store.py
@@ -7,11 +7,13 @@
 Each read names the generation of the block at the start of the copy. Freeing or
 evicting a block invalidates its generation, and a key that is stored again gets
 a new generation. A copy in progress then fails instead of mixing two contents.
+Generations start at the time of the start, so that those of two starts differ.
 """
 
 from __future__ import annotations
 
 import random
+import time
 import typing
 
 import attrs
@@ -110,8 +112,8 @@
         rng = random.Random(seed)
         self._memory_leaves = sampler.Sampler[Record](rng)
         self._disk_leaves = sampler.Sampler[Record](rng)
-        epoch = disk_tier.next_epoch() if disk_tier else 1
-        self._next_generation = (epoch << 40) + 1
+        # A counter on a disk that refuses writes would repeat.
+        self._next_generation = time.time_ns()
         self._recover()
 
     def keep(self, scope: tokens.Scope, block: blocks.Block) -> Record:
@@ -362,6 +364,10 @@
         now_s = self._clock()
         headers = sorted(self.disk.scan(), key=lambda item: item.position)
         for header in headers:
+            # The clock may have been set back.
+            self._next_generation = max(
+                self._next_generation, header.generation + 1
+            )
             is_orphan = header.position and header.parent not in self.records
             if is_orphan or header.key in self.records:
                 self.disk.delete(header)
--- a/src/cactusstile/store/disk.py
+++ b/src/cactusstile/store/disk.py
@@ -28,7 +28,6 @@
 _HEADER_CHECKSUM_BYTES = 8
 _MAX_SCOPE_BYTES = 4096
 _SUFFIX = ".block"
-_EPOCH_FILE = "epoch"
 
 
 @attrs.frozen
@@ -59,16 +58,6 @@
         self.used_bytes = 0
         folder.mkdir(parents=True, exist_ok=True)
 
-    def next_epoch(self) -> int:
-        """Returns a number that increases with each start on this folder."""
-        path = self.folder / _EPOCH_FILE
-        try:
-            epoch = int(path.read_text()) + 1
-        except (FileNotFoundError, ValueError):
-            epoch = 1
-        _write_atomically(path, [str(epoch).encode()])
-        return epoch
-
     def write(self, header: Header, data: bytes) -> None:
         """Writes a block.
 
--- a/tests/store/test_block_store.py
+++ b/tests/store/test_block_store.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import errno
 import pathlib
 import random
+import time
 
 import attrs
 import hypothesis
@@ -171,3 +173,51 @@
     seed: int,
 ) -> None:
     assert _hit_fraction(None, seed) > _hit_fraction(_least_recently_used, seed)
+
+
+def test_store_starts_on_a_full_disk(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(path: pathlib.Path, chunks: list[bytes]) -> None:
+        raise OSError(errno.ENOSPC, "no space left", str(path), chunks)
+
+    monkeypatch.setattr(disk, "_write_atomically", refuse)
+    stored = conftest.make_block_store(
+        300, 5000, disk_tier=disk.DiskTier(tmp_path)
+    )
+    [block] = conftest.make_blocks(1)
+    assert stored.keep(conftest.SCOPE, block) in stored.records.values()
+
+
+@pytest.mark.parametrize("has_disk", [True, False])
+def test_generations_do_not_repeat_after_a_restart(
+    tmp_path: pathlib.Path, has_disk: bool
+) -> None:
+    generations = set()
+    [block] = conftest.make_blocks(1)
+    for _ in range(3):
+        tier = disk.DiskTier(tmp_path) if has_disk else None
+        stored = conftest.make_block_store(300, 5000, disk_tier=tier)
+        record = stored.keep(conftest.SCOPE, block)
+        generations.add(record.header.generation)
+        # A file at the top of the folder may be torn by a loss of power.
+        for path in tmp_path.iterdir():
+            if path.is_file():
+                path.write_bytes(b"")
+    assert len(generations) == 3
+
+
+def test_generations_increase_although_the_clock_is_set_back(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    newest = 0
+    for now_ns, first in ((2_000_000, 0), (1_000_000, 100)):
+        monkeypatch.setattr(time, "time_ns", lambda now_ns=now_ns: now_ns)
+        stored = conftest.make_block_store(
+            300, 5000, disk_tier=disk.DiskTier(tmp_path)
+        )
+        [block] = conftest.make_blocks(1, first=first)
+        generation = stored.keep(conftest.SCOPE, block).header.generation
+        stored.flush()
+        assert generation > newest
+        newest = generation
