Serve no caller before all addresses of a gateway are bound

A gateway served callers as soon as their address was bound, and then waited up to 10 s for the address of the readiness check if something held it. A stop in that time ended the process without a drain and cut off its requests, while callers had been accepted by a gateway that the balancer did not know. Class: work accepted before the start is complete.

All addresses are now bound first, that of the callers last, and served only then; until then connections of callers are refused, so that they use another gateway.

test_addresses_in_use.py lists the addresses in the order in which they are bound; that order has changed, and the test frees and checks the same ones.

Evidence: test_gateway_that_cannot_drain_yet_accepts_no_callers failed before with "DID NOT RAISE ConnectionRefusedError"; it passes now.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -25,6 +25,7 @@
 from cactusstile.gateway.peers import load_sharing
 from cactusstile.gateway.quarantine import hold_reports
 from cactusstile.http import callers
+from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
@@ -240,19 +241,26 @@
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
 ) -> None:
-    """Starts the listeners; see `callers.open_listener`."""
+    """Binds all addresses, then serves.
+
+    A stop while an address is awaited could not drain: callers come last, and
+    none is served before.
+    """
     settings = gateway.settings
     admin = plain_admin.build(
         request_metrics.registry, functools.partial(dump.describe, gateway)
     )
-    listeners = [(settings.admin_address, callers.internal_serving(admin))]
-    if settings.callers is not None:
-        listeners.append((settings.callers, gateway.serving))
-    # Last: the balancer must not hear of a gateway that is not listening yet.
+    servings = [(settings.admin_address, callers.internal_serving(admin))]
     if settings.readiness is not None:
         answer = gateway.lifecycle.answer_readiness
-        listeners.append((settings.readiness, callers.internal_serving(answer)))
-    for listen_address, serving in listeners:
-        await callers.open_listener(
-            settings.bind_address(listen_address), serving, group, closers
-        )
+        servings.append((settings.readiness, callers.internal_serving(answer)))
+    if settings.callers is not None:
+        servings.append((settings.callers, gateway.serving))
+    listeners = []
+    for listen_address, serving in servings:
+        place = settings.bind_address(listen_address)
+        listener = await sockets.listen_when_free(place)
+        closers.callback(listener.close)
+        listeners.append((listener, serving))
+    for listener, serving in listeners:
+        group.start_soon(callers.serve_listener, listener, serving, group)
--- a/tests/processes/test_addresses_in_use.py
+++ b/tests/processes/test_addresses_in_use.py
@@ -20,7 +20,7 @@
 INTERNAL, CALLERS, READY, OPERATOR = PORT, PORT + 6, PORT + 7, PORT + 8
 # In the order in which they are bound.
 ADDRESSES = {
-    "gateway": ((UDP, INTERNAL), (TCP, 9464), (TCP, CALLERS), (TCP, READY)),
+    "gateway": ((UDP, INTERNAL), (TCP, 9464), (TCP, READY), (TCP, CALLERS)),
     "registry": ((TCP, INTERNAL), (TCP, 9465), (TCP, OPERATOR)),
     "redirector": ((TCP, 9465), (TCP, OPERATOR)),
 }
@@ -85,6 +85,21 @@
     assert "Traceback" not in process.log()
 
 
+def test_gateway_that_cannot_drain_yet_accepts_no_callers(
+    tmp_path: pathlib.Path, holder: contextlib.ExitStack
+) -> None:
+    process = prepare(tmp_path, "gateway", holder)
+    readiness = hold(holder, TCP, process.host, READY)
+    process.start()
+    assert process.signal_until("an address is in use"), process.log()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((process.host, CALLERS), timeout=5)
+    readiness.close()
+    assert process.signal_until_started(), process.log()
+    with socket.create_connection((process.host, CALLERS), timeout=5):
+        assert process.stop(signal.SIGTERM) == 0
+
+
 def test_killed_predecessor_with_callers_does_not_end_a_start(
     tmp_path: pathlib.Path, holder: contextlib.ExitStack
 ) -> None:
