--- a/src/cactusstile/gateway/liveness.py
+++ b/src/cactusstile/gateway/liveness.py
@@ -27,16 +27,13 @@
 
 
 async def has_ended(view: target_view.TargetView) -> bool:
-    """Returns whether a target certainly works on no request any more.
+    """Returns whether a target that stays works on no request any more.
 
-    Only the reply of its VM that nothing listens at the address proves that. A
-    target that is stopped, overloaded or cut off is silent, too, and one that
+    Only the reply of its VM that nothing listens at the address proves that: a
+    target that is stopped, overloaded or cut off is silent, too. One that
     leaves may close its port while it finishes its requests.
     """
-    if view.leaving:
-        return False
-    finding = await probe(view.target)
-    return finding is Finding.REFUSES and not view.leaving
+    return await probe(view.target) is Finding.REFUSES
 
 
 async def probe(target: model.Target) -> Finding:
--- a/tests/gateway/engines/test_backups.py
+++ b/tests/gateway/engines/test_backups.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import collections.abc
+
 import anyio
 import anyio.abc
 import attrs
@@ -10,6 +12,7 @@
 from tests.support import stalled_target
 
 from cactusstile.gateway import liveness
+from cactusstile.gateway import site_view
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import backups
 from cactusstile.gateway.engines import prompts
@@ -185,19 +188,27 @@
     assert second.requests == []
 
 
-async def test_run_does_not_go_on_elsewhere_while_its_engine_leaves() -> None:
-    """Guards against a second run beside an engine that closed its port."""
+async def check_nothing_goes_on_beside(
+    leave: collections.abc.Callable[
+        [site_view.SiteView, model.Target, model.Target], None
+    ],
+) -> None:
+    """Checks that no run goes on beside an engine that closed its port.
+
+    Args:
+      leave: Called with the gateway's view of the site and both engines before
+        the first one streams.
+    """
     harness: support.GatewayHarness
 
-    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-        listed = attrs.evolve(first.target, leaving=True), second.target
-        harness.site.replace_targets(listed, anyio.current_time())
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        leave(harness.site, first.target, second.target)
         script = raw_target.stream_events([1, 2], whole=False)
         return await script(stream, request)
 
     async with (
         stalled_target.open_target(
-            leave, closes_port=True, id="a", weights=WEIGHTS
+            run, closes_port=True, id="a", weights=WEIGHTS
         ) as first,
         raw_target.open_target(
             raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
@@ -210,32 +221,31 @@
     assert second.requests == []
 
 
+async def test_run_does_not_go_on_elsewhere_while_its_engine_leaves() -> None:
+    """Guards against a second run beside an engine that closed its port."""
+
+    def leave(
+        site: site_view.SiteView, first: model.Target, second: model.Target
+    ) -> None:
+        listed = attrs.evolve(first, leaving=True), second
+        site.replace_targets(listed, anyio.current_time())
+
+    await check_nothing_goes_on_beside(leave)
+
+
 async def test_run_does_not_go_on_elsewhere_if_a_list_lacked_its_engine() -> (
     None
 ):
     """Guards against a second run if one list lacked the engine that leaves."""
-    harness: support.GatewayHarness
 
-    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-        leaving = attrs.evolve(first.target, leaving=True)
-        for listed in ((second.target,), (leaving, second.target)):
-            harness.site.replace_targets(listed, anyio.current_time())
-        script = raw_target.stream_events([1, 2], whole=False)
-        return await script(stream, request)
+    def leave(
+        site: site_view.SiteView, first: model.Target, second: model.Target
+    ) -> None:
+        leaving = attrs.evolve(first, leaving=True)
+        for listed in ((second,), (leaving, second)):
+            site.replace_targets(listed, anyio.current_time())
 
-    async with (
-        stalled_target.open_target(
-            leave, closes_port=True, id="a", weights=WEIGHTS
-        ) as first,
-        raw_target.open_target(
-            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
-        ) as second,
-        support.open_harness(configuration(), first, second) as harness,
-    ):
-        harness.site.targets.views["b", 0].inflight = 3
-        data = await harness.ask(support.request(b"POST", FIELDS))
-    assert b"id: 2\n" in data
-    assert second.requests == []
+    await check_nothing_goes_on_beside(leave)
 
 
 @pytest.mark.parametrize("age_s", [4.0, 2.0])
@@ -243,49 +253,25 @@
     age_s: float,
 ) -> None:
     """Guards against a second run beside an engine that left unnoticed."""
-    harness: support.GatewayHarness
 
-    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-        harness.site.listed_s = anyio.current_time() - age_s
-        script = raw_target.stream_events([1, 2], whole=False)
-        return await script(stream, request)
+    def leave(
+        site: site_view.SiteView, first: model.Target, second: model.Target
+    ) -> None:
+        del first, second
+        site.listed_s = anyio.current_time() - age_s
 
-    async with (
-        stalled_target.open_target(
-            leave, closes_port=True, id="a", weights=WEIGHTS
-        ) as first,
-        raw_target.open_target(
-            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
-        ) as second,
-        support.open_harness(configuration(), first, second) as harness,
-    ):
-        harness.site.targets.views["b", 0].inflight = 3
-        data = await harness.ask(support.request(b"POST", FIELDS))
-    assert b"id: 2\n" in data
-    assert second.requests == []
+    await check_nothing_goes_on_beside(leave)
 
 
 async def test_run_does_not_go_on_elsewhere_while_its_engine_is_unlisted() -> (
     None
 ):
     """Guards against a second run if no list was read while it was leaving."""
-    harness: support.GatewayHarness
 
-    async def leave(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-        harness.site.replace_targets((second.target,), anyio.current_time())
-        script = raw_target.stream_events([1, 2], whole=False)
-        return await script(stream, request)
+    def leave(
+        site: site_view.SiteView, first: model.Target, second: model.Target
+    ) -> None:
+        del first
+        site.replace_targets((second,), anyio.current_time())
 
-    async with (
-        stalled_target.open_target(
-            leave, closes_port=True, id="a", weights=WEIGHTS
-        ) as first,
-        raw_target.open_target(
-            raw_target.stream_events([3, 4]), id="b", weights=WEIGHTS
-        ) as second,
-        support.open_harness(configuration(), first, second) as harness,
-    ):
-        harness.site.targets.views["b", 0].inflight = 3
-        data = await harness.ask(support.request(b"POST", FIELDS))
-    assert b"id: 2\n" in data
-    assert second.requests == []
+    await check_nothing_goes_on_beside(leave)
