Tell ends of a target apart by its starts, so that a request is held

The engines start again under their ids with a new `born`.

Cause: evidence named an end by the target's id; a second end under one id was the same end. Attempts that broke off at a target that is listed under its old id were taken for breaks at one that goes on.

Change: an end names a start, its id and start time. A request that was sent later than the end of the listed start has reached a later one, as lists lag. A newer start under the id is the end of the one before; a run goes on from its copy only if its very start is listed as staying.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -223,7 +223,7 @@
             return
         broken_s = anyio.current_time()
         if await self._has_ended(view):
-            observer.record_end(view.target.id, broken_s)
+            observer.record_end(view.target, broken_s)
         else:
             observer.record_break(view.target, broken_s)
 
@@ -237,8 +237,8 @@
         return await liveness.has_ended(view) and self._is_staying(view)
 
     def _is_staying(self, view: target_view.TargetView) -> bool:
-        """Returns whether a target is listed and does not leave."""
-        is_listed = view.target.id in self.site.targets.by_id
+        """Returns whether this start of a target is listed, and stays."""
+        is_listed = view.target.incarnation in self.site.targets.views
         return is_listed and not self._is_leaving(view)
 
     def _is_leaving(self, view: target_view.TargetView) -> bool:
--- a/src/cactusstile/gateway/quarantine/broken_attempts.py
+++ b/src/cactusstile/gateway/quarantine/broken_attempts.py
@@ -48,14 +48,22 @@
 
     Attributes:
       is_leaving: Whether each listed target leaves, by its id.
+      born_ms: Unix time of each listed target's start, in ms, by its id; 0 if
+        unknown.
       addresses: Addresses of the listed targets.
       listed_s: Loop time at which the list was current.
     """
 
     is_leaving: collections.abc.Mapping[str, bool]
+    born_ms: collections.abc.Mapping[str, int]
     addresses: collections.abc.Set[address.Address]
     listed_s: float
 
+    def has_started_again(self, target: model.Target) -> bool:
+        """Returns whether another start of a target is listed under its id."""
+        born_ms = self.born_ms.get(target.id, 0)
+        return 0 not in (born_ms, target.born_ms) and born_ms != target.born_ms
+
 
 @attrs.define
 class BrokenAttempts:
@@ -79,8 +87,8 @@
         """Removes and returns the attempts whose targets ended.
 
         Those have been missing from the lists for a while, or another start is
-        listed at their address. Attempts at targets that leave are dropped:
-        their end was planned.
+        listed under their id or at their address. Attempts at targets that
+        leave are dropped: their end was planned.
 
         Args:
           listed: The newest list.
@@ -91,6 +99,9 @@
         missing_s = {}
         for attempt in self.attempts:
             name = attempt.target.id
+            if listed.has_started_again(attempt.target):
+                ended.append(attempt)
+                continue
             if name not in listed.is_leaving:
                 first_s = self.missing_s.get(name, listed.listed_s)
                 missing_s[name] = first_s
--- a/src/cactusstile/gateway/quarantine/decision.py
+++ b/src/cactusstile/gateway/quarantine/decision.py
@@ -32,7 +32,7 @@
     """A request that a target had not answered when it ended.
 
     Attributes:
-      target: Id of the target's incarnation.
+      target: Identifies one start of the target; see `Evidence.find_start`.
       request: Fingerprint of the request.
       parts: Keys of the parts of its prompt that no answer exonerates.
       sent_s: Loop time from which the target may have run the request.
--- a/src/cactusstile/gateway/quarantine/evidence.py
+++ b/src/cactusstile/gateway/quarantine/evidence.py
@@ -73,6 +73,31 @@
         self.is_stale = True
         return known is None
 
+    def find_start(self, start_id: str, sent_s: float) -> str:
+        """Returns what identifies the start that a request was sent to.
+
+        Lists lag: a request that is sent after the end of the listed start has
+        reached a later one.
+
+        Args:
+          start_id: Identity of the start that the list showed.
+          sent_s: Loop time at which the request was sent.
+
+        >>> known = Evidence(ended=collections.OrderedDict({"t@7": 1.0}))
+        >>> known.find_start("t@7", 0.9), known.find_start("t@7", 1.5)
+        ('t@7', 't@7+1')
+        """
+        found = start_id
+        later_starts = 0
+        while self._ended_before(found, sent_s):
+            later_starts += 1
+            found = f"{start_id}+{later_starts}"
+        return found
+
+    def _ended_before(self, start_id: str, sent_s: float) -> bool:
+        ended_s = self.ended.get(start_id)
+        return ended_s is not None and sent_s > ended_s + decision.ONE_CAUSE_S
+
     def add_answer(self, key: str, answered_s: float) -> None:
         """Adds that a target answered a request with a key."""
         newest_s = max(answered_s, self.answered.pop(key, answered_s))
--- a/src/cactusstile/gateway/quarantine/quarantine.py
+++ b/src/cactusstile/gateway/quarantine/quarantine.py
@@ -118,7 +118,7 @@
 
     def record_end(
         self,
-        target_id: str,
+        listed_start: str,
         keys: request_keys.RequestKeys,
         sent_s: float,
         ended_s: float,
@@ -126,14 +126,16 @@
         """Records that a target ended before it had answered a request.
 
         Args:
-          target_id: Id of the target's incarnation.
+          listed_start: Identity of the target's start that the list showed
+            when the request was sent.
           keys: Keys of the request.
           sent_s: Loop time from which the target may have run the request.
           ended_s: Loop time at which the target ended.
         """
         now_s = anyio.current_time()
+        start_id = self.evidence.find_start(listed_start, sent_s)
         suspect = decision.SuspectRequest(
-            target_id, keys.request, keys.parts, sent_s, ended_s
+            start_id, keys.request, keys.parts, sent_s, ended_s
         )
         if not self.evidence.add_end(suspect):
             return
@@ -152,12 +154,13 @@
             return
         listed = broken_attempts.Listed(
             {name: view.leaving for name, view in views.items()},
+            {name: view.target.born_ms for name, view in views.items()},
             {view.target.address for view in views.values()},
             self.site.listed_s,
         )
         for attempt in self.broken.take_ended(listed, anyio.current_time()):
             self.record_end(
-                attempt.target.id,
+                attempt.target.start_id,
                 attempt.keys,
                 attempt.sent_s,
                 attempt.broken_s,
@@ -322,9 +325,11 @@
             self.is_answered = True
             self.quarantine.record_answer(self.keys)
 
-    def record_end(self, target_id: str, ended_s: float) -> None:
+    def record_end(self, target: model.Target, ended_s: float) -> None:
         """Records that the target ended before it had answered."""
-        self.quarantine.record_end(target_id, self.keys, self.began_s, ended_s)
+        self.quarantine.record_end(
+            target.start_id, self.keys, self.began_s, ended_s
+        )
 
     def record_break(self, target: model.Target, broken_s: float) -> None:
         """Records that the answer broke off, for whatever reason."""
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -227,6 +227,16 @@
         """Id and start time, which identify one start of this target."""
         return self.id, self.born_ms
 
+    @property
+    def start_id(self) -> str:
+        """Text that identifies one start of this target.
+
+        >>> target = Target("t", "s", address.Address("127.0.0.1", 1), "d", 1)
+        >>> target.start_id, attrs.evolve(target, born_ms=7).start_id
+        ('t', 't@7')
+        """
+        return f"{self.id}@{self.born_ms}" if self.born_ms else self.id
+
 
 class InvalidConfigurationError(Exception):
     """Raised when a configuration is invalid; the message states why."""
--- a/src/cactusstile/sites/quarantine_messages.py
+++ b/src/cactusstile/sites/quarantine_messages.py
@@ -15,7 +15,7 @@
     """A target ended while it had not answered a request yet.
 
     Attributes:
-      target: Id of the target's incarnation.
+      target: Identifies one start of the target.
       request: Fingerprint of the request.
       parts: Keys of the parts of its prompt that other prompts may share.
       age_ms: Time since the end, in ms.
