Begin a new cache scope when a workspace that shared it becomes isolated

Cause: the salt of all workspaces that are not isolated was one text for ever, and KV cache does not tell whose request made it.

Change: the registries record in their log who has shared the present scope and begin another one when one of these becomes isolated. The feed tells its number beside the configuration. A request takes the scope in force when it is sent. Weighed: a scope told from the isolated names of the present configuration alone; it comes back when an isolated workspace is removed, and it costs the others their cache for a workspace that never shared it.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -27,8 +27,6 @@
 MAX_STORES_WAIT_S = 0.5
 # Shorter prompts are prefilled faster than the wait would take.
 MIN_TOKENS_TO_WAIT = 2000
-# Cache scope of all workspaces that are not isolated.
-SHARED_CACHE_SCOPE = "shared"
 
 
 @attrs.frozen
@@ -42,8 +40,8 @@
       workspace: Workspace of the key; None on public routes, and if the
         configuration lists no workspaces.
       prompt: Prompt as described by the header fields.
-      cache_scope: Isolation domain within which the KV cache is shared; part
-        of the salt.
+      cache_scope: Isolation domain within which the KV cache was shared at the
+        time of the admission; part of the salt.
       engine_priority: Priority at engines; 0 is served first.
       least_urgent: Priority at engines of the least urgent requests.
       answer_deadline_s: Loop time by which the route requires the final
@@ -117,7 +115,7 @@
             request.find(headers.PROMPT_PARTS),
             request.find(headers.LENGTH_ESTIMATE),
         ),
-        cache_scope=_cache_scope(workspace),
+        cache_scope=table.cache_scope(workspace),
         engine_priority=priorities.compute_engine_priority(route, workspace),
         least_urgent=table.least_urgent,
         answer_deadline_s=answer_deadline_s,
@@ -191,9 +189,3 @@
     if not text.isdecimal() or len(text) > len(str(2**31)):
         return None
     return int(text)
-
-
-def _cache_scope(workspace: model.Workspace | None) -> str:
-    if workspace is None or not workspace.isolated:
-        return SHARED_CACHE_SCOPE
-    return f"workspace-{workspace.name}"
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -8,6 +8,7 @@
 import typing
 
 import anyio
+import attrs
 
 from cactusstile import clocks
 from cactusstile import guards
@@ -263,6 +264,9 @@
         except model.InvalidConfigurationError:
             logger.exception("received an invalid configuration from control")
             return
+        configuration = attrs.evolve(
+            configuration, shared_scope=item.shared_scope
+        )
         if self.site.replace_configuration(configuration):
             logger.info(
                 "applied a new configuration",
--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -216,7 +216,7 @@
             candidates,
             prompt,
             added_cost=lambda view: jitter(view) + surcharge(view),
-            cache_scope=admitted.cache_scope,
+            cache_scope=self._cache_scope(admitted),
             affinity_key=shared_parts[-1].id if shared_parts else "",
             stored_tokens=lambda salt: self.site.stored.prefix_tokens(
                 prompt, salt, now_s
@@ -236,9 +236,9 @@
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
         weights = self.weights.expected(name, view)
-        salt = salts.make(admitted.cache_scope, name, weights or 0)
         backup = attempts.backup
         if backup is not None and attempts.resuming:
+            salt = salts.make(admitted.cache_scope, name, weights or 0)
             return exchange.Dispatch(
                 view.target,
                 salt,
@@ -246,6 +246,7 @@
                 last_event_id,
                 from_copy=True,
             )
+        salt = salts.make(self._cache_scope(admitted), name, weights or 0)
         if not name or weights is None:
             return exchange.Dispatch(
                 view.target, salt, last_event_id=last_event_id
@@ -263,6 +264,13 @@
             ),
         )
 
+    def _cache_scope(self, admitted: admission.AdmittedRequest) -> str:
+        """Returns the scope in force; a request may wait while it changes."""
+        table = self.site.table
+        if table is None:
+            return admitted.cache_scope
+        return table.cache_scope(admitted.workspace)
+
     def _plan_transfers(
         self,
         admitted: admission.AdmittedRequest,
--- a/src/cactusstile/gateway/routes.py
+++ b/src/cactusstile/gateway/routes.py
@@ -25,6 +25,7 @@
       configuration: The configuration.
       by_host: Routes of each host, the longest prefix first.
       by_key: Workspace of each key, by the key's digest.
+      by_name: Workspace of each name; an isolated one if there are several.
       least_urgent: Priority at engines of the least urgent requests.
       salt: Random key of the digests.
     """
@@ -32,6 +33,7 @@
     configuration: model.SiteConfiguration
     by_host: dict[str, list[model.Route]]
     by_key: dict[bytes, model.Workspace] = attrs.field(repr=False)
+    by_name: dict[str, model.Workspace] = attrs.field(repr=False)
     least_urgent: int
     salt: bytes = attrs.field(repr=False)
 
@@ -51,6 +53,20 @@
         """Whether callers of routes that are not public must send a key."""
         return self.configuration.workspaces is not None
 
+    def cache_scope(self, workspace: model.Workspace | None) -> str:
+        """Returns the scope within which a workspace's KV cache is shared.
+
+        Args:
+          workspace: Workspace of a request that an older configuration may
+            have admitted; None if it has none.
+        """
+        if workspace is not None:
+            newest = self.by_name.get(workspace.name, workspace)
+            if workspace.isolated or newest.isolated:
+                return f"workspace-{workspace.name}"
+        number = self.configuration.shared_scope
+        return f"shared-{number}" if number else "shared"
+
     def find_workspace(self, key: str) -> model.Workspace | None:
         """Returns the workspace of `key`; None if the key is unknown."""
         return self.by_key.get(_digest(self.salt, key))
@@ -65,11 +81,16 @@
         routes.sort(key=lambda route: len(route.prefix), reverse=True)
     salt = os.urandom(_DIGEST_BYTES)
     by_key = {}
+    by_name = {}
     for workspace in configuration.workspaces or ():
+        if workspace.isolated or workspace.name not in by_name:
+            by_name[workspace.name] = workspace
         for key in workspace.keys:
             by_key[_digest(salt, key)] = workspace
     least_urgent = priorities.least_urgent(configuration)
-    return RoutingTable(configuration, by_host, by_key, least_urgent, salt)
+    return RoutingTable(
+        configuration, by_host, by_key, by_name, least_urgent, salt
+    )
 
 
 def _digest(salt: bytes, key: str) -> bytes:
--- a/src/cactusstile/registry/commands.py
+++ b/src/cactusstile/registry/commands.py
@@ -21,11 +21,15 @@
       version: Version number assigned by the operator.
       digest: SHA-256 digest of the document in canonical JSON.
       document: The document as received, compressed.
+      sharing: Names of its workspaces that are not isolated.
+      isolated: Names of its workspaces that are.
     """
 
     version: int
     digest: bytes
     document: bytes
+    sharing: tuple[str, ...] = ()
+    isolated: tuple[str, ...] = ()
 
 
 @codec.register(501, _SCHEMA, "ConfigurationOutcome")
@@ -62,7 +66,10 @@
 @codec.register(504, _SCHEMA, "SiteImage")
 @attrs.frozen
 class SiteImage:
-    """Snapshot of the replicated state."""
+    """Snapshot of the replicated state.
+
+    `shared_scope` and `sharers` are those of `shared_scope.SharedScope`.
+    """
 
     version: int
     digest: bytes
@@ -73,6 +80,8 @@
     builds: tuple[builds.ServiceBuilds, ...] = ()
     evacuated: tuple[str, ...] = ()
     readmitted: tuple[str, ...] = ()
+    shared_scope: int = 0
+    sharers: tuple[str, ...] = ()
 
 
 @codec.register(505, _SCHEMA, "AskMembership")
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -298,7 +298,7 @@
         image = self.site.image
         if self._configuration.version != image.version:
             self._configuration = messages.ConfigurationInForce(
-                image.version, image.document
+                image.version, image.document, image.shared_scope
             )
         return self._configuration
 
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -19,6 +19,7 @@
 from cactusstile.registry import evacuation_calls
 from cactusstile.registry import hold_calls
 from cactusstile.registry import operator_calls
+from cactusstile.registry import shared_scope
 from cactusstile.registry import state as states
 from cactusstile.sites import documents
 from cactusstile.sites import hold_messages
@@ -136,16 +137,14 @@
     ) -> None:
         """Commits a configuration unless it is invalid or not newer."""
         try:
-            version, digest = _identify(request.body)
+            command = make_command(request.body)
         except model.InvalidConfigurationError as error:
             logger.info("configuration rejected", extra={"reason": str(error)})
             await answers.respond(responder, answers.INVALID, str(error))
             return
-        decision = self.site.evaluate_configuration(version, digest)
+        version = command.version
+        decision = self.site.evaluate_configuration(version, command.digest)
         if decision.outcome == "accepted":
-            command = site_commands.ReplaceConfiguration(
-                version, digest, documents.compress(request.body)
-            )
             result = await self.replica.propose(commands.pack(command))
             decision = typing.cast(
                 "site_commands.ConfigurationOutcome",
@@ -203,14 +202,21 @@
         await answers.respond(responder, answers.OK, "accepted")
 
 
-def _identify(document: bytes) -> tuple[int, bytes]:
-    """Returns version and digest of a configuration.
+def make_command(document: bytes) -> site_commands.ReplaceConfiguration:
+    """Returns the command that puts a configuration in force.
 
     Its decoded form takes many times its size, and is gone on return.
 
     Raises:
       InvalidConfigurationError: The configuration is invalid.
     """
-    version = configurations.decode(document).version
+    decoded = configurations.decode(document)
+    workspaces = decoded.workspaces or ()
     canonical = configurations.canonical(document)
-    return version, hashlib.sha256(canonical).digest()
+    return site_commands.ReplaceConfiguration(
+        decoded.version,
+        hashlib.sha256(canonical).digest(),
+        documents.compress(document),
+        shared_scope.find_sharers(workspaces, isolated=False),
+        shared_scope.find_sharers(workspaces, isolated=True),
+    )
--- a/src/cactusstile/registry/registry.capnp
+++ b/src/cactusstile/registry/registry.capnp
@@ -17,6 +17,8 @@
   version @0 :UInt64;
   digest @1 :Data;
   document @2 :Data;
+  sharing @3 :List(Text);
+  isolated @4 :List(Text);
 }
 
 struct ConfigurationOutcome {
@@ -43,6 +45,8 @@
   builds @6 :List(ServiceBuilds);
   evacuated @7 :List(Text);
   readmitted @8 :List(Text);
+  sharedScope @9 :UInt64;
+  sharers @10 :List(Text);
 }
 
 struct ServiceBuilds {
--- a/src/cactusstile/registry/state.py
+++ b/src/cactusstile/registry/state.py
@@ -12,6 +12,7 @@
 from cactusstile.registry import commands as site_commands
 from cactusstile.registry import evacuations
 from cactusstile.registry import holds
+from cactusstile.registry import shared_scope
 from cactusstile.sites import builds
 from cactusstile.sites import documents
 from cactusstile.sites import evacuation_messages
@@ -148,16 +149,29 @@
     ) -> site_commands.ConfigurationOutcome:
         decision = self.evaluate_configuration(command.version, command.digest)
         if decision.outcome == "accepted":
+            scope = self._scope_after(command)
             self._set_image(
                 attrs.evolve(
                     self.image,
                     version=command.version,
                     digest=command.digest,
                     document=command.document,
+                    shared_scope=scope.number,
+                    sharers=scope.sharers,
                 )
             )
         return decision
 
+    def _scope_after(
+        self, command: site_commands.ReplaceConfiguration
+    ) -> shared_scope.SharedScope:
+        image = self.image
+        before = shared_scope.SharedScope(image.shared_scope, image.sharers)
+        if self.has_configuration and not image.sharers:
+            # An older build did not record who shared.
+            before = attrs.evolve(before, sharers=command.isolated)
+        return before.after(command.version, command.sharing, command.isolated)
+
     def _name_weights(
         self, command: site_commands.NameWeights
     ) -> site_commands.WeightsOutcome:
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -63,10 +63,18 @@
 @codec.register(511, _SCHEMA, "ConfigurationInForce")
 @attrs.frozen
 class ConfigurationInForce:
-    """Item: the configuration in force; the document is compressed."""
+    """Item: the configuration in force.
+
+    Attributes:
+      version: Its version.
+      document: The document, compressed.
+      shared_scope: Number of the cache scope of the workspaces that are not
+        isolated.
+    """
 
     version: int
     document: bytes
+    shared_scope: int = 0
 
 
 @codec.register(0, _SCHEMA, "AnnouncedWeights")
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -172,6 +172,8 @@
       workspaces: All workspaces; None if callers need no key.
       limits: Limits of the requests and connections of callers.
       stores: Stores of KV cache.
+      shared_scope: Number of the cache scope of all workspaces that are not
+        isolated; another one begins when a workspace becomes isolated.
     """
 
     version: int
@@ -180,6 +182,7 @@
     workspaces: tuple[Workspace, ...] | None
     limits: callers.CallerLimits
     stores: tuple[Store, ...] = ()
+    shared_scope: int = 0
 
 
 @attrs.frozen
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -23,6 +23,7 @@
 struct ConfigurationInForce {
   version @0 :UInt64;
   document @1 :Data;
+  sharedScope @2 :UInt64;
 }
 
 struct AnnouncedWeights {
