Pass on no request that comes late in a stop on an open connection

Cause shown: the drain takes no new connections after 2.8 s, but a connection whose stream ended later was open for a further request until a poll, each 50 ms, found it idle. A request that a client sent at once was passed on up to the last moment, and cut off at the end of the process.

Change: from 2.8 s on, a connection closes at the end of its answer. A request that crosses the close is not read, so that clients may send it elsewhere.

--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -19,9 +19,9 @@
 # Time until the balancer detects the shutdown: two health checks, one second
 # apart.
 NOTICE_S = 2.3
-# Time after which new connections are refused, so that callers immediately use
-# another gateway: requests accepted later might not finish before the platform
-# kills the process.
+# Time after which new connections and further requests are refused, so that
+# callers immediately use another gateway: requests accepted later might not
+# finish before the platform kills the process.
 ACCEPT_S = 2.8
 # Time reserved before the platform kills the process. Closing the connections
 # takes a few milliseconds; the longest streams need all of the remaining time.
@@ -72,7 +72,7 @@
             while True:
                 serving.close_idle()
                 if anyio.current_time() - started_s >= ACCEPT_S - NOTICE_S:
-                    serving.accepting.cancel()
+                    serving.take_no_more()
                 if not serving.open_requests and not serving.connections:
                     break
                 await anyio.sleep(POLL_INTERVAL_S)
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -81,6 +81,7 @@
       limits: Returns the limits in force.
       memory: Limit on buffered request bodies.
       stopping: Whether responses close their connections.
+      takes_requests: Whether open connections may bring further requests.
       idle: Cancel scopes of connections that wait for a request.
       open_requests: Number of requests in progress.
       connections: Number of open connections.
@@ -92,6 +93,7 @@
     limits: collections.abc.Callable[[], CallerLimits]
     memory: BodyMemory
     stopping: bool = False
+    takes_requests: bool = True
     idle: set[anyio.CancelScope] = attrs.field(factory=set)
     open_requests: int = 0
     connections: int = 0
@@ -113,6 +115,15 @@
         if not self.open_requests:
             self.finished.set()
 
+    def take_no_more(self) -> None:
+        """Takes neither connections nor requests from now on.
+
+        Each connection closes at the end of the answer that it is sent.
+        """
+        self.takes_requests = False
+        self.accepting.cancel()
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Closes connections that wait for a request."""
         for scope in tuple(self.idle):
@@ -144,7 +155,7 @@
             self._release()
 
     async def _run(self) -> None:
-        while True:
+        while self.serving.takes_requests:
             self.limits = self.serving.limits()
             request = await self._read_request()
             if request is None:
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -1,11 +1,15 @@
 from __future__ import annotations
 
+import contextlib
+
 import anyio
+import anyio.abc
 import pytest
 from tests.gateway import support
 from tests.support import raw_target
 
 from cactusstile.gateway import lifecycle
+from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
 
@@ -51,6 +55,49 @@
         await idle.aclose()
 
 
+# Guards against a stream that begins too late before a stop and is cut off.
+async def test_request_after_an_answer_is_not_passed_on_once_none_is_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lifecycle, "NOTICE_S", 0.05)
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", 0.1)
+    monkeypatch.setattr(lifecycle, "POLL_INTERVAL_S", 0.2)
+    gate = anyio.Event()
+    begin = raw_target.stream_events([1], whole=False)
+
+    async def end_body(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        del request
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    config = support.configuration(support.route(model.Kind.STREAM))
+    async with (
+        raw_target.open_target(
+            raw_target.in_turn(begin, gate, end_body), raw_target.silent()
+        ) as target,
+        support.open_harness(config, target) as harness,
+        anyio.create_task_group() as group,
+    ):
+        request = support.request().replace(b"Connection: close\r\n", b"")
+        stream = await harness.connect()
+        await stream.send(request)
+        data = await stream.receive()
+        while b"id: 1" not in data:
+            data += await stream.receive()
+        assert b"connection: close" not in data.lower()
+        state = lifecycle.Lifecycle(harness.site)
+        group.start_soon(state.drain, harness.serving, 1.0)
+        await anyio.sleep(0.35)
+        gate.set()
+        while not data.endswith(b"0\r\n\r\n"):
+            data += await stream.receive()
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await stream.send(request)
+        assert await support.read_to_end(stream) == b""
+        assert len(target.requests) == 1
+        await stream.aclose()
+
+
 async def test_drain_gives_the_longest_stream_all_but_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
