--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -25,6 +25,7 @@
 from cactusstile.gateway.peers import load_sharing
 from cactusstile.gateway.quarantine import hold_reports
 from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
@@ -127,7 +128,7 @@
     serving = callers.Serving(
         forwarder.handle,
         site.caller_limits,
-        callers.BodyMemory(int(memory_bytes)),
+        request_limits.BodyMemory(int(memory_bytes)),
     )
     watch = control_watch.ControlWatch(
         connections, site, settings.internal_seeds, _own_member(settings)
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -14,7 +14,7 @@
 from cactusstile.gateway import target_views
 from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import stored_parts
-from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.routing import regions
 from cactusstile.sites import announcements
 from cactusstile.sites import messages
@@ -191,8 +191,8 @@
         """Returns whether requests can be forwarded."""
         return self.table is not None and self.listed_s is not None
 
-    def caller_limits(self) -> callers.CallerLimits:
+    def caller_limits(self) -> request_limits.CallerLimits:
         """Returns the limits of what callers may send."""
         if self.table is None:
-            return callers.CallerLimits()
+            return request_limits.CallerLimits()
         return self.table.configuration.limits
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -13,6 +13,7 @@
 
 from cactusstile.http import exceptions
 from cactusstile.http import messages
+from cactusstile.http import request_limits
 from cactusstile.http import responder as responders
 from cactusstile.http import sockets
 from cactusstile.transport import address
@@ -35,43 +36,6 @@
 INTERNAL_MAX_BODIES = 4
 
 
-@attrs.frozen
-class CallerLimits:
-    """Limits on the requests of callers.
-
-    Attributes:
-      max_header_bytes: Maximum size of a request head.
-      max_body_bytes: Maximum size of a request body.
-      header_timeout_s: Time from the first byte to the end of the head.
-      idle_timeout_s: Time after which a connection without a request, or with a
-        stalled request body, is closed; see also `MIN_BODY_BYTES_PER_S`.
-    """
-
-    max_header_bytes: int = 16 << 10
-    max_body_bytes: int = 4 << 20
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-@attrs.define
-class BodyMemory:
-    """Limit on the request bodies that a process buffers, in bytes."""
-
-    limit_bytes: int
-    used_bytes: int = 0
-
-    def take(self, size: int) -> bool:
-        """Reserves `size` bytes; returns False if they are not available."""
-        if self.used_bytes + size > self.limit_bytes:
-            return False
-        self.used_bytes += size
-        return True
-
-    def give_back(self, size: int) -> None:
-        """Releases `size` bytes."""
-        self.used_bytes -= size
-
-
 @attrs.define
 class Serving:
     """State shared by all connections of a listener.
@@ -90,8 +54,8 @@
     """
 
     handle: Handler
-    limits: collections.abc.Callable[[], CallerLimits]
-    memory: BodyMemory
+    limits: collections.abc.Callable[[], request_limits.CallerLimits]
+    memory: request_limits.BodyMemory
     stopping: bool = False
     takes_requests: bool = True
     idle: set[anyio.CancelScope] = attrs.field(factory=set)
@@ -394,8 +358,8 @@
 
 def internal_serving(handle: Handler, max_body_bytes: int = 1 << 20) -> Serving:
     """Returns the shared state of a listener for internal use."""
-    limits = CallerLimits(
+    limits = request_limits.CallerLimits(
         max_body_bytes=max_body_bytes, idle_timeout_s=INTERNAL_IDLE_TIMEOUT_S
     )
-    memory = BodyMemory(INTERNAL_MAX_BODIES * max_body_bytes)
+    memory = request_limits.BodyMemory(INTERNAL_MAX_BODIES * max_body_bytes)
     return Serving(handle, lambda: limits, memory)
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -5,7 +5,7 @@
 import json
 import typing
 
-from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.platform import fields
 from cactusstile.sites import model
 
@@ -146,8 +146,8 @@
     return tuple(workspaces)
 
 
-def _decode_limits(limits: fields.JsonObject) -> callers.CallerLimits:
-    return callers.CallerLimits(
+def _decode_limits(limits: fields.JsonObject) -> request_limits.CallerLimits:
+    return request_limits.CallerLimits(
         max_header_bytes=fields.integer(limits, "maxHeaderBytes"),
         max_body_bytes=fields.integer(limits, "maxBodyBytes"),
         header_timeout_s=fields.number(limits, "headerTimeoutMs") / 1000,
--- a/src/cactusstile/sites/model.py
+++ b/src/cactusstile/sites/model.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.transport import address
 
 
@@ -180,7 +180,7 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     workspaces: tuple[Workspace, ...] | None
-    limits: callers.CallerLimits
+    limits: request_limits.CallerLimits
     stores: tuple[Store, ...] = ()
     shared_scope: int = 0
 
--- a/tests/gateway/engines/test_engine_queue.py
+++ b/tests/gateway/engines/test_engine_queue.py
@@ -23,8 +23,8 @@
 from cactusstile.gateway.engines import engine_queue
 from cactusstile.gateway.engines import return_times
 from cactusstile.gateway.peers import load_sharing
-from cactusstile.http import callers
 from cactusstile.http import messages as http_messages
+from cactusstile.http import request_limits
 from cactusstile.sites import messages
 from cactusstile.sites import model
 from cactusstile.transport import address
@@ -137,7 +137,7 @@
         tuple(map(_route, KINDS)),
         {"pool": model.Service("pool", 0, engine)},
         tuple(model.Workspace(name, (f"key-{name}",)) for name in WORKSPACES),
-        callers.CallerLimits(),
+        request_limits.CallerLimits(),
     )
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -22,6 +22,7 @@
 from cactusstile.gateway.peers import load_sharing
 from cactusstile.gateway.peers import sharers
 from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.sites import ages
@@ -52,11 +53,15 @@
     *routes: model.Route,
     version: int = 1,
     workspaces: tuple[model.Workspace, ...] | None = None,
-    limits: callers.CallerLimits | None = None,
+    limits: request_limits.CallerLimits | None = None,
 ) -> model.SiteConfiguration:
     services = {"plain": model.Service("plain")}
     return model.SiteConfiguration(
-        version, routes, services, workspaces, limits or callers.CallerLimits()
+        version,
+        routes,
+        services,
+        workspaces,
+        limits or request_limits.CallerLimits(),
     )
 
 
@@ -159,7 +164,7 @@
         site, pool, retry_budget, ended.append, weights_s
     )
     serving = callers.Serving(
-        forwarder.handle, site.caller_limits, callers.BodyMemory(1 << 20)
+        forwarder.handle, site.caller_limits, request_limits.BodyMemory(1 << 20)
     )
     listener = sockets.listen(address.Address("127.0.0.1", 0))
     listen_address = address.Address(*listener.getsockname())
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -5,7 +5,7 @@
 from tests.gateway import support
 from tests.support import raw_target
 
-from cactusstile.http import callers
+from cactusstile.http import request_limits
 from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
@@ -31,7 +31,9 @@
 async def test_bad_request_is_refused_and_not_forwarded(
     request_bytes: bytes, status: int
 ) -> None:
-    limits = callers.CallerLimits(max_header_bytes=2000, max_body_bytes=5000)
+    limits = request_limits.CallerLimits(
+        max_header_bytes=2000, max_body_bytes=5000
+    )
     config = support.configuration(support.route(), limits=limits)
     async with (
         raw_target.open_target() as target,
@@ -43,7 +45,7 @@
 
 
 async def test_chunked_body_above_limit_is_refused() -> None:
-    limits = callers.CallerLimits(max_body_bytes=10)
+    limits = request_limits.CallerLimits(max_body_bytes=10)
     config = support.configuration(support.route(), limits=limits)
     chunks = b"8\r\n" + b"a" * 8 + b"\r\n"
     data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks * 2
@@ -52,14 +54,14 @@
 
 
 async def test_slow_header_is_refused_after_timeout() -> None:
-    limits = callers.CallerLimits(header_timeout_s=0.1)
+    limits = request_limits.CallerLimits(header_timeout_s=0.1)
     config = support.configuration(support.route(), limits=limits)
     async with support.open_harness(config) as harness:
         assert support.status(await harness.ask(b"GET /a/ HT")) == 408
 
 
 async def test_idle_connection_is_closed_after_timeout() -> None:
-    limits = callers.CallerLimits(idle_timeout_s=0.1)
+    limits = request_limits.CallerLimits(idle_timeout_s=0.1)
     config = support.configuration(support.route(), limits=limits)
     async with support.open_harness(config) as harness:
         assert await harness.ask(b"") == b""
@@ -145,7 +147,7 @@
 
     config = support.configuration(
         support.route(model.Kind.ONCE),
-        limits=callers.CallerLimits(max_body_bytes=8 << 20),
+        limits=request_limits.CallerLimits(max_body_bytes=8 << 20),
     )
     async with (
         raw_target.open_target(
@@ -168,7 +170,7 @@
 async def test_body_that_trickles_in_is_awaited_without_end(
     piece: int, pieces: int, expected: int
 ) -> None:
-    limits = callers.CallerLimits(idle_timeout_s=0.3)
+    limits = request_limits.CallerLimits(idle_timeout_s=0.3)
     config = support.configuration(support.route(), limits=limits)
     async with (
         raw_target.open_target(raw_target.answer()) as target,
