Find the id of an event whatever ends its lines

Cause: the pattern for ids knew LF as the only line end, so that no id was found and the next target was asked for the whole stream.

--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -16,7 +16,11 @@
 _EVENT_END = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
 _LAST_EVENT_END = re.compile(rb"(?:\r\n|\n)\r\Z")
 _LONGEST_END_BYTES = 4
-_EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
+# A stream may begin with a byte order mark.
+_ID_FIELD = re.compile(
+    rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])"
+)
+_MAX_ID_DIGITS = 18
 
 
 class EventSplitter:
@@ -81,11 +85,27 @@
 
     def _is_new(self, event: bytes) -> bool:
         """Records an event's id; returns whether the event is new."""
-        match = _EVENT_ID.search(event)
-        if match is None:
+        number = find_id(event)
+        if number is None:
             return True
-        number = int(match[1])
         if self.last_id is not None and number <= self.last_id:
             return False
         self.last_id = number
         return True
+
+
+def find_id(event: bytes) -> int | None:
+    r"""Returns the id of a complete event; None without a numeric one.
+
+    Of several id fields the last one counts, as in the event-stream format.
+
+    >>> find_id(b"id: 7\rdata: a\r\r"), find_id(b"id: 7\nid\n\n")
+    (7, None)
+    """
+    fields = _ID_FIELD.findall(event)
+    if not fields:
+        return None
+    value = fields[-1]
+    if not value.isdigit() or len(value) > _MAX_ID_DIGITS:
+        return None
+    return int(value)
--- a/tests/http/test_events.py
+++ b/tests/http/test_events.py
@@ -2,7 +2,9 @@
 
 import itertools
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from cactusstile.http import events
 
@@ -31,3 +33,51 @@
         splitter = events.EventSplitter()
         found = [*splitter.feed(data[:split]), *splitter.feed(data[split:])]
         assert len(found) == 1
+
+
+_NAMES = strategies.sampled_from([b"id", b"data", b"", b"event", b"idx"])
+_VALUES = strategies.sampled_from(
+    [b"", b"1", b"7", b" 12", b"  3", b"x", b"4 ", b"9" * 19]
+)
+_LINES = strategies.tuples(
+    strategies.sampled_from(LINE_ENDS),
+    _NAMES,
+    strategies.one_of(strategies.none(), _VALUES),
+)
+
+
+def read_id(lines: list[tuple[bytes, bytes, bytes | None]]) -> int | None:
+    """Returns the id of an event by a plain reading of the format."""
+    found = None
+    for _, name, value in lines:
+        if name != b"id":
+            continue
+        text = (value or b"").removeprefix(b" ")
+        found = int(text) if text.isdigit() and len(text) <= 18 else None
+    return found
+
+
+# Guards against a stream that begins anew after a break, as no id was found.
+@hypothesis.given(strategies.lists(_LINES, min_size=1), strategies.booleans())
+def test_id_is_found_whatever_ends_the_lines(
+    lines: list[tuple[bytes, bytes, bytes | None]], has_mark: bool
+) -> None:
+    event = b"\xef\xbb\xbf" if has_mark else b""
+    for end, name, value in lines:
+        event += name + (b"" if value is None else b":" + value) + end
+    assert events.find_id(event + lines[-1][0]) == read_id(lines)
+
+
+# Guards against events that come a second time in one answer.
+@pytest.mark.parametrize("end", LINE_ENDS)
+def test_event_that_comes_again_is_dropped_whatever_ends_the_lines(
+    end: bytes,
+) -> None:
+    splitter = events.EventSplitter()
+    sent = [
+        b"id: %d" % number + end + b"data: x" + end + end
+        for number in (1, 2, 1, 2, 3)
+    ]
+    found = [*splitter.feed(b"".join(sent)), *splitter.finish()]
+    assert found == [sent[0], sent[1], sent[4]]
+    assert splitter.last_id == 3
