Keep a control process up while its disk refuses writes

Cause: the error of the replica left the process. Change: the process holds no replica and opens its folders again until they can be written, by the wait that registries have, now one module. Damaged state still ends the process.

--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -11,7 +11,7 @@
 from cactusstile.console import exceptions
 from cactusstile.console import first_settings
 from cactusstile.console import signals
-from cactusstile.control import daemon
+from cactusstile.control import process
 from cactusstile.control import settings as control_settings
 from cactusstile.observability import logs
 
@@ -39,19 +39,5 @@
 
 
 async def _serve(settings: control_settings.ControlSettings) -> None:
-    ready = anyio.Event()
-    stop = anyio.Event()
-
     with signals.receive_from_start() as received:
-
-        async def stop_at_signal() -> None:
-            await ready.wait()
-            await anext(received)
-            stop.set()
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(stop_at_signal)
-            await daemon.run_control(
-                settings, stop, on_ready=lambda _: ready.set()
-            )
-            group.cancel_scope.cancel()
+        await process.run(settings, received)
--- a/src/cactusstile/control/daemon.py
+++ b/src/cactusstile/control/daemon.py
@@ -135,8 +135,14 @@
         control_settings.CLAIMS_GROUP: claims.Claims(),
     }
     replicas = {}
-    for name, machine in machines.items():
+    try:
         settings.data_folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise consensus_exceptions.StorageUnavailableError(
+            f"the data folder could not be made ({error}); check its disk and"
+            " permissions"
+        ) from error
+    for name, machine in machines.items():
         own_address = str(settings.own_address)
         replica_context = replica.open_replica(
             settings.for_group(name),
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -8,11 +8,10 @@
 import typing
 
 import anyio
-import anyio.to_thread
 import attrs
 
 from cactusstile.consensus import exceptions
-from cactusstile.consensus import replica
+from cactusstile.consensus import storage_wait
 from cactusstile.console import signals
 from cactusstile.registry import daemon
 from cactusstile.registry import redirector
@@ -27,18 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Time between attempts to open a data folder that refuses access; it doubles up
-# to the longest.
-FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 1.0
-
-
-@attrs.define
-class Pause:
-    """Pause before the next attempt to open a data folder, in seconds."""
-
-    next_s: float = FIRST_PAUSE_S
-
 
 @attrs.define
 class Run:
@@ -85,7 +72,7 @@
 ) -> None:
     """Serves until shutdown, with a pause whenever the disk refuses access."""
     config = daemon.build_replica_settings(settings)
-    pause = Pause()
+    storage = storage_wait.StorageWait()
     while True:
         started_s = anyio.current_time()
         outcome = await _serve(settings, path, received)
@@ -99,31 +86,12 @@
             "the data folder cannot be used; operators are redirected",
             extra={"error": outcome.failure},
         )
-        if anyio.current_time() - started_s > LONGEST_PAUSE_S:
-            pause = Pause()
-        wait = functools.partial(_wait_for_disk, config, pause)
+        storage.reset_after(anyio.current_time() - started_s)
+        wait = functools.partial(storage.until_usable, [config])
         if not await _redirect(settings, path, received, wait):
             return
 
 
-async def _wait_for_disk(
-    config: replica_settings.ReplicaSettings, pause: Pause
-) -> None:
-    """Waits until the data folder can be opened and written."""
-    while True:
-        await anyio.sleep(pause.next_s)
-        pause.next_s = min(2 * pause.next_s, LONGEST_PAUSE_S)
-        try:
-            await anyio.to_thread.run_sync(replica.check_storage, config)
-        except exceptions.StorageUnavailableError as error:
-            logger.warning(
-                "the data folder cannot be used yet",
-                extra={"error": str(error)},
-            )
-            continue
-        return
-
-
 def _discard_data(config: replica_settings.ReplicaSettings) -> str:
     """Discards the data; returns why it cannot, empty if it was done."""
     try:
@@ -178,10 +146,7 @@
     try:
         await _serve_replica(settings, path, received, outcome)
     except* exceptions.StorageUnavailableError as group:
-        error: BaseException = group
-        while isinstance(error, BaseExceptionGroup):
-            error = error.exceptions[0]
-        outcome.failure = str(error)
+        outcome.failure = str(storage_wait.find_cause(group))
     return outcome
 
 
