--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -13,6 +13,7 @@
 from cactusstile.gateway import routes
 from cactusstile.gateway import site_view
 from cactusstile.gateway import streams
+from cactusstile.gateway import target_requests
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import backups
 from cactusstile.gateway.engines import engine_memory
@@ -231,7 +232,7 @@
         view: target_view.TargetView,
         relay: streams.StreamRelay,
         attempts: retries.Attempts,
-    ) -> exchange.Dispatch:
+    ) -> target_requests.Dispatch:
         """Returns the target and the parameters of an attempt."""
         last_event_id = relay.splitter.last_id
         name = admitted.prompt.model
@@ -239,7 +240,7 @@
         backup = attempts.backup
         if backup is not None and attempts.resuming:
             salt = salts.make(admitted.cache_scope, name, weights or 0)
-            return exchange.Dispatch(
+            return target_requests.Dispatch(
                 view.target,
                 salt,
                 backup.weights,
@@ -248,11 +249,11 @@
             )
         salt = salts.make(self._cache_scope(admitted), name, weights or 0)
         if not name or weights is None:
-            return exchange.Dispatch(
+            return target_requests.Dispatch(
                 view.target, salt, last_event_id=last_event_id
             )
         copy_to = None if backup is None else backup.view.target.address
-        return exchange.Dispatch(
+        return target_requests.Dispatch(
             view.target,
             salt,
             weights,
@@ -326,7 +327,7 @@
         self,
         admitted: admission.AdmittedRequest,
         view: target_view.TargetView,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
     ) -> exchange.Work:
         """Returns the expected work of a request at a target."""
         now_s = anyio.current_time()
@@ -341,7 +342,7 @@
     def record_first_event(
         self,
         admitted: admission.AdmittedRequest,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
         work: exchange.Work,
     ) -> messages.ObservedFetch | None:
         """Updates the cost estimates from an engine's time to first event.
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -12,13 +12,10 @@
 from cactusstile.gateway import admission
 from cactusstile.gateway import answer_memory
 from cactusstile.gateway import target_requests
-from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import targets
 from cactusstile.platform import headers
-from cactusstile.sites import model
-from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -117,39 +114,6 @@
         return any(self.head.find(name) is not None for name in framing)
 
 
-@attrs.frozen
-class Dispatch:
-    """Target and parameters of one attempt.
-
-    Attributes:
-      target: The target.
-      salt: Salt of the KV cache; empty without a model.
-      weights: Version of the weights that the engine must have loaded; None if
-        it is irrelevant or unknown.
-      last_event_id: Id of the last event that the caller received; None if the
-        stream is not resumed.
-      transfers: Parts of the prompt that the engine fetches and saves.
-      copy_to: Address of the engine that the run's KV cache is copied to while
-        it grows; None if it is not copied.
-      from_copy: Whether the run resumes from its copy at this engine.
-      begin_by_s: Loop time by which the run must begin; infinite if it may
-        begin at any time.
-      is_return: Whether the request was sent to this address before. A late
-        copy of that answer could be taken for the next one on a connection
-        that carried it.
-    """
-
-    target: model.Target
-    salt: str = ""
-    weights: int | None = None
-    last_event_id: int | None = None
-    transfers: stored_parts.TransferPlan = stored_parts.NO_TRANSFERS
-    copy_to: address.Address | None = None
-    from_copy: bool = False
-    begin_by_s: float = float("inf")
-    is_return: bool = False
-
-
 @attrs.define
 class Work:
     """Expected work of one attempt at a target.
@@ -174,7 +138,7 @@
 async def open_attempt(
     pool: targets.Pool,
     admitted: admission.AdmittedRequest,
-    dispatch: Dispatch,
+    dispatch: target_requests.Dispatch,
     may_send: MaySend,
     record_head: RecordHead,
     *,
@@ -208,7 +172,7 @@
 
 
 async def _take_connection(
-    pool: targets.Pool, dispatch: Dispatch
+    pool: targets.Pool, dispatch: target_requests.Dispatch
 ) -> targets.TargetConnection:
     """Returns a connection to the target.
 
@@ -227,7 +191,7 @@
 async def _send(
     connection: targets.TargetConnection,
     admitted: admission.AdmittedRequest,
-    dispatch: Dispatch,
+    dispatch: target_requests.Dispatch,
     record_head: RecordHead,
     holding: answer_memory.Holding,
 ) -> Answer | OpenStream:
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -9,6 +9,7 @@
 from cactusstile import verdict
 from cactusstile.gateway import admission
 from cactusstile.gateway import exchange
+from cactusstile.gateway import target_requests
 from cactusstile.gateway import target_view
 from cactusstile.http import messages
 from cactusstile.http import responder as responders
@@ -216,7 +217,7 @@
         self,
         admitted: admission.AdmittedRequest,
         work: exchange.Work,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
     ) -> None:
         """Records the expected work of the current attempt."""
         attempt = self.attempts[-1]
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -16,6 +16,7 @@
 from cactusstile.gateway import retries
 from cactusstile.gateway import streams
 from cactusstile.gateway import target_limits
+from cactusstile.gateway import target_requests
 from cactusstile.gateway import target_view
 from cactusstile.gateway.engines import backups
 from cactusstile.gateway.engines import prompts
@@ -136,7 +137,7 @@
         self,
         prompt: prompts.Prompt,
         view: target_view.TargetView,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
         work: exchange.Work,
     ) -> None:
         """Records a prompt that is sent to an engine, and tells others."""
@@ -148,7 +149,7 @@
         self,
         admitted: admission.AdmittedRequest,
         view: target_view.TargetView,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
         record: records.RequestRecord,
         holding: answer_memory.Holding,
     ) -> contextlib.AbstractAsyncContextManager[
@@ -188,7 +189,7 @@
         self,
         admitted: admission.AdmittedRequest,
         work: exchange.Work,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
         record: records.RequestRecord,
     ) -> None:
         """Records the work of an attempt and its weights."""
@@ -206,7 +207,7 @@
     def _record_first_event(
         self,
         admitted: admission.AdmittedRequest,
-        dispatch: exchange.Dispatch,
+        dispatch: target_requests.Dispatch,
         work: exchange.Work,
     ) -> None:
         """Records the first event of a stream."""
--- a/src/cactusstile/gateway/target_requests.py
+++ b/src/cactusstile/gateway/target_requests.py
@@ -2,24 +2,55 @@
 
 from __future__ import annotations
 
-import typing
-
 import anyio
 import attrs
 
 from cactusstile.gateway import admission
+from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import messages
 from cactusstile.platform import headers
-
-if typing.TYPE_CHECKING:
-    from cactusstile.gateway import exchange
+from cactusstile.sites import model
+from cactusstile.transport import address
 
 # Header fields of a caller's request that are replaced or removed.
 _DROPPED_FIELDS = headers.SYSTEM_FIELDS | {b"content-length", b"expect"}
 
 
+@attrs.frozen
+class Dispatch:
+    """Target and parameters of one attempt.
+
+    Attributes:
+      target: The target.
+      salt: Salt of the KV cache; empty without a model.
+      weights: Version of the weights that the engine must have loaded; None if
+        it is irrelevant or unknown.
+      last_event_id: Id of the last event that the caller received; None if the
+        stream is not resumed.
+      transfers: Parts of the prompt that the engine fetches and saves.
+      copy_to: Address of the engine that the run's KV cache is copied to while
+        it grows; None if it is not copied.
+      from_copy: Whether the run resumes from its copy at this engine.
+      begin_by_s: Loop time by which the run must begin; infinite if it may
+        begin at any time.
+      is_return: Whether the request was sent to this address before. A late
+        copy of that answer could be taken for the next one on a connection
+        that carried it.
+    """
+
+    target: model.Target
+    salt: str = ""
+    weights: int | None = None
+    last_event_id: int | None = None
+    transfers: stored_parts.TransferPlan = stored_parts.NO_TRANSFERS
+    copy_to: address.Address | None = None
+    from_copy: bool = False
+    begin_by_s: float = float("inf")
+    is_return: bool = False
+
+
 def build(
-    admitted: admission.AdmittedRequest, dispatch: exchange.Dispatch
+    admitted: admission.AdmittedRequest, dispatch: Dispatch
 ) -> messages.Request:
     """Returns the request in the form that the target receives."""
     request = admitted.request
@@ -43,7 +74,7 @@
     return attrs.evolve(request, headers=tuple(fields))
 
 
-def _cache_fields(dispatch: exchange.Dispatch) -> list[tuple[bytes, bytes]]:
+def _cache_fields(dispatch: Dispatch) -> list[tuple[bytes, bytes]]:
     """Returns the header fields about an engine's KV cache."""
     fields = [(headers.CACHE_SALT, dispatch.salt.encode())]
     if dispatch.weights is not None:
@@ -65,7 +96,7 @@
 
 
 def _copy_fields(
-    dispatch: exchange.Dispatch, request_id: str
+    dispatch: Dispatch, request_id: str
 ) -> list[tuple[bytes, bytes]]:
     """Returns the header fields about a run's copy."""
     fields = []
