Refuse a stream that waited while a stop began and would outlast it

Its length was looked at on arrival only.

Change: looked at again when its engine is chosen; the refusal says not run, so that the caller goes to another gateway at once. A stream that has been sent to a target is not refused.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -199,13 +199,16 @@
         """Returns the target of the next attempt; None if none is left.
 
         Raises:
-          RefusedError: Targets end under the request, or none has room.
+          RefusedError: Targets end under the request, none has room, or this
+            process stops before a stream would end.
         """
         outcome = attempts.final_verdict()
         self.quarantine.refuse_if_held(admitted.keys, outcome)
         view = await self.queue.choose_target(admitted, service, attempts)
-        # It may have waited while targets ended.
+        # It may have waited while targets ended, or a stop began.
         self.quarantine.refuse_if_held(admitted.keys, outcome)
+        if not attempts.sent_count:
+            self._refuse_if_outlasting_stop(admitted)
         return view
 
     async def _record_failure(
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import contextlib
+import typing
 
 import anyio
 import anyio.abc
@@ -119,6 +120,29 @@
         assert not target.requests
 
 
+# Guards against a stream that waits while a stop begins and is cut off.
+async def test_stream_that_waited_and_outlasts_the_stop_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    config = support.configuration(support.route(model.Kind.STREAM))
+    async with (
+        raw_target.open_target(raw_target.stream_events([1])) as target,
+        support.open_harness(config, target) as harness,
+    ):
+        queue = harness.forwarder.queue
+        choose_target = queue.choose_target
+
+        async def wait(*arguments: typing.Any) -> typing.Any:
+            harness.forwarder.stop_at_s = anyio.current_time() + 0.5
+            return await choose_target(*arguments)
+
+        monkeypatch.setattr(queue, "choose_target", wait)
+        tokens = b"X-Cactusstile-Token-Usage: 9,900\r\n"
+        data = await harness.ask(support.request(b"POST", tokens))
+        assert support.status(data) == 503
+        assert not target.requests
+
+
 async def test_drain_gives_the_longest_stream_all_but_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
