Let learners replace lost voters instead of joining beside them

Cause: two learners are promoted as a pair, which was done before the lost voters counted as lost. The group had seven voters, two of them gone for good and nobody left to replace them; three of seven are no majority.

Change: learners join as a pair only while all voters answer.

--- a/src/cactusstile/registry/members.py
+++ b/src/cactusstile/registry/members.py
@@ -83,10 +83,10 @@
     if lost is not None and len(voters) % 2 == 0:
         return membership.Remove(lost.member.id)
     # Learners are promoted in pairs, one after the other, so that the number of
-    # voters stays odd.
-    if learners and (
-        lost is not None or len(learners) > 1 or len(voters) % 2 == 0
-    ):
+    # voters stays odd. While a voter does not answer, they may have to replace
+    # it: a group that grows instead needs the majority of more.
+    may_grow = len(learners) > 1 and all(voter.active for voter in voters)
+    if learners and (lost is not None or may_grow or len(voters) % 2 == 0):
         return Promote(learners[0].member.name)
     return None
 
--- a/tests/registry/test_members.py
+++ b/tests/registry/test_members.py
@@ -57,3 +57,14 @@
     silent = {lost.member.id: 1000.0}
     statuses = [status("a"), status("b"), lost]
     assert members.next_step(statuses, [], silent, OWN) is None
+
+
+# Guards against lost voters that stay in a group which grew in their place.
+def test_two_learners_do_not_join_voters_of_which_one_does_not_answer() -> None:
+    silent = status("c", active=False)
+    statuses = [status("a"), status("b"), silent]
+    statuses += [status("d", voter=False), status("e", voter=False)]
+    assert members.next_step(statuses, [], {}, OWN) is None
+    silence_s = {silent.member.id: members.LOST_AFTER_S + 1}
+    step = members.next_step(statuses, [], silence_s, OWN)
+    assert step == members.Promote("d")
--- a/tests/registry/test_second_loss.py
+++ b/tests/registry/test_second_loss.py
@@ -70,6 +70,37 @@
             stop.set()
 
 
+# Guards against two lost voters of five that count on beside two more.
+@pytest.mark.parametrize("with_leader", [False, True])
+async def test_two_lost_disks_after_two_replacements_lose_no_configuration(
+    site: sites.Site, with_leader: bool
+) -> None:
+    hosts = [f"{sites.NETWORK}.{number}" for number in range(2, 9)]
+    async with anyio.create_task_group() as group:
+        for host in hosts[:5]:
+            await group.start(site.run, host)
+        await site.wait_for_voters(*hosts[:5])
+        first = (await _others(site))[:2]
+        if with_leader:
+            first[0] = (await site.leader()).settings.host
+        for host in first:
+            await site.lose(host)
+        await anyio.sleep(1.0)
+        for host in hosts[5:]:
+            await group.start(site.run, host)
+        await anyio.sleep(CATCH_UP_S)
+        assert await site.replace(5) == OK
+        leader = await site.leader()
+        others = [one for one in site.running.values() if one is not leader]
+        for registry in (leader, others[0]):
+            await _lose_disk(site, registry)
+        for registry in (leader, others[0]):
+            await group.start(_run_later, site, registry.settings.host)
+        assert await _read_version(site) == 5
+        for stop in site.stops.values():
+            stop.set()
+
+
 async def _lose_disk(site: sites.Site, registry: daemon.Registry) -> None:
     await site.lose(registry.settings.host)
     folder = registry.settings.data_folder
