Read a caller's Last-Event-Id by the rule for ids of events

Cause: one format read by two rules. Ids of events were read with up to 18 digits, the caller's field with up to ten, so that a longer one counted as absent: the stream passed for a new one, for which any build will do. Ids of 19 and 20 digits (times in ns, other 64-bit numbers) were read by neither, ids after two blanks by the second alone.

Change: events.parse_id reads both; 20 digits, blanks around do not count.

Evidence: test_stream_resumed_after_a_long_id_goes_on_at_another_build failed in both cases on (1 request at the other build), passes now. The expectation of the property test in tests/http/test_events.py changes with the rule: " 3" and "4 " are now the numbers that a caller names after them, and the bound of digits is 20 in place of 18.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -11,6 +11,7 @@
 from cactusstile.gateway import routes
 from cactusstile.gateway.engines import prompts
 from cactusstile.gateway.quarantine import request_keys
+from cactusstile.http import events
 from cactusstile.http import messages
 from cactusstile.platform import headers
 from cactusstile.sites import model
@@ -120,7 +121,9 @@
         least_urgent=table.least_urgent,
         answer_deadline_s=answer_deadline_s,
         caller_deadline_s=caller_deadline_s,
-        last_event_id=_parse_number(request, headers.LAST_EVENT_ID),
+        last_event_id=events.parse_id(
+            (request.find(headers.LAST_EVENT_ID) or "").encode()
+        ),
         resumed_id=request.find(headers.RESUMED_REQUEST) or "",
         version=table.configuration.version,
     )
@@ -177,15 +180,7 @@
 
 
 def _caller_deadline_s(request: messages.Request, default_s: float) -> float:
-    limit_ms = _parse_number(request, headers.DEADLINE_MS)
-    return (
-        default_s if limit_ms is None else request.received_s + limit_ms / 1000
-    )
-
-
-def _parse_number(request: messages.Request, name: bytes) -> int | None:
-    """Returns the number in a header field; None if it is not a number."""
-    text = (request.find(name) or "").strip()
+    text = (request.find(headers.DEADLINE_MS) or "").strip()
     if not text.isdecimal() or len(text) > len(str(2**31)):
-        return None
-    return int(text)
+        return default_s
+    return request.received_s + int(text) / 1000
--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -20,7 +20,8 @@
 _ID_FIELD = re.compile(
     rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])"
 )
-_MAX_ID_DIGITS = 18
+# As many as a number of 64 bits has.
+_MAX_ID_DIGITS = 20
 
 
 class EventSplitter:
@@ -103,9 +104,19 @@
     (7, None)
     """
     fields = _ID_FIELD.findall(event)
-    if not fields:
-        return None
-    value = fields[-1]
-    if not value.isdigit() or len(value) > _MAX_ID_DIGITS:
+    return parse_id(fields[-1]) if fields else None
+
+
+def parse_id(value: bytes) -> int | None:
+    """Returns the number in an id field, or in a caller's `Last-Event-Id`.
+
+    Blanks around it do not count, as a header field cannot hold them. None if
+    the value is no number.
+
+    >>> parse_id(b" 12"), parse_id(b"12a"), parse_id(b"")
+    (12, None, None)
+    """
+    digits = value.strip(b" \t")
+    if not digits.isdigit() or len(digits) > _MAX_ID_DIGITS:
         return None
-    return int(value)
+    return int(digits)
--- a/tests/gateway/test_stream_builds.py
+++ b/tests/gateway/test_stream_builds.py
@@ -78,6 +78,31 @@
     assert event_ids(data) == [b"id: 3"]
 
 
+# Guards against a resumed stream that is taken for a new one, as its id is read
+# by another rule than the ids of events.
+@pytest.mark.parametrize("last", [1764928000123, 1764928000123456789])
+async def test_stream_resumed_after_a_long_id_goes_on_at_another_build(
+    last: int,
+) -> None:
+    cut = raw_target.stream_events([last - 1, last], whole=False)
+    going_on = b"Last-Event-Id: %d\r\nResumes: one\r\n" % last
+    async with (
+        raw_target.open_target(cut, id="a", build="v1") as first,
+        raw_target.open_target(
+            raw_target.stream_events([last + 1]), id="b", build="v2"
+        ) as other,
+        support.open_harness(CONFIG, first, other) as harness,
+    ):
+        harness.site.targets.views["b", 0].inflight = 3
+        await harness.ask(support.request(b"POST"))
+        harness.site.targets.views["a", 0].inflight = 9
+        first.scripts.append(raw_target.stream_events([last, last + 1]))
+        resume = support.request(b"POST", going_on)
+        data = await harness.ask(resume.replace(b"Id: one", b"Id: two", 1))
+    assert other.requests == []
+    assert event_ids(data) == [b"id: %d" % (last + 1)]
+
+
 RESUME = b"Last-Event-Id: 2\r\nResumes: earlier\r\n"
 
 
--- a/tests/http/test_events.py
+++ b/tests/http/test_events.py
@@ -37,7 +37,7 @@
 
 _NAMES = strategies.sampled_from([b"id", b"data", b"", b"event", b"idx"])
 _VALUES = strategies.sampled_from(
-    [b"", b"1", b"7", b" 12", b"  3", b"x", b"4 ", b"9" * 19]
+    [b"", b"1", b"7", b" 12", b"  3", b"x", b"4 ", b"9" * 20, b"9" * 21]
 )
 _LINES = strategies.tuples(
     strategies.sampled_from(LINE_ENDS),
@@ -52,8 +52,8 @@
     for _, name, value in lines:
         if name != b"id":
             continue
-        text = (value or b"").removeprefix(b" ")
-        found = int(text) if text.isdigit() and len(text) <= 18 else None
+        text = (value or b"").strip(b" ")
+        found = int(text) if text.isdigit() and len(text) <= 20 else None
     return found
 
 
