Know an event stream by its media type, not by the first letters

Cause: the field was compared letter by letter from its beginning. Media types know no case and end before their parameters.

Change: messages.media_type, used where the gateway tells streams from answers.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -267,8 +267,8 @@
 
 def _is_stream(head: messages.ResponseHead) -> bool:
     """Returns whether an answer is a stream of events and no failure."""
-    kind = head.find(b"content-type") or ""
-    return kind.startswith(headers.EVENT_STREAM) and head.status in _SUCCESSES
+    is_stream = messages.media_type(head) == headers.EVENT_STREAM
+    return is_stream and head.status in _SUCCESSES
 
 
 def _make_matcher(
--- a/src/cactusstile/http/messages.py
+++ b/src/cactusstile/http/messages.py
@@ -84,6 +84,17 @@
     return None
 
 
+def media_type(head: ResponseHead) -> str:
+    """Returns the type of a body: lower-case, without parameters.
+
+    >>> fields = ((b"content-type", b"Text/Plain ; charset=utf-8"),)
+    >>> media_type(ResponseHead(200, fields))
+    'text/plain'
+    """
+    text = head.find(b"content-type") or ""
+    return text.partition(";")[0].strip().lower()
+
+
 def end_to_end(
     headers: Headers, dropped: collections.abc.Container[bytes] = ()
 ) -> list[tuple[bytes, bytes]]:
