Read header fields as the UTF-8 that they are written in

Cause: one text read by two rules. Keys, ids and names come in JSON as UTF-8 and are sent in header fields as UTF-8, but fields were read as Latin-1, so that the same text never compared equal.

Change: a field is read as UTF-8; bytes that are not UTF-8 are read as Latin-1, as before. The host in a request's fingerprint is encoded as UTF-8, too: every text that is read has such an encoding.

Evidence: test_key_with_other_than_ascii_letters_is_unknown (401) and test_notice_of_a_target_with_other_than_ascii_letters_is_ignored failed before, pass now.

--- a/src/cactusstile/gateway/quarantine/request_keys.py
+++ b/src/cactusstile/gateway/quarantine/request_keys.py
@@ -69,7 +69,7 @@
     fields = [
         workspace.encode(errors="surrogateescape"),
         request.method,
-        (request.find(b"host") or "").lower().encode("latin-1"),
+        (request.find(b"host") or "").lower().encode(),
         request.target,
         request.body,
         prompt.model.encode(errors="surrogateescape"),
--- a/src/cactusstile/http/messages.py
+++ b/src/cactusstile/http/messages.py
@@ -80,10 +80,18 @@
     """
     for field, value in headers:
         if field == name:
-            return value.decode("latin-1")
+            return _decode_value(value)
     return None
 
 
+def _decode_value(value: bytes) -> str:
+    """Returns a value as text: UTF-8, or Latin-1 if it is not UTF-8."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def media_type(head: ResponseHead) -> str:
     """Returns the type of a body: lower-case, without parameters.
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -109,6 +109,20 @@
         assert support.status(await harness.ask(other)) == 404
 
 
+# Guards against a key of the configuration that is unknown in a request, since
+# one is read as UTF-8 and the other as Latin-1.
+async def test_key_with_other_than_ascii_letters_is_unknown() -> None:
+    workspace = model.Workspace("w", ("schlüssel-1",))
+    config = support.configuration(support.route(), workspaces=(workspace,))
+    field = "X-Cactusstile-Key: schlüssel-1\r\n".encode()
+    async with (
+        raw_target.open_target(raw_target.answer()) as target,
+        support.open_harness(config, target) as harness,
+    ):
+        data = await harness.ask(support.request(rest=field))
+    assert support.status(data) == 200
+
+
 async def test_rejected_request_goes_to_another_target() -> None:
     async with (
         raw_target.open_target(raw_target.reject(), id="a") as first,
--- a/tests/gateway/test_target_notices.py
+++ b/tests/gateway/test_target_notices.py
@@ -10,6 +10,7 @@
 from cactusstile.gateway.engines import peer_parts
 from cactusstile.gateway.engines import prompts
 from cactusstile.http import messages
+from cactusstile.platform import headers
 from cactusstile.sites import model
 from cactusstile.transport import address
 
@@ -45,6 +46,16 @@
     assert noted.paused_until_s < 10.0
 
 
+# Guards against notices that are taken for those of another target, since its
+# id is sent as UTF-8 and read back as Latin-1.
+def test_notice_of_a_target_with_other_than_ascii_letters_is_ignored() -> None:
+    noted = target_notices.TargetNotices("zoë-1")
+    identity = (headers.TARGET_ID, "zoë-1".encode())
+    head = rejection(b"5")
+    noted.record(attrs.evolve(head, headers=(*head.headers, identity)), 10.0)
+    assert noted.paused_until_s == 15.0
+
+
 def test_answer_that_is_no_rejection_makes_a_target_pause() -> None:
     noted = target_notices.TargetNotices("t")
     noted.record(attrs.evolve(rejection(b"5"), status=500), 10.0)
