Drop the fields of one connection by one rule at entry and agent

Cause: one format read by three rules. The gateway reads all Connection lines (messages.end_to_end), the entry the last one, and the agent drops a fixed list.

Change: entry and agent call messages.end_to_end; their own lists are gone.

--- a/src/cactusstile/entry/services.py
+++ b/src/cactusstile/entry/services.py
@@ -11,6 +11,7 @@
 from cactusstile.filters import exchange
 from cactusstile.filters import refusals
 from cactusstile.filters import request_options
+from cactusstile.http import messages as http_messages
 
 if typing.TYPE_CHECKING:
     from cactusstile.entry import dispatch
@@ -20,26 +21,19 @@
 PATH_PREFIX = "/services/"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 MAX_HEADERS = 100
-_HOP_BY_HOP = (
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-)
-_NOT_FORWARDED = (
-    "authorization",
-    "host",
-    request_options.DEADLINE_HEADER,
-    request_options.PRIORITY_HEADER,
-    request_options.REPEATABLE_HEADER,
+_NOT_FORWARDED = frozenset(
+    name.encode()
+    for name in (
+        "authorization",
+        "content-length",
+        "expect",
+        "host",
+        request_options.DEADLINE_HEADER,
+        request_options.PRIORITY_HEADER,
+        request_options.REPEATABLE_HEADER,
+    )
 )
+_NOT_RETURNED = (b"content-length",)
 
 
 def build_handler(
@@ -52,11 +46,11 @@
         context.repeatable = request.repeatable
         context.body = b""
         reply = await dispatcher.call_service(request)
-        headers = [
+        fields = tuple(
             (header.name.lower().encode(), header.value.encode("latin-1"))
             for header in reply.headers
-            if header.name.lower() not in _HOP_BY_HOP
-        ]
+        )
+        headers = http_messages.end_to_end(fields, _NOT_RETURNED)
         has_run = verdict.Verdict.HAS_RUN.value.encode()
         headers.append((refusals.VERDICT_HEADER, has_run))
         await context.answer(reply.status, reply.body, headers)
@@ -108,18 +102,10 @@
     context: exchange.Exchange,
 ) -> tuple[messages.Header, ...]:
     """Returns the headers to forward, without the caller's credentials."""
-    connection_options = (
-        context.headers.get("connection", "").lower().split(",")
-    )
-    dropped = {
-        *_HOP_BY_HOP,
-        *_NOT_FORWARDED,
-        *(name.strip() for name in connection_options),
-    }
+    fields = tuple(context.scope["headers"])
     forwarded = [
         messages.Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in context.scope["headers"]
-        if name.decode("latin-1") not in dropped
+        for name, value in http_messages.end_to_end(fields, _NOT_FORWARDED)
     ]
     if len(forwarded) > MAX_HEADERS:
         raise verdict.refuse(
--- a/src/cactusstile/targets/service.py
+++ b/src/cactusstile/targets/service.py
@@ -5,6 +5,7 @@
 import typing
 
 from cactusstile.agent import messages
+from cactusstile.http import messages as http_messages
 from cactusstile.targets import http
 
 if typing.TYPE_CHECKING:
@@ -13,18 +14,12 @@
 MAX_ANSWER_BYTES = 2 * 1024 * 1024
 WORKSPACE_HEADER = "X-Workspace"
 KEY_HEADER = "Idempotency-Key"
-_DROPPED_HEADERS = frozenset(
+_DROPPED_FIELDS = frozenset(
     (
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        KEY_HEADER.lower(),
-        WORKSPACE_HEADER.lower(),
+        b"content-length",
+        b"host",
+        KEY_HEADER.lower().encode(),
+        WORKSPACE_HEADER.lower().encode(),
     )
 )
 
@@ -72,8 +67,12 @@
 def _end_to_end_headers(
     headers: collections.abc.Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
-    return [
-        (name, value)
+    """Returns the fields that are not of one connection, in lower case."""
+    fields = tuple(
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
         for name, value in headers
-        if name.lower() not in _DROPPED_HEADERS
+    )
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in http_messages.end_to_end(fields, _DROPPED_FIELDS)
     ]
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -40,9 +40,11 @@
         key: str = "key-of-bank",
         method: str = "POST",
         headers: dict[str, str] | None = None,
+        fields: tuple[tuple[str, str], ...] = (),
     ) -> httpcore.Response:
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         sent = [("Authorization", f"Bearer {key}"), *(headers or {}).items()]
+        sent.extend(fields)
         return await self.http.request(
             method, self.url + path, headers=sent, content=data
         )
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -233,6 +233,27 @@
     assert call.repeatable is False
 
 
+# Guards against fields of the caller's connection that a service receives, as
+# only the last of several Connection fields is read.
+async def test_fields_named_in_the_first_of_two_lines_are_passed_on(
+    site: support.Site,
+) -> None:
+    await site.request(
+        "/services/inventory/items",
+        b"body",
+        fields=(
+            ("Connection", "X-Private"),
+            ("Connection", "X-Other"),
+            ("X-Private", "p"),
+            ("X-Other", "o"),
+            ("X-Scan", "7"),
+        ),
+    )
+    names = {header.name for header in site.agents[0].calls[0].headers}
+    assert "x-scan" in names
+    assert names.isdisjoint({"x-private", "x-other", "connection"})
+
+
 async def test_only_repeatable_service_calls_are_retried() -> None:
     agents = [scripted_agent.ScriptedAgent(name) for name in ("a", "b", "c")]
 
