Read the events of engines by the rule that gateways read streams by

Cause: one format read by two rules. The gateway splits event streams by http.events; the agent's client split lines at LF alone and took each line for an event.

Change: open_events splits by http.events.EventSplitter, the dialect reads events.find_data. An event that breaks off in the middle is dropped, as in gateways. The bound of a line (1 MB) is now that of an event; the two tests of it are renamed.

--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -16,10 +16,10 @@
 _EVENT_END = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
 _LAST_EVENT_END = re.compile(rb"(?:\r\n|\n)\r\Z")
 _LONGEST_END_BYTES = 4
-# A stream may begin with a byte order mark.
-_ID_FIELD = re.compile(
-    rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])"
-)
+# A field within an event. A stream may begin with a byte order mark.
+_FIELD = rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])%b(?:: ?([^\r\n]*))?(?=[\r\n])"
+_ID_FIELD = re.compile(_FIELD % b"id")
+_DATA_FIELD = re.compile(_FIELD % b"data")
 # As many as a number of 64 bits has.
 _MAX_ID_DIGITS = 20
 
@@ -107,6 +107,16 @@
     return parse_id(fields[-1]) if fields else None
 
 
+def find_data(event: bytes) -> bytes | None:
+    r"""Returns the data of a complete event; None if it has none.
+
+    >>> find_data(b"data: a\rdata:b\r\r"), find_data(b": comment\n\n")
+    (b'a\nb', None)
+    """
+    lines = _DATA_FIELD.findall(event)
+    return b"\n".join(lines) if lines else None
+
+
 def parse_id(value: bytes) -> int | None:
     """Returns the number in an id field, or in a caller's `Last-Event-Id`.
 
--- a/src/cactusstile/targets/engine.py
+++ b/src/cactusstile/targets/engine.py
@@ -259,16 +259,16 @@
     async def _open(
         self, request: http.Request
     ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[Event]]:
-        async with self._target.open_lines(
+        async with self._target.open_events(
             request, timeout_s=STREAM_IDLE_TIMEOUT_S
-        ) as lines:
-            yield self._events(lines)
+        ) as received:
+            yield self._events(received)
 
     async def _events(
-        self, lines: collections.abc.AsyncIterator[bytes]
+        self, received: collections.abc.AsyncIterator[bytes]
     ) -> collections.abc.AsyncIterator[Event]:
-        async for line in lines:
-            for event in _parse_response(self._dialect.parse_event, line):
+        async for data in received:
+            for event in _parse_response(self._dialect.parse_event, data):
                 yield event
 
 
--- a/src/cactusstile/targets/http.py
+++ b/src/cactusstile/targets/http.py
@@ -9,6 +9,8 @@
 import attrs
 import httpcore
 
+from cactusstile.http import events
+from cactusstile.http import exceptions as http_exceptions
 from cactusstile.targets import exceptions
 
 if typing.TYPE_CHECKING:
@@ -17,7 +19,7 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 512
 MAX_BODY_BYTES = 32 * 1024 * 1024
-MAX_LINE_BYTES = 1024 * 1024
+MAX_ERROR_BYTES = 1024 * 1024
 MIN_ERROR_STATUS = 300
 _CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
 _TRANSFER_ERRORS = (
@@ -117,10 +119,10 @@
         return response
 
     @contextlib.asynccontextmanager
-    async def open_lines(
+    async def open_events(
         self, request: Request, *, timeout_s: float
     ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[bytes]]:
-        """Opens a call and yields the lines of its response.
+        """Opens a call and yields the events of its response.
 
         Args:
           request: The request.
@@ -132,9 +134,9 @@
         """
         async with self.open_call(request, timeout_s=timeout_s) as response:
             if response.status >= MIN_ERROR_STATUS:
-                body = await _read_body(response, MAX_LINE_BYTES)
+                body = await _read_body(response, MAX_ERROR_BYTES)
                 raise _status_error(request, response.status, body)
-            yield _split_lines(response)
+            yield _split_events(response)
 
     @contextlib.asynccontextmanager
     async def open_call(
@@ -219,18 +221,17 @@
     return b"".join(parts)
 
 
-async def _split_lines(
+async def _split_events(
     response: httpcore.Response,
 ) -> collections.abc.AsyncIterator[bytes]:
-    remainder = bytearray()
-    async for part in response.aiter_stream():
-        *ends, rest = part.split(b"\n")
-        for end in ends:
-            remainder += end
-            yield bytes(remainder)
-            remainder.clear()
-        remainder += rest
-        if len(remainder) > MAX_LINE_BYTES:
-            raise exceptions.TargetError(
-                "line of the answer is too long", sent=True
-            )
+    splitter = events.EventSplitter()
+    try:
+        async for part in response.aiter_stream():
+            for event in splitter.feed(part):
+                yield event
+    except http_exceptions.MalformedError as error:
+        raise exceptions.TargetError(
+            "event of the answer is too long", sent=True
+        ) from error
+    for event in splitter.finish():
+        yield event
--- a/src/cactusstile/targets/openai_dialect.py
+++ b/src/cactusstile/targets/openai_dialect.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+from cactusstile.http import events as http_events
 from cactusstile.targets import engine
 from cactusstile.targets import http
 
@@ -12,7 +13,6 @@
     import collections.abc
 
 _JSON = (("Content-Type", "application/json"),)
-_DATA = b"data:"
 _DONE = b"[DONE]"
 
 
@@ -74,11 +74,9 @@
     return http.Request("POST", "/kv/write", b"".join(contents), headers)
 
 
-def _parse_event(line: bytes) -> list[engine.Event]:
-    if not line.startswith(_DATA):
-        return []
-    data = line[len(_DATA) :].strip()
-    if data == _DONE:
+def _parse_event(event: bytes) -> list[engine.Event]:
+    data = http_events.find_data(event)
+    if data is None or data.strip() == _DONE:
         return []
     body = json.loads(data)
     if not body["choices"]:
--- a/tests/targets/test_endless_bytes.py
+++ b/tests/targets/test_endless_bytes.py
@@ -28,8 +28,8 @@
             yield bytes(bytearray(self.part))
 
 
-async def test_line_in_small_pieces_takes_bounded_processor_time() -> None:
+async def test_event_in_small_pieces_takes_bounded_processor_time() -> None:
     response = EndlessResponse(b"xx")
     with pytest.raises(exceptions.TargetError, match="too long"):
-        async for _ in http._split_lines(response):  # type: ignore[arg-type]
+        async for _ in http._split_events(response):  # type: ignore[arg-type]
             pass
--- a/tests/targets/test_http.py
+++ b/tests/targets/test_http.py
@@ -70,14 +70,14 @@
             await target.call(REQUEST, timeout_s=0.3)
 
 
-async def test_long_response_and_long_line_are_rejected() -> None:
+async def test_long_response_and_long_event_are_rejected() -> None:
     chunk = b"x" * 100_000
     async with _open(ENDLESS, *[chunk] * 30) as target:
         with pytest.raises(exceptions.TargetError, match="longer than"):
             await target.call(REQUEST, timeout_s=5, max_bytes=1_000_000)
-        async with target.open_lines(REQUEST, timeout_s=5) as lines:
+        async with target.open_events(REQUEST, timeout_s=5) as events:
             with pytest.raises(exceptions.TargetError, match="too long"):
-                await anext(lines)
+                await anext(events)
 
 
 @pytest.mark.parametrize(
@@ -90,6 +90,35 @@
             await client.status()
 
 
+# Guards against a run that never seems to start, as the lines of its events
+# end with CR, or one event has several lines of data.
+@pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("step", [1, 3, 1000])
+async def test_events_of_an_engine_are_not_read(end: bytes, step: int) -> None:
+    lines = (
+        b"\xef\xbb\xbf: hello",
+        b'data: {"system_fingerprint": "v1", "choices": [],',
+        b'data: "usage": {"cached_tokens": 3}}',
+        b"",
+        b'data:{"choices": [{"first_token_index": 0, "token_ids": [7],'
+        b' "text": "a", "finish_reason": "stop"}]}',
+        b"",
+        b"data: [DONE]",
+        b"",
+    )
+    data = end.join(lines) + end
+    parts = [data[at : at + step] for at in range(0, len(data), step)]
+    async with _open(ENDLESS, *parts) as target:
+        client = engine.EngineClient(target, openai_dialect.DIALECT)
+        async with client.open_resumed("r", 0) as events:
+            found = [event async for event in events]
+    assert found == [
+        engine.Started("v1", 3),
+        engine.Output(0, (7,), "a"),
+        engine.Finished(1, "stop"),
+    ]
+
+
 async def _send(request: http.Request) -> list[bytes]:
     """Returns the lines of the head that a target receives."""
     received = bytearray()
