End the parts of a prompt before the first that cannot be read

X-Cactusstile-Kv-Fetch and -Kv-Save name one address for each part by position; the gateway left an unreadable part out (no number, over 16M tokens), the engine counts it. And of a prompt with more than 64 parts, or with an unreadable last one, a shared part passed for the caller's own, which is not held if it ends engines (BUDGET).

Cause: one list read by two rules.

Change: the parts end before the first unreadable one, and a prompt knows whether its last part was read.

--- a/src/cactusstile/gateway/engines/prompts.py
+++ b/src/cactusstile/gateway/engines/prompts.py
@@ -34,6 +34,7 @@
       expected_tokens: Number of output tokens that the caller expects; 0 if it
         gives no estimate.
       parts: Parts in order; they may cover only a prefix of the prompt.
+      has_last_part: Whether the last of `parts` is the last of the prompt.
     """
 
     model: str = ""
@@ -41,6 +42,7 @@
     max_output_tokens: int = 0
     expected_tokens: int = 0
     parts: tuple[Part, ...] = ()
+    has_last_part: bool = True
 
     def shared_ids(self) -> tuple[str, ...]:
         """Returns the ids of all parts but the last, which is its own.
@@ -48,7 +50,8 @@
         >>> Prompt(parts=(Part("a", 10), Part("b", 20))).shared_ids()
         ('a',)
         """
-        return tuple(part.id for part in self.parts[:-1])
+        shared = self.parts[:-1] if self.has_last_part else self.parts
+        return tuple(part.id for part in shared)
 
 
 def parse(
@@ -59,18 +62,21 @@
 ) -> Prompt:
     """Parses the header fields that describe a prompt.
 
-    Invalid values are ignored, since they only affect the placement.
+    Invalid values are ignored, since they only affect the placement. Parts end
+    before the first invalid one: engines count the positions of all of them.
 
     >>> parse("m", "30,5", "a:10,b:20").parts[1]
     Part(id='b', tokens=20)
-    >>> parse(None, "x", "a:y")
-    Prompt(model='', tokens=0, max_output_tokens=0, expected_tokens=0, parts=())
+    >>> parse(None, "x", "a:1,b:y,c:2").parts
+    (Part(id='a', tokens=1),)
     """
-    parsed = []
-    for text in (parts or "").split(",")[:MAX_PARTS]:
+    parsed: list[Part] = []
+    texts = (parts or "").split(",")
+    for text in texts[:MAX_PARTS]:
         identity, _, length = text.strip().rpartition(":")
-        if identity and _is_count(length):
-            parsed.append(Part(identity, int(length)))
+        if not identity or not _is_count(length):
+            break
+        parsed.append(Part(identity, int(length)))
     tokens, _, limit = (usage or "").partition(",")
     prompt_tokens = sum(part.tokens for part in parsed)
     if _is_count(tokens.strip()):
@@ -84,6 +90,7 @@
         output_tokens,
         expected_tokens,
         tuple(parsed),
+        has_last_part=len(parsed) == len(texts),
     )
 
 
--- /dev/null
+++ b/tests/gateway/engines/test_prompts.py
@@ -0,0 +1,25 @@
+"""Prompts as callers describe them in header fields."""
+
+from __future__ import annotations
+
+import pytest
+
+from cactusstile.gateway.engines import prompts
+
+
+# Guards against addresses of stores that engines take for those of other parts,
+# since an unreadable part is left out by the gateway alone.
+@pytest.mark.parametrize("unreadable", ["b:x", "b", ":5", "b:-1", "b:99999999"])
+def test_parts_after_an_unreadable_one_move_up(unreadable: str) -> None:
+    prompt = prompts.parse("m", "90,9", f"a:10,{unreadable},c:20,own:5")
+    assert prompt.parts == (prompts.Part("a", 10),)
+    assert prompt.tokens == 90
+    assert prompt.shared_ids() == ("a",)
+
+
+# Guards against a shared part that counts as the caller's own, since it is the
+# last one that is read.
+def test_last_part_that_is_read_passes_for_the_last_of_the_prompt() -> None:
+    names = [f"p{number}" for number in range(prompts.MAX_PARTS + 1)]
+    parts = ",".join(f"{name}:1" for name in names)
+    assert prompts.parse("m", "90,9", parts).shared_ids() == tuple(names[:-1])
