Read lists in header fields whole, whatever their number of lines

Cause: a field read by two rules. A list may come in several lines (RFC 9110, 5.3); messages.end_to_end reads and passes on all of them, messages.find the first.

Change: messages.find_list, used for the parts and tokens of prompts, Connection and Keep-Alive.

Evidence: test_parts_in_a_second_line_are_left_out and test_idle_timeout_in_a_second_line_is_not_heard failed before, pass now.

--- a/src/cactusstile/gateway/admission.py
+++ b/src/cactusstile/gateway/admission.py
@@ -113,8 +113,8 @@
         workspace=workspace,
         prompt=prompts.parse(
             request.find(headers.MODEL),
-            request.find(headers.TOKENS),
-            request.find(headers.PROMPT_PARTS),
+            messages.find_list(request.headers, headers.TOKENS),
+            messages.find_list(request.headers, headers.PROMPT_PARTS),
             request.find(headers.LENGTH_ESTIMATE),
         ),
         cache_scope=table.cache_scope(workspace),
--- a/src/cactusstile/http/messages.py
+++ b/src/cactusstile/http/messages.py
@@ -84,6 +84,19 @@
     return None
 
 
+def find_list(headers: Headers, name: bytes) -> str | None:
+    """Returns a field that holds a list: all its lines, joined by commas.
+
+    >>> find_list(((b"te", b"a"), (b"te", b"b, c")), b"te")
+    'a,b, c'
+    """
+    lines = []
+    for field, value in headers:
+        if field == name:
+            lines.append(_decode_value(value))
+    return ",".join(lines) if lines else None
+
+
 def _decode_value(value: bytes) -> str:
     """Returns a value as text: UTF-8, or Latin-1 if it is not UTF-8."""
     try:
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -202,10 +202,11 @@
 
     def _record_keep_alive(self, head: messages.ResponseHead) -> None:
         """Records the idle timeout that the target announces."""
-        connection = head.find(b"connection") or ""
-        if "close" in connection.lower():
+        options = messages.find_list(head.headers, b"connection") or ""
+        if "close" in options.lower():
             self._closing = True
-        for part in (head.find(_KEEP_ALIVE) or "").split(","):
+        limits = messages.find_list(head.headers, _KEEP_ALIVE) or ""
+        for part in limits.split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdecimal():
                 self._idle_limit_s = int(value) * IDLE_REUSE_FRACTION
