Read the answers of platform, targets and stores by one rule

Cause: JSON read by two rules: the list replaced unreadable bytes and knew no mark, the others knew a mark and refused unreadable bytes.

Change: fields.load_answer reads all of them: a mark is skipped, bytes that are not UTF-8 are replaced, so that the other names hold.

Evidence: test_page_after_a_byte_order_mark_is_unreadable, test_report_with_one_unreadable_name_is_unreadable and test_one_unreadable_salt_hides_all_parts_of_a_store failed before, pass now.

--- a/src/cactusstile/platform/listings.py
+++ b/src/cactusstile/platform/listings.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 import attrs
 
 from cactusstile.platform import fields
@@ -40,7 +38,7 @@
     Raises:
       ValueError: The page itself is malformed.
     """
-    root = fields.json_object(json.loads(document.decode("utf-8", "replace")))
+    root = fields.json_object(fields.load_answer(document))
     entries = root.get("instances")
     if not isinstance(entries, list):
         raise ValueError("instances is not a list")
@@ -122,7 +120,7 @@
     Raises:
       ValueError: The report is malformed.
     """
-    root = fields.json_object(json.loads(document))
+    root = fields.json_object(fields.load_answer(document))
     return Report(
         weights=_decode_weights(root),
         is_executing_order=fields.boolean(root, "busy"),
--- a/src/cactusstile/platform/stores.py
+++ b/src/cactusstile/platform/stores.py
@@ -98,7 +98,7 @@
     Raises:
       ValueError: The list is malformed.
     """
-    root = fields.json_object(json.loads(document))
+    root = fields.json_object(fields.load_answer(document))
     parts = []
     for entry in _read_entries(root, "held", _LIST_FIELDS):
         salt, identity, tokens = entry[0], entry[1], entry[2]
@@ -116,7 +116,7 @@
     Raises:
       ValueError: The events are malformed.
     """
-    root = fields.json_object(json.loads(document))
+    root = fields.json_object(fields.load_answer(document))
     changes = []
     for entry in _read_entries(root, "events", _EVENT_FIELDS):
         # The token count is the stored length after the event.
--- a/tests/platform/test_listings.py
+++ b/tests/platform/test_listings.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cactusstile.platform import listings
+from cactusstile.sites import model
 
 ENTRY: dict[str, typing.Any] = {
     "service": "s",
@@ -32,6 +33,23 @@
     assert decoded.next_page == "p-50"
 
 
+# Guards against a site without targets, as the list alone is read by a rule
+# that knows no byte order mark.
+def test_page_after_a_byte_order_mark_is_unreadable() -> None:
+    page = json.dumps({"instances": [ENTRY]}).encode()
+    decoded = listings.decode_page(b"\xef\xbb\xbf" + page)
+    assert [target.id for target in decoded.targets] == ["i-1"]
+
+
+# Guards against a target whose report is lost for one name that is no UTF-8.
+def test_report_with_one_unreadable_name_is_unreadable() -> None:
+    report = b'{"models": [{"name": "\xff", "version": 1},'
+    report += b' {"name": "m", "version": 3}], "busy": false, "seq": 2}'
+    decoded = listings.decode_report(report)
+    assert decoded.orders == 2
+    assert decoded.weights[1] == model.Weights("m", 3)
+
+
 @pytest.mark.parametrize(
     "entry",
     [
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -34,5 +34,17 @@
         stores.decode_events(json.dumps(events).encode())
 
 
+# Guards against a store that holds nothing for gateways, as one of its parts
+# has a salt of another writer that is no UTF-8.
+def test_one_unreadable_salt_hides_all_parts_of_a_store() -> None:
+    held = b'["\xff", "p", 1, "m"], ["s", "q", 2, "m"]'
+    contents = b'{"bootEpoch": 1, "next": 1, "held": [%b]}' % held
+    assert stores.decode_contents(contents).parts[1].id == "q"
+    changes = b'[0, "+", "\xff", "p", 1, "m"], [1, "+", "s", "q", 2, "m"]'
+    events = b'{"bootEpoch": 1, "next": 1, "lost": false, "clock_ms": 1,'
+    events += b' "events": [%b]}' % changes
+    assert stores.decode_events(events).changes[1].id == "q"
+
+
 def test_salt_with_an_endless_number_ends_a_registry() -> None:
     assert salts.weights_of("a/m/" + "1" * 5000) is None
