Refuse documents of operators that are not JSON in UTF-8

Cause: JSON read by two rules. The entry refuses such words in callers' bodies (filters.json_body), the operators' documents were read with the library's extensions.

Change: fields.load_document reads all documents of operators: UTF-8, with or without a mark, and no such words. A document that an earlier build accepted only by these extensions can no longer be put in force; it has to be sent again as JSON.

--- a/src/cactusstile/platform/calls.py
+++ b/src/cactusstile/platform/calls.py
@@ -63,7 +63,7 @@
     Raises:
       ValueError: The body is malformed.
     """
-    decoded = fields.json_object(json.loads(document))
+    decoded = fields.json_object(fields.load_document(document))
     version = fields.integer(decoded, "version", low=1)
     return model.Weights(fields.label(decoded, "model"), version)
 
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import typing
 
 from cactusstile.http import request_limits
 from cactusstile.platform import fields
@@ -24,7 +23,7 @@
       InvalidConfigurationError: The document is malformed or inconsistent.
     """
     try:
-        root = fields.json_object(json.loads(document))
+        root = fields.json_object(fields.load_document(document))
         version = fields.integer(root, "version")
         services = _decode_services(fields.json_objects(root, "services"))
         routes = tuple(
@@ -191,5 +190,5 @@
 
 def canonical(document: bytes) -> bytes:
     """Returns the canonical JSON form, in which equal documents are equal."""
-    decoded: typing.Any = json.loads(document)
+    decoded = fields.load_document(document)
     return json.dumps(decoded, sort_keys=True, separators=(",", ":")).encode()
--- a/src/cactusstile/registry/operator_calls.py
+++ b/src/cactusstile/registry/operator_calls.py
@@ -53,4 +53,5 @@
     Raises:
       ValueError: The body is malformed.
     """
-    return fields.text(fields.json_object(json.loads(document)), "id")
+    decoded = fields.json_object(fields.load_document(document))
+    return fields.text(decoded, "id")
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -102,6 +102,21 @@
         configurations.decode(content[:cut])
 
 
+# Guards against a document that is acknowledged, and read back, though other
+# readers of JSON refuse it.
+@pytest.mark.parametrize("word", [b"NaN", b"Infinity", b"-Infinity"])
+def test_document_with_a_word_that_is_no_json_is_accepted(word: bytes) -> None:
+    text = json.dumps(document(future="word")).encode()
+    with pytest.raises(model.InvalidConfigurationError):
+        configurations.decode(text.replace(b'"word"', word))
+
+
+@pytest.mark.parametrize("encoding", ["utf-16", "utf-32"])
+def test_document_in_another_encoding_is_accepted(encoding: str) -> None:
+    with pytest.raises(model.InvalidConfigurationError):
+        configurations.decode(json.dumps(document()).encode(encoding))
+
+
 def test_equal_contents_have_the_same_canonical_form() -> None:
     content = document()
     reordered = dict(reversed(content.items()))
