Check the bounds of a body on the text that is parsed

Cause: one body read by two rules. The bounds are checked on bytes as UTF-8, in which a character of UTF-16 can pass for the end of a text; the parser guesses the encoding.

Change: the body is read as UTF-8, with or without a mark (RFC 8259); others are refused.

Evidence: test_body_in_another_encoding_passes_the_bounds failed before, passes now.

--- a/src/cactusstile/filters/json_body.py
+++ b/src/cactusstile/filters/json_body.py
@@ -25,7 +25,8 @@
     """
     _check_bounds(data)
     try:
-        value = json.loads(data, parse_constant=_refuse_constant)
+        text = data.decode("utf-8-sig")
+        value = json.loads(text, parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
         reason = str(error) if isinstance(error, json.JSONDecodeError) else ""
         raise _bad_request(
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -275,6 +275,17 @@
     assert (writes, reads) == (1, 3)
 
 
+# Guards against a body beyond the bounds on nesting, which are checked in bytes
+# of UTF-8 while the body is read in any encoding.
+def test_body_in_another_encoding_passes_the_bounds() -> None:
+    nested = "[" * 2 * json_body.MAX_NESTING + "]" * 2 * json_body.MAX_NESTING
+    body = '{"\u2200": ' + nested + ', "a": 1}'
+    for encoding in ("utf-8", "utf-8-sig", "utf-16-le", "utf-16"):
+        with pytest.raises(verdict.RefusedError):
+            json_body.parse_object(body.encode(encoding))
+    assert json_body.parse_object(b'\xef\xbb\xbf{"a": 1}') == {"a": 1}
+
+
 JSON_VALUES = hypothesis.strategies.recursive(
     hypothesis.strategies.none()
     | hypothesis.strategies.booleans()
