--- a/src/cactusstile/targets/platform.py
+++ b/src/cactusstile/targets/platform.py
@@ -26,14 +26,27 @@
 def parse_vms(data: bytes) -> dict[str, VmState]:
     """Returns the states of the listed VMs; unknown states count as live.
 
+    Entries may come from other writers: one without a name is skipped.
+
+    Raises:
+      ValueError: The list itself is malformed.
+
     >>> parse_vms(b'{"vms": [{"name": "vm1", "state": "leaving"}]}')
     {'vm1': <VmState.LEAVING: 'leaving'>}
     """
+    page = json.loads(data.decode("utf-8-sig", "replace"))
+    entries = page.get("vms") if isinstance(page, dict) else None
+    if not isinstance(entries, list):
+        raise ValueError("vms is not a list")
     states = {}
-    for entry in json.loads(data)["vms"][:MAX_VMS]:
-        leaving = entry["state"] == VmState.LEAVING.value
+    for entry in entries[:MAX_VMS]:
+        if not isinstance(entry, dict) or not isinstance(
+            entry.get("name"), str
+        ):
+            continue
+        leaving = entry.get("state") == VmState.LEAVING.value
         state = VmState.LEAVING if leaving else VmState.LIVE
-        states[str(entry["name"])] = state
+        states[entry["name"]] = state
     return states
 
 
