Take an answer that nests too deeply or holds an endless number for malformed

Cause: the same answers read by two rules: gateways take RecursionError for a malformed answer and check numbers, agents knew four other errors.

Change: targets.exceptions.MALFORMED names the errors of parsers once, with OverflowError and RecursionError.

Evidence: 2 new cases of test_malformed_status_raises_target_error and 4 of 4 of test_answer_that_cannot_be_read_ends_the_agent failed before, pass now.

--- a/src/cactusstile/targets/engine.py
+++ b/src/cactusstile/targets/engine.py
@@ -280,7 +280,7 @@
 ) -> _T:
     try:
         return parse(data)
-    except (ValueError, KeyError, TypeError, IndexError) as error:
+    except exceptions.MALFORMED as error:
         raise exceptions.TargetError(
             f"the target's answer is malformed: {error!r}", sent=True
         ) from error
--- a/src/cactusstile/targets/exceptions.py
+++ b/src/cactusstile/targets/exceptions.py
@@ -36,3 +36,14 @@
         """Creates an error with a description of the answer."""
         super().__init__(message, sent=True)
         self.status = status
+
+
+# Raised by parsers of answers that do not have the expected form.
+MALFORMED = (
+    ValueError,
+    KeyError,
+    TypeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
--- a/src/cactusstile/targets/platform.py
+++ b/src/cactusstile/targets/platform.py
@@ -63,7 +63,7 @@
     response = await target.call_ok(request, timeout_s=CALL_TIMEOUT_S)
     try:
         return parse(response.body)
-    except (ValueError, KeyError, TypeError) as error:
+    except exceptions.MALFORMED as error:
         raise exceptions.TargetError(
             f"the platform's VM list is malformed: {error!r}", sent=True
         ) from error
--- a/src/cactusstile/targets/weight_store.py
+++ b/src/cactusstile/targets/weight_store.py
@@ -52,7 +52,7 @@
     response = await target.call_ok(request, timeout_s=CALL_TIMEOUT_S)
     try:
         return parse(response.body)
-    except (ValueError, KeyError, TypeError) as error:
+    except exceptions.MALFORMED as error:
         raise exceptions.TargetError(
             f"the weight store's answer is malformed: {error!r}", sent=True
         ) from error
--- a/tests/targets/test_http.py
+++ b/tests/targets/test_http.py
@@ -12,6 +12,8 @@
 from cactusstile.targets import exceptions
 from cactusstile.targets import http
 from cactusstile.targets import openai_dialect
+from cactusstile.targets import platform
+from cactusstile.targets import weight_store
 
 pytestmark = pytest.mark.anyio
 
@@ -80,8 +82,22 @@
                 await anext(events)
 
 
+ENDLESS_SLOTS = b'{"model": "m", "version": "v", "adapters": [], "role": "r",'
+ENDLESS_SLOTS += b' "slots": 1e999, "block_bytes": 1, "loading": 0}'
+
+
 @pytest.mark.parametrize(
-    "body", [b"", b"{", b"[]", b"null", b'{"model": 1}', b"\xff\xfe"]
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b'{"model": 1}',
+        b"\xff\xfe",
+        b"[" * 100_000,
+        ENDLESS_SLOTS,
+    ],
 )
 async def test_malformed_status_raises_target_error(body: bytes) -> None:
     async with _open(ENDLESS, body) as target:
@@ -90,6 +106,24 @@
             await client.status()
 
 
+# Guards against an agent that ends, as an answer nests too deeply to be read or
+# names an endless number.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 5_000,
+        b"[" * 100_000,
+        b'{"max_transfers": 1e999, "active": 0}',
+        b'{"max_transfers": 1, "active": Infinity}',
+    ],
+)
+async def test_answer_that_cannot_be_read_ends_the_agent(body: bytes) -> None:
+    for read in (platform.list_vms, weight_store.read_limits):
+        async with _open(ENDLESS, body) as target:
+            with pytest.raises(exceptions.TargetError, match="malformed"):
+                await read(target)
+
+
 # Guards against a run that never seems to start, as the lines of its events
 # end with CR, or one event has several lines of data.
 @pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
