--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -16,12 +16,13 @@
 _EVENT_END = re.compile(rb"\r\r|(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
 _LAST_EVENT_END = re.compile(rb"(?:\r\n|\n)\r\Z")
 _LONGEST_END_BYTES = 4
-# A field within an event. A stream may begin with a byte order mark.
-_FIELD = rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])%b(?:: ?([^\r\n]*))?(?=[\r\n])"
+_FIELD = rb"(?:\A|[\r\n])%b(?:: ?([^\r\n]*))?(?=[\r\n])"
 _ID_FIELD = re.compile(_FIELD % b"id")
 _DATA_FIELD = re.compile(_FIELD % b"data")
 # As many as a number of 64 bits has.
 _MAX_ID_DIGITS = 20
+# May precede a stream, and only there; it is skipped.
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventSplitter:
@@ -37,6 +38,7 @@
         self.last_id = last_id
         self.remainder = bytearray()
         self._searched = 0
+        self._at_start = True
 
     def feed(self, data: bytes) -> collections.abc.Iterator[bytes]:
         r"""Yields the new events that `data` completes.
@@ -51,6 +53,8 @@
         (2, b'id')
         """
         self.remainder += data
+        if self._at_start and not self._skip_mark():
+            return
         while True:
             end = _EVENT_END.search(self.remainder, self._searched)
             if end is None:
@@ -83,6 +87,17 @@
         """Discards an incomplete event before another source continues."""
         self.remainder = bytearray()
         self._searched = 0
+        self._at_start = True
+
+    def _skip_mark(self) -> bool:
+        """Skips the mark of a stream; returns whether its start has arrived."""
+        start = bytes(self.remainder[: len(_BYTE_ORDER_MARK)])
+        if start == _BYTE_ORDER_MARK:
+            del self.remainder[: len(start)]
+        elif _BYTE_ORDER_MARK.startswith(start):
+            return False
+        self._at_start = False
+        return True
 
     def _is_new(self, event: bytes) -> bool:
         """Records an event's id; returns whether the event is new."""
