Read the idle timeout of a target by one rule for whole numbers

Cause: one field read by two rules, isdecimal for what is a number and int for its value, which differ from 4,300 digits on; beyond 308 the product has no floating-point form.

Change: whole seconds of at most nine digits, as in the other fields of targets; blanks around name and value do not count. Others are ignored.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import typing
 
 import anyio
@@ -40,6 +41,7 @@
 MAX_IDLE_PER_TARGET = 16
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 _KEEP_ALIVE = b"keep-alive"
+_SECONDS = re.compile(r"[0-9]{1,9}")
 
 
 class TargetConnection:
@@ -207,8 +209,9 @@
             self._closing = True
         limits = messages.find_list(head.headers, _KEEP_ALIVE) or ""
         for part in limits.split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdecimal():
+            name, _, value = part.partition("=")
+            is_timeout = name.strip().lower() == "timeout"
+            if is_timeout and _SECONDS.fullmatch(value.strip()):
                 self._idle_limit_s = int(value) * IDLE_REUSE_FRACTION
 
     async def _take_turn(self) -> None:
