--- a/tests/http/test_events.py
+++ b/tests/http/test_events.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 
 import hypothesis
 import pytest
@@ -89,3 +90,73 @@
     found = [*splitter.feed(b"".join(sent)), *splitter.finish()]
     assert found == [sent[0], sent[1], sent[4]]
     assert splitter.last_id == 3
+
+
+def read_blocks(data: bytes) -> list[list[bytes]]:
+    """Returns the lines of each whole event, by a plain reading."""
+    *lines, _ = re.split(rb"\r\n|\n|\r", data.removeprefix(b"\xef\xbb\xbf"))
+    blocks: list[list[bytes]] = [[]]
+    for line in lines:
+        if line:
+            blocks[-1].append(line)
+        elif blocks[-1]:
+            blocks.append([])
+    return blocks[:-1]
+
+
+def read_new_blocks(data: bytes) -> list[list[bytes]]:
+    """Returns those blocks whose id, if they have one, is above all before."""
+    last = -1
+    found = []
+    for block in read_blocks(data):
+        named = [line for line in block if re.fullmatch(rb"id(:.*)?", line)]
+        value = named[-1][len(b"id:") :].strip(b" ") if named else b""
+        if value.isdigit():
+            if int(value) <= last:
+                continue
+            last = int(value)
+        found.append(block)
+    return found
+
+
+STREAM_LINES = strategies.sampled_from(
+    (
+        b"id: 1",
+        b"id:2",
+        b"id:  3",
+        b"id",
+        b"id:x",
+        b"idx: 9",
+        b"data: a",
+        b"data",
+        b": comment",
+        b"event: e",
+        b"\xef\xbb\xbfid: 4",
+        b"",
+        b"",
+        b"",
+    )
+)
+
+
+# Guards against events that are cut, joined, lost or repeated by a reading that
+# differs from that of callers.
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(STREAM_LINES, strategies.sampled_from(LINE_ENDS))
+    ),
+    strategies.booleans(),
+    strategies.lists(strategies.integers(0, 80), max_size=8),
+)
+def test_stream_is_read_by_another_rule_than_that_of_callers(
+    lines: list[tuple[bytes, bytes]], has_mark: bool, cuts: list[int]
+) -> None:
+    data = b"\xef\xbb\xbf" if has_mark else b""
+    data += b"".join(line + end for line, end in lines)
+    splitter = events.EventSplitter()
+    found = []
+    for start, stop in itertools.pairwise([0, *sorted(cuts), len(data) + 80]):
+        found.extend(splitter.feed(data[start:stop]))
+    found.extend(splitter.finish())
+    read = [re.split(rb"[\r\n]+", event.strip(b"\r\n")) for event in found]
+    assert [block for block in read if block != [b""]] == read_new_blocks(data)
