--- a/tests/registry/test_second_loss.py
+++ b/tests/registry/test_second_loss.py
@@ -16,7 +16,7 @@
 pytestmark = pytest.mark.anyio
 HOSTS = sites.HOSTS
 OK = 200
-# `catchUpS`: a successor counts as lost for so long after its start.
+# A successor counts as lost for so long after its start.
 CATCH_UP_S = 4.0
 RECOVERY_S = 12.0
 
