Pass on the mark of a stream that goes to its caller whole

Change: the splitter keeps the mark of its source apart, and the relay sends it before the first bytes of an answer, not before those of a target that goes on with it.

--- a/src/cactusstile/gateway/streams.py
+++ b/src/cactusstile/gateway/streams.py
@@ -83,7 +83,7 @@
         self.observer.record_whole()
         await self._start(stream.head)
         # The LF of the last CR LF may have arrived after the event's end.
-        await self.responder.send(rest)
+        await self.responder.send(self._mark() + rest)
         await self.responder.finish()
 
     async def _pass_on(
@@ -96,11 +96,15 @@
             if not self.events:
                 self.on_begin(origin)
             await self._start(stream.head)
-            await self.responder.send(event)
+            await self.responder.send(self._mark() + event)
             self.events += 1
             self._record_gap(anyio.current_time())
             self.observer.record_event()
 
+    def _mark(self) -> bytes:
+        """Returns the mark that precedes the next bytes to the caller."""
+        return b"" if self.events else self.splitter.mark
+
     def _record_gap(self, now_s: float) -> None:
         if self._event_s is not None:
             gap_s = now_s - self._event_s
--- a/src/cactusstile/http/events.py
+++ b/src/cactusstile/http/events.py
@@ -21,7 +21,7 @@
 _DATA_FIELD = re.compile(_FIELD % b"data")
 # As many as a number of 64 bits has.
 _MAX_ID_DIGITS = 20
-# May precede a stream, and only there; it is skipped.
+# May precede a stream, and only there; it belongs to no event.
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -31,12 +31,14 @@
     Attributes:
       last_id: Id of the last event that was yielded; None before the first.
       remainder: Bytes of an event that is still incomplete.
+      mark: Byte order mark that the source begins with; empty without one.
     """
 
     def __init__(self, last_id: int | None = None) -> None:
         """Starts after the event `last_id`, or at the first event if None."""
         self.last_id = last_id
         self.remainder = bytearray()
+        self.mark = b""
         self._searched = 0
         self._at_start = True
 
@@ -79,13 +81,15 @@
         if _LAST_EVENT_END.search(self.remainder) is None:
             return
         event = bytes(self.remainder)
-        self.restart()
+        self.remainder.clear()
+        self._searched = 0
         if self._is_new(event):
             yield event
 
     def restart(self) -> None:
         """Discards an incomplete event before another source continues."""
         self.remainder = bytearray()
+        self.mark = b""
         self._searched = 0
         self._at_start = True
 
@@ -94,6 +98,7 @@
         start = bytes(self.remainder[: len(_BYTE_ORDER_MARK)])
         if start == _BYTE_ORDER_MARK:
             del self.remainder[: len(start)]
+            self.mark = start
         elif _BYTE_ORDER_MARK.startswith(start):
             return False
         self._at_start = False
--- a/tests/gateway/test_forms_of_fields.py
+++ b/tests/gateway/test_forms_of_fields.py
@@ -87,3 +87,20 @@
     assert raw_target.find_header(other.requests[0], b"last-event-id") == b"1"
     assert b"id: 2" + end in data
     assert MARK + b"id: 2" not in data
+    assert data.count(MARK + b"id: 1") == 1
+
+
+# Guards against a body that is not the target's, byte for byte.
+@pytest.mark.parametrize(
+    "body", [MARK + b"id: 1\n\n", MARK + b"id: 1\r\r", MARK + b"\n", MARK]
+)
+async def test_whole_stream_is_passed_on_without_its_mark(body: bytes) -> None:
+    fields = raw_target.SEAL + b"Content-Type: text/event-stream\r\n"
+    config = support.configuration(support.route(model.Kind.STREAM))
+    async with (
+        raw_target.open_target(raw_target.answer(body, rest=fields)) as one,
+        support.open_harness(config, one) as harness,
+    ):
+        data = await harness.ask(support.request(b"POST"))
+    parts = data.split(b"\r\n\r\n", 1)[1].split(b"\r\n")[1::2]
+    assert b"".join(parts) == body
--- a/tests/http/test_events.py
+++ b/tests/http/test_events.py
@@ -154,7 +154,7 @@
     data = b"\xef\xbb\xbf" if has_mark else b""
     data += b"".join(line + end for line, end in lines)
     splitter = events.EventSplitter()
-    found = []
+    found: list[bytes] = []
     for start, stop in itertools.pairwise([0, *sorted(cuts), len(data) + 80]):
         found.extend(splitter.feed(data[start:stop]))
     found.extend(splitter.finish())
