Soak: a stream that its route's timeout ended is not cut off by a stop

Trace (request lines of gateways 5 and 10): outcome deadline_exceeded, took_ms 4001.2, 4001.2 and 4001.6, which is the timeoutMs of the route (4000); their longest gaps of 0.9 to 1.1 s, and calls that all ended at 1765.28, show that the machine stood still; no process was stopped.

Change: a call that took the timeout of its route or longer, as its caller saw it, is left out of answers_around_stops; one that ended sooner still counts (a case of 3.9 s and one of 4.0 s in test_promises).

--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -17,6 +17,8 @@
 from cactusstile.transport import address
 
 CALL_TIMEOUT_S = 1.0
+# Time after which a gateway ends what is still under way.
+ROUTE_TIMEOUT_S = 4.0
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 MAX_REDIRECTS = 2
@@ -78,7 +80,7 @@
         "host": "soak.example",
         "pathPrefix": prefix,
         "kind": kind,
-        "timeoutMs": 4000,
+        "timeoutMs": int(ROUTE_TIMEOUT_S * 1000),
         "targetLatencyMs": 600,
         "priority": 1,
         "trafficSplit": [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -278,7 +278,10 @@
 def answers_around_stops(
     history: histories.History,
 ) -> collections.abc.Iterator[str]:
-    """Planned operations interrupt no request that a process has read."""
+    """Planned operations interrupt no request that a process has read.
+
+    A request that has reached the timeout of its route is ended by that.
+    """
     runs = history.runs_by_request()
     for call in history.calls.values():
         if call.whole or call.abandoned_s is not None or not call.failure:
@@ -286,6 +289,8 @@
         ended_s = call.ended_s or call.sent_s
         if not history.is_fault_free(call.sent_s - STABLE_S, ended_s):
             continue
+        if ended_s - call.sent_s >= operators.ROUTE_TIMEOUT_S:
+            continue
         call_runs = runs.get(call.id, [])
         if any(run.failed_by_target for run in call_runs):
             continue
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -341,6 +341,16 @@
     ]
 
 
+@pytest.mark.parametrize(("took_s", "count"), [(3.9, 1), (4.0, 0)])
+def test_stream_that_its_route_ended_counts_as_cut_off_by_a_stop(
+    took_s: float, count: int
+) -> None:
+    history = make_history(make_call(), arrivals=(make_arrival(),))
+    _stream_interrupted_at_stop(history)
+    history.calls["a"].ended_s = 10.0 + took_s
+    assert len(promises.check(history)) == count
+
+
 def test_run_may_go_on_from_its_copy_once_it_has_stopped() -> None:
     first = make_arrival(began_s=10.01, ended_s=10.5)
     copy = make_arrival(
