--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -32,7 +32,7 @@
     folder = tmp_path_factory.mktemp("site")
     with site_processes.open_site(folder) as opened:
         fleet = site_processes.fleet_text(opened)
-        anyio.run(_apply, opened, opened.write("fleet.ini", fleet))
+        anyio.run(apply, opened, opened.write("fleet.ini", fleet))
         for name in ("entry-1", "entry-2", "engine-1", "engine-2"):
             opened.wait_ready(name)
         opened.wait_ready("service-1")
@@ -40,7 +40,7 @@
         yield opened
 
 
-async def _apply(site: site_processes.Site, path: pathlib.Path) -> None:
+async def apply(site: site_processes.Site, path: pathlib.Path) -> None:
     secrets = handshake.Secrets(b"", b"operator-secret-of-tests")
     operator = handshake.Identity("operator", "test")
     addresses = [
@@ -206,7 +206,7 @@
             assert answer.usage is not None
             assert answer.usage.completion_tokens == 4
     text = site_processes.fleet_text(site, revision=2)
-    anyio.run(_apply, site, site.write("fleet-2.ini", text))
+    anyio.run(apply, site, site.write("fleet-2.ini", text))
     site.start(
         "engine-1-target",
         "tests.support.fake_target",
--- a/tests/support/node_site.py
+++ b/tests/support/node_site.py
@@ -26,6 +26,7 @@
 STARTUP_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 12.0
 MAX_RESPONSE_BYTES = 1 << 20
+MEMORY_MB = 150
 
 
 BOUNDS = {
@@ -46,6 +47,7 @@
     platform: str,
     folder: pathlib.Path,
     first_start: bool = True,
+    memory_mb: int = MEMORY_MB,
 ) -> dict[str, str]:
     """Returns the values that the platform fills into a settings template.
 
@@ -57,6 +59,7 @@
       platform: Address of the platform's list of targets.
       folder: Folder of the durable state.
       first_start: Whether the system is bootstrapped.
+      memory_mb: Memory limit of the process, in MB.
     """
     return {
         "node": name,
@@ -66,7 +69,7 @@
         "bootstrap": str(first_start).lower(),
         "dataDir": str(folder),
         "internalPorts": f"{port},{port + 5}",
-        "limits.memoryMb": "150",
+        "limits.memoryMb": str(memory_mb),
         "limits.linkMbps": "100.0",
         "listen.front": f"{host}:{port + 6}",
         "listen.ready": f"{host}:{port + 7}",
@@ -125,6 +128,7 @@
       listed: Targets in the platform's list.
       entries: Further entries of that list, in the platform's form.
       processes: Running processes by name.
+      memory_mb: Memory limit of each process, in MB.
     """
 
     folder: pathlib.Path
@@ -133,6 +137,7 @@
     listed: list[model.Target] = attrs.field(factory=list)
     entries: list[typing.Any] = attrs.field(factory=list)
     processes: dict[str, anyio.abc.Process] = attrs.field(factory=dict)
+    memory_mb: int = MEMORY_MB
 
     @property
     def registry_host(self) -> str:
@@ -161,6 +166,7 @@
             platform=str(self.platform),
             folder=self.folder / name,
             first_start=first_start,
+            memory_mb=self.memory_mb,
         )
         path = self.folder / f"{name}.ini"
         path.write_text(render(role, filled))
