Read ahead no more than 16 KiB of a caller's further requests

Callers saw: a gateway or a registry that ran out of memory while a few clients sent many requests ahead and read no answer.

Cause: while a request is answered, CallerConnection reads on to learn whether the caller leaves, up to 64 KiB, counted anew for each request. A request of 40 bytes leaves the buffer, 64 KiB come: all that is sent ahead was kept, at each listener of http.callers alike (callers, readiness, operator, metrics).

Change: the count begins at what the buffer holds. A caller of whom no more is read is asked five times a second whether it has ended its stream, which poll tells without reading; else requests would run for callers that left.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -32,6 +32,10 @@
 INTERNAL_IDLE_TIMEOUT_S = 60.0
 # A body that arrives more slowly, after the idle timeout, is given up.
 MIN_BODY_BYTES_PER_S = 1024
+# Bytes that are read beyond the request in progress.
+READ_AHEAD_BYTES = 16 << 10
+# Time between two looks whether a caller, of whom no more is read, has left.
+CALLER_CHECK_INTERVAL_S = 0.2
 # Number of request bodies of maximum size that an internal listener buffers.
 INTERNAL_MAX_BODIES = 4
 
@@ -167,17 +171,22 @@
 
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancels the request handler if the caller closes the connection."""
-        buffered_bytes = 0
-        while buffered_bytes < sockets.RECEIVE_BYTES:
+        room = READ_AHEAD_BYTES - len(self.protocol.trailing_data[0])
+        while room > 0:
             try:
-                data = await self.socket.receive()
+                data = await self.socket.receive(room)
             except exceptions.ConnectionEndedError:
                 data = b""
             self.protocol.receive_data(data)
             if not data:
                 scope.cancel()
                 return
-            buffered_bytes += len(data)
+            room -= len(data)
+        while True:
+            if self.socket.has_ended():
+                scope.cancel()
+                return
+            await anyio.sleep(CALLER_CHECK_INTERVAL_S)
 
     async def _read_request(self) -> messages.Request | None:
         """Returns the next request; None if the connection is to be closed."""
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -68,16 +68,19 @@
             self.bytes_sent += count
             view = view[count:]
 
-    async def receive(self) -> bytes:
+    async def receive(self, limit_bytes: int = RECEIVE_BYTES) -> bytes:
         """Returns the next bytes; empty if the peer ended its stream.
 
+        Args:
+          limit_bytes: Maximum number of bytes to return.
+
         Raises:
           ConnectionEndedError: The connection was reset or timed out.
         """
         while True:
             await self._take_turn()
             try:
-                return self.raw.recv(RECEIVE_BYTES)
+                return self.raw.recv(limit_bytes)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
             except OSError as error:
@@ -108,6 +111,12 @@
         poller.register(self.raw, select.POLLIN)
         return bool(poller.poll(0))
 
+    def has_ended(self) -> bool:
+        """Returns whether the peer ended its stream, read or not."""
+        poller = select.poll()
+        poller.register(self.raw, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     async def linger(self) -> None:
         """Shuts down sending and discards input for up to `LINGER_TIMEOUT_S`.
 
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -191,3 +191,20 @@
             data = await stream.receive()
         group.cancel_scope.cancel()
     assert support.status(data) == expected
+
+
+# Guards against work for a caller who sent ahead and left unnoticed.
+async def test_caller_that_sent_ahead_and_left_is_still_served() -> None:
+    async with (
+        raw_target.open_target(raw_target.hold) as target,
+        support.open_harness(
+            support.configuration(support.route(timeout_s=30.0)), target
+        ) as harness,
+    ):
+        place = harness.listen_address
+        async with await anyio.connect_tcp(place.host, place.port) as stream:
+            await stream.send((HEAD + b"\r\n") * 2400)
+            while not target.requests:
+                await anyio.sleep(0.01)
+        with anyio.fail_after(5):
+            await target.closed.wait()
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -9,7 +9,6 @@
 import typing
 
 import anyio
-import anyio.abc
 import pytest
 from tests.platform import test_configurations
 from tests.registry import support
@@ -47,7 +46,7 @@
 async def site(
     tmp_path: pathlib.Path,
 ) -> typing.AsyncIterator[node_site.NodeSite]:
-    answers, held = [raw_target.answer()] * 50, [hold] * 400
+    answers, held = [raw_target.answer()] * 50, [raw_target.hold] * 400
     network = support.draw_network()
     async with (
         raw_target.open_target(*answers, service="s", id="t") as target,
@@ -66,13 +65,6 @@
         yield opened
 
 
-async def hold(stream: anyio.abc.SocketStream, request: bytes) -> bool:
-    """Takes a request and never answers it."""
-    del stream, request
-    await anyio.sleep_forever()
-    return False
-
-
 def configuration(version: int, **content: object) -> messages.Request:
     """Returns a change to two routes, one to a service that answers nothing."""
     document = test_configurations.document(version=version, **content)
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -75,6 +75,13 @@
         return head + b"\r\n\r\n" + body
 
 
+async def hold(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+    """Takes a request and never answers it."""
+    del request
+    while True:
+        await stream.receive()
+
+
 def find_header(request: bytes, name: bytes) -> bytes | None:
     """Returns the value of a header by lower-case name; None if absent."""
     for line in request.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
