Bound what all connections of a listener hold together

Callers saw: no answer while silent clients held all descriptors, or a process that ran out of memory by what many clients hold, each inside its own bounds.

Cause: http.callers bounds each connection and the bytes of all bodies, and nothing else. Connections have no number; a head takes many times its bytes once it is parsed; an answer that nobody takes stays; a body that trickles in keeps the memory of all others; a refused body stayed in memory for as long as its connection lingered, since the error kept the frame that read it.

Change (limits/connections.py, http/serving.py; reading moves to http/request_reader.py): - a number of connections by memory_mb (limits.max_connections sets another one) and by descriptors. At the limit the longest idle connection gives way, then the one that has read longest, then a caller that takes no answer; one whose request is handled never does. Without any, a new connection gets 503 with Retry-After: nothing of it was read. - heads of requests in progress and answers that nobody takes count for all connections together. Who holds most for longest gives way: a request that has not arrived gets 503, an answer that is not taken ends. - a caller that takes nothing of an answer within the idle timeout, or under 1 KiB/s beyond it, is closed, as one that sends so slowly was before. - buffers of the system for accepted connections: 32 KiB in, 64 KiB out.

The tests of tests/http and tests/limits are new with it.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -26,8 +26,10 @@
 from cactusstile.gateway.quarantine import hold_reports
 from cactusstile.http import callers
 from cactusstile.http import request_limits
+from cactusstile.http import serving as servings
 from cactusstile.http import sockets
 from cactusstile.http import targets
+from cactusstile.limits import connections as caller_connections
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.routing import regions
@@ -53,6 +55,13 @@
 BODY_MEMORY_FRACTION = 0.15
 # Fraction that large answers may occupy; each is copied once while it is sent.
 ANSWER_MEMORY_FRACTION = 0.1
+# Fractions of the heads of requests, of answers that nobody takes, and of the
+# connections themselves.
+HEAD_MEMORY_FRACTION = 0.05
+UNSENT_MEMORY_FRACTION = 0.15
+CONNECTION_MEMORY_FRACTION = 0.2
+# Memory of a connection with what it has read ahead.
+CONNECTION_BYTES = 40 << 10
 _BYTES_PER_MB = 1 << 20
 
 
@@ -72,7 +81,7 @@
     settings: node.NodeSettings
     site: site_view.SiteView
     lifecycle: lifecycle.Lifecycle
-    serving: callers.Serving
+    serving: servings.Serving
     forwarder: forwarding.Forwarder
     watch: control_watch.ControlWatch
 
@@ -121,14 +130,20 @@
     forwarder = forwarding.Forwarder(
         site, pool, budget, record_request, settings.weights_s
     )
-    memory_bytes = settings.memory_mb * _BYTES_PER_MB * BODY_MEMORY_FRACTION
+    memory_bytes = settings.memory_mb * _BYTES_PER_MB
     forwarder.sender.answers.limit_bytes = int(
-        settings.memory_mb * _BYTES_PER_MB * ANSWER_MEMORY_FRACTION
+        memory_bytes * ANSWER_MEMORY_FRACTION
     )
-    serving = callers.Serving(
+    serving = servings.Serving(
         forwarder.handle,
         site.caller_limits,
-        request_limits.BodyMemory(int(memory_bytes)),
+        memory=_memory_limit(memory_bytes, BODY_MEMORY_FRACTION),
+        heads=_memory_limit(memory_bytes, HEAD_MEMORY_FRACTION),
+        unsent=_memory_limit(memory_bytes, UNSENT_MEMORY_FRACTION),
+        open_connections=caller_connections.Connections(
+            settings.max_connections or _max_connections(memory_bytes),
+            servings.CALLER_DESCRIPTOR_FRACTION,
+        ),
     )
     watch = control_watch.ControlWatch(
         connections, site, settings.internal_seeds, _own_member(settings)
@@ -145,6 +160,17 @@
     )
 
 
+def _memory_limit(
+    memory_bytes: int, fraction: float
+) -> request_limits.MemoryLimit:
+    return request_limits.MemoryLimit(int(memory_bytes * fraction))
+
+
+def _max_connections(memory_bytes: int) -> int:
+    """Returns the number of callers' connections that the memory allows."""
+    return int(memory_bytes * CONNECTION_MEMORY_FRACTION / CONNECTION_BYTES)
+
+
 def _new_budget(settings: node.NodeSettings) -> budgets.RetryBudget:
     has_predecessor = not settings.first_start
     return budgets.RetryBudget(
@@ -254,14 +280,14 @@
     admin = plain_admin.build(
         request_metrics.registry, functools.partial(dump.describe, gateway)
     )
-    servings = [(settings.admin_address, callers.internal_serving(admin))]
+    served = [(settings.admin_address, callers.internal_serving(admin))]
     if settings.readiness is not None:
         answer = gateway.lifecycle.answer_readiness
-        servings.append((settings.readiness, callers.internal_serving(answer)))
+        served.append((settings.readiness, callers.internal_serving(answer)))
     if settings.callers is not None:
-        servings.append((settings.callers, gateway.serving))
+        served.append((settings.callers, gateway.serving))
     listeners = []
-    for listen_address, serving in servings:
+    for listen_address, serving in served:
         place = settings.bind_address(listen_address)
         listener = await sockets.listen_when_free(place)
         closers.callback(listener.close)
--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -10,9 +10,9 @@
 
 if typing.TYPE_CHECKING:
     from cactusstile.gateway import site_view
-    from cactusstile.http import callers
     from cactusstile.http import messages
     from cactusstile.http import responder as responders
+    from cactusstile.http import serving as servings
 
 logger = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
         status = OK if self.is_ready() else UNAVAILABLE
         await responder.respond(status, [], b"")
 
-    async def drain(self, serving: callers.Serving, stop_s: float) -> None:
+    async def drain(self, serving: servings.Serving, stop_s: float) -> None:
         """Returns once no request is in flight, or the time has expired.
 
         No connection is accepted and no request read any more then.
@@ -71,12 +71,12 @@
         with anyio.move_on_after(stop_s - RESERVE_S):
             await anyio.sleep(NOTICE_S)
             started_s = anyio.current_time()
-            while serving.takes_requests or serving.connections:
+            while serving.takes_requests or serving.open_connections.places:
                 serving.close_idle()
                 is_late = anyio.current_time() - started_s >= (
                     ACCEPT_S - NOTICE_S
                 )
-                if is_late or not serving.connections:
+                if is_late or not serving.open_connections.places:
                     serving.take_no_more()
                 await anyio.sleep(POLL_INTERVAL_S)
         serving.take_no_more()
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -8,123 +8,78 @@
 
 import anyio
 import anyio.abc
-import attrs
+import anyio.lowlevel
 import h11
 
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import request_limits
+from cactusstile.http import request_reader
 from cactusstile.http import responder as responders
+from cactusstile.http import serving as servings
 from cactusstile.http import sockets
+from cactusstile.limits import connections
 from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
     import collections.abc
     import socket
 
-    Handler = collections.abc.Callable[
-        [messages.Request, responders.Responder],
-        collections.abc.Awaitable[None],
-    ]
-
 logger = logging.getLogger(__name__)
 
 INTERNAL_IDLE_TIMEOUT_S = 60.0
-# A body that arrives more slowly, after the idle timeout, is given up.
-MIN_BODY_BYTES_PER_S = 1024
-# Bytes that are read beyond the request in progress.
-READ_AHEAD_BYTES = 16 << 10
+# Number of request bodies of maximum size that an internal listener buffers,
+# and of answers that nobody takes.
+INTERNAL_MAX_BODIES = 4
+INTERNAL_MAX_CONNECTIONS = 256
+INTERNAL_DESCRIPTOR_FRACTION = 1 / 16
+# Delay after which a caller may retry when its request found no room.
+FULL_RETRY_AFTER_S = 1
 # Time between two looks whether a caller, of whom no more is read, has left.
 CALLER_CHECK_INTERVAL_S = 0.2
-# Number of request bodies of maximum size that an internal listener buffers.
-INTERNAL_MAX_BODIES = 4
+_FULL_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
+    b"retry-after: %d\r\ncontent-length: 0\r\n\r\n" % FULL_RETRY_AFTER_S
+)
+_GAVE_WAY = (responders.UNAVAILABLE, "the connection gave way to others")
 
 
-@attrs.define
-class Serving:
-    """State shared by all connections of a listener.
+class CallerConnection:
+    """Connection of a caller.
 
     Attributes:
-      handle: Request handler.
-      limits: Returns the limits in force.
-      memory: Limit on buffered request bodies.
-      stopping: Whether responses close their connections.
-      takes_requests: Whether open connections may bring further requests.
-      idle: Cancel scopes of connections that wait for a request.
-      open_requests: Number of requests in progress.
-      connections: Number of open connections.
-      accepting: Cancelled to stop accepting connections.
-      finished: Set when no request is in progress any more.
+      socket: Socket of the connection.
+      serving: State shared by all connections of the listener.
+      place: Place of the connection among them.
+      reader: Reads the requests.
     """
 
-    handle: Handler
-    limits: collections.abc.Callable[[], request_limits.CallerLimits]
-    memory: request_limits.BodyMemory
-    stopping: bool = False
-    takes_requests: bool = True
-    idle: set[anyio.CancelScope] = attrs.field(factory=set)
-    open_requests: int = 0
-    connections: int = 0
-    accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
-    finished: anyio.Event = attrs.field(factory=anyio.Event)
-
-    async def finish(self, timeout_s: float) -> None:
-        """Waits until no request is in progress; answers close connections."""
-        self.stopping = True
-        self.close_idle()
-        self.finished = anyio.Event()
-        if self.open_requests:
-            with anyio.move_on_after(timeout_s):
-                await self.finished.wait()
-
-    def end_request(self) -> None:
-        """Counts a request that is no longer in progress."""
-        self.open_requests -= 1
-        if not self.open_requests:
-            self.finished.set()
-
-    def take_no_more(self) -> None:
-        """Takes neither connections nor requests from now on.
-
-        Each connection closes at the end of the answer that it is sent.
-        """
-        self.takes_requests = False
-        self.accepting.cancel()
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Closes connections that wait for a request."""
-        for scope in tuple(self.idle):
-            scope.cancel()
-
-
-class CallerConnection:
-    """Connection of a caller."""
-
-    def __init__(self, opened: sockets.Socket, serving: Serving) -> None:
+    def __init__(
+        self,
+        opened: sockets.Socket,
+        serving: servings.Serving,
+        place: connections.Place,
+    ) -> None:
         """Takes ownership of an accepted connection; see `run`."""
         self.socket = opened
         self.serving = serving
-        self.limits = serving.limits()
-        self.protocol = self._new_protocol()
-        self.reserved_bytes = 0
-
-    def _new_protocol(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.limits.max_header_bytes,
-        )
+        self.place = place
+        self.reader = request_reader.RequestReader(opened, serving, place)
+        self._protocol = self.reader.protocol
+        self._answer_start_bytes = 0
+        self._stalled_s = 0.0
+        opened.stalled = self._stalled
 
     async def run(self) -> None:
         """Serves requests until either side closes the connection."""
         try:
             await self._run()
         finally:
-            self._release()
+            self.reader.release()
 
     async def _run(self) -> None:
         while self.serving.takes_requests:
-            self.limits = self.serving.limits()
+            self.reader.limits = self.serving.limits()
             request = await self._read_request()
             if request is None:
                 return
@@ -133,19 +88,17 @@
                 keep_open = await self._answer(request)
             finally:
                 self.serving.end_request()
-                self._release()
+                self.reader.release()
             if not keep_open:
                 return
-            self.protocol.start_next_cycle()
-
-    def _release(self) -> None:
-        self.serving.memory.give_back(self.reserved_bytes)
-        self.reserved_bytes = 0
+            self._protocol.start_next_cycle()
 
     async def _answer(self, request: messages.Request) -> bool:
         """Serves one request; returns whether the connection stays open."""
+        self._answer_start_bytes = self.socket.bytes_sent
+        self._stalled_s = 0.0
         responder = responders.Responder(
-            self.socket, self.protocol, request, self._is_stopping
+            self.socket, self._protocol, request, self.serving
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_for_disconnect, group.cancel_scope)
@@ -153,9 +106,6 @@
             group.cancel_scope.cancel()
         return responder.can_continue()
 
-    def _is_stopping(self) -> bool:
-        return self.serving.stopping
-
     async def _handle(
         self, request: messages.Request, responder: responders.Responder
     ) -> None:
@@ -171,13 +121,13 @@
 
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancels the request handler if the caller closes the connection."""
-        room = READ_AHEAD_BYTES - len(self.protocol.trailing_data[0])
+        room = request_reader.READ_AHEAD_BYTES - self.reader.buffered_bytes()
         while room > 0:
             try:
                 data = await self.socket.receive(room)
             except exceptions.ConnectionEndedError:
                 data = b""
-            self.protocol.receive_data(data)
+            self._protocol.receive_data(data)
             if not data:
                 scope.cancel()
                 return
@@ -190,125 +140,82 @@
 
     async def _read_request(self) -> messages.Request | None:
         """Returns the next request; None if the connection is to be closed."""
-        if not self.protocol.trailing_data[0] and not await self._wait_idle():
+        if not self.reader.buffered_bytes() and not await self._wait_idle():
             return None
-        received_s = anyio.current_time()
-        try:
-            with anyio.fail_after(self.limits.header_timeout_s):
-                head = await self._read_head()
-            if head is None:
-                return None
-            body = await self._read_body(head)
-        except TimeoutError:
-            await self._refuse(408, "the request did not arrive in time")
-            return None
-        except exceptions.MalformedError as error:
-            await self._refuse(error.status, str(error))
-            return None
-        return messages.Request(
-            bytes(head.method),
-            bytes(head.target),
-            tuple((bytes(name), bytes(value)) for name, value in head.headers),
-            body,
-            received_s,
-        )
+        status, text = _GAVE_WAY
+        with self.place.waiting(connections.Phase.READING):
+            try:
+                return await self.reader.read()
+            except TimeoutError:
+                status, text = 408, "the request did not arrive in time"
+            except exceptions.MalformedError as error:
+                status, text = error.status, str(error)
+        await self._refuse(status, text)
+        return None
 
     async def _wait_idle(self) -> bool:
         """Waits for the start of a request; returns whether it arrived."""
-        with anyio.move_on_after(self.limits.idle_timeout_s) as scope:
-            self.serving.idle.add(scope)
-            try:
-                data = await self.socket.receive()
-            finally:
-                self.serving.idle.discard(scope)
-            self.protocol.receive_data(data)
+        idle_s = self.reader.limits.idle_timeout_s
+        with self.place.waiting(connections.Phase.IDLE, idle_s):
+            data = await self.socket.receive(request_reader.READ_AHEAD_BYTES)
+            self._protocol.receive_data(data)
             return bool(data)
         return False
 
-    async def _read_head(self) -> h11.Request | None:
-        event = await self._next_event()
-        if not isinstance(event, h11.Request):
-            return None
-        size = sum(len(name) + len(value) for name, value in event.headers)
-        if size + len(event.target) > self.limits.max_header_bytes:
-            raise exceptions.MalformedError("the header is too large", 431)
-        names = [name for name, _ in event.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
-            raise exceptions.MalformedError(
-                "send either a length or chunks, not both"
-            )
-        return event
-
-    async def _read_body(self, head: h11.Request) -> bytes:
-        declared = dict(head.headers).get(b"content-length", b"0")
-        if int(declared) > self.limits.max_body_bytes:
-            raise exceptions.MalformedError("the body is too large", 413)
-        body = bytearray()
-        idle_s = self.limits.idle_timeout_s
-        begun_s = anyio.current_time()
-        while True:
-            now_s = anyio.current_time()
-            due_s = begun_s + idle_s + len(body) / MIN_BODY_BYTES_PER_S
-            with anyio.fail_after(min(idle_s, due_s - now_s)):
-                event = await self._next_event()
-            if not isinstance(event, h11.Data):
-                break
-            size = len(body) + len(event.data)
-            if size > self.limits.max_body_bytes:
-                raise exceptions.MalformedError("the body is too large", 413)
-            if not self.serving.memory.take(len(event.data)):
-                raise exceptions.MalformedError("bodies fill the memory", 503)
-            self.reserved_bytes += len(event.data)
-            body += event.data
-        return bytes(body)
-
-    async def _next_event(self) -> object:
-        """Returns the next h11 event of a request.
+    @contextlib.contextmanager
+    def _stalled(self, size: int) -> collections.abc.Iterator[None]:
+        """Waits for a caller to take an answer; see `sockets.Socket.stalled`.
 
         Raises:
-          MalformedError: The bytes are not a valid request.
-          ConnectionEndedError: The caller closed the connection in the middle
-            of a request.
+          ConnectionEndedError: The caller takes it too slowly.
         """
-        while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise exceptions.MalformedError(str(error), status) from error
-            if event is not h11.NEED_DATA:
-                return event
-            if self.protocol.they_are_waiting_for_100_continue:
-                interim = h11.InformationalResponse(status_code=100, headers=[])
-                await self.socket.send(self.protocol.send(interim) or b"")
-            data = await self.socket.receive()
-            if not data:
-                raise exceptions.ConnectionEndedError("closed by the caller")
-            self.protocol.receive_data(data)
+        sent_bytes = self.socket.bytes_sent - self._answer_start_bytes
+        idle_s = self.reader.limits.idle_timeout_s
+        earned_s = sent_bytes / request_reader.MIN_BODY_BYTES_PER_S
+        limit_s = min(idle_s, idle_s + earned_s - self._stalled_s)
+        begun_s = anyio.current_time()
+        held_bytes = size + sockets.LISTENER_SEND_BUFFER_BYTES
+        try:
+            with self.place.waiting(
+                connections.Phase.STALLED, limit_s
+            ) as scope:
+                self.place.since_s -= self._stalled_s
+                self.serving.add_unsent(self.place, held_bytes)
+                yield
+        finally:
+            self.serving.remove_unsent(self.place, held_bytes)
+            self._stalled_s += anyio.current_time() - begun_s
+        if scope.cancelled_caught:
+            raise exceptions.ConnectionEndedError("the caller takes no answer")
 
     async def _refuse(self, status: int, text: str) -> None:
-        """Responds to a malformed request with an error and ends the stream."""
-        self._release()
-        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        """Responds to a request that is not served and ends the stream."""
+        self.reader.release()
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"connection", b"close"), (b"content-type", b"text/plain")]
         body = text.encode() + b"\n"
         headers.append((b"content-length", b"%d" % len(body)))
         if status == responders.UNAVAILABLE:
-            headers.append((b"retry-after", b"1"))
+            headers.append((b"retry-after", b"%d" % FULL_RETRY_AFTER_S))
         head = h11.Response(status_code=status, headers=headers)
         data = (
-            (self.protocol.send(head) or b"")
-            + (self.protocol.send(h11.Data(data=body)) or b"")
-            + (self.protocol.send(h11.EndOfMessage()) or b"")
+            (self._protocol.send(head) or b"")
+            + (self._protocol.send(h11.Data(data=body)) or b"")
+            + (self._protocol.send(h11.EndOfMessage()) or b"")
         )
-        logger.info("rejected malformed request: %d %s", status, text)
+        logger.info("rejected request: %d %s", status, text)
+        if self.place.gave_way:
+            self.socket.send_now(data)
+            return
         await self.socket.send(data)
         await self.socket.linger()
 
 
 async def serve_listener(
-    listener: socket.socket, serving: Serving, group: anyio.abc.TaskGroup
+    listener: socket.socket,
+    serving: servings.Serving,
+    group: anyio.abc.TaskGroup,
 ) -> None:
     """Accepts connections and serves each in a task of `group`.
 
@@ -317,12 +224,18 @@
     with listener, serving.accepting:
         while True:
             opened = await sockets.accept(listener)
-            group.start_soon(_serve, opened, serving)
+            place = serving.open_connections.open()
+            if place is None:
+                opened.send_now(_FULL_ANSWER)
+                opened.close()
+            else:
+                group.start_soon(_serve, opened, serving, place)
+            await anyio.lowlevel.checkpoint()
 
 
 async def open_listener(
     place: address.Address,
-    serving: Serving,
+    serving: servings.Serving,
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
 ) -> None:
@@ -343,17 +256,20 @@
     group.start_soon(serve_listener, listener, serving, group)
 
 
-async def _serve(opened: sockets.Socket, serving: Serving) -> None:
+async def _serve(
+    opened: sockets.Socket,
+    serving: servings.Serving,
+    place: connections.Place,
+) -> None:
     """Serves one connection and closes it."""
-    serving.connections += 1
     with contextlib.ExitStack() as stack:
+        stack.callback(serving.open_connections.close, place)
         stack.callback(opened.close)
         stack.enter_context(
             contextlib.suppress(exceptions.ConnectionEndedError)
         )
-        stack.callback(_count_closed, serving)
         try:
-            await CallerConnection(opened, serving).run()
+            await CallerConnection(opened, serving, place).run()
         except exceptions.ConnectionEndedError:
             raise
         except Exception:
@@ -361,14 +277,20 @@
             logger.exception("a connection failed by a fault of the program")
 
 
-def _count_closed(serving: Serving) -> None:
-    serving.connections -= 1
-
-
-def internal_serving(handle: Handler, max_body_bytes: int = 1 << 20) -> Serving:
+def internal_serving(
+    handle: servings.Handler, max_body_bytes: int = 1 << 20
+) -> servings.Serving:
     """Returns the shared state of a listener for internal use."""
     limits = request_limits.CallerLimits(
         max_body_bytes=max_body_bytes, idle_timeout_s=INTERNAL_IDLE_TIMEOUT_S
     )
-    memory = request_limits.BodyMemory(INTERNAL_MAX_BODIES * max_body_bytes)
-    return Serving(handle, lambda: limits, memory)
+    limit_bytes = INTERNAL_MAX_BODIES * max_body_bytes
+    return servings.Serving(
+        handle,
+        lambda: limits,
+        request_limits.MemoryLimit(limit_bytes),
+        unsent=request_limits.MemoryLimit(limit_bytes),
+        open_connections=connections.Connections(
+            INTERNAL_MAX_CONNECTIONS, INTERNAL_DESCRIPTOR_FRACTION
+        ),
+    )
--- a/src/cactusstile/http/request_limits.py
+++ b/src/cactusstile/http/request_limits.py
@@ -13,9 +13,9 @@
       max_header_bytes: Maximum size of a request head.
       max_body_bytes: Maximum size of a request body.
       header_timeout_s: Time from the first byte to the end of the head.
-      idle_timeout_s: Time after which a connection without a request, or with a
-        stalled request body, is closed; see also
-        `callers.MIN_BODY_BYTES_PER_S`.
+      idle_timeout_s: Time after which a connection without a request, with a
+        stalled request body, or with an answer that is not taken is closed;
+        see also `request_reader.MIN_BODY_BYTES_PER_S`.
     """
 
     max_header_bytes: int = 16 << 10
@@ -25,8 +25,8 @@
 
 
 @attrs.define
-class BodyMemory:
-    """Limit on the request bodies that a process buffers, in bytes."""
+class MemoryLimit:
+    """Limit on what all connections of a listener hold, in bytes."""
 
     limit_bytes: int
     used_bytes: int = 0
--- a/src/cactusstile/http/responder.py
+++ b/src/cactusstile/http/responder.py
@@ -13,6 +13,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.http import serving as servings
+
 UNAVAILABLE = 503
 _STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -31,7 +33,7 @@
         socket: sockets.Socket,
         protocol: h11.Connection,
         request: messages.Request,
-        is_stopping: collections.abc.Callable[[], bool],
+        serving: servings.Serving,
     ) -> None:
         """Responds to `request` on the connection of the caller."""
         self.status = 0
@@ -40,7 +42,7 @@
         self._socket = socket
         self._protocol = protocol
         self._without_body = request.method == b"HEAD"
-        self._is_stopping = is_stopping
+        self._serving = serving
 
     @property
     def started(self) -> bool:
@@ -100,7 +102,7 @@
         )
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
-        if self._is_stopping():
+        if self._serving.stopping:
             headers.append((b"connection", b"close"))
         if status in _STATUSES_WITHOUT_BODY:
             self._without_body = True
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -23,10 +23,17 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    Stalled = collections.abc.Callable[
+        [int], contextlib.AbstractContextManager[object]
+    ]
+
 RECEIVE_BYTES = 64 << 10
 # Calls of one socket that succeed at once before other tasks get a turn.
 CALLS_PER_TURN = 16
 BACKLOG_CONNECTIONS = 1024
+# Buffers of the operating system for each accepted connection.
+LISTENER_RECEIVE_BUFFER_BYTES = 32 << 10
+LISTENER_SEND_BUFFER_BYTES = 64 << 10
 # The peer is considered lost if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 KEEPALIVE_IDLE_S = 1
@@ -35,18 +42,25 @@
 LINGER_TIMEOUT_S = 1.0
 
 
+def _unlimited(_: int) -> contextlib.AbstractContextManager[object]:
+    return contextlib.nullcontext()
+
+
 class Socket:
     """A connected TCP socket.
 
     Attributes:
       raw: Underlying socket.
       bytes_sent: Number of bytes passed to the operating system.
+      stalled: Context of a wait for the peer to take bytes, given the size of
+        what is being sent.
     """
 
     def __init__(self, raw: socket.socket) -> None:
         """Takes ownership of a connected, non-blocking socket."""
         self.raw = raw
         self.bytes_sent = 0
+        self.stalled: Stalled = _unlimited
         self._calls_in_turn = 0
 
     async def send(self, data: bytes) -> None:
@@ -61,13 +75,19 @@
             try:
                 count = self.raw.send(view)
             except BlockingIOError:
-                await self._wait(anyio.wait_writable)
+                with self.stalled(len(data)):
+                    await self._wait(anyio.wait_writable)
                 continue
             except OSError as error:
                 raise exceptions.ConnectionEndedError(str(error)) from error
             self.bytes_sent += count
             view = view[count:]
 
+    def send_now(self, data: bytes) -> None:
+        """Sends as much of `data` as is taken at once; ignores failures."""
+        with contextlib.suppress(OSError):
+            self.bytes_sent += self.raw.send(data)
+
     async def receive(self, limit_bytes: int = RECEIVE_BYTES) -> bytes:
         """Returns the next bytes; empty if the peer ended its stream.
 
@@ -210,6 +230,12 @@
     try:
         raw.setblocking(False)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit these.
+        for option, size in (
+            (socket.SO_RCVBUF, LISTENER_RECEIVE_BUFFER_BYTES),
+            (socket.SO_SNDBUF, LISTENER_SEND_BUFFER_BYTES),
+        ):
+            raw.setsockopt(socket.SOL_SOCKET, option, size)
         raw.bind((on.host, on.port))
         raw.listen(BACKLOG_CONNECTIONS)
     except OSError as error:
--- a/src/cactusstile/observability/plain_admin.py
+++ b/src/cactusstile/observability/plain_admin.py
@@ -10,9 +10,9 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from cactusstile.http import callers
     from cactusstile.http import messages
     from cactusstile.http import responder as responders
+    from cactusstile.http import serving as servings
 
     Dump = collections.abc.Callable[[], dict[str, typing.Any]]
 
@@ -27,7 +27,7 @@
 
 def build(
     registry: prometheus_client.CollectorRegistry, dump: Dump
-) -> callers.Handler:
+) -> servings.Handler:
     """Returns a request handler for /metrics and /dump."""
 
     async def handle(
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -20,6 +20,7 @@
 from cactusstile.control import member_messages
 from cactusstile.control import sender
 from cactusstile.http import callers
+from cactusstile.http import serving as servings
 from cactusstile.http import targets
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
@@ -91,7 +92,7 @@
         )
     )
 
-    listeners: list[callers.Serving] = attrs.field(factory=list)
+    listeners: list[servings.Serving] = attrs.field(factory=list)
 
     async def finish_calls(self) -> None:
         """Waits until the calls that have begun are answered."""
@@ -350,7 +351,7 @@
     settings = registry.settings
     metrics = prometheus_client.CollectorRegistry()
     admin = plain_admin.build(metrics, registry.dump)
-    listeners: list[tuple[address.Address, callers.Serving]] = [
+    listeners: list[tuple[address.Address, servings.Serving]] = [
         (settings.admin_address, callers.internal_serving(admin))
     ]
     if settings.operator is not None:
--- a/src/cactusstile/registry/redirector.py
+++ b/src/cactusstile/registry/redirector.py
@@ -14,6 +14,7 @@
 import prometheus_client
 
 from cactusstile.http import callers
+from cactusstile.http import serving as servings
 from cactusstile.observability import plain_admin
 from cactusstile.registry import answers
 from cactusstile.registry import leader_lookup
@@ -44,7 +45,7 @@
 
     settings: node.NodeSettings
     lookup: leader_lookup.LeaderLookup
-    listeners: list[callers.Serving] = attrs.field(factory=list)
+    listeners: list[servings.Serving] = attrs.field(factory=list)
 
     async def finish_calls(self) -> None:
         """Waits until the calls that have begun are answered."""
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -48,6 +48,8 @@
         seconds.
       memory_mb: Memory limit of the process, in MB.
       link_mbps: Bandwidth of the VM's link, in Mbit/s.
+      max_connections: Maximum number of connections of callers; 0 derives it
+        from `memory_mb`.
       stop_s: Time between SIGTERM and SIGKILL, in seconds.
       retry_ratio: Retries allowed per request to a service.
       retry_window_s: Window over which the retries are counted, in seconds.
@@ -78,6 +80,7 @@
     retry_window_s: float
     retry_slack: float
     weights_s: float
+    max_connections: int = 0
     bind_host: str | None = None
     regions: dict[str, str] = attrs.field(factory=dict)
 
@@ -243,6 +246,12 @@
         ),
     ),
     "limits": (
+        ini.Option(
+            "max_connections",
+            ini.integer(0, 1 << 20),
+            "connections of callers; 0 for what memory_mb allows",
+            0,
+        ),
         ini.Option(
             "stop_s", ini.number(1, 3600), "time from SIGTERM to SIGKILL", 8
         ),
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -23,6 +23,7 @@
 from cactusstile.gateway.peers import sharers
 from cactusstile.http import callers
 from cactusstile.http import request_limits
+from cactusstile.http import serving as servings
 from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.sites import ages
@@ -80,7 +81,7 @@
     """
 
     site: site_view.SiteView
-    serving: callers.Serving
+    serving: servings.Serving
     listen_address: address.Address
     pool: targets.Pool
     budget: budget.RetryBudget
@@ -163,8 +164,10 @@
     forwarder = forwarding.Forwarder(
         site, pool, retry_budget, ended.append, weights_s
     )
-    serving = callers.Serving(
-        forwarder.handle, site.caller_limits, request_limits.BodyMemory(1 << 20)
+    serving = servings.Serving(
+        forwarder.handle,
+        site.caller_limits,
+        request_limits.MemoryLimit(1 << 20),
     )
     listener = sockets.listen(address.Address("127.0.0.1", 0))
     listen_address = address.Address(*listener.getsockname())
--- /dev/null
+++ b/tests/http/test_callers.py
@@ -0,0 +1,155 @@
+"""What the connections of one listener may take from the others."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import attrs
+import pytest
+
+from cactusstile.http import callers
+from cactusstile.http import messages
+from cactusstile.http import request_limits
+from cactusstile.http import responder as responders
+from cactusstile.http import serving as servings
+from cactusstile.http import sockets
+from cactusstile.limits import connections
+from cactusstile.transport import address
+
+pytestmark = pytest.mark.anyio
+HEAD = b"POST /a HTTP/1.1\r\nhost: h\r\n"
+FIELDS = b"a:\r\n" * 3900
+LARGE_BYTES = 1 << 20
+
+
+@attrs.define
+class Listener:
+    """A listener whose handler answers with the size of the body."""
+
+    serving: servings.Serving
+    place: address.Address
+    answer: bytes = b""
+    ticks: int = 0
+
+    async def connect(self) -> anyio.abc.SocketStream:
+        return await anyio.connect_tcp(self.place.host, self.place.port)
+
+    async def ask(self, data: bytes) -> bytes:
+        async with await self.connect() as stream:
+            await stream.send(data)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                return await stream.receive()
+        return b""
+
+    async def count_ticks(self) -> None:
+        while True:
+            self.ticks += 1
+            await anyio.lowlevel.checkpoint()
+
+
+@contextlib.asynccontextmanager
+async def listen(
+    body_memory: int = 1 << 22, answer: bytes = b"", **limits: float
+) -> collections.abc.AsyncIterator[Listener]:
+    bounds = request_limits.CallerLimits(**limits)  # type: ignore[arg-type]
+
+    async def handle(
+        request: messages.Request, responder: responders.Responder
+    ) -> None:
+        text = b"%d %d" % (len(request.headers), len(request.body))
+        await responder.respond(200, (), answer or text)
+
+    serving = servings.Serving(
+        handle, lambda: bounds, request_limits.MemoryLimit(body_memory)
+    )
+    raw = sockets.listen(address.Address("127.0.0.1", 0))
+    place = address.Address(*raw.getsockname())
+    with anyio.fail_after(60):
+        async with anyio.create_task_group() as group:
+            group.start_soon(callers.serve_listener, raw, serving, group)
+            yield Listener(serving, place)
+            group.cancel_scope.cancel()
+    raw.close()
+
+
+# Guards against callers that hold memory by a body that never comes.
+async def test_slow_bodies_keep_others_from_the_memory() -> None:
+    async with (
+        listen(100_000) as listener,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        streams = []
+        for _ in range(4):
+            stream = await stack.enter_async_context(await listener.connect())
+            streams.append(stream)
+            await stream.send(HEAD + b"content-length: 90000\r\n\r\n")
+            await stream.send(b"x" * 24_000)
+        while listener.serving.memory.used_bytes < 96_000:
+            await anyio.sleep(0.01)
+        await anyio.sleep(connections.MIN_WAIT_S)
+        body = b"content-length: 50000\r\n\r\n" + b"x" * 50_000
+        assert (await listener.ask(HEAD + body)).endswith(b"2 50000")
+        assert listener.serving.open_connections.ended == 2
+        refused = await streams[0].receive()
+        assert refused.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 1\r\n" in refused
+
+
+# Guards against answers that fill the memory since nobody reads them.
+async def test_answers_that_nobody_takes_fill_the_memory() -> None:
+    async with (
+        listen(answer=bytes(LARGE_BYTES)) as listener,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        unsent = listener.serving.unsent
+        unsent.limit_bytes = 4 * LARGE_BYTES
+        for _ in range(9):
+            stream = await stack.enter_async_context(await listener.connect())
+            await stream.send(HEAD + b"\r\n")
+        while listener.serving.open_connections.ended < 6:
+            await anyio.sleep(0.01)
+        assert unsent.used_bytes <= unsent.limit_bytes
+        await stack.aclose()
+        async with await listener.connect() as stream:
+            await stream.send(HEAD + b"\r\n")
+            size = 0
+            while size < LARGE_BYTES:
+                size += len(await stream.receive())
+
+
+async def test_answer_that_is_never_taken_ends_its_connection() -> None:
+    async with (
+        listen(answer=bytes(LARGE_BYTES), idle_timeout_s=0.2) as listener,
+        await listener.connect() as stream,
+    ):
+        await stream.send(HEAD + b"\r\n")
+        while not listener.serving.open_requests:
+            await anyio.sleep(0.01)
+        while listener.serving.open_connections.places:
+            await anyio.sleep(0.01)
+    assert listener.serving.unsent.used_bytes == 0
+
+
+async def test_request_at_all_limits_is_served() -> None:
+    async with listen(max_body_bytes=6000) as listener:
+        head = HEAD + FIELDS + b"transfer-encoding: chunked\r\n\r\n"
+        body = b"1\r\nx\r\n" * 6000 + b"0\r\n\r\n"
+        assert (await listener.ask(head + body)).endswith(b"3902 6000")
+    assert listener.serving.heads.used_bytes == 0
+    assert listener.serving.memory.used_bytes == 0
+
+
+async def test_full_listener_refuses_with_a_promise() -> None:
+    async with listen() as listener:
+        listener.serving.open_connections.max_connections = 1
+        listener.serving.open_connections.places[
+            connections.Place(connections.Phase.BUSY)
+        ] = None
+        async with await listener.connect() as stream:
+            answer = await stream.receive()
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1\r\n" in answer
--- /dev/null
+++ b/tests/limits/test_connections.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import contextlib
+import resource
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cactusstile.limits import connections
+
+if TYPE_CHECKING:
+    import anyio
+
+pytestmark = pytest.mark.anyio
+Phase = connections.Phase
+
+
+def limited(most: int) -> connections.Connections:
+    return connections.Connections(most, 1.0)
+
+
+def wait(
+    stack: contextlib.ExitStack,
+    place: connections.Place | None,
+    phase: connections.Phase,
+) -> anyio.CancelScope:
+    assert place is not None
+    return stack.enter_context(place.waiting(phase))
+
+
+async def test_longest_idle_gives_way_before_those_that_read() -> None:
+    opened = limited(3)
+    places = [opened.open() for _ in range(3)]
+    with contextlib.ExitStack() as stack:
+        scopes = [
+            wait(stack, places[0], Phase.READING),
+            wait(stack, places[1], Phase.IDLE),
+            wait(stack, places[2], Phase.IDLE),
+        ]
+        for expected in (1, 2, 0):
+            assert opened.open() is not None
+            told = [scope.cancel_called for scope in scopes]
+            assert told[expected]
+        assert opened.ended == 3
+
+
+async def test_connection_whose_request_is_handled_never_gives_way() -> None:
+    opened = limited(1)
+    place = opened.open()
+    with contextlib.ExitStack() as stack:
+        wait(stack, place, Phase.READING)
+    assert place is not None
+    assert place.phase is Phase.BUSY
+    assert opened.open() is None
+    assert opened.refused == 1
+    opened.close(place)
+    assert opened.open() is not None
+
+
+async def test_short_wait_for_a_reader_gives_way_to_nobody() -> None:
+    opened = limited(1)
+    place = opened.open()
+    with contextlib.ExitStack() as stack:
+        wait(stack, place, Phase.STALLED)
+        assert place is not None
+        assert opened.open() is None
+        place.since_s -= connections.MIN_WAIT_S
+        assert opened.open() is not None
+        assert place.gave_way
+
+
+async def test_number_is_bounded_by_descriptors() -> None:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    opened = connections.Connections(1 << 30, 0.25)
+    assert opened.limit() == limit // 4
+
+
+async def test_who_held_most_for_longest_is_found() -> None:
+    opened = limited(9)
+    with contextlib.ExitStack() as stack:
+        for size, age_s in ((10, 5.0), (60, 1.5), (1000, 0.1)):
+            place = opened.open()
+            wait(stack, place, Phase.READING)
+            assert place is not None
+            place.held_bytes = size
+            place.since_s -= age_s
+        found = opened.find_holder(Phase.READING, 1.0)
+        assert found is not None
+        assert found.held_bytes == 60
+        assert opened.find_holder(Phase.STALLED) is None
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -22,6 +22,7 @@
 from tests.soak import stand_ins
 
 from cactusstile.http import callers
+from cactusstile.http import serving as servings
 from cactusstile.http import sockets
 from cactusstile.transport import address
 
@@ -42,7 +43,7 @@
     """
 
     place: address.Address
-    serving: callers.Serving
+    serving: servings.Serving
     group: anyio.abc.TaskGroup
     listener: socket.socket | None = None
 
