Bound the connections of uvicorn's listeners

Callers saw: at entry, agent and control silent clients took every descriptor, so that nobody was answered, and a connection or a file that the process needed could not be opened.

Cause: uvicorn's server has no number of connections, no time for a first request (nor for a head, a TLS handshake of 60 s, or a body at the pages of administrators), and its accept takes the descriptors that transport/listeners keeps free. It parses all that has come, 256 KiB, at once.

Change: HttpListener accepts by transport/listeners and gives each connection a place in limits/connections, handshake included; LimitedProtocol tells what the connection waits for, ends it after 35 s of a request that does not arrive or an answer that nobody takes, and parses long heads and chunks in turns. Pages of administrators, and requests sent ahead, are made in turns. [entry] max_connections is new; heads count towards max_buffered_bytes.

--- a/src/cactusstile/entry/application.py
+++ b/src/cactusstile/entry/application.py
@@ -51,7 +51,7 @@
 
     Attributes:
       max_body_bytes: Maximum size of one request body.
-      memory: Bounds the total size of all request bodies in memory.
+      memory: Bounds the total size of all requests in memory.
       in_flight: Bounds the requests in flight.
     """
 
@@ -141,6 +141,7 @@
 ) -> list[chain.Filter]:
     return [
         refusals.answer_refusals(parts.metrics.count_refusal),
+        body.hold_head(bounds.memory),
         request_options.require_confirmed(readiness.is_configured),
         body.check_declared_size(bounds.max_body_bytes),
         authenticate.authenticate(parts.fleet, find_workspace),
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -21,10 +21,12 @@
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import limit
 from cactusstile.limits import confinement
+from cactusstile.limits import connections
 from cactusstile.limits import retry_budget
 from cactusstile.observability import admin
 from cactusstile.observability import entry_metrics
 from cactusstile.observability import http_listener
+from cactusstile.observability import limited_protocol
 from cactusstile.observability import tls
 
 if typing.TYPE_CHECKING:
@@ -192,8 +194,16 @@
     """Opens the listener for callers, with TLS if it is configured."""
     listen = entry.settings.callers_listen
     files = entry.settings.tls_files
+    limits = limited_protocol.Limits(
+        connections.Connections(
+            entry.settings.max_connections,
+            connections.CALLER_DESCRIPTOR_FRACTION,
+        )
+    )
     if files is None:
-        async with http_listener.open_listener(app, listen) as listener:
+        async with http_listener.open_listener(
+            app, listen, limits=limits
+        ) as listener:
             yield listener
         return
     certificate = tls.ReloadingCertificate(
@@ -201,7 +211,7 @@
     )
     async with (
         http_listener.open_listener(
-            app, listen, certificate.context
+            app, listen, certificate.context, limits
         ) as listener,
         anyio.create_task_group() as group,
     ):
--- a/src/cactusstile/filters/body.py
+++ b/src/cactusstile/filters/body.py
@@ -1,4 +1,4 @@
-"""Filters that read request bodies within bounds on size and memory."""
+"""Filters that hold requests within bounds on size and memory."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from cactusstile.filters import chain
 from cactusstile.filters import exceptions
 from cactusstile.filters import exchange
+from cactusstile.http import messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -22,7 +23,7 @@
 
 @attrs.define
 class BodyMemory:
-    """Memory that the request bodies of one process occupy.
+    """Memory that the requests of one process occupy.
 
     Attributes:
       max_bytes: Maximum over all requests.
@@ -33,6 +34,24 @@
     held_bytes: int = 0
 
 
+def hold_head(memory: BodyMemory) -> chain.Filter:
+    """Returns a filter that counts the header fields towards `memory`."""
+
+    async def filter_exchange(
+        context: exchange.Exchange, call_next: chain.Handler
+    ) -> None:
+        size = messages.memory_bytes(context.scope["headers"])
+        if memory.held_bytes + size > memory.max_bytes:
+            raise _memory_full()
+        memory.held_bytes += size
+        try:
+            await call_next(context)
+        finally:
+            memory.held_bytes -= size
+
+    return filter_exchange
+
+
 def check_declared_size(max_body_bytes: int) -> chain.Filter:
     """Returns a filter that refuses a body whose declared size is too large."""
 
@@ -66,11 +85,7 @@
                     if reserved > max_body_bytes:
                         raise _too_large(max_body_bytes)
                     if memory.held_bytes > memory.max_bytes:
-                        raise verdict.refuse(
-                            verdict.Reason.OVERLOADED,
-                            "too many request bodies are being read",
-                            retry_after_s=RETRY_AFTER_MEMORY_FULL_S,
-                        )
+                        raise _memory_full()
                     chunks.append(chunk)
             if scope.cancelled_caught:
                 raise verdict.refuse(
@@ -142,6 +157,14 @@
         yield message.get("body", b"")
 
 
+def _memory_full() -> verdict.RefusedError:
+    return verdict.refuse(
+        verdict.Reason.OVERLOADED,
+        "requests fill the memory",
+        retry_after_s=RETRY_AFTER_MEMORY_FULL_S,
+    )
+
+
 def _too_large(max_body_bytes: int) -> verdict.RefusedError:
     return verdict.refuse(
         verdict.Reason.TOO_LARGE,
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -134,17 +134,7 @@
     forwarder.sender.answers.limit_bytes = int(
         memory_bytes * ANSWER_MEMORY_FRACTION
     )
-    serving = servings.Serving(
-        forwarder.handle,
-        site.caller_limits,
-        memory=_memory_limit(memory_bytes, BODY_MEMORY_FRACTION),
-        heads=_memory_limit(memory_bytes, HEAD_MEMORY_FRACTION),
-        unsent=_memory_limit(memory_bytes, UNSENT_MEMORY_FRACTION),
-        open_connections=caller_connections.Connections(
-            settings.max_connections or _max_connections(memory_bytes),
-            servings.CALLER_DESCRIPTOR_FRACTION,
-        ),
-    )
+    serving = _serve_callers(settings, forwarder.handle, site.caller_limits)
     watch = control_watch.ControlWatch(
         connections, site, settings.internal_seeds, _own_member(settings)
     )
@@ -160,15 +150,29 @@
     )
 
 
-def _memory_limit(
-    memory_bytes: int, fraction: float
-) -> request_limits.MemoryLimit:
-    return request_limits.MemoryLimit(int(memory_bytes * fraction))
+def _serve_callers(
+    settings: node.NodeSettings,
+    handle: servings.Handler,
+    limits: collections.abc.Callable[[], request_limits.CallerLimits],
+) -> servings.Serving:
+    """Returns the state of callers' connections, bounded by the memory."""
+    memory_bytes = settings.memory_mb * _BYTES_PER_MB
 
+    def share(fraction: float) -> request_limits.MemoryLimit:
+        return request_limits.MemoryLimit(int(memory_bytes * fraction))
 
-def _max_connections(memory_bytes: int) -> int:
-    """Returns the number of callers' connections that the memory allows."""
-    return int(memory_bytes * CONNECTION_MEMORY_FRACTION / CONNECTION_BYTES)
+    most = share(CONNECTION_MEMORY_FRACTION).limit_bytes // CONNECTION_BYTES
+    return servings.Serving(
+        handle,
+        limits,
+        memory=share(BODY_MEMORY_FRACTION),
+        heads=share(HEAD_MEMORY_FRACTION),
+        unsent=share(UNSENT_MEMORY_FRACTION),
+        open_connections=caller_connections.Connections(
+            settings.max_connections or most,
+            caller_connections.CALLER_DESCRIPTOR_FRACTION,
+        ),
+    )
 
 
 def _new_budget(settings: node.NodeSettings) -> budgets.RetryBudget:
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -32,7 +32,6 @@
 # and of answers that nobody takes.
 INTERNAL_MAX_BODIES = 4
 INTERNAL_MAX_CONNECTIONS = 256
-INTERNAL_DESCRIPTOR_FRACTION = 1 / 16
 # Delay after which a caller may retry when its request found no room.
 FULL_RETRY_AFTER_S = 1
 # Time between two looks whether a caller, of whom no more is read, has left.
@@ -293,6 +292,7 @@
         request_limits.MemoryLimit(limit_bytes),
         unsent=request_limits.MemoryLimit(limit_bytes),
         open_connections=connections.Connections(
-            INTERNAL_MAX_CONNECTIONS, INTERNAL_DESCRIPTOR_FRACTION
+            INTERNAL_MAX_CONNECTIONS,
+            connections.INTERNAL_DESCRIPTOR_FRACTION,
         ),
     )
--- a/src/cactusstile/http/messages.py
+++ b/src/cactusstile/http/messages.py
@@ -11,6 +11,9 @@
 
 Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
 
+# Memory of a header field beside its bytes.
+FIELD_BYTES = 256
+
 # Header fields of a single connection; RFC 9110, section 7.6.1.
 HOP_BY_HOP = frozenset(
     (
@@ -72,6 +75,18 @@
         return find(self.headers, name)
 
 
+def memory_bytes(
+    headers: collections.abc.Sequence[tuple[bytes, bytes]],
+) -> int:
+    """Returns about how much memory header fields take.
+
+    >>> memory_bytes(((b"host", b"a"),))
+    261
+    """
+    size = FIELD_BYTES * len(headers)
+    return size + sum(len(name) + len(value) for name, value in headers)
+
+
 def find(headers: Headers, name: bytes) -> str | None:
     """Returns the first value of a header field; None if it is absent.
 
--- a/src/cactusstile/http/request_reader.py
+++ b/src/cactusstile/http/request_reader.py
@@ -22,8 +22,6 @@
 PARTS_PER_TURN = 64
 # Longer heads are parsed in turns.
 LONG_HEAD_BYTES = 4 << 10
-# Memory of a header field beside its bytes.
-FIELD_BYTES = 256
 
 
 class RequestReader:
@@ -118,7 +116,7 @@
             raise exceptions.MalformedError(
                 "send either a length or chunks, not both"
             )
-        await self._reserve_head(FIELD_BYTES * len(names))
+        await self._reserve_head(messages.FIELD_BYTES * len(names))
 
     async def _reserve_head(self, size: int) -> None:
         heads = self.serving.heads
--- a/src/cactusstile/http/serving.py
+++ b/src/cactusstile/http/serving.py
@@ -23,15 +23,13 @@
     ]
 
 DEFAULT_MAX_CONNECTIONS = 1024
-# Callers' share of the descriptors; each may need one more, to a target.
-CALLER_DESCRIPTOR_FRACTION = 0.375
 DEFAULT_HEAD_BYTES = 8 << 20
 DEFAULT_UNSENT_BYTES = 16 << 20
 
 
 def _default_connections() -> connections.Connections:
     return connections.Connections(
-        DEFAULT_MAX_CONNECTIONS, CALLER_DESCRIPTOR_FRACTION
+        DEFAULT_MAX_CONNECTIONS, connections.CALLER_DESCRIPTOR_FRACTION
     )
 
 
--- a/src/cactusstile/limits/connections.py
+++ b/src/cactusstile/limits/connections.py
@@ -24,6 +24,10 @@
 # Shorter waits for a peer are usual and give way to nobody.
 MIN_WAIT_S = 1.0
 LOG_INTERVAL_S = 10.0
+# Callers' share of the descriptors; each may need one more, to a target.
+CALLER_DESCRIPTOR_FRACTION = 3 / 8
+# Share of a listener for administrators, operators or a balancer.
+INTERNAL_DESCRIPTOR_FRACTION = 1 / 16
 
 
 class Phase(enum.IntEnum):
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -12,19 +12,27 @@
 import typing
 
 import anyio
+import anyio.abc
+import anyio.lowlevel
 import uvicorn
 
+from cactusstile.limits import connections
 from cactusstile.observability import accept_queue
 from cactusstile.observability import draining
+from cactusstile.observability import limited_protocol
 from cactusstile.transport import address
 from cactusstile.transport import binding
+from cactusstile.transport import listeners
 
 logger = logging.getLogger(__name__)
 
 BACKLOG = 2048
-KEEP_ALIVE_S = 75
 MAX_HEADER_BYTES = 32 * 1024
+# Buffers of the operating system for each accepted connection.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 256 * 1024
+HANDSHAKE_TIMEOUT_S = 5.0
+MAX_ADMIN_CONNECTIONS = 64
 ABORT_TIMEOUT_S = 1.0
 # Longer than the round trip of a distant caller, whose handshake has begun.
 ACCEPT_LINGER_S = 0.5
@@ -43,11 +51,23 @@
         yield
 
 
+class _Server(EmbeddedServer):
+    """Server whose listener accepts the connections."""
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Opens no socket."""
+        del sockets
+        await self.lifespan.startup()
+        self.servers = []
+        self.started = True
+
+
 class HttpListener:
     """A running HTTP listener.
 
     Attributes:
       bound: Address that the socket is bound to, with the actual port.
+      limits: What the connections share.
       closing: Whether answers that begin now end their connection.
       stopped: Set once the server has stopped.
     """
@@ -57,15 +77,19 @@
         bound_socket: socket.socket,
         app: typing.Any,
         tls: ssl.SSLContext | None,
+        limits: limited_protocol.Limits,
     ) -> None:
         """Serves `app` at a bound socket; use `open_listener` instead."""
         host, port = bound_socket.getsockname()[:2]
         self.bound = address.Address(host, port)
+        self.limits = limits
         self.closing = False
         self.stopped = anyio.Event()
         self._socket = bound_socket
         closing_app = draining.announce_close(app, lambda: self.closing)
-        self._server = EmbeddedServer(_configure(closing_app, tls))
+        self._tls = tls
+        self._accepting = anyio.CancelScope()
+        self._server = _Server(_configure(closing_app))
 
     def open_connections(self) -> int:
         """Returns the number of open connections."""
@@ -83,17 +107,14 @@
         self.closing = True
         accept_queue.block_new_connections(self._socket)
         await anyio.sleep(ACCEPT_LINGER_S)
-        for listening in self._server.servers:
-            listening.close()
+        self._close_socket()
         await draining.close_when_idle(self._connections())
         self._server.should_exit = True
         await self.stopped.wait()
 
     async def abort(self) -> None:
         """Closes the sockets and aborts all connections and exchanges."""
-        if self._server.started:
-            for listening in self._server.servers:
-                listening.close()
+        self._close_socket()
         for connection in list(self._connections()):
             connection.transport.abort()
         tasks = self._server.server_state.tasks
@@ -101,6 +122,9 @@
             task.cancel()
         if tasks:
             await asyncio.wait(tasks, timeout=ABORT_TIMEOUT_S)
+
+    def _close_socket(self) -> None:
+        self._accepting.cancel()
         self._socket.close()
 
     def _connections(self) -> set[draining.Connection]:
@@ -112,16 +136,58 @@
     async def serve(self) -> None:
         """Serves until drained or cancelled."""
         try:
-            await self._server.serve([self._socket])
+            self._server.config.load()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._accept, group)
+                await self._server.serve([])
+                group.cancel_scope.cancel()
         finally:
             self.stopped.set()
 
+    async def _accept(self, group: anyio.abc.TaskGroup) -> None:
+        """Opens accepted connections in tasks of `group`."""
+        with self._accepting:
+            while True:
+                raw = await listeners.accept(self._socket)
+                place = self.limits.open_connections.open()
+                if place is None:
+                    with raw, contextlib.suppress(OSError):
+                        raw.send(limited_protocol.FULL_ANSWER)
+                else:
+                    group.start_soon(self._open, raw, place)
+                await anyio.lowlevel.checkpoint()
+
+    async def _open(self, raw: socket.socket, place: connections.Place) -> None:
+        """Hands a connection over to the server, once TLS is agreed on."""
+        protocol = limited_protocol.LimitedProtocol(
+            self._server.config,
+            self._server.server_state,
+            self.limits,
+            place,
+        )
+        timeout_s = None if self._tls is None else HANDSHAKE_TIMEOUT_S
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: protocol,
+                raw,
+                ssl=self._tls,
+                ssl_handshake_timeout=timeout_s,
+            )
+        except OSError as error:
+            logger.debug("a connection was not opened: %s", error)
+        finally:
+            # Unset if the handshake failed or was given up.
+            if protocol.transport is None:
+                raw.close()
+                self.limits.open_connections.close(place)
+
 
 @contextlib.asynccontextmanager
 async def open_listener(
     app: typing.Any,
     listen: address.Address,
     tls: ssl.SSLContext | None = None,
+    limits: limited_protocol.Limits | None = None,
 ) -> collections.abc.AsyncIterator[HttpListener]:
     """Serves `app` until the context is left, which aborts open exchanges.
 
@@ -131,6 +197,8 @@
       app: ASGI application.
       listen: Address to listen on.
       tls: TLS context of the listener; None for plain HTTP.
+      limits: Limits on all connections; None for those of pages that
+        administrators read.
 
     Raises:
       CannotListenError: If the address cannot be bound.
@@ -138,7 +206,7 @@
     bound_socket = await binding.wait_until_free(
         functools.partial(_bind, listen)
     )
-    listener = HttpListener(bound_socket, app, tls)
+    listener = HttpListener(bound_socket, app, tls, limits or _admin_limits())
     async with anyio.create_task_group() as group:
         group.start_soon(listener.serve)
         try:
@@ -149,10 +217,16 @@
                 await listener.abort()
 
 
-def _configure(app: typing.Any, tls: ssl.SSLContext | None) -> uvicorn.Config:
+def _admin_limits() -> limited_protocol.Limits:
+    opened = connections.Connections(
+        MAX_ADMIN_CONNECTIONS, connections.INTERNAL_DESCRIPTOR_FRACTION
+    )
+    return limited_protocol.Limits(opened, all_in_turns=True)
+
+
+def _configure(app: typing.Any) -> uvicorn.Config:
     return uvicorn.Config(
         app,
-        ssl_context_factory=None if tls is None else lambda *_: tls,
         lifespan="off",
         log_config=None,
         access_log=False,
@@ -160,7 +234,7 @@
         proxy_headers=False,
         ws="none",
         backlog=BACKLOG,
-        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_keep_alive=int(limited_protocol.IDLE_TIMEOUT_S),
         http="h11",
         h11_max_incomplete_event_size=MAX_HEADER_BYTES,
     )
@@ -176,6 +250,9 @@
         bound_socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
         )
+        bound_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         bound_socket.bind((listen.host, listen.port))
         bound_socket.listen(BACKLOG)
         bound_socket.setblocking(False)
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -13,6 +13,9 @@
 from cactusstile.settings import process
 from cactusstile.transport import address
 
+# Two for each request in flight.
+DEFAULT_MAX_CONNECTIONS = 8192
+
 
 @attrs.frozen
 class EntrySettings:
@@ -22,8 +25,8 @@
       process: Settings common to all roles.
       callers_listen: Address that callers connect to.
       max_body_bytes: Maximum size of a request body, in bytes.
-      max_buffered_bytes: Maximum total size of the buffered request bodies,
-        in bytes.
+      max_buffered_bytes: Maximum total size of the requests that are held, in
+        bytes.
       max_in_flight: Maximum number of requests in flight.
       retry_share: Long-run average of retries allowed per request.
       drain_delay_s: Time between reporting not ready and closing the
@@ -35,6 +38,7 @@
       tls_certificate: Path of the certificate of the callers' listener; empty
         for plain HTTP.
       tls_key: Path of the certificate's private key.
+      max_connections: Maximum number of connections of callers.
     """
 
     process: process.ProcessSettings
@@ -48,6 +52,7 @@
     storm_factor: float = recent_use.STORM_FACTOR
     tls_certificate: str = ""
     tls_key: str = ""
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
 
     @property
     def tls_files(self) -> tls.CertificateFiles | None:
@@ -85,7 +90,7 @@
     ini.Option(
         "max_buffered_bytes",
         ini.integer(65_536, 1 << 32),
-        "bound on all request bodies held at once in bytes",
+        "bound on all requests held at once, heads and bodies, in bytes",
         128 * 1024 * 1024,
     ),
     ini.Option(
@@ -94,6 +99,12 @@
         "bound on requests in flight",
         4096,
     ),
+    ini.Option(
+        "max_connections",
+        ini.integer(1, 1_000_000),
+        "bound on connections of callers, also three eighths of descriptors",
+        DEFAULT_MAX_CONNECTIONS,
+    ),
     ini.Option(
         "retry_share",
         ini.number(0, 1),
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -249,7 +249,8 @@
         ini.Option(
             "max_connections",
             ini.integer(0, 1 << 20),
-            "connections of callers; 0 for what memory_mb allows",
+            "connections of callers, also three eighths of descriptors; 0 for"
+            " what memory_mb allows",
             0,
         ),
         ini.Option(
