Send no stream that is taken up to a service whose weight became 0

Cause: Dispatcher.choose_service asked whether the route names the service where the stream began, not whether its weight is above 0.

Change: only a service with a weight continues it.

Evidence: test_stream_taken_up_runs_at_a_service_without_weight failed on (2 requests for 1), passes.

--- a/src/cactusstile/gateway/dispatching.py
+++ b/src/cactusstile/gateway/dispatching.py
@@ -70,15 +70,15 @@
     ) -> str:
         """Returns the service of a request, by its route's traffic weights.
 
-        A stream goes on at the service where it began, if the route still has
-        it.
+        A stream goes on at the service where it began, if the route still
+        sends requests to it.
 
         Raises:
           RefusedError: No target of the route is live.
         """
         if origin is not None:
             for share in admitted.route.shares:
-                if share.service == origin.service:
+                if share.service == origin.service and share.weight > 0:
                     return origin.service
         live = self.site.targets.live_services()
         service = routes.pick_service(admitted.route, admitted.id, live)
