Read a request on an idle connection by the limits in force when it arrives

Callers saw: 413 for a body that the configuration in force allows, on the first request of a connection that was idle while the configuration changed.

Cause: a connection took the limits that held when it became idle. The same holds for the head, whose bound h11 takes when the connection is opened: found while looking for it elsewhere.

Change: limits are taken when the first bytes arrive; with another bound of heads the state of HTTP is begun anew, which is idle then. Requests that were sent ahead keep the bound of heads that they were read under.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -64,7 +64,6 @@
         self.serving = serving
         self.place = place
         self.reader = request_reader.RequestReader(opened, serving, place)
-        self._protocol = self.reader.protocol
         self._answer_start_bytes = 0
         self._stalled_s = 0.0
         opened.stalled = self._stalled
@@ -78,7 +77,6 @@
 
     async def _run(self) -> None:
         while self.serving.takes_requests:
-            self.reader.limits = self.serving.limits()
             request = await self._read_request()
             if request is None:
                 return
@@ -90,14 +88,15 @@
                 self.reader.release()
             if not keep_open:
                 return
-            self._protocol.start_next_cycle()
+            self.reader.protocol.start_next_cycle()
+            self.reader.update_limits()
 
     async def _answer(self, request: messages.Request) -> bool:
         """Serves one request; returns whether the connection stays open."""
         self._answer_start_bytes = self.socket.bytes_sent
         self._stalled_s = 0.0
         responder = responders.Responder(
-            self.socket, self._protocol, request, self.serving
+            self.socket, self.reader.protocol, request, self.serving
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_for_disconnect, group.cancel_scope)
@@ -126,7 +125,7 @@
                 data = await self.socket.receive(room)
             except exceptions.ConnectionEndedError:
                 data = b""
-            self._protocol.receive_data(data)
+            self.reader.protocol.receive_data(data)
             if not data:
                 scope.cancel()
                 return
@@ -159,7 +158,8 @@
         idle_s = self.reader.limits.idle_timeout_s
         with self.place.waiting(connections.Phase.IDLE, idle_s):
             data = await self.socket.receive(request_reader.READ_AHEAD_BYTES)
-            self._protocol.receive_data(data)
+            self.reader.update_limits()
+            self.reader.protocol.receive_data(data)
             return bool(data)
         return False
 
@@ -192,7 +192,7 @@
     async def _refuse(self, status: int, text: str) -> None:
         """Responds to a request that is not served and ends the stream."""
         self.reader.release()
-        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.reader.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"connection", b"close"), (b"content-type", b"text/plain")]
         body = text.encode() + b"\n"
@@ -201,9 +201,9 @@
             headers.append((b"retry-after", b"%d" % FULL_RETRY_AFTER_S))
         head = h11.Response(status_code=status, headers=headers)
         data = (
-            (self._protocol.send(head) or b"")
-            + (self._protocol.send(h11.Data(data=body)) or b"")
-            + (self._protocol.send(h11.EndOfMessage()) or b"")
+            (self.reader.protocol.send(head) or b"")
+            + (self.reader.protocol.send(h11.Data(data=body)) or b"")
+            + (self.reader.protocol.send(h11.EndOfMessage()) or b"")
         )
         logger.info("rejected request: %d %s", status, text)
         if self.place.gave_way:
--- a/src/cactusstile/http/request_reader.py
+++ b/src/cactusstile/http/request_reader.py
@@ -46,15 +46,19 @@
         self.serving = serving
         self.place = place
         self.limits: request_limits.CallerLimits = serving.limits()
-        self.protocol = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self.limits.max_header_bytes,
-        )
+        self.protocol = _new_protocol(self.limits)
         self._body_bytes = 0
         self._head_bytes = 0
         self._parts_in_turn = 0
         self._turns_s = 0.0
 
+    def update_limits(self) -> None:
+        """Applies the limits in force to the next request."""
+        before, self.limits = self.limits, self.serving.limits()
+        is_same = before.max_header_bytes == self.limits.max_header_bytes
+        if not is_same and not self.buffered_bytes():
+            self.protocol = _new_protocol(self.limits)
+
     def buffered_bytes(self) -> int:
         """Returns the number of bytes read beyond the request in progress."""
         return len(self.protocol.trailing_data[0])
@@ -207,3 +211,9 @@
         self._parts_in_turn = 0
         self.protocol.receive_data(data)
         return data
+
+
+def _new_protocol(limits: request_limits.CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -37,10 +37,21 @@
     assert len(old.requests) == 1
 
 
-# Guards against a request that is refused by limits which hold no more.
-async def test_first_request_on_an_idle_connection_meets_old_limits() -> None:
-    def limited(size: int, version: int) -> model.SiteConfiguration:
-        limits = request_limits.CallerLimits(max_body_bytes=size)
+async def ask_twice(
+    before: dict[str, int], after: dict[str, int], request: bytes
+) -> list[int]:
+    """Asks on one connection, idle while the limits change; returns statuses.
+
+    Args:
+      before: Limits of the first configuration.
+      after: Limits of the second one.
+      request: The second request.
+    """
+
+    def limited(
+        version: int, changes: dict[str, int]
+    ) -> model.SiteConfiguration:
+        limits = request_limits.CallerLimits(**changes)
         return support.configuration(
             support.route(), limits=limits, version=version
         )
@@ -52,12 +63,26 @@
         raw_target.open_target(
             raw_target.answer(b"1"), raw_target.answer(b"2")
         ) as target,
-        support.open_harness(limited(10, 1), target) as harness,
+        support.open_harness(limited(1, before), target) as harness,
         await harness.connect() as stream,
     ):
         await stream.send(kept)
         first = await stream.receive()
-        harness.site.replace_configuration(limited(100, 2))
-        await stream.send(support.request(b"POST", body=b"x" * 50))
+        harness.site.replace_configuration(limited(2, after))
+        await stream.send(request)
         second = await support.read_to_end(stream)
-    assert [support.status(data) for data in (first, second)] == [200, 200]
+    return [support.status(data) for data in (first, second)]
+
+
+# Guards against a request that is refused by limits which hold no more.
+async def test_first_request_on_an_idle_connection_meets_old_limits() -> None:
+    body = support.request(b"POST", body=b"x" * 50)
+    statuses = await ask_twice({"max_body_bytes": 10}, {}, body)
+    assert statuses == [200, 200]
+
+
+# Guards against the same for the size of a head.
+async def test_first_long_head_on_an_idle_connection_meets_old_limits() -> None:
+    head = support.request(b"GET", b"Long: " + b"x" * 2000 + b"\r\n")
+    statuses = await ask_twice({"max_header_bytes": 1000}, {}, head)
+    assert statuses == [200, 200]
