Let connections that were never served give way before those in use

Cause: the longest idle connection gave way, whatever it was. A crowd of silent clients ended the connection that an operator or a caller keeps for its next request; test_registry_without_descriptors_cannot_write_and_ends showed it.

Change: connections of which no request was answered go first, by what they wait for and for how long; those in use after them. A gateway's dump shows how many are open, were refused and gave way.

--- a/src/cactusstile/gateway/dump.py
+++ b/src/cactusstile/gateway/dump.py
@@ -25,6 +25,7 @@
         "gateways": [member.address for member in site.gateways],
         "weights": site.weights.newest_versions(),
         "open_requests": gateway.serving.open_requests,
+        "connections": gateway.serving.open_connections.counts(),
         "retry_budget": {
             "gateways": budget.sharers.most(now_s),
             "settled": budget.sharers.is_settled(now_s),
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -86,6 +86,7 @@
             finally:
                 self.serving.end_request()
                 self.reader.release()
+                self.place.was_served = True
             if not keep_open:
                 return
             self.reader.protocol.start_next_cycle()
--- a/src/cactusstile/limits/connections.py
+++ b/src/cactusstile/limits/connections.py
@@ -48,6 +48,7 @@
       since_s: Loop time since which it waits for that.
       held_bytes: Memory that its request takes.
       unsent_bytes: Memory of an answer that its peer does not take.
+      was_served: Whether a request of it was answered.
       give_way: Ends the wait of the connection; None while it must stay.
       gave_way: Whether it was told to give way.
       released: Set once it has released its memory.
@@ -57,6 +58,7 @@
     since_s: float = attrs.field(factory=anyio.current_time)
     held_bytes: int = 0
     unsent_bytes: int = 0
+    was_served: bool = False
     give_way: collections.abc.Callable[[], None] | None = None
     gave_way: bool = False
     released: anyio.Event = attrs.field(factory=anyio.Event)
@@ -164,18 +166,31 @@
                 found, most = place, size * age_s
         return found
 
+    def counts(self) -> dict[str, int]:
+        """Returns the number of connections by what became of them."""
+        return {
+            "open": len(self.places),
+            "refused": self.refused,
+            "gave_way": self.ended,
+        }
+
     def _find_oldest(self) -> Place | None:
-        """Returns who gives way to a new connection; None if nobody can."""
+        """Returns who gives way to a new connection; None if nobody can.
+
+        Connections that were never served go before all others, the one that
+        waits longest first.
+        """
         now_s = anyio.current_time()
-        found, first = None, (math.inf, math.inf)
+        found, first = None, (True, math.inf, math.inf)
         for place in self.places:
             if not place.may_give_way():
                 continue
             is_usual = now_s - place.since_s < MIN_WAIT_S
             if place.phase is Phase.STALLED and is_usual:
                 continue
-            if (place.phase, place.since_s) < first:
-                found, first = place, (place.phase, place.since_s)
+            order = (place.was_served, place.phase, place.since_s)
+            if order < first:
+                found, first = place, order
         return found
 
     def _log(self) -> None:
@@ -183,11 +198,4 @@
         if now_s - self.logged_s < LOG_INTERVAL_S:
             return
         self.logged_s = now_s
-        logger.info(
-            "connections limited",
-            extra={
-                "open": len(self.places),
-                "refused": self.refused,
-                "gave_way": self.ended,
-            },
-        )
+        logger.info("connections limited", extra=self.counts())
--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -112,6 +112,7 @@
     def on_response_complete(self) -> None:
         """Begins to wait for the next request."""
         super().on_response_complete()
+        self.place.was_served = True
         self._show_phase()
 
     def pause_writing(self) -> None:
--- a/tests/limits/test_connections.py
+++ b/tests/limits/test_connections.py
@@ -42,6 +42,23 @@
         assert opened.ended == 3
 
 
+# Guards against silent connections that take the places of those in use.
+async def test_connection_that_was_served_stays_longer() -> None:
+    opened = limited(3)
+    places = [opened.open() for _ in range(3)]
+    assert places[0] is not None
+    places[0].was_served = True
+    with contextlib.ExitStack() as stack:
+        scopes = [
+            wait(stack, places[0], Phase.IDLE),
+            wait(stack, places[1], Phase.READING),
+            wait(stack, places[2], Phase.IDLE),
+        ]
+        for expected in (2, 1, 0):
+            assert opened.open() is not None
+            assert scopes[expected].cancel_called
+
+
 async def test_connection_whose_request_is_handled_never_gives_way() -> None:
     opened = limited(1)
     place = opened.open()
