Let go of a request as soon as it is answered; read bodies in small parts

Callers saw: a gateway beyond its memory while many callers sent large bodies and kept their connections open.

Cause: the loop of CallerConnection still named the last request while it waited for the next one, so each idle connection kept a body that no limit counted any more. Beside it, parts of 64 KiB were held twice by as many connections as read at the same time.

Change: a request is local to the call that serves it; bodies arrive in parts of 16 KiB.

Evidence: test_answered_body_stays_in_memory_while_idle fails before and passes.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -77,21 +77,27 @@
 
     async def _run(self) -> None:
         while self.serving.takes_requests:
-            request = await self._read_request()
-            if request is None:
-                return
-            self.serving.open_requests += 1
-            try:
-                keep_open = await self._answer(request)
-            finally:
-                self.serving.end_request()
-                self.reader.release()
-                self.place.was_served = True
-            if not keep_open:
+            if not await self._serve_next():
                 return
             self.reader.protocol.start_next_cycle()
             self.reader.update_limits()
 
+    async def _serve_next(self) -> bool:
+        """Serves the next request; returns whether the connection stays open.
+
+        The request is gone on return, so that no idle connection holds one.
+        """
+        request = await self._read_request()
+        if request is None:
+            return False
+        self.serving.open_requests += 1
+        try:
+            return await self._answer(request)
+        finally:
+            self.serving.end_request()
+            self.reader.release()
+            self.place.was_served = True
+
     async def _answer(self, request: messages.Request) -> bool:
         """Serves one request; returns whether the connection stays open."""
         self._answer_start_bytes = self.socket.bytes_sent
--- a/src/cactusstile/http/request_reader.py
+++ b/src/cactusstile/http/request_reader.py
@@ -140,7 +140,7 @@
             taken_s = anyio.current_time() - begun_s - self._turns_s
             rest_s = idle_s + len(body) / MIN_BODY_BYTES_PER_S - taken_s
             with anyio.fail_after(min(idle_s, rest_s)) as scope:
-                event = await self._next_event(declared - len(body), scope)
+                event = await self._next_event(scope)
             if not isinstance(event, h11.Data):
                 break
             await self._reserve_body(len(body), len(event.data))
@@ -164,13 +164,10 @@
         self._turns_s += waited_s
         scope.deadline = deadline_s + waited_s
 
-    async def _next_event(
-        self, expected_bytes: int, scope: anyio.CancelScope
-    ) -> object:
+    async def _next_event(self, scope: anyio.CancelScope) -> object:
         """Returns the next h11 event of a body.
 
         Args:
-          expected_bytes: Bytes that the body still lacks, as far as declared.
           scope: Limits the time in which it has to arrive.
         """
         self._parts_in_turn += 1
@@ -184,8 +181,7 @@
             if self.protocol.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 await self.socket.send(self.protocol.send(interim) or b"")
-            window = max(READ_AHEAD_BYTES, expected_bytes)
-            await self._receive(min(window, sockets.RECEIVE_BYTES))
+            await self._receive(READ_AHEAD_BYTES)
 
     def _parse(self) -> object:
         """Returns the next h11 event.
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import weakref
 
 import anyio
 import anyio.abc
@@ -29,12 +30,19 @@
 
 @attrs.define
 class Listener:
-    """A listener whose handler answers with the size of the body."""
+    """A listener whose handler answers with the size of the body.
+
+    Attributes:
+      requests: Handled requests that are still in memory.
+    """
 
     serving: servings.Serving
     place: address.Address
     answer: bytes = b""
     ticks: int = 0
+    requests: weakref.WeakSet[messages.Request] = attrs.field(
+        factory=weakref.WeakSet
+    )
 
     async def connect(self) -> anyio.abc.SocketStream:
         return await anyio.connect_tcp(self.place.host, self.place.port)
@@ -56,11 +64,13 @@
 async def listen(
     body_memory: int = 1 << 22, answer: bytes = b"", **limits: float
 ) -> collections.abc.AsyncIterator[Listener]:
+    requests: weakref.WeakSet[messages.Request] = weakref.WeakSet()
     bounds = request_limits.CallerLimits(**limits)  # type: ignore[arg-type]
 
     async def handle(
         request: messages.Request, responder: responders.Responder
     ) -> None:
+        requests.add(request)
         text = b"%d %d" % (len(request.headers), len(request.body))
         await responder.respond(200, (), answer or text)
 
@@ -72,7 +82,7 @@
     with anyio.fail_after(60):
         async with anyio.create_task_group() as group:
             group.start_soon(callers.serve_listener, raw, serving, group)
-            yield Listener(serving, place)
+            yield Listener(serving, place, requests=requests)
             group.cancel_scope.cancel()
     raw.close()
 
@@ -183,3 +193,14 @@
             answer = await stream.receive()
     assert answer.startswith(b"HTTP/1.1 503")
     assert b"retry-after: 1\r\n" in answer
+
+
+# Guards against idle connections that hold the body of their last request.
+async def test_answered_body_stays_in_memory_while_idle() -> None:
+    body = b"content-length: 9\r\n\r\n" + b"x" * 9
+    async with listen() as listener, await listener.connect() as stream:
+        await stream.send(HEAD + body)
+        assert (await stream.receive()).endswith(b"2 9")
+        while not listener.serving.idle:
+            await anyio.sleep(0.01)
+        assert not listener.requests
