Let slow bodies at an entry give way; let go of heads that were answered

Callers saw: entries that answered no ordinary request for 10 s and then 503 while 1,000 clients sent bodies in parts of one byte, and that kept 472 MB of heads for 1,000 connections that had been answered.

Cause: an entry refused whoever came once bodies filled max_buffered_bytes, so those that trickle in kept all others out for 30 s; uvicorn's protocol names the fields of the last request until the next one; one connection was accepted in each pass of a busy event loop.

Change: when there is no room, the body that has held most for longest is refused with 503 and Retry-After, and the next request finds room. The protocol lets go of the fields with the answer. 16 connections are accepted in a pass, unless the listener is full. max_connections of an entry is 4096, as many as requests in flight; receive buffers of 32 KiB as at gateways.

--- a/src/cactusstile/filters/body.py
+++ b/src/cactusstile/filters/body.py
@@ -12,6 +12,7 @@
 from cactusstile.filters import exceptions
 from cactusstile.filters import exchange
 from cactusstile.http import messages
+from cactusstile.limits import connections
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -21,6 +22,29 @@
 STALL_LIMIT_S = 30.0
 
 
+@attrs.define(eq=False)
+class Reading:
+    """A body that is being read.
+
+    Attributes:
+      scope: Cancelled to have it give way to others.
+      begun_s: Event loop time at which it began.
+      held_bytes: Bytes that it has reserved.
+      gave_way: Whether it was told to give way.
+    """
+
+    scope: anyio.CancelScope
+    begun_s: float = attrs.field(factory=anyio.current_time)
+    held_bytes: int = 0
+    gave_way: bool = False
+
+    def weight(self) -> float:
+        """Returns how much it has held for how long; 0 if it must stay."""
+        age_s = anyio.current_time() - self.begun_s
+        is_usual = age_s < connections.MIN_WAIT_S
+        return 0.0 if self.gave_way or is_usual else self.held_bytes * age_s
+
+
 @attrs.define
 class BodyMemory:
     """Memory that the requests of one process occupy.
@@ -28,10 +52,23 @@
     Attributes:
       max_bytes: Maximum over all requests.
       held_bytes: Bytes that are currently reserved.
+      readings: Bodies that are being read.
     """
 
     max_bytes: int
     held_bytes: int = 0
+    readings: set[Reading] = attrs.field(factory=set)
+
+    def take(self, size: int) -> bool:
+        """Reserves bytes; the slowest body gives way if there are too few."""
+        if self.held_bytes + size <= self.max_bytes:
+            self.held_bytes += size
+            return True
+        slowest = max(self.readings, key=Reading.weight, default=None)
+        if slowest is not None and slowest.weight():
+            slowest.gave_way = True
+            slowest.scope.cancel()
+        return False
 
 
 def hold_head(memory: BodyMemory) -> chain.Filter:
@@ -41,9 +78,8 @@
         context: exchange.Exchange, call_next: chain.Handler
     ) -> None:
         size = messages.memory_bytes(context.scope["headers"])
-        if memory.held_bytes + size > memory.max_bytes:
+        if not memory.take(size):
             raise _memory_full()
-        memory.held_bytes += size
         try:
             await call_next(context)
         finally:
@@ -75,32 +111,53 @@
     async def filter_exchange(
         context: exchange.Exchange, call_next: chain.Handler
     ) -> None:
-        reserved = 0
-        chunks: list[bytes] = []
+        reading = Reading(anyio.CancelScope())
+        memory.readings.add(reading)
         try:
-            with anyio.move_on_after(BODY_TIMEOUT_S) as scope:
-                async for chunk in _receive_chunks(context):
-                    reserved += len(chunk)
-                    memory.held_bytes += len(chunk)
-                    if reserved > max_body_bytes:
-                        raise _too_large(max_body_bytes)
-                    if memory.held_bytes > memory.max_bytes:
-                        raise _memory_full()
-                    chunks.append(chunk)
-            if scope.cancelled_caught:
-                raise verdict.refuse(
-                    verdict.Reason.BAD_REQUEST,
-                    f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s",
+            try:
+                context.body = await _read(
+                    context, max_body_bytes, memory, reading
                 )
-            context.body = b"".join(chunks)
-            chunks.clear()
+            finally:
+                memory.readings.discard(reading)
             await call_next(context)
         finally:
-            memory.held_bytes -= reserved
+            memory.held_bytes -= reading.held_bytes
 
     return filter_exchange
 
 
+async def _read(
+    context: exchange.Exchange,
+    max_body_bytes: int,
+    memory: BodyMemory,
+    reading: Reading,
+) -> bytes:
+    """Returns the body of a request.
+
+    Raises:
+      RefusedError: It is too large, too slow, or there is no memory for it.
+    """
+    body = bytearray()
+    reading.scope.deadline = reading.begun_s + BODY_TIMEOUT_S
+    with reading.scope:
+        async for chunk in _receive_chunks(context):
+            if len(body) + len(chunk) > max_body_bytes:
+                raise _too_large(max_body_bytes)
+            if not memory.take(len(chunk)):
+                raise _memory_full()
+            reading.held_bytes += len(chunk)
+            body += chunk
+    if reading.gave_way:
+        raise _memory_full()
+    if reading.scope.cancelled_caught:
+        raise verdict.refuse(
+            verdict.Reason.BAD_REQUEST,
+            f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s",
+        )
+    return bytes(body)
+
+
 async def cancel_when_caller_leaves(
     context: exchange.Exchange, call_next: chain.Handler
 ) -> None:
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import logging
 import typing
 
@@ -230,7 +231,7 @@
     Returns and closes the listener when `serving.accepting` is cancelled.
     """
     with listener, serving.accepting:
-        while True:
+        for number in itertools.count(1):
             opened = await sockets.accept(listener)
             place = serving.open_connections.open()
             if place is None:
@@ -238,7 +239,9 @@
                 opened.close()
             else:
                 group.start_soon(_serve, opened, serving, place)
-            await anyio.lowlevel.checkpoint()
+            is_turn_over = number % connections.ACCEPTS_PER_TURN == 0
+            if is_turn_over or serving.open_connections.is_full():
+                await anyio.lowlevel.checkpoint()
 
 
 async def open_listener(
--- a/src/cactusstile/limits/connections.py
+++ b/src/cactusstile/limits/connections.py
@@ -21,6 +21,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Connections that are accepted before other tasks get a turn.
+ACCEPTS_PER_TURN = 16
 # Shorter waits for a peer are usual and give way to nobody.
 MIN_WAIT_S = 1.0
 LOG_INTERVAL_S = 10.0
@@ -110,6 +112,11 @@
     ended: int = 0
     logged_s: float = -math.inf
     _leaving: int = 0
+    _limit: int = 0
+
+    def is_full(self) -> bool:
+        """Returns whether the last connection took the last place."""
+        return len(self.places) - self._leaving >= self._limit
 
     def limit(self) -> int:
         """Returns the number of connections that may be open now."""
@@ -121,7 +128,8 @@
 
     def open(self) -> Place | None:
         """Returns a place for a new connection; None if there is none."""
-        if len(self.places) - self._leaving >= self.limit():
+        self._limit = self.limit()
+        if self.is_full():
             victim = self._find_oldest()
             if victim is None:
                 self.refused += 1
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import functools
+import itertools
 import logging
 import socket
 import ssl
@@ -29,7 +30,7 @@
 BACKLOG = 2048
 MAX_HEADER_BYTES = 32 * 1024
 # Buffers of the operating system for each accepted connection.
-RECEIVE_BUFFER_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 32 * 1024
 SEND_BUFFER_BYTES = 256 * 1024
 HANDSHAKE_TIMEOUT_S = 5.0
 MAX_ADMIN_CONNECTIONS = 64
@@ -147,15 +148,18 @@
     async def _accept(self, group: anyio.abc.TaskGroup) -> None:
         """Opens accepted connections in tasks of `group`."""
         with self._accepting:
-            while True:
+            opened = self.limits.open_connections
+            for number in itertools.count(1):
                 raw = await listeners.accept(self._socket)
-                place = self.limits.open_connections.open()
+                place = opened.open()
                 if place is None:
                     with raw, contextlib.suppress(OSError):
                         raw.send(limited_protocol.FULL_ANSWER)
                 else:
                     group.start_soon(self._open, raw, place)
-                await anyio.lowlevel.checkpoint()
+                is_turn_over = number % connections.ACCEPTS_PER_TURN == 0
+                if is_turn_over or opened.is_full():
+                    await anyio.lowlevel.checkpoint()
 
     async def _open(self, raw: socket.socket, place: connections.Place) -> None:
         """Hands a connection over to the server, once TLS is agreed on."""
--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -110,7 +110,9 @@
             self._feeder = asyncio.ensure_future(self._feed())
 
     def on_response_complete(self) -> None:
-        """Begins to wait for the next request."""
+        """Lets go of the request and begins to wait for the next one."""
+        self.headers = []
+        self.scope = self.cycle.scope = typing.cast("typing.Any", {})
         super().on_response_complete()
         self.place.was_served = True
         self._show_phase()
--- a/src/cactusstile/settings/entry.py
+++ b/src/cactusstile/settings/entry.py
@@ -13,8 +13,7 @@
 from cactusstile.settings import process
 from cactusstile.transport import address
 
-# Two for each request in flight.
-DEFAULT_MAX_CONNECTIONS = 8192
+DEFAULT_MAX_CONNECTIONS = 4096
 
 
 @attrs.frozen
