--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -59,6 +59,8 @@
 # connections themselves.
 HEAD_MEMORY_FRACTION = 0.05
 UNSENT_MEMORY_FRACTION = 0.15
+# Room for the largest head, however little memory there is.
+MIN_HEAD_BYTES = 2 << 20
 CONNECTION_MEMORY_FRACTION = 0.2
 # Memory of a connection with what it has read ahead.
 CONNECTION_BYTES = 40 << 10
@@ -158,15 +160,16 @@
     """Returns the state of callers' connections, bounded by the memory."""
     memory_bytes = settings.memory_mb * _BYTES_PER_MB
 
-    def share(fraction: float) -> request_limits.MemoryLimit:
-        return request_limits.MemoryLimit(int(memory_bytes * fraction))
+    def share(fraction: float, least: int = 0) -> request_limits.MemoryLimit:
+        limit_bytes = int(memory_bytes * fraction)
+        return request_limits.MemoryLimit(max(least, limit_bytes))
 
     most = share(CONNECTION_MEMORY_FRACTION).limit_bytes // CONNECTION_BYTES
     return servings.Serving(
         handle,
         limits,
         memory=share(BODY_MEMORY_FRACTION),
-        heads=share(HEAD_MEMORY_FRACTION),
+        heads=share(HEAD_MEMORY_FRACTION, MIN_HEAD_BYTES),
         unsent=share(UNSENT_MEMORY_FRACTION),
         open_connections=caller_connections.Connections(
             settings.max_connections or most,
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -77,7 +77,8 @@
             self.reader.release()
 
     async def _run(self) -> None:
-        while self.serving.takes_requests:
+        # One that was told to give way may have read a whole request before.
+        while self.serving.takes_requests and not self.place.gave_way:
             if not await self._serve_next():
                 return
             self.reader.protocol.start_next_cycle()
--- a/src/cactusstile/http/request_reader.py
+++ b/src/cactusstile/http/request_reader.py
@@ -120,7 +120,17 @@
             raise exceptions.MalformedError(
                 "send either a length or chunks, not both"
             )
-        await self._reserve_head(messages.FIELD_BYTES * len(names))
+        await self._count_head(messages.memory_bytes(head.headers))
+
+    async def _count_head(self, size: int) -> None:
+        """Reserves what a parsed head takes, in place of what was read."""
+        read_bytes = self._head_bytes
+        if size > read_bytes:
+            await self._reserve_head(size - read_bytes)
+            return
+        self.serving.heads.give_back(read_bytes - size)
+        self.place.held_bytes -= read_bytes - size
+        self._head_bytes = size
 
     async def _reserve_head(self, size: int) -> None:
         heads = self.serving.heads
--- a/src/cactusstile/http/serving.py
+++ b/src/cactusstile/http/serving.py
@@ -136,14 +136,16 @@
         """Counts an answer that is not taken; some may have to give way."""
         place.unsent_bytes += size
         self.unsent.used_bytes += size
-        leaving_bytes = 0
-        while self.unsent.used_bytes - leaving_bytes > self.unsent.limit_bytes:
+        # A single answer may exceed the limit.
+        limit_bytes = max(self.unsent.limit_bytes, place.unsent_bytes)
+        rest_bytes = self.unsent.used_bytes
+        while rest_bytes > limit_bytes:
             holder = self.open_connections.find_holder(
                 connections.Phase.STALLED
             )
             if holder is None:
                 return
-            leaving_bytes += holder.unsent_bytes
+            rest_bytes -= holder.unsent_bytes
             self.open_connections.end(holder)
 
     def remove_unsent(self, place: connections.Place, size: int) -> None:
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -90,6 +90,7 @@
         closing_app = draining.announce_close(app, lambda: self.closing)
         self._tls = tls
         self._accepting = anyio.CancelScope()
+        self._accepted = anyio.Event()
         self._server = _Server(_configure(closing_app))
 
     def open_connections(self) -> int:
@@ -108,14 +109,14 @@
         self.closing = True
         accept_queue.block_new_connections(self._socket)
         await anyio.sleep(ACCEPT_LINGER_S)
-        self._close_socket()
+        await self._close_socket()
         await draining.close_when_idle(self._connections())
         self._server.should_exit = True
         await self.stopped.wait()
 
     async def abort(self) -> None:
         """Closes the sockets and aborts all connections and exchanges."""
-        self._close_socket()
+        await self._close_socket()
         for connection in list(self._connections()):
             connection.transport.abort()
         tasks = self._server.server_state.tasks
@@ -124,8 +125,11 @@
         if tasks:
             await asyncio.wait(tasks, timeout=ABORT_TIMEOUT_S)
 
-    def _close_socket(self) -> None:
+    async def _close_socket(self) -> None:
+        """Closes the listening socket once nothing waits for it."""
         self._accepting.cancel()
+        with anyio.move_on_after(ABORT_TIMEOUT_S):
+            await self._accepted.wait()
         self._socket.close()
 
     def _connections(self) -> set[draining.Connection]:
@@ -147,7 +151,9 @@
 
     async def _accept(self, group: anyio.abc.TaskGroup) -> None:
         """Opens accepted connections in tasks of `group`."""
-        with self._accepting:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._accepted.set)
+            stack.enter_context(self._accepting)
             opened = self.limits.open_connections
             for number in itertools.count(1):
                 raw = await listeners.accept(self._socket)
--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -21,6 +21,7 @@
 # More bytes than this of a head or of chunks are parsed in turns.
 PART_BYTES = 2 << 10
 CHECK_INTERVAL_S = 5.0
+CLOSE_TIMEOUT_S = 1.0
 # Longest waits for a request, for the rest of one, and for a caller to take an
 # answer.
 IDLE_TIMEOUT_S = 75.0
@@ -191,6 +192,11 @@
         if phase is connections.Phase.READING and not has_answer:
             self.transport.write(FULL_ANSWER)
         self.transport.close()
+        # Closing waits for a peer to take what is left.
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(CLOSE_TIMEOUT_S, self.transport.abort)
 
     def _check(self) -> None:
         """Ends the connection if it has waited for too long; repeats."""
