--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -204,3 +204,46 @@
         while not listener.serving.idle:
             await anyio.sleep(0.01)
         assert not listener.requests
+
+
+# Guards against bodies that fill the room of heads.
+async def test_body_that_comes_with_its_head_counts_as_head() -> None:
+    body = b"content-length: 9000\r\n\r\n" + b"x" * 9000
+    async with (
+        listen(answer=bytes(8 * LARGE_BYTES)) as listener,
+        await listener.connect() as stream,
+    ):
+        await stream.send(HEAD + body)
+        while not listener.serving.unsent.used_bytes:
+            await anyio.sleep(0.01)
+        assert listener.serving.memory.used_bytes == 9000
+        assert listener.serving.heads.used_bytes < 1000
+
+
+# Guards against an answer that is ended since it alone exceeds the limit.
+async def test_single_answer_above_the_limit_is_cut_off() -> None:
+    async with listen(answer=bytes(8 * LARGE_BYTES)) as listener:
+        listener.serving.unsent.limit_bytes = LARGE_BYTES
+        async with await listener.connect() as stream:
+            await stream.send(HEAD + b"\r\n")
+            while not listener.serving.unsent.used_bytes:
+                await anyio.sleep(0.01)
+            size = 0
+            while size < 8 * LARGE_BYTES:
+                size += len(await stream.receive())
+
+
+# Guards against a connection that counts as gone and stays.
+async def test_connection_that_was_told_to_end_goes_after_its_answer() -> None:
+    async with (
+        listen(idle_timeout_s=3600) as listener,
+        await listener.connect() as stream,
+    ):
+        while not listener.serving.idle:
+            await anyio.sleep(0.01)
+        (place,) = listener.serving.idle
+        place.gave_way = True
+        await stream.send(HEAD + b"\r\n")
+        assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -233,3 +233,18 @@
     opened = crowd.open_crowd(site.registry_host, listener.port, HEADS, data)
     async with opened:
         await check(site, listener)
+
+
+# Guards against a port between processes that nobody else reaches any more.
+@pytest.mark.parametrize(
+    "begun", [b"", bytes(4000)], ids=["nothing", "part-of-a-frame"]
+)
+async def test_crowd_keeps_a_new_gateway_from_its_registry(
+    site: node_site.NodeSite, begun: bytes
+) -> None:
+    opened = crowd.open_crowd(site.registry_host, site.port, CROWD, begun)
+    async with opened:
+        await check(site, listeners(site)["operator"])
+        host = f"{site.network}.4"
+        await site.start("gateway", "g-2", host, first_start=False)
+        await site.wait_for(host, FRONT, call("new"), 200)
