Log by which view a request was decided, pauses of the loop and waits of items

"request ended" names the version and the age of the view for refusals too. LoopLag measures the event loop by its own clock and by that of the boot, so that a suspended VM counts; gateways and registries show it in metrics and dump, and log "event loop stood still" with the processor time used meanwhile. "applied a new configuration" tells the time since its bytes were read, "configuration processed" that of the commit; the feed and the outbox log waits above 0.5 s.

No decision changes. Ruled out for now: the age of a configuration as named by its sender, which needs another field of the message and one encoding for each gateway instead of one for all.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -59,6 +59,7 @@
       confirm_sharers: Called with the number of gateways and the loop time when
         control confirms a list that names this one.
       apply_holds: Called with the holds in force.
+      received_s: Loop time at which the bytes of the current item were read.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.leader: address.Address | None = None
         self.confirm_sharers: ConfirmSharers = lambda *_: None
         self.apply_holds: ApplyHolds = lambda _: None
+        self.received_s = float("-inf")
         self._guard = guards.Guard("items of control")
         self._appliers: dict[type, Apply] = {
             messages.ConfigurationInForce: self._apply_configuration,
@@ -180,6 +182,7 @@
                         "following the leading control process",
                         extra={"control": str(target)},
                     )
+                self.received_s = stream.inbox.received_s
                 self._apply_item(item)
 
     def _apply_item(self, item: object) -> None:
@@ -256,7 +259,6 @@
     def _apply_configuration(
         self, item: messages.ConfigurationInForce, now_s: float
     ) -> None:
-        del now_s
         before = self.site.version
         document = documents.decompress(item.document)
         try:
@@ -270,7 +272,12 @@
         if self.site.replace_configuration(configuration):
             logger.info(
                 "applied a new configuration",
-                extra={"version": configuration.version, "before": before},
+                extra={
+                    "version": configuration.version,
+                    "before": before,
+                    "waited_ms": _to_ms(now_s - self.received_s),
+                    "took_ms": _to_ms(anyio.current_time() - now_s),
+                },
             )
 
     def _apply_weights(
@@ -310,3 +317,7 @@
         if change:
             logger.info("targets changed", extra={"source": source, **change})
         self.site.replace_targets(listed, anyio.current_time())
+
+
+def _to_ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -30,6 +30,7 @@
 from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.limits import connections as caller_connections
+from cactusstile.observability import loop_lag
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.routing import regions
@@ -78,6 +79,7 @@
       serving: Connections of callers.
       forwarder: Forwards the requests.
       watch: Receives the configuration from control.
+      loop: Lag of the event loop.
     """
 
     settings: node.NodeSettings
@@ -86,6 +88,7 @@
     serving: servings.Serving
     forwarder: forwarding.Forwarder
     watch: control_watch.ControlWatch
+    loop: loop_lag.LoopLag = attrs.field(factory=loop_lag.LoopLag)
 
 
 @contextlib.asynccontextmanager
@@ -111,6 +114,8 @@
         stack.callback(pool.close)
         request_metrics = gateway_metrics.GatewayMetrics()
         gateway = _assemble(settings, connections, pool, request_metrics)
+        gateway.loop.show(request_metrics.registry)
+        group.start_soon(guards.keep_running, "loop lag", gateway.loop.run)
         _start_background(gateway, pool, request_metrics, group)
         await _start_listeners(gateway, request_metrics, group, closers)
         yield gateway
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -87,20 +87,28 @@
         try:
             admitted = await arrival.admit_when_ready(self.site, request)
             record.set_admitted(admitted)
+            self._record_view(record, admitted.version)
             self.dispatcher.sessions.add(admitted.route.name, admitted.prompt)
             self._refuse_if_outlasting_stop(admitted)
             await self._serve(admitted, responder, record)
         except verdict.RefusedError as error:
             record.set_refusal(error.refusal)
+            self._record_view(record, self.site.version)
             if not responder.started:
                 await responder.respond(*refusals.answer(error.refusal))
         except anyio.get_cancelled_exc_class():
             record.outcome = "caller_left"
+            self._record_view(record, self.site.version)
             raise
         finally:
             record.close(responder, anyio.current_time())
             self.record(record)
 
+    def _record_view(self, record: records.RequestRecord, version: int) -> None:
+        """Records by which view of the site a request is decided."""
+        now_s = anyio.current_time()
+        record.set_view(version, self.site.confirmed_s, now_s)
+
     def _refuse_if_outlasting_stop(
         self, admitted: admission.AdmittedRequest
     ) -> None:
--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -34,6 +34,8 @@
     Attributes:
       registry: Registry of the gauges.
       version: Version of the configuration in force.
+      view_age: Time since control last confirmed the view, in seconds; -1 if
+        it never did.
       evacuated: Number of evacuated data centres.
       cold_targets: Number of targets that are or may be cold.
       separated: Number of services that keep long prompts apart.
@@ -46,6 +48,10 @@
             "cactusstile_gateway_configuration_version",
             "Version of the configuration in force.",
         )
+        self.view_age = self._open_gauge(
+            "cactusstile_gateway_view_age_seconds",
+            "Time since control last confirmed the view of the site.",
+        )
         self.evacuated = self._open_gauge(
             "cactusstile_gateway_evacuated_data_centres",
             "Data centres that receive nothing new.",
@@ -65,6 +71,8 @@
     def show(self, site: site_view.SiteView, now_s: float) -> None:
         """Updates the gauges from the local view of the site."""
         self.version.set(site.version)
+        confirmed_s = site.confirmed_s
+        self.view_age.set(-1 if confirmed_s is None else now_s - confirmed_s)
         self.evacuated.set(len(site.targets.evacuations.data_centres))
         views = site.targets.views.values()
         self.cold_targets.set(sum(view.is_cold(now_s) for view in views))
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -139,7 +139,10 @@
       max_output_tokens: Limit of the answer's tokens; 0 if there is none.
       expected_tokens: Number of output tokens that the caller expects; 0 if it
         gives no estimate.
-      version: Version of the configuration that was applied.
+      version: Version of the configuration that was applied, also to refuse;
+        -1 if none was known.
+      view_age_s: Time since control last confirmed the view of the site that
+        was applied, in seconds; None if it never did.
       resumed_id: Id of the attempt that began the stream that the caller
         resumes; empty if it names none.
       last_event_id: Last event that the caller received of it; None if it
@@ -162,6 +165,7 @@
     max_output_tokens: int = 0
     expected_tokens: int = 0
     version: int = -1
+    view_age_s: float | None = None
     resumed_id: str = ""
     last_event_id: int | None = None
     attempts: list[AttemptRecord] = attrs.field(factory=list)
@@ -175,7 +179,6 @@
     def set_admitted(self, admitted: admission.AdmittedRequest) -> None:
         """Records the route, the workspace and the prompt's limits."""
         self.route = admitted.route.name
-        self.version = admitted.version
         self.resumed_id = admitted.resumed_id
         self.last_event_id = admitted.last_event_id
         self.max_output_tokens = admitted.prompt.max_output_tokens
@@ -183,6 +186,25 @@
         if admitted.workspace is not None:
             self.workspace = admitted.workspace.name
 
+    def set_view(
+        self, version: int, confirmed_s: float | None, now_s: float
+    ) -> None:
+        """Records the view of the site by which the request is decided.
+
+        A request that was admitted stays with the view of its admission.
+
+        Args:
+          version: Version of the configuration.
+          confirmed_s: Loop time at which control last confirmed the view; None
+            if it never did.
+          now_s: Loop time of the decision.
+        """
+        if self.version >= 0:
+            return
+        self.version = version
+        if confirmed_s is not None:
+            self.view_age_s = now_s - confirmed_s
+
     def set_refusal(self, refusal: verdict.Refusal) -> None:
         """Records why the request was refused."""
         self.outcome = refusal.reason.value
@@ -251,6 +273,9 @@
         self.first_byte_s = responder.started_s
         self.ended_s = now_s
 
+    def _view_age_ms(self) -> float:
+        return -1 if self.view_age_s is None else _to_ms(self.view_age_s)
+
     def fields(self) -> dict[str, typing.Any]:
         """Returns the fields of the request's log line."""
         attempts = [
@@ -262,6 +287,7 @@
             "route": self.route,
             "workspace": self.workspace,
             "configuration": self.version,
+            "view_age_ms": self._view_age_ms(),
             "outcome": self.outcome,
             "verdict": self.refusal_verdict,
             "status": self.status,
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -22,6 +22,7 @@
 from cactusstile.http import callers
 from cactusstile.http import serving as servings
 from cactusstile.http import targets
+from cactusstile.observability import loop_lag
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.registry import answers
@@ -77,6 +78,7 @@
       feed: Feed of state to gateways.
       connections: Connections to other replicas.
       hold_calls: Changes holds.
+      loop: Lag of the event loop.
       listeners: Listeners for operators and administrators.
     """
 
@@ -92,6 +94,7 @@
         )
     )
 
+    loop: loop_lag.LoopLag = attrs.field(factory=loop_lag.LoopLag)
     listeners: list[servings.Serving] = attrs.field(factory=list)
 
     async def finish_calls(self) -> None:
@@ -143,6 +146,7 @@
             "evacuated": self.site.image.evacuated,
             "gateways": sorted(self.feed.watchers),
             "targets": len(self.feed.targets),
+            "loop": self.loop.describe(anyio.current_time()),
         }
 
     async def step_down(self) -> None:
@@ -274,6 +278,7 @@
     client = clients.Client(pool)
     own_replica = registry.replica
     keep, feed = guards.keep_running, registry.feed
+    group.start_soon(keep, "loop lag", registry.loop.run)
     group.start_soon(keep, "confirmations", feed.run_confirmations)
     group.start_soon(keep, "store updates", feed.run_store_updates)
     group.start_soon(keep, "holds", registry.hold_calls.run_expiry)
@@ -350,6 +355,7 @@
     """Opens the admin and the operator listener."""
     settings = registry.settings
     metrics = prometheus_client.CollectorRegistry()
+    registry.loop.show(metrics)
     admin = plain_admin.build(metrics, registry.dump)
     listeners: list[tuple[address.Address, servings.Serving]] = [
         (settings.admin_address, callers.internal_serving(admin))
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import anyio
@@ -28,6 +29,8 @@
     from cactusstile.sites import model
     from cactusstile.transport import incoming
 
+logger = logging.getLogger(__name__)
+
 # Time between two confirmations by a quorum. A gateway that misses several of
 # them turns to another control process.
 CONFIRMATION_INTERVAL_S = 0.4
@@ -40,6 +43,8 @@
 # queue behind them, so their bursts stay well below an election timeout.
 CONTENTS_LINK_FRACTION = 0.4
 CONTENTS_BURST_S = 0.8
+# Time that items wait for credit or room until it is logged.
+LATE_ITEMS_S = 0.5
 _BYTES_PER_MBIT = 125_000
 
 
@@ -191,7 +196,9 @@
             sent = watch_state.WatchState(message.known_version)
             while True:
                 changed = self._changed
+                began_s = anyio.current_time()
                 await self._send_changes(responder, sent)
+                _log_if_late(name, sent, anyio.current_time() - began_s)
                 await changed.wait()
                 if not self.replica.is_leader:
                     raise self._not_leader_error()
@@ -354,6 +361,22 @@
     )
 
 
+def _log_if_late(
+    gateway: str, sent: watch_state.WatchState, took_s: float
+) -> None:
+    """Logs that items waited until a gateway was ready to take them."""
+    if took_s <= LATE_ITEMS_S:
+        return
+    logger.info(
+        "items waited for a gateway",
+        extra={
+            "gateway": gateway,
+            "took_ms": round(took_s * 1000),
+            "configuration": sent.version,
+        },
+    )
+
+
 def watch_handlers(
     feed: Feed,
 ) -> dict[type, collections.abc.Callable[..., typing.Any]]:
--- a/src/cactusstile/registry/operator.py
+++ b/src/cactusstile/registry/operator.py
@@ -145,6 +145,7 @@
             return
         version = command.version
         decision = self.site.evaluate_configuration(version, command.digest)
+        began_s = anyio.current_time()
         if decision.outcome == "accepted":
             result = await self.replica.propose(commands.pack(command))
             decision = typing.cast(
@@ -157,6 +158,7 @@
                 "outcome": decision.outcome,
                 "version": version,
                 "in_force": decision.version,
+                "commit_ms": round((anyio.current_time() - began_s) * 1000, 1),
             },
         )
         if decision.outcome == "conflict":
--- a/src/cactusstile/transport/connection.py
+++ b/src/cactusstile/transport/connection.py
@@ -115,7 +115,7 @@
         self.timing = timing or Timing()
         self._stream = byte_stream
         self._decoder = decoder
-        self._outbox = outbox.Outbox()
+        self._outbox = outbox.Outbox(f"{peer.role} {peer.name}")
         self._inboxes: dict[int, stream.Inbox] = {}
         self._incoming = incoming.IncomingCalls(peer, handlers, self._outbox)
         self._next_call_id = 1
@@ -363,7 +363,7 @@
             return
         message = codec.decode(received.number, received.payload)
         if received.kind is frame.Kind.ITEM:
-            inbox.put(message, len(received.payload))
+            inbox.put(message, len(received.payload), self._last_received_s)
             return
         if received.kind is frame.Kind.END:
             inbox.finish(message)
--- a/src/cactusstile/transport/outbox.py
+++ b/src/cactusstile/transport/outbox.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import logging
+
 import anyio
 import anyio.abc
 
+logger = logging.getLogger(__name__)
+
 MAX_PENDING_BYTES = 8 * 1024 * 1024
+# Time of a write that is logged.
+LATE_WRITE_S = 0.5
 _MAX_WRITE_BYTES = 256 * 1024
 
 
@@ -16,10 +22,12 @@
       taken: Number of frames passed to the socket, completely or partially.
       queued: Total number of frames ever queued.
       pending_bytes: Bytes in the queue.
+      peer: Role and name of the peer, for logs.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, peer: str = "") -> None:
         """Starts empty."""
+        self.peer = peer
         self.taken = 0
         self.queued = 0
         self.pending_bytes = 0
@@ -51,10 +59,24 @@
                 self._filled = anyio.Event()
                 await self._filled.wait()
             batch = self._take_batch()
+            began_s = anyio.current_time()
             await stream.send(b"".join(batch))
+            self._log_if_late(anyio.current_time() - began_s)
             self._drained.set()
             self._drained = anyio.Event()
 
+    def _log_if_late(self, took_s: float) -> None:
+        if took_s <= LATE_WRITE_S:
+            return
+        logger.info(
+            "a peer was slow to take what was sent",
+            extra={
+                "peer": self.peer,
+                "took_ms": round(took_s * 1000),
+                "waiting_bytes": self.pending_bytes,
+            },
+        )
+
     def _take_batch(self) -> list[bytes]:
         size = 0
         count = 0
--- a/src/cactusstile/transport/stream.py
+++ b/src/cactusstile/transport/stream.py
@@ -20,6 +20,8 @@
       position: Position of the call's frame in the outbox.
       ended: Whether the final message or an error has been received.
       pings: Whether the connection pings a silent callee during the call.
+      received_s: Loop time at which the bytes of the item that was consumed
+        last were read.
     """
 
     def __init__(
@@ -29,24 +31,32 @@
         self.position = 0
         self.ended = False
         self.pings = True
+        self.received_s = float("-inf")
         self._grant_credit = grant_credit
-        self._items: collections.deque[tuple[object, int]] = collections.deque()
+        self._items: collections.deque[tuple[object, int, float]] = (
+            collections.deque()
+        )
         self._buffered_bytes = 0
         self._consumed_bytes = 0
         self._final: object = None
         self._error: Exception | None = None
         self._changed = anyio.Event()
 
-    def put(self, item: object, size: int) -> None:
+    def put(self, item: object, size: int, received_s: float) -> None:
         """Buffers an item.
 
+        Args:
+          item: The item.
+          size: Size of its payload in bytes.
+          received_s: Loop time at which its bytes were read.
+
         Raises:
           ProtocolError: If the peer exceeds its credit.
         """
         self._buffered_bytes += size
         if self._buffered_bytes > WINDOW_BYTES + frame.MAX_PAYLOAD_BYTES:
             raise exceptions.ProtocolError("peer exceeds its credit")
-        self._items.append((item, size))
+        self._items.append((item, size, received_s))
         self._changed.set()
 
     def finish(self, final: object) -> None:
@@ -83,7 +93,7 @@
         return self._take() if self._items else None
 
     def _take(self) -> object:
-        item, size = self._items.popleft()
+        item, size, self.received_s = self._items.popleft()
         self._buffered_bytes -= size
         self._consumed_bytes += size
         if self._consumed_bytes >= WINDOW_BYTES // 2:
