Let no view decide on a request that control has not confirmed lately

Callers of a gateway that had stood still got 404 for a route that had been added and acknowledged 2.5 s before, and were served by a route that had been dropped; the same while control was silent.

Cause: a request was decided by whatever table the gateway held. A confirmation said neither which version it confirmed nor when: its time was that of its arrival, so one that lay in a buffer during a pause counted as fresh, and nothing that decides on a request read it. Class: the age of a statement is taken to be that of its arrival.

Change: a gateway numbers its questions, and remembers by the boot clock when it asked each. The feed answers a question only by a quorum's confirmation that began after it, behind all that was sent before (ViewAnswers, Confirmation.question and .version). A view older than view_limit_ms (1.9 s: a change that it lacks was accepted after the question) waits up to 0.5 s for an answer, one urgent question for all that wait; then final refusals become 503 and nothing runs. Only where control is out of reach (cut_off_ms without a pause of the process, or most of the group refuses connections or knows no leader) the view goes on to decide what runs: gateways serve through a long loss of control. A pause is noticed by LoopLag. What arrives with an old answer counts as old too: target list, builds, shares of limits. Messages that arrived during a pause are read before control counts as silent.

Older builds on either side: question 0, confirmation by arrival as before.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 import itertools
 import logging
 import random
@@ -13,7 +15,9 @@
 from cactusstile import clocks
 from cactusstile import guards
 from cactusstile.control import attempts
+from cactusstile.gateway import leader_evidence
 from cactusstile.gateway import site_view
+from cactusstile.gateway import view_items
 from cactusstile.platform import configurations
 from cactusstile.sites import ages
 from cactusstile.sites import builds
@@ -23,6 +27,7 @@
 from cactusstile.sites import hold_messages
 from cactusstile.sites import messages
 from cactusstile.sites import model
+from cactusstile.sites import view_messages
 from cactusstile.transport import address
 from cactusstile.transport import exceptions as transport_exceptions
 
@@ -43,6 +48,11 @@
 SILENCE_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.1
+# Time in which messages that arrived during a pause of this process are read,
+# before the other one counts as silent.
+BUFFERED_TIMEOUT_S = 0.1
+# A question older than this shows that its answer was held up on the way.
+PROMPT_ANSWER_S = 1.0
 # Items that hold changes since the one before.
 _CUMULATIVE = (messages.StoreUpdates, messages.CompressedStoreUpdates)
 
@@ -86,9 +96,20 @@
         self.apply_holds: ApplyHolds = lambda _: None
         self.received_s = float("-inf")
         self._guard = guards.Guard("items of control")
-        self._appliers: dict[type, Apply] = {
+        self._connection: connection.Connection | None = None
+        self._evidence = leader_evidence.LeaderEvidence()
+        site.view_age.ask_soon = self.ask_soon
+        site.view_age.nobody_leads = self.nobody_leads
+        self._appliers = self._build_appliers()
+
+    def _build_appliers(self) -> dict[type, Apply]:
+        """Returns the functions that apply items, by type of item."""
+        site = self.site
+        return {
             messages.ConfigurationInForce: self._apply_configuration,
-            messages.WeightsInForce: self._apply_weights,
+            messages.WeightsInForce: functools.partial(
+                view_items.apply_weights, site
+            ),
             messages.TargetList: self._apply_target_list,
             messages.StoreUpdates: site.apply_store_updates,
             messages.CompressedStoreUpdates: self._apply_compressed_updates,
@@ -96,7 +117,9 @@
             messages.Confirmation: self._apply_confirmation,
             hold_messages.HoldsInForce: self._apply_holds,
             builds.BuildsInForce: self._apply_builds,
-            evacuation_messages.EvacuationsInForce: self._apply_evacuations,
+            evacuation_messages.EvacuationsInForce: functools.partial(
+                view_items.apply_evacuations, site
+            ),
         }
 
     async def run(self) -> None:
@@ -116,11 +139,29 @@
                 ValueError,
             ) as error:
                 redirect = None
+                if leader_evidence.shows_no_leader(error):
+                    self._evidence.record(str(target), clocks.boot_s())
                 self._record_leader_lost(target, error)
             if redirect is None:
                 jitter = 0.5 + random.random()
                 await anyio.sleep(RETRY_INTERVAL_S * jitter)
 
+    def nobody_leads(self) -> bool:
+        """Returns whether the control group certainly has no leader."""
+        return self._evidence.proves_none(self.site.control, clocks.boot_s())
+
+    def ask_soon(self) -> None:
+        """Asks at once whether the view is the newest; requests wait."""
+        self._ask(urgent=True)
+
+    def _ask(self, *, urgent: bool) -> None:
+        opened = self._connection
+        if opened is None:
+            # The next watch asks.
+            return
+        number = self.site.view_age.ask()
+        opened.notify(view_messages.ViewQuestion(number, urgent), pings=False)
+
     def _next_candidate(self, attempt_number: int) -> address.Address | None:
         """Returns the next control process to try; None without any."""
         discovered = address.parse_valid(self.site.control)
@@ -168,11 +209,14 @@
     async def _receive_items(
         self, opened: connection.Connection, target: address.Address
     ) -> None:
-        watch = messages.Watch(self.site.version, self.member)
-        async with opened.open_stream(watch, pings=False) as stream:
+        question = self.site.view_age.ask()
+        watch = messages.Watch(self.site.version, self.member, question)
+        async with (
+            self._asking_over(opened),
+            opened.open_stream(watch, pings=False) as stream,
+        ):
             while True:
-                with anyio.fail_after(SILENCE_TIMEOUT_S):
-                    item = await anext(stream, None)
+                item = await _next_item(stream)
                 if item is None:
                     await stream.result()
                     return
@@ -184,6 +228,19 @@
                     )
                 self.received_s = stream.inbox.received_s
                 self._apply_item(item)
+                if isinstance(item, messages.Confirmation):
+                    self._ask(urgent=False)
+
+    @contextlib.asynccontextmanager
+    async def _asking_over(
+        self, opened: connection.Connection
+    ) -> collections.abc.AsyncIterator[None]:
+        """Sends questions over a connection while the context is open."""
+        self._connection = opened
+        try:
+            yield
+        finally:
+            self._connection = None
 
     def _apply_item(self, item: object) -> None:
         apply = self._appliers.get(type(item))
@@ -201,7 +258,11 @@
     ) -> None:
         del now_s
         listed = tuple(messages.decode_target(one) for one in item.targets)
+        listed_s = self.site.listed_s
         self.apply_targets(listed, "control")
+        if listed_s is not None:
+            # Only a confirmation tells when the list was read.
+            self.site.listed_s = listed_s
 
     def _apply_compressed_updates(
         self, item: messages.CompressedStoreUpdates, now_s: float
@@ -227,35 +288,28 @@
         self, item: messages.Confirmation, now_s: float
     ) -> None:
         self.site.confirmed_s = now_s
-        self.site.builds.confirm(clocks.boot_s())
-        self.site.control = item.control
+        if item.control:
+            self.site.control = item.control
+        view_age = self.site.view_age
+        view_age.is_superseded = item.version > self.site.version
+        if view_age.is_superseded:
+            return
+        delay_s = 0.0
+        if item.question:
+            delay_s = view_age.confirm(item.question)
+        else:
+            # A control process of an older build answers no questions.
+            view_age.record(clocks.boot_s())
+        if delay_s < PROMPT_ANSWER_S:
+            # The question is older than the answer by some of their interval.
+            delay_s = 0.0
+        self.site.builds.confirm(clocks.boot_s() - delay_s)
         if self.site.listed_s is not None:
-            age_s = ages.to_s(item.list_age_ms)
-            self.site.listed_s = max(self.site.listed_s, now_s - age_s)
-        if self.member in self.site.gateways:
+            read_s = now_s - delay_s - ages.to_s(item.list_age_ms)
+            self.site.listed_s = max(self.site.listed_s, read_s)
+        if self.member in self.site.gateways and not delay_s:
             self.confirm_sharers(len(self.site.gateways), now_s)
 
-    def _apply_evacuations(
-        self, item: evacuation_messages.EvacuationsInForce, now_s: float
-    ) -> None:
-        known = self.site.targets.evacuations
-        before = known.data_centres
-        known.replace(
-            item.data_centres,
-            {
-                one.data_centre: now_s - ages.to_s(one.age_ms)
-                for one in item.ended
-            },
-        )
-        if known.data_centres != before:
-            logger.info(
-                "evacuations changed",
-                extra={
-                    "evacuated": sorted(known.data_centres),
-                    "before": sorted(before),
-                },
-            )
-
     def _apply_configuration(
         self, item: messages.ConfigurationInForce, now_s: float
     ) -> None:
@@ -280,35 +334,6 @@
                 },
             )
 
-    def _apply_weights(
-        self, item: messages.WeightsInForce, now_s: float
-    ) -> None:
-        announced = list(item.announced)
-        if not announced:
-            # A control process of an older build sends no ages.
-            for named in item.weights:
-                announced.append(
-                    messages.AnnouncedWeights(named.model, named.version, 0)
-                )
-        for weights in announced:
-            before = self.site.weights.newest(weights.model)
-            is_newer = self.site.weights.add(
-                weights.model,
-                weights.version,
-                now_s - ages.to_s(weights.age_ms),
-            )
-            if not is_newer:
-                continue
-            logger.info(
-                "newer weights were announced",
-                extra={
-                    "model": weights.model,
-                    "version": weights.version,
-                    "age_ms": weights.age_ms,
-                    "before": 0 if before is None else before.version,
-                },
-            )
-
     def apply_targets(
         self, listed: tuple[model.Target, ...], source: str
     ) -> None:
@@ -319,5 +344,17 @@
         self.site.replace_targets(listed, anyio.current_time())
 
 
+async def _next_item(stream: connection.ClientStream) -> object | None:
+    """Returns the next item of a watch; None at its end.
+
+    Raises:
+      TimeoutError: The control process sent nothing for too long.
+    """
+    with anyio.move_on_after(SILENCE_TIMEOUT_S):
+        return await anext(stream, None)
+    with anyio.fail_after(BUFFERED_TIMEOUT_S):
+        return await anext(stream, None)
+
+
 def _to_ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -115,6 +115,9 @@
         request_metrics = gateway_metrics.GatewayMetrics()
         gateway = _assemble(settings, connections, pool, request_metrics)
         gateway.loop.show(request_metrics.registry)
+        gateway.site.view_age.last_pause_s = lambda: gateway.loop.check(
+            anyio.current_time()
+        )
         group.start_soon(guards.keep_running, "loop lag", gateway.loop.run)
         _start_background(gateway, pool, request_metrics, group)
         await _start_listeners(gateway, request_metrics, group, closers)
@@ -128,6 +131,8 @@
     request_metrics: gateway_metrics.GatewayMetrics,
 ) -> Gateway:
     site = site_view.SiteView(regions=regions.Regions(settings.regions))
+    site.view_age.limit_s = settings.view_limit_s
+    site.view_age.cut_off_s = settings.cut_off_s
     budget = _new_budget(settings)
 
     def record_request(finished: records.RequestRecord) -> None:
--- a/src/cactusstile/gateway/dump.py
+++ b/src/cactusstile/gateway/dump.py
@@ -20,9 +20,7 @@
     return {
         "name": gateway.settings.name,
         "configuration": site.version,
-        "view_age_ms": -1
-        if site.confirmed_s is None
-        else round((now_s - site.confirmed_s) * 1000),
+        "view": site.view_age.describe(),
         "loop": gateway.loop.describe(now_s),
         "ready": gateway.lifecycle.is_ready(),
         "leader": str(gateway.watch.leader or ""),
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -106,8 +106,7 @@
 
     def _record_view(self, record: records.RequestRecord, version: int) -> None:
         """Records by which view of the site a request is decided."""
-        now_s = anyio.current_time()
-        record.set_view(version, self.site.confirmed_s, now_s)
+        record.set_view(version, self.site.view_age.age_s())
 
     def _refuse_if_outlasting_stop(
         self, admitted: admission.AdmittedRequest
@@ -211,6 +210,7 @@
             process stops before a stream would end.
         """
         outcome = attempts.final_verdict()
+        await arrival.wait_until_confirmed(self.site, admitted.request, outcome)
         self.quarantine.refuse_if_held(admitted.keys, outcome)
         view = await self.queue.choose_target(admitted, service, attempts)
         # It may have waited while targets ended, or a stop began.
@@ -262,7 +262,7 @@
 
     def _is_list_old(self) -> bool:
         """Returns whether targets may have begun to leave unnoticed."""
-        if self.site.listed_s is None:
+        if self.site.listed_s is None or not self.site.view_age.is_current():
             return True
         age_s = anyio.current_time() - self.site.listed_s
         return age_s > site_view.MAX_LIST_AGE_S
--- a/src/cactusstile/gateway/metrics.py
+++ b/src/cactusstile/gateway/metrics.py
@@ -71,8 +71,8 @@
     def show(self, site: site_view.SiteView, now_s: float) -> None:
         """Updates the gauges from the local view of the site."""
         self.version.set(site.version)
-        confirmed_s = site.confirmed_s
-        self.view_age.set(-1 if confirmed_s is None else now_s - confirmed_s)
+        age_s = site.view_age.age_s()
+        self.view_age.set(-1 if age_s == float("inf") else age_s)
         self.evacuated.set(len(site.targets.evacuations.data_centres))
         views = site.targets.views.values()
         self.cold_targets.set(sum(view.is_cold(now_s) for view in views))
--- a/src/cactusstile/gateway/records.py
+++ b/src/cactusstile/gateway/records.py
@@ -186,24 +186,21 @@
         if admitted.workspace is not None:
             self.workspace = admitted.workspace.name
 
-    def set_view(
-        self, version: int, confirmed_s: float | None, now_s: float
-    ) -> None:
+    def set_view(self, version: int, age_s: float) -> None:
         """Records the view of the site by which the request is decided.
 
         A request that was admitted stays with the view of its admission.
 
         Args:
           version: Version of the configuration.
-          confirmed_s: Loop time at which control last confirmed the view; None
-            if it never did.
-          now_s: Loop time of the decision.
+          age_s: Age of the view in seconds; infinite if control never confirmed
+            it.
         """
         if self.version >= 0:
             return
         self.version = version
-        if confirmed_s is not None:
-            self.view_age_s = now_s - confirmed_s
+        if age_s != float("inf"):
+            self.view_age_s = age_s
 
     def set_refusal(self, refusal: verdict.Refusal) -> None:
         """Records why the request was refused."""
--- a/src/cactusstile/gateway/site_view.py
+++ b/src/cactusstile/gateway/site_view.py
@@ -12,6 +12,7 @@
 from cactusstile.gateway import routes
 from cactusstile.gateway import target_view
 from cactusstile.gateway import target_views
+from cactusstile.gateway import view_age
 from cactusstile.gateway.engines import separations
 from cactusstile.gateway.engines import stored_parts
 from cactusstile.http import request_limits
@@ -39,8 +40,9 @@
       listed: Targets of that list.
       builds: Builds of the targets' software.
       weights: Announced versions of the weights.
-      confirmed_s: Loop time at which control last confirmed that this view is
-        current; None before the first confirmation.
+      confirmed_s: Loop time at which the last confirmation of control was
+        read; None before the first. It says nothing of the view's age.
+      view_age: Age of the view, by which it may decide on requests.
       gateways: All gateways; they share the site's limits.
       control: Addresses of control processes, as last reported.
       stored: Contents of the stores.
@@ -64,6 +66,7 @@
         factory=announcements.Announcements
     )
     confirmed_s: float | None = None
+    view_age: view_age.ViewAge = attrs.field(factory=view_age.ViewAge)
     gateways: tuple[messages.GatewayMember, ...] = ()
     control: tuple[str, ...] = ()
     stored: stored_parts.StoredParts = attrs.field(
@@ -189,7 +192,9 @@
 
     def is_ready(self) -> bool:
         """Returns whether requests can be forwarded."""
-        return self.table is not None and self.listed_s is not None
+        if self.table is None or self.listed_s is None:
+            return False
+        return not self.view_age.is_superseded
 
     def caller_limits(self) -> request_limits.CallerLimits:
         """Returns the limits of what callers may send."""
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -40,6 +40,7 @@
 from cactusstile.registry import weights
 from cactusstile.settings import node
 from cactusstile.sites import discovery
+from cactusstile.sites import view_messages
 from cactusstile.transport import address
 from cactusstile.transport import codec
 from cactusstile.transport import connection
@@ -249,7 +250,13 @@
         **rejoin.handlers(own_replica),
         **leader_lookup.handlers(own_replica),
     }
-    return incoming.Handlers(calls, _notice_handlers(own_replica))
+    return incoming.Handlers(
+        calls,
+        {
+            **_notice_handlers(own_replica),
+            view_messages.ViewQuestion: registry.feed.view_answers.receive,
+        },
+    )
 
 
 def _notice_handlers(
--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import typing
 
 import anyio
@@ -10,10 +9,11 @@
 from cactusstile import clocks
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.control import attempts
-from cactusstile.limits import token_bucket
+from cactusstile.registry import contents_pace
 from cactusstile.registry import evacuations
 from cactusstile.registry import holds
 from cactusstile.registry import store_contents
+from cactusstile.registry import view_answers
 from cactusstile.registry import watch_state
 from cactusstile.sites import ages
 from cactusstile.sites import announcements
@@ -29,23 +29,16 @@
     from cactusstile.sites import model
     from cactusstile.transport import incoming
 
-logger = logging.getLogger(__name__)
-
 # Time between two confirmations by a quorum. A gateway that misses several of
 # them turns to another control process.
 CONFIRMATION_INTERVAL_S = 0.4
+# Shortest time between two confirmations, however urgent.
+MIN_CONFIRMATION_INTERVAL_S = 0.05
 # Time for which changes of several stores are collected.
 STORE_UPDATES_DELAY_S = 0.1
 # Changed parts up to which changes are sent instead of the full contents.
 MAX_CHANGED_PARTS = 200
 DEFAULT_LINK_MBPS = 1000.0
-# Fraction of the VM's link that full contents of stores may take. Heartbeats
-# queue behind them, so their bursts stay well below an election timeout.
-CONTENTS_LINK_FRACTION = 0.4
-CONTENTS_BURST_S = 0.8
-# Time that items wait for credit or room until it is logged.
-LATE_ITEMS_S = 0.5
-_BYTES_PER_MBIT = 125_000
 
 
 class Feed:
@@ -62,6 +55,7 @@
       announcements: When this process learned of the announced weights.
       hold_ages: When this process learned of the holds.
       evacuation_ages: When this process learned that evacuations ended.
+      view_answers: Questions of the gateways, which confirmations answer.
     """
 
     def __init__(
@@ -88,14 +82,15 @@
         self.record_announcements()
         self.hold_ages = holds.HoldAges()
         self.evacuation_ages = evacuations.EvacuationAges()
+        self.view_answers = view_answers.ViewAnswers()
         self._confirmation_number = 0
-        self._confirmation = messages.Confirmation(ages.MAX_AGE_MS, ())
+        self._control: tuple[str, ...] = ()
         self._gateway_list = messages.GatewayList(())
         self._configuration = messages.ConfigurationInForce(0, b"")
         self._store_revision = 0
         self._store_updates = messages.StoreUpdates(())
         self._stores_changed = anyio.Event()
-        self._contents_bucket = _open_contents_bucket(link_mbps)
+        self._contents_bucket = contents_pace.open_bucket(link_mbps)
         self._full_contents: messages.CompressedStoreUpdates | None = None
         self._changed = anyio.Event()
         self._target_list = messages.TargetList(())
@@ -163,23 +158,49 @@
             self.publish_store_updates()
 
     async def run_confirmations(self) -> None:
-        """Confirms leadership with a quorum at a fixed interval."""
+        """Confirms leadership with a quorum at a fixed interval.
+
+        Urgent questions of gateways are answered sooner.
+        """
         was_leader = False
+        due_s = anyio.current_time()
         while True:
             is_leader = self.replica.is_leader
             if is_leader:
+                is_due = anyio.current_time() >= due_s
+                if is_due:
+                    due_s = anyio.current_time() + CONFIRMATION_INTERVAL_S
                 try:
-                    await self.replica.read_barrier()
-                    self._confirmation_number += 1
-                    self._confirmation = self._build_confirmation()
-                    self.update_gateway_list()
-                    self.publish_store_updates()
+                    await self._confirm(regular=is_due)
                 except consensus_exceptions.ConsensusError:
                     is_leader = False
             if is_leader or was_leader:
                 self.notify_watches()
             was_leader = is_leader
+            await self._wait_for_questions(due_s)
+
+    async def _confirm(self, *, regular: bool) -> None:
+        """Confirms the state with a quorum, for all gateways if regular."""
+        questions = self.view_answers.begin(urgent_only=not regular)
+        await self.replica.read_barrier()
+        self.view_answers.finish(questions)
+        if not regular:
+            return
+        self._confirmation_number += 1
+        members = self.replica.status().members
+        self._control = tuple(peer.member.address for peer in members)
+        self.update_gateway_list()
+        self.publish_store_updates()
+
+    async def _wait_for_questions(self, due_s: float) -> None:
+        """Waits for the next confirmation, or an urgent question."""
+        await anyio.sleep(MIN_CONFIRMATION_INTERVAL_S)
+        left_s = due_s - anyio.current_time()
+        if not self.replica.is_leader:
             await anyio.sleep(CONFIRMATION_INTERVAL_S)
+            return
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self.view_answers.is_urgent.wait()
 
     async def serve_watch(
         self, responder: incoming.Responder, message: messages.Watch
@@ -193,12 +214,13 @@
         self.watchers.setdefault(name, []).append(message.member)
         try:
             await self._check_leadership()
+            self.view_answers.open(name, message.question)
             sent = watch_state.WatchState(message.known_version)
             while True:
                 changed = self._changed
                 began_s = anyio.current_time()
                 await self._send_changes(responder, sent)
-                _log_if_late(name, sent, anyio.current_time() - began_s)
+                sent.log_if_late(name, anyio.current_time() - began_s)
                 await changed.wait()
                 if not self.replica.is_leader:
                     raise self._not_leader_error()
@@ -206,6 +228,7 @@
             self.watchers[name].remove(message.member)
             if not self.watchers[name]:
                 del self.watchers[name]
+                self.view_answers.close(name)
 
     async def _check_leadership(self) -> None:
         try:
@@ -224,6 +247,9 @@
     async def _send_changes(
         self, responder: incoming.Responder, sent: watch_state.WatchState
     ) -> None:
+        # What is read from here on is as new as these, or newer.
+        number = self._confirmation_number
+        answered = self.view_answers.answered.get(responder.peer.name, 0)
         # Gateways are ready once they have the configuration and a list; what
         # binds them before is sent ahead of both.
         await self._send_early_items(responder, sent)
@@ -247,9 +273,10 @@
         if is_list_known and self._gateway_list is not sent.gateways:
             sent.gateways = self._gateway_list
             await self._send(responder, self._gateway_list)
-        if self._confirmation_number > sent.confirmation_number:
-            sent.confirmation_number = self._confirmation_number
-            await self._send(responder, self._confirmation)
+        if (number, answered) != (sent.confirmation_number, sent.answered):
+            sent.confirmation_number = number
+            sent.answered = answered
+            await responder.send(self._build_confirmation(answered, sent))
         if self._store_revision > sent.store_revision:
             await self._send_store_updates(responder, sent)
 
@@ -344,37 +371,13 @@
             )
         return self._full_contents
 
-    def _build_confirmation(self) -> messages.Confirmation:
-        age_s = anyio.current_time() - self.listed_at_s
-        members = self.replica.status().members
-        control = tuple(peer.member.address for peer in members)
-        return messages.Confirmation(ages.to_ms(age_s), control)
-
-
-def _open_contents_bucket(link_mbps: float) -> token_bucket.TokenBucket:
-    """Returns the bucket that paces full contents of stores."""
-    bytes_per_s = link_mbps * _BYTES_PER_MBIT * CONTENTS_LINK_FRACTION
-    return token_bucket.TokenBucket(
-        bytes_per_s,
-        anyio.current_time,
-        burst_bytes=CONTENTS_BURST_S * bytes_per_s,
-    )
-
-
-def _log_if_late(
-    gateway: str, sent: watch_state.WatchState, took_s: float
-) -> None:
-    """Logs that items waited until a gateway was ready to take them."""
-    if took_s <= LATE_ITEMS_S:
-        return
-    logger.info(
-        "items waited for a gateway",
-        extra={
-            "gateway": gateway,
-            "took_ms": round(took_s * 1000),
-            "configuration": sent.version,
-        },
-    )
+    def _build_confirmation(
+        self, answered: int, sent: watch_state.WatchState
+    ) -> messages.Confirmation:
+        age_ms = ages.to_ms(anyio.current_time() - self.listed_at_s)
+        return messages.Confirmation(
+            age_ms, self._control, answered, sent.version
+        )
 
 
 def watch_handlers(
--- a/src/cactusstile/registry/watch_state.py
+++ b/src/cactusstile/registry/watch_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import attrs
@@ -14,6 +15,11 @@
     from cactusstile.sites import builds
     from cactusstile.sites import messages
 
+logger = logging.getLogger(__name__)
+
+# Time that items wait for credit or room until it is logged.
+LATE_ITEMS_S = 0.5
+
 
 @attrs.define
 class WatchState:
@@ -24,6 +30,7 @@
       weights: Newest versions of all models' weights.
       list_revision: Revision of the target list.
       confirmation_number: Number of the last confirmation.
+      answered: Newest question that was answered; see `sites.messages`.
       store_revision: Revision of the store contents; -1 before the first.
       gateways: The list of gateways; None before the first.
       holds: Holds in force, and those that were released.
@@ -35,12 +42,26 @@
     weights: tuple[messages.NamedWeights, ...] = ()
     list_revision: int = 0
     confirmation_number: int = 0
+    answered: int = 0
     store_revision: int = -1
     gateways: messages.GatewayList | None = None
     holds: holds.HoldTable = attrs.field(factory=holds.HoldTable)
     builds: tuple[builds.ServiceBuilds, ...] | None = None
     evacuations: evacuations.EvacuationTable | None = None
 
+    def log_if_late(self, gateway: str, took_s: float) -> None:
+        """Logs that items waited until a gateway was ready to take them."""
+        if took_s <= LATE_ITEMS_S:
+            return
+        logger.info(
+            "items waited for a gateway",
+            extra={
+                "gateway": gateway,
+                "took_ms": round(took_s * 1000),
+                "configuration": self.version,
+            },
+        )
+
 
 class EncodedItems:
     """Encodes items that all watches send once, instead of once a watch."""
--- a/src/cactusstile/settings/node.py
+++ b/src/cactusstile/settings/node.py
@@ -48,6 +48,10 @@
         seconds.
       memory_mb: Memory limit of the process, in MB.
       link_mbps: Bandwidth of the VM's link, in Mbit/s.
+      view_limit_s: Age from which a gateway's view of the site decides on no
+        request, in seconds.
+      cut_off_s: Age of the view from which control counts as out of reach, in
+        seconds.
       max_connections: Maximum number of connections of callers; 0 derives it
         from `memory_mb`.
       stop_s: Time between SIGTERM and SIGKILL, in seconds.
@@ -80,6 +84,8 @@
     retry_window_s: float
     retry_slack: float
     weights_s: float
+    view_limit_s: float = 1.9
+    cut_off_s: float = 3.0
     max_connections: int = 0
     bind_host: str | None = None
     regions: dict[str, str] = attrs.field(factory=dict)
@@ -271,6 +277,19 @@
             "time until no request begins on older weights",
             8000,
         ),
+        ini.Option(
+            "view_limit_ms",
+            ini.number(1000, _MAX_MS),
+            "age of a gateway's view from which it decides on no request",
+            1900,
+        ),
+        ini.Option(
+            "cut_off_ms",
+            ini.number(1000, _MAX_MS),
+            "age of the view from which control counts as out of reach; not"
+            " below view_limit_ms",
+            3000,
+        ),
     ),
 }
 
@@ -305,8 +324,12 @@
         values.update(
             ini.read_section(parser, section, options, file, problems)
         )
+    if not problems and values["cut_off_ms"] < values["view_limit_ms"]:
+        text = "shorter than view_limit_ms"
+        problems.append(ini.Problem(file, "limits", "cut_off_ms", text))
     if problems:
         raise ini.InvalidFileError(problems)
-    values["weights_s"] = values.pop("weights_ms") / 1000
+    for name in ("weights", "view_limit", "cut_off"):
+        values[f"{name}_s"] = values.pop(f"{name}_ms") / 1000
     values["list_interval_s"] = values.pop("interval_ms") / 1000
     return NodeSettings(**values)
--- a/src/cactusstile/sites/messages.py
+++ b/src/cactusstile/sites/messages.py
@@ -54,10 +54,13 @@
       known_version: Version of the configuration that the gateway holds; -1
         for none.
       member: The gateway.
+      question: Number of the first question; see `view_messages`. 0 if the
+        gateway is of an older build, which asks none.
     """
 
     known_version: int
     member: GatewayMember
+    question: int = 0
 
 
 @codec.register(511, _SCHEMA, "ConfigurationInForce")
@@ -187,15 +190,20 @@
 @codec.register(514, _SCHEMA, "Confirmation")
 @attrs.frozen
 class Confirmation:
-    """Item: a quorum has just confirmed that the state sent is the newest.
+    """Item: a quorum has confirmed that the state sent is the newest.
 
     Attributes:
       list_age_ms: Age of the target list, in ms.
       control: Addresses of all control processes.
+      question: Newest question of the gateway that the quorum's confirmation
+        came after; 0 if control is of an older build, which answers none.
+      version: Version of the configuration that was confirmed.
     """
 
     list_age_ms: int
     control: tuple[str, ...]
+    question: int = 0
+    version: int = 0
 
 
 @codec.register(0, _SCHEMA, "TargetLoad")
--- a/src/cactusstile/sites/sites.capnp
+++ b/src/cactusstile/sites/sites.capnp
@@ -18,6 +18,12 @@
 struct Watch {
   knownVersion @0 :Int64;
   member @1 :GatewayMember;
+  question @2 :UInt64;
+}
+
+struct ViewQuestion {
+  number @0 :UInt64;
+  urgent @1 :Bool;
 }
 
 struct ConfigurationInForce {
@@ -149,6 +155,8 @@
 struct Confirmation {
   listAgeMs @0 :UInt32;
   control @1 :List(Text);
+  question @2 :UInt64;
+  version @3 :Int64;
 }
 
 struct TargetEnd {
--- a/tests/observability/test_lines_of_configurations.py
+++ b/tests/observability/test_lines_of_configurations.py
@@ -16,6 +16,7 @@
 from tests.platform import test_configurations
 from tests.registry import sites
 
+from cactusstile import clocks
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import site_view
 from cactusstile.registry import feed as feeds
@@ -47,7 +48,7 @@
     config = support.configuration(support.route(), version=7)
     async with support.open_harness(config) as harness:
         if age_s is not None:
-            harness.site.confirmed_s = anyio.current_time() - age_s
+            harness.site.view_age.record(clocks.boot_s() - age_s)
         other = support.request().replace(b"/a/x", b"/b/x")
         assert support.status(await harness.ask(other)) == 404
         assert support.status(await harness.ask(support.request())) == 503
@@ -121,7 +122,7 @@
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     caplog.set_level(logging.INFO, "cactusstile")
-    monkeypatch.setattr(feeds, "LATE_ITEMS_S", 0.05)
+    monkeypatch.setattr(watch_state, "LATE_ITEMS_S", 0.05)
     replica = typing.cast("typing.Any", type("Leader", (), {"is_leader": True}))
     feed = feeds.Feed(state.SiteState(), replica)
     monkeypatch.setattr(feed, "_check_leadership", anyio.lowlevel.checkpoint)
