Ask again for a configuration that could not be applied

The feed counts what it sent as held.

A confirmation names the version that was sent on its watch. A gateway that does not hold it knows that its view is superseded: it refuses with 503, is not ready, ends the watch and asks again by the version that it holds, after a second.

Evidence: test_configuration_that_could_not_be_applied_is_missing_for_good fails without the new watch (version 3 is never in force: TimeoutError), passes with it.

--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -15,6 +15,7 @@
 from cactusstile import clocks
 from cactusstile import guards
 from cactusstile.control import attempts
+from cactusstile.gateway import exceptions
 from cactusstile.gateway import leader_evidence
 from cactusstile.gateway import site_view
 from cactusstile.gateway import view_items
@@ -51,6 +52,8 @@
 # Time in which messages that arrived during a pause of this process are read,
 # before the other one counts as silent.
 BUFFERED_TIMEOUT_S = 0.1
+# Time until control is asked again for a configuration that was not applied.
+RESEND_INTERVAL_S = 1.0
 # A question older than this shows that its answer was held up on the way.
 PROMPT_ANSWER_S = 1.0
 # Items that hold changes since the one before.
@@ -142,6 +145,10 @@
                 if leader_evidence.shows_no_leader(error):
                     self._evidence.record(str(target), clocks.boot_s())
                 self._record_leader_lost(target, error)
+            except exceptions.SupersededError as error:
+                redirect = None
+                self._record_leader_lost(target, error)
+                await anyio.sleep(RESEND_INTERVAL_S)
             if redirect is None:
                 jitter = 0.5 + random.random()
                 await anyio.sleep(RETRY_INTERVAL_S * jitter)
@@ -229,6 +236,7 @@
                 self.received_s = stream.inbox.received_s
                 self._apply_item(item)
                 if isinstance(item, messages.Confirmation):
+                    self._check_version(item)
                     self._ask(urgent=False)
 
     @contextlib.asynccontextmanager
@@ -242,6 +250,19 @@
         finally:
             self._connection = None
 
+    def _check_version(self, item: messages.Confirmation) -> None:
+        """Checks that the configuration that was confirmed is in force.
+
+        Raises:
+          SupersededError: It was sent before, but could not be applied.
+        """
+        if not self.site.view_age.is_superseded:
+            return
+        raise exceptions.SupersededError(
+            f"version {item.version} was sent, but {self.site.version} is in"
+            " force"
+        )
+
     def _apply_item(self, item: object) -> None:
         apply = self._appliers.get(type(item))
         if apply is None:
--- a/tests/registry/test_followed_views.py
+++ b/tests/registry/test_followed_views.py
@@ -12,7 +12,10 @@
 
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import site_view
+from cactusstile.platform import configurations
+from cactusstile.sites import documents
 from cactusstile.sites import messages
+from cactusstile.sites import model
 from cactusstile.transport import handshake
 from cactusstile.transport import pool as pools
 
@@ -54,6 +57,53 @@
             await anyio.sleep(0.02)
 
 
+async def test_configuration_that_could_not_be_applied_is_missing_for_good(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    site = sites.Site(tmp_path)
+    async with site.open(*sites.HOSTS[:3]):
+        await site.leader()
+        assert await site.replace(1) == 200
+        async with follow(site) as view:
+            await wait_for(view, 1)
+            seen: list[bool] = []
+
+            def decode_once_in_vain(document: bytes) -> model.SiteConfiguration:
+                monkeypatch.undo()
+                raise MemoryError
+
+            assert await site.replace(2) == 200
+            await wait_for(view, 2)
+            content = configurations.decode
+            assert await _replace_failing(
+                site, monkeypatch, decode_once_in_vain
+            )
+            with anyio.fail_after(5):
+                while view.version != 3:
+                    seen.append(view.view_age.is_superseded)
+                    await anyio.sleep(0.02)
+            assert configurations.decode is content
+            assert any(seen)
+            await wait_for(view, 3)
+
+
+async def _replace_failing(
+    site: sites.Site,
+    monkeypatch: pytest.MonkeyPatch,
+    fail: collections.abc.Callable[[bytes], model.SiteConfiguration],
+) -> bool:
+    """Puts version 3 in force; the gateway's first decoding of it fails."""
+    original = documents.decompress
+
+    def decompress(data: bytes) -> bytes:
+        document = original(data)
+        monkeypatch.setattr(configurations, "decode", fail)
+        return document
+
+    monkeypatch.setattr(documents, "decompress", decompress)
+    return await site.replace(3) == 200
+
+
 async def test_old_view_stays_unconfirmed_although_control_answers(
     tmp_path: pathlib.Path,
 ) -> None:
