Send no list of targets that an earlier leadership read

A registry that led before sent the list of that time as the present one to the gateways that watched it, until it had read a new list; they took it for read now. A leader sends no list before it has read one itself.

Evidence: test_list_of_an_earlier_leadership_is_sent_as_the_present_one fails on the code before (TargetList in what the gateway was sent).

--- a/src/cactusstile/registry/feed.py
+++ b/src/cactusstile/registry/feed.py
@@ -76,6 +76,7 @@
         self.watchers: dict[str, list[messages.GatewayMember]] = {}
         self.targets: tuple[model.Target, ...] = ()
         self.list_revision = 0
+        self._is_listed = False
         self.listed_at_s = float("-inf")
         self.contents: dict[str, store_contents.StoreContents] = {}
         self.announcements = announcements.Announcements()
@@ -122,9 +123,10 @@
 
     def set_targets(self, targets: tuple[model.Target, ...]) -> None:
         """Replaces the list of targets; watches are notified of changes."""
-        if targets == self.targets and self.list_revision:
+        if targets == self.targets and self._is_listed:
             return
         self.targets = targets
+        self._is_listed = True
         self._target_list = messages.TargetList(
             tuple(messages.encode_target(target) for target in targets)
         )
@@ -166,7 +168,10 @@
         due_s = anyio.current_time()
         while True:
             is_leader = self.replica.is_leader
-            if is_leader:
+            if not is_leader:
+                # Only a leader reads the list; it would be old by then.
+                self._is_listed = False
+            else:
                 is_due = anyio.current_time() >= due_s
                 if is_due:
                     due_s = anyio.current_time() + CONFIRMATION_INTERVAL_S
@@ -265,7 +270,7 @@
             sent.holds = table
             now_s = anyio.current_time()
             await responder.send(self.hold_ages.in_force(table, now_s))
-        if self.list_revision > sent.list_revision:
+        if self._is_listed and self.list_revision > sent.list_revision:
             sent.list_revision = self.list_revision
             await self._send(responder, self._target_list)
         # The list of a new leader is empty until its first confirmation.
--- a/tests/registry/test_view_answers.py
+++ b/tests/registry/test_view_answers.py
@@ -15,6 +15,7 @@
 
 if typing.TYPE_CHECKING:
     from cactusstile.consensus import replica
+    from cactusstile.sites import model
     from cactusstile.transport import incoming
 
 pytestmark = pytest.mark.anyio
@@ -115,3 +116,27 @@
         await anyio.sleep(feeds.CONFIRMATION_INTERVAL_S / 2)
         assert gateway.answered[-1] == 9
         group.cancel_scope.cancel()
+
+
+async def test_list_of_an_earlier_leadership_is_sent_as_the_present_one() -> (
+    None
+):
+    quorum = SlowQuorum()
+    feed = feeds.Feed(state.SiteState(), typing.cast("replica.Replica", quorum))
+    targets: tuple[model.Target, ...] = ()
+    feed.set_targets(targets)
+    quorum.is_leader = False
+    gateway = Gateway()
+    async with anyio.create_task_group() as group:
+        group.start_soon(feed.run_confirmations)
+        await anyio.sleep(0.01)
+        quorum.is_leader = True
+        for _ in range(5):
+            quorum.permits.release()
+        await _watch(feed, gateway, group)
+        lists = [one for one in gateway.items if "List" in type(one).__name__]
+        assert not lists
+        feed.set_targets(targets)
+        await anyio.sleep(0.01)
+        assert messages.TargetList(()) in gateway.items
+        group.cancel_scope.cancel()
