Hold a large answer that waits for its reader once

Cause: the answer was joined with its head into a second object. Both were held while the answer waited, and one was counted.

Evidence: test_answer_that_waits_is_held_as_made_and_as_encoded failed before ('assert 8389... < 1048576').

Why this works: h11 passes a body with a length on as the same object. One longer than 64 KiB is sent as it is, after its head; smaller ones leave with their head in one send, as before.

--- a/src/cactusstile/http/responder.py
+++ b/src/cactusstile/http/responder.py
@@ -13,12 +13,21 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from cactusstile.http import serving as servings
+    from cactusstile.limits import turns
 
 UNAVAILABLE = 503
+# Longer bodies are sent as they are, so that one that waits is held once.
+LARGE_BODY_BYTES = 64 << 10
 _STATUSES_WITHOUT_BODY = (204, 304)
 
 
+class Listener(typing.Protocol):
+    """What a response needs to know of its listener; see `serving.Serving`."""
+
+    stopping: bool
+    turns: turns.Turns
+
+
 class Responder:
     """Writes the response to one request.
 
@@ -33,7 +42,7 @@
         socket: sockets.Socket,
         protocol: h11.Connection,
         request: messages.Request,
-        serving: servings.Serving,
+        serving: Listener,
     ) -> None:
         """Responds to `request` on the connection of the caller."""
         self.status = 0
@@ -64,10 +73,16 @@
         if messages.find(tuple(fields), b"content-length") is None:
             fields.append((b"content-length", b"%d" % len(body)))
         data = self._head(status, fields)
-        if body and not self._without_body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        await self._socket.send(data)
+        if self._without_body:
+            body = b""
+        if len(body) > LARGE_BODY_BYTES:
+            await self._socket.send(data)
+            data = b""
+        if body:
+            part = self._protocol.send(h11.Data(data=body)) or b""
+            data = data + part if data else part
+        end = self._protocol.send(h11.EndOfMessage()) or b""
+        await self._socket.send(data + end if end else data)
         self.finished = True
 
     async def start(
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import tracemalloc
 import weakref
 
 import anyio
@@ -247,3 +248,18 @@
         assert (await stream.receive()).startswith(b"HTTP/1.1 200")
         with pytest.raises(anyio.EndOfStream):
             await stream.receive()
+
+
+# Guards against an answer that is held twice while its caller takes nothing.
+async def test_answer_that_waits_is_held_as_made_and_as_encoded() -> None:
+    async with (
+        listen(answer=bytes(8 * LARGE_BYTES)) as listener,
+        await listener.connect() as stream,
+    ):
+        tracemalloc.start()
+        await stream.send(HEAD + b"\r\n")
+        while not listener.serving.unsent.used_bytes:
+            await anyio.sleep(0.01)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    assert held_bytes < LARGE_BYTES
