--- /dev/null
+++ b/tests/processes/test_pauses.py
@@ -0,0 +1,125 @@
+"""A gateway process that stands still while requests and answers arrive."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import signal
+import typing
+
+import anyio
+import anyio.abc
+import pytest
+from tests.platform import test_configurations
+from tests.processes import test_crowds
+from tests.registry import support
+from tests.support import node_site
+from tests.support import raw_target
+
+from cactusstile.http import messages
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+IDLE_MS = 500
+TIMEOUT_MS = 600
+REQUEST = (
+    b"POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-cactusstile-key: k\r\n"
+    b"x-cactusstile-attempt-id: one\r\ncontent-length: 4\r\n\r\nbody"
+)
+
+
+async def answer_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+    await anyio.sleep(0.3)
+    return await raw_target.answer()(stream, request)
+
+
+@pytest.fixture
+async def site(
+    tmp_path: pathlib.Path,
+) -> typing.AsyncIterator[node_site.NodeSite]:
+    scripts = [raw_target.answer(), *[answer_late] * 40]
+    network = support.draw_network()
+    async with (
+        raw_target.open_target(*scripts, service="s", id="t") as target,
+        node_site.open_site(tmp_path, network, support.FIRST_PORT) as opened,
+    ):
+        opened.listed.append(target.target)
+        await opened.start("registry", "r-1", opened.registry_host)
+        await opened.start("gateway", "g-1", opened.gateway_host)
+        await opened.wait_for(
+            opened.registry_host, test_crowds.OPERATOR, configuration(), 200
+        )
+        await opened.wait_for(
+            opened.gateway_host,
+            test_crowds.FRONT,
+            test_crowds.call("first"),
+            200,
+        )
+        yield opened
+
+
+def configuration() -> messages.Request:
+    document = test_configurations.document()
+    document["routes"][0]["timeoutMs"] = TIMEOUT_MS
+    document["limits"]["idleTimeoutMs"] = IDLE_MS
+    body = json.dumps(document).encode()
+    return messages.Request(
+        b"POST", b"/-/Config.Replace", test_crowds.HOST, body
+    )
+
+
+async def connect(site: node_site.NodeSite) -> anyio.abc.SocketStream:
+    port = site.port + test_crowds.FRONT
+    return await anyio.connect_tcp(site.gateway_host, port)
+
+
+async def receive(stream: anyio.abc.SocketStream) -> bytes:
+    """Returns what comes next; empty if the connection ends."""
+    with (
+        anyio.fail_after(5),
+        contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+    ):
+        return await stream.receive()
+    return b""
+
+
+@contextlib.asynccontextmanager
+async def paused(
+    site: node_site.NodeSite, pause_s: float
+) -> typing.AsyncIterator[None]:
+    """The gateway stands still in the context, and for some time after."""
+    process = site.processes["g-1"]
+    process.send_signal(signal.SIGSTOP)
+    # Until it stands still.
+    await anyio.sleep(0.1)
+    try:
+        yield
+        await anyio.sleep(pause_s)
+    finally:
+        process.send_signal(signal.SIGCONT)
+
+
+# Guards against a request that is lost as its connection expired in a pause.
+async def test_idle_timeout_that_ran_out_in_a_pause_loses_a_request(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        # Until it is accepted.
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * IDLE_MS / 1000):
+            await stream.send(REQUEST)
+        assert (await receive(stream)).startswith(b"HTTP/1.1 200")
+        # Once nothing comes it expires all the same.
+        assert await receive(stream) == b""
+
+
+# Guards against an answer that is thrown away as the pause used up its time.
+async def test_timeout_that_ran_out_in_a_pause_discards_an_answer(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST)
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            pass
+        assert (await receive(stream)).startswith(b"HTTP/1.1 200")
