Do not cut the answer of a caller that stands still for two seconds

What callers saw: a caller that took nothing for 1.8 s (no processor, a pause, a full buffer) lost the rest of any answer that did not fit into the kernel's buffers, with a reset, although the limit on answers that are not taken is 15 s. Smaller answers too, which the gateway had handed over whole and logged as complete (175 KB to a caller with a buffer of 16 KiB).

Cause: TCP_USER_TIMEOUT (1.5 s) was meant for peers that are gone. Linux ends a connection by it also if the peer acknowledges every probe but its window stays closed.

Evidence: test_answer_to_a_caller_that_stood_still_is_cut failed in both cases before ('Connection reset by peer').

Why this works: connections that are accepted have no such timeout. Whether the caller's machine answers at all is told by the kernel's count of unanswered retransmissions and probes, looked at before each part of an answer; three take about the same 1.5 s. Idle connections keep their keepalive probes, answers that are not taken their limit. Connections to targets keep the timeout.

--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -34,8 +34,14 @@
 # Buffers of the operating system for each accepted connection.
 LISTENER_RECEIVE_BUFFER_BYTES = 32 << 10
 LISTENER_SEND_BUFFER_BYTES = 64 << 10
-# The peer is considered lost if sent bytes stay unacknowledged for this time.
+# A target is considered lost if it acknowledges, or takes, nothing more of what
+# was sent for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
+# A caller is considered lost after this many unanswered retransmissions, or
+# probes, which take about the same time. One that is slow answers them.
+MAX_UNANSWERED = 3
+# Consecutive timeouts and unanswered probes in Linux's `struct tcp_info`.
+_RETRANSMITS_OFFSET, _PROBES_OFFSET, _INFO_BYTES = 2, 3, 8
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -54,11 +60,15 @@
       bytes_sent: Number of bytes passed to the operating system.
       stalled: Context of a wait for the peer to take bytes, given the size of
         what is being sent.
+      is_accepted: Whether the peer opened the connection.
     """
 
-    def __init__(self, raw: socket.socket) -> None:
+    def __init__(
+        self, raw: socket.socket, *, is_accepted: bool = False
+    ) -> None:
         """Takes ownership of a connected, non-blocking socket."""
         self.raw = raw
+        self.is_accepted = is_accepted
         self.bytes_sent = 0
         self.stalled: Stalled = _unlimited
         self._calls_in_turn = 0
@@ -69,6 +79,8 @@
         Raises:
           ConnectionEndedError: The peer closed or reset the connection.
         """
+        if self.is_accepted and self.is_peer_silent():
+            raise exceptions.ConnectionEndedError("the peer does not respond")
         view = memoryview(data)
         while view:
             await self._take_turn()
@@ -137,6 +149,17 @@
         poller.register(self.raw, select.POLLRDHUP)
         return bool(poller.poll(0))
 
+    def is_peer_silent(self) -> bool:
+        """Returns whether the peer's machine answers nothing any more."""
+        try:
+            info = self.raw.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES
+            )
+        except OSError:
+            return False
+        unanswered = info[_RETRANSMITS_OFFSET] + info[_PROBES_OFFSET]
+        return unanswered >= MAX_UNANSWERED
+
     async def linger(self) -> None:
         """Shuts down sending and discards input for up to `LINGER_TIMEOUT_S`.
 
@@ -159,14 +182,23 @@
 
 
 def _configure(raw: socket.socket) -> None:
-    """Enables detection of silent peers and disables Nagle's algorithm."""
+    """Enables detection of idle silent peers; disables Nagle's algorithm."""
     tcp = socket.IPPROTO_TCP
     raw.setsockopt(tcp, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     raw.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     raw.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+def _configure_outgoing(raw: socket.socket) -> None:
+    """Enables detection of all silent peers, of slow ones too."""
+    _configure(raw)
+    raw.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_TIMEOUT_MS,
+    )
 
 
 async def connect(target: address.Address, timeout_s: float) -> Socket:
@@ -184,7 +216,7 @@
         ) from error
     try:
         raw.setblocking(False)
-        _configure(raw)
+        _configure_outgoing(raw)
         code = raw.connect_ex((target.host, target.port))
         if code == errno.EINPROGRESS:
             code = await _wait_connected(raw, target, timeout_s)
@@ -264,4 +296,5 @@
     Raises:
       OSError: The listener is closed.
     """
-    return Socket(await listeners.accept(listener, _configure))
+    raw = await listeners.accept(listener, _configure)
+    return Socket(raw, is_accepted=True)
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import socket
 import tracemalloc
 import weakref
 
@@ -263,3 +264,23 @@
         held_bytes, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
     assert held_bytes < LARGE_BYTES
+
+
+# Guards against an answer that is cut as its caller stands still for a while.
+@pytest.mark.parametrize("size", [LARGE_BYTES // 6, 4 * LARGE_BYTES])
+async def test_answer_to_a_caller_that_stood_still_is_cut(size: int) -> None:
+    async with listen(answer=bytes(size)) as listener:
+        place = (listener.place.host, listener.place.port)
+        with socket.socket() as caller:
+            buffer_bytes = 8 << 10
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            caller.connect(place)
+            caller.setblocking(False)
+            caller.send(HEAD + b"\r\n")
+            await anyio.sleep(3 * sockets.UNACKNOWLEDGED_TIMEOUT_MS / 1000)
+            received = 0
+            while received < size:
+                await anyio.wait_readable(caller)
+                data = caller.recv(buffer_bytes)
+                assert data
+                received += len(data)
--- a/tests/http/test_sockets.py
+++ b/tests/http/test_sockets.py
@@ -82,3 +82,27 @@
         with pytest.raises(exceptions.ConnectionEndedError):
             await opened.receive()
         opened.close()
+
+
+# Guards against work for a caller whose machine is gone.
+@pytest.mark.parametrize(
+    ("retransmits", "probes", "is_silent"),
+    [(0, 0, False), (1, 0, False), (0, 2, False), (3, 0, True), (0, 3, True)],
+)
+async def test_peer_that_acknowledges_nothing_is_lost(
+    retransmits: int, probes: int, *, is_silent: bool
+) -> None:
+    class Raw:
+        def getsockopt(self, *_: int) -> bytes:
+            return bytes([1, 0, retransmits, probes, 0, 0, 0, 0])
+
+        def send(self, data: memoryview) -> int:
+            return len(data)
+
+    opened = sockets.Socket(Raw(), is_accepted=True)  # type: ignore[arg-type]
+    assert opened.is_peer_silent() == is_silent
+    if not is_silent:
+        await opened.send(b"x")
+        return
+    with pytest.raises(exceptions.ConnectionEndedError):
+        await opened.send(b"x")
