--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -4,6 +4,8 @@
 
 import collections.abc
 import contextlib
+import socket
+import tracemalloc
 import weakref
 
 import anyio
@@ -247,3 +249,38 @@
         assert (await stream.receive()).startswith(b"HTTP/1.1 200")
         with pytest.raises(anyio.EndOfStream):
             await stream.receive()
+
+
+# Guards against an answer that is held twice while its caller takes nothing.
+async def test_answer_that_waits_is_held_as_made_and_as_encoded() -> None:
+    async with (
+        listen(answer=bytes(8 * LARGE_BYTES)) as listener,
+        await listener.connect() as stream,
+    ):
+        tracemalloc.start()
+        await stream.send(HEAD + b"\r\n")
+        while not listener.serving.unsent.used_bytes:
+            await anyio.sleep(0.01)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    assert held_bytes < LARGE_BYTES
+
+
+# Guards against an answer that is cut as its caller stands still for a while.
+@pytest.mark.parametrize("size", [LARGE_BYTES // 6, 4 * LARGE_BYTES])
+async def test_answer_to_a_caller_that_stood_still_is_cut(size: int) -> None:
+    async with listen(answer=bytes(size)) as listener:
+        place = (listener.place.host, listener.place.port)
+        with socket.socket() as caller:
+            buffer_bytes = 8 << 10
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            caller.connect(place)
+            caller.setblocking(False)
+            caller.send(HEAD + b"\r\n")
+            await anyio.sleep(3 * sockets.UNACKNOWLEDGED_TIMEOUT_MS / 1000)
+            received = 0
+            while received < size:
+                await anyio.wait_readable(caller)
+                data = caller.recv(buffer_bytes)
+                assert data
+                received += len(data)
