Leader: judge votes by when they were asked for

What callers saw: nothing that is known. A replica that asked for votes, stood still, and read the replies after its pause counted as serving for a lease (0.36 s of 0.4 s), although its voters may have elected another leader meanwhile. Reads and proposals still needed a quorum, but the controllers that ask only whether this replica leads (orders to engines, freed parts, lists of targets) acted with an outdated term.

Cause: the time of the election was that at which the last vote was read. Votes wait in the kernel while a process stands still.

Evidence, on the code before: three replicas, one campaigns and reads its votes 3 s later: `assert not leadership.serves(late)` fails with "assert not True".

Until a quorum has answered a heartbeat, a new leader now serves for a lease from the time at which its campaign began. An election that is quick serves at once, as before; one that took longer than the lease serves a round trip later.

--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -47,6 +47,7 @@
     state.reset_election_timer()
     state.role = states.Role.CANDIDATE
     state.campaigns += 1
+    state.campaign_at = state.now
     state.leader = ""
     state.term += 1
     state.vote = state.member_id
@@ -195,7 +196,9 @@
     state.role = states.Role.LEADER
     state.leader = state.member_id
     first_index = state.log.last_index + 1
-    state.leading = states.LeaderState(state.now, first_index)
+    state.leading = states.LeaderState(
+        state.now, state.campaign_at, first_index
+    )
     replication.track_members(state)
     leadership.broadcast_heartbeat(state)
     replication.append_as_leader(state, [(messages.EntryKind.NOOP, b"")])
--- a/src/cactusstile/consensus/leadership.py
+++ b/src/cactusstile/consensus/leadership.py
@@ -51,12 +51,13 @@
     """Returns whether proposals and reads may be accepted.
 
     A read still needs the lease or a quorum round. A new leader serves before
-    its first heartbeat is answered, since a quorum has just elected it.
+    its first heartbeat is answered, if it asked for its votes just before:
+    votes may have waited while the process stood still.
     """
     leading = state.leading
     if leading is None or leading.transfer_target:
         return False
-    contact = max(last_quorum_contact(state), leading.since)
+    contact = max(last_quorum_contact(state), leading.votes_asked_at)
     return state.now < contact + state.settings.lease_s
 
 
--- a/src/cactusstile/consensus/state.py
+++ b/src/cactusstile/consensus/state.py
@@ -102,6 +102,8 @@
 
     Attributes:
       since: Time at which the election was won.
+      votes_asked_at: Time at which the votes were asked for: voters may have
+        elected another leader since then.
       first_index: Index of the first entry of the term.
       progress: Replication progress of each other member, by identity.
       round: Number of the last heartbeat round.
@@ -115,6 +117,7 @@
     """
 
     since: float
+    votes_asked_at: float
     first_index: int
     progress: dict[str, Progress] = attrs.field(factory=dict)
     round: int = 0
@@ -167,6 +170,7 @@
         timeout, as a lease from before the restart may depend on it.
       election_at: Time at which an election starts.
       campaigns: Number of elections that this replica has started.
+      campaign_at: Time at which the last of them was started.
       votes: Members that granted a vote in the current election or pre-vote.
       retry_votes_at: Time at which missing votes are requested again.
       leading: State of the leader; None in other roles.
@@ -193,6 +197,7 @@
     role: Role = Role.FOLLOWER
     leader: str = ""
     campaigns: int = 0
+    campaign_at: float = float("-inf")
     votes: set[str] = attrs.field(factory=set)
     retry_votes_at: float = 0.0
     leading: LeaderState | None = None
