Lists of targets: count their age from the question

What callers saw: nothing that is known. A registry, or a gateway without control, that stood still while the platform's answer waited in the kernel took the list for as new as the moment of reading. Gateways were told an age of 0 for a list that was as old as the pause. By that age they decide whether targets may have begun to leave unnoticed: whether a run may go on from its copy, and which target has ended.

Cause: the time of a list was set when it was published, after the answer was read and what it changes was committed.

Evidence, on the code before: an answer that waits 0.3 s, "assert 521.667901871 == 521.366777132 ± 0.1".

The time is now that of the question, taken before the first page. A gateway drops a list of the platform that it asked for before the one that it has from control.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -37,6 +37,7 @@
 from cactusstile.sites import discovery
 from cactusstile.sites import limit_messages
 from cactusstile.sites import messages
+from cactusstile.sites import model
 from cactusstile.sites import quarantine_messages
 from cactusstile.sites import stream_messages
 from cactusstile.transport import handshake
@@ -196,12 +197,10 @@
     )
 
 
-def _start_background(
-    gateway: Gateway,
-    pool: targets.Pool,
-    request_metrics: gateway_metrics.GatewayMetrics,
-    group: anyio.abc.TaskGroup,
+def _start_polling(
+    gateway: Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
 ) -> None:
+    """Lets the platform be asked for its list while control sends none."""
     site = gateway.site
 
     def is_stale() -> bool:
@@ -209,18 +208,35 @@
             return site.confirmed_s is None
         return anyio.current_time() - site.listed_s > site_view.MAX_LIST_AGE_S
 
-    keep = guards.keep_running
-    group.start_soon(keep, "control", gateway.watch.run)
+    def apply_listed(listed: tuple[model.Target, ...], asked_s: float) -> None:
+        # Control may have sent a newer list before this one was read.
+        if site.listed_s is not None and site.listed_s > asked_s:
+            return
+        gateway.watch.apply_targets(listed, "platform")
+        site.listed_s = asked_s
+
     group.start_soon(
-        keep,
+        guards.keep_running,
         "target list",
         discovery.run,
         clients.Client(pool),
         gateway.settings.platform,
         PLATFORM_POLL_INTERVAL_S,
         is_stale,
-        lambda listed: gateway.watch.apply_targets(listed, "platform"),
+        apply_listed,
     )
+
+
+def _start_background(
+    gateway: Gateway,
+    pool: targets.Pool,
+    request_metrics: gateway_metrics.GatewayMetrics,
+    group: anyio.abc.TaskGroup,
+) -> None:
+    site = gateway.site
+    keep = guards.keep_running
+    group.start_soon(keep, "control", gateway.watch.run)
+    _start_polling(gateway, pool, group)
     group.start_soon(keep, "sweep", _sweep, pool, site, request_metrics)
     loads_exchange = datagram_exchange.DatagramExchange(
         load_sharing.LoadSharing(site, gateway.watch.member),
--- a/src/cactusstile/registry/target_listing.py
+++ b/src/cactusstile/registry/target_listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import typing
 
@@ -48,26 +49,34 @@
         self.controller: weights.WeightsController | None = None
         self._guard = guards.Guard("published lists")
 
-    def update(self, listed: tuple[model.Target, ...]) -> None:
-        """Publishes a new list, once what it changes is committed."""
+    def update(self, listed: tuple[model.Target, ...], asked_s: float) -> None:
+        """Publishes a new list, once what it changes is committed.
+
+        Args:
+          listed: Targets of the list.
+          asked_s: Loop time at which the platform was asked for it.
+        """
         change = discovery.describe_change(self.targets, listed)
         if change:
             logger.info("targets changed", extra=change)
-        self.group.start_soon(self._record_and_publish, listed)
+        self.group.start_soon(self._record_and_publish, listed, asked_s)
 
     async def _record_and_publish(
-        self, listed: tuple[model.Target, ...]
+        self, listed: tuple[model.Target, ...], asked_s: float
     ) -> None:
         # A list whose commit takes long must not follow a newer one.
         async with self.order:
             with self._guard.contain():
                 await build_records.record_and_publish(
-                    self.feed.site, self.replica, listed, self._apply
+                    self.feed.site,
+                    self.replica,
+                    listed,
+                    functools.partial(self._apply, asked_s),
                 )
 
-    def _apply(self, listed: tuple[model.Target, ...]) -> None:
+    def _apply(self, asked_s: float, listed: tuple[model.Target, ...]) -> None:
         self.targets = listed
-        self.feed.listed_at_s = anyio.current_time()
+        self.feed.listed_at_s = asked_s
         self.publish()
 
     def publish(self) -> None:
--- a/src/cactusstile/sites/discovery.py
+++ b/src/cactusstile/sites/discovery.py
@@ -16,6 +16,10 @@
     from cactusstile.sites import model
     from cactusstile.transport import address
 
+    OnTargets = collections.abc.Callable[
+        [tuple[model.Target, ...], float], None
+    ]
+
 logger = logging.getLogger(__name__)
 
 TOO_MANY_REQUESTS = 429
@@ -28,7 +32,7 @@
     platform: address.Address,
     interval_s: float,
     is_enabled: collections.abc.Callable[[], bool],
-    on_targets: collections.abc.Callable[[tuple[model.Target, ...]], None],
+    on_targets: OnTargets,
 ) -> None:
     """Reads the list at a fixed interval until it is cancelled.
 
@@ -37,17 +41,19 @@
       platform: Address of the platform.
       interval_s: Pause between two reads, in seconds.
       is_enabled: Returns whether this process has to read the list now.
-      on_targets: Called with each list.
+      on_targets: Called with each list and the loop time of the question, as
+        answers may wait here while the process stands still.
     """
     reachable = True
     guard = guards.Guard("target list")
     while True:
         pause_s = interval_s
         if is_enabled():
+            asked_s = anyio.current_time()
             try:
                 listed = await client.list_targets(platform)
                 with guard.contain():
-                    on_targets(listed)
+                    on_targets(listed, asked_s)
                 if not reachable:
                     logger.info("target list is readable again")
                 reachable = True
