Entry: refuse finally by the newest configuration only

An entry that stood still, or whose feed lags, answered 401 for a key, and 404 for a model or service, that a configuration in force for longer than it should take had added. Callers take both for final.

Cause: the filters decide by the copy of the fleet that the process holds, however old it is. Whether a quorum confirmed it is asked once, after the start.

A refusal for an unknown key, model or service now asks control for the newest revision first. The question begins after the request was read, so that nothing from before a pause is taken for an answer; all who wait share the next one. The refusal stands if the copy was the newest when the request was read. Entries whose copy is the newest by construction ask nobody. Callers that are served wait for nothing: entries go on through a loss of control, as before.

tests/entry/support.py takes further parts of an entry; nothing else of it changed.

--- a/src/cactusstile/entry/application.py
+++ b/src/cactusstile/entry/application.py
@@ -18,6 +18,7 @@
 from cactusstile.filters import earlier_attempts
 from cactusstile.filters import exceptions
 from cactusstile.filters import exchange
+from cactusstile.filters import final_refusals
 from cactusstile.filters import limit
 from cactusstile.filters import refusals
 from cactusstile.filters import request_options
@@ -143,6 +144,7 @@
         refusals.answer_refusals(parts.metrics.count_refusal),
         body.hold_head(bounds.memory),
         request_options.require_confirmed(readiness.is_configured),
+        final_refusals.confirm_refusals(parts.fleet, parts.read_revision),
         body.check_declared_size(bounds.max_body_bytes),
         authenticate.authenticate(parts.fleet, find_workspace),
         request_options.read_options,
--- a/src/cactusstile/entry/completions.py
+++ b/src/cactusstile/entry/completions.py
@@ -20,6 +20,7 @@
 from cactusstile.entry import sse
 from cactusstile.filters import chain
 from cactusstile.filters import exchange
+from cactusstile.filters import final_refusals
 from cactusstile.filters import json_body
 from cactusstile.routing import prefix
 
@@ -46,12 +47,14 @@
       dispatcher: Dispatches runs to agents.
       tokenize: Converts the text of a prompt to tokens.
       metrics: Metrics of the entry.
+      read_revision: See `filters.final_refusals.confirm_refusals`.
     """
 
     fleet: holder.FleetHolder
     dispatcher: dispatch.Dispatcher
     tokenize: Tokenize
     metrics: entry_metrics.EntryMetrics
+    read_revision: final_refusals.ReadRevision | None = None
 
 
 def build_handler(
--- a/src/cactusstile/entry/daemon.py
+++ b/src/cactusstile/entry/daemon.py
@@ -19,6 +19,7 @@
 from cactusstile.entry import routes
 from cactusstile.filters import body
 from cactusstile.filters import earlier_attempts
+from cactusstile.filters import final_refusals
 from cactusstile.filters import limit
 from cactusstile.limits import confinement
 from cactusstile.limits import connections
@@ -54,6 +55,8 @@
       close_key: See `filters.earlier_attempts.check_earlier_attempts`.
       allocate_epoch: Returns a new epoch for a workspace's key, larger than
         all epochs that were allocated or used to close a key before.
+      read_revision: See `filters.final_refusals.confirm_refusals`; None if
+        `fleet` is always the newest.
     """
 
     fleet: holder.FleetHolder
@@ -65,6 +68,7 @@
     allocate_epoch: earlier_attempts.AllocateEpoch = (
         earlier_attempts.allocate_no_epoch
     )
+    read_revision: final_refusals.ReadRevision | None = None
 
 
 @attrs.frozen
@@ -159,9 +163,7 @@
     entry = _build(settings, parts)
     is_ready = entry.readiness.is_ready
     app = application.build(
-        completions.Parts(
-            parts.fleet, entry.dispatcher, parts.tokenize, entry.metrics
-        ),
+        _completion_parts(entry, parts),
         parts.find_workspace,
         entry.readiness,
         entry.bounds,
@@ -187,6 +189,16 @@
         group.cancel_scope.cancel()
 
 
+def _completion_parts(entry: Entry, parts: Parts) -> completions.Parts:
+    return completions.Parts(
+        parts.fleet,
+        entry.dispatcher,
+        parts.tokenize,
+        entry.metrics,
+        parts.read_revision,
+    )
+
+
 @contextlib.asynccontextmanager
 async def _open_caller_listener(
     entry: Entry, app: starlette.routing.Router
--- a/src/cactusstile/entry/wiring.py
+++ b/src/cactusstile/entry/wiring.py
@@ -10,6 +10,7 @@
 from cactusstile.control import client
 from cactusstile.control import exceptions
 from cactusstile.entry import daemon
+from cactusstile.state import confirmed_revisions
 from cactusstile.state import follower
 from cactusstile.state import keys
 from cactusstile.transport import handshake
@@ -18,6 +19,7 @@
     import collections.abc
 
     from cactusstile.filters import earlier_attempts
+    from cactusstile.filters import final_refusals
     from cactusstile.settings import entry as entry_settings
     from cactusstile.state import model
 
@@ -54,9 +56,24 @@
             find_workspace=key_ring.find_workspace,
             close_key=build_close_key(fleet_follower.control),
             allocate_epoch=build_allocate_epoch(fleet_follower.control),
+            read_revision=build_read_revision(fleet_follower.control),
         )
 
 
+def build_read_revision(
+    control: client.ControlClient,
+) -> final_refusals.ReadRevision:
+    """Returns a function that reads the newest revision from control."""
+
+    async def read_revision() -> int:
+        latest = await control.read_revision(
+            timeout_s=confirmed_revisions.CONFIRM_TIMEOUT_S
+        )
+        return latest.revision
+
+    return confirmed_revisions.ConfirmedRevisions(read_revision).read
+
+
 def build_close_key(
     control: client.ControlClient,
 ) -> earlier_attempts.CloseKey:
--- a/src/cactusstile/filters/request_options.py
+++ b/src/cactusstile/filters/request_options.py
@@ -101,14 +101,21 @@
         context: exchange.Exchange, call_next: chain.Handler
     ) -> None:
         if not is_ready():
-            raise _unconfirmed(context)
+            raise unconfirmed(
+                context, "this entry has no confirmed configuration yet"
+            )
         await call_next(context)
 
     return filter_exchange
 
 
-def _unconfirmed(context: exchange.Exchange) -> verdict.RefusedError:
-    message = "this entry has no confirmed configuration yet"
+def unconfirmed(
+    context: exchange.Exchange, message: str
+) -> verdict.RefusedError:
+    """Returns a refusal for lack of a configuration.
+
+    Whether an earlier attempt with the caller's key has run is not known.
+    """
     request_verdict = verdict.Verdict.NOT_RUN
     repeatable_option = (
         context.headers.get(REPEATABLE_HEADER, "").strip().lower()
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -171,7 +171,8 @@
         peers = await stack.enter_async_context(
             pool.open_pool(identity, SECRETS)
         )
-        parts = daemon.Parts(fleet, peers, KEYS.get)
+        own_parts = changes.pop("own_parts", {})
+        parts = daemon.Parts(fleet, peers, KEYS.get, **own_parts)
         entry = await stack.enter_async_context(
             daemon.open_entry(settings(**changes), parts)
         )
