Processes: run on a clock that goes on in suspension

What callers saw: nothing that is known. After a VM was suspended, all ages that a process takes from its event loop left the suspension out: a claim that control had confirmed minutes before passed for confirmed, so that the run began without a question; deadlines of requests had not passed; a share of the retry budget was still in use that the others had divided; idle connections, pauses and holds counted as younger than they were. Only leases of the consensus and the silence of `build_history` were right.

Cause: the clock of asyncio's event loop is CLOCK_MONOTONIC, which stands still in suspension. `agent/claims.py` names suspension as its reason to confirm anew, by a clock that cannot see it.

Evidence, with asyncio's clock: a claim, 60 s of suspension (a patched clock), then the confirmation before the run: "assert 0 == 1" questions to control. A real suspension was not run: this machine cannot be suspended.

All roles run on an event loop whose clock is CLOCK_BOOTTIME, as the leases are. In a process that is stopped by a signal both clocks go on alike.

--- a/src/cactusstile/clocks.py
+++ b/src/cactusstile/clocks.py
@@ -1,4 +1,4 @@
-"""Clocks beside that of the event loop, which stands still in suspension."""
+"""Clocks of this machine; processes run by the first, see `event_loops`."""
 
 from __future__ import annotations
 
--- a/src/cactusstile/console/agent.py
+++ b/src/cactusstile/console/agent.py
@@ -6,8 +6,7 @@
 import logging
 import pathlib
 
-import anyio
-
+from cactusstile import event_loops
 from cactusstile.agent import wiring
 from cactusstile.console import first_settings
 from cactusstile.console import signals
@@ -30,9 +29,9 @@
     )
     logs.configure("agent", loaded.process.name, "info")
     if loaded.kind == agent_settings.STORE_KIND:
-        anyio.run(_serve_store, loaded)
+        event_loops.run(_serve_store, loaded)
         return
-    anyio.run(_serve, loaded)
+    event_loops.run(_serve, loaded)
 
 
 async def _serve(settings: agent_settings.AgentSettings) -> None:
--- a/src/cactusstile/console/control.py
+++ b/src/cactusstile/console/control.py
@@ -5,8 +5,7 @@
 import functools
 import pathlib
 
-import anyio
-
+from cactusstile import event_loops
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.console import exceptions
 from cactusstile.console import first_settings
@@ -29,7 +28,7 @@
     )
     logs.configure("control", loaded.process.name)
     try:
-        anyio.run(_serve, loaded)
+        event_loops.run(_serve, loaded)
     except* consensus_exceptions.StorageError as group:
         raise exceptions.CommandError(
             f"stopped, durable state is unusable: {group.exceptions[0]}; "
--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -9,8 +9,7 @@
 import pathlib
 import typing
 
-import anyio
-
+from cactusstile import event_loops
 from cactusstile.console import exceptions
 from cactusstile.console import first_settings
 from cactusstile.console import signals
@@ -44,7 +43,7 @@
     )
     logs.configure("entry", loaded.process.name, loaded.log_level)
     try:
-        anyio.run(serve, loaded, wiring.open_parts)
+        event_loops.run(serve, loaded, wiring.open_parts)
     except* http_listener.CannotListenError as errors:
         raise _to_command_error(next(_flatten(errors))) from None
 
--- a/src/cactusstile/console/local.py
+++ b/src/cactusstile/console/local.py
@@ -6,8 +6,7 @@
 import pathlib
 import tempfile
 
-import anyio
-
+from cactusstile import event_loops
 from cactusstile.console import exceptions
 from cactusstile.console import signals
 from cactusstile.local import demonstration
@@ -57,7 +56,7 @@
             _parse_address(listen),
             _parse_address(admin),
         )
-        anyio.run(_serve, settings, keys, demo, stay)
+        event_loops.run(_serve, settings, keys, demo, stay)
 
 
 def _parse_address(text: str) -> address.Address:
--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -8,8 +8,7 @@
 import pathlib
 import typing
 
-import anyio
-
+from cactusstile import event_loops
 from cactusstile.consensus import exceptions as consensus_exceptions
 from cactusstile.console import exceptions
 from cactusstile.console import first_settings
@@ -47,7 +46,7 @@
     )
     configure(loaded.name)
     try:
-        anyio.run(main, loaded, path)
+        event_loops.run(main, loaded, path)
     except* consensus_exceptions.StorageError as group:
         logger.critical(
             "stopped: the durable state cannot be used; repair the disk, or"
