--- a/src/cactusstile/console/entry.py
+++ b/src/cactusstile/console/entry.py
@@ -9,7 +9,7 @@
 import pathlib
 import typing
 
-from cactusstile import event_loop
+from cactusstile import event_loops
 from cactusstile.console import exceptions
 from cactusstile.console import first_settings
 from cactusstile.console import signals
@@ -43,7 +43,7 @@
     )
     logs.configure("entry", loaded.process.name, loaded.log_level)
     try:
-        event_loop.run(serve, loaded, wiring.open_parts)
+        event_loops.run(serve, loaded, wiring.open_parts)
     except* http_listener.CannotListenError as errors:
         raise _to_command_error(next(_flatten(errors))) from None
 
