Receive signals of a starting process some imports earlier

Cause: the module that holds signals imported `signal` and `typing`, and with them `enum` and `re`: 6 of some 16 ms in which the default action of a signal applies. It now takes the interpreter's own `_signal` and loads nothing else.

The rest is the start of the interpreter and `runpy`: the window is shorter, not closed.

--- a/src/cactusstile/console/early_signals.py
+++ b/src/cactusstile/console/early_signals.py
@@ -1,16 +1,20 @@
 """Signals that arrive before a process is able to handle them.
 
-Imports only what loads at once: it runs before all other imports.
+It runs before all other imports, and itself imports only what the interpreter
+has loaded: until then, a signal ends the process. The module `signal` and
+`typing` are slow to load.
 """
 
 from __future__ import annotations
 
 import os
-import signal
-import typing
 
-if typing.TYPE_CHECKING:
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    import signal
     import types
+else:
+    import _signal as signal
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
--- a/tests/console/test_node_process.py
+++ b/tests/console/test_node_process.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import os
 import pathlib
 import subprocess
 import sys
@@ -39,3 +40,28 @@
         timeout=TIMEOUT_S,
     )
     assert done.returncode == 0
+
+
+def test_signals_are_held_before_anything_slow_is_imported() -> None:
+    """Guards against SIGHUP that ends a process in its first moments."""
+    program = (
+        "import importlib, runpy, sys\n"
+        "before = set(sys.modules)\n"
+        "from cactusstile.console import early_signals\n"
+        "early_signals.hold()\n"
+        "print(*sorted(set(sys.modules) - before))\n"
+    )
+    done = subprocess.run(  # noqa: S603
+        [sys.executable, "-S", "-c", program],
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert done.stdout.split() == [
+        "__future__",
+        "cactusstile",
+        "cactusstile.console",
+        "cactusstile.console.early_signals",
+    ]
