Take a sealed 421 without the mark for the answer of a run

A target's 421 was believed to say that the request had not run, whatever else it carried. A 421 with a seal and without the mark led to another attempt (TWICE) or to a 503 (REFUSED) although the request may have run.

Evidence: the new case of test_request_that_may_have_run_is_not_sent_again failed on ("Left contains one more item: b'POST /a/x?q=1 ...": the second target got the request).

test_target_whose_address_is_anothers_is_left_alone used a stand-in whose 421 was sealed by default, which no target sends; it is unsealed now and still unmarked, so the check is the same.

Why it works: a rejection is a marked answer, or a 421 that nobody signed; all other statuses 408, 421, 429 and 503 count as may have run, as before.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -246,7 +246,7 @@
     if _is_stream(head) and is_sealed and is_plain:
         return OpenStream(head, connection)
     answer = Answer(head, await holding.read_body(connection, head))
-    if head.status == _MISDIRECTED or _is_marked_not_run(head):
+    if _is_rejection(head):
         raise AttemptError(
             f"rejected_{head.status}", verdict.Verdict.NOT_RUN, answer=answer
         )
@@ -295,10 +295,15 @@
     return answer_id is None or answer_id == request_id
 
 
-def _is_marked_not_run(head: messages.ResponseHead) -> bool:
-    """Returns whether the answer permits running the request elsewhere."""
-    is_marked = head.find(headers.NOT_RUN) is not None
-    return is_marked and head.status != _BAD_REQUEST
+def _is_rejection(head: messages.ResponseHead) -> bool:
+    """Returns whether the target did not run the request, but another may.
+
+    The seal is proof of a run: a 421 with a seal and without the mark is the
+    answer of a run.
+    """
+    if head.find(headers.NOT_RUN) is not None:
+        return head.status != _BAD_REQUEST
+    return head.status == _MISDIRECTED and head.find(headers.SEAL) is None
 
 
 def _is_invalid_request(head: messages.ResponseHead) -> bool:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -80,7 +80,7 @@
 async def test_target_whose_address_is_anothers_is_left_alone() -> None:
     async with (
         raw_target.open_target(
-            raw_target.answer(b"", b"421 Other"), id="a"
+            raw_target.answer(b"", b"421 Other", b""), id="a"
         ) as gone,
         raw_target.open_target(
             raw_target.answer(), raw_target.answer(), id="b"
@@ -145,9 +145,20 @@
         raw_target.answer(rest=b""),
         raw_target.answer(status=b"503 Lies"),
         raw_target.answer(status=b"408 Lies"),
+        raw_target.answer(status=b"421 Lies"),
         raw_target.answer(rest=raw_target.SEAL + b"Content-Encoding: gzip\r\n"),
     ],
-    ids=["closed", "garbage", "no-id", "cut", "unsealed", "503", "408", "gzip"],
+    ids=[
+        "closed",
+        "garbage",
+        "no-id",
+        "cut",
+        "unsealed",
+        "503",
+        "408",
+        "421",
+        "gzip",
+    ],
 )
 async def test_request_that_may_have_run_is_not_sent_again(
     script: raw_target.Script,
