--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -13,6 +13,7 @@
 pytestmark = pytest.mark.anyio
 ONCE = model.Kind.ONCE
 STREAM = model.Kind.STREAM
+PROMISES = ("408", "421", "429", "503")
 
 
 async def test_request_is_forwarded_unchanged() -> None:
@@ -143,22 +144,13 @@
         raw_target.send_raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
         raw_target.send_raw(b"Content-Length: 9\r\n\r\ncut", with_head=True),
         raw_target.answer(rest=b""),
-        raw_target.answer(status=b"503 Lies"),
-        raw_target.answer(status=b"408 Lies"),
-        raw_target.answer(status=b"421 Lies"),
+        *(
+            raw_target.answer(status=code.encode() + b" Lies")
+            for code in PROMISES
+        ),
         raw_target.answer(rest=raw_target.SEAL + b"Content-Encoding: gzip\r\n"),
     ],
-    ids=[
-        "closed",
-        "garbage",
-        "no-id",
-        "cut",
-        "unsealed",
-        "503",
-        "408",
-        "421",
-        "gzip",
-    ],
+    ids=["closed", "garbage", "no-id", "cut", "unsealed", *PROMISES, "gzip"],
 )
 async def test_request_that_may_have_run_is_not_sent_again(
     script: raw_target.Script,
--- a/tests/support/target_process.py
+++ b/tests/support/target_process.py
@@ -3,7 +3,9 @@
 It is started with a JSON object of its settings and takes commands, one a line,
 from its standard input: `slow S` accepts no connection for S seconds, `reset S`
 resets all connections while half of the runs go on for up to S seconds, `leave
-S` closes the port after S seconds and exits after the last run.
+S` closes the port after S seconds and exits after the last run, `weights N`
+changes its weights, `pause S` refuses all for S seconds and says so, `limit R`
+names a limit of R requests a second, 0 none.
 """
 
 from __future__ import annotations
@@ -48,6 +50,11 @@
         self.slow_until_s = 0.0
         self.kept_until_s = 0.0
         self.leaving = False
+        self.weights: int = settings.get("weights", 1)
+        self.paused_until_s = 0.0
+        self.limit = 0.0
+        self.freed = asyncio.Condition()
+        self.waiting = 0
         self.leave_task: asyncio.Task[None] | None = None
 
     def _listen(self) -> socket.socket:
@@ -99,6 +106,12 @@
             if name == "leave":
                 self.leaving = True
                 self.leave_task = loop.create_task(self._leave(float(value)))
+            if name == "weights":
+                self.weights = int(value)
+            if name == "pause":
+                self.paused_until_s = time.monotonic() + float(value)
+            if name == "limit":
+                self.limit = float(value)
 
     def _reset(self, kept_s: float) -> None:
         self.kept_until_s = time.monotonic() + kept_s
@@ -132,11 +145,15 @@
         self,
         path: str,
         headers: Headers,
-        body: bytes,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers a request; returns whether the connection stays open."""
+        if self._is_refused_early(path) and (status := self._refusal(headers)):
+            await self._refuse(writer, status, headers)
+            await _read_body(reader, headers)
+            return True
+        body = await _read_body(reader, headers)
         if path == "/-/copy":
             self.copies.add(body.decode())
             await self._respond(writer, 200, headers, b"")
@@ -145,16 +162,53 @@
             await self._respond(writer, 200, headers, self._report())
             return True
         status = self._refusal(headers)
+        if not status:
+            status = await self._wait_for_slot(headers, reader)
         if status:
             await self._refuse(writer, status, headers)
             return True
         return await self._run(path, headers, reader, writer)
 
+    def _is_refused_early(self, path: str) -> bool:
+        """Returns whether a refusal may come before the body was read."""
+        early = self.settings.get("early", 0)
+        return not path.startswith("/-/") and self.random.random() < early
+
+    async def _wait_for_slot(
+        self, headers: Headers, reader: asyncio.StreamReader
+    ) -> int:
+        """Queues a request; returns the status of its refusal, or 0."""
+        if self.running < self.settings["slots"] or "kv-from" in headers:
+            return 0
+        patience_s = int(headers["x-cactusstile-deadline-ms"]) / 1000
+        self.waiting += 1
+        try:
+            async with asyncio.timeout(patience_s), self.freed:
+                while self.running >= self.settings["slots"]:
+                    await self.freed.wait()
+                    if reader.at_eof() or reader.exception() is not None:
+                        raise ConnectionResetError
+        except TimeoutError:
+            return 503
+        finally:
+            self.waiting -= 1
+        # Another one may have come first, or the weights have changed.
+        return self._refusal(headers)
+
     def _refusal(self, headers: Headers) -> int:
         if headers.get("x-cactusstile-expect-instance", self.id) != self.id:
             return 421
+        if headers.get("x-cactusstile-expect-version", "") not in (
+            "",
+            str(self.weights),
+        ):
+            return 421
+        if time.monotonic() < self.paused_until_s:
+            return 503
         is_continued = "kv-from" in headers
-        if self.running >= self.settings["slots"] and not is_continued:
+        is_full = self.running >= self.settings["slots"]
+        is_full = is_full and self.waiting >= self.settings.get("queue", 0)
+        if is_full and not is_continued:
             return 503
         attempt = headers["x-cactusstile-attempt-id"]
         if is_continued and attempt not in self.copies:
@@ -169,6 +223,9 @@
         if self.random.random() < ODD_FRACTION:
             writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
         mark = "X-Cactusstile-Not-Executed: 1"
+        pause_s = self.paused_until_s - time.monotonic()
+        if status == 503 and pause_s > 0:
+            mark += f"\r\nRetry-After: {pause_s:.2f}"
         await self._respond(writer, status, headers, b"", mark)
         if self.random.random() < ODD_FRACTION:
             await asyncio.sleep(self.random.uniform(0, 0.05))
@@ -179,13 +236,16 @@
         report |= {"queued": 0, "active": self.running}
         report |= {"born": self.settings["born"]}
         if self.settings["engine"]:
-            report["models"] = [{"name": MODEL, "version": 1, "adapters": []}]
+            model = {"name": MODEL, "version": self.weights, "adapters": []}
+            report["models"] = [model]
         return json.dumps(report).encode()
 
     def _fields(self, headers: Headers) -> list[str]:
         fields = [f"X-Cactusstile-Instance-Id: {self.id}"]
         if self.leaving:
             fields.append("Server-Leaving: 1")
+        if self.limit:
+            fields.append(f"Server-Limit: {self.limit}")
         if "x-cactusstile-attempt-id" in headers:
             attempt = headers["x-cactusstile-attempt-id"]
             fields.append(f"X-Cactusstile-Attempt-Id: {attempt}")
@@ -237,6 +297,8 @@
             await asyncio.wait((work, gone))
             self.running -= 1
             self.note("end", attempt)
+            async with self.freed:
+                self.freed.notify_all()
 
     async def _work(
         self, path: str, headers: Headers, writer: asyncio.StreamWriter
@@ -285,7 +347,7 @@
 
 async def _read_request(
     reader: asyncio.StreamReader,
-) -> tuple[str, Headers, bytes] | None:
+) -> tuple[str, Headers] | None:
     line = (await reader.readline()).decode().split()
     if not line:
         return None
@@ -293,8 +355,11 @@
     while (field := (await reader.readline()).decode().strip()) != "":
         name, _, value = field.partition(":")
         headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return line[1], headers, body
+    return line[1], headers
+
+
+async def _read_body(reader: asyncio.StreamReader, headers: Headers) -> bytes:
+    return await reader.readexactly(int(headers.get("content-length", "0")))
 
 
 async def _main() -> None:
--- a/tests/support/verdict_site.py
+++ b/tests/support/verdict_site.py
@@ -123,6 +123,7 @@
       leaving: Whether the list shows it as leaving.
       process: The newest process.
       key: Name of the newest process in the journals.
+      weights: Version of its weights.
     """
 
     number: int
@@ -132,6 +133,7 @@
     leaving: bool = False
     process: subprocess.Popen[bytes] | None = None
     key: str = ""
+    weights: int = 1
 
     def command(self, text: str) -> None:
         """Sends a command to the process, if it runs."""
@@ -161,6 +163,7 @@
       outcomes: What became of the requests, by their id.
       ends: Times at which processes of targets were killed, by their key.
       processes: Gateways and the registry, by their names.
+      odd_settings: Further settings of targets.
     """
 
     folder: pathlib.Path
@@ -171,6 +174,16 @@
     outcomes: dict[str, Outcome] = attrs.field(factory=dict)
     ends: dict[str, float] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+    odd_settings: dict[str, typing.Any] = attrs.field(factory=dict)
+
+    def seeds(self) -> str:
+        """Returns the operator addresses of the registries."""
+        return f"{self.network}.2:{self.port + OPERATOR}"
+
+    def zone_of(self, number: int) -> str:
+        """Returns the data centre of an address."""
+        del number
+        return "here"
 
     def start(self, role: str, number: int, *, first: bool) -> None:
         """Starts a process of the system by the command of its role."""
@@ -179,12 +192,13 @@
             name=name,
             host=f"{self.network}.{number}",
             port=self.port,
-            seeds=f"{self.network}.2:{self.port + OPERATOR}",
+            seeds=self.seeds(),
             platform=f"{self.network}.1:{self.port + LIST}",
             folder=self.folder / name,
             first_start=first,
         )
         filled["bounds.budgetSlack"] = RETRY_SLACK
+        filled["zone"] = self.zone_of(number)
         text = (ROOT / "deploy" / f"{role}.ini").read_text()
         for key, value in filled.items():
             text = text.replace("{{" + key + "}}", value)
@@ -220,6 +234,8 @@
             "backlog": BACKLOG,
             "slots": SLOTS,
             "engine": target.service == "engine",
+            "weights": target.weights,
+            **self.odd_settings,
         }
         path = pathlib.Path(__file__).parent / "target_process.py"
         with (self.folder / f"target-{target.number}.log").open("ab") as log:
@@ -245,13 +261,15 @@
                 "service": target.service,
                 "address": f"{self.network}.{target.number}:"
                 f"{self.port + TARGET_PORT}",
-                "zone": "here",
+                "zone": self.zone_of(target.number),
                 "slots": SLOTS,
                 "state": "draining" if target.leaving else "ready",
                 "coldRemainingMs": 0,
                 "born": target.born,
                 "stage": "both",
-                "models": [{"name": "m", "version": 1, "adapters": []}]
+                "models": [
+                    {"name": "m", "version": target.weights, "adapters": []}
+                ]
                 if target.service == "engine"
                 else [],
             }
