Look for lost callers twice a second at most; tell suspension by a steady clock

The look at the kernel's counts stood before each part of an answer, one system call for each event of a stream. The event loop's own clock includes suspension since the change of loops, so LoopLag compares the boot clock with a steady one.

--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -40,6 +40,8 @@
 # A caller is considered lost after this many unanswered retransmissions, or
 # probes, which take about the same time. One that is slow answers them.
 MAX_UNANSWERED = 3
+# Shortest time between two looks at whether a caller is lost.
+SILENCE_CHECK_INTERVAL_S = 0.5
 # Consecutive timeouts and unanswered probes in Linux's `struct tcp_info`.
 _RETRANSMITS_OFFSET, _PROBES_OFFSET, _INFO_BYTES = 2, 3, 8
 KEEPALIVE_IDLE_S = 1
@@ -72,6 +74,7 @@
         self.bytes_sent = 0
         self.stalled: Stalled = _unlimited
         self._calls_in_turn = 0
+        self._checked_s = float("-inf")
 
     async def send(self, data: bytes) -> None:
         """Sends all of `data`.
@@ -79,8 +82,7 @@
         Raises:
           ConnectionEndedError: The peer closed or reset the connection.
         """
-        if self.is_accepted and self.is_peer_silent():
-            raise exceptions.ConnectionEndedError("the peer does not respond")
+        self._check_peer()
         view = memoryview(data)
         while view:
             await self._take_turn()
@@ -149,6 +151,21 @@
         poller.register(self.raw, select.POLLRDHUP)
         return bool(poller.poll(0))
 
+    def _check_peer(self) -> None:
+        """Looks from time to time whether a caller is lost.
+
+        Raises:
+          ConnectionEndedError: It is.
+        """
+        now_s = anyio.current_time()
+        if not self.is_accepted or (
+            now_s - self._checked_s < SILENCE_CHECK_INTERVAL_S
+        ):
+            return
+        self._checked_s = now_s
+        if self.is_peer_silent():
+            raise exceptions.ConnectionEndedError("the peer does not respond")
+
     def is_peer_silent(self) -> bool:
         """Returns whether the peer's machine answers nothing any more."""
         try:
--- a/src/cactusstile/observability/loop_lag.py
+++ b/src/cactusstile/observability/loop_lag.py
@@ -24,9 +24,7 @@
 
 @attrs.define
 class LoopLag:
-    """Lag of the event loop, by its own clock and by that of the boot.
-
-    The clock of the loop stands still while the VM is suspended.
+    """Lag of the event loop, suspension of the VM included.
 
     Attributes:
       paused_until_s: Loop time at which the end of the last pause was noticed;
@@ -42,6 +40,7 @@
     max_lag_s: float = 0.0
     _tick_s: float | None = None
     _tick_boot_s: float = 0.0
+    _tick_steady_s: float = 0.0
     _tick_cpu_s: float = 0.0
     _logged_s: float = float("-inf")
     _unlogged: int = 0
@@ -62,8 +61,8 @@
         if self._tick_s is None:
             self._set_tick(now_s)
             return self.paused_until_s
-        loop_s = now_s - self._tick_s
-        elapsed_s = max(loop_s, clocks.boot_s() - self._tick_boot_s)
+        boot_s = clocks.boot_s() - self._tick_boot_s
+        elapsed_s = max(now_s - self._tick_s, boot_s)
         if elapsed_s < TICK_INTERVAL_S:
             # The ticker is not late.
             return self.paused_until_s
@@ -74,13 +73,15 @@
             self.pause_s = lag_s
             self.pauses += 1
         if lag_s > LOGGED_LAG_S:
-            self._log(now_s, lag_s, elapsed_s - loop_s)
+            steady_s = time.monotonic() - self._tick_steady_s
+            self._log(now_s, lag_s, max(0.0, boot_s - steady_s))
         self._set_tick(now_s)
         return self.paused_until_s
 
     def _set_tick(self, now_s: float) -> None:
         self._tick_s = now_s
         self._tick_boot_s = clocks.boot_s()
+        self._tick_steady_s = time.monotonic()
         self._tick_cpu_s = time.process_time()
 
     def _log(self, now_s: float, lag_s: float, suspended_s: float) -> None:
--- a/tests/observability/test_loop_lag.py
+++ b/tests/observability/test_loop_lag.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+import types
 
 import anyio
 import prometheus_client
@@ -47,13 +48,17 @@
 async def test_suspended_vm_goes_unnoticed(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
-    boot_s = 100.0
+    boot_s, steady_s = 100.0, 50.0
     monkeypatch.setattr(clocks, "boot_s", lambda: boot_s)
+    steady = types.SimpleNamespace(
+        monotonic=lambda: steady_s, process_time=time.process_time
+    )
+    monkeypatch.setattr(loop_lag, "time", steady)
     lag = loop_lag.LoopLag()
     assert lag.check(1.0) == float("-inf")
-    boot_s = 100.2
+    boot_s, steady_s = 100.2, 50.2
     assert lag.check(1.2) == float("-inf")
-    boot_s = 160.2
+    boot_s, steady_s = 160.2, 50.3
     assert lag.check(1.3) == 1.3
     assert vars(caplog.records[0])["suspended_ms"] == 59_900
 
