Let the soak see what a gateway decides after it was stopped

A run by an older version is excused by faults between gateways and control, no longer by pauses of gateways, by targets, weights, the limit or the evacuation. A final refusal by an older version is excused by nothing.

Changes to checks: configuration_in_force moved to version_promise.py and allows fewer versions (those that were sent, not all numbers up to the last of the run); proper_requests leaves out routes that come and go, which newest_refusals checks.

After the pause the gateway closed its watch, whose 1.2 s of silence had passed, and had the newest version 0.43 s later.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import typing
 
 import attrs
@@ -315,6 +316,7 @@
         *,
         with_planned: bool = False,
         but_for: str = "",
+        excuses: collections.abc.Callable[[InjectedFault], bool] | None = None,
     ) -> bool:
         """Returns whether no fault was active between two times.
 
@@ -323,12 +325,15 @@
           to_s: End of the interval.
           with_planned: Whether planned operations count as faults.
           but_for: Kind of fault that does not count.
+          excuses: Returns whether a fault counts; None if all do.
         """
         for fault in self.injected_faults:
             if fault.planned and not with_planned:
                 continue
             if fault.kind == but_for:
                 continue
+            if excuses is not None and not excuses(fault):
+                continue
             end_s = float("inf") if fault.to_s is None else fault.to_s
             if fault.from_s <= to_s and end_s >= from_s:
                 return False
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+import functools
 import json
 import random
 import typing
@@ -25,6 +27,11 @@
 READ_INTERVAL_S = 0.15
 # Number of successive versions that share a temporary key.
 VERSIONS_PER_KEY = 4
+MOVED_PATH = "/moved/"
+# Routes that come and go: each has so many successors before it is dropped.
+TURN_PREFIX = "/turn/"
+TURNS = 8
+_FIRST_TURN = 1000
 _OK = 200
 _REDIRECT = 307
 _FINAL_STATUSES = (400, 409, 412, 413, 422)
@@ -49,9 +56,49 @@
     return f"key-from-{version // VERSIONS_PER_KEY}"
 
 
+def newest_turn(version: int) -> int:
+    """Returns the newest of the routes that come and go in a version."""
+    return _FIRST_TURN + version // VERSIONS_PER_KEY
+
+
+def turn_path(number: int) -> str:
+    """Returns the path of a route that comes and goes."""
+    return f"{TURN_PREFIX}{number}/"
+
+
+def is_permanent(path: str, key: str) -> bool:
+    """Returns whether all versions know a route and a key."""
+    return key in WORKSPACES.values() and not path.startswith(TURN_PREFIX)
+
+
+def may_change(path: str, key: str) -> bool:
+    """Returns whether versions treat a request differently."""
+    return path == MOVED_PATH or not is_permanent(path, key)
+
+
+@functools.cache
+def service_of(version: int, path: str, key: str) -> str | None:
+    """Returns the service to which a version sends a request.
+
+    None if it does not know the route or the key.
+    """
+    content = document(version)
+    keys = {key for tenant in content["tenants"] for key in tenant["apiKeys"]}
+    for route in content["routes"]:
+        if key in keys and route["pathPrefix"] == path:
+            return str(route["trafficSplit"][0]["service"])
+    return None
+
+
+@functools.cache
 def document(version: int) -> dict[str, typing.Any]:
     """Returns the configuration of a version."""
-    moved = ("moved", "/moved/", "idempotent", (moved_service(version),))
+    moved = ("moved", MOVED_PATH, "idempotent", (moved_service(version),))
+    newest = newest_turn(version)
+    turns = [
+        (f"turn-{number}", turn_path(number), "non_idempotent", ("plain",))
+        for number in range(newest - TURNS + 1, newest + 1)
+    ]
     tenants: list[dict[str, typing.Any]] = [
         {"name": name, "apiKeys": [key], "isolated": name == "clinic"}
         for name, key in WORKSPACES.items()
@@ -65,7 +112,7 @@
     }
     return {
         "version": version,
-        "routes": [_route(*route) for route in (*_ROUTES, moved)],
+        "routes": [_route(*route) for route in (*_ROUTES, moved, *turns)],
         "services": _services(),
         "limits": limits,
         "tenants": tenants,
@@ -111,7 +158,7 @@
 
 def invalid_document(version: int, which: int) -> dict[str, typing.Any]:
     """Returns an invalid configuration, one of four by `which`."""
-    invalid = document(version)
+    invalid = copy.deepcopy(document(version))
     route = invalid["routes"][0]
     if which == 0:
         route["timeoutMs"] = 0
--- a/tests/soak/plans.py
+++ b/tests/soak/plans.py
@@ -30,12 +30,15 @@
 GATEWAY_FAULTS = ("kill", "pause", "terminate", "reset", "silence", "delay")
 TARGET_FAULTS = ("target_crash", "target_drain", "target_fails", "target_cut")
 SITE_FAULTS = ("kill_all", "list", "weights", "storm_of_changes")
+# Changes of what is in force.
+SITE_CHANGES = ("weights", "storm_of_changes")
 PLANNED = ("terminate", "target_drain", "weights", "storm_of_changes")
 # Every seed has one target that names a limit, which callers must not notice.
 LIMIT = "target_limit"
 # Every seed has one evacuation of a data centre.
 EVACUATION = "evacuation"
 EVACUATION_S = 5.0
+ALWAYS = (LIMIT, EVACUATION)
 # Drawn apart from the others; each needs targets that are processes.
 TARGET_PROCESS_FAULTS = (
     "target_stop",
@@ -56,6 +59,11 @@
 BUSY_REMAINDERS = (1, 5)
 MANY_GATEWAYS_REMAINDERS = (4, 5)
 REMAINDER_OF = 8
+# Of the seeds without planned work, these only pause gateways, for so long that
+# requests come more than two seconds after a change that the gateway missed.
+PAUSES_REMAINDER = 0
+PAUSES_S = (2.6, 4.5)
+PAUSES_GAP_S = 1.0
 EVACUATED = "there"
 LIMIT_S = 9.0
 PLAIN = "plain"
@@ -89,6 +97,20 @@
     total_s: float,
 ) -> list[Fault]:
     """Returns the faults of a seed, ordered by start."""
+    if has_pauses_alone(seed):
+        plan = _draw_pauses(seed, gateways, total_s)
+    else:
+        plan = _draw_faults(seed, registries, gateways, total_s)
+    plan += _draw_always(seed)
+    return sorted(plan, key=lambda fault: fault.start_s)
+
+
+def _draw_faults(
+    seed: int,
+    registries: collections.abc.Sequence[str],
+    gateways: collections.abc.Sequence[str],
+    total_s: float,
+) -> list[Fault]:
     rng = random.Random(seed)
     planned_only = seed % PLANNED_EVERY == 0
     plan: list[Fault] = []
@@ -117,8 +139,7 @@
     # Drawn apart, so that the other faults of a seed stay as they were.
     if not planned_only:
         plan += _draw_process_faults(seed, registries, gateways, total_s)
-    plan += _draw_always(seed)
-    return sorted(plan, key=lambda fault: fault.start_s)
+    return plan
 
 
 def _draw_always(seed: int) -> list[Fault]:
@@ -156,6 +177,27 @@
     return drawn
 
 
+def _draw_pauses(
+    seed: int, gateways: collections.abc.Sequence[str], total_s: float
+) -> list[Fault]:
+    rng = random.Random(f"{seed}/pauses")
+    drawn = []
+    start_s = rng.uniform(0, PAUSES_GAP_S)
+    while start_s < total_s:
+        duration_s = rng.uniform(*PAUSES_S)
+        drawn.append(
+            Fault("pause", rng.choice(gateways), start_s, duration_s, 0.0)
+        )
+        start_s += duration_s + rng.uniform(0, PAUSES_GAP_S)
+    return drawn
+
+
+def has_pauses_alone(seed: int) -> bool:
+    """Returns whether a seed only pauses gateways."""
+    is_planned = seed % PLANNED_EVERY == 0
+    return seed % REMAINDER_OF == PAUSES_REMAINDER and not is_planned
+
+
 def is_busy(seed: int) -> bool:
     """Returns whether cores are busy beside a seed."""
     return seed % REMAINDER_OF in BUSY_REMAINDERS
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -33,6 +33,8 @@
 # Targets stand in them by turns.
 DATA_CENTRES = ("here", plans.EVACUATED)
 CALLERS = 20
+# Mean time between two requests of those that do not wait for answers.
+TURNS_PAUSE_S = 0.04
 CHANGE_PAUSE_S = 0.7
 # Callers of one repeated request each, and the mean time between two.
 REPEATED_PAUSES_S = {histories.ENDS_TARGETS: 0.4, histories.HOT: 0.05}
@@ -138,6 +140,36 @@
                 caller.content, caller.mean_pause_s = name, pause_s
             opened.append(caller)
             self.group.start_soon(caller.run)
+        return opened + self._open_turn_callers(site_operators, balancer)
+
+    def _open_turn_callers(
+        self,
+        site_operators: operators.Operators,
+        balancer: soak_callers.Balancer,
+    ) -> list[soak_callers.Caller]:
+        """Starts a caller for each gateway, which asks while it is stopped."""
+        opened: list[soak_callers.Caller] = []
+        if not self.seed % plans.PLANNED_EVERY:
+            # Planned work is to be done with the balancer's callers alone.
+            return opened
+        gateways = self.site.of_role("gateway")
+        for gateway in gateways:
+            fronts = {gateway.name: balancer.fronts[gateway.name]}
+            caller = soak_callers.Caller(
+                f"turns-{gateway.name}",
+                soak_callers.Balancer(fronts, {}),
+                self.history,
+                site_operators,
+                self.create_rng(f"turns/{gateway.name}"),
+                [0],
+                mean_pause_s=TURNS_PAUSE_S * len(gateways),
+                turns=True,
+            )
+            opened.append(caller)
+            self.group.start_soon(
+                caller.run_without_waiting,
+                lambda node=gateway: node.signalled_s is None,
+            )
         return opened
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -14,13 +14,13 @@
 from tests.soak import operators
 from tests.soak import repeat_promise
 from tests.soak import stand_ins
+from tests.soak import version_promise
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 REFUSED_KEY_STATUS = 401
 UNKNOWN_STATUSES = (401, 403, 404)
 OK = 200
 # Bounds of the checked deployments; see `deploy/*.ini` and docs/PLATFORM.md.
-CONFIGURATION_APPLY_S = 2.0
 STABLE_S = 3.0
 GRACE_PERIOD_S = 8.0
 CANCEL_TIMEOUT_S = 0.5
@@ -31,7 +31,6 @@
 RETRY_WINDOW_S = 10.0
 # Number of abandoned requests that may run on before they are a violation.
 MAX_LATE_CANCELS = 3
-PERMANENT_KEYS = tuple(operators.WORKSPACES.values())
 
 
 @attrs.frozen
@@ -112,23 +111,13 @@
     sent = {change.version: change.document for change in history.changes}
     for read in history.reads:
         version = read.document["version"]
-        newest = _newest_acknowledged(history, read.sent_s)
+        newest = version_promise.newest_acknowledged(history, read.sent_s)
         if version < newest:
             yield f"{read.registry} gave {version} after {newest}"
         if sent.get(version) != read.document:
             yield f"{read.registry} gave other content under {version}"
 
 
-def _newest_acknowledged(history: histories.History, before_s: float) -> int:
-    """Returns the newest version that was acknowledged before a time."""
-    newest = 0
-    for change in history.changes:
-        if change.acknowledged_s is None or change.acknowledged_s > before_s:
-            continue
-        newest = max(newest, change.version)
-    return newest
-
-
 def kept_configuration(
     history: histories.History,
 ) -> collections.abc.Iterator[str]:
@@ -153,37 +142,10 @@
 ) -> collections.abc.Iterator[str]:
     """Routes and keys of all versions are never refused as unknown."""
     for call in history.calls.values():
-        if call.status in UNKNOWN_STATUSES and call.key in PERMANENT_KEYS:
-            yield f"{call.id} was answered {call.status} by {call.gateway}"
-
-
-def configuration_in_force(
-    history: histories.History,
-) -> collections.abc.Iterator[str]:
-    """Without faults, a change is in force within its time bound."""
-    last = max((change.version for change in history.changes), default=0)
-    for arrival in history.arrivals:
-        call = history.calls.get(arrival.request_id)
-        if call is None or not arrival.ran:
+        if call.status not in UNKNOWN_STATUSES:
             continue
-        if not history.is_fault_free(
-            call.sent_s - STABLE_S, arrival.at_s, with_planned=True
-        ):
-            continue
-        oldest = _newest_acknowledged(
-            history, call.sent_s - CONFIGURATION_APPLY_S
-        )
-        versions = range(oldest, last + 1)
-        if call.path == "/moved/":
-            allowed = {operators.moved_service(version) for version in versions}
-            if arrival.service not in allowed:
-                yield f"{call.id} ran at {arrival.service} after {oldest}"
-        elif call.key not in PERMANENT_KEYS:
-            allowed_keys = {
-                operators.temporary_key(version) for version in versions
-            }
-            if call.key not in allowed_keys:
-                yield f"{call.id} ran with {call.key} after {oldest}"
+        if operators.is_permanent(call.path, call.key):
+            yield f"{call.id} was answered {call.status} by {call.gateway}"
 
 
 def walled_cache(
@@ -353,7 +315,8 @@
     kept_configuration,
     answered_changes,
     proper_requests,
-    configuration_in_force,
+    version_promise.configuration_in_force,
+    version_promise.newest_refusals,
     walled_cache,
     newest_weights,
     fenced_orders,
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+import itertools
 import random
 
 import anyio
@@ -32,6 +34,9 @@
 RECOVERED_ANSWERS = 30
 MAX_RESPONSE_BYTES = 1 << 20
 SESSIONS = 12
+# Successors of a route that was added of late, and of one that was dropped.
+TURN_AGES = 6
+TURNS_KNOWN = 14
 # Half of them are not repeatable.
 PATHS = ("/read/", "/moved/", "/talk/", "/write/", "/draft/", "/long/")
 MAX_TOKENS_OUT = 40
@@ -107,6 +112,7 @@
       content: Content of all its requests, each at any gateway; empty if each
         has its own.
       mean_pause_s: Mean time between two requests.
+      turns: Whether it asks for the routes that come and go alone.
     """
 
     name: str
@@ -121,6 +127,7 @@
     stopped: bool = False
     content: str = ""
     mean_pause_s: float = MEAN_PAUSE_S
+    turns: bool = False
 
     async def run(self) -> None:
         """Sends requests until stopped."""
@@ -133,6 +140,32 @@
         finally:
             self._close_connection()
 
+    async def run_without_waiting(
+        self, may_ask: collections.abc.Callable[[], bool]
+    ) -> None:
+        """Sends requests until stopped, each on a connection of its own.
+
+        Others wait for an answer before they ask again, so that a process that
+        is stopped finds none of theirs that came late in its pause.
+        """
+        async with anyio.create_task_group() as group:
+            for number in itertools.count():
+                await anyio.sleep(
+                    self.random.expovariate(1 / self.mean_pause_s)
+                )
+                if self.stopped:
+                    return
+                if may_ask():
+                    one = attrs.evolve(self, name=f"{self.name}-{number}")
+                    group.start_soon(one.run_once)
+
+    async def run_once(self) -> None:
+        """Sends one request."""
+        try:
+            await self._send_request()
+        finally:
+            self._close_connection()
+
     def _close_connection(self) -> None:
         if self.connection is not None:
             self.connection.close()
@@ -192,7 +225,7 @@
 
     def _draw_request(self) -> tuple[histories.Call, messages.Request]:
         self.count += 1
-        path = self.random.choice(PATHS)
+        path = self._draw_turn() if self.turns else self.random.choice(PATHS)
         workspace = self.random.choice(tuple(operators.WORKSPACES))
         if self.content:
             path, workspace = "/read/", "bank"
@@ -231,6 +264,14 @@
         target = (path + call.content).encode()
         return call, messages.Request(b"POST", target, tuple(fields), body)
 
+    def _draw_turn(self) -> str:
+        """Returns a route that a version of late brought or dropped."""
+        newest = operators.newest_turn(self.operators.version)
+        ages = (range(TURN_AGES), range(operators.TURNS, TURNS_KNOWN))
+        return operators.turn_path(
+            newest - self.random.choice(self.random.choice(ages))
+        )
+
     def _prompt(self, call: histories.Call) -> list[tuple[bytes, bytes]]:
         session = self.random.randrange(SESSIONS)
         shared, own = (400, 200), 50
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -153,6 +153,36 @@
     history.arrivals.append(make_arrival("b", route="/read/"))
 
 
+def _turn(version: int) -> str:
+    return operators.turn_path(operators.newest_turn(version))
+
+
+def _pause_of_a_gateway(history: histories.History) -> None:
+    pause = histories.InjectedFault("pause", "gateway-1", 6.0, 10.0)
+    history.injected_faults.append(pause)
+
+
+def _refused_by_an_old_version(history: histories.History) -> None:
+    _pause_of_a_gateway(history)
+    history.changes.append(make_change(4, 7.9))
+    history.reads.clear()
+    history.reads.append(histories.Read("r", 30.0, operators.document(4)))
+    history.calls["b"] = make_call("b", status=404, path=_turn(4))
+
+
+def _refused_with_a_new_key(history: histories.History) -> None:
+    history.calls["b"] = make_call(
+        "b", status=401, path="/read/", key=operators.temporary_key(1)
+    )
+
+
+def _dropped_route(history: histories.History) -> None:
+    _pause_of_a_gateway(history)
+    path = operators.turn_path(operators.newest_turn(1) - operators.TURNS)
+    history.calls["b"] = make_call("b", path=path)
+    history.arrivals.append(make_arrival("b", route=path))
+
+
 def _part_of_other_weights(history: histories.History) -> None:
     history.arrivals[0].reused = ((7, "bank"),)
 
@@ -294,6 +324,9 @@
         (_unknown_route, "proper_requests"),
         (_old_service, "configuration_in_force"),
         (_old_key, "configuration_in_force"),
+        (_dropped_route, "configuration_in_force"),
+        (_refused_by_an_old_version, "newest_refusals"),
+        (_refused_with_a_new_key, "newest_refusals"),
         (_part_of_other_weights, "walled_cache"),
         (_part_of_isolated_workspace, "walled_cache"),
         (_old_weights, "newest_weights"),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,7 +20,8 @@
 #   event loop, whose accept had been cancelled.
 # 15: an engine that had named a limit got twice what it allows.
 # 2006: a run went on at a second engine while the first one was only stopped.
-FAILED_SEEDS = (62, 7003, 15, 2006)
+# 16: a gateway that had been stopped answered by an old configuration.
+FAILED_SEEDS = (62, 7003, 15, 2006, 16)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
