Refuse what is read too late in a stop, also after a pause

Cause: the end of taking requests was a flag that the drain's poll sets. After a pause (or with little processor time) connections are served before it.

Evidence: tests/processes/test_pauses.py, test_request_that_came_in_a_pause_of_a_drain_is_cut_off failed before (b'' in place of 503, after the process's end), and passes now.

Why this works: a request that has been read is compared with the time itself. Too late, it is answered 503 with Retry-After, which promises that nothing ran; another gateway can serve it.

--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -68,6 +68,7 @@
         """
         self.stopping = True
         serving.stopping = True
+        serving.take_until_s = anyio.current_time() + ACCEPT_S
         with anyio.move_on_after(stop_s - RESERVE_S):
             await anyio.sleep(NOTICE_S)
             started_s = anyio.current_time()
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -92,6 +92,9 @@
         request = await self._read_request()
         if request is None:
             return False
+        if not self.serving.may_serve():
+            await self._refuse(responders.UNAVAILABLE, "this process stops")
+            return False
         self.serving.open_requests += 1
         try:
             return await self._answer(request)
--- a/src/cactusstile/http/serving.py
+++ b/src/cactusstile/http/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -47,6 +48,8 @@
       turns: Turns of connections whose work takes long.
       stopping: Whether responses close their connections.
       takes_requests: Whether open connections may bring further requests.
+      take_until_s: Loop time from which on requests that were read are refused,
+        also if the process stood still at that time.
       open_requests: Number of requests in progress.
       accepting: Cancelled to stop accepting connections.
       finished: Set when no request is in progress any more.
@@ -67,6 +70,7 @@
     turns: turns.Turns = attrs.field(factory=turns.Turns)
     stopping: bool = False
     takes_requests: bool = True
+    take_until_s: float = math.inf
     open_requests: int = 0
     accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     finished: anyio.Event = attrs.field(factory=anyio.Event)
@@ -95,6 +99,11 @@
         if not self.open_requests:
             self.finished.set()
 
+    def may_serve(self) -> bool:
+        """Returns whether a request that was just read may be served."""
+        is_early = anyio.current_time() < self.take_until_s
+        return self.takes_requests and is_early
+
     def take_no_more(self) -> None:
         """Takes neither connections nor requests from now on.
 
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -10,13 +10,14 @@
 
 import anyio
 import anyio.abc
+import attrs
 import pytest
-from tests.platform import test_configurations
 from tests.processes import test_crowds
 from tests.registry import support
 from tests.support import node_site
 from tests.support import raw_target
 
+from cactusstile.gateway import lifecycle
 from cactusstile.http import messages
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
@@ -38,12 +39,14 @@
     tmp_path: pathlib.Path,
 ) -> typing.AsyncIterator[node_site.NodeSite]:
     scripts = [raw_target.answer(), *[answer_late] * 40]
+    held = [raw_target.hold] * 9
     network = support.draw_network()
     async with (
         raw_target.open_target(*scripts, service="s", id="t") as target,
+        raw_target.open_target(*held, service="held", id="h") as holder,
         node_site.open_site(tmp_path, network, support.FIRST_PORT) as opened,
     ):
-        opened.listed.append(target.target)
+        opened.listed += [target.target, holder.target]
         await opened.start("registry", "r-1", opened.registry_host)
         await opened.start("gateway", "g-1", opened.gateway_host)
         await opened.wait_for(
@@ -59,13 +62,12 @@
 
 
 def configuration() -> messages.Request:
-    document = test_configurations.document()
+    request = test_crowds.configuration(7)
+    document = json.loads(request.body)
     document["routes"][0]["timeoutMs"] = TIMEOUT_MS
+    document["routes"][1]["timeoutMs"] = 20_000
     document["limits"]["idleTimeoutMs"] = IDLE_MS
-    body = json.dumps(document).encode()
-    return messages.Request(
-        b"POST", b"/-/Config.Replace", test_crowds.HOST, body
-    )
+    return attrs.evolve(request, body=json.dumps(document).encode())
 
 
 async def connect(site: node_site.NodeSite) -> anyio.abc.SocketStream:
@@ -76,7 +78,7 @@
 async def receive(stream: anyio.abc.SocketStream) -> bytes:
     """Returns what comes next; empty if the connection ends."""
     with (
-        anyio.fail_after(5),
+        anyio.fail_after(10),
         contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError),
     ):
         return await stream.receive()
@@ -123,3 +125,18 @@
         async with paused(site, 1.5 * TIMEOUT_MS / 1000):
             pass
         assert (await receive(stream)).startswith(b"HTTP/1.1 200")
+
+
+# Guards against a request that is taken too late in a stop and cut off.
+async def test_request_that_came_in_a_pause_of_a_drain_is_cut_off(
+    site: node_site.NodeSite,
+) -> None:
+    site.processes["g-1"].send_signal(signal.SIGTERM)
+    await anyio.sleep(lifecycle.NOTICE_S - 0.4)
+    async with await connect(site) as stream:
+        # Until it is accepted.
+        await anyio.sleep(0.1)
+        async with paused(site, 0.2):
+            await anyio.sleep(lifecycle.ACCEPT_S - lifecycle.NOTICE_S + 0.4)
+            await stream.send(REQUEST.replace(b"/a/x", b"/h/x"))
+        assert (await receive(stream)).startswith(b"HTTP/1.1 503")
