Answer at a stop what was read ahead of its answer

What callers saw: of requests that a caller had sent one after another on a kept connection, those that the gateway had read ahead ended without an answer as it stopped: after an answer with 'connection: close', or after the end of a stream that had begun before the signal.

Cause: a stop closed each connection at the end of its answer, whatever else had been read from it.

Why this works: an answer announces the end of its connection only if nothing was read ahead of it. While requests are taken, the rest is served; later it is refused with 503, which names the end.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -78,7 +78,11 @@
 
     async def _run(self) -> None:
         # One that was told to give way may have read a whole request before.
-        while self.serving.takes_requests and not self.place.gave_way:
+        while not self.place.gave_way:
+            # What was read ahead is answered, be it with a refusal.
+            is_read = self.reader.buffered_bytes() > 0
+            if not self.serving.takes_requests and not is_read:
+                return
             if not await self._serve_next():
                 return
             self.reader.protocol.start_next_cycle()
--- a/src/cactusstile/http/responder.py
+++ b/src/cactusstile/http/responder.py
@@ -121,7 +121,8 @@
         )
 
     def _head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
-        if self._serving.stopping:
+        # What was sent ahead would not be answered any more.
+        if self._serving.stopping and not self._protocol.trailing_data[0]:
             headers.append((b"connection", b"close"))
         if status in _STATUSES_WITHOUT_BODY:
             self._without_body = True
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -163,3 +163,38 @@
         await state.drain(harness.serving, 1.0)
         assert 0.8 <= anyio.current_time() - began_s < 1.0
         await stream.aclose()
+
+
+# Guards against requests that were read ahead and end without an answer.
+@pytest.mark.parametrize("accept_s", [0.1, 5.0])
+async def test_requests_sent_ahead_are_dropped_at_a_stop(
+    monkeypatch: pytest.MonkeyPatch, accept_s: float
+) -> None:
+    monkeypatch.setattr(lifecycle, "NOTICE_S", 0.05)
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", accept_s)
+    gate = anyio.Event()
+
+    async def answer(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        await gate.wait()
+        return await raw_target.answer()(stream, request)
+
+    config = support.configuration(support.route())
+    async with (
+        raw_target.open_target(*[answer] * 3) as target,
+        support.open_harness(config, target) as harness,
+        anyio.create_task_group() as group,
+    ):
+        request = support.request().replace(b"Connection: close\r\n", b"")
+        async with await harness.connect() as stream:
+            await stream.send(3 * request)
+            while not target.requests:
+                await anyio.sleep(0.01)
+            state = lifecycle.Lifecycle(harness.site)
+            group.start_soon(state.drain, harness.serving, 8.0)
+            await anyio.sleep(0.3)
+            gate.set()
+            data = await support.read_to_end(stream)
+        served = 3 if accept_s > 1 else 1
+        assert data.count(b"HTTP/1.1 200") == served
+        assert data.count(b"HTTP/1.1 ") == min(3, served + 1)
+        assert data.lower().count(b"connection: close") == 1
