--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -78,7 +78,11 @@
 
     async def _run(self) -> None:
         # One that was told to give way may have read a whole request before.
-        while self.serving.takes_requests and not self.place.gave_way:
+        while not self.place.gave_way:
+            # What was read ahead is answered, be it with a refusal.
+            is_read = self.reader.buffered_bytes() > 0
+            if not self.serving.takes_requests and not is_read:
+                return
             if not await self._serve_next():
                 return
             self.reader.protocol.start_next_cycle()
@@ -92,6 +96,9 @@
         request = await self._read_request()
         if request is None:
             return False
+        if not self.serving.may_serve():
+            await self._refuse(responders.UNAVAILABLE, "this process stops")
+            return False
         self.serving.open_requests += 1
         try:
             return await self._answer(request)
