Orders: check the leadership once there is a connection

What callers saw: nothing that is known. A leader that stood still while it opened a connection to an engine sent its order on waking, with the token of its old term, although another leader had given orders since. Engines that check tokens refuse it; for others it is an order of two holders in turn.

Cause: the check that this replica leads stood before the connection was taken from the pool, which may wait up to 0.3 s and far longer if the process stands still. Sockets that are ready are served before timeouts that have passed.

The check is made again right before the first byte, and includes the term of the token. Freed parts need none: a store refuses them by its own clock 100 ms after the events by which they were chosen.

tests/registry/test_rollout.py: its double of the client takes the new parameter of `send_order`; no check changed.

--- a/src/cactusstile/platform/client.py
+++ b/src/cactusstile/platform/client.py
@@ -19,6 +19,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    MaySend = collections.abc.Callable[[], bool]
+
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 0.6
@@ -136,15 +138,24 @@
         return status
 
     async def send_order(
-        self, target: model.Target, request: messages.Request
+        self,
+        target: model.Target,
+        request: messages.Request,
+        may_send: MaySend,
     ) -> int:
         """Sends an order; returns the status of the answer.
 
+        Args:
+          target: The target.
+          request: The order.
+          may_send: Returns whether the order may be sent, once there is a
+            connection: the process may have stood still until then.
+
         Raises:
           CallError: No answer was received; the target may execute the order
             later.
         """
-        status, _ = await self._call(target.address, request)
+        status, _ = await self._call(target.address, request, may_send=may_send)
         return status
 
     async def _read(
@@ -163,11 +174,14 @@
         target: address.Address,
         request: messages.Request,
         wait_s: float = 0.0,
+        may_send: MaySend = lambda: True,
     ) -> tuple[int, bytes]:
         try:
             with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
                 connection = await self.pool.take(target, CONNECT_TIMEOUT_S)
                 try:
+                    if not may_send():
+                        raise CallError(f"{target}: not allowed any more")
                     head = await connection.ask(request, lambda _: True)
                     body = await connection.read_full_body(MAX_ANSWER_BYTES)
                 finally:
--- a/src/cactusstile/registry/weights.py
+++ b/src/cactusstile/registry/weights.py
@@ -147,6 +147,9 @@
             return False
         return self.replica.status().term != self.fenced_off_term
 
+    def _may_order_in(self, term: int) -> bool:
+        return self._may_order() and self.replica.status().term == term
+
     def _discard_gone_engines(self, engines: tuple[model.Target, ...]) -> None:
         """Discards what is known of engines that are not listed."""
         present = {entry.incarnation for entry in engines}
@@ -281,7 +284,9 @@
             expected_orders=report.orders,
         )
         try:
-            answer_status = await self.client.send_order(swap.target, request)
+            answer_status = await self.client.send_order(
+                swap.target, request, lambda: self._may_order_in(status.term)
+            )
         except clients.CallError as error:
             logger.info(
                 "order received no answer",
--- a/tests/registry/test_rollout.py
+++ b/tests/registry/test_rollout.py
@@ -83,7 +83,10 @@
         return listings.Report(held, False, 0, engine.requests, 0)
 
     async def send_order(
-        self, target: model.Target, request: messages.Request
+        self,
+        target: model.Target,
+        request: messages.Request,
+        _: collections.abc.Callable[[], bool] = lambda: True,
     ) -> int:
         engine = await self._reach(target)
         if not engine.answers_orders:
