Rejoin: tell a replica that it was replaced only once that is committed

What callers saw: nothing that is known. A replica that found no leader for 2 s asks whether it is a member still, and discards its data if not. A leader answered by the newest entry of its log, committed or not. If it then lost its leadership, the group went on with a voter that had discarded what it had acknowledged.

Cause: a read barrier covers what is committed; the members were taken from the log, which is ahead of it.

Evidence, on the code before: a removal that no follower has received, "MembershipAnswer(is_member=False) == MembershipAnswer(is_member=True)".

A replica now counts as a member as long as the committed configuration or the newest one names it.

--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -268,6 +268,18 @@
             campaigns=state.campaigns,
         )
 
+    def is_member(self, member_id: str) -> bool:
+        """Returns whether a replica is a member or may be one.
+
+        A change that is not committed may be undone by the next leader.
+        """
+        state = self.driver.state
+        committed = state.configuration_at(state.commit_index)
+        for configuration in (state.configuration, committed):
+            if configuration.find(member_id) is not None:
+                return True
+        return False
+
     def counters(self) -> counters.Counters:
         """Returns the counters since the replica was opened."""
         return self.driver.writer.counters
--- a/src/cactusstile/registry/rejoin.py
+++ b/src/cactusstile/registry/rejoin.py
@@ -51,8 +51,7 @@
             raise transport_exceptions.RemoteError(
                 attempts.NOT_LEADER, "ask the leader", own_replica.leader
             ) from error
-        members = own_replica.status().members
-        is_member = any(peer.member.id == message.member_id for peer in members)
+        is_member = own_replica.is_member(message.member_id)
         return commands.MembershipAnswer(is_member)
 
     return {commands.AskMembership: answer}
