Send no request over a connection that carried its id before

Answers of targets are told apart by the request id. As routes of requests that run once have maxAttempts 1, nothing is sent again, and only REFUSED comes of it, without TWICE.

Evidence: test_late_copy_of_a_refusal_does_not_speak_for_the_same_id failed on ("assert 503 == 200", the target had run the request).

Why it works: a connection remembers the last 32 ids that it carried, and is left to other requests; the request gets another one, which nothing of that id can arrive on. Repeats within one request open a connection as before, so that they do not depend on that number.

--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -160,7 +160,7 @@
     Raises:
       AttemptError: The attempt failed.
     """
-    connection = await _take_connection(pool, dispatch)
+    connection = await _take_connection(pool, dispatch, admitted.id)
     try:
         if not may_send():
             raise AttemptError(
@@ -172,16 +172,18 @@
 
 
 async def _take_connection(
-    pool: targets.Pool, dispatch: target_requests.Dispatch
+    pool: targets.Pool, dispatch: target_requests.Dispatch, request_id: str
 ) -> targets.TargetConnection:
-    """Returns a connection to the target.
+    """Returns a connection to the target that has not carried the request.
 
     Raises:
       AttemptError: The target is unreachable.
     """
+    place = dispatch.target.address
     try:
-        connect = pool.open if dispatch.is_return else pool.take
-        return await connect(dispatch.target.address, CONNECT_TIMEOUT_S)
+        if dispatch.is_return:
+            return await pool.open(place, CONNECT_TIMEOUT_S)
+        return await pool.take(place, CONNECT_TIMEOUT_S, request_id)
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
@@ -201,6 +203,8 @@
       AttemptError: The attempt failed.
     """
     request = target_requests.build(admitted, dispatch)
+    if admitted.id:
+        connection.carried.append(admitted.id)
     bytes_before = connection.socket.bytes_sent
     try:
         with anyio.CancelScope(deadline=dispatch.begin_by_s):
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import contextlib
 import re
 import typing
@@ -17,8 +18,6 @@
 from cactusstile.transport import address
 
 if typing.TYPE_CHECKING:
-    import collections.abc
-
     ResponseMatcher = collections.abc.Callable[[messages.ResponseHead], bool]
     Reserve = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
@@ -39,6 +38,8 @@
 # reused.
 IDLE_REUSE_FRACTION = 0.75
 MAX_IDLE_PER_TARGET = 16
+# Requests that a connection remembers.
+MAX_CARRIED_IDS = 32
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 _KEEP_ALIVE = b"keep-alive"
 _SECONDS = re.compile(r"[0-9]{1,9}")
@@ -51,6 +52,8 @@
       target: Address of the target.
       socket: Underlying socket, which counts the bytes sent.
       expires_s: Event loop time after which the connection is not reused.
+      carried: Ids of the last requests that were sent over it. A late copy of
+        an answer could be taken for the next answer to the same id.
     """
 
     def __init__(self, target: address.Address, opened: sockets.Socket) -> None:
@@ -58,6 +61,9 @@
         self.target = target
         self.socket = opened
         self.expires_s = float("inf")
+        self.carried: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED_IDS
+        )
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._protocol = _new_protocol()
         self._event: h11.Request
@@ -297,21 +303,40 @@
     opened: int = 0
 
     async def take(
-        self, target: address.Address, connect_timeout_s: float
+        self,
+        target: address.Address,
+        connect_timeout_s: float,
+        request_id: str = "",
     ) -> TargetConnection:
         """Returns an idle connection, or a new one if there is none.
 
+        Args:
+          target: Address of the target.
+          connect_timeout_s: Time limit of a new connection, in seconds.
+          request_id: Id of the request; a connection that carried it before is
+            left to other requests.
+
         Raises:
           UnreachableError: No connection could be opened; nothing was sent.
         """
+        found = self._take_idle(target, request_id)
+        if found is not None:
+            return found
+        return await self.open(target, connect_timeout_s)
+
+    def _take_idle(
+        self, target: address.Address, request_id: str
+    ) -> TargetConnection | None:
         waiting = self.idle.get(target, [])
-        while waiting:
-            found = waiting.pop()
+        for index in reversed(range(len(waiting))):
+            if request_id in waiting[index].carried:
+                continue
+            found = waiting.pop(index)
             is_fresh = anyio.current_time() < found.expires_s
             if is_fresh and not found.socket.has_input():
                 return found
             found.close()
-        return await self.open(target, connect_timeout_s)
+        return None
 
     async def open(
         self, target: address.Address, connect_timeout_s: float
--- a/tests/gateway/test_verdicts_of_targets.py
+++ b/tests/gateway/test_verdicts_of_targets.py
@@ -88,3 +88,25 @@
     assert len(first.requests) == 2
     assert support.status(data) == 200
     assert second.requests == []
+
+
+async def test_late_copy_of_a_refusal_does_not_speak_for_the_same_id() -> None:
+    """Guards against a false promise to a caller that uses an id again."""
+    refusal = raw_target.reject()
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        if target.connections == 1:
+            await refusal(stream, request)
+        return await raw_target.answer()(stream, request)
+
+    once = support.configuration(support.route(model.Kind.ONCE, max_attempts=1))
+    async with (
+        raw_target.open_target(refusal, run) as target,
+        support.open_harness(once, target) as harness,
+    ):
+        first = await harness.ask(support.request(b"POST"))
+        await anyio.sleep(0.5)
+        second = await harness.ask(support.request(b"POST"))
+    assert support.status(first) == 503
+    assert len(target.requests) == 2
+    assert support.status(second) == 200
