Count a gateway's time to stop from the arrival of the signal

What callers see: requests of a gateway that stops are cut off by SIGKILL instead of being ended in time (LOST), if its event loop was busy when SIGTERM came.

Cause: the deadline of the drain and the one for requests that are taken counted from the turn of the task that reads the signal. The platform counts from the signal. The handler of the signal now notes the time, which Python runs between two steps of whatever keeps the loop busy.

The test on the code before, with a loop that is busy for a second: "assert 8.0 <= (8.0 - 1.0)".

--- a/src/cactusstile/console/signals.py
+++ b/src/cactusstile/console/signals.py
@@ -33,10 +33,13 @@
     Attributes:
       stream: Stream of the signals.
       is_awaited: Whether the first signal was or is awaited.
+      first_s: Loop time at which the first signal came; None before. A busy
+        event loop reads it from the stream later.
     """
 
     stream: Signals
     is_awaited: bool = False
+    first_s: float | None = None
 
     def __aiter__(self) -> Received:
         """Returns the iterator itself."""
@@ -77,6 +80,7 @@
 
     def handle(number: int, frame: types.FrameType | None) -> None:
         del frame
+        received.first_s = received.first_s or loop.time()
         loop.call_soon_threadsafe(deliver, number)
 
     with contextlib.ExitStack() as stack:
--- a/src/cactusstile/gateway/process.py
+++ b/src/cactusstile/gateway/process.py
@@ -34,10 +34,11 @@
             group.start_soon(reload.watch, path, settings, apply)
             number = await anext(received)
             logger.info("stopping", extra={"signal": int(number)})
-            gateway.forwarder.stop_at_s = (
-                anyio.current_time() + settings.stop_s - lifecycle.RESERVE_S
-            )
-            await gateway.lifecycle.drain(gateway.serving, settings.stop_s)
+            now_s = anyio.current_time()
+            # The platform counts from the signal, however late it is read.
+            left_s = settings.stop_s - (now_s - (received.first_s or now_s))
+            gateway.forwarder.stop_at_s = now_s + left_s - lifecycle.RESERVE_S
+            await gateway.lifecycle.drain(gateway.serving, left_s)
             gateway.forwarder.directory.hand_over()
             await anyio.sleep(HAND_OVER_S)
             group.cancel_scope.cancel()
