End a stopped process without the clean-up of its event loop

Cause: once all was closed, `anyio.run` still closed the event loop, which starts a thread that waits for the executor's threads. With few turns of a processor each of these steps waits for seconds. A gateway has such a thread, since the name of its UDP address was looked up in one. The process now ends where `main` has returned.

The test, with a thread that is busy, on the code before: "subprocess.TimeoutExpired" after 20 s.

The existing test of the interpreter's clean-up has the thread as a second case; its check is unchanged.

--- a/src/cactusstile/console/node_process.py
+++ b/src/cactusstile/console/node_process.py
@@ -46,8 +46,15 @@
         path, node.load, functools.partial(configure, "")
     )
     configure(loaded.name)
+
+    async def run_and_exit() -> None:
+        await main(loaded, path)
+        # All is closed. On a busy machine, the clean-up of the event loop (it
+        # waits for threads) and of the interpreter can outlast the time left.
+        os._exit(exceptions.ExitCode.OK)
+
     try:
-        anyio.run(main, loaded, path)
+        anyio.run(run_and_exit)
     except* consensus_exceptions.StorageError as group:
         logger.critical(
             "stopped: the durable state cannot be used; repair the disk, or"
@@ -60,6 +67,3 @@
     except* Exception:
         logger.critical("ended by a fault of the program", exc_info=True)
         raise
-    # All is closed. On a busy machine, the clean-up of the interpreter can take
-    # longer than what is left until the platform kills the process.
-    os._exit(exceptions.ExitCode.OK)
--- a/tests/console/test_node_process.py
+++ b/tests/console/test_node_process.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+import pytest
 from tests.support import node_site
 
 PROGRAM = """
@@ -15,13 +16,23 @@
     pass
 
 atexit.register(time.sleep, 60)
+node_process.run("gateway", sys.argv[1], main)
+"""
+PROGRAM_WITH_THREAD = """
+import asyncio, sys, time
+from cactusstile.console import node_process
+
+async def main(settings, path):
+    asyncio.get_running_loop().run_in_executor(None, time.sleep, 60)
+
 node_process.run("gateway", sys.argv[1], main)
 """
 TIMEOUT_S = 20
 
 
+@pytest.mark.parametrize("program", [PROGRAM, PROGRAM_WITH_THREAD])
 def test_clean_up_of_the_interpreter_does_not_delay_a_stop(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, program: str
 ) -> None:
     """Guards against a stopped process that is still there to be killed."""
     filled = node_site.values(
@@ -35,7 +46,7 @@
     path = tmp_path / "gateway.ini"
     path.write_text(node_site.render("gateway", filled))
     done = subprocess.run(  # noqa: S603
-        [sys.executable, "-c", PROGRAM, str(path)],
+        [sys.executable, "-c", program, str(path)],
         check=False,
         timeout=TIMEOUT_S,
     )
