Count a stop's time from its signal, also if that came in a pause

What callers saw: a gateway that stood still as SIGTERM came took the whole of graceS from its waking on. The platform ends it graceS after the signal, so that requests of the last seconds were cut off, among them some that it had taken later than 3 s after the signal.

Cause: the drain's clock began when the signal was read from a queue by a task.

Evidence: tests/processes/test_pauses.py, test_stop_whose_signal_came_in_a_pause_ends_too_late: stopped by SIGSTOP for 2 s with the signal, the process ended later than 8.3 s after it before; in time now. 13 tests of test_pauses.py and test_lifecycle.py pass.

Why this works: the signal's handler records the time, so that a backlog of the event loop counts. The selector records by how much a wait exceeded what was asked for: the process stood still, and a signal noticed then may be as old as that. Both are taken off the notice, the time of taking requests and the end. The line 'stopping' has them as late_ms. A pause that is shorter than the wait that it falls into is not seen (waits of a gateway are short).

--- a/src/cactusstile/console/signals.py
+++ b/src/cactusstile/console/signals.py
@@ -5,12 +5,15 @@
 import asyncio
 import contextlib
 import logging
+import math
 import signal
+import time
 import typing
 
 import anyio
 import attrs
 
+from cactusstile import event_loop
 from cactusstile.console import early_signals
 
 if typing.TYPE_CHECKING:
@@ -33,10 +36,20 @@
     Attributes:
       stream: Stream of the signals.
       is_awaited: Whether the first signal was or is awaited.
+      first_s: Monotonic time at which the first one was noticed.
     """
 
     stream: Signals
     is_awaited: bool = False
+    first_s: float = math.inf
+
+    def late_s(self) -> float:
+        """Returns how long ago the first signal may have been sent.
+
+        It can have waited while the process stood still.
+        """
+        waited_s = time.monotonic() - self.first_s
+        return max(0.0, waited_s) + event_loop.pause_before_s(self.first_s)
 
     def __aiter__(self) -> Received:
         """Returns the iterator itself."""
@@ -77,6 +90,7 @@
 
     def handle(number: int, frame: types.FrameType | None) -> None:
         del frame
+        received.first_s = min(received.first_s, time.monotonic())
         loop.call_soon_threadsafe(deliver, number)
 
     with contextlib.ExitStack() as stack:
--- a/src/cactusstile/gateway/lifecycle.py
+++ b/src/cactusstile/gateway/lifecycle.py
@@ -55,7 +55,9 @@
         status = OK if self.is_ready() else UNAVAILABLE
         await responder.respond(status, [], b"")
 
-    async def drain(self, serving: servings.Serving, stop_s: float) -> None:
+    async def drain(
+        self, serving: servings.Serving, stop_s: float, late_s: float = 0.0
+    ) -> None:
         """Returns once no request is in flight, or the time has expired.
 
         No connection is accepted and no request read any more then.
@@ -64,19 +66,18 @@
 
         Args:
           serving: Connections of callers.
-          stop_s: Time until the platform kills the process.
+          stop_s: Time from the signal until the platform kills the process.
+          late_s: Time for which the signal has waited.
         """
+        sent_s = anyio.current_time() - late_s
         self.stopping = True
         serving.stopping = True
-        serving.take_until_s = anyio.current_time() + ACCEPT_S
-        with anyio.move_on_after(stop_s - RESERVE_S):
-            await anyio.sleep(NOTICE_S)
-            started_s = anyio.current_time()
+        serving.take_until_s = sent_s + ACCEPT_S
+        with anyio.CancelScope(deadline=sent_s + stop_s - RESERVE_S):
+            await anyio.sleep_until(sent_s + NOTICE_S)
             while serving.takes_requests or serving.open_connections.places:
                 serving.close_idle()
-                is_late = anyio.current_time() - started_s >= (
-                    ACCEPT_S - NOTICE_S
-                )
+                is_late = anyio.current_time() >= serving.take_until_s
                 if is_late or not serving.open_connections.places:
                     serving.take_no_more()
                 await anyio.sleep(POLL_INTERVAL_S)
--- a/src/cactusstile/gateway/process.py
+++ b/src/cactusstile/gateway/process.py
@@ -33,11 +33,18 @@
 
             group.start_soon(reload.watch, path, settings, apply)
             number = await anext(received)
-            logger.info("stopping", extra={"signal": int(number)})
+            late_s = received.late_s()
+            logger.info(
+                "stopping",
+                extra={"signal": int(number), "late_ms": round(1000 * late_s)},
+            )
+            sent_s = anyio.current_time() - late_s
             gateway.forwarder.stop_at_s = (
-                anyio.current_time() + settings.stop_s - lifecycle.RESERVE_S
+                sent_s + settings.stop_s - lifecycle.RESERVE_S
+            )
+            await gateway.lifecycle.drain(
+                gateway.serving, settings.stop_s, late_s
             )
-            await gateway.lifecycle.drain(gateway.serving, settings.stop_s)
             gateway.forwarder.directory.hand_over()
             await anyio.sleep(HAND_OVER_S)
             group.cancel_scope.cancel()
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -140,3 +140,20 @@
             await anyio.sleep(lifecycle.ACCEPT_S - lifecycle.NOTICE_S + 0.4)
             await stream.send(REQUEST.replace(b"/a/x", b"/h/x"))
         assert (await receive(stream)).startswith(b"HTTP/1.1 503")
+
+
+# Guards against a stop that outlasts its time as the signal came in a pause.
+async def test_stop_whose_signal_came_in_a_pause_ends_too_late(
+    site: node_site.NodeSite,
+) -> None:
+    process = site.processes["g-1"]
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/h/x"))
+        await anyio.sleep(0.2)
+        sent_s = anyio.current_time()
+        async with paused(site, 2.0):
+            process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(10):
+            await process.wait()
+    grace_s = float(node_site.BOUNDS["bounds.graceS"])
+    assert anyio.current_time() - sent_s < grace_s + 0.3
