--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import selectors
 import typing
 
@@ -20,6 +21,11 @@
 
     Events = list[tuple[selectors.SelectorKey, int]]
 
+# Shorter excesses of a wait are no pause.
+MIN_PAUSE_S = 0.05
+# Time in which a process that goes on has handled its signals.
+RESUME_S = 0.25
+
 _T = typing.TypeVar("_T")
 _Arguments = typing.TypeVarTuple("_Arguments")
 
@@ -31,28 +37,65 @@
     look at the descriptors once its time is over. The loop would handle all
     timers that expired in the meantime, and close connections whose requests
     or answers have arrived.
+
+    Attributes:
+      pause_s: Length of the last pause of the process: the time by which a wait
+        exceeded what was asked for.
+      pause_end_s: Boot time at which it ended.
     """
 
+    def __init__(self) -> None:
+        """Creates a selector without descriptors."""
+        super().__init__()
+        self.pause_s = 0.0
+        self.pause_end_s = -math.inf
+
     def select(self, timeout: float | None = None) -> Events:
         """Waits for events; see `selectors.BaseSelector.select`."""
+        begun_s = clocks.boot_s()
         events = super().select(timeout)
+        if timeout is not None:
+            ended_s = clocks.boot_s()
+            excess_s = ended_s - begun_s - max(timeout, 0.0)
+            if excess_s > MIN_PAUSE_S:
+                self.pause_s, self.pause_end_s = excess_s, ended_s
         if events or (timeout is not None and timeout <= 0):
             return events
         return super().select(0)
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
-    """Event loop on the clock of `clocks.boot_s`."""
+    """Event loop on the clock of `clocks.boot_s`.
+
+    Attributes:
+      selector: The selector.
+    """
 
     def __init__(self) -> None:
         """Creates a loop that looks at arrivals before time runs out."""
-        super().__init__(ArrivalsFirstSelector())
+        self.selector = ArrivalsFirstSelector()
+        super().__init__(self.selector)
 
     def time(self) -> float:
         """Returns seconds since boot, including time in suspension."""
         return clocks.boot_s()
 
 
+def pause_before_s(moment_s: float) -> float:
+    """Returns how long the process stood still right before `moment_s`.
+
+    Args:
+      moment_s: Boot time at which something was noticed.
+    """
+    loop = asyncio.get_running_loop()
+    if not isinstance(loop, BootTimeLoop):
+        return 0.0
+    # What interrupts a wait is noticed before the wait returns.
+    if abs(moment_s - loop.selector.pause_end_s) > RESUME_S:
+        return 0.0
+    return loop.selector.pause_s
+
+
 def run(
     main: collections.abc.Callable[
         [typing.Unpack[_Arguments]], collections.abc.Awaitable[_T]
