--- a/tests/processes/test_verdicts_of_a_site.py
+++ b/tests/processes/test_verdicts_of_a_site.py
@@ -32,6 +32,8 @@
 CALLERS = int(os.environ.get("CALLERS", "16"))
 GATEWAYS = int(os.environ.get("GATEWAYS", "6"))
 TARGETS = int(os.environ.get("TARGETS", "1"))
+# Fraction of promises after which a caller returns with the same id.
+RETURNING = float(os.environ.get("RETURNING", "0.2"))
 STARVED_FRACTION = 0.5
 SERVICES = ("plain",) * 2 + ("other",) + ("engine",) * 3
 ODD_TARGETS = {"queue": 4, "early": 0.3}
@@ -132,7 +134,8 @@
         end_s = time.monotonic() + RUN_S
         starved = int(STARVED_FRACTION * GATEWAYS)
         callers = [
-            wide_site.WideCaller(site, str(number)) for number in range(CALLERS)
+            wide_site.WideCaller(site, str(number), returning=RETURNING)
+            for number in range(CALLERS)
         ]
         changes = (Site.configure, Site.configure, Site.bump_weights)
         await asyncio.gather(
--- a/tests/support/wide_site.py
+++ b/tests/support/wide_site.py
@@ -145,10 +145,11 @@
     Attributes:
       site: The site.
       name: Prefix of its request ids.
-      count: Requests so far.
+      count: Number of the request.
       gateway: Gateway of its connection.
       reader: Reads from the connection; None without one.
       writer: Writes to it.
+      returning: Fraction of promises after which it returns with the same id.
     """
 
     site: WideSite
@@ -157,6 +158,7 @@
     gateway: int = 0
     reader: asyncio.StreamReader | None = None
     writer: asyncio.StreamWriter | None = None
+    returning: float = 0.0
 
     async def run(self, end_s: float) -> None:
         """Sends requests until `end_s`."""
@@ -170,11 +172,21 @@
                     is_kept = await self._ask()
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 is_kept = False
+            is_again = self._returns()
+            if not is_again:
+                self.count += 1
             if not is_kept or choose.random() < 0.1:
                 self.leave()
-            await asyncio.sleep(choose.uniform(0.05, 0.5))
+            await asyncio.sleep(choose.uniform(0.05, 0.5) * (not is_again))
         self.leave()
 
+    def _returns(self) -> bool:
+        """Returns whether the same request comes again at once."""
+        last = self.site.outcomes.get(f"{self.name}-{self.count}")
+        if last is None or last.status not in verdict_site.PROMISES:
+            return False
+        return self.site.random.random() < self.returning
+
     def leave(self) -> None:
         """Closes the connection."""
         if self.writer is not None:
@@ -189,9 +201,10 @@
                 f"{self.site.network}.{self.gateway}",
                 self.site.port + verdict_site.FRONT,
             )
-        self.count += 1
         attempt = f"{self.name}-{self.count}"
         route = self.site.random.choices(list(ROUTES), SHARES)[0]
+        if attempt in self.site.outcomes:
+            route = self.site.outcomes[attempt].route
         outcome = verdict_site.Outcome(route, self.gateway, time.monotonic())
         self.site.outcomes[attempt] = outcome
         self.writer.write(self._request(route, attempt))
