Bind an address again whose interface or resources are not there yet

What was seen: the process ends by itself at its start (FAULT), on a machine whose network is set up a moment later than its processes, or that lacks descriptors or memory for a moment: EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS and ENOMEM ended it at once, with a traceback. An address in use was waited for.

Others still end the start at once.

--- a/tests/processes/test_addresses_in_use.py
+++ b/tests/processes/test_addresses_in_use.py
@@ -16,6 +16,8 @@
 # Time between SIGTERM and SIGKILL on the platform.
 GRACE_S = 8.0
 PORT = site_processes.FIRST_PORT
+# Reserved for documentation, so that no interface has it.
+UNASSIGNED = "192.0.2.1"
 TCP, UDP = socket.SOCK_STREAM, socket.SOCK_DGRAM
 INTERNAL, CALLERS, READY, OPERATOR = PORT, PORT + 6, PORT + 7, PORT + 8
 # In the order in which they are bound.
@@ -114,3 +116,17 @@
     (tmp_path / "log").unlink()
     process.start()
     assert process.signal_until_started(), process.log()
+
+
+@pytest.mark.parametrize("role", ADDRESSES)
+def test_address_without_an_interface_does_not_end_a_start(
+    tmp_path: pathlib.Path, holder: contextlib.ExitStack, role: str
+) -> None:
+    """Guards against a VM whose network is set up after its processes start."""
+    process = prepare(tmp_path, role, holder)
+    bound = f"[node]\nbind_host = {UNASSIGNED}"
+    process.settings.write_text(process.text().replace("[node]", bound, 1))
+    process.start()
+    assert process.signal_until("an address cannot be bound yet"), process.log()
+    assert process.stop(signal.SIGTERM) == 0
+    assert "Traceback" not in process.log()
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -264,3 +264,27 @@
             async with server.open_server(taken, identity, SECRETS, HANDLERS):
                 pass
     assert caught.value.errno == errno.EADDRINUSE
+
+
+@pytest.mark.parametrize(
+    "number",
+    [errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM],
+)
+async def test_error_that_may_pass_does_not_end_a_start(number: int) -> None:
+    """Guards against a process that ends before its network is set up."""
+    errors = [OSError(number, "cannot"), OSError(number, "cannot")]
+
+    async def bind() -> str:
+        if errors:
+            raise errors.pop()
+        return "bound"
+
+    assert await binding.wait_until_free(bind) == "bound"
+
+
+async def test_error_that_cannot_pass_ends_a_start() -> None:
+    async def bind() -> None:
+        raise PermissionError(errno.EACCES, "refused")
+
+    with pytest.raises(PermissionError):
+        await binding.wait_until_free(bind)
