Bind own addresses without a lookup

The own address of a gateway's datagrams and of a registry's or control process's transport went through getaddrinfo, although it is an IP address, with the flag that asks which families have an address. Its errors are none of those that a start waits for. The lookup also started a thread in each gateway, which the end of the event loop then waited for.

Own addresses are now bound as they are, IPv4 and IPv6, by one function.

The tests on the code before, with a lookup that fails: "socket.gaierror: [Errno -2]", "OSError: [Errno -2] cannot listen on 127.0.0.1:0". The lookup's failure is played by the test; no machine without a network was at hand.

--- a/src/cactusstile/gateway/peers/datagram_exchange.py
+++ b/src/cactusstile/gateway/peers/datagram_exchange.py
@@ -11,6 +11,7 @@
 import collections.abc
 import contextlib
 import logging
+import socket
 import typing
 
 import anyio
@@ -121,24 +122,23 @@
                 with contextlib.suppress(OSError):
                     self.socket = await self._open()
 
-    async def _exchange(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _exchange(self, opened: anyio.abc.UDPSocket) -> None:
         """Exchanges datagrams until the socket fails."""
-        async with socket, anyio.create_task_group() as group:
-            group.start_soon(self._receive, socket)
-            group.start_soon(self._send_outbox, socket)
-            await self._send(socket)
+        async with opened, anyio.create_task_group() as group:
+            group.start_soon(self._receive, opened)
+            group.start_soon(self._send_outbox, opened)
+            await self._send(opened)
 
     async def _open(self) -> anyio.abc.UDPSocket:
         own = self.own_address
         try:
-            return await anyio.create_udp_socket(
-                local_host=own.host, local_port=own.port
-            )
+            raw = binding.bind(own, socket.SOCK_DGRAM)
         except OSError as error:
             text = f"cannot receive datagrams on {own}: {error.strerror}"
             raise OSError(error.errno, text) from error
+        return await anyio.abc.UDPSocket.from_socket(raw)
 
-    async def _send(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _send(self, opened: anyio.abc.UDPSocket) -> None:
         sent_bytes = 0
         while True:
             await self._wait_for_round(sent_bytes)
@@ -147,7 +147,7 @@
             with self._sent.contain():
                 due = self._encode_round(self._last_round_s)
             for data, receiver in due:
-                await self._send_to(socket, data, receiver)
+                await self._send_to(opened, data, receiver)
             sent_bytes = sum(len(data) for data, _ in due)
 
     def _encode_round(self, now_s: float) -> list[tuple[bytes, str]]:
@@ -158,7 +158,7 @@
                 due += [(data, receiver) for receiver in outgoing.receivers]
         return due
 
-    async def _send_outbox(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _send_outbox(self, opened: anyio.abc.UDPSocket) -> None:
         while True:
             await self._outbox_filled.wait()
             self._outbox_filled = anyio.Event()
@@ -168,7 +168,7 @@
                 with self._sent.contain():
                     encoded = datagrams.encode_all(self.secret, message)
                 for data in encoded:
-                    await self._send_to(socket, data, receiver)
+                    await self._send_to(opened, data, receiver)
 
     async def _wait_for_round(self, sent_bytes: int) -> None:
         """Waits until there is something new, or a repeat is due.
@@ -190,20 +190,20 @@
 
     async def _send_to(
         self,
-        socket: anyio.abc.UDPSocket,
+        opened: anyio.abc.UDPSocket,
         data: bytes,
         receiver: str,
     ) -> None:
         async with self._sending:
             try:
                 peer = address.parse(receiver)
-                await socket.sendto(data, peer.host, peer.port)
+                await opened.sendto(data, peer.host, peer.port)
             except (OSError, ValueError) as error:
                 # Another gateway may have named the address.
                 logger.debug("failed to send to %r: %s", receiver, error)
 
-    async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
-        async for datagram, _ in socket:
+    async def _receive(self, opened: anyio.abc.UDPSocket) -> None:
+        async for datagram, _ in opened:
             with self._received.contain():
                 self.handle_datagram(datagram)
 
--- a/src/cactusstile/transport/binding.py
+++ b/src/cactusstile/transport/binding.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
+import socket
 import typing
 
 import anyio
@@ -15,6 +17,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from cactusstile.transport import address
+
 logger = logging.getLogger(__name__)
 
 # Longer than platforms usually let a predecessor take to stop.
@@ -30,6 +34,9 @@
 )
 PAUSE_S = 0.1
 
+# Connections of the system's own processes that wait to be accepted.
+BACKLOG_CONNECTIONS = 4096
+
 _Bound = typing.TypeVar("_Bound")
 
 
@@ -69,3 +76,35 @@
                 )
             is_logged = True
         await anyio.sleep(PAUSE_S)
+
+
+def bind(on: address.Address, kind: socket.SocketKind) -> socket.socket:
+    """Returns a non-blocking socket that is bound to an address.
+
+    No name is looked up: that takes a thread and, even for an IP address, fails
+    until the network is set up.
+
+    Raises:
+      OSError: The address cannot be bound.
+    """
+    host, _, scope = on.host.partition("%")
+    with contextlib.ExitStack() as stack:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        raw = socket.socket(family, kind)
+        stack.callback(raw.close)
+        raw.setblocking(False)
+        if kind == socket.SOCK_STREAM:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET:
+            raw.bind((host, on.port))
+        else:
+            raw.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+            raw.bind((host, on.port, 0, _scope_number(scope)))
+        stack.pop_all()
+        return raw
+
+
+def _scope_number(scope: str) -> int:
+    if not scope or scope.isdecimal():
+        return int(scope or 0)
+    return socket.if_nametoindex(scope)
--- a/src/cactusstile/transport/server.py
+++ b/src/cactusstile/transport/server.py
@@ -23,8 +23,6 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from anyio.streams import stapled
-
     from cactusstile.transport import incoming
 
 logger = logging.getLogger(__name__)
@@ -119,17 +117,15 @@
         return opened
 
 
-async def _bind(
-    listen: address.Address,
-) -> stapled.MultiListener[anyio.abc.SocketStream]:
+async def _bind(listen: address.Address) -> socket.socket:
     try:
-        return await anyio.create_tcp_listener(
-            local_host=listen.host, local_port=listen.port
-        )
+        raw = binding.bind(listen, socket.SOCK_STREAM)
+        raw.listen(binding.BACKLOG_CONNECTIONS)
     except OSError as error:
         raise OSError(
             error.errno, f"cannot listen on {listen}: {error.strerror}"
         ) from error
+    return raw
 
 
 @contextlib.asynccontextmanager
@@ -146,20 +142,15 @@
       OSError: If the address cannot be bound; the message contains the address.
     """
     listener = await binding.wait_until_free(functools.partial(_bind, listen))
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    port = listener.getsockname()[1]
     server = Server(address.Address(listen.host, port))
     acceptor = _Acceptor(server, identity, secrets, handlers, timing)
     try:
         async with anyio.create_task_group() as group:
-            for part in listener.listeners:
-                raw = part.extra(anyio.abc.SocketAttribute.raw_socket)
-                group.start_soon(acceptor.accept, raw, group)
+            group.start_soon(acceptor.accept, listener, group)
             try:
                 yield server
             finally:
                 group.cancel_scope.cancel()
     finally:
-        # Unshielded, a cancelled close raises a second cancellation. Exit
-        # stacks chain the two into a cycle, which is then followed for ever.
-        with anyio.CancelScope(shield=True):
-            await listener.aclose()
+        listener.close()
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -288,3 +288,21 @@
 
     with pytest.raises(PermissionError):
         await binding.wait_until_free(bind)
+
+
+def fail_lookup(*args: object, **options: object) -> None:
+    del args, options
+    raise socket.gaierror(socket.EAI_NONAME, "no address of the family")
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+async def test_failing_lookup_of_the_own_address_does_not_end_a_start(
+    monkeypatch: pytest.MonkeyPatch, host: str
+) -> None:
+    """Guards against a process that ends before its network is set up."""
+    monkeypatch.setattr(socket, "getaddrinfo", fail_lookup)
+    identity = handshake.Identity("agent", "a")
+    place = address.Address(host, 0)
+    async with server.open_server(place, identity, SECRETS, HANDLERS) as served:
+        assert served.bound.host == host
+        assert served.bound.port
