Members: count silence anew in each term of a leader

What callers saw: nothing that is known. A leader that lost its leadership and won it back between two looks at the members, 0.25 s apart or up to 5 s during a change, went by what it had seen in its former term. After a pause of all registries, a voter that had not answered the first heartbeat yet counted as silent for as long as the pause, and could be removed.

Cause: the contacts were forgotten only when a look found another leader.

Evidence, on the code before: a look in term 3, one in term 5 ten seconds later: "assert {'a...': 0.0, 'b...': 10.0} == {}".

A new term counts as a new leadership: nobody is silent before it could answer.

--- a/src/cactusstile/registry/members.py
+++ b/src/cactusstile/registry/members.py
@@ -112,12 +112,14 @@
     Attributes:
       last_seen_s: Time of the last contact, in loop seconds, by member id.
       leads_since_s: Time from which this replica leads; None if it does not.
+      term: Term in which it leads.
     """
 
     def __init__(self) -> None:
         """Was in contact with nobody."""
         self.last_seen_s: dict[str, float] = {}
         self.leads_since_s: float | None = None
+        self.term = 0
 
     def update(
         self, status: replica.ReplicaStatus, now_s: float, *, leads: bool
@@ -137,6 +139,11 @@
             return
         if self.leads_since_s is None:
             self.leads_since_s = now_s
+        elif status.term != self.term:
+            # It lost the leadership and won it back since the last update.
+            self.last_seen_s.clear()
+            self.leads_since_s = now_s
+        self.term = status.term
         for peer in status.members:
             if peer.active or peer.member.id not in self.last_seen_s:
                 self.last_seen_s[peer.member.id] = now_s
--- a/tests/registry/test_members.py
+++ b/tests/registry/test_members.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import attrs
+
 from cactusstile.consensus import membership
 from cactusstile.consensus import messages
 from cactusstile.consensus import replica
@@ -68,3 +70,17 @@
     silence_s = {silent.member.id: members.LOST_AFTER_S + 1}
     step = members.next_step(statuses, [], silence_s, OWN)
     assert step == members.Promote("d")
+
+
+def test_voter_is_lost_before_it_can_answer_its_leader_in_a_new_term() -> None:
+    contacts = members.Contacts()
+    own, other = status("a"), status("b", active=False)
+    first = replica.ReplicaStatus(
+        OWN, "g", "leader", 3, "", 0, 0, 0, 0, (own, other), ()
+    )
+    contacts.update(first, 10.0, leads=True)
+    assert contacts.silence_s(first, 20.0)[other.member.id] == 10.0
+    second = attrs.evolve(first, term=5)
+    contacts.update(second, 20.0, leads=True)
+    assert contacts.silence_s(second, 20.0) == {}
+    assert contacts.silence_s(second, 21.0)[other.member.id] == 1.0
