Callers: handle no request whose caller has left already

While a gateway stands still, a request and the close of its connection wait in the kernel together. On waking the request was handled first, and could be sent to a target over a connection from the pool long after its caller had left: the close was read by a task that begins after the handler's first wait.

Cause: a request counts as new when it is read, and the end of the stream behind it was looked for only beside the handler.

Evidence, on the code before: a request and the end of its stream, sent while the event loop stands still: the handler is called ("1 failed, 1 passed"; without the end it must be called, and is).

The state of the socket is read once, between the request and its handler. A stream that was ended counted as a caller that left before, too. A log line tells when it acts.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -92,6 +92,10 @@
         request = await self._read_request()
         if request is None:
             return False
+        if self.socket.has_ended():
+            # Both waited here, if this process stood still.
+            logger.info("a caller left before its request was handled")
+            return False
         self.serving.open_requests += 1
         try:
             return await self._answer(request)
