--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -183,7 +183,11 @@
     try:
         if dispatch.is_return:
             return await pool.open(place, CONNECT_TIMEOUT_S)
-        return await pool.take(place, CONNECT_TIMEOUT_S, request_id)
+        connection = await pool.take(place, CONNECT_TIMEOUT_S)
+        if request_id not in connection.carried:
+            return connection
+        connection.close()
+        return await pool.open(place, CONNECT_TIMEOUT_S)
     except exceptions.UnreachableError as error:
         raise AttemptError(
             "unreachable", verdict.Verdict.NOT_RUN, was_sent=False
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -96,6 +96,9 @@
         request = await self._read_request()
         if request is None:
             return False
+        if self.socket.has_ended():
+            # Both waited here, if this process stood still.
+            logger.info("a caller left before its request was handled")
         if not self.serving.may_serve():
             await self._refuse(responders.UNAVAILABLE, "this process stops")
             return False
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -303,40 +303,21 @@
     opened: int = 0
 
     async def take(
-        self,
-        target: address.Address,
-        connect_timeout_s: float,
-        request_id: str = "",
+        self, target: address.Address, connect_timeout_s: float
     ) -> TargetConnection:
         """Returns an idle connection, or a new one if there is none.
 
-        Args:
-          target: Address of the target.
-          connect_timeout_s: Time limit of a new connection, in seconds.
-          request_id: Id of the request; a connection that carried it before is
-            left to other requests.
-
         Raises:
           UnreachableError: No connection could be opened; nothing was sent.
         """
-        found = self._take_idle(target, request_id)
-        if found is not None:
-            return found
-        return await self.open(target, connect_timeout_s)
-
-    def _take_idle(
-        self, target: address.Address, request_id: str
-    ) -> TargetConnection | None:
         waiting = self.idle.get(target, [])
-        for index in reversed(range(len(waiting))):
-            if request_id in waiting[index].carried:
-                continue
-            found = waiting.pop(index)
+        while waiting:
+            found = waiting.pop()
             is_fresh = anyio.current_time() < found.expires_s
             if is_fresh and not found.socket.has_input():
                 return found
             found.close()
-        return None
+        return await self.open(target, connect_timeout_s)
 
     async def open(
         self, target: address.Address, connect_timeout_s: float
