--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -99,6 +99,7 @@
         if self.socket.has_ended():
             # Both waited here, if this process stood still.
             logger.info("a caller left before its request was handled")
+            return False
         if not self.serving.may_serve():
             await self._refuse(responders.UNAVAILABLE, "this process stops")
             return False
