--- a/tests/gateway/notices.py
+++ b/tests/gateway/notices.py
@@ -37,15 +37,12 @@
     held = HeldConnect()
 
     async def take_late(
-        pool: targets.Pool,
-        target: address.Address,
-        timeout_s: float,
-        request_id: str = "",
+        pool: targets.Pool, target: address.Address, timeout_s: float
     ) -> targets.TargetConnection:
         if not held.begun.is_set():
             held.begun.set()
             await held.gate.wait()
-        return await take(pool, target, timeout_s, request_id)
+        return await take(pool, target, timeout_s)
 
     monkeypatch.setattr(targets.Pool, "take", take_late)
     return held
