Let callers read the last answer of a stop before their connection resets

What callers saw: a caller that sends requests one after another lost an answer that the gateway had given (status 200, whole, by the gateway's log): the connection was closed right after it, the caller's next request reset it, and clients such as asyncio's discard what they have received and not yet read.

Cause: after an answer with 'connection: close' the socket was closed at once (RFC 9112, section 9.6, asks servers to keep reading for a while).

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -84,10 +84,20 @@
             if not self.serving.takes_requests and not is_read:
                 return
             if not await self._serve_next():
+                await self._linger_at_stop()
                 return
             self.reader.protocol.start_next_cycle()
             self.reader.update_limits()
 
+    async def _linger_at_stop(self) -> None:
+        """Lets the caller read its answer although it sends further requests.
+
+        What arrives on a closed connection resets it, and a caller may discard
+        what it has not read by then.
+        """
+        if self.serving.stopping and not self.place.gave_way:
+            await self.socket.linger()
+
     async def _serve_next(self) -> bool:
         """Serves the next request; returns whether the connection stays open.
 
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -284,3 +284,23 @@
                 data = caller.recv(buffer_bytes)
                 assert data
                 received += len(data)
+
+
+# Guards against an answer that is discarded as its connection is reset.
+async def test_request_that_crosses_the_end_of_a_stop_resets() -> None:
+    async with listen() as listener:
+        listener.serving.stopping = True
+        with socket.socket() as caller:
+            caller.connect((listener.place.host, listener.place.port))
+            caller.setblocking(False)
+            received = b""
+            for _ in range(3):
+                caller.send(HEAD + b"\r\n")
+                await anyio.sleep(0.1)
+            while True:
+                await anyio.wait_readable(caller)
+                data = caller.recv(4096)
+                if not data:
+                    break
+                received += data
+            assert received.startswith(b"HTTP/1.1 200")
