Answer what has arrived by the time at which a stop takes no more

What callers saw: requests that came to a gateway while it stood still within its drain were reset when it woke, up to 2.9 s after they were sent: their connections waited in the listener's queue as it was closed, or their next request in the kernel's buffer as an answer ended.

Cause: the listener and open connections were closed without a look at what had arrived.

Why this works: what waits is accepted once more before the listener closes, and a connection on which a request has arrived reads it. The request is refused with 503, which promises that it has not run; silent ones close.

The play tells how long requests that were not run had waited.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -79,9 +79,8 @@
     async def _run(self) -> None:
         # One that was told to give way may have read a whole request before.
         while not self.place.gave_way:
-            # What was read ahead is answered, be it with a refusal.
-            is_read = self.reader.buffered_bytes() > 0
-            if not self.serving.takes_requests and not is_read:
+            # What has arrived is answered, be it with a refusal.
+            if not self.serving.takes_requests and not self._has_request():
                 return
             if not await self._serve_next():
                 await self._linger_at_stop()
@@ -89,6 +88,10 @@
             self.reader.protocol.start_next_cycle()
             self.reader.update_limits()
 
+    def _has_request(self) -> bool:
+        """Returns whether bytes of a further request have arrived."""
+        return self.reader.buffered_bytes() > 0 or self.socket.has_input()
+
     async def _linger_at_stop(self) -> None:
         """Lets the caller read its answer although it sends further requests.
 
@@ -246,20 +249,32 @@
 ) -> None:
     """Accepts connections and serves each in a task of `group`.
 
-    Returns and closes the listener when `serving.accepting` is cancelled.
+    Returns and closes the listener when `serving.accepting` is cancelled, and
+    accepts before what waited until then: closing would reset it.
     """
-    with listener, serving.accepting:
-        for number in itertools.count(1):
-            opened = await sockets.accept(listener)
-            place = serving.open_connections.open()
-            if place is None:
-                opened.send_now(_FULL_ANSWER)
-                opened.close()
-            else:
-                group.start_soon(_serve, opened, serving, place)
-            is_turn_over = number % connections.ACCEPTS_PER_TURN == 0
-            if is_turn_over or serving.open_connections.is_full():
-                await anyio.lowlevel.checkpoint()
+    with listener:
+        with serving.accepting:
+            for number in itertools.count(1):
+                _begin(await sockets.accept(listener), serving, group)
+                is_turn_over = number % connections.ACCEPTS_PER_TURN == 0
+                if is_turn_over or serving.open_connections.is_full():
+                    await anyio.lowlevel.checkpoint()
+        while (opened := sockets.accept_waiting(listener)) is not None:
+            _begin(opened, serving, group)
+
+
+def _begin(
+    opened: sockets.Socket,
+    serving: servings.Serving,
+    group: anyio.abc.TaskGroup,
+) -> None:
+    """Serves a connection in a task of `group`, if there is a place for it."""
+    place = serving.open_connections.open()
+    if place is None:
+        opened.send_now(_FULL_ANSWER)
+        opened.close()
+        return
+    group.start_soon(_serve, opened, serving, place)
 
 
 async def open_listener(
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -298,3 +298,15 @@
     """
     raw = await listeners.accept(listener, _configure)
     return Socket(raw, is_accepted=True)
+
+
+def accept_waiting(listener: socket.socket) -> Socket | None:
+    """Returns a connection that waits to be accepted; None without one."""
+    try:
+        raw, _ = listener.accept()
+    except OSError:
+        return None
+    raw.setblocking(False)
+    with contextlib.suppress(OSError):
+        _configure(raw)
+    return Socket(raw, is_accepted=True)
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import typing
 
 import anyio
@@ -198,3 +199,24 @@
         assert data.count(b"HTTP/1.1 200") == served
         assert data.count(b"HTTP/1.1 ") == min(3, served + 1)
         assert data.lower().count(b"connection: close") == 1
+
+
+# Guards against requests that came in a pause and are reset with the listener.
+async def test_connections_that_wait_at_the_end_of_a_stop_are_reset() -> None:
+    config = support.configuration(support.route())
+    async with (
+        raw_target.open_target(raw_target.answer()) as target,
+        support.open_harness(config, target) as harness,
+    ):
+        place = harness.listen_address
+        with (
+            socket.create_connection((place.host, place.port)) as waiting,
+            socket.create_connection((place.host, place.port)) as silent,
+        ):
+            waiting.sendall(support.request())
+            harness.serving.take_no_more()
+            for caller, expected in ((waiting, b"HTTP/1.1 503"), (silent, b"")):
+                caller.setblocking(False)
+                await anyio.wait_readable(caller)
+                assert caller.recv(4096)[:12] == expected
+        assert not target.requests
--- a/tests/processes/test_lost.py
+++ b/tests/processes/test_lost.py
@@ -39,9 +39,11 @@
       ended_s: Time of the answer's end, or of the connection's.
       status: Status; 0 if no answer began.
       is_whole: Whether the answer came whole.
+      ahead: Number of requests sent before it without their answers.
     """
 
     sent_s: float
+    ahead: int = 0
     ended_s: float = 0.0
     status: int = 0
     is_whole: bool = False
@@ -82,7 +84,7 @@
     ) -> bool:
         """Sends some requests; returns whether the connection stays open."""
         count = self.site.random.choice(AHEAD)
-        fates = []
+        fates: list[Fate] = []
         for _ in range(count):
             attempt = f"{self.name}-{len(self.fates) + 1}"
             route = self.site.random.choices(
@@ -93,7 +95,7 @@
                 writer.write(part)
                 if self.site.random.random() < 0.1:
                     await asyncio.sleep(self.site.random.uniform(0, 0.5))
-            self.fates[attempt] = Fate(time.monotonic())
+            self.fates[attempt] = Fate(time.monotonic(), len(fates))
             fates.append(self.fates[attempt])
         stays = True
         for fate in fates:
@@ -212,10 +214,13 @@
             if not fate.is_whole:
                 name += " ran" if attempt in runs else " not run"
                 waited_s = fate.ended_s - fate.sent_s
+                name += " ahead" if fate.ahead else f" {waited_s:.1f} s"
                 if attempt in runs:
                     lost.append(f"{attempt} after {waited_s:.2f} s: {fate}")
             counts[name] = counts.get(name, 0) + 1
     print(f"seed {seed}: {dict(sorted(counts.items()))}")
+    for line in lost:
+        print(line)
     return lost
 
 
