--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -9,10 +9,10 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from cactusstile import guards
 from cactusstile.gateway import budget as budgets
+from cactusstile.gateway import components
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dump
 from cactusstile.gateway import forwarding
@@ -67,31 +67,10 @@
 _BYTES_PER_MB = 1 << 20
 
 
-@attrs.frozen
-class Gateway:
-    """Components of a running gateway.
-
-    Attributes:
-      settings: Settings of the process.
-      site: Local view of the site.
-      lifecycle: State towards the load balancer.
-      serving: Connections of callers.
-      forwarder: Forwards the requests.
-      watch: Receives the configuration from control.
-    """
-
-    settings: node.NodeSettings
-    site: site_view.SiteView
-    lifecycle: lifecycle.Lifecycle
-    serving: servings.Serving
-    forwarder: forwarding.Forwarder
-    watch: control_watch.ControlWatch
-
-
 @contextlib.asynccontextmanager
 async def open_gateway(
     settings: node.NodeSettings,
-) -> collections.abc.AsyncIterator[Gateway]:
+) -> collections.abc.AsyncIterator[components.Gateway]:
     """Starts a gateway; leaving the context stops it.
 
     Raises:
@@ -121,7 +100,7 @@
     connections: pools.Pool,
     pool: targets.Pool,
     request_metrics: gateway_metrics.GatewayMetrics,
-) -> Gateway:
+) -> components.Gateway:
     site = site_view.SiteView(regions=regions.Regions(settings.regions))
     budget = _new_budget(settings)
 
@@ -142,7 +121,7 @@
     )
     watch.confirm_sharers = budget.sharers.confirm
     watch.apply_holds = forwarder.quarantine.apply_holds
-    return Gateway(
+    return components.Gateway(
         settings,
         site,
         lifecycle.Lifecycle(site),
@@ -197,7 +176,7 @@
 
 
 def _start_background(
-    gateway: Gateway,
+    gateway: components.Gateway,
     pool: targets.Pool,
     request_metrics: gateway_metrics.GatewayMetrics,
     group: anyio.abc.TaskGroup,
@@ -273,7 +252,7 @@
 
 
 async def _start_listeners(
-    gateway: Gateway,
+    gateway: components.Gateway,
     request_metrics: gateway_metrics.GatewayMetrics,
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
--- a/src/cactusstile/gateway/dump.py
+++ b/src/cactusstile/gateway/dump.py
@@ -7,11 +7,11 @@
 import anyio
 
 if typing.TYPE_CHECKING:
-    from cactusstile.gateway import daemon
+    from cactusstile.gateway import components
     from cactusstile.gateway import target_view
 
 
-def describe(gateway: daemon.Gateway) -> dict[str, typing.Any]:
+def describe(gateway: components.Gateway) -> dict[str, typing.Any]:
     """Returns the state of a gateway."""
     now_s = anyio.current_time()
     site = gateway.site
