--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -9,10 +9,10 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from cactusstile import guards
 from cactusstile.gateway import budget as budgets
+from cactusstile.gateway import components
 from cactusstile.gateway import control_watch
 from cactusstile.gateway import dump
 from cactusstile.gateway import forwarding
@@ -30,7 +30,6 @@
 from cactusstile.http import sockets
 from cactusstile.http import targets
 from cactusstile.limits import connections as caller_connections
-from cactusstile.observability import loop_lag
 from cactusstile.observability import plain_admin
 from cactusstile.platform import client as clients
 from cactusstile.routing import regions
@@ -69,33 +68,10 @@
 _BYTES_PER_MB = 1 << 20
 
 
-@attrs.frozen
-class Gateway:
-    """Components of a running gateway.
-
-    Attributes:
-      settings: Settings of the process.
-      site: Local view of the site.
-      lifecycle: State towards the load balancer.
-      serving: Connections of callers.
-      forwarder: Forwards the requests.
-      watch: Receives the configuration from control.
-      loop: Lag of the event loop.
-    """
-
-    settings: node.NodeSettings
-    site: site_view.SiteView
-    lifecycle: lifecycle.Lifecycle
-    serving: servings.Serving
-    forwarder: forwarding.Forwarder
-    watch: control_watch.ControlWatch
-    loop: loop_lag.LoopLag = attrs.field(factory=loop_lag.LoopLag)
-
-
 @contextlib.asynccontextmanager
 async def open_gateway(
     settings: node.NodeSettings,
-) -> collections.abc.AsyncIterator[Gateway]:
+) -> collections.abc.AsyncIterator[components.Gateway]:
     """Starts a gateway; leaving the context stops it.
 
     Raises:
@@ -130,7 +106,7 @@
     connections: pools.Pool,
     pool: targets.Pool,
     request_metrics: gateway_metrics.GatewayMetrics,
-) -> Gateway:
+) -> components.Gateway:
     site = site_view.SiteView(regions=regions.Regions(settings.regions))
     site.view_age.limit_s = settings.view_limit_s
     site.view_age.cut_off_s = settings.cut_off_s
@@ -153,7 +129,7 @@
     )
     watch.confirm_sharers = budget.sharers.confirm
     watch.apply_holds = forwarder.quarantine.apply_holds
-    return Gateway(
+    return components.Gateway(
         settings,
         site,
         lifecycle.Lifecycle(site),
@@ -208,7 +184,7 @@
 
 
 def _start_polling(
-    gateway: Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
+    gateway: components.Gateway, pool: targets.Pool, group: anyio.abc.TaskGroup
 ) -> None:
     """Lets the platform be asked for its list while control sends none."""
     site = gateway.site
@@ -238,7 +214,7 @@
 
 
 def _start_background(
-    gateway: Gateway,
+    gateway: components.Gateway,
     pool: targets.Pool,
     request_metrics: gateway_metrics.GatewayMetrics,
     group: anyio.abc.TaskGroup,
@@ -299,7 +275,7 @@
 
 
 async def _start_listeners(
-    gateway: Gateway,
+    gateway: components.Gateway,
     request_metrics: gateway_metrics.GatewayMetrics,
     group: anyio.abc.TaskGroup,
     closers: contextlib.ExitStack,
