Mend what the review of the fix found: older registries, lost leaders, queues

- "Nobody leads now" was taken for "this view is the newest", also after a pause: a change can come just before the loss of the last leader (503 503 503 503 200 200, the dropped route ran).
- A view that was never confirmed counted as cut off at once (test_view_age.py).
- In a long loss of control, runs go on from their copies as before.

--- a/src/cactusstile/gateway/arrival.py
+++ b/src/cactusstile/gateway/arrival.py
@@ -75,7 +75,7 @@
     Raises:
       RefusedError: The view may be outdated.
     """
-    if site.view_age.is_current():
+    if site.view_age.may_decide():
         return
     wait_s = min(
         MAX_CONFIRMATION_WAIT_S, admission.configuration_wait_s(request)
--- a/src/cactusstile/gateway/control_watch.py
+++ b/src/cactusstile/gateway/control_watch.py
@@ -40,6 +40,7 @@
 
     ConfirmSharers = collections.abc.Callable[[int, float], None]
     Apply = collections.abc.Callable[[typing.Any, float], None]
+    HeldUp = collections.abc.Callable[[], float]
     ApplyHolds = collections.abc.Callable[[hold_messages.HoldsInForce], None]
 
 logger = logging.getLogger(__name__)
@@ -72,6 +73,8 @@
       confirm_sharers: Called with the number of gateways and the loop time when
         control confirms a list that names this one.
       apply_holds: Called with the holds in force.
+      held_up_s: Returns for how long items may have waited in a pause of this
+        process, in seconds.
       received_s: Loop time at which the bytes of the current item were read.
     """
 
@@ -82,14 +85,7 @@
         seeds: collections.abc.Sequence[address.Address],
         member: messages.GatewayMember,
     ) -> None:
-        """Follows `seeds` and the control processes discovered through them.
-
-        Args:
-          pool: Connections to control processes.
-          site: The view to update.
-          seeds: Initial control processes.
-          member: This gateway, as the others shall know it.
-        """
+        """Follows `seeds` and those discovered through them; see the class."""
         self.member = member
         self.pool = pool
         self.site = site
@@ -97,9 +93,12 @@
         self.leader: address.Address | None = None
         self.confirm_sharers: ConfirmSharers = lambda *_: None
         self.apply_holds: ApplyHolds = lambda _: None
+        self.held_up_s: HeldUp = lambda: 0.0
         self.received_s = float("-inf")
         self._guard = guards.Guard("items of control")
         self._connection: connection.Connection | None = None
+        self._answers = False
+        self._was_current = False
         self._evidence = leader_evidence.LeaderEvidence()
         site.view_age.ask_soon = self.ask_soon
         site.view_age.nobody_leads = self.nobody_leads
@@ -110,9 +109,7 @@
         site = self.site
         return {
             messages.ConfigurationInForce: self._apply_configuration,
-            messages.WeightsInForce: functools.partial(
-                view_items.apply_weights, site
-            ),
+            messages.WeightsInForce: self._apply_weights,
             messages.TargetList: self._apply_target_list,
             messages.StoreUpdates: site.apply_store_updates,
             messages.CompressedStoreUpdates: self._apply_compressed_updates,
@@ -134,6 +131,7 @@
                 # The settings contain no seed; a reload may add one.
                 await anyio.sleep(SILENCE_TIMEOUT_S)
                 continue
+            asked_s = clocks.boot_s()
             try:
                 redirect = await self._follow(target)
             except (
@@ -143,7 +141,7 @@
             ) as error:
                 redirect = None
                 if leader_evidence.shows_no_leader(error):
-                    self._evidence.record(str(target), clocks.boot_s())
+                    self._evidence.record(str(target), asked_s)
                 self._record_leader_lost(target, error)
             except exceptions.SupersededError as error:
                 redirect = None
@@ -154,8 +152,14 @@
                 await anyio.sleep(RETRY_INTERVAL_S * jitter)
 
     def nobody_leads(self) -> bool:
-        """Returns whether the control group certainly has no leader."""
-        return self._evidence.proves_none(self.site.control, clocks.boot_s())
+        """Returns whether the control group certainly has no leader.
+
+        It is of use only if this view was current as the last one was lost: a
+        change may have been accepted just before.
+        """
+        return self._was_current and self._evidence.proves_none(
+            self.site.control, clocks.boot_s()
+        )
 
     def ask_soon(self) -> None:
         """Asks at once whether the view is the newest; requests wait."""
@@ -163,8 +167,8 @@
 
     def _ask(self, *, urgent: bool) -> None:
         opened = self._connection
-        if opened is None:
-            # The next watch asks.
+        if opened is None or not self._answers:
+            # The next watch asks; older builds answer no questions.
             return
         number = self.site.view_age.ask()
         opened.notify(view_messages.ViewQuestion(number, urgent), pings=False)
@@ -183,6 +187,7 @@
         if self.leader is None:
             return
         self.leader = None
+        self._was_current = self.site.view_age.is_current()
         logger.warning(
             "lost the connection to the leading control process",
             extra={"control": str(target), "error": str(error)},
@@ -245,6 +250,7 @@
     ) -> collections.abc.AsyncIterator[None]:
         """Sends questions over a connection while the context is open."""
         self._connection = opened
+        self._answers = False
         try:
             yield
         finally:
@@ -274,6 +280,11 @@
         with self._guard.contain():
             apply(item, anyio.current_time())
 
+    def _apply_weights(
+        self, item: messages.WeightsInForce, now_s: float
+    ) -> None:
+        view_items.apply_weights(self.site, item, now_s - self.held_up_s())
+
     def _apply_target_list(
         self, item: messages.TargetList, now_s: float
     ) -> None:
@@ -312,11 +323,13 @@
         if item.control:
             self.site.control = item.control
         view_age = self.site.view_age
-        view_age.is_superseded = item.version > self.site.version
+        self._answers = bool(item.question)
+        is_newer = item.version > self.site.version
+        view_age.is_superseded = self._answers and is_newer
         if view_age.is_superseded:
             return
         delay_s = 0.0
-        if item.question:
+        if self._answers:
             delay_s = view_age.confirm(item.question)
         else:
             # A control process of an older build answers no questions.
--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -92,6 +92,7 @@
         request_metrics = gateway_metrics.GatewayMetrics()
         gateway = _assemble(settings, connections, pool, request_metrics)
         gateway.loop.show(request_metrics.registry)
+        gateway.watch.held_up_s = gateway.loop.held_up_s
         gateway.site.view_age.last_pause_s = lambda: gateway.loop.check(
             anyio.current_time()
         )
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -210,9 +210,13 @@
             process stops before a stream would end.
         """
         outcome = attempts.final_verdict()
-        await arrival.wait_until_confirmed(self.site, admitted.request, outcome)
-        self.quarantine.refuse_if_held(admitted.keys, outcome)
-        view = await self.queue.choose_target(admitted, service, attempts)
+        request = admitted.request
+        while True:
+            await arrival.wait_until_confirmed(self.site, request, outcome)
+            self.quarantine.refuse_if_held(admitted.keys, outcome)
+            view = await self.queue.choose_target(admitted, service, attempts)
+            if self.site.view_age.may_decide():
+                break
         # It may have waited while targets ended, or a stop began.
         self.quarantine.refuse_if_held(admitted.keys, outcome)
         if not attempts.sent_count:
@@ -262,7 +266,7 @@
 
     def _is_list_old(self) -> bool:
         """Returns whether targets may have begun to leave unnoticed."""
-        if self.site.listed_s is None or not self.site.view_age.is_current():
+        if self.site.listed_s is None or not self.site.view_age.may_decide():
             return True
         age_s = anyio.current_time() - self.site.listed_s
         return age_s > site_view.MAX_LIST_AGE_S
--- a/src/cactusstile/gateway/leader_evidence.py
+++ b/src/cactusstile/gateway/leader_evidence.py
@@ -1,7 +1,7 @@
 """Evidence that the control group has no leader.
 
-Without one no change is accepted, and a view that nobody confirms is the newest
-all the same.
+Without one no change is accepted. A view that was current when the last leader
+was lost stays the newest.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 
 # Time for which evidence holds; a process that starts may lead soon.
 VALID_S = 1.5
+# Voters of a group that tolerates the loss of one.
+MIN_VOTERS = 3
 _MAX_CAUSES = 4
 
 
@@ -48,7 +50,12 @@
     seen_s: dict[str, float] = attrs.field(factory=dict)
 
     def record(self, process: str, boot_s: float) -> None:
-        """Records that a process followed no leader."""
+        """Records that a process followed no leader.
+
+        Args:
+          process: Its address.
+          boot_s: Boot time at which it was asked; the answer may have waited.
+        """
         self.seen_s[process] = boot_s
 
     def proves_none(
@@ -56,6 +63,9 @@
     ) -> bool:
         """Returns whether too few members are left to have a leader.
 
+        Some members may be learners, which have no vote: a single one that is
+        left leads nobody, but two may be a majority of three voters.
+
         Args:
           members: Addresses of the members of the control group.
           boot_s: Present boot time.
@@ -65,9 +75,13 @@
         True
         >>> evidence.proves_none(("a", "b", "c"), 11.9)
         False
+        >>> evidence.proves_none(("a", "b", "c", "d", "e"), 11.0)
+        False
         """
-        without = 0
+        left = 0
         for member in members:
             seen_s = self.seen_s.get(member, float("-inf"))
-            without += boot_s - seen_s <= VALID_S
-        return without > len(members) // 2
+            left += boot_s - seen_s > VALID_S
+        if len(members) < MIN_VOTERS:
+            return bool(members) and not left
+        return left <= 1
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -168,7 +168,8 @@
         def may_send() -> bool:
             nonlocal sent_s
             sent_s = anyio.current_time()
-            if self.quarantine.is_held(admitted.keys):
+            may_decide = self.dispatcher.site.view_age.may_decide()
+            if not may_decide or self.quarantine.is_held(admitted.keys):
                 return False
             if not view.accepts_requests(sent_s):
                 return False
--- a/src/cactusstile/gateway/view_age.py
+++ b/src/cactusstile/gateway/view_age.py
@@ -51,8 +51,8 @@
       last_pause_s: Returns the loop time at which the process last noticed that
         it had stood still.
       ask_soon: Asks control a question ahead of time.
-      nobody_leads: Returns whether control certainly has no leader, which alone
-        could accept a change.
+      nobody_leads: Returns whether control certainly has no leader, and had
+        told all before it lost the last one.
       confirmed_s: Time of the newest question that was answered.
       is_superseded: Whether control has confirmed a newer configuration than
         the view contains.
@@ -69,6 +69,7 @@
     is_superseded: bool = False
     waits: int = 0
     unconfirmed: int = 0
+    _created_s: float = attrs.field(factory=clocks.boot_s)
     _open: dict[int, float] = attrs.field(factory=dict)
     _next_number: int = attrs.field(factory=_draw_first_number)
     _urgent_s: float = float("-inf")
@@ -119,7 +120,7 @@
         return not self.is_superseded and self.age_s() <= self.limit_s
 
     def is_cut_off(self) -> bool:
-        """Returns whether control is out of reach.
+        """Returns whether control is out of reach, and the view goes on.
 
         A process that has stood still has not tried to reach it meanwhile.
         """
@@ -127,11 +128,15 @@
             return False
         if self.nobody_leads():
             return True
+        alone_s = self.age_s()
+        if alone_s == float("inf"):
+            alone_s = clocks.boot_s() - self._created_s
         awake_s = anyio.current_time() - self.last_pause_s()
-        return (
-            self.age_s() > self.cut_off_s
-            and awake_s > self.cut_off_s - self.limit_s
-        )
+        return min(alone_s, awake_s) > self.cut_off_s
+
+    def may_decide(self) -> bool:
+        """Returns whether the view may decide what runs, without a wait."""
+        return self.is_current() or self.is_cut_off()
 
     async def wait_until_current(self, timeout_s: float) -> bool:
         """Waits for a confirmation; returns whether the view may decide.
--- a/src/cactusstile/observability/loop_lag.py
+++ b/src/cactusstile/observability/loop_lag.py
@@ -17,6 +17,8 @@
 TICK_INTERVAL_S = 0.1
 # Lag that counts as a pause. What waited during it may be as old as the pause.
 PAUSE_S = 0.25
+# Time after a pause in which what waited during it is read.
+CATCH_UP_S = 1.0
 # Lag that is logged, and the shortest time between two such lines.
 LOGGED_LAG_S = 0.5
 LOG_INTERVAL_S = 1.0
@@ -78,6 +80,12 @@
         self._set_tick(now_s)
         return self.paused_until_s
 
+    def held_up_s(self) -> float:
+        """Returns for how long what arrives now may have waited, in seconds."""
+        now_s = anyio.current_time()
+        is_recent = now_s - self.check(now_s) < CATCH_UP_S
+        return self.pause_s if is_recent else 0.0
+
     def _set_tick(self, now_s: float) -> None:
         self._tick_s = now_s
         self._tick_boot_s = clocks.boot_s()
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -175,3 +175,10 @@
         await anyio.sleep(0.1)
         group.cancel_scope.cancel()
     assert gateway.candidates() == ["new"]
+
+
+async def test_weights_that_waited_in_a_pause_count_as_new() -> None:
+    gateway = Gateway(engine("old", 1), engine("new", 2))
+    gateway.watch.held_up_s = lambda: WEIGHTS_S
+    gateway.announce(2)
+    assert gateway.candidates() == ["new"]
--- a/tests/gateway/test_view_age.py
+++ b/tests/gateway/test_view_age.py
@@ -74,6 +74,13 @@
     assert not age.is_cut_off()
 
 
+async def test_view_that_was_never_confirmed_decides_at_once() -> None:
+    age = new_age()
+    assert not age.is_current()
+    # Control was in reach a moment ago: it sent the first configuration.
+    assert not age.is_cut_off()
+
+
 async def test_requests_that_wait_ask_one_question_each(clock: Clock) -> None:
     age = new_age()
     age.confirm(age.ask())
@@ -121,6 +128,7 @@
     ):
         harness.site.view_age.limit_s = LIMIT_S
         harness.site.view_age.cut_off_s = CUT_OFF_S
+        harness.site.view_age.record(clocks.boot_s() - 10.0)
         with anyio.fail_after(arrival.MAX_CONFIRMATION_WAIT_S):
             assert support.status(await harness.ask(support.request())) == 200
             unknown = support.request().replace(b"/a/x", b"/unknown")
