--- a/tests/processes/test_lost.py
+++ b/tests/processes/test_lost.py
@@ -23,7 +23,7 @@
 # Requests that are sent at once on a connection.
 AHEAD = (1, 1, 2, 5)
 PAUSES_S = (0.3, 0.8, 1.5, 3.0)
-# A caller reads so slowly that windows close, in a share of its answers.
+# Fraction of answers whose caller stands still for up to 3 s within them.
 SLOW_FRACTION = 0.2
 PATIENCE_S = 12.0
 
