Handle the requests of departed callers as before, but at a gateway's callers

Cause: changed all listeners. It is a property of a listener now, which a gateway sets for its callers.

--- a/src/cactusstile/gateway/daemon.py
+++ b/src/cactusstile/gateway/daemon.py
@@ -159,6 +159,7 @@
         memory=share(BODY_MEMORY_FRACTION),
         heads=share(HEAD_MEMORY_FRACTION, MIN_HEAD_BYTES),
         unsent=share(UNSENT_MEMORY_FRACTION),
+        skips_departed=True,
         open_connections=caller_connections.Connections(
             settings.max_connections or most,
             caller_connections.CALLER_DESCRIPTOR_FRACTION,
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -109,7 +109,7 @@
         request = await self._read_request()
         if request is None:
             return False
-        if self.socket.has_ended():
+        if self.serving.skips_departed and self.socket.has_ended():
             # Both waited here, if this process stood still.
             logger.info("a caller left before its request was handled")
             return False
--- a/src/cactusstile/http/serving.py
+++ b/src/cactusstile/http/serving.py
@@ -50,6 +50,8 @@
       takes_requests: Whether open connections may bring further requests.
       take_until_s: Loop time from which on requests that were read are refused,
         also if the process stood still at that time.
+      skips_departed: Whether a request whose caller has left by then is not
+        handled.
       open_requests: Number of requests in progress.
       accepting: Cancelled to stop accepting connections.
       finished: Set when no request is in progress any more.
@@ -71,6 +73,7 @@
     stopping: bool = False
     takes_requests: bool = True
     take_until_s: float = math.inf
+    skips_departed: bool = False
     open_requests: int = 0
     accepting: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     finished: anyio.Event = attrs.field(factory=anyio.Event)
--- a/tests/http/test_callers_that_left.py
+++ b/tests/http/test_callers_that_left.py
@@ -32,6 +32,7 @@
     listener = sockets.listen(address.Address("127.0.0.1", 0))
     place = listener.getsockname()
     serving = callers.internal_serving(handle)
+    serving.skips_departed = True
     async with anyio.create_task_group() as group:
         group.start_soon(callers.serve_listener, listener, serving, group)
         with socket.create_connection(place) as caller:
