Read what came in a pause although the time for it has run out

Cause: what arrives in a pause is read before the timers act, but only up to the next turn that a task leaves to others (16 sends on a caller's connection, 64 parts of an answer). The expired timeout ended the task there. Class: a moment is acted on without a look at what has arrived by then.

Why this works: for 0.25 s after a pause a turn does not end the task that leaves it; the next wait for something that has not arrived does. A loop that is always late gets this once a second, so that answers without an end still end.

--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -13,6 +13,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 
 from cactusstile import clocks
 
@@ -25,6 +26,11 @@
 MIN_PAUSE_S = 0.05
 # Time in which a process that goes on has handled its signals.
 RESUME_S = 0.25
+# Time after a pause in which what arrived during it is read.
+CATCH_UP_S = 0.25
+# Shortest time between two such times: a loop that is always late has to end
+# what is late.
+MIN_CATCH_UP_INTERVAL_S = 1.0
 
 _T = typing.TypeVar("_T")
 _Arguments = typing.TypeVarTuple("_Arguments")
@@ -42,6 +48,8 @@
       pause_s: Length of the last pause of the process: the time by which a wait
         exceeded what was asked for.
       pause_end_s: Boot time at which it ended.
+      resumed_s: Boot time at which the loop last began to catch up, after it
+        had stood still in a wait or between two waits.
     """
 
     def __init__(self) -> None:
@@ -49,20 +57,29 @@
         super().__init__()
         self.pause_s = 0.0
         self.pause_end_s = -math.inf
+        self.resumed_s = -math.inf
+        self._ended_s = math.inf
 
     def select(self, timeout: float | None = None) -> Events:
         """Waits for events; see `selectors.BaseSelector.select`."""
         begun_s = clocks.boot_s()
+        if begun_s - self._ended_s > MIN_PAUSE_S:
+            self._resume(begun_s)
         events = super().select(timeout)
+        self._ended_s = clocks.boot_s()
         if timeout is not None:
-            ended_s = clocks.boot_s()
-            excess_s = ended_s - begun_s - max(timeout, 0.0)
+            excess_s = self._ended_s - begun_s - max(timeout, 0.0)
             if excess_s > MIN_PAUSE_S:
-                self.pause_s, self.pause_end_s = excess_s, ended_s
+                self.pause_s, self.pause_end_s = excess_s, self._ended_s
+                self._resume(self._ended_s)
         if events or (timeout is not None and timeout <= 0):
             return events
         return super().select(0)
 
+    def _resume(self, now_s: float) -> None:
+        if now_s - self.resumed_s > MIN_CATCH_UP_INTERVAL_S:
+            self.resumed_s = now_s
+
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
     """Event loop on the clock of `clocks.boot_s`.
@@ -80,6 +97,10 @@
         """Returns seconds since boot, including time in suspension."""
         return clocks.boot_s()
 
+    def is_catching_up(self) -> bool:
+        """Returns whether what arrived in a pause may still be unread."""
+        return self.time() - self.selector.resumed_s < CATCH_UP_S
+
 
 def pause_before_s(moment_s: float) -> float:
     """Returns how long the process stood still right before `moment_s`.
@@ -96,6 +117,19 @@
     return loop.selector.pause_s
 
 
+async def take_turn() -> None:
+    """Lets other tasks run.
+
+    Right after a pause this ends no task whose time has run out: it goes on to
+    its next wait, and so reads all that has arrived.
+    """
+    loop = asyncio.get_running_loop()
+    if isinstance(loop, BootTimeLoop) and loop.is_catching_up():
+        await anyio.lowlevel.cancel_shielded_checkpoint()
+        return
+    await anyio.lowlevel.checkpoint()
+
+
 def run(
     main: collections.abc.Callable[
         [typing.Unpack[_Arguments]], collections.abc.Awaitable[_T]
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -13,8 +13,8 @@
 import typing
 
 import anyio
-import anyio.lowlevel
 
+from cactusstile import event_loops
 from cactusstile.http import exceptions
 from cactusstile.transport import address
 from cactusstile.transport import binding
@@ -125,7 +125,7 @@
         self._calls_in_turn += 1
         if self._calls_in_turn > CALLS_PER_TURN:
             self._calls_in_turn = 0
-            await anyio.lowlevel.checkpoint()
+            await event_loops.take_turn()
 
     async def _wait(
         self,
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -8,10 +8,10 @@
 import typing
 
 import anyio
-import anyio.lowlevel
 import attrs
 import h11
 
+from cactusstile import event_loops
 from cactusstile.http import exceptions
 from cactusstile.http import messages
 from cactusstile.http import sockets
@@ -225,7 +225,7 @@
         self._parts_in_turn += 1
         if self._parts_in_turn > PARTS_PER_TURN:
             self._parts_in_turn = 0
-            await anyio.lowlevel.checkpoint()
+            await event_loops.take_turn()
 
     async def _next_event(self) -> object:
         await self._take_turn()
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -23,6 +23,7 @@
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 IDLE_MS = 500
 TIMEOUT_MS = 600
+EVENTS = 200
 REQUEST = (
     b"POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-cactusstile-key: k\r\n"
     b"x-cactusstile-attempt-id: one\r\ncontent-length: 4\r\n\r\nbody"
@@ -30,10 +31,25 @@
 
 
 async def answer_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+    if b"/a/stream" in request:
+        return await stream_late(stream, request)
     await anyio.sleep(0.3)
     return await raw_target.answer()(stream, request)
 
 
+async def stream_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+    """Sends the first event of a stream, and the others later."""
+    await raw_target.stream_events([0], whole=False)(stream, request)
+    await anyio.sleep(0.3)
+    rest = b""
+    for number in range(1, EVENTS):
+        event = b"id: %d\ndata: x\n\n" % number
+        rest += b"%x\r\n%b\r\n" % (len(event), event)
+    return await raw_target.send_raw(rest + b"0\r\n\r\n", keep=True)(
+        stream, request
+    )
+
+
 @pytest.fixture
 async def site(
     tmp_path: pathlib.Path,
@@ -127,6 +143,22 @@
         assert (await receive(stream)).startswith(b"HTTP/1.1 200")
 
 
+# Guards against a stream that is cut off though its rest came in the pause.
+async def test_timeout_that_ran_out_in_a_pause_cuts_a_stream(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/a/stream"))
+        received = await receive(stream)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            pass
+        while not received.endswith(b"0\r\n\r\n"):
+            data = await receive(stream)
+            assert data, received[-100:]
+            received += data
+    assert received.count(b"data: ") == EVENTS
+
+
 # Guards against a request that is taken too late in a stop and cut off.
 async def test_request_that_came_in_a_pause_of_a_drain_is_cut_off(
     site: node_site.NodeSite,
