Estimate a stream's duration by its events, also of streams that still run

Cause: a gateway that stops refuses streams that would outlast it, by the mean duration of ended streams per expected token. Soon after a start only short streams have ended, or none, so that the estimate is far too short.

Why this works: the pace is counted by events that were passed on, and by the streams that still run as well; the slower of both counts. An event that holds several tokens makes the estimate longer, which is the cautious side.

--- a/src/cactusstile/gateway/engines/stream_pace.py
+++ b/src/cactusstile/gateway/engines/stream_pace.py
@@ -7,8 +7,17 @@
 
 from __future__ import annotations
 
+import contextlib
+import typing
+
+import anyio
 import attrs
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    CountEvents = collections.abc.Callable[[], int]
+
 # Weight of the newest stream in the moving average of its route.
 EWMA_WEIGHT = 0.1
 # Assumed duration per expected token before the first observation.
@@ -18,39 +27,84 @@
 SAFETY_FACTOR = 3.0
 
 
+@attrs.frozen(eq=False)
+class RunningStream:
+    """A stream that a target sends.
+
+    Attributes:
+      started_s: Loop time at which it was asked for.
+      count_events: Returns the number of its events so far.
+    """
+
+    started_s: float
+    count_events: CountEvents
+
+
 @attrs.define
 class StreamPace:
-    """Duration of streams per token that their callers expect.
+    """Duration of streams per event; an event holds one token or more.
 
     Attributes:
-      s_per_token: Moving average, by route.
+      s_per_event: Moving average over ended streams, by route, in seconds.
+      running: Streams that have not ended, by route.
     """
 
-    s_per_token: dict[str, float] = attrs.field(factory=dict)
+    s_per_event: dict[str, float] = attrs.field(factory=dict)
+    running: dict[str, set[RunningStream]] = attrs.field(factory=dict)
+
+    @contextlib.contextmanager
+    def follow(
+        self, route: str, started_s: float, count_events: CountEvents
+    ) -> collections.abc.Iterator[None]:
+        """Observes a stream in the context; see `RunningStream`."""
+        stream = RunningStream(started_s, count_events)
+        streams = self.running.setdefault(route, set())
+        streams.add(stream)
+        try:
+            yield
+        finally:
+            streams.remove(stream)
+        self.add(route, count_events(), anyio.current_time() - started_s)
 
-    def add(self, route: str, expected_tokens: int, duration_s: float) -> None:
+    def add(self, route: str, events: int, duration_s: float) -> None:
         """Records a completed stream."""
-        if expected_tokens <= 0:
+        if events <= 0:
             return
-        sample = duration_s / expected_tokens
-        before = self.s_per_token.get(route, sample)
-        self.s_per_token[route] = before + EWMA_WEIGHT * (sample - before)
+        sample = duration_s / events
+        before = self.s_per_event.get(route, sample)
+        self.s_per_event[route] = before + EWMA_WEIGHT * (sample - before)
 
     def max_duration_s(
-        self, route: str, expected_tokens: int, max_tokens: int
+        self, route: str, expected_tokens: int, max_tokens: int, now_s: float
     ) -> float:
         """Returns an upper estimate of a stream's duration.
 
         >>> pace = StreamPace()
         >>> pace.add("r", 100, 0.5)
-        >>> pace.max_duration_s("r", 100, 1000)
+        >>> pace.max_duration_s("r", 100, 1000, 9.0)
         1.5
-        >>> pace.max_duration_s("r", 100, 120)
+        >>> pace.max_duration_s("r", 100, 120, 9.0)
         0.6
+        >>> pace.running["r"] = {RunningStream(8.0, lambda: 20)}
+        >>> pace.max_duration_s("r", 100, 120, 9.0)
+        6.0
         """
         tokens = float(max_tokens)
         if expected_tokens > 0:
             tokens = min(
                 tokens or float("inf"), SAFETY_FACTOR * expected_tokens
             )
-        return tokens * self.s_per_token.get(route, INITIAL_S_PER_TOKEN)
+        ended_s = self.s_per_event.get(route, INITIAL_S_PER_TOKEN)
+        return tokens * max(ended_s, self._running_s_per_event(route, now_s))
+
+    def _running_s_per_event(self, route: str, now_s: float) -> float:
+        """Returns the mean of running streams; 0 without an event.
+
+        Soon after a start only short streams have ended.
+        """
+        elapsed_s = 0.0
+        events = 0
+        for stream in self.running.get(route, ()):
+            elapsed_s += now_s - stream.started_s
+            events += stream.count_events()
+        return elapsed_s / events if events else 0.0
--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -123,12 +123,14 @@
         ):
             return
         prompt = admitted.prompt
+        now_s = anyio.current_time()
         max_duration_s = self.sender.pace.max_duration_s(
             admitted.route.name,
             prompt.expected_tokens,
             prompt.max_output_tokens,
+            now_s,
         )
-        if anyio.current_time() + max_duration_s > self.stop_at_s:
+        if now_s + max_duration_s > self.stop_at_s:
             raise verdict.refuse(
                 verdict.Reason.SHUTTING_DOWN,
                 "this gateway stops before the stream would end",
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -120,11 +120,9 @@
                 if isinstance(opened, exchange.OpenStream):
                     record.attempts[-1].first_event_s = anyio.current_time()
                     self._record_first_event(admitted, dispatch, work)
-                    view.unread_tokens -= work.unread_tokens
-                    work.unread_tokens = 0
-                    self.announce_load()
-                    await relay.feed(opened, retries.origin_at(view.target))
-                    self._record_stream_end(admitted, work, view, relay)
+                    await self._relay_stream(
+                        opened, admitted, view, work, relay
+                    )
             view.record_success(anyio.current_time())
         except anyio.get_cancelled_exc_class():
             self._record_timeout(admitted, view, record)
@@ -216,22 +214,28 @@
         if observed is not None:
             self.announce_fetch(observed)
 
-    def _record_stream_end(
+    async def _relay_stream(
         self,
+        opened: exchange.OpenStream,
         admitted: admission.AdmittedRequest,
-        work: exchange.Work,
         view: target_view.TargetView,
+        work: exchange.Work,
         relay: streams.StreamRelay,
     ) -> None:
-        """Records the duration and the pauses of a completed stream."""
+        """Relays a stream that has begun, and records its duration."""
+        view.unread_tokens -= work.unread_tokens
+        work.unread_tokens = 0
+        self.announce_load()
+        before = relay.events
+        with self.pace.follow(
+            admitted.route.name,
+            work.started_s,
+            lambda: relay.events - before,
+        ):
+            await relay.feed(opened, retries.origin_at(view.target))
         self.dispatcher.separations.record_pauses(
             admitted.route, view, relay.longest_gap_s
         )
-        self.pace.add(
-            admitted.route.name,
-            admitted.prompt.expected_tokens,
-            anyio.current_time() - work.started_s,
-        )
 
     def _record_timeout(
         self,
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -144,6 +144,33 @@
         assert not target.requests
 
 
+# Guards against a stream that is cut off as only short ones have ended so far.
+async def test_short_streams_that_end_first_pass_for_the_pace_of_all() -> None:
+    gate = anyio.Event()
+    begin = raw_target.stream_events([1], whole=False)
+    end = raw_target.send_raw(b"0\r\n\r\n", keep=True)
+    short = raw_target.stream_events([1])
+    usage = b"X-Cactusstile-Token-Usage: 9,900\r\nX-Cactusstile-Length-Hint: "
+    config = support.configuration(support.route(model.Kind.STREAM))
+    async with (
+        raw_target.open_target(
+            raw_target.in_turn(begin, gate, end), short, short
+        ) as target,
+        support.open_harness(config, target) as harness,
+    ):
+        stream = await harness.connect()
+        await stream.send(support.request(b"POST", usage + b"20\r\n"))
+        while not target.requests:
+            await anyio.sleep(0.01)
+        await harness.ask(support.request(b"POST", usage + b"20\r\n"))
+        await anyio.sleep(0.2)
+        harness.forwarder.stop_at_s = anyio.current_time() + 3.0
+        data = await harness.ask(support.request(b"POST", usage + b"20\r\n"))
+        assert support.status(data) == 503
+        gate.set()
+        await stream.aclose()
+
+
 async def test_drain_gives_the_longest_stream_all_but_a_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
