--- a/src/cactusstile/filters/json_body.py
+++ b/src/cactusstile/filters/json_body.py
@@ -6,6 +6,7 @@
 import re
 import typing
 
+from cactusstile import json_text
 from cactusstile import verdict
 
 MAX_NESTING = 32
@@ -25,8 +26,7 @@
     """
     _check_bounds(data)
     try:
-        text = data.decode("utf-8-sig")
-        value = json.loads(text, parse_constant=_refuse_constant)
+        value = json_text.load_document(data)
     except (ValueError, RecursionError) as error:
         reason = str(error) if isinstance(error, json.JSONDecodeError) else ""
         raise _bad_request(
@@ -37,10 +37,6 @@
     return value
 
 
-def _refuse_constant(name: str) -> typing.NoReturn:
-    raise ValueError(name)
-
-
 def _check_bounds(data: bytes) -> None:
     values = data.count(b",") + data.count(b"{") + data.count(b"[")
     if values <= MAX_NESTING:
--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -33,14 +33,8 @@
 # and of answers that nobody takes.
 INTERNAL_MAX_BODIES = 4
 INTERNAL_MAX_CONNECTIONS = 256
-# Delay after which a caller may retry when its request found no room.
-FULL_RETRY_AFTER_S = 1
 # Time between two looks whether a caller, of whom no more is read, has left.
 CALLER_CHECK_INTERVAL_S = 0.2
-_FULL_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
-    b"retry-after: %d\r\ncontent-length: 0\r\n\r\n" % FULL_RETRY_AFTER_S
-)
 _GAVE_WAY = (responders.UNAVAILABLE, "the connection gave way to others")
 
 
@@ -231,7 +225,9 @@
         body = text.encode() + b"\n"
         headers.append((b"content-length", b"%d" % len(body)))
         if status == responders.UNAVAILABLE:
-            headers.append((b"retry-after", b"%d" % FULL_RETRY_AFTER_S))
+            headers.append(
+                (b"retry-after", b"%d" % connections.FULL_RETRY_AFTER_S)
+            )
         head = h11.Response(status_code=status, headers=headers)
         data = (
             (self.reader.protocol.send(head) or b"")
@@ -275,7 +271,7 @@
     """Serves a connection in a task of `group`, if there is a place for it."""
     place = serving.open_connections.open()
     if place is None:
-        opened.send_now(_FULL_ANSWER)
+        opened.send_now(connections.FULL_ANSWER)
         opened.close()
         return
     group.start_soon(_serve, opened, serving, place)
--- a/src/cactusstile/limits/connections.py
+++ b/src/cactusstile/limits/connections.py
@@ -30,6 +30,13 @@
 CALLER_DESCRIPTOR_FRACTION = 3 / 8
 # Share of a listener for administrators, operators or a balancer.
 INTERNAL_DESCRIPTOR_FRACTION = 1 / 16
+# Delay after which a caller may retry when there was no room for it.
+FULL_RETRY_AFTER_S = 1
+# Answer to a connection for which there is no place; nothing of it was read.
+FULL_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
+    b"retry-after: %d\r\ncontent-length: 0\r\n\r\n" % FULL_RETRY_AFTER_S
+)
 
 
 class Phase(enum.IntEnum):
--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -160,7 +160,7 @@
                 place = opened.open()
                 if place is None:
                     with raw, contextlib.suppress(OSError):
-                        raw.send(limited_protocol.FULL_ANSWER)
+                        raw.send(connections.FULL_ANSWER)
                 else:
                     group.start_soon(self._open, raw, place)
                 is_turn_over = number % connections.ACCEPTS_PER_TURN == 0
--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -32,10 +32,6 @@
     connections.Phase.READING: READ_TIMEOUT_S,
     connections.Phase.STALLED: STALL_TIMEOUT_S,
 }
-FULL_ANSWER = (
-    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
-    b"retry-after: 1\r\ncontent-length: 0\r\n\r\n"
-)
 
 
 @attrs.frozen
@@ -190,7 +186,7 @@
             return
         has_answer = self.cycle is not None and self.cycle.response_started
         if phase is connections.Phase.READING and not has_answer:
-            self.transport.write(FULL_ANSWER)
+            self.transport.write(connections.FULL_ANSWER)
         self.transport.close()
         # Closing waits for a peer to take what is left.
         if self._timer is not None:
--- a/src/cactusstile/platform/calls.py
+++ b/src/cactusstile/platform/calls.py
@@ -6,6 +6,7 @@
 import json
 import urllib.parse
 
+from cactusstile import json_text
 from cactusstile.http import messages
 from cactusstile.platform import fields
 from cactusstile.platform import headers
@@ -63,7 +64,7 @@
     Raises:
       ValueError: The body is malformed.
     """
-    decoded = fields.json_object(fields.load_document(document))
+    decoded = fields.json_object(json_text.load_document(document))
     version = fields.integer(decoded, "version", low=1)
     return model.Weights(fields.label(decoded, "model"), version)
 
--- a/src/cactusstile/platform/configurations.py
+++ b/src/cactusstile/platform/configurations.py
@@ -4,6 +4,7 @@
 
 import json
 
+from cactusstile import json_text
 from cactusstile.http import request_limits
 from cactusstile.platform import fields
 from cactusstile.sites import model
@@ -23,7 +24,7 @@
       InvalidConfigurationError: The document is malformed or inconsistent.
     """
     try:
-        root = fields.json_object(fields.load_document(document))
+        root = fields.json_object(json_text.load_document(document))
         version = fields.integer(root, "version")
         services = _decode_services(fields.json_objects(root, "services"))
         routes = tuple(
@@ -190,5 +191,5 @@
 
 def canonical(document: bytes) -> bytes:
     """Returns the canonical JSON form, in which equal documents are equal."""
-    decoded = fields.load_document(document)
+    decoded = json_text.load_document(document)
     return json.dumps(decoded, sort_keys=True, separators=(",", ":")).encode()
--- a/src/cactusstile/platform/listings.py
+++ b/src/cactusstile/platform/listings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cactusstile import json_text
 from cactusstile.platform import fields
 from cactusstile.sites import model
 
@@ -38,7 +39,7 @@
     Raises:
       ValueError: The page itself is malformed.
     """
-    root = fields.json_object(fields.load_answer(document))
+    root = fields.json_object(json_text.load_answer(document))
     entries = root.get("instances")
     if not isinstance(entries, list):
         raise ValueError("instances is not a list")
@@ -120,7 +121,7 @@
     Raises:
       ValueError: The report is malformed.
     """
-    root = fields.json_object(fields.load_answer(document))
+    root = fields.json_object(json_text.load_answer(document))
     return Report(
         weights=_decode_weights(root),
         is_executing_order=fields.boolean(root, "busy"),
--- a/src/cactusstile/platform/stores.py
+++ b/src/cactusstile/platform/stores.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cactusstile import json_text
 from cactusstile.http import messages
 from cactusstile.platform import fields
 from cactusstile.platform import headers
@@ -98,7 +99,7 @@
     Raises:
       ValueError: The list is malformed.
     """
-    root = fields.json_object(fields.load_answer(document))
+    root = fields.json_object(json_text.load_answer(document))
     parts = []
     for entry in _read_entries(root, "held", _LIST_FIELDS):
         salt, identity, tokens = entry[0], entry[1], entry[2]
@@ -116,7 +117,7 @@
     Raises:
       ValueError: The events are malformed.
     """
-    root = fields.json_object(fields.load_answer(document))
+    root = fields.json_object(json_text.load_answer(document))
     changes = []
     for entry in _read_entries(root, "events", _EVENT_FIELDS):
         # The token count is the stored length after the event.
--- a/src/cactusstile/registry/operator_calls.py
+++ b/src/cactusstile/registry/operator_calls.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cactusstile import json_text
 from cactusstile.platform import calls
 from cactusstile.platform import fields
 from cactusstile.registry import evacuation_calls
@@ -53,5 +54,5 @@
     Raises:
       ValueError: The body is malformed.
     """
-    decoded = fields.json_object(fields.load_document(document))
+    decoded = fields.json_object(json_text.load_document(document))
     return fields.text(decoded, "id")
--- a/src/cactusstile/targets/platform.py
+++ b/src/cactusstile/targets/platform.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import enum
-import json
 import typing
 
+from cactusstile import json_text
 from cactusstile.targets import exceptions
 from cactusstile.targets import http
 
@@ -34,7 +34,7 @@
     >>> parse_vms(b'{"vms": [{"name": "vm1", "state": "leaving"}]}')
     {'vm1': <VmState.LEAVING: 'leaving'>}
     """
-    page = json.loads(data.decode("utf-8-sig", "replace"))
+    page = json_text.load_answer(data)
     entries = page.get("vms") if isinstance(page, dict) else None
     if not isinstance(entries, list):
         raise ValueError("vms is not a list")
