Agent: notice a freeze whatever the engine's controller does

What callers saw: after a pause of its process an agent that was reading its engine's state admitted runs at once, by a fencing token that a newer agent may have outdated; claims alone kept them from running twice.

Cause: the pause was measured in the controller's own wait between two steps, and in none of its steps. Class: the age of a statement (here, that the token is the newest) is not counted over a pause.

Why this works: a task of its own measures pauses. Its pause of the gate may overlap with that of an order, so the gate counts who closes it.

--- a/src/cactusstile/agent/gate.py
+++ b/src/cactusstile/agent/gate.py
@@ -33,17 +33,17 @@
         self.status: engine.Status | None = None
         self.expected_open_s = 0.0
         self._admitted_count = 0
-        self._closed = False
+        self._closers = 0
         self._changed = anyio.Event()
 
     @property
     def is_open(self) -> bool:
         """Whether runs are currently admitted."""
-        return not self._closed and self.status is not None
+        return not self._closers and self.status is not None
 
     def expected_wait_s(self) -> float:
         """Returns the expected wait at the gate; infinite if unknown."""
-        if self._closed:
+        if self._closers:
             return max(0.0, self.expected_open_s - anyio.current_time())
         return 0.0 if self.status is not None else float("inf")
 
@@ -52,7 +52,7 @@
         self,
     ) -> collections.abc.AsyncIterator[engine.Status]:
         """Waits until the gate is open; the yielded status stays valid."""
-        while self._closed or self.status is None:
+        while self._closers or self.status is None:
             await self._changed.wait()
         self._admitted_count += 1
         try:
@@ -65,16 +65,20 @@
     def paused(self, expected_s: float = 0.0) -> collections.abc.Iterator[None]:
         """Blocks new admissions; the current ones go on.
 
+        Contexts may overlap; the last one to end opens the gate.
+
         Args:
           expected_s: Expected duration, used to estimate the wait of runs.
         """
-        self._closed = True
-        self.expected_open_s = anyio.current_time() + expected_s
+        self._closers += 1
+        open_s = anyio.current_time() + expected_s
+        self.expected_open_s = max(self.expected_open_s, open_s)
         try:
             yield
         finally:
-            self._closed = False
-            self.expected_open_s = 0.0
+            self._closers -= 1
+            if not self._closers:
+                self.expected_open_s = 0.0
             self._notify()
 
     @contextlib.asynccontextmanager
@@ -89,7 +93,7 @@
         Args:
           expected_s: Expected duration, used to estimate the wait of runs.
         """
-        while self._closed:
+        while self._closers:
             await self._changed.wait()
         with self.paused(expected_s):
             while self._admitted_count:
--- a/src/cactusstile/controllers/orders.py
+++ b/src/cactusstile/controllers/orders.py
@@ -32,6 +32,7 @@
 POLL_INTERVAL_S = 1.0
 RETRY_INTERVAL_S = 0.5
 MAX_RETRY_INTERVAL_S = 8.0
+TICK_S = 0.25
 FREEZE_LIMIT_S = 2.0
 EXPECTED_CONFIRM_S = 0.5
 CONFLICT = 409
@@ -92,6 +93,13 @@
     async def run(self) -> None:
         """Runs until cancelled or until a newer agent owns the target."""
         await self._node.fleet_holder.confirmed.wait()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_for_freezes)
+            await self._reconcile()
+            group.cancel_scope.cancel()
+
+    async def _reconcile(self) -> None:
+        """Runs until a newer agent owns the target."""
         while True:
             pause_s = self._timing.poll_interval_s
             try:
@@ -211,15 +219,20 @@
         )
 
     async def _pause(self, seconds: float) -> None:
-        """Sleeps for `seconds` or until the fleet changes; detects a freeze."""
-        started_s = anyio.current_time()
+        """Sleeps for `seconds` or until the fleet changes."""
         with anyio.move_on_after(seconds):
             await self._changed.wait()
         self._changed = anyio.Event()
-        slept_s = anyio.current_time() - started_s
-        if slept_s > seconds + FREEZE_LIMIT_S:
-            with self._gate.paused(EXPECTED_CONFIRM_S):
-                await self._confirm_after_freeze()
+
+    async def _watch_for_freezes(self) -> None:
+        """Admits no run after a freeze before the token is confirmed."""
+        while True:
+            started_s = anyio.current_time()
+            await anyio.sleep(TICK_S)
+            slept_s = anyio.current_time() - started_s
+            if slept_s > TICK_S + FREEZE_LIMIT_S:
+                with self._gate.paused(EXPECTED_CONFIRM_S):
+                    await self._confirm_after_freeze()
 
     async def _confirm_after_freeze(self) -> None:
         """Confirms the token and reads the engine's state, in that order."""
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -17,8 +17,12 @@
 from cactusstile.fakes import serving
 from cactusstile.fakes import site
 from cactusstile.fakes import weight_store
+from cactusstile.targets import engine as engines
 
 pytestmark = pytest.mark.anyio
+PROBE = messages.Probe(
+    "bank", site.DEPLOYMENT, "", (), 10, 1, 0, 0, 1, reserve=False
+)
 
 
 async def _wait_until(
@@ -102,9 +106,6 @@
 ) -> None:
     """Guards against refusals while a resumed agent confirms its token."""
     monkeypatch.setattr(orders, "FREEZE_LIMIT_S", 0.2)
-    probe = messages.Probe(
-        "bank", site.DEPLOYMENT, "", (), 10, 1, 0, 0, 1, reserve=False
-    )
     async with (
         site.open_site() as opened,
         site.open_engine_agent(opened) as agent,
@@ -114,7 +115,7 @@
         time.sleep(1.5)  # noqa: ASYNC251
         replies = []
         for _ in range(20):
-            reply = await opened.peers.call(agent.bound, probe, timeout_s=1.0)
+            reply = await opened.peers.call(agent.bound, PROBE, timeout_s=1.0)
             assert isinstance(reply, messages.ProbeReply)
             replies.append(reply)
             await anyio.sleep(0.02)
@@ -122,6 +123,37 @@
     assert max(reply.wait_ms for reply in replies) > 0
 
 
+# Guards against runs admitted by an old token after a freeze within a read.
+async def test_agent_frozen_while_it_reads_its_engine_admits_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "FREEZE_LIMIT_S", 0.2)
+    read_status = engines.EngineClient.status
+    reading = anyio.Event()
+
+    async def read_late(client: engines.EngineClient) -> engines.Status:
+        reading.set()
+        await anyio.sleep(0.1)
+        return await read_status(client)
+
+    async with (
+        site.open_site() as opened,
+        site.open_engine_agent(opened) as agent,
+    ):
+        await _wait_until(agent.ready)
+        monkeypatch.setattr(engines.EngineClient, "status", read_late)
+        await reading.wait()
+        opened.control.fence_answer_delay_s = 0.5
+        time.sleep(1.5)  # noqa: ASYNC251
+        waits_ms = []
+        for _ in range(20):
+            reply = await opened.peers.call(agent.bound, PROBE, timeout_s=1.0)
+            assert isinstance(reply, messages.ProbeReply)
+            waits_ms.append(reply.wait_ms)
+            await anyio.sleep(0.02)
+    assert max(waits_ms) > 0
+
+
 async def test_superseded_agent_of_a_service_accepts_no_work(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
