Keep a large answer that arrived in a pause although its time ran out

What callers saw: 504 "no answer within the time of the route", may have run, for an answer of more than 64 KiB that had arrived at the gateway as a whole when the gateway woke from a pause after the route's timeout.

Cause: the memory for a large answer is taken under a lock, and taking a free lock is a point at which a task whose time has run out ends. Class: a moment is acted on without a look at what has arrived by then.

Why this works: if there is room and nobody waits for memory, it is taken without the lock, so that the task goes on to read what has arrived. Who has to wait still waits in order of arrival, and ends there if the time has run out.

--- a/src/cactusstile/gateway/answer_memory.py
+++ b/src/cactusstile/gateway/answer_memory.py
@@ -36,6 +36,10 @@
     turn: anyio.Lock = attrs.field(factory=anyio.Lock)
     freed: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def has_room(self, size: int) -> bool:
+        """Returns whether `size` bytes are free."""
+        return self.used_bytes + size <= self.limit_bytes
+
     @contextlib.contextmanager
     def hold(self) -> collections.abc.Iterator[Holding]:
         """Returns memory for the answer of one attempt; exit releases it."""
@@ -67,12 +71,15 @@
         """
         memory = self.memory
         size = min(size, memory.limit_bytes)
-        async with memory.turn:
-            while memory.used_bytes + size > memory.limit_bytes:
-                memory.freed = anyio.Event()
-                await memory.freed.wait()
-            memory.used_bytes += size
-            self.size += size
+        if memory.turn.locked() or not memory.has_room(size):
+            async with memory.turn:
+                while not memory.has_room(size):
+                    memory.freed = anyio.Event()
+                    await memory.freed.wait()
+        # Without a wait nothing ends an answer that arrived in a pause of this
+        # process in which its time ran out.
+        memory.used_bytes += size
+        self.size += size
 
     async def read_body(
         self,
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -19,11 +19,14 @@
 
 from cactusstile.gateway import lifecycle
 from cactusstile.http import messages
+from cactusstile.http import targets
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 IDLE_MS = 500
 TIMEOUT_MS = 600
 EVENTS = 200
+# Read with a reservation of memory, and received as a whole in a pause.
+LARGE_BYTES = targets.UNRESERVED_BYTES + (32 << 10)
 REQUEST = (
     b"POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-cactusstile-key: k\r\n"
     b"x-cactusstile-attempt-id: one\r\ncontent-length: 4\r\n\r\nbody"
@@ -34,7 +37,8 @@
     if b"/a/stream" in request:
         return await stream_late(stream, request)
     await anyio.sleep(0.3)
-    return await raw_target.answer()(stream, request)
+    body = b"x" * LARGE_BYTES if b"/a/large" in request else b"done"
+    return await raw_target.answer(body)(stream, request)
 
 
 async def stream_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
@@ -143,6 +147,23 @@
         assert (await receive(stream)).startswith(b"HTTP/1.1 200")
 
 
+# Guards against an answer that is thrown away only since it is large.
+async def test_timeout_that_ran_out_in_a_pause_discards_a_large_answer(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/a/large"))
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            pass
+        received = await receive(stream)
+        assert received.startswith(b"HTTP/1.1 200"), received
+        while not received.endswith(b"x" * LARGE_BYTES):
+            data = await receive(stream)
+            assert data, len(received)
+            received += data
+
+
 # Guards against a stream that is cut off though its rest came in the pause.
 async def test_timeout_that_ran_out_in_a_pause_cuts_a_stream(
     site: node_site.NodeSite,
