Read what came in a pause also if a hiccup came shortly before

What callers saw: a stream whose rest had arrived in a pause of the gateway was cut off after 14 to 16 of 200 events when the gateway woke after the route's timeout, if the process had been late by as little as 0.05 s up to a second before it woke.

Cause: time to read what arrived in a pause is given once a second, so that a loop that is always late still ends answers without an end. A hiccup used it up, and the pause after it got none. Class: a moment is acted on without a look at what has arrived by then.

Why this works: a pause more than twice as long as the one that began the last such time begins another. Within a second that is possible a few times only, as the pauses themselves use it up; test_loop_that_is_late_by_ever_more_ends_nothing shows that such a loop still ends what is late.

--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -31,6 +31,9 @@
 # Shortest time between two such times: a loop that is always late has to end
 # what is late.
 MIN_CATCH_UP_INTERVAL_S = 1.0
+# A pause that is longer by this factor than the one before begins such a time
+# at once; within the interval that happens a few times only.
+LONGER_FACTOR = 2.0
 
 _T = typing.TypeVar("_T")
 _Arguments = typing.TypeVarTuple("_Arguments")
@@ -58,27 +61,37 @@
         self.pause_s = 0.0
         self.pause_end_s = -math.inf
         self.resumed_s = -math.inf
+        self._resumed_from_s = 0.0
         self._ended_s = math.inf
 
     def select(self, timeout: float | None = None) -> Events:
         """Waits for events; see `selectors.BaseSelector.select`."""
         begun_s = clocks.boot_s()
-        if begun_s - self._ended_s > MIN_PAUSE_S:
-            self._resume(begun_s)
+        self._resume(begun_s, begun_s - self._ended_s)
         events = super().select(timeout)
         self._ended_s = clocks.boot_s()
         if timeout is not None:
             excess_s = self._ended_s - begun_s - max(timeout, 0.0)
             if excess_s > MIN_PAUSE_S:
                 self.pause_s, self.pause_end_s = excess_s, self._ended_s
-                self._resume(self._ended_s)
+            self._resume(self._ended_s, excess_s)
         if events or (timeout is not None and timeout <= 0):
             return events
         return super().select(0)
 
-    def _resume(self, now_s: float) -> None:
-        if now_s - self.resumed_s > MIN_CATCH_UP_INTERVAL_S:
-            self.resumed_s = now_s
+    def _resume(self, now_s: float, pause_s: float) -> None:
+        """Begins to catch up, unless it did so shortly before.
+
+        A hiccup does not stand in for a pause that is much longer.
+        """
+        if pause_s <= MIN_PAUSE_S:
+            return
+        since_s = now_s - self.resumed_s
+        if (
+            since_s > MIN_CATCH_UP_INTERVAL_S
+            or pause_s > LONGER_FACTOR * self._resumed_from_s
+        ):
+            self.resumed_s, self._resumed_from_s = now_s, pause_s
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -180,6 +180,25 @@
     assert received.count(b"data: ") == EVENTS
 
 
+# Guards against a stream that is cut off as another pause ended shortly before.
+async def test_short_pause_after_a_shorter_one_cuts_a_stream(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/a/stream"))
+        received = await receive(stream)
+        async with paused(site, 0.1):
+            pass
+        await anyio.sleep(0.02)
+        async with paused(site, 0.5):
+            pass
+        while not received.endswith(b"0\r\n\r\n"):
+            data = await receive(stream)
+            assert data, received[-100:]
+            received += data
+    assert received.count(b"data: ") == EVENTS
+
+
 # Guards against a request that is taken too late in a stop and cut off.
 async def test_request_that_came_in_a_pause_of_a_drain_is_cut_off(
     site: node_site.NodeSite,
