Let what came in a pause reach waits over several tasks before timers act

What callers saw: a call between processes failed with "no answer in 0.300 s", sent, though its answer had arrived, when the caller of the call woke from a pause in which its time ran out. The same holds for every wait that another task ends: an entry's deadline for a run, a probe, a confirmation of a gateway's view (these three by reading).

Cause: after a pause arrivals are read before timers act, but timers act in the same turn of the loop. A task that reads the socket itself gets what arrived; one that is told by the task that reads is ended first. Class: a moment is acted on without a look at what has arrived by then.

Why this works: while the loop catches up, that is for 0.25 s after a pause and as a rule once a second, a timer runs 16 turns of the loop late, in the order of the others and not if it is cancelled meanwhile. The loop polls its descriptors in each of these turns, so that what has arrived is read and passed on.

--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -8,17 +8,20 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import selectors
 import typing
 
 import anyio
 import anyio.lowlevel
+import attrs
 
 from cactusstile import clocks
 
 if typing.TYPE_CHECKING:
     import collections.abc
+    import contextvars
 
     Events = list[tuple[selectors.SelectorKey, int]]
 
@@ -31,6 +34,8 @@
 # Shortest time between two such times: a loop that is always late has to end
 # what is late.
 MIN_CATCH_UP_INTERVAL_S = 1.0
+# Turns of the loop by which timers run late right after a pause.
+TURNS_AFTER_PAUSE = 16
 # A pause that is longer by this factor than the one before begins such a time
 # at once; within the interval that happens a few times only.
 LONGER_FACTOR = 2.0
@@ -110,11 +115,56 @@
         """Returns seconds since boot, including time in suspension."""
         return clocks.boot_s()
 
+    def call_at(
+        self,
+        when: float,
+        callback: collections.abc.Callable[[typing.Unpack[_Arguments]], object],
+        *args: *_Arguments,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Schedules a callback; see `asyncio.AbstractEventLoop.call_at`.
+
+        Right after a pause it runs some turns late: what arrived may reach the
+        task that waits for it by way of others.
+        """
+        late = _LateCall(self, functools.partial(callback, *args))
+        timer = super().call_at(
+            when, late.run, TURNS_AFTER_PAUSE, context=context
+        )
+        late.timer = timer
+        return timer
+
     def is_catching_up(self) -> bool:
         """Returns whether what arrived in a pause may still be unread."""
         return self.time() - self.selector.resumed_s < CATCH_UP_S
 
 
+@attrs.define(eq=False)
+class _LateCall:
+    """A timer's callback that lets some turns of the loop pass after a pause.
+
+    Attributes:
+      loop: The loop.
+      callback: The callback.
+      timer: The timer; None once it has run.
+    """
+
+    loop: BootTimeLoop
+    callback: collections.abc.Callable[[], object]
+    timer: asyncio.TimerHandle | None = None
+
+    def run(self, turns: int) -> None:
+        """Runs the callback after `turns` turns, or at once without a pause."""
+        if self.timer is None or self.timer.cancelled():
+            return
+        if turns and self.loop.is_catching_up():
+            self.loop.call_soon(self.run, turns - 1)
+            return
+        # The timer refers to this object.
+        self.timer = None
+        self.callback()
+
+
 def pause_before_s(moment_s: float) -> float:
     """Returns how long the process stood still right before `moment_s`.
 
--- a/tests/test_event_loops.py
+++ b/tests/test_event_loops.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 import time
 
 import anyio
@@ -46,3 +48,55 @@
     begun_s = time.monotonic()
     assert event_loops.run(_work, pauses_s, 0.1) < len(pauses_s)
     assert time.monotonic() - begun_s < 4.0
+
+
+async def _receive_over_tasks(pauses_s: list[float]) -> int:
+    """Returns how often what came in a pause reached a task by way of another.
+
+    The time of its wait has run out when it wakes from each pause.
+    """
+    received = 0
+    for pause_s in pauses_s:
+        left, right = socket.socketpair()
+        left.setblocking(False)
+        arrived = anyio.Event()
+
+        async def read(source: socket.socket, told: anyio.Event) -> None:
+            await anyio.wait_readable(source)
+            told.set()
+
+        with left, right:
+            async with anyio.create_task_group() as group:
+                group.start_soon(read, left, arrived)
+                await anyio.sleep(0.01)
+                with anyio.move_on_after(0.1):
+                    right.send(b"x")
+                    time.sleep(pause_s)  # noqa: ASYNC251
+                    await arrived.wait()
+                    received += 1
+                group.cancel_scope.cancel()
+    return received
+
+
+# Guards against a wait that ends before another task passes on what arrived.
+def test_wait_whose_time_ran_out_in_a_pause_misses_what_arrived() -> None:
+    assert event_loops.run(_receive_over_tasks, [0.3]) == 1
+
+
+async def _run_out(pause_s: float) -> list[str]:
+    """Returns what timers did that were due in a pause; one cancels another."""
+    done: list[str] = []
+    loop = asyncio.get_running_loop()
+    cancelled = loop.call_later(0.11, done.append, "cancelled")
+    loop.call_later(0.1, done.append, "first")
+    loop.call_later(0.1, cancelled.cancel)
+    loop.call_later(0.12, done.append, "last")
+    time.sleep(pause_s)  # noqa: ASYNC251
+    with anyio.move_on_after(0.01):
+        await anyio.sleep_forever()
+    return done
+
+
+# Guards against timers that run out of order, or although they were cancelled.
+def test_timers_that_were_due_in_a_pause_are_mixed_up() -> None:
+    assert event_loops.run(_run_out, 0.3) == ["first", "last"]
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -1,14 +1,18 @@
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import contextlib
 import errno
 import socket
+import time
 
 import anyio
+import anyio.from_thread
 import pytest
 from tests.support import cutting_relay
 
+from cactusstile import event_loops
 from cactusstile.transport import address
 from cactusstile.transport import binding
 from cactusstile.transport import connection
@@ -34,6 +38,8 @@
     if message.code in ("hang", "quiet"):
         responder.pings = message.code == "hang"
         await anyio.sleep_forever()
+    if message.code == "late":
+        await anyio.sleep(0.1)
     if message.code == "flood":
         item = messages.CallError("item", "x" * 100_000)
         for _ in range(40):
@@ -306,3 +312,26 @@
     async with server.open_server(place, identity, SECRETS, HANDLERS) as served:
         assert served.bound.host == host
         assert served.bound.port
+
+
+async def _call_and_pause(on: address.Address) -> object:
+    """Calls and stands still until the time of the call has run out."""
+    sent = messages.CallError("late", "")
+    identity = handshake.Identity("entry", "e")
+    async with pool.open_pool(identity, SECRETS) as peers:
+        opened = await peers.connect(on)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, time.sleep, 0.4)
+        return await opened.call(sent, timeout_s=0.3)
+
+
+# Guards against a call that fails as its answer came in a pause of the caller.
+def test_time_of_a_call_that_ran_out_in_a_pause_discards_the_answer() -> None:
+    identity = handshake.Identity("agent", "a")
+    serving = server.open_server(LOCAL, identity, SECRETS, HANDLERS)
+    with (
+        anyio.from_thread.start_blocking_portal() as portal,
+        portal.wrap_async_context_manager(serving) as opened,
+    ):
+        answer = event_loops.run(_call_and_pause, opened.bound)
+    assert isinstance(answer, messages.CallError)
