Test: a request whose time ran out in a pause is sent to a target

Red: a real fault that is not mended here. What callers see: 504, may have run, for a request whose body came in a pause of the gateway, after the route's timeout; the target gets it then, and works on it for nobody.

Cause (read): the route's time counts from the first byte. An expired scope ends a task at its next wait only, and an idle connection is taken and written to without one.

--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -199,6 +199,22 @@
     assert received.count(b"data: ") == EVENTS
 
 
+# Guards against a request that is begun although its time ran out before.
+async def test_request_whose_time_ran_out_in_a_pause_is_sent_to_a_target(
+    site: node_site.NodeSite,
+) -> None:
+    body = b"x" * 30_000
+    request = REQUEST.removesuffix(b"body").replace(
+        b"content-length: 4", b"content-length: %d" % len(body)
+    )
+    async with await connect(site) as stream:
+        await stream.send(request + body[:1])
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            await stream.send(body[1:])
+        assert b"may_have_run" not in await receive(stream)
+
+
 # Guards against a request that is taken too late in a stop and cut off.
 async def test_request_that_came_in_a_pause_of_a_drain_is_cut_off(
     site: node_site.NodeSite,
