--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -19,11 +19,14 @@
 
 from cactusstile.gateway import lifecycle
 from cactusstile.http import messages
+from cactusstile.http import targets
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 IDLE_MS = 500
 TIMEOUT_MS = 600
 EVENTS = 200
+# Read with a reservation of memory, and received as a whole in a pause.
+LARGE_BYTES = targets.UNRESERVED_BYTES + (32 << 10)
 REQUEST = (
     b"POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-cactusstile-key: k\r\n"
     b"x-cactusstile-attempt-id: one\r\ncontent-length: 4\r\n\r\nbody"
@@ -34,7 +37,8 @@
     if b"/a/stream" in request:
         return await stream_late(stream, request)
     await anyio.sleep(0.3)
-    return await raw_target.answer()(stream, request)
+    body = b"x" * LARGE_BYTES if b"/a/large" in request else b"done"
+    return await raw_target.answer(body)(stream, request)
 
 
 async def stream_late(stream: anyio.abc.SocketStream, request: bytes) -> bool:
@@ -143,6 +147,23 @@
         assert (await receive(stream)).startswith(b"HTTP/1.1 200")
 
 
+# Guards against an answer that is thrown away only since it is large.
+async def test_timeout_that_ran_out_in_a_pause_discards_a_large_answer(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/a/large"))
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            pass
+        received = await receive(stream)
+        assert received.startswith(b"HTTP/1.1 200"), received
+        while not received.endswith(b"x" * LARGE_BYTES):
+            data = await receive(stream)
+            assert data, len(received)
+            received += data
+
+
 # Guards against a stream that is cut off though its rest came in the pause.
 async def test_timeout_that_ran_out_in_a_pause_cuts_a_stream(
     site: node_site.NodeSite,
@@ -159,6 +180,41 @@
     assert received.count(b"data: ") == EVENTS
 
 
+# Guards against a stream that is cut off as another pause ended shortly before.
+async def test_short_pause_after_a_shorter_one_cuts_a_stream(
+    site: node_site.NodeSite,
+) -> None:
+    async with await connect(site) as stream:
+        await stream.send(REQUEST.replace(b"/a/x", b"/a/stream"))
+        received = await receive(stream)
+        async with paused(site, 0.1):
+            pass
+        await anyio.sleep(0.02)
+        async with paused(site, 0.5):
+            pass
+        while not received.endswith(b"0\r\n\r\n"):
+            data = await receive(stream)
+            assert data, received[-100:]
+            received += data
+    assert received.count(b"data: ") == EVENTS
+
+
+# Guards against a request that is begun although its time ran out before.
+async def test_request_whose_time_ran_out_in_a_pause_is_sent_to_a_target(
+    site: node_site.NodeSite,
+) -> None:
+    body = b"x" * 30_000
+    request = REQUEST.removesuffix(b"body").replace(
+        b"content-length: 4", b"content-length: %d" % len(body)
+    )
+    async with await connect(site) as stream:
+        await stream.send(request + body[:1])
+        await anyio.sleep(0.1)
+        async with paused(site, 1.5 * TIMEOUT_MS / 1000):
+            await stream.send(body[1:])
+        assert b"may_have_run" not in await receive(stream)
+
+
 # Guards against a request that is taken too late in a stop and cut off.
 async def test_request_that_came_in_a_pause_of_a_drain_is_cut_off(
     site: node_site.NodeSite,
