Mark a founder's folder before the slow imports of its process

What callers saw: the system did not start, without a log line. The registries live and answer 503 for ever; nobody founds the group.

Cause: only the first seed may found the group, and only if its folder was marked at the first start. The mark was made after all imports. A founder that ended before (killed, stopped by a signal) was taken, when it started again without first_start, for a VM that lost its disk.

Why this works: reading the settings and marking takes 31 ms of the 209 ms that all imports take, and stretches with load as they do. What is left is the time until the settings are read: a process that ended before knows nothing, and only the other founders could tell that no group exists. Settings that are incomplete and disks that refuse the mark are left to the start proper, as before.

--- a/src/cactusstile/registry/__main__.py
+++ b/src/cactusstile/registry/__main__.py
@@ -8,4 +8,5 @@
 
 if __name__ == "__main__":
     early_signals.hold()
+    importlib.import_module("cactusstile.registry.early_founding").remember()
     importlib.import_module("cactusstile.console.registry").run()
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -57,7 +57,7 @@
 logger = logging.getLogger(__name__)
 
 ROLE = "registry"
-GROUP = "site"
+GROUP = founding.GROUP
 MAX_COMMAND_BYTES = 3 << 20
 SNAPSHOT_AFTER_BYTES = 4 << 20
 TRANSFER_TIMEOUT_S = 2.0
--- a/src/cactusstile/registry/founding.py
+++ b/src/cactusstile/registry/founding.py
@@ -15,6 +15,8 @@
     import pathlib
 
 MARKER = "first-start"
+# Name of the group, and of the folder of its replica.
+GROUP = "site"
 
 
 def remember(folder: pathlib.Path) -> None:
