Let TLS handshakes that are not finished give way to new connections

What callers saw: an entry with TLS closed their connections, or answered 503 in plain text, while as many clients as it has places began handshakes and sent nothing more; for 5 s after each of them came, without end if they came again.

Cause: a connection gives way only since the server took it over, which is after the handshake. Before, it held its place and could not be told to end. Class: a place that is taken before the wait that it is taken for is known.

Why this works: the wait for the handshake is cancelled like that of an idle connection, oldest first. Once the handshake is done the connection waits anew, so an ordinary caller is younger than the crowd.

--- a/src/cactusstile/observability/http_listener.py
+++ b/src/cactusstile/observability/http_listener.py
@@ -168,7 +168,10 @@
                     await anyio.lowlevel.checkpoint()
 
     async def _open(self, raw: socket.socket, place: connections.Place) -> None:
-        """Hands a connection over to the server, once TLS is agreed on."""
+        """Hands a connection over to the server, once TLS is agreed on.
+
+        Until then, it gives way to new ones as an idle connection does.
+        """
         protocol = limited_protocol.LimitedProtocol(
             self._server.config,
             self._server.server_state,
@@ -177,12 +180,14 @@
         )
         timeout_s = None if self._tls is None else HANDSHAKE_TIMEOUT_S
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(
-                lambda: protocol,
-                raw,
-                ssl=self._tls,
-                ssl_handshake_timeout=timeout_s,
-            )
+            with anyio.CancelScope() as scope:
+                place.give_way = scope.cancel
+                await asyncio.get_running_loop().connect_accepted_socket(
+                    lambda: protocol,
+                    raw,
+                    ssl=self._tls,
+                    ssl_handshake_timeout=timeout_s,
+                )
         except OSError as error:
             logger.debug("a connection was not opened: %s", error)
         finally:
--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -81,6 +81,8 @@
     ) -> None:
         """Begins to wait for a request."""
         super().connection_made(transport)
+        # It was the handshake that gave way.
+        self.place.give_way = None
         self._show_phase()
         self._check()
 
