Send no request whose time ran out before

What callers saw: 504, may have run, for a request whose body came in a pause of the gateway, after its route's timeout; a target got it then and worked on it for nobody.

Cause: an expired scope ends a task at its next wait only; an idle connection is taken and written to without one.

Why this works: the time is looked at before a target is chosen and right before the request is sent; such a request is refused as not run.

--- a/src/cactusstile/gateway/forwarding.py
+++ b/src/cactusstile/gateway/forwarding.py
@@ -151,14 +151,8 @@
         attempts = retries.Attempts(admitted.route)
         with anyio.CancelScope(deadline=admitted.answer_deadline_s) as scope:
             await self._try_targets(admitted, responder, attempts, record)
-        if not scope.cancelled_caught:
-            return
-        raise verdict.refuse(
-            verdict.Reason.DEADLINE_EXCEEDED,
-            "no answer within the time of the route",
-            verdict=attempts.final_verdict(),
-            retry_after_s=dispatching.RETRY_AFTER_S,
-        )
+        if scope.cancelled_caught:
+            raise _refuse_late(attempts)
 
     async def _try_targets(
         self,
@@ -177,6 +171,8 @@
         service = self.dispatcher.choose_service(admitted, attempts.origin)
         self.budget.count_request(service, anyio.current_time())
         while True:
+            if anyio.current_time() >= admitted.answer_deadline_s:
+                raise _refuse_late(attempts)
             view = await self._choose_target(admitted, service, attempts)
             if view is None:
                 reason = verdict.Reason.NO_TARGET
@@ -392,3 +388,13 @@
             verdict=attempts.final_verdict(),
             retry_after_s=retry_after_s,
         )
+
+
+def _refuse_late(attempts: retries.Attempts) -> verdict.RefusedError:
+    """Returns the refusal of a request whose time has run out."""
+    return verdict.refuse(
+        verdict.Reason.DEADLINE_EXCEEDED,
+        "no answer within the time of the route",
+        verdict=attempts.final_verdict(),
+        retry_after_s=dispatching.RETRY_AFTER_S,
+    )
--- a/src/cactusstile/gateway/sending.py
+++ b/src/cactusstile/gateway/sending.py
@@ -166,14 +166,7 @@
         def may_send() -> bool:
             nonlocal sent_s
             sent_s = anyio.current_time()
-            may_decide = self.dispatcher.site.view_age.may_decide()
-            if not may_decide or self.quarantine.is_held(admitted.keys):
-                return False
-            if not view.accepts_requests(sent_s):
-                return False
-            view.spend(sent_s)
-            self.quarantine.holds.end_trial(admitted.keys)
-            return True
+            return self._may_send(admitted, view, sent_s)
 
         return exchange.open_attempt(
             self.pool,
@@ -184,6 +177,24 @@
             holding=holding,
         )
 
+    def _may_send(
+        self,
+        admitted: admission.AdmittedRequest,
+        view: target_view.TargetView,
+        now_s: float,
+    ) -> bool:
+        """Returns whether a request may be sent now; if so, counts it."""
+        if now_s >= admitted.answer_deadline_s:
+            return False
+        may_decide = self.dispatcher.site.view_age.may_decide()
+        if not may_decide or self.quarantine.is_held(admitted.keys):
+            return False
+        if not view.accepts_requests(now_s):
+            return False
+        view.spend(now_s)
+        self.quarantine.holds.end_trial(admitted.keys)
+        return True
+
     def _describe(
         self,
         admitted: admission.AdmittedRequest,
