After a pause, let timers wait for turns of the loop that it shares

Each timer counted its own 16 turns, also one that expired up to 0.25 s after the pause, so that a loop with many timers went on polling all that time. The turns count from the end of the pause now, for all timers.

--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -34,7 +34,7 @@
 # Shortest time between two such times: a loop that is always late has to end
 # what is late.
 MIN_CATCH_UP_INTERVAL_S = 1.0
-# Turns of the loop by which timers run late right after a pause.
+# Turns of the loop right after a pause before timers run.
 TURNS_AFTER_PAUSE = 16
 # A pause that is longer by this factor than the one before begins such a time
 # at once; within the interval that happens a few times only.
@@ -58,6 +58,7 @@
       pause_end_s: Boot time at which it ended.
       resumed_s: Boot time at which the loop last began to catch up, after it
         had stood still in a wait or between two waits.
+      turns: Turns of the loop since then.
     """
 
     def __init__(self) -> None:
@@ -66,12 +67,14 @@
         self.pause_s = 0.0
         self.pause_end_s = -math.inf
         self.resumed_s = -math.inf
+        self.turns = 0
         self._resumed_from_s = 0.0
         self._ended_s = math.inf
 
     def select(self, timeout: float | None = None) -> Events:
         """Waits for events; see `selectors.BaseSelector.select`."""
         begun_s = clocks.boot_s()
+        self.turns += 1
         self._resume(begun_s, begun_s - self._ended_s)
         events = super().select(timeout)
         self._ended_s = clocks.boot_s()
@@ -97,6 +100,7 @@
             or pause_s > LONGER_FACTOR * self._resumed_from_s
         ):
             self.resumed_s, self._resumed_from_s = now_s, pause_s
+            self.turns = 0
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
@@ -128,9 +132,7 @@
         task that waits for it by way of others.
         """
         late = _LateCall(self, functools.partial(callback, *args))
-        timer = super().call_at(
-            when, late.run, TURNS_AFTER_PAUSE, context=context
-        )
+        timer = super().call_at(when, late.run, context=context)
         late.timer = timer
         return timer
 
@@ -153,12 +155,13 @@
     callback: collections.abc.Callable[[], object]
     timer: asyncio.TimerHandle | None = None
 
-    def run(self, turns: int) -> None:
-        """Runs the callback after `turns` turns, or at once without a pause."""
+    def run(self) -> None:
+        """Runs the callback, in a later turn if the loop has just resumed."""
         if self.timer is None or self.timer.cancelled():
             return
-        if turns and self.loop.is_catching_up():
-            self.loop.call_soon(self.run, turns - 1)
+        has_resumed = self.loop.selector.turns < TURNS_AFTER_PAUSE
+        if has_resumed and self.loop.is_catching_up():
+            self.loop.call_soon(self.run)
             return
         # The timer refers to this object.
         self.timer = None
