Elections: wait for a vote that is being synced instead of raising the term

Cause: a vote and a campaign leave only once they are synced. A candidate whose timer ran out before that asked for a pre-vote of the next term; a voter that was still syncing its vote granted it at once, as a pre-vote needs no sync. The campaign made the vote void, and the next one waited behind the sync under way. With syncs longer than an election timeout this does not end.

Why this works: a replica whose term or vote is being synced starts no election and grants no pre-vote; its timer restarts at the end of the sync if it has run out. A candidate keeps the votes of its term while it asks for the next pre-vote, so that a late one elects it. Votes are still sent after the sync, one a term. A campaign ends with the term, the process, another leader and its own success, so no term is led twice.

--- a/src/cactusstile/consensus/core.py
+++ b/src/cactusstile/consensus/core.py
@@ -92,7 +92,9 @@
     """Sends due heartbeats, retries and vote requests; checks timeouts."""
     _advance_clock(state, now)
     if state.leading is None:
-        if now >= state.election_at:
+        # An election needs the sync that is under way; a second one would not
+        # be faster, and would void a vote that waits for it.
+        if now >= state.election_at and not state.metadata_dirty:
             elections.start_pre_vote(state)
         elif now >= state.retry_votes_at:
             elections.retry_vote_requests(state)
@@ -253,6 +255,10 @@
         state.group, state.term, state.vote
     ):
         state.metadata_dirty = False
+        # The timer may have run out meanwhile, although the vote, or the
+        # request for it, is sent only now.
+        if now >= state.election_at:
+            state.reset_election_timer()
     # An entry that was replaced after its write has a different term; its
     # sync does not cover the replacement.
     if index > state.synced_index and state.log.term_at(index) == index_term:
--- a/src/cactusstile/consensus/elections.py
+++ b/src/cactusstile/consensus/elections.py
@@ -22,18 +22,23 @@
         state.reset_election_timer()
     state.role = states.Role.FOLLOWER
     state.leader = leader
+    state.votes.clear()
 
 
 def start_pre_vote(state: states.State) -> None:
-    """Checks whether an election could be won, without changing any term."""
+    """Checks whether an election could be won, without changing any term.
+
+    Votes of the current term that are still being synced count when they
+    arrive.
+    """
     state.reset_election_timer()
     state.leader = ""
     if not state.is_voter:
         return
     state.role = states.Role.PRE_CANDIDATE
-    state.votes = {state.member_id}
+    state.pre_votes = {state.member_id}
     _request_votes(state, transfer=False)
-    _count_votes(state)
+    _count_pre_votes(state)
 
 
 def start_campaign(state: states.State, *, transfer: bool) -> None:
@@ -76,9 +81,10 @@
     """
     pre_vote = state.role is states.Role.PRE_CANDIDATE
     term = state.term + 1 if pre_vote else state.term
+    granted = state.pre_votes if pre_vote else state.votes
     state.retry_votes_at = state.now + state.settings.heartbeat_interval_s
     for voter in state.configuration.voter_ids:
-        if voter in state.votes:
+        if voter in granted:
             continue
         request = messages.VoteRequest(
             group=state.group,
@@ -130,12 +136,17 @@
 def _is_grant_allowed(
     state: states.State, message: messages.VoteRequest
 ) -> bool:
-    """Returns whether the candidate's term and log allow a vote for it."""
+    """Returns whether the candidate's term and log allow a vote for it.
+
+    While this replica's own term or vote is being synced, it grants no
+    pre-vote: the vote that would follow waits behind that sync, and a candidate
+    that raised its term would make the vote that is being synced void.
+    """
     own_last = (state.log.last_term, state.log.last_index)
     if (message.last_term, message.last_index) < own_last:
         return False
     if message.pre_vote:
-        return message.term > state.term
+        return message.term > state.term and not state.metadata_dirty
     if message.term != state.term:
         return False
     return state.vote in ("", message.source)
@@ -162,39 +173,49 @@
 
 
 def handle_vote_reply(state: states.State, message: messages.VoteReply) -> None:
-    """Counts a vote or pre-vote."""
+    """Counts a vote or pre-vote.
+
+    A vote that comes while the next pre-vote runs counts for its campaign, as
+    long as the term is that of the campaign.
+    """
     if not message.granted:
         return
-    expected_role = states.Role.CANDIDATE
-    term = state.term
-    if message.pre_vote:
-        expected_role = states.Role.PRE_CANDIDATE
-        term = state.term + 1
-    if state.role is not expected_role or message.term != term:
+    if not message.pre_vote:
+        campaigns = state.member_id in state.votes
+        if campaigns and message.term == state.term:
+            state.votes.add(message.source)
+            _count_votes(state)
         return
-    state.votes.add(message.source)
-    _count_votes(state)
+    if state.role is not states.Role.PRE_CANDIDATE:
+        return
+    if message.term == state.term + 1:
+        state.pre_votes.add(message.source)
+        _count_pre_votes(state)
 
 
-def _count_votes(state: states.State) -> None:
-    """Starts the campaign or the term once a majority has granted."""
-    voters = state.configuration.voter_ids
-    count = 0
-    for voter in voters:
-        if voter in state.votes:
-            count += 1
-    if count < state.configuration.quorum():
-        return
-    if state.role is states.Role.PRE_CANDIDATE:
+def _count_pre_votes(state: states.State) -> None:
+    """Starts the campaign once a majority has granted its pre-vote."""
+    if _is_majority(state, state.pre_votes):
         start_campaign(state, transfer=False)
-        return
-    _become_leader(state)
+
+
+def _count_votes(state: states.State) -> None:
+    """Starts the term once a majority has granted its vote."""
+    if _is_majority(state, state.votes):
+        _become_leader(state)
+
+
+def _is_majority(state: states.State, granted: set[str]) -> bool:
+    count = len(granted.intersection(state.configuration.voter_ids))
+    return count >= state.configuration.quorum()
 
 
 def _become_leader(state: states.State) -> None:
     """Starts the term with a no-op, whose commit commits earlier entries."""
     state.role = states.Role.LEADER
     state.leader = state.member_id
+    # A term is led once: rounds and the lease of a second time would restart.
+    state.votes.clear()
     first_index = state.log.last_index + 1
     state.leading = states.LeaderState(
         state.now, state.campaign_at, first_index
--- a/src/cactusstile/consensus/state.py
+++ b/src/cactusstile/consensus/state.py
@@ -171,7 +171,9 @@
       election_at: Time at which an election starts.
       campaigns: Number of elections that this replica has started.
       campaign_at: Time at which the last of them was started.
-      votes: Members that granted a vote in the current election or pre-vote.
+      votes: Members that granted this replica their vote in the current term;
+        empty unless it has started an election in it that is still open.
+      pre_votes: Members that granted the last pre-vote.
       retry_votes_at: Time at which missing votes are requested again.
       leading: State of the leader; None in other roles.
       incoming: Snapshot that is being received; None if there is none.
@@ -199,6 +201,7 @@
     campaigns: int = 0
     campaign_at: float = float("-inf")
     votes: set[str] = attrs.field(factory=set)
+    pre_votes: set[str] = attrs.field(factory=set)
     retry_votes_at: float = 0.0
     leading: LeaderState | None = None
     incoming: IncomingSnapshot | None = None
