Play verdicts at the limits of gateways, in long pauses and in stops

The plays so far had gateways that were never short of memory or of places for connections, engines at which no prompt waited, and no gateway that was stopped while targets stood still.

The play of a whole site prints how many gateways its site has; two of its functions are shared for that.

--- a/tests/processes/test_verdicts_of_a_site.py
+++ b/tests/processes/test_verdicts_of_a_site.py
@@ -98,7 +98,7 @@
     target.command("limit 0")
 
 
-async def _repeat(
+async def repeat(
     site: Site,
     faults: collections.abc.Sequence[
         collections.abc.Callable[
@@ -139,10 +139,10 @@
         ]
         changes = (Site.configure, Site.configure, Site.bump_weights)
         await asyncio.gather(
-            _repeat(site, (_kill_herd, _roll, _freeze), 1.5, end_s),
-            _repeat(site, (_kill_registry,), 6.0, end_s),
-            _repeat(site, (_pause_target, _limit_target), 1.0, end_s),
-            _repeat(site, changes, 1.0, end_s),
+            repeat(site, (_kill_herd, _roll, _freeze), 1.5, end_s),
+            repeat(site, (_kill_registry,), 6.0, end_s),
+            repeat(site, (_pause_target, _limit_target), 1.0, end_s),
+            repeat(site, changes, 1.0, end_s),
             *(_harm_targets(site, share, end_s) for share in range(3)),
             *(site.starve(it, end_s) for it in site.gateways[:starved]),
             *(caller.run(end_s) for caller in callers),
@@ -177,15 +177,17 @@
     ]
 
 
-def _tell(
+def tell(
     site: Site, seed: int, runs: dict[str, list[run_journals.Run]]
 ) -> None:
+    """Prints what was played and answered."""
     counts: dict[int, int] = {}
     for outcome in site.outcomes.values():
         counts[outcome.status] = counts.get(outcome.status, 0) + 1
     print(
-        f"seed {seed}: {GATEWAYS} gateways, {len(site.outcomes)} requests, "
-        f"{len(runs)} ran, version {site.version}, weights {site.weights}, "
+        f"seed {seed}: {len(site.gateways)} gateways, "
+        f"{len(site.outcomes)} requests, {len(runs)} ran, "
+        f"version {site.version}, weights {site.weights}, "
         f"answers {dict(sorted(counts.items()))}"
     )
 
@@ -195,7 +197,7 @@
     seed: int, tmp_path: pathlib.Path
 ) -> None:
     site, runs = asyncio.run(_play(tmp_path, seed))
-    _tell(site, seed, runs)
+    tell(site, seed, runs)
     broken = find_twice(site, runs) + find_broken_promises(site, runs)
     print("\n".join(broken))
     assert broken == []
--- a/tests/support/verdict_site.py
+++ b/tests/support/verdict_site.py
@@ -164,6 +164,7 @@
       ends: Times at which processes of targets were killed, by their key.
       processes: Gateways and the registry, by their names.
       odd_settings: Further settings of targets.
+      memory_mb: Memory limit of each process of the system, in MB.
     """
 
     folder: pathlib.Path
@@ -175,6 +176,7 @@
     ends: dict[str, float] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
     odd_settings: dict[str, typing.Any] = attrs.field(factory=dict)
+    memory_mb: int = node_site.MEMORY_MB
 
     def seeds(self) -> str:
         """Returns the operator addresses of the registries."""
@@ -196,6 +198,7 @@
             platform=f"{self.network}.1:{self.port + LIST}",
             folder=self.folder / name,
             first_start=first,
+            memory_mb=self.memory_mb,
         )
         filled["bounds.budgetSlack"] = RETRY_SLACK
         filled["zone"] = self.zone_of(number)
--- a/tests/support/wide_site.py
+++ b/tests/support/wide_site.py
@@ -150,6 +150,7 @@
       reader: Reads from the connection; None without one.
       writer: Writes to it.
       returning: Fraction of promises after which it returns with the same id.
+      body_sizes: Sizes of the bodies, with the shares of `BODY_SHARES`.
     """
 
     site: WideSite
@@ -159,6 +160,7 @@
     reader: asyncio.StreamReader | None = None
     writer: asyncio.StreamWriter | None = None
     returning: float = 0.0
+    body_sizes: tuple[int, ...] = BODY_SIZES
 
     async def run(self, end_s: float) -> None:
         """Sends requests until `end_s`."""
@@ -214,7 +216,7 @@
 
     def _request(self, route: str, attempt: str) -> bytes:
         choose = self.site.random
-        body = b"x" * choose.choices(BODY_SIZES, BODY_SHARES)[0]
+        body = b"x" * choose.choices(self.body_sizes, BODY_SHARES)[0]
         deadline_ms = choose.choice((400, 1500, 5000))
         head = (
             f"POST /{route}/x HTTP/1.1\r\nHost: {verdict_site.HOST}\r\n"
