--- a/tests/processes/test_verdicts.py
+++ b/tests/processes/test_verdicts.py
@@ -98,6 +98,13 @@
     site.start_target(target, new_id=site.random.random() < 0.5)
 
 
+async def _kill_for_long(site: Site, target: Target) -> None:
+    """Kills a target; its address refuses connections for a time."""
+    await site.end_target(target)
+    await asyncio.sleep(1.5)
+    site.start_target(target, new_id=site.random.random() < 0.5)
+
+
 async def _replace_target(site: Site, target: Target) -> None:
     await site.end_target(target)
     await asyncio.sleep(site.random.choice((0.0, 0.1)))
@@ -176,6 +183,12 @@
         (0.1, 0.8, 0.05, 0.05),
         {_replace_target: 1},
     ),
+    # Streams go on from their copies.
+    "copied": Mix(
+        ("plain",) + ("engine",) * 10,
+        (0.05, 0.05, 0.85, 0.05),
+        {_kill_for_long: 4, _stop_target: 1},
+    ),
 }
 
 
