--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -175,6 +175,33 @@
         await check(site, listener)
 
 
+BODY_BYTES = SENT_BYTES // SENDERS
+CHUNKED = (
+    b"POST /a/x HTTP/1.1\r\nhost: h.example\r\nx-cactusstile-key: k\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+ENDLESS = {
+    "chunk-extensions": CHUNKED + b"5;" + b"a" * BODY_BYTES,
+    "chunks-of-one-byte": CHUNKED + b"1\r\na\r\n" * (BODY_BYTES // 6),
+    "trailers": CHUNKED + b"0\r\n" + b"a: b\r\n" * (BODY_BYTES // 6),
+    "http2": b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(BODY_BYTES),
+}
+
+
+# Guards against requests whose parts never end, beside their heads and bodies.
+@pytest.mark.parametrize("case", ENDLESS)
+@pytest.mark.parametrize("name", ["callers", "operator"])
+async def test_requests_that_never_end_fill_the_memory(
+    site: node_site.NodeSite, name: str, case: str
+) -> None:
+    listener = listeners(site)[name]
+    opened = crowd.open_crowd(
+        host_of(site, listener), listener.port, SENDERS, ENDLESS[case]
+    )
+    async with opened:
+        await check(site, listener)
+
+
 # Guards against a listener that a crowd of silent clients takes for itself.
 @pytest.mark.parametrize(
     "begun", [b"", b"GET /a/x HT"], ids=["nothing", "part-of-a-head"]
