--- a/tests/processes/test_crowds_of_a_site.py
+++ b/tests/processes/test_crowds_of_a_site.py
@@ -132,6 +132,30 @@
         await check(site, name)
 
 
+BODY_BYTES = SENT_BYTES // SENDERS
+ENDLESS = {
+    "chunk-extensions": b"5;" + b"a" * BODY_BYTES,
+    "chunks-of-one-byte": b"1\r\na\r\n" * (BODY_BYTES // 6),
+    "trailers": b"0\r\n" + b"a: b\r\n" * (BODY_BYTES // 6),
+}
+
+
+# Guards against requests whose parts never end, beside their heads and bodies.
+@pytest.mark.parametrize("case", ENDLESS)
+@pytest.mark.parametrize("name", ["entry-1-callers", "control-1-admin"])
+async def test_requests_that_never_end_fill_the_memory(
+    site: site_processes.Site, name: str, case: str
+) -> None:
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {site.keys['bank']}\r\n"
+        "transfer-encoding: chunked\r\n\r\n"
+    )
+    data = head.encode() + ENDLESS[case]
+    async with crowd.open_crowd(site.host, site.port(name), SENDERS, data):
+        await check(site, name)
+
+
 # Guards against a listener that a crowd of silent clients takes for itself.
 @pytest.mark.parametrize(
     "begun", [b"", b"GET /readyz HT"], ids=["nothing", "part-of-a-head"]
