--- a/benchmarks/leader_change.py
+++ b/benchmarks/leader_change.py
@@ -120,18 +120,15 @@
     began_s = time.time()
     process.send_signal(number)
     time.sleep(GONE_S)
-    elected_s = None
+    led: list[dict[str, typing.Any]] = []
     for name in REGISTRIES:
         if name == leader:
             continue
         own = f"{site.hosts[name]}:"
-        led = [
-            line
-            for line in site.lines(name, LEADERSHIP)
-            if line["leader"].startswith(own)
-        ]
-        found_s = _first_after(led, began_s)
-        elected_s = found_s if elected_s is None else elected_s
+        for line in site.lines(name, LEADERSHIP):
+            if line["leader"].startswith(own):
+                led.append(line)
+    elected_s = _first_after(led, began_s)
     followed_s = [
         _first_after(site.lines(gateway, FOLLOWING), began_s) or float("inf")
         for gateway in gateways
