--- a/tests/processes/test_verdicts.py
+++ b/tests/processes/test_verdicts.py
@@ -302,4 +302,4 @@
     print("\n".join(broken))
     assert broken == []
     assert len(runs) >= 10 * RUN_S
-    assert promised
+    assert continued if mix == "copied" else promised
