Signals: what came in a pause between two waits counts from the pause's begin

Cause: the selector measured pauses within waits only. A process that stood still in a callback, or in a turn right after a wait, took a signal of that pause for new.

Why this works: the selector keeps the time until which the loop is known to have run as it should (the end of the last wait, or the time at which the wait under way is due to end). The handler of the signal, which runs before the loop goes on, counts from there. One time takes the place of a pause's length, its end and a limit for the match. A signal that comes in a long callback counts as late by the callback's time so far: its stop ends that much sooner, never later.

--- a/src/cactusstile/console/signals.py
+++ b/src/cactusstile/console/signals.py
@@ -36,7 +36,7 @@
     Attributes:
       stream: Stream of the signals.
       is_awaited: Whether the first signal was or is awaited.
-      first_s: Boot time at which the first one was noticed.
+      first_s: Earliest boot time at which the first one may have been sent.
     """
 
     stream: Signals
@@ -48,8 +48,7 @@
 
         It can have waited while the process stood still.
         """
-        waited_s = clocks.boot_s() - self.first_s
-        return max(0.0, waited_s) + event_loops.pause_before_s(self.first_s)
+        return max(0.0, clocks.boot_s() - self.first_s)
 
     def __aiter__(self) -> Received:
         """Returns the iterator itself."""
@@ -90,7 +89,8 @@
 
     def handle(number: int, frame: types.FrameType | None) -> None:
         del frame
-        received.first_s = min(received.first_s, clocks.boot_s())
+        sent_s = clocks.boot_s() - event_loops.stood_still_s(loop)
+        received.first_s = min(received.first_s, sent_s)
         loop.call_soon_threadsafe(deliver, number)
 
     with contextlib.ExitStack() as stack:
--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -27,8 +27,6 @@
 
 # Shorter excesses of a wait are no pause.
 MIN_PAUSE_S = 0.05
-# Time in which a process that goes on has handled its signals.
-RESUME_S = 0.25
 # Time after a pause in which what arrived during it is read.
 CATCH_UP_S = 0.25
 # Shortest time between two such times: a loop that is always late has to end
@@ -53,9 +51,8 @@
     or answers have arrived.
 
     Attributes:
-      pause_s: Length of the last pause of the process: the time by which a wait
-        exceeded what was asked for.
-      pause_end_s: Boot time at which it ended.
+      in_time_s: Boot time until which the loop is known to have run as it
+        should: until the last wait ended or was due to end.
       resumed_s: Boot time at which the loop last began to catch up, after it
         had stood still in a wait or between two waits.
       turns: Turns of the loop since then.
@@ -64,8 +61,7 @@
     def __init__(self) -> None:
         """Creates a selector without descriptors."""
         super().__init__()
-        self.pause_s = 0.0
-        self.pause_end_s = -math.inf
+        self.in_time_s = math.inf
         self.resumed_s = -math.inf
         self.turns = 0
         self._resumed_from_s = 0.0
@@ -76,13 +72,12 @@
         begun_s = clocks.boot_s()
         self.turns += 1
         self._resume(begun_s, begun_s - self._ended_s)
+        due_s = math.inf if timeout is None else begun_s + max(timeout, 0.0)
+        self.in_time_s = due_s
         events = super().select(timeout)
         self._ended_s = clocks.boot_s()
-        if timeout is not None:
-            excess_s = self._ended_s - begun_s - max(timeout, 0.0)
-            if excess_s > MIN_PAUSE_S:
-                self.pause_s, self.pause_end_s = excess_s, self._ended_s
-            self._resume(self._ended_s, excess_s)
+        self.in_time_s = min(due_s, self._ended_s)
+        self._resume(self._ended_s, self._ended_s - due_s)
         if events or (timeout is not None and timeout <= 0):
             return events
         return super().select(0)
@@ -168,19 +163,15 @@
         self.callback()
 
 
-def pause_before_s(moment_s: float) -> float:
-    """Returns how long the process stood still right before `moment_s`.
+def stood_still_s(loop: asyncio.AbstractEventLoop) -> float:
+    """Returns for how long `loop` may have stood still until now, in seconds.
 
-    Args:
-      moment_s: Boot time at which something was noticed.
+    What interrupts a pause, such as a signal, is noticed before the loop goes
+    on; it may have come at any time in the pause.
     """
-    loop = asyncio.get_running_loop()
     if not isinstance(loop, BootTimeLoop):
         return 0.0
-    # What interrupts a wait is noticed before the wait returns.
-    if abs(moment_s - loop.selector.pause_end_s) > RESUME_S:
-        return 0.0
-    return loop.selector.pause_s
+    return max(0.0, clocks.boot_s() - loop.selector.in_time_s)
 
 
 async def take_turn() -> None:
