Storage: nothing counts as durable in a data folder that is gone

Cause: the log's descriptor stays valid once its file has no name.

Why this works: a folder is opened once, and its files by its descriptor, so nothing can go elsewhere. Each sync checks that the file still has a name and that the path still leads to the folder; each write first looks for the newest segment, so that an emptied folder stays empty, as a lost disk is. The replica then stops as for any error of the disk. It costs a listing and three calls a sync, in the thread of the sync.

--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -349,6 +349,7 @@
     file_access.lock_folder(settings.data_folder, stack)
     if files is None:
         files = file_access.LocalFiles(settings.data_folder)
+        stack.callback(files.close)
     opened = stores.open_store(files, settings.name)
     stack.callback(opened[0].close)
     return opened
--- a/src/cactusstile/consensus/storage/files.py
+++ b/src/cactusstile/consensus/storage/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import pathlib
@@ -63,8 +64,9 @@
 class _LocalFile:
     """A file of the operating system."""
 
-    def __init__(self, descriptor: int) -> None:
-        self._descriptor = descriptor
+    def __init__(self, folder: LocalFiles, name: str) -> None:
+        self._folder = folder
+        self._descriptor = folder.open_descriptor(name)
 
     def write(self, data: bytes) -> None:
         view = memoryview(data)
@@ -74,68 +76,99 @@
 
     def sync(self) -> None:
         os.fsync(self._descriptor)
+        if not os.fstat(self._descriptor).st_nlink:
+            raise OSError(errno.ESTALE, "the file was removed")
+        self._folder.check_place()
 
     def close(self) -> None:
         os.close(self._descriptor)
 
 
 class LocalFiles:
-    """Files in a folder of the operating system; see `Files`."""
+    """Files in a folder of the operating system; see `Files`.
+
+    If another folder takes its place, nothing is written to that one, and
+    nothing counts as durable any more.
+    """
 
     def __init__(self, folder: pathlib.Path) -> None:
-        """Creates the folder if it does not exist."""
+        """Creates the folder if it does not exist; `close` must be called."""
         folder.mkdir(parents=True, exist_ok=True)
         self.folder = folder
+        self._descriptor = os.open(
+            folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC
+        )
+
+    def close(self) -> None:
+        """Closes the folder."""
+        os.close(self._descriptor)
+
+    def open_descriptor(self, name: str) -> int:
+        """Returns a descriptor that appends; creates a file if none exists."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+        return os.open(name, flags, 0o600, dir_fd=self._descriptor)
+
+    def check_place(self) -> None:
+        """Raises `OSError` if the folder was removed or replaced."""
+        found = os.stat(self.folder)
+        if not os.path.samestat(found, os.fstat(self._descriptor)):
+            raise OSError(errno.ESTALE, "the data folder was replaced")
 
     def names(self) -> list[str]:
         """Returns the names of all files, sorted."""
-        return sorted(os.listdir(self.folder))
+        return sorted(os.listdir(self._descriptor))
 
     def read(self, name: str) -> bytes:
         """Returns the content of a file."""
-        return (self.folder / name).read_bytes()
+        with self._open_existing(name, "rb") as file:
+            return file.read()
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
         """Returns up to `size` bytes of a file from `offset` on."""
-        with (self.folder / name).open("rb") as file:
+        with self._open_existing(name, "rb") as file:
             file.seek(offset)
             return file.read(size)
 
     def open_append(self, name: str) -> File:
         """Opens a file for appending; creates it if it does not exist."""
-        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
-        return _LocalFile(os.open(self.folder / name, flags, 0o600))
+        return _LocalFile(self, name)
 
     def truncate(self, name: str, size: int) -> None:
         """Truncates a file and makes the truncation durable."""
-        with (self.folder / name).open("r+b") as file:
+        with self._open_existing(name, "r+b") as file:
             file.truncate(size)
             os.fsync(file.fileno())
 
     def rewrite(self, name: str, offset: int, data: bytes) -> None:
         """Writes `data` at `offset` of a file durably."""
-        with (self.folder / name).open("r+b", buffering=0) as file:
-            view = memoryview(data)
+        with self._open_existing(name, "r+b") as file:
             file.seek(offset)
-            while view:
-                view = view[file.write(view) :]
+            file.write(data)
+            file.flush()
             os.fsync(file.fileno())
 
     def rename(self, source: str, target: str) -> None:
         """Renames a file, replacing the target."""
-        (self.folder / source).replace(self.folder / target)
+        folder = self._descriptor
+        os.replace(source, target, src_dir_fd=folder, dst_dir_fd=folder)
 
     def remove(self, name: str) -> None:
         """Removes a file."""
-        (self.folder / name).unlink()
+        os.unlink(name, dir_fd=self._descriptor)
 
     def sync_folder(self) -> None:
         """Makes creations, renames and removals durable."""
-        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        os.fsync(self._descriptor)
+        self.check_place()
+
+    def _open_existing(
+        self, name: str, mode: typing.Literal["rb", "r+b"]
+    ) -> typing.BinaryIO:
+        flags = os.O_RDONLY if mode == "rb" else os.O_RDWR
+        descriptor = os.open(
+            name, flags | os.O_CLOEXEC, dir_fd=self._descriptor
+        )
+        return os.fdopen(descriptor, mode)
 
 
 def replace_atomically(files: Files, name: str, parts: list[bytes]) -> None:
--- a/src/cactusstile/consensus/storage/segments.py
+++ b/src/cactusstile/consensus/storage/segments.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+
 import attrs
 
 from cactusstile.consensus import exceptions
@@ -76,6 +78,12 @@
         segment.size += len(encoded)
         self._get_file().write(encoded)
 
+    def check_present(self) -> None:
+        """Raises `OSError` if the newest segment was removed."""
+        name = self.segments[-1].name
+        if name not in self.files.names():
+            raise FileNotFoundError(errno.ENOENT, "the log was removed", name)
+
     def sync(self) -> None:
         """Makes all written entries durable."""
         segment = self.segments[-1]
--- a/src/cactusstile/consensus/storage/store.py
+++ b/src/cactusstile/consensus/storage/store.py
@@ -64,6 +64,7 @@
         if self.failure:
             raise exceptions.StorageUnavailableError(self.failure)
         try:
+            self.log.check_present()
             self._save_snapshot(snapshot)
         except OSError as error:
             self._fail(error)
@@ -95,6 +96,8 @@
         self.log.close()
 
     def _write(self, writes: list[effects.Write]) -> None:
+        # An emptied folder must look like a lost disk, not like a damaged one.
+        self.log.check_present()
         # No message is sent before the whole batch is durable, so only the
         # last metadata is written. It is written first, as its term must never
         # be older than the log.
--- a/src/cactusstile/registry/founding.py
+++ b/src/cactusstile/registry/founding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
 from cactusstile.consensus import exceptions
@@ -27,9 +28,9 @@
     """
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        local = files.LocalFiles(folder)
-        if MARKER not in local.names():
-            files.replace_atomically(local, MARKER, [])
+        with contextlib.closing(files.LocalFiles(folder)) as local:
+            if MARKER not in local.names():
+                files.replace_atomically(local, MARKER, [])
     except OSError as error:
         raise exceptions.StorageUnavailableError(
             f"the data folder could not be made ({error}); check its disk and"
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import collections.abc
+import contextlib
 import pathlib
+import shutil
 
 import hypothesis
 import pytest
@@ -310,3 +313,42 @@
     assert [entry.index for entry in recovered.entries] == [3]
     with pytest.raises(exceptions.StorageError, match="belongs to a"):
         stores.open_store(files, "b")
+    files.close()
+
+
+def _lose(folder: pathlib.Path) -> None:
+    shutil.rmtree(folder)
+
+
+def _replace(folder: pathlib.Path) -> None:
+    folder.rename(folder.with_name("before"))
+    folder.mkdir()
+
+
+def _empty(folder: pathlib.Path) -> None:
+    for path in folder.iterdir():
+        path.unlink()
+
+
+# Guards against writes that are acknowledged into a folder that is gone.
+@pytest.mark.parametrize("act", [_lose, _replace, _empty])
+@pytest.mark.parametrize("votes", [False, True])
+def test_write_is_acknowledged_though_the_folder_is_gone(
+    tmp_path: pathlib.Path,
+    act: collections.abc.Callable[[pathlib.Path], None],
+    *,
+    votes: bool,
+) -> None:
+    folder = tmp_path / "data"
+    with contextlib.closing(file_access.LocalFiles(folder)) as files:
+        store, _ = _open(files)
+        store.write([effects.SaveMetadata("g", 1, "a"), _entries(1, 3)])
+        act(folder)
+        writes: list[effects.Write] = [_entries(4, 1)]
+        if votes:
+            writes.append(effects.SaveMetadata("g", 2, "b"))
+        with pytest.raises(exceptions.StorageUnavailableError):
+            store.write(writes)
+        store.close()
+    # The folder that took its place is as empty as before.
+    assert not folder.exists() or not any(folder.iterdir())
