Registry: a running process founds no second group after its disk is lost

What callers would see: a lone registry that lost its data folder while it ran, and was first started by its settings, served on with an empty state: the configurations it had acknowledged were gone, and the next was acknowledged.

Cause: settings that name the first start held for as long as the process ran, also when it opened an empty folder anew after an error of its disk. With several founders the others' announcements prevent that; with one nobody does.

Why this works: once the process has belonged to a group it opens its folder as one that is not started for the first time. A first start whose disk cannot be used yet still founds (tests/processes/test_faulty_disk.py).

--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import logging
 import pathlib
@@ -35,8 +36,11 @@
       stopping: Whether a signal has requested shutdown.
       replaced: Whether the replica was replaced and must discard its data.
       failure: Why the data folder cannot be used; empty if it can.
+      has_group: Whether the group exists, for all that this process knows; it
+        must not found another one with an empty folder.
     """
 
+    has_group: bool = False
     stopping: bool = False
     replaced: bool = False
     failure: str = ""
@@ -73,9 +77,11 @@
     """Serves until shutdown, with a pause whenever the disk refuses access."""
     config = daemon.build_replica_settings(settings)
     storage = storage_wait.StorageWait()
+    outcome = Run()
     while True:
         started_s = anyio.current_time()
-        outcome = await _serve(settings, path, received)
+        outcome = Run(outcome.has_group)
+        await _serve(settings, path, received, outcome)
         if outcome.replaced:
             outcome.failure = _discard_data(config)
         if outcome.stopping:
@@ -140,14 +146,25 @@
     settings: node.NodeSettings,
     path: pathlib.Path,
     received: signals.Signals,
-) -> Run:
+    outcome: Run,
+) -> None:
     """Serves until shutdown or until the replica has to end."""
-    outcome = Run()
     try:
         await _serve_replica(settings, path, received, outcome)
     except* exceptions.StorageUnavailableError as group:
         outcome.failure = str(storage_wait.find_cause(group))
-    return outcome
+
+
+@contextlib.asynccontextmanager
+async def _note_group(
+    registry: daemon.Registry, outcome: Run
+) -> collections.abc.AsyncIterator[None]:
+    """Notes at the end of the context whether the group exists."""
+    try:
+        yield
+    finally:
+        if registry.replica.status().group:
+            outcome.has_group = True
 
 
 async def _serve_replica(
@@ -156,8 +173,11 @@
     received: signals.Signals,
     outcome: Run,
 ) -> None:
+    may_found = settings.first_start and not outcome.has_group
+    opened = attrs.evolve(settings, first_start=may_found)
     async with (
-        daemon.open_registry(settings) as registry,
+        daemon.open_registry(opened) as registry,
+        _note_group(registry, outcome),
         anyio.create_task_group() as group,
     ):
         logger.info("started", extra={"first": settings.first_start})
