--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 import contextlib
+import errno
+import os
 import pathlib
 import shutil
 
@@ -14,6 +16,8 @@
 from cactusstile.consensus import effects
 from cactusstile.consensus import exceptions
 from cactusstile.consensus import messages
+from cactusstile.consensus import replica
+from cactusstile.consensus import replica_settings
 from cactusstile.consensus.storage import files as file_access
 from cactusstile.consensus.storage import segments
 from cactusstile.consensus.storage import store as stores
@@ -352,3 +356,28 @@
         store.close()
     # The folder that took its place is as empty as before.
     assert not folder.exists() or not any(folder.iterdir())
+
+
+class _ExhaustedOs:
+    """The module `os` of a process that can open no more folders."""
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(os, name)
+
+    def open(
+        self, path: str, flags: int, mode: int = 0o777, **keywords: int
+    ) -> int:
+        if flags & os.O_DIRECTORY:
+            raise OSError(errno.EMFILE, "too many open files")
+        return os.open(path, flags, mode, **keywords)
+
+
+# Guards against a process that ends, as its data folder cannot be opened.
+def test_folder_that_cannot_be_opened_is_no_storage_error(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    settings = replica_settings.ReplicaSettings("a", "a", tmp_path / "a", ())
+    replica.check_storage(settings)
+    monkeypatch.setitem(vars(file_access), "os", _ExhaustedOs())
+    with pytest.raises(exceptions.StorageUnavailableError):
+        replica.check_storage(settings)
--- a/tests/test_event_loops.py
+++ b/tests/test_event_loops.py
@@ -10,6 +10,9 @@
 
 from cactusstile import event_loops
 
+# Turns of the loop until input reaches whom it is for.
+HOPS = 6
+
 
 async def _work(pauses_s: list[float], timeout_s: float) -> int:
     """Returns the number of turns of a task that blocks the loop in each."""
@@ -100,3 +103,53 @@
 # Guards against timers that run out of order, or although they were cancelled.
 def test_timers_that_were_due_in_a_pause_are_mixed_up() -> None:
     assert event_loops.run(_run_out, 0.3) == ["first", "last"]
+
+
+async def _stand_still_with_input(
+    pauses_s: list[float], first_hop_s: float
+) -> list[str]:
+    """Returns the order of input from the last pause and of a timer due then.
+
+    The input takes some turns of the loop, the first of which may be long.
+    """
+    loop = asyncio.get_running_loop()
+    order: list[str] = []
+    left, right = socket.socketpair()
+
+    def pass_on(hops: int) -> None:
+        if not hops:
+            order.append("input")
+            return
+        loop.call_soon(pass_on, hops - 1)
+
+    def read() -> None:
+        loop.remove_reader(left)
+        time.sleep(first_hop_s)
+        pass_on(HOPS)
+
+    def stand_still() -> None:
+        right.send(b"x")
+        time.sleep(pauses_s[-1])
+
+    with left, right:
+        for pause_s in pauses_s[:-1]:
+            time.sleep(pause_s)  # noqa: ASYNC251
+            await anyio.sleep(0.02)
+        loop.add_reader(left, read)
+        loop.call_later(0.05, order.append, "timer")
+        loop.call_soon(stand_still)
+        while len(order) < 2:
+            await anyio.sleep(0.02)
+    return order
+
+
+# Guards against input that comes too late as the turn that reads it is long.
+def test_long_turn_after_a_pause_lets_timers_run_before_input() -> None:
+    order = event_loops.run(_stand_still_with_input, [1.0], 0.3)
+    assert order == ["input", "timer"]
+
+
+# Guards against input of a pause that comes too late as another came before.
+def test_pause_soon_after_another_lets_timers_run_before_input() -> None:
+    order = event_loops.run(_stand_still_with_input, [0.5, 0.9], 0.0)
+    assert order == ["input", "timer"]
