Event loop: long turns and pauses in series leave time to read what arrived

Cause: timers waited 16 turns, but no longer than 0.25 s of the host's time, which one long turn uses up. And a pause counted as part of an earlier one unless it was longer by a factor of two or a second had passed, its own length included: stops in series do just that.

Why this works: the turns have a bound of 1 s instead, and the interval of 1 s runs from their end, so that timers run in between on a loop that is always late. A pause of 0.5 s or more always begins such turns, up to three times in 5 s. Tasks that read on in one turn keep their 0.25 s.

--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -348,8 +348,7 @@
     """Locks and opens the data folder until `stack` closes."""
     file_access.lock_folder(settings.data_folder, stack)
     if files is None:
-        files = file_access.LocalFiles(settings.data_folder)
-        stack.callback(files.close)
+        files = file_access.open_folder(settings.data_folder, stack)
     opened = stores.open_store(files, settings.name)
     stack.callback(opened[0].close)
     return opened
--- a/src/cactusstile/consensus/storage/files.py
+++ b/src/cactusstile/consensus/storage/files.py
@@ -187,6 +187,25 @@
     files.sync_folder()
 
 
+def open_folder(
+    folder: pathlib.Path, stack: contextlib.ExitStack
+) -> LocalFiles:
+    """Opens a folder until `stack` closes; creates it if it does not exist.
+
+    Raises:
+      StorageUnavailableError: The folder cannot be created or opened.
+    """
+    try:
+        files = LocalFiles(folder)
+    except OSError as error:
+        raise exceptions.StorageUnavailableError(
+            f"the data folder could not be opened ({error}); check its disk and"
+            " permissions"
+        ) from error
+    stack.callback(files.close)
+    return files
+
+
 def lock_folder(folder: pathlib.Path, stack: contextlib.ExitStack) -> None:
     """Locks a folder against other processes until `stack` closes.
 
--- a/src/cactusstile/event_loops.py
+++ b/src/cactusstile/event_loops.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import collections.abc
 import functools
 import math
 import selectors
@@ -20,7 +22,6 @@
 from cactusstile import clocks
 
 if typing.TYPE_CHECKING:
-    import collections.abc
     import contextvars
 
     Events = list[tuple[selectors.SelectorKey, int]]
@@ -29,14 +30,20 @@
 MIN_PAUSE_S = 0.05
 # Time after a pause in which what arrived during it is read.
 CATCH_UP_S = 0.25
-# Shortest time between two such times: a loop that is always late has to end
-# what is late.
-MIN_CATCH_UP_INTERVAL_S = 1.0
-# Turns of the loop right after a pause before timers run.
+# Turns of the loop right after a pause before timers run, and the longest time
+# that these may take.
 TURNS_AFTER_PAUSE = 16
-# A pause that is longer by this factor than the one before begins such a time
+MAX_TURNS_S = 1.0
+# Shortest time from these turns to the next such turns: a loop that is always
+# late has to end what is late.
+MIN_CATCH_UP_INTERVAL_S = 1.0
+# A pause that is longer by this factor than the one before begins such turns
 # at once; within the interval that happens a few times only.
 LONGER_FACTOR = 2.0
+# Pauses of this length begin them at once, too, so many times in a period.
+LONG_PAUSE_S = 0.5
+MAX_LONG_PAUSES = 3
+LONG_PAUSES_PERIOD_S = 5.0
 
 _T = typing.TypeVar("_T")
 _Arguments = typing.TypeVarTuple("_Arguments")
@@ -65,12 +72,18 @@
         self.resumed_s = -math.inf
         self.turns = 0
         self._resumed_from_s = 0.0
+        self._caught_up_s = math.inf
+        self._long_pauses_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_LONG_PAUSES
+        )
         self._ended_s = math.inf
 
     def select(self, timeout: float | None = None) -> Events:
         """Waits for events; see `selectors.BaseSelector.select`."""
         begun_s = clocks.boot_s()
         self.turns += 1
+        if self.turns == TURNS_AFTER_PAUSE:
+            self._caught_up_s = begun_s
         self._resume(begun_s, begun_s - self._ended_s)
         due_s = math.inf if timeout is None else begun_s + max(timeout, 0.0)
         self.in_time_s = due_s
@@ -82,6 +95,11 @@
             return events
         return super().select(0)
 
+    def is_in_first_turns(self) -> bool:
+        """Returns whether what arrived in a pause may not have been read."""
+        is_new = clocks.boot_s() - self.resumed_s < MAX_TURNS_S
+        return is_new and self.turns < TURNS_AFTER_PAUSE
+
     def _resume(self, now_s: float, pause_s: float) -> None:
         """Begins to catch up, unless it did so shortly before.
 
@@ -89,13 +107,27 @@
         """
         if pause_s <= MIN_PAUSE_S:
             return
-        since_s = now_s - self.resumed_s
+        caught_up_s = min(self._caught_up_s, self.resumed_s + MAX_TURNS_S)
         if (
-            since_s > MIN_CATCH_UP_INTERVAL_S
-            or pause_s > LONGER_FACTOR * self._resumed_from_s
+            now_s - caught_up_s <= MIN_CATCH_UP_INTERVAL_S
+            and pause_s <= LONGER_FACTOR * self._resumed_from_s
+            and not self._is_rare(now_s, pause_s)
         ):
-            self.resumed_s, self._resumed_from_s = now_s, pause_s
-            self.turns = 0
+            return
+        if pause_s >= LONG_PAUSE_S:
+            self._long_pauses_s.append(now_s)
+        self.resumed_s, self._resumed_from_s = now_s, pause_s
+        self._caught_up_s = math.inf
+        self.turns = 0
+
+    def _is_rare(self, now_s: float, pause_s: float) -> bool:
+        """Returns whether a long pause comes after few others."""
+        before_s = self._long_pauses_s
+        if pause_s < LONG_PAUSE_S:
+            return False
+        if len(before_s) < MAX_LONG_PAUSES:
+            return True
+        return now_s - before_s[0] > LONG_PAUSES_PERIOD_S
 
 
 class BootTimeLoop(asyncio.SelectorEventLoop):
@@ -154,8 +186,7 @@
         """Runs the callback, in a later turn if the loop has just resumed."""
         if self.timer is None or self.timer.cancelled():
             return
-        has_resumed = self.loop.selector.turns < TURNS_AFTER_PAUSE
-        if has_resumed and self.loop.is_catching_up():
+        if self.loop.selector.is_in_first_turns():
             self.loop.call_soon(self.run)
             return
         # The timer refers to this object.
