Tests of a group of replicas: its clock stops for pauses alone, however often it is read

Change: the clock follows the host's and stops only while ticks of its own, 0.01 s apart, are late by more than 0.05 s.

--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -22,7 +22,8 @@
 )
 
 
-# Longest time that the clock of a group passes between two readings.
+TICK_S = 0.01
+# Longest time that a group's clock passes from one tick to the next.
 MAX_STEP_S = 0.05
 
 
@@ -31,21 +32,35 @@
     """Clock of a group, on which a pause of the test's process is a short one.
 
     All replicas of a group stand still with that process. On the clock of the
-    host their leader would lose its quorum, which no test here is about.
+    host their leader would lose its quorum, which no test here is about. A
+    pause is noticed by the clock's own ticks, not by how often it is read.
 
     Attributes:
-      now_s: Its time.
+      tick_s: Time of the last tick on the host's clock.
+      paused_s: Length of all pauses so far.
     """
 
-    now_s: float = 0.0
-    _read_s: float = attrs.field(factory=time.monotonic)
+    tick_s: float = attrs.field(factory=time.monotonic)
+    paused_s: float = 0.0
 
     def __call__(self) -> float:
         """Returns its time, in seconds."""
-        read_s = time.monotonic()
-        self.now_s += min(read_s - self._read_s, MAX_STEP_S)
-        self._read_s = read_s
-        return self.now_s
+        now_s = time.monotonic()
+        return min(now_s, self.tick_s + MAX_STEP_S) - self.paused_s
+
+    async def run(self) -> None:
+        """Ticks until it is cancelled."""
+        while True:
+            now_s = time.monotonic()
+            self.paused_s += max(0.0, now_s - self.tick_s - MAX_STEP_S)
+            self.tick_s = now_s
+            await anyio.sleep(TICK_S)
+
+    async def sleep(self, duration_s: float) -> None:
+        """Returns once its time has passed by `duration_s`."""
+        end_s = self() + duration_s
+        while self() < end_s:
+            await anyio.sleep(TICK_S)
 
 
 class ListMachine:
@@ -80,6 +95,9 @@
     files: dict[str, file_access.Files] = attrs.field(factory=dict)
     errors: dict[str, BaseException] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.tasks.start_soon(self.clock.run)
+
     def settings(self, name: str) -> replica_settings.ReplicaSettings:
         return replica_settings.ReplicaSettings(
             name=name,
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -35,11 +35,7 @@
     assert await _propose(group, b"two") == b"2"
     leader = await group.leader()
     assert await leader.read_barrier() >= 3
-    with anyio.move_on_after(5):
-        while any(len(each.commands) < 2 for each in group.machines.values()):
-            await anyio.sleep(0.02)
-    # A command that is applied twice would follow at once.
-    await anyio.sleep(0.2)
+    await group.clock.sleep(0.2)
     for machine in group.machines.values():
         assert machine.commands == [b"one", b"two"]
 
