Registry: a replica without a group announces itself to changed seeds

Cause: changed settings were read and logged, and nothing was done with them: the replica announced itself to the seeds of its start, and asked these whether it was replaced.

Why this works: changed settings replace the seeds and add to the addresses of announcements. They don't change who founds: the founders of the start stay.

--- a/src/cactusstile/consensus/driver.py
+++ b/src/cactusstile/consensus/driver.py
@@ -43,6 +43,7 @@
       state: State of the core.
       waiters: Callers that wait for a result.
       applied_index: Last log index that the state machine has applied.
+      hello_addresses: Where this replica announces itself.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.discovered_replicas = bootstrap.DiscoveredReplicas()
         self.stopped = False
         self.applied_index = 0
+        self.hello_addresses = settings.founder_addresses()
         self.bytes_since_snapshot = 0
         self.effects: collections.deque[effects.Effect] = collections.deque()
         self.dispatching = False
@@ -154,12 +156,10 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     async def run_hellos(self) -> None:
-        """Announces this replica to the founders until it joins a group."""
-        founders = self.settings.founders
+        """Announces this replica until it joins a group."""
         while not self.state.group:
-            for founder in founders:
-                if founder.name != self.settings.name:
-                    self.send(founder.address, self._hello())
+            for address in self.hello_addresses:
+                self.send(address, self._hello())
             await anyio.sleep(bootstrap.HELLO_INTERVAL_S)
 
     async def run_writes(self) -> None:
--- a/src/cactusstile/consensus/replica.py
+++ b/src/cactusstile/consensus/replica.py
@@ -231,6 +231,13 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return False
 
+    def announce_to(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Announces a replica without a group to the founders and these."""
+        known = dict.fromkeys(self.settings.founder_addresses())
+        known.update(dict.fromkeys(addresses))
+        known.pop(self.settings.address, None)
+        self.driver.hello_addresses = list(known)
+
     def receive(self, sender: str, message: messages.Message) -> None:
         """Handles a message that arrived from the address `sender`."""
         try:
--- a/src/cactusstile/consensus/replica_settings.py
+++ b/src/cactusstile/consensus/replica_settings.py
@@ -52,3 +52,11 @@
     sync_in_thread: bool = True
     group_commit: bool = True
     core: states.CoreSettings = attrs.field(factory=states.CoreSettings)
+
+    def founder_addresses(self) -> list[str]:
+        """Returns the addresses of the other founders."""
+        addresses = []
+        for founder in self.founders:
+            if founder.name != self.name:
+                addresses.append(founder.address)
+        return addresses
--- a/src/cactusstile/registry/daemon.py
+++ b/src/cactusstile/registry/daemon.py
@@ -81,6 +81,7 @@
       hold_calls: Changes holds.
       loop: Lag of the event loop.
       listeners: Listeners for operators and administrators.
+      seeds: Addresses of other registries, from the newest settings.
     """
 
     settings: node.NodeSettings
@@ -97,6 +98,20 @@
 
     loop: loop_lag.LoopLag = attrs.field(factory=loop_lag.LoopLag)
     listeners: list[servings.Serving] = attrs.field(factory=list)
+    seeds: list[str] = attrs.field(
+        default=attrs.Factory(
+            lambda self: [str(seed) for seed in self.settings.internal_seeds],
+            takes_self=True,
+        )
+    )
+
+    def apply(self, changed: node.NodeSettings) -> None:
+        """Uses the seeds of changed settings from now on.
+
+        They do not change who founds the group.
+        """
+        self.seeds[:] = [str(seed) for seed in changed.internal_seeds]
+        self.replica.announce_to(self.seeds)
 
     async def finish_calls(self) -> None:
         """Waits until the calls that have begun are answered."""
@@ -118,7 +133,7 @@
         addresses = [
             peer.member.address for peer in self.replica.status().members
         ]
-        addresses += [str(peer) for peer in self.settings.internal_seeds]
+        addresses += self.seeds
         return [
             peer for peer in dict.fromkeys(addresses) if peer != own_address
         ]
--- a/src/cactusstile/registry/process.py
+++ b/src/cactusstile/registry/process.py
@@ -198,6 +198,6 @@
             await registry.step_down()
             await registry.finish_calls()
 
-        group.start_soon(reload.watch, path, settings, lambda _: None)
+        group.start_soon(reload.watch, path, settings, registry.apply)
         group.start_soon(stop_when, stop_at_signal)
         group.start_soon(stop_when, registry.wait_until_removed)
