Control: a running process founds no second group after its folder is lost

Cause: the process opened its folder anew with the founders of its settings.

Why this works: groups that its replicas have belonged to are opened without the process among their founders; it then waits to be added, as after any lost disk. A restart with an empty folder founds as before: its settings cannot tell (open).

--- a/src/cactusstile/control/settings.py
+++ b/src/cactusstile/control/settings.py
@@ -28,6 +28,8 @@
         it differs from the listen address.
       group_commit: Whether one sync makes several commands durable.
       sync_in_thread: Whether syncs run in a worker thread.
+      founded: Groups that exist, for all that this process knows; it must not
+        found them again with an empty folder.
     """
 
     process: process.ProcessSettings
@@ -36,6 +38,7 @@
     advertise: address.Address | None = None
     group_commit: bool = True
     sync_in_thread: bool = True
+    founded: frozenset[str] = frozenset()
 
     @property
     def own_address(self) -> address.Address:
@@ -44,11 +47,15 @@
 
     def for_group(self, group: str) -> replica_settings.ReplicaSettings:
         """Returns the settings of the local replica of a group."""
+        name = self.process.name
+        founders = self.founders
+        if group in self.founded:
+            founders = tuple(each for each in founders if each.name != name)
         return replica_settings.ReplicaSettings(
-            name=self.process.name,
+            name=name,
             address=str(self.own_address),
             data_folder=self.data_folder / group,
-            founders=self.founders,
+            founders=founders,
             max_command_bytes=MAX_COMMAND_BYTES,
             group_commit=self.group_commit,
             sync_in_thread=self.sync_in_thread,
