Believe no head in which another one begins

What callers saw: 503, a promise, for a request that ran (REFUSED), or 200 for one that failed.

Cause: a target may be cut off within a response, and may send a late copy where the next answer is due. A copy that ends within a line of its head, and the head of the next answer, read as one head: the status and the mark or seal of the copy, the id of the request that is answered. That id is all that tells late copies apart.

Evidence: two tests.

Why this works: such a head has a status line at the end of its reason or of a field, whatever the copy was. On a connection that served a request before, it is malformed, and the request may have run. A target that quotes a status line in its own answers is served as before: a connection on which it does so isn't used again.

--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -43,6 +43,8 @@
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 _KEEP_ALIVE = b"keep-alive"
 _SECONDS = re.compile(r"[0-9]{1,9}")
+# Status line at the end of a line.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}( [^\r\n]*)?$")
 
 
 class TargetConnection:
@@ -68,6 +70,7 @@
         self._protocol = _new_protocol()
         self._event: h11.Request
         self._closing = False
+        self._is_reused = False
         self._received_bytes = 0
         self._parts_in_turn = 0
 
@@ -145,12 +148,28 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise exceptions.ConnectionEndedError("closed by the target")
+            self._check_joined(event)
             head = _decode_head(event)
             if is_match(head):
                 self._record_keep_alive(head)
                 return head
             await self._discard_response()
 
+    def _check_joined(self, event: h11.Response) -> None:
+        """Checks that no late response was cut off where a head begins.
+
+        A target may also quote a status line; its connections serve once.
+
+        Raises:
+          MalformedError: It may have been.
+        """
+        lines = [event.reason, *(value for _, value in event.headers)]
+        if not any(_STATUS_LINE.search(line) for line in lines):
+            return
+        self._closing = True
+        if self._is_reused:
+            raise exceptions.MalformedError("a head begins within another")
+
     async def read_body(self) -> bytes | None:
         """Returns the next part of the body; None after the last part.
 
@@ -201,6 +220,7 @@
         if not is_done or self._closing or self._protocol.trailing_data[0]:
             return False
         self._protocol.start_next_cycle()
+        self._is_reused = True
         self.expires_s = anyio.current_time() + self._idle_limit_s
         return not self.socket.has_input()
 
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -80,3 +80,54 @@
     if not copy.startswith("cut"):
         assert target.connections == 1
         assert support.status(second) == 200
+
+
+SUCCESS = (
+    b"HTTP/1.1 200 OK\r\n" + raw_target.SEAL + b"Server: x\r\nVia: 1.1 other"
+)
+CUT_HEADS = {
+    "in-a-value": SUCCESS,
+    "before-a-value": SUCCESS.removesuffix(b" 1.1 other"),
+    "in-its-seal": SUCCESS.removesuffix(b"\r\nServer: x\r\nVia: 1.1 other"),
+    "in-its-reason": b"HTTP/1.1 200 O",
+}
+FAILURES = {
+    "failed": raw_target.answer(b"", b"500 Failed"),
+    "failed-unsealed": raw_target.answer(b"", b"500 Failed", b""),
+}
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+@pytest.mark.parametrize("cut", CUT_HEADS)
+async def test_failure_behind_a_cut_copy_of_a_success_is_passed_on_as_one(
+    cut: str, failure: str
+) -> None:
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        await stream.send(CUT_HEADS[cut])
+        return await FAILURES[failure](stream, request)
+
+    route = support.route(model.Kind.ONCE, max_attempts=1)
+    async with raw_target.open_target(raw_target.answer(), run) as target:
+        config = support.configuration(route)
+        async with support.open_harness(config, target) as harness:
+            await harness.ask(support.request(b"POST"))
+            data = await harness.ask(
+                support.request(b"POST").replace(b"Id: one", b"Id: two")
+            )
+    assert len(target.requests) == 2
+    assert support.status(data) == 502
+
+
+async def test_answers_that_quote_a_status_line_are_not_passed_on() -> None:
+    """Guards against a quoted line that is taken for the begin of a head."""
+    fields = raw_target.SEAL + b"X-Origin: HTTP/1.1 304 Not Modified\r\n"
+    quoting = raw_target.answer(rest=fields)
+    route = support.route(model.Kind.ONCE, max_attempts=1)
+    async with raw_target.open_target(quoting, quoting, quoting) as target:
+        config = support.configuration(route)
+        async with support.open_harness(config, target) as harness:
+            for request_id in (b"one", b"two", b"three"):
+                data = await harness.ask(
+                    support.request(b"POST").replace(b"one", request_id)
+                )
+                assert support.status(data) == 200
--- a/tests/gateway/test_verdicts_of_targets.py
+++ b/tests/gateway/test_verdicts_of_targets.py
@@ -110,3 +110,40 @@
     assert support.status(first) == 503
     assert len(target.requests) == 2
     assert support.status(second) == 200
+
+
+REFUSED = b"HTTP/1.1 503 Full\r\nX-Cactusstile-Not-Executed: 1\r\nServer: x"
+MOVED = b"HTTP/1.1 421 Misdirected Request\r\nServer: x"
+CUT_COPIES = {
+    "refused-in-a-value": REFUSED,
+    "refused-before-a-value": REFUSED.removesuffix(b" x"),
+    "refused-in-its-mark": REFUSED.removesuffix(b" 1\r\nServer: x"),
+    "moved-in-a-value": MOVED,
+    "moved-in-its-reason": MOVED.removesuffix(b"Request\r\nServer: x"),
+}
+
+
+@pytest.mark.parametrize("fields", [raw_target.SEAL, b""], ids=["seal", "none"])
+@pytest.mark.parametrize("copy", CUT_COPIES)
+async def test_cut_copy_of_a_refusal_does_not_speak_for_the_next_request(
+    copy: str, fields: bytes
+) -> None:
+    """Guards against a false promise by two heads that read as one."""
+
+    async def run(stream: anyio.abc.SocketStream, request: bytes) -> bool:
+        assert target.connections == 1
+        await stream.send(CUT_COPIES[copy])
+        failed = raw_target.answer(b"", b"500 Failed", fields)
+        return await failed(stream, request)
+
+    once = support.configuration(support.route(model.Kind.ONCE, max_attempts=1))
+    async with (
+        raw_target.open_target(raw_target.reject(), run) as target,
+        support.open_harness(once, target) as harness,
+    ):
+        await harness.ask(support.request(b"POST"))
+        data = await harness.ask(
+            support.request(b"POST").replace(b"Id: one", b"Id: two")
+        )
+    assert len(target.requests) == 2
+    assert support.status(data) == 502
