Agent: judge by its first call whether a prompt may have run

What callers saw: a run that had reached its engine, or had sent output, was refused as not run.

Cause: a broken stream is resumed by a further call to the engine. If that call could not open a connection (the engine was killed, or leaves and closed its port), its error says that nothing was sent, and was taken for the verdict of the run.

Why this works: only the first call can show that the engine did not take the prompt; whatever a resumption meets, the run keeps the verdict that it may have run.

--- a/src/cactusstile/agent/engine_runs.py
+++ b/src/cactusstile/agent/engine_runs.py
@@ -166,7 +166,8 @@
         except verdict.RefusedError as error:
             final = agent.build_refused(error.refusal)
         except exceptions.TargetError as error:
-            final = agent.build_refused(_engine_lost(error))
+            refusal = _engine_lost(error, was_sent=running.sent)
+            final = agent.build_refused(refusal)
         finally:
             self._finish_record(record, final, running.sent)
             with anyio.CancelScope(shield=True):
@@ -253,10 +254,13 @@
         )
 
 
-def _engine_lost(error: exceptions.TargetError) -> verdict.Refusal:
+def _engine_lost(
+    error: exceptions.TargetError, *, was_sent: bool
+) -> verdict.Refusal:
+    """Returns the refusal after a failed call, which need not be the first."""
     logger.info("run failed at the engine: %s", error)
     return verdict.Refusal(
-        error.verdict,
+        verdict.Verdict.MAY_HAVE_RUN if was_sent else error.verdict,
         verdict.Reason.TARGET_LOST,
         "the engine failed; try another target",
         node.RETRY_ELSEWHERE_S,
--- a/src/cactusstile/agent/prompt_run.py
+++ b/src/cactusstile/agent/prompt_run.py
@@ -33,7 +33,6 @@
 CANCEL_TIMEOUT_S = 1.0
 MAX_GATE_WAIT_S = 5.0
 ENGINE_RETRY_AFTER_S = 1.0
-CLIENT_ERROR_STATUSES = range(400, 500)
 
 
 @attrs.frozen
@@ -257,6 +256,7 @@
         """Reads the engine's stream to its end; resumes a broken stream."""
         client = self._parts.client
         self.sent = True
+        is_resumed = False
         resume_until_s = 0.0
         stream_context = client.open_run(prompt)
         while True:
@@ -267,14 +267,11 @@
                     resume_until_s = 0.0
                     await self._read_output(events)
                     return
-            except exceptions.TargetStatusError as error:
-                first = self._started is None
-                if first and error.status in CLIENT_ERROR_STATUSES:
-                    self.sent = False
-                raise
             except exceptions.TargetError as error:
-                if self._started is None and not error.sent:
-                    self.sent = False
+                # What a resumption meets tells nothing of the first call.
+                self.sent = is_resumed or not error.was_refused
+                is_status = isinstance(error, exceptions.TargetStatusError)
+                if is_status or not self.sent:
                     raise
                 now_s = anyio.current_time()
                 resume_until_s = resume_until_s or now_s + RESUME_TIMEOUT_S
@@ -282,6 +279,7 @@
                     raise
                 metrics.RESUMPTIONS.labels(self._parts.node.target).inc()
             await anyio.sleep(RESUME_INTERVAL_S)
+            is_resumed = True
             stream_context = client.open_resumed(
                 self._request_id, self._record.count - self._generated_count
             )
--- a/src/cactusstile/targets/exceptions.py
+++ b/src/cactusstile/targets/exceptions.py
@@ -4,6 +4,8 @@
 
 from cactusstile import verdict
 
+_CLIENT_ERRORS = range(400, 500)
+
 
 class TargetError(Exception):
     """Raised when a target does not answer a call as expected.
@@ -24,6 +26,11 @@
             return verdict.Verdict.MAY_HAVE_RUN
         return verdict.Verdict.NOT_RUN
 
+    @property
+    def was_refused(self) -> bool:
+        """Whether the target certainly did not take this call."""
+        return not self.sent
+
 
 class TargetStatusError(TargetError):
     """Raised when a target answers with an error status.
@@ -37,6 +44,11 @@
         super().__init__(message, sent=True)
         self.status = status
 
+    @property
+    def was_refused(self) -> bool:
+        """Whether the target certainly did not take this call."""
+        return self.status in _CLIENT_ERRORS
+
 
 # Raised by parsers of answers that do not have the expected form.
 MALFORMED = (
