Tests of stored blocks: a pause of their own process is not a silent store

Cause: the store of this test runs in the process that queries it, and an entry gives a store 0.1 s to answer. A longer pause of that process between a question and its answer makes the store count as failed; it is then left alone for 2 s, so the next question is answered with no blocks. That costs time and no correctness, as the client says. The first question of the test passed also if the store had not answered.

Change: the store has 5 s to answer in this test, which is about what is stored, not about how fast the answer comes. The test now plays with a pause of 0.2 s in both questions as well, and checks that the store answered the first one.

--- a/tests/entry/test_stored_blocks.py
+++ b/tests/entry/test_stored_blocks.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import asyncio
+import time
+
 import attrs
 import pytest
 
@@ -16,6 +19,7 @@
 
 pytestmark = pytest.mark.anyio
 
+ANSWER_LIMIT_S = 5.0
 BLOCK_BYTES = 1000
 PROMPT = tuple(range(1600))
 SCOPE = tokens.Scope("bank", fake_site.DEPLOYMENT, "v1")
@@ -38,11 +42,17 @@
     return routes.ProbedTarget(target, reply)
 
 
-async def test_prompt_is_placed_near_its_stored_blocks() -> None:
+# The store runs in the process that queries it: a pause stops both.
+@pytest.mark.parametrize("pause_s", [0.0, 2 * client.HAVE_TIMEOUT_S])
+async def test_prompt_is_placed_near_its_stored_blocks(
+    pause_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a placement that ignores the cost of fetching blocks.
 
     Transferring the complete prompt over the limited link takes 200 ms.
     """
+    monkeypatch.setattr(client, "HAVE_TIMEOUT_S", ANSWER_LIMIT_S)
+    loop = asyncio.get_running_loop()
     keys = tokens.block_keys(SCOPE, PROMPT)
     link = model.Link(
         ("ikeja", "lekki"), len(keys) * BLOCK_BYTES / 0.2, price=0.0
@@ -54,8 +64,11 @@
             lambda: site.fleet_holder.fleet,
             peers=site.peers,
         )
+        loop.call_soon(time.sleep, pause_s)
         stored = await routing.find_stored_blocks(CALL, "v1", keys)
-        assert (stored.blocks, stored.total_bytes) == (0, 0)
+        assert stored == client.StoredPrefix(
+            site.fleet_holder.fleet.targets["store-1"]
+        )
         stores = client.StoreClient(
             site.peers, lambda _: site.fleet_holder.fleet.stores()
         )
@@ -72,6 +85,7 @@
             for position, key in enumerate(keys)
         ]
         assert await stores.keep(SCOPE, b"prefix-key", written) == len(keys)
+        loop.call_soon(time.sleep, pause_s)
         stored = await routing.find_stored_blocks(CALL, "v1", keys)
         assert (stored.blocks, stored.total_bytes) == (100, 100 * BLOCK_BYTES)
         other = attrs.evolve(CALL, workspace="clinic")
