Agent: a closed gate that opens late does not count as open

Cause: a fault of ours. An agent that confirms its token after a freeze keeps its gate closed and expects half a second for it. Once that time had passed, it answered probes "no wait", although the gate was still closed: entries then prefer an agent that admits nothing, and a refusal after the wait asked for a return at once. The same holds for loads of weights that take longer than expected. In the test a second pause of its process, right after the freeze, is enough.

Change: the expected wait at a closed gate is never below 0.1 s. In the two tests of a freeze control now answers so late that the token is being confirmed in all their probes: half a second ran out in a pause as well. In exchange the last probe must be told to wait, not any of them.

--- a/src/cactusstile/agent/gate.py
+++ b/src/cactusstile/agent/gate.py
@@ -18,6 +18,10 @@
     from cactusstile.targets import engine
 
 
+# A closed gate is never as good as an open one, also if it opens late.
+MIN_CLOSED_WAIT_S = 0.1
+
+
 class VersionGate:
     """Version gate of one engine.
 
@@ -44,7 +48,8 @@
     def expected_wait_s(self) -> float:
         """Returns the expected wait at the gate; infinite if unknown."""
         if self._closers:
-            return max(0.0, self.expected_open_s - anyio.current_time())
+            expected_s = self.expected_open_s - anyio.current_time()
+            return max(MIN_CLOSED_WAIT_S, expected_s)
         return 0.0 if self.status is not None else float("inf")
 
     @contextlib.asynccontextmanager
--- a/tests/controllers/test_orders.py
+++ b/tests/controllers/test_orders.py
@@ -20,6 +20,8 @@
 from cactusstile.targets import engine as engines
 
 pytestmark = pytest.mark.anyio
+# Longer than a test asks while a token is being confirmed.
+CONFIRMATION_S = 30.0
 PROBE = messages.Probe(
     "bank", site.DEPLOYMENT, "", (), 10, 1, 0, 0, 1, reserve=False
 )
@@ -111,7 +113,7 @@
         site.open_engine_agent(opened) as agent,
     ):
         await _wait_until(agent.ready)
-        opened.control.fence_answer_delay_s = 0.5
+        opened.control.fence_answer_delay_s = CONFIRMATION_S
         time.sleep(1.5)  # noqa: ASYNC251
         replies = []
         for _ in range(20):
@@ -120,7 +122,7 @@
             replies.append(reply)
             await anyio.sleep(0.02)
     assert not any(reply.leaving for reply in replies)
-    assert max(reply.wait_ms for reply in replies) > 0
+    assert replies[-1].wait_ms > 0
 
 
 # Guards against runs admitted by an old token after a freeze within a read.
@@ -143,7 +145,7 @@
         await _wait_until(agent.ready)
         monkeypatch.setattr(engines.EngineClient, "status", read_late)
         await reading.wait()
-        opened.control.fence_answer_delay_s = 0.5
+        opened.control.fence_answer_delay_s = CONFIRMATION_S
         time.sleep(1.5)  # noqa: ASYNC251
         waits_ms = []
         for _ in range(20):
@@ -151,7 +153,7 @@
             assert isinstance(reply, messages.ProbeReply)
             waits_ms.append(reply.wait_ms)
             await anyio.sleep(0.02)
-    assert max(waits_ms) > 0
+    assert waits_ms[-1] > 0
 
 
 async def test_superseded_agent_of_a_service_accepts_no_work(
