--- a/tests/entry/test_stored_blocks.py
+++ b/tests/entry/test_stored_blocks.py
@@ -42,6 +42,20 @@
     return routes.ProbedTarget(target, reply)
 
 
+def _chain(keys: list[bytes]) -> list[blocks.Block]:
+    """Returns blocks without content, one behind the other."""
+    content = b"\0" * BLOCK_BYTES
+    chained = []
+    previous = b""
+    for position, key in enumerate(keys):
+        checksum = blocks.checksum(SCOPE, key, content)
+        chained.append(
+            blocks.Block(key, previous, position, content, checksum, 1000)
+        )
+        previous = key
+    return chained
+
+
 # The store runs in the process that queries it: a pause stops both.
 @pytest.mark.parametrize("pause_s", [0.0, 2 * client.HAVE_TIMEOUT_S])
 async def test_prompt_is_placed_near_its_stored_blocks(
@@ -72,18 +86,7 @@
         stores = client.StoreClient(
             site.peers, lambda _: site.fleet_holder.fleet.stores()
         )
-        content = b"\0" * BLOCK_BYTES
-        written = [
-            blocks.Block(
-                key,
-                keys[position - 1] if position else b"",
-                position,
-                content,
-                blocks.checksum(SCOPE, key, content),
-                1000,
-            )
-            for position, key in enumerate(keys)
-        ]
+        written = _chain(keys)
         assert await stores.keep(SCOPE, b"prefix-key", written) == len(keys)
         loop.call_soon(time.sleep, pause_s)
         stored = await routing.find_stored_blocks(CALL, "v1", keys)
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -66,7 +66,8 @@
     async with anyio.create_task_group() as group:
         received: typing.Any = signal_at(stop)
         path = tmp_path / "settings.ini"
-        group.start_soon(process._serve, settings, path, received)
+        run = process.Run()
+        group.start_soon(process._serve, settings, path, received, run)
         await wait_until_listening(site)
         monkeypatch.setattr(replica.Replica, "read_barrier", read_late)
         group.start_soon(read)
