Entry: an answer that nobody takes is given up also once it is complete

Cause: an entry watches how long a caller takes nothing while its answer is being made. Once the application has handed over the whole of it, what the connection has not sent yet was watched by nobody, and a drain waits for it.

--- a/src/cactusstile/observability/limited_protocol.py
+++ b/src/cactusstile/observability/limited_protocol.py
@@ -75,6 +75,8 @@
         self.app = self._run_app
         self._feeder: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._unsent_bytes = 0
+        self._unsent_since_s = 0.0
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -203,5 +205,18 @@
         if limit_s is not None and waited_s > limit_s:
             self._give_way(self.place.phase)
             return
+        if self._has_stalled_answer():
+            self._give_way(connections.Phase.STALLED)
+            return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
+
+    def _has_stalled_answer(self) -> bool:
+        """Returns whether the caller stopped taking a complete answer."""
+        now_s = anyio.current_time()
+        size = self.transport.get_write_buffer_size()
+        is_complete = self.place.phase is connections.Phase.IDLE
+        if not is_complete or size != self._unsent_bytes:
+            self._unsent_bytes = size
+            self._unsent_since_s = now_s
+        return size > 0 and now_s - self._unsent_since_s > STALL_TIMEOUT_S
--- a/tests/processes/test_crowds_of_a_site.py
+++ b/tests/processes/test_crowds_of_a_site.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import pathlib
+import ssl
 import typing
 
 import anyio
 import anyio.to_thread
 import pytest
+import trustme
 from tests.processes import test_whole_path
 from tests.support import crowd
 from tests.support import site_processes
@@ -24,14 +27,16 @@
 CROWD = 400
 HEADS = 120
 BUFFERED_BYTES = 8_000_000
+HANDSHAKES_S = 5.0
 PROCESSES = ("entry-1", "engine-1", "control-1")
 
 
-@pytest.fixture
-async def site(
-    tmp_path: pathlib.Path,
+@contextlib.asynccontextmanager
+async def open_site(
+    folder: pathlib.Path, entry_options: str = ""
 ) -> typing.AsyncIterator[site_processes.Site]:
-    opened = site_processes.Site(tmp_path)
+    """Runs a site whose processes have few descriptors and little memory."""
+    opened = site_processes.Site(folder)
     try:
         opened.write("fleet.secret", "fleet-secret-of-the-tests")
         opened.write("operator.secret", "operator-secret-of-tests")
@@ -40,6 +45,7 @@
         port = opened.port("entry-1-callers")
         section = f"[entry]\ncallers_listen = {opened.host}:{port}\n"
         section += f"max_buffered_bytes = {BUFFERED_BYTES}\n"
+        section += entry_options
         opened.start_role("entry", "entry-1", section)
         site_processes.start_target(opened, "engine-1", "engine")
         fleet = opened.write("fleet.ini", site_processes.fleet_text(opened))
@@ -52,13 +58,24 @@
         opened.close()
 
 
-def chat(site: site_processes.Site, max_tokens: int, fields: int = 0) -> bytes:
+@pytest.fixture
+async def site(
+    tmp_path: pathlib.Path,
+) -> typing.AsyncIterator[site_processes.Site]:
+    async with open_site(tmp_path) as opened:
+        yield opened
+
+
+def chat(
+    site: site_processes.Site, max_tokens: int, fields: int = 0, **more: object
+) -> bytes:
     """Returns a whole request for a prompt, with further header fields."""
     body = json.dumps(
         {
             "model": "chat",
             "messages": [{"role": "user", "content": "asset"}],
             "max_tokens": max_tokens,
+            **more,
         }
     ).encode()
     head = (
@@ -69,17 +86,26 @@
     return head.encode() + b"a:\r\n" * fields + b"\r\n" + body
 
 
-async def ask(host: str, port: int, request: bytes) -> bytes:
+async def ask(
+    host: str, port: int, request: bytes, tls: ssl.SSLContext | None = None
+) -> bytes:
     """Returns the first bytes of an answer; empty if there is none."""
     try:
-        async with await anyio.connect_tcp(host, port) as stream:
+        async with await anyio.connect_tcp(
+            host,
+            port,
+            ssl_context=tls,  # type: ignore[arg-type]
+            tls_standard_compatible=False,
+        ) as stream:
             await stream.send(request)
             return await stream.receive()
     except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
         return b""
 
 
-async def check(site: site_processes.Site, name: str) -> None:
+async def check(
+    site: site_processes.Site, name: str, tls: ssl.SSLContext | None = None
+) -> None:
     """Checks what must hold while a crowd stays at listener `name`."""
     for process in PROCESSES:
         running = site.processes[process]
@@ -92,7 +118,7 @@
     with anyio.fail_after(crowd.HANG_S):
         answer = b""
         while not answer.startswith(b"HTTP/1.1 200"):
-            answer = await ask(site.host, site.port(name), request)
+            answer = await ask(site.host, site.port(name), request, tls)
             await anyio.sleep(0.05)
     for process in PROCESSES:
         assert site.processes[process].poll() is None
@@ -187,3 +213,37 @@
     port = site.port("entry-1-callers")
     async with crowd.open_crowd(site.host, port, HEADS, request):
         await check(site, "entry-1-callers")
+
+
+def hello() -> bytes:
+    """Returns the first message of a TLS client."""
+    sent = ssl.MemoryBIO()
+    context = ssl.create_default_context()
+    client = context.wrap_bio(ssl.MemoryBIO(), sent, server_hostname="x")
+    with contextlib.suppress(ssl.SSLWantReadError):
+        client.do_handshake()
+    return sent.read()
+
+
+# Guards against an entry that unfinished TLS handshakes take for themselves.
+@pytest.mark.parametrize("begun_bytes", [0, 5, 10_000])
+async def test_unfinished_handshakes_keep_others_from_an_entry(
+    tmp_path: pathlib.Path, begun_bytes: int
+) -> None:
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(tmp_path / "key.pem")
+    issued.cert_chain_pems[0].write_to_path(tmp_path / "chain.pem")
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    context.check_hostname = False
+    options = f"tls_certificate = {tmp_path / 'chain.pem'}\n"
+    options += f"tls_key = {tmp_path / 'key.pem'}\n"
+    first = hello()
+    part = (first[:begun_bytes], first[begun_bytes:])
+    async with open_site(tmp_path, options) as site:
+        name = "entry-1-callers"
+        port = site.port(name)
+        async with crowd.open_slow_crowd(site.host, port, CROWD, part):
+            await anyio.sleep(HANDSHAKES_S)
+            await check(site, name, context)
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import itertools
 import os
 import pathlib
 import resource
@@ -12,6 +13,7 @@
 
 import anyio
 import anyio.lowlevel
+import attrs
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -20,6 +22,8 @@
 STALL_S = 1.0
 # Longest time after which a process counts as hanging.
 HANG_S = 30.0
+# Time between two bytes that a slow client sends or takes.
+BYTE_INTERVAL_S = 1.0
 _RECEIVE_BUFFER_BYTES = 4096
 _PART_BYTES = 256 << 10
 
@@ -107,3 +111,61 @@
             for _ in range(connections):
                 group.start_soon(run)
         yield
+
+
+@attrs.define
+class SlowClients:
+    """Clients that send and take a byte at a time, and come again.
+
+    Attributes:
+      host: Address of the listener.
+      port: Port of the listener.
+      taken_bytes: Number of bytes that they took so far.
+    """
+
+    host: str
+    port: int
+    taken_bytes: int = 0
+
+    async def run(self, begun: bytes, rest: bytes) -> None:
+        """Runs one client; see `open_slow_crowd`."""
+        while True:
+            opened = await connect(self.host, self.port)
+            if opened is not None:
+                with opened, contextlib.suppress(OSError):
+                    if begun:
+                        await _send(opened, begun, 1)
+                    await self._go_on(opened, rest)
+            await anyio.sleep(BYTE_INTERVAL_S)
+
+    async def _go_on(self, opened: socket.socket, rest: bytes) -> None:
+        """Sends and takes bytes until the peer closes the connection."""
+        for offset in itertools.count():
+            await anyio.sleep(BYTE_INTERVAL_S)
+            with contextlib.suppress(BlockingIOError):
+                opened.send(rest[offset : offset + 1])
+            with contextlib.suppress(BlockingIOError):
+                taken = opened.recv(1)
+                if not taken:
+                    return
+                self.taken_bytes += 1
+
+
+@contextlib.asynccontextmanager
+async def open_slow_crowd(
+    host: str, port: int, connections: int, *parts: tuple[bytes, bytes]
+) -> collections.abc.AsyncIterator[SlowClients]:
+    """Keeps clients busy that send and take a byte every `BYTE_INTERVAL_S`.
+
+    Args:
+      host: Address of the listener, which need not listen yet.
+      port: Port of the listener.
+      connections: Number of clients.
+      *parts: What the clients send, by turns: at once and then slowly.
+    """
+    clients = SlowClients(host, port)
+    async with anyio.create_task_group() as group:
+        for number in range(connections):
+            group.start_soon(clients.run, *parts[number % len(parts)])
+        yield clients
+        group.cancel_scope.cancel()
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -234,4 +234,6 @@
     async with anyio.create_task_group() as group:
         group.start_soon(serve)
         yield raw
+        # Cancelling an accept as a connection arrives raises InvalidStateError.
+        await listener.aclose()
         group.cancel_scope.cancel()
