--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -195,6 +195,9 @@
     return run
 
 
+_RECEIVE_BUFFER = (socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+
 @contextlib.asynccontextmanager
 async def open_target(
     *scripts: Script, receive_buffer_bytes: int = 0, **fields: typing.Any
@@ -209,9 +212,8 @@
     """
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     if receive_buffer_bytes:
-        listener.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
-        )
+        opened = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        opened.setsockopt(*_RECEIVE_BUFFER, receive_buffer_bytes)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     fields.setdefault("id", f"t-{port}")
     listed = model.Target(
