Tests of a second loss: count the time to catch up on the registries' clock

Cause: of the test. Its registries run in its own process. A pause of that process longer than the election timeout made the leader step down: the configuration was refused. And the 4 s after which a group must bear another loss ran on in pauses, while the replacement of the lost voters stood still: the next disks were lost while two lost members still counted, so that a majority was gone.

Change: the 4 s count on the clock of the registries, in both tests of the file. Without a pause that is the same time; no other bound changes.

--- a/tests/registry/test_second_loss.py
+++ b/tests/registry/test_second_loss.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import shutil
+import typing
 
 import anyio
 import pytest
@@ -13,6 +14,9 @@
 from cactusstile.http import exceptions
 from cactusstile.registry import daemon
 
+if typing.TYPE_CHECKING:
+    from tests.support import group_clock
+
 pytestmark = pytest.mark.anyio
 HOSTS = sites.HOSTS
 OK = 200
@@ -26,6 +30,12 @@
     return [host for host in site.running if host != leader]
 
 
+async def _wait_until(clock: group_clock.Clock, time_s: float) -> None:
+    """Waits for a time of the registries, which stand still in a pause."""
+    while clock() < time_s:
+        await anyio.sleep(0.02)
+
+
 async def _read_version(site: sites.Site) -> int:
     """Returns the version in force; 0 if it does not come in time."""
     with anyio.move_on_after(RECOVERY_S):
@@ -45,7 +55,10 @@
 @pytest.mark.parametrize("delay_s", [0.0, 1.0])
 @pytest.mark.parametrize("first_loss", ["leader", "follower", "leader changes"])
 async def test_second_lost_disk_after_a_replacement_loses_no_configuration(
-    site: sites.Site, first_loss: str, delay_s: float
+    site: sites.Site,
+    clock: group_clock.Clock,
+    first_loss: str,
+    delay_s: float,
 ) -> None:
     async with anyio.create_task_group() as group:
         for host in HOSTS[:3]:
@@ -57,10 +70,10 @@
         await site.lose(lost)
         await anyio.sleep(delay_s)
         await group.start(site.run, HOSTS[3])
-        started_s = anyio.current_time()
+        started_s = clock()
         if first_loss == "leader changes":
             await (await site.leader()).step_down()
-        await anyio.sleep_until(started_s + CATCH_UP_S)
+        await _wait_until(clock, started_s + CATCH_UP_S)
         assert await site.replace(5) == OK
         second = await site.leader()
         await _lose_disk(site, second)
@@ -73,7 +86,7 @@
 # Guards against two lost voters of five that count on beside two more.
 @pytest.mark.parametrize("with_leader", [False, True])
 async def test_two_lost_disks_after_two_replacements_lose_no_configuration(
-    site: sites.Site, with_leader: bool
+    site: sites.Site, clock: group_clock.Clock, with_leader: bool
 ) -> None:
     hosts = [f"{sites.NETWORK}.{number}" for number in range(2, 9)]
     async with anyio.create_task_group() as group:
@@ -88,7 +101,7 @@
         await anyio.sleep(1.0)
         for host in hosts[5:]:
             await group.start(site.run, host)
-        await anyio.sleep(CATCH_UP_S)
+        await _wait_until(clock, clock() + CATCH_UP_S)
         assert await site.replace(5) == OK
         leader = await site.leader()
         others = [one for one in site.running.values() if one is not leader]
