--- a/tests/processes/test_slow_crowds.py
+++ b/tests/processes/test_slow_crowds.py
@@ -19,6 +19,7 @@
 
 from cactusstile.http import messages
 from cactusstile.observability import limited_protocol
+from cactusstile.targets import service
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 # More clients than there are descriptors.
@@ -123,10 +124,10 @@
 
 @contextlib.asynccontextmanager
 async def open_entry_site(
-    folder: pathlib.Path,
+    folder: pathlib.Path, answer_bytes: int = LARGE_BYTES
 ) -> typing.AsyncIterator[site_processes.Site]:
     """Runs a site with a service that sends large answers."""
-    scripts = [WHOLE] * MAX_ANSWERS
+    scripts = [raw_target.answer(bytes(answer_bytes))] * MAX_ANSWERS
     async with (
         raw_target.open_target(*scripts) as target,
         test_crowds_of_a_site.open_site(folder) as site,
@@ -155,14 +156,17 @@
 
 
 # Guards against an entry that is taken by callers of a byte a second.
-@pytest.mark.parametrize("case", ["head", "body", "answer"])
+@pytest.mark.parametrize("case", ["head", "body", "answer", "largest-answer"])
 async def test_slow_callers_keep_others_from_an_entry(
     tmp_path: pathlib.Path, case: str
 ) -> None:
-    async with open_entry_site(tmp_path) as site:
+    answer_bytes = LARGE_BYTES
+    if case == "largest-answer":
+        answer_bytes = service.MAX_ANSWER_BYTES
+    async with open_entry_site(tmp_path, answer_bytes) as site:
         port, part = (
             site.port(ENTRY),
-            entry_parts(site)[case],
+            entry_parts(site)[case.removeprefix("largest-")],
         )
         async with crowd.open_slow_crowd(site.host, port, CROWD, part):
             await anyio.sleep(SETTLE_S)
