--- a/tests/consensus/conftest.py
+++ b/tests/consensus/conftest.py
@@ -54,9 +54,6 @@
     files: dict[str, file_access.Files] = attrs.field(factory=dict)
     errors: dict[str, BaseException] = attrs.field(factory=dict)
 
-    def __attrs_post_init__(self) -> None:
-        self.tasks.start_soon(self.clock.run)
-
     def settings(self, name: str) -> replica_settings.ReplicaSettings:
         return replica_settings.ReplicaSettings(
             name=name,
@@ -70,6 +67,7 @@
         )
 
     async def start(self, name: str) -> None:
+        self.tasks.start_soon(self.clock.run)
         await self.tasks.start(self._run, name)
 
     async def _run(
