--- a/review/common/memory_case.py
+++ b/review/common/memory_case.py
@@ -168,6 +168,7 @@
             for number in GATEWAYS:
                 group.create_task(day.watch(number, end_s))
                 group.create_task(day.run_ordinary(number, end_s))
+        await site.record_runs(WORKERS)
         return judge(record, day, site.strange_count())
     finally:
         await site.close()
--- a/review/common/small_site.py
+++ b/review/common/small_site.py
@@ -27,6 +27,8 @@
 PLATFORM_PORT, WORKER_PORT = 8007, 8080
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 START_TIMEOUT_S = 40.0
+# Runs of a worker that are told one by one; of more only the count is.
+MAX_LISTED_RUNS = 500
 BOUNDS = {
     "bounds.graceS": "8",
     "bounds.retryBudgetRatio": "0.2",
@@ -332,6 +334,17 @@
             raise CannotRunError("a worker told no runs")
         return found
 
+    async def record_runs(self, numbers: tuple[int, ...]) -> None:
+        """Records what workers ran since they started."""
+        for number in numbers:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                runs = await self.runs_of(number)
+                self.record.add(f"worker-{number} ran {len(runs)} requests")
+                if len(runs) > MAX_LISTED_RUNS:
+                    continue
+                for one in runs:
+                    self.record.add(f"worker-{number} ran {one['id']}")
+
     def resident_mb_of(self, name: str) -> float:
         """Returns the memory that a process holds, in MB."""
         process = self.processes[name]
