An end of stream after a failed write is no end of an answer

Cause: the operating system reports a reset, or a timeout, of a connection once, to the first call that asks. The task that writes the upload got it and dropped it, as reading the answer would report it; the task that reads got an end of stream, which is the proper end of an answer without a length.

Evidence: a stand-in that sends the part and resets in one step, while an upload of 8 MiB is being written.

Why this works: the socket itself remembers a failure of any of its calls, so that it doesn't matter which task hears of it; a later end of stream is then an error, for all answers that gateways and registries read (targets, platform, stores). What arrived before is still read, so that an answer with a length or chunks is whole. A broken pipe isn't remembered: Linux reports it for a reset that came after the end of the peer's stream, and an answer may end with its connection.

--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -72,6 +72,7 @@
         self.raw = raw
         self.is_accepted = is_accepted
         self.bytes_sent = 0
+        self._failure = ""
         self.stalled: Stalled = _unlimited
         self._calls_in_turn = 0
         self._checked_s = float("-inf")
@@ -93,14 +94,19 @@
                     await self._wait(anyio.wait_writable)
                 continue
             except OSError as error:
+                self._record_failure(error)
                 raise exceptions.ConnectionEndedError(str(error)) from error
             self.bytes_sent += count
             view = view[count:]
 
     def send_now(self, data: bytes) -> None:
         """Sends as much of `data` as is taken at once; ignores failures."""
-        with contextlib.suppress(OSError):
+        try:
             self.bytes_sent += self.raw.send(data)
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._record_failure(error)
 
     async def receive(self, limit_bytes: int = RECEIVE_BYTES) -> bytes:
         """Returns the next bytes; empty if the peer ended its stream.
@@ -114,11 +120,26 @@
         while True:
             await self._take_turn()
             try:
-                return self.raw.recv(limit_bytes)
+                data = self.raw.recv(limit_bytes)
             except BlockingIOError:
                 await self._wait(anyio.wait_readable)
+                continue
             except OSError as error:
+                self._record_failure(error)
                 raise exceptions.ConnectionEndedError(str(error)) from error
+            if not data and self._failure:
+                raise exceptions.ConnectionEndedError(self._failure)
+            return data
+
+    def _record_failure(self, error: OSError) -> None:
+        """Records why the connection failed.
+
+        The operating system reports a reset or a timeout to one call only;
+        later ones read an end of stream, as if the peer had closed. A broken
+        pipe is no failure of what the peer sent: its stream ended before.
+        """
+        if not isinstance(error, BrokenPipeError):
+            self._failure = str(error)
 
     async def _take_turn(self) -> None:
         """Lets other tasks run if this socket never had to wait."""
--- a/src/cactusstile/http/targets.py
+++ b/src/cactusstile/http/targets.py
@@ -109,7 +109,10 @@
         return head
 
     async def _send_long(self, parts: list[bytes]) -> None:
-        """Sends a long request; reading the response reports a failure."""
+        """Sends a long request; reading the response reports a failure.
+
+        The socket remembers it: an end of stream after it is no proper end.
+        """
         with contextlib.suppress(exceptions.ConnectionEndedError):
             for part in parts:
                 await self.socket.send(part)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -8,6 +8,7 @@
 import anyio.abc
 import attrs
 from tests.support import raw_target
+from tests.support import resetting_target
 from tests.support import stalled_target
 
 if typing.TYPE_CHECKING:
@@ -144,7 +145,9 @@
 @contextlib.asynccontextmanager
 async def open_harness(
     site_configuration: model.SiteConfiguration | None,
-    *open_targets: raw_target.RawTarget | stalled_target.StalledTarget,
+    *open_targets: raw_target.RawTarget
+    | resetting_target.ResettingTarget
+    | stalled_target.StalledTarget,
     ratio: float = 1.0,
     slack: float = 10.0,
     weights_s: float = 8.0,
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,37 @@
+"""Answers of the platform, targets and stores that are cut off or none."""
+
+from __future__ import annotations
+
+import pytest
+from tests.support import resetting_target
+
+from cactusstile.http import messages
+from cactusstile.http import targets
+from cactusstile.platform import client
+from cactusstile.sites import model
+
+pytestmark = pytest.mark.anyio
+# More than the operating system takes while a store reads nothing.
+LONG_BODY = b"x" * (8 << 20)
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+async def call(target: model.Target, body: bytes) -> int:
+    """Returns the status of the answer to a call with this body."""
+    pool = targets.Pool()
+    request = messages.Request(b"POST", b"/", ((b"host", b"h"),), body)
+    try:
+        return await client.Client(pool).send_order(
+            target, request, lambda: True
+        )
+    finally:
+        pool.close()
+
+
+# Guards against the start of an answer, without a length, that passes for all
+# of it: of a list, the rest would count as gone.
+async def test_answer_reset_during_a_long_call_looks_whole() -> None:
+    answer = OK + b'\r\n{"targets": []}'
+    async with resetting_target.open_target(answer) as resetting:
+        with pytest.raises(client.CallError):
+            await call(resetting.target, LONG_BODY)
