Tests: answers without a status, or with a field without a name, are held

Both hold on the code as it was wherever it was tried, so nothing else is changed: gateways (whole answers and streams; heads and trailers), the calls to the platform, targets and stores, and targets/http.py.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from tests.support import broken_heads
+from tests.support import raw_target
 from tests.support import resetting_target
 
 from cactusstile.http import messages
@@ -35,3 +37,18 @@
     async with resetting_target.open_target(answer) as resetting:
         with pytest.raises(client.CallError):
             await call(resetting.target, LONG_BODY)
+
+
+# Guards against an answer that has no status, or a field without a name.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        *map(broken_heads.with_status, broken_heads.STATUSES),
+        *map(broken_heads.with_name, broken_heads.NAMES),
+    ],
+)
+async def test_answer_without_a_proper_head_is_used(answer: bytes) -> None:
+    async with raw_target.open_target(raw_target.send_raw(answer)) as raw:
+        with pytest.raises(client.CallError) as caught:
+            await call(raw.target, b"")
+    assert not caught.value.status
--- a/tests/targets/test_broken_answers.py
+++ b/tests/targets/test_broken_answers.py
@@ -6,6 +6,8 @@
 import typing
 
 import pytest
+from tests.support import broken_heads
+from tests.support import raw_target
 from tests.support import resetting_target
 
 from cactusstile import verdict
@@ -23,7 +25,7 @@
 
 @contextlib.asynccontextmanager
 async def opened(
-    target: resetting_target.ResettingTarget,
+    target: raw_target.RawTarget | resetting_target.ResettingTarget,
 ) -> collections.abc.AsyncIterator[http.HttpTarget]:
     async with http.open_target(f"http://{target.target.address}") as found:
         yield found
@@ -56,3 +58,21 @@
     ):
         with pytest.raises(exceptions.TargetError):
             await read_events(target)
+
+
+# Guards against an answer that has no status, or a field without a name.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        *map(broken_heads.with_status, broken_heads.STATUSES),
+        *map(broken_heads.with_name, broken_heads.NAMES),
+    ],
+)
+async def test_answer_without_a_proper_head_is_returned(answer: bytes) -> None:
+    async with (
+        raw_target.open_target(raw_target.send_raw(answer)) as raw,
+        opened(raw) as target,
+    ):
+        with pytest.raises(exceptions.TargetError) as caught:
+            await target.call(http.Request("GET", "/"), timeout_s=TIMEOUT_S)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
