Console: a reset while a call is written is no end of its answer

Our own registries state lengths, so that none of them shows it.

Why this works: the library tells of each failed write to a function that it is given; an answer after that counts only if its head tells where it ends, and else the process did not answer. Both commands now make their calls by one function.

--- a/src/cactusstile/console/dump.py
+++ b/src/cactusstile/console/dump.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import httpcore
-
 from cactusstile.console import exceptions
+from cactusstile.console import http_calls
 from cactusstile.transport import address
 
 TIMEOUT_S = 5.0
@@ -23,12 +22,11 @@
         raise exceptions.CommandError(
             str(error), exceptions.ExitCode.USAGE
         ) from error
-    limits = {"connect": TIMEOUT_S, "read": TIMEOUT_S}
     try:
-        answer = httpcore.request(
-            "GET", f"http://{target}/dump", extensions={"timeout": limits}
+        answer = http_calls.request(
+            "GET", f"http://{target}/dump", timeout_s=TIMEOUT_S
         )
-    except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+    except exceptions.NoAnswerError as error:
         raise exceptions.CommandError(
             f"{target} does not answer: {error}; check that the process runs "
             "and that this is its admin address",
--- a/src/cactusstile/console/exceptions.py
+++ b/src/cactusstile/console/exceptions.py
@@ -31,3 +31,7 @@
         """Stores the exit code; `message` says what failed and what to do."""
         super().__init__(message)
         self.exit_code = exit_code
+
+
+class NoAnswerError(Exception):
+    """Raised when a process gave no answer, or none that is complete."""
--- a/src/cactusstile/console/registry_calls.py
+++ b/src/cactusstile/console/registry_calls.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
-
-import httpcore
+import typing
 
 from cactusstile.console import exceptions
+from cactusstile.console import http_calls
+
+if typing.TYPE_CHECKING:
+    import httpcore
 
 MAX_REDIRECTS = 2
 TIMEOUT_S = 3.0
@@ -29,26 +32,24 @@
     """
     url = f"http://{registry}{path}"
     body = json.dumps(content) if content else None
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
-    with httpcore.ConnectionPool() as pool:
-        for _ in range(MAX_REDIRECTS + 1):
-            try:
-                response = pool.request(
-                    method,
-                    url,
-                    headers={"host": registry},
-                    content=body.encode() if body else None,
-                    extensions={"timeout": timeouts},
-                )
-            except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-                raise exceptions.CommandError(
-                    f"{registry} does not answer ({error}); "
-                    "check the address or try another registry",
-                    exceptions.ExitCode.UNREACHABLE,
-                ) from error
-            if response.status != _REDIRECT:
-                return _read(response)
-            url = _find_location(response)
+    for _ in range(MAX_REDIRECTS + 1):
+        try:
+            response = http_calls.request(
+                method,
+                url,
+                timeout_s=TIMEOUT_S,
+                headers={"host": registry},
+                content=body.encode() if body else None,
+            )
+        except exceptions.NoAnswerError as error:
+            raise exceptions.CommandError(
+                f"{registry} does not answer ({error}); "
+                "check the address or try another registry",
+                exceptions.ExitCode.UNREACHABLE,
+            ) from error
+        if response.status != _REDIRECT:
+            return _read(response)
+        url = _find_location(response)
     raise exceptions.CommandError(
         "the registries have no leader; try again",
         exceptions.ExitCode.UNREACHABLE,
