Console: a broken answer ends a command with a message, not a traceback

Cause: the errors of the library for malformed answers and addresses were not caught.

Why this works: such an answer counts as none; the command names the process, exits with the code of one that does not answer and prints nothing else. Bytes of a dump that are no text are replaced, as they are in the other commands.

--- a/src/cactusstile/console/dump.py
+++ b/src/cactusstile/console/dump.py
@@ -36,4 +36,4 @@
         raise exceptions.CommandError(
             f"{target} answered with status {answer.status}"
         )
-    print(answer.content.decode(), end="")
+    print(answer.content.decode(errors="replace"), end="")
--- a/src/cactusstile/console/http_calls.py
+++ b/src/cactusstile/console/http_calls.py
@@ -18,12 +18,20 @@
     "http11.send_request_headers.failed",
     "http11.send_request_body.failed",
 )
+_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    # Raised for an address that is none.
+    httpcore.UnsupportedProtocol,
+    ValueError,
+)
 _FRAMING = (b"content-length", b"transfer-encoding")
 
 
 def request(
     method: str,
-    url: str,
+    url: str | bytes,
     *,
     timeout_s: float,
     headers: collections.abc.Mapping[str | bytes, str | bytes] | None = None,
@@ -39,7 +47,8 @@
       content: Body of the request.
 
     Raises:
-      NoAnswerError: There was no response, or it may not be complete.
+      NoAnswerError: There was no response, it is malformed, or it may not be
+        complete.
     """
     timeouts = dict.fromkeys(_STEPS, timeout_s)
     failed: list[str] = []
@@ -48,7 +57,7 @@
         response = httpcore.request(
             method, url, headers=headers, content=content, extensions=extensions
         )
-    except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+    except _ERRORS as error:
         raise exceptions.NoAnswerError(str(error)) from error
     # The library drops the error of a write. The operating system reports a
     # reset only once: the end of stream that was read then is no proper end.
--- a/src/cactusstile/console/registry_calls.py
+++ b/src/cactusstile/console/registry_calls.py
@@ -30,7 +30,7 @@
     Raises:
       CommandError: No registry answered, or the leader refused the call.
     """
-    url = f"http://{registry}{path}"
+    url: str | bytes = f"http://{registry}{path}"
     body = json.dumps(content) if content else None
     for _ in range(MAX_REDIRECTS + 1):
         try:
@@ -56,9 +56,9 @@
     )
 
 
-def _find_location(response: httpcore.Response) -> str:
+def _find_location(response: httpcore.Response) -> bytes:
     headers = {name.lower(): value for name, value in response.headers}
-    return headers[b"location"].decode()
+    return headers.get(b"location", b"")
 
 
 def _read(response: httpcore.Response) -> str:
