--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -100,6 +100,29 @@
         assert len([item async for item in items]) == 40
 
 
+# Guards against a part of an answer that passes for all of it, as its peer
+# ended between two items.
+async def test_stream_whose_peer_ends_looks_whole() -> None:
+    caller = handshake.Identity("entry", "e")
+    callee = handshake.Identity("agent", "a")
+    async with contextlib.AsyncExitStack() as stack:
+        peers = await stack.enter_async_context(
+            pool.open_pool(caller, SECRETS, timing=FAST)
+        )
+        callees = await stack.enter_async_context(contextlib.AsyncExitStack())
+        running = await callees.enter_async_context(
+            server.open_server(LOCAL, callee, SECRETS, HANDLERS, FAST)
+        )
+        opened = await peers.connect(running.bound)
+        items = await stack.enter_async_context(
+            opened.open_stream(messages.CallError("flood", ""))
+        )
+        assert await anext(items)
+        await callees.aclose()
+        with pytest.raises(exceptions.ConnectionLostError):
+            await items.result()
+
+
 async def test_connect_rejects_wrong_secret() -> None:
     wrong = handshake.Secrets(b"other")
     with pytest.raises(ExceptionGroup) as caught:
