--- a/src/cactusstile/console/http_calls.py
+++ b/src/cactusstile/console/http_calls.py
@@ -7,6 +7,7 @@
 import httpcore
 
 from cactusstile.console import exceptions
+from cactusstile.http import messages
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -26,7 +27,6 @@
     httpcore.UnsupportedProtocol,
     ValueError,
 )
-_FRAMING = (b"content-length", b"transfer-encoding")
 
 
 def request(
@@ -61,7 +61,8 @@
         raise exceptions.NoAnswerError(str(error)) from error
     # The library drops the error of a write. The operating system reports a
     # reset only once: the end of stream that was read then is no proper end.
-    if failed and not _is_framed(response):
+    fields = tuple((name.lower(), value) for name, value in response.headers)
+    if failed and not messages.is_framed(fields):
         raise exceptions.NoAnswerError("the connection was reset")
     return response
 
@@ -75,9 +76,3 @@
             failed.append(event)
 
     return record
-
-
-def _is_framed(response: httpcore.Response) -> bool:
-    """Returns whether the end of a body can be told from a reset."""
-    names = [name.lower() for name, _ in response.headers]
-    return any(name in names for name in _FRAMING)
--- a/src/cactusstile/gateway/exchange.py
+++ b/src/cactusstile/gateway/exchange.py
@@ -110,8 +110,7 @@
     @property
     def is_framed(self) -> bool:
         """Whether its end can be told from the end of its connection."""
-        framing = (b"content-length", b"transfer-encoding")
-        return any(self.head.find(name) is not None for name in framing)
+        return messages.is_framed(self.head.headers)
 
 
 @attrs.define
--- a/src/cactusstile/http/messages.py
+++ b/src/cactusstile/http/messages.py
@@ -29,6 +29,9 @@
     )
 )
 
+# Header fields that tell where a body ends.
+_FRAMING = (b"content-length", b"transfer-encoding")
+
 
 @attrs.frozen
 class Request:
@@ -120,6 +123,15 @@
         return value.decode("latin-1")
 
 
+def is_framed(headers: Headers) -> bool:
+    """Returns whether the end of a body differs from that of its connection.
+
+    >>> is_framed(((b"content-length", b"3"),)), is_framed(())
+    (True, False)
+    """
+    return any(name in _FRAMING for name, _ in headers)
+
+
 def media_type(head: ResponseHead) -> str:
     """Returns the type of a body: lower-case, without parameters.
 
