--- a/tests/console/test_registry_calls.py
+++ b/tests/console/test_registry_calls.py
@@ -18,14 +18,10 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-# More than the operating system takes while a registry reads nothing.
-LONG_TEXT = "x" * (8 << 20)
-
-
+LONG_TEXT = "x" * resetting_target.LONG_REQUEST_BYTES
 REDIRECT = b"HTTP/1.1 307 Elsewhere\r\nContent-Length: 0\r\n"
 BROKEN_ANSWERS = [
-    *map(broken_heads.with_status, broken_heads.STATUSES),
-    *map(broken_heads.with_name, broken_heads.NAMES),
+    *broken_heads.ANSWERS,
     REDIRECT + b"\r\n",
     REDIRECT + b"Location: http://127.0.0.1:x/\r\n\r\n",
     REDIRECT + b"Location: \xff\r\n\r\n",
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -12,6 +12,7 @@
 from cactusstile.agent import messages
 from cactusstile.entry import daemon
 from cactusstile.fakes import scripted_agent
+from cactusstile.fakes import site as fake_site
 from cactusstile.settings import entry as entry_settings
 from cactusstile.settings import process
 from cactusstile.state import holder
@@ -155,6 +156,19 @@
     return attrs.evolve(built, **changes)
 
 
+@contextlib.asynccontextmanager
+async def open_entry(
+    site: fake_site.Site, **changes: typing.Any
+) -> collections.abc.AsyncIterator[Caller]:
+    """Opens an entry to a site; `changes` are those of its settings."""
+    parts = daemon.Parts(site.fleet_holder, site.peers, KEYS.get)
+    async with (
+        daemon.open_entry(settings(**changes), parts) as entry,
+        httpcore.AsyncConnectionPool(max_connections=50) as http,
+    ):
+        yield Caller(f"http://{entry.callers_address()}", http)
+
+
 @contextlib.asynccontextmanager
 async def open_site(
     agents: list[scripted_agent.ScriptedAgent], **changes: typing.Any
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -5,25 +5,24 @@
 import contextlib
 import typing
 
-import httpcore
 import pytest
 from tests.entry import support
 from tests.support import broken_heads
 from tests.support import raw_target
 from tests.support import resetting_target
 
-from cactusstile.entry import daemon
 from cactusstile.fakes import site as fake_site
 
 if typing.TYPE_CHECKING:
-    import collections.abc
+    import httpcore
 
 pytestmark = pytest.mark.anyio
 # The largest that an entry can be set to take.
 LONG_BODY = b"x" * 3_000_000
-SETTINGS = support.settings(
-    max_body_bytes=len(LONG_BODY), max_buffered_bytes=2 * len(LONG_BODY)
-)
+BODY_LIMITS = {
+    "max_body_bytes": len(LONG_BODY),
+    "max_buffered_bytes": 2 * len(LONG_BODY),
+}
 
 
 async def call(
@@ -39,23 +38,11 @@
         fake_site.open_agent(
             site, "a", "service", f"http://{running.target.address}"
         ),
-        open_caller(site) as caller,
+        support.open_entry(site, **BODY_LIMITS) as caller,
     ):
         return await caller.request("/services/inventory/stock", body)
 
 
-@contextlib.asynccontextmanager
-async def open_caller(
-    site: fake_site.Site,
-) -> collections.abc.AsyncIterator[support.Caller]:
-    parts = daemon.Parts(site.fleet_holder, site.peers, support.KEYS.get)
-    async with (
-        daemon.open_entry(SETTINGS, parts) as entry,
-        httpcore.AsyncConnectionPool() as http,
-    ):
-        yield support.Caller(f"http://{entry.callers_address()}", http)
-
-
 def check_refused(response: httpcore.Response) -> None:
     assert response.status in (502, 503, 504)
     told = support.header(response, "cactusstile-verdict")
@@ -72,13 +59,7 @@
 
 
 # Guards against an answer that has no status, or a field without a name.
-@pytest.mark.parametrize(
-    "answer",
-    [
-        *map(broken_heads.with_status, broken_heads.STATUSES),
-        *map(broken_heads.with_name, broken_heads.NAMES),
-    ],
-)
+@pytest.mark.parametrize("answer", broken_heads.ANSWERS)
 async def test_answer_of_a_service_without_a_proper_head_is_passed_on(
     answer: bytes,
 ) -> None:
--- a/tests/entry/test_with_agents.py
+++ b/tests/entry/test_with_agents.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-import collections.abc
-import contextlib
 import json
 
 import anyio
-import httpcore
 import pytest
 from tests.entry import support
 
 from cactusstile import tokens
-from cactusstile.entry import daemon
 from cactusstile.fakes import engine
 from cactusstile.fakes import oracle
 from cactusstile.fakes import site as fake_site
@@ -26,18 +22,6 @@
 PROMPT = "What is behind tag 7? " * 8
 
 
-@contextlib.asynccontextmanager
-async def _open_entry(
-    site: fake_site.Site,
-) -> collections.abc.AsyncIterator[support.Caller]:
-    parts = daemon.Parts(site.fleet_holder, site.peers, support.KEYS.get)
-    async with (
-        daemon.open_entry(support.settings(), parts) as entry,
-        httpcore.AsyncConnectionPool(max_connections=50) as http,
-    ):
-        yield support.Caller(f"http://{entry.callers_address()}", http)
-
-
 def _expected_text(count: int, workspace: str = "bank") -> str:
     scope = tokens.Scope(workspace, fake_site.DEPLOYMENT, "v1")
     prompt = tokens.byte_tokenizer(PROMPT)
@@ -72,7 +56,7 @@
         fake_site.open_site() as site,
         fake_site.open_engine_agent(site, "engine-1"),
         fake_site.open_engine_agent(site, "engine-2"),
-        _open_entry(site) as caller,
+        support.open_entry(site) as caller,
     ):
         first = await _stream_events(caller, 12)
         repeated = await _stream_events(caller, 12)
@@ -110,7 +94,7 @@
     async with (
         fake_site.open_site() as site,
         fake_site.open_engine_agent(site, "engine-2", SLOW),
-        _open_entry(site) as caller,
+        support.open_entry(site) as caller,
         anyio.create_task_group() as group,
     ):
         group.start_soon(run_agent_until_stopped, site)
@@ -128,7 +112,7 @@
         fake_site.open_site() as site,
         fake_site.open_service_agent(site, "service-1"),
         fake_site.open_service_agent(site, "service-2"),
-        _open_entry(site) as caller,
+        support.open_entry(site) as caller,
     ):
         for service in site.services.values():
             service.answers_to_drop = 1
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -12,8 +12,7 @@
 from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
-# More than the operating system takes while a target reads nothing.
-LONG_UPLOAD = b"x" * (8 << 20)
+LONG_UPLOAD = b"x" * resetting_target.LONG_REQUEST_BYTES
 LIMITS = request_limits.CallerLimits(max_body_bytes=len(LONG_UPLOAD))
 PLAIN = support.configuration(support.route(model.Kind.ONCE), limits=LIMITS)
 STREAM = support.configuration(support.route(model.Kind.STREAM), limits=LIMITS)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -13,8 +13,7 @@
 from cactusstile.sites import model
 
 pytestmark = pytest.mark.anyio
-# More than the operating system takes while a store reads nothing.
-LONG_BODY = b"x" * (8 << 20)
+LONG_BODY = b"x" * resetting_target.LONG_REQUEST_BYTES
 OK = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -40,13 +39,7 @@
 
 
 # Guards against an answer that has no status, or a field without a name.
-@pytest.mark.parametrize(
-    "answer",
-    [
-        *map(broken_heads.with_status, broken_heads.STATUSES),
-        *map(broken_heads.with_name, broken_heads.NAMES),
-    ],
-)
+@pytest.mark.parametrize("answer", broken_heads.ANSWERS)
 async def test_answer_without_a_proper_head_is_used(answer: bytes) -> None:
     async with raw_target.open_target(raw_target.send_raw(answer)) as raw:
         with pytest.raises(client.CallError) as caught:
--- a/tests/support/broken_heads.py
+++ b/tests/support/broken_heads.py
@@ -44,3 +44,6 @@
 def with_name(name: bytes) -> bytes:
     """Returns an answer of which a field has no name."""
     return b"HTTP/1.1 200 OK\r\n" + name + b": 4\r\n" + REST
+
+
+ANSWERS = (*map(with_status, STATUSES), *map(with_name, NAMES))
--- a/tests/support/resetting_target.py
+++ b/tests/support/resetting_target.py
@@ -16,6 +16,8 @@
 from cactusstile.transport import listeners
 
 RECEIVE_BUFFER_BYTES = 4 << 10
+# More than the operating system takes while the target reads nothing.
+LONG_REQUEST_BYTES = 8 << 20
 # Time in which the caller writes what the operating system takes.
 WRITING_S = 0.1
 _LINGER_ZERO = struct.pack("ii", 1, 0)
--- a/tests/targets/test_broken_answers.py
+++ b/tests/targets/test_broken_answers.py
@@ -18,8 +18,8 @@
     import collections.abc
 
 pytestmark = pytest.mark.anyio
-# More than the operating system takes while a target reads nothing.
-UPLOAD = http.Request("POST", "/", b"x" * (8 << 20))
+LONG_BODY = b"x" * resetting_target.LONG_REQUEST_BYTES
+UPLOAD = http.Request("POST", "/", LONG_BODY)
 TIMEOUT_S = 5.0
 
 
@@ -61,13 +61,7 @@
 
 
 # Guards against an answer that has no status, or a field without a name.
-@pytest.mark.parametrize(
-    "answer",
-    [
-        *map(broken_heads.with_status, broken_heads.STATUSES),
-        *map(broken_heads.with_name, broken_heads.NAMES),
-    ],
-)
+@pytest.mark.parametrize("answer", broken_heads.ANSWERS)
 async def test_answer_without_a_proper_head_is_returned(answer: bytes) -> None:
     async with (
         raw_target.open_target(raw_target.send_raw(answer)) as raw,
