--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -53,6 +53,14 @@
     assert b"half of" not in data
 
 
+# Guards against the same in the version whose answers seldom have a length.
+async def test_old_answer_reset_during_an_upload_looks_whole() -> None:
+    head = HEAD.replace(b"HTTP/1.1", b"HTTP/1.0")
+    data = await upload(PLAIN, head + b"\r\nhalf of")
+    assert support.status(data) == 502
+    assert b"half of" not in data
+
+
 # Guards against the same for a stream that breaks off after a whole event.
 async def test_stream_reset_during_an_upload_looks_whole() -> None:
     data = await upload(STREAM, EVENTS + b"id: 1\ndata: x\n\n")
--- a/tests/http/test_sockets.py
+++ b/tests/http/test_sockets.py
@@ -84,6 +84,22 @@
         opened.close()
 
 
+# Guards against a proper end after a peer that took nothing for too long, as
+# the write heard of the timeout.
+async def test_timeout_that_a_write_heard_of_is_a_proper_end() -> None:
+    with listening() as (listener, listen_address):
+        opened = await sockets.connect(listen_address, 1.0)
+        accepted, _ = listener.accept()
+        accepted.sendall(b"half")
+        with accepted:
+            with pytest.raises(exceptions.ConnectionEndedError, match="timed"):
+                await opened.send(b"x" * (64 << 20))
+            assert await opened.receive() == b"half"
+            with pytest.raises(exceptions.ConnectionEndedError, match="timed"):
+                await opened.receive()
+        opened.close()
+
+
 # Guards against work for a caller whose machine is gone.
 @pytest.mark.parametrize(
     ("retransmits", "probes", "is_silent"),
