A caller that is still sending ahead at a stop loses no answer

What callers saw: a caller that was sending further requests ahead as its gateway stopped lost the answer to a request that had run: status 200 and whole by the gateway's log, but the connection was reset before the caller read it.

Cause: after the last answer of a stop a connection read on for 1 s in all, however busy the caller was. What a caller sends after that resets the connection, and clients such as asyncio's discard what they have received and not yet read.

Why this works: at a stop the second counts from the last bytes of the caller, so that one that is silent is not awaited longer than before (test_silent_caller_holds_up_a_stop) and one that is sending is heard to its end, or to the end of the stop, which ends all connections. A refusal outside of a stop still reads on for 1 s in all.

--- a/src/cactusstile/http/callers.py
+++ b/src/cactusstile/http/callers.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import logging
+import math
 import typing
 
 import anyio
@@ -90,10 +91,10 @@
         """Lets the caller read its answer although it sends further requests.
 
         What arrives on a closed connection resets it, and a caller may discard
-        what it has not read by then.
+        what it has not read by then. The end of the stop ends this, too.
         """
         if self.serving.stopping and not self.place.gave_way:
-            await self.socket.linger()
+            await self.socket.linger(math.inf)
 
     async def _serve_next(self) -> bool:
         """Serves the next request; returns whether the connection stays open.
--- a/src/cactusstile/http/sockets.py
+++ b/src/cactusstile/http/sockets.py
@@ -198,19 +198,24 @@
         unanswered = info[_RETRANSMITS_OFFSET] + info[_PROBES_OFFSET]
         return unanswered >= MAX_UNANSWERED
 
-    async def linger(self) -> None:
-        """Shuts down sending and discards input for up to `LINGER_TIMEOUT_S`.
+    async def linger(self, limit_s: float = LINGER_TIMEOUT_S) -> None:
+        """Shuts down sending and discards input until the peer closes.
 
         Closing a socket with unread input resets the connection, which can
-        discard a response before the peer has read it.
+        discard a response before the peer has read it. A peer that has sent
+        nothing for `LINGER_TIMEOUT_S` is not awaited any longer.
+
+        Args:
+          limit_s: Time after which a peer that still sends is not awaited.
         """
         with (
             contextlib.suppress(OSError, exceptions.ConnectionEndedError),
-            anyio.move_on_after(LINGER_TIMEOUT_S),
+            anyio.move_on_after(limit_s),
         ):
             self.raw.shutdown(socket.SHUT_WR)
-            while await self.receive():
-                continue
+            with anyio.move_on_after(LINGER_TIMEOUT_S) as silence:
+                while await self.receive():
+                    silence.deadline = anyio.current_time() + LINGER_TIMEOUT_S
 
     def close(self) -> None:
         """Closes the socket."""
--- a/tests/http/test_callers.py
+++ b/tests/http/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import contextlib
 import socket
@@ -304,3 +305,33 @@
                     break
                 received += data
             assert received.startswith(b"HTTP/1.1 200")
+
+
+# Guards against an answer that is lost as its caller is still sending ahead.
+async def test_caller_that_sends_ahead_for_long_at_a_stop_is_reset() -> None:
+    async with listen() as listener:
+        listener.serving.stopping = True
+        # Discards what it has received and not read when it is reset.
+        reader, writer = await asyncio.open_connection(
+            listener.place.host, listener.place.port
+        )
+        with contextlib.closing(writer):
+            for _ in range(5):
+                writer.write(HEAD + b"\r\n")
+                await anyio.sleep(0.5 * sockets.LINGER_TIMEOUT_S)
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.count(b"HTTP/1.1 ") == 1
+
+
+# Guards against a stop that waits for callers who do not close.
+async def test_silent_caller_holds_up_a_stop() -> None:
+    async with listen() as listener:
+        listener.serving.stopping = True
+        async with await listener.connect() as stream:
+            await stream.send(HEAD + b"\r\n")
+            with contextlib.suppress(anyio.EndOfStream):
+                while await stream.receive():
+                    continue
+            await anyio.sleep(1.5 * sockets.LINGER_TIMEOUT_S)
+            assert not listener.serving.open_connections.places
